--- /dev/null
+++ b/bin/loftpathd.c
@@ -0,0 +1,214 @@
+/* loftpathd.c: one instance of the fleet. */
+#include <glib.h>
+#include <jansson.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/random.h>
+#include <unistd.h>
+
+#include "entry/entry.h"
+#include "entry/watch.h"
+#include "kernel/clock.h"
+#include "kernel/log.h"
+#include "kernel/service.h"
+#include "kernel/settings.h"
+
+#define STEP_US 20000
+
+static Setting settings[] = {
+    {"name", "LOFTPATH_NAME", SETTING_NAME, NULL,
+     "Name of this instance, as in the platform's list", 0, 0, NULL},
+    {"datacentre", "LOFTPATH_DATACENTRE", SETTING_NAME, NULL,
+     "Data centre it stands in", 0, 0, NULL},
+    {"region", "LOFTPATH_REGION", SETTING_NAME, "",
+     "Region: instances that stay connected when others are cut off; the data "
+     "centre if empty",
+     0, 0, NULL},
+    {"listen", "LOFTPATH_LISTEN", SETTING_ADDRESS, NULL,
+     "ip:port for callers and operators", 0, 0, NULL},
+    {"peer", "LOFTPATH_PEER", SETTING_ADDRESS, NULL,
+     "ip:port for the other instances", 0, 0, NULL},
+    {"platform", "LOFTPATH_PLATFORM", SETTING_ADDRESS, NULL,
+     "ip:port of the platform's object API", 0, 0, NULL},
+    {"admin-key", "LOFTPATH_ADMIN_KEY", SETTING_TEXT, "",
+     "Bearer key of operators; better given by the variable", 0, 0, NULL},
+    {"max-body", "LOFTPATH_MAX_BODY", SETTING_NUMBER, "4194304",
+     "Bytes of a request's body", 1024, 1 << 28, NULL},
+    {"max-header", "LOFTPATH_MAX_HEADER", SETTING_NUMBER, "32768",
+     "Bytes of memory for one connection's headers", 4096, 1 << 20, NULL},
+    {"max-connections", "LOFTPATH_MAX_CONNECTIONS", SETTING_NUMBER, "4096",
+     "Connections at once", 1, 100000, NULL},
+    {"idle", "LOFTPATH_IDLE", SETTING_NUMBER, "60",
+     "Seconds without progress after which a connection is closed", 1, 86400,
+     NULL},
+    {"stop", "LOFTPATH_STOP", SETTING_NUMBER, "300",
+     "Seconds that a planned stop may take", 0, 86400, NULL},
+    {"check", "LOFTPATH_CHECK", SETTING_FLAG, "off",
+     "Check the settings and exit", 0, 0, NULL},
+    {"debug", "LOFTPATH_DEBUG", SETTING_FLAG, "off", "Log more", 0, 0, NULL},
+    {NULL, NULL, SETTING_TEXT, NULL, NULL, 0, 0, NULL}};
+
+static char self_id[LIMIT_ID];
+static Entry entry;
+static Kernel kernel;
+
+static uint32_t random_seed(void) {
+  uint32_t n;
+  if (getrandom(&n, sizeof n, 0) != sizeof n) n = (uint32_t)getpid();
+  return n;
+}
+
+/* == services == */
+
+static bool start_fleet(Service *s, Err *e) {
+  FleetOptions o = {.platform = settings_text(settings, "platform"),
+                    .seed = random_seed()};
+  const char *dc = settings_text(settings, "datacentre");
+  const char *region = settings_text(settings, "region");
+  const char *peer = settings_text(settings, "peer");
+  g_strlcpy(o.self.id, self_id, sizeof o.self.id);
+  g_strlcpy(o.self.dc, dc, sizeof o.self.dc);
+  g_strlcpy(o.self.region, region[0] ? region : dc, sizeof o.self.region);
+  snprintf(o.self.peer, sizeof o.self.peer, "tcp://%s", peer);
+  g_strlcpy(o.self.http, settings_text(settings, "listen"),
+            sizeof o.self.http);
+  char *bind = g_strdup(o.self.peer);
+  o.bind = bind;
+  Fleet *f = fleet_open(&o, e);
+  g_free(bind);
+  s->state = f;
+  return f != NULL;
+}
+
+static void stop_fleet(Service *s) { fleet_close(s->state); }
+
+static bool start_entry(Service *s, Err *e) {
+  entry.options =
+      (EntryOptions){.listen = settings_text(settings, "listen"),
+                     .platform = settings_text(settings, "platform"),
+                     .admin_key = settings_text(settings, "admin-key"),
+                     .instance = self_id,
+                     .max_body = (size_t)settings_number(settings, "max-body"),
+                     .max_header =
+                         (size_t)settings_number(settings, "max-header"),
+                     .max_connections =
+                         (int)settings_number(settings, "max-connections"),
+                     .idle_s = (int)settings_number(settings, "idle")};
+  entry.fleet = service_find(&kernel, "fleet");
+  entry.snapshots = service_find(&kernel, "snapshots");
+  entry.pools = service_find(&kernel, "pools");
+  s->state = &entry;
+  return entry_open(&entry, e);
+}
+
+static void drain_entry(Service *s) { entry_drain(s->state); }
+
+static void stop_entry(Service *s) { entry_close(s->state); }
+
+static bool start_pools(Service *s, Err *e) {
+  (void)e;
+  s->state = pools_new(random_seed());
+  return true;
+}
+
+static void stop_pools(Service *s) { pools_free(s->state); }
+
+static bool start_snapshots(Service *s, Err *e) {
+  (void)e;
+  s->state = snapshots_new();
+  return true;
+}
+
+static void stop_snapshots(Service *s) { snapshots_free(s->state); }
+
+static bool start_watch(Service *s, Err *e) {
+  (void)e;
+  s->state = watch_open(service_find(&kernel, "entry"));
+  return true;
+}
+
+static void stop_watch(Service *s) { watch_close(s->state); }
+
+static Service services[] = {
+    {"watch", {"entry"}, start_watch, NULL, stop_watch, NULL},
+    {"entry",
+     {"fleet", "snapshots", "pools"},
+     start_entry,
+     drain_entry,
+     stop_entry,
+     NULL},
+    {"fleet", {NULL}, start_fleet, NULL, stop_fleet, NULL},
+    {"pools", {NULL}, start_pools, NULL, stop_pools, NULL},
+    {"snapshots", {NULL}, start_snapshots, NULL, stop_snapshots, NULL},
+};
+
+/* == life == */
+
+/* Waits for SIGTERM, SIGINT or an operator's drain. */
+static void wait_for_stop(const sigset_t *set) {
+  struct timespec step = {0, STEP_US * 1000};
+  while (!atomic_load(&entry.draining))
+    if (sigtimedwait(set, NULL, &step) > 0) return;
+}
+
+/* True when everything ended by itself; a second signal or the deadline stops
+   sooner. */
+static bool drain(const sigset_t *set) {
+  double deadline = clock_now() + (double)settings_number(settings, "stop");
+  struct timespec step = {0, STEP_US * 1000};
+  bool given_back = false;
+  service_drain(&kernel);
+  log_info("draining", "s:i", "open", atomic_load(&entry.open));
+  while (clock_now() < deadline) {
+    if (sigtimedwait(set, NULL, &step) > 0) return false;
+    if (atomic_load(&entry.open) > 0) continue;
+    if (!given_back) fleet_drain(entry.fleet);
+    given_back = true;
+    if (fleet_drained(entry.fleet)) return true;
+  }
+  return false;
+}
+
+int main(int argc, char **argv) {
+  Err e = {0};
+  bool ok = settings_read(settings, argc, argv,
+                          "loftpathd -- one instance of the router fleet", &e);
+  if (!ok) {
+    fprintf(stderr, "loftpathd: %s: %s\n", e.text, err_info(e.kind)->remedy);
+    return 2;
+  }
+  if (settings_flag(settings, "check")) {
+    printf("settings are valid\n");
+    return 0;
+  }
+  snprintf(self_id, sizeof self_id, "%s.%08x",
+           settings_text(settings, "name"), random_seed());
+  log_open(self_id, settings_flag(settings, "debug"));
+  sigset_t set;
+  sigemptyset(&set);
+  sigaddset(&set, SIGTERM);
+  sigaddset(&set, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &set, NULL); /* before any thread is made */
+  signal(SIGPIPE, SIG_IGN);
+  atomic_store(&entry.store_heard, clock_unix());
+  for (size_t i = 0; i < G_N_ELEMENTS(services); i++)
+    ok = ok && service_add(&kernel, &services[i], &e);
+  if (!ok || !service_start(&kernel, &e)) {
+    log_warn("start-failed", "s:s,s:s", "error", e.text, "remedy",
+             err_info(e.kind)->remedy);
+    return 1;
+  }
+  log_info("started", "s:s", "listen", settings_text(settings, "listen"));
+  wait_for_stop(&set);
+  bool clean = drain(&set);
+  if (!clean)
+    log_warn("stop-cut", "s:i,s:I", "requests", atomic_load(&entry.open),
+             "tokens", (json_int_t)(fleet_sums(entry.fleet).free +
+                                    fleet_sums(entry.fleet).reserved));
+  log_info("stopped", "s:b", "clean", (int)clean);
+  if (!clean) _exit(3); /* threads may be in the middle of requests */
+  service_stop(&kernel);
+  return 0;
+}
--- /dev/null
+++ b/fakes/engine.c
@@ -0,0 +1,315 @@
+/* engine.c: stand-in for a model engine with continuous batching in its
+   simplest form: `slots` streams at once, the best priority first, a prefill
+   time by uncached prompt bytes and a steady time between tokens.
+
+   POST /v1/chat/completions, POST /cancel?id=, GET /load, GET /stats,
+   POST /fault?mode=M&ms=N  modes: none, slow (times ten), error, cut (ends a
+   stream after three tokens), hang. */
+#include <glib.h>
+#include <jansson.h>
+#include <pthread.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "http/server.h"
+
+/* What is remembered of a run after its end, for a late cancel. */
+typedef struct Trace {
+  int prompt, sent;
+  bool cancel, ended;
+} Trace;
+
+typedef struct Run {
+  char id[96];
+  Trace *trace;
+  int prompt, max, sent, token_ms;
+  bool stream, cut, ended, usage_sent;
+  GString *text;
+  gint64 next; /* microseconds */
+} Run;
+
+static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
+static pthread_cond_t freed = PTHREAD_COND_INITIALIZER;
+static int slots = 8, running, waiting[10];
+static int token_ms = 10;
+static double prefill_us = 20; /* for one uncached prompt token */
+static int64_t tokens, prompts, runs, cancelled, cached_tokens;
+static GHashTable *prefixes, *by_id;
+static char mode[16] = "none";
+
+static struct MHD_Response *reply(int *status, int code, json_t *o) {
+  char *s = json_dumps(o, JSON_COMPACT);
+  *status = code;
+  struct MHD_Response *m = http_text("application/json", s, strlen(s));
+  free(s);
+  json_decref(o);
+  return m;
+}
+
+/* == slots, by priority == */
+
+static bool better_waits(int priority) {
+  for (int i = 0; i < priority; i++)
+    if (waiting[i] > 0) return true;
+  return false;
+}
+
+static void take_slot(int priority) {
+  pthread_mutex_lock(&lock);
+  waiting[priority]++;
+  while (running >= slots || better_waits(priority))
+    pthread_cond_wait(&freed, &lock);
+  waiting[priority]--;
+  running++;
+  runs++;
+  pthread_cond_broadcast(&freed);
+  pthread_mutex_unlock(&lock);
+}
+
+static void free_slot(Run *r, bool whole) {
+  pthread_mutex_lock(&lock);
+  running--;
+  r->trace->ended = true;
+  tokens += r->sent;
+  prompts += r->prompt;
+  if (!whole) cancelled++;
+  pthread_cond_broadcast(&freed);
+  pthread_mutex_unlock(&lock);
+}
+
+/* == runs == */
+
+/* One token for every four bytes, never fewer than one a message. */
+static int count_prompt(json_t *messages) {
+  size_t i;
+  json_t *m;
+  int n = 0;
+  json_array_foreach(messages, i, m) {
+    const char *s = json_string_value(json_object_get(m, "content"));
+    n += 4 + (s ? (int)(strlen(s) + 3) / 4 : 0);
+  }
+  return n;
+}
+
+static int cached_part(json_t *messages, int prompt) {
+  json_t *first = json_array_get(messages, 0);
+  const char *s = json_string_value(json_object_get(first, "content"));
+  char *key = g_strndup(s ? s : "", 1024);
+  bool hit = !g_hash_table_add(prefixes, key);
+  int part = (int)strlen(s ? s : "") / 4;
+  int n = hit ? MIN(part, prompt) : 0;
+  cached_tokens += n;
+  return n;
+}
+
+static json_t *usage(const Run *r) {
+  return json_pack("{s:i,s:i,s:i}", "prompt_tokens", r->prompt,
+                   "completion_tokens", r->sent, "total_tokens",
+                   r->prompt + r->sent);
+}
+
+static json_t *chunk(const Run *r, const char *delta, const char *finish) {
+  json_t *d = delta[0] ? json_pack("{s:s}", "content", delta) : json_object();
+  json_t *choice = json_pack("{s:i,s:o,s:s?}", "index", 0, "delta", d,
+                             "finish_reason", finish);
+  return json_pack("{s:s,s:s,s:[o]}", "id", r->id, "object",
+                   "chat.completion.chunk", "choices", choice);
+}
+
+static void push(Run *r, json_t *o) {
+  char *s = json_dumps(o, JSON_COMPACT);
+  g_string_append_printf(r->text, "data: %s\n\n", s);
+  free(s);
+  json_decref(o);
+}
+
+/* Each token names the run, so that a crossed stream can be seen. */
+static void next_token(Run *r, char *word, size_t n) {
+  snprintf(word, n, "%s-%d ", r->id, r->sent++);
+  r->trace->sent = r->sent;
+}
+
+static void wait_until(gint64 t) {
+  gint64 now = g_get_monotonic_time();
+  if (t > now) g_usleep((gulong)(t - now));
+}
+
+static void fill_stream(Run *r) {
+  char word[128];
+  if (r->sent < r->max) {
+    wait_until(r->next);
+    r->next += (gint64)r->token_ms * 1000;
+    next_token(r, word, sizeof word);
+    push(r, chunk(r, word, NULL));
+    return;
+  }
+  push(r, chunk(r, "", "stop"));
+  json_t *last = json_pack("{s:s,s:s,s:[],s:o}", "id", r->id, "object",
+                           "chat.completion.chunk", "choices", "usage",
+                           usage(r));
+  push(r, last);
+  g_string_append(r->text, "data: [DONE]\n\n");
+  r->ended = true;
+}
+
+static ssize_t read_stream(void *ctx, uint64_t pos, char *buf, size_t max) {
+  (void)pos;
+  Run *r = ctx;
+  if (r->text->len == 0 && r->ended) return MHD_CONTENT_READER_END_OF_STREAM;
+  if (r->cut && r->sent >= 3) return MHD_CONTENT_READER_END_WITH_ERROR;
+  if (r->trace->cancel) return MHD_CONTENT_READER_END_WITH_ERROR;
+  if (r->text->len == 0) fill_stream(r);
+  size_t n = MIN(max, r->text->len);
+  memcpy(buf, r->text->str, n);
+  g_string_erase(r->text, 0, (gssize)n);
+  return (ssize_t)n;
+}
+
+static void end_run(void *ctx) {
+  Run *r = ctx;
+  free_slot(r, r->ended);
+  g_string_free(r->text, TRUE);
+  g_free(r);
+}
+
+static struct MHD_Response *whole(Run *r, int *status) {
+  GString *all = g_string_new(NULL);
+  char word[128];
+  while (r->sent < r->max && !r->trace->cancel) {
+    wait_until(r->next);
+    r->next += (gint64)r->token_ms * 1000;
+    next_token(r, word, sizeof word);
+    g_string_append(all, word);
+  }
+  r->ended = true;
+  json_t *choice =
+      json_pack("{s:i,s:{s:s,s:s},s:s}", "index", 0, "message", "role",
+                "assistant", "content", all->str, "finish_reason", "stop");
+  json_t *o = json_pack("{s:s,s:s,s:[o],s:o}", "id", r->id, "object",
+                        "chat.completion", "choices", choice, "usage",
+                        usage(r));
+  g_string_free(all, TRUE);
+  end_run(r);
+  return reply(status, 200, o);
+}
+
+static Run *new_run(const HttpReq *q, json_t *body) {
+  json_t *messages = json_object_get(body, "messages");
+  json_t *max = json_object_get(body, "max_tokens");
+  const char *id = http_header(q, "X-Request-Id");
+  Run *r = g_new0(Run, 1);
+  g_strlcpy(r->id, id ? id : "none", sizeof r->id);
+  r->prompt = count_prompt(messages);
+  r->max = max ? (int)json_integer_value(max) : 16;
+  r->stream = json_is_true(json_object_get(body, "stream"));
+  r->text = g_string_new(NULL);
+  pthread_mutex_lock(&lock);
+  int fresh = r->prompt - cached_part(messages, r->prompt);
+  bool slow = strcmp(mode, "slow") == 0;
+  r->cut = strcmp(mode, "cut") == 0;
+  r->token_ms = slow ? token_ms * 10 : token_ms;
+  r->trace = g_new0(Trace, 1);
+  r->trace->prompt = r->prompt;
+  g_hash_table_insert(by_id, g_strdup(r->id), r->trace);
+  pthread_mutex_unlock(&lock);
+  r->next = g_get_monotonic_time() +
+            (gint64)(fresh * prefill_us * (slow ? 10 : 1));
+  return r;
+}
+
+static struct MHD_Response *complete(const HttpReq *q, int *status) {
+  if (strcmp(mode, "error") == 0)
+    return reply(status, 500, json_pack("{s:s}", "error", "told to fail"));
+  while (strcmp(mode, "hang") == 0) g_usleep(20000);
+  json_t *body = json_loadb(q->body->str, q->body->len, 0, NULL);
+  if (!json_is_array(json_object_get(body, "messages"))) {
+    json_decref(body);
+    return reply(status, 400, json_pack("{s:s}", "error", "no messages"));
+  }
+  const char *p = http_header(q, "X-Priority");
+  take_slot(p ? CLAMP(atoi(p), 0, 9) : 5);
+  Run *r = new_run(q, body);
+  json_decref(body);
+  if (!r->stream) return whole(r, status);
+  *status = 200;
+  struct MHD_Response *m = MHD_create_response_from_callback(
+      MHD_SIZE_UNKNOWN, 4096, read_stream, r, end_run);
+  MHD_add_response_header(m, "Content-Type", "text/event-stream");
+  return m;
+}
+
+static int waiting_sum(void) {
+  int n = 0;
+  for (int i = 0; i < 10; i++) n += waiting[i];
+  return n;
+}
+
+/* Stops a run and tells what it counted; 404 for a run it does not know. */
+static struct MHD_Response *cancel(const HttpReq *q, int *status) {
+  const char *id = http_arg(q, "id");
+  pthread_mutex_lock(&lock);
+  Trace *t = id ? g_hash_table_lookup(by_id, id) : NULL;
+  if (t) t->cancel = true;
+  pthread_mutex_unlock(&lock);
+  if (!t) return reply(status, 404, json_object());
+  for (int i = 0; i < 100 && !t->ended; i++) g_usleep(5000);
+  return reply(status, 200,
+               json_pack("{s:i,s:i}", "prompt_tokens", t->prompt,
+                         "completion_tokens", t->sent));
+}
+
+static struct MHD_Response *handle(void *ctx, HttpReq *r, int *status) {
+  (void)ctx;
+  if (strcmp(r->path, "/v1/chat/completions") == 0) return complete(r, status);
+  if (strcmp(r->path, "/cancel") == 0) return cancel(r, status);
+  if (strcmp(r->path, "/load") == 0)
+    return reply(status, 200,
+                 json_pack("{s:i,s:i,s:i}", "running", running, "waiting",
+                           waiting_sum(), "slots", slots));
+  if (strcmp(r->path, "/fault") == 0) {
+    const char *m = http_arg(r, "mode");
+    g_strlcpy(mode, m ? m : "none", sizeof mode);
+    return reply(status, 200, json_object());
+  }
+  if (strcmp(r->path, "/stats") == 0)
+    return reply(status, 200,
+                 json_pack("{s:I,s:I,s:I,s:I,s:I}", "tokens",
+                           (json_int_t)tokens, "prompt_tokens",
+                           (json_int_t)prompts, "runs", (json_int_t)runs,
+                           "cancelled", (json_int_t)cancelled, "cached",
+                           (json_int_t)cached_tokens));
+  return reply(status, 404, json_object());
+}
+
+int main(int argc, char **argv) {
+  if (argc < 2) {
+    fprintf(stderr,
+            "usage: fake_engine IP:PORT [SLOTS [TOKEN_MS [PREFILL_US]]]\n");
+    return 2;
+  }
+  if (argc > 2) slots = atoi(argv[2]);
+  if (argc > 3) token_ms = atoi(argv[3]);
+  if (argc > 4) prefill_us = atof(argv[4]);
+  prefixes = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+  by_id = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+  HttpOptions o = {.max_body = 8 << 20,
+                   .max_header = 32 << 10,
+                   .max_connections = 5000,
+                   .idle_s = 60,
+                   .stack = 128 << 10};
+  Err e;
+  if (!http_serve(argv[1], &o, handle, NULL, NULL, &e)) {
+    fprintf(stderr, "%s\n", e.text);
+    return 1;
+  }
+  sigset_t set;
+  int sig;
+  sigemptyset(&set);
+  sigaddset(&set, SIGTERM);
+  sigaddset(&set, SIGINT);
+  sigwait(&set, &sig);
+  return 0;
+}
--- /dev/null
+++ b/fakes/platform.c
@@ -0,0 +1,240 @@
+/* platform.c: stand-in for the platform's object API: versions, conditional
+   updates, watches, an instance list, counted calls and faults on demand.
+
+   POST /fault?mode=M&ms=N  modes: none, down, slow, lose (writes take effect
+   and the answer is lost), stale (reads serve the version before).
+   GET /stats. PUT /instances/NAME (JSON body), DELETE /instances/NAME. */
+#include <glib.h>
+#include <jansson.h>
+#include <pthread.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "http/server.h"
+
+typedef struct Object {
+  char *text, *before; /* the value, and the one it replaced */
+  uint64_t version, before_version, revision;
+} Object;
+
+static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
+static pthread_cond_t changed = PTHREAD_COND_INITIALIZER;
+static GHashTable *objects, *members;
+static uint64_t revision, reads, writes, conflicts;
+static char mode[16] = "none";
+static int fault_ms;
+
+static struct MHD_Response *reply(int *status, int code, const char *text) {
+  *status = code;
+  return http_text("application/json", text, strlen(text));
+}
+
+static struct MHD_Response *reply_json(int *status, json_t *o) {
+  char *s = json_dumps(o, JSON_COMPACT);
+  struct MHD_Response *m = reply(status, 200, s);
+  free(s);
+  json_decref(o);
+  return m;
+}
+
+static void etag(struct MHD_Response *m, uint64_t version) {
+  char s[32];
+  snprintf(s, sizeof s, "\"%llu\"", (unsigned long long)version);
+  MHD_add_response_header(m, "ETag", s);
+}
+
+/* == objects, under the lock == */
+
+static struct MHD_Response *get(const char *name, int *status) {
+  const Object *o = g_hash_table_lookup(objects, name);
+  if (!o) return reply(status, 404, "{}");
+  bool stale = strcmp(mode, "stale") == 0 && o->before;
+  struct MHD_Response *m = reply(status, 200, stale ? o->before : o->text);
+  etag(m, stale ? o->before_version : o->version);
+  return m;
+}
+
+static bool matches(const HttpReq *r, const Object *o) {
+  const char *match = http_header(r, "If-Match");
+  const char *none = http_header(r, "If-None-Match");
+  if (none) return o == NULL;
+  if (!match) return true;
+  return o && strtoull(match + (match[0] == '"'), NULL, 10) == o->version;
+}
+
+static struct MHD_Response *put(const HttpReq *r, const char *name,
+                                int *status) {
+  Object *o = g_hash_table_lookup(objects, name);
+  if (r->too_large) return reply(status, 413, "{}");
+  if (!matches(r, o)) {
+    conflicts++;
+    return reply(status, 412, "{}");
+  }
+  if (!o) {
+    o = g_new0(Object, 1);
+    g_hash_table_insert(objects, g_strdup(name), o);
+  }
+  g_free(o->before);
+  o->before = o->text;
+  o->before_version = o->version;
+  o->text = g_strndup(r->body->str, r->body->len);
+  o->version++;
+  o->revision = ++revision;
+  pthread_cond_broadcast(&changed);
+  struct MHD_Response *m = reply(status, 200, "{}");
+  etag(m, o->version);
+  return m;
+}
+
+static json_t *list(const char *prefix, uint64_t since) {
+  json_t *a = json_array();
+  GHashTableIter it;
+  gpointer k, v;
+  g_hash_table_iter_init(&it, objects);
+  while (g_hash_table_iter_next(&it, &k, &v)) {
+    const Object *o = v;
+    if (!g_str_has_prefix(k, prefix) || o->revision <= since) continue;
+    json_array_append_new(a, json_pack("{s:s,s:I}", "name", (char *)k,
+                                       "version", (json_int_t)o->version));
+  }
+  return a;
+}
+
+static struct MHD_Response *watch(const HttpReq *r, int *status) {
+  const char *prefix = http_arg(r, "prefix"), *since = http_arg(r, "since");
+  const char *wait = http_arg(r, "wait");
+  uint64_t from = since ? strtoull(since, NULL, 10) : 0;
+  struct timespec until;
+  clock_gettime(CLOCK_REALTIME, &until);
+  until.tv_sec += wait ? atoi(wait) : 10;
+  json_t *a;
+  for (;;) {
+    a = list(prefix ? prefix : "", from);
+    if (json_array_size(a) > 0) break;
+    if (pthread_cond_timedwait(&changed, &lock, &until) != 0) break;
+    json_decref(a);
+  }
+  return reply_json(status, json_pack("{s:I,s:o}", "revision",
+                                      (json_int_t)revision, "changed", a));
+}
+
+/* == instances == */
+
+static struct MHD_Response *member(const HttpReq *r, const char *name,
+                                   int *status) {
+  if (strcmp(r->method, "DELETE") == 0) {
+    g_hash_table_remove(members, name);
+    return reply(status, 200, "{}");
+  }
+  json_t *o = json_loadb(r->body->str, r->body->len, 0, NULL);
+  if (!json_is_object(o)) return reply(status, 400, "{}");
+  json_object_set_new(o, "name", json_string(name));
+  g_hash_table_insert(members, g_strdup(name), o);
+  return reply(status, 200, "{}");
+}
+
+static struct MHD_Response *member_list(int *status) {
+  json_t *a = json_array();
+  GHashTableIter it;
+  gpointer v;
+  g_hash_table_iter_init(&it, members);
+  while (g_hash_table_iter_next(&it, NULL, &v)) json_array_append(a, v);
+  return reply_json(status, a);
+}
+
+/* == faults == */
+
+static struct MHD_Response *fault(const HttpReq *r, int *status) {
+  const char *m = http_arg(r, "mode"), *ms = http_arg(r, "ms");
+  g_strlcpy(mode, m ? m : "none", sizeof mode);
+  fault_ms = ms ? atoi(ms) : 0;
+  return reply(status, 200, "{}");
+}
+
+static struct MHD_Response *stats(int *status) {
+  return reply_json(
+      status, json_pack("{s:I,s:I,s:I,s:I}", "reads", (json_int_t)reads,
+                        "writes", (json_int_t)writes, "conflicts",
+                        (json_int_t)conflicts, "objects",
+                        (json_int_t)g_hash_table_size(objects)));
+}
+
+static struct MHD_Response *platform(const HttpReq *r, int *status) {
+  bool is_get = strcmp(r->method, "GET") == 0;
+  bool is_put = strcmp(r->method, "PUT") == 0;
+  if (is_get) reads++;
+  if (is_put) writes++;
+  if (strcmp(mode, "down") == 0) return reply(status, 503, "{}");
+  if (strcmp(r->path, "/watch") == 0) return watch(r, status);
+  if (strcmp(r->path, "/instances") == 0) return member_list(status);
+  if (strcmp(r->path, "/objects") == 0) {
+    const char *prefix = http_arg(r, "prefix");
+    return reply_json(status, list(prefix ? prefix : "", 0));
+  }
+  if (!g_str_has_prefix(r->path, "/objects/")) return reply(status, 404, "{}");
+  const char *name = r->path + strlen("/objects/");
+  if (is_get) return get(name, status);
+  if (!is_put) return reply(status, 405, "{}");
+  struct MHD_Response *m = put(r, name, status);
+  if (strcmp(mode, "lose") == 0) { /* took effect, and nobody hears of it */
+    MHD_destroy_response(m);
+    return NULL;
+  }
+  return m;
+}
+
+static struct MHD_Response *handle(void *ctx, HttpReq *r, int *status) {
+  (void)ctx;
+  struct MHD_Response *m;
+  pthread_mutex_lock(&lock);
+  int pause = strcmp(mode, "slow") == 0 ? fault_ms : 0;
+  bool steer = true;
+  if (strcmp(r->path, "/fault") == 0)
+    m = fault(r, status);
+  else if (strcmp(r->path, "/stats") == 0)
+    m = stats(status);
+  else if (g_str_has_prefix(r->path, "/instances/"))
+    m = member(r, r->path + strlen("/instances/"), status);
+  else
+    steer = false;
+  if (!steer) {
+    if (pause > 0) {
+      pthread_mutex_unlock(&lock);
+      g_usleep((gulong)pause * 1000);
+      pthread_mutex_lock(&lock);
+    }
+    m = platform(r, status);
+  }
+  pthread_mutex_unlock(&lock);
+  return m;
+}
+
+int main(int argc, char **argv) {
+  if (argc != 2) {
+    fprintf(stderr, "usage: fake_platform IP:PORT\n");
+    return 2;
+  }
+  objects = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+  members = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+  HttpOptions o = {.max_body = 1 << 20,
+                   .max_header = 32 << 10,
+                   .max_connections = 2000,
+                   .idle_s = 60,
+                   .stack = 128 << 10};
+  Err e;
+  HttpServer *s = http_serve(argv[1], &o, handle, NULL, NULL, &e);
+  if (!s) {
+    fprintf(stderr, "%s\n", e.text);
+    return 1;
+  }
+  sigset_t set;
+  int sig;
+  sigemptyset(&set);
+  sigaddset(&set, SIGTERM);
+  sigaddset(&set, SIGINT);
+  sigwait(&set, &sig);
+  return 0;
+}
--- /dev/null
+++ b/packages/entry/admin.c
@@ -0,0 +1,343 @@
+/* admin.c: what the operators' command asks for. */
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "entry/entry.h"
+#include "kernel/clock.h"
+#include "kernel/log.h"
+#include "ledger/shard.h"
+#include "table/rollout.h"
+
+#define STORE_WAIT_S 3
+#define STORE_SILENT_S 10 /* without an answer this long the store is "down" */
+
+static struct MHD_Response *reply(json_t *o, int *status) {
+  char *s = json_dumps(o, JSON_COMPACT);
+  struct MHD_Response *m = entry_text("application/json", s);
+  *status = 200;
+  free(s);
+  json_decref(o);
+  return m;
+}
+
+/* == the table == */
+
+static PlatformAnswer store_get(void *ctx, const char *name) {
+  return platform_get(ctx, name);
+}
+
+static PlatformAnswer store_put(void *ctx, const char *name, uint64_t version,
+                                const char *text) {
+  return platform_put(ctx, name, version, text);
+}
+
+static void copy_csv(void *ctx, const Table *t) {
+  *(char **)ctx = table_csv(t);
+}
+
+static struct MHD_Response *show(Entry *e, HttpReq *r, int *status) {
+  (void)r;
+  char *csv = NULL;
+  snapshots_read(e->snapshots, copy_csv, &csv);
+  struct MHD_Response *m = entry_text("text/csv", csv);
+  g_free(csv);
+  *status = 200;
+  return m;
+}
+
+static struct MHD_Response *bad_table(GPtrArray *errors, int *status) {
+  json_t *list = json_array();
+  for (guint i = 0; i < errors->len; i++)
+    json_array_append_new(list, json_string(errors->pdata[i]));
+  json_t *o = json_pack("{s:{s:s,s:s,s:s,s:o}}", "error", "kind",
+                        err_info(ERR_TABLE)->name, "message",
+                        "the table was not accepted", "remedy",
+                        err_info(ERR_TABLE)->remedy, "errors", list);
+  struct MHD_Response *m = reply(o, status);
+  *status = err_info(ERR_TABLE)->status;
+  return m;
+}
+
+static struct MHD_Response *apply(Entry *e, HttpReq *r, int *status) {
+  GPtrArray *errors = g_ptr_array_new_with_free_func(g_free);
+  uint64_t base;
+  Table *t = r->too_large ? NULL : table_parse(r->body->str, errors, &base);
+  struct MHD_Response *m;
+  if (!t) {
+    m = bad_table(errors, status);
+    g_ptr_array_free(errors, TRUE);
+    return m;
+  }
+  g_ptr_array_free(errors, TRUE);
+  Err err = {0};
+  RolloutEdit edit = {.base = base};
+  const char *id = http_arg(r, "id"), *who = http_arg(r, "who");
+  const char *on = http_arg(r, "base");
+  g_strlcpy(edit.id, id ? id : "", sizeof edit.id);
+  g_strlcpy(edit.who, who ? who : "unknown", sizeof edit.who);
+  if (on) edit.base = strtoull(on, NULL, 10);
+  if (!edit.id[0]) {
+    err_set(&err, ERR_MALFORMED, "the edit has no id");
+    m = entry_error(&err, NULL, status);
+  } else {
+    Platform *p = platform_open(e->options.platform, STORE_WAIT_S);
+    RolloutStore s = {store_get, store_put, p};
+    uint64_t v = rollout_apply(&s, t, &edit, &err);
+    platform_close(p);
+    log_info("apply", "s:s,s:s,s:I,s:s", "edit", edit.id, "who", edit.who,
+             "version", (json_int_t)v, "error", v ? "" : err.text);
+    m = v ? reply(json_pack("{s:I}", "version", (json_int_t)v), status)
+          : entry_error(&err, NULL, status);
+  }
+  table_free(t);
+  return m;
+}
+
+static struct MHD_Response *table(Entry *e, HttpReq *r, int *status) {
+  bool post = strcmp(r->method, "POST") == 0;
+  return post ? apply(e, r, status) : show(e, r, status);
+}
+
+static struct MHD_Response *history(Entry *e, HttpReq *r, int *status) {
+  (void)r;
+  Err err = {0};
+  Platform *p = platform_open(e->options.platform, STORE_WAIT_S);
+  RolloutStore s = {store_get, store_put, p};
+  char *text = rollout_history(&s, &err);
+  platform_close(p);
+  if (!text) return entry_error(&err, NULL, status);
+  struct MHD_Response *m = entry_text("application/json", text);
+  g_free(text);
+  *status = 200;
+  return m;
+}
+
+/* == budgets == */
+
+typedef struct Names {
+  bool shards[LIMIT_SHARDS];
+  GPtrArray *names;
+} Names;
+
+static void collect(void *ctx, const Table *t) {
+  Names *n = ctx;
+  for (guint i = 0; i < t->order->len; i++) {
+    const TableRow *r = t->order->pdata[i];
+    if (r->kind != TABLE_BUDGET) continue;
+    n->shards[shard_index(r->name)] = true;
+    g_ptr_array_add(n->names, g_strdup(r->name));
+  }
+}
+
+static json_t *budget_json(const ShardBudget *b) {
+  int64_t held = 0;
+  int sealed = 0;
+  json_t *grants = json_array();
+  for (guint i = 0; i < b->grants->len; i++) {
+    const ShardGrant *g = b->grants->pdata[i];
+    int64_t out = shard_outstanding(g);
+    held += out;
+    sealed += g->sealed;
+    json_array_append_new(
+        grants, json_pack("{s:s,s:s,s:s,s:I,s:I,s:b}", "home", g->home,
+                          "witness", g->witness, "region", g->region,
+                          "outstanding", (json_int_t)out, "spent",
+                          (json_int_t)g->spent, "sealed", (int)g->sealed));
+  }
+  int64_t spent = shard_spent(b);
+  return json_pack("{s:s,s:I,s:I,s:I,s:I,s:I,s:i,s:o}", "name", b->name,
+                   "total", (json_int_t)b->total, "spent", (json_int_t)spent,
+                   "free", (json_int_t)shard_remaining(b), "held",
+                   (json_int_t)(held - (spent - b->closed)), "retired",
+                   (json_int_t)b->retired, "sealed", sealed, "grants", grants);
+}
+
+static bool add_shard(Platform *p, int index, const Names *n, json_t *list,
+                      Err *err) {
+  char name[LIMIT_NAME];
+  shard_name(index, name);
+  PlatformAnswer a = platform_get(p, name);
+  if (a.kind != ERR_NONE && a.kind != ERR_STORE_ABSENT)
+    return err_retry(err, a.kind, 2000, "the store did not give %s", name);
+  Shard *s = a.text ? shard_decode(a.text) : shard_new();
+  g_free(a.text);
+  for (guint i = 0; s && i < n->names->len; i++) {
+    const char *budget = n->names->pdata[i];
+    if (shard_index(budget) != index) continue;
+    json_array_append_new(list, budget_json(shard_budget_add(s, budget)));
+  }
+  shard_free(s);
+  return true;
+}
+
+static struct MHD_Response *budgets(Entry *e, HttpReq *r, int *status) {
+  (void)r;
+  Names n = {.names = g_ptr_array_new_with_free_func(g_free)};
+  Err err = {0};
+  bool ok = true;
+  json_t *list = json_array();
+  snapshots_read(e->snapshots, collect, &n);
+  Platform *p = platform_open(e->options.platform, STORE_WAIT_S);
+  for (int i = 0; ok && i < LIMIT_SHARDS; i++)
+    if (n.shards[i]) ok = add_shard(p, i, &n, list, &err);
+  platform_close(p);
+  g_ptr_array_free(n.names, TRUE);
+  if (ok) return reply(list, status);
+  json_decref(list);
+  return entry_error(&err, NULL, status);
+}
+
+/* == bills: the union of all batches, each request once == */
+
+static void add_batch(json_t *seen, json_t *sums, const char *text,
+                      int *doubled) {
+  json_t *batch = json_loads(text, 0, NULL), *line;
+  size_t i;
+  json_array_foreach(batch, i, line) {
+    const char *id = json_string_value(json_object_get(line, "id"));
+    const char *budget = json_string_value(json_object_get(line, "budget"));
+    json_t *tokens = json_object_get(line, "tokens");
+    if (!id || !budget) continue;
+    if (json_object_get(seen, id)) {
+      (*doubled)++;
+      continue;
+    }
+    json_object_set_new(seen, id, json_true());
+    json_int_t sum = json_integer_value(json_object_get(sums, budget));
+    json_object_set_new(sums, budget,
+                        json_integer(sum + json_integer_value(tokens)));
+  }
+  json_decref(batch);
+}
+
+static struct MHD_Response *bills(Entry *e, HttpReq *r, int *status) {
+  (void)r;
+  Platform *p = platform_open(e->options.platform, STORE_WAIT_S);
+  PlatformAnswer all = platform_list(p, "bills/");
+  Err err = {0};
+  if (all.kind != ERR_NONE) {
+    platform_close(p);
+    err_retry(&err, all.kind, 2000, "the store did not list the bills");
+    return entry_error(&err, NULL, status);
+  }
+  json_t *list = json_loads(all.text, 0, NULL), *o;
+  json_t *seen = json_object(), *sums = json_object();
+  size_t i;
+  int doubled = 0;
+  g_free(all.text);
+  json_array_foreach(list, i, o) {
+    const char *name = json_string_value(json_object_get(o, "name"));
+    PlatformAnswer a = platform_get(p, name);
+    if (a.text) add_batch(seen, sums, a.text, &doubled);
+    g_free(a.text);
+  }
+  platform_close(p);
+  json_t *out = json_pack("{s:I,s:i,s:o}", "requests",
+                          (json_int_t)json_object_size(seen), "repeated_lines",
+                          doubled, "budgets", sums);
+  json_decref(list);
+  json_decref(seen);
+  return reply(out, status);
+}
+
+/* == targets, instances, status == */
+
+static void add_target(void *ctx, const char *pool, const RouteState *s) {
+  json_array_append_new(
+      ctx, json_pack("{s:s,s:s,s:s,s:s,s:i,s:i,s:i,s:i,s:b,s:b,s:f,s:f,s:I}",
+                     "name", s->target.name, "pool", pool, "datacentre",
+                     s->target.dc, "url", s->target.url, "slots",
+                     s->target.slots, "running", s->running, "waiting",
+                     s->waiting, "own", s->own, "leaving", (int)s->leaving,
+                     "ejected", (int)s->ejected, "age", s->age, "path",
+                     s->path_s, "failures", (json_int_t)s->failures));
+}
+
+static struct MHD_Response *targets(Entry *e, HttpReq *r, int *status) {
+  (void)r;
+  json_t *list = json_array();
+  pools_each(e->pools, add_target, list);
+  return reply(list, status);
+}
+
+static json_t *instances_json(Entry *e) {
+  View *v = fleet_view(e->fleet);
+  json_t *list = json_array();
+  for (int i = 0; i < v->n; i++) {
+    const Member *m = &v->list[i];
+    json_array_append_new(
+        list, json_pack("{s:s,s:s,s:s,s:s,s:s,s:b,s:I}", "id", m->id, "region",
+                        m->region, "datacentre", m->dc, "http", m->http,
+                        "peer", m->peer, "leaving", (int)m->leaving, "table",
+                        (json_int_t)m->table));
+  }
+  view_free(v);
+  return list;
+}
+
+static struct MHD_Response *instances(Entry *e, HttpReq *r, int *status) {
+  (void)r;
+  return reply(instances_json(e), status);
+}
+
+static struct MHD_Response *state(Entry *e, HttpReq *r, int *status) {
+  (void)r;
+  json_t *list = json_array();
+  pools_each(e->pools, add_target, list);
+  int64_t silent = clock_unix() - atomic_load(&e->store_heard);
+  LedgerSums n = fleet_sums(e->fleet);
+  return reply(
+      json_pack("{s:s,s:I,s:b,s:I,s:i,s:b,s:I,s:I,s:o,s:o}", "instance",
+                e->options.instance, "table",
+                (json_int_t)snapshots_version(e->snapshots), "store_up",
+                (int)(silent < STORE_SILENT_S), "store_silent_s",
+                (json_int_t)silent, "open", atomic_load(&e->open), "draining",
+                (int)atomic_load(&e->draining), "free", (json_int_t)n.free,
+                "home_free", (json_int_t)n.home_free, "instances",
+                instances_json(e), "targets", list),
+      status);
+}
+
+static struct MHD_Response *drain(Entry *e, HttpReq *r, int *status) {
+  (void)r;
+  entry_drain(e);
+  return reply(json_pack("{s:s}", "instance", e->options.instance), status);
+}
+
+static const struct {
+  const char *path;
+  struct MHD_Response *(*handle)(Entry *e, HttpReq *r, int *status);
+} calls[] = {
+    {"/admin/table", table},         {"/admin/history", history},
+    {"/admin/budgets", budgets},     {"/admin/bills", bills},
+    {"/admin/targets", targets},     {"/admin/instances", instances},
+    {"/admin/status", state},        {"/admin/drain", drain},
+};
+
+static bool allowed(const Entry *e, const HttpReq *r) {
+  const char *auth = http_header(r, "Authorization");
+  const char *key = auth && g_str_has_prefix(auth, "Bearer ") ? auth + 7 : "";
+  char mine[65], theirs[65];
+  snapshots_hash(e->options.admin_key, mine);
+  snapshots_hash(key, theirs);
+  unsigned char diff = 0;
+  for (int i = 0; i < 64; i++) diff |= (unsigned char)(mine[i] ^ theirs[i]);
+  return e->options.admin_key[0] && diff == 0;
+}
+
+struct MHD_Response *admin_handle(Entry *e, HttpReq *r, int *status) {
+  Err err = {0};
+  if (!allowed(e, r)) {
+    err_set(&err, ERR_UNAUTHORISED, "this is for operators");
+    return entry_error(&err, NULL, status);
+  }
+  for (size_t i = 0; i < G_N_ELEMENTS(calls); i++)
+    if (strcmp(r->path, calls[i].path) == 0)
+      return calls[i].handle(e, r, status);
+  err_set(&err, ERR_MALFORMED, "there is no call %.100s", r->path);
+  struct MHD_Response *m = entry_error(&err, NULL, status);
+  *status = 404;
+  return m;
+}
--- /dev/null
+++ b/packages/entry/pool.c
@@ -0,0 +1,288 @@
+/* pool.c: locks and condition variables around queue and route. */
+#include "entry/pool.h"
+
+#include <pthread.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "kernel/clock.h"
+#include "kernel/count.h"
+
+typedef struct Turn {
+  pthread_cond_t ready;
+  PoolTicket *ticket;
+  bool done;
+  ErrKind refused;
+  int retry_ms;
+} Turn;
+
+struct Pool {
+  char name[LIMIT_NAME + 8];
+  pthread_mutex_t lock;
+  Queue *queue;
+  Route *route;
+  GHashTable *turns; /* handle -> Turn */
+  uint64_t next;
+};
+
+struct Pools {
+  pthread_mutex_t lock; /* of `list`; pools are never freed while running */
+  GHashTable *list;
+  uint32_t seed;
+};
+
+/* == one pool == */
+
+static Pool *pool_new(const char *name, uint32_t seed) {
+  Pool *p = g_new0(Pool, 1);
+  g_strlcpy(p->name, name, sizeof p->name);
+  pthread_mutex_init(&p->lock, NULL);
+  p->queue = queue_new();
+  p->route = route_new(seed, ROUTE_OURS);
+  p->turns = g_hash_table_new(g_int64_hash, g_int64_equal);
+  return p;
+}
+
+static void pool_free(gpointer v) {
+  Pool *p = v;
+  queue_free(p->queue);
+  route_free(p->route);
+  g_hash_table_destroy(p->turns);
+  pthread_mutex_destroy(&p->lock);
+  g_free(p);
+}
+
+static void end_turn(Pool *p, Turn *t, ErrKind refused, int retry_ms) {
+  g_hash_table_remove(p->turns, &t->ticket->item.handle);
+  t->refused = refused;
+  t->retry_ms = retry_ms;
+  t->done = true;
+  pthread_cond_signal(&t->ready);
+}
+
+/* Under the lock: gives out turns while there is room. */
+static void pump(Pool *p) {
+  QueueOut out;
+  double now = clock_now();
+  while (queue_pop(p->queue, now, route_room(p->route, now),
+                   route_rate(p->route), &out)) {
+    Turn *t = g_hash_table_lookup(p->turns, &out.handle);
+    ErrKind refused = out.refused;
+    bool picked = refused == ERR_NONE &&
+                  route_pick(p->route, now, &t->ticket->ask, &t->ticket->choice);
+    if (refused == ERR_NONE && !picked) {
+      queue_done(p->queue, now, t->ticket->item.customer,
+                 t->ticket->item.tokens, 0);
+      refused = ERR_NO_TARGET;
+      out.retry_ms = 1000;
+    }
+    end_turn(p, t, refused, out.retry_ms);
+  }
+}
+
+static bool any_target(const Pool *p, double now) {
+  for (int i = 0; i < route_count(p->route); i++) {
+    RouteState s = route_state(p->route, now, i);
+    if (!s.leaving) return true;
+  }
+  return false;
+}
+
+static bool refuse(const Pool *p, ErrKind kind, int retry_ms, Err *e) {
+  return err_retry(e, kind, retry_ms, "%s in pool %s", err_info(kind)->name,
+                   p->name);
+}
+
+bool pool_enter(Pool *p, PoolTicket *t, Err *e) {
+  double now = clock_now();
+  Turn turn = {.ticket = t};
+  int retry_ms = 1000;
+  pthread_mutex_lock(&p->lock);
+  t->item.handle = ++p->next;
+  ErrKind refused = ERR_NO_TARGET;
+  if (any_target(p, now))
+    refused = queue_push(p->queue, now, &t->item, route_rate(p->route),
+                         &retry_ms);
+  if (refused == ERR_NONE) {
+    pthread_cond_init(&turn.ready, NULL);
+    g_hash_table_insert(p->turns, &t->item.handle, &turn);
+    pump(p);
+    while (!turn.done) pthread_cond_wait(&turn.ready, &p->lock);
+    pthread_cond_destroy(&turn.ready);
+    refused = turn.refused;
+    retry_ms = turn.retry_ms;
+  }
+  pthread_mutex_unlock(&p->lock);
+  t->queued_s = clock_now() - now;
+  return refused == ERR_NONE || refuse(p, refused, retry_ms, e);
+}
+
+bool pool_again(Pool *p, PoolTicket *t) {
+  double now = clock_now();
+  int n = 0;
+  while (n < 4 && t->ask.tried[n]) n++;
+  if (n >= 3) return false;
+  pthread_mutex_lock(&p->lock);
+  t->ask.tried[n] = g_intern_string(t->choice.name);
+  bool ok = route_may_retry(p->route, now) &&
+            route_pick(p->route, now, &t->ask, &t->choice);
+  pthread_mutex_unlock(&p->lock);
+  if (ok) count_add(COUNT_RETRIES, 1);
+  return ok;
+}
+
+void pool_done(Pool *p, const PoolTicket *t, RouteOutcome outcome,
+               double first_s, double all_s) {
+  pthread_mutex_lock(&p->lock);
+  route_done(p->route, clock_now(), t->choice.name, outcome,
+             t->ask.tokens - t->choice.cached, first_s, all_s);
+  pump(p);
+  pthread_mutex_unlock(&p->lock);
+}
+
+void pool_leave(Pool *p, const PoolTicket *t, int64_t tokens) {
+  pthread_mutex_lock(&p->lock);
+  queue_done(p->queue, clock_now(), t->item.customer, t->item.tokens, tokens);
+  pthread_mutex_unlock(&p->lock);
+}
+
+int pool_waiting(Pool *p) {
+  pthread_mutex_lock(&p->lock);
+  int n = queue_length(p->queue);
+  pthread_mutex_unlock(&p->lock);
+  return n;
+}
+
+/* == all pools == */
+
+Pools *pools_new(uint32_t seed) {
+  Pools *p = g_new0(Pools, 1);
+  p->seed = seed;
+  pthread_mutex_init(&p->lock, NULL);
+  p->list = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, pool_free);
+  return p;
+}
+
+void pools_free(Pools *p) {
+  g_hash_table_destroy(p->list);
+  pthread_mutex_destroy(&p->lock);
+  g_free(p);
+}
+
+Pool *pools_find(Pools *p, const char *name) {
+  pthread_mutex_lock(&p->lock);
+  Pool *pool = g_hash_table_lookup(p->list, name);
+  pthread_mutex_unlock(&p->lock);
+  return pool;
+}
+
+/* The pools as a list that stays valid, since pools are never freed. */
+static GList *pools_list(Pools *p) {
+  pthread_mutex_lock(&p->lock);
+  GList *all = g_hash_table_get_values(p->list);
+  pthread_mutex_unlock(&p->lock);
+  return all;
+}
+
+static void pool_of_target(const TableRow *r, char *out, size_t n) {
+  bool model = r->cells[TABLE_MODEL][0];
+  snprintf(out, n, "%s/%s", model ? "model" : "service",
+           r->cells[model ? TABLE_MODEL : TABLE_SERVES]);
+}
+
+static void add_pools(Pools *p, const Table *t) {
+  for (guint i = 0; i < t->order->len; i++) {
+    const TableRow *r = t->order->pdata[i];
+    char name[LIMIT_NAME + 8];
+    if (r->kind != TABLE_TARGET) continue;
+    pool_of_target(r, name, sizeof name);
+    pthread_mutex_lock(&p->lock);
+    if (!g_hash_table_contains(p->list, name)) {
+      Pool *pool = pool_new(name, ++p->seed);
+      g_hash_table_insert(p->list, pool->name, pool);
+    }
+    pthread_mutex_unlock(&p->lock);
+  }
+}
+
+static void set_targets(Pool *p, const Table *t) {
+  GArray *list = g_array_new(FALSE, TRUE, sizeof(RouteTarget));
+  for (guint i = 0; i < t->order->len; i++) {
+    const TableRow *r = t->order->pdata[i];
+    char name[LIMIT_NAME + 8];
+    if (r->kind != TABLE_TARGET) continue;
+    pool_of_target(r, name, sizeof name);
+    if (strcmp(name, p->name) != 0) continue;
+    RouteTarget x = {.slots = (int)r->numbers[TABLE_SLOTS]};
+    g_strlcpy(x.name, r->name, sizeof x.name);
+    g_strlcpy(x.url, r->cells[TABLE_URL], sizeof x.url);
+    g_strlcpy(x.dc, r->cells[TABLE_DATACENTRE], sizeof x.dc);
+    g_array_append_val(list, x);
+  }
+  pthread_mutex_lock(&p->lock);
+  route_targets(p->route, (RouteTarget *)(void *)list->data, (int)list->len);
+  pump(p);
+  pthread_mutex_unlock(&p->lock);
+  g_array_free(list, TRUE);
+}
+
+void pools_table(Pools *p, const Table *t) {
+  add_pools(p, t);
+  GList *all = pools_list(p);
+  for (GList *i = all; i; i = i->next) set_targets(i->data, t);
+  g_list_free(all);
+}
+
+void pools_leaving(Pools *p, const char *target, bool leaving) {
+  GList *all = pools_list(p);
+  for (GList *i = all; i; i = i->next) {
+    Pool *pool = i->data;
+    pthread_mutex_lock(&pool->lock);
+    route_leaving(pool->route, target, leaving);
+    pthread_mutex_unlock(&pool->lock);
+  }
+  g_list_free(all);
+}
+
+void pools_tick(Pools *p) {
+  GList *all = pools_list(p);
+  for (GList *i = all; i; i = i->next) {
+    Pool *pool = i->data;
+    pthread_mutex_lock(&pool->lock);
+    pump(pool);
+    pthread_mutex_unlock(&pool->lock);
+  }
+  g_list_free(all);
+}
+
+void pools_each(Pools *p,
+                void (*fn)(void *ctx, const char *pool, const RouteState *s),
+                void *ctx) {
+  GList *all = pools_list(p);
+  for (GList *i = all; i; i = i->next) {
+    Pool *pool = i->data;
+    for (int k = 0;; k++) {
+      pthread_mutex_lock(&pool->lock);
+      bool ok = k < route_count(pool->route);
+      RouteState s = {0};
+      if (ok) s = route_state(pool->route, clock_now(), k);
+      pthread_mutex_unlock(&pool->lock);
+      if (!ok) break;
+      fn(ctx, pool->name, &s);
+    }
+  }
+  g_list_free(all);
+}
+
+void pools_report(Pools *p, const char *name, const char *target, bool heard,
+                  int running, int waiting, double path_s) {
+  Pool *pool = pools_find(p, name);
+  if (!pool) return;
+  pthread_mutex_lock(&pool->lock);
+  if (heard)
+    route_report(pool->route, clock_now(), target, running, waiting, path_s);
+  else
+    route_silent(pool->route, clock_now(), target);
+  pump(pool);
+  pthread_mutex_unlock(&pool->lock);
+}
--- /dev/null
+++ b/packages/entry/watch.c
@@ -0,0 +1,252 @@
+/* watch.c: the table's watch, the platform's list, targets' loads, turns. */
+#include "entry/watch.h"
+
+#include <jansson.h>
+#include <pthread.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "kernel/clock.h"
+#include "kernel/log.h"
+#include "table/rollout.h"
+#include "target/engine.h"
+
+#define WATCH_S 10      /* one waiting watch */
+#define STORE_WAIT_S 15 /* above WATCH_S */
+#define RETRY_US 500000
+#define TURN_US 20000
+#define LOAD_S 1.0
+#define LOAD_THREADS 4
+
+typedef struct Probe {
+  char pool[LIMIT_NAME + 8], target[LIMIT_NAME], url[LIMIT_NAME];
+} Probe;
+
+struct Watch {
+  Entry *entry;
+  atomic_bool stop;
+  atomic_uint_fast64_t wanted; /* highest table version heard of */
+  pthread_t table, members, turns, loads[LOAD_THREADS];
+  pthread_mutex_t lock;
+  GQueue probes; /* Probe* still to be asked in this round */
+};
+
+static bool running(const Watch *w) { return !atomic_load(&w->stop); }
+
+static void heard_store(Watch *w) {
+  atomic_store(&w->entry->store_heard, clock_unix());
+}
+
+/* == table == */
+
+static PlatformAnswer get(void *ctx, const char *name) {
+  return platform_get(ctx, name);
+}
+
+static void give_budgets(Watch *w, const Table *t) {
+  GArray *list = g_array_new(FALSE, TRUE, sizeof(LedgerBudget));
+  for (guint i = 0; i < t->order->len; i++) {
+    const TableRow *r = t->order->pdata[i];
+    if (r->kind != TABLE_BUDGET) continue;
+    LedgerBudget b = {.total = r->numbers[TABLE_TOKENS],
+                      .version = r->version,
+                      .reserve_s = (double)r->numbers[TABLE_RESERVE]};
+    g_strlcpy(b.name, r->name, sizeof b.name);
+    g_array_append_val(list, b);
+  }
+  fleet_budgets(w->entry->fleet, (LedgerBudget *)(void *)list->data,
+                (int)list->len);
+  g_array_free(list, TRUE);
+}
+
+static void put_in_force(Watch *w, Table *t) {
+  uint64_t v = t->version;
+  if (v <= snapshots_version(w->entry->snapshots)) {
+    table_free(t);
+    return;
+  }
+  pools_table(w->entry->pools, t);
+  give_budgets(w, t);
+  snapshots_set(w->entry->snapshots, t);
+  fleet_table(w->entry->fleet, v);
+  log_info("table", "s:I", "version", (json_int_t)v);
+}
+
+static void load_table(Watch *w, Platform *p) {
+  RolloutStore s = {get, NULL, p};
+  bool same;
+  Err err = {0};
+  Table *t =
+      rollout_load(&s, snapshots_version(w->entry->snapshots), &same, &err);
+  if (t || same) heard_store(w);
+  if (t) put_in_force(w, t);
+}
+
+static uint64_t watched_revision(const char *text) {
+  json_t *o = json_loads(text, 0, NULL);
+  uint64_t n =
+      (uint64_t)json_integer_value(json_object_get(o, "revision"));
+  json_decref(o);
+  return n;
+}
+
+/* A watch may miss events and a read may be old; so the table is read after
+   each watch, whatever it said, and when a peer has a newer one. */
+static void *watch_table(void *arg) {
+  Watch *w = arg;
+  Platform *p = platform_open(w->entry->options.platform, STORE_WAIT_S);
+  uint64_t revision = 0;
+  while (running(w)) {
+    load_table(w, p);
+    if (atomic_load(&w->wanted) > snapshots_version(w->entry->snapshots)) {
+      g_usleep(TURN_US * 5);
+      continue;
+    }
+    PlatformAnswer a =
+        platform_watch(p, ROLLOUT_HEAD, revision, running(w) ? WATCH_S : 0);
+    if (a.kind == ERR_NONE) {
+      heard_store(w);
+      revision = watched_revision(a.text);
+    } else {
+      g_usleep(RETRY_US);
+    }
+    g_free(a.text);
+  }
+  platform_close(p);
+  return NULL;
+}
+
+static void on_view(void *ctx, const View *v) {
+  Watch *w = ctx;
+  for (int i = 0; i < v->n; i++)
+    if (v->list[i].table > atomic_load(&w->wanted))
+      atomic_store(&w->wanted, v->list[i].table);
+}
+
+/* == the platform's list == */
+
+static bool parse_seed(json_t *o, MemberSeed *s) {
+  const char *name, *kind = "instance", *peer = "", *state = "live";
+  memset(s, 0, sizeof *s);
+  if (json_unpack(o, "{s:s,s?s,s?s,s?s}", "name", &name, "kind", &kind, "peer",
+                  &peer, "state", &state) != 0)
+    return false;
+  g_strlcpy(s->name, name, sizeof s->name);
+  g_strlcpy(s->peer, peer, sizeof s->peer);
+  s->target = strcmp(kind, "target") == 0;
+  s->leaving = strcmp(state, "leaving") == 0;
+  return true;
+}
+
+static void take_list(Watch *w, const char *text) {
+  json_t *list = json_loads(text, 0, NULL), *o;
+  GArray *seeds = g_array_new(FALSE, TRUE, sizeof(MemberSeed));
+  size_t i;
+  json_array_foreach(list, i, o) {
+    MemberSeed s;
+    if (!parse_seed(o, &s)) continue;
+    g_array_append_val(seeds, s);
+    if (s.target) pools_leaving(w->entry->pools, s.name, s.leaving);
+  }
+  fleet_listed(w->entry->fleet, (MemberSeed *)(void *)seeds->data,
+               (int)seeds->len);
+  g_array_free(seeds, TRUE);
+  json_decref(list);
+}
+
+static void *watch_members(void *arg) {
+  Watch *w = arg;
+  Platform *p = platform_open(w->entry->options.platform, 3);
+  while (running(w)) {
+    PlatformAnswer a = platform_members(p);
+    if (a.kind == ERR_NONE) {
+      heard_store(w);
+      take_list(w, a.text);
+    }
+    g_free(a.text);
+    for (int i = 0; i < 10 && running(w); i++)
+      g_usleep((gulong)(MEMBER_POLL * 1e5));
+  }
+  platform_close(p);
+  return NULL;
+}
+
+/* == loads == */
+
+static void add_probe(void *ctx, const char *pool, const RouteState *s) {
+  Watch *w = ctx;
+  Probe *p = g_new0(Probe, 1);
+  g_strlcpy(p->pool, pool, sizeof p->pool);
+  g_strlcpy(p->target, s->target.name, sizeof p->target);
+  g_strlcpy(p->url, s->target.url, sizeof p->url);
+  g_queue_push_tail(&w->probes, p);
+}
+
+static Probe *next_probe(Watch *w) {
+  pthread_mutex_lock(&w->lock);
+  Probe *p = g_queue_pop_head(&w->probes);
+  pthread_mutex_unlock(&w->lock);
+  return p;
+}
+
+/* A target that hangs holds up one of a few threads for a second only. */
+static void *watch_loads(void *arg) {
+  Watch *w = arg;
+  while (running(w)) {
+    Probe *p = next_probe(w);
+    if (!p) {
+      g_usleep(TURN_US);
+      continue;
+    }
+    EngineLoad load = {0};
+    double path;
+    bool heard = engine_load(p->url, &load, &path);
+    pools_report(w->entry->pools, p->pool, p->target, heard, load.running,
+                 load.waiting, path);
+    g_free(p);
+  }
+  return NULL;
+}
+
+static void *take_turns(void *arg) {
+  Watch *w = arg;
+  double next = 0;
+  while (running(w)) {
+    pools_tick(w->entry->pools);
+    double now = clock_now();
+    pthread_mutex_lock(&w->lock);
+    if (now >= next && w->probes.length == 0) {
+      pools_each(w->entry->pools, add_probe, w);
+      next = now + LOAD_S;
+    }
+    pthread_mutex_unlock(&w->lock);
+    g_usleep(TURN_US);
+  }
+  return NULL;
+}
+
+Watch *watch_open(Entry *e) {
+  Watch *w = g_new0(Watch, 1);
+  w->entry = e;
+  pthread_mutex_init(&w->lock, NULL);
+  g_queue_init(&w->probes);
+  fleet_on_view(e->fleet, on_view, w);
+  pthread_create(&w->table, NULL, watch_table, w);
+  pthread_create(&w->members, NULL, watch_members, w);
+  pthread_create(&w->turns, NULL, take_turns, w);
+  for (int i = 0; i < LOAD_THREADS; i++)
+    pthread_create(&w->loads[i], NULL, watch_loads, w);
+  return w;
+}
+
+void watch_close(Watch *w) {
+  atomic_store(&w->stop, true);
+  fleet_on_view(w->entry->fleet, NULL, NULL);
+  pthread_join(w->table, NULL);
+  pthread_join(w->members, NULL);
+  pthread_join(w->turns, NULL);
+  for (int i = 0; i < LOAD_THREADS; i++) pthread_join(w->loads[i], NULL);
+  g_queue_clear_full(&w->probes, g_free);
+  pthread_mutex_destroy(&w->lock);
+  g_free(w);
+}
--- /dev/null
+++ b/packages/entry/watch.h
@@ -0,0 +1,13 @@
+/* watch.h: keeps an instance's table, member list and load reports up to
+   date, each in a thread of its own. */
+#ifndef ENTRY_WATCH_H
+#define ENTRY_WATCH_H
+
+#include "entry/entry.h"
+
+typedef struct Watch Watch;
+
+Watch *watch_open(Entry *e);
+void watch_close(Watch *w);
+
+#endif
--- /dev/null
+++ b/packages/fleet/fleet.c
@@ -0,0 +1,563 @@
+/* fleet.c: threads and transport around the cores. The cores are split into
+   lanes by budget shard and by record shard, each with its own lock, which is
+   held for the microseconds of one event and never across a call. */
+#include "fleet/fleet.h"
+
+#include <glib.h>
+#include <pthread.h>
+#include <stdatomic.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "kernel/clock.h"
+#include "kernel/count.h"
+#include "kernel/log.h"
+#include "ledger/shard.h"
+#include "peer/peer.h"
+#include "store/jobs.h"
+
+#define LANES 8
+#define POLL_MS 20
+#define TICK_S 0.1
+#define STORE_THREADS 4
+#define STORE_WAIT_S 3
+
+/* A request thread waiting for a core's decision. */
+typedef struct Wait {
+  pthread_cond_t ready;
+  bool done;
+  ErrKind cause;
+  int retry_ms;
+  OnceVerdict verdict;
+  OnceAnswer answer;
+  bool doubled;
+} Wait;
+
+typedef struct Lane {
+  struct Fleet *fleet;
+  int index;
+  pthread_mutex_t lock;
+  Ledger *ledger;
+  Once *once;
+  GHashTable *waits; /* handle -> Wait */
+} Lane;
+
+struct Fleet {
+  FleetOptions options;
+  Lane lanes[LANES];
+  Peer *peer;
+  Jobs *jobs;
+  pthread_t thread;
+  atomic_bool stop;
+  atomic_uint_fast64_t next_handle;
+  pthread_mutex_t lock; /* members and view */
+  MemberSet *members;
+  View *view;
+  GHashTable *ids; /* id hash -> id */
+  bool leaving;
+  uint64_t table;
+  void (*on_view)(void *ctx, const View *v);
+  void *on_view_ctx;
+};
+
+/* == addresses == */
+
+static bool address_of(Fleet *f, const char *id, char out[LIMIT_NAME]) {
+  pthread_mutex_lock(&f->lock);
+  const Member *m = view_find(f->view, id);
+  if (m) g_strlcpy(out, m->peer, LIMIT_NAME);
+  pthread_mutex_unlock(&f->lock);
+  return m != NULL;
+}
+
+static bool id_of(Fleet *f, uint64_t hash, char out[LIMIT_ID]) {
+  pthread_mutex_lock(&f->lock);
+  const char *id = g_hash_table_lookup(f->ids, &hash);
+  if (id) g_strlcpy(out, id, LIMIT_ID);
+  pthread_mutex_unlock(&f->lock);
+  return id != NULL;
+}
+
+/* == actions of the cores, under the lane's lock == */
+
+static void on_ledger_stored(void *ctx, const Job *j, PlatformAnswer *a);
+static void on_once_stored(void *ctx, const Job *j, PlatformAnswer *a);
+static void on_billed(void *ctx, const Job *j, PlatformAnswer *a);
+
+static void wake_wait(Lane *l, uint64_t handle, Wait *filled) {
+  Wait *w = g_hash_table_lookup(l->waits, &handle);
+  if (!w) {
+    g_free(filled->answer.body);
+    return;
+  }
+  w->cause = filled->cause;
+  w->retry_ms = filled->retry_ms;
+  w->verdict = filled->verdict;
+  w->answer = filled->answer;
+  w->doubled = filled->doubled;
+  w->done = true;
+  pthread_cond_signal(&w->ready);
+}
+
+static void do_ledger(Lane *l) {
+  LedgerAction a;
+  char addr[LIMIT_NAME];
+  while (ledger_next(l->ledger, &a)) {
+    Job j = {.urgent = true,
+             .done = on_ledger_stored,
+             .ctx = l,
+             .b = a.shard,
+             .version = a.version,
+             .text = a.text};
+    switch (a.what) {
+    case LEDGER_DO_SEND:
+      if (address_of(l->fleet, a.to, addr))
+        peer_ledger(l->fleet->peer, addr, a.to, &a.msg);
+      break;
+    case LEDGER_DO_GET:
+    case LEDGER_DO_PUT:
+      j.kind = a.what == LEDGER_DO_PUT ? JOB_PUT : JOB_GET;
+      shard_name(a.shard, j.name);
+      jobs_add(l->fleet->jobs, &j);
+      break;
+    case LEDGER_DO_ANSWER:
+      wake_wait(l, a.handle, &(Wait){.cause = a.cause, .retry_ms = a.retry_ms});
+      break;
+    }
+  }
+}
+
+static void do_once(Lane *l) {
+  OnceAction a;
+  char addr[LIMIT_NAME];
+  while (once_next(l->once, &a)) {
+    Job j = {.ctx = l, .b = a.shard, .version = a.version};
+    switch (a.what) {
+    case ONCE_DO_SEND:
+      if (address_of(l->fleet, a.to, addr))
+        peer_once(l->fleet->peer, addr, a.to, &a.msg);
+      break;
+    case ONCE_DO_GET:
+    case ONCE_DO_PUT:
+      j.kind = a.what == ONCE_DO_PUT ? JOB_PUT : JOB_GET;
+      j.urgent = true;
+      j.done = on_once_stored;
+      once_claim_name(a.shard, j.name);
+      j.text = g_steal_pointer(&a.text);
+      jobs_add(l->fleet->jobs, &j);
+      break;
+    case ONCE_DO_BILL:
+      j.kind = JOB_PUT;
+      j.done = on_billed;
+      g_strlcpy(j.name, a.name, sizeof j.name);
+      j.text = g_steal_pointer(&a.text);
+      jobs_add(l->fleet->jobs, &j);
+      break;
+    case ONCE_DO_ANSWER:
+      wake_wait(l, a.handle,
+                &(Wait){.verdict = a.verdict, .answer = a.answer});
+      a.answer.body = NULL;
+      break;
+    case ONCE_DO_DONE:
+      wake_wait(l, a.handle, &(Wait){.doubled = a.doubled});
+      break;
+    }
+    once_action_clear(&a);
+  }
+}
+
+static void on_ledger_stored(void *ctx, const Job *j, PlatformAnswer *a) {
+  Lane *l = ctx;
+  pthread_mutex_lock(&l->lock);
+  ledger_stored(l->ledger, clock_now(), j->b, a->kind, a->version,
+                j->kind == JOB_GET ? a->text : NULL);
+  do_ledger(l);
+  pthread_mutex_unlock(&l->lock);
+  g_free(a->text);
+}
+
+static void on_once_stored(void *ctx, const Job *j, PlatformAnswer *a) {
+  Lane *l = ctx;
+  pthread_mutex_lock(&l->lock);
+  once_stored(l->once, clock_now(), j->b, a->kind, a->version,
+              j->kind == JOB_GET ? a->text : NULL);
+  do_once(l);
+  pthread_mutex_unlock(&l->lock);
+  g_free(a->text);
+}
+
+static void on_billed(void *ctx, const Job *j, PlatformAnswer *a) {
+  Lane *l = ctx;
+  (void)j;
+  pthread_mutex_lock(&l->lock);
+  once_billed(l->once, clock_now(), a->kind);
+  do_once(l);
+  pthread_mutex_unlock(&l->lock);
+  if (a->kind == ERR_NONE) count_add(COUNT_BILLS, 1);
+  g_free(a->text);
+}
+
+/* == the peer thread == */
+
+static Lane *lane_of_budget(Fleet *f, const char *budget) {
+  return &f->lanes[shard_index(budget) % LANES];
+}
+
+static Lane *lane_of_key(Fleet *f, OnceKey key) {
+  return &f->lanes[key.lo % LIMIT_CLAIM_SHARDS % LANES];
+}
+
+static void on_message(void *ctx, uint64_t from, CodecMsg *m) {
+  Fleet *f = ctx;
+  char id[LIMIT_ID];
+  if (m->type == CODEC_BEAT) {
+    pthread_mutex_lock(&f->lock);
+    member_heard(f->members, clock_now(), &m->beat);
+    pthread_mutex_unlock(&f->lock);
+    return;
+  }
+  if (!id_of(f, from, id)) {
+    count_add(COUNT_PEER_DROPPED, 1);
+    return;
+  }
+  Lane *l = m->type == CODEC_LEDGER ? lane_of_budget(f, m->ledger.budget)
+                                    : lane_of_key(f, m->once.key);
+  pthread_mutex_lock(&l->lock);
+  if (m->type == CODEC_LEDGER) {
+    ledger_receive(l->ledger, clock_now(), id, &m->ledger);
+    do_ledger(l);
+  } else {
+    once_receive(l->once, clock_now(), id, &m->once);
+    do_once(l);
+  }
+  pthread_mutex_unlock(&l->lock);
+}
+
+static void remember_ids(Fleet *f, const View *v) {
+  for (int i = 0; i < v->n; i++) {
+    uint64_t h = codec_hash(v->list[i].id);
+    if (g_hash_table_contains(f->ids, &h)) continue;
+    g_hash_table_insert(f->ids, g_memdup2(&h, sizeof h),
+                        g_strdup(v->list[i].id));
+  }
+}
+
+static bool same_view(const View *a, const View *b) {
+  if (a->n != b->n) return false;
+  for (int i = 0; i < a->n; i++) {
+    const Member *x = &a->list[i], *y = &b->list[i];
+    if (strcmp(x->id, y->id) != 0 || x->leaving != y->leaving ||
+        x->table != y->table)
+      return false;
+  }
+  return true;
+}
+
+static void spread_view(Fleet *f, const View *v) {
+  for (int i = 0; i < LANES; i++) {
+    Lane *l = &f->lanes[i];
+    pthread_mutex_lock(&l->lock);
+    ledger_view(l->ledger, clock_now(), v);
+    once_view(l->once, clock_now(), v);
+    do_ledger(l);
+    do_once(l);
+    pthread_mutex_unlock(&l->lock);
+  }
+  if (f->on_view) f->on_view(f->on_view_ctx, v);
+}
+
+static void refresh_view(Fleet *f) {
+  pthread_mutex_lock(&f->lock);
+  member_self(f->members, f->leaving, f->table);
+  member_tick(f->members, clock_now());
+  View *v = member_view(f->members);
+  bool same = same_view(v, f->view);
+  if (same) {
+    view_free(v);
+  } else {
+    view_free(f->view);
+    f->view = v;
+    remember_ids(f, v);
+  }
+  View *copy = same ? NULL : view_copy(f->view);
+  pthread_mutex_unlock(&f->lock);
+  if (!copy) return;
+  log_info("view", "s:i", "members", copy->n);
+  spread_view(f, copy);
+  view_free(copy);
+}
+
+static void send_beats(Fleet *f) {
+  pthread_mutex_lock(&f->lock);
+  GPtrArray *to = member_addresses(f->members);
+  Member me = *member_me(f->members);
+  for (guint i = 0; i < to->len; i++) peer_beat(f->peer, to->pdata[i], &me);
+  g_ptr_array_free(to, TRUE);
+  pthread_mutex_unlock(&f->lock);
+}
+
+static double beat_interval(Fleet *f) {
+  pthread_mutex_lock(&f->lock);
+  double s = member_interval(f->members);
+  pthread_mutex_unlock(&f->lock);
+  return s;
+}
+
+static void tick(Fleet *f) {
+  refresh_view(f);
+  for (int i = 0; i < LANES; i++) {
+    Lane *l = &f->lanes[i];
+    pthread_mutex_lock(&l->lock);
+    ledger_tick(l->ledger, clock_now(), clock_unix());
+    once_tick(l->once, clock_now(), clock_unix());
+    do_ledger(l);
+    do_once(l);
+    pthread_mutex_unlock(&l->lock);
+  }
+}
+
+static void *run(void *arg) {
+  Fleet *f = arg;
+  double next_tick = 0, next_beat = 0;
+  while (!atomic_load(&f->stop)) {
+    double now = clock_now();
+    if (now >= next_beat) {
+      send_beats(f);
+      next_beat = now + beat_interval(f);
+    }
+    if (now >= next_tick) {
+      tick(f);
+      next_tick = now + TICK_S;
+    }
+    peer_poll(f->peer, POLL_MS, on_message, f);
+  }
+  return NULL;
+}
+
+/* == open and close == */
+
+static void lane_open(Fleet *f, int i) {
+  Lane *l = &f->lanes[i];
+  const Member *me = &f->options.self;
+  uint32_t seed = f->options.seed + (uint32_t)i * 7919u;
+  l->fleet = f;
+  l->index = i;
+  pthread_mutex_init(&l->lock, NULL);
+  l->ledger = ledger_new(me->id, me->region, seed);
+  l->once = once_new(me->id, me->region, i, seed + 1);
+  l->waits = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
+}
+
+Fleet *fleet_open(const FleetOptions *o, Err *e) {
+  Peer *peer = peer_open(o->bind, o->self.id, e);
+  if (!peer) return NULL;
+  Fleet *f = g_new0(Fleet, 1);
+  f->options = *o;
+  f->peer = peer;
+  f->members = member_new(&o->self);
+  f->view = view_new(NULL, 0);
+  f->ids = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+  pthread_mutex_init(&f->lock, NULL);
+  for (int i = 0; i < LANES; i++) lane_open(f, i);
+  f->jobs = jobs_open(o->platform, STORE_THREADS, STORE_WAIT_S);
+  refresh_view(f);
+  pthread_create(&f->thread, NULL, run, f);
+  return f;
+}
+
+void fleet_close(Fleet *f) {
+  atomic_store(&f->stop, true);
+  pthread_join(f->thread, NULL);
+  jobs_close(f->jobs);
+  peer_close(f->peer);
+  for (int i = 0; i < LANES; i++) {
+    Lane *l = &f->lanes[i];
+    ledger_free(l->ledger);
+    once_free(l->once);
+    g_hash_table_destroy(l->waits);
+    pthread_mutex_destroy(&l->lock);
+  }
+  member_free(f->members);
+  view_free(f->view);
+  g_hash_table_destroy(f->ids);
+  pthread_mutex_destroy(&f->lock);
+  g_free(f);
+}
+
+/* == members and table == */
+
+void fleet_on_view(Fleet *f, void (*fn)(void *ctx, const View *v), void *ctx) {
+  f->on_view_ctx = ctx;
+  f->on_view = fn;
+}
+
+void fleet_budgets(Fleet *f, const LedgerBudget *list, int n) {
+  for (int i = 0; i < LANES; i++) {
+    Lane *l = &f->lanes[i];
+    GArray *mine = g_array_new(FALSE, FALSE, sizeof *list);
+    for (int k = 0; k < n; k++)
+      if (lane_of_budget(f, list[k].name) == l)
+        g_array_append_val(mine, list[k]);
+    pthread_mutex_lock(&l->lock);
+    ledger_budgets(l->ledger, clock_now(),
+                   (LedgerBudget *)(void *)mine->data, (int)mine->len);
+    do_ledger(l);
+    pthread_mutex_unlock(&l->lock);
+    g_array_free(mine, TRUE);
+  }
+}
+
+void fleet_table(Fleet *f, uint64_t version) {
+  pthread_mutex_lock(&f->lock);
+  f->table = version;
+  pthread_mutex_unlock(&f->lock);
+}
+
+void fleet_listed(Fleet *f, const MemberSeed *list, int n) {
+  pthread_mutex_lock(&f->lock);
+  member_listed(f->members, clock_now(), list, n);
+  pthread_mutex_unlock(&f->lock);
+}
+
+View *fleet_view(Fleet *f) {
+  pthread_mutex_lock(&f->lock);
+  View *v = view_copy(f->view);
+  pthread_mutex_unlock(&f->lock);
+  return v;
+}
+
+/* == calls of request threads == */
+
+static uint64_t new_handle(Fleet *f) {
+  return atomic_fetch_add(&f->next_handle, 1) + 1;
+}
+
+static void wait_open(Lane *l, uint64_t handle, Wait *w) {
+  *w = (Wait){0};
+  pthread_cond_init(&w->ready, NULL);
+  g_hash_table_insert(l->waits, g_memdup2(&handle, sizeof handle), w);
+}
+
+/* The core always decides in bounded time, so this wait is bounded too. */
+static void wait_close(Lane *l, uint64_t handle, Wait *w) {
+  while (!w->done) pthread_cond_wait(&w->ready, &l->lock);
+  g_hash_table_remove(l->waits, &handle);
+  pthread_cond_destroy(&w->ready);
+}
+
+uint64_t fleet_reserve(Fleet *f, const char *budget, int64_t tokens, Err *e) {
+  Lane *l = lane_of_budget(f, budget);
+  uint64_t handle = new_handle(f);
+  Wait w;
+  pthread_mutex_lock(&l->lock);
+  wait_open(l, handle, &w);
+  ledger_reserve(l->ledger, clock_now(), handle, budget, tokens);
+  do_ledger(l);
+  wait_close(l, handle, &w);
+  pthread_mutex_unlock(&l->lock);
+  if (w.cause == ERR_NONE) return handle;
+  err_retry(e, w.cause, w.retry_ms, "budget %s can't cover %" G_GINT64_FORMAT
+            " tokens now", budget, tokens);
+  return 0;
+}
+
+void fleet_settle(Fleet *f, const char *budget, uint64_t handle,
+                  int64_t used) {
+  Lane *l = lane_of_budget(f, budget);
+  pthread_mutex_lock(&l->lock);
+  ledger_settle(l->ledger, clock_now(), handle, used);
+  do_ledger(l);
+  pthread_mutex_unlock(&l->lock);
+}
+
+OnceVerdict fleet_begin(Fleet *f, OnceKey key, uint64_t digest, bool ask,
+                        bool repeat, FleetRun *run, OnceAnswer *answer) {
+  Lane *l = lane_of_key(f, key);
+  Wait w;
+  run->key = key;
+  run->handle = new_handle(f);
+  pthread_mutex_lock(&l->lock);
+  wait_open(l, run->handle, &w);
+  once_begin(l->once, clock_now(), run->handle, key, digest, ask, repeat);
+  do_once(l);
+  wait_close(l, run->handle, &w);
+  pthread_mutex_unlock(&l->lock);
+  *answer = w.answer;
+  return w.verdict;
+}
+
+bool fleet_finish(Fleet *f, FleetRun *run, const OnceBill *bill,
+                  const OnceAnswer *answer) {
+  Lane *l = lane_of_key(f, run->key);
+  Wait w;
+  pthread_mutex_lock(&l->lock);
+  wait_open(l, run->handle, &w);
+  once_finish(l->once, clock_now(), run->handle, bill, answer);
+  do_once(l);
+  wait_close(l, run->handle, &w);
+  pthread_mutex_unlock(&l->lock);
+  return w.doubled;
+}
+
+void fleet_unknown(Fleet *f, FleetRun *run) {
+  Lane *l = lane_of_key(f, run->key);
+  pthread_mutex_lock(&l->lock);
+  once_unknown(l->once, clock_now(), run->handle);
+  do_once(l);
+  pthread_mutex_unlock(&l->lock);
+}
+
+void fleet_abort(Fleet *f, FleetRun *run) {
+  Lane *l = lane_of_key(f, run->key);
+  pthread_mutex_lock(&l->lock);
+  once_abort(l->once, clock_now(), run->handle);
+  do_once(l);
+  pthread_mutex_unlock(&l->lock);
+}
+
+/* == sums and stop == */
+
+LedgerSums fleet_sums(Fleet *f) {
+  LedgerSums all = {0};
+  for (int i = 0; i < LANES; i++) {
+    Lane *l = &f->lanes[i];
+    pthread_mutex_lock(&l->lock);
+    LedgerSums s = ledger_sums(l->ledger);
+    pthread_mutex_unlock(&l->lock);
+    all.free += s.free;
+    all.reserved += s.reserved;
+    all.spent += s.spent;
+    all.home_free += s.home_free;
+    all.waiting += s.waiting;
+    all.accounts += s.accounts;
+    all.grants += s.grants;
+    all.witnessed += s.witnessed;
+  }
+  return all;
+}
+
+void fleet_drain(Fleet *f) {
+  pthread_mutex_lock(&f->lock);
+  f->leaving = true;
+  pthread_mutex_unlock(&f->lock);
+  refresh_view(f);
+  send_beats(f);
+  for (int i = 0; i < LANES; i++) {
+    Lane *l = &f->lanes[i];
+    pthread_mutex_lock(&l->lock);
+    ledger_drain(l->ledger, clock_now());
+    once_drain(l->once, clock_now());
+    pthread_mutex_unlock(&l->lock);
+  }
+}
+
+bool fleet_drained(Fleet *f) {
+  bool all = true;
+  for (int i = 0; i < LANES; i++) {
+    Lane *l = &f->lanes[i];
+    pthread_mutex_lock(&l->lock);
+    all = all && ledger_drained(l->ledger) && once_drained(l->once);
+    pthread_mutex_unlock(&l->lock);
+  }
+  return all;
+}
--- /dev/null
+++ b/packages/kernel/count.h
@@ -0,0 +1,43 @@
+/* count.h: counters of our own, printed in the Prometheus text format. */
+#ifndef KERNEL_COUNT_H
+#define KERNEL_COUNT_H
+
+#include <stdint.h>
+#include <glib.h>
+
+typedef enum {
+  COUNT_REQUESTS,
+  COUNT_RAN,
+  COUNT_REFUSED_EMPTY,
+  COUNT_REFUSED_HELD,
+  COUNT_REFUSED_STORE,
+  COUNT_REFUSED_CUT,
+  COUNT_REFUSED_CAP,
+  COUNT_REFUSED_OVERLOAD,
+  COUNT_REFUSED_OTHER,
+  COUNT_TOKENS,
+  COUNT_TOKENS_OVER_BOUND,
+  COUNT_WASTE,
+  COUNT_BILLS,
+  COUNT_REPLAYS,
+  COUNT_RETRIES,
+  COUNT_EJECTED,
+  COUNT_CALLER_GONE,
+  COUNT_TARGET_CUT,
+  COUNT_STORE_READS,
+  COUNT_STORE_WRITES,
+  COUNT_STORE_CONFLICTS,
+  COUNT_STORE_FAILURES,
+  COUNT_PEER_BYTES_OUT,
+  COUNT_PEER_BYTES_IN,
+  COUNT_PEER_DROPPED,
+  COUNT_LAST
+} Count;
+
+/* Any thread, no lock. */
+void count_add(Count c, int64_t n);
+int64_t count_get(Count c);
+/* Appends all counters to `out`. */
+void count_print(GString *out);
+
+#endif
--- /dev/null
+++ b/packages/kernel/err.h
@@ -0,0 +1,70 @@
+/* err.h: typed errors; each kind carries its remedy and its HTTP face. */
+#ifndef KERNEL_ERR_H
+#define KERNEL_ERR_H
+
+#include <stdbool.h>
+
+typedef enum {
+  ERR_NONE,
+  /* callers */
+  ERR_MALFORMED,
+  ERR_TOO_LARGE,
+  ERR_UNAUTHORISED,
+  ERR_NO_MODEL,
+  ERR_NO_SERVICE,
+  ERR_NO_BUDGET,
+  ERR_BUDGET_EMPTY,
+  ERR_BUDGET_HELD,
+  ERR_BUDGET_STORE,
+  ERR_BUDGET_CUT,
+  ERR_CAP,
+  ERR_OVERLOADED,
+  ERR_NO_TARGET,
+  ERR_TARGET_FAILED,
+  ERR_TARGET_CUT,
+  ERR_IN_PROGRESS,
+  ERR_KEY_REUSED,
+  ERR_MAY_HAVE_RUN,
+  ERR_CLAIM_STORE,
+  ERR_DRAINING,
+  /* operators */
+  ERR_TABLE,
+  ERR_TABLE_RACE,
+  ERR_SETTING,
+  ERR_SERVICE_MISSING,
+  /* platform */
+  ERR_STORE_DOWN,
+  ERR_STORE_UNKNOWN, /* no answer: a write may have taken effect */
+  ERR_STORE_CONFLICT,
+  ERR_STORE_ABSENT,
+  ERR_STORE_RATE,
+  ERR_COUNT
+} ErrKind;
+
+/* What became of the request: the word each answer carries. */
+typedef enum { RAN_NOT, RAN_YES, RAN_MAYBE } Ran;
+
+typedef struct Err {
+  ErrKind kind;
+  Ran ran;
+  int retry_ms; /* when coming back helps; 0: it does not */
+  char text[320];
+} Err;
+
+typedef struct ErrInfo {
+  const char *name;
+  int status; /* HTTP status */
+  const char *remedy;
+} ErrInfo;
+
+/* Fills `e` (may be NULL) and returns false, so that callers can
+   `return err_set(...)`. */
+bool err_set(Err *e, ErrKind kind, const char *fmt, ...)
+    __attribute__((format(printf, 3, 4)));
+/* As err_set, with a time to come back in milliseconds. */
+bool err_retry(Err *e, ErrKind kind, int retry_ms, const char *fmt, ...)
+    __attribute__((format(printf, 4, 5)));
+const ErrInfo *err_info(ErrKind kind);
+const char *err_ran(Ran ran);
+
+#endif
--- /dev/null
+++ b/packages/kernel/limits.h
@@ -0,0 +1,51 @@
+/* limits.h: every fixed limit and default of the fleet, in one place. */
+#ifndef KERNEL_LIMITS_H
+#define KERNEL_LIMITS_H
+
+/* == sizes == */
+
+#define LIMIT_ID 48           /* bytes of an instance id, "name.incarnation" */
+#define LIMIT_NAME 64         /* bytes of a customer, service or budget name */
+#define LIMIT_SHARDS 256      /* budget shards; part of the stored format */
+#define LIMIT_CLAIM_SHARDS 64 /* request-record shards; stored format too */
+#define LIMIT_VALUE (1 << 20) /* bytes of one platform object */
+#define LIMIT_BODY (4 << 20)  /* bytes of one request body, default */
+#define LIMIT_ANSWER (64 << 10)     /* bytes kept of one answer for a retry */
+#define LIMIT_CLAIM_ANSWER (2 << 10) /* bytes of an answer kept in a claim */
+#define LIMIT_KEPT (32 << 20)        /* bytes of kept answers an instance holds */
+#define LIMIT_TARGETS 64             /* candidates looked at for one request */
+
+/* == ledger, seconds and tokens == */
+
+#define LEDGER_DRAW_WAIT 1.5    /* a reservation waits this long for tokens */
+#define LEDGER_RESEND 0.3       /* an unanswered message goes out again */
+#define LEDGER_REPORT_EVERY 2.0 /* an account is reported this often */
+#define LEDGER_ACCOUNT_S 5.0    /* an account covers this much demand */
+#define LEDGER_IDLE 20.0        /* more than this much demand is given back */
+#define LEDGER_SEAL_AFTER 5.0   /* a grant's home is gone this long */
+#define LEDGER_RETIRE 86400.0   /* a sealed grant is written off after a day */
+#define LEDGER_WRITE_EVERY 10.0 /* spend reports reach the store this often */
+#define LEDGER_MIN_DRAW 1024    /* smallest grant asked for without need */
+#define LEDGER_BACKOFF_MIN 0.2  /* store retry, doubled and jittered */
+#define LEDGER_BACKOFF_MAX 5.0
+
+/* == records of requests, seconds == */
+
+#define ONCE_KEEP 600.0      /* a finished request can be asked for again */
+#define ONCE_CLAIM_KEEP 3600 /* a claim is remembered at least this long */
+#define ONCE_RESEND 0.3
+#define ONCE_BATCH 5.0 /* bills become durable this often */
+
+/* == members, seconds == */
+
+#define MEMBER_BEAT 0.5    /* heartbeat interval of a small fleet */
+#define MEMBER_BYTES 3000  /* heartbeat bytes a second at most; stretches it */
+#define MEMBER_SILENT 6    /* heartbeats missed until a member is gone */
+#define MEMBER_POLL 1.0    /* the platform's list is read this often */
+
+/* == platform rates of one instance, calls a second == */
+
+#define STORE_WRITES 10.0
+#define STORE_READS 40.0
+
+#endif
--- /dev/null
+++ b/packages/kernel/log.c
@@ -0,0 +1,78 @@
+/* log.c: the structured writer behind log.h. */
+#define G_LOG_DOMAIN "loftpath"
+#include "kernel/log.h"
+
+#include <glib.h>
+#include <jansson.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <time.h>
+#include <unistd.h>
+
+#include "kernel/limits.h"
+
+static char self[LIMIT_ID];
+static bool verbose;
+
+/* Messages of libraries come here too and leave as the same JSON. */
+static GLogWriterOutput write_line(GLogLevelFlags level,
+                                   const GLogField *fields, gsize n,
+                                   gpointer data) {
+  (void)data;
+  const char *text = "", *ready = NULL;
+  for (gsize i = 0; i < n; i++) {
+    if (g_str_equal(fields[i].key, "MESSAGE")) text = fields[i].value;
+    if (g_str_equal(fields[i].key, "LOFTPATH_JSON")) ready = fields[i].value;
+  }
+  if ((level & G_LOG_LEVEL_DEBUG) && !verbose) return G_LOG_WRITER_HANDLED;
+  if (ready) {
+    fprintf(stderr, "%s\n", ready);
+    return G_LOG_WRITER_HANDLED;
+  }
+  json_t *o = json_pack("{s:s,s:s}", "event", "library", "text", text);
+  char *s = json_dumps(o, JSON_COMPACT);
+  fprintf(stderr, "%s\n", s);
+  free(s);
+  json_decref(o);
+  return G_LOG_WRITER_HANDLED;
+}
+
+void log_open(const char *instance, bool debug) {
+  g_strlcpy(self, instance, sizeof self);
+  verbose = debug;
+  g_log_set_writer_func(write_line, NULL, NULL);
+}
+
+static void emit(GLogLevelFlags level, const char *name, const char *event,
+                 const char *fmt, va_list ap) {
+  struct timespec t;
+  clock_gettime(CLOCK_REALTIME, &t);
+  char *packed = g_strdup_printf("{%s}", fmt);
+  json_error_t bad;
+  json_t *o = json_vpack_ex(&bad, 0, packed, ap);
+  g_free(packed);
+  json_t *line = json_pack("{s:f,s:s,s:s,s:s}", "t",
+                           (double)t.tv_sec + (double)t.tv_nsec / 1e9, "level",
+                           name, "instance", self, "event", event);
+  if (o) json_object_update(line, o);
+  char *s = json_dumps(line, JSON_COMPACT | JSON_REAL_PRECISION(16));
+  g_log_structured(G_LOG_DOMAIN, level, "LOFTPATH_JSON", s, "MESSAGE", "%s",
+                   event);
+  free(s);
+  json_decref(line);
+  json_decref(o);
+}
+
+void log_info(const char *event, const char *fmt, ...) {
+  va_list ap;
+  va_start(ap, fmt);
+  emit(G_LOG_LEVEL_MESSAGE, "info", event, fmt, ap);
+  va_end(ap);
+}
+
+void log_warn(const char *event, const char *fmt, ...) {
+  va_list ap;
+  va_start(ap, fmt);
+  emit(G_LOG_LEVEL_WARNING, "warn", event, fmt, ap);
+  va_end(ap);
+}
--- /dev/null
+++ b/packages/kernel/service.h
@@ -0,0 +1,39 @@
+/* service.h: the micro-kernel; services find each other by name, start in
+   order of need and stop in the reverse order. */
+#ifndef KERNEL_SERVICE_H
+#define KERNEL_SERVICE_H
+
+#include <stdbool.h>
+
+#include "kernel/err.h"
+
+#define SERVICE_MAX 16
+#define SERVICE_NEEDS 6
+
+typedef struct Service {
+  const char *name;
+  const char *needs[SERVICE_NEEDS]; /* names, NULL ends */
+  bool (*start)(struct Service *s, Err *e);
+  /* No new work from here on; may be NULL. */
+  void (*drain)(struct Service *s);
+  void (*stop)(struct Service *s);
+  void *state;
+} Service;
+
+typedef struct Kernel {
+  Service *list[SERVICE_MAX];
+  int n;
+  Service *started[SERVICE_MAX]; /* in order of start */
+  int up;
+} Kernel;
+
+/* False when the name is taken or the kernel is full. */
+bool service_add(Kernel *k, Service *s, Err *e);
+/* State of a service, NULL when there is none of that name. */
+void *service_find(const Kernel *k, const char *name);
+/* Starts all; on failure stops what was started and names the missing one. */
+bool service_start(Kernel *k, Err *e);
+void service_drain(Kernel *k);
+void service_stop(Kernel *k);
+
+#endif
--- /dev/null
+++ b/packages/ledger/holder.c
@@ -0,0 +1,330 @@
+/* holder.c: reservations and settlements against this instance's accounts. */
+#include "ledger/state.h"
+
+#include <assert.h>
+#include <math.h>
+#include <string.h>
+
+#define RATE_TAU 10.0  /* seconds over which demand is averaged */
+#define SOFT_RESEND 1.0 /* asking ahead of need, at most this often */
+#define LINGER 5.0      /* an account elsewhere than at the first choice lives
+                           on while its home speaks */
+#define FIRST_AGAIN 3.0 /* the first choice is tried again after this */
+
+/* == accounts == */
+
+static int64_t free_of(const Account *a) {
+  return a->granted - a->returned - a->spent - a->reserved;
+}
+
+static bool told(const Account *a) {
+  return a->told_returned >= a->returned && a->told_spent >= a->spent;
+}
+
+static void report(Ledger *l, const Purse *p, Account *a) {
+  LedgerMsg m = ledger_msg(LEDGER_REPORT, p->name, a->grant);
+  m.returned = a->returned;
+  m.spent = a->spent;
+  m.final = a->closing && a->reserved == 0 && free_of(a) <= 0;
+  a->reported = l->now;
+  if (view_find(l->view, a->home)) ledger_send(l, a->home, &m);
+  const Member *home = ledger_home(l, p->key, 0);
+  if (home && strcmp(home->id, a->home) != 0) ledger_send(l, home->id, &m);
+}
+
+/* Gives back `n` free tokens; from here on they are not ours. */
+static void give_back(Ledger *l, const Purse *p, Account *a, int64_t n) {
+  if (n <= 0) return;
+  assert(n <= free_of(a));
+  a->returned += n;
+  report(l, p, a);
+}
+
+static Account *account(const Purse *p, uint64_t grant) {
+  for (guint i = 0; i < p->accounts->len; i++) {
+    Account *a = p->accounts->pdata[i];
+    if (a->grant == grant) return a;
+  }
+  return NULL;
+}
+
+static Account *account_at(const Purse *p, const char *home) {
+  for (guint i = 0; i < p->accounts->len; i++) {
+    Account *a = p->accounts->pdata[i];
+    if (!a->closing && strcmp(a->home, home) == 0) return a;
+  }
+  return NULL;
+}
+
+static Account *richest(const Purse *p) {
+  Account *best = NULL;
+  for (guint i = 0; i < p->accounts->len; i++) {
+    Account *a = p->accounts->pdata[i];
+    if (a->closing) continue;
+    if (!best || free_of(a) > free_of(best)) best = a;
+  }
+  return best;
+}
+
+/* == purses == */
+
+static Purse *find_purse(Ledger *l, const char *budget) {
+  return g_hash_table_lookup(l->purses, budget);
+}
+
+static Purse *add_purse(Ledger *l, const char *budget) {
+  Purse *p = find_purse(l, budget);
+  if (p) return p;
+  p = g_new0(Purse, 1);
+  g_strlcpy(p->name, budget, sizeof p->name);
+  p->key = l->keys[shard_index(budget)];
+  p->accounts = g_ptr_array_new_with_free_func(g_free);
+  g_queue_init(&p->waiters);
+  g_hash_table_insert(l->purses, p->name, p);
+  return p;
+}
+
+void holder_purse_free(gpointer v) {
+  Purse *p = v;
+  g_ptr_array_free(p->accounts, TRUE);
+  g_queue_clear_full(&p->waiters, g_free);
+  g_free(p);
+}
+
+/* == reservations == */
+
+static bool take(Ledger *l, Purse *p, uint64_t handle, int64_t amount) {
+  Account *a = richest(p);
+  if (!a || free_of(a) < amount) return false;
+  a->reserved += amount;
+  Reservation *r = g_new0(Reservation, 1);
+  *r = (Reservation){.purse = p, .account = a, .amount = amount};
+  g_hash_table_insert(l->reservations, g_memdup2(&handle, sizeof handle), r);
+  p->typical = amount;
+  ledger_answer(l, handle, ERR_NONE, 0);
+  return true;
+}
+
+static void drop_waiter(Ledger *l, Purse *p, GList *link) {
+  Waiter *w = link->data;
+  g_hash_table_remove(l->waiting, &w->handle);
+  g_queue_delete_link(&p->waiters, link);
+  g_free(w);
+}
+
+static void refuse(Ledger *l, Purse *p, GList *link, ErrKind cause) {
+  const Waiter *w = link->data;
+  int retry_ms = cause == ERR_BUDGET_EMPTY ? 0 : 1000;
+  ledger_answer(l, w->handle, cause, retry_ms);
+  drop_waiter(l, p, link);
+}
+
+/* Whoever fits is served; a large request at the head does not hold up small
+   ones, its own wait is bounded anyway. */
+static void serve(Ledger *l, Purse *p) {
+  for (GList *i = p->waiters.head, *next; i; i = next) {
+    next = i->next;
+    const Waiter *w = i->data;
+    if (take(l, p, w->handle, w->amount)) drop_waiter(l, p, i);
+  }
+}
+
+/* Asks a home for tokens. After two tries without an answer the next choice is
+   asked, which acts as a home just as well. */
+static void ask(Ledger *l, Purse *p) {
+  if (p->asked == 0 && l->now - p->first_choice > FIRST_AGAIN) p->tries = 0;
+  if (p->tries == 0) p->first_choice = l->now;
+  const Member *home = ledger_home(l, p->key, p->tries / 2);
+  if (!home) {
+    p->tries = 0;
+    home = ledger_home(l, p->key, 0);
+  }
+  p->asked = l->now;
+  p->tries++;
+  if (!home) return;
+  const Account *a = account_at(p, home->id);
+  int64_t have = a ? free_of(a) : 0;
+  int64_t sum = 0;
+  for (GList *i = p->waiters.head; i; i = i->next)
+    sum += ((Waiter *)i->data)->amount;
+  const Waiter *head = p->waiters.head ? p->waiters.head->data : NULL;
+  LedgerMsg m = ledger_msg(LEDGER_DRAW, p->name, a ? a->grant : 0);
+  m.need = head ? head->amount - have : 0;
+  if (m.need < 0) m.need = 0;
+  m.want = sum + p->typical + (int64_t)(p->rate * LEDGER_ACCOUNT_S) - have;
+  if (m.want < m.need) m.want = m.need;
+  if (a) {
+    m.granted = a->granted;
+    m.returned = a->returned;
+    m.spent = a->spent;
+  }
+  ledger_send(l, home->id, &m);
+}
+
+void holder_reserve(Ledger *l, uint64_t handle, const char *budget,
+                    int64_t amount) {
+  assert(amount >= 0);
+  if (l->draining) {
+    ledger_answer(l, handle, ERR_DRAINING, 1000);
+    return;
+  }
+  if (!g_hash_table_contains(l->rows, budget)) {
+    ledger_answer(l, handle, ERR_NO_BUDGET, 0);
+    return;
+  }
+  Purse *p = add_purse(l, budget);
+  if (take(l, p, handle, amount)) return;
+  Waiter *w = g_new0(Waiter, 1);
+  *w = (Waiter){handle, amount, l->now + LEDGER_DRAW_WAIT, ERR_BUDGET_CUT};
+  g_queue_push_tail(&p->waiters, w);
+  g_hash_table_insert(l->waiting, g_memdup2(&handle, sizeof handle), p);
+  if (p->asked == 0) ask(l, p);
+}
+
+static GList *waiter_link(Purse *p, uint64_t handle) {
+  for (GList *i = p->waiters.head; i; i = i->next)
+    if (((Waiter *)i->data)->handle == handle) return i;
+  return NULL;
+}
+
+void holder_settle(Ledger *l, uint64_t handle, int64_t used) {
+  assert(used >= 0);
+  Purse *queued = g_hash_table_lookup(l->waiting, &handle);
+  if (queued) {
+    drop_waiter(l, queued, waiter_link(queued, handle));
+    return;
+  }
+  Reservation *r = g_hash_table_lookup(l->reservations, &handle);
+  if (!r) return; /* settled before: each request is settled once */
+  Account *a = r->account;
+  Purse *p = r->purse;
+  a->reserved -= r->amount;
+  a->spent += used;
+  if (l->faults.settle_twice) a->reserved -= r->amount;
+  p->rate += (double)used / RATE_TAU;
+  if (!l->faults.settle_twice) g_hash_table_remove(l->reservations, &handle);
+  if (a->closing) give_back(l, p, a, free_of(a));
+  serve(l, p);
+}
+
+/* == messages from homes == */
+
+void holder_allot(Ledger *l, const char *from, const LedgerMsg *m) {
+  Purse *p = find_purse(l, m->budget);
+  if (!p) p = add_purse(l, m->budget);
+  if (g_hash_table_contains(l->closed, &m->grant)) return;
+  Account *a = account(p, m->grant);
+  if (!a && m->granted > 0) {
+    a = g_new0(Account, 1);
+    a->grant = m->grant;
+    g_strlcpy(a->home, from, sizeof a->home);
+    g_ptr_array_add(p->accounts, a);
+  }
+  if (a && m->granted > a->granted) a->granted = m->granted;
+  if (a) a->allotted = l->now;
+  p->asked = 0;
+  /* Whoever answered is asked first next time. */
+  if (p->tries > 0) p->tries = (p->tries - 1) / 2 * 2;
+  serve(l, p);
+  GList *head = p->waiters.head;
+  if (m->cause != ERR_NONE && head) refuse(l, p, head, m->cause);
+  if (p->waiters.head) ask(l, p);
+}
+
+static void forget(Ledger *l, Purse *p, Account *a) {
+  g_hash_table_add(l->closed, g_memdup2(&a->grant, sizeof a->grant));
+  g_ptr_array_remove(p->accounts, a);
+}
+
+void holder_reported(Ledger *l, const LedgerMsg *m) {
+  Purse *p = find_purse(l, m->budget);
+  Account *a = p ? account(p, m->grant) : NULL;
+  if (!a) return;
+  if (m->returned > a->told_returned) a->told_returned = m->returned;
+  if (m->spent > a->told_spent) a->told_spent = m->spent;
+  bool over = a->closing && a->reserved == 0 && free_of(a) <= 0 && told(a);
+  if (m->final && over) forget(l, p, a);
+}
+
+void holder_recall(Ledger *l, const LedgerMsg *m) {
+  Purse *p = find_purse(l, m->budget);
+  Account *a = p ? account(p, m->grant) : NULL;
+  if (!a) return;
+  int64_t n = free_of(a);
+  if (n > 0)
+    give_back(l, p, a, n);
+  else
+    report(l, p, a);
+}
+
+/* == time == */
+
+static void tick_accounts(Ledger *l, Purse *p) {
+  const Member *home = ledger_home(l, p->key, 0);
+  for (guint i = 0; i < p->accounts->len; i++) {
+    Account *a = p->accounts->pdata[i];
+    bool current = !home || strcmp(home->id, a->home) == 0;
+    bool speaks = l->now - a->allotted < LINGER && view_find(l->view, a->home);
+    /* With nobody to ask, what we have stays in use. */
+    a->closing = l->draining || (!current && !speaks);
+    if (a->closing) give_back(l, p, a, free_of(a));
+    int64_t keep = p->typical + (int64_t)(p->rate * LEDGER_ACCOUNT_S);
+    int64_t idle = p->typical + (int64_t)(p->rate * LEDGER_IDLE);
+    if (p->rate < 1) keep = idle = 0;
+    if (!a->closing && p->waiters.length == 0 && free_of(a) > idle)
+      give_back(l, p, a, free_of(a) - keep);
+    bool pending = !told(a) || a->closing;
+    double wait = a->closing ? LEDGER_RESEND : LEDGER_REPORT_EVERY;
+    if (pending && l->now - a->reported >= wait) report(l, p, a);
+  }
+}
+
+static void tick_waiters(Ledger *l, Purse *p) {
+  for (GList *i = p->waiters.head, *next; i; i = next) {
+    next = i->next;
+    const Waiter *w = i->data;
+    if (l->now >= w->deadline) refuse(l, p, i, w->cause);
+  }
+  double quiet = l->now - p->asked;
+  if (p->waiters.head) {
+    if (p->asked == 0 || quiet >= LEDGER_RESEND) ask(l, p);
+    return;
+  }
+  /* Ask ahead, so that a request need not wait for a message. */
+  const Account *a = richest(p);
+  int64_t low = (int64_t)(p->rate * LEDGER_ACCOUNT_S / 2);
+  if (l->draining || p->rate < 1 || (a && free_of(a) >= low)) return;
+  if (p->asked > 0 && quiet < SOFT_RESEND) return;
+  ask(l, p);
+}
+
+void holder_tick(Ledger *l, double dt) {
+  GHashTableIter it;
+  gpointer v;
+  double keep = exp(-dt / RATE_TAU);
+  g_hash_table_iter_init(&it, l->purses);
+  while (g_hash_table_iter_next(&it, NULL, &v)) {
+    Purse *p = v;
+    p->rate *= keep;
+    tick_accounts(l, p);
+    tick_waiters(l, p);
+    bool idle = p->accounts->len == 0 && !p->waiters.head && p->rate < 1;
+    if (idle) g_hash_table_iter_remove(&it);
+  }
+}
+
+bool holder_empty(const Ledger *l) {
+  if (g_hash_table_size(l->reservations) > 0) return false;
+  if (g_hash_table_size(l->waiting) > 0) return false;
+  GHashTableIter it;
+  gpointer v;
+  g_hash_table_iter_init(&it, l->purses);
+  while (g_hash_table_iter_next(&it, NULL, &v)) {
+    const Purse *p = v;
+    for (guint i = 0; i < p->accounts->len; i++) {
+      const Account *a = p->accounts->pdata[i];
+      if (free_of(a) > 0 || a->reserved != 0 || !told(a)) return false;
+    }
+  }
+  return true;
+}
--- /dev/null
+++ b/packages/ledger/shard.c
@@ -0,0 +1,289 @@
+/* shard.c: arithmetic and JSON of a budget shard. */
+#include "ledger/shard.h"
+
+#include <assert.h>
+#include <inttypes.h>
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <xxhash.h>
+
+/* == memory == */
+
+static void grant_free(gpointer p) {
+  ShardGrant *g = p;
+  if (g->back) g_hash_table_destroy(g->back);
+  g_free(g);
+}
+
+static void budget_free(gpointer p) {
+  ShardBudget *b = p;
+  g_ptr_array_free(b->grants, TRUE);
+  g_free(b);
+}
+
+Shard *shard_new(void) {
+  Shard *s = g_new0(Shard, 1);
+  s->budgets = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, budget_free);
+  return s;
+}
+
+void shard_free(Shard *s) {
+  if (!s) return;
+  g_hash_table_destroy(s->budgets);
+  g_free(s);
+}
+
+int shard_index(const char *budget) {
+  return (int)(XXH64(budget, strlen(budget), 0) % LIMIT_SHARDS);
+}
+
+void shard_name(int index, char *out) {
+  snprintf(out, LIMIT_NAME, "budget/%03d", index);
+}
+
+ShardBudget *shard_budget(Shard *s, const char *name) {
+  return g_hash_table_lookup(s->budgets, name);
+}
+
+ShardBudget *shard_budget_add(Shard *s, const char *name) {
+  ShardBudget *b = shard_budget(s, name);
+  if (b) return b;
+  b = g_new0(ShardBudget, 1);
+  g_strlcpy(b->name, name, sizeof b->name);
+  b->grants = g_ptr_array_new_with_free_func(grant_free);
+  g_hash_table_insert(s->budgets, b->name, b);
+  return b;
+}
+
+ShardGrant *shard_grant(const ShardBudget *b, uint64_t id) {
+  for (guint i = 0; i < b->grants->len; i++) {
+    ShardGrant *g = b->grants->pdata[i];
+    if (g->id == id) return g;
+  }
+  return NULL;
+}
+
+ShardGrant *shard_grant_add(ShardBudget *b, uint64_t id, const char *home,
+                            const char *witness, const char *region) {
+  assert(!shard_grant(b, id));
+  ShardGrant *g = g_new0(ShardGrant, 1);
+  g->id = id;
+  g_strlcpy(g->home, home, sizeof g->home);
+  g_strlcpy(g->witness, witness, sizeof g->witness);
+  g_strlcpy(g->region, region, sizeof g->region);
+  g_ptr_array_add(b->grants, g);
+  return g;
+}
+
+/* == arithmetic == */
+
+static int64_t sum_back(const ShardGrant *g, bool only_final, int64_t *spent) {
+  GHashTableIter it;
+  gpointer v;
+  int64_t returned = 0;
+  if (spent) *spent = 0;
+  if (!g->back) return 0;
+  g_hash_table_iter_init(&it, g->back);
+  while (g_hash_table_iter_next(&it, NULL, &v)) {
+    const ShardBack *r = v;
+    returned += r->returned;
+    if (spent && (r->final || !only_final)) *spent += r->spent;
+  }
+  return returned;
+}
+
+int64_t shard_outstanding(const ShardGrant *g) {
+  int64_t open = g->granted - g->returned;
+  if (!g->sealed) return open;
+  /* `limit` counts all that was ever given out, so all that ever came back
+     may be taken off it. */
+  int64_t bound = g->limit - sum_back(g, false, NULL);
+  return bound < open ? bound : open;
+}
+
+int64_t shard_remaining(const ShardBudget *b) {
+  int64_t left = b->total - b->closed - b->retired;
+  for (guint i = 0; i < b->grants->len; i++)
+    left -= shard_outstanding(b->grants->pdata[i]);
+  return left;
+}
+
+int64_t shard_spent(const ShardBudget *b) {
+  int64_t spent = b->closed;
+  for (guint i = 0; i < b->grants->len; i++) {
+    const ShardGrant *g = b->grants->pdata[i];
+    int64_t back = 0;
+    sum_back(g, false, &back);
+    spent += back > g->spent ? back : g->spent;
+  }
+  return spent;
+}
+
+void shard_seal(ShardGrant *g, int64_t limit, bool exact, int64_t now) {
+  if (g->sealed) return;
+  g->sealed = true;
+  g->exact = exact;
+  g->limit = limit;
+  g->changed = now;
+  g->back = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+}
+
+bool shard_report(ShardGrant *g, const char *instance, int64_t returned,
+                  int64_t spent, bool final, int64_t now) {
+  assert(g->sealed);
+  ShardBack *r = g_hash_table_lookup(g->back, instance);
+  if (!r) {
+    r = g_new0(ShardBack, 1);
+    g_hash_table_insert(g->back, g_strdup(instance), r);
+  }
+  /* Late and doubled reports carry smaller or equal counts: keep the max. */
+  bool news = returned > r->returned || spent > r->spent || (final && !r->final);
+  if (returned > r->returned) r->returned = returned;
+  if (spent > r->spent) r->spent = spent;
+  r->final = r->final || final;
+  if (news) g->changed = now;
+  return news;
+}
+
+bool shard_fold(ShardBudget *b, ShardGrant *g, int64_t now) {
+  if (!g->sealed) return false;
+  int64_t spent = 0;
+  sum_back(g, true, &spent);
+  int64_t out = shard_outstanding(g);
+  bool whole = g->exact && out <= spent;
+  if (!whole && now - g->changed < (int64_t)LEDGER_RETIRE) return false;
+  if (!whole) sum_back(g, false, &spent);
+  b->closed += spent; /* more than `out` only if a target broke its bound */
+  b->retired += MAX(out - spent, 0);
+  return g_ptr_array_remove(b->grants, g);
+}
+
+void shard_close(ShardBudget *b, ShardGrant *g) {
+  b->closed += MAX(shard_outstanding(g), g->spent);
+  g_ptr_array_remove(b->grants, g);
+}
+
+/* == JSON == */
+
+static json_t *encode_grant(const ShardGrant *g) {
+  char id[20];
+  snprintf(id, sizeof id, "%016" PRIx64, g->id);
+  json_t *o = json_pack("{s:s,s:s,s:s,s:s,s:I,s:I,s:I,s:I}", "id", id, "home",
+                        g->home, "witness", g->witness, "region", g->region,
+                        "granted", (json_int_t)g->granted, "returned",
+                        (json_int_t)g->returned, "spent", (json_int_t)g->spent,
+                        "changed", (json_int_t)g->changed);
+  if (!g->sealed) return o;
+  json_object_set_new(o, "limit", json_integer(g->limit));
+  json_object_set_new(o, "exact", json_boolean(g->exact));
+  json_t *back = json_object();
+  GHashTableIter it;
+  gpointer k, v;
+  g_hash_table_iter_init(&it, g->back);
+  while (g_hash_table_iter_next(&it, &k, &v)) {
+    const ShardBack *r = v;
+    json_object_set_new(back, k,
+                        json_pack("[I,I,b]", (json_int_t)r->returned,
+                                  (json_int_t)r->spent, (int)r->final));
+  }
+  json_object_set_new(o, "back", back);
+  return o;
+}
+
+char *shard_encode(const Shard *s) {
+  json_t *all = json_object();
+  GHashTableIter it;
+  gpointer v;
+  g_hash_table_iter_init(&it, s->budgets);
+  while (g_hash_table_iter_next(&it, NULL, &v)) {
+    const ShardBudget *b = v;
+    json_t *grants = json_array();
+    for (guint i = 0; i < b->grants->len; i++)
+      json_array_append_new(grants, encode_grant(b->grants->pdata[i]));
+    json_object_set_new(
+        all, b->name,
+        json_pack("{s:I,s:I,s:I,s:I,s:o}", "total", (json_int_t)b->total, "tv",
+                  (json_int_t)b->tv, "closed", (json_int_t)b->closed, "retired",
+                  (json_int_t)b->retired, "grants", grants));
+  }
+  char *text = json_dumps(all, JSON_COMPACT | JSON_SORT_KEYS);
+  json_decref(all);
+  char *copy = g_strdup(text);
+  free(text);
+  return copy;
+}
+
+static bool decode_back(ShardGrant *g, json_t *back) {
+  const char *k;
+  json_t *v;
+  json_object_foreach(back, k, v) {
+    json_int_t returned, spent;
+    int final;
+    if (json_unpack(v, "[I,I,b]", &returned, &spent, &final) != 0) return false;
+    shard_report(g, k, returned, spent, final != 0, g->changed);
+  }
+  return true;
+}
+
+static bool decode_grant(ShardBudget *b, json_t *o) {
+  const char *id, *home, *witness, *region;
+  json_int_t granted, returned, spent, changed;
+  if (json_unpack(o, "{s:s,s:s,s:s,s:s,s:I,s:I,s:I,s:I}", "id", &id, "home",
+                  &home, "witness", &witness, "region", &region, "granted",
+                  &granted, "returned", &returned, "spent", &spent, "changed",
+                  &changed) != 0)
+    return false;
+  uint64_t n = strtoull(id, NULL, 16);
+  if (shard_grant(b, n)) return false;
+  ShardGrant *g = shard_grant_add(b, n, home, witness, region);
+  g->granted = granted;
+  g->returned = returned;
+  g->spent = spent;
+  json_t *limit = json_object_get(o, "limit");
+  if (limit) {
+    shard_seal(g, json_integer_value(limit),
+               json_is_true(json_object_get(o, "exact")), changed);
+    if (!decode_back(g, json_object_get(o, "back"))) return false;
+  }
+  g->changed = changed;
+  return true;
+}
+
+static bool decode_budget(Shard *s, const char *name, json_t *o) {
+  json_int_t total, tv, closed, retired;
+  json_t *grants, *g;
+  size_t i;
+  if (json_unpack(o, "{s:I,s:I,s:I,s:I,s:o}", "total", &total, "tv", &tv,
+                  "closed", &closed, "retired", &retired, "grants",
+                  &grants) != 0)
+    return false;
+  ShardBudget *b = shard_budget_add(s, name);
+  b->total = total;
+  b->tv = (uint64_t)tv;
+  b->closed = closed;
+  b->retired = retired;
+  json_array_foreach(grants, i, g) {
+    if (!decode_grant(b, g)) return false;
+  }
+  return true;
+}
+
+Shard *shard_decode(const char *text) {
+  json_t *all = json_loads(text, 0, NULL);
+  if (!json_is_object(all)) {
+    json_decref(all);
+    return NULL;
+  }
+  Shard *s = shard_new();
+  const char *k;
+  json_t *v;
+  json_object_foreach(all, k, v) {
+    if (decode_budget(s, k, v)) continue;
+    shard_free(s);
+    s = NULL;
+    break;
+  }
+  json_decref(all);
+  return s;
+}
--- /dev/null
+++ b/packages/ledger/state.h
@@ -0,0 +1,212 @@
+/* state.h: the insides of the ledger core, shared by its own files only. */
+#ifndef LEDGER_STATE_H
+#define LEDGER_STATE_H
+
+#include <glib.h>
+
+#include "ledger/ledger.h"
+#include "ledger/shard.h"
+
+/* == holder == */
+
+/* What this instance may spend of one grant.
+   free = granted - returned - spent - reserved, never below 0. */
+typedef struct Account {
+  uint64_t grant;
+  char home[LIMIT_ID];
+  int64_t granted, returned, spent, reserved;
+  int64_t told_returned, told_spent; /* acknowledged by a home */
+  bool closing;                      /* no new reservations, give back */
+  double reported;
+  double allotted; /* when the home last spoke of it */
+} Account;
+
+typedef struct Waiter {
+  uint64_t handle;
+  int64_t amount;
+  double deadline;
+  ErrKind cause; /* best known reason so far */
+} Waiter;
+
+typedef struct Reservation {
+  struct Purse *purse;
+  Account *account;
+  int64_t amount;
+} Reservation;
+
+/* The holder's side of one budget. */
+typedef struct Purse {
+  char name[LIMIT_NAME];
+  uint64_t key;
+  GPtrArray *accounts;
+  GQueue waiters;     /* Waiter* */
+  double rate;        /* tokens a second, decayed */
+  int64_t typical;    /* size of a recent reservation */
+  double asked;       /* when the last DRAW went out; 0: none open */
+  int tries;          /* DRAWs without an answer; two for each choice */
+  double first_choice; /* when the first choice was last asked */
+} Purse;
+
+/* == home == */
+
+/* The home's book of one account. */
+typedef struct Share {
+  int64_t granted, returned, spent;
+} Share;
+
+typedef struct Draw {
+  char holder[LIMIT_ID];
+  int64_t need, want;
+  double since, deadline;
+} Draw;
+
+/* A grant this instance drew as home.
+   free = (granted - returned) - (given - back) and given <= limit. */
+typedef struct Held {
+  uint64_t id;
+  char witness[LIMIT_ID];
+  char moving_to[LIMIT_ID]; /* next witness, "" none */
+  bool moving, moved;       /* asked it; it agreed */
+  double drawn;             /* when somebody last asked for tokens */
+  bool stored;              /* the document has this grant */
+  bool frozen;              /* gives out no more: handing over */
+  int64_t granted, returned;
+  int64_t given, back, spent; /* sums over shares */
+  int64_t limit, limit_asked;
+  double raise_sent;
+  GHashTable *shares; /* holder id -> Share */
+  int64_t stored_spent, stored_returned;
+} Held;
+
+/* A report on a grant that is not ours, to be put into the document. */
+typedef struct Late {
+  uint64_t grant;
+  char holder[LIMIT_ID];
+  int64_t returned, spent;
+  bool final, applied;
+} Late;
+
+typedef struct Seal {
+  uint64_t grant;
+  char witness[LIMIT_ID]; /* whom we asked */
+  bool have;              /* it answered */
+  int64_t limit;
+  double sent;
+  double gone_since;
+} Seal;
+
+/* The home's side of one budget. */
+typedef struct HomeBudget {
+  char name[LIMIT_NAME];
+  Held *held;
+  GPtrArray *draws; /* Draw* */
+  GPtrArray *late;  /* Late* */
+  GPtrArray *seals; /* Seal* */
+  double rate;
+  double recalled; /* when we last recalled; -1: never */
+  double giving_until; /* somebody recalled: free goes to the store at once */
+  char recaller[LIMIT_ID];
+  bool tell_recaller;
+  int64_t remaining, unspent; /* as last seen in the document */
+} HomeBudget;
+
+/* One shard of the store as this instance knows it. */
+typedef struct ShardState {
+  int index;
+  Shard *doc; /* NULL: must be read first */
+  uint64_t version;
+  uint64_t seen; /* newest version ever read or written */
+  bool busy, putting;
+  bool dirty;     /* something may have to be written */
+  bool queued;    /* stands in `touched` */
+  bool reread;    /* somebody else changed it */
+  double fresh;   /* when `doc` was last known to be the store's */
+  double read_at; /* next refresh without other cause */
+  double retry_at, backoff;
+  double down_since;  /* 0: the store answers */
+  GPtrArray *budgets; /* HomeBudget* */
+} ShardState;
+
+/* == witness == */
+
+typedef struct Witnessed {
+  int64_t limit;
+  bool sealed;
+} Witnessed;
+
+struct Ledger {
+  char self[LIMIT_ID];
+  char region[LIMIT_NAME];
+  GRand *rng;
+  LedgerFaults faults;
+  View *view;
+  double now;
+  int64_t unix_s;
+  double ticked;
+  bool draining;
+  GHashTable *rows;         /* name -> LedgerBudget, as the table has it */
+  GPtrArray *by_shard[LIMIT_SHARDS]; /* the same rows; NULL: none there */
+  bool ours[LIMIT_SHARDS];      /* we are its home in our region */
+  uint64_t keys[LIMIT_SHARDS];
+  GHashTable *closed;       /* grants whose account is over: never again */
+  GHashTable *purses;       /* name -> Purse */
+  GHashTable *reservations; /* handle -> Reservation */
+  GHashTable *waiting;      /* handle -> Purse, for handles in a queue */
+  GHashTable *homes;        /* name -> HomeBudget */
+  ShardState *shards[LIMIT_SHARDS];
+  GHashTable *witnessed; /* grant -> Witnessed */
+  GQueue actions;        /* LedgerAction* */
+  GQueue loop;           /* LedgerMsg* to ourselves */
+  GQueue touched;        /* ShardState* to be pumped before the event ends */
+};
+
+/* == ledger.c == */
+
+void ledger_send(Ledger *l, const char *to, const LedgerMsg *m);
+void ledger_answer(Ledger *l, uint64_t handle, ErrKind cause, int retry_ms);
+LedgerMsg ledger_msg(LedgerKind kind, const char *budget, uint64_t grant);
+/* The home of a shard in our region, `rank`-th choice; NULL: nobody. */
+const Member *ledger_home(const Ledger *l, uint64_t key, int rank);
+LedgerAction *ledger_act(Ledger *l, LedgerDo what);
+
+/* == holder.c == */
+
+void holder_reserve(Ledger *l, uint64_t handle, const char *budget,
+                    int64_t amount);
+void holder_settle(Ledger *l, uint64_t handle, int64_t used);
+void holder_allot(Ledger *l, const char *from, const LedgerMsg *m);
+void holder_reported(Ledger *l, const LedgerMsg *m);
+void holder_recall(Ledger *l, const LedgerMsg *m);
+void holder_tick(Ledger *l, double dt);
+bool holder_empty(const Ledger *l);
+void holder_purse_free(gpointer p);
+
+/* == home.c == */
+
+HomeBudget *home_budget(Ledger *l, const char *budget);
+void home_draw(Ledger *l, const char *from, const LedgerMsg *m);
+void home_report(Ledger *l, const char *from, const LedgerMsg *m);
+void home_raised(Ledger *l, const char *from, const LedgerMsg *m);
+void home_sealed(Ledger *l, const char *from, const LedgerMsg *m);
+void home_recall(Ledger *l, const char *from, const LedgerMsg *m);
+void home_recalled(Ledger *l, const LedgerMsg *m);
+void home_pump(Ledger *l, HomeBudget *h);
+void home_tick(Ledger *l, double dt);
+void home_budget_free(gpointer p);
+int64_t home_free(const Held *g);
+int64_t home_plan(const Ledger *l, const HomeBudget *h, int64_t remaining);
+void home_drop(HomeBudget *h);
+void home_watch_grants(Ledger *l, ShardState *s);
+
+/* == stored.c == */
+
+ShardState *stored_shard(Ledger *l, int index);
+/* Has the shard looked at before the event ends. */
+void stored_touch(Ledger *l, ShardState *s);
+void stored_pump(Ledger *l, ShardState *s);
+void stored_result(Ledger *l, ShardState *s, ErrKind kind, uint64_t version,
+                   const char *text);
+void stored_tick(Ledger *l);
+void stored_free(ShardState *s);
+
+#endif
--- /dev/null
+++ b/packages/member/member.h
@@ -0,0 +1,41 @@
+/* member.h: who is there; the pure core. Heartbeats between the instances
+   decide who is live, the platform's list gives addresses and who leaves.
+   Nothing that must always hold depends on this being right. */
+#ifndef MEMBER_MEMBER_H
+#define MEMBER_MEMBER_H
+
+#include <glib.h>
+
+#include "member/view.h"
+
+/* One line of the platform's list. */
+typedef struct MemberSeed {
+  char name[LIMIT_NAME]; /* of an instance, or of a target */
+  char peer[LIMIT_NAME];
+  bool target, leaving;
+} MemberSeed;
+
+typedef struct MemberSet MemberSet;
+
+MemberSet *member_new(const Member *self);
+void member_free(MemberSet *s);
+
+/* Events; true when the view changed. */
+bool member_heard(MemberSet *s, double now, const Member *m);
+bool member_tick(MemberSet *s, double now);
+/* The list as read; a failed read is no event. */
+bool member_listed(MemberSet *s, double now, const MemberSeed *list, int n);
+/* What we say of ourselves. */
+bool member_self(MemberSet *s, bool leaving, uint64_t table);
+
+const Member *member_me(const MemberSet *s);
+/* A copy of the present view, to be freed with view_free. */
+View *member_view(const MemberSet *s);
+/* Seconds between heartbeats: longer in a large fleet, so that they cost at
+   most MEMBER_BYTES a second. */
+double member_interval(const MemberSet *s);
+/* Peer addresses to send a heartbeat to. The array holds const char*, owned by
+   the set until the next event. */
+GPtrArray *member_addresses(const MemberSet *s);
+
+#endif
--- /dev/null
+++ b/packages/member/view.c
@@ -0,0 +1,68 @@
+/* view.c: look-ups in a view. */
+#include "member/view.h"
+
+#include <glib.h>
+#include <string.h>
+#include <xxhash.h>
+
+View *view_new(const Member *list, int n) {
+  View *v = g_malloc0(sizeof *v + (size_t)n * sizeof *list);
+  v->n = n;
+  if (n > 0) memcpy(v->list, list, (size_t)n * sizeof *list);
+  return v;
+}
+
+View *view_copy(const View *v) { return view_new(v->list, v->n); }
+
+void view_free(View *v) { g_free(v); }
+
+const Member *view_find(const View *v, const char *id) {
+  for (int i = 0; i < v->n; i++)
+    if (strcmp(v->list[i].id, id) == 0) return &v->list[i];
+  return NULL;
+}
+
+static bool eligible(const Member *m, const char *region) {
+  return !m->leaving && (!region || strcmp(m->region, region) == 0);
+}
+
+static uint64_t score(const Member *m, uint64_t key) {
+  return XXH64(m->id, strlen(m->id), key);
+}
+
+const Member *view_home(const View *v, const char *region, uint64_t key,
+                        int rank) {
+  uint64_t above = UINT64_MAX;
+  const Member *best = NULL;
+  for (int r = 0; r <= rank; r++) {
+    uint64_t top = 0;
+    best = NULL;
+    for (int i = 0; i < v->n; i++) {
+      if (!eligible(&v->list[i], region)) continue;
+      uint64_t s = score(&v->list[i], key);
+      if (s >= above || (best && s <= top)) continue;
+      best = &v->list[i];
+      top = s;
+    }
+    if (!best) return NULL;
+    above = top;
+  }
+  return best;
+}
+
+int view_regions(const View *v) {
+  int count = 0;
+  for (int i = 0; i < v->n; i++) {
+    int j = 0;
+    while (j < i && strcmp(v->list[i].region, v->list[j].region) != 0) j++;
+    if (j == i) count++;
+  }
+  return count;
+}
+
+int view_count(const View *v, const char *region) {
+  int count = 0;
+  for (int i = 0; i < v->n; i++)
+    if (eligible(&v->list[i], region)) count++;
+  return count;
+}
--- /dev/null
+++ b/packages/member/view.h
@@ -0,0 +1,38 @@
+/* view.h: an immutable picture of the instances, and homes by rendezvous. */
+#ifndef MEMBER_VIEW_H
+#define MEMBER_VIEW_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "kernel/limits.h"
+
+typedef struct Member {
+  char id[LIMIT_ID]; /* "name.incarnation": a restart is another member */
+  char region[LIMIT_NAME];
+  char dc[LIMIT_NAME];
+  char peer[LIMIT_NAME]; /* tcp://ip:port of the peer socket */
+  char http[LIMIT_NAME]; /* ip:port for callers and operators */
+  bool leaving;
+  uint64_t table; /* table version in force there */
+} Member;
+
+typedef struct View {
+  int n;
+  Member list[];
+} View;
+
+View *view_new(const Member *list, int n);
+View *view_copy(const View *v);
+void view_free(View *v);
+const Member *view_find(const View *v, const char *id);
+/* The `rank`-th choice (0 first) for `key` among members that are not leaving,
+   within `region` (NULL: anywhere). NULL when there are too few. A member that
+   joins or goes moves only its own share of the keys. */
+const Member *view_home(const View *v, const char *region, uint64_t key,
+                        int rank);
+/* Regions that have a member. */
+int view_regions(const View *v);
+int view_count(const View *v, const char *region);
+
+#endif
--- /dev/null
+++ b/packages/once/once.c
@@ -0,0 +1,442 @@
+/* once.c: the runner's side, events in, actions out. */
+#include "once/state.h"
+
+#include <assert.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+#include <xxhash.h>
+
+#define ASK_WAIT 0.5    /* a keeper that says nothing is done without */
+#define CLAIM_WAIT 2.0  /* a claim that is not kept by then is given up */
+#define FINISH_WAIT 0.5 /* the caller waits this long for the keeper's word */
+
+/* == keys and answers == */
+
+OnceKey once_key(const char *customer, const char *key) {
+  XXH128_hash_t c = XXH3_128bits(customer, strlen(customer));
+  XXH128_hash_t h =
+      XXH3_128bits_withSeed(key, strlen(key), c.low64 ^ c.high64);
+  return (OnceKey){h.high64, h.low64};
+}
+
+void once_key_text(OnceKey k, char out[33]) {
+  snprintf(out, 33, "%016" PRIx64 "%016" PRIx64, k.hi, k.lo);
+}
+
+guint once_hash(gconstpointer k) { return (guint)((const OnceKey *)k)->lo; }
+
+gboolean once_equal(gconstpointer a, gconstpointer b) {
+  return memcmp(a, b, sizeof(OnceKey)) == 0;
+}
+
+OnceAnswer once_answer_copy(const OnceAnswer *a, size_t limit) {
+  OnceAnswer c = *a;
+  bool keep = a->body && a->len <= limit;
+  c.body = keep ? g_memdup2(a->body, a->len + 1) : NULL;
+  c.len = keep ? a->len : 0;
+  return c;
+}
+
+void once_answer_clear(OnceAnswer *a) {
+  g_free(a->body);
+  *a = (OnceAnswer){0};
+}
+
+/* == actions == */
+
+OnceAction *once_act(Once *o, OnceDo what) {
+  OnceAction *a = g_new0(OnceAction, 1);
+  a->what = what;
+  g_queue_push_tail(&o->actions, a);
+  return a;
+}
+
+/* Takes over m->answer.body. */
+void once_send(Once *o, const char *to, OnceMsg *m) {
+  if (strcmp(to, o->self) == 0) {
+    g_queue_push_tail(&o->loop, g_memdup2(m, sizeof *m));
+    return;
+  }
+  OnceAction *a = once_act(o, ONCE_DO_SEND);
+  g_strlcpy(a->to, to, sizeof a->to);
+  a->msg = *m;
+}
+
+void once_action_clear(OnceAction *a) {
+  g_free(a->text);
+  once_answer_clear(&a->msg.answer);
+  once_answer_clear(&a->answer);
+}
+
+void once_message_clear(OnceMsg *m) { once_answer_clear(&m->answer); }
+
+bool once_next(Once *o, OnceAction *a) {
+  OnceAction *next = g_queue_pop_head(&o->actions);
+  if (!next) return false;
+  *a = *next;
+  g_free(next);
+  return true;
+}
+
+static const Member *keeper_of(const Once *o, OnceKey key, int rank) {
+  return view_home(o->view, o->region, key.hi, rank);
+}
+
+/* == runs == */
+
+static void run_free(gpointer p) {
+  Run *r = p;
+  once_answer_clear(&r->answer);
+  g_free(r);
+}
+
+static Run *find_run(const Once *o, uint64_t handle) {
+  return g_hash_table_lookup(o->runs, &handle);
+}
+
+static void drop_run(Once *o, uint64_t handle) {
+  g_hash_table_remove(o->runs, &handle);
+}
+
+void once_answer_run(Once *o, Run *r, OnceVerdict v, const OnceAnswer *answer) {
+  OnceAction *a = once_act(o, ONCE_DO_ANSWER);
+  a->handle = r->handle;
+  a->verdict = v;
+  if (answer) a->answer = once_answer_copy(answer, LIMIT_ANSWER);
+  if (v == ONCE_RUN)
+    r->state = RUN_RUNNING;
+  else
+    drop_run(o, r->handle);
+}
+
+static void tell_abort(Once *o, const Run *r) {
+  const Member *k = keeper_of(o, r->key, 0);
+  OnceMsg m = {.kind = ONCE_ABORT, .key = r->key, .nonce = r->nonce};
+  if (r->ask && k) once_send(o, k->id, &m);
+}
+
+static void claim(Once *o, Run *r) {
+  if (r->repeat || o->faults.no_claim) {
+    once_answer_run(o, r, ONCE_RUN, NULL);
+    return;
+  }
+  r->state = RUN_CLAIMING;
+  r->deadline = o->now + CLAIM_WAIT;
+  Claim *c = g_new0(Claim, 1);
+  *c = (Claim){.op = CLAIM_TAKE,
+               .key = r->key,
+               .nonce = r->nonce,
+               .digest = r->digest,
+               .handle = r->handle};
+  claim_add(o, c);
+}
+
+void once_claimed(Once *o, uint64_t handle, uint64_t nonce, OnceVerdict v,
+                  const OnceAnswer *answer) {
+  Run *r = find_run(o, handle);
+  bool waits = r && r->nonce == nonce && r->state == RUN_CLAIMING;
+  if (!waits) return; /* given up: claim_cancel takes it away */
+  if (v == ONCE_RUN) r->claimed = true;
+  if (v != ONCE_RUN) tell_abort(o, r);
+  once_answer_run(o, r, v, answer);
+}
+
+static void ask_keeper(Once *o, Run *r) {
+  const Member *k = keeper_of(o, r->key, 0);
+  OnceMsg m = {.kind = ONCE_BEGIN,
+               .key = r->key,
+               .nonce = r->nonce,
+               .digest = r->digest};
+  r->sent = o->now;
+  if (k) once_send(o, k->id, &m);
+}
+
+static void on_begun(Once *o, const OnceMsg *m) {
+  GHashTableIter it;
+  gpointer v;
+  g_hash_table_iter_init(&it, o->runs);
+  while (g_hash_table_iter_next(&it, NULL, &v)) {
+    Run *r = v;
+    if (r->nonce != m->nonce || r->state != RUN_ASKING) continue;
+    if (m->verdict == ONCE_RUN)
+      claim(o, r);
+    else
+      once_answer_run(o, r, m->verdict, &m->answer);
+    return;
+  }
+}
+
+/* == finishing == */
+
+static void send_finish(Once *o, Run *r) {
+  const Member *k = keeper_of(o, r->key, 0);
+  OnceMsg m = {.kind = ONCE_FINISH,
+               .key = r->key,
+               .nonce = r->nonce,
+               .digest = r->digest,
+               .bill = r->bill};
+  m.answer = once_answer_copy(&r->answer, LIMIT_ANSWER);
+  Owed *owed = g_new0(Owed, 1);
+  owed->msg = m;
+  owed->msg.answer = (OnceAnswer){.status = r->answer.status};
+  owed->sent = r->sent = o->now;
+  if (k) g_strlcpy(owed->keeper, k->id, sizeof owed->keeper);
+  g_hash_table_replace(o->owed, &owed->msg.key, owed);
+  if (k) once_send(o, k->id, &m);
+  if (!k) once_answer_clear(&m.answer);
+}
+
+static void done(Once *o, uint64_t handle, bool doubled) {
+  OnceAction *a = once_act(o, ONCE_DO_DONE);
+  a->handle = handle;
+  a->doubled = doubled;
+  drop_run(o, handle);
+}
+
+static void on_finished(Once *o, const OnceMsg *m) {
+  if (m->doubled) g_hash_table_remove(o->owed, &m->key);
+  GHashTableIter it;
+  gpointer v;
+  g_hash_table_iter_init(&it, o->runs);
+  while (g_hash_table_iter_next(&it, NULL, &v)) {
+    const Run *r = v;
+    if (r->nonce != m->nonce || r->state != RUN_FINISHING) continue;
+    done(o, r->handle, m->doubled);
+    return;
+  }
+}
+
+static void on_durable(Once *o, const OnceMsg *m) {
+  const Owed *x = g_hash_table_lookup(o->owed, &m->key);
+  if (x && x->msg.nonce == m->nonce) g_hash_table_remove(o->owed, &m->key);
+}
+
+static void claim_outcome(Once *o, const Run *r) {
+  if (!r->claimed) return;
+  Claim *c = g_new0(Claim, 1);
+  *c = (Claim){.op = CLAIM_FINISH,
+               .key = r->key,
+               .nonce = r->nonce,
+               .status = r->answer.status,
+               .unknown = r->unknown};
+  g_strlcpy(c->type, r->answer.type, sizeof c->type);
+  bool keep = r->answer.body && r->answer.len <= LIMIT_CLAIM_ANSWER &&
+              g_utf8_validate(r->answer.body, (gssize)r->answer.len, NULL);
+  if (keep) c->body = g_strndup(r->answer.body, r->answer.len);
+  claim_add(o, c);
+}
+
+static void dispatch(Once *o, const char *from, const OnceMsg *m) {
+  switch (m->kind) {
+  case ONCE_BEGIN: keeper_begin(o, from, m); break;
+  case ONCE_BEGUN: on_begun(o, m); break;
+  case ONCE_FINISH: keeper_finish(o, from, m); break;
+  case ONCE_FINISHED: on_finished(o, m); break;
+  case ONCE_DURABLE: on_durable(o, m); break;
+  case ONCE_ABORT: keeper_abort(o, from, m); break;
+  case ONCE_KINDS: break;
+  }
+}
+
+static void settle_loop(Once *o) {
+  OnceMsg *m;
+  while ((m = g_queue_pop_head(&o->loop))) {
+    dispatch(o, o->self, m);
+    once_answer_clear(&m->answer);
+    g_free(m);
+  }
+}
+
+/* == events == */
+
+Once *once_new(const char *self, const char *region, int lane, uint32_t seed) {
+  Once *o = g_new0(Once, 1);
+  g_strlcpy(o->self, self, sizeof o->self);
+  g_strlcpy(o->region, region, sizeof o->region);
+  o->lane = lane;
+  o->rng = g_rand_new_with_seed(seed);
+  o->view = view_new(NULL, 0);
+  o->records = g_hash_table_new_full(once_hash, once_equal, NULL,
+                                     keeper_record_free);
+  o->runs = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, run_free);
+  o->owed = g_hash_table_new_full(once_hash, once_equal, NULL, g_free);
+  o->lines = g_ptr_array_new_with_free_func(g_free);
+  g_queue_init(&o->ages);
+  g_queue_init(&o->actions);
+  g_queue_init(&o->loop);
+  return o;
+}
+
+void once_free(Once *o) {
+  OnceAction a;
+  settle_loop(o);
+  while (once_next(o, &a)) once_action_clear(&a);
+  g_queue_clear_full(&o->ages, g_free);
+  g_hash_table_destroy(o->records);
+  g_hash_table_destroy(o->runs);
+  g_hash_table_destroy(o->owed);
+  for (int i = 0; i < LIMIT_CLAIM_SHARDS; i++) claim_shard_free(o->shards[i]);
+  g_ptr_array_free(o->lines, TRUE);
+  view_free(o->view);
+  g_rand_free(o->rng);
+  g_free(o);
+}
+
+void once_faults(Once *o, OnceFaults f) { o->faults = f; }
+
+void once_view(Once *o, double now, const View *v) {
+  o->now = now;
+  view_free(o->view);
+  o->view = view_copy(v);
+}
+
+void once_begin(Once *o, double now, uint64_t handle, OnceKey key,
+                uint64_t digest, bool ask, bool repeat) {
+  o->now = now;
+  assert(!find_run(o, handle));
+  Run *r = g_new0(Run, 1);
+  *r = (Run){.handle = handle,
+             .key = key,
+             .digest = digest,
+             .ask = ask,
+             .repeat = repeat,
+             .deadline = now + ASK_WAIT};
+  r->nonce = (uint64_t)g_rand_int(o->rng) << 32 | g_rand_int(o->rng);
+  g_hash_table_insert(o->runs, &r->handle, r);
+  r->state = RUN_ASKING;
+  if (ask)
+    ask_keeper(o, r);
+  else
+    claim(o, r);
+  settle_loop(o);
+}
+
+void once_finish(Once *o, double now, uint64_t handle, const OnceBill *bill,
+                 const OnceAnswer *answer) {
+  o->now = now;
+  Run *r = find_run(o, handle);
+  assert(r && r->state == RUN_RUNNING);
+  r->state = RUN_FINISHING;
+  r->deadline = now + FINISH_WAIT;
+  r->bill = *bill;
+  r->answer = once_answer_copy(answer, LIMIT_ANSWER);
+  claim_outcome(o, r);
+  send_finish(o, r);
+  settle_loop(o);
+}
+
+void once_unknown(Once *o, double now, uint64_t handle) {
+  o->now = now;
+  Run *r = find_run(o, handle);
+  assert(r && r->state == RUN_RUNNING);
+  r->unknown = true;
+  claim_outcome(o, r);
+  tell_abort(o, r);
+  drop_run(o, handle);
+  settle_loop(o);
+}
+
+void once_abort(Once *o, double now, uint64_t handle) {
+  o->now = now;
+  Run *r = find_run(o, handle);
+  if (!r) return;
+  if (r->claimed || r->state == RUN_CLAIMING) claim_cancel(o, r);
+  tell_abort(o, r);
+  drop_run(o, handle);
+  settle_loop(o);
+}
+
+void once_receive(Once *o, double now, const char *from, const OnceMsg *m) {
+  o->now = now;
+  dispatch(o, from, m);
+  settle_loop(o);
+}
+
+void once_stored(Once *o, double now, int shard, ErrKind kind,
+                 uint64_t version, const char *text) {
+  o->now = now;
+  claim_result(o, shard, kind, version, text);
+  settle_loop(o);
+}
+
+void once_billed(Once *o, double now, ErrKind kind) {
+  o->now = now;
+  keeper_billed(o, kind);
+  settle_loop(o);
+}
+
+/* == time == */
+
+static void tick_run(Once *o, Run *r) {
+  bool late = o->now >= r->deadline;
+  bool resend = o->now - r->sent >= ONCE_RESEND;
+  switch (r->state) {
+  case RUN_ASKING:
+    /* Without its keeper a repeatable request runs; a second run would be
+       consumed from the budget, but billed once. One that may not be repeated
+       is still guarded by its claim. */
+    if (late)
+      claim(o, r);
+    else if (resend)
+      ask_keeper(o, r);
+    break;
+  case RUN_CLAIMING:
+    if (!late) break;
+    claim_cancel(o, r);
+    tell_abort(o, r);
+    once_answer_run(o, r, ONCE_NO_CLAIM, NULL);
+    break;
+  case RUN_FINISHING:
+    if (late)
+      done(o, r->handle, false);
+    else if (resend)
+      send_finish(o, r);
+    break;
+  case RUN_RUNNING: break;
+  }
+}
+
+static void tick_owed(Once *o) {
+  GHashTableIter it;
+  gpointer v;
+  g_hash_table_iter_init(&it, o->owed);
+  while (g_hash_table_iter_next(&it, NULL, &v)) {
+    Owed *x = v;
+    /* A keeper that is gone took its lines with it: tell the next one. */
+    bool lost = !view_find(o->view, x->keeper);
+    if (!lost && o->now - x->sent < 4 * ONCE_BATCH) continue;
+    const Member *k = keeper_of(o, x->msg.key, 0);
+    if (!k) continue;
+    g_strlcpy(x->keeper, k->id, sizeof x->keeper);
+    x->sent = o->now;
+    OnceMsg m = x->msg;
+    once_send(o, k->id, &m);
+  }
+}
+
+void once_tick(Once *o, double now, int64_t unix_s) {
+  o->now = now;
+  o->unix_s = unix_s;
+  GList *runs = g_hash_table_get_values(o->runs);
+  for (GList *i = runs; i; i = i->next) tick_run(o, i->data);
+  g_list_free(runs);
+  tick_owed(o);
+  settle_loop(o);
+  keeper_tick(o);
+  claim_tick(o);
+  settle_loop(o);
+}
+
+void once_drain(Once *o, double now) {
+  o->now = now;
+  o->draining = true;
+}
+
+bool once_drained(const Once *o) {
+  if (g_hash_table_size(o->runs) > 0 || o->lines->len > 0) return false;
+  if (g_hash_table_size(o->owed) > 0) return false;
+  for (int i = 0; i < LIMIT_CLAIM_SHARDS; i++)
+    if (o->shards[i] && o->shards[i]->claims->len > 0) return false;
+  return true;
+}
--- /dev/null
+++ b/packages/once/once.h
@@ -0,0 +1,136 @@
+/* once.h: records of requests; the pure core of one instance.
+
+   A keeper (chosen by rendezvous on the request's key within the region)
+   remembers runs and answers for a while and makes bills durable. A request
+   that may not be repeated has its claim in the platform's store before it is
+   dispatched; the first claim wins for ever. docs/ONCE.md. */
+#ifndef ONCE_ONCE_H
+#define ONCE_ONCE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "kernel/err.h"
+#include "kernel/limits.h"
+#include "member/view.h"
+
+typedef struct OnceKey {
+  uint64_t hi, lo; /* hash of customer and the caller's key */
+} OnceKey;
+
+OnceKey once_key(const char *customer, const char *key);
+/* 32 hex digits and a NUL. */
+void once_key_text(OnceKey k, char out[33]);
+
+/* An answer as it is kept for a retry. */
+typedef struct OnceAnswer {
+  int status;
+  char type[64]; /* content type */
+  char *body;    /* g_malloc; NULL: too large to be kept */
+  size_t len;
+} OnceAnswer;
+
+/* One line of the bill. */
+typedef struct OnceBill {
+  char customer[LIMIT_NAME];
+  char budget[LIMIT_NAME];
+  int64_t tokens;
+} OnceBill;
+
+typedef enum {
+  ONCE_BEGIN,    /* runner -> keeper: may this key run? */
+  ONCE_BEGUN,    /* keeper -> runner: verdict */
+  ONCE_FINISH,   /* runner -> keeper: bill and answer */
+  ONCE_FINISHED, /* keeper -> runner: held; `doubled`: billed before */
+  ONCE_DURABLE,  /* keeper -> runner: the bill is in the store */
+  ONCE_ABORT,    /* runner -> keeper: it did not run */
+  ONCE_KINDS
+} OnceKind;
+
+typedef enum {
+  ONCE_RUN,      /* go on */
+  ONCE_REPLAY,   /* ran before: here is the answer */
+  ONCE_PENDING,  /* runs elsewhere now */
+  ONCE_MAYBE,    /* was dispatched, its outcome is not known */
+  ONCE_MISMATCH, /* same key, another request */
+  ONCE_NO_CLAIM  /* the claim could not be kept: not run */
+} OnceVerdict;
+
+typedef struct OnceMsg {
+  OnceKind kind;
+  OnceKey key;
+  uint64_t nonce; /* names this run */
+  uint64_t digest;
+  OnceVerdict verdict;
+  bool doubled;
+  OnceBill bill;
+  OnceAnswer answer;
+} OnceMsg;
+
+typedef enum {
+  ONCE_DO_SEND,
+  ONCE_DO_GET,    /* claim shard */
+  ONCE_DO_PUT,    /* claim shard, conditional */
+  ONCE_DO_BILL,   /* create the object `name` with text */
+  ONCE_DO_ANSWER, /* decision on a begin */
+  ONCE_DO_DONE    /* a finish is held by the keeper (or nobody else is there) */
+} OnceDo;
+
+typedef struct OnceAction {
+  OnceDo what;
+  char to[LIMIT_ID];
+  OnceMsg msg; /* SEND: answer.body is owned by the receiver of the action */
+  int shard;
+  uint64_t version;
+  char *text; /* g_free */
+  char name[LIMIT_NAME + LIMIT_ID];
+  uint64_t handle;
+  OnceVerdict verdict;
+  OnceAnswer answer; /* REPLAY; owned by the receiver */
+  bool doubled;
+} OnceAction;
+
+typedef struct OnceFaults {
+  bool no_claim;        /* dispatch without a claim */
+  bool bill_each;       /* a doubled bill is not recognised */
+} OnceFaults;
+
+typedef struct Once Once;
+
+/* `lane` tells several cores of one instance apart. */
+Once *once_new(const char *self, const char *region, int lane, uint32_t seed);
+void once_free(Once *o);
+void once_faults(Once *o, OnceFaults f);
+void once_view(Once *o, double now, const View *v);
+
+/* Asks whether `handle` may run. `ask`: a caller could know the key, so the
+   keeper is asked; else it runs at once. `repeat` false: a claim is needed. */
+void once_begin(Once *o, double now, uint64_t handle, OnceKey key,
+                uint64_t digest, bool ask, bool repeat);
+/* It ran: bill and answer. The core copies the answer. */
+void once_finish(Once *o, double now, uint64_t handle, const OnceBill *bill,
+                 const OnceAnswer *answer);
+/* It was dispatched, and nobody knows whether it ran, or its answer was cut:
+   what it consumed is settled in the ledger, but not billed. */
+void once_unknown(Once *o, double now, uint64_t handle);
+/* It did not run: the key is free again. */
+void once_abort(Once *o, double now, uint64_t handle);
+
+void once_receive(Once *o, double now, const char *from, const OnceMsg *m);
+/* Result of GET or PUT of a claim shard, as ledger_stored. */
+void once_stored(Once *o, double now, int shard, ErrKind kind,
+                 uint64_t version, const char *text);
+/* Result of the bill object that was asked for last. */
+void once_billed(Once *o, double now, ErrKind kind);
+void once_tick(Once *o, double now, int64_t unix_s);
+void once_drain(Once *o, double now);
+bool once_drained(const Once *o);
+bool once_next(Once *o, OnceAction *a);
+void once_action_clear(OnceAction *a);
+/* Releases what a message owns. */
+void once_message_clear(OnceMsg *m);
+
+/* Object name of a claim shard, to `out` of LIMIT_NAME bytes. */
+void once_claim_name(int shard, char *out);
+
+#endif
--- /dev/null
+++ b/packages/peer/codec.c
@@ -0,0 +1,239 @@
+/* codec.c: packing and checked unpacking. */
+#include "peer/codec.h"
+
+#include <glib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#define VERSION 1
+
+uint64_t codec_hash(const char *id) { return XXH64(id, strlen(id), 0); }
+
+/* == packing == */
+
+static void put_str(msgpack_packer *p, const char *s) {
+  size_t n = strlen(s);
+  msgpack_pack_str(p, n);
+  msgpack_pack_str_body(p, s, n);
+}
+
+void codec_put_head(msgpack_sbuffer *b, const CodecHead *h) {
+  msgpack_packer p;
+  msgpack_packer_init(&p, b, msgpack_sbuffer_write);
+  msgpack_pack_array(&p, 3);
+  msgpack_pack_uint8(&p, VERSION);
+  msgpack_pack_uint64(&p, h->from);
+  msgpack_pack_uint64(&p, h->to);
+}
+
+void codec_put_beat(msgpack_sbuffer *b, const Member *m) {
+  msgpack_packer p;
+  msgpack_packer_init(&p, b, msgpack_sbuffer_write);
+  msgpack_pack_array(&p, 8);
+  msgpack_pack_uint8(&p, CODEC_BEAT);
+  put_str(&p, m->id);
+  put_str(&p, m->region);
+  put_str(&p, m->dc);
+  put_str(&p, m->peer);
+  put_str(&p, m->http);
+  msgpack_pack_uint8(&p, m->leaving);
+  msgpack_pack_uint64(&p, m->table);
+}
+
+void codec_put_ledger(msgpack_sbuffer *b, const LedgerMsg *m) {
+  msgpack_packer p;
+  msgpack_packer_init(&p, b, msgpack_sbuffer_write);
+  msgpack_pack_array(&p, 12);
+  msgpack_pack_uint8(&p, CODEC_LEDGER);
+  msgpack_pack_uint8(&p, (uint8_t)m->kind);
+  put_str(&p, m->budget);
+  msgpack_pack_uint64(&p, m->grant);
+  msgpack_pack_int64(&p, m->granted);
+  msgpack_pack_int64(&p, m->returned);
+  msgpack_pack_int64(&p, m->spent);
+  msgpack_pack_int64(&p, m->limit);
+  msgpack_pack_int64(&p, m->need);
+  msgpack_pack_int64(&p, m->want);
+  msgpack_pack_uint8(&p, (uint8_t)m->cause);
+  msgpack_pack_uint8(&p, (uint8_t)(m->final | m->sealed << 1));
+}
+
+void codec_put_once(msgpack_sbuffer *b, const OnceMsg *m) {
+  msgpack_packer p;
+  msgpack_packer_init(&p, b, msgpack_sbuffer_write);
+  bool answer = m->answer.status != 0;
+  bool bill = m->kind == ONCE_FINISH;
+  msgpack_pack_array(&p, 8 + (bill ? 3 : 0) + (answer ? 3 : 0));
+  msgpack_pack_uint8(&p, CODEC_ONCE);
+  msgpack_pack_uint8(&p, (uint8_t)m->kind);
+  msgpack_pack_uint64(&p, m->key.hi);
+  msgpack_pack_uint64(&p, m->key.lo);
+  msgpack_pack_uint64(&p, m->nonce);
+  msgpack_pack_uint64(&p, m->digest);
+  msgpack_pack_uint8(&p, (uint8_t)m->verdict);
+  msgpack_pack_uint8(&p, (uint8_t)(m->doubled | bill << 1 | answer << 2));
+  if (bill) {
+    put_str(&p, m->bill.customer);
+    put_str(&p, m->bill.budget);
+    msgpack_pack_int64(&p, m->bill.tokens);
+  }
+  if (!answer) return;
+  msgpack_pack_int(&p, m->answer.status);
+  put_str(&p, m->answer.type);
+  if (!m->answer.body) {
+    msgpack_pack_nil(&p);
+    return;
+  }
+  msgpack_pack_bin(&p, m->answer.len);
+  msgpack_pack_bin_body(&p, m->answer.body, m->answer.len);
+}
+
+/* == unpacking: any wrong type or length makes it not understood == */
+
+typedef struct Reader {
+  const msgpack_object *at;
+  uint32_t left;
+  bool bad;
+} Reader;
+
+static const msgpack_object *take(Reader *r) {
+  if (r->left == 0) {
+    r->bad = true;
+    return NULL;
+  }
+  r->left--;
+  return r->at++;
+}
+
+static uint64_t get_u64(Reader *r) {
+  const msgpack_object *o = take(r);
+  if (o && o->type == MSGPACK_OBJECT_POSITIVE_INTEGER) return o->via.u64;
+  r->bad = true;
+  return 0;
+}
+
+static int64_t get_i64(Reader *r) {
+  const msgpack_object *o = take(r);
+  if (o && o->type == MSGPACK_OBJECT_NEGATIVE_INTEGER) return o->via.i64;
+  if (o && o->type == MSGPACK_OBJECT_POSITIVE_INTEGER &&
+      o->via.u64 <= INT64_MAX)
+    return (int64_t)o->via.u64;
+  r->bad = true;
+  return 0;
+}
+
+static int get_small(Reader *r, int limit) {
+  uint64_t n = get_u64(r);
+  if (n < (uint64_t)limit) return (int)n;
+  r->bad = true;
+  return 0;
+}
+
+static void get_str(Reader *r, char *out, size_t size) {
+  const msgpack_object *o = take(r);
+  out[0] = '\0';
+  if (!o || o->type != MSGPACK_OBJECT_STR || o->via.str.size >= size) {
+    r->bad = true;
+    return;
+  }
+  memcpy(out, o->via.str.ptr, o->via.str.size);
+  out[o->via.str.size] = '\0';
+}
+
+static void get_beat(Reader *r, Member *m) {
+  get_str(r, m->id, sizeof m->id);
+  get_str(r, m->region, sizeof m->region);
+  get_str(r, m->dc, sizeof m->dc);
+  get_str(r, m->peer, sizeof m->peer);
+  get_str(r, m->http, sizeof m->http);
+  m->leaving = get_small(r, 2);
+  m->table = get_u64(r);
+}
+
+static void get_ledger(Reader *r, LedgerMsg *m) {
+  m->kind = (LedgerKind)get_small(r, LEDGER_KINDS);
+  get_str(r, m->budget, sizeof m->budget);
+  m->grant = get_u64(r);
+  m->granted = get_i64(r);
+  m->returned = get_i64(r);
+  m->spent = get_i64(r);
+  m->limit = get_i64(r);
+  m->need = get_i64(r);
+  m->want = get_i64(r);
+  m->cause = (ErrKind)get_small(r, ERR_COUNT);
+  int flags = get_small(r, 4);
+  m->final = flags & 1;
+  m->sealed = flags & 2;
+}
+
+static void get_answer(Reader *r, OnceAnswer *a) {
+  a->status = (int)get_i64(r);
+  get_str(r, a->type, sizeof a->type);
+  const msgpack_object *o = take(r);
+  if (!o || o->type != MSGPACK_OBJECT_BIN) return;
+  a->len = o->via.bin.size;
+  a->body = g_malloc(a->len + 1);
+  memcpy(a->body, o->via.bin.ptr, a->len);
+  a->body[a->len] = '\0';
+}
+
+static void get_once(Reader *r, OnceMsg *m) {
+  m->kind = (OnceKind)get_small(r, ONCE_KINDS);
+  m->key.hi = get_u64(r);
+  m->key.lo = get_u64(r);
+  m->nonce = get_u64(r);
+  m->digest = get_u64(r);
+  m->verdict = (OnceVerdict)get_small(r, ONCE_NO_CLAIM + 1);
+  int flags = get_small(r, 8);
+  m->doubled = flags & 1;
+  if (flags & 2) {
+    get_str(r, m->bill.customer, sizeof m->bill.customer);
+    get_str(r, m->bill.budget, sizeof m->bill.budget);
+    m->bill.tokens = get_i64(r);
+  }
+  if (flags & 4) get_answer(r, &m->answer);
+}
+
+static bool open_array(const char *data, size_t len, size_t *off,
+                       msgpack_unpacked *u, Reader *r) {
+  msgpack_unpack_return rc = msgpack_unpack_next(u, data, len, off);
+  if (rc != MSGPACK_UNPACK_SUCCESS) return false;
+  if (u->data.type != MSGPACK_OBJECT_ARRAY) return false;
+  *r = (Reader){.at = u->data.via.array.ptr, .left = u->data.via.array.size};
+  return true;
+}
+
+bool codec_get_head(const char *data, size_t len, size_t *off, CodecHead *h) {
+  msgpack_unpacked u;
+  Reader r;
+  msgpack_unpacked_init(&u);
+  bool ok = open_array(data, len, off, &u, &r);
+  if (ok) {
+    ok = get_u64(&r) == VERSION;
+    h->from = get_u64(&r);
+    h->to = get_u64(&r);
+    ok = ok && !r.bad;
+  }
+  msgpack_unpacked_destroy(&u);
+  return ok;
+}
+
+bool codec_get(const char *data, size_t len, size_t *off, CodecMsg *m) {
+  msgpack_unpacked u;
+  Reader r;
+  memset(m, 0, sizeof *m);
+  msgpack_unpacked_init(&u);
+  bool ok = open_array(data, len, off, &u, &r);
+  if (ok) {
+    m->type = (CodecType)get_small(&r, CODEC_ONCE + 1);
+    switch (m->type) {
+    case CODEC_BEAT: get_beat(&r, &m->beat); break;
+    case CODEC_LEDGER: get_ledger(&r, &m->ledger); break;
+    case CODEC_ONCE: get_once(&r, &m->once); break;
+    }
+    ok = !r.bad;
+    if (!ok) once_message_clear(&m->once);
+  }
+  msgpack_unpacked_destroy(&u);
+  return ok;
+}
--- /dev/null
+++ b/packages/peer/codec.h
@@ -0,0 +1,35 @@
+/* codec.h: messages between instances as MessagePack. A frame is a head, then
+   any number of messages. Ids travel as 64-bit hashes; heartbeats carry the
+   full names. */
+#ifndef PEER_CODEC_H
+#define PEER_CODEC_H
+
+#include <msgpack.h>
+
+#include "ledger/ledger.h"
+#include "once/once.h"
+
+typedef enum { CODEC_BEAT, CODEC_LEDGER, CODEC_ONCE } CodecType;
+
+typedef struct CodecHead {
+  uint64_t from, to; /* hash of the ids; to 0: whoever is there */
+} CodecHead;
+
+typedef struct CodecMsg {
+  CodecType type;
+  Member beat;
+  LedgerMsg ledger;
+  OnceMsg once; /* answer.body is owned by the receiver */
+} CodecMsg;
+
+uint64_t codec_hash(const char *id);
+void codec_put_head(msgpack_sbuffer *b, const CodecHead *h);
+void codec_put_beat(msgpack_sbuffer *b, const Member *m);
+void codec_put_ledger(msgpack_sbuffer *b, const LedgerMsg *m);
+void codec_put_once(msgpack_sbuffer *b, const OnceMsg *m);
+
+/* Reads at *off; false at the end or when it is not understood. */
+bool codec_get_head(const char *data, size_t len, size_t *off, CodecHead *h);
+bool codec_get(const char *data, size_t len, size_t *off, CodecMsg *m);
+
+#endif
--- /dev/null
+++ b/packages/peer/peer.c
@@ -0,0 +1,195 @@
+/* peer.c: one PULL socket bound, one PUSH socket for each address. */
+#include "peer/peer.h"
+
+#include <glib.h>
+#include <pthread.h>
+#include <string.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
+#include <zmq.h>
+
+#include "kernel/count.h"
+
+#define HIGH_WATER 1000 /* frames waiting for an address; more are dropped */
+
+typedef struct Frame {
+  char addr[LIMIT_NAME];
+  uint64_t to;
+  msgpack_sbuffer buf;
+} Frame;
+
+struct Peer {
+  void *ctx, *pull;
+  uint64_t self;
+  int wake;
+  GHashTable *push;  /* addr -> socket */
+  pthread_mutex_t lock;
+  GPtrArray *frames; /* Frame*, one for each receiver, under the lock */
+};
+
+static void frame_free(gpointer p) {
+  Frame *f = p;
+  msgpack_sbuffer_destroy(&f->buf);
+  g_free(f);
+}
+
+Peer *peer_open(const char *addr, const char *self, Err *e) {
+  Peer *p = g_new0(Peer, 1);
+  p->ctx = zmq_ctx_new();
+  p->pull = zmq_socket(p->ctx, ZMQ_PULL);
+  p->self = codec_hash(self);
+  p->wake = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
+  p->push = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+  p->frames = g_ptr_array_new_with_free_func(frame_free);
+  pthread_mutex_init(&p->lock, NULL);
+  int64_t max = 4 << 20;
+  zmq_setsockopt(p->pull, ZMQ_MAXMSGSIZE, &max, sizeof max);
+  if (zmq_bind(p->pull, addr) == 0) return p;
+  err_set(e, ERR_SETTING, "can't bind the peer address %s: %s", addr,
+          zmq_strerror(zmq_errno()));
+  peer_close(p);
+  return NULL;
+}
+
+void peer_close(Peer *p) {
+  if (!p) return;
+  GHashTableIter it;
+  gpointer v;
+  int linger = 200; /* ms: the last words of a planned stop */
+  g_hash_table_iter_init(&it, p->push);
+  while (g_hash_table_iter_next(&it, NULL, &v)) {
+    zmq_setsockopt(v, ZMQ_LINGER, &linger, sizeof linger);
+    zmq_close(v);
+  }
+  zmq_close(p->pull);
+  zmq_ctx_term(p->ctx);
+  close(p->wake);
+  g_hash_table_destroy(p->push);
+  g_ptr_array_free(p->frames, TRUE);
+  pthread_mutex_destroy(&p->lock);
+  g_free(p);
+}
+
+/* == queueing == */
+
+/* The open frame for a receiver; messages of one turn share it. */
+static Frame *frame_for(Peer *p, const char *addr, uint64_t to) {
+  for (guint i = 0; i < p->frames->len; i++) {
+    Frame *f = p->frames->pdata[i];
+    if (f->to == to && strcmp(f->addr, addr) == 0) return f;
+  }
+  Frame *f = g_new0(Frame, 1);
+  g_strlcpy(f->addr, addr, sizeof f->addr);
+  f->to = to;
+  msgpack_sbuffer_init(&f->buf);
+  CodecHead h = {p->self, to};
+  codec_put_head(&f->buf, &h);
+  g_ptr_array_add(p->frames, f);
+  return f;
+}
+
+static void wake(Peer *p) {
+  uint64_t one = 1;
+  ssize_t n = write(p->wake, &one, sizeof one);
+  (void)n; /* full means that it is awake anyway */
+}
+
+void peer_ledger(Peer *p, const char *addr, const char *id,
+                 const LedgerMsg *m) {
+  pthread_mutex_lock(&p->lock);
+  codec_put_ledger(&frame_for(p, addr, codec_hash(id))->buf, m);
+  pthread_mutex_unlock(&p->lock);
+  wake(p);
+}
+
+void peer_once(Peer *p, const char *addr, const char *id, const OnceMsg *m) {
+  pthread_mutex_lock(&p->lock);
+  codec_put_once(&frame_for(p, addr, codec_hash(id))->buf, m);
+  pthread_mutex_unlock(&p->lock);
+  wake(p);
+}
+
+void peer_beat(Peer *p, const char *addr, const Member *m) {
+  pthread_mutex_lock(&p->lock);
+  codec_put_beat(&frame_for(p, addr, 0)->buf, m);
+  pthread_mutex_unlock(&p->lock);
+}
+
+/* == the peer thread == */
+
+static void *socket_for(Peer *p, const char *addr) {
+  void *s = g_hash_table_lookup(p->push, addr);
+  if (s) return s;
+  s = zmq_socket(p->ctx, ZMQ_PUSH);
+  int linger = 0, high = HIGH_WATER, immediate = 1, ivl = 100, max = 1000;
+  zmq_setsockopt(s, ZMQ_LINGER, &linger, sizeof linger);
+  zmq_setsockopt(s, ZMQ_SNDHWM, &high, sizeof high);
+  /* Nothing piles up for an instance that is not there. */
+  zmq_setsockopt(s, ZMQ_IMMEDIATE, &immediate, sizeof immediate);
+  zmq_setsockopt(s, ZMQ_RECONNECT_IVL, &ivl, sizeof ivl);
+  zmq_setsockopt(s, ZMQ_RECONNECT_IVL_MAX, &max, sizeof max);
+  zmq_connect(s, addr);
+  g_hash_table_insert(p->push, g_strdup(addr), s);
+  return s;
+}
+
+static void send_frames(Peer *p) {
+  pthread_mutex_lock(&p->lock);
+  GPtrArray *out = p->frames;
+  p->frames = g_ptr_array_new_with_free_func(frame_free);
+  pthread_mutex_unlock(&p->lock);
+  for (guint i = 0; i < out->len; i++) {
+    const Frame *f = out->pdata[i];
+    void *s = socket_for(p, f->addr);
+    int n = zmq_send(s, f->buf.data, f->buf.size, ZMQ_DONTWAIT);
+    if (n < 0)
+      count_add(COUNT_PEER_DROPPED, 1);
+    else
+      count_add(COUNT_PEER_BYTES_OUT, n);
+  }
+  g_ptr_array_free(out, TRUE);
+}
+
+static void take_frame(Peer *p, const char *data, size_t len, PeerHandler h,
+                       void *ctx) {
+  CodecHead head;
+  CodecMsg m;
+  size_t off = 0;
+  /* Words for an earlier incarnation at this address are not for us. */
+  bool ours = codec_get_head(data, len, &off, &head) &&
+              (head.to == 0 || head.to == p->self);
+  if (!ours) {
+    count_add(COUNT_PEER_DROPPED, 1);
+    return;
+  }
+  while (off < len) {
+    if (!codec_get(data, len, &off, &m)) {
+      count_add(COUNT_PEER_DROPPED, 1);
+      return;
+    }
+    h(ctx, head.from, &m);
+    once_message_clear(&m.once);
+  }
+}
+
+static void receive(Peer *p, PeerHandler h, void *ctx) {
+  zmq_msg_t msg;
+  zmq_msg_init(&msg);
+  while (zmq_msg_recv(&msg, p->pull, ZMQ_DONTWAIT) >= 0) {
+    count_add(COUNT_PEER_BYTES_IN, (int64_t)zmq_msg_size(&msg));
+    take_frame(p, zmq_msg_data(&msg), zmq_msg_size(&msg), h, ctx);
+  }
+  zmq_msg_close(&msg);
+}
+
+void peer_poll(Peer *p, int wait_ms, PeerHandler h, void *ctx) {
+  send_frames(p);
+  zmq_pollitem_t items[] = {{p->pull, 0, ZMQ_POLLIN, 0},
+                            {NULL, p->wake, ZMQ_POLLIN, 0}};
+  zmq_poll(items, 2, wait_ms);
+  uint64_t n;
+  ssize_t got = read(p->wake, &n, sizeof n);
+  (void)got;
+  receive(p, h, ctx);
+  send_frames(p);
+}
--- /dev/null
+++ b/packages/peer/peer.h
@@ -0,0 +1,28 @@
+/* peer.h: frames between instances over ZeroMQ. One thread owns the sockets;
+   any thread may queue messages for it. */
+#ifndef PEER_PEER_H
+#define PEER_PEER_H
+
+#include "peer/codec.h"
+
+typedef struct Peer Peer;
+
+/* Called on the peer thread. `from` is the sender's id hash. */
+typedef void (*PeerHandler)(void *ctx, uint64_t from, CodecMsg *m);
+
+/* Binds `addr` ("tcp://ip:port"). NULL with a typed error on failure. */
+Peer *peer_open(const char *addr, const char *self, Err *e);
+void peer_close(Peer *p);
+
+/* Queue a message for the instance `id` at `addr`. Any thread. */
+void peer_ledger(Peer *p, const char *addr, const char *id,
+                 const LedgerMsg *m);
+void peer_once(Peer *p, const char *addr, const char *id, const OnceMsg *m);
+/* Heartbeat to whoever is at `addr`. */
+void peer_beat(Peer *p, const char *addr, const Member *m);
+
+/* Peer thread only: sends what is queued, then waits up to `wait_ms` for
+   messages or for a queued one, and hands the messages over. */
+void peer_poll(Peer *p, int wait_ms, PeerHandler h, void *ctx);
+
+#endif
--- /dev/null
+++ b/packages/store/pace.h
@@ -0,0 +1,18 @@
+/* pace.h: a token bucket for the platform's calls; draws and claims go ahead
+   of housekeeping. Pure. */
+#ifndef STORE_PACE_H
+#define STORE_PACE_H
+
+#include <stdbool.h>
+
+typedef struct Pace {
+  double rate, burst; /* calls a second, calls */
+  double level, at;
+} Pace;
+
+void pace_init(Pace *p, double rate, double now);
+/* Takes one call and returns 0, or takes none and returns the seconds until it
+   may be tried again. Housekeeping leaves half of the burst to urgent calls. */
+double pace_take(Pace *p, double now, bool urgent);
+
+#endif
--- /dev/null
+++ b/packages/table/rollout.c
@@ -0,0 +1,246 @@
+/* rollout.c: load, apply, history. */
+#include "table/rollout.h"
+
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+#include <xxhash.h>
+
+#define PARTS 16   /* rows are spread over this many content objects */
+#define KEPT 64    /* edits remembered; an edit on an older base is refused */
+#define TRIES 20   /* lost races and lost answers in one apply */
+
+/* == head == */
+
+static json_t *empty_head(void) {
+  return json_pack("{s:i,s:[]}", "version", 0, "history");
+}
+
+static uint64_t head_version(json_t *head) {
+  return (uint64_t)json_integer_value(json_object_get(head, "version"));
+}
+
+static json_t *read_head(const RolloutStore *s, uint64_t *version, Err *e) {
+  PlatformAnswer a = s->get(s->ctx, ROLLOUT_HEAD);
+  *version = 0;
+  if (a.kind == ERR_STORE_ABSENT) return empty_head();
+  if (a.kind != ERR_NONE) {
+    err_retry(e, a.kind, 1000, "the platform's store did not give the table");
+    return NULL;
+  }
+  json_t *head = json_loads(a.text, 0, NULL);
+  g_free(a.text);
+  *version = a.version;
+  if (!json_is_object(head))
+    err_set(e, ERR_TABLE, "%s is not a table head", ROLLOUT_HEAD);
+  return head;
+}
+
+static json_t *history_entry(json_t *head, uint64_t version) {
+  size_t i;
+  json_t *o;
+  json_array_foreach(json_object_get(head, "history"), i, o) {
+    if ((uint64_t)json_integer_value(json_object_get(o, "version")) == version)
+      return o;
+  }
+  return NULL;
+}
+
+static json_t *entry_of_edit(json_t *head, const char *id) {
+  size_t i;
+  json_t *o;
+  json_array_foreach(json_object_get(head, "history"), i, o) {
+    const char *s = json_string_value(json_object_get(o, "id"));
+    if (s && strcmp(s, id) == 0) return o;
+  }
+  return NULL;
+}
+
+/* == parts == */
+
+static Table *load_parts(const RolloutStore *s, json_t *entry, Err *e) {
+  Table *t = table_new();
+  t->version =
+      (uint64_t)json_integer_value(json_object_get(entry, "version"));
+  size_t i;
+  json_t *name;
+  json_array_foreach(json_object_get(entry, "parts"), i, name) {
+    PlatformAnswer a = s->get(s->ctx, json_string_value(name));
+    bool ok = a.kind == ERR_NONE && table_decode_part(t, a.text);
+    g_free(a.text);
+    if (ok) continue;
+    err_retry(e, a.kind == ERR_NONE ? ERR_TABLE : a.kind, 1000,
+              "table part %s can't be read", json_string_value(name));
+    table_free(t);
+    return NULL;
+  }
+  return t;
+}
+
+/* The table of a version that the head knows; version 0 is empty. */
+static Table *load_version(const RolloutStore *s, json_t *head,
+                           uint64_t version, Err *e) {
+  if (version == 0) return table_new();
+  json_t *entry = history_entry(head, version);
+  if (entry) return load_parts(s, entry, e);
+  err_set(e, ERR_TABLE_RACE,
+          "version %llu is too old to merge with: only the last %d are kept",
+          (unsigned long long)version, KEPT);
+  return NULL;
+}
+
+/* Content is named by its hash: a part that exists is the part. */
+static json_t *write_parts(const RolloutStore *s, const Table *t, Err *e) {
+  json_t *parts = json_array();
+  for (int i = 0; i < PARTS; i++) {
+    char *text = table_encode_part(t, i, PARTS);
+    if (strcmp(text, "[]") == 0) {
+      g_free(text);
+      continue;
+    }
+    char name[LIMIT_NAME];
+    XXH128_hash_t h = XXH3_128bits(text, strlen(text));
+    snprintf(name, sizeof name, "table/part/%016llx%016llx",
+             (unsigned long long)h.high64, (unsigned long long)h.low64);
+    PlatformAnswer a = {.kind = ERR_STORE_UNKNOWN};
+    for (int n = 0; n < TRIES && a.kind == ERR_STORE_UNKNOWN; n++) {
+      a = s->put(s->ctx, name, 0, text);
+      g_free(a.text);
+    }
+    g_free(text);
+    if (a.kind != ERR_NONE && a.kind != ERR_STORE_CONFLICT) {
+      err_retry(e, a.kind, 1000, "the store did not take the table");
+      json_decref(parts);
+      return NULL;
+    }
+    json_array_append_new(parts, json_string(name));
+  }
+  return parts;
+}
+
+/* == load == */
+
+Table *rollout_load(const RolloutStore *s, uint64_t have, bool *same, Err *e) {
+  uint64_t version;
+  json_t *head = read_head(s, &version, e);
+  *same = false;
+  if (!head) return NULL;
+  uint64_t v = head_version(head);
+  Table *t = NULL;
+  if (v <= have && have > 0)
+    *same = true; /* also a stale read: never step back */
+  else
+    t = load_version(s, head, v, e);
+  json_decref(head);
+  return t;
+}
+
+/* == apply == */
+
+static bool refuse_clash(json_t *head, const char *what, uint64_t version,
+                         Err *e) {
+  json_t *other = history_entry(head, version);
+  const char *who = json_string_value(json_object_get(other, "who"));
+  return err_set(e, ERR_TABLE_RACE,
+                 "%s was changed meanwhile, in version %llu by %s", what,
+                 (unsigned long long)version, who ? who : "an older edit");
+}
+
+/* The table that the edit makes of this head; NULL on a conflict. */
+static Table *merged(const RolloutStore *s, json_t *head, const Table *mine,
+                     const RolloutEdit *edit, Err *e) {
+  uint64_t now = head_version(head), clash_version = 0;
+  uint64_t base_version = edit->base == UINT64_MAX ? now : edit->base;
+  if (base_version > now) {
+    err_set(e, ERR_TABLE_RACE, "the fleet has version %llu, not yet %llu",
+            (unsigned long long)now, (unsigned long long)base_version);
+    return NULL;
+  }
+  Table *base = load_version(s, head, base_version, e);
+  Table *present = base ? load_version(s, head, now, e) : NULL;
+  Table *t = NULL;
+  char *what = NULL;
+  if (present)
+    t = table_merge(base, mine, present, now + 1, &what, &clash_version);
+  if (present && !t) refuse_clash(head, what, clash_version, e);
+  GPtrArray *errors = g_ptr_array_new_with_free_func(g_free);
+  if (t && !table_check(t, errors)) {
+    err_set(e, ERR_TABLE, "with the edits made meanwhile: %s",
+            (char *)errors->pdata[0]);
+    table_free(t);
+    t = NULL;
+  }
+  g_ptr_array_free(errors, TRUE);
+  g_free(what);
+  table_free(base);
+  table_free(present);
+  return t;
+}
+
+static void add_history(json_t *head, const RolloutEdit *edit, json_t *parts) {
+  json_t *history = json_object_get(head, "history");
+  uint64_t v = head_version(head) + 1;
+  json_object_set_new(head, "version", json_integer((json_int_t)v));
+  json_array_append_new(
+      history, json_pack("{s:I,s:s,s:s,s:I,s:o}", "version", (json_int_t)v,
+                         "id", edit->id, "who", edit->who, "t",
+                         (json_int_t)time(NULL), "parts", parts));
+  while (json_array_size(history) > KEPT) json_array_remove(history, 0);
+}
+
+uint64_t rollout_apply(const RolloutStore *s, const Table *mine,
+                       const RolloutEdit *edit, Err *e) {
+  RolloutEdit fixed = *edit;
+  for (int n = 0; n < TRIES; n++) {
+    uint64_t version;
+    json_t *head = read_head(s, &version, e);
+    if (!head) continue; /* ask again: the store may be back */
+    json_t *mine_already = entry_of_edit(head, edit->id);
+    if (mine_already) { /* an answer was lost after the effect */
+      uint64_t v = (uint64_t)json_integer_value(
+          json_object_get(mine_already, "version"));
+      json_decref(head);
+      return v;
+    }
+    /* A retry merges onto the same base, not onto a newer one. */
+    if (fixed.base == UINT64_MAX) fixed.base = head_version(head);
+    Table *t = merged(s, head, mine, &fixed, e);
+    json_t *parts = t ? write_parts(s, t, e) : NULL;
+    table_free(t);
+    if (!parts) {
+      json_decref(head);
+      return 0;
+    }
+    add_history(head, edit, parts);
+    uint64_t v = head_version(head);
+    char *text = json_dumps(head, JSON_COMPACT);
+    PlatformAnswer a = s->put(s->ctx, ROLLOUT_HEAD, version, text);
+    free(text);
+    g_free(a.text);
+    json_decref(head);
+    if (a.kind == ERR_NONE) return v;
+    err_retry(e, a.kind, 1000, "the head of the table could not be written");
+  }
+  return 0;
+}
+
+char *rollout_history(const RolloutStore *s, Err *e) {
+  uint64_t version;
+  json_t *head = read_head(s, &version, e);
+  if (!head) return NULL;
+  json_t *list = json_array();
+  size_t i;
+  json_t *o;
+  json_array_foreach(json_object_get(head, "history"), i, o) {
+    json_t *copy = json_copy(o);
+    json_object_del(copy, "parts");
+    json_array_append_new(list, copy);
+  }
+  char *s1 = json_dumps(list, JSON_COMPACT), *text = g_strdup(s1);
+  free(s1);
+  json_decref(list);
+  json_decref(head);
+  return text;
+}
--- /dev/null
+++ b/packages/target/engine.c
@@ -0,0 +1,81 @@
+/* engine.c: the adapter for engines that speak the public chat format. */
+#include "target/engine.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "kernel/clock.h"
+
+#define CONNECT_S 2
+#define READ_S 60
+#define CONTROL_S 1 /* load and cancel answer within this, or not at all */
+
+HttpStream *engine_open(HttpClient *c, const EngineCall *call, HttpAnswer *a) {
+  char priority[16];
+  snprintf(priority, sizeof priority, "%d", call->priority);
+  const char *headers[] = {"Content-Type", "application/json", "X-Request-Id",
+                           call->id,       "X-Priority",       priority,
+                           NULL};
+  HttpCall http = {.method = "POST",
+                   .path = "/v1/chat/completions",
+                   .headers = headers,
+                   .body = call->body,
+                   .len = call->len};
+  return http_open(c, &http, false, a);
+}
+
+static json_t *control(const char *url, const char *method, const char *path) {
+  HttpClient *c = http_client(url, CONTROL_S, CONTROL_S);
+  HttpAnswer a;
+  if (!c) return NULL;
+  http_call(c, &(HttpCall){.method = method, .path = path}, 1 << 16, &a);
+  json_t *o = NULL;
+  if (a.status == 200 && a.whole)
+    o = json_loadb(a.body->str, a.body->len, 0, NULL);
+  http_answer_free(&a);
+  http_client_free(c);
+  return o;
+}
+
+int64_t engine_cancel(const char *url, const char *id) {
+  char path[192];
+  snprintf(path, sizeof path, "/cancel?id=%s", id);
+  json_t *o = control(url, "POST", path);
+  json_int_t prompt, output;
+  int64_t n = -1;
+  if (o && json_unpack(o, "{s:I,s:I}", "prompt_tokens", &prompt,
+                       "completion_tokens", &output) == 0)
+    n = prompt + output;
+  json_decref(o);
+  return n;
+}
+
+bool engine_load(const char *url, EngineLoad *load, double *path_s) {
+  double before = clock_now();
+  json_t *o = control(url, "GET", "/load");
+  *path_s = clock_now() - before;
+  bool ok = o && json_unpack(o, "{s:i,s:i}", "running", &load->running,
+                             "waiting", &load->waiting) == 0;
+  json_decref(o);
+  return ok;
+}
+
+int64_t engine_usage(json_t *answer) {
+  json_t *total =
+      json_object_get(json_object_get(answer, "usage"), "total_tokens");
+  return json_is_integer(total) ? json_integer_value(total) : -1;
+}
+
+int64_t engine_asked(json_t *request) {
+  json_t *n = json_object_get(request, "max_completion_tokens");
+  if (!n) n = json_object_get(request, "max_tokens");
+  return json_is_integer(n) ? json_integer_value(n) : 0;
+}
+
+void engine_bound(json_t *request, int64_t max_output) {
+  json_object_del(request, "max_completion_tokens");
+  json_object_set_new(request, "max_tokens", json_integer(max_output));
+  if (json_is_true(json_object_get(request, "stream")))
+    json_object_set_new(request, "stream_options",
+                        json_pack("{s:b}", "include_usage", 1));
+}
--- /dev/null
+++ b/packages/target/engine.h
@@ -0,0 +1,35 @@
+/* engine.h: what is spelled differently from engine to engine: paths, names of
+   headers and fields. Another engine is another engine.c. */
+#ifndef TARGET_ENGINE_H
+#define TARGET_ENGINE_H
+
+#include <jansson.h>
+#include <stdint.h>
+
+#include "http/client.h"
+
+typedef struct EngineLoad {
+  int running, waiting;
+} EngineLoad;
+
+typedef struct EngineCall {
+  const char *id; /* request id */
+  int priority;   /* 0 first */
+  const char *body;
+  size_t len;
+} EngineCall;
+
+/* Starts a completion on a connection of its own: never sent twice. */
+HttpStream *engine_open(HttpClient *c, const EngineCall *call, HttpAnswer *a);
+/* Stops a run; tokens it counted, -1 when the engine can't say. */
+int64_t engine_cancel(const char *url, const char *id);
+/* False when there was no answer. `path_s` gets the seconds it took. */
+bool engine_load(const char *url, EngineLoad *load, double *path_s);
+/* Tokens of a usage object; -1 when there is none. */
+int64_t engine_usage(json_t *answer);
+/* Sets the cap on output and asks for usage at the end of a stream. */
+void engine_bound(json_t *request, int64_t max_output);
+/* The cap that a request asks for, 0 when none. */
+int64_t engine_asked(json_t *request);
+
+#endif
