--- a/packages/ledger/holder.c
+++ b/packages/ledger/holder.c
@@ -307,7 +307,8 @@
   const Account *a = richest(p);
   int64_t low = (int64_t)(p->rate * LEDGER_ACCOUNT_S / 2);
   if (l->draining || p->rate < 1 || (a && free_of(a) >= low)) return;
-  if (p->asked > 0 && quiet < SOFT_RESEND) return;
+  if (l->now - p->ahead < SOFT_RESEND) return;
+  p->ahead = l->now;
   ask(l, p);
 }
 
--- a/packages/ledger/home.c
+++ b/packages/ledger/home.c
@@ -269,7 +269,12 @@
     recall(l, h, true);
     return ERR_NONE;
   }
-  return l->now - h->recalled >= RECALL_WAIT ? cause : ERR_NONE;
+  if (l->now - h->recalled < RECALL_WAIT) return ERR_NONE;
+  if (!down && s->fresh < h->recalled + RECALL_WAIT) {
+    if (!s->busy) s->reread = true; /* a last look at what came back */
+    return ERR_NONE;
+  }
+  return cause;
 }
 
 /* True when the draw is decided. */
@@ -280,7 +285,10 @@
     int64_t fair = have / (view_count(l->view, l->region) + 1);
     int64_t n = CLAMP(d->want, d->need, MAX(d->need, fair));
     n = MIN(n, room(g));
-    if (n > 0) give(l, h, d, n);
+    if (n > 0)
+      give(l, h, d, n);
+    else
+      deny(l, h, d, ERR_NONE); /* nothing to spare, but we are here */
     want_room(l, h, 0);
     return true;
   }
--- a/packages/ledger/stored.c
+++ b/packages/ledger/stored.c
@@ -214,7 +214,8 @@
   confirm_wishes(l, s);
   for (guint i = 0; i < s->budgets->len; i++) {
     HomeBudget *h = s->budgets->pdata[i];
-    if (h->tell_recaller) {
+    bool back = !h->held || h->held->stored_returned >= h->held->returned;
+    if (h->tell_recaller && back) {
       h->tell_recaller = false;
       LedgerMsg m = ledger_msg(LEDGER_RECALLED, h->name, 0);
       ledger_send(l, h->recaller, &m);
--- a/packages/once/keeper.c
+++ b/packages/once/keeper.c
@@ -6,6 +6,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#define BATCH_LINES 4000 /* about half a megabyte */
+
 void keeper_record_free(gpointer p) {
   Record *r = p;
   once_answer_clear(&r->answer);
@@ -76,52 +78,72 @@
 }
 
 /* Some other member: of another data centre if there is one. */
-static const Member *pick_backup(const Once *o, const BillLine *b) {
+static const Member *pick_backup(const Once *o, OnceKey key) {
   const Member *self = view_find(o->view, o->self), *m, *near = NULL;
-  for (int r = 0; (m = view_home(o->view, o->region, b->key.hi, r)); r++) {
+  for (int r = 0; (m = view_home(o->view, o->region, key.hi, r)); r++) {
     if (strcmp(m->id, o->self) == 0) continue;
     if (!self || strcmp(m->dc, self->dc) != 0) return m;
     if (!near) near = m;
   }
   if (near) return near;
-  m = view_home(o->view, NULL, b->key.hi, 0);
-  if (m && strcmp(m->id, o->self) == 0) m = view_home(o->view, NULL, b->key.hi, 1);
-  return m;
+  m = view_home(o->view, NULL, key.hi, 0);
+  bool us = m && strcmp(m->id, o->self) == 0;
+  return us ? view_home(o->view, NULL, key.hi, 1) : m;
 }
 
-/* The runner is the second holder, unless it is us or gone. */
-static void copy_line(Once *o, BillLine *b) {
+/* Has a second holder take the line in. True while there is none yet. */
+static bool copy_line(Once *o, BillLine *b) {
+  /* The runner is the second holder, unless it is us or gone. */
   bool runner = strcmp(b->runner, o->self) != 0 && !gone(o, b->runner);
-  bool backup = b->backup[0] && !gone(o, b->backup);
-  if (runner || (backup && b->copied)) return;
-  if (backup && o->now - b->asked < ONCE_RESEND) return;
+  bool backup = b->backup && !gone(o, b->backup);
+  if (runner || (backup && b->copied)) return false;
+  if (backup && (float)o->now - b->asked < (float)ONCE_RESEND) return true;
   if (!backup) {
-    const Member *m = pick_backup(o, b);
+    const Member *m = pick_backup(o, b->line.key);
     b->copied = false;
-    g_strlcpy(b->backup, m ? m->id : "", sizeof b->backup);
+    b->backup = m ? g_intern_string(m->id) : NULL;
   }
-  if (!b->backup[0]) { /* alone: there is nobody to wait for */
-    OnceMsg m = {.key = b->key, .nonce = b->nonce};
+  OnceMsg m = once_line_msg(&b->line, ONCE_COPY);
+  if (!b->backup) { /* alone: there is nobody to wait for */
     if (b->tell) finished(o, b->runner, &m, false);
     b->tell = false;
-    return;
+    return false; /* looked at again when the view changes */
   }
-  b->asked = o->now;
-  OnceMsg m = {.kind = ONCE_COPY,
-               .key = b->key,
-               .nonce = b->nonce,
-               .bill = b->bill};
+  b->asked = (float)o->now;
   once_send(o, b->backup, &m);
+  return true;
+}
+
+static void copy_lines(Once *o) {
+  if (!o->uncopied) return;
+  o->uncopied = false;
+  for (guint i = 0; i < o->lines->len; i++)
+    if (copy_line(o, o->lines->pdata[i])) o->uncopied = true;
 }
 
 void keeper_copied(Once *o, const char *from, const OnceMsg *m) {
-  for (guint i = 0; i < o->lines->len; i++) {
-    BillLine *b = o->lines->pdata[i];
-    if (b->nonce != m->nonce || strcmp(b->backup, from) != 0) continue;
-    b->copied = true;
-    if (b->tell) finished(o, b->runner, m, false);
-    b->tell = false;
+  BillLine *b = g_hash_table_lookup(o->by_key, &m->key);
+  bool ours = b && b->line.nonce == m->nonce && b->backup;
+  if (!ours || strcmp(b->backup, from) != 0) return;
+  b->copied = true;
+  if (b->tell) finished(o, b->runner, m, false);
+  b->tell = false;
+}
+
+static void add_line(Once *o, const char *from, const OnceMsg *m) {
+  BillLine *b = g_hash_table_lookup(o->by_key, &m->key);
+  if (b) { /* the record was forgotten sooner than its bill */
+    finished(o, from, m, b->line.nonce != m->nonce);
+    return;
   }
+  b = g_new0(BillLine, 1);
+  b->line = once_line(o, m);
+  b->runner = g_intern_string(from);
+  b->tell = strcmp(from, o->self) == 0;
+  g_ptr_array_add(o->lines, b);
+  g_hash_table_insert(o->by_key, &b->line.key, b);
+  if (!b->tell) finished(o, from, m, false);
+  if (copy_line(o, b)) o->uncopied = true;
 }
 
 /* The first finish of a key is its bill; a second run of the same key was
@@ -143,17 +165,10 @@
     r->answer = once_answer_copy(&m->answer, LIMIT_ANSWER);
     o->kept += r->answer.len;
   }
-  if (!again && !doubled) {
-    BillLine *b = g_new0(BillLine, 1);
-    *b = (BillLine){.key = m->key, .bill = m->bill, .nonce = m->nonce};
-    g_strlcpy(b->runner, from, sizeof b->runner);
-    b->tell = strcmp(from, o->self) == 0;
-    g_ptr_array_add(o->lines, b);
-    copy_line(o, b);
-    if (!b->tell) finished(o, from, m, false);
-  } else {
+  if (again || doubled)
     finished(o, from, m, doubled);
-  }
+  else
+    add_line(o, from, m);
   while (o->kept > LIMIT_KEPT && o->ages.length > 0) forget_oldest(o);
 }
 
@@ -166,23 +181,25 @@
 
 /* == bills == */
 
+static json_t *line_json(const Line *l) {
+  char key[33];
+  once_key_text(l->key, key);
+  return json_pack("{s:s,s:s,s:s,s:I,s:I}", "id", key, "customer", l->customer,
+                   "budget", l->budget, "tokens", (json_int_t)l->tokens, "t",
+                   (json_int_t)l->unix_s);
+}
+
+/* The first lines, at most BATCH_LINES. A batch without a clear answer goes out
+   again under its name with the same lines: if the name exists, it is this. */
 static void write_batch(Once *o) {
   json_t *all = json_array();
-  for (guint i = 0; i < o->lines->len; i++) {
-    BillLine *b = o->lines->pdata[i];
-    char key[33];
-    once_key_text(b->key, key);
-    b->sent = true;
-    json_array_append_new(all, json_pack("{s:s,s:s,s:s,s:I,s:I}", "id", key,
-                                         "customer", b->bill.customer,
-                                         "budget", b->bill.budget, "tokens",
-                                         (json_int_t)b->bill.tokens, "t",
-                                         (json_int_t)o->unix_s));
-  }
+  if (o->batch == 0) o->batch = MIN(o->lines->len, BATCH_LINES);
+  for (guint i = 0; i < o->batch; i++)
+    json_array_append_new(all,
+                          line_json(&((BillLine *)o->lines->pdata[i])->line));
   OnceAction *a = once_act(o, ONCE_DO_BILL);
-  /* One name for one batch: if it exists already, it is this one. */
-  snprintf(a->name, sizeof a->name, "bills/%s/%d-%08" PRIu64, o->self,
-           o->lane, o->bill_seq);
+  snprintf(a->name, sizeof a->name, "bills/%s/%d-%08" PRIu64, o->self, o->lane,
+           o->bill_seq);
   char *text = json_dumps(all, JSON_COMPACT);
   a->text = g_strdup(text);
   free(text);
@@ -190,32 +207,16 @@
   o->billing = true;
 }
 
-/* A batch without a clear answer goes out again under its name, unchanged:
-   lines that came since wait for the next. */
-static void repeat_batch(Once *o) {
-  GPtrArray *later = g_ptr_array_new_with_free_func(g_free);
-  for (guint i = 0; i < o->lines->len;) {
-    BillLine *b = o->lines->pdata[i];
-    if (b->sent) {
-      i++;
-      continue;
-    }
-    g_ptr_array_add(later, g_memdup2(b, sizeof *b));
-    g_ptr_array_remove_index(o->lines, i);
-  }
-  write_batch(o);
-  for (guint i = 0; i < later->len; i++)
-    g_ptr_array_add(o->lines, g_memdup2(later->pdata[i], sizeof(BillLine)));
-  g_ptr_array_free(later, TRUE);
-}
-
-static bool repeats(const Once *o) {
-  return o->lines->len > 0 && ((BillLine *)o->lines->pdata[0])->sent;
+static void tell_durable(Once *o, const BillLine *b) {
+  OnceMsg m = {.kind = ONCE_DURABLE,
+               .key = b->line.key,
+               .nonce = b->line.nonce};
+  once_send(o, b->runner, &m);
+  if (b->backup) once_send(o, b->backup, &m);
 }
 
 void keeper_billed(Once *o, ErrKind kind) {
   o->billing = false;
-  /* "Exists" is an earlier try that took effect. */
   if (kind != ERR_NONE && kind != ERR_STORE_CONFLICT) {
     o->bill_backoff =
         CLAMP(o->bill_backoff * 2, LEDGER_BACKOFF_MIN, LEDGER_BACKOFF_MAX);
@@ -224,29 +225,20 @@
   }
   o->bill_backoff = 0;
   o->bill_seq++;
-  o->bill_at = o->now + ONCE_BATCH;
-  for (guint i = 0; i < o->lines->len;) {
+  o->bill_at = o->now + (o->batch == BATCH_LINES ? 1.0 : ONCE_BATCH);
+  for (guint i = 0; i < o->batch; i++) {
     const BillLine *b = o->lines->pdata[i];
-    if (!b->sent) {
-      i++;
-      continue;
-    }
-    OnceMsg m = {.kind = ONCE_DURABLE, .key = b->key, .nonce = b->nonce};
-    once_send(o, b->runner, &m);
-    if (b->backup[0]) once_send(o, b->backup, &m);
-    g_ptr_array_remove_index(o->lines, i);
+    tell_durable(o, b);
+    g_hash_table_remove(o->by_key, &b->line.key);
   }
+  g_ptr_array_remove_range(o->lines, 0, o->batch);
+  o->batch = 0;
 }
 
 void keeper_tick(Once *o) {
-  for (guint i = 0; i < o->lines->len; i++) copy_line(o, o->lines->pdata[i]);
+  copy_lines(o);
   bool due = o->now >= o->bill_at || (o->draining && o->bill_backoff == 0);
-  if (!o->billing && o->lines->len > 0 && due) {
-    if (repeats(o))
-      repeat_batch(o);
-    else
-      write_batch(o);
-  }
+  if (!o->billing && o->lines->len > 0 && due) write_batch(o);
   while (o->ages.length > 0) {
     const Record *r = g_hash_table_lookup(o->records, o->ages.head->data);
     if (r && o->now - r->changed < ONCE_KEEP) break;
--- a/packages/once/once.c
+++ b/packages/once/once.c
@@ -11,6 +11,9 @@
 #define CLAIM_WAIT 2.0  /* a claim that is not kept by then is given up */
 #define FINISH_WAIT 2.0 /* the caller waits this long for a keeper's word */
 #define KEEPER_TRIES 3  /* then another keeper is told as well */
+#define OWED_EVERY 0.5  /* owed bills are looked at this often */
+#define OWED_AGAIN 120.0 /* a held one is asked after this late */
+#define OWED_BURST 50    /* at most so many of those at a time */
 
 /* == keys and answers == */
 
@@ -44,6 +47,27 @@
   *a = (OnceAnswer){0};
 }
 
+Line once_line(const Once *o, const OnceMsg *m) {
+  return (Line){.key = m->key,
+                .nonce = m->nonce,
+                .digest = m->digest,
+                .customer = g_intern_string(m->bill.customer),
+                .budget = g_intern_string(m->bill.budget),
+                .tokens = m->bill.tokens,
+                .unix_s = o->unix_s};
+}
+
+OnceMsg once_line_msg(const Line *l, OnceKind kind) {
+  OnceMsg m = {.kind = kind,
+               .key = l->key,
+               .nonce = l->nonce,
+               .digest = l->digest,
+               .bill = {.tokens = l->tokens}};
+  g_strlcpy(m.bill.customer, l->customer, sizeof m.bill.customer);
+  g_strlcpy(m.bill.budget, l->budget, sizeof m.bill.budget);
+  return m;
+}
+
 /* == actions == */
 
 OnceAction *once_act(Once *o, OnceDo what) {
@@ -182,11 +206,10 @@
                .bill = r->bill};
   m.answer = once_answer_copy(&r->answer, LIMIT_ANSWER);
   Owed *owed = g_new0(Owed, 1);
-  owed->msg = m;
-  owed->msg.answer = (OnceAnswer){.status = r->answer.status};
+  owed->line = once_line(o, &m);
   owed->sent = r->sent = o->now;
-  if (k) g_strlcpy(owed->keeper, k->id, sizeof owed->keeper);
-  g_hash_table_replace(o->owed, &owed->msg.key, owed);
+  owed->keeper = k ? g_intern_string(k->id) : "";
+  g_hash_table_replace(o->owed, &owed->line.key, owed);
   if (k) once_send(o, k->id, &m);
   if (!k) once_answer_clear(&m.answer);
 }
@@ -200,7 +223,7 @@
 
 static void on_finished(Once *o, const OnceMsg *m) {
   Owed *x = g_hash_table_lookup(o->owed, &m->key);
-  if (x && x->msg.nonce == m->nonce) x->held = true;
+  if (x && x->line.nonce == m->nonce) x->held = true;
   if (m->doubled) g_hash_table_remove(o->owed, &m->key);
   GHashTableIter it;
   gpointer v;
@@ -215,19 +238,17 @@
 
 static void on_durable(Once *o, const OnceMsg *m) {
   const Owed *x = g_hash_table_lookup(o->owed, &m->key);
-  if (x && x->msg.nonce == m->nonce) g_hash_table_remove(o->owed, &m->key);
+  if (x && x->line.nonce == m->nonce) g_hash_table_remove(o->owed, &m->key);
 }
 
 /* We hold another keeper's bill: should that keeper go, we tell the next. */
 static void on_copy(Once *o, const char *from, const OnceMsg *m) {
   Owed *x = g_new0(Owed, 1);
-  x->msg = *m;
-  x->msg.kind = ONCE_FINISH;
-  x->msg.answer = (OnceAnswer){0};
+  x->line = once_line(o, m);
   x->held = true;
   x->sent = o->now;
-  g_strlcpy(x->keeper, from, sizeof x->keeper);
-  g_hash_table_replace(o->owed, &x->msg.key, x);
+  x->keeper = g_intern_string(from);
+  g_hash_table_replace(o->owed, &x->line.key, x);
   OnceMsg r = {.kind = ONCE_COPIED, .key = m->key, .nonce = m->nonce};
   once_send(o, from, &r);
 }
@@ -284,6 +305,7 @@
   o->runs = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, run_free);
   o->owed = g_hash_table_new_full(once_hash, once_equal, NULL, g_free);
   o->lines = g_ptr_array_new_with_free_func(g_free);
+  o->by_key = g_hash_table_new(once_hash, once_equal);
   g_queue_init(&o->ages);
   g_queue_init(&o->actions);
   g_queue_init(&o->loop);
@@ -299,6 +321,7 @@
   g_hash_table_destroy(o->runs);
   g_hash_table_destroy(o->owed);
   for (int i = 0; i < LIMIT_CLAIM_SHARDS; i++) claim_shard_free(o->shards[i]);
+  g_hash_table_destroy(o->by_key);
   g_ptr_array_free(o->lines, TRUE);
   view_free(o->view);
   g_rand_free(o->rng);
@@ -311,6 +334,7 @@
   o->now = now;
   view_free(o->view);
   o->view = view_copy(v);
+  o->lost = o->uncopied = true;
 }
 
 void once_begin(Once *o, double now, uint64_t handle, OnceKey key,
@@ -421,21 +445,27 @@
 }
 
 static void tick_owed(Once *o) {
+  if (!o->lost && o->now - o->owed_at < OWED_EVERY) return;
+  o->lost = false;
+  o->owed_at = o->now;
   GHashTableIter it;
   gpointer v;
+  int again = 0;
   g_hash_table_iter_init(&it, o->owed);
   while (g_hash_table_iter_next(&it, NULL, &v)) {
     Owed *x = v;
     /* A keeper that is gone took its lines with it: tell the next one. */
     bool lost = !view_find(o->view, x->keeper);
-    double wait = x->held ? 4 * ONCE_BATCH : 2 * ONCE_RESEND;
+    double wait = x->held ? OWED_AGAIN : 2 * ONCE_RESEND;
     if (!lost && o->now - x->sent < wait) continue;
-    const Member *k = keeper_of(o, x->msg.key, 0);
+    /* In an outage everything is held for long: no more than a trickle. */
+    if (!lost && x->held && ++again > OWED_BURST) continue;
+    const Member *k = keeper_of(o, x->line.key, 0);
     if (!k) continue;
-    g_strlcpy(x->keeper, k->id, sizeof x->keeper);
+    x->keeper = g_intern_string(k->id);
     x->sent = o->now;
     x->held = false;
-    OnceMsg m = x->msg;
+    OnceMsg m = once_line_msg(&x->line, ONCE_FINISH);
     once_send(o, k->id, &m);
   }
 }
--- a/packages/once/state.h
+++ b/packages/once/state.h
@@ -38,10 +38,18 @@
   OnceAnswer answer;
 } Run;
 
+/* A bill in short: an outage of hours leaves many. Names are interned. */
+typedef struct Line {
+  OnceKey key;
+  uint64_t nonce, digest;
+  const char *customer, *budget;
+  int64_t tokens, unix_s;
+} Line;
+
 /* A finished bill that is not yet known to be in the store. */
 typedef struct Owed {
-  OnceMsg msg; /* the FINISH, to be sent again to another keeper */
-  char keeper[LIMIT_ID];
+  Line line; /* of the FINISH, to be sent again to another keeper */
+  const char *keeper; /* interned */
   bool held; /* the keeper has it; it is not yet in the store */
   double sent;
 } Owed;
@@ -72,15 +80,12 @@
 } ClaimShard;
 
 typedef struct BillLine {
-  OnceKey key;
-  OnceBill bill;
-  char runner[LIMIT_ID];
-  uint64_t nonce;
-  char backup[LIMIT_ID]; /* who else holds it; "": the runner does */
-  bool copied;           /* the backup said so */
-  bool tell;             /* the runner, ourselves, waits for the copy */
-  double asked;
-  bool sent; /* in the batch on its way */
+  Line line;
+  const char *runner; /* interned, as backup */
+  const char *backup; /* who else holds it; NULL: the runner does */
+  bool copied;        /* the backup said so */
+  bool tell;          /* the runner, ourselves, waits for the copy */
+  float asked;
 } BillLine;
 
 struct Once {
@@ -98,7 +103,12 @@
   GHashTable *runs;    /* handle -> Run */
   GHashTable *owed;    /* OnceKey -> Owed */
   ClaimShard *shards[LIMIT_CLAIM_SHARDS];
-  GPtrArray *lines; /* BillLine* */
+  GPtrArray *lines; /* BillLine*; the first `batch` are on their way */
+  GHashTable *by_key; /* OnceKey -> BillLine of the same */
+  guint batch;
+  bool uncopied; /* some line may need another holder */
+  bool lost;     /* the view changed: keepers of owed bills may be gone */
+  double owed_at;
   bool billing;
   double bill_at, bill_backoff;
   uint64_t bill_seq;
@@ -112,6 +122,8 @@
 void once_answer_run(Once *o, Run *r, OnceVerdict v, const OnceAnswer *answer);
 OnceAnswer once_answer_copy(const OnceAnswer *a, size_t limit);
 void once_answer_clear(OnceAnswer *a);
+Line once_line(const Once *o, const OnceMsg *m);
+OnceMsg once_line_msg(const Line *l, OnceKind kind);
 
 /* == keeper.c == */
 
--- a/scenario/script.c
+++ b/scenario/script.c
@@ -119,6 +119,11 @@
   return 0;
 }
 
+static int v_cut_store(lua_State *l) {
+  world_cut_store(world, luaL_checkstring(l, 1), true);
+  return 0;
+}
+
 static int v_heal(lua_State *l) {
   world_cut(world, luaL_checkstring(l, 1), false);
   world_cut_store(world, lua_tostring(l, 1), false);
@@ -221,7 +226,8 @@
 static const luaL_Reg verbs[] = {
     {"world", v_world},     {"without", v_without}, {"node", v_node},
     {"budget", v_budget},   {"request", v_request}, {"outcome", v_outcome},
-    {"advance", v_advance}, {"cut", v_cut},         {"heal", v_heal},
+    {"advance", v_advance}, {"cut", v_cut},         {"cut_store", v_cut_store},
+    {"heal", v_heal},
     {"store", v_store},     {"lose", v_lose},       {"delay", v_delay},
     {"kill", v_kill},       {"restart", v_restart}, {"pause", v_pause},
     {"resume", v_resume},   {"drain", v_drain},     {"drained", v_drained},
