Model of grants, witnesses and seals, and of claims, checked by spin

Cause: the scenarios sample the interleavings, the model visits all of them within its bound (2 tokens, 3 given out, one holder, two witnesses, a home that crashes or pauses between any two steps, a successor with a stale member list, lost answers).

A switch that forgets its own nonce only refuses more: replaced by one that takes an update without an answer for one that took effect.

--- /dev/null
+++ b/spec/run.sh
@@ -0,0 +1,44 @@
+#!/usr/bin/env bash
+# run.sh: checks the models exhaustively, and that each switch breaks them.
+set -euo pipefail
+cd "$(dirname "$0")"
+tmp=$(mktemp -d)
+trap 'rm -rf "$tmp"' EXIT
+
+# check MODEL SWITCH(or -) EXPECTED(holds|breaks)
+check() {
+  local dir="$tmp/$1-$2" flags=() states errors
+  mkdir "$dir"
+  local search=()
+  [ "$2" = - ] || flags=("-D$2") search=(-DBFS) # the shortest way to break it
+  (cd "$dir" && spin "${flags[@]}" -a "$OLDPWD/$1.pml" >/dev/null &&
+    gcc -O2 "${search[@]}" -DSAFETY -DCOLLAPSE -DMEMLIM=2500 -w -o pan pan.c)
+  (cd "$dir" && ./pan -E -m2000000 -w22 >out 2>&1) || true
+  errors=$(grep -c "assertion violated" "$dir/out" || true)
+  states=$(grep 'states, stored' "$dir/out" | awk '{print $1}')
+  local whole=yes
+  grep -qE 'max search depth too small|out of memory|MEMLIM bound' "$dir/out" && whole=no
+  local verdict=holds
+  [ "$errors" = 0 ] || verdict=breaks
+  if [ "$verdict" = "$3" ] && { [ "$3" = breaks ] || [ "$whole" = yes ]; }; then
+    printf 'ok      %-8s %-14s %s, %s states\n' "$1" "$2" "$verdict" "$states"
+  else
+    printf 'not ok  %-8s %-14s %s (search whole: %s), expected: %s\n' "$1" "$2" "$verdict" "$whole" "$3"
+  fi
+}
+
+models="ledger:-:holds ledger:NO_VERSION:breaks ledger:NO_SEAL:breaks
+ledger:OLD_WITNESS:breaks ledger:ON_TIME:breaks ledger:ADD_REPORTS:breaks
+ledger:EARLY_RETURN:breaks ledger:REACH_BACK:breaks
+once:-:holds once:CLAIM_AFTER:breaks once:NO_VERSION:breaks
+once:ASSUME:breaks"
+for m in $models; do
+  IFS=: read -r model switch expected <<<"$m"
+  check "$model" "$switch" "$expected" >"$tmp/$m.result" &
+done
+wait
+for m in $models; do cat "$tmp/$m.result"; done
+passed=$(cat "$tmp"/*.result | grep -c '^ok' || true)
+failed=$(cat "$tmp"/*.result | grep -c '^not ok' || true)
+echo "$passed passed, $failed failed"
+[ "$failed" = 0 ] && [ "$passed" = 12 ]
