--- a/bin/loftpath.c
+++ b/bin/loftpath.c
@@ -112,7 +112,7 @@
     fprintf(stderr, "loftpath: no answer from %s: %s\n", a->address,
             out->error);
   json_array_foreach(json_object_get(e, "errors"), i, line)
-    fprintf(stderr, "  %s\n", json_string_value(line));
+      fprintf(stderr, "  %s\n", json_string_value(line));
   if (remedy) fprintf(stderr, "  remedy: %s\n", remedy);
   json_decref(o);
   http_answer_free(out);
@@ -180,30 +180,36 @@
 
 static int cmd_budgets(const Args *a) {
   static const Column columns[] = {
-      {"budget", "name", -32},   {"total", "total", 12},
-      {"spent", "spent", 12},    {"held", "held", 12},
-      {"free", "free", 12},      {"retired", "retired", 9},
-      {"sealed", "sealed", 6},   {NULL, NULL, 0}};
+      {"budget", "name", -32}, {"total", "total", 12},
+      {"spent", "spent", 12},  {"held", "held", 12},
+      {"free", "free", 12},    {"retired", "retired", 9},
+      {"sealed", "sealed", 6}, {NULL, NULL, 0}};
   return list(a, "/admin/budgets", columns);
 }
 
 static int cmd_targets(const Args *a) {
-  static const Column columns[] = {
-      {"target", "name", -20},   {"pool", "pool", -24},
-      {"datacentre", "datacentre", -12}, {"slots", "slots", 6},
-      {"running", "running", 7}, {"waiting", "waiting", 7},
-      {"age", "age", 7},         {"leaving", "leaving", 7},
-      {"ejected", "ejected", 7}, {"failures", "failures", 8},
-      {NULL, NULL, 0}};
+  static const Column columns[] = {{"target", "name", -20},
+                                   {"pool", "pool", -24},
+                                   {"datacentre", "datacentre", -12},
+                                   {"slots", "slots", 6},
+                                   {"running", "running", 7},
+                                   {"waiting", "waiting", 7},
+                                   {"age", "age", 7},
+                                   {"leaving", "leaving", 7},
+                                   {"ejected", "ejected", 7},
+                                   {"failures", "failures", 8},
+                                   {NULL, NULL, 0}};
   return list(a, "/admin/targets", columns);
 }
 
 static int cmd_instances(const Args *a) {
-  static const Column columns[] = {
-      {"instance", "id", -32},   {"region", "region", -12},
-      {"datacentre", "datacentre", -12}, {"http", "http", -21},
-      {"table", "table", 8},     {"leaving", "leaving", 7},
-      {NULL, NULL, 0}};
+  static const Column columns[] = {{"instance", "id", -32},
+                                   {"region", "region", -12},
+                                   {"datacentre", "datacentre", -12},
+                                   {"http", "http", -21},
+                                   {"table", "table", 8},
+                                   {"leaving", "leaving", 7},
+                                   {NULL, NULL, 0}};
   return list(a, "/admin/instances", columns);
 }
 
@@ -216,7 +222,9 @@
   return list(a, "/admin/history", columns);
 }
 
-static int cmd_bills(const Args *a) { return list(a, "/admin/bills", NULL); }
+static int cmd_bills(const Args *a) {
+  return list(a, "/admin/bills", NULL);
+}
 
 /* == status == */
 
@@ -423,10 +431,10 @@
   uint64_t id[2] = {0};
   if (getrandom(id, sizeof id, 0) != sizeof id) id[0] = (uint64_t)getpid();
   const char *who = g_get_user_name();
-  char *path = g_strdup_printf("/admin/table?id=%016llx%016llx&who=%s%s%s",
-                               (unsigned long long)id[0],
-                               (unsigned long long)id[1], who,
-                               a->base ? "&base=" : "", a->base ? a->base : "");
+  char *path =
+      g_strdup_printf("/admin/table?id=%016llx%016llx&who=%s%s%s",
+                      (unsigned long long)id[0], (unsigned long long)id[1], who,
+                      a->base ? "&base=" : "", a->base ? a->base : "");
   /* The id makes it safe to send again when the answer is lost. */
   HttpAnswer out;
   bool ok = false;
@@ -469,12 +477,12 @@
   const char *name;
   int (*run)(const Args *a);
 } commands[] = {
-    {"check", cmd_check},     {"diff", cmd_diff},
-    {"apply", cmd_apply},     {"show", cmd_show},
-    {"history", cmd_history}, {"budgets", cmd_budgets},
-    {"bills", cmd_bills},     {"targets", cmd_targets},
+    {"check", cmd_check},         {"diff", cmd_diff},
+    {"apply", cmd_apply},         {"show", cmd_show},
+    {"history", cmd_history},     {"budgets", cmd_budgets},
+    {"bills", cmd_bills},         {"targets", cmd_targets},
     {"instances", cmd_instances}, {"status", cmd_status},
-    {"drain", cmd_drain},     {"hash", cmd_hash},
+    {"drain", cmd_drain},         {"hash", cmd_hash},
 };
 
 int main(int argc, char **argv) {
--- a/bin/loftpathd.c
+++ b/bin/loftpathd.c
@@ -72,8 +72,7 @@
   g_strlcpy(o.self.dc, dc, sizeof o.self.dc);
   g_strlcpy(o.self.region, region[0] ? region : dc, sizeof o.self.region);
   snprintf(o.self.peer, sizeof o.self.peer, "tcp://%s", peer);
-  g_strlcpy(o.self.http, settings_text(settings, "listen"),
-            sizeof o.self.http);
+  g_strlcpy(o.self.http, settings_text(settings, "listen"), sizeof o.self.http);
   char *bind = g_strdup(o.self.peer);
   o.bind = bind;
   Fleet *f = fleet_open(&o, e);
@@ -82,20 +81,20 @@
   return f != NULL;
 }
 
-static void stop_fleet(Service *s) { fleet_close(s->state); }
+static void stop_fleet(Service *s) {
+  fleet_close(s->state);
+}
 
 static bool start_entry(Service *s, Err *e) {
-  entry.options =
-      (EntryOptions){.listen = settings_text(settings, "listen"),
-                     .platform = settings_text(settings, "platform"),
-                     .admin_key = settings_text(settings, "admin-key"),
-                     .instance = self_id,
-                     .max_body = (size_t)settings_number(settings, "max-body"),
-                     .max_header =
-                         (size_t)settings_number(settings, "max-header"),
-                     .max_connections =
-                         (int)settings_number(settings, "max-connections"),
-                     .idle_s = (int)settings_number(settings, "idle")};
+  entry.options = (EntryOptions){
+      .listen = settings_text(settings, "listen"),
+      .platform = settings_text(settings, "platform"),
+      .admin_key = settings_text(settings, "admin-key"),
+      .instance = self_id,
+      .max_body = (size_t)settings_number(settings, "max-body"),
+      .max_header = (size_t)settings_number(settings, "max-header"),
+      .max_connections = (int)settings_number(settings, "max-connections"),
+      .idle_s = (int)settings_number(settings, "idle")};
   entry.fleet = service_find(&kernel, "fleet");
   entry.snapshots = service_find(&kernel, "snapshots");
   entry.pools = service_find(&kernel, "pools");
@@ -103,9 +102,13 @@
   return entry_open(&entry, e);
 }
 
-static void drain_entry(Service *s) { entry_drain(s->state); }
+static void drain_entry(Service *s) {
+  entry_drain(s->state);
+}
 
-static void stop_entry(Service *s) { entry_close(s->state); }
+static void stop_entry(Service *s) {
+  entry_close(s->state);
+}
 
 static bool start_pools(Service *s, Err *e) {
   (void)e;
@@ -113,7 +116,9 @@
   return true;
 }
 
-static void stop_pools(Service *s) { pools_free(s->state); }
+static void stop_pools(Service *s) {
+  pools_free(s->state);
+}
 
 static bool start_snapshots(Service *s, Err *e) {
   (void)e;
@@ -121,7 +126,9 @@
   return true;
 }
 
-static void stop_snapshots(Service *s) { snapshots_free(s->state); }
+static void stop_snapshots(Service *s) {
+  snapshots_free(s->state);
+}
 
 static bool start_watch(Service *s, Err *e) {
   (void)e;
@@ -129,7 +136,9 @@
   return true;
 }
 
-static void stop_watch(Service *s) { watch_close(s->state); }
+static void stop_watch(Service *s) {
+  watch_close(s->state);
+}
 
 static Service services[] = {
     {"watch", {"entry"}, start_watch, NULL, stop_watch, NULL},
@@ -183,8 +192,8 @@
     printf("settings are valid\n");
     return 0;
   }
-  snprintf(self_id, sizeof self_id, "%s.%08x",
-           settings_text(settings, "name"), random_seed());
+  snprintf(self_id, sizeof self_id, "%s.%08x", settings_text(settings, "name"),
+           random_seed());
   log_open(self_id, settings_flag(settings, "debug"));
   sigset_t set;
   sigemptyset(&set);
@@ -205,8 +214,9 @@
   bool clean = drain(&set);
   if (!clean)
     log_warn("stop-cut", "s:i,s:I", "requests", atomic_load(&entry.open),
-             "tokens", (json_int_t)(fleet_sums(entry.fleet).free +
-                                    fleet_sums(entry.fleet).reserved));
+             "tokens",
+             (json_int_t)(fleet_sums(entry.fleet).free +
+                          fleet_sums(entry.fleet).reserved));
   log_info("stopped", "s:b", "clean", (int)clean);
   if (!clean) _exit(3); /* threads may be in the middle of requests */
   service_stop(&kernel);
--- a/fakes/booking.c
+++ b/fakes/booking.c
@@ -58,9 +58,9 @@
   if (strcmp(r->path, "/book") == 0) return book(r, status);
   if (strcmp(r->path, "/stats") == 0) return stats(status);
   if (strcmp(r->path, "/load") == 0)
-    return reply(status, 200,
-                 json_pack("{s:i,s:i,s:i}", "running", 0, "waiting", 0,
-                           "slots", 32));
+    return reply(
+        status, 200,
+        json_pack("{s:i,s:i,s:i}", "running", 0, "waiting", 0, "slots", 32));
   if (strcmp(r->path, "/fault") == 0) {
     const char *m = http_arg(r, "mode");
     g_strlcpy(mode, m ? m : "none", sizeof mode);
--- a/fakes/engine.c
+++ b/fakes/engine.c
@@ -147,9 +147,9 @@
     return;
   }
   push(r, chunk(r, "", "stop"));
-  json_t *last = json_pack("{s:s,s:s,s:[],s:o}", "id", r->id, "object",
-                           "chat.completion.chunk", "choices", "usage",
-                           usage(r));
+  json_t *last =
+      json_pack("{s:s,s:s,s:[],s:o}", "id", r->id, "object",
+                "chat.completion.chunk", "choices", "usage", usage(r));
   push(r, last);
   g_string_append(r->text, "data: [DONE]\n\n");
   r->ended = true;
@@ -188,9 +188,9 @@
   json_t *choice =
       json_pack("{s:i,s:{s:s,s:s},s:s}", "index", 0, "message", "role",
                 "assistant", "content", all->str, "finish_reason", "stop");
-  json_t *o = json_pack("{s:s,s:s,s:[o],s:o}", "id", r->id, "object",
-                        "chat.completion", "choices", choice, "usage",
-                        usage(r));
+  json_t *o =
+      json_pack("{s:s,s:s,s:[o],s:o}", "id", r->id, "object", "chat.completion",
+                "choices", choice, "usage", usage(r));
   g_string_free(all, TRUE);
   end_run(r);
   return reply(status, 200, o);
@@ -215,8 +215,8 @@
   r->trace->prompt = r->prompt;
   g_hash_table_insert(by_id, g_strdup(r->id), r->trace);
   pthread_mutex_unlock(&lock);
-  r->next = g_get_monotonic_time() +
-            (gint64)(fresh * prefill_us * (slow ? 10 : 1));
+  r->next =
+      g_get_monotonic_time() + (gint64)(fresh * prefill_us * (slow ? 10 : 1));
   return r;
 }
 
--- a/fakes/platform.c
+++ b/fakes/platform.c
@@ -155,11 +155,11 @@
 }
 
 static struct MHD_Response *stats(int *status) {
-  return reply_json(
-      status, json_pack("{s:I,s:I,s:I,s:I}", "reads", (json_int_t)reads,
-                        "writes", (json_int_t)writes, "conflicts",
-                        (json_int_t)conflicts, "objects",
-                        (json_int_t)g_hash_table_size(objects)));
+  return reply_json(status,
+                    json_pack("{s:I,s:I,s:I,s:I}", "reads", (json_int_t)reads,
+                              "writes", (json_int_t)writes, "conflicts",
+                              (json_int_t)conflicts, "objects",
+                              (json_int_t)g_hash_table_size(objects)));
 }
 
 static struct MHD_Response *platform(const HttpReq *r, int *status) {
--- a/packages/entry/admin.c
+++ b/packages/entry/admin.c
@@ -11,7 +11,8 @@
 #include "table/rollout.h"
 
 #define STORE_WAIT_S 3
-#define STORE_SILENT_S 10 /* without an answer this long the store is "down" */
+#define STORE_SILENT_S 10 /* without an answer this long the store is "down"   \
+                           */
 
 static struct MHD_Response *reply(json_t *o, int *status) {
   char *s = json_dumps(o, JSON_COMPACT);
@@ -234,9 +235,9 @@
     g_free(a.text);
   }
   platform_close(p);
-  json_t *out = json_pack("{s:I,s:i,s:o}", "requests",
-                          (json_int_t)json_object_size(seen), "repeated_lines",
-                          doubled, "budgets", sums);
+  json_t *out =
+      json_pack("{s:I,s:i,s:o}", "requests", (json_int_t)json_object_size(seen),
+                "repeated_lines", doubled, "budgets", sums);
   json_decref(list);
   json_decref(seen);
   return reply(out, status);
@@ -246,13 +247,13 @@
 
 static void add_target(void *ctx, const char *pool, const RouteState *s) {
   json_array_append_new(
-      ctx, json_pack("{s:s,s:s,s:s,s:s,s:i,s:i,s:i,s:i,s:b,s:b,s:f,s:f,s:I}",
-                     "name", s->target.name, "pool", pool, "datacentre",
-                     s->target.dc, "url", s->target.url, "slots",
-                     s->target.slots, "running", s->running, "waiting",
-                     s->waiting, "own", s->own, "leaving", (int)s->leaving,
-                     "ejected", (int)s->ejected, "age", s->age, "path",
-                     s->path_s, "failures", (json_int_t)s->failures));
+      ctx,
+      json_pack("{s:s,s:s,s:s,s:s,s:i,s:i,s:i,s:i,s:b,s:b,s:f,s:f,s:I}", "name",
+                s->target.name, "pool", pool, "datacentre", s->target.dc, "url",
+                s->target.url, "slots", s->target.slots, "running", s->running,
+                "waiting", s->waiting, "own", s->own, "leaving",
+                (int)s->leaving, "ejected", (int)s->ejected, "age", s->age,
+                "path", s->path_s, "failures", (json_int_t)s->failures));
 }
 
 static struct MHD_Response *targets(Entry *e, HttpReq *r, int *status) {
@@ -269,8 +270,8 @@
     const Member *m = &v->list[i];
     json_array_append_new(
         list, json_pack("{s:s,s:s,s:s,s:s,s:s,s:b,s:I}", "id", m->id, "region",
-                        m->region, "datacentre", m->dc, "http", m->http,
-                        "peer", m->peer, "leaving", (int)m->leaving, "table",
+                        m->region, "datacentre", m->dc, "http", m->http, "peer",
+                        m->peer, "leaving", (int)m->leaving, "table",
                         (json_int_t)m->table));
   }
   view_free(v);
@@ -310,10 +311,10 @@
   const char *path;
   struct MHD_Response *(*handle)(Entry *e, HttpReq *r, int *status);
 } calls[] = {
-    {"/admin/table", table},         {"/admin/history", history},
-    {"/admin/budgets", budgets},     {"/admin/bills", bills},
-    {"/admin/targets", targets},     {"/admin/instances", instances},
-    {"/admin/status", state},        {"/admin/drain", drain},
+    {"/admin/table", table},     {"/admin/history", history},
+    {"/admin/budgets", budgets}, {"/admin/bills", bills},
+    {"/admin/targets", targets}, {"/admin/instances", instances},
+    {"/admin/status", state},    {"/admin/drain", drain},
 };
 
 static bool allowed(const Entry *e, const HttpReq *r) {
--- a/packages/entry/chat.c
+++ b/packages/entry/chat.c
@@ -10,8 +10,8 @@
 #include "kernel/log.h"
 #include "target/engine.h"
 
-#define MESSAGE_TOKENS 16  /* template tokens of a message, at most */
-#define REQUEST_TOKENS 64  /* template tokens of a request, at most */
+#define MESSAGE_TOKENS 16 /* template tokens of a message, at most */
+#define REQUEST_TOKENS 64 /* template tokens of a request, at most */
 #define CONNECT_S 2
 #define READ_S 60
 #define WHOLE_MAX (8 << 20) /* bytes of an answer that is not streamed */
@@ -41,8 +41,8 @@
 
 static json_t *parse(const HttpReq *r, Err *err) {
   json_error_t bad;
-  json_t *o = json_loadb(r->body->str, r->body->len, JSON_REJECT_DUPLICATES,
-                         &bad);
+  json_t *o =
+      json_loadb(r->body->str, r->body->len, JSON_REJECT_DUPLICATES, &bad);
   json_t *messages = json_object_get(o, "messages"), *m;
   json_t *n = json_object_get(o, "n");
   size_t i;
@@ -66,7 +66,7 @@
 typedef struct Chat {
   Exchange x;
   json_t *request;
-  char *body; /* as the engine gets it */
+  char *body;     /* as the engine gets it */
   int64_t prompt; /* bound */
   bool stream, wants_usage;
   HttpClient *client;
@@ -362,8 +362,7 @@
   Err err = {0};
   Exchange x = {0};
   json_t *request = r->too_large ? NULL : parse(r, &err);
-  const char *model =
-      json_string_value(json_object_get(request, "model"));
+  const char *model = json_string_value(json_object_get(request, "model"));
   Err bad = err;
   if (!exchange_who(&x, e, r, model ? model : "", &err)) {
     /* A bad body is told before a missing model, but never before the key. */
@@ -401,9 +400,9 @@
   for (guint i = 0; i < t->order->len; i++) {
     const TableRow *r = t->order->pdata[i];
     if (r->kind != TABLE_SERVICE || !r->cells[TABLE_MODEL][0]) continue;
-    json_array_append_new(list, json_pack("{s:s,s:s,s:s}", "id", r->name,
-                                          "object", "model", "owned_by",
-                                          "loftpath"));
+    json_array_append_new(list,
+                          json_pack("{s:s,s:s,s:s}", "id", r->name, "object",
+                                    "model", "owned_by", "loftpath"));
   }
 }
 
--- a/packages/entry/entry.c
+++ b/packages/entry/entry.c
@@ -37,10 +37,10 @@
 struct MHD_Response *entry_error(const Err *err, const char *id, int *status) {
   const ErrInfo *info = err_info(err->kind);
   count_add(refusal(err->kind), 1);
-  json_t *o = json_pack("{s:{s:s,s:s,s:s,s:s,s:s?}}", "error", "kind",
-                        info->name, "message", err->text, "remedy",
-                        info->remedy, "ran", err_ran(err->ran), "request_id",
-                        id);
+  json_t *o =
+      json_pack("{s:{s:s,s:s,s:s,s:s,s:s?}}", "error", "kind", info->name,
+                "message", err->text, "remedy", info->remedy, "ran",
+                err_ran(err->ran), "request_id", id);
   char *s = json_dumps(o, JSON_COMPACT);
   struct MHD_Response *m = entry_text("application/json", s);
   free(s);
@@ -139,7 +139,9 @@
   return e->server != NULL;
 }
 
-void entry_drain(Entry *e) { atomic_store(&e->draining, true); }
+void entry_drain(Entry *e) {
+  atomic_store(&e->draining, true);
+}
 
 void entry_close(Entry *e) {
   http_stop(e->server);
--- a/packages/entry/entry.h
+++ b/packages/entry/entry.h
@@ -25,7 +25,7 @@
   Pools *pools;
   HttpServer *server;
   atomic_bool draining;
-  atomic_int open; /* requests in progress */
+  atomic_int open;                 /* requests in progress */
   atomic_int_fast64_t store_heard; /* unix seconds of the last good answer */
 } Entry;
 
--- a/packages/entry/exchange.c
+++ b/packages/entry/exchange.c
@@ -78,8 +78,7 @@
 
 static bool reserve(Exchange *x, Err *err) {
   if (x->reserved == 0) return true;
-  x->reservation =
-      fleet_reserve(x->entry->fleet, x->budget, x->reserved, err);
+  x->reservation = fleet_reserve(x->entry->fleet, x->budget, x->reserved, err);
   return x->reservation != 0;
 }
 
@@ -123,13 +122,13 @@
 
 static void log_route(const Exchange *x) {
   const RouteChoice *c = &x->ticket.choice;
-  log_info("route",
-           "s:s,s:s,s:s,s:s,s:i,s:i,s:f,s:f,s:f,s:f,s:I,s:f,s:b", "request",
-           x->id, "customer", x->customer.name, "service", x->service.name,
-           "target", c->name, "candidates", c->candidates, "left_out",
-           c->left_out, "path", c->path, "prefill", c->prefill, "wait", c->wait,
-           "margin", c->margin, "cached", (json_int_t)c->cached, "queued",
-           x->ticket.queued_s, "probe", (int)c->probe);
+  log_info("route", "s:s,s:s,s:s,s:s,s:i,s:i,s:f,s:f,s:f,s:f,s:I,s:f,s:b",
+           "request", x->id, "customer", x->customer.name, "service",
+           x->service.name, "target", c->name, "candidates", c->candidates,
+           "left_out", c->left_out, "path", c->path, "prefill", c->prefill,
+           "wait", c->wait, "margin", c->margin, "cached",
+           (json_int_t)c->cached, "queued", x->ticket.queued_s, "probe",
+           (int)c->probe);
 }
 
 ExchangeStart exchange_start(Exchange *x, HttpReq *r, int64_t tokens,
@@ -158,7 +157,9 @@
 
 /* == the ways on and out == */
 
-void exchange_first(Exchange *x) { x->first = clock_now(); }
+void exchange_first(Exchange *x) {
+  x->first = clock_now();
+}
 
 static void leave_target(Exchange *x, RouteOutcome outcome) {
   double now = clock_now();
--- a/packages/entry/exchange.h
+++ b/packages/entry/exchange.h
@@ -1,5 +1,6 @@
 /* exchange.h: the steps that every request takes, whatever it asks for:
-   customer, record, reservation, turn and target; and the three ways it ends. */
+   customer, record, reservation, turn and target; and the three ways it ends.
+ */
 #ifndef ENTRY_EXCHANGE_H
 #define ENTRY_EXCHANGE_H
 
--- a/packages/entry/plain.c
+++ b/packages/entry/plain.c
@@ -129,11 +129,10 @@
   return m;
 }
 
-static struct MHD_Response *replay(const Plain *p, OnceAnswer *a,
-                                   int *status) {
+static struct MHD_Response *replay(const Plain *p, OnceAnswer *a, int *status) {
   count_add(COUNT_REPLAYS, 1);
-  struct MHD_Response *m = give(p->x.id, a->status, a->type, a->body, a->len,
-                                status);
+  struct MHD_Response *m =
+      give(p->x.id, a->status, a->type, a->body, a->len, status);
   MHD_add_response_header(m, "Loftpath-Replayed", a->body ? "true" : "status");
   g_free(a->body);
   return m;
@@ -150,8 +149,7 @@
     err_set(&err, ERR_TOO_LARGE, "the path is too long");
     return entry_error(&err, p->x.id, status);
   }
-  ExchangeStart s =
-      exchange_start(&p->x, p->r, p->x.service.cost, &kept, &err);
+  ExchangeStart s = exchange_start(&p->x, p->r, p->x.service.cost, &kept, &err);
   if (s == EXCHANGE_REPLAY) return replay(p, &kept, status);
   if (s == EXCHANGE_GO && dispatch(p, &err)) return finish(p, status);
   return entry_error(&err, p->x.id, status);
--- a/packages/entry/pool.c
+++ b/packages/entry/pool.c
@@ -68,8 +68,9 @@
                    route_rate(p->route), &out)) {
     Turn *t = g_hash_table_lookup(p->turns, &out.handle);
     ErrKind refused = out.refused;
-    bool picked = refused == ERR_NONE &&
-                  route_pick(p->route, now, &t->ticket->ask, &t->ticket->choice);
+    bool picked =
+        refused == ERR_NONE &&
+        route_pick(p->route, now, &t->ticket->ask, &t->ticket->choice);
     if (refused == ERR_NONE && !picked) {
       queue_done(p->queue, now, t->ticket->item.customer,
                  t->ticket->item.tokens, 0);
@@ -101,8 +102,8 @@
   t->item.handle = ++p->next;
   ErrKind refused = ERR_NO_TARGET;
   if (any_target(p, now))
-    refused = queue_push(p->queue, now, &t->item, route_rate(p->route),
-                         &retry_ms);
+    refused =
+        queue_push(p->queue, now, &t->item, route_rate(p->route), &retry_ms);
   if (refused == ERR_NONE) {
     pthread_cond_init(&turn.ready, NULL);
     g_hash_table_insert(p->turns, &t->item.handle, &turn);
--- a/packages/entry/snapshot.c
+++ b/packages/entry/snapshot.c
@@ -12,7 +12,7 @@
 } Snapshot;
 
 struct Snapshots {
-  Snapshot *now; /* RCU */
+  Snapshot *now;        /* RCU */
   pthread_mutex_t lock; /* writers */
 };
 
--- a/packages/entry/watch.c
+++ b/packages/entry/watch.c
@@ -31,7 +31,9 @@
   GQueue probes; /* Probe* still to be asked in this round */
 };
 
-static bool running(const Watch *w) { return !atomic_load(&w->stop); }
+static bool running(const Watch *w) {
+  return !atomic_load(&w->stop);
+}
 
 static void heard_store(Watch *w) {
   atomic_store(&w->entry->store_heard, clock_unix());
@@ -84,8 +86,7 @@
 
 static uint64_t watched_revision(const char *text) {
   json_t *o = json_loads(text, 0, NULL);
-  uint64_t n =
-      (uint64_t)json_integer_value(json_object_get(o, "revision"));
+  uint64_t n = (uint64_t)json_integer_value(json_object_get(o, "revision"));
   json_decref(o);
   return n;
 }
--- a/packages/fleet/fleet.c
+++ b/packages/fleet/fleet.c
@@ -154,8 +154,7 @@
       jobs_add(l->fleet->jobs, &j);
       break;
     case ONCE_DO_ANSWER:
-      wake_wait(l, a.handle,
-                &(Wait){.verdict = a.verdict, .answer = a.answer});
+      wake_wait(l, a.handle, &(Wait){.verdict = a.verdict, .answer = a.answer});
       a.answer.body = NULL;
       break;
     case ONCE_DO_DONE:
@@ -399,8 +398,8 @@
       if (lane_of_budget(f, list[k].name) == l)
         g_array_append_val(mine, list[k]);
     pthread_mutex_lock(&l->lock);
-    ledger_budgets(l->ledger, clock_now(),
-                   (LedgerBudget *)(void *)mine->data, (int)mine->len);
+    ledger_budgets(l->ledger, clock_now(), (LedgerBudget *)(void *)mine->data,
+                   (int)mine->len);
     do_ledger(l);
     pthread_mutex_unlock(&l->lock);
     g_array_free(mine, TRUE);
@@ -456,13 +455,13 @@
   wait_close(l, handle, &w);
   pthread_mutex_unlock(&l->lock);
   if (w.cause == ERR_NONE) return handle;
-  err_retry(e, w.cause, w.retry_ms, "budget %s can't cover %" G_GINT64_FORMAT
-            " tokens now", budget, tokens);
+  err_retry(e, w.cause, w.retry_ms,
+            "budget %s can't cover %" G_GINT64_FORMAT " tokens now", budget,
+            tokens);
   return 0;
 }
 
-void fleet_settle(Fleet *f, const char *budget, uint64_t handle,
-                  int64_t used) {
+void fleet_settle(Fleet *f, const char *budget, uint64_t handle, int64_t used) {
   Lane *l = lane_of_budget(f, budget);
   pthread_mutex_lock(&l->lock);
   ledger_settle(l->ledger, clock_now(), handle, used);
--- a/packages/http/client.c
+++ b/packages/http/client.c
@@ -22,7 +22,9 @@
 
 static pthread_once_t once = PTHREAD_ONCE_INIT;
 
-static void init(void) { ne_sock_init(); }
+static void init(void) {
+  ne_sock_init();
+}
 
 static void on_status(void *data, ne_session_status status,
                       const ne_session_status_info *info) {
@@ -112,8 +114,7 @@
   g_free(s);
 }
 
-void http_call(HttpClient *c, const HttpCall *call, size_t max,
-               HttpAnswer *a) {
+void http_call(HttpClient *c, const HttpCall *call, size_t max, HttpAnswer *a) {
   HttpStream *s = http_open(c, call, true, a);
   a->body = g_string_new(NULL);
   if (!s) return;
--- a/packages/http/server.c
+++ b/packages/http/server.c
@@ -107,9 +107,9 @@
           MHD_USE_POLL | MHD_USE_ITC,
       0, NULL, NULL, on_request, s, MHD_OPTION_SOCK_ADDR, &in,
       MHD_OPTION_NOTIFY_COMPLETED, on_done, s, MHD_OPTION_NOTIFY_CONNECTION,
-      on_connect, s, MHD_OPTION_CONNECTION_LIMIT,
-      (unsigned)o->max_connections, MHD_OPTION_CONNECTION_TIMEOUT,
-      (unsigned)o->idle_s, MHD_OPTION_THREAD_STACK_SIZE, o->stack,
+      on_connect, s, MHD_OPTION_CONNECTION_LIMIT, (unsigned)o->max_connections,
+      MHD_OPTION_CONNECTION_TIMEOUT, (unsigned)o->idle_s,
+      MHD_OPTION_THREAD_STACK_SIZE, o->stack,
       MHD_OPTION_CONNECTION_MEMORY_LIMIT, o->max_header,
       MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_LISTEN_BACKLOG_SIZE,
       1024u, MHD_OPTION_END);
@@ -146,8 +146,8 @@
 }
 
 struct MHD_Response *http_text(const char *type, const char *text, size_t len) {
-  struct MHD_Response *m = MHD_create_response_from_buffer(
-      len, (void *)text, MHD_RESPMEM_MUST_COPY);
+  struct MHD_Response *m =
+      MHD_create_response_from_buffer(len, (void *)text, MHD_RESPMEM_MUST_COPY);
   MHD_add_response_header(m, "Content-Type", type);
   return m;
 }
--- a/packages/http/server.h
+++ b/packages/http/server.h
@@ -27,8 +27,7 @@
 
 /* Called once the body is whole (or too large). Returns the response, which
    the server releases, and its status. */
-typedef struct MHD_Response *(*HttpHandler)(void *ctx, HttpReq *r,
-                                            int *status);
+typedef struct MHD_Response *(*HttpHandler)(void *ctx, HttpReq *r, int *status);
 /* The exchange is over; `whole` is false when the caller went away. */
 typedef void (*HttpDone)(void *ctx, HttpReq *r, bool whole);
 
--- a/packages/kernel/clock.h
+++ b/packages/kernel/clock.h
@@ -13,6 +13,8 @@
 }
 
 /* Seconds since 1970; for stored records and people, never for safety. */
-static inline int64_t clock_unix(void) { return (int64_t)time(NULL); }
+static inline int64_t clock_unix(void) {
+  return (int64_t)time(NULL);
+}
 
 #endif
--- a/packages/kernel/err.c
+++ b/packages/kernel/err.c
@@ -94,4 +94,6 @@
   return &infos[kind];
 }
 
-const char *err_ran(Ran ran) { return rans[ran]; }
+const char *err_ran(Ran ran) {
+  return rans[ran];
+}
--- a/packages/kernel/limits.h
+++ b/packages/kernel/limits.h
@@ -10,10 +10,10 @@
 #define LIMIT_CLAIM_SHARDS 64 /* request-record shards; stored format too */
 #define LIMIT_VALUE (1 << 20) /* bytes of one platform object */
 #define LIMIT_BODY (4 << 20)  /* bytes of one request body, default */
-#define LIMIT_ANSWER (64 << 10)     /* bytes kept of one answer for a retry */
+#define LIMIT_ANSWER (64 << 10)      /* bytes kept of one answer for a retry */
 #define LIMIT_CLAIM_ANSWER (2 << 10) /* bytes of an answer kept in a claim */
-#define LIMIT_KEPT (32 << 20)        /* bytes of kept answers an instance holds */
-#define LIMIT_TARGETS 64             /* candidates looked at for one request */
+#define LIMIT_KEPT (32 << 20) /* bytes of kept answers an instance holds */
+#define LIMIT_TARGETS 64      /* candidates looked at for one request */
 
 /* == ledger, seconds and tokens == */
 
@@ -38,10 +38,10 @@
 
 /* == members, seconds == */
 
-#define MEMBER_BEAT 0.5    /* heartbeat interval of a small fleet */
-#define MEMBER_BYTES 3000  /* heartbeat bytes a second at most; stretches it */
-#define MEMBER_SILENT 6    /* heartbeats missed until a member is gone */
-#define MEMBER_POLL 1.0    /* the platform's list is read this often */
+#define MEMBER_BEAT 0.5   /* heartbeat interval of a small fleet */
+#define MEMBER_BYTES 3000 /* heartbeat bytes a second at most; stretches it */
+#define MEMBER_SILENT 6   /* heartbeats missed until a member is gone */
+#define MEMBER_POLL 1.0   /* the platform's list is read this often */
 
 /* == platform rates of one instance, calls a second == */
 
--- a/packages/kernel/settings.c
+++ b/packages/kernel/settings.c
@@ -87,11 +87,11 @@
     const Setting *s = &list[n];
     snprintf(help[n], sizeof help[n], "%s [%s%s%s]", s->help, s->env,
              s->fallback ? ", default " : "", s->fallback ? s->fallback : "");
-    options[n] = (struct argp_option){
-        .name = s->flag,
-        .key = FIRST_KEY + n,
-        .arg = s->type == SETTING_FLAG ? NULL : "VALUE",
-        .doc = help[n]};
+    options[n] =
+        (struct argp_option){.name = s->flag,
+                             .key = FIRST_KEY + n,
+                             .arg = s->type == SETTING_FLAG ? NULL : "VALUE",
+                             .doc = help[n]};
   }
   struct argp argp = {.options = options, .parser = on_option, .doc = about};
   if (argp_parse(&argp, argc, argv, 0, NULL, list) != 0)
--- a/packages/ledger/home.c
+++ b/packages/ledger/home.c
@@ -5,16 +5,19 @@
 #include <math.h>
 #include <string.h>
 
-#define RATE_TAU 30.0      /* seconds over which a region's demand is averaged */
-#define RECALL_EVERY 1.0   /* seconds between two recalls of one budget */
-#define RECALL_WAIT 0.4    /* seconds that a recall is given to bring something */
-#define FRESH 0.25         /* seconds that a read of the store counts as new */
-#define GIVING 2.0         /* seconds that a recall from elsewhere is obeyed */
-#define SOLE_RESERVE 60.0  /* seconds laid up at most without a witness */
-#define LINGER 5.0         /* a home that is not the first choice hands over
-                              when nobody asked it for this long */
-#define DRAW_GRACE 0.2     /* a draw is decided this long before its holder
-                              gives up */
+#define RATE_TAU 30.0     /* seconds over which a region's demand is averaged */
+#define RECALL_EVERY 1.0  /* seconds between two recalls of one budget */
+#define RECALL_WAIT 0.4   /* seconds that a recall is given to bring something \
+                           */
+#define FRESH 0.25        /* seconds that a read of the store counts as new */
+#define GIVING 2.0        /* seconds that a recall from elsewhere is obeyed */
+#define SOLE_RESERVE 60.0 /* seconds laid up at most without a witness */
+#define LINGER                                                                 \
+  5.0 /* a home that is not the first choice hands over                        \
+         when nobody asked it for this long */
+#define DRAW_GRACE                                                             \
+  0.2 /* a draw is decided this long before its holder                         \
+         gives up */
 
 /* == arithmetic == */
 
@@ -204,8 +207,7 @@
 
 static void send_allot(Ledger *l, const HomeBudget *h, const char *holder,
                        int64_t granted, ErrKind cause) {
-  LedgerMsg m =
-      ledger_msg(LEDGER_ALLOT, h->name, h->held ? h->held->id : 0);
+  LedgerMsg m = ledger_msg(LEDGER_ALLOT, h->name, h->held ? h->held->id : 0);
   m.granted = granted;
   m.cause = cause;
   ledger_send(l, holder, &m);
@@ -254,7 +256,7 @@
   ShardState *s = shard_of(l, h);
   bool late = l->now >= d->deadline;
   bool down = s->down_since > 0;
-  ErrKind cause = down ? ERR_BUDGET_STORE
+  ErrKind cause = down                   ? ERR_BUDGET_STORE
                   : h->unspent < d->need ? ERR_BUDGET_EMPTY
                                          : ERR_BUDGET_HELD;
   if (late) return s->fresh < d->since && !down ? ERR_BUDGET_STORE : cause;
@@ -294,7 +296,8 @@
   }
   if (d->need <= have) {
     want_room(l, h, d->need);
-    return l->now >= d->deadline ? (deny(l, h, d, ERR_BUDGET_CUT), true) : false;
+    return l->now >= d->deadline ? (deny(l, h, d, ERR_BUDGET_CUT), true)
+                                 : false;
   }
   ErrKind cause = hopeless(l, h, d);
   if (cause == ERR_NONE) return false;
@@ -534,8 +537,8 @@
   /* Another instance is the home now, or we leave: hand over. A drain waits
      for our own holder first, the rest reports to the successor. */
   const Member *home = ledger_home(l, l->keys[shard], 0);
-  bool other = home && strcmp(home->id, l->self) != 0 &&
-               l->now - g->drawn >= LINGER;
+  bool other =
+      home && strcmp(home->id, l->self) != 0 && l->now - g->drawn >= LINGER;
   bool leaving = l->draining && holder_empty(l);
   if (!g->frozen && ((other && !l->draining) || leaving)) {
     g->frozen = true;
--- a/packages/ledger/ledger.c
+++ b/packages/ledger/ledger.c
@@ -133,8 +133,8 @@
   }
   l->rows = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
   l->closed = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
-  l->purses = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
-                                    holder_purse_free);
+  l->purses =
+      g_hash_table_new_full(g_str_hash, g_str_equal, NULL, holder_purse_free);
   l->reservations =
       g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
   l->waiting = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
@@ -167,7 +167,9 @@
   g_free(l);
 }
 
-void ledger_faults(Ledger *l, LedgerFaults f) { l->faults = f; }
+void ledger_faults(Ledger *l, LedgerFaults f) {
+  l->faults = f;
+}
 
 void ledger_view(Ledger *l, double now, const View *v) {
   l->now = now;
--- a/packages/ledger/shard.c
+++ b/packages/ledger/shard.c
@@ -24,7 +24,8 @@
 
 Shard *shard_new(void) {
   Shard *s = g_new0(Shard, 1);
-  s->budgets = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, budget_free);
+  s->budgets =
+      g_hash_table_new_full(g_str_hash, g_str_equal, NULL, budget_free);
   return s;
 }
 
@@ -138,7 +139,8 @@
     g_hash_table_insert(g->back, g_strdup(instance), r);
   }
   /* Late and doubled reports carry smaller or equal counts: keep the max. */
-  bool news = returned > r->returned || spent > r->spent || (final && !r->final);
+  bool news =
+      returned > r->returned || spent > r->spent || (final && !r->final);
   if (returned > r->returned) r->returned = returned;
   if (spent > r->spent) r->spent = spent;
   r->final = r->final || final;
@@ -201,11 +203,11 @@
     json_t *grants = json_array();
     for (guint i = 0; i < b->grants->len; i++)
       json_array_append_new(grants, encode_grant(b->grants->pdata[i]));
-    json_object_set_new(
-        all, b->name,
-        json_pack("{s:I,s:I,s:I,s:I,s:o}", "total", (json_int_t)b->total, "tv",
-                  (json_int_t)b->tv, "closed", (json_int_t)b->closed, "retired",
-                  (json_int_t)b->retired, "grants", grants));
+    json_object_set_new(all, b->name,
+                        json_pack("{s:I,s:I,s:I,s:I,s:o}", "total",
+                                  (json_int_t)b->total, "tv", (json_int_t)b->tv,
+                                  "closed", (json_int_t)b->closed, "retired",
+                                  (json_int_t)b->retired, "grants", grants));
   }
   char *text = json_dumps(all, JSON_COMPACT | JSON_SORT_KEYS);
   json_decref(all);
--- a/packages/ledger/shard.h
+++ b/packages/ledger/shard.h
@@ -29,9 +29,9 @@
   char region[LIMIT_NAME];
   int64_t granted, returned, spent; /* cumulative */
   bool sealed;
-  bool exact;      /* sealed by its home itself: limit is what it gave out */
-  int64_t limit;   /* sealed: the home never gave out more than this */
-  int64_t changed; /* unix seconds */
+  bool exact;       /* sealed by its home itself: limit is what it gave out */
+  int64_t limit;    /* sealed: the home never gave out more than this */
+  int64_t changed;  /* unix seconds */
   GHashTable *back; /* instance id -> ShardBack; sealed grants only */
 } ShardGrant;
 
--- a/packages/ledger/state.h
+++ b/packages/ledger/state.h
@@ -40,12 +40,12 @@
   char name[LIMIT_NAME];
   uint64_t key;
   GPtrArray *accounts;
-  GQueue waiters;     /* Waiter* */
-  double rate;        /* tokens a second, decayed */
-  int64_t typical;    /* size of a recent reservation */
-  double asked;       /* when the last DRAW went out; 0: none open */
-  double ahead;       /* when tokens were last asked for ahead of need */
-  int tries;          /* DRAWs without an answer; two for each choice */
+  GQueue waiters;      /* Waiter* */
+  double rate;         /* tokens a second, decayed */
+  int64_t typical;     /* size of a recent reservation */
+  double asked;        /* when the last DRAW went out; 0: none open */
+  double ahead;        /* when tokens were last asked for ahead of need */
+  int tries;           /* DRAWs without an answer; two for each choice */
   double first_choice; /* when the first choice was last asked */
 } Purse;
 
@@ -105,7 +105,7 @@
   GPtrArray *late;  /* Late* */
   GPtrArray *seals; /* Seal* */
   double rate;
-  double recalled; /* when we last recalled; -1: never */
+  double recalled;     /* when we last recalled; -1: never */
   double giving_until; /* somebody recalled: free goes to the store at once */
   char recaller[LIMIT_ID];
   bool tell_recaller;
@@ -146,9 +146,9 @@
   int64_t unix_s;
   double ticked;
   bool draining;
-  GHashTable *rows;         /* name -> LedgerBudget, as the table has it */
+  GHashTable *rows; /* name -> LedgerBudget, as the table has it */
   GPtrArray *by_shard[LIMIT_SHARDS]; /* the same rows; NULL: none there */
-  bool ours[LIMIT_SHARDS];      /* we are its home in our region */
+  bool ours[LIMIT_SHARDS];           /* we are its home in our region */
   uint64_t keys[LIMIT_SHARDS];
   GHashTable *closed;       /* grants whose account is over: never again */
   GHashTable *purses;       /* name -> Purse */
--- a/packages/ledger/stored.c
+++ b/packages/ledger/stored.c
@@ -54,8 +54,8 @@
     ShardGrant *g = shard_grant(b, x->grant);
     x->applied = !g || g->sealed;
     if (!g || !g->sealed) continue;
-    changed |= shard_report(g, x->holder, x->returned, x->spent, x->final,
-                            l->unix_s);
+    changed |=
+        shard_report(g, x->holder, x->returned, x->spent, x->final, l->unix_s);
   }
   return changed;
 }
@@ -222,7 +222,8 @@
     }
   }
   home_watch_grants(l, s);
-  for (guint i = 0; i < s->budgets->len; i++) home_pump(l, s->budgets->pdata[i]);
+  for (guint i = 0; i < s->budgets->len; i++)
+    home_pump(l, s->budgets->pdata[i]);
 }
 
 /* == store operations == */
@@ -300,9 +301,7 @@
       got(l, s, version, text);
     }
     break;
-  case ERR_STORE_ABSENT:
-    got(l, s, 0, NULL);
-    break;
+  case ERR_STORE_ABSENT: got(l, s, 0, NULL); break;
   case ERR_STORE_CONFLICT:
     forget_doc(s);
     s->dirty = true;
--- a/packages/member/member.c
+++ b/packages/member/member.c
@@ -128,7 +128,9 @@
   return changed;
 }
 
-const Member *member_me(const MemberSet *s) { return &s->self; }
+const Member *member_me(const MemberSet *s) {
+  return &s->self;
+}
 
 static int by_id(const void *a, const void *b) {
   return strcmp(((const Member *)a)->id, ((const Member *)b)->id);
--- a/packages/member/view.c
+++ b/packages/member/view.c
@@ -12,9 +12,13 @@
   return v;
 }
 
-View *view_copy(const View *v) { return view_new(v->list, v->n); }
+View *view_copy(const View *v) {
+  return view_new(v->list, v->n);
+}
 
-void view_free(View *v) { g_free(v); }
+void view_free(View *v) {
+  g_free(v);
+}
 
 const Member *view_find(const View *v, const char *id) {
   for (int i = 0; i < v->n; i++)
--- a/packages/once/claim.c
+++ b/packages/once/claim.c
@@ -8,7 +8,8 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define PRUNE_AT 512 /* entries; older ones than ONCE_CLAIM_KEEP may go then */
+#define PRUNE_AT 512 /* entries; older ones than ONCE_CLAIM_KEEP may go then   \
+                      */
 
 void once_claim_name(int shard, char *out) {
   snprintf(out, LIMIT_NAME, "claim/%02d", shard);
@@ -235,8 +236,7 @@
   case ERR_STORE_CONFLICT: forget_doc(s); break;
   default:
     forget_doc(s);
-    s->backoff =
-        CLAMP(s->backoff * 2, LEDGER_BACKOFF_MIN, LEDGER_BACKOFF_MAX);
+    s->backoff = CLAMP(s->backoff * 2, LEDGER_BACKOFF_MIN, LEDGER_BACKOFF_MAX);
     s->retry_at = o->now + s->backoff * (0.5 + g_rand_double(o->rng));
     break;
   }
--- a/packages/once/keeper.c
+++ b/packages/once/keeper.c
@@ -52,10 +52,8 @@
   Record *r = g_hash_table_lookup(o->records, &m->key);
   OnceVerdict v = r ? judge(o, r, m) : ONCE_RUN;
   if (!r) r = add_record(o, m->key);
-  OnceMsg a = {.kind = ONCE_BEGUN,
-               .key = m->key,
-               .nonce = m->nonce,
-               .verdict = v};
+  OnceMsg a = {
+      .kind = ONCE_BEGUN, .key = m->key, .nonce = m->nonce, .verdict = v};
   if (v == ONCE_RUN && !r->finished) {
     r->nonce = m->nonce;
     r->digest = m->digest;
@@ -208,9 +206,8 @@
 }
 
 static void tell_durable(Once *o, const BillLine *b) {
-  OnceMsg m = {.kind = ONCE_DURABLE,
-               .key = b->line.key,
-               .nonce = b->line.nonce};
+  OnceMsg m = {
+      .kind = ONCE_DURABLE, .key = b->line.key, .nonce = b->line.nonce};
   once_send(o, b->runner, &m);
   if (b->backup) once_send(o, b->backup, &m);
 }
--- a/packages/once/once.c
+++ b/packages/once/once.c
@@ -7,11 +7,11 @@
 #include <string.h>
 #include <xxhash.h>
 
-#define ASK_WAIT 0.5    /* a keeper that says nothing is done without */
-#define CLAIM_WAIT 2.0  /* a claim that is not kept by then is given up */
-#define FINISH_WAIT 2.0 /* the caller waits this long for a keeper's word */
-#define KEEPER_TRIES 3  /* then another keeper is told as well */
-#define OWED_EVERY 0.5  /* owed bills are looked at this often */
+#define ASK_WAIT 0.5     /* a keeper that says nothing is done without */
+#define CLAIM_WAIT 2.0   /* a claim that is not kept by then is given up */
+#define FINISH_WAIT 2.0  /* the caller waits this long for a keeper's word */
+#define KEEPER_TRIES 3   /* then another keeper is told as well */
+#define OWED_EVERY 0.5   /* owed bills are looked at this often */
 #define OWED_AGAIN 120.0 /* a held one is asked after this late */
 #define OWED_BURST 50    /* at most so many of those at a time */
 
@@ -19,8 +19,7 @@
 
 OnceKey once_key(const char *customer, const char *key) {
   XXH128_hash_t c = XXH3_128bits(customer, strlen(customer));
-  XXH128_hash_t h =
-      XXH3_128bits_withSeed(key, strlen(key), c.low64 ^ c.high64);
+  XXH128_hash_t h = XXH3_128bits_withSeed(key, strlen(key), c.low64 ^ c.high64);
   return (OnceKey){h.high64, h.low64};
 }
 
@@ -28,7 +27,9 @@
   snprintf(out, 33, "%016" PRIx64 "%016" PRIx64, k.hi, k.lo);
 }
 
-guint once_hash(gconstpointer k) { return (guint)((const OnceKey *)k)->lo; }
+guint once_hash(gconstpointer k) {
+  return (guint)((const OnceKey *)k)->lo;
+}
 
 gboolean once_equal(gconstpointer a, gconstpointer b) {
   return memcmp(a, b, sizeof(OnceKey)) == 0;
@@ -94,7 +95,9 @@
   once_answer_clear(&a->answer);
 }
 
-void once_message_clear(OnceMsg *m) { once_answer_clear(&m->answer); }
+void once_message_clear(OnceMsg *m) {
+  once_answer_clear(&m->answer);
+}
 
 bool once_next(Once *o, OnceAction *a) {
   OnceAction *next = g_queue_pop_head(&o->actions);
@@ -300,8 +303,8 @@
   o->lane = lane;
   o->rng = g_rand_new_with_seed(seed);
   o->view = view_new(NULL, 0);
-  o->records = g_hash_table_new_full(once_hash, once_equal, NULL,
-                                     keeper_record_free);
+  o->records =
+      g_hash_table_new_full(once_hash, once_equal, NULL, keeper_record_free);
   o->runs = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, run_free);
   o->owed = g_hash_table_new_full(once_hash, once_equal, NULL, g_free);
   o->lines = g_ptr_array_new_with_free_func(g_free);
@@ -328,7 +331,9 @@
   g_free(o);
 }
 
-void once_faults(Once *o, OnceFaults f) { o->faults = f; }
+void once_faults(Once *o, OnceFaults f) {
+  o->faults = f;
+}
 
 void once_view(Once *o, double now, const View *v) {
   o->now = now;
@@ -399,8 +404,8 @@
   settle_loop(o);
 }
 
-void once_stored(Once *o, double now, int shard, ErrKind kind,
-                 uint64_t version, const char *text) {
+void once_stored(Once *o, double now, int shard, ErrKind kind, uint64_t version,
+                 const char *text) {
   o->now = now;
   claim_result(o, shard, kind, version, text);
   settle_loop(o);
--- a/packages/once/once.h
+++ b/packages/once/once.h
@@ -94,8 +94,8 @@
 } OnceAction;
 
 typedef struct OnceFaults {
-  bool no_claim;        /* dispatch without a claim */
-  bool bill_each;       /* a doubled bill is not recognised */
+  bool no_claim;  /* dispatch without a claim */
+  bool bill_each; /* a doubled bill is not recognised */
 } OnceFaults;
 
 typedef struct Once Once;
@@ -121,8 +121,8 @@
 
 void once_receive(Once *o, double now, const char *from, const OnceMsg *m);
 /* Result of GET or PUT of a claim shard, as ledger_stored. */
-void once_stored(Once *o, double now, int shard, ErrKind kind,
-                 uint64_t version, const char *text);
+void once_stored(Once *o, double now, int shard, ErrKind kind, uint64_t version,
+                 const char *text);
 /* Result of the bill object that was asked for last. */
 void once_billed(Once *o, double now, ErrKind kind);
 void once_tick(Once *o, double now, int64_t unix_s);
--- a/packages/once/state.h
+++ b/packages/once/state.h
@@ -48,9 +48,9 @@
 
 /* A finished bill that is not yet known to be in the store. */
 typedef struct Owed {
-  Line line; /* of the FINISH, to be sent again to another keeper */
+  Line line;          /* of the FINISH, to be sent again to another keeper */
   const char *keeper; /* interned */
-  bool held; /* the keeper has it; it is not yet in the store */
+  bool held;          /* the keeper has it; it is not yet in the store */
   double sent;
 } Owed;
 
@@ -103,7 +103,7 @@
   GHashTable *runs;    /* handle -> Run */
   GHashTable *owed;    /* OnceKey -> Owed */
   ClaimShard *shards[LIMIT_CLAIM_SHARDS];
-  GPtrArray *lines; /* BillLine*; the first `batch` are on their way */
+  GPtrArray *lines;   /* BillLine*; the first `batch` are on their way */
   GHashTable *by_key; /* OnceKey -> BillLine of the same */
   guint batch;
   bool uncopied; /* some line may need another holder */
--- a/packages/peer/codec.c
+++ b/packages/peer/codec.c
@@ -7,7 +7,9 @@
 
 #define VERSION 1
 
-uint64_t codec_hash(const char *id) { return XXH64(id, strlen(id), 0); }
+uint64_t codec_hash(const char *id) {
+  return XXH64(id, strlen(id), 0);
+}
 
 /* == packing == */
 
@@ -194,8 +196,38 @@
   if (flags & 4) get_answer(r, &m->answer);
 }
 
+/* Bytes of the value at `p`, of `left` bytes: our messages have numbers,
+   strings, bytes and nil, nothing nested. 0 for anything else. The library
+   would make room for as many elements as a damaged head claims. */
+static size_t flat_size(const unsigned char *p, size_t left) {
+  static const size_t numbers[] = {2, 3, 5, 9, 2, 3, 5, 9}; /* 0xcc to 0xd3 */
+  unsigned char c = p[0];
+  if (c <= 0x7f || c >= 0xe0 || c == 0xc0) return 1;
+  if (c >= 0xa0 && c <= 0xbf) return 1 + (size_t)(c & 0x1f);
+  if (c >= 0xcc && c <= 0xd3) return numbers[c - 0xcc];
+  bool bytes = c >= 0xc4 && c <= 0xc6, text = c >= 0xd9 && c <= 0xdb;
+  if (!bytes && !text) return 0;
+  size_t width = (size_t)1 << (c - (bytes ? 0xc4 : 0xd9)), n = 0;
+  if (left < 1 + width) return 0;
+  for (size_t i = 0; i < width; i++) n = n << 8 | p[1 + i];
+  return 1 + width + n;
+}
+
+static bool is_flat_array(const unsigned char *p, size_t left) {
+  if (left == 0 || (p[0] & 0xf0) != 0x90) return false;
+  size_t at = 1;
+  for (int n = p[0] & 0x0f; n > 0; n--) {
+    size_t size = at < left ? flat_size(p + at, left - at) : 0;
+    if (size == 0 || size > left - at) return false;
+    at += size;
+  }
+  return true;
+}
+
 static bool open_array(const char *data, size_t len, size_t *off,
                        msgpack_unpacked *u, Reader *r) {
+  if (!is_flat_array((const unsigned char *)data + *off, len - *off))
+    return false;
   msgpack_unpack_return rc = msgpack_unpack_next(u, data, len, off);
   if (rc != MSGPACK_UNPACK_SUCCESS) return false;
   if (u->data.type != MSGPACK_OBJECT_ARRAY) return false;
--- a/packages/peer/peer.c
+++ b/packages/peer/peer.c
@@ -22,7 +22,7 @@
   void *ctx, *pull;
   uint64_t self;
   int wake;
-  GHashTable *push;  /* addr -> socket */
+  GHashTable *push; /* addr -> socket */
   pthread_mutex_t lock;
   GPtrArray *frames; /* Frame*, one for each receiver, under the lock */
 };
--- a/packages/queue/queue.c
+++ b/packages/queue/queue.c
@@ -45,9 +45,13 @@
   g_free(q);
 }
 
-void queue_plain(Queue *q, bool plain) { q->plain = plain; }
+void queue_plain(Queue *q, bool plain) {
+  q->plain = plain;
+}
 
-int queue_length(const Queue *q) { return (int)q->items->len; }
+int queue_length(const Queue *q) {
+  return (int)q->items->len;
+}
 
 static Customer *customer(Queue *q, const char *name) {
   Customer *c = g_hash_table_lookup(q->customers, name);
--- a/packages/route/route.c
+++ b/packages/route/route.c
@@ -5,17 +5,17 @@
 #include <string.h>
 #include <xxhash.h>
 
-#define EWMA 0.1            /* weight of a new sample */
-#define FAILS 3             /* failures in a row that eject */
-#define EJECT_MIN 1.0       /* seconds, doubled each time */
+#define EWMA 0.1      /* weight of a new sample */
+#define FAILS 3       /* failures in a row that eject */
+#define EJECT_MIN 1.0 /* seconds, doubled each time */
 #define EJECT_MAX 30.0
-#define BLOCKS_KEPT 8192    /* block hashes remembered of one target */
-#define RETRY_SHARE 0.1     /* retries for each success */
+#define BLOCKS_KEPT 8192 /* block hashes remembered of one target */
+#define RETRY_SHARE 0.1  /* retries for each success */
 #define RETRY_BURST 5.0
-#define STALE_MAX 5.0       /* seconds of age that still raise the margin */
-#define STALE_GROWTH 0.02   /* margin for each second of age, of a full wait */
-#define NEAR_BEST 0.2       /* choices within this part of the best cost... */
-#define NEAR_SECONDS 0.005  /* ...or this many seconds are as good */
+#define STALE_MAX 5.0      /* seconds of age that still raise the margin */
+#define STALE_GROWTH 0.02  /* margin for each second of age, of a full wait */
+#define NEAR_BEST 0.2      /* choices within this part of the best cost... */
+#define NEAR_SECONDS 0.005 /* ...or this many seconds are as good */
 
 typedef struct State {
   RouteTarget t;
@@ -111,7 +111,9 @@
   if (s) s->leaving = leaving;
 }
 
-int route_count(const Route *r) { return (int)r->list->len; }
+int route_count(const Route *r) {
+  return (int)r->list->len;
+}
 
 /* == prefixes == */
 
--- a/packages/route/route.h
+++ b/packages/route/route.h
@@ -22,8 +22,8 @@
 
 /* What is known of the request. */
 typedef struct RouteAsk {
-  int64_t tokens;                  /* bound of the prompt */
-  uint64_t blocks[ROUTE_BLOCKS];   /* hash of the prompt up to each block */
+  int64_t tokens;                /* bound of the prompt */
+  uint64_t blocks[ROUTE_BLOCKS]; /* hash of the prompt up to each block */
   int n;
   const char *tried[4]; /* targets that failed it already; NULL ends */
 } RouteAsk;
--- a/packages/store/jobs.c
+++ b/packages/store/jobs.c
@@ -71,9 +71,10 @@
   Platform *p = platform_open(j->addr, j->wait_s);
   Job *job;
   while ((job = next_job(j))) {
-    PlatformAnswer a = job->kind == JOB_GET
-                           ? platform_get(p, job->name)
-                           : platform_put(p, job->name, job->version, job->text);
+    PlatformAnswer a =
+        job->kind == JOB_GET
+            ? platform_get(p, job->name)
+            : platform_put(p, job->name, job->version, job->text);
     job->done(job->ctx, job, &a);
     job_free(job);
   }
@@ -94,8 +95,7 @@
   pthread_mutex_init(&j->lock, NULL);
   pace_init(&j->reads, STORE_READS, clock_now());
   pace_init(&j->writes, STORE_WRITES, clock_now());
-  for (int i = 0; i < j->n; i++)
-    pthread_create(&j->threads[i], NULL, work, j);
+  for (int i = 0; i < j->n; i++) pthread_create(&j->threads[i], NULL, work, j);
   return j;
 }
 
--- a/packages/table/rollout.c
+++ b/packages/table/rollout.c
@@ -8,9 +8,9 @@
 #include <time.h>
 #include <xxhash.h>
 
-#define PARTS 16   /* rows are spread over this many content objects */
-#define KEPT 64    /* edits remembered; an edit on an older base is refused */
-#define TRIES 20   /* lost races and lost answers in one apply */
+#define PARTS 16 /* rows are spread over this many content objects */
+#define KEPT 64  /* edits remembered; an edit on an older base is refused */
+#define TRIES 20 /* lost races and lost answers in one apply */
 
 /* == head == */
 
@@ -62,8 +62,7 @@
 
 static Table *load_parts(const RolloutStore *s, json_t *entry, Err *e) {
   Table *t = table_new();
-  t->version =
-      (uint64_t)json_integer_value(json_object_get(entry, "version"));
+  t->version = (uint64_t)json_integer_value(json_object_get(entry, "version"));
   size_t i;
   json_t *name;
   json_array_foreach(json_object_get(entry, "parts"), i, name) {
--- a/packages/table/table.c
+++ b/packages/table/table.c
@@ -42,7 +42,9 @@
     [TABLE_RESERVE] = {"reserve", NUMBER, IN(TABLE_BUDGET), 600, 0, 1000000},
 };
 
-const char *table_kind_name(TableKind kind) { return kinds[kind]; }
+const char *table_kind_name(TableKind kind) {
+  return kinds[kind];
+}
 
 const char *table_column_name(TableColumn column) {
   return columns[column].name;
@@ -149,9 +151,11 @@
   errno = 0;
   long long n = strtoll(s, &end, 10);
   if (errno || *end || n < columns[col].min || n > columns[col].max)
-    complain(errors, "%s, column %s: '%s' is not a whole number from %lld to "
-             "%lld: write one", where, columns[col].name, s,
-             (long long)columns[col].min, (long long)columns[col].max);
+    complain(errors,
+             "%s, column %s: '%s' is not a whole number from %lld to "
+             "%lld: write one",
+             where, columns[col].name, s, (long long)columns[col].min,
+             (long long)columns[col].max);
 }
 
 static void check_cell(const char *where, const TableRow *r, int col,
@@ -171,8 +175,10 @@
     break;
   case HASH:
     if (!is_hash(s))
-      complain(errors, "%s, column %s: not a SHA-256 in hex: make it with "
-               "loftpath hash", where, name);
+      complain(errors,
+               "%s, column %s: not a SHA-256 in hex: make it with "
+               "loftpath hash",
+               where, name);
     break;
   case ADDRESS:
     if (!is_address(s))
@@ -183,23 +189,25 @@
   }
 }
 
-static void check_target(const Table *t, const TableRow *r,
-                         GPtrArray *errors) {
+static void check_target(const Table *t, const TableRow *r, GPtrArray *errors) {
   bool model = r->cells[TABLE_MODEL][0], serves = r->cells[TABLE_SERVES][0];
   if (model == serves)
     complain(errors, "target %s: fill in either model or serves", r->name);
   if (!r->cells[TABLE_URL][0])
     complain(errors, "target %s, column url: empty: write ip:port", r->name);
   if (!r->cells[TABLE_DATACENTRE][0])
-    complain(errors, "target %s, column datacentre: empty: write where it "
-             "stands", r->name);
+    complain(errors,
+             "target %s, column datacentre: empty: write where it "
+             "stands",
+             r->name);
   if (serves && !table_row(t, TABLE_SERVICE, r->cells[TABLE_SERVES]))
-    complain(errors, "target %s, column serves: no service row '%s': add one "
-             "or correct the name", r->name, r->cells[TABLE_SERVES]);
+    complain(errors,
+             "target %s, column serves: no service row '%s': add one "
+             "or correct the name",
+             r->name, r->cells[TABLE_SERVES]);
 }
 
-static void check_budget(const Table *t, const TableRow *r,
-                         GPtrArray *errors) {
+static void check_budget(const Table *t, const TableRow *r, GPtrArray *errors) {
   const char *slash = strchr(r->name, '/');
   if (!slash) {
     complain(errors, "budget %s: name it customer/service or customer/*",
@@ -208,15 +216,21 @@
   }
   char *customer = g_strndup(r->name, (gsize)(slash - r->name));
   if (!table_row(t, TABLE_CUSTOMER, customer))
-    complain(errors, "budget %s: no customer row '%s': add one or correct the "
-             "name", r->name, customer);
+    complain(errors,
+             "budget %s: no customer row '%s': add one or correct the "
+             "name",
+             r->name, customer);
   bool any = strcmp(slash + 1, "*") == 0;
   if (!any && !table_row(t, TABLE_SERVICE, slash + 1))
-    complain(errors, "budget %s: no service row '%s': add one or correct the "
-             "name", r->name, slash + 1);
+    complain(errors,
+             "budget %s: no service row '%s': add one or correct the "
+             "name",
+             r->name, slash + 1);
   if (!r->cells[TABLE_TOKENS][0])
-    complain(errors, "budget %s, column tokens: empty: write the prepaid "
-             "tokens", r->name);
+    complain(errors,
+             "budget %s, column tokens: empty: write the prepaid "
+             "tokens",
+             r->name);
   g_free(customer);
 }
 
@@ -227,8 +241,10 @@
     if (r->kind == TABLE_TARGET) check_target(t, r, errors);
     if (r->kind == TABLE_BUDGET) check_budget(t, r, errors);
     if (r->kind == TABLE_CUSTOMER && !r->cells[TABLE_KEY][0])
-      complain(errors, "customer %s, column key: empty: make it with loftpath "
-               "hash", r->name);
+      complain(errors,
+               "customer %s, column key: empty: make it with loftpath "
+               "hash",
+               r->name);
   }
   return errors->len == before;
 }
@@ -266,8 +282,10 @@
     kind = kind || p->map[i] == -1;
     name = name || p->map[i] == -2;
     if (p->map[i] == -3)
-      complain(p->errors, "row 1: no column is called '%s': see docs/TABLE.md "
-               "for the names", s);
+      complain(p->errors,
+               "row 1: no column is called '%s': see docs/TABLE.md "
+               "for the names",
+               s);
   }
   if (!kind || !name)
     complain(p->errors, "row 1: the header must name kind and name");
@@ -292,12 +310,16 @@
   }
   snprintf(where, sizeof where, "row %d (%.60s)", p->row, name);
   if ((int)p->fields->len > p->n)
-    complain(p->errors, "%s: more cells than the header has columns: remove "
-             "them", where);
+    complain(p->errors,
+             "%s: more cells than the header has columns: remove "
+             "them",
+             where);
   int k = kind_of(kind);
   if (k < 0) {
-    complain(p->errors, "%s, column kind: '%s': write customer, service, "
-             "target or budget", where, kind);
+    complain(p->errors,
+             "%s, column kind: '%s': write customer, service, "
+             "target or budget",
+             where, kind);
     return;
   }
   if (!name[0] || strlen(name) >= LIMIT_NAME) {
@@ -342,12 +364,13 @@
   guint before = errors->len;
   p.fields = g_ptr_array_new_with_free_func(g_free);
   struct csv_parser parser;
-  csv_init(&parser, CSV_STRICT | CSV_APPEND_NULL);
+  csv_init(&parser, CSV_STRICT | CSV_STRICT_FINI | CSV_APPEND_NULL);
   size_t len = strlen(csv);
-  if (csv_parse(&parser, csv, len, on_field, on_line, &p) != len)
+  bool whole = csv_parse(&parser, csv, len, on_field, on_line, &p) == len &&
+               csv_fini(&parser, on_field, on_line, &p) == 0;
+  if (!whole)
     complain(errors, "row %d: %s: check the quotes", p.line + 1,
              csv_strerror(csv_error(&parser)));
-  csv_fini(&parser, on_field, on_line, &p);
   csv_free(&parser);
   g_ptr_array_free(p.fields, TRUE);
   if (p.n == 0 && errors->len == before)
--- a/packages/table/table.h
+++ b/packages/table/table.h
@@ -40,10 +40,10 @@
 
 typedef struct TableRow {
   TableKind kind;
-  char name[LIMIT_NAME];       /* a budget's is customer/service or customer/any */
-  char *cells[TABLE_COLUMNS];  /* never NULL; "" takes the default */
+  char name[LIMIT_NAME]; /* a budget's is customer/service or customer/any */
+  char *cells[TABLE_COLUMNS];     /* never NULL; "" takes the default */
   int64_t numbers[TABLE_COLUMNS]; /* of numeric columns, defaults filled in */
-  uint64_t version;            /* the table version that last changed it */
+  uint64_t version;               /* the table version that last changed it */
 } TableRow;
 
 typedef struct Table {
--- a/packages/target/engine.c
+++ b/packages/target/engine.c
@@ -13,8 +13,12 @@
 HttpStream *engine_open(HttpClient *c, const EngineCall *call, HttpAnswer *a) {
   char priority[16];
   snprintf(priority, sizeof priority, "%d", call->priority);
-  const char *headers[] = {"Content-Type", "application/json", "X-Request-Id",
-                           call->id,       "X-Priority",       priority,
+  const char *headers[] = {"Content-Type",
+                           "application/json",
+                           "X-Request-Id",
+                           call->id,
+                           "X-Priority",
+                           priority,
                            NULL};
   HttpCall http = {.method = "POST",
                    .path = "/v1/chat/completions",
--- a/scenario/script.c
+++ b/scenario/script.c
@@ -56,17 +56,22 @@
 static int v_without(lua_State *l) {
   const char *what = luaL_checkstring(l, 1);
   faults = (WorldFaults){0};
-  if (strcmp(what, "version check") == 0) faults.ledger.no_version_check = true;
+  if (strcmp(what, "version check") == 0)
+    faults.ledger.no_version_check = true;
   else if (strcmp(what, "witness check") == 0)
     faults.ledger.no_witness_check = true;
   else if (strcmp(what, "single settlement") == 0)
     faults.ledger.settle_twice = true;
   else if (strcmp(what, "cumulative reports") == 0)
     faults.ledger.add_reports = true;
-  else if (strcmp(what, "recall") == 0) faults.ledger.no_recall = true;
-  else if (strcmp(what, "claim") == 0) faults.once.no_claim = true;
-  else if (strcmp(what, "bill check") == 0) faults.once.bill_each = true;
-  else if (strcmp(what, "") != 0) return luaL_error(l, "no switch '%s'", what);
+  else if (strcmp(what, "recall") == 0)
+    faults.ledger.no_recall = true;
+  else if (strcmp(what, "claim") == 0)
+    faults.once.no_claim = true;
+  else if (strcmp(what, "bill check") == 0)
+    faults.once.bill_each = true;
+  else if (strcmp(what, "") != 0)
+    return luaL_error(l, "no switch '%s'", what);
   return 0;
 }
 
@@ -99,7 +104,7 @@
 }
 
 static int v_outcome(lua_State *l) {
-  static const char *const names[] = {"waiting", "running", "done",  "replayed",
+  static const char *const names[] = {"waiting", "running", "done", "replayed",
                                       "refused", "maybe",   "lost"};
   int i = (int)luaL_checkinteger(l, 1);
   lua_pushstring(l, names[world_outcome(world, i)]);
@@ -196,14 +201,21 @@
   const struct {
     const char *name;
     int64_t value;
-  } all[] = {{"requests", s.requests}, {"done", s.done},
-             {"refused", s.refused},   {"maybe", s.maybe},
-             {"lost", s.lost},         {"replayed", s.replayed},
+  } all[] = {{"requests", s.requests},
+             {"done", s.done},
+             {"refused", s.refused},
+             {"maybe", s.maybe},
+             {"lost", s.lost},
+             {"replayed", s.replayed},
              {"false_refused", s.false_refused},
-             {"consumed", s.consumed}, {"billed", s.billed},
-             {"wasted", s.wasted},     {"reads", s.reads},
-             {"writes", s.writes},     {"conflicts", s.conflicts},
-             {"messages", s.messages}, {"bytes", s.bytes},
+             {"consumed", s.consumed},
+             {"billed", s.billed},
+             {"wasted", s.wasted},
+             {"reads", s.reads},
+             {"writes", s.writes},
+             {"conflicts", s.conflicts},
+             {"messages", s.messages},
+             {"bytes", s.bytes},
              {"runs_most", s.runs_most}};
   lua_newtable(l);
   for (size_t i = 0; i < sizeof all / sizeof *all; i++) {
@@ -227,12 +239,11 @@
     {"world", v_world},     {"without", v_without}, {"node", v_node},
     {"budget", v_budget},   {"request", v_request}, {"outcome", v_outcome},
     {"advance", v_advance}, {"cut", v_cut},         {"cut_store", v_cut_store},
-    {"heal", v_heal},
-    {"store", v_store},     {"lose", v_lose},       {"delay", v_delay},
-    {"kill", v_kill},       {"restart", v_restart}, {"pause", v_pause},
-    {"resume", v_resume},   {"drain", v_drain},     {"drained", v_drained},
-    {"tokens", v_tokens},   {"sums", v_sums},       {"rest", v_rest},
-    {"expect", v_expect},   {NULL, NULL}};
+    {"heal", v_heal},       {"store", v_store},     {"lose", v_lose},
+    {"delay", v_delay},     {"kill", v_kill},       {"restart", v_restart},
+    {"pause", v_pause},     {"resume", v_resume},   {"drain", v_drain},
+    {"drained", v_drained}, {"tokens", v_tokens},   {"sums", v_sums},
+    {"rest", v_rest},       {"expect", v_expect},   {NULL, NULL}};
 
 /* == running == */
 
@@ -258,7 +269,8 @@
 int main(int argc, char **argv) {
   int failed = 0, ran = 0;
   if (argc < 2) {
-    fprintf(stderr, "usage: scenario FILE... | scenario FILE --with ARGUMENT\n");
+    fprintf(stderr,
+            "usage: scenario FILE... | scenario FILE --with ARGUMENT\n");
     return 2;
   }
   if (argc == 4 && strcmp(argv[2], "--with") == 0)
--- a/scenario/world.c
+++ b/scenario/world.c
@@ -15,7 +15,8 @@
 #define BEAT_S 0.5
 #define STORE_LOW 0.002
 #define STORE_HIGH 0.02
-#define STORE_GIVES_UP 3.0 /* a call without an answer is unknown after this */
+#define STORE_GIVES_UP 3.0 /* a call without an answer is unknown after this   \
+                            */
 #define SEND_S 0.001       /* from a decision to the dispatch it allows */
 
 typedef struct Node {
@@ -105,7 +106,9 @@
 
 /* == small things == */
 
-static double chance(World *w) { return g_rand_double(w->rng); }
+static double chance(World *w) {
+  return g_rand_double(w->rng);
+}
 
 static void broke(World *w, const char *fmt, ...)
     __attribute__((format(printf, 2, 3)));
@@ -264,14 +267,17 @@
   b->promised -= q->r.used;
   w->sums.consumed += q->r.used;
   if (b->consumed > b->total)
-    broke(w, "budget %s: %" G_GINT64_FORMAT " tokens consumed of %"
-          G_GINT64_FORMAT, b->name, b->consumed, b->total);
+    broke(w,
+          "budget %s: %" G_GINT64_FORMAT
+          " tokens consumed of %" G_GINT64_FORMAT,
+          b->name, b->consumed, b->total);
   if (q->r.once_only) {
     int n = GPOINTER_TO_INT(g_hash_table_lookup(w->runs, q->r.key)) + 1;
     g_hash_table_insert(w->runs, g_strdup(q->r.key), GINT_TO_POINTER(n));
     w->sums.runs_most = MAX(w->sums.runs_most, n);
-    if (n > 1) broke(w, "request %s, which may not be repeated, ran %d times",
-                     q->r.key, n);
+    if (n > 1)
+      broke(w, "request %s, which may not be repeated, ran %d times", q->r.key,
+            n);
   }
   Event *e = event_new(w, EV_END, q->r.node, w->now + q->r.lasts_s);
   e->request = i;
@@ -394,8 +400,7 @@
     const char *id = json_string_value(json_object_get(line, "id"));
     int64_t n = json_integer_value(json_object_get(line, "tokens"));
     if (g_hash_table_contains(w->billed, id)) continue;
-    g_hash_table_insert(w->billed, g_strdup(id),
-                        g_memdup2(&n, sizeof n));
+    g_hash_table_insert(w->billed, g_strdup(id), g_memdup2(&n, sizeof n));
     w->sums.billed += n;
   }
   json_decref(all);
@@ -559,9 +564,7 @@
   switch (e->kind) {
   case EV_TICK: on_tick(w, e->node); break;
   case EV_BEAT: on_beat(w, e->node); break;
-  case EV_LEDGER:
-    ledger_receive(n->ledger, w->now, e->from, &e->ledger);
-    break;
+  case EV_LEDGER: ledger_receive(n->ledger, w->now, e->from, &e->ledger); break;
   case EV_ONCE: once_receive(n->once, w->now, e->from, &e->once); break;
   case EV_STORE: break;
   case EV_RESULT: on_result(w, e); break;
@@ -681,8 +684,7 @@
   schedule(w, event_new(w, EV_BEAT, i, w->now));
 }
 
-int world_node(World *w, const char *name, const char *region,
-               const char *dc) {
+int world_node(World *w, const char *name, const char *region, const char *dc) {
   g_assert(w->n < WORLD_NODES);
   Node *n = &w->nodes[w->n];
   g_strlcpy(n->name, name, sizeof n->name);
@@ -693,8 +695,7 @@
   return w->n++;
 }
 
-void world_budget(World *w, const char *name, int64_t total,
-                  double reserve_s) {
+void world_budget(World *w, const char *name, int64_t total, double reserve_s) {
   Budget *b = budget(w, name);
   if (!b) {
     b = g_new0(Budget, 1);
@@ -730,7 +731,9 @@
   set_list(w->cut_store, region, cut);
 }
 
-void world_store(World *w, WorldStore mode) { w->store = mode; }
+void world_store(World *w, WorldStore mode) {
+  w->store = mode;
+}
 
 void world_lose(World *w, double messages, double answers, double stale) {
   w->lose_messages = messages;
@@ -801,12 +804,10 @@
   q->came = w->now;
   q->incarnation = n->incarnation;
   char issued[32];
-  snprintf(issued, sizeof issued, "issued-%llu",
-           (unsigned long long)q->handle);
+  snprintf(issued, sizeof issued, "issued-%llu", (unsigned long long)q->handle);
   q->key = once_key("c", r->key[0] ? r->key : issued);
   g_ptr_array_add(w->requests, q);
-  g_hash_table_insert(w->by_handle, g_memdup2(&q->handle, sizeof q->handle),
-                      q);
+  g_hash_table_insert(w->by_handle, g_memdup2(&q->handle, sizeof q->handle), q);
   w->sums.requests++;
   if (!n->up || n->paused || n->draining) {
     q->cause = ERR_DRAINING;
@@ -832,15 +833,21 @@
   return (q->answered > 0 ? q->answered : w->now) - q->came;
 }
 
-double world_now(const World *w) { return w->now; }
+double world_now(const World *w) {
+  return w->now;
+}
 
-WorldSums world_sums(const World *w) { return w->sums; }
+WorldSums world_sums(const World *w) {
+  return w->sums;
+}
 
 int64_t world_consumed(const World *w, const char *name) {
   return budget(w, name)->consumed;
 }
 
-const char *world_broken(const World *w) { return w->broken; }
+const char *world_broken(const World *w) {
+  return w->broken;
+}
 
 static Shard *stored(const World *w, const char *name) {
   char object_name[LIMIT_NAME];
@@ -893,8 +900,9 @@
     const Budget *b = v;
     int64_t free = world_free_tokens(w, b->name);
     if (free + b->consumed > b->total)
-      broke(w, "budget %s: %" G_GINT64_FORMAT " free and %" G_GINT64_FORMAT
-            " consumed of %" G_GINT64_FORMAT, b->name, free, b->consumed,
-            b->total);
+      broke(w,
+            "budget %s: %" G_GINT64_FORMAT " free and %" G_GINT64_FORMAT
+            " consumed of %" G_GINT64_FORMAT,
+            b->name, free, b->consumed, b->total);
   }
 }
--- a/scenario/world.h
+++ b/scenario/world.h
@@ -62,7 +62,7 @@
 typedef enum {
   WORLD_WAITING,
   WORLD_RUNNING,
-  WORLD_DONE,    /* whole answer */
+  WORLD_DONE, /* whole answer */
   WORLD_REPLAYED,
   WORLD_REFUSED, /* not run */
   WORLD_MAYBE,   /* told that it may have run */
@@ -84,11 +84,11 @@
 typedef struct WorldSums {
   int64_t consumed, billed, wasted; /* tokens */
   int64_t requests, done, refused, maybe, lost, replayed;
-  int64_t false_refused;            /* the budget could have covered them */
-  int64_t by_cause[ERR_COUNT];      /* false refusals by cause */
+  int64_t false_refused;       /* the budget could have covered them */
+  int64_t by_cause[ERR_COUNT]; /* false refusals by cause */
   int64_t reads, writes, conflicts;
   int64_t messages, bytes;
-  int64_t runs_most;                /* runs of one once-only key */
+  int64_t runs_most; /* runs of one once-only key */
 } WorldSums;
 
 WorldSums world_sums(const World *w);
--- /dev/null
+++ b/tests/test_codec.c
@@ -0,0 +1,82 @@
+/* test_codec.c: what one instance packs another understands, and nothing else
+   does harm. */
+#include <criterion/criterion.h>
+#include <glib.h>
+#include <string.h>
+
+#include "peer/codec.h"
+
+static bool same(const msgpack_sbuffer *b, CodecMsg *m) {
+  size_t off = 0;
+  return codec_get(b->data, b->size, &off, m) && off == b->size;
+}
+
+Test(codec, a_ledger_message_round_trips) {
+  LedgerMsg l = {.kind = LEDGER_REPORT,
+                 .grant = UINT64_MAX,
+                 .granted = -1,
+                 .returned = 1LL << 60,
+                 .final = true,
+                 .cause = ERR_BUDGET_HELD};
+  g_strlcpy(l.budget, "customer/service", sizeof l.budget);
+  msgpack_sbuffer b;
+  CodecMsg m;
+  msgpack_sbuffer_init(&b);
+  codec_put_ledger(&b, &l);
+  cr_assert(same(&b, &m));
+  cr_assert_eq(m.type, CODEC_LEDGER);
+  cr_assert_eq(memcmp(&m.ledger, &l, sizeof l), 0);
+  msgpack_sbuffer_destroy(&b);
+}
+
+Test(codec, a_record_message_keeps_bill_and_answer) {
+  OnceMsg o = {.kind = ONCE_FINISH, .key = {1, 2}, .nonce = 3, .doubled = true};
+  g_strlcpy(o.bill.customer, "c", sizeof o.bill.customer);
+  o.bill.tokens = 77;
+  o.answer = (OnceAnswer){
+      .status = 201, .type = "a/b", .body = (char *)"x\0y", .len = 3};
+  msgpack_sbuffer b;
+  CodecMsg m;
+  msgpack_sbuffer_init(&b);
+  codec_put_once(&b, &o);
+  cr_assert(same(&b, &m));
+  cr_assert_eq(m.once.bill.tokens, 77);
+  cr_assert_eq(m.once.answer.len, 3);
+  cr_assert_eq(memcmp(m.once.answer.body, "x\0y", 3), 0);
+  cr_assert(m.once.doubled);
+  once_message_clear(&m.once);
+  msgpack_sbuffer_destroy(&b);
+}
+
+/* Seeded damage: cut short, bytes changed, noise. */
+Test(codec, damaged_frames_are_refused_or_read_as_something_valid) {
+  GRand *r = g_rand_new_with_seed(1);
+  Member beat = {.id = "n.1", .region = "r", .peer = "tcp://1.2.3.4:5"};
+  LedgerMsg l = {.kind = LEDGER_DRAW, .grant = 5};
+  OnceMsg o = {.kind = ONCE_FINISH,
+               .answer = {.status = 200, .body = (char *)"body", .len = 4}};
+  for (int i = 0; i < 30000; i++) {
+    msgpack_sbuffer b;
+    msgpack_sbuffer_init(&b);
+    CodecHead h = {1, 2}, got;
+    codec_put_head(&b, &h);
+    if (i % 3 == 0) codec_put_beat(&b, &beat);
+    if (i % 3 == 1) codec_put_ledger(&b, &l);
+    if (i % 3 == 2) codec_put_once(&b, &o);
+    int hits = g_rand_int_range(r, 0, 4);
+    for (int k = 0; k < hits; k++)
+      b.data[g_rand_int_range(r, 0, (gint32)b.size)] =
+          (char)g_rand_int_range(r, 0, 256);
+    size_t len = (size_t)g_rand_int_range(r, 0, (gint32)b.size + 1), off = 0;
+    CodecMsg m;
+    if (codec_get_head(b.data, len, &off, &got)) {
+      while (off < len && codec_get(b.data, len, &off, &m)) {
+        if (m.type == CODEC_LEDGER) cr_assert_lt(m.ledger.kind, LEDGER_KINDS);
+        if (m.type == CODEC_ONCE) cr_assert_lt(m.once.kind, ONCE_KINDS);
+        once_message_clear(&m.once);
+      }
+    }
+    msgpack_sbuffer_destroy(&b);
+  }
+  g_rand_free(r);
+}
--- /dev/null
+++ b/tests/test_kernel.c
@@ -0,0 +1,75 @@
+/* test_kernel.c: services, errors, the platform's pace. */
+#include <criterion/criterion.h>
+#include <string.h>
+
+#include "kernel/service.h"
+#include "store/pace.h"
+
+static char trace[32];
+
+static bool up(Service *s, Err *e) {
+  (void)e;
+  strcat(trace, s->name);
+  return true;
+}
+
+static void down(Service *s) {
+  strcat(trace, "-");
+  strcat(trace, s->name);
+}
+
+Test(service, start_in_order_of_need_and_stop_in_reverse) {
+  Kernel k = {0};
+  Err e = {0};
+  Service c = {"c", {"b", "a"}, up, NULL, down, NULL};
+  Service b = {"b", {"a"}, up, NULL, down, NULL};
+  Service a = {"a", {NULL}, up, NULL, down, &a};
+  trace[0] = '\0';
+  cr_assert(service_add(&k, &c, &e) && service_add(&k, &b, &e) &&
+            service_add(&k, &a, &e));
+  cr_assert(service_start(&k, &e));
+  service_stop(&k);
+  cr_assert_str_eq(trace, "abc-c-b-a");
+  cr_assert_eq(service_find(&k, "a"), &a);
+  cr_assert_null(service_find(&k, "z"));
+}
+
+Test(service, a_missing_need_is_named) {
+  Kernel k = {0};
+  Err e = {0};
+  Service c = {"c", {"gone"}, up, NULL, down, NULL};
+  service_add(&k, &c, &e);
+  cr_assert_not(service_start(&k, &e));
+  cr_assert_not_null(strstr(e.text, "gone"));
+}
+
+Test(service, a_circle_of_needs_is_refused) {
+  Kernel k = {0};
+  Err e = {0};
+  Service a = {"a", {"b"}, up, NULL, down, NULL};
+  Service b = {"b", {"a"}, up, NULL, down, NULL};
+  service_add(&k, &a, &e);
+  service_add(&k, &b, &e);
+  cr_assert_not(service_start(&k, &e));
+}
+
+Test(err, every_kind_has_a_name_a_status_and_a_remedy) {
+  for (int i = 1; i < ERR_COUNT; i++) {
+    const ErrInfo *n = err_info((ErrKind)i);
+    cr_assert_not_null(n->name, "kind %d", i);
+    cr_assert(n->status >= 400 && n->status < 600, "%s", n->name);
+    cr_assert_gt(strlen(n->remedy), 0, "%s", n->name);
+  }
+}
+
+Test(pace, calls_stay_within_the_rate_and_urgent_ones_go_first) {
+  Pace p;
+  int urgent = 0, later = 0;
+  pace_init(&p, 10, 0);
+  while (pace_take(&p, 0, false) <= 0) later++;
+  while (pace_take(&p, 0, true) <= 0) urgent++;
+  cr_assert_eq(later, 5);
+  cr_assert_eq(urgent, 5);
+  for (int i = 0; i < 1000; i++) urgent += pace_take(&p, i * 0.01, true) <= 0;
+  cr_assert(urgent >= 100 && urgent <= 105, "%d in ten seconds", urgent);
+}
--- /dev/null
+++ b/tests/test_rollout.c
@@ -0,0 +1,188 @@
+/* test_rollout.c: racing operators, lost answers, stale reads. */
+#include <criterion/criterion.h>
+#include <jansson.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "table/rollout.h"
+
+#define CUSTOMERS 20
+#define EDITS 200
+#define HASH "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef"
+
+typedef struct Object {
+  char *text, *before;
+  uint64_t version;
+} Object;
+
+typedef struct Fake {
+  GHashTable *objects;
+  GRand *rng;
+  bool lose, no_version_check;
+  int depth; /* other operators at work inside this one's call */
+  int edits, accepted, refused;
+  int64_t expected[CUSTOMERS]; /* share that the last accepted edit set */
+} Fake;
+
+static RolloutStore store_of(Fake *f);
+static void edit(Fake *f, int customer, int64_t share);
+
+static void object_free(gpointer p) {
+  Object *o = p;
+  g_free(o->text);
+  g_free(o->before);
+  g_free(o);
+}
+
+static PlatformAnswer get(void *ctx, const char *name) {
+  Fake *f = ctx;
+  const Object *o = g_hash_table_lookup(f->objects, name);
+  if (!o) return (PlatformAnswer){.kind = ERR_STORE_ABSENT};
+  return (PlatformAnswer){ERR_NONE, o->version, g_strdup(o->text)};
+}
+
+static PlatformAnswer put(void *ctx, const char *name, uint64_t version,
+                          const char *text) {
+  Fake *f = ctx;
+  /* Another operator's whole edit may come in between. */
+  bool head = strcmp(name, ROLLOUT_HEAD) == 0;
+  if (head && f->depth < 3 && f->edits < EDITS && g_rand_double(f->rng) < 0.5)
+    edit(f, g_rand_int_range(f->rng, 0, CUSTOMERS),
+         g_rand_int_range(f->rng, 1, 1000));
+  Object *o = g_hash_table_lookup(f->objects, name);
+  if ((o ? o->version : 0) != version && !f->no_version_check)
+    return (PlatformAnswer){.kind = ERR_STORE_CONFLICT};
+  if (!o) {
+    o = g_new0(Object, 1);
+    g_hash_table_insert(f->objects, g_strdup(name), o);
+  }
+  g_free(o->text);
+  o->text = g_strdup(text);
+  o->version++;
+  if (f->lose && g_rand_double(f->rng) < 0.3)
+    return (PlatformAnswer){.kind = ERR_STORE_UNKNOWN};
+  return (PlatformAnswer){ERR_NONE, o->version, NULL};
+}
+
+static RolloutStore store_of(Fake *f) {
+  return (RolloutStore){get, put, f};
+}
+
+static Table *present(Fake *f) {
+  RolloutStore s = store_of(f);
+  bool same;
+  Err e = {0};
+  Table *t = rollout_load(&s, 0, &same, &e);
+  cr_assert(t, "%s", e.text);
+  return t;
+}
+
+/* Changes one share on the table as it is now. */
+static void edit(Fake *f, int customer, int64_t share) {
+  char name[16], cell[16];
+  Table *t = present(f);
+  f->depth++;
+  snprintf(name, sizeof name, "c%d", customer);
+  snprintf(cell, sizeof cell, "%d", (int)share);
+  TableRow row = {.kind = TABLE_CUSTOMER};
+  for (int i = 0; i < TABLE_COLUMNS; i++) row.cells[i] = (char *)"";
+  g_strlcpy(row.name, name, sizeof row.name);
+  row.cells[TABLE_KEY] = (char *)HASH;
+  row.cells[TABLE_SHARE] = cell;
+  RolloutEdit e = {.base = t->version};
+  snprintf(e.id, sizeof e.id, "edit-%d", f->edits++);
+  g_strlcpy(e.who, "op", sizeof e.who);
+  table_put(t, &row);
+  table_sort(t);
+  RolloutStore s = store_of(f);
+  Err err = {0};
+  uint64_t v = rollout_apply(&s, t, &e, &err);
+  if (v) {
+    f->accepted++;
+    f->expected[customer] = share;
+  } else {
+    f->refused++;
+    cr_assert_eq(err.kind, ERR_TABLE_RACE, "%s", err.text);
+  }
+  table_free(t);
+  f->depth--;
+}
+
+static Fake *fake_new(uint32_t seed) {
+  Fake *f = g_new0(Fake, 1);
+  f->objects =
+      g_hash_table_new_full(g_str_hash, g_str_equal, g_free, object_free);
+  f->rng = g_rand_new_with_seed(seed);
+  return f;
+}
+
+static void fake_free(Fake *f) {
+  g_hash_table_destroy(f->objects);
+  g_rand_free(f->rng);
+  g_free(f);
+}
+
+/* Runs the edits; how many customers end with another share than the last
+   accepted edit gave them. */
+static int race(Fake *f) {
+  while (f->edits < EDITS)
+    edit(f, g_rand_int_range(f->rng, 0, CUSTOMERS),
+         g_rand_int_range(f->rng, 1, 1000));
+  Table *t = present(f);
+  int wrong = 0;
+  for (int i = 0; i < CUSTOMERS; i++) {
+    char name[16];
+    snprintf(name, sizeof name, "c%d", i);
+    const TableRow *r = table_row(t, TABLE_CUSTOMER, name);
+    wrong += r && r->numbers[TABLE_SHARE] != f->expected[i];
+  }
+  cr_expect(f->no_version_check || t->version == (uint64_t)f->accepted,
+            "version %d, %d accepted", (int)t->version, f->accepted);
+  table_free(t);
+  return wrong;
+}
+
+Test(rollout, racing_edits_each_stand_once_or_are_refused) {
+  Fake *f = fake_new(1);
+  f->lose = true;
+  cr_assert_eq(race(f), 0);
+  cr_assert_gt(f->accepted, 100);
+  cr_assert_gt(f->refused, 0);
+  fake_free(f);
+}
+
+Test(rollout, without_the_version_check_edits_are_lost) {
+  Fake *f = fake_new(1);
+  f->no_version_check = true;
+  cr_assert_gt(race(f), 0);
+  fake_free(f);
+}
+
+Test(rollout, a_stale_head_is_never_taken_for_a_newer_one) {
+  Fake *f = fake_new(2);
+  f->edits = EDITS; /* nobody else edits */
+  edit(f, 1, 10);
+  edit(f, 2, 20);
+  RolloutStore s = store_of(f);
+  bool same;
+  Err e = {0};
+  cr_assert_null(rollout_load(&s, 5, &same, &e));
+  cr_assert(same, "an older version is no news");
+  fake_free(f);
+}
+
+Test(rollout, the_same_edit_sent_twice_is_applied_once) {
+  Fake *f = fake_new(3);
+  f->edits = EDITS;
+  edit(f, 1, 10);
+  Table *t = present(f);
+  RolloutStore s = store_of(f);
+  RolloutEdit e = {.id = "again", .who = "op", .base = 1};
+  Err err = {0};
+  uint64_t a = rollout_apply(&s, t, &e, &err);
+  uint64_t b = rollout_apply(&s, t, &e, &err);
+  cr_assert_eq(a, 2);
+  cr_assert_eq(b, 2);
+  table_free(t);
+  fake_free(f);
+}
--- /dev/null
+++ b/tests/test_route.c
@@ -0,0 +1,126 @@
+/* test_route.c: choice, ejection, retries. */
+#include <criterion/criterion.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "route/route.h"
+
+static Route *fleet(int n, int slots) {
+  RouteTarget list[16] = {0};
+  for (int i = 0; i < n; i++) {
+    snprintf(list[i].name, LIMIT_NAME, "t%d", i);
+    list[i].slots = slots;
+  }
+  Route *r = route_new(1, ROUTE_OURS);
+  route_targets(r, list, n);
+  for (int i = 0; i < n; i++) route_report(r, 0, list[i].name, 0, 0, 0.001);
+  return r;
+}
+
+static int count_picks(Route *r, double now, const char *name, int tries) {
+  int n = 0;
+  for (int i = 0; i < tries; i++) {
+    RouteAsk ask = {.tokens = 10};
+    RouteChoice c;
+    if (!route_pick(r, now, &ask, &c)) continue;
+    n += strcmp(c.name, name) == 0;
+    route_done(r, now, c.name, ROUTE_OK, 10, 0.01, 1);
+  }
+  return n;
+}
+
+Test(route, a_leaving_target_gets_nothing) {
+  Route *r = fleet(3, 8);
+  route_leaving(r, "t1", true);
+  cr_assert_eq(count_picks(r, 0, "t1", 200), 0);
+  route_leaving(r, "t1", false);
+  cr_assert_gt(count_picks(r, 0, "t1", 200), 20);
+  route_free(r);
+}
+
+Test(route, own_dispatches_count_until_the_next_report) {
+  Route *r = fleet(2, 4);
+  for (int i = 0; i < 8; i++) {
+    RouteAsk ask = {.tokens = 10};
+    RouteChoice c;
+    cr_assert(route_pick(r, 0, &ask, &c));
+  }
+  cr_assert_eq(route_room(r, 0), 0);
+  RouteState a = route_state(r, 0, 0), b = route_state(r, 0, 1);
+  cr_assert_eq(a.own, 4);
+  cr_assert_eq(b.own, 4);
+  route_free(r);
+}
+
+Test(route, a_cached_prefix_draws_its_kind) {
+  Route *r = fleet(4, 64);
+  char prompt[8192];
+  memset(prompt, 'x', sizeof prompt);
+  RouteAsk ask = {.tokens = 2048};
+  ask.n = route_blocks(prompt, sizeof prompt, ask.blocks);
+  cr_assert_eq(ask.n, 32);
+  RouteChoice first, c;
+  cr_assert(route_pick(r, 0, &ask, &first));
+  for (int i = 0; i < 20; i++) {
+    cr_assert(route_pick(r, 0, &ask, &c));
+    cr_assert_str_eq(c.name, first.name);
+    cr_assert_eq(c.cached, 2048);
+  }
+  route_free(r);
+}
+
+Test(route, failing_targets_are_ejected_but_never_more_than_half) {
+  Route *r = fleet(4, 8);
+  for (int round = 0; round < 10; round++)
+    for (int i = 0; i < 4; i++) {
+      char name[8];
+      snprintf(name, sizeof name, "t%d", i);
+      route_silent(r, 0, name);
+    }
+  int out = 0;
+  for (int i = 0; i < 4; i++) out += route_state(r, 0, i).ejected;
+  cr_assert_eq(out, 2);
+  route_free(r);
+}
+
+Test(route, an_ejected_target_is_probed_by_one_request) {
+  Route *r = fleet(2, 8);
+  for (int i = 0; i < 3; i++) route_silent(r, 0, "t0");
+  cr_assert(route_state(r, 0, 0).ejected);
+  cr_assert_eq(count_picks(r, 0.1, "t0", 50), 0);
+  int probes = 0;
+  for (int i = 0; i < 50; i++) {
+    RouteAsk ask = {.tokens = 10};
+    RouteChoice c;
+    cr_assert(route_pick(r, 40, &ask, &c));
+    probes += c.probe;
+  }
+  cr_assert_eq(probes, 1);
+  route_done(r, 40, "t0", ROUTE_OK, 10, 0.01, 1);
+  cr_assert_not(route_state(r, 40, 0).ejected);
+  route_free(r);
+}
+
+Test(route, retries_stay_within_their_budget) {
+  Route *r = fleet(2, 8);
+  int retries = 0;
+  for (int i = 0; i < 1000; i++) retries += route_may_retry(r, 0);
+  cr_assert_leq(retries, 5);
+  count_picks(r, 0, "t0", 100);
+  for (int i = 0; i < 1000; i++) retries += route_may_retry(r, 0);
+  cr_assert_leq(retries, 10, "one for ten successes, five at once");
+  route_free(r);
+}
+
+Test(route, a_target_that_failed_a_request_does_not_get_it_again) {
+  Route *r = fleet(2, 8);
+  RouteAsk ask = {.tokens = 10, .tried = {"t0"}};
+  RouteChoice c;
+  for (int i = 0; i < 20; i++) {
+    cr_assert(route_pick(r, 0, &ask, &c));
+    cr_assert_str_eq(c.name, "t1");
+  }
+  ask.tried[1] = "t1";
+  cr_assert_not(route_pick(r, 0, &ask, &c));
+  route_free(r);
+}
--- /dev/null
+++ b/tests/test_shard.c
@@ -0,0 +1,98 @@
+/* test_shard.c: arithmetic and JSON of a budget shard. */
+#include <criterion/criterion.h>
+
+#include "ledger/shard.h"
+
+static ShardGrant *grant(ShardBudget *b, uint64_t id, int64_t granted) {
+  ShardGrant *g = shard_grant_add(b, id, "home.1", "wit.1", "r");
+  g->granted = granted;
+  return g;
+}
+
+Test(shard, a_grant_takes_from_what_remains) {
+  Shard *s = shard_new();
+  ShardBudget *b = shard_budget_add(s, "c/*");
+  b->total = 100;
+  grant(b, 1, 60);
+  cr_assert_eq(shard_remaining(b), 40);
+  shard_free(s);
+}
+
+Test(shard, a_sealed_grant_counts_what_was_given_less_what_came_back) {
+  Shard *s = shard_new();
+  ShardBudget *b = shard_budget_add(s, "c/*");
+  b->total = 100;
+  ShardGrant *g = grant(b, 1, 60);
+  shard_seal(g, 20, false, 0);
+  cr_assert_eq(shard_remaining(b), 80);
+  shard_report(g, "i.1", 5, 7, false, 0);
+  cr_assert_eq(shard_remaining(b), 85);
+  shard_report(g, "i.1", 3, 2, false, 0); /* late: smaller counts */
+  cr_assert_eq(shard_remaining(b), 85);
+  shard_free(s);
+}
+
+Test(shard, an_exact_seal_folds_when_all_reported) {
+  Shard *s = shard_new();
+  ShardBudget *b = shard_budget_add(s, "c/*");
+  b->total = 100;
+  ShardGrant *g = grant(b, 1, 60);
+  shard_seal(g, 30, true, 0);
+  shard_report(g, "i.1", 10, 20, false, 0);
+  cr_assert_not(shard_fold(b, g, 1), "the holder may still spend");
+  shard_report(g, "i.1", 10, 20, true, 0);
+  cr_assert(shard_fold(b, g, 1));
+  cr_assert_eq(b->closed, 20);
+  cr_assert_eq(b->retired, 0);
+  cr_assert_eq(shard_remaining(b), 80);
+  shard_free(s);
+}
+
+Test(shard, what_nobody_vouches_for_is_retired_after_a_day_only) {
+  Shard *s = shard_new();
+  ShardBudget *b = shard_budget_add(s, "c/*");
+  b->total = 100;
+  ShardGrant *g = grant(b, 1, 60);
+  shard_seal(g, 30, false, 1000);
+  shard_report(g, "i.1", 0, 20, true, 1000);
+  cr_assert_not(shard_fold(b, g, 1000 + 86399));
+  cr_assert(shard_fold(b, g, 1000 + 86400));
+  cr_assert_eq(b->closed, 20);
+  cr_assert_eq(b->retired, 10);
+  shard_free(s);
+}
+
+Test(shard, json_keeps_everything) {
+  Shard *s = shard_new();
+  ShardBudget *b = shard_budget_add(s, "c/\"odd\" name");
+  b->total = 1LL << 50;
+  b->tv = 7;
+  ShardGrant *g = grant(b, 0xfedcba9876543210u, 60);
+  g->returned = 5;
+  grant(b, 2, 9);
+  shard_seal(g, 30, true, 77);
+  shard_report(g, "i.1", 1, 2, true, 77);
+  char *text = shard_encode(s);
+  Shard *t = shard_decode(text);
+  cr_assert_not_null(t);
+  char *again = shard_encode(t);
+  cr_assert_str_eq(text, again);
+  g_free(text);
+  g_free(again);
+  shard_free(s);
+  shard_free(t);
+}
+
+Test(shard, what_is_no_shard_is_refused) {
+  static const char *const bad[] = {
+      "",
+      "[]",
+      "{",
+      "{\"b\":{}}",
+      "{\"b\":{\"total\":\"1\"}}",
+      "{\"b\":{\"total\":1,\"tv\":1,\"closed\":0,\"retired\":0,\"grants\":[{}]}"
+      "}",
+  };
+  for (size_t i = 0; i < sizeof bad / sizeof *bad; i++)
+    cr_assert_null(shard_decode(bad[i]), "taken: %s", bad[i]);
+}
