--- a/packages/kernel/limits.h
+++ b/packages/kernel/limits.h
@@ -20,7 +20,7 @@
 #define LEDGER_DRAW_WAIT 1.5    /* a reservation waits this long for tokens */
 #define LEDGER_RESEND 0.3       /* an unanswered message goes out again */
 #define LEDGER_REPORT_EVERY 2.0 /* an account is reported this often */
-#define LEDGER_ACCOUNT_S 5.0    /* an account covers this much demand */
+#define LEDGER_ACCOUNT_S 2.0    /* an account covers this much demand */
 #define LEDGER_IDLE 20.0        /* more than this much demand is given back */
 #define LEDGER_SEAL_AFTER 5.0   /* a grant's home is gone this long */
 #define LEDGER_RETIRE 86400.0   /* a sealed grant is written off after a day */
--- a/packages/ledger/home.c
+++ b/packages/ledger/home.c
@@ -6,6 +6,10 @@
 #include <string.h>
 
 #define RATE_TAU 30.0     /* seconds over which a region's demand is averaged */
+#define SLOW_TAU 300.0    /* the same, for what is laid up */
+#define SPARE 1.2         /* laid up for each token of measured demand */
+#define REFILL_BELOW 0.8  /* of what is to be laid up */
+#define REFILL_LEAST 0.1  /* smaller refills are not worth a write */
 #define RECALL_EVERY 1.0  /* seconds between two recalls of one budget */
 #define RECALL_WAIT 0.4   /* seconds that a recall is given */
 #define FRESH 0.25        /* seconds that a read of the store counts as new */
@@ -37,7 +41,10 @@
   const LedgerBudget *row = row_of(l, h);
   double s = row ? row->reserve_s : 0;
   if (h->held && !h->held->witness[0] && s > SOLE_RESERVE) s = SOLE_RESERVE;
-  return h->rate * s;
+  /* A young average has not yet seen its whole time. */
+  double seen = 1 - exp(-(l->now - h->born) / SLOW_TAU);
+  double slow = h->slow / MAX(seen, RATE_TAU / SLOW_TAU);
+  return slow * SPARE * s;
 }
 
 static int64_t needs(const HomeBudget *h) {
@@ -87,6 +94,7 @@
   h->late = g_ptr_array_new_with_free_func(g_free);
   h->seals = g_ptr_array_new_with_free_func(g_free);
   h->recalled = -1;
+  h->born = l->now;
   g_hash_table_insert(l->homes, h->name, h);
   g_ptr_array_add(stored_shard(l, shard_index(budget))->budgets, h);
   return h;
@@ -119,6 +127,7 @@
   Held *g = h->held;
   LedgerMsg m = ledger_msg(LEDGER_RAISE, h->name, g->id);
   m.limit = g->limit_asked;
+  m.returned = g->back; /* so that it need not be written off with us */
   g->raise_sent = l->now;
   ledger_send(l, to, &m);
 }
@@ -180,6 +189,7 @@
     if (s->grant != m->grant || strcmp(s->witness, from) != 0) continue;
     s->have = true;
     s->limit = m->limit;
+    s->back = m->returned;
     touch(l, h);
   }
 }
@@ -218,6 +228,7 @@
   s->granted += n;
   g->given += n;
   h->rate += (double)n / RATE_TAU;
+  h->slow += (double)n / SLOW_TAU;
   send_allot(l, h, d->holder, s->granted, ERR_NONE);
 }
 
@@ -380,6 +391,7 @@
   if (!late) {
     late = g_new0(Late, 1);
     late->grant = m->grant;
+    late->since = l->now;
     g_strlcpy(late->holder, from, sizeof late->holder);
     g_ptr_array_add(h->late, late);
   }
@@ -554,7 +566,8 @@
   if (surplus > 0 && h->draws->len == 0)
     give_to_store(l, h, (int64_t)MAX(lay, LEDGER_MIN_DRAW));
   int64_t plan = home_plan(l, h, h->remaining);
-  if (have < (int64_t)(lay / 2) && plan > (int64_t)(lay / 8)) touch(l, h);
+  bool low = have < (int64_t)(lay * REFILL_BELOW);
+  if (low && plan > (int64_t)(lay * REFILL_LEAST)) touch(l, h);
 }
 
 /* Spend reports may wait; the more shards are in use, the longer, so that the
@@ -574,11 +587,13 @@
 void home_tick(Ledger *l, double dt) {
   GHashTableIter it;
   gpointer v;
-  double keep = exp(-dt / RATE_TAU), every = write_every(l);
+  double keep = exp(-dt / RATE_TAU), slow = exp(-dt / SLOW_TAU),
+         every = write_every(l);
   g_hash_table_iter_init(&it, l->homes);
   while (g_hash_table_iter_next(&it, NULL, &v)) {
     HomeBudget *h = v;
     h->rate *= keep;
+    h->slow *= slow;
     if (h->held) tick_held(l, h);
     ShardState *s = shard_of(l, h);
     bool news = h->held && (h->held->spent > h->held->stored_spent ||
--- a/packages/ledger/ledger.c
+++ b/packages/ledger/ledger.c
@@ -65,6 +65,7 @@
   Witnessed *w = witnessed(l, m->grant);
   bool refuse = w->sealed && !l->faults.no_witness_check;
   if (!refuse && m->limit > w->limit) w->limit = m->limit;
+  if (m->returned > w->back) w->back = m->returned;
   LedgerMsg r = ledger_msg(LEDGER_RAISED, m->budget, m->grant);
   r.limit = w->limit;
   r.sealed = refuse;
@@ -76,6 +77,7 @@
   w->sealed = true;
   LedgerMsg r = ledger_msg(LEDGER_SEALED, m->budget, m->grant);
   r.limit = w->limit;
+  r.returned = w->back;
   ledger_send(l, from, &r);
 }
 
--- a/packages/ledger/shard.c
+++ b/packages/ledger/shard.c
@@ -99,7 +99,8 @@
   if (!g->sealed) return open;
   /* `limit` counts all that was ever given out, so all that ever came back
      may be taken off it. */
-  int64_t bound = g->limit - sum_back(g, false, NULL);
+  int64_t back = sum_back(g, false, NULL);
+  int64_t bound = g->limit - MAX(back, g->known);
   return bound < open ? bound : open;
 }
 
@@ -121,11 +122,13 @@
   return spent;
 }
 
-void shard_seal(ShardGrant *g, int64_t limit, bool exact, int64_t now) {
+void shard_seal(ShardGrant *g, int64_t limit, int64_t known, bool exact,
+                int64_t now) {
   if (g->sealed) return;
   g->sealed = true;
   g->exact = exact;
   g->limit = limit;
+  g->known = known;
   g->changed = now;
   g->back = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 }
@@ -178,6 +181,7 @@
                         "changed", (json_int_t)g->changed);
   if (!g->sealed) return o;
   json_object_set_new(o, "limit", json_integer(g->limit));
+  json_object_set_new(o, "known", json_integer(g->known));
   json_object_set_new(o, "exact", json_boolean(g->exact));
   json_t *back = json_object();
   GHashTableIter it;
@@ -245,6 +249,7 @@
   json_t *limit = json_object_get(o, "limit");
   if (limit) {
     shard_seal(g, json_integer_value(limit),
+               json_integer_value(json_object_get(o, "known")),
                json_is_true(json_object_get(o, "exact")), changed);
     if (!decode_back(g, json_object_get(o, "back"))) return false;
   }
--- a/packages/ledger/shard.h
+++ b/packages/ledger/shard.h
@@ -31,6 +31,7 @@
   bool sealed;
   bool exact;       /* sealed by its home itself: limit is what it gave out */
   int64_t limit;    /* sealed: the home never gave out more than this */
+  int64_t known;    /* sealed: and had at least this back in all */
   int64_t changed;  /* unix seconds */
   GHashTable *back; /* instance id -> ShardBack; sealed grants only */
 } ShardGrant;
@@ -74,8 +75,10 @@
 /* Spent as far as it was reported. */
 int64_t shard_spent(const ShardBudget *b);
 
-/* Seals a grant with the most its home can have given out. */
-void shard_seal(ShardGrant *g, int64_t limit, bool exact, int64_t now);
+/* Seals a grant with the most its home can have given out, and the least it had
+   back. */
+void shard_seal(ShardGrant *g, int64_t limit, int64_t known, bool exact,
+                int64_t now);
 /* Takes in a report on a sealed grant; true when something changed. */
 bool shard_report(ShardGrant *g, const char *instance, int64_t returned,
                   int64_t spent, bool final, int64_t now);
--- a/packages/ledger/state.h
+++ b/packages/ledger/state.h
@@ -86,13 +86,14 @@
   char holder[LIMIT_ID];
   int64_t returned, spent;
   bool final, applied;
+  double since; /* when it came */
 } Late;
 
 typedef struct Seal {
   uint64_t grant;
   char witness[LIMIT_ID]; /* whom we asked */
   bool have;              /* it answered */
-  int64_t limit;
+  int64_t limit, back;
   double sent;
   double gone_since;
 } Seal;
@@ -104,7 +105,9 @@
   GPtrArray *draws; /* Draw* */
   GPtrArray *late;  /* Late* */
   GPtrArray *seals; /* Seal* */
-  double rate;
+  double rate;      /* tokens a second, of the last half minute */
+  double slow;      /* the same over minutes, decayed from `born` on */
+  double born;
   double recalled;     /* when we last recalled; -1: never */
   double giving_until; /* somebody recalled: free goes to the store at once */
   char recaller[LIMIT_ID];
@@ -132,7 +135,7 @@
 /* == witness == */
 
 typedef struct Witnessed {
-  int64_t limit;
+  int64_t limit, back;
   bool sealed;
 } Witnessed;
 
--- a/packages/ledger/stored.c
+++ b/packages/ledger/stored.c
@@ -41,18 +41,22 @@
     /* Only the witness that the document names knows the limit: one that the
        home has left meanwhile agreed to less than was given out. */
     if (strcmp(g->witness, s->witness) != 0) continue;
-    shard_seal(g, s->limit, false, l->unix_s);
+    shard_seal(g, s->limit, s->back, false, l->unix_s);
     changed = true;
   }
   return changed;
 }
 
-static bool apply_late(Ledger *l, HomeBudget *h, ShardBudget *b) {
+/* A grant that is sealed here is sealed for good. One that is missing here may
+   be newer than our copy: only a copy read since can say that it is gone. */
+static bool apply_late(Ledger *l, ShardState *s, HomeBudget *h,
+                       ShardBudget *b) {
   bool changed = false;
   for (guint i = 0; i < h->late->len; i++) {
     Late *x = h->late->pdata[i];
     ShardGrant *g = shard_grant(b, x->grant);
-    x->applied = !g || g->sealed;
+    x->applied = g ? g->sealed : s->fresh > x->since;
+    if (!g && !x->applied) s->reread = s->dirty = true;
     if (!g || !g->sealed) continue;
     changed |=
         shard_report(g, x->holder, x->returned, x->spent, x->final, l->unix_s);
@@ -71,7 +75,7 @@
     shard_close(b, sg);
     return true;
   }
-  shard_seal(sg, g->given, true, l->unix_s);
+  shard_seal(sg, g->given, g->back, true, l->unix_s);
   GHashTableIter it;
   gpointer k, v;
   g_hash_table_iter_init(&it, g->shares);
@@ -136,7 +140,7 @@
     ShardBudget *b = shard_budget(s->doc, h->name);
     if (!b) continue;
     changed |= apply_seals(l, h, b);
-    changed |= apply_late(l, h, b);
+    changed |= apply_late(l, s, h, b);
     changed |= apply_held(l, h, b);
     changed |= apply_folds(l, b);
   }
@@ -238,9 +242,15 @@
   a->text = shard_encode(s->doc);
 }
 
+/* What was put into a document that is dropped was not put anywhere. */
 static void forget_doc(ShardState *s) {
   shard_free(s->doc);
   s->doc = NULL;
+  for (guint i = 0; i < s->budgets->len; i++) {
+    HomeBudget *h = s->budgets->pdata[i];
+    for (guint k = 0; k < h->late->len; k++)
+      ((Late *)h->late->pdata[k])->applied = false;
+  }
 }
 
 void stored_pump(Ledger *l, ShardState *s) {
--- a/scenario/world.c
+++ b/scenario/world.c
@@ -207,6 +207,7 @@
       q->cause >= ERR_BUDGET_EMPTY && q->cause <= ERR_BUDGET_CUT;
   if (!covered || !about_budget) return;
   w->sums.false_refused++;
+  if (b->consumed < b->total - b->total / 100) w->sums.false_refused_early++;
   w->sums.by_cause[q->cause]++;
 }
 
--- a/scenario/world.h
+++ b/scenario/world.h
@@ -85,6 +85,7 @@
   int64_t consumed, billed, wasted; /* tokens */
   int64_t requests, done, refused, maybe, lost, replayed;
   int64_t false_refused;       /* the budget could have covered them */
+  int64_t false_refused_early; /* of these, before its last hundredth */
   int64_t by_cause[ERR_COUNT]; /* false refusals by cause */
   int64_t reads, writes, conflicts;
   int64_t messages, bytes;
--- a/tests/test_shard.c
+++ b/tests/test_shard.c
@@ -23,7 +23,7 @@
   ShardBudget *b = shard_budget_add(s, "c/*");
   b->total = 100;
   ShardGrant *g = grant(b, 1, 60);
-  shard_seal(g, 20, false, 0);
+  shard_seal(g, 20, 0, false, 0);
   cr_assert_eq(shard_remaining(b), 80);
   shard_report(g, "i.1", 5, 7, false, 0);
   cr_assert_eq(shard_remaining(b), 85);
@@ -32,12 +32,26 @@
   shard_free(s);
 }
 
+Test(shard, what_a_witness_knew_to_be_back_is_not_lost) {
+  Shard *s = shard_new();
+  ShardBudget *b = shard_budget_add(s, "c/any");
+  b->total = 100;
+  ShardGrant *g = grant(b, 1, 60);
+  shard_seal(g, 50, 12, false, 0);
+  cr_assert_eq(shard_outstanding(g), 38);
+  shard_report(g, "i.1", 10, 0, false, 0); /* part of the twelve */
+  cr_assert_eq(shard_outstanding(g), 38);
+  shard_report(g, "i.2", 10, 0, false, 0);
+  cr_assert_eq(shard_outstanding(g), 30);
+  shard_free(s);
+}
+
 Test(shard, an_exact_seal_folds_when_all_reported) {
   Shard *s = shard_new();
   ShardBudget *b = shard_budget_add(s, "c/*");
   b->total = 100;
   ShardGrant *g = grant(b, 1, 60);
-  shard_seal(g, 30, true, 0);
+  shard_seal(g, 30, 0, true, 0);
   shard_report(g, "i.1", 10, 20, false, 0);
   cr_assert_not(shard_fold(b, g, 1), "the holder may still spend");
   shard_report(g, "i.1", 10, 20, true, 0);
@@ -53,7 +67,7 @@
   ShardBudget *b = shard_budget_add(s, "c/*");
   b->total = 100;
   ShardGrant *g = grant(b, 1, 60);
-  shard_seal(g, 30, false, 1000);
+  shard_seal(g, 30, 0, false, 1000);
   shard_report(g, "i.1", 0, 20, true, 1000);
   cr_assert_not(shard_fold(b, g, 1000 + 86399));
   cr_assert(shard_fold(b, g, 1000 + 86400));
@@ -70,7 +84,7 @@
   ShardGrant *g = grant(b, 0xfedcba9876543210u, 60);
   g->returned = 5;
   grant(b, 2, 9);
-  shard_seal(g, 30, true, 77);
+  shard_seal(g, 30, 0, true, 77);
   shard_report(g, "i.1", 1, 2, true, 77);
   char *text = shard_encode(s);
   Shard *t = shard_decode(text);
