--- /dev/null
+++ b/bench/slopes.c
@@ -0,0 +1,387 @@
+/* slopes.c: what one more of each thing costs, measured at three sizes, so that
+   a slope is a slope. Prints one JSON line a measurement; bench/capacity.py
+   makes docs/CAPACITY.md of them. */
+#include <glib.h>
+#include <malloc.h>
+#include <stdio.h>
+#include <string.h>
+#include <time.h>
+
+#include "kernel/log.h"
+#include "ledger/ledger.h"
+#include "ledger/shard.h"
+#include "member/member.h"
+#include "once/once.h"
+#include "peer/codec.h"
+#include "queue/queue.h"
+#include "route/route.h"
+#include "table/table.h"
+
+static double now_ns(void) {
+  struct timespec t;
+  clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &t);
+  return (double)t.tv_sec * 1e9 + (double)t.tv_nsec;
+}
+
+static double heap(void) {
+  return (double)mallinfo2().uordblks;
+}
+
+static void out(const char *what, int n, double value) {
+  printf("{\"slope\":\"%s\",\"n\":%d,\"value\":%.1f}\n", what, n, value);
+}
+
+static void drop_ledger(Ledger *l) {
+  LedgerAction a;
+  while (ledger_next(l, &a)) g_free(a.text);
+}
+
+static View *view_of(int n) {
+  Member *list = g_new0(Member, n);
+  for (int i = 0; i < n; i++) {
+    snprintf(list[i].id, LIMIT_ID, "instance-%03d.0123abcd", i);
+    snprintf(list[i].region, LIMIT_NAME, "region-%d", i % 7);
+    snprintf(list[i].dc, LIMIT_NAME, "dc-%d", i % 26);
+    snprintf(list[i].peer, LIMIT_NAME, "tcp://10.0.%d.%d:7000", i / 250,
+             i % 250);
+    snprintf(list[i].http, LIMIT_NAME, "10.0.%d.%d:8080", i / 250, i % 250);
+  }
+  View *v = view_new(list, n);
+  g_free(list);
+  return v;
+}
+
+/* == ledger == */
+
+static LedgerBudget *rows_of(int n) {
+  LedgerBudget *rows = g_new0(LedgerBudget, n);
+  for (int i = 0; i < n; i++) {
+    snprintf(rows[i].name, LIMIT_NAME, "customer-%04d/service-%02d", i / 35,
+             i % 35);
+    rows[i].total = 1000000000;
+    rows[i].version = 1;
+    rows[i].reserve_s = 600;
+  }
+  return rows;
+}
+
+/* Gives a holder an account for each of the first `n` rows. */
+static void open_accounts(Ledger *l, const LedgerBudget *rows, int n) {
+  for (int i = 0; i < n; i++) {
+    LedgerMsg m = {
+        .kind = LEDGER_ALLOT, .grant = (uint64_t)i + 1, .granted = 1000000};
+    g_strlcpy(m.budget, rows[i].name, sizeof m.budget);
+    ledger_receive(l, 1, "instance-000.0123abcd", &m);
+  }
+}
+
+static void ledger_slopes(int n) {
+  LedgerBudget *rows = rows_of(35000);
+  View *v = view_of(2);
+  double h0 = heap();
+  Ledger *l = ledger_new("instance-001.0123abcd", "region-1", 1);
+  ledger_view(l, 1, v);
+  ledger_budgets(l, 1, rows, n);
+  drop_ledger(l);
+  double h1 = heap();
+  out("ledger row bytes", n, (h1 - h0) / n);
+  open_accounts(l, rows, n);
+  double h2 = heap();
+  out("ledger account bytes", n, (h2 - h1) / n);
+  const int ops = 200000;
+  double t = now_ns();
+  for (int i = 0; i < ops; i++) {
+    uint64_t handle = (uint64_t)i + 1;
+    ledger_reserve(l, 1, handle, rows[i % n].name, 10);
+    ledger_settle(l, 1, handle, 1);
+    drop_ledger(l);
+  }
+  out("ledger reserve and settle ns", n, (now_ns() - t) / ops);
+  t = now_ns();
+  for (int i = 0; i < 20; i++) {
+    ledger_tick(l, 1 + i * 0.001, 1);
+    drop_ledger(l);
+  }
+  out("ledger tick ns an account", n, (now_ns() - t) / 20 / n);
+  ledger_free(l);
+  view_free(v);
+  g_free(rows);
+}
+
+/* A home with `n` grants given out by draws of one holder each. */
+static void home_slopes(int n) {
+  LedgerBudget *rows = rows_of(35000);
+  View *v = view_of(1);
+  Ledger *l = ledger_new("instance-000.0123abcd", "region-0", 1);
+  ledger_view(l, 1, v);
+  ledger_budgets(l, 1, rows, 35000);
+  ledger_tick(l, 1, 1);
+  drop_ledger(l);
+  double h0 = heap(), t = now_ns();
+  for (int i = 0; i < n; i++) {
+    LedgerMsg m = {.kind = LEDGER_DRAW, .need = 100, .want = 1000};
+    g_strlcpy(m.budget, rows[i].name, sizeof m.budget);
+    ledger_receive(l, 1, "instance-007.0123abcd", &m);
+    drop_ledger(l);
+  }
+  out("home draw ns", n, (now_ns() - t) / n);
+  out("home grant bytes", n, (heap() - h0) / n);
+  t = now_ns();
+  for (int i = 0; i < 5; i++) {
+    ledger_tick(l, 1.01 + i * 0.001, 1);
+    drop_ledger(l);
+  }
+  out("home tick ns a grant", n, (now_ns() - t) / 5 / n);
+  ledger_free(l);
+  view_free(v);
+  g_free(rows);
+}
+
+static void witness_slopes(int n) {
+  Ledger *l = ledger_new("instance-001.0123abcd", "region-1", 1);
+  double h0 = heap();
+  for (int i = 0; i < n; i++) {
+    LedgerMsg m = {.kind = LEDGER_RAISE, .grant = (uint64_t)i + 1, .limit = 9};
+    ledger_receive(l, 1, "x.1", &m);
+    drop_ledger(l);
+  }
+  out("witness entry bytes", n, (heap() - h0) / n);
+  ledger_free(l);
+}
+
+static void shard_slopes(int n) {
+  for (int grants = 0; grants <= 7; grants += 7) {
+    Shard *s = shard_new();
+    for (int i = 0; i < n; i++) {
+      char name[LIMIT_NAME];
+      snprintf(name, sizeof name, "customer-%04d/service-%02d", i, i % 35);
+      ShardBudget *b = shard_budget_add(s, name);
+      b->total = 1000000000;
+      for (int k = 0; k < grants; k++) {
+        ShardGrant *g = shard_grant_add(b, (uint64_t)k << 60 | (uint64_t)i,
+                                        "instance-001.0123abcd",
+                                        "instance-051.0123abcd", "region-1");
+        g->granted = 123456789;
+        g->spent = 12345678;
+      }
+    }
+    double t = now_ns();
+    char *text = shard_encode(s);
+    Shard *again = shard_decode(text);
+    out(grants ? "shard code ns a budget" : "shard code ns an idle budget", n,
+        (now_ns() - t) / n);
+    out(grants ? "shard bytes a budget" : "shard bytes an idle budget", n,
+        (double)strlen(text) / n);
+    g_free(text);
+    shard_free(s);
+    shard_free(again);
+  }
+}
+
+/* == members == */
+
+static void member_slopes(int n) {
+  View *v = view_of(n);
+  double h0 = heap();
+  MemberSet *s = member_new(&v->list[0]);
+  for (int i = 1; i < n; i++) member_heard(s, 1, &v->list[i]);
+  out("member bytes", n, (heap() - h0) / n);
+  double t = now_ns();
+  for (int k = 0; k < 100; k++)
+    for (int i = 1; i < n; i++) member_heard(s, 2 + k, &v->list[i]);
+  out("heartbeat taken ns", n, (now_ns() - t) / 100 / n);
+  Ledger *l = ledger_new(v->list[1].id, v->list[1].region, 1);
+  t = now_ns();
+  for (int k = 0; k < 20; k++) ledger_view(l, 1, v);
+  out("view change ns a member", n, (now_ns() - t) / 20 / n);
+  ledger_free(l);
+  member_free(s);
+  view_free(v);
+}
+
+/* == route and queue == */
+
+static void route_slopes(int n) {
+  RouteTarget *list = g_new0(RouteTarget, n);
+  for (int i = 0; i < n; i++) {
+    snprintf(list[i].name, LIMIT_NAME, "target-%04d", i);
+    list[i].slots = 1 << 20;
+  }
+  Route *r = route_new(1, ROUTE_OURS);
+  double h0 = heap();
+  route_targets(r, list, n);
+  out("target bytes", n, (heap() - h0) / n);
+  char prompt[4096];
+  memset(prompt, 'x', sizeof prompt);
+  RouteAsk ask = {.tokens = 1024};
+  ask.n = route_blocks(prompt, sizeof prompt, ask.blocks);
+  double t = now_ns();
+  const int picks = 20000;
+  for (int i = 0; i < picks; i++) {
+    RouteChoice c;
+    route_pick(r, 1, &ask, &c);
+    route_done(r, 1, c.name, ROUTE_OK, 10, 0.01, 1);
+  }
+  out("route decision ns", n, (now_ns() - t) / picks);
+  route_free(r);
+  g_free(list);
+}
+
+static void queue_slopes(int n) {
+  Queue *q = queue_new();
+  int retry;
+  for (int i = 0; i < n; i++) {
+    QueueItem x = {.handle = (uint64_t)i + 1,
+                   .customer = "c",
+                   .class = i % 8,
+                   .weight = 1,
+                   .tokens = 1,
+                   .wait_s = 1e9};
+    queue_push(q, 0, &x, 1e9, &retry);
+  }
+  double t = now_ns();
+  for (int i = 0; i < 2000; i++) {
+    QueueItem x = {.handle = (uint64_t)(n + i) + 1,
+                   .customer = "c",
+                   .class = i % 8,
+                   .weight = 1,
+                   .tokens = 1,
+                   .wait_s = 1e9};
+    QueueOut o;
+    queue_push(q, 0, &x, 1e9, &retry);
+    queue_pop(q, 0, 1, 1e9, &o);
+    queue_done(q, 0, "c", 1, 1);
+  }
+  out("queue push and pop ns", n, (now_ns() - t) / 2000);
+  queue_free(q);
+}
+
+/* == records == */
+
+static void drop_once(Once *o) {
+  OnceAction a;
+  while (once_next(o, &a)) once_action_clear(&a);
+}
+
+static void once_slopes(int n) {
+  View *v = view_of(1);
+  Once *o = once_new("instance-000.0123abcd", "region-0", 0, 1);
+  once_view(o, 1, v);
+  OnceBill bill = {
+      .customer = "customer-0001", .budget = "customer-0001/x", .tokens = 100};
+  OnceAnswer none = {.status = 200};
+  double h0 = heap(), t = now_ns();
+  for (int i = 0; i < n; i++) {
+    char key[32];
+    snprintf(key, sizeof key, "key-%d", i);
+    uint64_t handle = (uint64_t)i + 1;
+    once_begin(o, 1, handle, once_key("c", key), 1, true, true);
+    once_finish(o, 1, handle, &bill, &none);
+    drop_once(o);
+  }
+  out("record begin and finish ns", n, (now_ns() - t) / n);
+  out("record and owed bill bytes", n, (heap() - h0) / n);
+  once_free(o);
+  view_free(v);
+}
+
+/* == table == */
+
+static void table_slopes(int n) {
+  GString *csv = g_string_new("kind,name,key,tokens,reserve\n");
+  for (int i = 0; i < n / 35 + 1; i++)
+    g_string_append_printf(csv, "customer,customer-%04d,%064d,,\n", i, i);
+  for (int i = 0; i < n; i++)
+    g_string_append_printf(csv, "budget,customer-%04d/s%02d,,1000000000,600\n",
+                           i / 35, i % 35);
+  for (int i = 0; i < 35; i++)
+    g_string_append_printf(csv, "service,s%02d,,,\n", i);
+  GPtrArray *errors = g_ptr_array_new_with_free_func(g_free);
+  double h0 = heap(), t = now_ns();
+  Table *table = table_parse(csv->str, errors, NULL);
+  g_assert(table);
+  out("table parse ns a row", n, (now_ns() - t) / n);
+  out("table row bytes", n, (heap() - h0) / n);
+  size_t bytes = 0;
+  for (int i = 0; i < 16; i++) {
+    char *part = table_encode_part(table, i, 16);
+    bytes += strlen(part);
+    g_free(part);
+  }
+  out("table stored bytes a row", n, (double)bytes / n);
+  table_free(table);
+  g_string_free(csv, TRUE);
+  g_ptr_array_free(errors, TRUE);
+}
+
+/* == messages and log == */
+
+static void size_of(const char *what, msgpack_sbuffer *b) {
+  out(what, 1, (double)b->size);
+  msgpack_sbuffer_clear(b);
+}
+
+static void message_sizes(void) {
+  msgpack_sbuffer b;
+  msgpack_sbuffer_init(&b);
+  CodecHead head = {UINT64_MAX, UINT64_MAX};
+  codec_put_head(&b, &head);
+  size_of("frame head bytes", &b);
+  View *v = view_of(1);
+  codec_put_beat(&b, &v->list[0]);
+  size_of("heartbeat bytes", &b);
+  view_free(v);
+  LedgerMsg l = {.kind = LEDGER_REPORT,
+                 .budget = "customer-0001/service-01",
+                 .grant = UINT64_MAX,
+                 .granted = 123456789,
+                 .returned = 1234567,
+                 .spent = 12345678};
+  codec_put_ledger(&b, &l);
+  size_of("ledger message bytes", &b);
+  OnceMsg o = {.kind = ONCE_FINISH,
+               .key = {UINT64_MAX, UINT64_MAX},
+               .nonce = UINT64_MAX,
+               .digest = UINT64_MAX,
+               .bill = {.customer = "customer-0001",
+                        .budget = "customer-0001/service-01",
+                        .tokens = 500}};
+  codec_put_once(&b, &o);
+  size_of("finish bytes", &b);
+  o.kind = ONCE_FINISHED;
+  o.digest = 0;
+  codec_put_once(&b, &o);
+  size_of("other record message bytes", &b);
+  msgpack_sbuffer_destroy(&b);
+}
+
+static void log_cost(void) {
+  const int n = 20000;
+  log_open("instance", false);
+  double t = now_ns();
+  for (int i = 0; i < n; i++)
+    log_info("route", "s:s,s:s,s:s,s:f,s:f,s:f", "request", "req-0123456789",
+             "customer", "customer-0001", "target", "target-1", "path", 0.001,
+             "prefill", 0.01, "wait", 0.0);
+  out("log line ns", n, (now_ns() - t) / n);
+}
+
+int main(void) {
+  static const int budgets[] = {1000, 5000, 20000};
+  static const int members[] = {50, 150, 350};
+  static const int targets[] = {8, 24, 64};
+  for (int i = 0; i < 3; i++) {
+    ledger_slopes(budgets[i]);
+    home_slopes(budgets[i]);
+    witness_slopes(budgets[i]);
+    shard_slopes(budgets[i] / 20);
+    member_slopes(members[i]);
+    route_slopes(targets[i]);
+    queue_slopes(targets[i] * 8);
+    once_slopes(budgets[i]);
+    table_slopes(budgets[i]);
+  }
+  message_sizes();
+  log_cost();
+  return 0;
+}
--- a/packages/fleet/fleet.c
+++ b/packages/fleet/fleet.c
@@ -241,18 +241,18 @@
   }
 }
 
-static bool same_view(const View *a, const View *b) {
+/* Table versions change far more often than members, and no core needs them. */
+static bool same_members(const View *a, const View *b) {
   if (a->n != b->n) return false;
   for (int i = 0; i < a->n; i++) {
     const Member *x = &a->list[i], *y = &b->list[i];
-    if (strcmp(x->id, y->id) != 0 || x->leaving != y->leaving ||
-        x->table != y->table)
-      return false;
+    if (strcmp(x->id, y->id) != 0 || x->leaving != y->leaving) return false;
   }
   return true;
 }
 
 static void spread_view(Fleet *f, const View *v) {
+  log_info("view", "s:i", "members", v->n);
   for (int i = 0; i < LANES; i++) {
     Lane *l = &f->lanes[i];
     pthread_mutex_lock(&l->lock);
@@ -262,7 +262,6 @@
     do_once(l);
     pthread_mutex_unlock(&l->lock);
   }
-  if (f->on_view) f->on_view(f->on_view_ctx, v);
 }
 
 static void refresh_view(Fleet *f) {
@@ -270,19 +269,14 @@
   member_self(f->members, f->leaving, f->table);
   member_tick(f->members, clock_now());
   View *v = member_view(f->members);
-  bool same = same_view(v, f->view);
-  if (same) {
-    view_free(v);
-  } else {
-    view_free(f->view);
-    f->view = v;
-    remember_ids(f, v);
-  }
-  View *copy = same ? NULL : view_copy(f->view);
+  bool same = same_members(v, f->view);
+  view_free(f->view);
+  f->view = v;
+  if (!same) remember_ids(f, v);
+  View *copy = view_copy(v);
   pthread_mutex_unlock(&f->lock);
-  if (!copy) return;
-  log_info("view", "s:i", "members", copy->n);
-  spread_view(f, copy);
+  if (!same) spread_view(f, copy);
+  if (f->on_view) f->on_view(f->on_view_ctx, copy);
   view_free(copy);
 }
 
--- a/packages/ledger/shard.c
+++ b/packages/ledger/shard.c
@@ -171,18 +171,16 @@
 
 /* == JSON == */
 
+/* A grant is an array: its names would be more than half of a shard.
+   [id, home, witness, region, granted, returned, spent, changed] and for a
+   sealed one [limit, known, exact, {instance: [returned, spent, final]}]. */
 static json_t *encode_grant(const ShardGrant *g) {
   char id[20];
-  snprintf(id, sizeof id, "%016" PRIx64, g->id);
-  json_t *o = json_pack("{s:s,s:s,s:s,s:s,s:I,s:I,s:I,s:I}", "id", id, "home",
-                        g->home, "witness", g->witness, "region", g->region,
-                        "granted", (json_int_t)g->granted, "returned",
-                        (json_int_t)g->returned, "spent", (json_int_t)g->spent,
-                        "changed", (json_int_t)g->changed);
+  snprintf(id, sizeof id, "%" PRIx64, g->id);
+  json_t *o = json_pack("[s,s,s,s,I,I,I,I]", id, g->home, g->witness, g->region,
+                        (json_int_t)g->granted, (json_int_t)g->returned,
+                        (json_int_t)g->spent, (json_int_t)g->changed);
   if (!g->sealed) return o;
-  json_object_set_new(o, "limit", json_integer(g->limit));
-  json_object_set_new(o, "known", json_integer(g->known));
-  json_object_set_new(o, "exact", json_boolean(g->exact));
   json_t *back = json_object();
   GHashTableIter it;
   gpointer k, v;
@@ -193,7 +191,9 @@
                         json_pack("[I,I,b]", (json_int_t)r->returned,
                                   (json_int_t)r->spent, (int)r->final));
   }
-  json_object_set_new(o, "back", back);
+  json_array_append_new(o,
+                        json_pack("[I,I,b,o]", (json_int_t)g->limit,
+                                  (json_int_t)g->known, (int)g->exact, back));
   return o;
 }
 
@@ -232,13 +232,22 @@
   return true;
 }
 
+static bool decode_seal(ShardGrant *g, json_t *seal, int64_t changed) {
+  json_int_t limit, known;
+  int exact;
+  json_t *back;
+  if (json_unpack(seal, "[I,I,b,o]", &limit, &known, &exact, &back) != 0)
+    return false;
+  shard_seal(g, limit, known, exact != 0, changed);
+  return decode_back(g, back);
+}
+
 static bool decode_grant(ShardBudget *b, json_t *o) {
   const char *id, *home, *witness, *region;
   json_int_t granted, returned, spent, changed;
-  if (json_unpack(o, "{s:s,s:s,s:s,s:s,s:I,s:I,s:I,s:I}", "id", &id, "home",
-                  &home, "witness", &witness, "region", &region, "granted",
-                  &granted, "returned", &returned, "spent", &spent, "changed",
-                  &changed) != 0)
+  json_t *seal = NULL;
+  if (json_unpack(o, "[s,s,s,s,I,I,I,I]", &id, &home, &witness, &region,
+                  &granted, &returned, &spent, &changed) != 0)
     return false;
   uint64_t n = strtoull(id, NULL, 16);
   if (shard_grant(b, n)) return false;
@@ -246,13 +255,8 @@
   g->granted = granted;
   g->returned = returned;
   g->spent = spent;
-  json_t *limit = json_object_get(o, "limit");
-  if (limit) {
-    shard_seal(g, json_integer_value(limit),
-               json_integer_value(json_object_get(o, "known")),
-               json_is_true(json_object_get(o, "exact")), changed);
-    if (!decode_back(g, json_object_get(o, "back"))) return false;
-  }
+  seal = json_array_get(o, 8);
+  if (seal && !decode_seal(g, seal, changed)) return false;
   g->changed = changed;
   return true;
 }
