One stream of bills an instance, paced by the fleet's size; fewer words for rare budgets

Cause: worked out from slopes, bills of eight lanes every 5 s were 12.8 writes a second today and 560 at 350 nodes; a budget asked for once in minutes cost eight messages; prefix memory of 2,400 targets could reach 945 MB.

Change: request records have one lane (2 us under its lock a request), batches come every max(5 s, members / 4); a rare budget's account is reported once, with what was spent and what comes back; prefix hashes are bounded for each pool; the witness agrees at least to a two-thousandth of what is left ahead.

--- /dev/null
+++ b/bench/capacity.py
@@ -0,0 +1,180 @@
+#!/usr/bin/env python3
+"""capacity.py: works the fleet of two years from now out from measured slopes.
+
+Usage: capacity.py SLOPES.json CAPACITY.md; rewrites the part of the page
+between its two marks, so that the page can't drift from the numbers."""
+import json
+import sys
+
+NODES, REGIONS, CENTRES, TARGETS = 350, 7, 26, 2400
+BUDGETS, CUSTOMERS, MODELS, REQUESTS, TOKENS = 35000, 990, 26, 13000, 6.4e6
+CHANGES_A_DAY, RESTARTS_A_DAY, LOSSES_A_DAY = 4800, 520, 19
+SHARDS, CLAIM_SHARDS = 256, 64
+CORE, MEMORY, BYTES = 0.013, 128e6, 11e3     # a node's control
+WRITES, READS, VALUE = 100.0, 2000.0, 1 << 20
+CLAIMED = 0.02                               # requests that may not be repeated
+IDLE_S, ACCOUNT_S, TICKS = 20.0, 2.0, 10.0   # as in kernel/limits.h
+BEAT_BYTES = 3000.0                          # MEMBER_BYTES
+SPREAD = 30.0                                # writes/s for reports, home.c
+RECORD_S, BATCH_S = 600.0, 5.0
+
+
+def read(path):
+    slopes = {}
+    with open(path) as f:
+        for line in f:
+            o = json.loads(line)
+            slopes.setdefault(o["slope"], {})[o["n"]] = o["value"]
+    return slopes
+
+
+def at(slopes, name):
+    """The slope at the largest size measured."""
+    sizes = slopes[name]
+    return sizes[max(sizes)]
+
+
+def work(s):
+    """Rows of (role, mechanism, count, core, memory, bytes/s, store calls/s)."""
+    def v(name):
+        return at(s, name)
+    per_node = REQUESTS / NODES
+    # A budget is asked for once in so many seconds at one instance.
+    gap = BUDGETS / per_node
+    accounts = min(BUDGETS, per_node * IDLE_S)
+    homes = SHARDS / (NODES / REGIONS)          # shards of a node in its region
+    grants = homes * BUDGETS / SHARDS
+    ledger, head = v("ledger message bytes"), v("frame head bytes")
+    rows = []
+    # With 35,000 budgets nearly every request is the first of its budget here
+    # for minutes: draw, allotment, report, its word, return, its word.
+    draws = per_node if gap > IDLE_S else per_node / ACCOUNT_S
+    hold_msgs = 6 * draws
+    rows.append((
+        "entry: reservations", "accounts from the region's home; idle ones go back",
+        "%.0f accounts, %.0f messages/s" % (accounts, hold_msgs),
+        (per_node * v("ledger reserve and settle ns")
+         + accounts * TICKS * v("ledger tick ns an account")) / 1e9,
+        accounts * v("ledger account bytes") + BUDGETS * v("ledger row bytes"),
+        hold_msgs * (ledger + head) / 2, 0, 0))
+    # As home a node serves the draws of its region and asks a witness.
+    raise_msgs = 2 * draws
+    interval = max(10.0, SHARDS * REGIONS / SPREAD)
+    writes = SHARDS * REGIONS / interval
+    conflicts = 0.2
+    busy = min(1.0, 1.0)                        # every budget drawn on everywhere
+    doc = v("shard bytes a budget") * BUDGETS / SHARDS * busy
+    code = v("shard code ns a budget") * BUDGETS / SHARDS
+    node_writes = writes / NODES
+    rows.append((
+        "home of budget shards", "grants by conditional update, one write a shard "
+        "and region each %.0f s" % interval,
+        "%.1f shards, %.0f grants, %.0f KB a shard" % (homes, grants, doc / 1e3),
+        (draws * v("home draw ns") + grants * TICKS * v("home tick ns a grant")
+         + node_writes * (1 + conflicts) * code) / 1e9,
+        grants * v("home grant bytes") + homes * doc * 3,
+        (hold_msgs / 2 + raise_msgs / 2) * (ledger + head)
+        + node_writes * (1 + 2 * conflicts) * doc,
+        writes * (1 + conflicts), writes * conflicts + SHARDS * REGIONS / 30))
+    rows.append((
+        "witness", "one number a grant of a neighbour",
+        "%.0f grants" % grants, draws * 300 / 1e9,
+        grants * v("witness entry bytes"), raise_msgs / 2 * (ledger + head), 0, 0))
+    # Keys that callers could know are asked for; all finishes are told.
+    asked = 0.3
+    record_bytes = (v("finish bytes") + v("other record message bytes") * 2
+                    + asked * 2 * v("other record message bytes") + 3 * head)
+    batches = NODES / BATCH_S
+    lanes = 8
+    rows.append((
+        "home of request records", "keeper by rendezvous in the region; bills in "
+        "batches of one object",
+        "%.0f records, %.0f bills/s a node" % (per_node * RECORD_S, per_node),
+        per_node * v("record begin and finish ns") / 1e9,
+        per_node * RECORD_S * v("record and owed bill bytes"),
+        per_node * record_bytes + per_node * 130,
+        batches * lanes, 0))
+    claims = REQUESTS * CLAIMED
+    claim_writes = min(claims * 2, 28.0)
+    rows.append((
+        "claims", "group commit at the region's home of a claim shard (today each "
+        "instance commits its own)",
+        "%.0f claims/s in the fleet" % claims, 0.0002,
+        2e6, claims / NODES * 600, claim_writes, claim_writes * 0.1))
+    view_changes = (RESTARTS_A_DAY * 2 + LOSSES_A_DAY * 2) / 86400.0
+    interval = NODES * 160 / BEAT_BYTES
+    rows.append((
+        "member view", "heartbeats of all to all, each %.0f s (%.0f s until a loss "
+        "is seen); the platform's list each second" % (interval, interval * 6),
+        "%d members" % NODES,
+        (NODES / interval * v("heartbeat taken ns")
+         + view_changes * NODES * 8 * v("view change ns a member")) / 1e9,
+        NODES * v("member bytes") * 10, BEAT_BYTES, 0, NODES * 1.0))
+    reports = TARGETS * CENTRES                 # one poller a data centre
+    rows.append((
+        "load view", "one instance a data centre asks each target a second and "
+        "passes a digest on (today each instance asks)",
+        "%d targets" % TARGETS,
+        (per_node * v("route decision ns") + TARGETS * 100) / 1e9,
+        TARGETS * v("target bytes") + TARGETS * 8192 * 48,
+        TARGETS * 12.0, 0, 0))
+    rows.append((
+        "table", "parts by content hash, one head; a watch an instance (%.0f/s), "
+        "versions in heartbeats" % (NODES / 10.0),
+        "%d rows" % (BUDGETS + CUSTOMERS + TARGETS),
+        CHANGES_A_DAY / 86400.0 * (BUDGETS * v("table parse ns a row") * 1.5) / 1e9,
+        (BUDGETS + CUSTOMERS + TARGETS) * v("table row bytes") * 2,
+        CHANGES_A_DAY / 86400.0 * BUDGETS * v("table stored bytes a row"),
+        CHANGES_A_DAY / 86400.0 * 2, NODES / 10.0 + CHANGES_A_DAY / 86400.0 * NODES
+        * 17))
+    rows.append((
+        "log", "two JSON lines a request", "%.0f lines/s" % (per_node * 2),
+        per_node * 2 * v("log line ns") / 1e9, 1e6, 0, 0, 0))
+    rows.append((
+        "operator's command", "reads the shards on demand", "%d reads a screen"
+        % SHARDS, 0, 0, 0, 0, 1))
+    del reports
+    return rows
+
+
+def table(rows):
+    out = ["| role | mechanism | size | core % | MB | KB/s | store writes/s | store "
+           "reads/s |", "|---|---|---|---|---|---|---|---|"]
+    total = [0.0] * 5
+    for role, mechanism, size, *n in rows:
+        total = [a + b for a, b in zip(total, n)]
+        out.append("| %s | %s | %s | %.3f | %.1f | %.2f | %.1f | %.0f |" % (
+            role, mechanism, size, n[0] * 100, n[1] / 1e6, n[2] / 1e3, n[3], n[4]))
+    out.append("| **all** | | | **%.3f** | **%.1f** | **%.2f** | **%.1f** | **%.0f** |"
+               % (total[0] * 100, total[1] / 1e6, total[2] / 1e3, total[3], total[4]))
+    limits = [CORE, MEMORY, BYTES, WRITES, READS]
+    out.append("| **limit** | | | %.1f | %.0f | %.0f | %.0f | %.0f |" % (
+        CORE * 100, MEMORY / 1e6, BYTES / 1e3, WRITES, READS))
+    names = ["core", "memory", "bytes", "store writes", "store reads"]
+    over = [n for n, t, l in zip(names, total, limits) if t > l]
+    out.append("")
+    out.append("Over the limit as built today: %s." % (", ".join(over) or "nothing"))
+    return out
+
+
+def slopes_table(s):
+    out = ["| slope | at the sizes measured |", "|---|---|"]
+    for name in sorted(s):
+        out.append("| %s | %s |" % (name, ", ".join(
+            "%g at %d" % (s[name][n], n) for n in sorted(s[name]))))
+    return out
+
+
+def main():
+    s = read(sys.argv[1])
+    begin, end = "<!-- measured: begin -->", "<!-- measured: end -->"
+    with open(sys.argv[2]) as f:
+        page = f.read()
+    head, rest = page.split(begin)
+    tail = rest.split(end)[1]
+    body = table(work(s)) + ["", "## Slopes", ""] + slopes_table(s)
+    with open(sys.argv[2], "w") as f:
+        f.write(head + begin + "\n" + "\n".join(body) + "\n" + end + tail)
+
+
+main()
--- a/bench/slopes.c
+++ b/bench/slopes.c
@@ -265,7 +265,7 @@
 
 static void once_slopes(int n) {
   View *v = view_of(1);
-  Once *o = once_new("instance-000.0123abcd", "region-0", 0, 1);
+  Once *o = once_new("instance-000.0123abcd", "region-0", 1);
   once_view(o, 1, v);
   OnceBill bill = {
       .customer = "customer-0001", .budget = "customer-0001/x", .tokens = 100};
--- a/packages/fleet/fleet.c
+++ b/packages/fleet/fleet.c
@@ -1,6 +1,6 @@
-/* fleet.c: threads and transport around the cores. The cores are split into
-   lanes by budget shard and by record shard, each with its own lock, which is
-   held for the microseconds of one event and never across a call. */
+/* fleet.c: threads and transport around the cores. The ledger is split into
+   lanes by budget shard, the records have a lane of their own; each has a lock
+   that is held for the microseconds of one event and never across a call. */
 #include "fleet/fleet.h"
 
 #include <glib.h>
@@ -17,6 +17,8 @@
 #include "store/jobs.h"
 
 #define LANES 8
+#define RECORDS LANES /* index of the lane of request records */
+#define ALL_LANES (LANES + 1)
 #define POLL_MS 20
 #define TICK_S 0.1
 #define STORE_THREADS 4
@@ -35,16 +37,15 @@
 
 typedef struct Lane {
   struct Fleet *fleet;
-  int index;
   pthread_mutex_t lock;
-  Ledger *ledger;
-  Once *once;
+  Ledger *ledger;    /* budget lanes */
+  Once *once;        /* the records' lane */
   GHashTable *waits; /* handle -> Wait */
 } Lane;
 
 struct Fleet {
   FleetOptions options;
-  Lane lanes[LANES];
+  Lane lanes[ALL_LANES];
   Peer *peer;
   Jobs *jobs;
   pthread_t thread;
@@ -165,6 +166,11 @@
   }
 }
 
+static void do_actions(Lane *l) {
+  if (l->ledger) do_ledger(l);
+  if (l->once) do_once(l);
+}
+
 static void on_ledger_stored(void *ctx, const Job *j, PlatformAnswer *a) {
   Lane *l = ctx;
   pthread_mutex_lock(&l->lock);
@@ -202,8 +208,8 @@
   return &f->lanes[shard_index(budget) % LANES];
 }
 
-static Lane *lane_of_key(Fleet *f, OnceKey key) {
-  return &f->lanes[key.lo % LIMIT_CLAIM_SHARDS % LANES];
+static Lane *records(Fleet *f) {
+  return &f->lanes[RECORDS];
 }
 
 static void on_message(void *ctx, uint64_t from, CodecMsg *m) {
@@ -220,7 +226,7 @@
     return;
   }
   Lane *l = m->type == CODEC_LEDGER ? lane_of_budget(f, m->ledger.budget)
-                                    : lane_of_key(f, m->once.key);
+                                    : records(f);
   pthread_mutex_lock(&l->lock);
   if (m->type == CODEC_LEDGER) {
     ledger_receive(l->ledger, clock_now(), id, &m->ledger);
@@ -253,13 +259,12 @@
 
 static void spread_view(Fleet *f, const View *v) {
   log_info("view", "s:i", "members", v->n);
-  for (int i = 0; i < LANES; i++) {
+  for (int i = 0; i < ALL_LANES; i++) {
     Lane *l = &f->lanes[i];
     pthread_mutex_lock(&l->lock);
-    ledger_view(l->ledger, clock_now(), v);
-    once_view(l->once, clock_now(), v);
-    do_ledger(l);
-    do_once(l);
+    if (l->ledger) ledger_view(l->ledger, clock_now(), v);
+    if (l->once) once_view(l->once, clock_now(), v);
+    do_actions(l);
     pthread_mutex_unlock(&l->lock);
   }
 }
@@ -298,13 +303,12 @@
 
 static void tick(Fleet *f) {
   refresh_view(f);
-  for (int i = 0; i < LANES; i++) {
+  for (int i = 0; i < ALL_LANES; i++) {
     Lane *l = &f->lanes[i];
     pthread_mutex_lock(&l->lock);
-    ledger_tick(l->ledger, clock_now(), clock_unix());
-    once_tick(l->once, clock_now(), clock_unix());
-    do_ledger(l);
-    do_once(l);
+    if (l->ledger) ledger_tick(l->ledger, clock_now(), clock_unix());
+    if (l->once) once_tick(l->once, clock_now(), clock_unix());
+    do_actions(l);
     pthread_mutex_unlock(&l->lock);
   }
 }
@@ -334,10 +338,11 @@
   const Member *me = &f->options.self;
   uint32_t seed = f->options.seed + (uint32_t)i * 7919u;
   l->fleet = f;
-  l->index = i;
   pthread_mutex_init(&l->lock, NULL);
-  l->ledger = ledger_new(me->id, me->region, seed);
-  l->once = once_new(me->id, me->region, i, seed + 1);
+  if (i == RECORDS)
+    l->once = once_new(me->id, me->region, seed);
+  else
+    l->ledger = ledger_new(me->id, me->region, seed);
   l->waits = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
 }
 
@@ -351,7 +356,7 @@
   f->view = view_new(NULL, 0);
   f->ids = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
   pthread_mutex_init(&f->lock, NULL);
-  for (int i = 0; i < LANES; i++) lane_open(f, i);
+  for (int i = 0; i < ALL_LANES; i++) lane_open(f, i);
   f->jobs = jobs_open(o->platform, STORE_THREADS, STORE_WAIT_S);
   refresh_view(f);
   pthread_create(&f->thread, NULL, run, f);
@@ -363,10 +368,10 @@
   pthread_join(f->thread, NULL);
   jobs_close(f->jobs);
   peer_close(f->peer);
-  for (int i = 0; i < LANES; i++) {
+  for (int i = 0; i < ALL_LANES; i++) {
     Lane *l = &f->lanes[i];
-    ledger_free(l->ledger);
-    once_free(l->once);
+    if (l->ledger) ledger_free(l->ledger);
+    if (l->once) once_free(l->once);
     g_hash_table_destroy(l->waits);
     pthread_mutex_destroy(&l->lock);
   }
@@ -465,7 +470,7 @@
 
 OnceVerdict fleet_begin(Fleet *f, OnceKey key, uint64_t digest, bool ask,
                         bool repeat, FleetRun *run, OnceAnswer *answer) {
-  Lane *l = lane_of_key(f, key);
+  Lane *l = records(f);
   Wait w;
   run->key = key;
   run->handle = new_handle(f);
@@ -481,7 +486,7 @@
 
 bool fleet_finish(Fleet *f, FleetRun *run, const OnceBill *bill,
                   const OnceAnswer *answer) {
-  Lane *l = lane_of_key(f, run->key);
+  Lane *l = records(f);
   Wait w;
   pthread_mutex_lock(&l->lock);
   wait_open(l, run->handle, &w);
@@ -493,7 +498,7 @@
 }
 
 void fleet_unknown(Fleet *f, FleetRun *run) {
-  Lane *l = lane_of_key(f, run->key);
+  Lane *l = records(f);
   pthread_mutex_lock(&l->lock);
   once_unknown(l->once, clock_now(), run->handle);
   do_once(l);
@@ -501,7 +506,7 @@
 }
 
 void fleet_abort(Fleet *f, FleetRun *run) {
-  Lane *l = lane_of_key(f, run->key);
+  Lane *l = records(f);
   pthread_mutex_lock(&l->lock);
   once_abort(l->once, clock_now(), run->handle);
   do_once(l);
@@ -535,21 +540,22 @@
   pthread_mutex_unlock(&f->lock);
   refresh_view(f);
   send_beats(f);
-  for (int i = 0; i < LANES; i++) {
+  for (int i = 0; i < ALL_LANES; i++) {
     Lane *l = &f->lanes[i];
     pthread_mutex_lock(&l->lock);
-    ledger_drain(l->ledger, clock_now());
-    once_drain(l->once, clock_now());
+    if (l->ledger) ledger_drain(l->ledger, clock_now());
+    if (l->once) once_drain(l->once, clock_now());
     pthread_mutex_unlock(&l->lock);
   }
 }
 
 bool fleet_drained(Fleet *f) {
   bool all = true;
-  for (int i = 0; i < LANES; i++) {
+  for (int i = 0; i < ALL_LANES; i++) {
     Lane *l = &f->lanes[i];
     pthread_mutex_lock(&l->lock);
-    all = all && ledger_drained(l->ledger) && once_drained(l->once);
+    if (l->ledger) all = all && ledger_drained(l->ledger);
+    if (l->once) all = all && once_drained(l->once);
     pthread_mutex_unlock(&l->lock);
   }
   return all;
--- a/packages/ledger/holder.c
+++ b/packages/ledger/holder.c
@@ -282,7 +282,9 @@
     int64_t keep = p->typical + (int64_t)(p->rate * LEDGER_ACCOUNT_S);
     int64_t idle = p->typical + (int64_t)(p->rate * LEDGER_IDLE);
     if (p->rate < 1) keep = idle = 0;
-    if (!a->closing && p->waiters.length == 0 && free_of(a) > idle)
+    /* A budget seldom asked for: one report for spent and returned together. */
+    bool soon = p->rate < 1 && a->reserved > 0;
+    if (!a->closing && !soon && p->waiters.length == 0 && free_of(a) > idle)
       give_back(l, p, a, free_of(a) - keep);
     bool pending = !told(a) || a->closing;
     double wait = a->closing ? LEDGER_RESEND : LEDGER_REPORT_EVERY;
--- a/packages/ledger/home.c
+++ b/packages/ledger/home.c
@@ -137,6 +137,9 @@
   Held *g = h->held;
   if (g->moving || !g->witness[0]) return;
   int64_t ahead = (int64_t)(h->rate * LEDGER_ACCOUNT_S);
+  /* What is agreed ahead is written off should we be lost: little of a small
+     budget, enough of a large one that not each gift needs a word. */
+  ahead = MAX(ahead, MIN(LEDGER_MIN_DRAW, h->remaining / 2048));
   ahead = MIN(ahead, MAX(home_free(g) - n, 0));
   if (g->limit_asked - g->given >= n + ahead / 2) return;
   g->limit_asked = g->given + n + ahead;
--- a/packages/once/keeper.c
+++ b/packages/once/keeper.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #define BATCH_LINES 4000 /* about half a megabyte */
+#define BATCH_WRITES 4.0 /* batches a second of the whole fleet */
 
 void keeper_record_free(gpointer p) {
   Record *r = p;
@@ -196,7 +197,7 @@
     json_array_append_new(all,
                           line_json(&((BillLine *)o->lines->pdata[i])->line));
   OnceAction *a = once_act(o, ONCE_DO_BILL);
-  snprintf(a->name, sizeof a->name, "bills/%s/%d-%08" PRIu64, o->self, o->lane,
+  snprintf(a->name, sizeof a->name, "bills/%s/%08" PRIu64, o->self,
            o->bill_seq);
   char *text = json_dumps(all, JSON_COMPACT);
   a->text = g_strdup(text);
@@ -212,6 +213,11 @@
   if (b->backup) once_send(o, b->backup, &m);
 }
 
+/* The whole fleet's batches stay within a few writes a second. */
+static double batch_every(const Once *o) {
+  return MAX(ONCE_BATCH, o->view->n / BATCH_WRITES);
+}
+
 void keeper_billed(Once *o, ErrKind kind) {
   o->billing = false;
   if (kind != ERR_NONE && kind != ERR_STORE_CONFLICT) {
@@ -222,7 +228,7 @@
   }
   o->bill_backoff = 0;
   o->bill_seq++;
-  o->bill_at = o->now + (o->batch == BATCH_LINES ? 1.0 : ONCE_BATCH);
+  o->bill_at = o->now + (o->batch == BATCH_LINES ? 1.0 : batch_every(o));
   for (guint i = 0; i < o->batch; i++) {
     const BillLine *b = o->lines->pdata[i];
     tell_durable(o, b);
--- a/packages/once/once.c
+++ b/packages/once/once.c
@@ -296,11 +296,10 @@
 
 /* == events == */
 
-Once *once_new(const char *self, const char *region, int lane, uint32_t seed) {
+Once *once_new(const char *self, const char *region, uint32_t seed) {
   Once *o = g_new0(Once, 1);
   g_strlcpy(o->self, self, sizeof o->self);
   g_strlcpy(o->region, region, sizeof o->region);
-  o->lane = lane;
   o->rng = g_rand_new_with_seed(seed);
   o->view = view_new(NULL, 0);
   o->records =
--- a/packages/once/once.h
+++ b/packages/once/once.h
@@ -100,8 +100,7 @@
 
 typedef struct Once Once;
 
-/* `lane` tells several cores of one instance apart. */
-Once *once_new(const char *self, const char *region, int lane, uint32_t seed);
+Once *once_new(const char *self, const char *region, uint32_t seed);
 void once_free(Once *o);
 void once_faults(Once *o, OnceFaults f);
 void once_view(Once *o, double now, const View *v);
--- a/packages/once/state.h
+++ b/packages/once/state.h
@@ -90,7 +90,6 @@
 
 struct Once {
   char self[LIMIT_ID], region[LIMIT_NAME];
-  int lane;
   GRand *rng;
   OnceFaults faults;
   View *view;
--- a/packages/route/route.c
+++ b/packages/route/route.c
@@ -9,8 +9,8 @@
 #define FAILS 3       /* failures in a row that eject */
 #define EJECT_MIN 1.0 /* seconds, doubled each time */
 #define EJECT_MAX 30.0
-#define BLOCKS_KEPT 8192 /* block hashes remembered of one target */
-#define RETRY_SHARE 0.1  /* retries for each success */
+#define BLOCKS_KEPT 65536 /* block hashes remembered of one pool */
+#define RETRY_SHARE 0.1   /* retries for each success */
 #define RETRY_BURST 5.0
 #define STALE_MAX 5.0      /* seconds of age that still raise the margin */
 #define STALE_GROWTH 0.02  /* margin for each second of age, of a full wait */
@@ -138,11 +138,11 @@
   return n;
 }
 
-static void remember(State *s, const RouteAsk *ask) {
+static void remember(const Route *r, State *s, const RouteAsk *ask) {
   for (int i = 0; i < ask->n; i++)
     g_hash_table_add(s->fresh,
                      g_memdup2(&ask->blocks[i], sizeof ask->blocks[i]));
-  if (g_hash_table_size(s->fresh) < BLOCKS_KEPT / 2) return;
+  if (g_hash_table_size(s->fresh) < BLOCKS_KEPT / 2 / r->list->len) return;
   g_hash_table_destroy(s->old);
   s->old = s->fresh;
   s->fresh = block_set();
@@ -267,12 +267,13 @@
   }
 }
 
-static void dispatched(State *s, const RouteAsk *ask, RouteChoice *c) {
+static void dispatched(const Route *r, State *s, const RouteAsk *ask,
+                       RouteChoice *c) {
   s->own++;
   s->since++;
   c->probe = s->ejected;
   s->probing = s->ejected;
-  remember(s, ask);
+  remember(r, s, ask);
   g_strlcpy(c->name, s->t.name, sizeof c->name);
   g_strlcpy(c->url, s->t.url, sizeof c->url);
 }
@@ -308,7 +309,7 @@
   *out = choice[pick];
   out->candidates = n;
   out->left_out = left_out;
-  dispatched(good[pick], ask, out);
+  dispatched(r, good[pick], ask, out);
   return true;
 }
 
--- a/scenario/world.c
+++ b/scenario/world.c
@@ -673,7 +673,7 @@
   n->members = member_new(&me);
   uint32_t seed = g_rand_int(w->rng);
   n->ledger = ledger_new(n->id, n->region, seed);
-  n->once = once_new(n->id, n->region, 0, seed + 1);
+  n->once = once_new(n->id, n->region, seed + 1);
   ledger_faults(n->ledger, w->faults.ledger);
   once_faults(n->once, w->faults.once);
   take_view(w, i);
