A table change reads one part, not the table; the capacity page from slopes

Change: 256 parts; the head holds the names, each history entry only the names it replaced; rows of unchanged parts are shared between versions by reference count. A test counts the reads of one edit: two, the head and a part.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -16,7 +16,8 @@
 IDLE_S, ACCOUNT_S, TICKS = 20.0, 2.0, 10.0   # as in kernel/limits.h
 BEAT_BYTES = 3000.0                          # MEMBER_BYTES
 SPREAD = 30.0                                # writes/s for reports, home.c
-RECORD_S, BATCH_S = 600.0, 5.0
+RECORD_S, BATCH_S, BATCH_WRITES = 600.0, 5.0, 4.0
+PARTS, HISTORY = 256, 64
 
 
 def read(path):
@@ -47,9 +48,9 @@
     ledger, head = v("ledger message bytes"), v("frame head bytes")
     rows = []
     # With 35,000 budgets nearly every request is the first of its budget here
-    # for minutes: draw, allotment, report, its word, return, its word.
+    # for minutes: draw, allotment, one report, its word.
     draws = per_node if gap > IDLE_S else per_node / ACCOUNT_S
-    hold_msgs = 6 * draws
+    hold_msgs = 4 * draws
     rows.append((
         "entry: reservations", "accounts from the region's home; idle ones go back",
         "%.0f accounts, %.0f messages/s" % (accounts, hold_msgs),
@@ -58,7 +59,7 @@
         accounts * v("ledger account bytes") + BUDGETS * v("ledger row bytes"),
         hold_msgs * (ledger + head) / 2, 0, 0))
     # As home a node serves the draws of its region and asks a witness.
-    raise_msgs = 2 * draws
+    raise_msgs = 1 * draws  # a pair for about two gifts: 1,024 tokens ahead
     interval = max(10.0, SHARDS * REGIONS / SPREAD)
     writes = SHARDS * REGIONS / interval
     conflicts = 0.2
@@ -84,8 +85,7 @@
     asked = 0.3
     record_bytes = (v("finish bytes") + v("other record message bytes") * 2
                     + asked * 2 * v("other record message bytes") + 3 * head)
-    batches = NODES / BATCH_S
-    lanes = 8
+    batches = NODES / max(BATCH_S, NODES / BATCH_WRITES)
     rows.append((
         "home of request records", "keeper by rendezvous in the region; bills in "
         "batches of one object",
@@ -93,7 +93,7 @@
         per_node * v("record begin and finish ns") / 1e9,
         per_node * RECORD_S * v("record and owed bill bytes"),
         per_node * record_bytes + per_node * 130,
-        batches * lanes, 0))
+        batches, 0))
     claims = REQUESTS * CLAIMED
     claim_writes = min(claims * 2, 28.0)
     rows.append((
@@ -110,30 +110,32 @@
         (NODES / interval * v("heartbeat taken ns")
          + view_changes * NODES * 8 * v("view change ns a member")) / 1e9,
         NODES * v("member bytes") * 10, BEAT_BYTES, 0, NODES * 1.0))
-    reports = TARGETS * CENTRES                 # one poller a data centre
+    near = TARGETS / REGIONS                    # a request stays in its region
     rows.append((
         "load view", "one instance a data centre asks each target a second and "
-        "passes a digest on (today each instance asks)",
-        "%d targets" % TARGETS,
-        (per_node * v("route decision ns") + TARGETS * 100) / 1e9,
-        TARGETS * v("target bytes") + TARGETS * 8192 * 48,
-        TARGETS * 12.0, 0, 0))
+        "passes a digest of 12 bytes a target on in its region (not built: today "
+        "each instance asks each target)",
+        "%.0f targets of the region" % near,
+        (per_node * v("route decision ns") + near * 100) / 1e9,
+        TARGETS * v("target bytes") + MODELS * 65536 * 48 / REGIONS,
+        near * 12.0, 0, 0))
+    rows_all = BUDGETS + CUSTOMERS + TARGETS
+    head_bytes = PARTS * 48 + HISTORY * 160
     rows.append((
-        "table", "parts by content hash, one head; a watch an instance (%.0f/s), "
+        "table", "256 parts by content hash, one head; a watch an instance (%.0f/s), "
         "versions in heartbeats" % (NODES / 10.0),
-        "%d rows" % (BUDGETS + CUSTOMERS + TARGETS),
-        CHANGES_A_DAY / 86400.0 * (BUDGETS * v("table parse ns a row") * 1.5) / 1e9,
-        (BUDGETS + CUSTOMERS + TARGETS) * v("table row bytes") * 2,
-        CHANGES_A_DAY / 86400.0 * BUDGETS * v("table stored bytes a row"),
-        CHANGES_A_DAY / 86400.0 * 2, NODES / 10.0 + CHANGES_A_DAY / 86400.0 * NODES
-        * 17))
+        "%d rows" % rows_all,
+        CHANGES_A_DAY / 86400.0 * rows_all * (v("table share ns a row") + 300) / 1e9,
+        rows_all * (v("table row bytes") + 150),
+        CHANGES_A_DAY / 86400.0 * (head_bytes + rows_all / PARTS * 93),
+        CHANGES_A_DAY / 86400.0 * 2,
+        NODES / 10.0 + CHANGES_A_DAY / 86400.0 * NODES * 2))
     rows.append((
         "log", "two JSON lines a request", "%.0f lines/s" % (per_node * 2),
         per_node * 2 * v("log line ns") / 1e9, 1e6, 0, 0, 0))
     rows.append((
         "operator's command", "reads the shards on demand", "%d reads a screen"
         % SHARDS, 0, 0, 0, 0, 1))
-    del reports
     return rows
 
 
--- a/bench/slopes.c
+++ b/bench/slopes.c
@@ -303,12 +303,19 @@
   out("table parse ns a row", n, (now_ns() - t) / n);
   out("table row bytes", n, (heap() - h0) / n);
   size_t bytes = 0;
-  for (int i = 0; i < 16; i++) {
-    char *part = table_encode_part(table, i, 16);
+  for (int i = 0; i < 4; i++) {
+    char *part = table_encode_part(table, i);
     bytes += strlen(part);
     g_free(part);
   }
-  out("table stored bytes a row", n, (double)bytes / n);
+  out("table part bytes", n, (double)bytes / 4);
+  t = now_ns();
+  Table *next = table_new();
+  for (guint i = 0; i < table->order->len; i++)
+    table_share(next, table->order->pdata[i]);
+  table_sort(next);
+  out("table share ns a row", n, (now_ns() - t) / n);
+  table_free(next);
   table_free(table);
   g_string_free(csv, TRUE);
   g_ptr_array_free(errors, TRUE);
--- a/packages/entry/watch.c
+++ b/packages/entry/watch.c
@@ -74,12 +74,19 @@
   log_info("table", "s:I", "version", (json_int_t)v);
 }
 
+/* The table in force belongs to the snapshot; only this thread replaces it, so
+   it stays while it is used here. */
+static void keep_table(void *ctx, const Table *t) {
+  *(const Table **)ctx = t;
+}
+
 static void load_table(Watch *w, Platform *p) {
   RolloutStore s = {get, NULL, p};
   bool same;
   Err err = {0};
-  Table *t =
-      rollout_load(&s, snapshots_version(w->entry->snapshots), &same, &err);
+  const Table *have = NULL;
+  snapshots_read(w->entry->snapshots, keep_table, &have);
+  Table *t = rollout_load(&s, have, &same, &err);
   if (t || same) heard_store(w);
   if (t) put_in_force(w, t);
 }
--- a/packages/table/merge.c
+++ b/packages/table/merge.c
@@ -95,7 +95,11 @@
     changed = changed || strcmp(cell, head->cells[i]) != 0;
     r.cells[i] = (char *)cell;
   }
-  r.version = changed ? version : head->version;
+  if (!changed) {
+    table_share(out, head);
+    return true;
+  }
+  r.version = version;
   table_put(out, &r);
   return true;
 }
@@ -123,7 +127,7 @@
     if (table_row(mine, h->kind, h->name)) continue;
     const TableRow *b = table_row(base, h->kind, h->name);
     if (!b) { /* came there meanwhile */
-      table_put(out, h);
+      table_share(out, h);
     } else if (!same_row(b, h)) { /* removed here, edited there */
       *conflict = clash(h, "all (this edit removes the row)");
       *conflict_version = h->version;
--- a/packages/table/rollout.c
+++ b/packages/table/rollout.c
@@ -8,14 +8,19 @@
 #include <time.h>
 #include <xxhash.h>
 
-#define PARTS 16 /* rows are spread over this many content objects */
 #define KEPT 64  /* edits remembered; an edit on an older base is refused */
 #define TRIES 20 /* lost races and lost answers in one apply */
 
 /* == head == */
 
+/* The head: version, the names of the parts, and a history whose entries keep
+   the names that their edit replaced, so that a recent version can be had
+   again. */
 static json_t *empty_head(void) {
-  return json_pack("{s:i,s:[]}", "version", 0, "history");
+  json_t *parts = json_array();
+  for (int i = 0; i < TABLE_PARTS; i++)
+    json_array_append_new(parts, json_string(""));
+  return json_pack("{s:i,s:o,s:[]}", "version", 0, "parts", parts, "history");
 }
 
 static uint64_t head_version(json_t *head) {
@@ -60,78 +65,125 @@
 
 /* == parts == */
 
-static Table *load_parts(const RolloutStore *s, json_t *entry, Err *e) {
+/* Names of the parts as they were in `version`; NULL when it is too old. */
+static json_t *parts_of(json_t *head, uint64_t version) {
+  json_t *parts = json_copy(json_object_get(head, "parts"));
+  json_t *history = json_object_get(head, "history"), *old;
+  const char *index;
+  uint64_t at = head_version(head);
+  for (size_t i = json_array_size(history); i-- > 0 && at > version; at--) {
+    json_t *was = json_object_get(json_array_get(history, i), "was");
+    json_object_foreach(was, index, old)
+        json_array_set(parts, (size_t)atoi(index), old);
+  }
+  if (at == version) return parts;
+  json_decref(parts);
+  return NULL;
+}
+
+static const char *part_name(json_t *parts, int i) {
+  const char *s = json_string_value(json_array_get(parts, (size_t)i));
+  return s ? s : "";
+}
+
+static bool read_part(const RolloutStore *s, Table *t, const char *name,
+                      Err *e) {
+  PlatformAnswer a = s->get(s->ctx, name);
+  bool ok = a.kind == ERR_NONE && table_decode_part(t, a.text);
+  g_free(a.text);
+  if (ok) return true;
+  return err_retry(e, a.kind == ERR_NONE ? ERR_TABLE : a.kind, 1000,
+                   "table part %s can't be read", name);
+}
+
+/* Rows of `have` whose parts are the same are shared, the rest is read. */
+static Table *load_parts(const RolloutStore *s, json_t *parts, uint64_t version,
+                         const Table *have, Err *e) {
   Table *t = table_new();
-  t->version = (uint64_t)json_integer_value(json_object_get(entry, "version"));
-  size_t i;
-  json_t *name;
-  json_array_foreach(json_object_get(entry, "parts"), i, name) {
-    PlatformAnswer a = s->get(s->ctx, json_string_value(name));
-    bool ok = a.kind == ERR_NONE && table_decode_part(t, a.text);
-    g_free(a.text);
-    if (ok) continue;
-    err_retry(e, a.kind == ERR_NONE ? ERR_TABLE : a.kind, 1000,
-              "table part %s can't be read", json_string_value(name));
-    table_free(t);
-    return NULL;
+  bool ok = true;
+  t->version = version;
+  for (int i = 0; i < TABLE_PARTS; i++)
+    t->parts[i] = g_strdup(part_name(parts, i));
+  for (guint i = 0; have && i < have->order->len; i++) {
+    const TableRow *r = have->order->pdata[i];
+    int p = table_part(r);
+    if (g_strcmp0(have->parts[p], t->parts[p]) == 0) table_share(t, r);
   }
-  return t;
+  for (int i = 0; ok && i < TABLE_PARTS; i++) {
+    bool kept = have && g_strcmp0(have->parts[i], t->parts[i]) == 0;
+    if (t->parts[i][0] && !kept) ok = read_part(s, t, t->parts[i], e);
+  }
+  table_sort(t);
+  if (ok) return t;
+  table_free(t);
+  return NULL;
 }
 
 /* The table of a version that the head knows; version 0 is empty. */
 static Table *load_version(const RolloutStore *s, json_t *head,
-                           uint64_t version, Err *e) {
+                           uint64_t version, const Table *have, Err *e) {
   if (version == 0) return table_new();
-  json_t *entry = history_entry(head, version);
-  if (entry) return load_parts(s, entry, e);
-  err_set(e, ERR_TABLE_RACE,
-          "version %llu is too old to merge with: only the last %d are kept",
-          (unsigned long long)version, KEPT);
-  return NULL;
+  json_t *parts = parts_of(head, version);
+  if (!parts) {
+    err_set(e, ERR_TABLE_RACE,
+            "version %llu is too old to merge with: only the last %d are kept",
+            (unsigned long long)version, KEPT);
+    return NULL;
+  }
+  Table *t = load_parts(s, parts, version, have, e);
+  json_decref(parts);
+  return t;
 }
 
-/* Content is named by its hash: a part that exists is the part. */
-static json_t *write_parts(const RolloutStore *s, const Table *t, Err *e) {
-  json_t *parts = json_array();
-  for (int i = 0; i < PARTS; i++) {
-    char *text = table_encode_part(t, i, PARTS);
-    if (strcmp(text, "[]") == 0) {
-      g_free(text);
-      continue;
-    }
-    char name[LIMIT_NAME];
-    XXH128_hash_t h = XXH3_128bits(text, strlen(text));
-    snprintf(name, sizeof name, "table/part/%016llx%016llx",
-             (unsigned long long)h.high64, (unsigned long long)h.low64);
-    PlatformAnswer a = {.kind = ERR_STORE_UNKNOWN};
-    for (int n = 0; n < TRIES && a.kind == ERR_STORE_UNKNOWN; n++) {
-      a = s->put(s->ctx, name, 0, text);
-      g_free(a.text);
+static bool write_part(const RolloutStore *s, const char *name,
+                       const char *text, Err *e) {
+  PlatformAnswer a = {.kind = ERR_STORE_UNKNOWN};
+  for (int n = 0; n < TRIES && a.kind == ERR_STORE_UNKNOWN; n++) {
+    a = s->put(s->ctx, name, 0, text);
+    g_free(a.text);
+  }
+  /* Content is named by its hash: a part that exists is the part. */
+  if (a.kind == ERR_NONE || a.kind == ERR_STORE_CONFLICT) return true;
+  return err_retry(e, a.kind, 1000, "the store did not take the table");
+}
+
+/* Writes the parts that differ from the head's; the names of all. */
+static json_t *write_parts(const RolloutStore *s, json_t *head, const Table *t,
+                           Err *e) {
+  json_t *before = json_object_get(head, "parts"), *parts = json_array();
+  bool ok = true;
+  for (int i = 0; ok && i < TABLE_PARTS; i++) {
+    char *text = table_encode_part(t, i);
+    char name[LIMIT_NAME] = "";
+    if (strcmp(text, "[]") != 0) {
+      XXH128_hash_t h = XXH3_128bits(text, strlen(text));
+      snprintf(name, sizeof name, "table/part/%016llx%016llx",
+               (unsigned long long)h.high64, (unsigned long long)h.low64);
+      if (strcmp(name, part_name(before, i)) != 0)
+        ok = write_part(s, name, text, e);
     }
     g_free(text);
-    if (a.kind != ERR_NONE && a.kind != ERR_STORE_CONFLICT) {
-      err_retry(e, a.kind, 1000, "the store did not take the table");
-      json_decref(parts);
-      return NULL;
-    }
     json_array_append_new(parts, json_string(name));
   }
-  return parts;
+  if (ok) return parts;
+  json_decref(parts);
+  return NULL;
 }
 
 /* == load == */
 
-Table *rollout_load(const RolloutStore *s, uint64_t have, bool *same, Err *e) {
+Table *rollout_load(const RolloutStore *s, const Table *have, bool *same,
+                    Err *e) {
   uint64_t version;
   json_t *head = read_head(s, &version, e);
   *same = false;
   if (!head) return NULL;
   uint64_t v = head_version(head);
   Table *t = NULL;
-  if (v <= have && have > 0)
+  if (have && have->version > 0 && v <= have->version)
     *same = true; /* also a stale read: never step back */
   else
-    t = load_version(s, head, v, e);
+    t = load_version(s, head, v, have, e);
   json_decref(head);
   return t;
 }
@@ -157,13 +209,14 @@
             (unsigned long long)now, (unsigned long long)base_version);
     return NULL;
   }
-  Table *base = load_version(s, head, base_version, e);
-  Table *present = base ? load_version(s, head, now, e) : NULL;
+  Table *present = load_version(s, head, now, NULL, e);
+  Table *base =
+      present ? load_version(s, head, base_version, present, e) : NULL;
   Table *t = NULL;
   char *what = NULL;
-  if (present)
+  if (base)
     t = table_merge(base, mine, present, now + 1, &what, &clash_version);
-  if (present && !t) refuse_clash(head, what, clash_version, e);
+  if (base && !t) refuse_clash(head, what, clash_version, e);
   GPtrArray *errors = g_ptr_array_new_with_free_func(g_free);
   if (t && !table_check(t, errors)) {
     err_set(e, ERR_TABLE, "with the edits made meanwhile: %s",
@@ -179,13 +232,21 @@
 }
 
 static void add_history(json_t *head, const RolloutEdit *edit, json_t *parts) {
-  json_t *history = json_object_get(head, "history");
+  json_t *history = json_object_get(head, "history"), *was = json_object();
+  json_t *before = json_object_get(head, "parts");
   uint64_t v = head_version(head) + 1;
+  for (int i = 0; i < TABLE_PARTS; i++) {
+    char index[8];
+    if (strcmp(part_name(before, i), part_name(parts, i)) == 0) continue;
+    snprintf(index, sizeof index, "%d", i);
+    json_object_set(was, index, json_array_get(before, (size_t)i));
+  }
   json_object_set_new(head, "version", json_integer((json_int_t)v));
-  json_array_append_new(
-      history, json_pack("{s:I,s:s,s:s,s:I,s:o}", "version", (json_int_t)v,
-                         "id", edit->id, "who", edit->who, "t",
-                         (json_int_t)time(NULL), "parts", parts));
+  json_object_set_new(head, "parts", parts);
+  json_array_append_new(history, json_pack("{s:I,s:s,s:s,s:I,s:o}", "version",
+                                           (json_int_t)v, "id", edit->id, "who",
+                                           edit->who, "t",
+                                           (json_int_t)time(NULL), "was", was));
   while (json_array_size(history) > KEPT) json_array_remove(history, 0);
 }
 
@@ -206,7 +267,7 @@
     /* A retry merges onto the same base, not onto a newer one. */
     if (fixed.base == UINT64_MAX) fixed.base = head_version(head);
     Table *t = merged(s, head, mine, &fixed, e);
-    json_t *parts = t ? write_parts(s, t, e) : NULL;
+    json_t *parts = t ? write_parts(s, head, t, e) : NULL;
     table_free(t);
     if (!parts) {
       json_decref(head);
@@ -234,7 +295,7 @@
   json_t *o;
   json_array_foreach(json_object_get(head, "history"), i, o) {
     json_t *copy = json_copy(o);
-    json_object_del(copy, "parts");
+    json_object_del(copy, "was");
     json_array_append_new(list, copy);
   }
   char *s1 = json_dumps(list, JSON_COMPACT), *text = g_strdup(s1);
--- a/packages/table/rollout.h
+++ b/packages/table/rollout.h
@@ -24,9 +24,11 @@
   void *ctx;
 } RolloutStore;
 
-/* The present table, of version 0 and empty when there is none yet. A version
-   not above `have` is not loaded: then *same is true and NULL returned. */
-Table *rollout_load(const RolloutStore *s, uint64_t have, bool *same, Err *e);
+/* The present table, of version 0 and empty when there is none yet. What it has
+   in common with `have` (may be NULL) is not read again. When it is not newer
+   than `have`, *same is true and NULL returned. */
+Table *rollout_load(const RolloutStore *s, const Table *have, bool *same,
+                    Err *e);
 /* Merges the edit and returns the version it is in, 0 on failure. */
 uint64_t rollout_apply(const RolloutStore *s, const Table *mine,
                        const RolloutEdit *edit, Err *e);
--- a/packages/table/table.c
+++ b/packages/table/table.c
@@ -52,10 +52,13 @@
 
 /* == memory == */
 
-static void row_free(gpointer p) {
+static void row_clear(gpointer p) {
   TableRow *r = p;
   for (int i = 0; i < TABLE_COLUMNS; i++) g_free(r->cells[i]);
-  g_free(r);
+}
+
+static void row_free(gpointer p) {
+  g_atomic_rc_box_release_full(p, row_clear);
 }
 
 Table *table_new(void) {
@@ -69,6 +72,7 @@
   if (!t) return;
   g_hash_table_destroy(t->rows);
   g_ptr_array_free(t->order, TRUE);
+  for (int i = 0; i < TABLE_PARTS; i++) g_free(t->parts[i]);
   g_free(t);
 }
 
@@ -93,13 +97,20 @@
 }
 
 void table_put(Table *t, const TableRow *row) {
-  TableRow *r = g_memdup2(row, sizeof *row);
+  TableRow *r = g_atomic_rc_box_new0(TableRow);
+  *r = *row;
   for (int i = 0; i < TABLE_COLUMNS; i++)
     r->cells[i] = g_strdup(row->cells[i] ? row->cells[i] : "");
   fill_numbers(r);
   g_hash_table_replace(t->rows, row_key(r->kind, r->name), r);
 }
 
+void table_share(Table *t, const TableRow *row) {
+  TableRow *r = (TableRow *)row; /* rows are never written to once in a table */
+  g_atomic_rc_box_acquire(r);
+  g_hash_table_replace(t->rows, row_key(r->kind, r->name), r);
+}
+
 void table_remove(Table *t, TableKind kind, const char *name) {
   char *key = row_key(kind, name);
   g_hash_table_remove(t->rows, key);
@@ -417,16 +428,16 @@
 
 /* == JSON == */
 
-static int part_of(const TableRow *r, int parts) {
+int table_part(const TableRow *r) {
   uint64_t h = XXH64(r->name, strlen(r->name), (XXH64_hash_t)r->kind);
-  return (int)(h % (uint64_t)parts);
+  return (int)(h % TABLE_PARTS);
 }
 
-char *table_encode_part(const Table *t, int part, int parts) {
+char *table_encode_part(const Table *t, int part) {
   json_t *all = json_array();
   for (guint i = 0; i < t->order->len; i++) {
     const TableRow *r = t->order->pdata[i];
-    if (part_of(r, parts) != part) continue;
+    if (table_part(r) != part) continue;
     json_t *o = json_pack("{s:s,s:s,s:I}", "kind", kinds[r->kind], "name",
                           r->name, "v", (json_int_t)r->version);
     for (int c = 0; c < TABLE_COLUMNS; c++)
@@ -464,6 +475,5 @@
   bool ok = json_is_array(all);
   json_array_foreach(all, i, o) ok = ok && decode_row(t, o);
   json_decref(all);
-  table_sort(t);
   return ok;
 }
--- a/packages/table/table.h
+++ b/packages/table/table.h
@@ -38,6 +38,9 @@
   TABLE_COLUMNS
 } TableColumn;
 
+#define TABLE_PARTS 256 /* content objects that the rows are spread over */
+
+/* Immutable once in a table; tables share rows by counting references. */
 typedef struct TableRow {
   TableKind kind;
   char name[LIMIT_NAME]; /* a budget's is customer/service or customer/any */
@@ -48,8 +51,9 @@
 
 typedef struct Table {
   uint64_t version;
-  GHashTable *rows; /* "kind/name" -> TableRow */
-  GPtrArray *order; /* TableRow*, sorted by kind and name */
+  char *parts[TABLE_PARTS]; /* object names it was loaded from; NULL: none */
+  GHashTable *rows;         /* "kind/name" -> TableRow */
+  GPtrArray *order;         /* TableRow*, sorted by kind and name */
 } Table;
 
 Table *table_new(void);
@@ -57,6 +61,8 @@
 const TableRow *table_row(const Table *t, TableKind kind, const char *name);
 /* Copies `row` in, in place of one of the same kind and name. */
 void table_put(Table *t, const TableRow *row);
+/* Takes in a row of another table without a copy. */
+void table_share(Table *t, const TableRow *row);
 void table_remove(Table *t, TableKind kind, const char *name);
 /* Restores `order` after puts and removes. */
 void table_sort(Table *t);
@@ -73,8 +79,10 @@
 /* g_free. */
 char *table_csv(const Table *t);
 
+/* The part that a row belongs to. */
+int table_part(const TableRow *row);
 /* JSON of the rows of one part, for the store; g_free. */
-char *table_encode_part(const Table *t, int part, int parts);
+char *table_encode_part(const Table *t, int part);
 /* Adds the rows of a part; false when it is not one. */
 bool table_decode_part(Table *t, const char *text);
 
--- a/tests/test_rollout.c
+++ b/tests/test_rollout.c
@@ -20,7 +20,7 @@
   GRand *rng;
   bool lose, no_version_check;
   int depth; /* other operators at work inside this one's call */
-  int edits, accepted, refused;
+  int edits, accepted, refused, gets;
   int64_t expected[CUSTOMERS]; /* share that the last accepted edit set */
 } Fake;
 
@@ -36,6 +36,7 @@
 
 static PlatformAnswer get(void *ctx, const char *name) {
   Fake *f = ctx;
+  f->gets++;
   const Object *o = g_hash_table_lookup(f->objects, name);
   if (!o) return (PlatformAnswer){.kind = ERR_STORE_ABSENT};
   return (PlatformAnswer){ERR_NONE, o->version, g_strdup(o->text)};
@@ -72,7 +73,7 @@
   RolloutStore s = store_of(f);
   bool same;
   Err e = {0};
-  Table *t = rollout_load(&s, 0, &same, &e);
+  Table *t = rollout_load(&s, NULL, &same, &e);
   cr_assert(t, "%s", e.text);
   return t;
 }
@@ -166,11 +167,35 @@
   RolloutStore s = store_of(f);
   bool same;
   Err e = {0};
-  cr_assert_null(rollout_load(&s, 5, &same, &e));
+  Table *have = present(f);
+  have->version = 5;
+  cr_assert_null(rollout_load(&s, have, &same, &e));
+  table_free(have);
   cr_assert(same, "an older version is no news");
   fake_free(f);
 }
 
+Test(rollout, one_changed_row_is_one_part_read) {
+  Fake *f = fake_new(4);
+  f->edits = EDITS;
+  for (int i = 0; i < CUSTOMERS; i++) edit(f, i, 10);
+  Table *have = present(f);
+  edit(f, 3, 20);
+  f->gets = 0;
+  RolloutStore s = store_of(f);
+  bool same;
+  Err e = {0};
+  Table *t = rollout_load(&s, have, &same, &e);
+  cr_assert_eq(f->gets, 2, "%d reads: the head and a part", f->gets);
+  cr_assert_eq(t->order->len, CUSTOMERS);
+  cr_assert_eq(table_row(t, TABLE_CUSTOMER, "c3")->numbers[TABLE_SHARE], 20);
+  cr_assert_eq(table_row(t, TABLE_CUSTOMER, "c4"),
+               table_row(have, TABLE_CUSTOMER, "c4"), "shared");
+  table_free(have);
+  table_free(t);
+  fake_free(f);
+}
+
 Test(rollout, the_same_edit_sent_twice_is_applied_once) {
   Fake *f = fake_new(3);
   f->edits = EDITS;
--- a/tests/test_table.c
+++ b/tests/test_table.c
@@ -27,11 +27,12 @@
   GPtrArray *d = table_diff(t, u);
   cr_assert_eq(d->len, 0);
   Table *v = table_new();
-  for (int i = 0; i < 4; i++) {
-    char *part = table_encode_part(t, i, 4);
+  for (int i = 0; i < TABLE_PARTS; i++) {
+    char *part = table_encode_part(t, i);
     cr_assert(table_decode_part(v, part));
     g_free(part);
   }
+  table_sort(v);
   GPtrArray *e = table_diff(t, v);
   cr_assert_eq(e->len, 0);
   g_ptr_array_unref(d);
