Routing and order measured; an old report no longer makes a herd, an old wait ends

Measure: bench/route.c, 8 routers before 12 targets at three quarters of what they can do, load reports 0.1, 1 and 5 s old; and one pool at 0.5 to 2 times its capacity, a fifth of the requests urgent.

Cause 1: the load of a target counted our own dispatches since its report, not those of the seven others, who read the same report. Change: what was reported fades with the time a request takes, and the others are taken to have sent what we did.

Cause 2: a request whose wait was over was told so only when nobody else had a turn, so under overload never, and it went on counting as ahead of others.

--- a/bench/route.c
+++ b/bench/route.c
@@ -77,6 +77,7 @@
   for (int i = 0; i < ROUTERS; i++) {
     s->routers[i] = route_new((uint32_t)i + 1, policy);
     route_targets(s->routers[i], list, TARGETS);
+    if (policy == ROUTE_OURS) route_peers(s->routers[i], ROUTERS);
   }
   return s;
 }
--- a/bench/run.sh
+++ b/bench/run.sh
@@ -8,4 +8,5 @@
 "$1/bench/bench_slopes" 2>/dev/null | tee "$out"
 python3 bench/capacity.py "$out" docs/CAPACITY.md
 "$1/bench/bench_budget"
+"$1/bench/bench_route"
 python3 bench/path.py "$1"
--- a/packages/entry/pool.c
+++ b/packages/entry/pool.c
@@ -234,6 +234,17 @@
   g_list_free(all);
 }
 
+void pools_peers(Pools *p, int n) {
+  GList *all = pools_list(p);
+  for (GList *i = all; i; i = i->next) {
+    Pool *pool = i->data;
+    pthread_mutex_lock(&pool->lock);
+    route_peers(pool->route, n);
+    pthread_mutex_unlock(&pool->lock);
+  }
+  g_list_free(all);
+}
+
 void pools_leaving(Pools *p, const char *target, bool leaving) {
   GList *all = pools_list(p);
   for (GList *i = all; i; i = i->next) {
--- a/packages/entry/pool.h
+++ b/packages/entry/pool.h
@@ -17,6 +17,8 @@
 Pool *pools_find(Pools *p, const char *name);
 /* Brings the targets to what the table says. */
 void pools_table(Pools *p, const Table *t);
+/* How many instances there are. */
+void pools_peers(Pools *p, int n);
 /* The platform's word on one target. */
 void pools_leaving(Pools *p, const char *target, bool leaving);
 /* Lets waits end and turns come; call about fifty times a second. */
--- a/packages/entry/watch.c
+++ b/packages/entry/watch.c
@@ -126,6 +126,7 @@
 
 static void on_view(void *ctx, const View *v) {
   Watch *w = ctx;
+  pools_peers(w->entry->pools, v->n);
   for (int i = 0; i < v->n; i++)
     if (v->list[i].table > atomic_load(&w->wanted))
       atomic_store(&w->wanted, v->list[i].table);
--- a/packages/queue/queue.c
+++ b/packages/queue/queue.c
@@ -172,15 +172,16 @@
 
 bool queue_pop(Queue *q, double now, int room, double rate, QueueOut *out) {
   *out = (QueueOut){0};
+  /* Whoever can't be served any more is told first, not when all is quiet. */
+  if (pop_expired(q, now, rate, out)) return true;
   guint best = 0;
   bool found = false;
   for (guint k = 0; room > 0 && k < q->items->len; k++) {
     const Item *i = q->items->pdata[k];
-    if (now >= i->deadline) continue;
     if (!found || before(q, i, q->items->pdata[best], now)) best = k;
     found = true;
   }
-  if (!found) return pop_expired(q, now, rate, out);
+  if (!found) return false;
   Item *i = q->items->pdata[best];
   q->clock[i->q.class] = MAX(q->clock[i->q.class], i->start);
   out->handle = i->q.handle;
--- a/packages/route/route.c
+++ b/packages/route/route.c
@@ -36,6 +36,7 @@
   GPtrArray *list; /* State* */
   GRand *rng;
   RoutePolicy policy;
+  int peers; /* instances that choose as we do */
   guint turn;
   double retries;
 };
@@ -70,6 +71,7 @@
   r->list = g_ptr_array_new_with_free_func(state_free);
   r->rng = g_rand_new_with_seed(seed);
   r->policy = policy;
+  r->peers = 1;
   r->retries = RETRY_BURST;
   return r;
 }
@@ -111,6 +113,10 @@
   if (s) s->leaving = leaving;
 }
 
+void route_peers(Route *r, int n) {
+  r->peers = MAX(n, 1);
+}
+
 int route_count(const Route *r) {
   return (int)r->list->len;
 }
@@ -188,6 +194,14 @@
   return MAX(reported + s->since, s->own);
 }
 
+/* The same as it is likely to be now: what was reported has partly ended, and
+   the other instances have sent there about what we have. */
+static double likely(const Route *r, const State *s, double now) {
+  double age = s->reported > 0 ? now - s->reported : 0;
+  double left = (s->running + s->waiting) * exp(-age / s->service_s);
+  return MAX(left + (double)s->since * r->peers, s->own);
+}
+
 void route_report(Route *r, double now, const char *name, int running,
                   int waiting, double path_s) {
   State *s = find(r, name);
@@ -239,18 +253,18 @@
   return now >= s->ejected_until && !s->probing; /* one probe at a time */
 }
 
-static void price(const State *s, double now, const RouteAsk *ask,
-                  RouteChoice *c) {
+static void price(const Route *r, const State *s, double now,
+                  const RouteAsk *ask, RouteChoice *c) {
   int64_t cached = (int64_t)cached_blocks(s, ask) * ROUTE_BLOCK / 4;
   c->cached = MIN(cached, ask->tokens);
   c->path = s->path_s;
   c->prefill = (double)(ask->tokens - c->cached) * s->prefill_s;
-  int over = inflight(s) + 1 - s->t.slots;
+  double there = likely(r, s, now), over = there + 1 - s->t.slots;
   c->wait = over > 0 ? over * s->service_s / s->t.slots : 0;
   /* An old report hides what others sent since; the fuller the target was,
      the likelier that it is full by now. */
   double age = s->reported > 0 ? MIN(now - s->reported, STALE_MAX) : STALE_MAX;
-  double load = (double)inflight(s) / s->t.slots;
+  double load = there / s->t.slots;
   c->margin = age * STALE_GROWTH * load * s->service_s;
   c->cost = c->path + c->prefill + c->wait + c->margin;
 }
@@ -290,7 +304,7 @@
       continue;
     }
     choice[n] = (RouteChoice){0};
-    price(s, now, ask, &choice[n]);
+    price(r, s, now, ask, &choice[n]);
     score[n] = rank(r, s, &choice[n], i);
     best = MIN(best, score[n]);
     good[n++] = s;
--- a/packages/route/route.h
+++ b/packages/route/route.h
@@ -59,6 +59,8 @@
 void route_free(Route *r);
 /* Targets that stay keep what is known of them. */
 void route_targets(Route *r, const RouteTarget *list, int n);
+/* How many instances choose among these targets, ourselves included. */
+void route_peers(Route *r, int n);
 /* The platform says that a target leaves, or no longer. */
 void route_leaving(Route *r, const char *name, bool leaving);
 /* A load report, `path_s` seconds away. */
--- a/tests/test_queue.c
+++ b/tests/test_queue.c
@@ -90,6 +90,19 @@
   queue_free(q);
 }
 
+Test(queue, a_wait_that_is_over_ends_also_while_others_have_their_turn) {
+  Queue *q = queue_new();
+  QueueOut out;
+  QueueItem i = item(1, "c", 3);
+  i.wait_s = 1;
+  push(q, 0, i);
+  for (uint64_t k = 2; k < 10; k++) push(q, 1, item(k, "c", 0));
+  cr_assert(queue_pop(q, 1.5, 1, 1000, &out));
+  cr_assert_eq(out.handle, 1);
+  cr_assert_eq(out.refused, ERR_OVERLOADED);
+  queue_free(q);
+}
+
 Test(queue, caps_hold_and_are_given_back) {
   Queue *q = queue_new();
   QueueOut out;
--- a/tests/test_route.c
+++ b/tests/test_route.c
@@ -52,6 +52,35 @@
   route_free(r);
 }
 
+/* All have the same old report, by which one target is the emptiest. */
+static int herd(int peers) {
+  int there = 0;
+  for (uint32_t k = 0; k < 8; k++) {
+    Route *r = fleet(4, 8);
+    route_peers(r, peers);
+    for (int i = 0; i < 4; i++) {
+      char name[8];
+      snprintf(name, sizeof name, "t%d", i);
+      route_report(r, 0, name, i == 0 ? 2 : 5, 0, 0.001);
+    }
+    for (int i = 0; i < 4; i++) {
+      RouteAsk ask = {.tokens = 10};
+      RouteChoice c;
+      route_pick(r, 0.2, &ask, &c);
+      there += strcmp(c.name, "t0") == 0;
+    }
+    route_free(r);
+  }
+  return there;
+}
+
+Test(route, many_instances_do_not_herd_on_an_old_report) {
+  int alone = herd(1), together = herd(8);
+  cr_assert(together <= 16 && together < alone,
+            "%d of 32 sent to one of four, %d without the others in mind",
+            together, alone);
+}
+
 Test(route, a_cached_prefix_draws_its_kind) {
   Route *r = fleet(4, 64);
   char prompt[8192];
