--- a/fakes/booking.c
+++ b/fakes/booking.c
@@ -4,29 +4,18 @@
    POST /book, GET /stats, POST /fault?mode=M  modes: none, lost (books, then
    hangs up without an answer), slow. */
 #include <glib.h>
-#include <jansson.h>
 #include <pthread.h>
-#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
-#include "http/server.h"
+#include "fakes/fake.h"
 
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
 static GHashTable *counts; /* body -> how often it was booked */
 static int bays;
 static char mode[16] = "none";
 
-static struct MHD_Response *reply(int *status, int code, json_t *o) {
-  char *s = json_dumps(o, JSON_COMPACT);
-  *status = code;
-  struct MHD_Response *m = http_text("application/json", s, strlen(s));
-  free(s);
-  json_decref(o);
-  return m;
-}
-
 static struct MHD_Response *book(const HttpReq *r, int *status) {
   if (strcmp(mode, "slow") == 0) g_usleep(1500000);
   pthread_mutex_lock(&lock);
@@ -36,7 +25,8 @@
   int bay = ++bays;
   pthread_mutex_unlock(&lock);
   if (strcmp(mode, "lost") == 0) return NULL;
-  return reply(status, 201, json_pack("{s:i,s:i}", "bay", bay, "times", n));
+  return fake_reply(status, 201,
+                    json_pack("{s:i,s:i}", "bay", bay, "times", n));
 }
 
 static struct MHD_Response *stats(int *status) {
@@ -50,7 +40,7 @@
   json_t *o = json_pack("{s:i,s:i,s:i}", "bookings", bays, "distinct",
                         (int)g_hash_table_size(counts), "most_for_one", most);
   pthread_mutex_unlock(&lock);
-  return reply(status, 200, o);
+  return fake_reply(status, 200, o);
 }
 
 static struct MHD_Response *handle(void *ctx, HttpReq *r, int *status) {
@@ -58,15 +48,15 @@
   if (strcmp(r->path, "/book") == 0) return book(r, status);
   if (strcmp(r->path, "/stats") == 0) return stats(status);
   if (strcmp(r->path, "/load") == 0)
-    return reply(
+    return fake_reply(
         status, 200,
         json_pack("{s:i,s:i,s:i}", "running", 0, "waiting", 0, "slots", 32));
   if (strcmp(r->path, "/fault") == 0) {
     const char *m = http_arg(r, "mode");
     g_strlcpy(mode, m ? m : "none", sizeof mode);
-    return reply(status, 200, json_object());
+    return fake_reply(status, 200, json_object());
   }
-  return reply(status, 404, json_object());
+  return fake_reply(status, 404, json_object());
 }
 
 int main(int argc, char **argv) {
@@ -75,21 +65,5 @@
     return 2;
   }
   counts = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-  HttpOptions o = {.max_body = 1 << 20,
-                   .max_header = 32 << 10,
-                   .max_connections = 1000,
-                   .idle_s = 60,
-                   .stack = 128 << 10};
-  Err e;
-  if (!http_serve(argv[1], &o, handle, NULL, NULL, &e)) {
-    fprintf(stderr, "%s\n", e.text);
-    return 1;
-  }
-  sigset_t set;
-  int sig;
-  sigemptyset(&set);
-  sigaddset(&set, SIGTERM);
-  sigaddset(&set, SIGINT);
-  sigwait(&set, &sig);
-  return 0;
+  return fake_run(argv[1], handle, 1000);
 }
--- a/fakes/engine.c
+++ b/fakes/engine.c
@@ -6,15 +6,12 @@
    POST /fault?mode=M&ms=N  modes: none, slow (times ten), error, cut (ends a
    stream after three tokens), hang. */
 #include <glib.h>
-#include <jansson.h>
 #include <pthread.h>
-#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <unistd.h>
 
-#include "http/server.h"
+#include "fakes/fake.h"
 
 /* What is remembered of a run after its end, for a late cancel. */
 typedef struct Trace {
@@ -40,15 +37,6 @@
 static GHashTable *prefixes, *by_id;
 static char mode[16] = "none";
 
-static struct MHD_Response *reply(int *status, int code, json_t *o) {
-  char *s = json_dumps(o, JSON_COMPACT);
-  *status = code;
-  struct MHD_Response *m = http_text("application/json", s, strlen(s));
-  free(s);
-  json_decref(o);
-  return m;
-}
-
 /* == slots, by priority == */
 
 static bool better_waits(int priority) {
@@ -193,7 +181,7 @@
                 "choices", choice, "usage", usage(r));
   g_string_free(all, TRUE);
   end_run(r);
-  return reply(status, 200, o);
+  return fake_reply(status, 200, o);
 }
 
 static Run *new_run(const HttpReq *q, json_t *body) {
@@ -222,12 +210,12 @@
 
 static struct MHD_Response *complete(const HttpReq *q, int *status) {
   if (strcmp(mode, "error") == 0)
-    return reply(status, 500, json_pack("{s:s}", "error", "told to fail"));
+    return fake_reply(status, 500, json_pack("{s:s}", "error", "told to fail"));
   while (strcmp(mode, "hang") == 0) g_usleep(20000);
   json_t *body = json_loadb(q->body->str, q->body->len, 0, NULL);
   if (!json_is_array(json_object_get(body, "messages"))) {
     json_decref(body);
-    return reply(status, 400, json_pack("{s:s}", "error", "no messages"));
+    return fake_reply(status, 400, json_pack("{s:s}", "error", "no messages"));
   }
   const char *p = http_header(q, "X-Priority");
   take_slot(p ? CLAMP(atoi(p), 0, 9) : 5);
@@ -254,11 +242,11 @@
   Trace *t = id ? g_hash_table_lookup(by_id, id) : NULL;
   if (t) t->cancel = true;
   pthread_mutex_unlock(&lock);
-  if (!t) return reply(status, 404, json_object());
+  if (!t) return fake_reply(status, 404, json_object());
   for (int i = 0; i < 100 && !t->ended; i++) g_usleep(5000);
-  return reply(status, 200,
-               json_pack("{s:i,s:i}", "prompt_tokens", t->prompt,
-                         "completion_tokens", t->sent));
+  return fake_reply(status, 200,
+                    json_pack("{s:i,s:i}", "prompt_tokens", t->prompt,
+                              "completion_tokens", t->sent));
 }
 
 static struct MHD_Response *load(int *status) {
@@ -266,7 +254,7 @@
   json_t *o = json_pack("{s:i,s:i,s:i}", "running", running, "waiting",
                         waiting_sum(), "slots", slots);
   pthread_mutex_unlock(&lock);
-  return reply(status, 200, o);
+  return fake_reply(status, 200, o);
 }
 
 static struct MHD_Response *handle(void *ctx, HttpReq *r, int *status) {
@@ -277,16 +265,16 @@
   if (strcmp(r->path, "/fault") == 0) {
     const char *m = http_arg(r, "mode");
     g_strlcpy(mode, m ? m : "none", sizeof mode);
-    return reply(status, 200, json_object());
+    return fake_reply(status, 200, json_object());
   }
   if (strcmp(r->path, "/stats") == 0)
-    return reply(status, 200,
-                 json_pack("{s:I,s:I,s:I,s:I,s:I}", "tokens",
-                           (json_int_t)tokens, "prompt_tokens",
-                           (json_int_t)prompts, "runs", (json_int_t)runs,
-                           "cancelled", (json_int_t)cancelled, "cached",
-                           (json_int_t)cached_tokens));
-  return reply(status, 404, json_object());
+    return fake_reply(status, 200,
+                      json_pack("{s:I,s:I,s:I,s:I,s:I}", "tokens",
+                                (json_int_t)tokens, "prompt_tokens",
+                                (json_int_t)prompts, "runs", (json_int_t)runs,
+                                "cancelled", (json_int_t)cancelled, "cached",
+                                (json_int_t)cached_tokens));
+  return fake_reply(status, 404, json_object());
 }
 
 int main(int argc, char **argv) {
@@ -300,21 +288,5 @@
   if (argc > 4) prefill_us = atof(argv[4]);
   prefixes = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
   by_id = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-  HttpOptions o = {.max_body = 8 << 20,
-                   .max_header = 32 << 10,
-                   .max_connections = 5000,
-                   .idle_s = 60,
-                   .stack = 128 << 10};
-  Err e;
-  if (!http_serve(argv[1], &o, handle, NULL, NULL, &e)) {
-    fprintf(stderr, "%s\n", e.text);
-    return 1;
-  }
-  sigset_t set;
-  int sig;
-  sigemptyset(&set);
-  sigaddset(&set, SIGTERM);
-  sigaddset(&set, SIGINT);
-  sigwait(&set, &sig);
-  return 0;
+  return fake_run(argv[1], handle, 5000);
 }
--- /dev/null
+++ b/fakes/fake.c
@@ -0,0 +1,41 @@
+/* fake.c: see fake.h. */
+#include "fakes/fake.h"
+
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define MAX_BODY (8 << 20)
+#define MAX_HEADER (32 << 10)
+#define IDLE_S 60
+#define STACK (128 << 10)
+
+struct MHD_Response *fake_reply(int *status, int code, json_t *o) {
+  char *s = json_dumps(o, JSON_COMPACT);
+  *status = code;
+  struct MHD_Response *m = http_text("application/json", s, strlen(s));
+  free(s);
+  json_decref(o);
+  return m;
+}
+
+int fake_run(const char *addr, HttpHandler handler, int max_connections) {
+  HttpOptions o = {.max_body = MAX_BODY,
+                   .max_header = MAX_HEADER,
+                   .max_connections = max_connections,
+                   .idle_s = IDLE_S,
+                   .stack = STACK};
+  Err e;
+  if (!http_serve(addr, &o, handler, NULL, NULL, &e)) {
+    fprintf(stderr, "%s\n", e.text);
+    return 1;
+  }
+  sigset_t set;
+  int sig;
+  sigemptyset(&set);
+  sigaddset(&set, SIGTERM);
+  sigaddset(&set, SIGINT);
+  sigwait(&set, &sig);
+  return 0;
+}
--- a/fakes/platform.c
+++ b/fakes/platform.c
@@ -5,15 +5,12 @@
    and the answer is lost), stale (reads serve the version before).
    GET /stats. PUT /instances/NAME (JSON body), DELETE /instances/NAME. */
 #include <glib.h>
-#include <jansson.h>
 #include <pthread.h>
-#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <unistd.h>
 
-#include "http/server.h"
+#include "fakes/fake.h"
 
 typedef struct Object {
   char *text, *before; /* the value, and the one it replaced */
@@ -32,14 +29,6 @@
   return http_text("application/json", text, strlen(text));
 }
 
-static struct MHD_Response *reply_json(int *status, json_t *o) {
-  char *s = json_dumps(o, JSON_COMPACT);
-  struct MHD_Response *m = reply(status, 200, s);
-  free(s);
-  json_decref(o);
-  return m;
-}
-
 static void etag(struct MHD_Response *m, uint64_t version) {
   char s[32];
   snprintf(s, sizeof s, "\"%llu\"", (unsigned long long)version);
@@ -117,8 +106,9 @@
     if (pthread_cond_timedwait(&changed, &lock, &until) != 0) break;
     json_decref(a);
   }
-  return reply_json(status, json_pack("{s:I,s:o}", "revision",
-                                      (json_int_t)revision, "changed", a));
+  return fake_reply(
+      status, 200,
+      json_pack("{s:I,s:o}", "revision", (json_int_t)revision, "changed", a));
 }
 
 /* == instances == */
@@ -142,7 +132,7 @@
   gpointer v;
   g_hash_table_iter_init(&it, members);
   while (g_hash_table_iter_next(&it, NULL, &v)) json_array_append(a, v);
-  return reply_json(status, a);
+  return fake_reply(status, 200, a);
 }
 
 /* == faults == */
@@ -155,7 +145,7 @@
 }
 
 static struct MHD_Response *stats(int *status) {
-  return reply_json(status,
+  return fake_reply(status, 200,
                     json_pack("{s:I,s:I,s:I,s:I}", "reads", (json_int_t)reads,
                               "writes", (json_int_t)writes, "conflicts",
                               (json_int_t)conflicts, "objects",
@@ -172,7 +162,7 @@
   if (strcmp(r->path, "/instances") == 0) return member_list(status);
   if (strcmp(r->path, "/objects") == 0) {
     const char *prefix = http_arg(r, "prefix");
-    return reply_json(status, list(prefix ? prefix : "", 0));
+    return fake_reply(status, 200, list(prefix ? prefix : "", 0));
   }
   if (!g_str_has_prefix(r->path, "/objects/")) return reply(status, 404, "{}");
   const char *name = r->path + strlen("/objects/");
@@ -219,22 +209,5 @@
   }
   objects = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
   members = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-  HttpOptions o = {.max_body = 1 << 20,
-                   .max_header = 32 << 10,
-                   .max_connections = 2000,
-                   .idle_s = 60,
-                   .stack = 128 << 10};
-  Err e;
-  HttpServer *s = http_serve(argv[1], &o, handle, NULL, NULL, &e);
-  if (!s) {
-    fprintf(stderr, "%s\n", e.text);
-    return 1;
-  }
-  sigset_t set;
-  int sig;
-  sigemptyset(&set);
-  sigaddset(&set, SIGTERM);
-  sigaddset(&set, SIGINT);
-  sigwait(&set, &sig);
-  return 0;
+  return fake_run(argv[1], handle, 2000);
 }
--- a/packages/ledger/home.c
+++ b/packages/ledger/home.c
@@ -1,4 +1,4 @@
-/* home.c: grants from the store, accounts to holders, witnesses, recall. */
+/* home.c: grants from the store, accounts to holders, recall, lost homes. */
 #include "ledger/state.h"
 
 #include <assert.h>
@@ -27,12 +27,6 @@
   return g->granted - g->returned - (g->given - g->back);
 }
 
-/* What may still be given out without asking the witness. */
-static int64_t room(const Held *g) {
-  if (!g->witness[0] && !g->moving) return INT64_MAX;
-  return g->limit - g->given;
-}
-
 static const LedgerBudget *row_of(const Ledger *l, const HomeBudget *h) {
   return g_hash_table_lookup(l->rows, h->name);
 }
@@ -108,112 +102,12 @@
   stored_touch(l, shard_of(l, h));
 }
 
-/* == witnesses == */
-
-/* Another instance of our region, of another data centre if there is one. */
-static void pick_witness(const Ledger *l, uint64_t grant, char *out) {
-  out[0] = '\0';
-  const Member *self = view_find(l->view, l->self), *m;
-  for (int r = 0; (m = view_home(l->view, l->region, grant, r)); r++) {
-    if (strcmp(m->id, l->self) == 0) continue;
-    if (!out[0]) g_strlcpy(out, m->id, LIMIT_ID);
-    if (self && strcmp(self->dc, m->dc) == 0) continue;
-    g_strlcpy(out, m->id, LIMIT_ID);
-    return;
-  }
-}
-
-static void send_raise(Ledger *l, HomeBudget *h, const char *to) {
-  Held *g = h->held;
-  LedgerMsg m = ledger_msg(LEDGER_RAISE, h->name, g->id);
-  m.limit = g->limit_asked;
-  m.returned = g->back; /* so that it need not be written off with us */
-  g->raise_sent = l->now;
-  ledger_send(l, to, &m);
-}
-
-/* Asks for room for `n` more tokens and for a few seconds of demand. */
-static void want_room(Ledger *l, HomeBudget *h, int64_t n) {
-  Held *g = h->held;
-  if (g->moving || !g->witness[0]) return;
-  int64_t ahead = (int64_t)(h->rate * LEDGER_ACCOUNT_S);
-  /* What is agreed ahead is written off should we be lost: little of a small
-     budget, enough of a large one that not each gift needs a word. */
-  ahead = MAX(ahead, MIN(LEDGER_MIN_DRAW, h->remaining / 2048));
-  ahead = MIN(ahead, MAX(home_free(g) - n, 0));
-  if (g->limit_asked - g->given >= n + ahead / 2) return;
-  g->limit_asked = g->given + n + ahead;
-  send_raise(l, h, g->witness);
-}
-
 /* This grant gives out no more: it is handed over, and who still needs tokens
    asks again. */
-static void freeze(Ledger *l, HomeBudget *h) {
+void home_freeze(Ledger *l, HomeBudget *h) {
   h->held->frozen = true;
   g_ptr_array_set_size(h->draws, 0);
-  touch(l, h);
-}
-
-static bool needs_room(const HomeBudget *h) {
-  for (guint i = 0; i < h->draws->len; i++)
-    if (((Draw *)h->draws->pdata[i])->need > room(h->held)) return true;
-  return false;
-}
-
-/* The grant gets another witness: it agrees to what was given out so far, then
-   the document names it. Until then nothing beyond the old limit is given. */
-static void move_witness(Ledger *l, HomeBudget *h) {
-  Held *g = h->held;
-  char next[LIMIT_ID];
-  pick_witness(l, g->id, next);
-  if (strcmp(next, g->witness) == 0) return;
-  if (!next[0]) {
-    /* Nobody is left: bound by the last limit, unless the store can take this
-       grant back for one without a witness. */
-    bool down = shard_of(l, h)->down_since > 0;
-    if (!down && needs_room(h)) freeze(l, h);
-    return;
-  }
-  if (!g->witness[0]) g->limit = g->given;
-  g->limit = MAX(g->limit, g->given);
-  g->limit_asked = g->limit;
-  g->moving = true;
-  g->moved = false;
-  g_strlcpy(g->moving_to, next, sizeof g->moving_to);
-  send_raise(l, h, next);
-}
-
-void home_raised(Ledger *l, const char *from, const LedgerMsg *m) {
-  HomeBudget *h = g_hash_table_lookup(l->homes, m->budget);
-  Held *g = h ? h->held : NULL;
-  if (!g || g->id != m->grant) return;
-  bool asked = strcmp(from, g->moving ? g->moving_to : g->witness) == 0;
-  if (!asked) return;
-  if (m->sealed) { /* somebody took us for gone: this grant is over */
-    shard_of(l, h)->reread = true;
-    freeze(l, h);
-    return;
-  }
-  if (g->moving) {
-    if (m->limit < g->limit) return;
-    g->moved = true;
-    touch(l, h);
-    return;
-  }
-  if (m->limit > g->limit) g->limit = MIN(m->limit, g->limit_asked);
-  home_pump(l, h);
-}
-
-void home_sealed(Ledger *l, const char *from, const LedgerMsg *m) {
-  HomeBudget *h = g_hash_table_lookup(l->homes, m->budget);
-  for (guint i = 0; h && i < h->seals->len; i++) {
-    Seal *s = h->seals->pdata[i];
-    if (s->grant != m->grant || strcmp(s->witness, from) != 0) continue;
-    s->have = true;
-    s->limit = m->limit;
-    s->back = m->returned;
-    touch(l, h);
-  }
+  stored_touch(l, stored_shard(l, shard_index(h->name)));
 }
 
 /* == giving out == */
@@ -223,7 +117,7 @@
   do g->id = (uint64_t)g_rand_int(l->rng) << 32 | g_rand_int(l->rng);
   while (g->id == 0);
   g->shares = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-  pick_witness(l, g->id, g->witness);
+  witness_pick(l, g->id, g->witness);
   return g;
 }
 
@@ -245,7 +139,7 @@
 
 static void give(Ledger *l, HomeBudget *h, const Draw *d, int64_t n) {
   Held *g = h->held;
-  assert(n <= home_free(g) && n <= room(g));
+  assert(n <= home_free(g) && n <= witness_room(g));
   Share *s = share_of(g, d->holder, true);
   s->granted += n;
   g->given += n;
@@ -314,19 +208,19 @@
 static bool pump_draw(Ledger *l, HomeBudget *h, const Draw *d) {
   Held *g = h->held;
   int64_t have = home_free(g);
-  if (d->need <= have && d->need <= room(g)) {
+  if (d->need <= have && d->need <= witness_room(g)) {
     int64_t fair = have / (view_count(l->view, l->region) + 1);
     int64_t n = CLAMP(d->want, d->need, MAX(d->need, fair));
-    n = MIN(n, room(g));
+    n = MIN(n, witness_room(g));
     if (n > 0)
       give(l, h, d, n);
     else
       deny(l, h, d, ERR_NONE); /* nothing to spare, but we are here */
-    want_room(l, h, 0);
+    witness_want(l, h, 0);
     return true;
   }
   if (d->need <= have) {
-    want_room(l, h, d->need);
+    witness_want(l, h, d->need);
     return l->now >= d->deadline ? (deny(l, h, d, ERR_BUDGET_CUT), true)
                                  : false;
   }
@@ -535,34 +429,6 @@
   h->held = NULL;
 }
 
-static void tick_witness(Ledger *l, HomeBudget *h) {
-  Held *g = h->held;
-  if (g->moving) {
-    const Member *m = view_find(l->view, g->moving_to);
-    bool lost = !m && !g->moved;
-    if (lost) {
-      g->moving = false;
-      move_witness(l, h);
-    } else if (!g->moved && l->now - g->raise_sent >= LEDGER_RESEND) {
-      send_raise(l, h, g->moving_to);
-    }
-    return;
-  }
-  const Member *m = g->witness[0] ? view_find(l->view, g->witness) : NULL;
-  if (!g->stored) { /* no document names it yet: choose freely */
-    if (!m && g->limit == 0) pick_witness(l, g->id, g->witness);
-    return;
-  }
-  if (!m || m->leaving) {
-    move_witness(l, h);
-    if (g->moving) return;
-  }
-  if (!g->witness[0]) return;
-  bool open = g->limit_asked > g->limit;
-  if (open && l->now - g->raise_sent >= LEDGER_RESEND)
-    send_raise(l, h, g->witness);
-}
-
 static void tick_held(Ledger *l, HomeBudget *h) {
   Held *g = h->held;
   int shard = shard_index(h->name);
@@ -572,12 +438,12 @@
   bool other =
       home && strcmp(home->id, l->self) != 0 && l->now - g->drawn >= LINGER;
   bool leaving = l->draining && holder_empty(l);
-  if (!g->frozen && ((other && !l->draining) || leaving)) freeze(l, h);
+  if (!g->frozen && ((other && !l->draining) || leaving)) home_freeze(l, h);
   if (g->frozen) {
     touch(l, h);
     return;
   }
-  tick_witness(l, h);
+  witness_tick(l, h);
   home_pump(l, h);
   double lay = laid_up(l, h);
   int64_t have = home_free(g);
--- a/packages/ledger/ledger.c
+++ b/packages/ledger/ledger.c
@@ -1,4 +1,4 @@
-/* ledger.c: events in, actions out, and the witness role. */
+/* ledger.c: events in, actions out. */
 #include "ledger/state.h"
 
 #include <string.h>
@@ -49,38 +49,6 @@
   return view_home(l->view, l->region, key, rank);
 }
 
-/* == witness == */
-
-static Witnessed *witnessed(Ledger *l, uint64_t grant) {
-  Witnessed *w = g_hash_table_lookup(l->witnessed, &grant);
-  if (w) return w;
-  w = g_new0(Witnessed, 1);
-  g_hash_table_insert(l->witnessed, g_memdup2(&grant, sizeof grant), w);
-  return w;
-}
-
-/* The limit only grows, and not at all once sealed: what a home gave out under
-   this witness is never more than what the witness will tell a successor. */
-static void witness_raise(Ledger *l, const char *from, const LedgerMsg *m) {
-  Witnessed *w = witnessed(l, m->grant);
-  bool refuse = w->sealed && !l->faults.no_witness_check;
-  if (!refuse && m->limit > w->limit) w->limit = m->limit;
-  if (m->returned > w->back) w->back = m->returned;
-  LedgerMsg r = ledger_msg(LEDGER_RAISED, m->budget, m->grant);
-  r.limit = w->limit;
-  r.sealed = refuse;
-  ledger_send(l, from, &r);
-}
-
-static void witness_seal(Ledger *l, const char *from, const LedgerMsg *m) {
-  Witnessed *w = witnessed(l, m->grant);
-  w->sealed = true;
-  LedgerMsg r = ledger_msg(LEDGER_SEALED, m->budget, m->grant);
-  r.limit = w->limit;
-  r.returned = w->back;
-  ledger_send(l, from, &r);
-}
-
 /* == events == */
 
 static void dispatch(Ledger *l, const char *from, const LedgerMsg *m) {
@@ -90,9 +58,9 @@
   case LEDGER_REPORT: home_report(l, from, m); break;
   case LEDGER_REPORTED: holder_reported(l, m); break;
   case LEDGER_RAISE: witness_raise(l, from, m); break;
-  case LEDGER_RAISED: home_raised(l, from, m); break;
+  case LEDGER_RAISED: witness_raised(l, from, m); break;
   case LEDGER_SEAL: witness_seal(l, from, m); break;
-  case LEDGER_SEALED: home_sealed(l, from, m); break;
+  case LEDGER_SEALED: witness_sealed(l, from, m); break;
   case LEDGER_RETURN: holder_recall(l, m); break;
   case LEDGER_RECALL: home_recall(l, from, m); break;
   case LEDGER_RECALLED: home_recalled(l, m); break;
--- a/packages/ledger/state.h
+++ b/packages/ledger/state.h
@@ -191,8 +191,6 @@
 HomeBudget *home_budget(Ledger *l, const char *budget);
 void home_draw(Ledger *l, const char *from, const LedgerMsg *m);
 void home_report(Ledger *l, const char *from, const LedgerMsg *m);
-void home_raised(Ledger *l, const char *from, const LedgerMsg *m);
-void home_sealed(Ledger *l, const char *from, const LedgerMsg *m);
 void home_recall(Ledger *l, const char *from, const LedgerMsg *m);
 void home_recalled(Ledger *l, const LedgerMsg *m);
 void home_pump(Ledger *l, HomeBudget *h);
@@ -201,8 +199,22 @@
 int64_t home_free(const Held *g);
 int64_t home_plan(const Ledger *l, const HomeBudget *h, int64_t remaining);
 void home_drop(HomeBudget *h);
+void home_freeze(Ledger *l, HomeBudget *h);
 void home_watch_grants(Ledger *l, ShardState *s);
 
+/* == witness.c == */
+
+/* Another instance of our region, of another data centre if there is one; to
+   `out` of LIMIT_ID bytes, "" when there is none. */
+void witness_pick(const Ledger *l, uint64_t grant, char *out);
+int64_t witness_room(const Held *g);
+void witness_want(Ledger *l, HomeBudget *h, int64_t n);
+void witness_raise(Ledger *l, const char *from, const LedgerMsg *m);
+void witness_raised(Ledger *l, const char *from, const LedgerMsg *m);
+void witness_seal(Ledger *l, const char *from, const LedgerMsg *m);
+void witness_sealed(Ledger *l, const char *from, const LedgerMsg *m);
+void witness_tick(Ledger *l, HomeBudget *h);
+
 /* == stored.c == */
 
 ShardState *stored_shard(Ledger *l, int index);
