A first update names the witness that counts

Found by reading: the witness of a grant that is not yet stored may be chosen anew when it goes. If its first update was on its way then, the document named the old one, and the home gave out under the new one: a successor would have sealed the old one, at limit 0, and the same tokens would have been free again.

The new unit test was red (an account was given out before the document named the new witness); after: the home takes the witness of the document, with no limit yet, and moves through it.

--- a/packages/ledger/stored.c
+++ b/packages/ledger/stored.c
@@ -159,6 +159,12 @@
     return;
   }
   if (!sg) return;
+  if (!g->stored && strcmp(g->witness, sg->witness) != 0) {
+    /* Chosen anew while the first update was on its way: a successor will ask
+       the one that the document names. */
+    g_strlcpy(g->witness, sg->witness, sizeof g->witness);
+    g->limit = g->limit_asked = 0;
+  }
   g->stored = true;
   g->granted = sg->granted;
   g->stored_spent = sg->spent;
