A chat that may not be repeated keeps its claim when its target fails

Found by reading: when the last target answered with an error after it had the request, the exchange was closed as not run and its claim was taken away, so a retry with the same key ran again. Plain services did this right.

The new process test was red (the retry was served); now it is told that the request may have run.

--- a/packages/entry/chat.c
+++ b/packages/entry/chat.c
@@ -141,7 +141,7 @@
     Err why = *err;
     if (exchange_again(&c->x, ran, used, err)) continue;
     if (err->kind == ERR_NONE) *err = why;
-    exchange_not_run(&c->x);
+    exchange_give_up(&c->x, ran);
     err->ran = ran;
     return false;
   }
--- a/packages/entry/exchange.c
+++ b/packages/entry/exchange.c
@@ -217,3 +217,10 @@
   close_exchange(x, 0);
   if (x->began) fleet_abort(x->entry->fleet, &x->run);
 }
+
+void exchange_give_up(Exchange *x, Ran ran) {
+  if (ran == RAN_NOT || x->service.repeat)
+    exchange_not_run(x);
+  else
+    exchange_unknown(x, 0); /* settled when the dispatch failed */
+}
--- a/packages/entry/exchange.h
+++ b/packages/entry/exchange.h
@@ -41,5 +41,8 @@
 void exchange_unknown(Exchange *x, int64_t tokens);
 /* It did not run. */
 void exchange_not_run(Exchange *x);
+/* No target is left to try. A request that was sent and may not be repeated
+   keeps its claim. */
+void exchange_give_up(Exchange *x, Ran ran);
 
 #endif
--- a/tests/process.py
+++ b/tests/process.py
@@ -128,6 +128,7 @@
                  for c in KEYS]
         rows += ["service,chat,,,m,3,,8000,400,,,,,,",
                  "service,quick,,,m,0,,8000,400,,,,,,",
+                 "service,oncechat,,,m,3,no,8000,400,,,,,,",
                  "service,book,,,,0,no,3000,,,,,,,"]
         rows += ["target,e%d,,,m,,,,,,%s,nord,%d,," % (i, self.at(p), slots)
                  for i, p in enumerate(self.engines)]
@@ -517,6 +518,20 @@
     assert all(a.kind() == "target-failed" for a in got if a.status != 200)
 
 
+def test_a_chat_that_may_not_be_repeated(f):
+    """A target fails after it took the request: nobody sends it again."""
+    for e in f.engines:
+        f.fault(e, "error")
+    a = f.chat(f.ports[0], model="oncechat", key="once")
+    assert (a.status, a.ran) == (502, "may-have-run"), (a.status, a.body, a.ran)
+    for e in f.engines:
+        f.fault(e, "none")
+    b = f.chat(f.ports[1], model="oncechat", key="once")
+    assert (b.status, b.kind()) == (409, "may-have-run"), (b.status, b.body)
+    assert sum(f.stats(e)["runs"] for e in f.engines) == 0
+    assert f.chat(f.ports[1], model="oncechat", key="other").status == 200
+
+
 def test_a_caller_that_hangs_up_is_cancelled(f):
     s = socket.create_connection(("127.0.0.1", f.ports[0]))
     body = json.dumps({"model": "chat", "stream": True, "max_tokens": 400,
