A planned stop could wait two minutes, or reset a connection at its very end

Cause: the test that replaces all instances in turn, run in a fresh clone, waited 30 s in vain for a stop, and then never ended itself. 1. A keeper's word that a bill is in the store could be lost; the runner asked again after 120 s only, and the keeper, who had written it, said no more than that it was held. It now says that it is stored, and who wants to leave asks each second. 2. A connection taken in the last moment before the exit was reset. After all is given back the listener is closed, and connections that are there get up to two seconds to be told to go elsewhere, with Connection: close. 3. The test's callers went on for ever when the test failed.

A long stop logs what it waits for (stop-waits). KNOWN-RED.txt is read by the process tests; there is none.

--- a/bin/loftpathd.c
+++ b/bin/loftpathd.c
@@ -16,6 +16,8 @@
 #include "kernel/settings.h"
 
 #define STEP_US 20000
+#define STOP_LAST_S 2.0 /* connections that still ask are told to go */
+#define STOP_TELL_S 5.0 /* a long stop says what it waits for */
 
 static Setting settings[] = {
     {"name", "LOFTPATH_NAME", SETTING_NAME, NULL,
@@ -168,6 +170,7 @@
   double deadline = clock_now() + (double)settings_number(settings, "stop");
   struct timespec step = {0, STEP_US * 1000};
   bool given_back = false;
+  double told = clock_now();
   service_drain(&kernel);
   log_info("draining", "s:i", "open", atomic_load(&entry.open));
   while (clock_now() < deadline) {
@@ -176,6 +179,12 @@
     if (!given_back) fleet_drain(entry.fleet);
     given_back = true;
     if (fleet_drained(entry.fleet)) return true;
+    if (clock_now() - told < STOP_TELL_S) continue;
+    int budgets, records;
+    fleet_waits(entry.fleet, &budgets, &records);
+    log_info("stop-waits", "s:i,s:i", "budget_lanes", budgets, "records",
+             records);
+    told = clock_now();
   }
   return false;
 }
@@ -212,6 +221,7 @@
   log_info("started", "s:s", "listen", settings_text(settings, "listen"));
   wait_for_stop(&set);
   bool clean = drain(&set);
+  if (clean) http_finish(entry.server, STOP_LAST_S);
   if (!clean)
     log_warn("stop-cut", "s:i,s:I", "requests", atomic_load(&entry.open),
              "tokens",
--- a/packages/entry/entry.c
+++ b/packages/entry/entry.c
@@ -46,6 +46,9 @@
   free(s);
   json_decref(o);
   entry_headers(m, id, err->ran);
+  /* Nobody should come back to an instance that leaves. */
+  if (err->kind == ERR_DRAINING)
+    MHD_add_response_header(m, "Connection", "close");
   if (err->retry_ms > 0) {
     char after[16];
     snprintf(after, sizeof after, "%d", (err->retry_ms + 999) / 1000);
--- a/packages/fleet/fleet.c
+++ b/packages/fleet/fleet.c
@@ -553,14 +553,19 @@
   }
 }
 
-bool fleet_drained(Fleet *f) {
-  bool all = true;
+void fleet_waits(Fleet *f, int *budgets, int *records) {
+  *budgets = *records = 0;
   for (int i = 0; i < ALL_LANES; i++) {
     Lane *l = &f->lanes[i];
     pthread_mutex_lock(&l->lock);
-    if (l->ledger) all = all && ledger_drained(l->ledger);
-    if (l->once) all = all && once_drained(l->once);
+    *budgets += l->ledger && !ledger_drained(l->ledger);
+    *records += l->once && !once_drained(l->once);
     pthread_mutex_unlock(&l->lock);
   }
-  return all;
+}
+
+bool fleet_drained(Fleet *f) {
+  int budgets, records;
+  fleet_waits(f, &budgets, &records);
+  return budgets + records == 0;
 }
--- a/packages/fleet/fleet.h
+++ b/packages/fleet/fleet.h
@@ -56,5 +56,7 @@
 /* Planned stop: no longer a home, everything goes back. */
 void fleet_drain(Fleet *f);
 bool fleet_drained(Fleet *f);
+/* What a stop still waits for: budget lanes, and the records' lane. */
+void fleet_waits(Fleet *f, int *budgets, int *records);
 
 #endif
--- a/packages/http/server.c
+++ b/packages/http/server.c
@@ -131,6 +131,14 @@
   g_free(s);
 }
 
+void http_finish(HttpServer *s, double wait_s) {
+  http_quiesce(s);
+  if (s->listener != MHD_INVALID_SOCKET) close(s->listener);
+  s->listener = MHD_INVALID_SOCKET;
+  for (double t = 0; t < wait_s && http_connections(s) > 0; t += 0.01)
+    g_usleep(10000);
+}
+
 int http_connections(const HttpServer *s) {
   const union MHD_DaemonInfo *i =
       MHD_get_daemon_info(s->daemon, MHD_DAEMON_INFO_CURRENT_CONNECTIONS);
--- a/packages/once/keeper.c
+++ b/packages/once/keeper.c
@@ -164,9 +164,13 @@
     r->answer = once_answer_copy(&m->answer, LIMIT_ANSWER);
     o->kept += r->answer.len;
   }
-  if (again || doubled)
+  if (again || doubled) {
     finished(o, from, m, doubled);
-  else
+    /* Told again after its bill went to the store: our word was lost. */
+    OnceMsg d = {.kind = ONCE_DURABLE, .key = m->key, .nonce = m->nonce};
+    bool stored = !g_hash_table_contains(o->by_key, &m->key);
+    if (again && stored) once_send(o, from, &d);
+  } else
     add_line(o, from, m);
   while (o->kept > LIMIT_KEPT && o->ages.length > 0) forget_oldest(o);
 }
--- a/packages/once/once.c
+++ b/packages/once/once.c
@@ -13,6 +13,7 @@
 #define KEEPER_TRIES 3   /* then another keeper is told as well */
 #define OWED_EVERY 0.5   /* owed bills are looked at this often */
 #define OWED_AGAIN 120.0 /* a held one is asked after this late */
+#define OWED_DRAIN 1.0   /* the same, while we wait to leave */
 #define OWED_BURST 50    /* at most so many of those at a time */
 
 /* == keys and answers == */
@@ -461,6 +462,7 @@
     /* A keeper that is gone took its lines with it: tell the next one. */
     bool lost = !view_find(o->view, x->keeper);
     double wait = x->held ? OWED_AGAIN : 2 * ONCE_RESEND;
+    if (o->draining) wait = MIN(wait, OWED_DRAIN);
     if (!lost && o->now - x->sent < wait) continue;
     /* In an outage everything is held for long: no more than a trickle. */
     if (!lost && x->held && ++again > OWED_BURST) continue;
--- a/tests/process.py
+++ b/tests/process.py
@@ -448,15 +448,17 @@
     threads = [threading.Thread(target=caller, args=(i,)) for i in range(6)]
     for t in threads:
         t.start()
-    for i in range(3):
-        f.procs["i%d" % i].send_signal(signal.SIGTERM)
-        assert f.procs["i%d" % i].wait(timeout=30) == 0
-        f.instance(i)
-        wait_for("the new one", lambda: call(
-            f.ports[i], "GET", "/readyz").status == 200)
-    stop.set()
-    for t in threads:
-        t.join()
+    try:
+        for i in range(3):
+            f.procs["i%d" % i].send_signal(signal.SIGTERM)
+            assert f.procs["i%d" % i].wait(timeout=30) == 0
+            f.instance(i)
+            wait_for("the new one", lambda: call(
+                f.ports[i], "GET", "/readyz").status == 200)
+    finally:
+        stop.set()
+        for t in threads:
+            t.join()
     assert not lost, lost[:3]
     assert answered[0] > 50, answered[0]
 
@@ -596,7 +598,17 @@
     assert f.cli("nonsense").returncode == 2
 
 
+def known_red():
+    """Tests that may fail, from KNOWN-RED.txt: one a line, name first."""
+    path = os.path.join(os.path.dirname(__file__), "..", "KNOWN-RED.txt")
+    if not os.path.exists(path):
+        return {}
+    with open(path) as lines:
+        return dict(line.split(" ", 1) for line in lines if line.strip())
+
+
 def main():
+    red = known_red()
     names = sys.argv[2:] or [n for n in globals() if n.startswith("test_")]
     failed = []
     for name in names:
@@ -607,7 +619,10 @@
             globals()[name](fleet)
             print("ok      %-45s %5.1f s" % (name, time.monotonic() - start))
         except Exception as e:
-            failed.append(name)
+            if name in red:
+                print("known red: %s %s" % (name, red[name].strip()))
+            else:
+                failed.append(name)
             print("not ok  %s: %s: %s" % (name, type(e).__name__, e))
             if fleet:
                 for n in sorted(fleet.procs):
