--- a/packages/http/server.h
+++ b/packages/http/server.h
@@ -40,8 +40,8 @@
 void http_quiesce(HttpServer *s);
 void http_stop(HttpServer *s);
 int http_connections(const HttpServer *s);
-/* The last steps of a stop: no new connections, and those there are get `wait_s`
-   seconds to end. */
+/* The last steps of a stop: no new connections, and those there are get
+   `wait_s` seconds to end. */
 void http_finish(HttpServer *s, double wait_s);
 
 const char *http_header(const HttpReq *r, const char *name);
