Dead code out: two look-ups that nobody called, a field that nobody read

Found by reading the whole change once more: ledger_free_here and pool_waiting had no caller, a store job had two numbers of which one was used, home_freeze spelled out what touch does.

--- a/packages/entry/pool.c
+++ b/packages/entry/pool.c
@@ -147,13 +147,6 @@
   pthread_mutex_unlock(&p->lock);
 }
 
-int pool_waiting(Pool *p) {
-  pthread_mutex_lock(&p->lock);
-  int n = queue_length(p->queue);
-  pthread_mutex_unlock(&p->lock);
-  return n;
-}
-
 /* == all pools == */
 
 Pools *pools_new(uint32_t seed) {
--- a/packages/entry/pool.h
+++ b/packages/entry/pool.h
@@ -48,6 +48,5 @@
                double first_s, double all_s);
 /* The request is over; `tokens` used. */
 void pool_leave(Pool *p, const PoolTicket *t, int64_t tokens);
-int pool_waiting(Pool *p);
 
 #endif
--- a/packages/fleet/fleet.c
+++ b/packages/fleet/fleet.c
@@ -107,7 +107,7 @@
     Job j = {.urgent = true,
              .done = on_ledger_stored,
              .ctx = l,
-             .b = a.shard,
+             .shard = a.shard,
              .version = a.version,
              .text = a.text};
     switch (a.what) {
@@ -132,7 +132,7 @@
   OnceAction a;
   char addr[LIMIT_NAME];
   while (once_next(l->once, &a)) {
-    Job j = {.ctx = l, .b = a.shard, .version = a.version};
+    Job j = {.ctx = l, .shard = a.shard, .version = a.version};
     switch (a.what) {
     case ONCE_DO_SEND:
       if (address_of(l->fleet, a.to, addr))
@@ -174,7 +174,7 @@
 static void on_ledger_stored(void *ctx, const Job *j, PlatformAnswer *a) {
   Lane *l = ctx;
   pthread_mutex_lock(&l->lock);
-  ledger_stored(l->ledger, clock_now(), j->b, a->kind, a->version,
+  ledger_stored(l->ledger, clock_now(), j->shard, a->kind, a->version,
                 j->kind == JOB_GET ? a->text : NULL);
   do_ledger(l);
   pthread_mutex_unlock(&l->lock);
@@ -184,7 +184,7 @@
 static void on_once_stored(void *ctx, const Job *j, PlatformAnswer *a) {
   Lane *l = ctx;
   pthread_mutex_lock(&l->lock);
-  once_stored(l->once, clock_now(), j->b, a->kind, a->version,
+  once_stored(l->once, clock_now(), j->shard, a->kind, a->version,
               j->kind == JOB_GET ? a->text : NULL);
   do_once(l);
   pthread_mutex_unlock(&l->lock);
--- a/packages/ledger/home.c
+++ b/packages/ledger/home.c
@@ -107,7 +107,7 @@
 void home_freeze(Ledger *l, HomeBudget *h) {
   h->held->frozen = true;
   g_ptr_array_set_size(h->draws, 0);
-  stored_touch(l, stored_shard(l, shard_index(h->name)));
+  touch(l, h);
 }
 
 /* == giving out == */
--- a/packages/ledger/ledger.c
+++ b/packages/ledger/ledger.c
@@ -254,13 +254,3 @@
   }
   return s;
 }
-
-int64_t ledger_free_here(const Ledger *l, const char *budget) {
-  const Purse *p = g_hash_table_lookup(l->purses, budget);
-  int64_t n = 0;
-  for (guint i = 0; p && i < p->accounts->len; i++) {
-    const Account *a = p->accounts->pdata[i];
-    n += a->granted - a->returned - a->spent - a->reserved;
-  }
-  return n;
-}
--- a/packages/ledger/ledger.h
+++ b/packages/ledger/ledger.h
@@ -116,7 +116,5 @@
 bool ledger_next(Ledger *l, LedgerAction *a);
 
 LedgerSums ledger_sums(const Ledger *l);
-/* Largest tokens that `budget` still has free here, for display. */
-int64_t ledger_free_here(const Ledger *l, const char *budget);
 
 #endif
--- a/packages/store/jobs.h
+++ b/packages/store/jobs.h
@@ -18,7 +18,7 @@
   /* Called on a worker thread. The answer's text belongs to the callee. */
   void (*done)(void *ctx, const struct Job *j, PlatformAnswer *a);
   void *ctx;
-  int a, b; /* the owner's: which core, which shard */
+  int shard; /* the owner's */
 } Job;
 
 typedef struct Jobs Jobs;
