The screen cried wolf after each edit: an older table is an alarm when it stays

'loftpath status' called every instance stuck whose last heartbeat named an older table than the one it asks; heartbeats come each half second, so for that long after each edit it told the night staff to restart what was well. Ruled out: the rollout (all three had version 3 within 2 ms), an ejected target (the log has none).

Change: the member core says for how long a member has stood still with an older table (stuck_s); the screen speaks after ten seconds, the time an accepted table may take. A member that is behind but moves is not stuck.

--- a/bin/loftpath.c
+++ b/bin/loftpath.c
@@ -15,6 +15,7 @@
 #define CALL_S 30
 #define ANSWER_MAX (64 << 20)
 #define FORCE_STEP_US 100000
+#define CONFIG_S 10 /* an accepted table is in force everywhere by then */
 
 enum { EXIT_FINE, EXIT_FAILED, EXIT_USAGE, EXIT_REFUSED, EXIT_WRONG };
 
@@ -247,16 +248,17 @@
   return n;
 }
 
+/* A table reaches every instance within CONFIG_S; until then one that has an
+   older version is on its way, and no alarm. */
 static int check_instances(json_t *o) {
   size_t i;
   json_t *m;
   int n = 0;
-  json_int_t table = json_integer_value(json_object_get(o, "table"));
   json_array_foreach(json_object_get(o, "instances"), i, m) {
     const char *id = json_string_value(json_object_get(m, "id"));
-    if (json_integer_value(json_object_get(m, "table")) < table)
-      n += alarm_line("instance has an older table:", id,
-                      "wait ten seconds; if it stays, restart that instance");
+    if (json_number_value(json_object_get(m, "stuck_s")) > CONFIG_S)
+      n += alarm_line("instance keeps an older table:", id,
+                      "look at its log; if it says nothing, restart it");
   }
   return n;
 }
--- a/packages/fleet/fleet.c
+++ b/packages/fleet/fleet.c
@@ -273,7 +273,7 @@
   pthread_mutex_lock(&f->lock);
   member_self(f->members, f->leaving, f->table);
   member_tick(f->members, clock_now());
-  View *v = member_view(f->members);
+  View *v = member_view(f->members, clock_now());
   bool same = same_members(v, f->view);
   view_free(f->view);
   f->view = v;
--- a/packages/member/member.c
+++ b/packages/member/member.c
@@ -8,6 +8,7 @@
 typedef struct Peer {
   Member m;
   double heard;
+  double moved; /* when its table last was ours, or moved on */
   bool list_leaving; /* the platform says so */
 } Peer;
 
@@ -75,10 +76,12 @@
     changed |= drop_older(s, m);
     p = g_new0(Peer, 1);
     p->m = *m;
+    p->moved = now;
     p->list_leaving = listed_leaving(s, m->id);
     g_hash_table_insert(s->peers, p->m.id, p);
   }
   changed |= p->m.leaving != m->leaving || p->m.table != m->table;
+  if (m->table > p->m.table || m->table >= s->self.table) p->moved = now;
   p->m = *m;
   p->heard = now;
   return changed;
@@ -91,7 +94,8 @@
   gpointer v;
   g_hash_table_iter_init(&it, s->peers);
   while (g_hash_table_iter_next(&it, NULL, &v)) {
-    const Peer *p = v;
+    Peer *p = v;
+    if (p->m.table >= s->self.table) p->moved = now;
     if (now - p->heard < silent) continue;
     g_hash_table_iter_remove(&it);
     changed = true;
@@ -136,7 +140,7 @@
   return strcmp(((const Member *)a)->id, ((const Member *)b)->id);
 }
 
-View *member_view(const MemberSet *s) {
+View *member_view(const MemberSet *s, double now) {
   GArray *all = g_array_new(FALSE, FALSE, sizeof(Member));
   Member me = s->self;
   me.leaving = me.leaving || s->self_leaving;
@@ -148,6 +152,7 @@
     const Peer *p = v;
     Member m = p->m;
     m.leaving = m.leaving || p->list_leaving;
+    m.stuck_s = m.table < s->self.table ? now - p->moved : 0;
     g_array_append_val(all, m);
   }
   qsort(all->data, all->len, sizeof(Member), by_id);
--- a/packages/member/member.h
+++ b/packages/member/member.h
@@ -30,7 +30,7 @@
 
 const Member *member_me(const MemberSet *s);
 /* A copy of the present view, to be freed with view_free. */
-View *member_view(const MemberSet *s);
+View *member_view(const MemberSet *s, double now);
 /* Seconds between heartbeats: longer in a large fleet, so that they cost at
    most MEMBER_BYTES a second. */
 double member_interval(const MemberSet *s);
