A planned stop ends when the home of its tokens is gone

The last instance of a region, with tokens of a lost home: no home in the region, so its reports went to nobody. They go to the fleet's first choice now, who also looks after the grants of such a region. 2. Home and witness lost together: the grant is never sealed, and reports were only taken in for sealed grants. After ten seconds they are written into the document unsealed; they count from a seal on, and a home that was only paused reads them. 3. The whole fleet leaving: each writes its own reports and keeps its own bills.

Safe because a report is a cumulative fact of its holder: what came back is taken off the witness's limit only, which counts all that was ever given out. Ruled out: not waiting for such reports (tokens that are known to be free would stay held), and sealing without the witness (overspends when the home is only paused).

--- a/packages/entry/admin.c
+++ b/packages/entry/admin.c
@@ -268,10 +268,10 @@
   for (int i = 0; i < v->n; i++) {
     const Member *m = &v->list[i];
     json_array_append_new(
-        list, json_pack("{s:s,s:s,s:s,s:s,s:s,s:b,s:I,s:f}", "id", m->id, "region",
-                        m->region, "datacentre", m->dc, "http", m->http, "peer",
-                        m->peer, "leaving", (int)m->leaving, "table",
-                        (json_int_t)m->table, "stuck_s", m->stuck_s));
+        list, json_pack("{s:s,s:s,s:s,s:s,s:s,s:b,s:I,s:f}", "id", m->id,
+                        "region", m->region, "datacentre", m->dc, "http",
+                        m->http, "peer", m->peer, "leaving", (int)m->leaving,
+                        "table", (json_int_t)m->table, "stuck_s", m->stuck_s));
   }
   view_free(v);
   return list;
--- a/packages/ledger/holder.c
+++ b/packages/ledger/holder.c
@@ -29,8 +29,8 @@
   m.final = a->closing && a->reserved == 0 && free_of(a) <= 0;
   a->reported = l->now;
   if (view_find(l->view, a->home)) ledger_send(l, a->home, &m);
-  const Member *home = ledger_home(l, p->key, 0);
-  if (home && strcmp(home->id, a->home) != 0) ledger_send(l, home->id, &m);
+  const char *taker = ledger_caretaker(l, p->key);
+  if (strcmp(taker, a->home) != 0) ledger_send(l, taker, &m);
 }
 
 /* Gives back `n` free tokens; from here on they are not ours. */
--- a/packages/ledger/home.c
+++ b/packages/ledger/home.c
@@ -253,21 +253,30 @@
 
 /* == messages == */
 
-static void take_report(Ledger *l, HomeBudget *h, Share *s,
-                        const LedgerMsg *m) {
-  Held *g = h->held;
-  int64_t back = m->returned - s->returned, spent = m->spent - s->spent;
-  if (l->faults.add_reports) back = m->returned;
+static void take_counts(Held *g, Share *s, int64_t returned, int64_t spent) {
+  int64_t back = returned - s->returned, more = spent - s->spent;
   if (back > 0) {
     s->returned += back;
     g->back += back;
   }
-  if (spent > 0) {
-    s->spent += spent;
-    g->spent += spent;
+  if (more > 0) {
+    s->spent += more;
+    g->spent += more;
   }
 }
 
+void home_take(Held *g, const char *holder, int64_t returned, int64_t spent) {
+  Share *s = share_of(g, holder, false);
+  if (s) take_counts(g, s, returned, spent);
+}
+
+static void take_report(const Ledger *l, HomeBudget *h, Share *s,
+                        const LedgerMsg *m) {
+  /* The switch adds up what is cumulative. */
+  int64_t twice = l->faults.add_reports ? s->returned : 0;
+  take_counts(h->held, s, m->returned + twice, m->spent);
+}
+
 void home_draw(Ledger *l, const char *from, const LedgerMsg *m) {
   if (l->draining || !g_hash_table_contains(l->rows, m->budget)) return;
   HomeBudget *h = home_budget(l, m->budget);
@@ -322,7 +331,9 @@
   HomeBudget *h = g_hash_table_lookup(l->homes, m->budget);
   bool mine = h && h->held && h->held->id == m->grant;
   if (!mine) {
-    if (l->ours[shard_index(m->budget)]) late_report(l, from, m);
+    int shard = shard_index(m->budget);
+    bool ours = strcmp(ledger_caretaker(l, l->keys[shard]), l->self) == 0;
+    if (ours || l->ours[shard]) late_report(l, from, m);
     return;
   }
   Share *s = share_of(h->held, from, false);
--- a/packages/ledger/ledger.c
+++ b/packages/ledger/ledger.c
@@ -49,6 +49,12 @@
   return view_home(l->view, l->region, key, rank);
 }
 
+const char *ledger_caretaker(const Ledger *l, uint64_t key) {
+  const Member *m = ledger_home(l, key, 0);
+  if (!m) m = view_home(l->view, NULL, key, 0);
+  return m ? m->id : l->self;
+}
+
 /* == events == */
 
 static void dispatch(Ledger *l, const char *from, const LedgerMsg *m) {
--- a/packages/ledger/shard.h
+++ b/packages/ledger/shard.h
@@ -14,7 +14,8 @@
 
 #include "kernel/limits.h"
 
-/* What one instance reported of a sealed grant; all counts only grow. */
+/* What one instance reported of a grant whose home is gone; all counts only
+   grow. */
 typedef struct ShardBack {
   int64_t returned;
   int64_t spent;
@@ -33,7 +34,8 @@
   int64_t limit;    /* sealed: the home never gave out more than this */
   int64_t known;    /* sealed: and had at least this back in all */
   int64_t changed;  /* unix seconds */
-  GHashTable *back; /* instance id -> ShardBack; sealed grants only */
+  GHashTable *back; /* instance id -> ShardBack; NULL: no reports. They count
+                       from the seal on. */
 } ShardGrant;
 
 typedef struct ShardBudget {
@@ -79,7 +81,8 @@
    back. */
 void shard_seal(ShardGrant *g, int64_t limit, int64_t known, bool exact,
                 int64_t now);
-/* Takes in a report on a sealed grant; true when something changed. */
+/* Takes in a report on a grant whose home is gone, sealed or not yet; true when
+   something changed. */
 bool shard_report(ShardGrant *g, const char *instance, int64_t returned,
                   int64_t spent, bool final, int64_t now);
 /* Removes an open grant whose home settled everything, or a sealed one whose
--- a/packages/ledger/state.h
+++ b/packages/ledger/state.h
@@ -172,6 +172,9 @@
 LedgerMsg ledger_msg(LedgerKind kind, const char *budget, uint64_t grant);
 /* The home of a shard in our region, `rank`-th choice; NULL: nobody. */
 const Member *ledger_home(const Ledger *l, uint64_t key, int rank);
+/* Who takes reports on grants of our region: its home; with nobody left there
+   the first choice of the whole fleet; when all leave, we ourselves. */
+const char *ledger_caretaker(const Ledger *l, uint64_t key);
 LedgerAction *ledger_act(Ledger *l, LedgerDo what);
 
 /* == holder.c == */
@@ -198,6 +201,8 @@
 void home_budget_free(gpointer p);
 int64_t home_free(const Held *g);
 int64_t home_plan(const Ledger *l, const HomeBudget *h, int64_t remaining);
+/* Takes in what a holder returned and spent in all; less is old news. */
+void home_take(Held *g, const char *holder, int64_t returned, int64_t spent);
 void home_drop(HomeBudget *h);
 void home_freeze(Ledger *l, HomeBudget *h);
 void home_watch_grants(Ledger *l, ShardState *s);
--- a/packages/ledger/stored.c
+++ b/packages/ledger/stored.c
@@ -5,7 +5,8 @@
 
 #include <string.h>
 
-#define REFRESH 30.0 /* a shard that is ours is looked at this often */
+#define REFRESH 30.0  /* a shard that is ours is looked at this often */
+#define UNSEALED 10.0 /* a report waits this long for its grant's seal */
 
 ShardState *stored_shard(Ledger *l, int index) {
   ShardState *s = l->shards[index];
@@ -47,6 +48,12 @@
   return changed;
 }
 
+/* A grant whose home and witness are both gone can't be sealed. What its
+   holders report is kept all the same, or none of them could ever stop. */
+static bool never_sealed(const Ledger *l, const Late *x, const ShardGrant *g) {
+  return l->now - x->since >= UNSEALED && !view_find(l->view, g->home);
+}
+
 /* A grant that is sealed here is sealed for good. One that is missing here may
    be newer than our copy: only a copy read since can say that it is gone. */
 static bool apply_late(Ledger *l, ShardState *s, HomeBudget *h,
@@ -55,9 +62,9 @@
   for (guint i = 0; i < h->late->len; i++) {
     Late *x = h->late->pdata[i];
     ShardGrant *g = shard_grant(b, x->grant);
-    x->applied = g ? g->sealed : s->fresh > x->since;
+    x->applied = g ? g->sealed || never_sealed(l, x, g) : s->fresh > x->since;
     if (!g && !x->applied) s->reread = s->dirty = true;
-    if (!g || !g->sealed) continue;
+    if (!g || !x->applied) continue;
     changed |=
         shard_report(g, x->holder, x->returned, x->spent, x->final, l->unix_s);
   }
@@ -86,10 +93,23 @@
   return true;
 }
 
+/* Reports that others took in while we seemed gone. */
+static void take_back(Held *g, const ShardGrant *sg) {
+  GHashTableIter it;
+  gpointer k, v;
+  if (!sg->back) return;
+  g_hash_table_iter_init(&it, sg->back);
+  while (g_hash_table_iter_next(&it, &k, &v)) {
+    const ShardBack *r = v;
+    home_take(g, k, r->returned, r->spent);
+  }
+}
+
 static bool apply_held(Ledger *l, HomeBudget *h, ShardBudget *b) {
   Held *g = h->held;
   if (!g) return false;
   ShardGrant *sg = shard_grant(b, g->id);
+  if (sg) take_back(g, sg);
   if (g->frozen) return apply_handover(l, g, b, sg);
   if ((sg && sg->sealed) || (!sg && g->stored)) return false;
   bool changed = false;
--- a/packages/member/member.c
+++ b/packages/member/member.c
@@ -8,7 +8,7 @@
 typedef struct Peer {
   Member m;
   double heard;
-  double moved; /* when its table last was ours, or moved on */
+  double moved;      /* when its table last was ours, or moved on */
   bool list_leaving; /* the platform says so */
 } Peer;
 
--- a/packages/once/once.c
+++ b/packages/once/once.c
@@ -111,7 +111,9 @@
 static const Member *keeper_of(const Once *o, OnceKey key, int rank) {
   const Member *m = view_home(o->view, o->region, key.hi, rank);
   /* All of our region are leaving: a bill still has to be kept somewhere. */
-  return m ? m : view_home(o->view, NULL, key.hi, rank);
+  if (!m) m = view_home(o->view, NULL, key.hi, rank);
+  /* The whole fleet is: each keeps its own. */
+  return m || rank > 0 ? m : view_find(o->view, o->self);
 }
 
 /* == runs == */
--- a/scenario/world.c
+++ b/scenario/world.c
@@ -537,7 +537,7 @@
 static void take_view(World *w, int node) {
   Node *n = &w->nodes[node];
   member_self(n->members, n->draining, 1);
-  View *v = member_view(n->members);
+  View *v = member_view(n->members, w->now);
   ledger_view(n->ledger, w->now, v);
   once_view(n->once, w->now, v);
   view_free(v);
@@ -880,8 +880,8 @@
   return n;
 }
 
-/* At rest nothing waits, and the store never knows of less than what was
-   consumed. */
+/* At rest nothing waits, planned stops have ended, and the store never knows of
+   less than what was consumed. */
 void world_check_rest(World *w, bool bills) {
   for (guint i = 0; i < w->requests->len; i++) {
     const Request *q = w->requests->pdata[i];
@@ -893,6 +893,13 @@
     if (bills && q->outcome == WORLD_DONE && !billed)
       broke(w, "request %u was answered whole and is on no bill", i);
   }
+  for (int i = 0; i < w->n; i++) {
+    const Node *n = &w->nodes[i];
+    if (n->up && n->draining && !world_drained(w, i))
+      broke(w, "the planned stop of %s does not end: %s%s", n->id,
+            ledger_drained(n->ledger) ? "" : "tokens ",
+            once_drained(n->once) ? "" : "records");
+  }
   GHashTableIter it;
   gpointer v;
   g_hash_table_iter_init(&it, w->budgets);
