A pool of more than 64 targets: the rest of it got no work

Cause: a choice looked at the first 64 targets of a pool in the table's order (LIMIT_TARGETS). Two years from now a model has 92 workers on average. Found by running the bench at 350 instances before 92 targets, and at 8 before 200.

Change: all targets are priced, in an array that the pool keeps.

make bench measures both sizes from now on, and decisions at 8, 64 and 400 targets.

--- a/bench/route.c
+++ b/bench/route.c
@@ -1,8 +1,9 @@
-/* route.c: the ways to choose a target, compared: eight routers with old load
-   reports before a dozen targets of eight slots, in virtual time. The targets
-   are queues with a prefill and a decode time, nothing more. Prints one JSON
-   line for each policy, age of reports and fault; and the order of the queue
-   with and without classes. */
+/* route.c: the ways to choose a target, compared: routers with old load reports
+   before targets of eight slots, in virtual time, at the size of today and at
+   that of two years from now. The targets are queues with a prefill and a
+   decode time, nothing more. Prints one JSON line for each policy, age of
+   reports, fault and size; and the order of the queue with and without classes.
+ */
 #include <glib.h>
 #include <math.h>
 #include <stdio.h>
@@ -11,15 +12,22 @@
 #include "queue/queue.h"
 #include "route/route.h"
 
-#define ROUTERS 8
-#define TARGETS 12
 #define SLOTS 8
 #define FAMILIES 40      /* kinds of prompts that share a prefix */
 #define PREFIX 2048      /* tokens of it */
 #define PREFILL_S 0.0002 /* of one token that is not cached */
 #define DECODE_S 1.0     /* of an answer, on average */
 #define LOAD 0.75        /* of what the targets can decode */
-#define RUN_S 300.0
+
+typedef struct Size {
+  int routers, targets;
+  double run_s;
+} Size;
+
+static const Size today = {8, 12, 300};
+/* A model's share of 2,400 workers before the instances of one region, and of
+   all; and a pool that is larger than any of these. */
+static const Size sizes[] = {{50, 13, 300}, {350, 92, 60}, {8, 200, 60}};
 
 typedef enum { HEALTHY, DIES, SLOWS, ERRORS, FAULTS } Fault;
 
@@ -45,8 +53,9 @@
 
 typedef struct Sim {
   GRand *rng;
-  Route *routers[ROUTERS];
-  Target targets[TARGETS];
+  Size size;
+  Route **routers;
+  Target *targets;
   GArray *first; /* seconds to the first token */
   GSequence *jobs;
   int failed, requests;
@@ -59,32 +68,39 @@
   return x < y ? -1 : x > y;
 }
 
-static bool faulty(Fault f, int target, double now) {
-  return target == 0 && now > RUN_S / 3 && f != HEALTHY;
+static bool faulty(const Sim *s, Fault f, int target, double now) {
+  return target == 0 && now > s->size.run_s / 3 && f != HEALTHY;
 }
 
-static Sim *sim_new(RoutePolicy policy) {
+static Sim *sim_new(RoutePolicy policy, Size size) {
   Sim *s = g_new0(Sim, 1);
   s->rng = g_rand_new_with_seed(3);
   s->first = g_array_new(FALSE, FALSE, sizeof(double));
   s->jobs = g_sequence_new(g_free);
-  RouteTarget list[TARGETS] = {0};
-  for (int i = 0; i < TARGETS; i++) {
+  s->size = size;
+  s->routers = g_new0(Route *, size.routers);
+  s->targets = g_new0(Target, size.targets);
+  RouteTarget *list = g_new0(RouteTarget, size.targets);
+  for (int i = 0; i < size.targets; i++) {
     snprintf(list[i].name, LIMIT_NAME, "t%d", i);
     list[i].slots = SLOTS;
     s->targets[i].cached = g_hash_table_new(NULL, NULL);
   }
-  for (int i = 0; i < ROUTERS; i++) {
+  for (int i = 0; i < size.routers; i++) {
     s->routers[i] = route_new((uint32_t)i + 1, policy);
-    route_targets(s->routers[i], list, TARGETS);
-    if (policy == ROUTE_OURS) route_peers(s->routers[i], ROUTERS);
+    route_targets(s->routers[i], list, size.targets);
+    if (policy == ROUTE_OURS) route_peers(s->routers[i], size.routers);
   }
+  g_free(list);
   return s;
 }
 
 static void sim_free(Sim *s) {
-  for (int i = 0; i < ROUTERS; i++) route_free(s->routers[i]);
-  for (int i = 0; i < TARGETS; i++) g_hash_table_destroy(s->targets[i].cached);
+  for (int i = 0; i < s->size.routers; i++) route_free(s->routers[i]);
+  for (int i = 0; i < s->size.targets; i++)
+    g_hash_table_destroy(s->targets[i].cached);
+  g_free(s->routers);
+  g_free(s->targets);
   g_sequence_free(s->jobs);
   g_array_free(s->first, TRUE);
   g_rand_free(s->rng);
@@ -106,13 +122,13 @@
 }
 
 static void report_all(Sim *s, double now, Fault f) {
-  for (int r = 0; r < ROUTERS; r++)
-    for (int i = 0; i < TARGETS; i++) {
-      char name[8];
+  for (int r = 0; r < s->size.routers; r++)
+    for (int i = 0; i < s->size.targets; i++) {
+      char name[16];
       snprintf(name, sizeof name, "t%d", i);
       const Target *t = &s->targets[i];
       double path = i % 3 == r % 3 ? 0.001 : 0.004;
-      if (f == DIES && faulty(f, i, now))
+      if (f == DIES && faulty(s, f, i, now))
         route_silent(s->routers[r], now, name);
       else
         route_report(s->routers[r], now, name, busy(t, now), waiting(t, now),
@@ -127,7 +143,7 @@
   for (int i = 1; i < SLOTS; i++)
     if (t->free_at[i] < t->free_at[slot]) slot = i;
   bool hit = g_hash_table_contains(t->cached, GINT_TO_POINTER(family + 1));
-  double slow = f == SLOWS && faulty(f, j->target, now) ? 10 : 1;
+  double slow = f == SLOWS && faulty(s, f, j->target, now) ? 10 : 1;
   double prefill = (hit ? 64 : PREFIX) * PREFILL_S * slow;
   double decode = -log(1 - g_rand_double(s->rng)) * DECODE_S * slow;
   double start = MAX(now, t->free_at[slot]);
@@ -141,7 +157,7 @@
 }
 
 static void arrive(Sim *s, double now, Fault f) {
-  int router = g_rand_int_range(s->rng, 0, ROUTERS);
+  int router = g_rand_int_range(s->rng, 0, s->size.routers);
   int family = (int)(pow(g_rand_double(s->rng), 2) * FAMILIES);
   char prompt[PREFIX * 4];
   memset(prompt, 'a' + family % 26, sizeof prompt);
@@ -158,7 +174,7 @@
   j->router = router;
   j->target = atoi(c.name + 1);
   j->sent = now;
-  bool bad = faulty(f, j->target, now);
+  bool bad = faulty(s, f, j->target, now);
   if (bad && (f == DIES || f == ERRORS)) {
     j->fails = true;
     j->at = now + (f == DIES ? 0.5 : 0.01);
@@ -175,7 +191,7 @@
   while (!g_sequence_iter_is_end(it = g_sequence_get_begin_iter(s->jobs))) {
     const Job *j = g_sequence_get(it);
     if (j->at > now) return;
-    char name[8];
+    char name[16];
     snprintf(name, sizeof name, "t%d", j->target);
     route_done(s->routers[j->router], j->at, name,
                j->fails ? ROUTE_FAILED : ROUTE_OK, PREFIX, j->first,
@@ -194,10 +210,11 @@
   return a->len ? g_array_index(a, double, (guint)(q * (a->len - 1))) : 0;
 }
 
-static void compare(RoutePolicy policy, double age, Fault f) {
-  Sim *s = sim_new(policy);
-  double rate = LOAD * TARGETS * SLOTS / (DECODE_S + 0.1), next_report = 0;
-  for (double now = 0; now < RUN_S;) {
+static void compare(RoutePolicy policy, double age, Fault f, Size size) {
+  Sim *s = sim_new(policy, size);
+  double rate = LOAD * size.targets * SLOTS / (DECODE_S + 0.1);
+  double next_report = 0;
+  for (double now = 0; now < size.run_s;) {
     now += -log(1 - g_rand_double(s->rng)) / rate;
     end_jobs(s, now);
     if (now >= next_report) {
@@ -207,15 +224,17 @@
     arrive(s, now, f);
   }
   int most = 0;
-  for (int i = 0; i < TARGETS; i++) most = MAX(most, s->targets[i].served);
-  printf("{\"bench\":\"route\",\"policy\":\"%s\",\"report_age_s\":%.1f,"
+  for (int i = 0; i < size.targets; i++) most = MAX(most, s->targets[i].served);
+  printf("{\"bench\":\"route\",\"routers\":%d,\"targets\":%d,"
+         "\"policy\":\"%s\",\"report_age_s\":%.1f,"
          "\"fault\":\"%s\",\"first_ms_50\":%.0f,\"first_ms_95\":%.0f,"
          "\"first_ms_99\":%.0f,\"cached_share\":%.2f,\"failed_share\":%.4f,"
          "\"most_over_mean\":%.2f}\n",
-         policies[policy], age, faults[f], quantile(s->first, 0.5) * 1e3,
-         quantile(s->first, 0.95) * 1e3, quantile(s->first, 0.99) * 1e3,
-         (double)s->cached / (double)s->asked, (double)s->failed / s->requests,
-         (double)most * TARGETS / (double)s->first->len);
+         size.routers, size.targets, policies[policy], age, faults[f],
+         quantile(s->first, 0.5) * 1e3, quantile(s->first, 0.95) * 1e3,
+         quantile(s->first, 0.99) * 1e3, (double)s->cached / (double)s->asked,
+         (double)s->failed / s->requests,
+         (double)most * size.targets / (double)s->first->len);
   sim_free(s);
 }
 
@@ -286,9 +305,14 @@
 int main(void) {
   static const double ages[] = {0.1, 1, 5}, loads[] = {0.5, 0.9, 1.2, 2.0};
   for (int p = 0; p < ROUTE_POLICIES; p++)
-    for (int a = 0; a < 3; a++) compare((RoutePolicy)p, ages[a], HEALTHY);
+    for (int a = 0; a < 3; a++)
+      compare((RoutePolicy)p, ages[a], HEALTHY, today);
   for (int p = 0; p < ROUTE_POLICIES; p++)
-    for (int f = DIES; f < FAULTS; f++) compare((RoutePolicy)p, 1, (Fault)f);
+    for (int f = DIES; f < FAULTS; f++)
+      compare((RoutePolicy)p, 1, (Fault)f, today);
+  for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++)
+    for (int p = 0; p < ROUTE_POLICIES; p++)
+      compare((RoutePolicy)p, 1, HEALTHY, sizes[i]);
   for (int i = 0; i < 4; i++) {
     order(loads[i], false);
     order(loads[i], true);
--- a/bench/slopes.c
+++ b/bench/slopes.c
@@ -376,7 +376,8 @@
 int main(void) {
   static const int budgets[] = {1000, 5000, 20000};
   static const int members[] = {50, 150, 350};
-  static const int targets[] = {8, 24, 64};
+  static const int targets[] = {8, 64, 400};
+  static const int queued[] = {64, 192, 512};
   for (int i = 0; i < 3; i++) {
     ledger_slopes(budgets[i]);
     home_slopes(budgets[i]);
@@ -384,7 +385,7 @@
     shard_slopes(budgets[i] / 20);
     member_slopes(members[i]);
     route_slopes(targets[i]);
-    queue_slopes(targets[i] * 8);
+    queue_slopes(queued[i]);
     once_slopes(budgets[i]);
     table_slopes(budgets[i]);
   }
--- a/packages/kernel/limits.h
+++ b/packages/kernel/limits.h
@@ -13,7 +13,6 @@
 #define LIMIT_ANSWER (64 << 10)      /* bytes kept of one answer for a retry */
 #define LIMIT_CLAIM_ANSWER (2 << 10) /* bytes of an answer kept in a claim */
 #define LIMIT_KEPT (32 << 20) /* bytes of kept answers an instance holds */
-#define LIMIT_TARGETS 64      /* candidates looked at for one request */
 
 /* == ledger, seconds and tokens == */
 
--- a/packages/route/route.c
+++ b/packages/route/route.c
@@ -32,6 +32,13 @@
   GHashTable *fresh, *old; /* block hashes sent there, two generations */
 } State;
 
+/* One candidate of a choice. */
+typedef struct Price {
+  State *s;
+  RouteChoice c;
+  double score;
+} Price;
+
 struct Route {
   GPtrArray *list; /* State* */
   GRand *rng;
@@ -39,6 +46,7 @@
   int peers; /* instances that choose as we do */
   guint turn;
   double retries;
+  GArray *prices; /* Price, of the choice being made */
 };
 
 /* == memory == */
@@ -73,12 +81,14 @@
   r->policy = policy;
   r->peers = 1;
   r->retries = RETRY_BURST;
+  r->prices = g_array_new(FALSE, FALSE, sizeof(Price));
   return r;
 }
 
 void route_free(Route *r) {
   g_ptr_array_free(r->list, TRUE);
   g_rand_free(r->rng);
+  g_array_free(r->prices, TRUE);
   g_free(r);
 }
 
@@ -293,37 +303,34 @@
 }
 
 bool route_pick(Route *r, double now, const RouteAsk *ask, RouteChoice *out) {
-  State *good[LIMIT_TARGETS];
-  RouteChoice choice[LIMIT_TARGETS];
-  double score[LIMIT_TARGETS], best = INFINITY;
-  int n = 0, left_out = 0;
-  for (guint i = 0; i < r->list->len && n < LIMIT_TARGETS; i++) {
-    State *s = r->list->pdata[i];
-    if (!may_take(s, now, ask)) {
-      left_out++;
-      continue;
-    }
-    choice[n] = (RouteChoice){0};
-    price(r, s, now, ask, &choice[n]);
-    score[n] = rank(r, s, &choice[n], i);
-    best = MIN(best, score[n]);
-    good[n++] = s;
+  double best = INFINITY;
+  g_array_set_size(r->prices, 0);
+  for (guint i = 0; i < r->list->len; i++) {
+    Price p = {.s = r->list->pdata[i]};
+    if (!may_take(p.s, now, ask)) continue;
+    price(r, p.s, now, ask, &p.c);
+    p.score = rank(r, p.s, &p.c, i);
+    best = MIN(best, p.score);
+    g_array_append_val(r->prices, p);
   }
+  guint n = r->prices->len;
   if (n == 0) return false;
   r->turn++;
   /* Among those about as good as the best the choice is by lot, so that many
      instances with the same old reports do not all take the same one. */
   double slack = 0;
   if (r->policy == ROUTE_OURS) slack = MAX(best * NEAR_BEST, NEAR_SECONDS);
-  int pick = 0, seen = 0;
-  for (int i = 0; i < n; i++) {
-    if (score[i] > best + slack) continue;
-    if (g_rand_int_range(r->rng, 0, ++seen) == 0) pick = i;
+  const Price *pick = NULL;
+  int seen = 0;
+  for (guint i = 0; i < n; i++) {
+    const Price *p = &g_array_index(r->prices, Price, i);
+    if (p->score > best + slack) continue;
+    if (g_rand_int_range(r->rng, 0, ++seen) == 0) pick = p;
   }
-  *out = choice[pick];
-  out->candidates = n;
-  out->left_out = left_out;
-  dispatched(r, good[pick], ask, out);
+  *out = pick->c;
+  out->candidates = (int)n;
+  out->left_out = (int)(r->list->len - n);
+  dispatched(r, pick->s, ask, out);
   return true;
 }
 
--- a/tests/test_route.c
+++ b/tests/test_route.c
@@ -6,7 +6,7 @@
 #include "route/route.h"
 
 static Route *fleet(int n, int slots) {
-  RouteTarget list[16] = {0};
+  RouteTarget list[200] = {0};
   for (int i = 0; i < n; i++) {
     snprintf(list[i].name, LIMIT_NAME, "t%d", i);
     list[i].slots = slots;
@@ -38,6 +38,19 @@
   route_free(r);
 }
 
+/* A pool may be large: none of it is left without work. */
+Test(route, each_of_two_hundred_targets_gets_work) {
+  Route *r = fleet(200, 1);
+  for (int i = 0; i < 200; i++) {
+    RouteAsk ask = {.tokens = 10};
+    RouteChoice c;
+    cr_assert(route_pick(r, 0, &ask, &c));
+    cr_assert_eq(c.candidates, 200);
+  }
+  for (int i = 0; i < 200; i++) cr_assert_eq(route_state(r, 0, i).own, 1);
+  route_free(r);
+}
+
 Test(route, own_dispatches_count_until_the_next_report) {
   Route *r = fleet(2, 4);
   for (int i = 0; i < 8; i++) {
