Heartbeats by region: a loss at 350 instances is seen in 32 s, not in 112 s

Cause: heartbeats went from all to all and were stretched to 3,000 bytes a second. Change: up to 32 instances nothing changes. A larger fleet spends 1,500 bytes a second in its region and 300 beyond; each heartbeat promises when the next one comes, so that who hears it need not guess. Who is new is greeted at once, four times: the first message to an address is dropped while the link is made.

Worked out for 350: 32 s at 1.8 KB/s, before 112 s at 3 KB/s. Paid for it: a loss in another region is seen after up to 19 minutes at that size. Only the look after a region with nobody left hangs on it. Weighed: gossip (converges slower than 2 s at these sizes, more code), monitors by rendezvous (fewer bytes, another message kind to spread the news).

Also: 'make format' had no rule.

--- a/Makefile
+++ b/Makefile
@@ -36,6 +36,9 @@
 	  --suppress=missingIncludeSystem packages bin fakes scenario bench
 	@echo lint: clean
 
+format:
+	@clang-format -i $(SOURCES)
+
 # The whole suite under the address and undefined-behaviour sanitizers.
 asan: deps
 	@[ -f build-asan/build.ninja ] || meson setup build-asan \
--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -14,7 +14,7 @@
 WRITES, READS, VALUE = 100.0, 2000.0, 1 << 20
 CLAIMED = 0.02                               # requests that may not be repeated
 IDLE_S, ACCOUNT_S, TICKS = 20.0, 2.0, 10.0   # as in kernel/limits.h
-BEAT_BYTES = 3000.0                          # MEMBER_BYTES
+NEAR_BYTES, FAR_BYTES, BEAT = 1500.0, 300.0, 160  # MEMBER_NEAR, MEMBER_FAR
 SPREAD = 30.0                                # writes/s for reports, home.c
 RECORD_S, BATCH_S, BATCH_WRITES = 600.0, 5.0, 4.0
 PARTS, HISTORY = 256, 64
@@ -102,14 +102,16 @@
         "%.0f claims/s in the fleet" % claims, 0.0002,
         2e6, claims / NODES * 600, claim_writes, claim_writes * 0.1))
     view_changes = (RESTARTS_A_DAY * 2 + LOSSES_A_DAY * 2) / 86400.0
-    interval = NODES * 160 / BEAT_BYTES
+    near_s = NODES / REGIONS * BEAT / NEAR_BYTES
+    far_s = NODES * BEAT / FAR_BYTES
     rows.append((
-        "member view", "heartbeats of all to all, each %.0f s (%.0f s until a loss "
-        "is seen); the platform's list each second" % (interval, interval * 6),
+        "member view", "heartbeats in the region each %.1f s (%.0f s until a loss "
+        "is seen), beyond each %.0f s; the platform's list each second"
+        % (near_s, near_s * 6, far_s),
         "%d members" % NODES,
-        (NODES / interval * v("heartbeat taken ns")
+        ((NODES / REGIONS / near_s + NODES / far_s) * v("heartbeat taken ns")
          + view_changes * NODES * 8 * v("view change ns a member")) / 1e9,
-        NODES * v("member bytes") * 10, BEAT_BYTES, 0, NODES * 1.0))
+        NODES * v("member bytes") * 10, NEAR_BYTES + FAR_BYTES, 0, NODES * 1.0))
     near = TARGETS / REGIONS                    # a request stays in its region
     rows.append((
         "load view", "one instance a data centre asks each target a second and "
--- /dev/null
+++ b/bench/members.py
@@ -0,0 +1,68 @@
+#!/usr/bin/env python3
+"""members.py: a fleet of many real instances: how soon all know each other, how
+soon a loss is seen in its region, and what the heartbeats cost.
+
+Usage: members.py BUILD_DIR [INSTANCES]; prints JSON lines."""
+import json
+import os
+import statistics
+import sys
+import time
+
+sys.argv, ARGS = [sys.argv[0], sys.argv[1]], sys.argv[2:]
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..",
+                                "tests"))
+import process  # noqa: E402  the fleet of the process tests
+
+REGIONS = 7
+
+
+def known(f, port):
+    return {m["id"].split(".")[0] for m in f.admin(port, "instances").json()}
+
+
+def cpu_s(pid):
+    with open("/proc/%d/stat" % pid) as s:
+        fields = s.read().rsplit(")", 1)[1].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+def rss_mb(pid):
+    with open("/proc/%d/status" % pid) as s:
+        return [int(l.split()[1]) / 1e3 for l in s if l.startswith("VmRSS")][0]
+
+
+def main():
+    n = int(ARGS[0]) if ARGS else 70
+    start = time.monotonic()
+    f = process.Fleet(engines=1, instances=n, regions=REGIONS, ready=False)
+    try:
+        process.wait_for("all to know all", lambda: all(
+            len(known(f, p)) == n for p in f.ports), 120)
+        joined = time.monotonic() - start
+        procs = [f.procs["i%d" % i] for i in range(n)]
+        cpu, t = [cpu_s(p.pid) for p in procs], time.monotonic()
+        sent = [f.metric(p, "peer_bytes_out_total") for p in f.ports]
+        time.sleep(20)
+        dt = time.monotonic() - t
+        share = [(cpu_s(p.pid) - c) / dt * 100 for p, c in zip(procs, cpu)]
+        rate = [(f.metric(p, "peer_bytes_out_total") - b) / dt
+                for p, b in zip(f.ports, sent)]
+        f.kill("i0")
+        t, near = time.monotonic(), [p for i, p in enumerate(f.ports)
+                                     if i and i % REGIONS == 0]
+        process.wait_for("the loss to be seen", lambda: all(
+            "i0" not in known(f, p) for p in near), 120)
+        print(json.dumps({
+            "bench": "members", "instances": n, "regions": REGIONS,
+            "known_to_all_s": round(joined, 1),
+            "loss_seen_in_region_s": round(time.monotonic() - t, 1),
+            "peer_bytes_s_median": round(statistics.median(rate)),
+            "rss_mb_median": round(statistics.median(
+                rss_mb(p.pid) for p in procs[1:]), 1),
+            "core_percent_median": round(statistics.median(share), 2)}))
+    finally:
+        f.close()
+
+
+main()
--- a/packages/fleet/fleet.c
+++ b/packages/fleet/fleet.c
@@ -288,19 +288,17 @@
 }
 
 static void send_beats(Fleet *f) {
+  GArray *due = g_array_new(FALSE, FALSE, sizeof(MemberBeat));
   pthread_mutex_lock(&f->lock);
-  GPtrArray *to = member_addresses(f->members);
+  member_beats(f->members, clock_now(), due);
   Member me = *member_me(f->members);
-  for (guint i = 0; i < to->len; i++) peer_beat(f->peer, to->pdata[i], &me);
-  g_ptr_array_free(to, TRUE);
-  pthread_mutex_unlock(&f->lock);
-}
-
-static double beat_interval(Fleet *f) {
-  pthread_mutex_lock(&f->lock);
-  double s = member_interval(f->members);
+  for (guint i = 0; i < due->len; i++) {
+    const MemberBeat *b = &g_array_index(due, MemberBeat, i);
+    me.every_s = b->every_s;
+    peer_beat(f->peer, b->to, &me);
+  }
   pthread_mutex_unlock(&f->lock);
-  return s;
+  g_array_free(due, TRUE);
 }
 
 static void tick(Fleet *f) {
@@ -317,13 +315,10 @@
 
 static void *run(void *arg) {
   Fleet *f = arg;
-  double next_tick = 0, next_beat = 0;
+  double next_tick = 0;
   while (!atomic_load(&f->stop)) {
     double now = clock_now();
-    if (now >= next_beat) {
-      send_beats(f);
-      next_beat = now + beat_interval(f);
-    }
+    send_beats(f);
     if (now >= next_tick) {
       tick(f);
       next_tick = now + TICK_S;
@@ -541,6 +536,7 @@
 void fleet_drain(Fleet *f) {
   pthread_mutex_lock(&f->lock);
   f->leaving = true;
+  member_urgent(f->members);
   pthread_mutex_unlock(&f->lock);
   refresh_view(f);
   send_beats(f);
--- a/packages/kernel/limits.h
+++ b/packages/kernel/limits.h
@@ -37,8 +37,11 @@
 
 /* == members, seconds == */
 
+#define MEMBER_SMALL 32   /* instances that all hear of each other alike */
 #define MEMBER_BEAT 0.5   /* heartbeat interval of a small fleet */
 #define MEMBER_BYTES 3000 /* heartbeat bytes a second at most; stretches it */
+#define MEMBER_NEAR 1500  /* the same of a larger fleet, in the region */
+#define MEMBER_FAR 300    /* and beyond */
 #define MEMBER_SILENT 6   /* heartbeats missed until a member is gone */
 #define MEMBER_POLL 1.0   /* the platform's list is read this often */
 
--- a/packages/member/member.c
+++ b/packages/member/member.c
@@ -3,6 +3,7 @@
 
 #include <string.h>
 
+#define GREETINGS 4    /* the first ones are lost while a link is made */
 #define BEAT_BYTES 160 /* a heartbeat on the wire, with its frame */
 
 typedef struct Peer {
@@ -10,13 +11,21 @@
   double heard;
   double moved;      /* when its table last was ours, or moved on */
   bool list_leaving; /* the platform says so */
+  int greet;         /* greetings to come */
 } Peer;
 
+typedef struct Seed {
+  MemberSeed m;
+  int greet;
+} Seed;
+
 struct MemberSet {
   Member self;
   bool self_leaving; /* the platform says so of us */
   GHashTable *peers; /* id -> Peer */
-  GPtrArray *seeds;  /* MemberSeed* of instances */
+  GPtrArray *seeds;  /* Seed* of instances */
+  bool greet;        /* somebody is to be greeted */
+  double next_near, next_far, next_greet;
 };
 
 MemberSet *member_new(const Member *self) {
@@ -33,11 +42,6 @@
   g_free(s);
 }
 
-double member_interval(const MemberSet *s) {
-  double n = g_hash_table_size(s->peers) + 1;
-  return MAX(MEMBER_BEAT, n * BEAT_BYTES / MEMBER_BYTES);
-}
-
 /* "name" of "name.incarnation". */
 static bool same_name(const char *id, const char *name) {
   size_t n = strlen(name);
@@ -46,7 +50,7 @@
 
 static bool listed_leaving(const MemberSet *s, const char *id) {
   for (guint i = 0; i < s->seeds->len; i++) {
-    const MemberSeed *x = s->seeds->pdata[i];
+    const MemberSeed *x = &((Seed *)s->seeds->pdata[i])->m;
     if (x->leaving && same_name(id, x->name)) return true;
   }
   return false;
@@ -77,6 +81,8 @@
     p = g_new0(Peer, 1);
     p->m = *m;
     p->moved = now;
+    p->greet = GREETINGS;
+    s->greet = true;
     p->list_leaving = listed_leaving(s, m->id);
     g_hash_table_insert(s->peers, p->m.id, p);
   }
@@ -89,27 +95,42 @@
 
 bool member_tick(MemberSet *s, double now) {
   bool changed = false;
-  double silent = member_interval(s) * MEMBER_SILENT;
   GHashTableIter it;
   gpointer v;
   g_hash_table_iter_init(&it, s->peers);
   while (g_hash_table_iter_next(&it, NULL, &v)) {
     Peer *p = v;
     if (p->m.table >= s->self.table) p->moved = now;
-    if (now - p->heard < silent) continue;
+    double every_s = MAX(p->m.every_s, MEMBER_BEAT);
+    if (now - p->heard < every_s * MEMBER_SILENT) continue;
     g_hash_table_iter_remove(&it);
     changed = true;
   }
   return changed;
 }
 
+static int greetings_due(const GPtrArray *seeds, const char *peer) {
+  for (guint i = 0; i < seeds->len; i++) {
+    const Seed *x = seeds->pdata[i];
+    if (strcmp(x->m.peer, peer) == 0) return x->greet;
+  }
+  return GREETINGS;
+}
+
 bool member_listed(MemberSet *s, double now, const MemberSeed *list, int n) {
   (void)now;
   bool changed = false;
-  g_ptr_array_set_size(s->seeds, 0);
-  for (int i = 0; i < n; i++)
-    if (!list[i].target)
-      g_ptr_array_add(s->seeds, g_memdup2(&list[i], sizeof list[i]));
+  GPtrArray *old = s->seeds;
+  s->seeds = g_ptr_array_new_with_free_func(g_free);
+  for (int i = 0; i < n; i++) {
+    if (list[i].target) continue;
+    Seed *x = g_new0(Seed, 1);
+    x->m = list[i];
+    x->greet = greetings_due(old, list[i].peer);
+    s->greet |= x->greet > 0;
+    g_ptr_array_add(s->seeds, x);
+  }
+  g_ptr_array_free(old, TRUE);
   GHashTableIter it;
   gpointer v;
   g_hash_table_iter_init(&it, s->peers);
@@ -161,19 +182,70 @@
   return view;
 }
 
-GPtrArray *member_addresses(const MemberSet *s) {
-  GHashTable *set = g_hash_table_new(g_str_hash, g_str_equal);
+/* == heartbeats == */
+
+static double interval(int n, double bytes) {
+  return MAX(MEMBER_BEAT, n * BEAT_BYTES / bytes);
+}
+
+static bool is_near(const MemberSet *s, const Member *m) {
+  return strcmp(m->region, s->self.region) == 0;
+}
+
+static void add_beat(GArray *out, const char *to, double every_s) {
+  MemberBeat b = {to, every_s};
+  g_array_append_val(out, b);
+}
+
+/* Seeds that no heartbeat came from: nobody knows where they stand. */
+static void beat_seeds(MemberSet *s, bool due, bool greet, double every_s,
+                       GArray *out) {
+  GHashTable *heard = g_hash_table_new(g_str_hash, g_str_equal);
   GHashTableIter it;
-  gpointer k, v;
+  gpointer v;
   g_hash_table_iter_init(&it, s->peers);
   while (g_hash_table_iter_next(&it, NULL, &v))
-    g_hash_table_add(set, ((Peer *)v)->m.peer);
-  for (guint i = 0; i < s->seeds->len; i++)
-    g_hash_table_add(set, ((MemberSeed *)s->seeds->pdata[i])->peer);
-  g_hash_table_remove(set, s->self.peer);
-  GPtrArray *a = g_ptr_array_new();
-  g_hash_table_iter_init(&it, set);
-  while (g_hash_table_iter_next(&it, &k, NULL)) g_ptr_array_add(a, k);
-  g_hash_table_destroy(set);
-  return a;
+    g_hash_table_add(heard, ((Peer *)v)->m.peer);
+  g_hash_table_add(heard, s->self.peer);
+  for (guint i = 0; i < s->seeds->len; i++) {
+    Seed *x = s->seeds->pdata[i];
+    if (g_hash_table_contains(heard, x->m.peer)) continue;
+    if (due || (greet && x->greet > 0)) add_beat(out, x->m.peer, every_s);
+    if (greet && x->greet > 0 && --x->greet > 0) s->greet = true;
+  }
+  g_hash_table_destroy(heard);
+}
+
+void member_beats(MemberSet *s, double now, GArray *out) {
+  bool near = now >= s->next_near, far = now >= s->next_far;
+  bool greet = s->greet && now >= s->next_greet;
+  if (!near && !far && !greet) return;
+  int n = 1, all = (int)MAX(g_hash_table_size(s->peers), s->seeds->len) + 1;
+  GHashTableIter it;
+  gpointer v;
+  g_hash_table_iter_init(&it, s->peers);
+  while (g_hash_table_iter_next(&it, NULL, &v))
+    n += is_near(s, &((Peer *)v)->m);
+  bool small = all <= MEMBER_SMALL;
+  double near_s = interval(small ? all : n, small ? MEMBER_BYTES : MEMBER_NEAR);
+  double far_s = interval(all, small ? MEMBER_BYTES : MEMBER_FAR);
+  if (greet) {
+    s->greet = false;
+    s->next_greet = now + MEMBER_BEAT;
+  }
+  g_hash_table_iter_init(&it, s->peers);
+  while (g_hash_table_iter_next(&it, NULL, &v)) {
+    Peer *p = v;
+    bool in = is_near(s, &p->m);
+    if ((in ? near : far) || (greet && p->greet > 0))
+      add_beat(out, p->m.peer, in ? near_s : far_s);
+    if (greet && p->greet > 0 && --p->greet > 0) s->greet = true;
+  }
+  beat_seeds(s, far, greet, far_s, out);
+  if (near) s->next_near = now + near_s;
+  if (far) s->next_far = now + far_s;
+}
+
+void member_urgent(MemberSet *s) {
+  s->next_near = s->next_far = 0;
 }
--- a/packages/member/member.h
+++ b/packages/member/member.h
@@ -15,6 +15,12 @@
   bool target, leaving;
 } MemberSeed;
 
+/* A heartbeat to be sent; `to` is owned by the set until its next event. */
+typedef struct MemberBeat {
+  const char *to;
+  double every_s; /* what it promises */
+} MemberBeat;
+
 typedef struct MemberSet MemberSet;
 
 MemberSet *member_new(const Member *self);
@@ -31,11 +37,12 @@
 const Member *member_me(const MemberSet *s);
 /* A copy of the present view, to be freed with view_free. */
 View *member_view(const MemberSet *s, double now);
-/* Seconds between heartbeats: longer in a large fleet, so that they cost at
-   most MEMBER_BYTES a second. */
-double member_interval(const MemberSet *s);
-/* Peer addresses to send a heartbeat to. The array holds const char*, owned by
-   the set until the next event. */
-GPtrArray *member_addresses(const MemberSet *s);
+/* Adds the heartbeats that are due to `out` (MemberBeat): often within the
+   region, rarely beyond, at once to whoever is new. Up to MEMBER_SMALL
+   instances all hear alike, MEMBER_BEAT apart or as MEMBER_BYTES allow; a
+   larger fleet spends MEMBER_NEAR and MEMBER_FAR. */
+void member_beats(MemberSet *s, double now, GArray *out);
+/* All are due again: there is something that everybody should hear soon. */
+void member_urgent(MemberSet *s);
 
 #endif
--- a/packages/member/view.h
+++ b/packages/member/view.h
@@ -15,6 +15,7 @@
   char http[LIMIT_NAME]; /* ip:port for callers and operators */
   bool leaving;
   uint64_t table; /* table version in force there */
+  double every_s; /* it promises its next heartbeat within this time */
   double stuck_s; /* seconds that it has had an older table than we, without
                      moving on; not sent */
 } Member;
--- a/packages/peer/codec.c
+++ b/packages/peer/codec.c
@@ -6,6 +6,7 @@
 #include <xxhash.h>
 
 #define VERSION 1
+#define EVERY_MAX_MS (24 * 3600 * 1000)
 
 uint64_t codec_hash(const char *id) {
   return XXH64(id, strlen(id), 0);
@@ -31,7 +32,7 @@
 void codec_put_beat(msgpack_sbuffer *b, const Member *m) {
   msgpack_packer p;
   msgpack_packer_init(&p, b, msgpack_sbuffer_write);
-  msgpack_pack_array(&p, 8);
+  msgpack_pack_array(&p, 9);
   msgpack_pack_uint8(&p, CODEC_BEAT);
   put_str(&p, m->id);
   put_str(&p, m->region);
@@ -40,6 +41,7 @@
   put_str(&p, m->http);
   msgpack_pack_uint8(&p, m->leaving);
   msgpack_pack_uint64(&p, m->table);
+  msgpack_pack_uint32(&p, (uint32_t)(m->every_s * 1000));
 }
 
 void codec_put_ledger(msgpack_sbuffer *b, const LedgerMsg *m) {
@@ -150,6 +152,7 @@
   get_str(r, m->http, sizeof m->http);
   m->leaving = get_small(r, 2);
   m->table = get_u64(r);
+  m->every_s = get_small(r, EVERY_MAX_MS) / 1000.0;
 }
 
 static void get_ledger(Reader *r, LedgerMsg *m) {
--- a/tests/process.py
+++ b/tests/process.py
@@ -21,12 +21,12 @@
 ADMIN = "admin"
 
 
-def free_base():
+def free_base(count):
     """A run of ports that nobody listens on."""
     start = BASE + os.getpid() * 60 % 9000  # two runs at once keep apart
     for base in list(range(start, 30000, 60)) + list(range(BASE, start, 60)):
         try:
-            for port in range(base, base + 60):
+            for port in range(base, base + count):
                 with socket.socket() as s:
                     s.bind(("127.0.0.1", port))
             return base
@@ -75,9 +75,11 @@
 class Fleet:
     """Stand-ins, instances and a table, for one test."""
 
-    def __init__(self, engines=2, instances=3, slots=8, token_ms=5, small=3000):
+    def __init__(self, engines=2, instances=3, slots=8, token_ms=5, small=3000,
+                 regions=0, ready=True):
         self.dir = tempfile.mkdtemp()
-        self.base = free_base()
+        self.base = free_base(30 + 2 * instances + 20)
+        self.instances, self.regions = instances, regions
         self.procs = {}
         self.platform = self.base
         self.engines = [self.base + 1 + i for i in range(engines)]
@@ -93,6 +95,8 @@
             self.instance(i)
         for p in self.ports:
             wait_for("instance", lambda: call(p, "GET", "/healthz").status == 200)
+        if not ready:
+            return
         wait_for("members", lambda: all(
             len(self.admin(p, "instances").json()) == instances for p in self.ports))
         self.apply(self.table(slots, small))
@@ -111,13 +115,16 @@
         name, dc = "i%d" % i, ["nord", "sued"][i % 2]
         self.spawn(name, ["bin/loftpathd"], {
             "LOFTPATH_NAME": name, "LOFTPATH_DATACENTRE": dc,
-            "LOFTPATH_REGION": "town",
+            "LOFTPATH_REGION": "r%d" % (i % self.regions) if self.regions else "town",
             "LOFTPATH_LISTEN": self.at(self.ports[i]),
-            "LOFTPATH_PEER": self.at(self.ports[i] + 10),
+            "LOFTPATH_PEER": self.at(self.peer(i)),
             "LOFTPATH_PLATFORM": self.at(self.platform),
             "LOFTPATH_ADMIN_KEY": ADMIN, "LOFTPATH_MAX_BODY": "100000"})
         call(self.platform, "PUT", "/instances/" + name,
-             json.dumps({"peer": "tcp://" + self.at(self.ports[i] + 10)}))
+             json.dumps({"peer": "tcp://" + self.at(self.peer(i))}))
+
+    def peer(self, i):
+        return self.base + 30 + self.instances + i
 
     def table(self, slots, small):
         import hashlib
--- a/tests/test_member.c
+++ b/tests/test_member.c
@@ -102,15 +102,91 @@
   member_free(s);
 }
 
-Test(member, heartbeats_of_a_large_fleet_are_spread_out) {
+/* == heartbeats == */
+
+/* Heartbeats due at `now`; of those to members of our region in *near. */
+static int beats(MemberSet *s, double now, int *near) {
+  GArray *due = g_array_new(FALSE, FALSE, sizeof(MemberBeat));
+  member_beats(s, now, due);
+  int n = (int)due->len;
+  *near = 0;
+  for (int i = 0; i < n; i++)
+    *near += g_array_index(due, MemberBeat, i).every_s < 10;
+  g_array_free(due, TRUE);
+  return n;
+}
+
+static MemberSet *large_fleet(void) {
   Member self = member(0);
+  snprintf(self.region, sizeof self.region, "g0");
   MemberSet *s = member_new(&self);
-  cr_assert_eq(member_interval(s), MEMBER_BEAT);
   for (int i = 1; i < 350; i++) {
     Member m = member(i);
+    snprintf(m.region, sizeof m.region, "g%d", i % 7);
+    m.every_s = i % 7 == 0 ? 5.4 : 187;
     member_heard(s, 1, &m);
   }
-  double bytes = 350 * 160 / member_interval(s);
-  cr_assert(bytes <= MEMBER_BYTES, "%f bytes/s", bytes);
+  return s;
+}
+
+/* The first greetings are lost while a link is made, so there are some. */
+static int greetings(MemberSet *s, double from) {
+  int n = 0, near;
+  for (int i = 1; i <= 8; i++) n += beats(s, from + i * 0.25, &near);
+  return n;
+}
+
+Test(member, heartbeats_of_a_large_fleet_are_spread_out) {
+  MemberSet *s = large_fleet();
+  int all = 0, near_all = 0, near;
+  cr_assert_eq(beats(s, 1, &near), 349, "everybody is greeted");
+  greetings(s, 1);
+  for (double now = 3; now < 603; now += 0.1) {
+    all += beats(s, now, &near);
+    near_all += near;
+  }
+  cr_assert(all * 160 / 600.0 <= MEMBER_NEAR + MEMBER_FAR, "%d", all);
+  cr_assert(near_all >= 49 * 600 / 6, "each 6 s in the region: %d", near_all);
+  cr_assert(all - near_all >= 300 * 3, "beyond, each 200 s: %d", all);
+  member_free(s);
+}
+
+Test(member, a_loss_in_a_large_region_is_seen_in_half_a_minute) {
+  MemberSet *s = large_fleet();
+  cr_assert_not(member_tick(s, 33));
+  cr_assert(member_tick(s, 1 + 5.4 * MEMBER_SILENT));
+  View *v = member_view(s, 34);
+  cr_assert_eq(v->n, 1 + 300, "the other regions promised less");
+  view_free(v);
+  member_free(s);
+}
+
+Test(member, who_is_new_is_greeted_at_once) {
+  MemberSet *s = large_fleet();
+  int near;
+  beats(s, 1, &near);
+  greetings(s, 1);
+  Member m = member(400);
+  snprintf(m.region, sizeof m.region, "g3");
+  member_heard(s, 4, &m);
+  cr_assert_eq(beats(s, 4, &near), 1);
+  cr_assert_eq(greetings(s, 4), 3, "and some times more");
+  MemberSeed seed = {.name = "n500", .peer = "tcp://10.0.9.9:1"};
+  member_listed(s, 6.1, &seed, 1);
+  cr_assert_eq(beats(s, 6.1, &near), 1);
+  member_listed(s, 6.2, &seed, 1);
+  cr_assert_eq(beats(s, 6.2, &near), 0, "not with each reading of the list");
+  member_urgent(s);
+  cr_assert_eq(beats(s, 6.3, &near), 351, "all hear what is urgent");
+  member_free(s);
+}
+
+Test(member, a_small_fleet_beats_twice_a_second) {
+  Member self = member(0), other = member(1);
+  MemberSet *s = member_new(&self);
+  member_heard(s, 1, &other);
+  int near, n = 0;
+  for (int i = 0; i < 40; i++) n += beats(s, 1 + i * 0.25, &near);
+  cr_assert_eq(n, 20);
   member_free(s);
 }
