One instance of a region asks a target for its load and tells the others

Cause: every instance asked every target each second: 96 calls a second today, 840,000 at the target size. And an idle instance cost 1.1% of a core of the 1.3% that control may take: four threads that ask, turns, signals and peers each woke fifty times a second to look whether there was anything to do.

Change: route/loads.c, a pure core: duties by rendezvous, the region is told, who hears nothing asks, silence is verified before it is believed, paths are measured by data centre, far targets as often as ten calls a second leave room for. entry/poll.c holds its threads, out of watch.c. Threads wait for work; turns are looked at 50 times a second only while somebody waits; the view is made anew when it changed, or each second.

--- a/bin/loftpathd.c
+++ b/bin/loftpathd.c
@@ -15,7 +15,8 @@
 #include "kernel/service.h"
 #include "kernel/settings.h"
 
-#define STEP_US 20000
+#define STEP_US 20000   /* while stopping */
+#define IDLE_US 200000  /* else, to see an operator's drain */
 #define STOP_LAST_S 2.0 /* connections that still ask are told to go */
 #define STOP_TELL_S 5.0 /* a long stop says what it waits for */
 
@@ -159,7 +160,7 @@
 
 /* Waits for SIGTERM, SIGINT or an operator's drain. */
 static void wait_for_stop(const sigset_t *set) {
-  struct timespec step = {0, STEP_US * 1000};
+  struct timespec step = {0, IDLE_US * 1000};
   while (!atomic_load(&entry.draining))
     if (sigtimedwait(set, NULL, &step) > 0) return;
 }
--- a/packages/entry/pool.c
+++ b/packages/entry/pool.c
@@ -249,15 +249,18 @@
   g_list_free(all);
 }
 
-void pools_tick(Pools *p) {
+bool pools_tick(Pools *p) {
   GList *all = pools_list(p);
+  bool waiting = false;
   for (GList *i = all; i; i = i->next) {
     Pool *pool = i->data;
     pthread_mutex_lock(&pool->lock);
     pump(pool);
+    waiting |= queue_length(pool->queue) > 0;
     pthread_mutex_unlock(&pool->lock);
   }
   g_list_free(all);
+  return waiting;
 }
 
 void pools_each(Pools *p,
--- a/packages/entry/pool.h
+++ b/packages/entry/pool.h
@@ -21,8 +21,9 @@
 void pools_peers(Pools *p, int n);
 /* The platform's word on one target. */
 void pools_leaving(Pools *p, const char *target, bool leaving);
-/* Lets waits end and turns come; call about fifty times a second. */
-void pools_tick(Pools *p);
+/* Lets waits end and turns come; true while somebody waits: then call again
+   within 20 ms. */
+bool pools_tick(Pools *p);
 /* Calls `fn` for each target, outside any lock of the request path. */
 void pools_each(Pools *p,
                 void (*fn)(void *ctx, const char *pool, const RouteState *s),
--- a/packages/entry/watch.c
+++ b/packages/entry/watch.c
@@ -1,4 +1,4 @@
-/* watch.c: the table's watch, the platform's list, targets' loads, turns. */
+/* watch.c: the table's watch and the platform's list. */
 #include "entry/watch.h"
 
 #include <jansson.h>
@@ -6,29 +6,22 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "entry/poll.h"
 #include "kernel/clock.h"
 #include "kernel/log.h"
 #include "table/rollout.h"
-#include "target/engine.h"
 
 #define WATCH_S 10      /* one waiting watch */
 #define STORE_WAIT_S 15 /* above WATCH_S */
 #define RETRY_US 500000
-#define TURN_US 20000
-#define LOAD_S 1.0
-#define LOAD_THREADS 4
-
-typedef struct Probe {
-  char pool[LIMIT_NAME + 8], target[LIMIT_NAME], url[LIMIT_NAME];
-} Probe;
+#define AGAIN_US 100000
 
 struct Watch {
   Entry *entry;
   atomic_bool stop;
   atomic_uint_fast64_t wanted; /* highest table version heard of */
-  pthread_t table, members, turns, loads[LOAD_THREADS];
-  pthread_mutex_t lock;
-  GQueue probes; /* Probe* still to be asked in this round */
+  Poll *poll;
+  pthread_t table, members;
 };
 
 static bool running(const Watch *w) {
@@ -68,6 +61,7 @@
     return;
   }
   pools_table(w->entry->pools, t);
+  poll_targets(w->poll);
   give_budgets(w, t);
   snapshots_set(w->entry->snapshots, t);
   fleet_table(w->entry->fleet, v);
@@ -107,7 +101,7 @@
   while (running(w)) {
     load_table(w, p);
     if (atomic_load(&w->wanted) > snapshots_version(w->entry->snapshots)) {
-      g_usleep(TURN_US * 5);
+      g_usleep(AGAIN_US);
       continue;
     }
     PlatformAnswer a =
@@ -127,6 +121,7 @@
 static void on_view(void *ctx, const View *v) {
   Watch *w = ctx;
   pools_peers(w->entry->pools, v->n);
+  poll_view(w->poll, v);
   for (int i = 0; i < v->n; i++)
     if (v->list[i].table > atomic_load(&w->wanted))
       atomic_store(&w->wanted, v->list[i].table);
@@ -180,71 +175,13 @@
   return NULL;
 }
 
-/* == loads == */
-
-static void add_probe(void *ctx, const char *pool, const RouteState *s) {
-  Watch *w = ctx;
-  Probe *p = g_new0(Probe, 1);
-  g_strlcpy(p->pool, pool, sizeof p->pool);
-  g_strlcpy(p->target, s->target.name, sizeof p->target);
-  g_strlcpy(p->url, s->target.url, sizeof p->url);
-  g_queue_push_tail(&w->probes, p);
-}
-
-static Probe *next_probe(Watch *w) {
-  pthread_mutex_lock(&w->lock);
-  Probe *p = g_queue_pop_head(&w->probes);
-  pthread_mutex_unlock(&w->lock);
-  return p;
-}
-
-/* A target that hangs holds up one of a few threads for a second only. */
-static void *watch_loads(void *arg) {
-  Watch *w = arg;
-  while (running(w)) {
-    Probe *p = next_probe(w);
-    if (!p) {
-      g_usleep(TURN_US);
-      continue;
-    }
-    EngineLoad load = {0};
-    double path;
-    bool heard = engine_load(p->url, &load, &path);
-    pools_report(w->entry->pools, p->pool, p->target, heard, load.running,
-                 load.waiting, path);
-    g_free(p);
-  }
-  return NULL;
-}
-
-static void *take_turns(void *arg) {
-  Watch *w = arg;
-  double next = 0;
-  while (running(w)) {
-    pools_tick(w->entry->pools);
-    double now = clock_now();
-    pthread_mutex_lock(&w->lock);
-    if (now >= next && w->probes.length == 0) {
-      pools_each(w->entry->pools, add_probe, w);
-      next = now + LOAD_S;
-    }
-    pthread_mutex_unlock(&w->lock);
-    g_usleep(TURN_US);
-  }
-  return NULL;
-}
-
 Watch *watch_open(Entry *e) {
   Watch *w = g_new0(Watch, 1);
   w->entry = e;
-  pthread_mutex_init(&w->lock, NULL);
-  g_queue_init(&w->probes);
+  w->poll = poll_open(e);
   fleet_on_view(e->fleet, on_view, w);
   pthread_create(&w->table, NULL, watch_table, w);
   pthread_create(&w->members, NULL, watch_members, w);
-  pthread_create(&w->turns, NULL, take_turns, w);
-  for (int i = 0; i < LOAD_THREADS; i++)
-    pthread_create(&w->loads[i], NULL, watch_loads, w);
   return w;
 }
 
@@ -253,9 +190,6 @@
   fleet_on_view(w->entry->fleet, NULL, NULL);
   pthread_join(w->table, NULL);
   pthread_join(w->members, NULL);
-  pthread_join(w->turns, NULL);
-  for (int i = 0; i < LOAD_THREADS; i++) pthread_join(w->loads[i], NULL);
-  g_queue_clear_full(&w->probes, g_free);
-  pthread_mutex_destroy(&w->lock);
+  poll_close(w->poll);
   g_free(w);
 }
--- a/packages/entry/watch.h
+++ b/packages/entry/watch.h
@@ -1,5 +1,5 @@
-/* watch.h: keeps an instance's table, member list and load reports up to
-   date, each in a thread of its own. */
+/* watch.h: keeps an instance's table and member list up to date, each in a
+   thread of its own, and has the targets polled. */
 #ifndef ENTRY_WATCH_H
 #define ENTRY_WATCH_H
 
--- a/packages/fleet/fleet.c
+++ b/packages/fleet/fleet.c
@@ -19,8 +19,8 @@
 #define LANES 8
 #define RECORDS LANES /* index of the lane of request records */
 #define ALL_LANES (LANES + 1)
-#define POLL_MS 20
 #define TICK_S 0.1
+#define VIEW_S 1.0 /* a view without news is made anew this often */
 #define STORE_THREADS 4
 #define STORE_WAIT_S 3
 
@@ -54,11 +54,15 @@
   pthread_mutex_t lock; /* members and view */
   MemberSet *members;
   View *view;
+  bool changed;    /* the view is to be made anew */
+  double viewed;   /* when it was */
   GHashTable *ids; /* id hash -> id */
   bool leaving;
   uint64_t table;
   void (*on_view)(void *ctx, const View *v);
   void *on_view_ctx;
+  void (*on_load)(void *ctx, const LoadsMsg *m);
+  void *on_load_ctx;
 };
 
 /* == addresses == */
@@ -212,15 +216,27 @@
   return &f->lanes[RECORDS];
 }
 
+static void take_load(Fleet *f, const LoadsMsg *m) {
+  pthread_mutex_lock(&f->lock);
+  void (*tell)(void *ctx, const LoadsMsg *m) = f->on_load;
+  void *ctx = f->on_load_ctx;
+  pthread_mutex_unlock(&f->lock);
+  if (tell) tell(ctx, m);
+}
+
 static void on_message(void *ctx, uint64_t from, CodecMsg *m) {
   Fleet *f = ctx;
   char id[LIMIT_ID];
   if (m->type == CODEC_BEAT) {
     pthread_mutex_lock(&f->lock);
-    member_heard(f->members, clock_now(), &m->beat);
+    f->changed |= member_heard(f->members, clock_now(), &m->beat);
     pthread_mutex_unlock(&f->lock);
     return;
   }
+  if (m->type == CODEC_LOAD) {
+    take_load(f, &m->load);
+    return;
+  }
   if (!id_of(f, from, id)) {
     count_add(COUNT_PEER_DROPPED, 1);
     return;
@@ -247,16 +263,6 @@
   }
 }
 
-/* Table versions change far more often than members, and no core needs them. */
-static bool same_members(const View *a, const View *b) {
-  if (a->n != b->n) return false;
-  for (int i = 0; i < a->n; i++) {
-    const Member *x = &a->list[i], *y = &b->list[i];
-    if (strcmp(x->id, y->id) != 0 || x->leaving != y->leaving) return false;
-  }
-  return true;
-}
-
 static void spread_view(Fleet *f, const View *v) {
   log_info("view", "s:i", "members", v->n);
   for (int i = 0; i < ALL_LANES; i++) {
@@ -271,10 +277,18 @@
 
 static void refresh_view(Fleet *f) {
   pthread_mutex_lock(&f->lock);
-  member_self(f->members, f->leaving, f->table);
-  member_tick(f->members, clock_now());
-  View *v = member_view(f->members, clock_now());
-  bool same = same_members(v, f->view);
+  double now = clock_now();
+  f->changed |= member_self(f->members, f->leaving, f->table);
+  f->changed |= member_tick(f->members, now);
+  if (!f->changed && now - f->viewed < VIEW_S) {
+    pthread_mutex_unlock(&f->lock);
+    return;
+  }
+  f->changed = false;
+  f->viewed = now;
+  View *v = member_view(f->members, now);
+  /* Table versions change far more often than members; no core needs them. */
+  bool same = view_same(v, f->view);
   view_free(f->view);
   f->view = v;
   if (!same) remember_ids(f, v);
@@ -323,7 +337,8 @@
       tick(f);
       next_tick = now + TICK_S;
     }
-    peer_poll(f->peer, POLL_MS, on_message, f);
+    int wait_ms = (int)((next_tick - clock_now()) * 1000) + 1;
+    peer_poll(f->peer, MAX(wait_ms, 1), on_message, f);
   }
   return NULL;
 }
@@ -388,6 +403,26 @@
   pthread_mutex_unlock(&f->lock);
 }
 
+void fleet_on_load(Fleet *f, void (*fn)(void *ctx, const LoadsMsg *m),
+                   void *ctx) {
+  pthread_mutex_lock(&f->lock);
+  f->on_load_ctx = ctx;
+  f->on_load = fn;
+  pthread_mutex_unlock(&f->lock);
+}
+
+void fleet_tell_load(Fleet *f, const LoadsMsg *m) {
+  const Member *self = &f->options.self;
+  pthread_mutex_lock(&f->lock);
+  for (int i = 0; i < f->view->n; i++) {
+    const Member *x = &f->view->list[i];
+    bool other = strcmp(x->id, self->id) != 0;
+    if (other && strcmp(x->region, self->region) == 0)
+      peer_load(f->peer, x->peer, x->id, m);
+  }
+  pthread_mutex_unlock(&f->lock);
+}
+
 void fleet_budgets(Fleet *f, const LedgerBudget *list, int n) {
   for (int i = 0; i < LANES; i++) {
     Lane *l = &f->lanes[i];
@@ -412,7 +447,7 @@
 
 void fleet_listed(Fleet *f, const MemberSeed *list, int n) {
   pthread_mutex_lock(&f->lock);
-  member_listed(f->members, clock_now(), list, n);
+  f->changed |= member_listed(f->members, clock_now(), list, n);
   pthread_mutex_unlock(&f->lock);
 }
 
--- a/packages/fleet/fleet.h
+++ b/packages/fleet/fleet.h
@@ -8,6 +8,7 @@
 #include "ledger/ledger.h"
 #include "member/member.h"
 #include "once/once.h"
+#include "route/loads.h"
 
 typedef struct Fleet Fleet;
 
@@ -24,6 +25,12 @@
 /* The view changed; called on the peer thread. */
 void fleet_on_view(Fleet *f, void (*fn)(void *ctx, const View *v), void *ctx);
 
+/* Another instance's word on a target's load; called on the peer thread. */
+void fleet_on_load(Fleet *f, void (*fn)(void *ctx, const LoadsMsg *m),
+                   void *ctx);
+/* Tells the others of our region. */
+void fleet_tell_load(Fleet *f, const LoadsMsg *m);
+
 void fleet_budgets(Fleet *f, const LedgerBudget *list, int n);
 /* What our heartbeats say. */
 void fleet_table(Fleet *f, uint64_t version);
--- a/packages/member/view.c
+++ b/packages/member/view.c
@@ -20,6 +20,15 @@
   g_free(v);
 }
 
+bool view_same(const View *a, const View *b) {
+  if (a->n != b->n) return false;
+  for (int i = 0; i < a->n; i++) {
+    const Member *x = &a->list[i], *y = &b->list[i];
+    if (strcmp(x->id, y->id) != 0 || x->leaving != y->leaving) return false;
+  }
+  return true;
+}
+
 const Member *view_find(const View *v, const char *id) {
   for (int i = 0; i < v->n; i++)
     if (strcmp(v->list[i].id, id) == 0) return &v->list[i];
--- a/packages/member/view.h
+++ b/packages/member/view.h
@@ -28,6 +28,8 @@
 View *view_new(const Member *list, int n);
 View *view_copy(const View *v);
 void view_free(View *v);
+/* The same members, as far as homes go; table versions may differ. */
+bool view_same(const View *a, const View *b);
 const Member *view_find(const View *v, const char *id);
 /* The `rank`-th choice (0 first) for `key` among members that are not leaving,
    within `region` (NULL: anywhere). NULL when there are too few. A member that
--- a/packages/peer/codec.c
+++ b/packages/peer/codec.c
@@ -6,6 +6,7 @@
 #include <xxhash.h>
 
 #define VERSION 1
+#define LOAD_MAX 1000000 /* requests at one target */
 #define EVERY_MAX_MS (24 * 3600 * 1000)
 
 uint64_t codec_hash(const char *id) {
@@ -92,6 +93,17 @@
   msgpack_pack_bin_body(&p, m->answer.body, m->answer.len);
 }
 
+void codec_put_load(msgpack_sbuffer *b, const LoadsMsg *m) {
+  msgpack_packer p;
+  msgpack_packer_init(&p, b, msgpack_sbuffer_write);
+  msgpack_pack_array(&p, 5);
+  msgpack_pack_uint8(&p, CODEC_LOAD);
+  msgpack_pack_uint64(&p, m->target);
+  msgpack_pack_uint32(&p, (uint32_t)m->running);
+  msgpack_pack_uint32(&p, (uint32_t)m->waiting);
+  msgpack_pack_uint8(&p, m->silent);
+}
+
 /* == unpacking: any wrong type or length makes it not understood == */
 
 typedef struct Reader {
@@ -171,6 +183,13 @@
   m->sealed = flags & 2;
 }
 
+static void get_load(Reader *r, LoadsMsg *m) {
+  m->target = get_u64(r);
+  m->running = get_small(r, LOAD_MAX);
+  m->waiting = get_small(r, LOAD_MAX);
+  m->silent = get_small(r, 2);
+}
+
 static void get_answer(Reader *r, OnceAnswer *a) {
   a->status = (int)get_i64(r);
   get_str(r, a->type, sizeof a->type);
@@ -260,11 +279,12 @@
   msgpack_unpacked_init(&u);
   bool ok = open_array(data, len, off, &u, &r);
   if (ok) {
-    m->type = (CodecType)get_small(&r, CODEC_ONCE + 1);
+    m->type = (CodecType)get_small(&r, CODEC_LOAD + 1);
     switch (m->type) {
     case CODEC_BEAT: get_beat(&r, &m->beat); break;
     case CODEC_LEDGER: get_ledger(&r, &m->ledger); break;
     case CODEC_ONCE: get_once(&r, &m->once); break;
+    case CODEC_LOAD: get_load(&r, &m->load); break;
     }
     ok = !r.bad;
     if (!ok) once_message_clear(&m->once);
--- a/packages/peer/codec.h
+++ b/packages/peer/codec.h
@@ -8,8 +8,9 @@
 
 #include "ledger/ledger.h"
 #include "once/once.h"
+#include "route/loads.h"
 
-typedef enum { CODEC_BEAT, CODEC_LEDGER, CODEC_ONCE } CodecType;
+typedef enum { CODEC_BEAT, CODEC_LEDGER, CODEC_ONCE, CODEC_LOAD } CodecType;
 
 typedef struct CodecHead {
   uint64_t from, to; /* hash of the ids; to 0: whoever is there */
@@ -20,6 +21,7 @@
   Member beat;
   LedgerMsg ledger;
   OnceMsg once; /* answer.body is owned by the receiver */
+  LoadsMsg load;
 } CodecMsg;
 
 uint64_t codec_hash(const char *id);
@@ -27,6 +29,7 @@
 void codec_put_beat(msgpack_sbuffer *b, const Member *m);
 void codec_put_ledger(msgpack_sbuffer *b, const LedgerMsg *m);
 void codec_put_once(msgpack_sbuffer *b, const OnceMsg *m);
+void codec_put_load(msgpack_sbuffer *b, const LoadsMsg *m);
 
 /* Reads at *off; false at the end or when it is not understood. */
 bool codec_get_head(const char *data, size_t len, size_t *off, CodecHead *h);
--- a/packages/peer/peer.c
+++ b/packages/peer/peer.c
@@ -109,6 +109,12 @@
   wake(p);
 }
 
+void peer_load(Peer *p, const char *addr, const char *id, const LoadsMsg *m) {
+  pthread_mutex_lock(&p->lock);
+  codec_put_load(&frame_for(p, addr, codec_hash(id))->buf, m);
+  pthread_mutex_unlock(&p->lock);
+}
+
 void peer_beat(Peer *p, const char *addr, const Member *m) {
   pthread_mutex_lock(&p->lock);
   codec_put_beat(&frame_for(p, addr, 0)->buf, m);
--- a/packages/peer/peer.h
+++ b/packages/peer/peer.h
@@ -17,6 +17,7 @@
 /* Queue a message for the instance `id` at `addr`. Any thread. */
 void peer_ledger(Peer *p, const char *addr, const char *id, const LedgerMsg *m);
 void peer_once(Peer *p, const char *addr, const char *id, const OnceMsg *m);
+void peer_load(Peer *p, const char *addr, const char *id, const LoadsMsg *m);
 /* Heartbeat to whoever is at `addr`. */
 void peer_beat(Peer *p, const char *addr, const Member *m);
 
--- a/packages/route/route.c
+++ b/packages/route/route.c
@@ -6,6 +6,7 @@
 #include <xxhash.h>
 
 #define EWMA 0.1      /* weight of a new sample */
+#define PATH_EWMA 0.3 /* the same; the path is seldom measured */
 #define FAILS 3       /* failures in a row that eject */
 #define EJECT_MIN 1.0 /* seconds, doubled each time */
 #define EJECT_MAX 30.0
@@ -25,6 +26,7 @@
   int since;            /* our dispatches since the report, still open */
   double reported;      /* 0: never */
   double path_s, prefill_s, service_s;
+  bool path_known;
   int fails;
   int64_t failures;
   double ejected_until, eject_s;
@@ -212,6 +214,18 @@
   return MAX(left + (double)s->since * r->peers, s->own);
 }
 
+/* Targets of one data centre are as far as each other, and most of them are
+   asked by other instances than us. */
+static void saw_path(Route *r, const State *s, double path_s) {
+  for (guint i = 0; i < r->list->len; i++) {
+    State *x = r->list->pdata[i];
+    bool there = x == s || (s->t.dc[0] && strcmp(x->t.dc, s->t.dc) == 0);
+    if (!there) continue;
+    x->path_s += (path_s - x->path_s) * (x->path_known ? PATH_EWMA : 1);
+    x->path_known = true;
+  }
+}
+
 void route_report(Route *r, double now, const char *name, int running,
                   int waiting, double path_s) {
   State *s = find(r, name);
@@ -220,9 +234,9 @@
   s->waiting = waiting;
   s->since = 0;
   s->reported = now;
-  s->path_s += (path_s - s->path_s) * EWMA;
+  if (path_s >= 0) saw_path(r, s, path_s);
   /* A live answer ends an ejection only through a probe with real work. */
-  if (!s->ejected) s->fails = 0;
+  if (!s->ejected && path_s >= 0) s->fails = 0;
 }
 
 void route_silent(Route *r, double now, const char *name) {
--- a/packages/route/route.h
+++ b/packages/route/route.h
@@ -63,7 +63,10 @@
 void route_peers(Route *r, int n);
 /* The platform says that a target leaves, or no longer. */
 void route_leaving(Route *r, const char *name, bool leaving);
-/* A load report, `path_s` seconds away. */
+#define ROUTE_PATH_UNKNOWN (-1.0)
+
+/* A load report, `path_s` seconds away: the path to all targets of its data
+   centre. ROUTE_PATH_UNKNOWN: another instance asked. */
 void route_report(Route *r, double now, const char *name, int running,
                   int waiting, double path_s);
 /* A report that did not come counts as a failure. */
--- a/tests/test_codec.c
+++ b/tests/test_codec.c
@@ -29,6 +29,23 @@
   msgpack_sbuffer_destroy(&b);
 }
 
+Test(codec, loads_and_heartbeats_round_trip) {
+  LoadsMsg l = {.target = UINT64_MAX, .running = 7, .waiting = 300};
+  Member beat = {.id = "n.1", .region = "r", .table = 9, .every_s = 187.5};
+  msgpack_sbuffer b;
+  CodecMsg m;
+  msgpack_sbuffer_init(&b);
+  codec_put_load(&b, &l);
+  cr_assert(same(&b, &m));
+  cr_assert_eq(m.type, CODEC_LOAD);
+  cr_assert_eq(memcmp(&m.load, &l, sizeof l), 0);
+  msgpack_sbuffer_clear(&b);
+  codec_put_beat(&b, &beat);
+  cr_assert(same(&b, &m));
+  cr_assert_eq(memcmp(&m.beat, &beat, sizeof beat), 0);
+  msgpack_sbuffer_destroy(&b);
+}
+
 Test(codec, a_record_message_keeps_bill_and_answer) {
   OnceMsg o = {.kind = ONCE_FINISH, .key = {1, 2}, .nonce = 3, .doubled = true};
   g_strlcpy(o.bill.customer, "c", sizeof o.bill.customer);
@@ -53,6 +70,7 @@
   GRand *r = g_rand_new_with_seed(1);
   Member beat = {.id = "n.1", .region = "r", .peer = "tcp://1.2.3.4:5"};
   LedgerMsg l = {.kind = LEDGER_DRAW, .grant = 5};
+  LoadsMsg load = {.target = 5, .running = 70000, .waiting = 1};
   OnceMsg o = {.kind = ONCE_FINISH,
                .answer = {.status = 200, .body = (char *)"body", .len = 4}};
   for (int i = 0; i < 30000; i++) {
@@ -60,9 +78,10 @@
     msgpack_sbuffer_init(&b);
     CodecHead h = {1, 2}, got;
     codec_put_head(&b, &h);
-    if (i % 3 == 0) codec_put_beat(&b, &beat);
-    if (i % 3 == 1) codec_put_ledger(&b, &l);
-    if (i % 3 == 2) codec_put_once(&b, &o);
+    if (i % 4 == 0) codec_put_beat(&b, &beat);
+    if (i % 4 == 1) codec_put_ledger(&b, &l);
+    if (i % 4 == 2) codec_put_once(&b, &o);
+    if (i % 4 == 3) codec_put_load(&b, &load);
     int hits = g_rand_int_range(r, 0, 4);
     for (int k = 0; k < hits; k++)
       b.data[g_rand_int_range(r, 0, (gint32)b.size)] =
