Ledger at 350 members: a look costs what is under way, not what is there

Cause, found by giving the slopes' bench the view of 350 members that it stood for (it had one): each tick of an account or a grant searched the view by strcmp and hashed all members anew, ten times a second. And spend reports: each of an instance's eight lanes spread its writes by its own shards only, and a shard that was read again each 30 s was written if anything had been spent; 256 shards in seven regions would have made 60 to 180 writes a second of 100.

Change: a view is sorted and searched by halves; the home of a shard, the number of regions and of near members are worked out when the view changes; budgets at rest are looked at once a second, others ten times as before. What is spent is written when its time has come or something else is written, 15 such writes a second in the whole fleet.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -15,9 +15,11 @@
 CLAIMED = 0.02                               # requests that may not be repeated
 IDLE_S, ACCOUNT_S, TICKS = 20.0, 2.0, 10.0   # as in kernel/limits.h
 NEAR_BYTES, FAR_BYTES, BEAT = 1500.0, 300.0, 160  # MEMBER_NEAR, MEMBER_FAR
-SPREAD = 30.0                                # writes/s for reports, home.c
+SPREAD = 15.0                                # REPORT_WRITES, home.c
 RECORD_S, BATCH_S, BATCH_WRITES = 600.0, 5.0, 4.0
 PARTS, HISTORY = 256, 64
+LOAD_CALLS, TELL_BYTES = 10.0, 1500.0        # RATE, TELL_BYTES in route/loads.c
+LOAD_CALL_BYTES, LOAD_CALL_NS = 270, 60000   # a GET of /load; of a thread's time
 
 
 def read(path):
@@ -25,6 +27,8 @@
     with open(path) as f:
         for line in f:
             o = json.loads(line)
+            if "slope" not in o:
+                continue
             slopes.setdefault(o["slope"], {})[o["n"]] = o["value"]
     return slopes
 
@@ -84,7 +88,8 @@
     # Keys that callers could know are asked for; all finishes are told.
     asked = 0.3
     record_bytes = (v("finish bytes") + v("other record message bytes") * 2
-                    + asked * 2 * v("other record message bytes") + 3 * head)
+                    + asked * 2 * v("other record message bytes")
+                    + (2 + asked * 2) * head)  # DURABLE shares its frame
     batches = NODES / max(BATCH_S, NODES / BATCH_WRITES)
     rows.append((
         "home of request records", "keeper by rendezvous in the region; bills in "
@@ -111,16 +116,20 @@
         "%d members" % NODES,
         ((NODES / REGIONS / near_s + NODES / far_s) * v("heartbeat taken ns")
          + view_changes * NODES * 8 * v("view change ns a member")) / 1e9,
-        NODES * v("member bytes") * 10, NEAR_BYTES + FAR_BYTES, 0, NODES * 1.0))
-    near = TARGETS / REGIONS                    # a request stays in its region
+        NODES * (v("member bytes") * 10 + v("peer link bytes")),
+        NEAR_BYTES + FAR_BYTES, 0, NODES * 1.0))
+    near = TARGETS / REGIONS
+    duties = near / (NODES / REGIONS)
     rows.append((
-        "load view", "one instance a data centre asks each target a second and "
-        "passes a digest of 12 bytes a target on in its region (not built: today "
-        "each instance asks each target)",
-        "%.0f targets of the region" % near,
-        (per_node * v("route decision ns") + near * 100) / 1e9,
-        TARGETS * v("target bytes") + MODELS * 65536 * 48 / REGIONS,
-        near * 12.0, 0, 0))
+        "load view", "one instance of a region asks a target and tells the others; "
+        "targets of other regions as often as %.0f calls a second leave room for"
+        % LOAD_CALLS,
+        "%.0f targets asked each second, %.0f each %.0f s" % (
+            duties, (TARGETS - near) / (NODES / REGIONS),
+            (TARGETS - near) / (NODES / REGIONS) / (LOAD_CALLS - duties)),
+        (per_node * v("route decision ns") + LOAD_CALLS * LOAD_CALL_NS) / 1e9,
+        TARGETS * v("target bytes") * 2 + MODELS * 65536 * 48 / REGIONS,
+        TELL_BYTES + LOAD_CALLS * LOAD_CALL_BYTES, 0, 0))
     rows_all = BUDGETS + CUSTOMERS + TARGETS
     head_bytes = PARTS * 48 + HISTORY * 160
     rows.append((
@@ -132,6 +141,10 @@
         CHANGES_A_DAY / 86400.0 * (head_bytes + rows_all / PARTS * 93),
         CHANGES_A_DAY / 86400.0 * 2,
         NODES / 10.0 + CHANGES_A_DAY / 86400.0 * NODES * 2))
+    rows.append((
+        "idle", "timers, watches, the platform's list", "one instance of %d"
+        % max(s["idle instance core ppm"]),
+        at(s, "idle instance core ppm") / 1e6, 14e6, 0, 0, 0))
     rows.append((
         "log", "two JSON lines a request", "%.0f lines/s" % (per_node * 2),
         per_node * 2 * v("log line ns") / 1e9, 1e6, 0, 0, 0))
--- a/bench/members.py
+++ b/bench/members.py
@@ -2,7 +2,8 @@
 """members.py: a fleet of many real instances: how soon all know each other, how
 soon a loss is seen in its region, and what the heartbeats cost.
 
-Usage: members.py BUILD_DIR [INSTANCES]; prints JSON lines."""
+Usage: members.py BUILD_DIR [INSTANCES...]; prints JSON lines, and the slopes that
+bench/capacity.py uses."""
 import json
 import os
 import statistics
@@ -15,6 +16,7 @@
 import process  # noqa: E402  the fleet of the process tests
 
 REGIONS = 7
+SIZES = (24, 70, 140, 210)
 
 
 def known(f, port):
@@ -32,8 +34,8 @@
         return [int(l.split()[1]) / 1e3 for l in s if l.startswith("VmRSS")][0]
 
 
-def main():
-    n = int(ARGS[0]) if ARGS else 70
+def measure(n):
+    """One fleet of n; its figures."""
     start = time.monotonic()
     f = process.Fleet(engines=1, instances=n, regions=REGIONS, ready=False)
     try:
@@ -53,16 +55,34 @@
                                      if i and i % REGIONS == 0]
         process.wait_for("the loss to be seen", lambda: all(
             "i0" not in known(f, p) for p in near), 120)
-        print(json.dumps({
+        return {
             "bench": "members", "instances": n, "regions": REGIONS,
             "known_to_all_s": round(joined, 1),
             "loss_seen_in_region_s": round(time.monotonic() - t, 1),
             "peer_bytes_s_median": round(statistics.median(rate)),
             "rss_mb_median": round(statistics.median(
                 rss_mb(p.pid) for p in procs[1:]), 1),
-            "core_percent_median": round(statistics.median(share), 2)}))
+            "core_percent_median": round(statistics.median(share), 2)}
     finally:
         f.close()
 
 
+def slope(name, n, value):
+    print(json.dumps({"slope": name, "n": n, "value": round(value, 1)}))
+
+
+def main():
+    base = None
+    for n in map(int, ARGS or SIZES):
+        got = measure(n)
+        print(json.dumps(got))
+        slope("idle instance core ppm", n, got["core_percent_median"] * 1e4)
+        if base:
+            slope("peer link bytes", n, 1e6 * (
+                got["rss_mb_median"] - base["rss_mb_median"])
+                / (n - base["instances"]))
+        base = base or got
+        sys.stdout.flush()
+
+
 main()
--- a/bench/run.sh
+++ b/bench/run.sh
@@ -6,6 +6,7 @@
 out=$(mktemp)
 trap 'rm -f "$out"' EXIT
 "$1/bench/bench_slopes" 2>/dev/null | tee "$out"
+python3 bench/members.py "$1" | tee -a "$out"
 python3 bench/capacity.py "$out" docs/CAPACITY.md
 "$1/bench/bench_budget"
 "$1/bench/bench_route"
--- a/bench/slopes.c
+++ b/bench/slopes.c
@@ -6,6 +6,7 @@
 #include <stdio.h>
 #include <string.h>
 #include <time.h>
+#include <xxhash.h>
 
 #include "kernel/log.h"
 #include "ledger/ledger.h"
@@ -65,19 +66,37 @@
   return rows;
 }
 
+/* The same, of shards whose home in region-1 is `self` in the view. */
+static LedgerBudget *rows_at_home(const View *v, const char *self, int n) {
+  LedgerBudget *rows = g_new0(LedgerBudget, n);
+  for (int i = 0, k = 0; k < n; i++) {
+    char name[LIMIT_NAME], shard[LIMIT_NAME];
+    snprintf(name, sizeof name, "customer-%04d/service-%02d", i / 35, i % 35);
+    shard_name(shard_index(name), shard);
+    const Member *m =
+        view_home(v, "region-1", XXH64(shard, strlen(shard), 0), 0);
+    if (strcmp(m->id, self) != 0) continue;
+    g_strlcpy(rows[k].name, name, LIMIT_NAME);
+    rows[k].total = 1000000000;
+    rows[k].version = 1;
+    rows[k++].reserve_s = 600;
+  }
+  return rows;
+}
+
 /* Gives a holder an account for each of the first `n` rows. */
 static void open_accounts(Ledger *l, const LedgerBudget *rows, int n) {
   for (int i = 0; i < n; i++) {
     LedgerMsg m = {
         .kind = LEDGER_ALLOT, .grant = (uint64_t)i + 1, .granted = 1000000};
     g_strlcpy(m.budget, rows[i].name, sizeof m.budget);
-    ledger_receive(l, 1, "instance-000.0123abcd", &m);
+    ledger_receive(l, 1, "instance-008.0123abcd", &m);
   }
 }
 
 static void ledger_slopes(int n) {
   LedgerBudget *rows = rows_of(35000);
-  View *v = view_of(2);
+  View *v = view_of(350);
   double h0 = heap();
   Ledger *l = ledger_new("instance-001.0123abcd", "region-1", 1);
   ledger_view(l, 1, v);
@@ -99,7 +118,7 @@
   out("ledger reserve and settle ns", n, (now_ns() - t) / ops);
   t = now_ns();
   for (int i = 0; i < 20; i++) {
-    ledger_tick(l, 1 + i * 0.001, 1);
+    ledger_tick(l, 2 + i * 0.1, 1);
     drop_ledger(l);
   }
   out("ledger tick ns an account", n, (now_ns() - t) / 20 / n);
@@ -108,30 +127,47 @@
   g_free(rows);
 }
 
+/* The store and the witnesses answer until nothing is left to ask. */
+static void serve_home(Ledger *l) {
+  LedgerAction a;
+  while (ledger_next(l, &a)) {
+    if (a.what == LEDGER_DO_GET)
+      ledger_stored(l, 1, a.shard, ERR_STORE_ABSENT, 0, NULL);
+    if (a.what == LEDGER_DO_PUT)
+      ledger_stored(l, 1, a.shard, ERR_NONE, a.version + 1, NULL);
+    if (a.what == LEDGER_DO_SEND && a.msg.kind == LEDGER_RAISE) {
+      LedgerMsg yes = a.msg;
+      yes.kind = LEDGER_RAISED;
+      ledger_receive(l, 1, a.to, &yes);
+    }
+    g_free(a.text);
+  }
+}
+
 /* A home with `n` grants given out by draws of one holder each. */
 static void home_slopes(int n) {
-  LedgerBudget *rows = rows_of(35000);
-  View *v = view_of(1);
-  Ledger *l = ledger_new("instance-000.0123abcd", "region-0", 1);
+  View *v = view_of(350);
+  LedgerBudget *rows = rows_at_home(v, "instance-001.0123abcd", n);
+  Ledger *l = ledger_new("instance-001.0123abcd", "region-1", 1);
   ledger_view(l, 1, v);
-  ledger_budgets(l, 1, rows, 35000);
+  ledger_budgets(l, 1, rows, n);
   ledger_tick(l, 1, 1);
-  drop_ledger(l);
+  serve_home(l);
   double h0 = heap(), t = now_ns();
   for (int i = 0; i < n; i++) {
     LedgerMsg m = {.kind = LEDGER_DRAW, .need = 100, .want = 1000};
     g_strlcpy(m.budget, rows[i].name, sizeof m.budget);
-    ledger_receive(l, 1, "instance-007.0123abcd", &m);
-    drop_ledger(l);
+    ledger_receive(l, 1, "instance-015.0123abcd", &m);
   }
   out("home draw ns", n, (now_ns() - t) / n);
   out("home grant bytes", n, (heap() - h0) / n);
+  serve_home(l);
   t = now_ns();
-  for (int i = 0; i < 5; i++) {
-    ledger_tick(l, 1.01 + i * 0.001, 1);
+  for (int i = 0; i < 20; i++) {
+    ledger_tick(l, 2 + i * 0.1, 1);
     drop_ledger(l);
   }
-  out("home tick ns a grant", n, (now_ns() - t) / 5 / n);
+  out("home tick ns a grant", n, (now_ns() - t) / 20 / n);
   ledger_free(l);
   view_free(v);
   g_free(rows);
--- a/packages/fleet/fleet.c
+++ b/packages/fleet/fleet.c
@@ -351,10 +351,12 @@
   uint32_t seed = f->options.seed + (uint32_t)i * 7919u;
   l->fleet = f;
   pthread_mutex_init(&l->lock, NULL);
-  if (i == RECORDS)
+  if (i == RECORDS) {
     l->once = once_new(me->id, me->region, seed);
-  else
+  } else {
     l->ledger = ledger_new(me->id, me->region, seed);
+    ledger_lanes(l->ledger, LANES);
+  }
   l->waits = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
 }
 
--- a/packages/kernel/limits.h
+++ b/packages/kernel/limits.h
@@ -25,6 +25,7 @@
 #define LEDGER_RETIRE 86400.0   /* a sealed grant is written off after a day */
 #define LEDGER_WRITE_EVERY 10.0 /* spend reports reach the store this often */
 #define LEDGER_MIN_DRAW 1024    /* smallest grant asked for without need */
+#define LEDGER_LOOK 1.0         /* a budget at rest is looked at this often */
 #define LEDGER_BACKOFF_MIN 0.2  /* store retry, doubled and jittered */
 #define LEDGER_BACKOFF_MAX 5.0
 
--- a/packages/ledger/holder.c
+++ b/packages/ledger/holder.c
@@ -29,7 +29,7 @@
   m.final = a->closing && a->reserved == 0 && free_of(a) <= 0;
   a->reported = l->now;
   if (view_find(l->view, a->home)) ledger_send(l, a->home, &m);
-  const char *taker = ledger_caretaker(l, p->key);
+  const char *taker = ledger_caretaker(l, p->shard);
   if (strcmp(taker, a->home) != 0) ledger_send(l, taker, &m);
 }
 
@@ -78,8 +78,9 @@
   Purse *p = find_purse(l, budget);
   if (p) return p;
   p = g_new0(Purse, 1);
+  p->looked = l->now;
   g_strlcpy(p->name, budget, sizeof p->name);
-  p->key = l->keys[shard_index(budget)];
+  p->shard = shard_index(budget);
   p->accounts = g_ptr_array_new_with_free_func(g_free);
   g_queue_init(&p->waiters);
   g_hash_table_insert(l->purses, p->name, p);
@@ -103,6 +104,7 @@
   *r = (Reservation){.purse = p, .account = a, .amount = amount};
   g_hash_table_insert(l->reservations, g_memdup2(&handle, sizeof handle), r);
   p->typical = amount;
+  p->hot = true;
   ledger_answer(l, handle, ERR_NONE, 0);
   return true;
 }
@@ -136,10 +138,10 @@
 static void ask(Ledger *l, Purse *p) {
   if (p->asked == 0 && l->now - p->first_choice > FIRST_AGAIN) p->tries = 0;
   if (p->tries == 0) p->first_choice = l->now;
-  const Member *home = ledger_home(l, p->key, p->tries / 2);
+  const Member *home = ledger_home(l, p->shard, p->tries / 2);
   if (!home) {
     p->tries = 0;
-    home = ledger_home(l, p->key, 0);
+    home = ledger_home(l, p->shard, 0);
   }
   p->asked = l->now;
   p->tries++;
@@ -270,14 +272,19 @@
 
 /* == time == */
 
+static bool speaks(const Ledger *l, const Account *a) {
+  return l->now - a->allotted < LINGER && view_find(l->view, a->home);
+}
+
 static void tick_accounts(Ledger *l, Purse *p) {
-  const Member *home = ledger_home(l, p->key, 0);
+  const Member *home = ledger_home(l, p->shard, 0);
+  p->hot = l->draining;
   for (guint i = 0; i < p->accounts->len; i++) {
     Account *a = p->accounts->pdata[i];
     bool current = !home || strcmp(home->id, a->home) == 0;
-    bool speaks = l->now - a->allotted < LINGER && view_find(l->view, a->home);
     /* With nobody to ask, what we have stays in use. */
-    a->closing = l->draining || a->over || (!current && !speaks);
+    a->closing = l->draining || a->over || (!current && !speaks(l, a));
+    p->hot |= a->closing;
     if (a->closing) give_back(l, p, a, free_of(a));
     int64_t keep = p->typical + (int64_t)(p->rate * LEDGER_ACCOUNT_S);
     int64_t idle = p->typical + (int64_t)(p->rate * LEDGER_IDLE);
@@ -315,14 +322,16 @@
   ask(l, p);
 }
 
-void holder_tick(Ledger *l, double dt) {
+void holder_tick(Ledger *l) {
   GHashTableIter it;
   gpointer v;
-  double keep = exp(-dt / RATE_TAU);
   g_hash_table_iter_init(&it, l->purses);
   while (g_hash_table_iter_next(&it, NULL, &v)) {
     Purse *p = v;
-    p->rate *= keep;
+    bool quiet = !p->hot && !p->waiters.head && !l->draining;
+    if (quiet && l->now - p->looked < LEDGER_LOOK) continue;
+    p->rate *= exp(-(l->now - p->looked) / RATE_TAU);
+    p->looked = l->now;
     tick_accounts(l, p);
     tick_waiters(l, p);
     bool idle = p->accounts->len == 0 && !p->waiters.head && p->rate < 1;
--- a/packages/ledger/home.c
+++ b/packages/ledger/home.c
@@ -18,6 +18,7 @@
 /* A home that is not the first choice hands over when nobody asked it for this
    long. */
 #define LINGER 5.0
+#define REPORT_WRITES 15.0 /* spend reports a second of the whole fleet */
 /* A draw is decided this long before its holder gives up. */
 #define DRAW_GRACE 0.2
 
@@ -56,7 +57,7 @@
   int64_t have = home_free(h->held);
   int64_t need = needs(h) - have;
   int64_t ahead = (int64_t)laid_up(l, h) - have;
-  int64_t cap = remaining / (2 * MAX(view_regions(l->view), 1));
+  int64_t cap = remaining / (2 * MAX(l->regions, 1));
   if (need > 0) ahead = MAX(ahead, need + LEDGER_MIN_DRAW);
   int64_t n = MAX(need, MIN(ahead, cap));
   return CLAMP(n, 0, remaining);
@@ -88,7 +89,7 @@
   h->late = g_ptr_array_new_with_free_func(g_free);
   h->seals = g_ptr_array_new_with_free_func(g_free);
   h->recalled = -1;
-  h->born = l->now;
+  h->born = h->looked = l->now;
   g_hash_table_insert(l->homes, h->name, h);
   g_ptr_array_add(stored_shard(l, shard_index(budget))->budgets, h);
   return h;
@@ -209,7 +210,7 @@
   Held *g = h->held;
   int64_t have = home_free(g);
   if (d->need <= have && d->need <= witness_room(g)) {
-    int64_t fair = have / (view_count(l->view, l->region) + 1);
+    int64_t fair = have / (l->near + 1);
     int64_t n = CLAMP(d->want, d->need, MAX(d->need, fair));
     n = MIN(n, witness_room(g));
     if (n > 0)
@@ -332,7 +333,7 @@
   bool mine = h && h->held && h->held->id == m->grant;
   if (!mine) {
     int shard = shard_index(m->budget);
-    bool ours = strcmp(ledger_caretaker(l, l->keys[shard]), l->self) == 0;
+    bool ours = strcmp(ledger_caretaker(l, shard), l->self) == 0;
     if (ours || l->ours[shard]) late_report(l, from, m);
     return;
   }
@@ -445,9 +446,8 @@
   int shard = shard_index(h->name);
   /* Another instance is the home now, or we leave: hand over. A drain waits
      for our own holder first, the rest reports to the successor. */
-  const Member *home = ledger_home(l, l->keys[shard], 0);
   bool other =
-      home && strcmp(home->id, l->self) != 0 && l->now - g->drawn >= LINGER;
+      l->first[shard] && !l->ours[shard] && l->now - g->drawn >= LINGER;
   bool leaving = l->draining && holder_empty(l);
   if (!g->frozen && ((other && !l->draining) || leaving)) home_freeze(l, h);
   if (g->frozen) {
@@ -471,7 +471,7 @@
 static double write_every(const Ledger *l) {
   int n = 0;
   for (int i = 0; i < LIMIT_SHARDS; i++) n += l->by_shard[i] != NULL;
-  double spread = n * MAX(view_regions(l->view), 1) / 30.0;
+  double spread = n * l->lanes * MAX(l->regions, 1) / REPORT_WRITES;
   return MAX(LEDGER_WRITE_EVERY, spread);
 }
 
@@ -480,21 +480,30 @@
          h->seals->len == 0;
 }
 
-void home_tick(Ledger *l, double dt) {
+/* Nothing is under way that a tick could help on. */
+static bool quiet(const Ledger *l, const HomeBudget *h) {
+  const Held *g = h->held;
+  if (l->draining || h->draws->len > 0 || !g) return false;
+  return !g->frozen && !g->moving && g->limit_asked <= g->limit;
+}
+
+void home_tick(Ledger *l) {
   GHashTableIter it;
   gpointer v;
-  double keep = exp(-dt / RATE_TAU), slow = exp(-dt / SLOW_TAU),
-         every = write_every(l);
+  l->report_every = write_every(l);
   g_hash_table_iter_init(&it, l->homes);
   while (g_hash_table_iter_next(&it, NULL, &v)) {
     HomeBudget *h = v;
-    h->rate *= keep;
-    h->slow *= slow;
+    double dt = l->now - h->looked;
+    if (dt < LEDGER_LOOK && quiet(l, h)) continue;
+    h->looked = l->now;
+    h->rate *= exp(-dt / RATE_TAU);
+    h->slow *= exp(-dt / SLOW_TAU);
     if (h->held) tick_held(l, h);
     ShardState *s = shard_of(l, h);
     bool news = h->held && (h->held->spent > h->held->stored_spent ||
                             h->held->returned > h->held->stored_returned);
-    if (news && l->now - s->fresh >= every) s->dirty = true;
+    if (news && l->now - s->wrote >= l->report_every) s->dirty = true;
     if (!idle(h) || s->busy) continue;
     g_ptr_array_remove(s->budgets, h);
     g_hash_table_iter_remove(&it);
--- a/packages/ledger/ledger.c
+++ b/packages/ledger/ledger.c
@@ -45,13 +45,14 @@
   return true;
 }
 
-const Member *ledger_home(const Ledger *l, uint64_t key, int rank) {
-  return view_home(l->view, l->region, key, rank);
+const Member *ledger_home(const Ledger *l, int shard, int rank) {
+  if (rank == 0) return l->first[shard];
+  return view_home(l->view, l->region, l->keys[shard], rank);
 }
 
-const char *ledger_caretaker(const Ledger *l, uint64_t key) {
-  const Member *m = ledger_home(l, key, 0);
-  if (!m) m = view_home(l->view, NULL, key, 0);
+const char *ledger_caretaker(const Ledger *l, int shard) {
+  const Member *m = ledger_home(l, shard, 0);
+  if (!m) m = view_home(l->view, NULL, l->keys[shard], 0);
   return m ? m->id : l->self;
 }
 
@@ -102,6 +103,7 @@
   g_strlcpy(l->region, region, sizeof l->region);
   l->rng = g_rand_new_with_seed(seed);
   l->view = view_new(NULL, 0);
+  l->lanes = 1;
   for (int i = 0; i < LIMIT_SHARDS; i++) {
     char name[LIMIT_NAME];
     shard_name(i, name);
@@ -143,6 +145,10 @@
   g_free(l);
 }
 
+void ledger_lanes(Ledger *l, int n) {
+  l->lanes = n;
+}
+
 void ledger_faults(Ledger *l, LedgerFaults f) {
   l->faults = f;
 }
@@ -151,8 +157,11 @@
   l->now = now;
   view_free(l->view);
   l->view = view_copy(v);
+  l->regions = view_regions(v);
+  l->near = view_count(v, l->region);
   for (int i = 0; i < LIMIT_SHARDS; i++) {
-    const Member *m = ledger_home(l, l->keys[i], 0);
+    const Member *m = view_home(l->view, l->region, l->keys[i], 0);
+    l->first[i] = m;
     l->ours[i] = m && strcmp(m->id, l->self) == 0;
   }
   finish(l);
@@ -206,12 +215,11 @@
 }
 
 void ledger_tick(Ledger *l, double now, int64_t unix_s) {
-  double dt = l->ticked > 0 ? now - l->ticked : 0;
-  l->now = l->ticked = now;
+  l->now = now;
   l->unix_s = unix_s;
-  holder_tick(l, dt);
+  holder_tick(l);
   finish(l);
-  home_tick(l, dt);
+  home_tick(l);
   stored_tick(l);
   finish(l);
 }
--- a/packages/ledger/ledger.h
+++ b/packages/ledger/ledger.h
@@ -88,6 +88,8 @@
 typedef struct Ledger Ledger;
 
 Ledger *ledger_new(const char *self, const char *region, uint32_t seed);
+/* This core looks after one of `n` equal parts of the shards; 1 unless told. */
+void ledger_lanes(Ledger *l, int n);
 void ledger_free(Ledger *l);
 void ledger_faults(Ledger *l, LedgerFaults f);
 
--- a/packages/ledger/state.h
+++ b/packages/ledger/state.h
@@ -38,7 +38,7 @@
 /* The holder's side of one budget. */
 typedef struct Purse {
   char name[LIMIT_NAME];
-  uint64_t key;
+  int shard;
   GPtrArray *accounts;
   GQueue waiters;      /* Waiter* */
   double rate;         /* tokens a second, decayed */
@@ -47,6 +47,8 @@
   double ahead;        /* when tokens were last asked for ahead of need */
   int tries;           /* DRAWs without an answer; two for each choice */
   double first_choice; /* when the first choice was last asked */
+  double looked;       /* when it was last looked at */
+  bool hot;            /* something happened since, or is to be repeated soon */
 } Purse;
 
 /* == home == */
@@ -108,6 +110,7 @@
   double rate;      /* tokens a second, of the last half minute */
   double slow;      /* the same over minutes, decayed from `born` on */
   double born;
+  double looked;       /* when it was last looked at */
   double recalled;     /* when we last recalled; -1: never */
   double giving_until; /* somebody recalled: free goes to the store at once */
   char recaller[LIMIT_ID];
@@ -126,6 +129,8 @@
   bool queued;    /* stands in `touched` */
   bool reread;    /* somebody else changed it */
   double fresh;   /* when `doc` was last known to be the store's */
+  double wrote;   /* when we last wrote it */
+  double watched; /* when its grants' homes were last looked for */
   double read_at; /* next refresh without other cause */
   double retry_at, backoff;
   double down_since;  /* 0: the store answers */
@@ -147,11 +152,14 @@
   View *view;
   double now;
   int64_t unix_s;
-  double ticked;
   bool draining;
-  GHashTable *rows; /* name -> LedgerBudget, as the table has it */
+  int lanes;
+  double report_every; /* seconds between two writes of spend reports */
+  GHashTable *rows;    /* name -> LedgerBudget, as the table has it */
   GPtrArray *by_shard[LIMIT_SHARDS]; /* the same rows; NULL: none there */
-  bool ours[LIMIT_SHARDS];           /* we are its home in our region */
+  const Member *first[LIMIT_SHARDS]; /* its home in our region; NULL: nobody */
+  int regions, near;       /* regions in the view; instances of ours */
+  bool ours[LIMIT_SHARDS]; /* that is us */
   uint64_t keys[LIMIT_SHARDS];
   GHashTable *closed;       /* grants whose account is over: never again */
   GHashTable *purses;       /* name -> Purse */
@@ -171,10 +179,10 @@
 void ledger_answer(Ledger *l, uint64_t handle, ErrKind cause, int retry_ms);
 LedgerMsg ledger_msg(LedgerKind kind, const char *budget, uint64_t grant);
 /* The home of a shard in our region, `rank`-th choice; NULL: nobody. */
-const Member *ledger_home(const Ledger *l, uint64_t key, int rank);
+const Member *ledger_home(const Ledger *l, int shard, int rank);
 /* Who takes reports on grants of our region: its home; with nobody left there
    the first choice of the whole fleet; when all leave, we ourselves. */
-const char *ledger_caretaker(const Ledger *l, uint64_t key);
+const char *ledger_caretaker(const Ledger *l, int shard);
 LedgerAction *ledger_act(Ledger *l, LedgerDo what);
 
 /* == holder.c == */
@@ -185,7 +193,7 @@
 void holder_allot(Ledger *l, const char *from, const LedgerMsg *m);
 void holder_reported(Ledger *l, const LedgerMsg *m);
 void holder_recall(Ledger *l, const LedgerMsg *m);
-void holder_tick(Ledger *l, double dt);
+void holder_tick(Ledger *l);
 bool holder_empty(const Ledger *l);
 void holder_purse_free(gpointer p);
 
@@ -197,7 +205,7 @@
 void home_recall(Ledger *l, const char *from, const LedgerMsg *m);
 void home_recalled(Ledger *l, const LedgerMsg *m);
 void home_pump(Ledger *l, HomeBudget *h);
-void home_tick(Ledger *l, double dt);
+void home_tick(Ledger *l);
 void home_budget_free(gpointer p);
 int64_t home_free(const Held *g);
 int64_t home_plan(const Ledger *l, const HomeBudget *h, int64_t remaining);
--- a/packages/ledger/stored.c
+++ b/packages/ledger/stored.c
@@ -105,7 +105,8 @@
   }
 }
 
-static bool apply_held(Ledger *l, HomeBudget *h, ShardBudget *b) {
+static bool apply_held(Ledger *l, const ShardState *s, HomeBudget *h,
+                       ShardBudget *b) {
   Held *g = h->held;
   if (!g) return false;
   ShardGrant *sg = shard_grant(b, g->id);
@@ -114,9 +115,11 @@
   if ((sg && sg->sealed) || (!sg && g->stored)) return false;
   bool changed = false;
   if (sg) {
-    changed = sg->returned != g->returned || sg->spent != g->spent;
+    /* What is spent may wait for its time or for another cause to write. */
+    bool due = l->now - s->wrote >= l->report_every;
+    changed = sg->returned != g->returned || (due && sg->spent != g->spent);
     sg->returned = g->returned;
-    sg->spent = g->spent;
+    if (changed) sg->spent = g->spent;
     if (g->moved && strcmp(sg->witness, g->moving_to) != 0) {
       g_strlcpy(sg->witness, g->moving_to, sizeof sg->witness);
       changed = true;
@@ -133,6 +136,7 @@
   if (n <= 0) return changed;
   if (!sg) sg = shard_grant_add(b, g->id, l->self, g->witness, l->region);
   sg->granted += n;
+  sg->spent = g->spent;
   sg->changed = l->unix_s;
   return true;
 }
@@ -161,7 +165,7 @@
     if (!b) continue;
     changed |= apply_seals(l, h, b);
     changed |= apply_late(l, s, h, b);
-    changed |= apply_held(l, h, b);
+    changed |= apply_held(l, s, h, b);
     changed |= apply_folds(l, b);
   }
   return changed;
@@ -332,6 +336,7 @@
   case ERR_NONE:
     if (putting) {
       s->version = version;
+      s->wrote = l->now;
       confirm(l, s);
     } else {
       got(l, s, version, text);
@@ -365,7 +370,10 @@
       s->read_at = l->now + REFRESH;
       s->reread = s->dirty = true;
     }
-    if (ours) home_watch_grants(l, s);
+    if (ours && l->now - s->watched >= LEDGER_LOOK) {
+      s->watched = l->now;
+      home_watch_grants(l, s);
+    }
     stored_pump(l, s);
   }
 }
--- a/packages/member/member.c
+++ b/packages/member/member.c
@@ -157,10 +157,6 @@
   return &s->self;
 }
 
-static int by_id(const void *a, const void *b) {
-  return strcmp(((const Member *)a)->id, ((const Member *)b)->id);
-}
-
 View *member_view(const MemberSet *s, double now) {
   GArray *all = g_array_new(FALSE, FALSE, sizeof(Member));
   Member me = s->self;
@@ -176,7 +172,6 @@
     m.stuck_s = m.table < s->self.table ? now - p->moved : 0;
     g_array_append_val(all, m);
   }
-  qsort(all->data, all->len, sizeof(Member), by_id);
   View *view = view_new((Member *)(void *)all->data, (int)all->len);
   g_array_free(all, TRUE);
   return view;
--- a/packages/member/view.c
+++ b/packages/member/view.c
@@ -2,13 +2,20 @@
 #include "member/view.h"
 
 #include <glib.h>
+#include <stdlib.h>
 #include <string.h>
 #include <xxhash.h>
 
+static int by_id(const void *a, const void *b) {
+  return strcmp(((const Member *)a)->id, ((const Member *)b)->id);
+}
+
 View *view_new(const Member *list, int n) {
   View *v = g_malloc0(sizeof *v + (size_t)n * sizeof *list);
   v->n = n;
-  if (n > 0) memcpy(v->list, list, (size_t)n * sizeof *list);
+  if (n == 0) return v;
+  memcpy(v->list, list, (size_t)n * sizeof *list);
+  qsort(v->list, (size_t)n, sizeof *list, by_id);
   return v;
 }
 
@@ -29,10 +36,12 @@
   return true;
 }
 
+static int id_and_member(const void *id, const void *m) {
+  return strcmp(id, ((const Member *)m)->id);
+}
+
 const Member *view_find(const View *v, const char *id) {
-  for (int i = 0; i < v->n; i++)
-    if (strcmp(v->list[i].id, id) == 0) return &v->list[i];
-  return NULL;
+  return bsearch(id, v->list, (size_t)v->n, sizeof *v->list, id_and_member);
 }
 
 static bool eligible(const Member *m, const char *region) {
--- a/packages/member/view.h
+++ b/packages/member/view.h
@@ -22,7 +22,7 @@
 
 typedef struct View {
   int n;
-  Member list[];
+  Member list[]; /* by id */
 } View;
 
 View *view_new(const Member *list, int n);
--- a/packages/route/loads.c
+++ b/packages/route/loads.c
@@ -4,13 +4,13 @@
 #include <string.h>
 #include <xxhash.h>
 
-#define EVERY_S 1.0      /* a target near us is asked this often */
-#define VERIFY_S 5.0     /* one that was silent for us too is asked again */
-#define FAILS 3          /* after so many times */
-#define STALE 4          /* times that nothing was heard until others ask */
-#define PATH_S 30.0      /* our own path to a data centre is measured */
-#define RATE 10.0        /* calls a second of one instance, about */
-#define TELL_BYTES 1500  /* a second, to the others of the region */
+#define EVERY_S 1.0     /* a target near us is asked this often */
+#define VERIFY_S 5.0    /* one that was silent for us too is asked again */
+#define FAILS 3         /* after so many times */
+#define STALE 4         /* times that nothing was heard until others ask */
+#define PATH_S 30.0     /* our own path to a data centre is measured */
+#define RATE 10.0       /* calls a second of one instance, about */
+#define TELL_BYTES 1500 /* a second, to the others of the region */
 #define TELL_MSG_BYTES 16
 
 typedef struct Watched {
@@ -28,9 +28,9 @@
 struct Loads {
   char self[LIMIT_ID];
   View *view;
-  GPtrArray *list;    /* Watched* */
+  GPtrArray *list;     /* Watched* */
   GHashTable *by_hash; /* hash -> Watched */
-  GHashTable *paths;  /* data centre -> double*, when we last asked there */
+  GHashTable *paths;   /* data centre -> double*, when we last asked there */
   double far_s, tell_s;
   guint ask_at, tell_at; /* where the search goes on */
 };
@@ -70,8 +70,7 @@
   int near = 0, far = 0;
   for (guint i = 0; i < l->list->len; i++) {
     Watched *w = l->list->pdata[i];
-    const Member *m =
-        me ? view_home(l->view, me->region, w->hash, 0) : NULL;
+    const Member *m = me ? view_home(l->view, me->region, w->hash, 0) : NULL;
     w->duty = !m || strcmp(m->id, l->self) == 0;
     w->near = !me || dc_in_region(l->view, w->t.dc, me->region);
     near += w->duty && w->near;
@@ -105,7 +104,8 @@
     uint64_t hash = XXH64(list[i].name, strlen(list[i].name), 0);
     if (g_hash_table_contains(by_hash, &hash)) continue;
     const Watched *old = g_hash_table_lookup(l->by_hash, &hash);
-    Watched *w = old ? g_memdup2(old, sizeof *old) : watched_new(&list[i], hash);
+    Watched *w =
+        old ? g_memdup2(old, sizeof *old) : watched_new(&list[i], hash);
     w->t = list[i];
     g_ptr_array_add(next, w);
     g_hash_table_insert(by_hash, &w->hash, w);
--- a/tests/process.py
+++ b/tests/process.py
@@ -422,7 +422,7 @@
     listing = call(f.platform, "GET", "/objects?prefix=budget/").json()
     for o in listing:
         doc = call(f.platform, "GET", "/objects/" + o["name"]).json()
-        held += sum(len(b["grants"]) for b in doc.values())
+        held += sum(len(b[4]) for b in doc["budgets"].values())
     assert held == 0, "%d grants are still open" % held
 
 
--- a/tests/test_shard.c
+++ b/tests/test_shard.c
@@ -83,7 +83,7 @@
   b->tv = 7;
   ShardGrant *g = grant(b, 0xfedcba9876543210u, 60);
   g->returned = 5;
-  grant(b, 2, 9);
+  shard_report(grant(b, 2, 9), "i.2", 4, 5, false, 77);
   shard_seal(g, 30, 0, true, 77);
   shard_report(g, "i.1", 1, 2, true, 77);
   char *text = shard_encode(s);
@@ -102,10 +102,18 @@
       "",
       "[]",
       "{",
-      "{\"b\":{}}",
-      "{\"b\":{\"total\":\"1\"}}",
-      "{\"b\":{\"total\":1,\"tv\":1,\"closed\":0,\"retired\":0,\"grants\":[{}]}"
-      "}",
+      "{}",
+      "{\"ids\":[]}",
+      "{\"ids\":[],\"budgets\":[]}",
+      "{\"ids\":[],\"budgets\":{\"b\":[]}}",
+      "{\"ids\":[],\"budgets\":{\"b\":[\"1\",1,0,0,[]]}}",
+      "{\"ids\":[],\"budgets\":{\"b\":[1,1,0,0,{}]}}",
+      "{\"ids\":[],\"budgets\":{\"b\":[1,1,0,0,[{}]]}}",
+      "{\"ids\":[\"x\"],\"budgets\":{\"b\":[1,1,0,0,[[1,0,1,0,1,0,0]]]}}",
+      "{\"ids\":[\"x\"],\"budgets\":{\"b\":[1,1,0,0,[[1,0,-1,0,1,0,0]]]}}",
+      "{\"ids\":[\"x\"],\"budgets\":{\"b\":[1,1,0,0,[[1,0,0,0,1,0,0],"
+      "[1,0,0,0,1,0,0]]]}}",
+      "{\"ids\":[\"x\"],\"budgets\":{\"b\":[1,1,0,0,[[1,0,0,0,1,0,0,[1]]]]}}",
   };
   for (size_t i = 0; i < sizeof bad / sizeof *bad; i++)
     cr_assert_null(shard_decode(bad[i]), "taken: %s", bad[i]);
