A stream whose link or router breaks goes on where it was

Cause: a broken connection to an engine ended the caller's stream as cut, and a retry after a router's death ran the request again from the start: two runs consumed, one billed, though engines can resume.

Change: the adapter has engine_resume; chat.c takes a run up again after the events it has, twice at most. A new word to the keeper, ONCE_AT, says which target has a named request; the retry elsewhere gets that target with its verdict, is routed there and resumes from the first event. The stand-in engine parks runs without a connection.

After: six streams broken after three tokens arrive whole from six runs, 120 tokens counted; the retry of a killed router's stream gets all 400 tokens of the one run, billed once. Ruled out: a copy of streams at a peer; asking every target for the run.

--- a/fakes/engine.c
+++ b/fakes/engine.c
@@ -2,9 +2,10 @@
    simplest form: `slots` streams at once, the best priority first, a prefill
    time by uncached prompt bytes and a steady time between tokens.
 
-   POST /v1/chat/completions, POST /cancel?id=, GET /load, GET /stats,
-   POST /fault?mode=M&ms=N  modes: none, slow (times ten), error, cut (ends a
-   stream after three tokens), hang. */
+   POST /v1/chat/completions, GET /resume?id=&from=, POST /cancel?id=, GET
+   /load, GET /stats, POST /fault?mode=M&ms=N  modes: none, slow (times ten),
+   error, cut (ends a stream after three tokens), drop (breaks its connection
+   there, the run can be resumed), hang. */
 #include <glib.h>
 #include <pthread.h>
 #include <stdio.h>
@@ -13,19 +14,23 @@
 
 #include "fakes/fake.h"
 
+#define PARK_US 8000000 /* a run without a connection waits this long */
+
 /* What is remembered of a run after its end, for a late cancel. */
 typedef struct Trace {
   int prompt, sent;
-  bool cancel, ended;
+  bool cancel, ended, leave; /* leave: its connection is given up */
 } Trace;
 
 typedef struct Run {
   char id[96];
   Trace *trace;
   int prompt, max, sent, token_ms;
-  bool stream, cut, ended, usage_sent;
+  bool stream, cut, drop, ended;
   GString *text;
-  gint64 next; /* microseconds */
+  GPtrArray *events; /* all that were made, for a resume */
+  gint64 next;       /* microseconds */
+  gint64 parked;     /* when its connection broke */
 } Run;
 
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
@@ -33,8 +38,9 @@
 static int slots = 8, running, waiting[10];
 static int token_ms = 10;
 static double prefill_us = 20; /* for one uncached prompt token */
-static int64_t tokens, prompts, runs, cancelled, cached_tokens;
+static int64_t tokens, prompts, runs, cancelled, cached_tokens, resumed;
 static GHashTable *prefixes, *by_id;
+static GHashTable *parked; /* id -> Run without a connection */
 static char mode[16] = "none";
 
 /* == slots, by priority == */
@@ -109,7 +115,9 @@
 
 static void push(Run *r, json_t *o) {
   char *s = json_dumps(o, JSON_COMPACT);
-  g_string_append_printf(r->text, "data: %s\n\n", s);
+  char *event = g_strdup_printf("data: %s\n\n", s);
+  g_string_append(r->text, event);
+  g_ptr_array_add(r->events, event);
   free(s);
   json_decref(o);
 }
@@ -148,7 +156,9 @@
   Run *r = ctx;
   if (r->text->len == 0 && r->ended) return MHD_CONTENT_READER_END_OF_STREAM;
   if (r->cut && r->sent >= 3) return MHD_CONTENT_READER_END_WITH_ERROR;
-  if (r->trace->cancel) return MHD_CONTENT_READER_END_WITH_ERROR;
+  if (r->drop && r->sent >= 3) return MHD_CONTENT_READER_END_WITH_ERROR;
+  if (r->trace->cancel || r->trace->leave)
+    return MHD_CONTENT_READER_END_WITH_ERROR;
   if (r->text->len == 0) fill_stream(r);
   size_t n = MIN(max, r->text->len);
   memcpy(buf, r->text->str, n);
@@ -156,13 +166,86 @@
   return (ssize_t)n;
 }
 
-static void end_run(void *ctx) {
-  Run *r = ctx;
+static void free_run(Run *r) {
   free_slot(r, r->ended);
   g_string_free(r->text, TRUE);
+  g_ptr_array_free(r->events, TRUE);
   g_free(r);
 }
 
+/* The connection is over; a stream that is not waits to be resumed. */
+static void end_run(void *ctx) {
+  Run *r = ctx;
+  if (!r->stream || r->ended || r->cut || r->trace->cancel) {
+    free_run(r);
+    return;
+  }
+  pthread_mutex_lock(&lock);
+  r->parked = g_get_monotonic_time();
+  g_hash_table_replace(parked, r->id, r);
+  pthread_mutex_unlock(&lock);
+}
+
+static gboolean is_over(gpointer id, gpointer run, gpointer over) {
+  (void)id;
+  Run *r = run;
+  bool late = g_get_monotonic_time() - r->parked > PARK_US;
+  if (!late && !r->trace->cancel) return FALSE;
+  g_ptr_array_add(over, r);
+  return TRUE;
+}
+
+/* Frees what nobody resumed. */
+static void *reap(void *unused) {
+  (void)unused;
+  for (;;) {
+    GPtrArray *over = g_ptr_array_new();
+    g_usleep(20000);
+    pthread_mutex_lock(&lock);
+    g_hash_table_foreach_remove(parked, is_over, over);
+    pthread_mutex_unlock(&lock);
+    for (guint i = 0; i < over->len; i++) free_run(over->pdata[i]);
+    g_ptr_array_free(over, TRUE);
+  }
+  return NULL;
+}
+
+/* Takes a run over from its connection, broken or not. */
+static Run *take_parked(const char *id) {
+  for (int i = 0; i < 100; i++) {
+    pthread_mutex_lock(&lock);
+    Run *r = g_hash_table_lookup(parked, id);
+    Trace *t = g_hash_table_lookup(by_id, id);
+    if (r) g_hash_table_remove(parked, id);
+    if (t && !t->ended && !r) t->leave = true;
+    bool gone = !t || t->ended;
+    pthread_mutex_unlock(&lock);
+    if (r || gone) return r;
+    g_usleep(10000);
+  }
+  return NULL;
+}
+
+static struct MHD_Response *stream(Run *r, int *status) {
+  *status = 200;
+  struct MHD_Response *m = MHD_create_response_from_callback(
+      MHD_SIZE_UNKNOWN, 4096, read_stream, r, end_run);
+  MHD_add_response_header(m, "Content-Type", "text/event-stream");
+  return m;
+}
+
+static struct MHD_Response *resume(const HttpReq *q, int *status) {
+  const char *id = http_arg(q, "id"), *from = http_arg(q, "from");
+  Run *r = id ? take_parked(id) : NULL;
+  if (!r) return fake_reply(status, 404, json_object());
+  r->trace->leave = r->drop = false;
+  g_string_truncate(r->text, 0);
+  for (guint i = from ? (guint)atoi(from) : 0; i < r->events->len; i++)
+    g_string_append(r->text, r->events->pdata[i]);
+  resumed++;
+  return stream(r, status);
+}
+
 static struct MHD_Response *whole(Run *r, int *status) {
   GString *all = g_string_new(NULL);
   char word[128];
@@ -194,10 +277,12 @@
   r->max = max ? (int)json_integer_value(max) : 16;
   r->stream = json_is_true(json_object_get(body, "stream"));
   r->text = g_string_new(NULL);
+  r->events = g_ptr_array_new_with_free_func(g_free);
   pthread_mutex_lock(&lock);
   int fresh = r->prompt - cached_part(messages, r->prompt);
   bool slow = strcmp(mode, "slow") == 0;
   r->cut = strcmp(mode, "cut") == 0;
+  r->drop = strcmp(mode, "drop") == 0;
   r->token_ms = slow ? token_ms * 10 : token_ms;
   r->trace = g_new0(Trace, 1);
   r->trace->prompt = r->prompt;
@@ -221,12 +306,7 @@
   take_slot(p ? CLAMP(atoi(p), 0, 9) : 5);
   Run *r = new_run(q, body);
   json_decref(body);
-  if (!r->stream) return whole(r, status);
-  *status = 200;
-  struct MHD_Response *m = MHD_create_response_from_callback(
-      MHD_SIZE_UNKNOWN, 4096, read_stream, r, end_run);
-  MHD_add_response_header(m, "Content-Type", "text/event-stream");
-  return m;
+  return r->stream ? stream(r, status) : whole(r, status);
 }
 
 static int waiting_sum(void) {
@@ -260,6 +340,7 @@
 static struct MHD_Response *handle(void *ctx, HttpReq *r, int *status) {
   (void)ctx;
   if (strcmp(r->path, "/v1/chat/completions") == 0) return complete(r, status);
+  if (strcmp(r->path, "/resume") == 0) return resume(r, status);
   if (strcmp(r->path, "/cancel") == 0) return cancel(r, status);
   if (strcmp(r->path, "/load") == 0) return load(status);
   if (strcmp(r->path, "/fault") == 0) {
@@ -268,12 +349,12 @@
     return fake_reply(status, 200, json_object());
   }
   if (strcmp(r->path, "/stats") == 0)
-    return fake_reply(status, 200,
-                      json_pack("{s:I,s:I,s:I,s:I,s:I}", "tokens",
-                                (json_int_t)tokens, "prompt_tokens",
-                                (json_int_t)prompts, "runs", (json_int_t)runs,
-                                "cancelled", (json_int_t)cancelled, "cached",
-                                (json_int_t)cached_tokens));
+    return fake_reply(
+        status, 200,
+        json_pack("{s:I,s:I,s:I,s:I,s:I,s:I}", "resumed", (json_int_t)resumed,
+                  "tokens", (json_int_t)tokens, "prompt_tokens",
+                  (json_int_t)prompts, "runs", (json_int_t)runs, "cancelled",
+                  (json_int_t)cancelled, "cached", (json_int_t)cached_tokens));
   return fake_reply(status, 404, json_object());
 }
 
@@ -288,5 +369,8 @@
   if (argc > 4) prefill_us = atof(argv[4]);
   prefixes = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
   by_id = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+  parked = g_hash_table_new(g_str_hash, g_str_equal);
+  pthread_t reaper;
+  pthread_create(&reaper, NULL, reap, NULL);
   return fake_run(argv[1], handle, 5000);
 }
--- a/packages/entry/chat.c
+++ b/packages/entry/chat.c
@@ -14,6 +14,7 @@
 #define REQUEST_TOKENS 64 /* template tokens of a request, at most */
 #define CONNECT_S 2
 #define READ_S 60
+#define RESUMES 2           /* times that one stream is taken up again */
 #define WHOLE_MAX (8 << 20) /* bytes of an answer that is not streamed */
 
 /* == reading the request == */
@@ -73,7 +74,9 @@
   HttpStream *upstream;
   GString *line, *out, *kept; /* kept: NULL once too large */
   int64_t usage;              /* -1: not told yet */
-  bool done;                  /* the engine said [DONE] */
+  int events;                 /* that came of the stream, whole ones */
+  int resumes;
+  bool done; /* the engine said [DONE] */
   bool ended, cut;
 } Chat;
 
@@ -115,9 +118,32 @@
   return c->upstream;
 }
 
+/* Takes the run up again where it is, after the events we have. */
+static bool resume(Chat *c) {
+  HttpAnswer a;
+  if (!c->stream || c->resumes >= RESUMES) return false;
+  c->resumes++;
+  close_upstream(c);
+  c->client = http_client(c->x.ticket.choice.url, CONNECT_S, READ_S);
+  c->upstream = engine_resume(c->client, c->x.id, c->events, &a);
+  bool ok = c->upstream && a.status == 200;
+  log_info("resume", "s:s,s:s,s:i,s:b", "request", c->x.id, "target",
+           c->x.ticket.choice.name, "events", c->events, "resumed", (int)ok);
+  if (ok) count_add(COUNT_RESUMED, 1);
+  if (!ok) close_upstream(c);
+  return ok;
+}
+
+/* The router of an earlier try is lost; its run may still be going on. */
+static bool resume_lost(Chat *c) {
+  const char *at = c->x.run.target;
+  return at[0] && strcmp(at, c->x.ticket.choice.name) == 0 && resume(c);
+}
+
 /* Dispatches until a target answers with 200; else false, and the exchange is
    over. Nothing has gone to the caller yet, so another target may be tried. */
 static bool dispatch(Chat *c, Err *err) {
+  if (resume_lost(c)) return true;
   for (;;) {
     HttpAnswer a;
     if (open_once(c, &a) && a.status == 200) return true;
@@ -216,6 +242,7 @@
     return;
   }
   if (c->done) return;
+  c->events += data;
   char *text = g_strndup(line, len);
   bool hide = data && take_usage(c, text + 6);
   g_free(text);
@@ -273,10 +300,12 @@
     if (c->done) finish_stream(c);
     return;
   }
-  if (c->done)
+  if (c->done) {
     finish_stream(c);
-  else
-    cut_stream(c);
+    return;
+  }
+  g_string_truncate(c->line, 0); /* half a line comes again */
+  if (!resume(c)) cut_stream(c);
 }
 
 static ssize_t read_stream(void *ctx, uint64_t pos, char *buf, size_t max) {
--- a/packages/entry/exchange.c
+++ b/packages/entry/exchange.c
@@ -146,12 +146,14 @@
   if (s != EXCHANGE_GO) return s;
   x->began = true;
   x->reserved = tokens;
+  if (x->run.target[0]) x->ticket.ask.prefer = x->run.target;
   if (!reserve(x, err) || !enter(x, err)) {
     exchange_not_run(x);
     return EXCHANGE_REFUSED;
   }
   x->sent = clock_now();
   log_route(x);
+  fleet_at(e->fleet, &x->run, x->ticket.choice.name);
   return EXCHANGE_GO;
 }
 
@@ -178,6 +180,7 @@
   if (allowed && pool_again(x->pool, &x->ticket)) {
     x->sent = clock_now();
     log_route(x);
+    fleet_at(x->entry->fleet, &x->run, x->ticket.choice.name);
     return true;
   }
   return false;
--- a/packages/fleet/fleet.c
+++ b/packages/fleet/fleet.c
@@ -33,6 +33,7 @@
   OnceVerdict verdict;
   OnceAnswer answer;
   bool doubled;
+  char target[LIMIT_NAME];
 } Wait;
 
 typedef struct Lane {
@@ -100,6 +101,7 @@
   w->verdict = filled->verdict;
   w->answer = filled->answer;
   w->doubled = filled->doubled;
+  g_strlcpy(w->target, filled->target, sizeof w->target);
   w->done = true;
   pthread_cond_signal(&w->ready);
 }
@@ -158,10 +160,13 @@
       j.text = g_steal_pointer(&a.text);
       jobs_add(l->fleet->jobs, &j);
       break;
-    case ONCE_DO_ANSWER:
-      wake_wait(l, a.handle, &(Wait){.verdict = a.verdict, .answer = a.answer});
+    case ONCE_DO_ANSWER: {
+      Wait w = {.verdict = a.verdict, .answer = a.answer};
+      g_strlcpy(w.target, a.target, sizeof w.target);
+      wake_wait(l, a.handle, &w);
       a.answer.body = NULL;
       break;
+    }
     case ONCE_DO_DONE:
       wake_wait(l, a.handle, &(Wait){.doubled = a.doubled});
       break;
@@ -517,9 +522,18 @@
   wait_close(l, run->handle, &w);
   pthread_mutex_unlock(&l->lock);
   *answer = w.answer;
+  g_strlcpy(run->target, w.target, sizeof run->target);
   return w.verdict;
 }
 
+void fleet_at(Fleet *f, FleetRun *run, const char *target) {
+  Lane *l = records(f);
+  pthread_mutex_lock(&l->lock);
+  once_at(l->once, clock_now(), run->handle, target);
+  do_once(l);
+  pthread_mutex_unlock(&l->lock);
+}
+
 bool fleet_finish(Fleet *f, FleetRun *run, const OnceBill *bill,
                   const OnceAnswer *answer) {
   Lane *l = records(f);
--- a/packages/fleet/fleet.h
+++ b/packages/fleet/fleet.h
@@ -47,10 +47,13 @@
 typedef struct FleetRun {
   OnceKey key;
   uint64_t handle;
+  char target[LIMIT_NAME]; /* a lost run of it may go on there; "": none */
 } FleetRun;
 
 OnceVerdict fleet_begin(Fleet *f, OnceKey key, uint64_t digest, bool ask,
                         bool repeat, FleetRun *run, OnceAnswer *answer);
+/* It was dispatched to `target`. */
+void fleet_at(Fleet *f, FleetRun *run, const char *target);
 /* Waits until the keeper holds bill and answer, half a second at most. True
    when the request was billed before by another run. */
 bool fleet_finish(Fleet *f, FleetRun *run, const OnceBill *bill,
--- a/packages/kernel/count.c
+++ b/packages/kernel/count.c
@@ -28,6 +28,7 @@
     [COUNT_RETRIES] = {"retries_total", "dispatches after the first"},
     [COUNT_EJECTED] = {"ejections_total", "targets put aside"},
     [COUNT_CALLER_GONE] = {"caller_gone_total", "callers that hung up"},
+    [COUNT_RESUMED] = {"resumed_total", "streams that went on after a break"},
     [COUNT_TARGET_CUT] = {"target_cut_total", "answers cut by a target"},
     [COUNT_STORE_READS] = {"store_reads_total", "platform reads and watches"},
     [COUNT_STORE_WRITES] = {"store_writes_total", "platform writes"},
--- a/packages/ledger/shardio.c
+++ b/packages/ledger/shardio.c
@@ -4,8 +4,8 @@
 
    {"ids": [ID...], "budgets": {NAME: [total, tv, closed, retired, [GRANT...]]}}
    GRANT: [id, home, witness, region, granted, returned, spent], then
-     {ID: [returned, spent, final]}, the reports of a grant that is not sealed, or
-     [limit, known, exact, changed, {reports}] of one that is. */
+     {ID: [returned, spent, final]}, the reports of a grant that is not sealed,
+   or [limit, known, exact, changed, {reports}] of one that is. */
 #include <jansson.h>
 #include <stdlib.h>
 
--- a/packages/once/keeper.c
+++ b/packages/once/keeper.c
@@ -56,6 +56,7 @@
   OnceMsg a = {
       .kind = ONCE_BEGUN, .key = m->key, .nonce = m->nonce, .verdict = v};
   if (v == ONCE_RUN && !r->finished) {
+    if (r->nonce != m->nonce) g_strlcpy(a.target, r->target, sizeof a.target);
     r->nonce = m->nonce;
     r->digest = m->digest;
     r->unknown = false;
@@ -175,6 +176,12 @@
   while (o->kept > LIMIT_KEPT && o->ages.length > 0) forget_oldest(o);
 }
 
+void keeper_at(Once *o, const OnceMsg *m) {
+  Record *r = g_hash_table_lookup(o->records, &m->key);
+  if (r && r->nonce == m->nonce)
+    g_strlcpy(r->target, m->target, sizeof r->target);
+}
+
 void keeper_abort(Once *o, const char *from, const OnceMsg *m) {
   (void)from;
   Record *r = g_hash_table_lookup(o->records, &m->key);
--- a/packages/once/once.c
+++ b/packages/once/once.c
@@ -136,6 +136,7 @@
   OnceAction *a = once_act(o, ONCE_DO_ANSWER);
   a->handle = r->handle;
   a->verdict = v;
+  g_strlcpy(a->target, r->target, sizeof a->target);
   if (answer) a->answer = once_answer_copy(answer, LIMIT_ANSWER);
   if (v == ONCE_RUN)
     r->state = RUN_RUNNING;
@@ -192,6 +193,7 @@
   while (g_hash_table_iter_next(&it, NULL, &v)) {
     Run *r = v;
     if (r->nonce != m->nonce || r->state != RUN_ASKING) continue;
+    g_strlcpy(r->target, m->target, sizeof r->target);
     if (m->verdict == ONCE_RUN)
       claim(o, r);
     else
@@ -281,6 +283,7 @@
   case ONCE_FINISH: keeper_finish(o, from, m); break;
   case ONCE_FINISHED: on_finished(o, m); break;
   case ONCE_DURABLE: on_durable(o, m); break;
+  case ONCE_AT: keeper_at(o, m); break;
   case ONCE_ABORT: keeper_abort(o, from, m); break;
   case ONCE_COPY: on_copy(o, from, m); break;
   case ONCE_COPIED: keeper_copied(o, from, m); break;
@@ -365,6 +368,17 @@
   settle_loop(o);
 }
 
+void once_at(Once *o, double now, uint64_t handle, const char *target) {
+  o->now = now;
+  Run *r = find_run(o, handle);
+  const Member *k = r && r->ask ? keeper_of(o, r->key, 0) : NULL;
+  if (!k) return; /* nobody can ask for it again */
+  OnceMsg m = {.kind = ONCE_AT, .key = r->key, .nonce = r->nonce};
+  g_strlcpy(m.target, target, sizeof m.target);
+  once_send(o, k->id, &m);
+  settle_loop(o);
+}
+
 void once_finish(Once *o, double now, uint64_t handle, const OnceBill *bill,
                  const OnceAnswer *answer) {
   o->now = now;
--- a/packages/once/once.h
+++ b/packages/once/once.h
@@ -47,6 +47,7 @@
   ONCE_ABORT,    /* runner -> keeper: it did not run */
   ONCE_COPY,     /* keeper -> another: hold this bill too */
   ONCE_COPIED,   /* the other -> keeper */
+  ONCE_AT,       /* runner -> keeper: the target that has it */
   ONCE_KINDS
 } OnceKind;
 
@@ -68,6 +69,7 @@
   bool doubled;
   OnceBill bill;
   OnceAnswer answer;
+  char target[LIMIT_NAME]; /* AT; BEGUN: where a lost run may still go on */
 } OnceMsg;
 
 typedef enum {
@@ -89,7 +91,8 @@
   char name[LIMIT_NAME + LIMIT_ID];
   uint64_t handle;
   OnceVerdict verdict;
-  OnceAnswer answer; /* REPLAY; owned by the receiver */
+  OnceAnswer answer;       /* REPLAY; owned by the receiver */
+  char target[LIMIT_NAME]; /* RUN: a lost run of it may go on there */
   bool doubled;
 } OnceAction;
 
@@ -109,6 +112,8 @@
    keeper is asked; else it runs at once. `repeat` false: a claim is needed. */
 void once_begin(Once *o, double now, uint64_t handle, OnceKey key,
                 uint64_t digest, bool ask, bool repeat);
+/* It was dispatched to `target`; should we be lost, a retry may go on there. */
+void once_at(Once *o, double now, uint64_t handle, const char *target);
 /* It ran: bill and answer. The core copies the answer. */
 void once_finish(Once *o, double now, uint64_t handle, const OnceBill *bill,
                  const OnceAnswer *answer);
--- a/packages/once/state.h
+++ b/packages/once/state.h
@@ -11,7 +11,7 @@
 typedef struct Record {
   OnceKey key;
   uint64_t nonce, digest;
-  char runner[LIMIT_ID];
+  char runner[LIMIT_ID], target[LIMIT_NAME];
   bool finished, unknown;
   OnceBill bill;
   OnceAnswer answer;
@@ -33,7 +33,8 @@
   bool ask, repeat, claimed;
   bool unknown;
   double deadline, sent;
-  int tries; /* how often the finish was told */
+  int tries;               /* how often the finish was told */
+  char target[LIMIT_NAME]; /* where a lost run of it may go on */
   OnceBill bill;
   OnceAnswer answer;
 } Run;
@@ -128,6 +129,7 @@
 
 void keeper_begin(Once *o, const char *from, const OnceMsg *m);
 void keeper_finish(Once *o, const char *from, const OnceMsg *m);
+void keeper_at(Once *o, const OnceMsg *m);
 void keeper_abort(Once *o, const char *from, const OnceMsg *m);
 void keeper_copied(Once *o, const char *from, const OnceMsg *m);
 void keeper_tick(Once *o);
--- a/packages/peer/codec.c
+++ b/packages/peer/codec.c
@@ -68,7 +68,9 @@
   msgpack_packer_init(&p, b, msgpack_sbuffer_write);
   bool answer = m->answer.status != 0;
   bool bill = m->kind == ONCE_FINISH || m->kind == ONCE_COPY;
-  msgpack_pack_array(&p, 8 + (bill ? 3 : 0) + (answer ? 3 : 0));
+  bool target = m->target[0] != '\0';
+  msgpack_pack_array(&p,
+                     8 + (bill ? 3 : 0) + (target ? 1 : 0) + (answer ? 3 : 0));
   msgpack_pack_uint8(&p, CODEC_ONCE);
   msgpack_pack_uint8(&p, (uint8_t)m->kind);
   msgpack_pack_uint64(&p, m->key.hi);
@@ -76,12 +78,14 @@
   msgpack_pack_uint64(&p, m->nonce);
   msgpack_pack_uint64(&p, m->digest);
   msgpack_pack_uint8(&p, (uint8_t)m->verdict);
-  msgpack_pack_uint8(&p, (uint8_t)(m->doubled | bill << 1 | answer << 2));
+  msgpack_pack_uint8(
+      &p, (uint8_t)(m->doubled | bill << 1 | answer << 2 | target << 3));
   if (bill) {
     put_str(&p, m->bill.customer);
     put_str(&p, m->bill.budget);
     msgpack_pack_int64(&p, m->bill.tokens);
   }
+  if (target) put_str(&p, m->target);
   if (!answer) return;
   msgpack_pack_int(&p, m->answer.status);
   put_str(&p, m->answer.type);
@@ -208,13 +212,14 @@
   m->nonce = get_u64(r);
   m->digest = get_u64(r);
   m->verdict = (OnceVerdict)get_small(r, ONCE_NO_CLAIM + 1);
-  int flags = get_small(r, 8);
+  int flags = get_small(r, 16);
   m->doubled = flags & 1;
   if (flags & 2) {
     get_str(r, m->bill.customer, sizeof m->bill.customer);
     get_str(r, m->bill.budget, sizeof m->bill.budget);
     m->bill.tokens = get_i64(r);
   }
+  if (flags & 8) get_str(r, m->target, sizeof m->target);
   if (flags & 4) get_answer(r, &m->answer);
 }
 
--- a/packages/route/route.c
+++ b/packages/route/route.c
@@ -293,8 +293,9 @@
   c->cost = c->path + c->prefill + c->wait + c->margin;
 }
 
-static double rank(const Route *r, const State *s, const RouteChoice *c,
-                   guint i) {
+static double rank(const Route *r, const State *s, const RouteAsk *ask,
+                   const RouteChoice *c, guint i) {
+  if (ask->prefer && strcmp(ask->prefer, s->t.name) == 0) return -1;
   switch (r->policy) {
   case ROUTE_ROUND_ROBIN:
     return (double)((i + r->list->len - r->turn % r->list->len) % r->list->len);
@@ -323,7 +324,7 @@
     Price p = {.s = r->list->pdata[i]};
     if (!may_take(p.s, now, ask)) continue;
     price(r, p.s, now, ask, &p.c);
-    p.score = rank(r, p.s, &p.c, i);
+    p.score = rank(r, p.s, ask, &p.c, i);
     best = MIN(best, p.score);
     g_array_append_val(r->prices, p);
   }
--- a/packages/route/route.h
+++ b/packages/route/route.h
@@ -26,6 +26,7 @@
   uint64_t blocks[ROUTE_BLOCKS]; /* hash of the prompt up to each block */
   int n;
   const char *tried[4]; /* targets that failed it already; NULL ends */
+  const char *prefer;   /* this one if it may take it at all; NULL: any */
 } RouteAsk;
 
 typedef struct RouteChoice {
--- a/packages/target/engine.c
+++ b/packages/target/engine.c
@@ -28,6 +28,13 @@
   return http_open(c, &http, false, a);
 }
 
+HttpStream *engine_resume(HttpClient *c, const char *id, int seen,
+                          HttpAnswer *a) {
+  char path[192];
+  snprintf(path, sizeof path, "/resume?id=%s&from=%d", id, seen);
+  return http_open(c, &(HttpCall){.method = "GET", .path = path}, false, a);
+}
+
 static json_t *control(const char *url, const char *method, const char *path) {
   HttpClient *c = http_client(url, CONTROL_S, CONTROL_S);
   HttpAnswer a;
--- a/tests/process.py
+++ b/tests/process.py
@@ -239,11 +239,7 @@
     def one(i):
         a = f.chat(f.ports[i % 3], n=20 + i % 7, stream=True)
         assert a.status == 200, a.body
-        lines = [l[6:] for l in a.body.decode().split("\n") if l.startswith("data: ")]
-        assert lines[-1] == "[DONE]", lines[-1]
-        words = "".join(json.loads(l)["choices"][0]["delta"].get("content", "")
-                        for l in lines[:-1]).split()
-        assert words == ["%s-%d" % (a.id, k) for k in range(20 + i % 7)], words
+        assert words_of(a) == ["%s-%d" % (a.id, k) for k in range(20 + i % 7)]
         return True
     got = together([lambda i=i: one(i) for i in range(120)])
     assert all(g is True for g in got), [g for g in got if g is not True][:2]
@@ -516,6 +512,46 @@
     assert f.chat(f.ports[0], n=5, stream=True).body.rstrip().endswith(b"[DONE]")
 
 
+def words_of(a):
+    """The tokens of a whole stream."""
+    lines = [l[6:] for l in a.body.decode().split("\n") if l.startswith("data: ")]
+    assert lines[-1] == "[DONE]", lines[-1]
+    return "".join(json.loads(l)["choices"][0]["delta"].get("content", "")
+                   for l in lines[:-1]).split()
+
+
+def test_a_broken_stream_goes_on(f):
+    """The link to the target breaks; the run goes on where it was, once."""
+    for e in f.engines:
+        f.fault(e, "drop")
+    got = together([lambda i=i: f.chat(f.ports[i % 3], n=20, stream=True)
+                    for i in range(6)])
+    for a in got:
+        assert words_of(a) == ["%s-%d" % (a.id, k) for k in range(20)], a.body
+    assert sum(f.stats(e)["runs"] for e in f.engines) == 6
+    assert sum(f.stats(e)["resumed"] for e in f.engines) == 6
+    assert sum(f.stats(e)["tokens"] for e in f.engines) == 120
+
+
+def test_a_retry_takes_up_the_stream_of_a_lost_router(f):
+    """Its router dies; the retry elsewhere gets the same run, whole."""
+    t = threading.Thread(target=lambda: together(
+        [lambda: f.chat(f.ports[0], n=400, key="long", stream=True)]))
+    t.start()
+    wait_for("the stream", lambda: sum(
+        f.stats(e)["runs"] for e in f.engines) == 1)
+    f.kill("i0")
+    t.join()
+    a = wait_for("the loss to be seen", lambda: [a for a in [f.chat(
+        f.ports[1], n=400, key="long", stream=True)] if a.status == 200])[0]
+    assert words_of(a) == ["%s-%d" % (a.id, k) for k in range(400)], a.body[-200:]
+    assert sum(f.stats(e)["runs"] for e in f.engines) == 1
+    assert sum(f.stats(e)["tokens"] for e in f.engines) == 400
+    bills = wait_for("the bill", lambda: [b for b in [
+        f.admin(f.ports[1], "bills").json()] if b["requests"] == 1])[0]
+    assert bills["budgets"]["c/*"] >= 400, bills
+
+
 def test_failing_targets_make_no_storm(f):
     """Half of the targets fail at once: attempts stay bounded."""
     f.fault(f.engines[0], "error")
