Rows that were orders in name only: a service's cap, adapter, version, data centres

Cause, found by reading the table's columns against their readers: the cap 'running' of a service's row was parsed and never asked for; engines were asked for the service's name in place of its model; adapters, versions and data centre policy had no column; one pool had one retry budget, so a failing target or one customer could use up the retries of all; ejections_total was never raised.

Change: caps of services in the queue, which is done with an item, not with a name and two numbers; columns adapter, version and datacentre for services and targets, checked in the filter; the adapter spells model or adapter for the engine; retry budgets for the target that failed and for the customer beside the pool's.

Seen red, each mechanism taken out by itself: the model's name (the engine is asked for 'newer'), the filter (3 of 6 runs at the wrong target; a unit test too), the service's cap, the customer's and the target's retry budget (unit tests; the target's first test did not notice, so it was made sharper).

--- a/bench/route.c
+++ b/bench/route.c
@@ -285,7 +285,10 @@
       double waited = now - w->came;
       g_array_append_val(w->urgent ? urgent : letters, waited);
       free_at[k] = now - log(1 - g_rand_double(r)) * (w->urgent ? 0.5 : 4.0);
-      queue_done(q, now, w->urgent ? "shuttle" : "letters", 1, 1);
+      QueueItem i = {.tokens = 1};
+      g_strlcpy(i.customer, w->urgent ? "shuttle" : "letters",
+                sizeof i.customer);
+      queue_done(q, &i, 1);
     }
   }
   printf("{\"bench\":\"order\",\"load\":%.1f,\"classes\":%s,\"urgent_ms_50\":"
--- a/bench/slopes.c
+++ b/bench/slopes.c
@@ -286,7 +286,7 @@
     QueueOut o;
     queue_push(q, 0, &x, 1e9, &retry);
     queue_pop(q, 0, 1, 1e9, &o);
-    queue_done(q, 0, "c", 1, 1);
+    queue_done(q, &x, 1);
   }
   out("queue push and pop ns", n, (now_ns() - t) / 2000);
   queue_free(q);
--- a/fakes/engine.c
+++ b/fakes/engine.c
@@ -41,7 +41,7 @@
 static int64_t tokens, prompts, runs, cancelled, cached_tokens, resumed;
 static GHashTable *prefixes, *by_id;
 static GHashTable *parked; /* id -> Run without a connection */
-static char mode[16] = "none";
+static char mode[16] = "none", asked_model[64] = "";
 
 /* == slots, by priority == */
 
@@ -275,6 +275,8 @@
   g_strlcpy(r->id, id ? id : "none", sizeof r->id);
   r->prompt = count_prompt(messages);
   r->max = max ? (int)json_integer_value(max) : 16;
+  const char *model = json_string_value(json_object_get(body, "model"));
+  g_strlcpy(asked_model, model ? model : "", sizeof asked_model);
   r->stream = json_is_true(json_object_get(body, "stream"));
   r->text = g_string_new(NULL);
   r->events = g_ptr_array_new_with_free_func(g_free);
@@ -349,12 +351,13 @@
     return fake_reply(status, 200, json_object());
   }
   if (strcmp(r->path, "/stats") == 0)
-    return fake_reply(
-        status, 200,
-        json_pack("{s:I,s:I,s:I,s:I,s:I,s:I}", "resumed", (json_int_t)resumed,
-                  "tokens", (json_int_t)tokens, "prompt_tokens",
-                  (json_int_t)prompts, "runs", (json_int_t)runs, "cancelled",
-                  (json_int_t)cancelled, "cached", (json_int_t)cached_tokens));
+    return fake_reply(status, 200,
+                      json_pack("{s:s,s:I,s:I,s:I,s:I,s:I,s:I}", "model",
+                                asked_model, "resumed", (json_int_t)resumed,
+                                "tokens", (json_int_t)tokens, "prompt_tokens",
+                                (json_int_t)prompts, "runs", (json_int_t)runs,
+                                "cancelled", (json_int_t)cancelled, "cached",
+                                (json_int_t)cached_tokens));
   return fake_reply(status, 404, json_object());
 }
 
--- a/packages/entry/chat.c
+++ b/packages/entry/chat.c
@@ -375,6 +375,8 @@
   c->wants_usage = json_is_true(json_object_get(options, "include_usage"));
   c->prompt = prompt_bound(r, json_object_get(request, "messages"));
   engine_bound(request, max);
+  engine_model(request, c->x.service.pool + strlen("model/"),
+               c->x.service.adapter);
   c->body = json_dumps(request, JSON_COMPACT);
   char *messages =
       json_dumps(json_object_get(request, "messages"), JSON_COMPACT);
--- a/packages/entry/exchange.c
+++ b/packages/entry/exchange.c
@@ -116,6 +116,11 @@
   q->wait_s = x->service.wait_s;
   q->running_cap = (int)split_cap(x, x->customer.running);
   q->rate_cap = split_cap(x, x->customer.rate);
+  g_strlcpy(q->service, x->service.name, sizeof q->service);
+  q->service_cap = (int)split_cap(x, x->service.running);
+  x->ticket.ask.adapter = x->service.adapter;
+  x->ticket.ask.version = x->service.version;
+  x->ticket.ask.dcs = x->service.dcs;
   x->entered = pool_enter(x->pool, &x->ticket, err);
   return x->entered;
 }
--- a/packages/entry/pool.c
+++ b/packages/entry/pool.c
@@ -23,6 +23,7 @@
   Route *route;
   GHashTable *turns; /* handle -> Turn */
   uint64_t next;
+  int64_t ejections; /* counted so far */
 };
 
 struct Pools {
@@ -64,6 +65,8 @@
 static void pump(Pool *p) {
   QueueOut out;
   double now = clock_now();
+  count_add(COUNT_EJECTED, route_ejections(p->route) - p->ejections);
+  p->ejections = route_ejections(p->route);
   while (queue_pop(p->queue, now, route_room(p->route, now),
                    route_rate(p->route), &out)) {
     Turn *t = g_hash_table_lookup(p->turns, &out.handle);
@@ -72,8 +75,7 @@
         refused == ERR_NONE &&
         route_pick(p->route, now, &t->ticket->ask, &t->ticket->choice);
     if (refused == ERR_NONE && !picked) {
-      queue_done(p->queue, now, t->ticket->item.customer,
-                 t->ticket->item.tokens, 0);
+      queue_done(p->queue, &t->ticket->item, 0);
       refused = ERR_NO_TARGET;
       out.retry_ms = 1000;
     }
@@ -125,7 +127,7 @@
   if (n >= 3) return false;
   pthread_mutex_lock(&p->lock);
   t->ask.tried[n] = g_intern_string(t->choice.name);
-  bool ok = route_may_retry(p->route, now) &&
+  bool ok = route_may_retry(p->route, t->item.customer, t->choice.name) &&
             route_pick(p->route, now, &t->ask, &t->choice);
   pthread_mutex_unlock(&p->lock);
   if (ok) count_add(COUNT_RETRIES, 1);
@@ -137,13 +139,14 @@
   pthread_mutex_lock(&p->lock);
   route_done(p->route, clock_now(), t->choice.name, outcome,
              t->ask.tokens - t->choice.cached, first_s, all_s);
+  if (outcome == ROUTE_OK) route_succeeded(p->route, t->item.customer);
   pump(p);
   pthread_mutex_unlock(&p->lock);
 }
 
 void pool_leave(Pool *p, const PoolTicket *t, int64_t tokens) {
   pthread_mutex_lock(&p->lock);
-  queue_done(p->queue, clock_now(), t->item.customer, t->item.tokens, tokens);
+  queue_done(p->queue, &t->item, tokens);
   pthread_mutex_unlock(&p->lock);
 }
 
@@ -211,6 +214,8 @@
     g_strlcpy(x.name, r->name, sizeof x.name);
     g_strlcpy(x.url, r->cells[TABLE_URL], sizeof x.url);
     g_strlcpy(x.dc, r->cells[TABLE_DATACENTRE], sizeof x.dc);
+    g_strlcpy(x.adapters, r->cells[TABLE_ADAPTER], sizeof x.adapters);
+    g_strlcpy(x.version, r->cells[TABLE_VERSION], sizeof x.version);
     g_array_append_val(list, x);
   }
   pthread_mutex_lock(&p->lock);
--- a/packages/entry/snapshot.c
+++ b/packages/entry/snapshot.c
@@ -115,6 +115,9 @@
     out->wait_s = (double)r->numbers[TABLE_WAIT] / 1000.0;
     out->output = r->numbers[TABLE_OUTPUT];
     out->cost = r->numbers[TABLE_COST];
+    g_strlcpy(out->adapter, r->cells[TABLE_ADAPTER], sizeof out->adapter);
+    g_strlcpy(out->version, r->cells[TABLE_VERSION], sizeof out->version);
+    g_strlcpy(out->dcs, r->cells[TABLE_DATACENTRE], sizeof out->dcs);
     out->running = r->numbers[TABLE_RUNNING];
   }
   rcu_read_unlock();
--- a/packages/entry/snapshot.h
+++ b/packages/entry/snapshot.h
@@ -21,6 +21,7 @@
   double wait_s;
   int64_t output, cost;
   int64_t running;
+  char adapter[LIMIT_NAME], version[LIMIT_NAME], dcs[LIMIT_NAME];
 } EntryService;
 
 Snapshots *snapshots_new(void);
--- a/packages/queue/queue.c
+++ b/packages/queue/queue.c
@@ -27,7 +27,8 @@
 struct Queue {
   GPtrArray *items;
   GHashTable *customers;
-  double clock[10]; /* virtual time of each class */
+  GHashTable *services; /* name -> requests here, as a pointer */
+  double clock[10];     /* virtual time of each class */
   uint64_t order;
   bool plain;
 };
@@ -36,12 +37,14 @@
   Queue *q = g_new0(Queue, 1);
   q->items = g_ptr_array_new_with_free_func(g_free);
   q->customers = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+  q->services = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
   return q;
 }
 
 void queue_free(Queue *q) {
   g_ptr_array_free(q->items, TRUE);
   g_hash_table_destroy(q->customers);
+  g_hash_table_destroy(q->services);
   g_free(q);
 }
 
@@ -64,6 +67,15 @@
 
 /* == caps == */
 
+static int in_service(const Queue *q, const char *service) {
+  return GPOINTER_TO_INT(g_hash_table_lookup(q->services, service));
+}
+
+static void count_service(Queue *q, const char *service, int change) {
+  int n = MAX(in_service(q, service) + change, 0);
+  g_hash_table_insert(q->services, g_strdup(service), GINT_TO_POINTER(n));
+}
+
 static void refill(Customer *c, double now, int64_t cap) {
   if (!c->bucket) {
     c->bucket = true;
@@ -79,9 +91,12 @@
   return (int)CLAMP(seconds * 1000, RETRY_MIN, RETRY_MAX);
 }
 
-static ErrKind check_caps(Customer *c, double now, const QueueItem *i,
-                          int *retry_ms) {
-  if (i->running_cap > 0 && c->running >= i->running_cap) {
+static ErrKind check_caps(const Queue *q, Customer *c, double now,
+                          const QueueItem *i, int *retry_ms) {
+  bool customer_full = i->running_cap > 0 && c->running >= i->running_cap;
+  bool service_full =
+      i->service_cap > 0 && in_service(q, i->service) >= i->service_cap;
+  if (customer_full || service_full) {
     *retry_ms = 1000;
     return ERR_CAP;
   }
@@ -127,7 +142,7 @@
                    int *retry_ms) {
   Customer *c = customer(q, item->customer);
   *retry_ms = 0;
-  ErrKind refused = check_caps(c, now, item, retry_ms);
+  ErrKind refused = check_caps(q, c, now, item, retry_ms);
   if (refused != ERR_NONE) return refused;
   Item *i = g_new0(Item, 1);
   i->q = *item;
@@ -145,15 +160,17 @@
   }
   c->finish[k] = i->start + (double)item->tokens / MAX(item->weight, 1);
   c->running++;
+  count_service(q, item->service, 1);
   c->tokens -= (double)item->tokens;
   g_ptr_array_add(q->items, i);
   return ERR_NONE;
 }
 
-static void leave(Queue *q, Item *i) {
-  Customer *c = customer(q, i->q.customer);
+void queue_done(Queue *q, const QueueItem *item, int64_t tokens) {
+  Customer *c = customer(q, item->customer);
   c->running = MAX(c->running - 1, 0);
-  c->tokens += (double)i->q.tokens;
+  count_service(q, item->service, -1);
+  c->tokens += (double)(item->tokens - tokens);
 }
 
 static bool pop_expired(Queue *q, double now, double rate, QueueOut *out) {
@@ -163,7 +180,7 @@
     out->handle = i->q.handle;
     out->refused = ERR_OVERLOADED;
     out->retry_ms = clamp_ms(predicted_wait(q, i, now, MAX(rate, 0.1)));
-    leave(q, i);
+    queue_done(q, &i->q, 0);
     g_ptr_array_remove_index_fast(q->items, k);
     return true;
   }
@@ -189,19 +206,11 @@
   return true;
 }
 
-void queue_done(Queue *q, double now, const char *name, int64_t expected,
-                int64_t tokens) {
-  (void)now;
-  Customer *c = customer(q, name);
-  c->running = MAX(c->running - 1, 0);
-  c->tokens += (double)(expected - tokens);
-}
-
 void queue_cancel(Queue *q, uint64_t handle) {
   for (guint k = 0; k < q->items->len; k++) {
     Item *i = q->items->pdata[k];
     if (i->q.handle != handle) continue;
-    leave(q, i);
+    queue_done(q, &i->q, 0);
     g_ptr_array_remove_index_fast(q->items, k);
     return;
   }
--- a/packages/queue/queue.h
+++ b/packages/queue/queue.h
@@ -22,6 +22,8 @@
   double wait_s;    /* longest wait */
   int running_cap;  /* requests of the customer at once, 0 none */
   int64_t rate_cap; /* tokens a minute of the customer, 0 none */
+  char service[LIMIT_NAME];
+  int service_cap; /* requests of the service at once, 0 none */
 } QueueItem;
 
 typedef struct QueueOut {
@@ -42,8 +44,7 @@
    over. False: nothing to do now. */
 bool queue_pop(Queue *q, double now, int room, double rate, QueueOut *out);
 /* A request that had its turn is over; `tokens` is what it really used. */
-void queue_done(Queue *q, double now, const char *customer, int64_t expected,
-                int64_t tokens);
+void queue_done(Queue *q, const QueueItem *item, int64_t tokens);
 /* A waiting request went away. */
 void queue_cancel(Queue *q, uint64_t handle);
 int queue_length(const Queue *q);
--- a/packages/route/route.c
+++ b/packages/route/route.c
@@ -30,6 +30,7 @@
   int fails;
   int64_t failures;
   double ejected_until, eject_s;
+  double retries; /* left after its failures */
   bool ejected, probing;
   GHashTable *fresh, *old; /* block hashes sent there, two generations */
 } State;
@@ -48,6 +49,8 @@
   int peers; /* instances that choose as we do */
   guint turn;
   double retries;
+  GHashTable *customers; /* name -> double*, retries left */
+  int64_t ejections;
   GArray *prices; /* Price, of the choice being made */
 };
 
@@ -71,6 +74,7 @@
   s->prefill_s = 0.0001;
   s->service_s = 1.0;
   s->eject_s = EJECT_MIN;
+  s->retries = RETRY_BURST;
   s->fresh = block_set();
   s->old = block_set();
   return s;
@@ -83,6 +87,7 @@
   r->policy = policy;
   r->peers = 1;
   r->retries = RETRY_BURST;
+  r->customers = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
   r->prices = g_array_new(FALSE, FALSE, sizeof(Price));
   return r;
 }
@@ -90,6 +95,7 @@
 void route_free(Route *r) {
   g_ptr_array_free(r->list, TRUE);
   g_rand_free(r->rng);
+  g_hash_table_destroy(r->customers);
   g_array_free(r->prices, TRUE);
   g_free(r);
 }
@@ -180,6 +186,7 @@
      and refusing everything would help nobody. */
   bool allowed = s->ejected || 2 * (ejected_count(r) + 1) <= route_count(r);
   if (!allowed) return;
+  if (!s->ejected) r->ejections++;
   s->ejected = true;
   s->probing = false;
   s->ejected_until = now + s->eject_s * (0.75 + g_rand_double(r->rng) / 2);
@@ -271,8 +278,29 @@
   return false;
 }
 
+/* Whether `item` stands in `list`, whose parts are separated by ';'. */
+static bool has_part(const char *list, const char *item) {
+  size_t n = strlen(item);
+  for (const char *p = list; p; p = strchr(p, ';')) {
+    if (*p == ';') p++;
+    if (strncmp(p, item, n) == 0 && (p[n] == ';' || p[n] == '\0')) return true;
+  }
+  return false;
+}
+
+static bool asked(const char *what) {
+  return what && what[0];
+}
+
+static bool fits(const RouteTarget *t, const RouteAsk *ask) {
+  if (asked(ask->adapter) && !has_part(t->adapters, ask->adapter)) return false;
+  if (asked(ask->version) && strcmp(t->version, ask->version) != 0)
+    return false;
+  return !asked(ask->dcs) || has_part(ask->dcs, t->dc);
+}
+
 static bool may_take(const State *s, double now, const RouteAsk *ask) {
-  if (s->leaving || tried(ask, s->t.name)) return false;
+  if (s->leaving || tried(ask, s->t.name) || !fits(&s->t, ask)) return false;
   if (!s->ejected) return true;
   return now >= s->ejected_until && !s->probing; /* one probe at a time */
 }
@@ -361,6 +389,7 @@
   }
   succeeded(s);
   r->retries = MIN(r->retries + RETRY_SHARE, RETRY_BURST);
+  s->retries = MIN(s->retries + RETRY_SHARE, RETRY_BURST);
   if (all_s > 0) s->service_s += (all_s - s->service_s) * EWMA;
   bool clear = inflight(s) < s->t.slots && fresh_tokens > 64;
   if (first_s > s->path_s && clear) {
@@ -369,13 +398,34 @@
   }
 }
 
-bool route_may_retry(Route *r, double now) {
-  (void)now;
-  if (r->retries < 1) return false;
+static double *customer_retries(Route *r, const char *customer) {
+  double *left = g_hash_table_lookup(r->customers, customer);
+  if (left) return left;
+  left = g_new(double, 1);
+  *left = RETRY_BURST;
+  g_hash_table_insert(r->customers, g_strdup(customer), left);
+  return left;
+}
+
+void route_succeeded(Route *r, const char *customer) {
+  double *left = customer_retries(r, customer);
+  *left = MIN(*left + RETRY_SHARE, RETRY_BURST);
+}
+
+bool route_may_retry(Route *r, const char *customer, const char *target) {
+  State *s = find(r, target);
+  double *theirs = customer_retries(r, customer);
+  if (r->retries < 1 || *theirs < 1 || (s && s->retries < 1)) return false;
   r->retries -= 1;
+  *theirs -= 1;
+  if (s) s->retries -= 1;
   return true;
 }
 
+int64_t route_ejections(const Route *r) {
+  return r->ejections;
+}
+
 RouteState route_state(const Route *r, double now, int i) {
   const State *s = r->list->pdata[i];
   return (RouteState){.target = s->t,
--- a/packages/route/route.h
+++ b/packages/route/route.h
@@ -17,6 +17,8 @@
   char name[LIMIT_NAME];
   char url[LIMIT_NAME]; /* ip:port */
   char dc[LIMIT_NAME];
+  char adapters[LIMIT_NAME]; /* loaded ones, separated by ';' */
+  char version[LIMIT_NAME];
   int slots;
 } RouteTarget;
 
@@ -27,6 +29,9 @@
   int n;
   const char *tried[4]; /* targets that failed it already; NULL ends */
   const char *prefer;   /* this one if it may take it at all; NULL: any */
+  /* what it needs; NULL or "": any */
+  const char *adapter, *version;
+  const char *dcs; /* data centres it may run in, separated by ';' */
 } RouteAsk;
 
 typedef struct RouteChoice {
@@ -81,8 +86,13 @@
 int route_room(const Route *r, double now);
 /* Requests a second that the targets finish at most, by what was seen. */
 double route_rate(const Route *r);
-/* A retry is allowed: spends from the budget that successes fill. */
-bool route_may_retry(Route *r, double now);
+/* A retry for `customer` after `target` failed is allowed: spends from the
+   budgets of the pool, the target and the customer, which successes fill. */
+bool route_may_retry(Route *r, const char *customer, const char *target);
+/* A request of `customer` succeeded. */
+void route_succeeded(Route *r, const char *customer);
+/* Ejections so far. */
+int64_t route_ejections(const Route *r);
 int route_count(const Route *r);
 
 /* One line of state for operators. */
--- a/packages/table/table.h
+++ b/packages/table/table.h
@@ -31,7 +31,9 @@
   TABLE_COST,       /* plain service: tokens a call */
   TABLE_SERVES,     /* target: the plain service behind it */
   TABLE_URL,        /* target: ip:port */
-  TABLE_DATACENTRE, /* target */
+  TABLE_DATACENTRE, /* target; service: where it may run, any if empty */
+  TABLE_ADAPTER,    /* service: needed; target: loaded ones, a;b */
+  TABLE_VERSION,    /* service: needed; target: what it runs */
   TABLE_SLOTS,      /* target: requests at once */
   TABLE_TOKENS,     /* budget: prepaid tokens in all */
   TABLE_RESERVE,    /* budget: seconds of demand laid up per region */
--- a/packages/target/engine.c
+++ b/packages/target/engine.c
@@ -83,6 +83,11 @@
   return json_is_integer(n) ? json_integer_value(n) : 0;
 }
 
+void engine_model(json_t *request, const char *model, const char *adapter) {
+  json_object_set_new(request, "model",
+                      json_string(adapter[0] ? adapter : model));
+}
+
 void engine_bound(json_t *request, int64_t max_output) {
   json_object_del(request, "max_completion_tokens");
   json_object_set_new(request, "max_tokens", json_integer(max_output));
--- a/packages/target/engine.h
+++ b/packages/target/engine.h
@@ -33,6 +33,8 @@
 int64_t engine_usage(json_t *answer);
 /* Sets the cap on output and asks for usage at the end of a stream. */
 void engine_bound(json_t *request, int64_t max_output);
+/* Names the model, or the adapter on it, as the engine knows it. */
+void engine_model(json_t *request, const char *model, const char *adapter);
 /* The cap that a request asks for, 0 when none. */
 int64_t engine_asked(json_t *request);
 
--- a/tests/process.py
+++ b/tests/process.py
@@ -552,6 +552,33 @@
     assert bills["budgets"]["c/*"] >= 400, bills
 
 
+def test_requests_go_where_they_fit(f):
+    """Adapter, version and data centre of a service choose among the targets; the
+    engine is asked for its model or adapter, not for the service's name."""
+    csv = f.table(8, 3000).split("\n")
+    csv[0] += ",adapter,version"
+    rows = [csv[0]] + [r + ",," for r in csv[1:] if r]
+    rows = [r.replace("nord,8,,,,", "sued,8,,,tuned;other,v2") if "target,e1" in r
+            else r for r in rows]
+    rows += ["service,tuned,,,m,3,,8000,400,,,,,,,tuned,",
+             "service,newer,,,m,3,,8000,400,,,,,,,,v2",
+             "service,nord,,,m,3,,8000,400,,,nord,,,,,",
+             "service,nowhere,,,m,3,,8000,400,,,west,,,,,"]
+    f.apply("\n".join(rows) + "\n")
+    for service, engine, model in (("tuned", 1, "tuned"), ("newer", 1, "m"),
+                                   ("nord", 0, "m")):
+        before = [f.stats(e)["runs"] for e in f.engines]
+        for i in range(6):
+            a = f.chat(f.ports[i % 3], model=service, n=2)
+            assert a.status == 200, a.body
+        after = [f.stats(e) for e in f.engines]
+        ran = [a["runs"] - b for a, b in zip(after, before)]
+        assert ran == ([6, 0], [0, 6])[engine], (service, ran)
+        assert after[engine]["model"] == model, after[engine]
+    a = f.chat(f.ports[0], model="nowhere", n=2)
+    assert (a.status, a.kind(), a.ran) == (503, "no-target", "not-run"), a.body
+
+
 def test_failing_targets_make_no_storm(f):
     """Half of the targets fail at once: attempts stay bounded."""
     f.fault(f.engines[0], "error")
--- a/tests/test_queue.c
+++ b/tests/test_queue.c
@@ -114,7 +114,8 @@
   cr_assert_eq(queue_push(q, 0, &i, 10, &retry), ERR_CAP);
   cr_assert_gt(retry, 0);
   cr_assert(queue_pop(q, 0, 1, 10, &out));
-  queue_done(q, 1, "c", 100, 50);
+  QueueItem one = item(0, "c", 3);
+  queue_done(q, &one, 50);
   cr_assert_eq(queue_push(q, 1, &i, 10, &retry), ERR_NONE);
   queue_cancel(q, 2);
   cr_assert_eq(queue_push(q, 1, &i, 10, &retry), ERR_NONE);
@@ -132,7 +133,26 @@
   i.handle = 2;
   cr_assert_eq(queue_push(q, 0, &i, 10, &retry), ERR_CAP);
   cr_assert(retry > 15000 && retry < 25000, "%d ms for 50 tokens", retry);
-  queue_done(q, 0, "c", 100, 50); /* half was not used */
+  QueueItem one = item(0, "c", 3);
+  queue_done(q, &one, 50); /* half was not used */
   cr_assert_eq(queue_push(q, 0, &i, 10, &retry), ERR_NONE);
   queue_free(q);
 }
+
+Test(queue, a_service_has_a_cap_of_its_own) {
+  Queue *q = queue_new();
+  QueueItem letter = item(1, "a", 7), other = item(9, "c", 3);
+  int retry;
+  snprintf(letter.service, sizeof letter.service, "letters");
+  letter.service_cap = 2;
+  push(q, 0, letter);
+  snprintf(letter.customer, sizeof letter.customer, "b");
+  push(q, 0, letter);
+  cr_assert_eq(queue_push(q, 0, &letter, 1000, &retry), ERR_CAP);
+  cr_assert_gt(retry, 0);
+  push(q, 0, other);
+  queue_done(q, &letter, 50);
+  push(q, 0, letter);
+  cr_assert_eq(queue_push(q, 0, &letter, 1000, &retry), ERR_CAP);
+  queue_free(q);
+}
--- a/tests/test_route.c
+++ b/tests/test_route.c
@@ -146,10 +146,10 @@
 Test(route, retries_stay_within_their_budget) {
   Route *r = fleet(2, 8);
   int retries = 0;
-  for (int i = 0; i < 1000; i++) retries += route_may_retry(r, 0);
+  for (int i = 0; i < 1000; i++) retries += route_may_retry(r, "c", "t0");
   cr_assert_leq(retries, 5);
   count_picks(r, 0, "t0", 100);
-  for (int i = 0; i < 1000; i++) retries += route_may_retry(r, 0);
+  for (int i = 0; i < 1000; i++) retries += route_may_retry(r, "c", "t0");
   cr_assert_leq(retries, 10, "one for ten successes, five at once");
   route_free(r);
 }
@@ -166,3 +166,58 @@
   cr_assert_not(route_pick(r, 0, &ask, &c));
   route_free(r);
 }
+
+/* One failing target or one customer does not use up the retries of all. */
+Test(route, retries_have_budgets_for_target_and_customer) {
+  Route *r = fleet(3, 8);
+  int n = 0;
+  for (int i = 0; i < 20; i++) {
+    char customer[8];
+    snprintf(customer, sizeof customer, "c%d", i);
+    n += route_may_retry(r, customer, "t1");
+    /* The pool's budget is full again, by another target. */
+    for (int k = 0; k < 20; k++) route_done(r, 0, "t0", ROUTE_OK, 10, 0.01, 1);
+  }
+  cr_assert_eq(n, 5, "that target's is spent: %d", n);
+  cr_assert(route_may_retry(r, "c0", "t2"), "others' are not");
+  route_free(r);
+  r = fleet(3, 8);
+  for (int i = 0; i < 3; i++) cr_assert(route_may_retry(r, "a", "t1"));
+  count_picks(r, 0, "t0", 300); /* the pool's is full again */
+  n = 0;
+  while (n < 10 && route_may_retry(r, "a", "t2")) n++;
+  cr_assert_eq(n, 2, "the customer's is not");
+  for (int i = 0; i < 20; i++) route_succeeded(r, "a");
+  cr_assert(route_may_retry(r, "a", "t2"), "two were earned");
+  route_free(r);
+}
+
+Test(route, only_targets_that_fit_are_asked) {
+  RouteTarget list[3] = {
+      {.name = "a", .dc = "nord", .adapters = "x;tuned", .version = "v2"},
+      {.name = "b", .dc = "sued", .adapters = "tuned2", .version = "v2"},
+      {.name = "c", .dc = "west", .version = "v1"}};
+  static const struct {
+    RouteAsk ask;
+    const char *fit;
+  } cases[] = {{{.adapter = "tuned"}, "a"},
+               {{.adapter = "tuned2"}, "b"},
+               {{.adapter = "tune"}, ""},
+               {{.version = "v2"}, "ab"},
+               {{.version = "v"}, ""},
+               {{.dcs = "west;nord"}, "ac"},
+               {{.dcs = "sue"}, ""},
+               {{.adapter = ""}, "abc"},
+               {{.dcs = "nord", .version = "v1"}, ""}};
+  for (size_t k = 0; k < sizeof cases / sizeof *cases; k++) {
+    Route *r = route_new(1, ROUTE_ROUND_ROBIN);
+    RouteChoice c;
+    for (int i = 0; i < 3; i++) list[i].slots = 8;
+    route_targets(r, list, 3);
+    bool ok = route_pick(r, 0, &cases[k].ask, &c);
+    cr_assert_eq(ok, cases[k].fit[0] != '\0', "case %zu", k);
+    if (ok) cr_assert_not_null(strstr(cases[k].fit, c.name), "case %zu", k);
+    if (ok) cr_assert_eq((size_t)c.candidates, strlen(cases[k].fit));
+    route_free(r);
+  }
+}
