--- a/scenario/world.c
+++ b/scenario/world.c
@@ -1,118 +1,25 @@
-/* world.c: the event loop, the fake store and the fake links. */
+/* world.c: nodes, links, the event loop and the faults of a scenario. */
 #include "scenario/world.h"
 
 #include <glib.h>
-#include <jansson.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
 
 #include "ledger/shard.h"
-#include "member/member.h"
 #include "peer/codec.h"
+#include "scenario/state.h"
 
 #define TICK_S 0.1
 #define BEAT_S 0.5
-#define STORE_LOW 0.002
-#define STORE_HIGH 0.02
-#define STORE_GIVES_UP 3.0 /* then a call is unknown */
-#define SEND_S 0.001       /* from a decision to the dispatch it allows */
-
-typedef struct Node {
-  char name[16], region[LIMIT_NAME], dc[LIMIT_NAME], id[LIMIT_ID];
-  int incarnation;
-  bool up, paused, draining;
-  MemberSet *members;
-  Ledger *ledger;
-  Once *once;
-  GQueue held; /* Event*, that came while it was paused */
-} Node;
-
-typedef enum {
-  EV_TICK,
-  EV_BEAT,
-  EV_LEDGER,
-  EV_ONCE,
-  EV_STORE,  /* the call reaches the store */
-  EV_RESULT, /* its result reaches the node */
-  EV_SEND,   /* the request's dispatch */
-  EV_END     /* its target is done */
-} EventKind;
-
-typedef enum { CALL_LEDGER, CALL_ONCE, CALL_BILL } CallOwner;
-
-typedef struct Event {
-  double at;
-  uint64_t order;
-  EventKind kind;
-  int node, incarnation;
-  char from[LIMIT_ID];
-  LedgerMsg ledger;
-  OnceMsg once;
-  /* store calls */
-  CallOwner owner;
-  bool put, answered;
-  int shard;
-  char name[160];
-  uint64_t version;
-  char *text;
-  ErrKind result;
-  int request;
-} Event;
-
-typedef struct Object {
-  char *text, *before;
-  uint64_t version, before_version;
-} Object;
-
-typedef struct Request {
-  WorldRequest r;
-  OnceKey key;
-  uint64_t handle;
-  int incarnation;
-  WorldOutcome outcome;
-  ErrKind cause;
-  double came, answered;
-  bool began, reserved, ran;
-} Request;
-
-typedef struct Budget {
-  char name[LIMIT_NAME];
-  int64_t total, consumed, promised; /* promised: reserved and not settled */
-} Budget;
-
-struct World {
-  double now;
-  uint64_t order, handles;
-  GRand *rng;
-  WorldFaults faults;
-  Node nodes[WORLD_NODES];
-  int n;
-  GSequence *events;
-  GHashTable *objects; /* name -> Object */
-  GPtrArray *requests; /* Request* */
-  GHashTable *by_handle;
-  GHashTable *budgets; /* name -> Budget */
-  GArray *rows;        /* LedgerBudget */
-  GHashTable *runs;    /* once-only key -> count */
-  GHashTable *billed;  /* key text -> tokens of the first bill */
-  char cut[WORLD_REGIONS][LIMIT_NAME], cut_store[WORLD_REGIONS][LIMIT_NAME];
-  WorldStore store;
-  double lose_messages, lose_answers, stale, low, high;
-  WorldSums sums;
-  char broken[256];
-};
 
 /* == small things == */
 
-static double chance(World *w) {
+double world_chance(World *w) {
   return g_rand_double(w->rng);
 }
 
-static void broke(World *w, const char *fmt, ...)
-    __attribute__((format(printf, 2, 3)));
-
-static void broke(World *w, const char *fmt, ...) {
+void world_broke(World *w, const char *fmt, ...) {
   if (w->broken[0]) return;
   va_list ap;
   va_start(ap, fmt);
@@ -127,14 +34,14 @@
   return x->order < y->order ? -1 : x->order > y->order;
 }
 
-static void event_free(gpointer p) {
+void world_event_free(gpointer p) {
   Event *e = p;
   once_message_clear(&e->once);
   g_free(e->text);
   g_free(e);
 }
 
-static Event *event_new(World *w, EventKind kind, int node, double at) {
+Event *world_event(World *w, EventKind kind, int node, double at) {
   Event *e = g_new0(Event, 1);
   e->kind = kind;
   e->node = node;
@@ -144,15 +51,15 @@
   return e;
 }
 
-static void schedule(World *w, Event *e) {
+void world_schedule(World *w, Event *e) {
   g_sequence_insert_sorted(w->events, e, by_time, NULL);
 }
 
-static Budget *budget(const World *w, const char *name) {
+Budget *world_find_budget(const World *w, const char *name) {
   return g_hash_table_lookup(w->budgets, name);
 }
 
-static bool in_list(char list[][LIMIT_NAME], const char *name) {
+bool world_listed(char list[][LIMIT_NAME], const char *name) {
   for (int i = 0; i < WORLD_REGIONS; i++)
     if (strcmp(list[i], name) == 0) return true;
   return false;
@@ -173,7 +80,7 @@
 
 static bool linked(World *w, const Node *a, const Node *b) {
   if (strcmp(a->region, b->region) == 0) return true;
-  return !in_list(w->cut, a->region) && !in_list(w->cut, b->region);
+  return !world_listed(w->cut, a->region) && !world_listed(w->cut, b->region);
 }
 
 static int node_of(const World *w, const char *id) {
@@ -182,259 +89,8 @@
   return -1;
 }
 
-/* == requests == */
-
-static Request *request_of(const World *w, uint64_t handle) {
-  return g_hash_table_lookup(w->by_handle, &handle);
-}
-
-static void end_request(World *w, Request *q, WorldOutcome outcome) {
-  q->outcome = outcome;
-  q->answered = w->now;
-  if (outcome == WORLD_DONE) w->sums.done++;
-  if (outcome == WORLD_REPLAYED) w->sums.replayed++;
-  if (outcome == WORLD_MAYBE) w->sums.maybe++;
-  if (outcome == WORLD_LOST) w->sums.lost++;
-  if (outcome != WORLD_REFUSED) return;
-  w->sums.refused++;
-  if (q->ran) broke(w, "a request answered 'not run' had run");
-}
-
-static void judge_refusal(World *w, const Request *q) {
-  const Budget *b = budget(w, q->r.budget);
-  bool covered = b && b->total - b->consumed - b->promised >= q->r.amount;
-  bool about_budget =
-      q->cause >= ERR_BUDGET_EMPTY && q->cause <= ERR_BUDGET_CUT;
-  if (!covered || !about_budget) return;
-  w->sums.false_refused++;
-  if (b->consumed < b->total - b->total / 100) w->sums.false_refused_early++;
-  w->sums.by_cause[q->cause]++;
-}
-
-static void after(World *w, int node);
-
-static void on_granted(World *w, Request *q) {
-  q->reserved = true;
-  budget(w, q->r.budget)->promised += q->r.amount;
-  Event *e = event_new(w, EV_SEND, q->r.node, w->now + SEND_S);
-  e->request = (int)q->handle - 1;
-  schedule(w, e);
-}
-
-static void on_ledger_answer(World *w, int node, const LedgerAction *a) {
-  Request *q = request_of(w, a->handle);
-  if (!q || q->outcome != WORLD_WAITING) return;
-  if (a->cause == ERR_NONE) {
-    on_granted(w, q);
-    return;
-  }
-  q->cause = a->cause;
-  judge_refusal(w, q);
-  end_request(w, q, WORLD_REFUSED);
-  once_abort(w->nodes[node].once, w->now, q->handle);
-}
-
-static void on_verdict(World *w, int node, const OnceAction *a) {
-  Request *q = request_of(w, a->handle);
-  if (!q || q->outcome != WORLD_WAITING) return;
-  switch (a->verdict) {
-  case ONCE_RUN:
-    q->began = true;
-    ledger_reserve(w->nodes[node].ledger, w->now, q->handle, q->r.budget,
-                   q->r.amount);
-    break;
-  case ONCE_REPLAY: end_request(w, q, WORLD_REPLAYED); break;
-  case ONCE_PENDING:
-  case ONCE_MAYBE: end_request(w, q, WORLD_MAYBE); break;
-  case ONCE_MISMATCH:
-    q->cause = ERR_KEY_REUSED;
-    end_request(w, q, WORLD_REFUSED);
-    break;
-  case ONCE_NO_CLAIM:
-    q->cause = ERR_CLAIM_STORE;
-    end_request(w, q, WORLD_REFUSED);
-    break;
-  }
-}
-
-/* The target gets it: from here on the tokens are consumed. */
-static void on_send(World *w, int i) {
-  Request *q = w->requests->pdata[i];
-  Budget *b = budget(w, q->r.budget);
-  q->ran = true;
-  q->outcome = WORLD_RUNNING;
-  b->consumed += q->r.used;
-  b->promised -= q->r.used;
-  w->sums.consumed += q->r.used;
-  if (b->consumed > b->total)
-    broke(w,
-          "budget %s: %" G_GINT64_FORMAT
-          " tokens consumed of %" G_GINT64_FORMAT,
-          b->name, b->consumed, b->total);
-  if (q->r.once_only) {
-    int n = GPOINTER_TO_INT(g_hash_table_lookup(w->runs, q->r.key)) + 1;
-    g_hash_table_insert(w->runs, g_strdup(q->r.key), GINT_TO_POINTER(n));
-    w->sums.runs_most = MAX(w->sums.runs_most, n);
-    if (n > 1)
-      broke(w, "request %s, which may not be repeated, ran %d times", q->r.key,
-            n);
-  }
-  Event *e = event_new(w, EV_END, q->r.node, w->now + q->r.lasts_s);
-  e->request = i;
-  schedule(w, e);
-}
-
-static void on_end(World *w, int i) {
-  Request *q = w->requests->pdata[i];
-  Node *n = &w->nodes[q->r.node];
-  budget(w, q->r.budget)->promised -= q->r.amount - q->r.used;
-  ledger_settle(n->ledger, w->now, q->handle, q->r.used);
-  if (w->faults.ledger.settle_twice)
-    ledger_settle(n->ledger, w->now, q->handle, 0);
-  if (q->r.target_silent) {
-    once_unknown(n->once, w->now, q->handle);
-    end_request(w, q, WORLD_MAYBE);
-    return;
-  }
-  OnceBill bill = {.tokens = q->r.used};
-  OnceAnswer answer = {.status = 200, .body = (char *)"done", .len = 4};
-  g_strlcpy(bill.customer, "c", sizeof bill.customer);
-  g_strlcpy(bill.budget, q->r.budget, sizeof bill.budget);
-  once_finish(n->once, w->now, q->handle, &bill, &answer);
-}
-
-/* == the store == */
-
-static Object *object(World *w, const char *name, bool make) {
-  Object *o = g_hash_table_lookup(w->objects, name);
-  if (o || !make) return o;
-  o = g_new0(Object, 1);
-  g_hash_table_insert(w->objects, g_strdup(name), o);
-  return o;
-}
-
-static void object_free(gpointer p) {
-  Object *o = p;
-  g_free(o->text);
-  g_free(o->before);
-  g_free(o);
-}
-
-static void store_put(World *w, Event *e) {
-  Object *o = object(w, e->name, false);
-  uint64_t version = o ? o->version : 0;
-  w->sums.writes++;
-  if (version != e->version && !w->faults.ledger.no_version_check) {
-    w->sums.conflicts++;
-    e->result = ERR_STORE_CONFLICT;
-    return;
-  }
-  o = object(w, e->name, true);
-  g_free(o->before);
-  o->before = o->text;
-  o->before_version = o->version;
-  o->text = e->text;
-  e->text = NULL;
-  o->version++;
-  e->version = o->version;
-  e->result = ERR_NONE;
-}
-
-static void store_get(World *w, Event *e) {
-  const Object *o = object(w, e->name, false);
-  w->sums.reads++;
-  e->result = o ? ERR_NONE : ERR_STORE_ABSENT;
-  if (!o) return;
-  bool stale = o->before && chance(w) < w->stale;
-  e->version = stale ? o->before_version : o->version;
-  e->text = g_strdup(stale ? o->before : o->text);
-}
-
-static Event *result_event(const Event *call, EventKind kind, double at) {
-  Event *r = g_memdup2(call, sizeof *call);
-  r->kind = kind;
-  r->at = at;
-  r->text = g_strdup(call->text);
-  return r;
-}
-
-static void on_store(World *w, Event *e) {
-  const Node *n = &w->nodes[e->node];
-  bool cut = in_list(w->cut_store, n->region);
-  double back = w->now + STORE_LOW + chance(w) * (STORE_HIGH - STORE_LOW);
-  if (cut || w->store == WORLD_STORE_DOWN) {
-    e->result = cut ? ERR_STORE_UNKNOWN : ERR_STORE_DOWN;
-    Event *r = result_event(e, EV_RESULT, back);
-    r->order = ++w->order;
-    schedule(w, r);
-    return;
-  }
-  bool lost = w->store == WORLD_STORE_HUNG || chance(w) < w->lose_answers;
-  if (lost && !e->answered) {
-    /* The caller gives up; the call may take effect before or after that. */
-    Event *r = result_event(e, EV_RESULT, w->now + STORE_GIVES_UP);
-    r->result = ERR_STORE_UNKNOWN;
-    r->order = ++w->order;
-    schedule(w, r);
-    if (!e->put || chance(w) < 0.3) return;
-    Event *late = result_event(e, EV_STORE, w->now + chance(w) * 5.0);
-    late->answered = true;
-    late->order = ++w->order;
-    schedule(w, late);
-    return;
-  }
-  if (e->put)
-    store_put(w, e);
-  else
-    store_get(w, e);
-  if (e->answered) return;
-  Event *r = result_event(e, EV_RESULT, back);
-  r->order = ++w->order;
-  schedule(w, r);
-}
-
-static void note_bills(World *w, const char *text) {
-  json_t *all = json_loads(text, 0, NULL), *line;
-  size_t i;
-  json_array_foreach(all, i, line) {
-    const char *id = json_string_value(json_object_get(line, "id"));
-    int64_t n = json_integer_value(json_object_get(line, "tokens"));
-    if (g_hash_table_contains(w->billed, id)) continue;
-    g_hash_table_insert(w->billed, g_strdup(id), g_memdup2(&n, sizeof n));
-    w->sums.billed += n;
-  }
-  json_decref(all);
-}
-
-static void on_result(World *w, const Event *e) {
-  Node *n = &w->nodes[e->node];
-  const char *text = e->put ? NULL : e->text;
-  switch (e->owner) {
-  case CALL_LEDGER:
-    ledger_stored(n->ledger, w->now, e->shard, e->result, e->version, text);
-    break;
-  case CALL_ONCE:
-    once_stored(n->once, w->now, e->shard, e->result, e->version, text);
-    break;
-  case CALL_BILL: once_billed(n->once, w->now, e->result); break;
-  }
-}
-
 /* == actions == */
 
-static void call_store(World *w, int node, CallOwner owner, const char *name,
-                       bool put, int shard, uint64_t version, char *text) {
-  double at = w->now + STORE_LOW + chance(w) * (STORE_HIGH - STORE_LOW);
-  Event *e = event_new(w, EV_STORE, node, at);
-  e->owner = owner;
-  e->put = put;
-  e->shard = shard;
-  e->version = version;
-  e->text = text;
-  g_strlcpy(e->name, name, sizeof e->name);
-  schedule(w, e);
-}
-
 static void count_bytes(World *w, const LedgerMsg *l, const OnceMsg *o) {
   msgpack_sbuffer b;
   msgpack_sbuffer_init(&b);
@@ -450,11 +106,11 @@
   count_bytes(w, l, o);
   int i = node_of(w, to);
   bool arrives = i >= 0 && linked(w, &w->nodes[node], &w->nodes[i]) &&
-                 chance(w) >= w->lose_messages;
-  int copies = arrives ? 1 + (chance(w) < w->lose_messages) : 0;
+                 world_chance(w) >= w->lose_messages;
+  int copies = arrives ? 1 + (world_chance(w) < w->lose_messages) : 0;
   for (int c = 0; c < copies; c++) {
-    double at = w->now + w->low + chance(w) * (w->high - w->low);
-    Event *e = event_new(w, kind, i, at);
+    double at = w->now + w->low + world_chance(w) * (w->high - w->low);
+    Event *e = world_event(w, kind, i, at);
     g_strlcpy(e->from, w->nodes[node].id, sizeof e->from);
     if (l) e->ledger = *l;
     if (o) {
@@ -462,7 +118,7 @@
       e->once.answer.body = g_strndup(o->answer.body, o->answer.len);
       if (!o->answer.body) e->once.answer.body = NULL;
     }
-    schedule(w, e);
+    world_schedule(w, e);
   }
 }
 
@@ -474,22 +130,16 @@
     switch (a.what) {
     case LEDGER_DO_SEND: post(w, node, a.to, EV_LEDGER, &a.msg, NULL); break;
     case LEDGER_DO_GET:
-      call_store(w, node, CALL_LEDGER, name, false, a.shard, 0, NULL);
+      store_call(w, node, CALL_LEDGER, name, false, a.shard, 0, NULL);
       break;
     case LEDGER_DO_PUT:
-      call_store(w, node, CALL_LEDGER, name, true, a.shard, a.version, a.text);
+      store_call(w, node, CALL_LEDGER, name, true, a.shard, a.version, a.text);
       break;
-    case LEDGER_DO_ANSWER: on_ledger_answer(w, node, &a); break;
+    case LEDGER_DO_ANSWER: requests_reserved(w, node, &a); break;
     }
   }
 }
 
-static void on_done(World *w, const OnceAction *a) {
-  Request *q = request_of(w, a->handle);
-  if (a->doubled) w->sums.wasted += q->r.used;
-  end_request(w, q, WORLD_DONE);
-}
-
 static bool once_actions(World *w, int node) {
   OnceAction a;
   char name[LIMIT_NAME];
@@ -500,18 +150,18 @@
     switch (a.what) {
     case ONCE_DO_SEND: post(w, node, a.to, EV_ONCE, NULL, &a.msg); break;
     case ONCE_DO_GET:
-      call_store(w, node, CALL_ONCE, name, false, a.shard, 0, NULL);
+      store_call(w, node, CALL_ONCE, name, false, a.shard, 0, NULL);
       break;
     case ONCE_DO_PUT:
-      call_store(w, node, CALL_ONCE, name, true, a.shard, a.version,
+      store_call(w, node, CALL_ONCE, name, true, a.shard, a.version,
                  g_steal_pointer(&a.text));
       break;
     case ONCE_DO_BILL:
-      call_store(w, node, CALL_BILL, a.name, true, 0, 0,
+      store_call(w, node, CALL_BILL, a.name, true, 0, 0,
                  g_steal_pointer(&a.text));
       break;
-    case ONCE_DO_ANSWER: on_verdict(w, node, &a); break;
-    case ONCE_DO_DONE: on_done(w, &a); break;
+    case ONCE_DO_ANSWER: requests_verdict(w, node, &a); break;
+    case ONCE_DO_DONE: requests_done(w, &a); break;
     }
     once_action_clear(&a);
   }
@@ -519,7 +169,7 @@
 }
 
 /* Carries out what the cores of a node want, until they want nothing. */
-static void after(World *w, int node) {
+void world_after(World *w, int node) {
   do ledger_actions(w, node);
   while (once_actions(w, node));
 }
@@ -531,7 +181,7 @@
   int64_t unix_s = 1700000000 + (int64_t)w->now;
   ledger_tick(n->ledger, w->now, unix_s);
   once_tick(n->once, w->now, unix_s);
-  schedule(w, event_new(w, EV_TICK, node, w->now + TICK_S));
+  world_schedule(w, world_event(w, EV_TICK, node, w->now + TICK_S));
 }
 
 static void take_view(World *w, int node) {
@@ -552,11 +202,11 @@
     bool hears = i != node && o->up && !o->paused && linked(w, n, o);
     if (hears && member_heard(o->members, w->now, me)) {
       take_view(w, i);
-      after(w, i);
+      world_after(w, i);
     }
   }
   if (member_tick(n->members, w->now)) take_view(w, node);
-  schedule(w, event_new(w, EV_BEAT, node, w->now + BEAT_S));
+  world_schedule(w, world_event(w, EV_BEAT, node, w->now + BEAT_S));
 }
 
 static void run_event(World *w, Event *e) {
@@ -567,21 +217,21 @@
   case EV_LEDGER: ledger_receive(n->ledger, w->now, e->from, &e->ledger); break;
   case EV_ONCE: once_receive(n->once, w->now, e->from, &e->once); break;
   case EV_STORE: break;
-  case EV_RESULT: on_result(w, e); break;
-  case EV_SEND: on_send(w, e->request); break;
-  case EV_END: on_end(w, e->request); break;
+  case EV_RESULT: store_result(w, e); break;
+  case EV_SEND: requests_send(w, e->request); break;
+  case EV_END: requests_finish(w, e->request); break;
   }
-  after(w, e->node);
+  world_after(w, e->node);
 }
 
 static void handle(World *w, Event *e) {
   Node *n = &w->nodes[e->node];
   if (e->kind == EV_STORE) { /* is on its way whatever becomes of the caller */
     char *bill = e->owner == CALL_BILL ? g_strdup(e->text) : NULL;
-    on_store(w, e);
-    if (bill && e->result == ERR_NONE && !e->text) note_bills(w, bill);
+    store_receive(w, e);
+    if (bill && e->result == ERR_NONE && !e->text) store_note_bills(w, bill);
     g_free(bill);
-    event_free(e);
+    world_event_free(e);
     return;
   }
   bool gone = !n->up || n->incarnation != e->incarnation;
@@ -590,7 +240,7 @@
     return;
   }
   if (!gone) run_event(w, e);
-  event_free(e);
+  world_event_free(e);
 }
 
 void world_advance(World *w, double seconds) {
@@ -617,7 +267,7 @@
   w->high = 0.003;
   w->events = g_sequence_new(NULL);
   w->objects =
-      g_hash_table_new_full(g_str_hash, g_str_equal, g_free, object_free);
+      g_hash_table_new_full(g_str_hash, g_str_equal, g_free, store_object_free);
   w->requests = g_ptr_array_new_with_free_func(g_free);
   w->by_handle =
       g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
@@ -630,7 +280,7 @@
 
 static void stop_node(Node *n) {
   Event *e;
-  while ((e = g_queue_pop_head(&n->held))) event_free(e);
+  while ((e = g_queue_pop_head(&n->held))) world_event_free(e);
   if (!n->up) return;
   n->up = false;
   ledger_free(n->ledger);
@@ -642,7 +292,7 @@
   for (int i = 0; i < w->n; i++) stop_node(&w->nodes[i]);
   GSequenceIter *it;
   while (!g_sequence_iter_is_end(it = g_sequence_get_begin_iter(w->events))) {
-    event_free(g_sequence_get(it));
+    world_event_free(g_sequence_get(it));
     g_sequence_remove(it);
   }
   g_sequence_free(w->events);
@@ -679,9 +329,9 @@
   take_view(w, i);
   ledger_budgets(n->ledger, w->now, (LedgerBudget *)(void *)w->rows->data,
                  (int)w->rows->len);
-  double start = w->now + chance(w) * TICK_S;
-  schedule(w, event_new(w, EV_TICK, i, start));
-  schedule(w, event_new(w, EV_BEAT, i, w->now));
+  double start = w->now + world_chance(w) * TICK_S;
+  world_schedule(w, world_event(w, EV_TICK, i, start));
+  world_schedule(w, world_event(w, EV_BEAT, i, w->now));
 }
 
 int world_node(World *w, const char *name, const char *region, const char *dc) {
@@ -696,7 +346,7 @@
 }
 
 void world_budget(World *w, const char *name, int64_t total, double reserve_s) {
-  Budget *b = budget(w, name);
+  Budget *b = world_find_budget(w, name);
   if (!b) {
     b = g_new0(Budget, 1);
     g_strlcpy(b->name, name, sizeof b->name);
@@ -717,7 +367,7 @@
     if (!w->nodes[i].up) continue;
     ledger_budgets(w->nodes[i].ledger, w->now,
                    (LedgerBudget *)(void *)w->rows->data, (int)w->rows->len);
-    after(w, i);
+    world_after(w, i);
   }
 }
 
@@ -754,9 +404,9 @@
     if (q->r.node != node || !open || q->incarnation != n->incarnation)
       continue;
     if (q->reserved) /* what was reserved and not sent will not be sent */
-      budget(w, q->r.budget)->promised -=
+      world_find_budget(w, q->r.budget)->promised -=
           q->ran ? q->r.amount - q->r.used : q->r.amount;
-    end_request(w, q, WORLD_LOST);
+    requests_end(w, q, WORLD_LOST);
   }
   stop_node(n);
 }
@@ -776,7 +426,7 @@
   Event *e;
   while ((e = g_queue_pop_head(&held))) {
     e->at = w->now;
-    schedule(w, e);
+    world_schedule(w, e);
   }
 }
 
@@ -786,7 +436,7 @@
   take_view(w, node);
   ledger_drain(n->ledger, w->now);
   once_drain(n->once, w->now);
-  after(w, node);
+  world_after(w, node);
 }
 
 bool world_drained(World *w, int node) {
@@ -811,12 +461,12 @@
   w->sums.requests++;
   if (!n->up || n->paused || n->draining) {
     q->cause = ERR_DRAINING;
-    end_request(w, q, WORLD_REFUSED);
+    requests_end(w, q, WORLD_REFUSED);
     return (int)q->handle - 1;
   }
   once_begin(n->once, w->now, q->handle, q->key, 1, r->key[0] != '\0',
              !r->once_only);
-  after(w, r->node);
+  world_after(w, r->node);
   return (int)q->handle - 1;
 }
 
@@ -842,7 +492,7 @@
 }
 
 int64_t world_consumed(const World *w, const char *name) {
-  return budget(w, name)->consumed;
+  return world_find_budget(w, name)->consumed;
 }
 
 const char *world_broken(const World *w) {
@@ -886,19 +536,19 @@
   for (guint i = 0; i < w->requests->len; i++) {
     const Request *q = w->requests->pdata[i];
     if (q->outcome == WORLD_WAITING || q->outcome == WORLD_RUNNING)
-      broke(w, "request %u never got an answer", i);
+      world_broke(w, "request %u never got an answer", i);
     char key[33];
     once_key_text(q->key, key);
     bool billed = g_hash_table_contains(w->billed, key);
     if (bills && q->outcome == WORLD_DONE && !billed)
-      broke(w, "request %u was answered whole and is on no bill", i);
+      world_broke(w, "request %u was answered whole and is on no bill", i);
   }
   for (int i = 0; i < w->n; i++) {
     const Node *n = &w->nodes[i];
     if (n->up && n->draining && !world_drained(w, i))
-      broke(w, "the planned stop of %s does not end: %s%s", n->id,
-            ledger_drained(n->ledger) ? "" : "tokens ",
-            once_drained(n->once) ? "" : "records");
+      world_broke(w, "the planned stop of %s does not end: %s%s", n->id,
+                  ledger_drained(n->ledger) ? "" : "tokens ",
+                  once_drained(n->once) ? "" : "records");
   }
   GHashTableIter it;
   gpointer v;
@@ -907,9 +557,9 @@
     const Budget *b = v;
     int64_t free = world_free_tokens(w, b->name);
     if (free + b->consumed > b->total)
-      broke(w,
-            "budget %s: %" G_GINT64_FORMAT " free and %" G_GINT64_FORMAT
-            " consumed of %" G_GINT64_FORMAT,
-            b->name, free, b->consumed, b->total);
+      world_broke(w,
+                  "budget %s: %" G_GINT64_FORMAT " free and %" G_GINT64_FORMAT
+                  " consumed of %" G_GINT64_FORMAT,
+                  b->name, free, b->consumed, b->total);
   }
 }
