--- a/packages/fleet/fleet.c
+++ b/packages/fleet/fleet.c
@@ -1,6 +1,5 @@
-/* fleet.c: threads and transport around the cores. The ledger is split into
-   lanes by budget shard, the records have a lane of their own; each has a lock
-   that is held for the microseconds of one event and never across a call. */
+/* fleet.c: threads, members and messages around the cores. The ledger is split
+   into lanes by budget shard, the records have a lane of their own. */
 #include "fleet/fleet.h"
 
 #include <glib.h>
@@ -9,12 +8,11 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "fleet/lane.h"
 #include "kernel/clock.h"
 #include "kernel/count.h"
 #include "kernel/log.h"
 #include "ledger/shard.h"
-#include "peer/peer.h"
-#include "store/jobs.h"
 
 #define LANES 8
 #define RECORDS LANES /* index of the lane of request records */
@@ -24,31 +22,11 @@
 #define STORE_THREADS 4
 #define STORE_WAIT_S 3
 
-/* A request thread waiting for a core's decision. */
-typedef struct Wait {
-  pthread_cond_t ready;
-  bool done;
-  ErrKind cause;
-  int retry_ms;
-  OnceVerdict verdict;
-  OnceAnswer answer;
-  bool doubled;
-  char target[LIMIT_NAME];
-} Wait;
-
-typedef struct Lane {
-  struct Fleet *fleet;
-  pthread_mutex_t lock;
-  Ledger *ledger;    /* budget lanes */
-  Once *once;        /* the records' lane */
-  GHashTable *waits; /* handle -> Wait */
-} Lane;
-
 struct Fleet {
   FleetOptions options;
   Lane lanes[ALL_LANES];
+  LaneHost host;
   Peer *peer;
-  Jobs *jobs;
   pthread_t thread;
   atomic_bool stop;
   atomic_uint_fast64_t next_handle;
@@ -68,7 +46,8 @@
 
 /* == addresses == */
 
-static bool address_of(Fleet *f, const char *id, char out[LIMIT_NAME]) {
+static bool address_of(void *ctx, const char *id, char out[LIMIT_NAME]) {
+  Fleet *f = ctx;
   pthread_mutex_lock(&f->lock);
   const Member *m = view_find(f->view, id);
   if (m) g_strlcpy(out, m->peer, LIMIT_NAME);
@@ -84,133 +63,6 @@
   return id != NULL;
 }
 
-/* == actions of the cores, under the lane's lock == */
-
-static void on_ledger_stored(void *ctx, const Job *j, PlatformAnswer *a);
-static void on_once_stored(void *ctx, const Job *j, PlatformAnswer *a);
-static void on_billed(void *ctx, const Job *j, PlatformAnswer *a);
-
-static void wake_wait(Lane *l, uint64_t handle, Wait *filled) {
-  Wait *w = g_hash_table_lookup(l->waits, &handle);
-  if (!w) {
-    g_free(filled->answer.body);
-    return;
-  }
-  w->cause = filled->cause;
-  w->retry_ms = filled->retry_ms;
-  w->verdict = filled->verdict;
-  w->answer = filled->answer;
-  w->doubled = filled->doubled;
-  g_strlcpy(w->target, filled->target, sizeof w->target);
-  w->done = true;
-  pthread_cond_signal(&w->ready);
-}
-
-static void do_ledger(Lane *l) {
-  LedgerAction a;
-  char addr[LIMIT_NAME];
-  while (ledger_next(l->ledger, &a)) {
-    Job j = {.urgent = true,
-             .done = on_ledger_stored,
-             .ctx = l,
-             .shard = a.shard,
-             .version = a.version,
-             .text = a.text};
-    switch (a.what) {
-    case LEDGER_DO_SEND:
-      if (address_of(l->fleet, a.to, addr))
-        peer_ledger(l->fleet->peer, addr, a.to, &a.msg);
-      break;
-    case LEDGER_DO_GET:
-    case LEDGER_DO_PUT:
-      j.kind = a.what == LEDGER_DO_PUT ? JOB_PUT : JOB_GET;
-      shard_name(a.shard, j.name);
-      jobs_add(l->fleet->jobs, &j);
-      break;
-    case LEDGER_DO_ANSWER:
-      wake_wait(l, a.handle, &(Wait){.cause = a.cause, .retry_ms = a.retry_ms});
-      break;
-    }
-  }
-}
-
-static void do_once(Lane *l) {
-  OnceAction a;
-  char addr[LIMIT_NAME];
-  while (once_next(l->once, &a)) {
-    Job j = {.ctx = l, .shard = a.shard, .version = a.version};
-    switch (a.what) {
-    case ONCE_DO_SEND:
-      if (address_of(l->fleet, a.to, addr))
-        peer_once(l->fleet->peer, addr, a.to, &a.msg);
-      break;
-    case ONCE_DO_GET:
-    case ONCE_DO_PUT:
-      j.kind = a.what == ONCE_DO_PUT ? JOB_PUT : JOB_GET;
-      j.urgent = true;
-      j.done = on_once_stored;
-      once_claim_name(a.shard, j.name);
-      j.text = g_steal_pointer(&a.text);
-      jobs_add(l->fleet->jobs, &j);
-      break;
-    case ONCE_DO_BILL:
-      j.kind = JOB_PUT;
-      j.done = on_billed;
-      g_strlcpy(j.name, a.name, sizeof j.name);
-      j.text = g_steal_pointer(&a.text);
-      jobs_add(l->fleet->jobs, &j);
-      break;
-    case ONCE_DO_ANSWER: {
-      Wait w = {.verdict = a.verdict, .answer = a.answer};
-      g_strlcpy(w.target, a.target, sizeof w.target);
-      wake_wait(l, a.handle, &w);
-      a.answer.body = NULL;
-      break;
-    }
-    case ONCE_DO_DONE:
-      wake_wait(l, a.handle, &(Wait){.doubled = a.doubled});
-      break;
-    }
-    once_action_clear(&a);
-  }
-}
-
-static void do_actions(Lane *l) {
-  if (l->ledger) do_ledger(l);
-  if (l->once) do_once(l);
-}
-
-static void on_ledger_stored(void *ctx, const Job *j, PlatformAnswer *a) {
-  Lane *l = ctx;
-  pthread_mutex_lock(&l->lock);
-  ledger_stored(l->ledger, clock_now(), j->shard, a->kind, a->version,
-                j->kind == JOB_GET ? a->text : NULL);
-  do_ledger(l);
-  pthread_mutex_unlock(&l->lock);
-  g_free(a->text);
-}
-
-static void on_once_stored(void *ctx, const Job *j, PlatformAnswer *a) {
-  Lane *l = ctx;
-  pthread_mutex_lock(&l->lock);
-  once_stored(l->once, clock_now(), j->shard, a->kind, a->version,
-              j->kind == JOB_GET ? a->text : NULL);
-  do_once(l);
-  pthread_mutex_unlock(&l->lock);
-  g_free(a->text);
-}
-
-static void on_billed(void *ctx, const Job *j, PlatformAnswer *a) {
-  Lane *l = ctx;
-  (void)j;
-  pthread_mutex_lock(&l->lock);
-  once_billed(l->once, clock_now(), a->kind);
-  do_once(l);
-  pthread_mutex_unlock(&l->lock);
-  if (a->kind == ERR_NONE) count_add(COUNT_BILLS, 1);
-  g_free(a->text);
-}
-
 /* == the peer thread == */
 
 static Lane *lane_of_budget(Fleet *f, const char *budget) {
@@ -251,10 +103,10 @@
   pthread_mutex_lock(&l->lock);
   if (m->type == CODEC_LEDGER) {
     ledger_receive(l->ledger, clock_now(), id, &m->ledger);
-    do_ledger(l);
+    lane_act(l);
   } else {
     once_receive(l->once, clock_now(), id, &m->once);
-    do_once(l);
+    lane_act(l);
   }
   pthread_mutex_unlock(&l->lock);
 }
@@ -275,7 +127,7 @@
     pthread_mutex_lock(&l->lock);
     if (l->ledger) ledger_view(l->ledger, clock_now(), v);
     if (l->once) once_view(l->once, clock_now(), v);
-    do_actions(l);
+    lane_act(l);
     pthread_mutex_unlock(&l->lock);
   }
 }
@@ -327,7 +179,7 @@
     pthread_mutex_lock(&l->lock);
     if (l->ledger) ledger_tick(l->ledger, clock_now(), clock_unix());
     if (l->once) once_tick(l->once, clock_now(), clock_unix());
-    do_actions(l);
+    lane_act(l);
     pthread_mutex_unlock(&l->lock);
   }
 }
@@ -350,19 +202,16 @@
 
 /* == open and close == */
 
-static void lane_open(Fleet *f, int i) {
-  Lane *l = &f->lanes[i];
+static void open_lane(Fleet *f, int i) {
   const Member *me = &f->options.self;
   uint32_t seed = f->options.seed + (uint32_t)i * 7919u;
-  l->fleet = f;
-  pthread_mutex_init(&l->lock, NULL);
   if (i == RECORDS) {
-    l->once = once_new(me->id, me->region, seed);
-  } else {
-    l->ledger = ledger_new(me->id, me->region, seed);
-    ledger_lanes(l->ledger, LANES);
+    lane_open(&f->lanes[i], &f->host, NULL, once_new(me->id, me->region, seed));
+    return;
   }
-  l->waits = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
+  Ledger *ledger = ledger_new(me->id, me->region, seed);
+  ledger_lanes(ledger, LANES);
+  lane_open(&f->lanes[i], &f->host, ledger, NULL);
 }
 
 Fleet *fleet_open(const FleetOptions *o, Err *e) {
@@ -375,8 +224,12 @@
   f->view = view_new(NULL, 0);
   f->ids = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
   pthread_mutex_init(&f->lock, NULL);
-  for (int i = 0; i < ALL_LANES; i++) lane_open(f, i);
-  f->jobs = jobs_open(o->platform, STORE_THREADS, STORE_WAIT_S);
+  f->host =
+      (LaneHost){.peer = peer,
+                 .jobs = jobs_open(o->platform, STORE_THREADS, STORE_WAIT_S),
+                 .address = address_of,
+                 .ctx = f};
+  for (int i = 0; i < ALL_LANES; i++) open_lane(f, i);
   refresh_view(f);
   pthread_create(&f->thread, NULL, run, f);
   return f;
@@ -385,15 +238,9 @@
 void fleet_close(Fleet *f) {
   atomic_store(&f->stop, true);
   pthread_join(f->thread, NULL);
-  jobs_close(f->jobs);
+  jobs_close(f->host.jobs);
   peer_close(f->peer);
-  for (int i = 0; i < ALL_LANES; i++) {
-    Lane *l = &f->lanes[i];
-    if (l->ledger) ledger_free(l->ledger);
-    if (l->once) once_free(l->once);
-    g_hash_table_destroy(l->waits);
-    pthread_mutex_destroy(&l->lock);
-  }
+  for (int i = 0; i < ALL_LANES; i++) lane_close(&f->lanes[i]);
   member_free(f->members);
   view_free(f->view);
   g_hash_table_destroy(f->ids);
@@ -440,7 +287,7 @@
     pthread_mutex_lock(&l->lock);
     ledger_budgets(l->ledger, clock_now(), (LedgerBudget *)(void *)mine->data,
                    (int)mine->len);
-    do_ledger(l);
+    lane_act(l);
     pthread_mutex_unlock(&l->lock);
     g_array_free(mine, TRUE);
   }
@@ -471,28 +318,15 @@
   return atomic_fetch_add(&f->next_handle, 1) + 1;
 }
 
-static void wait_open(Lane *l, uint64_t handle, Wait *w) {
-  *w = (Wait){0};
-  pthread_cond_init(&w->ready, NULL);
-  g_hash_table_insert(l->waits, g_memdup2(&handle, sizeof handle), w);
-}
-
-/* The core always decides in bounded time, so this wait is bounded too. */
-static void wait_close(Lane *l, uint64_t handle, Wait *w) {
-  while (!w->done) pthread_cond_wait(&w->ready, &l->lock);
-  g_hash_table_remove(l->waits, &handle);
-  pthread_cond_destroy(&w->ready);
-}
-
 uint64_t fleet_reserve(Fleet *f, const char *budget, int64_t tokens, Err *e) {
   Lane *l = lane_of_budget(f, budget);
   uint64_t handle = new_handle(f);
-  Wait w;
+  LaneWait w;
   pthread_mutex_lock(&l->lock);
-  wait_open(l, handle, &w);
+  lane_wait_open(l, handle, &w);
   ledger_reserve(l->ledger, clock_now(), handle, budget, tokens);
-  do_ledger(l);
-  wait_close(l, handle, &w);
+  lane_act(l);
+  lane_wait(l, handle, &w);
   pthread_mutex_unlock(&l->lock);
   if (w.cause == ERR_NONE) return handle;
   err_retry(e, w.cause, w.retry_ms,
@@ -505,21 +339,21 @@
   Lane *l = lane_of_budget(f, budget);
   pthread_mutex_lock(&l->lock);
   ledger_settle(l->ledger, clock_now(), handle, used);
-  do_ledger(l);
+  lane_act(l);
   pthread_mutex_unlock(&l->lock);
 }
 
 OnceVerdict fleet_begin(Fleet *f, OnceKey key, uint64_t digest, bool ask,
                         bool repeat, FleetRun *run, OnceAnswer *answer) {
   Lane *l = records(f);
-  Wait w;
+  LaneWait w;
   run->key = key;
   run->handle = new_handle(f);
   pthread_mutex_lock(&l->lock);
-  wait_open(l, run->handle, &w);
+  lane_wait_open(l, run->handle, &w);
   once_begin(l->once, clock_now(), run->handle, key, digest, ask, repeat);
-  do_once(l);
-  wait_close(l, run->handle, &w);
+  lane_act(l);
+  lane_wait(l, run->handle, &w);
   pthread_mutex_unlock(&l->lock);
   *answer = w.answer;
   g_strlcpy(run->target, w.target, sizeof run->target);
@@ -530,19 +364,19 @@
   Lane *l = records(f);
   pthread_mutex_lock(&l->lock);
   once_at(l->once, clock_now(), run->handle, target);
-  do_once(l);
+  lane_act(l);
   pthread_mutex_unlock(&l->lock);
 }
 
 bool fleet_finish(Fleet *f, FleetRun *run, const OnceBill *bill,
                   const OnceAnswer *answer) {
   Lane *l = records(f);
-  Wait w;
+  LaneWait w;
   pthread_mutex_lock(&l->lock);
-  wait_open(l, run->handle, &w);
+  lane_wait_open(l, run->handle, &w);
   once_finish(l->once, clock_now(), run->handle, bill, answer);
-  do_once(l);
-  wait_close(l, run->handle, &w);
+  lane_act(l);
+  lane_wait(l, run->handle, &w);
   pthread_mutex_unlock(&l->lock);
   return w.doubled;
 }
@@ -551,7 +385,7 @@
   Lane *l = records(f);
   pthread_mutex_lock(&l->lock);
   once_unknown(l->once, clock_now(), run->handle);
-  do_once(l);
+  lane_act(l);
   pthread_mutex_unlock(&l->lock);
 }
 
@@ -559,7 +393,7 @@
   Lane *l = records(f);
   pthread_mutex_lock(&l->lock);
   once_abort(l->once, clock_now(), run->handle);
-  do_once(l);
+  lane_act(l);
   pthread_mutex_unlock(&l->lock);
 }
 
--- /dev/null
+++ b/packages/fleet/lane.c
@@ -0,0 +1,168 @@
+/* lane.c: carries out what a core wants, and lets request threads wait for its
+   decisions. */
+#include "fleet/lane.h"
+
+#include <string.h>
+
+#include "kernel/clock.h"
+#include "kernel/count.h"
+#include "ledger/shard.h"
+
+/* == actions of a core, under the lane's lock == */
+
+static void on_ledger_stored(void *ctx, const Job *j, PlatformAnswer *a);
+static void on_once_stored(void *ctx, const Job *j, PlatformAnswer *a);
+static void on_billed(void *ctx, const Job *j, PlatformAnswer *a);
+
+static void wake_wait(Lane *l, uint64_t handle, LaneWait *filled) {
+  LaneWait *w = g_hash_table_lookup(l->waits, &handle);
+  if (!w) {
+    g_free(filled->answer.body);
+    return;
+  }
+  w->cause = filled->cause;
+  w->retry_ms = filled->retry_ms;
+  w->verdict = filled->verdict;
+  w->answer = filled->answer;
+  w->doubled = filled->doubled;
+  g_strlcpy(w->target, filled->target, sizeof w->target);
+  w->done = true;
+  pthread_cond_signal(&w->ready);
+}
+
+static void do_ledger(Lane *l) {
+  LedgerAction a;
+  char addr[LIMIT_NAME];
+  while (ledger_next(l->ledger, &a)) {
+    Job j = {.urgent = true,
+             .done = on_ledger_stored,
+             .ctx = l,
+             .shard = a.shard,
+             .version = a.version,
+             .text = a.text};
+    switch (a.what) {
+    case LEDGER_DO_SEND:
+      if (l->host->address(l->host->ctx, a.to, addr))
+        peer_ledger(l->host->peer, addr, a.to, &a.msg);
+      break;
+    case LEDGER_DO_GET:
+    case LEDGER_DO_PUT:
+      j.kind = a.what == LEDGER_DO_PUT ? JOB_PUT : JOB_GET;
+      shard_name(a.shard, j.name);
+      jobs_add(l->host->jobs, &j);
+      break;
+    case LEDGER_DO_ANSWER:
+      wake_wait(l, a.handle, &(LaneWait){.cause = a.cause, .retry_ms = a.retry_ms});
+      break;
+    }
+  }
+}
+
+static void do_once(Lane *l) {
+  OnceAction a;
+  char addr[LIMIT_NAME];
+  while (once_next(l->once, &a)) {
+    Job j = {.ctx = l, .shard = a.shard, .version = a.version};
+    switch (a.what) {
+    case ONCE_DO_SEND:
+      if (l->host->address(l->host->ctx, a.to, addr))
+        peer_once(l->host->peer, addr, a.to, &a.msg);
+      break;
+    case ONCE_DO_GET:
+    case ONCE_DO_PUT:
+      j.kind = a.what == ONCE_DO_PUT ? JOB_PUT : JOB_GET;
+      j.urgent = true;
+      j.done = on_once_stored;
+      once_claim_name(a.shard, j.name);
+      j.text = g_steal_pointer(&a.text);
+      jobs_add(l->host->jobs, &j);
+      break;
+    case ONCE_DO_BILL:
+      j.kind = JOB_PUT;
+      j.done = on_billed;
+      g_strlcpy(j.name, a.name, sizeof j.name);
+      j.text = g_steal_pointer(&a.text);
+      jobs_add(l->host->jobs, &j);
+      break;
+    case ONCE_DO_ANSWER: {
+      LaneWait w = {.verdict = a.verdict, .answer = a.answer};
+      g_strlcpy(w.target, a.target, sizeof w.target);
+      wake_wait(l, a.handle, &w);
+      a.answer.body = NULL;
+      break;
+    }
+    case ONCE_DO_DONE:
+      wake_wait(l, a.handle, &(LaneWait){.doubled = a.doubled});
+      break;
+    }
+    once_action_clear(&a);
+  }
+}
+
+void lane_act(Lane *l) {
+  if (l->ledger) do_ledger(l);
+  if (l->once) do_once(l);
+}
+
+static void on_ledger_stored(void *ctx, const Job *j, PlatformAnswer *a) {
+  Lane *l = ctx;
+  pthread_mutex_lock(&l->lock);
+  ledger_stored(l->ledger, clock_now(), j->shard, a->kind, a->version,
+                j->kind == JOB_GET ? a->text : NULL);
+  do_ledger(l);
+  pthread_mutex_unlock(&l->lock);
+  g_free(a->text);
+}
+
+static void on_once_stored(void *ctx, const Job *j, PlatformAnswer *a) {
+  Lane *l = ctx;
+  pthread_mutex_lock(&l->lock);
+  once_stored(l->once, clock_now(), j->shard, a->kind, a->version,
+              j->kind == JOB_GET ? a->text : NULL);
+  do_once(l);
+  pthread_mutex_unlock(&l->lock);
+  g_free(a->text);
+}
+
+static void on_billed(void *ctx, const Job *j, PlatformAnswer *a) {
+  Lane *l = ctx;
+  (void)j;
+  pthread_mutex_lock(&l->lock);
+  once_billed(l->once, clock_now(), a->kind);
+  do_once(l);
+  pthread_mutex_unlock(&l->lock);
+  if (a->kind == ERR_NONE) count_add(COUNT_BILLS, 1);
+  g_free(a->text);
+}
+
+/* == waits of request threads == */
+
+void lane_wait_open(Lane *l, uint64_t handle, LaneWait *w) {
+  *w = (LaneWait){0};
+  pthread_cond_init(&w->ready, NULL);
+  g_hash_table_insert(l->waits, g_memdup2(&handle, sizeof handle), w);
+}
+
+/* The core always decides in bounded time, so this wait is bounded too. */
+void lane_wait(Lane *l, uint64_t handle, LaneWait *w) {
+  while (!w->done) pthread_cond_wait(&w->ready, &l->lock);
+  g_hash_table_remove(l->waits, &handle);
+  pthread_cond_destroy(&w->ready);
+}
+
+/* == open and close == */
+
+void lane_open(Lane *l, const LaneHost *host, Ledger *ledger, Once *once) {
+  l->host = host;
+  l->ledger = ledger;
+  l->once = once;
+  pthread_mutex_init(&l->lock, NULL);
+  l->waits = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
+}
+
+void lane_close(Lane *l) {
+  if (l->ledger) ledger_free(l->ledger);
+  if (l->once) once_free(l->once);
+  g_hash_table_destroy(l->waits);
+  pthread_mutex_destroy(&l->lock);
+}
--- a/scenario/requests.c
+++ b/scenario/requests.c
@@ -87,16 +87,16 @@
   w->sums.consumed += q->r.used;
   if (b->consumed > b->total)
     world_broke(w,
-          "budget %s: %" G_GINT64_FORMAT
-          " tokens consumed of %" G_GINT64_FORMAT,
-          b->name, b->consumed, b->total);
+                "budget %s: %" G_GINT64_FORMAT
+                " tokens consumed of %" G_GINT64_FORMAT,
+                b->name, b->consumed, b->total);
   if (q->r.once_only) {
     int n = GPOINTER_TO_INT(g_hash_table_lookup(w->runs, q->r.key)) + 1;
     g_hash_table_insert(w->runs, g_strdup(q->r.key), GINT_TO_POINTER(n));
     w->sums.runs_most = MAX(w->sums.runs_most, n);
     if (n > 1)
-      world_broke(w, "request %s, which may not be repeated, ran %d times", q->r.key,
-            n);
+      world_broke(w, "request %s, which may not be repeated, ran %d times",
+                  q->r.key, n);
   }
   Event *e = world_event(w, EV_END, q->r.node, w->now + q->r.lasts_s);
   e->request = i;
--- a/scenario/store.c
+++ b/scenario/store.c
@@ -10,8 +10,8 @@
 #define STORE_HIGH 0.02
 #define STORE_GIVES_UP 3.0 /* then a call is unknown */
 
-void store_call(World *w, int node, CallOwner owner, const char *name,
-                       bool put, int shard, uint64_t version, char *text) {
+void store_call(World *w, int node, CallOwner owner, const char *name, bool put,
+                int shard, uint64_t version, char *text) {
   double at = w->now + STORE_LOW + world_chance(w) * (STORE_HIGH - STORE_LOW);
   Event *e = world_event(w, EV_STORE, node, at);
   e->owner = owner;
