The platform's rate is shared by the instances that there are

Cause, found while working claims out for docs/CAPACITY.md: each instance might write ten times a second whatever their number. Eight keep the platform's 100; 350 would have come back from an outage with 3,500 a second.

Change: 80 writes and 1,200 reads a second of the whole fleet are divided by the members in view, ten and forty for each at most; so nothing changes up to eight instances. Two calls may always go at once. Weighed: a rate that one instance hands out (one more thing that can be lost).

The unit test fails when the rate is not taken over. Not run: an outage before a large fleet; claims at that size need more writes than this leaves (docs/CAPACITY.md).

--- a/packages/fleet/fleet.c
+++ b/packages/fleet/fleet.c
@@ -153,6 +153,7 @@
   void (*tell)(void *ctx, const View *v) = f->on_view;
   void *ctx = f->on_view_ctx;
   pthread_mutex_unlock(&f->lock);
+  if (!same) jobs_share(f->host.jobs, copy->n);
   if (!same) spread_view(f, copy);
   if (tell) tell(ctx, copy);
   view_free(copy);
--- a/packages/fleet/lane.c
+++ b/packages/fleet/lane.c
@@ -52,7 +52,8 @@
       jobs_add(l->host->jobs, &j);
       break;
     case LEDGER_DO_ANSWER:
-      wake_wait(l, a.handle, &(LaneWait){.cause = a.cause, .retry_ms = a.retry_ms});
+      wake_wait(l, a.handle,
+                &(LaneWait){.cause = a.cause, .retry_ms = a.retry_ms});
       break;
     }
   }
--- a/packages/fleet/lane.h
+++ b/packages/fleet/lane.h
@@ -1,5 +1,5 @@
-/* lane.h: one core (a part of the ledger, or the records) with its lock. The lock
-   is held for the microseconds of one event and never across a call. */
+/* lane.h: one core (a part of the ledger, or the records) with its lock. The
+   lock is held for the microseconds of one event and never across a call. */
 #ifndef FLEET_LANE_H
 #define FLEET_LANE_H
 
--- a/packages/kernel/limits.h
+++ b/packages/kernel/limits.h
@@ -47,9 +47,11 @@
 #define MEMBER_SILENT 6   /* heartbeats missed until a member is gone */
 #define MEMBER_POLL 1.0   /* the platform's list is read this often */
 
-/* == platform rates of one instance, calls a second == */
+/* == platform rates, calls a second == */
 
-#define STORE_WRITES 10.0
+#define STORE_WRITES 10.0 /* of one instance at most */
 #define STORE_READS 40.0
+#define STORE_WRITES_ALL 80.0  /* of the whole fleet; the platform takes 100 */
+#define STORE_READS_ALL 1200.0 /* and 2,000; lists and watches come on top */
 
 #endif
--- a/packages/store/jobs.c
+++ b/packages/store/jobs.c
@@ -99,6 +99,19 @@
   return j;
 }
 
+/* A small fleet need not divide: all together stay within the rates. */
+static double share(double most, double all, int instances) {
+  return MIN(most, all / MAX(instances, 1));
+}
+
+void jobs_share(Jobs *j, int instances) {
+  double now = clock_now();
+  pthread_mutex_lock(&j->lock);
+  pace_rate(&j->writes, share(STORE_WRITES, STORE_WRITES_ALL, instances), now);
+  pace_rate(&j->reads, share(STORE_READS, STORE_READS_ALL, instances), now);
+  pthread_mutex_unlock(&j->lock);
+}
+
 void jobs_add(Jobs *j, const Job *job) {
   Job *copy = g_memdup2(job, sizeof *job);
   pthread_mutex_lock(&j->lock);
--- a/packages/store/jobs.h
+++ b/packages/store/jobs.h
@@ -24,6 +24,8 @@
 typedef struct Jobs Jobs;
 
 Jobs *jobs_open(const char *addr, int threads, int wait_s);
+/* How many instances share the platform's rates; 1 until told. */
+void jobs_share(Jobs *j, int instances);
 /* Copies the job, takes over its text. */
 void jobs_add(Jobs *j, const Job *job);
 /* Waits for calls in progress; what is queued is dropped. */
--- a/packages/store/pace.c
+++ b/packages/store/pace.c
@@ -1,17 +1,32 @@
 /* pace.c: the bucket. */
 #include "store/pace.h"
 
-void pace_init(Pace *p, double rate, double now) {
+#define BURST_LEAST 2
+
+static void refill(Pace *p, double now) {
+  if (now > p->at) p->level += (now - p->at) * p->rate;
+  if (p->level > p->burst) p->level = p->burst;
+  p->at = now;
+}
+
+static void set_rate(Pace *p, double rate) {
   p->rate = rate;
-  p->burst = rate < 2 ? 2 : rate;
+  p->burst = rate < BURST_LEAST ? BURST_LEAST : rate;
+}
+
+void pace_init(Pace *p, double rate, double now) {
+  set_rate(p, rate);
   p->level = p->burst;
   p->at = now;
 }
 
+void pace_rate(Pace *p, double rate, double now) {
+  refill(p, now); /* what was earned until now, at the old rate */
+  set_rate(p, rate);
+}
+
 double pace_take(Pace *p, double now, bool urgent) {
-  if (now > p->at) p->level += (now - p->at) * p->rate;
-  if (p->level > p->burst) p->level = p->burst;
-  p->at = now;
+  refill(p, now);
   double floor = urgent ? 1 : 1 + p->burst / 2;
   if (p->level < floor) return (floor - p->level) / p->rate;
   p->level -= 1;
--- a/packages/store/pace.h
+++ b/packages/store/pace.h
@@ -11,6 +11,8 @@
 } Pace;
 
 void pace_init(Pace *p, double rate, double now);
+/* Another rate from now on. */
+void pace_rate(Pace *p, double rate, double now);
 /* Takes one call and returns 0, or takes none and returns the seconds until it
    may be tried again. Housekeeping leaves half of the burst to urgent calls. */
 double pace_take(Pace *p, double now, bool urgent);
--- a/tests/test_kernel.c
+++ b/tests/test_kernel.c
@@ -73,3 +73,19 @@
   for (int i = 0; i < 1000; i++) urgent += pace_take(&p, i * 0.01, true) <= 0;
   cr_assert(urgent >= 100 && urgent <= 105, "%d in ten seconds", urgent);
 }
+
+/* The platform's rate is of the whole fleet: after an outage all come at once.
+ */
+Test(pace, a_share_of_the_rate_from_now_on) {
+  Pace p;
+  int calls = 0;
+  pace_init(&p, 10, 0);
+  pace_rate(&p, 0.25, 0);
+  for (int i = 0; i <= 1000; i++) calls += pace_take(&p, i * 0.01, true) <= 0;
+  cr_assert_eq(calls, 4, "two at once and one each four seconds: %d", calls);
+  pace_rate(&p, 10, 10);
+  calls = 0;
+  for (int i = 0; i <= 1000; i++)
+    calls += pace_take(&p, 10 + i * 0.01, true) <= 0;
+  cr_assert(calls >= 99 && calls <= 101, "%d", calls);
+}
