Only engines' runs are told to the keeper; the target survives a lost word

Found by reading the last change again: plain services told the keeper their target for nothing, and a BEGUN that was lost and sent again no longer named the target. The four process tests of streams and bookings pass.

--- a/packages/entry/exchange.c
+++ b/packages/entry/exchange.c
@@ -136,6 +136,14 @@
            (int)c->probe);
 }
 
+/* A target was chosen; it gets the request now. */
+static void dispatched(Exchange *x) {
+  x->sent = clock_now();
+  log_route(x);
+  if (!x->service.plain) /* an engine's run can be taken up by a retry */
+    fleet_at(x->entry->fleet, &x->run, x->ticket.choice.name);
+}
+
 ExchangeStart exchange_start(Exchange *x, HttpReq *r, int64_t tokens,
                              OnceAnswer *replay, Err *err) {
   Entry *e = x->entry;
@@ -156,9 +164,7 @@
     exchange_not_run(x);
     return EXCHANGE_REFUSED;
   }
-  x->sent = clock_now();
-  log_route(x);
-  fleet_at(e->fleet, &x->run, x->ticket.choice.name);
+  dispatched(x);
   return EXCHANGE_GO;
 }
 
@@ -183,9 +189,7 @@
     allowed = allowed && reserve(x, err);
   }
   if (allowed && pool_again(x->pool, &x->ticket)) {
-    x->sent = clock_now();
-    log_route(x);
-    fleet_at(x->entry->fleet, &x->run, x->ticket.choice.name);
+    dispatched(x);
     return true;
   }
   return false;
--- a/packages/once/keeper.c
+++ b/packages/once/keeper.c
@@ -56,7 +56,7 @@
   OnceMsg a = {
       .kind = ONCE_BEGUN, .key = m->key, .nonce = m->nonce, .verdict = v};
   if (v == ONCE_RUN && !r->finished) {
-    if (r->nonce != m->nonce) g_strlcpy(a.target, r->target, sizeof a.target);
+    g_strlcpy(a.target, r->target, sizeof a.target); /* of an earlier run */
     r->nonce = m->nonce;
     r->digest = m->digest;
     r->unknown = false;
