One way to end a listener; a failed set-up of a test leaves nothing running

Read the whole change once more. http_quiesce had one caller left, and the field beside it kept what is closed at once; the platform's share is told where the view is spread. A fleet whose set-up failed was never closed by the process tests, so runs that took each other's ports left fifteen processes behind; it closes itself now.

No behaviour of the product changes.

--- a/packages/fleet/fleet.c
+++ b/packages/fleet/fleet.c
@@ -122,6 +122,7 @@
 
 static void spread_view(Fleet *f, const View *v) {
   log_info("view", "s:i", "members", v->n);
+  jobs_share(f->host.jobs, v->n);
   for (int i = 0; i < ALL_LANES; i++) {
     Lane *l = &f->lanes[i];
     pthread_mutex_lock(&l->lock);
@@ -153,7 +154,6 @@
   void (*tell)(void *ctx, const View *v) = f->on_view;
   void *ctx = f->on_view_ctx;
   pthread_mutex_unlock(&f->lock);
-  if (!same) jobs_share(f->host.jobs, copy->n);
   if (!same) spread_view(f, copy);
   if (tell) tell(ctx, copy);
   view_free(copy);
--- a/packages/http/server.c
+++ b/packages/http/server.c
@@ -19,7 +19,6 @@
   HttpHandler handler;
   HttpDone done;
   void *ctx;
-  MHD_socket listener;
 };
 
 static enum MHD_Result answer(HttpServer *s, HttpReq *r) {
@@ -106,7 +105,6 @@
   s->handler = handler;
   s->done = done;
   s->ctx = ctx;
-  s->listener = MHD_INVALID_SOCKET;
   s->daemon = MHD_start_daemon(
       MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD |
           MHD_USE_POLL | MHD_USE_ITC,
@@ -124,15 +122,9 @@
   return NULL;
 }
 
-void http_quiesce(HttpServer *s) {
-  if (s->listener == MHD_INVALID_SOCKET)
-    s->listener = MHD_quiesce_daemon(s->daemon);
-}
-
 void http_stop(HttpServer *s) {
   if (!s) return;
   MHD_stop_daemon(s->daemon);
-  if (s->listener != MHD_INVALID_SOCKET) close(s->listener);
   g_free(s);
 }
 
@@ -142,7 +134,7 @@
 static void let_in_the_last(HttpServer *s) {
   const union MHD_DaemonInfo *i =
       MHD_get_daemon_info(s->daemon, MHD_DAEMON_INFO_LISTEN_FD);
-  if (!i || s->listener != MHD_INVALID_SOCKET) return;
+  if (!i) return;
   struct sock_filter drop = BPF_STMT(BPF_RET | BPF_K, 0);
   struct sock_fprog program = {1, &drop};
   struct pollfd waiting = {i->listen_fd, POLLIN, 0};
@@ -154,9 +146,8 @@
 
 void http_finish(HttpServer *s, double wait_s) {
   let_in_the_last(s);
-  http_quiesce(s);
-  if (s->listener != MHD_INVALID_SOCKET) close(s->listener);
-  s->listener = MHD_INVALID_SOCKET;
+  MHD_socket listener = MHD_quiesce_daemon(s->daemon);
+  if (listener != MHD_INVALID_SOCKET) close(listener);
   for (double t = 0; t < wait_s && http_connections(s) > 0; t += 0.01)
     g_usleep(10000);
 }
--- a/packages/http/server.h
+++ b/packages/http/server.h
@@ -36,8 +36,6 @@
 /* `addr` is "ip:port". */
 HttpServer *http_serve(const char *addr, const HttpOptions *o,
                        HttpHandler handler, HttpDone done, void *ctx, Err *e);
-/* No new connections; those there are go on. */
-void http_quiesce(HttpServer *s);
 void http_stop(HttpServer *s);
 int http_connections(const HttpServer *s);
 /* The last steps of a stop: no new connections, and those there are get
--- a/tests/process.py
+++ b/tests/process.py
@@ -85,21 +85,30 @@
         self.engines = [self.base + 1 + i for i in range(engines)]
         self.booking = self.base + 20
         self.ports = [self.base + 30 + i for i in range(instances)]
+        try:
+            self.start(slots, token_ms)
+            if ready:
+                self.apply(self.table(slots, small))
+        except BaseException:
+            self.close()  # nothing is left running
+            raise
+
+    def start(self, slots, token_ms):
+        """Processes, until all instances know each other or, of many, answer."""
         self.spawn("platform", ["fakes/fake_platform", self.at(self.platform)])
         for i, p in enumerate(self.engines):
             self.spawn("engine%d" % i, ["fakes/fake_engine", self.at(p),
                                         str(slots), str(token_ms)])
         self.spawn("booking", ["fakes/fake_booking", self.at(self.booking)])
         wait_for("platform", lambda: call(self.platform, "GET", "/stats"))
-        for i in range(instances):
+        for i in range(self.instances):
             self.instance(i)
         for p in self.ports:
             wait_for("instance", lambda: call(p, "GET", "/healthz").status == 200)
-        if not ready:
-            return
-        wait_for("members", lambda: all(
-            len(self.admin(p, "instances").json()) == instances for p in self.ports))
-        self.apply(self.table(slots, small))
+        if not self.regions:
+            wait_for("members", lambda: all(
+                len(self.admin(p, "instances").json()) == self.instances
+                for p in self.ports))
 
     @staticmethod
     def at(port):
