A run is known to two keepers: a retry no longer starts it anew beside the first

Change: the word of where a run is goes to the first two keepers, and its end too; a retry whose keeper is silent for half a second asks the second one, which is named by id. Ruled out: load and timing of the test (the log shows the silent keeper), a keeper that is never the runner (docs/ONCE.md).

The mix's targets are told to the keepers now, too.

--- a/packages/once/keeper.c
+++ b/packages/once/keeper.c
@@ -176,10 +176,20 @@
   while (o->kept > LIMIT_KEPT && o->ages.length > 0) forget_oldest(o);
 }
 
-void keeper_at(Once *o, const OnceMsg *m) {
+/* `from` runs it at a target. Its keeper knew of the run; the second keeper
+   learns of it here. Another run that goes on is not written over. */
+void keeper_at(Once *o, const char *from, const OnceMsg *m) {
   Record *r = g_hash_table_lookup(o->records, &m->key);
-  if (r && r->nonce == m->nonce)
-    g_strlcpy(r->target, m->target, sizeof r->target);
+  if (!r) r = add_record(o, m->key);
+  bool other = r->runner[0] && r->nonce != m->nonce;
+  bool runs = other && !r->unknown && !gone(o, r->runner);
+  if (r->finished || runs) return;
+  r->nonce = m->nonce;
+  r->digest = m->digest;
+  r->unknown = false;
+  r->changed = o->now;
+  g_strlcpy(r->runner, from, sizeof r->runner);
+  g_strlcpy(r->target, m->target, sizeof r->target);
 }
 
 void keeper_abort(Once *o, const char *from, const OnceMsg *m) {
--- a/packages/once/once.c
+++ b/packages/once/once.c
@@ -8,6 +8,7 @@
 #include <xxhash.h>
 
 #define ASK_WAIT 0.5     /* a keeper that says nothing is done without */
+#define KEEPERS 2        /* know where a run is: one of them may be lost */
 #define CLAIM_WAIT 2.0   /* a claim that is not kept by then is given up */
 #define FINISH_WAIT 2.0  /* the caller waits this long for a keeper's word */
 #define KEEPER_TRIES 3   /* then another keeper is told as well */
@@ -144,10 +145,17 @@
     drop_run(o, r->handle);
 }
 
-static void tell_abort(Once *o, const Run *r) {
-  const Member *k = keeper_of(o, r->key, 0);
+/* Tells the keepers from `first` on that nobody runs it any more. */
+static void tell_end(Once *o, const Run *r, int first) {
   OnceMsg m = {.kind = ONCE_ABORT, .key = r->key, .nonce = r->nonce};
-  if (r->ask && k) once_send(o, k->id, &m);
+  for (int rank = first; r->ask && rank < KEEPERS; rank++) {
+    const Member *k = keeper_of(o, r->key, rank);
+    if (k) once_send(o, k->id, &m);
+  }
+}
+
+static void tell_abort(Once *o, const Run *r) {
+  tell_end(o, r, 0);
 }
 
 static void claim(Once *o, Run *r) {
@@ -176,14 +184,35 @@
   once_answer_run(o, r, v, answer);
 }
 
-static void ask_keeper(Once *o, Run *r) {
-  const Member *k = keeper_of(o, r->key, 0);
+static void ask_keeper(Once *o, Run *r, const Member *k) {
   OnceMsg m = {.kind = ONCE_BEGIN,
                .key = r->key,
                .nonce = r->nonce,
                .digest = r->digest};
   r->sent = o->now;
-  if (k) once_send(o, k->id, &m);
+  if (!k) return;
+  g_strlcpy(r->keeper, k->id, sizeof r->keeper);
+  once_send(o, k->id, &m);
+}
+
+static void ask_again(Once *o, Run *r) {
+  const Member *k = view_find(o->view, r->keeper);
+  ask_keeper(o, r, k ? k : keeper_of(o, r->key, 0));
+}
+
+/* The keeper says nothing: its second is asked before the request runs. Should
+   the loss have been seen meanwhile, the second is the first by now. */
+static void ask_second(Once *o, Run *r) {
+  const Member *first = keeper_of(o, r->key, 0);
+  bool same = first && strcmp(first->id, r->keeper) == 0;
+  const Member *k = same ? keeper_of(o, r->key, 1) : first;
+  if (r->second || !k) {
+    claim(o, r);
+    return;
+  }
+  r->second = true;
+  r->deadline = o->now + ASK_WAIT;
+  ask_keeper(o, r, k);
 }
 
 static void on_begun(Once *o, const OnceMsg *m) {
@@ -283,7 +312,7 @@
   case ONCE_FINISH: keeper_finish(o, from, m); break;
   case ONCE_FINISHED: on_finished(o, m); break;
   case ONCE_DURABLE: on_durable(o, m); break;
-  case ONCE_AT: keeper_at(o, m); break;
+  case ONCE_AT: keeper_at(o, from, m); break;
   case ONCE_ABORT: keeper_abort(o, from, m); break;
   case ONCE_COPY: on_copy(o, from, m); break;
   case ONCE_COPIED: keeper_copied(o, from, m); break;
@@ -362,7 +391,7 @@
   g_hash_table_insert(o->runs, &r->handle, r);
   r->state = RUN_ASKING;
   if (ask)
-    ask_keeper(o, r);
+    ask_keeper(o, r, keeper_of(o, key, 0));
   else
     claim(o, r);
   settle_loop(o);
@@ -371,11 +400,14 @@
 void once_at(Once *o, double now, uint64_t handle, const char *target) {
   o->now = now;
   Run *r = find_run(o, handle);
-  const Member *k = r && r->ask ? keeper_of(o, r->key, 0) : NULL;
-  if (!k) return; /* nobody can ask for it again */
-  OnceMsg m = {.kind = ONCE_AT, .key = r->key, .nonce = r->nonce};
+  if (!r || !r->ask) return; /* nobody can ask for it again */
+  OnceMsg m = {
+      .kind = ONCE_AT, .key = r->key, .nonce = r->nonce, .digest = r->digest};
   g_strlcpy(m.target, target, sizeof m.target);
-  once_send(o, k->id, &m);
+  for (int rank = 0; rank < KEEPERS; rank++) {
+    const Member *k = keeper_of(o, r->key, rank);
+    if (k) once_send(o, k->id, &m);
+  }
   settle_loop(o);
 }
 
@@ -390,6 +422,7 @@
   r->answer = once_answer_copy(answer, LIMIT_ANSWER);
   claim_outcome(o, r);
   send_finish(o, r);
+  tell_end(o, r, 1);
   settle_loop(o);
 }
 
@@ -440,13 +473,13 @@
   bool resend = o->now - r->sent >= ONCE_RESEND;
   switch (r->state) {
   case RUN_ASKING:
-    /* Without its keeper a repeatable request runs; a second run would be
+    /* Without its keepers a repeatable request runs; a second run would be
        consumed from the budget, but billed once. One that may not be repeated
        is still guarded by its claim. */
     if (late)
-      claim(o, r);
+      ask_second(o, r);
     else if (resend)
-      ask_keeper(o, r);
+      ask_again(o, r);
     break;
   case RUN_CLAIMING:
     if (!late) break;
--- a/packages/once/state.h
+++ b/packages/once/state.h
@@ -33,6 +33,8 @@
   bool ask, repeat, claimed;
   bool unknown;
   double deadline, sent;
+  char keeper[LIMIT_ID];   /* that is asked */
+  bool second;             /* the first one said nothing */
   int tries;               /* how often the finish was told */
   char target[LIMIT_NAME]; /* where a lost run of it may go on */
   OnceBill bill;
@@ -129,7 +131,7 @@
 
 void keeper_begin(Once *o, const char *from, const OnceMsg *m);
 void keeper_finish(Once *o, const char *from, const OnceMsg *m);
-void keeper_at(Once *o, const OnceMsg *m);
+void keeper_at(Once *o, const char *from, const OnceMsg *m);
 void keeper_abort(Once *o, const char *from, const OnceMsg *m);
 void keeper_copied(Once *o, const char *from, const OnceMsg *m);
 void keeper_tick(Once *o);
--- a/scenario/requests.c
+++ b/scenario/requests.c
@@ -98,6 +98,7 @@
       world_broke(w, "request %s, which may not be repeated, ran %d times",
                   q->r.key, n);
   }
+  once_at(w->nodes[q->r.node].once, w->now, q->handle, "target");
   Event *e = world_event(w, EV_END, q->r.node, w->now + q->r.lasts_s);
   e->request = i;
   world_schedule(w, e);
