Adapters are placed by fenced orders of a pool's home

The home of a pool keeps a plan in the store and orders only what its conditional update has kept, with the plan's version as fence and all that a target is to have as content. It repairs at once, grows and shrinks with demand between two marks and timers, and moves one adapter in ten seconds.

A first form kept an empty plan when the result of a write from an earlier time as home came while it was reading: results are numbered now (test, red without the number). A stale read would have stayed for ever where nobody checks the fence: the plan is read again each 30 s.

Proof: test_place, 13 tests; taken out by hand and seen red: the timers of growth and calm, the pause between changes (the first form of that test could not fail with one adapter; it has two now), the wait before unloading, the repeat, the result's number; the switch no_fence shows what orders before the update would do. Not built: orders for models and roles.

--- a/bin/loftpath.c
+++ b/bin/loftpath.c
@@ -192,6 +192,8 @@
   static const Column columns[] = {{"target", "name", -20},
                                    {"pool", "pool", -24},
                                    {"datacentre", "datacentre", -12},
+                                   {"adapters", "adapters", -16},
+                                   {"given", "given", -16},
                                    {"slots", "slots", 6},
                                    {"running", "running", 7},
                                    {"waiting", "waiting", 7},
--- a/bin/loftpathd.c
+++ b/bin/loftpathd.c
@@ -9,6 +9,7 @@
 #include <unistd.h>
 
 #include "entry/entry.h"
+#include "entry/placer.h"
 #include "entry/watch.h"
 #include "kernel/clock.h"
 #include "kernel/log.h"
@@ -143,7 +144,18 @@
   watch_close(s->state);
 }
 
+static bool start_placer(Service *s, Err *e) {
+  (void)e;
+  s->state = placer_open(service_find(&kernel, "entry"));
+  return true;
+}
+
+static void stop_placer(Service *s) {
+  placer_close(s->state);
+}
+
 static Service services[] = {
+    {"placer", {"entry", "watch"}, start_placer, NULL, stop_placer, NULL},
     {"watch", {"entry"}, start_watch, NULL, stop_watch, NULL},
     {"entry",
      {"fleet", "snapshots", "pools"},
--- a/fakes/engine.c
+++ b/fakes/engine.c
@@ -3,9 +3,9 @@
    time by uncached prompt bytes and a steady time between tokens.
 
    POST /v1/chat/completions, GET /resume?id=&from=, POST /cancel?id=, GET
-   /load, GET /stats, POST /fault?mode=M&ms=N  modes: none, slow (times ten),
-   error, cut (ends a stream after three tokens), drop (breaks its connection
-   there, the run can be resumed), hang. */
+   /load, POST /adapters?fence=N, GET /stats, POST /fault?mode=M&ms=N  modes:
+   none, slow (times ten), error, cut (ends a stream after three tokens), drop
+   (breaks its connection there, the run can be resumed), hang. */
 #include <glib.h>
 #include <pthread.h>
 #include <stdio.h>
@@ -42,6 +42,12 @@
 static GHashTable *prefixes, *by_id;
 static GHashTable *parked; /* id -> Run without a connection */
 static char mode[16] = "none", asked_model[64] = "";
+/* Adapters that it was ordered to have: fenced, and slow to load. */
+#define LOAD_US 300000
+static json_t *adapters, *coming;
+static uint64_t fence;
+static int64_t orders, late_orders;
+static gint64 loaded_at;
 
 /* == slots, by priority == */
 
@@ -339,25 +345,55 @@
   return fake_reply(status, 200, o);
 }
 
+static struct MHD_Response *order(const HttpReq *q, int *status) {
+  const char *f = http_arg(q, "fence");
+  uint64_t n = f ? strtoull(f, NULL, 10) : 0;
+  json_t *body = json_loadb(q->body->str, q->body->len, 0, NULL);
+  json_t *list = json_object_get(body, "adapters");
+  gint64 now = g_get_monotonic_time();
+  pthread_mutex_lock(&lock);
+  bool late = n < fence;
+  orders++;
+  late_orders += late;
+  if (!late && !json_equal(coming, list)) {
+    json_decref(coming);
+    coming = json_incref(list);
+    loaded_at = now + LOAD_US;
+  }
+  if (!late) fence = n;
+  bool loading = now < loaded_at;
+  if (!loading) {
+    json_decref(adapters);
+    adapters = json_incref(coming);
+  }
+  pthread_mutex_unlock(&lock);
+  json_decref(body);
+  if (late) return fake_reply(status, 409, json_object());
+  return fake_reply(status, 200, json_pack("{s:b}", "loading", (int)loading));
+}
+
 static struct MHD_Response *handle(void *ctx, HttpReq *r, int *status) {
   (void)ctx;
   if (strcmp(r->path, "/v1/chat/completions") == 0) return complete(r, status);
   if (strcmp(r->path, "/resume") == 0) return resume(r, status);
   if (strcmp(r->path, "/cancel") == 0) return cancel(r, status);
   if (strcmp(r->path, "/load") == 0) return load(status);
+  if (strcmp(r->path, "/adapters") == 0) return order(r, status);
   if (strcmp(r->path, "/fault") == 0) {
     const char *m = http_arg(r, "mode");
     g_strlcpy(mode, m ? m : "none", sizeof mode);
     return fake_reply(status, 200, json_object());
   }
   if (strcmp(r->path, "/stats") == 0)
-    return fake_reply(status, 200,
-                      json_pack("{s:s,s:I,s:I,s:I,s:I,s:I,s:I}", "model",
-                                asked_model, "resumed", (json_int_t)resumed,
-                                "tokens", (json_int_t)tokens, "prompt_tokens",
-                                (json_int_t)prompts, "runs", (json_int_t)runs,
-                                "cancelled", (json_int_t)cancelled, "cached",
-                                (json_int_t)cached_tokens));
+    return fake_reply(
+        status, 200,
+        json_pack("{s:s,s:I,s:I,s:I,s:I,s:I,s:I,s:O,s:I,s:I}", "model",
+                  asked_model, "resumed", (json_int_t)resumed, "tokens",
+                  (json_int_t)tokens, "prompt_tokens", (json_int_t)prompts,
+                  "runs", (json_int_t)runs, "cancelled", (json_int_t)cancelled,
+                  "cached", (json_int_t)cached_tokens, "adapters", adapters,
+                  "orders", (json_int_t)orders, "late_orders",
+                  (json_int_t)late_orders));
   return fake_reply(status, 404, json_object());
 }
 
@@ -371,6 +407,8 @@
   if (argc > 3) token_ms = atoi(argv[3]);
   if (argc > 4) prefill_us = atof(argv[4]);
   prefixes = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+  adapters = json_array();
+  coming = json_array();
   by_id = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
   parked = g_hash_table_new(g_str_hash, g_str_equal);
   pthread_t reaper;
--- a/packages/entry/pool.c
+++ b/packages/entry/pool.c
@@ -22,6 +22,7 @@
   Queue *queue;
   Route *route;
   GHashTable *turns; /* handle -> Turn */
+  GHashTable *asked; /* adapter -> requests since the last look */
   uint64_t next;
   int64_t ejections; /* counted so far */
 };
@@ -41,6 +42,7 @@
   p->queue = queue_new();
   p->route = route_new(seed, ROUTE_OURS);
   p->turns = g_hash_table_new(g_int64_hash, g_int64_equal);
+  p->asked = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
   return p;
 }
 
@@ -49,6 +51,7 @@
   queue_free(p->queue);
   route_free(p->route);
   g_hash_table_destroy(p->turns);
+  g_hash_table_destroy(p->asked);
   pthread_mutex_destroy(&p->lock);
   g_free(p);
 }
@@ -96,12 +99,40 @@
                    p->name);
 }
 
+/* Demand counts, whether it can be served or not. */
+static void count_asked(Pool *p, const char *adapter) {
+  if (!adapter || !adapter[0]) return;
+  int n = GPOINTER_TO_INT(g_hash_table_lookup(p->asked, adapter));
+  g_hash_table_insert(p->asked, g_strdup(adapter), GINT_TO_POINTER(n + 1));
+}
+
+int pool_asked(Pool *p, const char *adapter) {
+  pthread_mutex_lock(&p->lock);
+  int n = GPOINTER_TO_INT(g_hash_table_lookup(p->asked, adapter));
+  g_hash_table_remove(p->asked, adapter);
+  pthread_mutex_unlock(&p->lock);
+  return n;
+}
+
+void pool_given(Pool *p, const Plan *plan) {
+  pthread_mutex_lock(&p->lock);
+  for (int i = 0; i < route_count(p->route); i++) {
+    RouteState s = route_state(p->route, 0, i);
+    char list[LIMIT_ADAPTERS] = "";
+    plan_adapters(plan, s.target.name, 1 << PLAN_LOADED, list);
+    route_given(p->route, s.target.name, list);
+  }
+  pump(p);
+  pthread_mutex_unlock(&p->lock);
+}
+
 bool pool_enter(Pool *p, PoolTicket *t, Err *e) {
   double now = clock_now();
   Turn turn = {.ticket = t};
   int retry_ms = 1000;
   pthread_mutex_lock(&p->lock);
   t->item.handle = ++p->next;
+  count_asked(p, t->ask.adapter);
   ErrKind refused = ERR_NO_TARGET;
   if (any_target(p, now))
     refused =
@@ -210,7 +241,8 @@
     if (r->kind != TABLE_TARGET) continue;
     pool_of_target(r, name, sizeof name);
     if (strcmp(name, p->name) != 0) continue;
-    RouteTarget x = {.slots = (int)r->numbers[TABLE_SLOTS]};
+    RouteTarget x = {.slots = (int)r->numbers[TABLE_SLOTS],
+                     .loads = (int)r->numbers[TABLE_LOADS]};
     g_strlcpy(x.name, r->name, sizeof x.name);
     g_strlcpy(x.url, r->cells[TABLE_URL], sizeof x.url);
     g_strlcpy(x.dc, r->cells[TABLE_DATACENTRE], sizeof x.dc);
@@ -268,23 +300,33 @@
   return waiting;
 }
 
-void pools_each(Pools *p,
-                void (*fn)(void *ctx, const char *pool, const RouteState *s),
-                void *ctx) {
+void pool_each(Pool *p, PoolVisit *fn, void *ctx) {
+  for (int k = 0;; k++) {
+    pthread_mutex_lock(&p->lock);
+    bool ok = k < route_count(p->route);
+    RouteState s = {0};
+    if (ok) s = route_state(p->route, clock_now(), k);
+    pthread_mutex_unlock(&p->lock);
+    if (!ok) return;
+    fn(ctx, p->name, &s);
+  }
+}
+
+void pools_each(Pools *p, PoolVisit *fn, void *ctx) {
   GList *all = pools_list(p);
+  for (GList *i = all; i; i = i->next) pool_each(i->data, fn, ctx);
+  g_list_free(all);
+}
+
+GList *pools_models(Pools *p) {
+  GList *all = pools_list(p), *models = NULL;
   for (GList *i = all; i; i = i->next) {
     Pool *pool = i->data;
-    for (int k = 0;; k++) {
-      pthread_mutex_lock(&pool->lock);
-      bool ok = k < route_count(pool->route);
-      RouteState s = {0};
-      if (ok) s = route_state(pool->route, clock_now(), k);
-      pthread_mutex_unlock(&pool->lock);
-      if (!ok) break;
-      fn(ctx, pool->name, &s);
-    }
+    if (g_str_has_prefix(pool->name, "model/"))
+      models = g_list_prepend(models, pool->name);
   }
   g_list_free(all);
+  return models;
 }
 
 void pools_report(Pools *p, const char *name, const char *target, bool heard,
--- a/packages/entry/pool.h
+++ b/packages/entry/pool.h
@@ -4,6 +4,7 @@
 #define ENTRY_POOL_H
 
 #include "kernel/err.h"
+#include "place/plan.h"
 #include "queue/queue.h"
 #include "route/route.h"
 #include "table/table.h"
@@ -24,13 +25,20 @@
 /* Lets waits end and turns come; true while somebody waits: then call again
    within 20 ms. */
 bool pools_tick(Pools *p);
-/* Calls `fn` for each target, outside any lock of the request path. */
-void pools_each(Pools *p,
-                void (*fn)(void *ctx, const char *pool, const RouteState *s),
-                void *ctx);
+/* Called for a target of a pool, outside any lock of the request path. */
+typedef void PoolVisit(void *ctx, const char *pool, const RouteState *s);
+void pool_each(Pool *p, PoolVisit *fn, void *ctx);
+void pools_each(Pools *p, PoolVisit *fn, void *ctx);
+/* Names of the pools of models, which last as long as `p`; g_list_free. */
+GList *pools_models(Pools *p);
 void pools_report(Pools *p, const char *pool, const char *target, bool heard,
                   int running, int waiting, double path_s);
 
+/* Requests that asked for an adapter since the last call. */
+int pool_asked(Pool *p, const char *adapter);
+/* Which adapters its targets have loaded by order. */
+void pool_given(Pool *p, const Plan *plan);
+
 /* A request in a pool. */
 typedef struct PoolTicket {
   QueueItem item;
--- a/packages/kernel/limits.h
+++ b/packages/kernel/limits.h
@@ -6,6 +6,7 @@
 
 #define LIMIT_ID 48           /* bytes of an instance id, "name.incarnation" */
 #define LIMIT_NAME 64         /* bytes of a customer, service or budget name */
+#define LIMIT_ADAPTERS 256    /* bytes of a list of adapters, a;b */
 #define LIMIT_SHARDS 256      /* budget shards; part of the stored format */
 #define LIMIT_CLAIM_SHARDS 32 /* claim shards; stored format too */
 #define LIMIT_VALUE (1 << 20) /* bytes of one platform object */
--- /dev/null
+++ b/packages/kernel/list.h
@@ -0,0 +1,15 @@
+/* list.h: names in one text, separated by ';', as cells of the table have them.
+ */
+#ifndef KERNEL_LIST_H
+#define KERNEL_LIST_H
+
+#include <stdbool.h>
+#include <stddef.h>
+
+/* True when `list` names `item`. */
+bool list_has(const char *list, const char *item);
+/* Adds `item` to `list` of `size` bytes unless it is there; false when there is
+   no room. */
+bool list_add(char *list, size_t size, const char *item);
+
+#endif
--- /dev/null
+++ b/packages/place/plan.c
@@ -0,0 +1,120 @@
+/* plan.c: plans as text, and lists of adapters. */
+#include "place/plan.h"
+
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "kernel/list.h"
+
+static const char *const states[PLAN_STATES] = {"loading", "loaded", "leaving"};
+
+/* == items == */
+
+Plan *plan_new(void) {
+  Plan *p = g_new0(Plan, 1);
+  p->items = g_array_new(FALSE, TRUE, sizeof(PlanItem));
+  return p;
+}
+
+void plan_free(Plan *p) {
+  if (!p) return;
+  g_array_free(p->items, TRUE);
+  g_free(p);
+}
+
+Plan *plan_copy(const Plan *p) {
+  Plan *c = plan_new();
+  if (p->items->len)
+    g_array_append_vals(c->items, p->items->data, p->items->len);
+  return c;
+}
+
+static int find(const Plan *p, const char *target, const char *adapter) {
+  for (guint i = 0; i < p->items->len; i++) {
+    const PlanItem *x = &g_array_index(p->items, PlanItem, i);
+    if (strcmp(x->target, target) == 0 && strcmp(x->adapter, adapter) == 0)
+      return (int)i;
+  }
+  return -1;
+}
+
+PlanItem *plan_find(const Plan *p, const char *target, const char *adapter) {
+  int i = find(p, target, adapter);
+  return i < 0 ? NULL : &g_array_index(p->items, PlanItem, i);
+}
+
+static gint by_name(gconstpointer a, gconstpointer b) {
+  const PlanItem *x = a, *y = b;
+  int d = strcmp(x->target, y->target);
+  return d ? d : strcmp(x->adapter, y->adapter);
+}
+
+void plan_set(Plan *p, const char *target, const char *adapter, PlanState s) {
+  PlanItem *x = plan_find(p, target, adapter);
+  if (x) {
+    x->state = s;
+    return;
+  }
+  PlanItem new = {.state = s};
+  g_strlcpy(new.target, target, sizeof new.target);
+  g_strlcpy(new.adapter, adapter, sizeof new.adapter);
+  g_array_append_val(p->items, new);
+  g_array_sort(p->items, by_name);
+}
+
+void plan_remove(Plan *p, const char *target, const char *adapter) {
+  int i = find(p, target, adapter);
+  if (i >= 0) g_array_remove_index(p->items, (guint)i);
+}
+
+void plan_adapters(const Plan *p, const char *target, int mask, char *list) {
+  for (guint i = 0; i < p->items->len; i++) {
+    const PlanItem *x = &g_array_index(p->items, PlanItem, i);
+    bool wanted = (mask & 1 << x->state) != 0;
+    if (wanted && strcmp(x->target, target) == 0)
+      list_add(list, LIMIT_ADAPTERS, x->adapter);
+  }
+}
+
+/* == text == */
+
+char *plan_text(const Plan *p) {
+  json_t *all = json_array();
+  for (guint i = 0; i < p->items->len; i++) {
+    const PlanItem *x = &g_array_index(p->items, PlanItem, i);
+    json_array_append_new(all, json_pack("{s:s,s:s,s:s}", "target", x->target,
+                                         "adapter", x->adapter, "state",
+                                         states[x->state]));
+  }
+  char *text = json_dumps(all, JSON_COMPACT), *copy = g_strdup(text);
+  free(text);
+  json_decref(all);
+  return copy;
+}
+
+static int state_of(const char *name) {
+  for (int i = 0; i < PLAN_STATES; i++)
+    if (strcmp(name, states[i]) == 0) return i;
+  return -1;
+}
+
+Plan *plan_read(const char *text) {
+  json_t *all = text ? json_loads(text, 0, NULL) : NULL, *o;
+  if (!json_is_array(all)) {
+    json_decref(all);
+    return NULL;
+  }
+  Plan *p = plan_new();
+  size_t i;
+  json_array_foreach(all, i, o) {
+    const char *target, *adapter, *state;
+    int s = json_unpack(o, "{s:s,s:s,s:s}", "target", &target, "adapter",
+                        &adapter, "state", &state) == 0
+                ? state_of(state)
+                : -1;
+    if (s >= 0) plan_set(p, target, adapter, (PlanState)s);
+  }
+  json_decref(all);
+  return p;
+}
--- a/packages/route/route.c
+++ b/packages/route/route.c
@@ -5,6 +5,8 @@
 #include <string.h>
 #include <xxhash.h>
 
+#include "kernel/list.h"
+
 #define EWMA 0.1      /* weight of a new sample */
 #define PATH_EWMA 0.3 /* the same; the path is seldom measured */
 #define FAILS 3       /* failures in a row that eject */
@@ -20,6 +22,7 @@
 
 typedef struct State {
   RouteTarget t;
+  const char *given; /* interned: adapters that it was ordered to load */
   bool leaving;
   int running, waiting; /* as reported */
   int own;              /* our dispatches in progress */
@@ -70,6 +73,7 @@
 static State *state_new(const RouteTarget *t) {
   State *s = g_new0(State, 1);
   s->t = *t;
+  s->given = "";
   s->path_s = 0.001;
   s->prefill_s = 0.0001;
   s->service_s = 1.0;
@@ -126,6 +130,11 @@
   r->list = next;
 }
 
+void route_given(Route *r, const char *name, const char *adapters) {
+  State *s = find(r, name);
+  if (s) s->given = g_intern_string(adapters);
+}
+
 void route_leaving(Route *r, const char *name, bool leaving) {
   State *s = find(r, name);
   if (s) s->leaving = leaving;
@@ -278,29 +287,23 @@
   return false;
 }
 
-/* Whether `item` stands in `list`, whose parts are separated by ';'. */
-static bool has_part(const char *list, const char *item) {
-  size_t n = strlen(item);
-  for (const char *p = list; p; p = strchr(p, ';')) {
-    if (*p == ';') p++;
-    if (strncmp(p, item, n) == 0 && (p[n] == ';' || p[n] == '\0')) return true;
-  }
-  return false;
-}
-
 static bool asked(const char *what) {
   return what && what[0];
 }
 
-static bool fits(const RouteTarget *t, const RouteAsk *ask) {
-  if (asked(ask->adapter) && !has_part(t->adapters, ask->adapter)) return false;
+static bool fits(const State *s, const RouteAsk *ask) {
+  const RouteTarget *t = &s->t;
+  const char *adapter = ask->adapter;
+  if (asked(adapter) && !list_has(t->adapters, adapter) &&
+      !list_has(s->given, adapter))
+    return false;
   if (asked(ask->version) && strcmp(t->version, ask->version) != 0)
     return false;
-  return !asked(ask->dcs) || has_part(ask->dcs, t->dc);
+  return !asked(ask->dcs) || list_has(ask->dcs, t->dc);
 }
 
 static bool may_take(const State *s, double now, const RouteAsk *ask) {
-  if (s->leaving || tried(ask, s->t.name) || !fits(&s->t, ask)) return false;
+  if (s->leaving || tried(ask, s->t.name) || !fits(s, ask)) return false;
   if (!s->ejected) return true;
   return now >= s->ejected_until && !s->probing; /* one probe at a time */
 }
@@ -429,6 +432,7 @@
 RouteState route_state(const Route *r, double now, int i) {
   const State *s = r->list->pdata[i];
   return (RouteState){.target = s->t,
+                      .given = s->given,
                       .running = s->running,
                       .waiting = s->waiting,
                       .own = s->own,
--- a/packages/route/route.h
+++ b/packages/route/route.h
@@ -17,9 +17,10 @@
   char name[LIMIT_NAME];
   char url[LIMIT_NAME]; /* ip:port */
   char dc[LIMIT_NAME];
-  char adapters[LIMIT_NAME]; /* loaded ones, separated by ';' */
+  char adapters[LIMIT_ADAPTERS]; /* loaded ones, separated by ';' */
   char version[LIMIT_NAME];
   int slots;
+  int loads; /* adapters that the fleet may load there besides */
 } RouteTarget;
 
 /* What is known of the request. */
@@ -67,6 +68,8 @@
 void route_targets(Route *r, const RouteTarget *list, int n);
 /* How many instances choose among these targets, ourselves included. */
 void route_peers(Route *r, int n);
+/* Adapters that the target has loaded by the fleet's order. */
+void route_given(Route *r, const char *name, const char *adapters);
 /* The platform says that a target leaves, or no longer. */
 void route_leaving(Route *r, const char *name, bool leaving);
 #define ROUTE_PATH_UNKNOWN (-1.0)
@@ -98,6 +101,7 @@
 /* One line of state for operators. */
 typedef struct RouteState {
   RouteTarget target;
+  const char *given; /* interned */
   int running, waiting, own;
   bool leaving, ejected;
   double age, path_s;
--- a/packages/table/table.c
+++ b/packages/table/table.c
@@ -45,6 +45,9 @@
     [TABLE_SLOTS] = {"slots", NUMBER, IN(TABLE_TARGET), 8, 1, 100000},
     [TABLE_TOKENS] = {"tokens", NUMBER, IN(TABLE_BUDGET), 0, 0, 1LL << 60},
     [TABLE_RESERVE] = {"reserve", NUMBER, IN(TABLE_BUDGET), 600, 0, 1000000},
+    [TABLE_LOADS] = {"loads", NUMBER, IN(TABLE_TARGET), 0, 0, 16},
+    [TABLE_LEAST] = {"least", NUMBER, IN(TABLE_SERVICE), 1, 0, 100000},
+    [TABLE_MOST] = {"most", NUMBER, IN(TABLE_SERVICE), 0, 0, 100000},
 };
 
 const char *table_kind_name(TableKind kind) {
--- a/packages/table/table.h
+++ b/packages/table/table.h
@@ -37,6 +37,9 @@
   TABLE_SLOTS,      /* target: requests at once */
   TABLE_TOKENS,     /* budget: prepaid tokens in all */
   TABLE_RESERVE,    /* budget: seconds of demand laid up per region */
+  TABLE_LOADS,      /* target: adapters that the fleet may load there */
+  TABLE_LEAST,      /* service: targets that are to have its adapter, */
+  TABLE_MOST,       /* at least and at most, 0 all */
   TABLE_COLUMNS
 } TableColumn;
 
--- a/packages/target/engine.c
+++ b/packages/target/engine.c
@@ -1,7 +1,10 @@
 /* engine.c: the adapter for engines that speak the public chat format. */
 #include "target/engine.h"
 
+#include <glib.h>
+#include <inttypes.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "kernel/clock.h"
@@ -35,12 +38,15 @@
   return http_open(c, &(HttpCall){.method = "GET", .path = path}, false, a);
 }
 
-static json_t *control(const char *url, const char *method, const char *path) {
+/* A short call; the answer's JSON if its status is 200. */
+static json_t *control(const char *url, const HttpCall *call, int *status) {
   HttpClient *c = http_client(url, CONTROL_S, CONTROL_S);
   HttpAnswer a;
+  *status = 0;
   if (!c) return NULL;
-  http_call(c, &(HttpCall){.method = method, .path = path}, 1 << 16, &a);
+  http_call(c, call, 1 << 16, &a);
   json_t *o = NULL;
+  *status = a.status;
   if (a.status == 200 && a.whole)
     o = json_loadb(a.body->str, a.body->len, 0, NULL);
   http_answer_free(&a);
@@ -48,10 +54,38 @@
   return o;
 }
 
+static json_t *ask(const char *url, const char *method, const char *path) {
+  int status;
+  return control(url, &(HttpCall){.method = method, .path = path}, &status);
+}
+
+EngineOrder engine_adapters(const char *url, uint64_t fence, const char *list) {
+  char path[64];
+  int status, busy = 0;
+  json_t *names = json_array();
+  char **parts = g_strsplit(list, ";", -1);
+  for (int i = 0; parts[i]; i++)
+    if (parts[i][0]) json_array_append_new(names, json_string(parts[i]));
+  g_strfreev(parts);
+  json_t *body = json_pack("{s:o}", "adapters", names);
+  char *text = json_dumps(body, JSON_COMPACT);
+  snprintf(path, sizeof path, "/adapters?fence=%" PRIu64, fence);
+  HttpCall call = {
+      .method = "POST", .path = path, .body = text, .len = strlen(text)};
+  json_t *o = control(url, &call, &status);
+  bool ok = o && json_unpack(o, "{s:b}", "loading", &busy) == 0;
+  free(text);
+  json_decref(body);
+  json_decref(o);
+  if (status == 409) return ENGINE_FENCED;
+  if (!ok) return ENGINE_FAILED;
+  return busy ? ENGINE_BUSY : ENGINE_DONE;
+}
+
 int64_t engine_cancel(const char *url, const char *id) {
   char path[192];
   snprintf(path, sizeof path, "/cancel?id=%s", id);
-  json_t *o = control(url, "POST", path);
+  json_t *o = ask(url, "POST", path);
   json_int_t prompt, output;
   int64_t n = -1;
   if (o && json_unpack(o, "{s:I,s:I}", "prompt_tokens", &prompt,
@@ -63,7 +97,7 @@
 
 bool engine_load(const char *url, EngineLoad *load, double *path_s) {
   double before = clock_now();
-  json_t *o = control(url, "GET", "/load");
+  json_t *o = ask(url, "GET", "/load");
   *path_s = clock_now() - before;
   bool ok = o && json_unpack(o, "{s:i,s:i}", "running", &load->running,
                              "waiting", &load->waiting) == 0;
--- a/tests/process.py
+++ b/tests/process.py
@@ -588,6 +588,44 @@
     assert (a.status, a.kind(), a.ran) == (503, "no-target", "not-run"), a.body
 
 
+def test_adapters_are_placed_by_fenced_orders(f):
+    """The home of a pool loads what services ask for, and only there do requests
+    go; its successor goes on with a higher fence."""
+    def edit(least):
+        csv = f.table(8, 3000).split("\n")
+        rows = [csv[0] + ",adapter,loads,least"] + [r + ",,," for r in csv[1:] if r]
+        rows = [r[:-3] + ",,1," if ",nord,8,," in r else r for r in rows]
+        rows += ["service,tuned,,,m,3,,8000,400,,,,,,,tuned,,%d" % least]
+        f.apply("\n".join(rows) + "\n")
+
+    def loaded():
+        return [e for e in f.engines if "tuned" in f.stats(e)["adapters"]]
+
+    edit(1)
+    wait_for("the adapter", lambda: f.chat(f.ports[0], model="tuned").status == 200)
+    assert len(loaded()) == 1
+    at = loaded()[0]
+    before = f.stats(at)["runs"]
+    for i in range(6):
+        a = wait_for("the others to know", lambda: [a for a in [f.chat(
+            f.ports[i % 3], model="tuned")] if a.status == 200])[0]
+        assert a.status == 200
+    assert f.stats(at)["runs"] == before + 6
+    # The home goes; the next one carries out the next edit.
+    homes = [i for i in range(3) if '"event":"place"' in open(
+        os.path.join(f.dir, "i%d.log" % i)).read()]
+    assert len(homes) == 1, homes
+    f.kill("i%d" % homes[0])
+    f.ports.remove(f.ports[homes[0]])
+    edit(2)
+    wait_for("both", lambda: len(loaded()) == 2)
+    # What comes with an older fence is refused and changes nothing.
+    order = call(at, "POST", "/adapters?fence=0", '{"adapters":[]}')
+    assert order.status == 409 and at in loaded(), order.status
+    assert all(f.stats(e)["late_orders"] == (e == at) for e in f.engines)
+    wait_for("the screen", lambda: f.cli("targets").stdout.count("tuned") == 2)
+
+
 def test_failing_targets_make_no_storm(f):
     """Half of the targets fail at once: attempts stay bounded."""
     f.fault(f.engines[0], "error")
