--- a/bench/budget.c
+++ b/bench/budget.c
@@ -13,6 +13,7 @@
 #define CUSTOMERS 10
 #define STEP_S 0.25
 #define RUN_S 1800
+#define SEEDS 4 /* runs of ours, added up: refusals are few */
 
 typedef struct Shape {
   const char *name;
@@ -90,9 +91,9 @@
   if (t == outage + 120) world_store(w, WORLD_STORE_UP);
 }
 
-static Result run(const Shape *s, bool faults) {
-  World *w = world_new(7, (WorldFaults){0});
-  GRand *r = g_rand_new_with_seed(42);
+static Result run(const Shape *s, bool faults, uint32_t seed) {
+  World *w = world_new(7 + seed, (WorldFaults){0});
+  GRand *r = g_rand_new_with_seed(42 + seed);
   Result out = {0};
   bool dead[NODES] = {false};
   char name[LIMIT_NAME];
@@ -135,6 +136,21 @@
   return out;
 }
 
+static void add(Result *all, const Result *x) {
+  WorldSums *a = &all->sums;
+  const WorldSums *b = &x->sums;
+  all->total += x->total;
+  all->stranded += x->stranded;
+  all->early += x->early;
+  all->overspent += x->overspent;
+  a->requests += b->requests;
+  a->done += b->done;
+  a->false_refused += b->false_refused;
+  a->writes += b->writes;
+  a->reads += b->reads;
+  a->bytes += b->bytes;
+}
+
 /* == baselines == */
 
 /* Equal static split: each instance has an eighth of each budget. A killed
@@ -219,7 +235,7 @@
 
 /* == printing == */
 
-static void print(const Shape *s, bool faults, const char *how,
+static void print(const Shape *s, bool faults, const char *how, int runs,
                   const Result *x) {
   double n = (double)(x->sums.done + x->sums.false_refused);
   printf("{\"bench\":\"budget\",\"shape\":\"%s\",\"faults\":%s,\"ledger\":"
@@ -232,20 +248,25 @@
          x->sums.done, x->overspent, 1e6 * (double)x->sums.false_refused / n,
          1e6 * (double)x->early / n, x->stranded,
          1e6 * (double)x->stranded / (double)x->total,
-         (double)x->sums.writes / RUN_S, (double)x->sums.reads / RUN_S,
-         (double)x->sums.bytes / RUN_S / NODES);
+         (double)x->sums.writes / RUN_S / runs,
+         (double)x->sums.reads / RUN_S / runs,
+         (double)x->sums.bytes / RUN_S / NODES / runs);
   fflush(stdout);
 }
 
 int main(void) {
   for (size_t i = 0; i < G_N_ELEMENTS(shapes); i++) {
     for (int faults = 0; faults <= 1; faults++) {
-      Result ours = run(&shapes[i], faults);
+      Result ours = {0};
+      for (uint32_t seed = 0; seed < SEEDS; seed++) {
+        Result one = run(&shapes[i], faults, seed);
+        add(&ours, &one);
+      }
       Result split = static_split(&shapes[i], faults);
       Result each = write_each(&shapes[i], faults);
-      print(&shapes[i], faults, "ours", &ours);
-      print(&shapes[i], faults, "static split", &split);
-      print(&shapes[i], faults, "write each", &each);
+      print(&shapes[i], faults, "ours", SEEDS, &ours);
+      print(&shapes[i], faults, "static split", 1, &split);
+      print(&shapes[i], faults, "write each", 1, &each);
     }
   }
   return 0;
--- a/packages/ledger/home.c
+++ b/packages/ledger/home.c
@@ -118,7 +118,7 @@
   do g->id = (uint64_t)g_rand_int(l->rng) << 32 | g_rand_int(l->rng);
   while (g->id == 0);
   g->shares = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-  witness_pick(l, g->id, g->witness);
+  witness_pick(l, g->id, "", g->witness);
   return g;
 }
 
@@ -275,7 +275,12 @@
                         const LedgerMsg *m) {
   /* The switch adds up what is cumulative. */
   int64_t twice = l->faults.add_reports ? s->returned : 0;
+  int64_t before = h->held->back;
   take_counts(h->held, s, m->returned + twice, m->spent);
+  /* Demand is what is used, not what was reserved at most. */
+  double back = (double)(h->held->back - before);
+  h->rate = MAX(0, h->rate - back / RATE_TAU);
+  h->slow = MAX(0, h->slow - back / SLOW_TAU);
 }
 
 void home_draw(Ledger *l, const char *from, const LedgerMsg *m) {
--- a/packages/ledger/state.h
+++ b/packages/ledger/state.h
@@ -78,7 +78,9 @@
   int64_t given, back, spent; /* sums over shares */
   int64_t limit, limit_asked;
   double raise_sent;
-  GHashTable *shares; /* holder id -> Share */
+  double unanswered;     /* the first RAISE since the witness spoke; 0: none */
+  char silent[LIMIT_ID]; /* a witness that did not answer, "" none */
+  GHashTable *shares;    /* holder id -> Share */
   int64_t stored_spent, stored_returned;
 } Held;
 
@@ -218,9 +220,11 @@
 
 /* == witness.c == */
 
-/* Another instance of our region, of another data centre if there is one; to
-   `out` of LIMIT_ID bytes, "" when there is none. */
-void witness_pick(const Ledger *l, uint64_t grant, char *out);
+/* Another instance of our region, of another data centre if there is one, and
+   not `silent` if there is another; to `out` of LIMIT_ID bytes, "" when there
+   is none. */
+void witness_pick(const Ledger *l, uint64_t grant, const char *silent,
+                  char *out);
 int64_t witness_room(const Held *g);
 void witness_want(Ledger *l, HomeBudget *h, int64_t n);
 void witness_raise(Ledger *l, const char *from, const LedgerMsg *m);
--- a/packages/ledger/witness.c
+++ b/packages/ledger/witness.c
@@ -5,6 +5,8 @@
 
 #include <string.h>
 
+#define SILENT 0.5 /* seconds until an unanswered witness is replaced */
+
 /* == the witness's side == */
 
 static Witnessed *witnessed(Ledger *l, uint64_t grant) {
@@ -53,17 +55,22 @@
   return g->limit - g->given;
 }
 
-/* Another instance of our region, of another data centre if there is one. */
-void witness_pick(const Ledger *l, uint64_t grant, char *out) {
-  out[0] = '\0';
+void witness_pick(const Ledger *l, uint64_t grant, const char *silent,
+                  char *out) {
   const Member *self = view_find(l->view, l->self), *m;
+  const Member *best = NULL, *quiet = NULL;
   for (int r = 0; (m = view_home(l->view, l->region, grant, r)); r++) {
     if (strcmp(m->id, l->self) == 0) continue;
-    if (!out[0]) g_strlcpy(out, m->id, LIMIT_ID);
-    if (self && strcmp(self->dc, m->dc) == 0) continue;
-    g_strlcpy(out, m->id, LIMIT_ID);
-    return;
+    if (strcmp(m->id, silent) == 0) {
+      quiet = m;
+      continue;
+    }
+    bool far = !self || strcmp(self->dc, m->dc) != 0;
+    if (!best || far) best = m;
+    if (far) break;
   }
+  if (!best) best = quiet;
+  g_strlcpy(out, best ? best->id : "", LIMIT_ID);
 }
 
 static void send_raise(Ledger *l, HomeBudget *h, const char *to) {
@@ -72,9 +79,19 @@
   m.limit = g->limit_asked;
   m.returned = g->back; /* so that it need not be written off with us */
   g->raise_sent = l->now;
+  if (g->unanswered == 0) g->unanswered = l->now;
   ledger_send(l, to, &m);
 }
 
+/* A witness that says nothing is not waited for until it is out of the view:
+   callers wait for its word. To move is safe at any time. */
+static bool is_silent(const Ledger *l, Held *g, const char *id) {
+  if (g->unanswered == 0 || l->now - g->unanswered < SILENT) return false;
+  g_strlcpy(g->silent, id, sizeof g->silent);
+  g->unanswered = 0;
+  return true;
+}
+
 /* Asks for room for `n` more tokens and for a few seconds of demand. */
 void witness_want(Ledger *l, HomeBudget *h, int64_t n) {
   Held *g = h->held;
@@ -100,7 +117,7 @@
 static void move_witness(Ledger *l, HomeBudget *h) {
   Held *g = h->held;
   char next[LIMIT_ID];
-  witness_pick(l, g->id, next);
+  witness_pick(l, g->id, g->silent, next);
   if (strcmp(next, g->witness) == 0) return;
   if (!next[0]) {
     /* Nobody is left: bound by the last limit, unless the store can take this
@@ -124,6 +141,7 @@
   if (!g || g->id != m->grant) return;
   bool asked = strcmp(from, g->moving ? g->moving_to : g->witness) == 0;
   if (!asked) return;
+  g->unanswered = 0;
   if (m->sealed) { /* somebody took us for gone: this grant is over */
     shard_of(l, h)->reread = true;
     home_freeze(l, h);
@@ -157,7 +175,7 @@
   Held *g = h->held;
   if (g->moving) {
     const Member *m = view_find(l->view, g->moving_to);
-    bool lost = !m && !g->moved;
+    bool lost = !g->moved && (!m || is_silent(l, g, g->moving_to));
     if (lost) {
       g->moving = false;
       move_witness(l, h);
@@ -167,11 +185,14 @@
     return;
   }
   const Member *m = g->witness[0] ? view_find(l->view, g->witness) : NULL;
-  if (!g->stored) { /* no document names it yet: choose freely */
-    if (!m && g->limit == 0) witness_pick(l, g->id, g->witness);
+  bool silent = m && is_silent(l, g, g->witness);
+  if (!g->stored && g->limit == 0 && (!m || silent)) {
+    /* No document names it yet: choose freely. */
+    witness_pick(l, g->id, g->silent, g->witness);
+    g->limit_asked = 0; /* the next draw asks the new one */
     return;
   }
-  if (!m || m->leaving) {
+  if (g->stored && (!m || m->leaving || silent)) {
     move_witness(l, h);
     if (g->moving) return;
   }
