--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -99,7 +99,7 @@
         "%.0f records, %.0f bills/s a node" % (per_node * RECORD_S, per_node),
         per_node * v("record begin and finish ns") / 1e9,
         per_node * RECORD_S * v("record and owed bill bytes"),
-        per_node * record_bytes + per_node * 130,
+        per_node * (record_bytes + v("bill line bytes")),
         batches, 0))
     claims = REQUESTS * CLAIMED
     shard, kept = claims / CLAIM_SHARDS, claims / CLAIM_SHARDS * CLAIM_KEEP_S
--- a/bench/slopes.c
+++ b/bench/slopes.c
@@ -13,6 +13,7 @@
 #include "ledger/ledger.h"
 #include "ledger/shard.h"
 #include "member/member.h"
+#include "once/bill.h"
 #include "once/once.h"
 #include "peer/codec.h"
 #include "queue/queue.h"
@@ -408,6 +409,23 @@
   msgpack_sbuffer_destroy(&b);
 }
 
+/* A batch of one node at the target size: its requests of 87 s, budgets as even
+   as can be, so that few share their names. */
+static void bill_size(int n) {
+  BillItem *items = g_new0(BillItem, n);
+  char(*names)[64] = g_malloc((gsize)n * 64);
+  for (int i = 0; i < n; i++) {
+    snprintf(names[i], 64, "customer-%04d/service-%02d", i % 990, i % 35);
+    items[i] = (BillItem){"0123456789abcdef0123456789abcdef", "customer-0001",
+                          names[i], 500, 1700000000 + i % 87};
+  }
+  char *text = bill_text(items, n);
+  slopes_out("bill line bytes", n, (double)strlen(text) / n);
+  g_free(text);
+  g_free(names);
+  g_free(items);
+}
+
 static void log_cost(void) {
   const int n = 20000;
   log_open("instance", false);
@@ -436,6 +454,9 @@
     claims_slopes(budgets[i]);
     table_slopes(budgets[i]);
   }
+  bill_size(500);
+  bill_size(1600);
+  bill_size(4000);
   message_sizes();
   log_cost();
   return 0;
--- a/packages/entry/admin.c
+++ b/packages/entry/admin.c
@@ -7,6 +7,7 @@
 #include "entry/entry.h"
 #include "kernel/clock.h"
 #include "kernel/log.h"
+#include "once/bill.h"
 #include "ledger/shard.h"
 #include "table/rollout.h"
 
@@ -191,25 +192,20 @@
 
 /* == bills: the union of all batches, each request once == */
 
-static void add_batch(json_t *seen, json_t *sums, const char *text,
-                      int *doubled) {
-  json_t *batch = json_loads(text, 0, NULL), *line;
-  size_t i;
-  json_array_foreach(batch, i, line) {
-    const char *id = json_string_value(json_object_get(line, "id"));
-    const char *budget = json_string_value(json_object_get(line, "budget"));
-    json_t *tokens = json_object_get(line, "tokens");
-    if (!id || !budget) continue;
-    if (json_object_get(seen, id)) {
-      (*doubled)++;
-      continue;
-    }
-    json_object_set_new(seen, id, json_true());
-    json_int_t sum = json_integer_value(json_object_get(sums, budget));
-    json_object_set_new(sums, budget,
-                        json_integer(sum + json_integer_value(tokens)));
+typedef struct Bills {
+  json_t *seen, *sums; /* keys; tokens by budget */
+  int doubled;
+} Bills;
+
+static void add_bill(void *ctx, const BillItem *x) {
+  Bills *b = ctx;
+  if (json_object_get(b->seen, x->key)) {
+    b->doubled++;
+    return;
   }
-  json_decref(batch);
+  json_object_set_new(b->seen, x->key, json_true());
+  json_int_t sum = json_integer_value(json_object_get(b->sums, x->budget));
+  json_object_set_new(b->sums, x->budget, json_integer(sum + x->tokens));
 }
 
 static struct MHD_Response *bills(Entry *e, HttpReq *r, int *status) {
@@ -223,22 +219,21 @@
     return entry_error(&err, NULL, status);
   }
   json_t *list = json_loads(all.text, 0, NULL), *o;
-  json_t *seen = json_object(), *sums = json_object();
+  Bills b = {.seen = json_object(), .sums = json_object()};
   size_t i;
-  int doubled = 0;
   g_free(all.text);
   json_array_foreach(list, i, o) {
     const char *name = json_string_value(json_object_get(o, "name"));
     PlatformAnswer a = platform_get(p, name);
-    if (a.text) add_batch(seen, sums, a.text, &doubled);
+    if (a.text) bill_each(a.text, add_bill, &b);
     g_free(a.text);
   }
   platform_close(p);
-  json_t *out =
-      json_pack("{s:I,s:i,s:o}", "requests", (json_int_t)json_object_size(seen),
-                "repeated_lines", doubled, "budgets", sums);
+  json_t *out = json_pack("{s:I,s:i,s:o}", "requests",
+                          (json_int_t)json_object_size(b.seen),
+                          "repeated_lines", b.doubled, "budgets", b.sums);
   json_decref(list);
-  json_decref(seen);
+  json_decref(b.seen);
   return reply(out, status);
 }
 
--- a/packages/once/claim.c
+++ b/packages/once/claim.c
@@ -4,8 +4,6 @@
    docs/ONCE.md. */
 #include "once/state.h"
 
-#include <inttypes.h>
-#include <stdio.h>
 #include <string.h>
 
 #define FAILING_S 1.0 /* a store that fails for so long refuses at once */
@@ -54,64 +52,6 @@
   return NULL;
 }
 
-/* == store operations == */
-
-static void object_name(const ClaimShard *s, uint64_t part, char *out) {
-  if (part)
-    snprintf(out, LIMIT_NAME, "claim/%02d/%016" PRIx64, s->index, part);
-  else
-    snprintf(out, LIMIT_NAME, "claim/%02d", s->index);
-}
-
-static OnceAction *call(Once *o, const ClaimShard *s, OnceDo what,
-                        uint64_t part) {
-  OnceAction *a = once_act(o, what);
-  object_name(s, part, a->name);
-  a->shard = s->index;
-  a->part = part;
-  return a;
-}
-
-static void read_head(Once *o, ClaimShard *s) {
-  s->phase = SHARD_READING;
-  call(o, s, ONCE_DO_GET, 0);
-}
-
-static void write_head(Once *o, ClaimShard *s) {
-  OnceAction *a = call(o, s, ONCE_DO_PUT, 0);
-  a->version = s->version;
-  a->text = claimdoc_head(s->doc);
-  s->phase = SHARD_WRITING;
-}
-
-/* A part is made under a name that nobody else uses, before the head lists it;
-   should the head never do so, the part is loose and goes again. */
-static void write_part(Once *o, ClaimShard *s, const ClaimPart *p) {
-  Loose l = {p->id, s->version};
-  g_array_append_val(s->loose, l);
-  OnceAction *a = call(o, s, ONCE_DO_PUT, p->id);
-  a->text = claimdoc_part(p);
-  s->phase = SHARD_SEALING;
-}
-
-static bool listed(const ClaimDoc *d, uint64_t id) {
-  for (guint i = 0; i < d->parts->len; i++)
-    if (((ClaimPart *)d->parts->pdata[i])->id == id) return true;
-  return false;
-}
-
-/* Removes loose parts. Only once the head has moved on from the version that
-   the write was made on: until then a write without an answer may still take
-   effect and list the part. */
-static void sweep(Once *o, ClaimShard *s) {
-  for (guint i = s->loose->len; i > 0; i--) {
-    Loose l = g_array_index(s->loose, Loose, i - 1);
-    if (l.base >= s->version) continue;
-    if (!listed(s->doc, l.id)) call(o, s, ONCE_DO_DELETE, l.id);
-    g_array_remove_index(s->loose, i - 1);
-  }
-}
-
 /* == one wish and the document == */
 
 static const ClaimEntry *find_entry(const Once *o, const ClaimShard *s,
@@ -205,56 +145,6 @@
     ((Claim *)s->claims->pdata[i])->decided = false;
 }
 
-/* == parts == */
-
-static void loosen(ClaimShard *s, const ClaimPart *p) {
-  Loose l = {p->id, s->version};
-  g_array_append_val(s->loose, l);
-}
-
-/* The oldest parts go when this home has held them for an hour: no wall clock
-   decides, unless by a whole day. */
-static void expire(Once *o, ClaimShard *s) {
-  while (s->doc->parts->len > 0) {
-    const ClaimPart *p = s->doc->parts->pdata[0];
-    bool held = o->now - p->seen >= CLAIM_KEEP;
-    bool old = o->unix_s - p->unix_s >= CLAIM_KEEP_OLD;
-    if (!held && !old) return;
-    loosen(s, p);
-    g_ptr_array_remove_index(s->doc->parts, 0);
-  }
-}
-
-/* Small parts at the newer end. */
-static guint small_parts(const Once *o, const ClaimDoc *d) {
-  guint n = 0, most = o->seal * o->merge;
-  while (n < d->parts->len) {
-    const ClaimPart *p = d->parts->pdata[d->parts->len - 1 - n];
-    if (p->count >= most) break;
-    n++;
-  }
-  return n;
-}
-
-static uint64_t new_id(Once *o) {
-  return (uint64_t)g_rand_int(o->rng) << 32 | g_rand_int(o->rng) | 1;
-}
-
-/* The changed document goes to the store; first a new part, if one is due. */
-static void write_doc(Once *o, ClaimShard *s) {
-  ClaimDoc *d = s->doc;
-  expire(o, s);
-  guint small = small_parts(o, d);
-  if (g_hash_table_size(d->entries) >= o->seal) {
-    write_part(o, s, claimdoc_seal(d, new_id(o), o->now));
-  } else if (small >= o->merge) {
-    for (guint i = 1; i <= small; i++)
-      loosen(s, d->parts->pdata[d->parts->len - i]);
-    write_part(o, s, claimdoc_merge(d, small, new_id(o)));
-  } else
-    write_head(o, s);
-}
-
 /* == answers == */
 
 static void reply(Once *o, const Claim *c) {
@@ -304,27 +194,13 @@
   return false;
 }
 
-/* True when parts are on their way. */
-static bool read_parts(Once *o, ClaimShard *s) {
-  s->reading = 0;
-  s->broken = false;
-  for (guint i = 0; i < s->doc->parts->len; i++) {
-    const ClaimPart *p = s->doc->parts->pdata[i];
-    if (p->entries) continue;
-    call(o, s, ONCE_DO_GET, p->id);
-    s->reading++;
-  }
-  if (s->reading > 0) s->phase = SHARD_PARTS;
-  return s->reading > 0;
-}
-
 static void pump(Once *o, ClaimShard *s) {
   if (s->phase != SHARD_IDLE || o->now < s->retry_at || !due(o, s)) return;
   if (!s->doc || s->stale) {
-    read_head(o, s);
+    claimio_read(o, s);
     return;
   }
-  if (read_parts(o, s)) return;
+  if (claimio_read_parts(o, s)) return;
   bool small = o->view->n <= MEMBER_SMALL;
   pace_rate(&s->pace, small ? CLAIM_WRITES_SMALL : CLAIM_WRITES, o->now);
   Pace before = s->pace;
@@ -334,7 +210,7 @@
     return;
   }
   if (apply(o, s)) {
-    write_doc(o, s);
+    claimio_write(o, s);
     return;
   }
   s->pace = before; /* nothing is written */
@@ -344,7 +220,7 @@
   }
   /* A kept document may be old: what it says is only taken after a read. */
   undecide(s);
-  read_head(o, s);
+  claimio_read(o, s);
 }
 
 static void on_head(Once *o, ClaimShard *s, uint64_t version,
@@ -363,7 +239,7 @@
   s->stale = false;
   s->checked = true;
   undecide(s);
-  sweep(o, s);
+  claimio_sweep(o, s);
 }
 
 static ClaimPart *find_part(const ClaimShard *s, uint64_t id) {
@@ -389,7 +265,7 @@
 static void on_written(Once *o, ClaimShard *s, uint64_t version) {
   s->version = s->seen = version;
   s->checked = false;
-  sweep(o, s);
+  claimio_sweep(o, s);
   confirm(o, s);
 }
 
@@ -405,7 +281,7 @@
   else if (phase == SHARD_READING && (ok || absent))
     on_head(o, s, absent ? 0 : version, absent ? NULL : text);
   else if (phase == SHARD_SEALING && ok)
-    write_head(o, s);
+    claimio_write_head(o, s);
   else if (phase == SHARD_WRITING && ok)
     on_written(o, s, version);
   else if (phase == SHARD_WRITING && kind == ERR_STORE_CONFLICT) {
--- a/packages/once/keeper.c
+++ b/packages/once/keeper.c
@@ -1,12 +1,12 @@
 /* keeper.c: soft records of runs, kept answers, and batches of bills. */
+#include "once/bill.h"
 #include "once/state.h"
 
 #include <inttypes.h>
 #include <stdio.h>
-#include <stdlib.h>
 #include <string.h>
 
-#define BATCH_LINES 4000 /* about half a megabyte */
+#define BATCH_LINES 4000 /* a quarter of a megabyte or so */
 #define BATCH_WRITES 4.0 /* batches a second of the whole fleet */
 
 void keeper_record_free(gpointer p) {
@@ -209,29 +209,24 @@
 
 /* == bills == */
 
-static json_t *line_json(const Line *l) {
-  char key[33];
-  once_key_text(l->key, key);
-  return json_pack("{s:s,s:s,s:s,s:I,s:I}", "id", key, "customer", l->customer,
-                   "budget", l->budget, "tokens", (json_int_t)l->tokens, "t",
-                   (json_int_t)l->unix_s);
-}
-
 /* The first lines, at most BATCH_LINES. A batch without a clear answer goes out
    again under its name with the same lines: if the name exists, it is this. */
 static void write_batch(Once *o) {
-  json_t *all = json_array();
   if (o->batch == 0) o->batch = MIN(o->lines->len, BATCH_LINES);
-  for (guint i = 0; i < o->batch; i++)
-    json_array_append_new(all,
-                          line_json(&((BillLine *)o->lines->pdata[i])->line));
+  BillItem *items = g_new0(BillItem, o->batch);
+  char(*keys)[33] = g_malloc((gsize)o->batch * 33);
+  for (guint i = 0; i < o->batch; i++) {
+    const Line *l = &((BillLine *)o->lines->pdata[i])->line;
+    once_key_text(l->key, keys[i]);
+    items[i] =
+        (BillItem){keys[i], l->customer, l->budget, l->tokens, l->unix_s};
+  }
   OnceAction *a = once_act(o, ONCE_DO_BILL);
   snprintf(a->name, sizeof a->name, "bills/%s/%08" PRIu64, o->self,
            o->bill_seq);
-  char *text = json_dumps(all, JSON_COMPACT);
-  a->text = g_strdup(text);
-  free(text);
-  json_decref(all);
+  a->text = bill_text(items, (int)o->batch);
+  g_free(items);
+  g_free(keys);
   o->billing = true;
 }
 
--- a/packages/once/state.h
+++ b/packages/once/state.h
@@ -222,4 +222,15 @@
 bool claim_drained(const Once *o);
 void claim_shard_free(ClaimShard *s);
 
+/* == claimio.c, a shard on its way to and from the store == */
+
+void claimio_read(Once *o, ClaimShard *s);
+/* True when parts that the head lists are on their way. */
+bool claimio_read_parts(Once *o, ClaimShard *s);
+/* The changed document goes to the store; first a new part, if one is due. */
+void claimio_write(Once *o, ClaimShard *s);
+void claimio_write_head(Once *o, ClaimShard *s);
+/* Removes parts that no head lists or ever will. */
+void claimio_sweep(Once *o, ClaimShard *s);
+
 #endif
--- a/scenario/store.c
+++ b/scenario/store.c
@@ -1,9 +1,9 @@
 /* store.c: the fake store of a scenario: versions, faults, lost answers. */
 #include <glib.h>
-#include <jansson.h>
 #include <stdio.h>
 #include <string.h>
 
+#include "once/bill.h"
 #include "scenario/state.h"
 
 #define STORE_LOW 0.002
@@ -118,17 +118,16 @@
   world_schedule(w, r);
 }
 
+static void note_bill(void *ctx, const BillItem *x) {
+  World *w = ctx;
+  if (g_hash_table_contains(w->billed, x->key)) return;
+  g_hash_table_insert(w->billed, g_strdup(x->key),
+                      g_memdup2(&x->tokens, sizeof x->tokens));
+  w->sums.billed += x->tokens;
+}
+
 void store_note_bills(World *w, const char *text) {
-  json_t *all = json_loads(text, 0, NULL), *line;
-  size_t i;
-  json_array_foreach(all, i, line) {
-    const char *id = json_string_value(json_object_get(line, "id"));
-    int64_t n = json_integer_value(json_object_get(line, "tokens"));
-    if (g_hash_table_contains(w->billed, id)) continue;
-    g_hash_table_insert(w->billed, g_strdup(id), g_memdup2(&n, sizeof n));
-    w->sums.billed += n;
-  }
-  json_decref(all);
+  bill_each(text, note_bill, w);
 }
 
 void store_result(World *w, const Event *e) {
--- a/tests/test_once.c
+++ b/tests/test_once.c
@@ -4,6 +4,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "once/bill.h"
 #include "once/once.h"
 
 #define CORES 3
@@ -206,3 +207,45 @@
     net_free(n);
   }
 }
+
+/* == bills as text == */
+
+typedef struct Read {
+  int n;
+  int64_t tokens[8], unix_s[8];
+  char budget[8][16], key[8][16], customer[8][16];
+} Read;
+
+static void read_item(void *ctx, const BillItem *x) {
+  Read *r = ctx;
+  r->tokens[r->n] = x->tokens;
+  r->unix_s[r->n] = x->unix_s;
+  g_strlcpy(r->budget[r->n], x->budget, 16);
+  g_strlcpy(r->customer[r->n], x->customer, 16);
+  g_strlcpy(r->key[r->n++], x->key, 16);
+}
+
+Test(once, bills_of_several_budgets_round_trip) {
+  BillItem items[] = {{"k1", "c", "c/*", 5, 1000},
+                      {"k2", "d", "other", 6, 998},
+                      {"k3", "c", "c/*", 7, 1003}};
+  Read r = {0};
+  char *text = bill_text(items, 3);
+  cr_assert(bill_each(text, read_item, &r));
+  g_free(text);
+  cr_assert_eq(r.n, 3);
+  int order[] = {0, 2, 1}; /* by budget, in order of appearance */
+  for (int i = 0; i < 3; i++) {
+    const BillItem *x = &items[order[i]];
+    cr_assert_str_eq(r.key[i], x->key);
+    cr_assert_str_eq(r.budget[i], x->budget);
+    cr_assert_str_eq(r.customer[i], x->customer);
+    cr_assert_eq(r.tokens[i], x->tokens);
+    cr_assert_eq(r.unix_s[i], x->unix_s);
+  }
+  cr_assert_not(bill_each("[]", read_item, &r));
+  cr_assert_not(bill_each("{\"budgets\":3}", read_item, &r));
+  cr_assert(
+      bill_each("{\"budgets\":[[],[1,2],[\"b\",\"\",3]]}", read_item, &r));
+  cr_assert_eq(r.n, 3);
+}
