--- a/tests/process.py
+++ b/tests/process.py
@@ -338,6 +338,26 @@
     assert f.stats(f.booking)["most_for_one"] == 1
 
 
+def test_a_sleeping_home_of_claims(f):
+    """One instance sleeps, home of a third of all claims: bookings elsewhere do
+    not wait for it, and when it wakes up what was booked stays booked."""
+    f.kill("i2", signal.SIGSTOP)
+    start = time.monotonic()
+    got = together([lambda i=i: f.book(f.ports[i % 2], "p%d" % i, "s%d" % i)
+                    for i in range(24)])
+    took = time.monotonic() - start
+    assert all(a.status == 201 for a in got), [(a.status, a.body) for a in got
+                                               if a.status != 201][:3]
+    assert took < 4, took
+    f.kill("i2", signal.SIGCONT)
+    again = together([lambda i=i: f.book(f.ports[2], "p%d" % i, "s%d" % i)
+                      for i in range(24)])
+    # Kept answers, or its word that it ran; never another run.
+    assert all(a.ran in ("ran", "may-have-run") for a in again), again[0].body
+    stats = f.stats(f.booking)
+    assert stats["most_for_one"] == 1 and stats["bookings"] == 24, stats
+
+
 def test_the_platform_down(f):
     """Chats go on from what is held; bookings are refused, truthfully."""
     for p in f.ports * 3:
--- a/tests/test_once.c
+++ b/tests/test_once.c
@@ -113,14 +113,21 @@
   settle(n);
 }
 
+/* Core `i` runs a request whose keeper of rank 0 is core `keeper`. */
+static Net *net_running(int i, int keeper, OnceKey *k) {
+  Net *n = net_new();
+  *k = key_kept_by(n, keeper, 0);
+  begin(n, i, *k, true);
+  once_at(n->core[i], n->now, (uint64_t)i + 1, "e1");
+  settle(n);
+  return n;
+}
+
 /* == a runner or a keeper is lost == */
 
 Test(once, a_runner_that_kept_its_own_record_does_not_take_it_along) {
-  Net *n = net_new();
-  OnceKey k = key_kept_by(n, 0, 0);
-  begin(n, 0, k, true);
-  once_at(n->core[0], n->now, 1, "e1");
-  settle(n);
+  OnceKey k;
+  Net *n = net_running(0, 0, &k);
   n->up[0] = false;
   /* Its loss is not seen yet: no second run, whichever instance is asked. */
   begin(n, 1, k, true);
@@ -137,11 +144,8 @@
 }
 
 Test(once, a_lost_keeper_makes_no_second_run_beside_the_first) {
-  Net *n = net_new();
-  OnceKey k = key_kept_by(n, 2, 0);
-  begin(n, 0, k, true);
-  once_at(n->core[0], n->now, 1, "e1");
-  settle(n);
+  OnceKey k;
+  Net *n = net_running(0, 2, &k);
   n->up[2] = false;
   begin(n, 1, k, true);
   advance(n, 2);
@@ -155,12 +159,10 @@
 
 /* What the second holder remembers must not stand in the way for ever. */
 Test(once, a_finished_run_is_no_run_in_progress_at_the_second_keeper) {
-  Net *n = net_new();
-  OnceKey k = key_kept_by(n, 2, 0);
+  OnceKey k;
+  Net *n = net_running(0, 2, &k);
   OnceBill bill = {.customer = "c", .budget = "c/*", .tokens = 5};
   OnceAnswer answer = {.status = 200, .body = (char *)"x", .len = 1};
-  begin(n, 0, k, true);
-  once_at(n->core[0], n->now, 1, "e1");
   once_finish(n->core[0], n->now, 1, &bill, &answer);
   settle(n);
   cr_assert(n->done[0]);
@@ -189,11 +191,8 @@
 /* The loss may be seen at any moment of the asking. */
 Test(once, a_loss_that_is_seen_meanwhile_leads_to_who_knows_the_run) {
   for (int moment = 0; moment < 12; moment++) {
-    Net *n = net_new();
-    OnceKey k = key_kept_by(n, 0, 0);
-    begin(n, 0, k, true);
-    once_at(n->core[0], n->now, 1, "e1");
-    settle(n);
+    OnceKey k;
+    Net *n = net_running(0, 0, &k);
     n->up[0] = false;
     begin(n, 1, k, true);
     advance(n, 0.1 * moment);
--- a/tests/test_shard.c
+++ b/tests/test_shard.c
@@ -9,19 +9,24 @@
   return g;
 }
 
+static ShardBudget *budget_of(int64_t total, Shard **s) {
+  *s = shard_new();
+  ShardBudget *b = shard_budget_add(*s, "c/any");
+  b->total = total;
+  return b;
+}
+
 Test(shard, a_grant_takes_from_what_remains) {
-  Shard *s = shard_new();
-  ShardBudget *b = shard_budget_add(s, "c/*");
-  b->total = 100;
+  Shard *s;
+  ShardBudget *b = budget_of(100, &s);
   grant(b, 1, 60);
   cr_assert_eq(shard_remaining(b), 40);
   shard_free(s);
 }
 
 Test(shard, a_sealed_grant_counts_what_was_given_less_what_came_back) {
-  Shard *s = shard_new();
-  ShardBudget *b = shard_budget_add(s, "c/*");
-  b->total = 100;
+  Shard *s;
+  ShardBudget *b = budget_of(100, &s);
   ShardGrant *g = grant(b, 1, 60);
   shard_seal(g, 20, 0, false, 0);
   cr_assert_eq(shard_remaining(b), 80);
@@ -33,9 +38,8 @@
 }
 
 Test(shard, what_a_witness_knew_to_be_back_is_not_lost) {
-  Shard *s = shard_new();
-  ShardBudget *b = shard_budget_add(s, "c/any");
-  b->total = 100;
+  Shard *s;
+  ShardBudget *b = budget_of(100, &s);
   ShardGrant *g = grant(b, 1, 60);
   shard_seal(g, 50, 12, false, 0);
   cr_assert_eq(shard_outstanding(g), 38);
@@ -47,9 +51,8 @@
 }
 
 Test(shard, an_exact_seal_folds_when_all_reported) {
-  Shard *s = shard_new();
-  ShardBudget *b = shard_budget_add(s, "c/*");
-  b->total = 100;
+  Shard *s;
+  ShardBudget *b = budget_of(100, &s);
   ShardGrant *g = grant(b, 1, 60);
   shard_seal(g, 30, 0, true, 0);
   shard_report(g, "i.1", 10, 20, false, 0);
@@ -63,9 +66,8 @@
 }
 
 Test(shard, what_nobody_vouches_for_is_retired_after_a_day_only) {
-  Shard *s = shard_new();
-  ShardBudget *b = shard_budget_add(s, "c/*");
-  b->total = 100;
+  Shard *s;
+  ShardBudget *b = budget_of(100, &s);
   ShardGrant *g = grant(b, 1, 60);
   shard_seal(g, 30, 0, false, 1000);
   shard_report(g, "i.1", 0, 20, true, 1000);
