--- a/bench/run.sh
+++ b/bench/run.sh
@@ -11,3 +11,4 @@
 "$1/bench/bench_budget"
 "$1/bench/bench_route"
 python3 bench/path.py "$1"
+python3 bench/bookings.py "$1"
--- a/packages/entry/placer.c
+++ b/packages/entry/placer.c
@@ -283,22 +283,24 @@
   plan_free(plan);
 }
 
+/* The home looks at its pool; the others only follow its plan. */
 static void decide(Placer *p, Platform *store, const View *v,
                    const char *name) {
-  Look *l = look_at(p, name);
+  bool home = is_home(p, v, name);
+  Look *l = home ? look_at(p, name) : NULL;
   pthread_mutex_lock(&p->lock);
-  PlacePool *pp =
-      l->managed ? find_pool(p, name) : g_hash_table_lookup(p->pools, name);
+  PlacePool *pp = l && l->managed ? find_pool(p, name)
+                                  : g_hash_table_lookup(p->pools, name);
   pthread_mutex_unlock(&p->lock);
-  if (pp) {
-    place_home(pp->core, is_home(p, v, name));
+  if (pp) place_home(pp->core, home);
+  if (pp && home) {
     place_look(pp->core, clock_now(), (PlaceTarget *)(void *)l->targets->data,
                (int)l->targets->len, (PlaceWant *)(void *)l->wants->data,
                (int)l->wants->len);
     act(p, store, pp);
-    apply_plan(p, pp);
   }
-  look_clear(l);
+  if (pp) apply_plan(p, pp);
+  if (l) look_clear(l);
 }
 
 static void *decide_all(void *arg) {
