One piece where the same stood several times; dead state and clumsy names out

JSON to GLib text stood in four files (shards, claim documents, bills, plans): text_json. The doubled and jittered wait after a failed store call stood in three (ledger, claims, bills): pace_backoff, beside the pace; its bounds are the store's, not the ledger's. Answers to placement orders were two enums with a map between them: the core's is the one. Place remembered a list that nobody read. The name of a store call was copied in each case of the lane. The formatter took `not` and `delete` for operators; a function of the holder had the name of a field beside it.

Behaviour stays: the same draws from the same random numbers, no test or bound touched.

--- a/fakes/platform.c
+++ b/fakes/platform.c
@@ -78,7 +78,7 @@
   return m;
 }
 
-static struct MHD_Response *delete (const char *name, int *status) {
+static struct MHD_Response *erase(const char *name, int *status) {
   bool there = g_hash_table_remove(objects, name);
   return reply(status, there ? 200 : 404, "{}");
 }
@@ -174,8 +174,7 @@
   const char *name = r->path + strlen("/objects/");
   if (is_get) return get(name, status);
   if (!is_put && !is_delete) return reply(status, 405, "{}");
-  struct MHD_Response *m =
-      is_put ? put(r, name, status) : delete (name, status);
+  struct MHD_Response *m = is_put ? put(r, name, status) : erase(name, status);
   if (strcmp(mode, "lose") == 0) { /* took effect, and nobody hears of it */
     MHD_destroy_response(m);
     return NULL;
--- a/packages/entry/placer.c
+++ b/packages/entry/placer.c
@@ -238,17 +238,17 @@
 }
 
 static void do_order(PlacePool *pp, const PlaceAction *a) {
-  static const char *const names[] = {"done", "loading", "fenced", "failed"};
-  static const PlaceAnswer answers[] = {PLACE_DONE, PLACE_BUSY, PLACE_FENCED,
-                                        PLACE_FAILED};
-  EngineOrder r = engine_adapters(a->url, a->version, a->adapters);
+  static const char *const names[] = {[PLACE_DONE] = "done",
+                                      [PLACE_BUSY] = "loading",
+                                      [PLACE_FENCED] = "fenced",
+                                      [PLACE_FAILED] = "failed"};
+  PlaceAnswer r = engine_adapters(a->url, a->version, a->adapters);
   count_add(COUNT_ORDERS, 1);
-  if (r == ENGINE_FENCED) count_add(COUNT_ORDERS_FENCED, 1);
+  if (r == PLACE_FENCED) count_add(COUNT_ORDERS_FENCED, 1);
   log_info("order", "s:s,s:s,s:s,s:I,s:s", "pool", pp->name, "target",
            a->target, "adapters", a->adapters, "fence", (json_int_t)a->version,
            "answer", names[r]);
-  place_ordered(pp->core, clock_now(), a->target, a->version, a->adapters,
-                answers[r]);
+  place_ordered(pp->core, clock_now(), a->target, a->version, a->adapters, r);
 }
 
 static void act(Placer *p, Platform *store, PlacePool *pp) {
--- a/packages/fleet/lane.c
+++ b/packages/fleet/lane.c
@@ -64,6 +64,7 @@
   char addr[LIMIT_NAME];
   while (once_next(l->once, &a)) {
     Job j = {.ctx = l, .shard = a.shard, .part = a.part, .version = a.version};
+    g_strlcpy(j.name, a.name, sizeof j.name);
     switch (a.what) {
     case ONCE_DO_SEND:
       if (l->host->address(l->host->ctx, a.to, addr))
@@ -74,19 +75,16 @@
       j.kind = a.what == ONCE_DO_PUT ? JOB_PUT : JOB_GET;
       j.urgent = true;
       j.done = on_once_stored;
-      g_strlcpy(j.name, a.name, sizeof j.name);
       j.text = g_steal_pointer(&a.text);
       jobs_add(l->host->jobs, &j);
       break;
     case ONCE_DO_DELETE:
       j.kind = JOB_DELETE;
-      g_strlcpy(j.name, a.name, sizeof j.name);
       jobs_add(l->host->jobs, &j);
       break;
     case ONCE_DO_BILL:
       j.kind = JOB_PUT;
       j.done = on_billed;
-      g_strlcpy(j.name, a.name, sizeof j.name);
       j.text = g_steal_pointer(&a.text);
       jobs_add(l->host->jobs, &j);
       break;
--- a/packages/kernel/limits.h
+++ b/packages/kernel/limits.h
@@ -28,8 +28,6 @@
 #define LEDGER_WRITE_EVERY 10.0  /* spend reports reach the store this often */
 #define LEDGER_MIN_DRAW 1024     /* smallest grant asked for without need */
 #define LEDGER_LOOK 1.0          /* a budget at rest is looked at this often */
-#define LEDGER_BACKOFF_MIN 0.2   /* store retry, doubled and jittered */
-#define LEDGER_BACKOFF_MAX 5.0
 
 /* == records of requests, seconds == */
 
@@ -62,6 +60,8 @@
 
 /* == platform rates, calls a second == */
 
+#define STORE_BACKOFF_MIN 0.2 /* seconds until a retry, doubled, jittered */
+#define STORE_BACKOFF_MAX 5.0
 #define STORE_WRITES 10.0 /* of one instance at most */
 #define STORE_READS 40.0
 #define STORE_WRITES_ALL 80.0  /* of the whole fleet; the platform takes 100 */
--- /dev/null
+++ b/packages/kernel/text.c
@@ -0,0 +1,12 @@
+/* text.c: from jansson's allocator to GLib's. */
+#include "kernel/text.h"
+
+#include <glib.h>
+#include <stdlib.h>
+
+char *text_json(json_t *o) {
+  char *text = json_dumps(o, JSON_COMPACT), *copy = g_strdup(text);
+  free(text);
+  json_decref(o);
+  return copy;
+}
--- a/packages/ledger/shardio.c
+++ b/packages/ledger/shardio.c
@@ -7,8 +7,8 @@
      {ID: [returned, spent, final]}, the reports of a grant that is not sealed,
    or [limit, known, exact, changed, {reports}] of one that is. */
 #include <jansson.h>
-#include <stdlib.h>
 
+#include "kernel/text.h"
 #include "ledger/shard.h"
 
 /* == encoding == */
@@ -79,14 +79,9 @@
     json_object_set_new(
         budgets, i->data,
         encode_budget(&n, g_hash_table_lookup(s->budgets, i->data)));
-  json_t *all = json_pack("{s:o,s:o}", "ids", n.list, "budgets", budgets);
-  char *text = json_dumps(all, JSON_COMPACT);
-  char *copy = g_strdup(text);
   g_list_free(names);
   g_hash_table_destroy(n.places);
-  json_decref(all);
-  free(text);
-  return copy;
+  return text_json(json_pack("{s:o,s:o}", "ids", n.list, "budgets", budgets));
 }
 
 /* == decoding: anything unexpected makes it no shard == */
--- a/packages/ledger/stored.c
+++ b/packages/ledger/stored.c
@@ -2,6 +2,7 @@
    whatever version is found, so a lost race or a lost answer is just read
    again. */
 #include "ledger/state.h"
+#include "store/pace.h"
 
 #include <string.h>
 
@@ -305,10 +306,8 @@
   g_queue_push_tail(&l->touched, s);
 }
 
-/* Waits longer each time, jittered: after an outage there is no stampede. */
 static void back_off(Ledger *l, ShardState *s) {
-  s->backoff = CLAMP(s->backoff * 2, LEDGER_BACKOFF_MIN, LEDGER_BACKOFF_MAX);
-  s->retry_at = l->now + s->backoff * (0.5 + g_rand_double(l->rng));
+  s->retry_at = l->now + pace_backoff(&s->backoff, g_rand_double(l->rng));
 }
 
 static void got(Ledger *l, ShardState *s, uint64_t version, const char *text) {
--- a/packages/once/bill.c
+++ b/packages/once/bill.c
@@ -3,9 +3,10 @@
 
 #include <glib.h>
 #include <jansson.h>
-#include <stdlib.h>
 #include <string.h>
 
+#include "kernel/text.h"
+
 /* {"t": first, "budgets": [[budget, customer, [key, tokens, seconds after t],
    ...], ...]}; the customer is "" where the budget's name begins with it. */
 
@@ -47,12 +48,8 @@
                                     (json_int_t)(x->unix_s - first)));
   }
   g_hash_table_destroy(groups);
-  json_t *o =
-      json_pack("{s:I,s:o}", "t", (json_int_t)first, "budgets", budgets);
-  char *text = json_dumps(o, JSON_COMPACT), *copy = g_strdup(text);
-  free(text);
-  json_decref(o);
-  return copy;
+  return text_json(
+      json_pack("{s:I,s:o}", "t", (json_int_t)first, "budgets", budgets));
 }
 
 /* == from text == */
--- a/packages/once/claim.c
+++ b/packages/once/claim.c
@@ -180,8 +180,7 @@
   s->stale = true;
   undecide(s);
   if (s->failing == 0) s->failing = o->now;
-  s->backoff = CLAMP(s->backoff * 2, LEDGER_BACKOFF_MIN, LEDGER_BACKOFF_MAX);
-  s->retry_at = o->now + s->backoff * (0.5 + g_rand_double(o->rng));
+  s->retry_at = o->now + pace_backoff(&s->backoff, g_rand_double(o->rng));
 }
 
 /* A claim is waited for; outcomes wait for company. */
--- a/packages/once/claimdoc.c
+++ b/packages/once/claimdoc.c
@@ -7,6 +7,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "kernel/text.h"
 #include "once/state.h"
 
 /* == entries == */
@@ -110,14 +111,6 @@
   return entries;
 }
 
-static char *dump(json_t *o) {
-  char *text = json_dumps(o, JSON_COMPACT);
-  char *copy = g_strdup(text);
-  free(text);
-  json_decref(o);
-  return copy;
-}
-
 /* == parts == */
 
 void claimdoc_part_free(gpointer p) {
@@ -127,7 +120,7 @@
 }
 
 char *claimdoc_part(const ClaimPart *p) {
-  return dump(json_pack("{s:o}", "entries", entries_json(p->entries)));
+  return text_json(json_pack("{s:o}", "entries", entries_json(p->entries)));
 }
 
 bool claimdoc_read_part(ClaimPart *p, const char *text) {
@@ -177,8 +170,8 @@
     json_array_append_new(parts, json_pack("[o,i,I]", hex(p->id), (int)p->count,
                                            (json_int_t)p->unix_s));
   }
-  return dump(json_pack("{s:o,s:o}", "parts", parts, "entries",
-                        entries_json(d->entries)));
+  return text_json(json_pack("{s:o,s:o}", "parts", parts, "entries",
+                             entries_json(d->entries)));
 }
 
 ClaimDoc *claimdoc_read(const char *text) {
--- a/packages/once/keeper.c
+++ b/packages/once/keeper.c
@@ -245,9 +245,7 @@
 void keeper_billed(Once *o, ErrKind kind) {
   o->billing = false;
   if (kind != ERR_NONE && kind != ERR_STORE_CONFLICT) {
-    o->bill_backoff =
-        CLAMP(o->bill_backoff * 2, LEDGER_BACKOFF_MIN, LEDGER_BACKOFF_MAX);
-    o->bill_at = o->now + o->bill_backoff * (0.5 + g_rand_double(o->rng));
+    o->bill_at = o->now + pace_backoff(&o->bill_backoff, g_rand_double(o->rng));
     return;
   }
   o->bill_backoff = 0;
--- a/packages/once/wish.c
+++ b/packages/once/wish.c
@@ -34,16 +34,16 @@
 
 /* The shard's home in the fleet; our region's, should that one be silent or
    gone; else ourselves. Each can do it, being the home is no privilege: it
-   saves writes. `not`: who was asked in vain. */
-static const char *pick(const Once *o, OnceKey key, const char * not ) {
+   saves writes. `asked`: who said nothing, "" nobody. */
+static const char *pick(const Once *o, OnceKey key, const char *asked) {
   int shard = claim_shard(key);
   const char *regions[] = {NULL, o->region};
-  bool passed = not [0] == '\0';
+  bool passed = asked[0] == '\0';
   for (int i = 0; i < 2; i++) {
     const Member *m =
         view_home(o->view, regions[i], HOME_SALT + (uint64_t)shard, 0);
     if (!m) continue;
-    bool same = strcmp(m->id, not ) == 0;
+    bool same = strcmp(m->id, asked) == 0;
     if (passed && !same && !quiet(o, shard, m->id)) return m->id;
     passed |= same;
   }
--- a/packages/place/place.c
+++ b/packages/place/place.c
@@ -27,8 +27,8 @@
 
 /* The last order to a target. */
 typedef struct Order {
-  char sent[LIMIT_ADAPTERS], done[LIMIT_ADAPTERS];
-  bool told; /* `done` is its word */
+  char done[LIMIT_ADAPTERS]; /* what the target says that it has */
+  bool told;                 /* it said so */
   double at;
 } Order;
 
@@ -321,7 +321,6 @@
   wanted(p, t, list);
   bool done = o->told && strcmp(list, o->done) == 0;
   if (o->at > 0 && p->now - o->at < (done ? REPEAT_S : ORDER_S)) return;
-  g_strlcpy(o->sent, list, sizeof o->sent);
   o->at = p->now;
   PlaceAction *a = act(p, PLACE_DO_ORDER);
   a->version = p->version;
--- a/packages/place/plan.c
+++ b/packages/place/plan.c
@@ -2,10 +2,10 @@
 #include "place/plan.h"
 
 #include <jansson.h>
-#include <stdlib.h>
 #include <string.h>
 
 #include "kernel/list.h"
+#include "kernel/text.h"
 
 static const char *const states[PLAN_STATES] = {"loading", "loaded", "leaving"};
 
@@ -87,10 +87,7 @@
                                          "adapter", x->adapter, "state",
                                          states[x->state]));
   }
-  char *text = json_dumps(all, JSON_COMPACT), *copy = g_strdup(text);
-  free(text);
-  json_decref(all);
-  return copy;
+  return text_json(all);
 }
 
 static int state_of(const char *name) {
--- a/packages/store/pace.c
+++ b/packages/store/pace.c
@@ -1,6 +1,8 @@
 /* pace.c: the bucket. */
 #include "store/pace.h"
 
+#include "kernel/limits.h"
+
 #define BURST_LEAST 2
 
 static void refill(Pace *p, double now) {
@@ -32,3 +34,11 @@
   p->level -= 1;
   return 0;
 }
+
+double pace_backoff(double *wait, double chance) {
+  double next = *wait * 2;
+  if (next < STORE_BACKOFF_MIN) next = STORE_BACKOFF_MIN;
+  if (next > STORE_BACKOFF_MAX) next = STORE_BACKOFF_MAX;
+  *wait = next;
+  return next * (0.5 + chance);
+}
--- a/packages/store/pace.h
+++ b/packages/store/pace.h
@@ -17,4 +17,9 @@
    may be tried again. Housekeeping leaves half of the burst to urgent calls. */
 double pace_take(Pace *p, double now, bool urgent);
 
+/* Seconds until a call that failed is tried again: `wait`, which is doubled up
+   to a bound, by half to one and a half with `chance` (0 to 1), so that after
+   an outage there is no stampede. */
+double pace_backoff(double *wait, double chance);
+
 #endif
--- a/packages/target/engine.c
+++ b/packages/target/engine.c
@@ -59,7 +59,7 @@
   return control(url, &(HttpCall){.method = method, .path = path}, &status);
 }
 
-EngineOrder engine_adapters(const char *url, uint64_t fence, const char *list) {
+PlaceAnswer engine_adapters(const char *url, uint64_t fence, const char *list) {
   char path[64];
   int status, busy = 0;
   json_t *names = json_array();
@@ -77,9 +77,9 @@
   free(text);
   json_decref(body);
   json_decref(o);
-  if (status == 409) return ENGINE_FENCED;
-  if (!ok) return ENGINE_FAILED;
-  return busy ? ENGINE_BUSY : ENGINE_DONE;
+  if (status == 409) return PLACE_FENCED;
+  if (!ok) return PLACE_FAILED;
+  return busy ? PLACE_BUSY : PLACE_DONE;
 }
 
 int64_t engine_cancel(const char *url, const char *id) {
--- a/packages/target/engine.h
+++ b/packages/target/engine.h
@@ -7,6 +7,7 @@
 #include <stdint.h>
 
 #include "http/client.h"
+#include "place/place.h"
 
 typedef struct EngineLoad {
   int running, waiting;
@@ -29,15 +30,8 @@
 int64_t engine_cancel(const char *url, const char *id);
 /* False when there was no answer. `path_s` gets the seconds it took. */
 bool engine_load(const char *url, EngineLoad *load, double *path_s);
-typedef enum {
-  ENGINE_DONE,   /* it has exactly these adapters */
-  ENGINE_BUSY,   /* it is loading them */
-  ENGINE_FENCED, /* it has seen a higher fence */
-  ENGINE_FAILED  /* no clear answer */
-} EngineOrder;
-
 /* Orders the engine to have exactly the adapters `list`, separated by ';'. */
-EngineOrder engine_adapters(const char *url, uint64_t fence, const char *list);
+PlaceAnswer engine_adapters(const char *url, uint64_t fence, const char *list);
 /* Tokens of a usage object; -1 when there is none. */
 int64_t engine_usage(json_t *answer);
 /* Sets the cap on output and asks for usage at the end of a stream. */
