--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -20,6 +20,7 @@
 PARTS, HISTORY = 256, 64
 CLAIM_KEEP_S = 3600.0                        # CLAIM_KEEP
 MOVES_A_DAY = 2 * (RESTARTS_A_DAY + LOSSES_A_DAY)  # a loss and a new instance
+LIST_S = 30.0                                # of plans, entry/placer.c
 LOAD_CALLS, TELL_BYTES = 10.0, 1500.0        # RATE, TELL_BYTES in route/loads.c
 LOAD_CALL_BYTES, LOAD_CALL_NS = 270, 60000   # a GET of /load; of a thread's time
 
@@ -140,6 +141,15 @@
         (per_node * v("route decision ns") + LOAD_CALLS * LOAD_CALL_NS) / 1e9,
         TARGETS * v("target bytes") * 2 + MODELS * 65536 * 48 / REGIONS,
         TELL_BYTES + LOAD_CALLS * LOAD_CALL_BYTES, 0, 0))
+    pools = MODELS / NODES
+    rows.append((
+        "placing adapters", "a home of each pool, a plan an object; a watch an instance "
+        "(%.0f/s) and a list each %.0f s" % (NODES / 10.0, LIST_S),
+        "%d pools of %.0f targets, each looked at each second by its home"
+        % (MODELS, TARGETS / MODELS),
+        (pools * TARGETS / MODELS * v("place look ns a target")
+         + MODELS * NODES * v("view home ns a member")) / 1e9,
+        0.2e6, 100, pools * NODES / 30, NODES / 10.0 + NODES / LIST_S))
     rows_all = BUDGETS + CUSTOMERS + TARGETS
     head_bytes = PARTS * 48 + HISTORY * 160
     rows.append((
--- a/bench/slopes.c
+++ b/bench/slopes.c
@@ -16,6 +16,7 @@
 #include "once/bill.h"
 #include "once/once.h"
 #include "peer/codec.h"
+#include "place/place.h"
 #include "queue/queue.h"
 #include "route/route.h"
 #include "table/table.h"
@@ -295,6 +296,59 @@
   queue_free(q);
 }
 
+/* == placement == */
+
+static void place_slopes(int n) {
+  Place *p = place_new();
+  PlaceTarget *targets = g_new0(PlaceTarget, n);
+  PlaceWant wants[5] = {0};
+  PlaceAction a;
+  for (int i = 0; i < n; i++) {
+    snprintf(targets[i].name, LIMIT_NAME, "target-%d", i);
+    targets[i].slots = targets[i].loads = 8;
+    targets[i].running = 4;
+    targets[i].live = true;
+  }
+  for (int i = 0; i < 5; i++) {
+    snprintf(wants[i].adapter, LIMIT_NAME, "adapter-%d", i);
+    wants[i].least = n / 10;
+  }
+  place_home(p, true);
+  char *plan = NULL;
+  uint64_t version = 0;
+  double t = 0;
+  for (int look = 0; look < n + 200; look++) {
+    if (look == n) t = slopes_ns(); /* all are placed by then */
+    place_look(p, look, targets, n, wants, 5);
+    while (place_next(p, &a)) {
+      if (a.what == PLACE_DO_PUT) {
+        g_free(plan);
+        plan = a.text;
+        version++;
+      }
+      if (a.what == PLACE_DO_ORDER)
+        place_ordered(p, look, a.target, a.version, a.adapters, PLACE_DONE);
+      else
+        place_stored(p, look, a.seq, plan ? ERR_NONE : ERR_STORE_ABSENT,
+                     version, plan);
+    }
+  }
+  slopes_out("place look ns a target", n, (slopes_ns() - t) / 200 / n);
+  place_free(p);
+  g_free(targets);
+  g_free(plan);
+}
+
+static void view_slopes(int n) {
+  View *v = slopes_view(n);
+  const Member *m = NULL;
+  double t = slopes_ns();
+  for (uint64_t k = 0; k < 1000; k++) m = view_home(v, NULL, k, 0);
+  g_assert(m);
+  slopes_out("view home ns a member", n, (slopes_ns() - t) / 1000 / n);
+  view_free(v);
+}
+
 /* == records == */
 
 static void drop_once(Once *o) {
@@ -450,6 +504,8 @@
     member_slopes(members[i]);
     route_slopes(targets[i]);
     queue_slopes(queued[i]);
+    place_slopes(targets[i]);
+    view_slopes(members[i]);
     once_slopes(budgets[i]);
     claims_slopes(budgets[i]);
     table_slopes(budgets[i]);
