A whole path on the users' machines: adapter, event loop, leases

Cause: on the users' machines every request was answered 404; the path with a thread a connection speaks loftpath's own interface only. The new path: callers and targets on one event loop (libev, http_parser), configuration and targets followed by list and watch, budgets as leases drawn by conditional updates, one dispatch at a time and never twice for what may not be repeated. Ruled out: a process beside the instance (two hops, twice the memory); neon, which blocks a thread a stream and opens a connection a call (priced).

--- a/bin/loftpathd.c
+++ b/bin/loftpathd.c
@@ -15,6 +15,7 @@
 #include "kernel/log.h"
 #include "kernel/service.h"
 #include "kernel/settings.h"
+#include "node/node.h"
 
 #define STEP_US 20000   /* while stopping */
 #define IDLE_US 200000  /* else, to see an operator's drain */
@@ -202,7 +203,9 @@
   return false;
 }
 
+/* Under a settings file of the users' machines it is an instance there. */
 int main(int argc, char **argv) {
+  if (getenv(SETTINGS_FILE)) return node_run(argc, argv);
   Err e = {0};
   bool ok = settings_read(settings, argc, argv,
                           "loftpathd -- one instance of the router fleet", &e);
--- /dev/null
+++ b/packages/flow/headers.c
@@ -0,0 +1,104 @@
+/* headers.c: fields in one text with offsets. */
+#include "flow/headers.h"
+
+#include <string.h>
+#include <strings.h>
+
+static const char *const hop_names[] = {
+    "Connection", "Keep-Alive",        "Proxy-Connection", "TE",
+    "Trailer",    "Transfer-Encoding", "Upgrade",          NULL};
+
+void headers_init(Headers *h) {
+  memset(h, 0, sizeof *h);
+  h->text = g_string_sized_new(512);
+}
+
+void headers_clear(Headers *h) {
+  g_string_truncate(h->text, 0);
+  h->n = 0;
+  h->too_many = false;
+  h->in_value = false;
+}
+
+void headers_free(Headers *h) {
+  if (h->text) g_string_free(h->text, TRUE);
+  h->text = NULL;
+}
+
+/* == filling == */
+
+void headers_name_piece(Headers *h, const char *p, size_t n) {
+  if (h->in_value || h->n == 0) {
+    if (h->in_value) g_string_append_c(h->text, '\0');
+    h->in_value = false;
+    h->too_many |= h->n == HEADERS_MAX;
+    if (h->too_many) return;
+    h->at[h->n].name = (guint)h->text->len;
+    h->at[h->n].value = 0;
+    h->n++;
+  }
+  if (!h->too_many) g_string_append_len(h->text, p, (gssize)n);
+}
+
+void headers_value_piece(Headers *h, const char *p, size_t n) {
+  if (h->too_many || h->n == 0) return;
+  if (!h->in_value) {
+    g_string_append_c(h->text, '\0');
+    h->at[h->n - 1].value = (guint)h->text->len;
+    h->in_value = true;
+  }
+  g_string_append_len(h->text, p, (gssize)n);
+}
+
+/* == reading == */
+
+const char *headers_name(const Headers *h, int i) {
+  return h->text->str + h->at[i].name;
+}
+
+const char *headers_value(const Headers *h, int i) {
+  return h->at[i].value ? h->text->str + h->at[i].value : "";
+}
+
+const char *headers_get(const Headers *h, const char *name) {
+  for (int i = 0; i < h->n; i++)
+    if (strcasecmp(headers_name(h, i), name) == 0) return headers_value(h, i);
+  return NULL;
+}
+
+int headers_count(const Headers *h, const char *name) {
+  int n = 0;
+  for (int i = 0; i < h->n; i++)
+    n += strcasecmp(headers_name(h, i), name) == 0;
+  return n;
+}
+
+/* `list` is parted by commas. */
+static bool lists(const char *list, const char *name) {
+  size_t n = strlen(name);
+  while (list && *list) {
+    while (*list == ' ' || *list == ',' || *list == '\t') list++;
+    size_t len = strcspn(list, ", \t");
+    if (len == n && strncasecmp(list, name, n) == 0) return true;
+    list += len;
+  }
+  return false;
+}
+
+bool headers_hop(const Headers *h, int i) {
+  const char *name = headers_name(h, i);
+  for (int k = 0; hop_names[k]; k++)
+    if (strcasecmp(name, hop_names[k]) == 0) return true;
+  for (int k = 0; k < h->n; k++)
+    if (strcasecmp(headers_name(h, k), "Connection") == 0 &&
+        lists(headers_value(h, k), name))
+      return true;
+  return false;
+}
+
+void headers_put(GString *out, const char *name, const char *value) {
+  g_string_append(out, name);
+  g_string_append_len(out, ": ", 2);
+  g_string_append(out, value);
+  g_string_append_len(out, "\r\n", 2);
+}
--- /dev/null
+++ b/packages/flow/relay.h
@@ -0,0 +1,37 @@
+/* relay.h: the life of a request on the event loop: route, customer, budget,
+   target, answer; and every way in which it can end. */
+#ifndef FLOW_RELAY_H
+#define FLOW_RELAY_H
+
+#include <ev.h>
+
+#include "conf/conf.h"
+#include "flow/caller.h"
+#include "ledger/lease.h"
+#include "route/retries.h"
+#include "route/targets.h"
+
+typedef struct Relay Relay;
+
+typedef struct RelayOptions {
+  const char *listen; /* ip:port for callers */
+  int64_t body_room;  /* bytes of bodies held at once */
+} RelayOptions;
+
+Relay *relay_open(struct ev_loop *loop, const RelayOptions *o, Targets *targets,
+                  Leases *leases, Retries *retries, Err *e);
+void relay_close(Relay *r);
+
+/* The configuration that new requests are served by. */
+void relay_conf(Relay *r, Conf *c);
+Conf *relay_get_conf(const Relay *r);
+/* Budgets changed: requests that wait ask again. */
+void relay_leases(Relay *r);
+/* Planned stop: open requests go on, callers are asked to leave. */
+void relay_drain(Relay *r);
+/* From here on new requests are refused. */
+void relay_refuse(Relay *r);
+int relay_open_requests(const Relay *r);
+int64_t relay_links_opened(const Relay *r);
+
+#endif
--- /dev/null
+++ b/packages/flow/sock.c
@@ -0,0 +1,101 @@
+/* sock.c: socket calls and their options. */
+#define _GNU_SOURCE
+#include "flow/sock.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define BACKLOG 1024     /* new connections that may wait */
+#define PROBE_AFTER_S 1  /* seconds of silence before a probe */
+#define PROBE_EVERY_S 1  /* seconds between probes */
+#define PROBES 2         /* lost probes that end a connection */
+
+static bool parse(const char *addr, struct sockaddr_in *in) {
+  char ip[64];
+  const char *colon = strrchr(addr, ':');
+  if (!colon || (size_t)(colon - addr) >= sizeof ip) return false;
+  memcpy(ip, addr, (size_t)(colon - addr));
+  ip[colon - addr] = '\0';
+  memset(in, 0, sizeof *in);
+  in->sin_family = AF_INET;
+  in->sin_port = htons((uint16_t)atoi(colon + 1));
+  return inet_pton(AF_INET, ip, &in->sin_addr) == 1;
+}
+
+static void set(int fd, int level, int name, int value) {
+  setsockopt(fd, level, name, &value, sizeof value);
+}
+
+int sock_listen(const char *addr, Err *e) {
+  struct sockaddr_in in;
+  int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (fd >= 0) set(fd, SOL_SOCKET, SO_REUSEADDR, 1);
+  if (fd >= 0 && parse(addr, &in) &&
+      bind(fd, (struct sockaddr *)&in, sizeof in) == 0 &&
+      listen(fd, BACKLOG) == 0)
+    return fd;
+  err_set(e, ERR_SETTING, "can't listen at %s: %s", addr, strerror(errno));
+  if (fd >= 0) close(fd);
+  return -1;
+}
+
+int sock_accept(int fd) {
+  int c = accept4(fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+  if (c >= 0) set(c, IPPROTO_TCP, TCP_NODELAY, 1);
+  return c;
+}
+
+int sock_connect(const char *addr) {
+  struct sockaddr_in in;
+  if (!parse(addr, &in)) return -1;
+  int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (fd < 0) return -1;
+  set(fd, IPPROTO_TCP, TCP_NODELAY, 1);
+  if (connect(fd, (struct sockaddr *)&in, sizeof in) == 0 ||
+      errno == EINPROGRESS)
+    return fd;
+  close(fd);
+  return -1;
+}
+
+int sock_error(int fd) {
+  int error = 0;
+  socklen_t n = sizeof error;
+  if (getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &n) != 0) return errno;
+  return error;
+}
+
+void sock_user_timeout(int fd, int ms) {
+  set(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, ms);
+}
+
+void sock_probe(int fd) {
+  set(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
+  set(fd, IPPROTO_TCP, TCP_KEEPIDLE, PROBE_AFTER_S);
+  set(fd, IPPROTO_TCP, TCP_KEEPINTVL, PROBE_EVERY_S);
+  set(fd, IPPROTO_TCP, TCP_KEEPCNT, PROBES);
+}
+
+void sock_reset(int fd) {
+  struct linger l = {1, 0};
+  setsockopt(fd, SOL_SOCKET, SO_LINGER, &l, sizeof l);
+  close(fd);
+}
+
+bool sock_write(int fd, GString *out, size_t *off) {
+  while (*off < out->len) {
+    ssize_t n = send(fd, out->str + *off, out->len - *off, MSG_NOSIGNAL);
+    if (n < 0 && errno == EINTR) continue;
+    if (n < 0) return errno == EAGAIN || errno == EWOULDBLOCK;
+    *off += (size_t)n;
+  }
+  g_string_truncate(out, 0);
+  *off = 0;
+  return true;
+}
--- a/packages/kernel/err.c
+++ b/packages/kernel/err.c
@@ -10,6 +10,9 @@
     [ERR_MALFORMED] = {"malformed", 400,
                        "correct the request as docs/API.md shows"},
     [ERR_TOO_LARGE] = {"too-large", 413, "send a smaller body"},
+    [ERR_HEADER_TOO_LARGE] = {"head-too-large", 431,
+                              "send fewer or shorter header fields"},
+    [ERR_TOO_SLOW] = {"too-slow", 408, "send the request without pauses"},
     [ERR_UNAUTHORISED] = {"unauthorised", 401,
                           "send Authorization: Bearer with a key whose hash "
                           "stands in the table"},
@@ -48,6 +51,12 @@
                          "retry: the claim could not be kept, so the request "
                          "was not sent"},
     [ERR_DRAINING] = {"draining", 503, "retry at another instance"},
+    [ERR_NOT_CONFIGURED] = {"not-configured", 503,
+                            "retry: this instance has no configuration yet"},
+    [ERR_NO_ROUTE] = {"no-route", 404,
+                      "ask the operator which hosts and paths are served"},
+    [ERR_LATE] = {"late", 504,
+                  "the target did not answer in time; it may have run"},
     [ERR_TABLE] = {"table-invalid", 422, "correct the cell named"},
     [ERR_TABLE_RACE] = {"table-race", 409,
                         "loftpath show, redo the edit on the new version, "
--- a/packages/kernel/err.h
+++ b/packages/kernel/err.h
@@ -9,6 +9,8 @@
   /* callers */
   ERR_MALFORMED,
   ERR_TOO_LARGE,
+  ERR_HEADER_TOO_LARGE,
+  ERR_TOO_SLOW,
   ERR_UNAUTHORISED,
   ERR_NO_MODEL,
   ERR_NO_SERVICE,
@@ -27,6 +29,9 @@
   ERR_MAY_HAVE_RUN,
   ERR_CLAIM_STORE,
   ERR_DRAINING,
+  ERR_NOT_CONFIGURED,
+  ERR_NO_ROUTE,
+  ERR_LATE,
   /* operators */
   ERR_TABLE,
   ERR_TABLE_RACE,
--- a/packages/kernel/settings.c
+++ b/packages/kernel/settings.c
@@ -6,6 +6,7 @@
 #include <assert.h>
 #include <ctype.h>
 #include <errno.h>
+#include <glib.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -77,6 +78,33 @@
   }
 }
 
+/* == the file == */
+
+static void take_line(Setting *list, char *line) {
+  char *eq = strchr(line, '=');
+  if (!eq || line[0] == '#') return;
+  *eq = '\0';
+  const char *flag = g_strstrip(line), *value = g_strstrip(eq + 1);
+  for (; list->flag; list++)
+    if (!list->value && strcmp(list->flag, flag) == 0)
+      list->value = g_strdup(value); /* for the life of the process */
+}
+
+static bool read_file(Setting *list, const char *path, Err *e) {
+  char *text = NULL;
+  GError *bad = NULL;
+  if (!g_file_get_contents(path, &text, NULL, &bad)) {
+    err_set(e, ERR_SETTING, "can't read %s: %s", path, bad->message);
+    g_error_free(bad);
+    return false;
+  }
+  char **lines = g_strsplit(text, "\n", -1);
+  for (int i = 0; lines[i]; i++) take_line(list, lines[i]);
+  g_strfreev(lines);
+  g_free(text);
+  return true;
+}
+
 bool settings_read(Setting *list, int argc, char **argv, const char *about,
                    Err *e) {
   static struct argp_option options[MAX_SETTINGS + 1];
@@ -96,8 +124,11 @@
   struct argp argp = {.options = options, .parser = on_option, .doc = about};
   if (argp_parse(&argp, argc, argv, 0, NULL, list) != 0)
     return err_set(e, ERR_SETTING, "the flags can't be read");
-  for (int i = 0; i < n; i++) {
+  const char *path = getenv(SETTINGS_FILE);
+  for (int i = 0; i < n; i++)
     if (!list[i].value) list[i].value = getenv(list[i].env);
+  if (path && !read_file(list, path, e)) return false;
+  for (int i = 0; i < n; i++) {
     if (!list[i].value) list[i].value = list[i].fallback;
     if (!check(&list[i], e)) return false;
   }
--- a/packages/kernel/settings.h
+++ b/packages/kernel/settings.h
@@ -25,8 +25,12 @@
   const char *value; /* filled by settings_read */
 } Setting;
 
-/* Reads flags first, then the environment, then the fallback; `list` ends with
-   a NULL flag. Prints help and usage errors as argp does. */
+/* Environment variable that names a file of settings, a "flag = value" a line;
+   `#` begins a comment, names that are not known are passed over. */
+#define SETTINGS_FILE "LOFTPATH_NODE_FILE"
+
+/* Reads flags first, then the environment, then the file that SETTINGS_FILE
+   names, then the fallback; `list` ends with a NULL flag. Prints help and usage errors as argp does. */
 bool settings_read(Setting *list, int argc, char **argv, const char *about,
                    Err *e);
 const char *settings_text(const Setting *list, const char *flag);
--- /dev/null
+++ b/packages/node/node.c
@@ -0,0 +1,292 @@
+/* node.c: settings, start, planned stop. */
+#include "node/node.h"
+
+#include <ev.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/random.h>
+
+#include "flow/relay.h"
+#include "kernel/count.h"
+#include "kernel/log.h"
+#include "kernel/settings.h"
+#include "node/budgets.h"
+#include "platform/feed.h"
+
+#define TICK_S 0.05          /* between looks at what waits */
+#define SWEEP_S 1.0          /* between looks for targets to forget */
+#define REFUSE_AFTER_S 3.2   /* of a stop; the balancer asks each second and
+                                takes an instance out after two misses */
+#define STOP_MARGIN_S 0.6    /* before the platform kills */
+#define LINGER_S 0.3         /* for the last answers to leave */
+#define BODY_SHARE 3         /* of the memory, one part for bodies held */
+
+static Setting settings[] = {
+    {"name", "LOFTPATH_NAME", SETTING_TEXT, NULL, "Name of this instance", 0, 0,
+     NULL},
+    {"datacentre", "LOFTPATH_DATACENTRE", SETTING_TEXT, NULL,
+     "Data centre it stands in", 0, 0, NULL},
+    {"listen", "LOFTPATH_LISTEN", SETTING_ADDRESS, NULL, "ip:port for callers",
+     0, 0, NULL},
+    {"ready", "LOFTPATH_READY", SETTING_ADDRESS, NULL,
+     "ip:port for the balancer's question and the metrics", 0, 0, NULL},
+    {"platform", "LOFTPATH_PLATFORM", SETTING_ADDRESS, NULL,
+     "ip:port of the platform's store", 0, 0, NULL},
+    {"memory", "LOFTPATH_MEMORY", SETTING_NUMBER, "256",
+     "Megabytes that this process may use", 32, 1 << 20, NULL},
+    {"stop", "LOFTPATH_STOP", SETTING_TEXT, "8",
+     "Seconds that a planned stop may take", 0, 0, NULL},
+    {"retry-ratio", "LOFTPATH_RETRY_RATIO", SETTING_TEXT, "0.2",
+     "Retries for each request, over all instances", 0, 0, NULL},
+    {"retry-window", "LOFTPATH_RETRY_WINDOW", SETTING_TEXT, "10",
+     "Seconds of the window in which retries are bounded", 0, 0, NULL},
+    {"retry-extra", "LOFTPATH_RETRY_EXTRA", SETTING_TEXT, "54",
+     "Retries besides, over all instances, in each window", 0, 0, NULL},
+    {"check", "LOFTPATH_CHECK", SETTING_FLAG, "off",
+     "Check the settings and exit", 0, 0, NULL},
+    {NULL, NULL, SETTING_TEXT, NULL, NULL, 0, 0, NULL}};
+
+typedef struct Node {
+  struct ev_loop *loop;
+  char id[LIMIT_ID * 2];
+  Store *store;
+  Feed *feed;
+  Targets *targets;
+  Leases *leases;
+  Retries *retries;
+  Budgets *budgets;
+  Relay *relay;
+  Callers *ready;
+  ev_timer tick, sweep;
+  ev_signal term, intr, hup;
+  double stop_at; /* loop time of SIGTERM; 0: none */
+  bool refusing, returning, was_ready;
+  int status;
+} Node;
+
+static double number(const char *name) {
+  return atof(settings_text(settings, name));
+}
+
+/* == what the store says == */
+
+static void set_budgets(Node *n, const Conf *c) {
+  for (guint i = 0; i < c->customers->len; i++) {
+    const ConfCustomer *u = c->customers->pdata[i];
+    leases_budget(n->leases, u->name, u->budget);
+  }
+}
+
+static void on_conf(void *ctx, Conf *c) {
+  Node *n = ctx;
+  const Conf *old = relay_get_conf(n->relay);
+  if (old && c->version <= old->version) return;
+  log_info("configuration", "s:I,s:I,s:i,s:i,s:f", "version",
+           (json_int_t)c->version, "before",
+           (json_int_t)(old ? old->version : 0), "routes", (int)c->routes->len,
+           "customers", (int)c->customers->len, "store_age",
+           feed_age(n->feed));
+  set_budgets(n, c);
+  relay_conf(n->relay, c);
+  relay_leases(n->relay);
+}
+
+static void on_target(void *ctx, const TargetInfo *t) {
+  Node *n = ctx;
+  targets_set(n->targets, ev_now(n->loop), t);
+  log_info("target", "s:s,s:s,s:s,s:s,s:b,s:I", "target", t->id, "service",
+           t->service, "addr", t->addr, "datacentre", t->dc, "leaving",
+           (int)t->leaving, "revision", (json_int_t)t->revision);
+}
+
+static void on_gone(void *ctx, const char *id, bool lapsed) {
+  Node *n = ctx;
+  targets_gone(n->targets, ev_now(n->loop), id, lapsed);
+  log_info("target-gone", "s:s,s:b", "target", id, "lapsed", (int)lapsed);
+}
+
+static void on_listed(void *ctx, GHashTable *ids, bool lapsed) {
+  Node *n = ctx;
+  targets_only(n->targets, ev_now(n->loop), ids, lapsed);
+  log_info("targets-listed", "s:i,s:b", "targets", (int)g_hash_table_size(ids),
+           "lapsed", (int)lapsed);
+}
+
+static void on_budgets(void *ctx) {
+  Node *n = ctx;
+  relay_leases(n->relay);
+}
+
+/* == readiness and metrics == */
+
+static bool is_ready(const Node *n) {
+  return n->stop_at == 0 && relay_get_conf(n->relay) != NULL &&
+         feed_complete(n->feed);
+}
+
+static void on_question(void *ctx, Caller *c, const CallerReq *r,
+                        const Err *bad) {
+  Node *n = ctx;
+  GString *text = g_string_new(NULL);
+  int status = 200;
+  if (!bad && strcmp(r->target->str, "/metrics") == 0)
+    count_print(text);
+  else
+    status = is_ready(n) ? 200 : 503;
+  caller_head(c, status, "", (int64_t)text->len);
+  caller_body(c, text->str, text->len);
+  caller_end(c);
+  g_string_free(text, TRUE);
+}
+
+static void on_questioner_gone(void *ctx, Caller *c) {
+  (void)ctx;
+  (void)c;
+}
+
+/* == planned stop == */
+
+static void on_stop_signal(struct ev_loop *loop, ev_signal *w, int revents) {
+  (void)revents;
+  Node *n = w->data;
+  if (n->stop_at > 0) return;
+  n->stop_at = ev_now(loop);
+  log_info("draining", "s:i", "open", relay_open_requests(n->relay));
+  relay_drain(n->relay);
+}
+
+static void end(Node *n, bool clean) {
+  log_info("stopped", "s:b,s:i", "clean", (int)clean, "open",
+           relay_open_requests(n->relay));
+  n->status = clean ? 0 : 3;
+  ev_break(n->loop, EVBREAK_ALL);
+}
+
+/* New callers still come until the balancer has heard; then open requests
+   end, budgets go back, and the process exits. */
+static void stop_step(Node *n) {
+  double past = ev_now(n->loop) - n->stop_at;
+  double most = number("stop") - STOP_MARGIN_S;
+  if (past > REFUSE_AFTER_S && !n->refusing) {
+    n->refusing = true;
+    relay_refuse(n->relay);
+  }
+  bool idle = relay_open_requests(n->relay) == 0;
+  if (n->refusing && (idle || past > most - LINGER_S) && !n->returning) {
+    n->returning = true;
+    leases_drain(n->leases);
+  }
+  bool done = n->returning && idle && leases_drained(n->leases);
+  if (past > most || (done && past > REFUSE_AFTER_S + LINGER_S)) end(n, idle);
+}
+
+/* == time == */
+
+static void on_tick(struct ev_loop *loop, ev_timer *w, int revents) {
+  (void)loop;
+  (void)revents;
+  Node *n = w->data;
+  relay_leases(n->relay);
+  budgets_run(n->budgets);
+  if (n->stop_at > 0) stop_step(n);
+  if (is_ready(n) == n->was_ready) return;
+  n->was_ready = !n->was_ready;
+  log_info("ready", "s:b", "ready", (int)n->was_ready);
+}
+
+static void on_sweep(struct ev_loop *loop, ev_timer *w, int revents) {
+  (void)revents;
+  Node *n = w->data;
+  targets_sweep(n->targets, ev_now(loop));
+}
+
+static void on_hup(struct ev_loop *loop, ev_signal *w, int revents) {
+  (void)loop;
+  (void)w;
+  (void)revents;
+  log_info("reload", "");
+}
+
+/* == start == */
+
+static uint32_t random_number(void) {
+  uint32_t n = 0;
+  if (getrandom(&n, sizeof n, 0) != sizeof n) n = (uint32_t)time(NULL);
+  return n;
+}
+
+static bool open_parts(Node *n, Err *e) {
+  static const FeedEvents feed_events = {on_conf, on_target, on_gone,
+                                         on_listed};
+  static const CallerEvents ready_events = {on_question, on_questioner_gone};
+  RetriesOptions retries = {.ratio = number("retry-ratio"),
+                            .window_s = number("retry-window"),
+                            .extra = number("retry-extra")};
+  RelayOptions relay = {
+      .listen = settings_text(settings, "listen"),
+      .body_room = (settings_number(settings, "memory") << 20) / BODY_SHARE};
+  n->targets =
+      targets_new(settings_text(settings, "datacentre"), random_number());
+  n->leases = leases_new(n->id);
+  leases_instances(n->leases, 8);
+  n->retries = retries_new(&retries);
+  retries_instances(n->retries, 8);
+  n->store = store_open(n->loop, settings_text(settings, "platform"));
+  n->budgets =
+      budgets_open(n->loop, n->store, n->leases, on_budgets, n);
+  n->relay =
+      relay_open(n->loop, &relay, n->targets, n->leases, n->retries, e);
+  if (!n->relay) return false;
+  n->ready = callers_open(n->loop, settings_text(settings, "ready"),
+                          &ready_events, n, e);
+  if (!n->ready) return false;
+  n->feed = feed_open(n->loop, n->store, &feed_events, n);
+  return true;
+}
+
+static void start_timers(Node *n) {
+  ev_timer_init(&n->tick, on_tick, TICK_S, TICK_S);
+  ev_timer_init(&n->sweep, on_sweep, SWEEP_S, SWEEP_S);
+  ev_signal_init(&n->term, on_stop_signal, SIGTERM);
+  ev_signal_init(&n->intr, on_stop_signal, SIGINT);
+  ev_signal_init(&n->hup, on_hup, SIGHUP);
+  n->tick.data = n->sweep.data = n;
+  n->term.data = n->intr.data = n->hup.data = n;
+  ev_timer_start(n->loop, &n->tick);
+  ev_timer_start(n->loop, &n->sweep);
+  ev_signal_start(n->loop, &n->term);
+  ev_signal_start(n->loop, &n->intr);
+  ev_signal_start(n->loop, &n->hup);
+}
+
+int node_run(int argc, char **argv) {
+  static Node node;
+  Node *n = &node;
+  Err e = {0};
+  if (!settings_read(settings, argc, argv,
+                     "loftpathd -- one instance of the router fleet", &e)) {
+    fprintf(stderr, "loftpathd: %s: %s\n", e.text, err_info(e.kind)->remedy);
+    return 2;
+  }
+  if (settings_flag(settings, "check")) {
+    printf("settings are valid\n");
+    return 0;
+  }
+  snprintf(n->id, sizeof n->id, "%.40s.%08x", settings_text(settings, "name"),
+           random_number());
+  log_open(n->id, false);
+  signal(SIGPIPE, SIG_IGN);
+  n->loop = ev_default_loop(EVFLAG_AUTO);
+  if (!n->loop || !open_parts(n, &e)) {
+    log_warn("start-failed", "s:s,s:s", "error", e.text, "remedy",
+             err_info(e.kind)->remedy);
+    return 1;
+  }
+  start_timers(n);
+  log_info("started", "s:s,s:s", "listen", settings_text(settings, "listen"),
+           "datacentre", settings_text(settings, "datacentre"));
+  ev_run(n->loop, 0);
+  return n->status;
+}
--- /dev/null
+++ b/packages/route/retries.h
@@ -0,0 +1,26 @@
+/* retries.h: how often requests are sent again, bounded over all instances in
+   every sliding window; pure. Each instance keeps to its share: the ratio of
+   its own requests, and its part of the extra. */
+#ifndef ROUTE_RETRIES_H
+#define ROUTE_RETRIES_H
+
+#include <stdbool.h>
+
+typedef struct Retries Retries;
+
+typedef struct RetriesOptions {
+  double ratio;    /* retries for each request */
+  double window_s; /* in every span of this length */
+  double extra;    /* besides, for all instances together */
+} RetriesOptions;
+
+Retries *retries_new(const RetriesOptions *o);
+void retries_free(Retries *r);
+/* How many instances share the extra. */
+void retries_instances(Retries *r, int n);
+/* A first dispatch to `service`. */
+void retries_first(Retries *r, double now, const char *service);
+/* Takes one retry; false when none is left. */
+bool retries_take(Retries *r, double now, const char *service);
+
+#endif
--- /dev/null
+++ b/packages/route/targets.h
@@ -0,0 +1,89 @@
+/* targets.h: the targets that there are, what this instance learned of each,
+   and which one takes a request; pure. docs/PLATFORM.md, "Choice". */
+#ifndef ROUTE_TARGETS_H
+#define ROUTE_TARGETS_H
+
+#include <glib.h>
+#include <stdbool.h>
+
+#include "flow/ask.h"
+#include "kernel/limits.h"
+
+/* A target as it stands in the store. */
+typedef struct TargetInfo {
+  char id[LIMIT_NAME]; /* of one start of it; used nowhere else */
+  char service[LIMIT_NAME];
+  char addr[LIMIT_NAME]; /* ip:port */
+  char dc[LIMIT_NAME];
+  int slots;
+  bool leaving;
+  double cold_s; /* it stays slow this much longer */
+  uint64_t revision;
+} TargetInfo;
+
+typedef struct Targets Targets;
+typedef struct Target Target;
+
+Targets *targets_new(const char *dc, uint32_t seed);
+void targets_free(Targets *s);
+
+/* == membership == */
+
+/* Older news than what is known is passed over. */
+void targets_set(Targets *s, double now, const TargetInfo *t);
+/* Its entry went away. `lapsed`: perhaps only because the store was away; it
+   is then used for TARGET_LAPSE_S more. */
+void targets_gone(Targets *s, double now, const char *id, bool lapsed);
+/* Everything that `keep` (a set of ids) does not hold is gone. */
+void targets_only(Targets *s, double now, GHashTable *keep, bool lapsed);
+/* Another one has its address. */
+void targets_replaced(Targets *s, double now, Target *t);
+/* Forgets those that left and have nothing open. */
+void targets_sweep(Targets *s, double now);
+int targets_count(const Targets *s, const char *service);
+
+/* == one dispatch == */
+
+/* What is to be placed. */
+typedef struct TargetAsk {
+  const char *service;
+  const Ask *ask;
+  bool engine;
+  int64_t memory; /* tokens that an engine holds, 0 unknown */
+  const Target *const *tried;
+  int n_tried;
+} TargetAsk;
+
+typedef struct TargetChoice {
+  Target *target; /* NULL: there is none */
+  double wait_s;  /* predicted, until the first byte */
+  int64_t fresh;  /* tokens of the prompt thought to be read anew */
+  int candidates;
+} TargetChoice;
+
+TargetChoice targets_pick(Targets *s, double now, const TargetAsk *ask);
+/* True while it may take new work. */
+bool target_usable(const Target *t, double now);
+const char *target_id(const Target *t);
+const char *target_addr(const Target *t);
+
+/* The chosen target gets the request, with `fresh` tokens to read. */
+void target_sent(Target *t, double now, const Ask *ask, int64_t fresh);
+/* Its first byte came. */
+void target_first(Target *t, int64_t fresh);
+
+typedef enum {
+  TARGET_OK,
+  TARGET_FULL,   /* it said that it did not run the request */
+  TARGET_FAILED, /* an error of its own, a damaged answer */
+  TARGET_SILENT, /* it could not be reached, or said nothing */
+  TARGET_LEFT    /* we gave up; says nothing of it */
+} TargetEnd;
+
+/* The request has ended there; `first`: its first byte had come. `took_s`:
+   all of it. */
+void target_done(Target *t, double now, TargetEnd how, bool first,
+                 int64_t fresh, double took_s);
+void target_load(Target *t, double now, int running, int waiting);
+
+#endif
