Budgets on the model-checked ledger, instances know each other by heartbeats

Now the ledger's homes lay up for all instances of a region. Its estimate of demand was low by up to ten times in the first half minute of a budget, since its mean over 300 s was taken as if 30 s had passed: a mean is now set right by the time that it has seen, and the shorter one counts too. Also: heartbeats introduce other instances while the view changes; seeds that do not answer are greeted with doubling waits; a configuration that others have is asked for.

--- /dev/null
+++ b/packages/fleet/cluster.h
@@ -0,0 +1,53 @@
+/* cluster.h: runs the pure cores of members and budgets on an event loop: the
+   counterpart of fleet.h for an instance that has no threads of its own. */
+#ifndef FLEET_CLUSTER_H
+#define FLEET_CLUSTER_H
+
+#include <ev.h>
+
+#include "kernel/err.h"
+#include "ledger/ledger.h"
+#include "member/member.h"
+#include "platform/store.h"
+
+typedef struct Cluster Cluster;
+
+typedef struct ClusterOptions {
+  Member self;
+  const char *bind;   /* tcp://ip:port for the other instances */
+  const char *seeds;  /* their IPs, parted by commas; may be out of date */
+  uint32_t seed;      /* of what is random */
+} ClusterOptions;
+
+typedef struct ClusterEvents {
+  /* A reservation is decided. */
+  void (*reserved)(void *ctx, uint64_t handle, ErrKind cause, int retry_ms);
+  /* Other instances came or went; `n` with ourselves. */
+  void (*instances)(void *ctx, int n);
+  /* Another instance sent its configuration. */
+  void (*conf)(void *ctx, const char *text);
+  /* The configuration that another instance is to get; NULL: none. */
+  const char *(*conf_text)(void *ctx);
+} ClusterEvents;
+
+Cluster *cluster_open(struct ev_loop *loop, Store *store,
+                      const ClusterOptions *o, const ClusterEvents *ev,
+                      void *ctx, Err *e);
+void cluster_close(Cluster *c);
+
+/* The configuration in force here, as the others hear of it. */
+void cluster_conf(Cluster *c, uint64_t version);
+void cluster_budgets(Cluster *c, const LedgerBudget *list, int n);
+/* The handle of the reservation, never 0; its decision comes with the next
+   cluster_act, or later. */
+uint64_t cluster_reserve(Cluster *c, const char *budget, int64_t tokens);
+void cluster_act(Cluster *c);
+/* Ends a reservation, or takes back one that still waits (`used` 0). */
+void cluster_settle(Cluster *c, uint64_t handle, int64_t used);
+/* Planned stop: everything free goes back. */
+void cluster_drain(Cluster *c);
+bool cluster_drained(const Cluster *c);
+int cluster_instances(const Cluster *c);
+LedgerSums cluster_sums(const Cluster *c);
+
+#endif
--- a/packages/flow/relay.c
+++ b/packages/flow/relay.c
@@ -38,8 +38,8 @@
   ev_timer timer;
   /* budget */
   int64_t reserved;
-  bool holds, waits;
-  double waits_until;
+  uint64_t handle; /* 0: nothing is reserved */
+  bool waits;      /* for the decision on it */
   /* target */
   const Target *tried[TRIED_MOST];
   int n_tried, sends;
@@ -64,7 +64,8 @@
   Callers *callers;
   Links *links;
   Targets *targets;
-  Leases *leases;
+  Cluster *cluster;
+  GHashTable *reserved; /* handle -> Run, of all that hold or wait */
   Retries *retries;
   Conf *conf;
   int64_t body_room;
@@ -90,16 +91,12 @@
 }
 
 static void settle(Run *x, int64_t used) {
-  if (!x->holds) return;
-  x->holds = false;
-  leases_settle(x->relay->leases, x->customer->name, x->reserved, used);
-  count_add(COUNT_TOKENS, used);
-}
-
-static void stop_waiting(Run *x) {
-  if (x->waits)
-    leases_forget(x->relay->leases, x->customer->name, x->reserved);
-  x->waits = false;
+  if (x->handle == 0) return;
+  uint64_t handle = x->handle;
+  g_hash_table_remove(x->relay->reserved, &x->handle);
+  x->handle = 0;
+  cluster_settle(x->relay->cluster, handle, x->waits ? 0 : used);
+  count_add(COUNT_TOKENS, x->waits ? 0 : used);
 }
 
 /* The target is done with, one way or the other. */
@@ -142,7 +139,6 @@
                       const char *error) {
   if (x->link) link_cancel(x->link);
   x->link = NULL;
-  stop_waiting(x);
   leave_target(x, TARGET_LEFT);
   bool ran = x->maybe || x->head_out;
   int64_t used = used_tokens(x, ran);
@@ -427,48 +423,58 @@
 
 /* == budget == */
 
-static void budget_refused(Run *x, LeaseVerdict v) {
+static void arm(Run *x, double at, void (*fn)(struct ev_loop *, ev_timer *, int)) {
+  struct ev_loop *loop = x->relay->loop;
+  ev_timer_stop(loop, &x->timer);
+  ev_timer_init(&x->timer, fn, MAX(0.001, at - ev_now(loop)), 0);
+  x->timer.data = x;
+  ev_timer_start(loop, &x->timer);
+}
+
+static void on_deadline(struct ev_loop *loop, ev_timer *w, int revents);
+
+static void budget_refused(Run *x, ErrKind cause, int retry_ms) {
   Err e;
-  if (v == LEASE_EMPTY)
-    err_set(&e, ERR_BUDGET_EMPTY, "the budget of %s can't hold %" G_GINT64_FORMAT
-            " tokens", x->customer->name, x->reserved);
-  else
-    err_retry(&e, ERR_BUDGET_STORE, BACK_LATER_MS,
-              "the store does not answer for the budget of %s",
-              x->customer->name);
+  err_retry(&e, cause, retry_ms,
+            "%" G_GINT64_FORMAT " tokens could not be reserved for %s",
+            x->reserved, x->customer->name);
   give_up(x, &e);
 }
 
-/* Reserves and goes on, or waits, or ends. */
-static void try_budget(Run *x, bool again) {
-  Relay *r = x->relay;
-  double now = now_of(x);
+static void on_budget_late(struct ev_loop *loop, ev_timer *w, int revents) {
+  (void)loop;
+  (void)revents;
+  budget_refused(w->data, ERR_BUDGET_STORE, BACK_LATER_MS);
+}
+
+void relay_reserved(Relay *r, uint64_t handle, ErrKind cause, int retry_ms) {
+  Run *x = g_hash_table_lookup(r->reserved, &handle);
+  if (!x) return;
   x->waits = false;
-  if (!x->customer || x->reserved == 0) {
-    dispatch(x);
+  if (cause != ERR_NONE) {
+    g_hash_table_remove(r->reserved, &handle);
+    x->handle = 0;
+    budget_refused(x, cause, retry_ms);
     return;
   }
-  LeaseVerdict v =
-      leases_reserve(r->leases, now, x->customer->name, x->reserved, again);
-  if (v == LEASE_WAIT && now >= x->waits_until) {
-    leases_forget(r->leases, x->customer->name, x->reserved);
-    v = LEASE_STORE;
-  }
-  if (v == LEASE_WAIT) {
-    x->waits = true;
-  } else if (v == LEASE_OK) {
-    x->holds = true;
-    dispatch(x);
-  } else {
-    budget_refused(x, v);
-  }
+  arm(x, x->deadline, on_deadline);
+  dispatch(x);
 }
 
-void relay_leases(Relay *r) {
-  for (Run *x = r->first, *next; x; x = next) {
-    next = x->next;
-    if (x->waits) try_budget(x, true);
+static void reserve(Run *x) {
+  Relay *r = x->relay;
+  bool limited = x->customer && x->customer->budget != CONF_UNLIMITED;
+  if (!limited || x->reserved == 0) {
+    arm(x, x->deadline, on_deadline);
+    dispatch(x);
+    return;
   }
+  double wait_s = MIN(BUDGET_WAIT_S, x->route->aim_s / 4);
+  arm(x, MIN(x->deadline, now_of(x) + wait_s), on_budget_late);
+  x->waits = true;
+  x->handle = cluster_reserve(r->cluster, x->customer->name, x->reserved);
+  g_hash_table_insert(r->reserved, &x->handle, x);
+  cluster_act(r->cluster);
 }
 
 /* == requests == */
@@ -513,15 +519,10 @@
 }
 
 static void start(Run *x) {
-  double now = now_of(x);
   double wait_s = x->ask.deadline_s > 0 ? x->ask.deadline_s : DEADLINE_DEFAULT_S;
   x->deadline = x->req->at + MIN(wait_s, x->route->timeout_s);
   x->reserved = x->ask.tokens_in + x->ask.tokens_out;
-  x->waits_until = now + MIN(BUDGET_WAIT_S, x->route->aim_s / 4);
-  ev_timer_init(&x->timer, on_deadline, MAX(0.001, x->deadline - now), 0);
-  x->timer.data = x;
-  ev_timer_start(x->relay->loop, &x->timer);
-  try_budget(x, false);
+  reserve(x);
 }
 
 static Run *new_run(Relay *r, Caller *c, const CallerReq *req) {
@@ -579,7 +580,7 @@
 static const CallerEvents caller_events = {on_request, on_gone};
 
 Relay *relay_open(struct ev_loop *loop, const RelayOptions *o, Targets *targets,
-                  Leases *leases, Retries *retries, Err *e) {
+                  Retries *retries, Err *e) {
   LinkOptions links = {.connect_s = CONNECT_S,
                        .user_timeout_ms = USER_TIMEOUT_MS,
                        .probe = true,
@@ -587,7 +588,7 @@
   Relay *r = g_new0(Relay, 1);
   r->loop = loop;
   r->targets = targets;
-  r->leases = leases;
+  r->reserved = g_hash_table_new(g_int64_hash, g_int64_equal);
   r->retries = retries;
   r->body_room = o->body_room;
   r->links = links_open(loop, &links);
@@ -602,9 +603,14 @@
   callers_close(r->callers);
   links_close(r->links);
   conf_unref(r->conf);
+  g_hash_table_destroy(r->reserved);
   g_free(r);
 }
 
+void relay_cluster(Relay *r, Cluster *c) {
+  r->cluster = c;
+}
+
 void relay_conf(Relay *r, Conf *c) {
   conf_unref(r->conf);
   r->conf = conf_ref(c);
--- a/packages/flow/relay.h
+++ b/packages/flow/relay.h
@@ -7,7 +7,7 @@
 
 #include "conf/conf.h"
 #include "flow/caller.h"
-#include "ledger/lease.h"
+#include "fleet/cluster.h"
 #include "route/retries.h"
 #include "route/targets.h"
 
@@ -19,14 +19,16 @@
 } RelayOptions;
 
 Relay *relay_open(struct ev_loop *loop, const RelayOptions *o, Targets *targets,
-                  Leases *leases, Retries *retries, Err *e);
+                  Retries *retries, Err *e);
 void relay_close(Relay *r);
+/* Where budgets are reserved; before the first request. */
+void relay_cluster(Relay *r, Cluster *c);
 
 /* The configuration that new requests are served by. */
 void relay_conf(Relay *r, Conf *c);
 Conf *relay_get_conf(const Relay *r);
-/* Budgets changed: requests that wait ask again. */
-void relay_leases(Relay *r);
+/* A reservation is decided. */
+void relay_reserved(Relay *r, uint64_t handle, ErrKind cause, int retry_ms);
 /* Planned stop: open requests go on, callers are asked to leave. */
 void relay_drain(Relay *r);
 /* From here on new requests are refused. */
--- a/packages/ledger/home.c
+++ b/packages/ledger/home.c
@@ -7,6 +7,7 @@
 
 #define RATE_TAU 30.0     /* seconds over which a region's demand is averaged */
 #define SLOW_TAU 300.0    /* the same, for what is laid up */
+#define YOUNG 2.0         /* a mean of less time than this says little */
 #define SPARE 1.2         /* laid up for each token of measured demand */
 #define REFILL_BELOW 0.8  /* of what is to be laid up */
 #define REFILL_LEAST 0.1  /* smaller refills are not worth a write */
@@ -32,14 +33,19 @@
   return g_hash_table_lookup(l->rows, h->name);
 }
 
+/* A young average has not yet seen its whole time. */
+static double grown(double mean, double age, double tau) {
+  return mean / (1 - exp(-age / tau));
+}
+
 static double laid_up(const Ledger *l, const HomeBudget *h) {
   const LedgerBudget *row = row_of(l, h);
   double s = row ? row->reserve_s : 0;
   if (h->held && !h->held->witness[0] && s > SOLE_RESERVE) s = SOLE_RESERVE;
-  /* A young average has not yet seen its whole time. */
-  double seen = 1 - exp(-(l->now - h->born) / SLOW_TAU);
-  double slow = h->slow / MAX(seen, RATE_TAU / SLOW_TAU);
-  return slow * SPARE * s;
+  double age = MAX(l->now - h->born, YOUNG);
+  double demand =
+      MAX(grown(h->slow, age, SLOW_TAU), grown(h->rate, age, RATE_TAU));
+  return demand * SPARE * s;
 }
 
 static int64_t needs(const HomeBudget *h) {
--- a/packages/member/member.c
+++ b/packages/member/member.c
@@ -4,6 +4,10 @@
 #include <string.h>
 
 #define GREETINGS 4    /* the first ones are lost while a link is made */
+#define GREET_MOST 30.0 /* seconds between greetings of a silent seed, at most */
+#define STRANGERS 128  /* introduced instances that are greeted at once */
+#define STRANGER_TRIES 6 /* greetings until an introduced one is given up */
+#define INTRODUCE_S 20.0 /* after a change of the view others are introduced */
 #define BEAT_BYTES 160 /* a heartbeat on the wire, with its frame */
 
 typedef struct Peer {
@@ -16,7 +20,9 @@
 
 typedef struct Seed {
   MemberSeed m;
-  int greet;
+  bool stranger;        /* known by introduction only */
+  int tries;            /* greetings that were not answered */
+  double next_at, wait; /* the next one, seconds until the one after it */
 } Seed;
 
 struct MemberSet {
@@ -25,6 +31,8 @@
   GHashTable *peers; /* id -> Peer */
   GPtrArray *seeds;  /* Seed* of instances */
   bool greet;        /* somebody is to be greeted */
+  double changed;    /* when the view last did */
+  guint introduced;  /* whom we spoke of last */
   double next_near, next_far, next_greet;
 };
 
@@ -85,6 +93,7 @@
     s->greet = true;
     p->list_leaving = listed_leaving(s, m->id);
     g_hash_table_insert(s->peers, p->m.id, p);
+    s->changed = now;
   }
   changed |= p->m.leaving != m->leaving || p->m.table != m->table;
   if (m->table > p->m.table || m->table >= s->self.table) p->moved = now;
@@ -109,26 +118,70 @@
   return changed;
 }
 
-static int greetings_due(const GPtrArray *seeds, const char *peer) {
+static Seed *seed_at(const GPtrArray *seeds, const char *peer) {
   for (guint i = 0; i < seeds->len; i++) {
-    const Seed *x = seeds->pdata[i];
-    if (strcmp(x->m.peer, peer) == 0) return x->greet;
+    Seed *x = seeds->pdata[i];
+    if (strcmp(x->m.peer, peer) == 0) return x;
   }
-  return GREETINGS;
+  return NULL;
+}
+
+static Seed *add_seed(MemberSet *s, double now, const MemberSeed *m) {
+  Seed *x = g_new0(Seed, 1);
+  x->m = *m;
+  x->next_at = now;
+  x->wait = MEMBER_BEAT;
+  g_ptr_array_add(s->seeds, x);
+  return x;
+}
+
+/* == introductions == */
+
+static bool known(const MemberSet *s, const char *peer) {
+  GHashTableIter it;
+  gpointer v;
+  if (strcmp(s->self.peer, peer) == 0 || seed_at(s->seeds, peer)) return true;
+  g_hash_table_iter_init(&it, s->peers);
+  while (g_hash_table_iter_next(&it, NULL, &v))
+    if (strcmp(((Peer *)v)->m.peer, peer) == 0) return true;
+  return false;
+}
+
+void member_introduced(MemberSet *s, double now, const Member *m) {
+  if (known(s, m->peer) || s->seeds->len >= STRANGERS) return;
+  MemberSeed seed = {0};
+  g_strlcpy(seed.name, m->id, sizeof seed.name);
+  g_strlcpy(seed.peer, m->peer, sizeof seed.peer);
+  add_seed(s, now, &seed)->stranger = true;
+}
+
+const Member *member_introduce(MemberSet *s, double now, const char *to) {
+  guint n = g_hash_table_size(s->peers);
+  if (n < 2 || now - s->changed > INTRODUCE_S) return NULL;
+  guint skip = ++s->introduced % n;
+  GHashTableIter it;
+  gpointer v;
+  g_hash_table_iter_init(&it, s->peers);
+  while (g_hash_table_iter_next(&it, NULL, &v)) {
+    const Peer *p = v;
+    if (skip-- > 0) continue;
+    return strcmp(p->m.peer, to) == 0 ? NULL : &p->m;
+  }
+  return NULL;
 }
 
 bool member_listed(MemberSet *s, double now, const MemberSeed *list, int n) {
-  (void)now;
   bool changed = false;
   GPtrArray *old = s->seeds;
   s->seeds = g_ptr_array_new_with_free_func(g_free);
   for (int i = 0; i < n; i++) {
     if (list[i].target) continue;
-    Seed *x = g_new0(Seed, 1);
-    x->m = list[i];
-    x->greet = greetings_due(old, list[i].peer);
-    s->greet |= x->greet > 0;
-    g_ptr_array_add(s->seeds, x);
+    Seed *x = add_seed(s, now, &list[i]);
+    const Seed *was = seed_at(old, list[i].peer);
+    if (!was) continue;
+    x->tries = was->tries;
+    x->next_at = was->next_at;
+    x->wait = was->wait;
   }
   g_ptr_array_free(old, TRUE);
   GHashTableIter it;
@@ -192,9 +245,9 @@
   g_array_append_val(out, b);
 }
 
-/* Seeds that no heartbeat came from: nobody knows where they stand. */
-static void beat_seeds(MemberSet *s, bool due, bool greet, double every_s,
-                       GArray *out) {
+/* Seeds that no heartbeat came from are greeted with doubling waits: while
+   many start at once, the first greetings are lost. */
+static void beat_seeds(MemberSet *s, double now, double every_s, GArray *out) {
   GHashTable *heard = g_hash_table_new(g_str_hash, g_str_equal);
   GHashTableIter it;
   gpointer v;
@@ -202,19 +255,39 @@
   while (g_hash_table_iter_next(&it, NULL, &v))
     g_hash_table_add(heard, ((Peer *)v)->m.peer);
   g_hash_table_add(heard, s->self.peer);
-  for (guint i = 0; i < s->seeds->len; i++) {
+  for (guint i = s->seeds->len; i-- > 0;) {
     Seed *x = s->seeds->pdata[i];
-    if (g_hash_table_contains(heard, x->m.peer)) continue;
-    if (due || (greet && x->greet > 0)) add_beat(out, x->m.peer, every_s);
-    if (greet && x->greet > 0 && --x->greet > 0) s->greet = true;
+    bool answered = g_hash_table_contains(heard, x->m.peer);
+    if (x->stranger && (answered || x->tries >= STRANGER_TRIES)) {
+      g_ptr_array_remove_index_fast(s->seeds, i);
+      continue;
+    }
+    if (now < x->next_at) continue;
+    if (answered) {
+      x->tries = 0;
+      x->wait = MEMBER_BEAT;
+      x->next_at = now + GREET_MOST;
+      continue;
+    }
+    add_beat(out, x->m.peer, every_s);
+    x->tries++;
+    x->next_at = now + x->wait;
+    x->wait = MIN(x->wait * 2, GREET_MOST);
   }
   g_hash_table_destroy(heard);
 }
 
+static bool seed_due(const MemberSet *s, double now) {
+  for (guint i = 0; i < s->seeds->len; i++)
+    if (now >= ((Seed *)s->seeds->pdata[i])->next_at) return true;
+  return false;
+}
+
 void member_beats(MemberSet *s, double now, GArray *out) {
   bool near = now >= s->next_near, far = now >= s->next_far;
   bool greet = s->greet && now >= s->next_greet;
-  if (!near && !far && !greet) return;
+  bool seeds = seed_due(s, now);
+  if (!near && !far && !greet && !seeds) return;
   int n = 1, all = (int)MAX(g_hash_table_size(s->peers), s->seeds->len) + 1;
   GHashTableIter it;
   gpointer v;
@@ -236,11 +309,13 @@
       add_beat(out, p->m.peer, in ? near_s : far_s);
     if (greet && p->greet > 0 && --p->greet > 0) s->greet = true;
   }
-  beat_seeds(s, far, greet, far_s, out);
+  if (seeds) beat_seeds(s, now, far_s, out);
   if (near) s->next_near = now + near_s;
   if (far) s->next_far = now + far_s;
 }
 
 void member_urgent(MemberSet *s) {
   s->next_near = s->next_far = 0;
+  for (guint i = 0; i < s->seeds->len; i++)
+    ((Seed *)s->seeds->pdata[i])->next_at = 0;
 }
--- a/packages/member/member.h
+++ b/packages/member/member.h
@@ -29,6 +29,11 @@
 /* Events; true when the view changed. */
 bool member_heard(MemberSet *s, double now, const Member *m);
 bool member_tick(MemberSet *s, double now);
+/* Somebody else told us of `m`: it is greeted, and counts once it speaks. */
+void member_introduced(MemberSet *s, double now, const Member *m);
+/* Whom to tell the instance at `to` of with this heartbeat, NULL: nobody. For
+   a while after the view changed each heartbeat introduces one other. */
+const Member *member_introduce(MemberSet *s, double now, const char *to);
 /* The list as read; a failed read is no event. */
 bool member_listed(MemberSet *s, double now, const MemberSeed *list, int n);
 /* What we say of ourselves. */
--- a/packages/node/node.c
+++ b/packages/node/node.c
@@ -12,7 +12,6 @@
 #include "kernel/count.h"
 #include "kernel/log.h"
 #include "kernel/settings.h"
-#include "node/budgets.h"
 #include "platform/feed.h"
 
 #define TICK_S 0.05          /* between looks at what waits */
@@ -21,6 +20,7 @@
                                 takes an instance out after two misses */
 #define STOP_MARGIN_S 0.6    /* before the platform kills */
 #define LINGER_S 0.3         /* for the last answers to leave */
+#define INSTANCES_UNKNOWN 100 /* until the others are known */
 #define BODY_SHARE 3         /* of the memory, one part for bodies held */
 
 static Setting settings[] = {
@@ -28,8 +28,18 @@
      NULL},
     {"datacentre", "LOFTPATH_DATACENTRE", SETTING_TEXT, NULL,
      "Data centre it stands in", 0, 0, NULL},
+    {"region", "LOFTPATH_REGION", SETTING_TEXT, NULL,
+     "Region: instances that mostly reach each other", 0, 0, NULL},
     {"listen", "LOFTPATH_LISTEN", SETTING_ADDRESS, NULL, "ip:port for callers",
      0, 0, NULL},
+    {"peer", "LOFTPATH_PEER", SETTING_ADDRESS, NULL,
+     "ip:port for the other instances", 0, 0, NULL},
+    {"seeds", "LOFTPATH_SEEDS", SETTING_TEXT, "",
+     "Addresses of some instances, parted by commas; only the IP counts", 0, 0,
+     NULL},
+    {"lay-up", "LOFTPATH_LAY_UP", SETTING_TEXT, "10",
+     "Seconds of a budget's demand held ready for when the store is away", 0, 0,
+     NULL},
     {"ready", "LOFTPATH_READY", SETTING_ADDRESS, NULL,
      "ip:port for the balancer's question and the metrics", 0, 0, NULL},
     {"platform", "LOFTPATH_PLATFORM", SETTING_ADDRESS, NULL,
@@ -50,13 +60,12 @@
 
 typedef struct Node {
   struct ev_loop *loop;
-  char id[LIMIT_ID * 2];
+  char id[LIMIT_ID];
   Store *store;
   Feed *feed;
   Targets *targets;
-  Leases *leases;
   Retries *retries;
-  Budgets *budgets;
+  Cluster *cluster;
   Relay *relay;
   Callers *ready;
   ev_timer tick, sweep;
@@ -73,10 +82,19 @@
 /* == what the store says == */
 
 static void set_budgets(Node *n, const Conf *c) {
+  GArray *rows = g_array_new(FALSE, TRUE, sizeof(LedgerBudget));
   for (guint i = 0; i < c->customers->len; i++) {
     const ConfCustomer *u = c->customers->pdata[i];
-    leases_budget(n->leases, u->name, u->budget);
+    LedgerBudget row = {.total = u->budget,
+                        .version = c->version,
+                        .reserve_s = number("lay-up")};
+    if (u->budget == CONF_UNLIMITED) continue;
+    g_strlcpy(row.name, u->name, sizeof row.name);
+    g_array_append_val(rows, row);
   }
+  cluster_budgets(n->cluster, (LedgerBudget *)(void *)rows->data,
+                  (int)rows->len);
+  g_array_free(rows, TRUE);
 }
 
 static void on_conf(void *ctx, Conf *c) {
@@ -88,9 +106,9 @@
            (json_int_t)(old ? old->version : 0), "routes", (int)c->routes->len,
            "customers", (int)c->customers->len, "store_age",
            feed_age(n->feed));
-  set_budgets(n, c);
   relay_conf(n->relay, c);
-  relay_leases(n->relay);
+  cluster_conf(n->cluster, c->version);
+  set_budgets(n, c);
 }
 
 static void on_target(void *ctx, const TargetInfo *t) {
@@ -114,9 +132,35 @@
            "lapsed", (int)lapsed);
 }
 
-static void on_budgets(void *ctx) {
+/* == what other instances say == */
+
+static void on_reserved(void *ctx, uint64_t handle, ErrKind cause,
+                        int retry_ms) {
+  Node *n = ctx;
+  relay_reserved(n->relay, handle, cause, retry_ms);
+}
+
+static void on_instances(void *ctx, int count) {
+  Node *n = ctx;
+  retries_instances(n->retries, count);
+}
+
+static void on_peer_conf(void *ctx, const char *text) {
   Node *n = ctx;
-  relay_leases(n->relay);
+  Err e = {0};
+  Conf *c = feed_parse(text, &e);
+  if (!c) {
+    log_warn("configuration-damaged", "s:s", "error", e.text);
+    return;
+  }
+  on_conf(n, c);
+  conf_unref(c);
+}
+
+static const char *conf_text(void *ctx) {
+  Node *n = ctx;
+  const Conf *c = relay_get_conf(n->relay);
+  return c ? c->text : NULL;
 }
 
 /* == readiness and metrics == */
@@ -176,9 +220,9 @@
   bool idle = relay_open_requests(n->relay) == 0;
   if (n->refusing && (idle || past > most - LINGER_S) && !n->returning) {
     n->returning = true;
-    leases_drain(n->leases);
+    cluster_drain(n->cluster);
   }
-  bool done = n->returning && idle && leases_drained(n->leases);
+  bool done = n->returning && idle && cluster_drained(n->cluster);
   if (past > most || (done && past > REFUSE_AFTER_S + LINGER_S)) end(n, idle);
 }
 
@@ -188,8 +232,6 @@
   (void)loop;
   (void)revents;
   Node *n = w->data;
-  relay_leases(n->relay);
-  budgets_run(n->budgets);
   if (n->stop_at > 0) stop_step(n);
   if (is_ready(n) == n->was_ready) return;
   n->was_ready = !n->was_ready;
@@ -217,6 +259,24 @@
   return n;
 }
 
+static Cluster *open_cluster(Node *n, Err *e) {
+  static const ClusterEvents events = {on_reserved, on_instances, on_peer_conf,
+                                       conf_text};
+  ClusterOptions o = {.seeds = settings_text(settings, "seeds"),
+                      .seed = random_number()};
+  g_strlcpy(o.self.id, n->id, sizeof o.self.id);
+  g_strlcpy(o.self.dc, settings_text(settings, "datacentre"),
+            sizeof o.self.dc);
+  g_strlcpy(o.self.region, settings_text(settings, "region"),
+            sizeof o.self.region);
+  g_strlcpy(o.self.http, settings_text(settings, "listen"),
+            sizeof o.self.http);
+  g_snprintf(o.self.peer, sizeof o.self.peer, "tcp://%s",
+             settings_text(settings, "peer"));
+  o.bind = o.self.peer;
+  return cluster_open(n->loop, n->store, &o, &events, n, e);
+}
+
 static bool open_parts(Node *n, Err *e) {
   static const FeedEvents feed_events = {on_conf, on_target, on_gone,
                                          on_listed};
@@ -229,16 +289,14 @@
       .body_room = (settings_number(settings, "memory") << 20) / BODY_SHARE};
   n->targets =
       targets_new(settings_text(settings, "datacentre"), random_number());
-  n->leases = leases_new(n->id);
-  leases_instances(n->leases, 8);
   n->retries = retries_new(&retries);
-  retries_instances(n->retries, 8);
+  retries_instances(n->retries, INSTANCES_UNKNOWN);
   n->store = store_open(n->loop, settings_text(settings, "platform"));
-  n->budgets =
-      budgets_open(n->loop, n->store, n->leases, on_budgets, n);
-  n->relay =
-      relay_open(n->loop, &relay, n->targets, n->leases, n->retries, e);
+  n->cluster = open_cluster(n, e);
+  if (!n->cluster) return false;
+  n->relay = relay_open(n->loop, &relay, n->targets, n->retries, e);
   if (!n->relay) return false;
+  relay_cluster(n->relay, n->cluster);
   n->ready = callers_open(n->loop, settings_text(settings, "ready"),
                           &ready_events, n, e);
   if (!n->ready) return false;
@@ -274,7 +332,7 @@
     printf("settings are valid\n");
     return 0;
   }
-  snprintf(n->id, sizeof n->id, "%.40s.%08x", settings_text(settings, "name"),
+  snprintf(n->id, sizeof n->id, "%.36s.%08x", settings_text(settings, "name"),
            random_number());
   log_open(n->id, false);
   signal(SIGPIPE, SIG_IGN);
--- a/packages/peer/codec.c
+++ b/packages/peer/codec.c
@@ -108,6 +108,17 @@
   msgpack_pack_uint8(&p, m->silent);
 }
 
+void codec_put_conf(msgpack_sbuffer *b, uint64_t version, const char *text) {
+  msgpack_packer p;
+  size_t n = text ? strlen(text) : 0;
+  msgpack_packer_init(&p, b, msgpack_sbuffer_write);
+  msgpack_pack_array(&p, 3);
+  msgpack_pack_uint8(&p, CODEC_CONF);
+  msgpack_pack_uint64(&p, version);
+  msgpack_pack_bin(&p, n);
+  msgpack_pack_bin_body(&p, text, n);
+}
+
 /* == unpacking: any wrong type or length makes it not understood == */
 
 typedef struct Reader {
@@ -194,6 +205,14 @@
   m->silent = get_small(r, 2);
 }
 
+static void get_conf(Reader *r, CodecConf *m) {
+  m->version = get_u64(r);
+  const msgpack_object *o = take(r);
+  r->bad |= !o || o->type != MSGPACK_OBJECT_BIN;
+  if (!r->bad && o->via.bin.size > 0)
+    m->text = g_strndup(o->via.bin.ptr, o->via.bin.size);
+}
+
 static void get_answer(Reader *r, OnceAnswer *a) {
   a->status = (int)get_i64(r);
   get_str(r, a->type, sizeof a->type);
@@ -277,6 +296,12 @@
   return ok;
 }
 
+void codec_clear(CodecMsg *m) {
+  once_message_clear(&m->once);
+  g_free(m->conf.text);
+  m->conf.text = NULL;
+}
+
 bool codec_get(const char *data, size_t len, size_t *off, CodecMsg *m) {
   msgpack_unpacked u;
   Reader r;
@@ -284,15 +309,16 @@
   msgpack_unpacked_init(&u);
   bool ok = open_array(data, len, off, &u, &r);
   if (ok) {
-    m->type = (CodecType)get_small(&r, CODEC_LOAD + 1);
+    m->type = (CodecType)get_small(&r, CODEC_CONF + 1);
     switch (m->type) {
     case CODEC_BEAT: get_beat(&r, &m->beat); break;
     case CODEC_LEDGER: get_ledger(&r, &m->ledger); break;
     case CODEC_ONCE: get_once(&r, &m->once); break;
     case CODEC_LOAD: get_load(&r, &m->load); break;
+    case CODEC_CONF: get_conf(&r, &m->conf); break;
     }
     ok = !r.bad;
-    if (!ok) once_message_clear(&m->once);
+    if (!ok) codec_clear(m);
   }
   msgpack_unpacked_destroy(&u);
   return ok;
--- a/packages/peer/codec.h
+++ b/packages/peer/codec.h
@@ -10,18 +10,32 @@
 #include "once/once.h"
 #include "route/loads.h"
 
-typedef enum { CODEC_BEAT, CODEC_LEDGER, CODEC_ONCE, CODEC_LOAD } CodecType;
+typedef enum {
+  CODEC_BEAT,
+  CODEC_LEDGER,
+  CODEC_ONCE,
+  CODEC_LOAD,
+  CODEC_CONF
+} CodecType;
 
 typedef struct CodecHead {
   uint64_t from, to; /* hash of the ids; to 0: whoever is there */
 } CodecHead;
 
+/* Without text: the sender has this version and asks for a newer one. With it:
+   the operators' configuration. */
+typedef struct CodecConf {
+  uint64_t version;
+  char *text; /* g_free; NULL: none */
+} CodecConf;
+
 typedef struct CodecMsg {
   CodecType type;
   Member beat;
   LedgerMsg ledger;
   OnceMsg once; /* answer.body is owned by the receiver */
   LoadsMsg load;
+  CodecConf conf;
 } CodecMsg;
 
 uint64_t codec_hash(const char *id);
@@ -30,9 +44,12 @@
 void codec_put_ledger(msgpack_sbuffer *b, const LedgerMsg *m);
 void codec_put_once(msgpack_sbuffer *b, const OnceMsg *m);
 void codec_put_load(msgpack_sbuffer *b, const LoadsMsg *m);
+void codec_put_conf(msgpack_sbuffer *b, uint64_t version, const char *text);
 
 /* Reads at *off; false at the end or when it is not understood. */
 bool codec_get_head(const char *data, size_t len, size_t *off, CodecHead *h);
 bool codec_get(const char *data, size_t len, size_t *off, CodecMsg *m);
+/* Frees what a message that was read holds. */
+void codec_clear(CodecMsg *m);
 
 #endif
--- a/packages/peer/peer.c
+++ b/packages/peer/peer.c
@@ -121,6 +121,13 @@
   pthread_mutex_unlock(&p->lock);
 }
 
+void peer_conf(Peer *p, const char *addr, const char *id, uint64_t version,
+               const char *text) {
+  pthread_mutex_lock(&p->lock);
+  codec_put_conf(&frame_for(p, addr, codec_hash(id))->buf, version, text);
+  pthread_mutex_unlock(&p->lock);
+}
+
 /* == the peer thread == */
 
 static void *socket_for(Peer *p, const char *addr) {
@@ -174,7 +181,7 @@
       return;
     }
     h(ctx, head.from, &m);
-    once_message_clear(&m.once);
+    codec_clear(&m);
   }
 }
 
@@ -188,6 +195,28 @@
   zmq_msg_close(&msg);
 }
 
+int peer_fd(const Peer *p) {
+  int fd = -1;
+  size_t n = sizeof fd;
+  zmq_getsockopt(p->pull, ZMQ_FD, &fd, &n);
+  return fd;
+}
+
+void peer_turn(Peer *p, PeerHandler h, void *ctx) {
+  int events = 0;
+  size_t n = sizeof events;
+  /* Asking for the events lets the library take in what came. */
+  while (zmq_getsockopt(p->pull, ZMQ_EVENTS, &events, &n) == 0 &&
+         (events & ZMQ_POLLIN))
+    receive(p, h, ctx);
+}
+
+bool peer_flush(Peer *p) {
+  if (p->frames->len == 0) return false;
+  send_frames(p);
+  return true;
+}
+
 void peer_poll(Peer *p, int wait_ms, PeerHandler h, void *ctx) {
   send_frames(p);
   zmq_pollitem_t items[] = {{p->pull, 0, ZMQ_POLLIN, 0},
--- a/packages/peer/peer.h
+++ b/packages/peer/peer.h
@@ -21,6 +21,16 @@
 /* Heartbeat to whoever is at `addr`. */
 void peer_beat(Peer *p, const char *addr, const Member *m);
 
+/* The operators' configuration, or with `text` NULL a question for it. */
+void peer_conf(Peer *p, const char *addr, const char *id, uint64_t version,
+               const char *text);
+
+/* For an event loop in place of peer_poll: readable when peer_turn has
+   something to hand over; peer_flush sends what is queued, false: nothing. */
+int peer_fd(const Peer *p);
+void peer_turn(Peer *p, PeerHandler h, void *ctx);
+bool peer_flush(Peer *p);
+
 /* Peer thread only: sends what is queued, then waits up to `wait_ms` for
    messages or for a queued one, and hands the messages over. */
 void peer_poll(Peer *p, int wait_ms, PeerHandler h, void *ctx);
