Draws escalate within the time that requests wait; stand-in homes lay up a second

Now: a home whose call to the store takes over 0.08 s says so, the holder asks the next choices, again after 0.06 s; a home that is not the first lays up one second in place of ten; a home holds two thirds of the rest at most.

--- a/packages/fleet/cluster.c
+++ b/packages/fleet/cluster.c
@@ -13,7 +13,7 @@
 #include "platform/document.h"
 
 #define BUDGET_KIND "budgets" /* of our own, in the platform's store */
-#define TICK_S 0.1            /* as the cores expect */
+#define TICK_S 0.05           /* the shortest time of the cores is 0.06 s */
 #define CONF_ASK_S 0.4        /* a newer configuration elsewhere is asked for
                                  when the store did not bring it by then */
 
--- a/packages/flow/relay.c
+++ b/packages/flow/relay.c
@@ -122,15 +122,15 @@
 }
 
 static void log_end(const Run *x, const char *outcome, int status,
-                    const char *error) {
+                    const char *error, int64_t tokens) {
   double now = now_of(x);
-  log_info("request", "s:s,s:s,s:i,s:s,s:s,s:s,s:s,s:i,s:i,s:I,s:f,s:f,s:I",
+  log_info("request", "s:s,s:s,s:i,s:s,s:s,s:s,s:s,s:i,s:i,s:I,s:I,s:f,s:f,s:I",
            "request", x->ask.id, "outcome", outcome, "status", status, "error",
            error, "customer", x->customer ? x->customer->name : "", "service",
            x->service_name ? x->service_name : "", "target",
            x->n_tried > 0 ? target_id(x->tried[x->n_tried - 1]) : "", "sends",
            x->sends, "tried", x->n_tried, "events", (json_int_t)x->events.count,
-           "predicted", x->wait_s, "seconds", now - x->req->at, "conf",
+           "tokens", (json_int_t)tokens, "predicted", x->wait_s, "seconds", now - x->req->at, "conf",
            (json_int_t)(x->conf ? x->conf->version : 0));
 }
 
@@ -144,8 +144,9 @@
   int64_t used = used_tokens(x, ran);
   if (ran && strcmp(outcome, "served") != 0)
     used += EVENTS_AHEAD * (x->service ? x->service->event_tokens : 1);
-  settle(x, MIN(used, x->reserved));
-  log_end(x, outcome, status, error);
+  used = MIN(used, x->reserved);
+  settle(x, used);
+  log_end(x, outcome, status, error, used);
 }
 
 static void answer_error(Caller *c, const char *id, const Err *e) {
--- a/packages/kernel/limits.h
+++ b/packages/kernel/limits.h
@@ -17,8 +17,12 @@
 
 /* == ledger, seconds and tokens == */
 
-#define LEDGER_DRAW_WAIT 1.5     /* a reservation waits this long for tokens */
-#define LEDGER_RESEND 0.3        /* an unanswered message goes out again */
+#define LEDGER_DRAW_WAIT 1.5 /* a reservation waits this long for tokens */
+#define LEDGER_REDRAW                                                          \
+  0.06                    /* an unanswered draw goes out again; homes are      \
+                             milliseconds away, and requests give up           \
+                             after 0.1 s */
+#define LEDGER_RESEND 0.3 /* an unanswered message goes out again */
 #define LEDGER_REPORT_EVERY 2.0  /* an account is reported this often */
 #define LEDGER_ACCOUNT_S 2.0     /* an account covers this much demand */
 #define LEDGER_ACCOUNT_SMALL 0.5 /* the same in a small fleet */
--- a/packages/ledger/holder.c
+++ b/packages/ledger/holder.c
@@ -9,6 +9,7 @@
 /* An account elsewhere than at the first choice lives on while its home
    speaks. */
 #define LINGER 5.0
+#define CHOICES 4       /* homes that are asked one after the other */
 #define FIRST_AGAIN 3.0 /* the first choice is tried again after this */
 
 /* == accounts == */
@@ -193,7 +194,7 @@
   *w = (Waiter){handle, amount, l->now + LEDGER_DRAW_WAIT, ERR_BUDGET_CUT};
   g_queue_push_tail(&p->waiters, w);
   g_hash_table_insert(l->waiting, g_memdup2(&handle, sizeof handle), p);
-  if (p->asked == 0) ask(l, p);
+  if (p->asked == 0 || l->now - p->asked >= LEDGER_REDRAW) ask(l, p);
 }
 
 static GList *waiter_link(Purse *p, uint64_t handle) {
@@ -224,6 +225,19 @@
 
 /* == messages from homes == */
 
+/* The home that answered is cut off from the store; another instance may not
+   be. True when there is one more choice to ask. */
+static bool try_next(const Ledger *l, Purse *p, const char *from) {
+  int choices = MIN(l->near, CHOICES);
+  for (int rank = 0; rank + 1 < choices; rank++) {
+    const Member *m = ledger_home(l, p->shard, rank);
+    if (!m || strcmp(m->id, from) != 0) continue;
+    p->tries = 2 * (rank + 1);
+    return true;
+  }
+  return false;
+}
+
 void holder_allot(Ledger *l, const char *from, const LedgerMsg *m) {
   Purse *p = find_purse(l, m->budget);
   if (!p) p = add_purse(l, m->budget);
@@ -249,6 +263,10 @@
   if (p->tries > 0) p->tries = (p->tries - 1) / 2 * 2;
   serve(l, p);
   GList *head = p->waiters.head;
+  if (head && m->cause == ERR_BUDGET_STORE && try_next(l, p, from)) {
+    ask(l, p);
+    return;
+  }
   if (m->cause != ERR_NONE && head) refuse(l, p, head, m->cause);
   if (p->waiters.head) ask(l, p);
 }
@@ -318,7 +336,7 @@
   }
   double quiet = l->now - p->asked;
   if (p->waiters.head) {
-    if (p->asked == 0 || quiet >= LEDGER_RESEND) ask(l, p);
+    if (p->asked == 0 || quiet >= LEDGER_REDRAW) ask(l, p);
     return;
   }
   /* Ask ahead, so that a request need not wait for a message. */
--- a/packages/ledger/home.c
+++ b/packages/ledger/home.c
@@ -5,8 +5,13 @@
 #include <math.h>
 #include <string.h>
 
-#define RATE_TAU 30.0     /* seconds over which a region's demand is averaged */
-#define SLOW_TAU 300.0    /* the same, for what is laid up */
+#define RATE_TAU 30.0  /* seconds over which a region's demand is averaged */
+#define SLOW_TAU 300.0 /* the same, for what is laid up */
+#define END_SHARE 1.5  /* a region lays up one part in so many of the rest */
+#define STAND_IN 1.0   /* seconds laid up by a home that is not the first */
+#define STORE_SLOW                                                             \
+  0.08                    /* seconds; the store answers in 4 ms, so after this \
+                             another home may be nearer to it */
 #define YOUNG 2.0         /* a mean of less time than this says little */
 #define SPARE 1.2         /* laid up for each token of measured demand */
 #define REFILL_BELOW 0.8  /* of what is to be laid up */
@@ -42,6 +47,7 @@
   const LedgerBudget *row = row_of(l, h);
   double s = row ? row->reserve_s : 0;
   if (h->held && !h->held->witness[0] && s > SOLE_RESERVE) s = SOLE_RESERVE;
+  if (!l->ours[shard_index(h->name)] && s > STAND_IN) s = STAND_IN;
   double age = MAX(l->now - h->born, YOUNG);
   double demand =
       MAX(grown(h->slow, age, SLOW_TAU), grown(h->rate, age, RATE_TAU));
@@ -56,14 +62,16 @@
 }
 
 /* How much to draw now, when `remaining` tokens are left in the store. Beyond
-   present need a region takes no more than its half share of what is left, so
-   that grants shrink as the budget does. */
+   present need a region holds no more than its share of what is left, so that
+   grants shrink as the budget does: what is laid up is lost when home and
+   witness die together. */
 int64_t home_plan(const Ledger *l, const HomeBudget *h, int64_t remaining) {
   if (!h->held || h->held->frozen || remaining <= 0) return 0;
   int64_t have = home_free(h->held);
   int64_t need = needs(h) - have;
   int64_t ahead = (int64_t)laid_up(l, h) - have;
-  int64_t cap = remaining / (2 * MAX(l->regions, 1));
+  int64_t share = (have + remaining) / (END_SHARE * MAX(l->regions, 1));
+  int64_t cap = MAX(0, share - have);
   if (need > 0) ahead = MAX(ahead, need + LEDGER_MIN_DRAW);
   int64_t n = MAX(need, MIN(ahead, cap));
   return CLAMP(n, 0, remaining);
@@ -187,7 +195,8 @@
 static ErrKind hopeless(Ledger *l, HomeBudget *h, const Draw *d) {
   ShardState *s = shard_of(l, h);
   bool late = l->now >= d->deadline;
-  bool down = s->down_since > 0;
+  bool slow = s->busy && l->now - s->started > STORE_SLOW;
+  bool down = s->down_since > 0 || slow;
   ErrKind cause = down                   ? ERR_BUDGET_STORE
                   : h->unspent < d->need ? ERR_BUDGET_EMPTY
                                          : ERR_BUDGET_HELD;
--- a/packages/ledger/state.h
+++ b/packages/ledger/state.h
@@ -127,6 +127,7 @@
   uint64_t version;
   uint64_t seen; /* newest version ever read or written */
   bool busy, putting;
+  double started; /* the call in progress */
   bool dirty;     /* something may have to be written */
   bool queued;    /* stands in `touched` */
   bool reread;    /* somebody else changed it */
--- a/packages/ledger/stored.c
+++ b/packages/ledger/stored.c
@@ -267,6 +267,7 @@
   LedgerAction *a = ledger_act(l, what);
   a->shard = s->index;
   s->busy = true;
+  s->started = l->now;
   s->putting = what == LEDGER_DO_PUT;
   if (!s->putting) return;
   a->version = s->version;
