--- a/packages/flow/relay.c
+++ b/packages/flow/relay.c
@@ -82,12 +82,15 @@
   return ev_now(x->relay->loop);
 }
 
-/* Tokens that the customer got, at most. */
-static int64_t used_tokens(const Run *x, bool ran) {
-  if (!ran && x->events.count == 0) return 0;
+/* Tokens that the customer got, at most: the prompt once a target took it in,
+   and what a target may have made of the answer. */
+static int64_t used_tokens(const Run *x, bool whole) {
+  bool taken = x->head_out || x->maybe;
+  if (!taken) return 0;
   int per_event = x->service ? MAX(x->service->event_tokens, 1) : 1;
-  int64_t out = x->events.count * per_event;
-  return x->ask.tokens_in + MIN(out, x->ask.tokens_out);
+  int64_t events = x->events.count + (whole ? 0 : EVENTS_AHEAD);
+  int64_t out = events * per_event;
+  return MIN(x->ask.tokens_in + MIN(out, x->ask.tokens_out), x->reserved);
 }
 
 static void settle(Run *x, int64_t used) {
@@ -140,11 +143,7 @@
   if (x->link) link_cancel(x->link);
   x->link = NULL;
   leave_target(x, TARGET_LEFT);
-  bool ran = x->maybe || x->head_out;
-  int64_t used = used_tokens(x, ran);
-  if (ran && strcmp(outcome, "served") != 0)
-    used += EVENTS_AHEAD * (x->service ? x->service->event_tokens : 1);
-  used = MIN(used, x->reserved);
+  int64_t used = used_tokens(x, strcmp(outcome, "served") == 0);
   settle(x, used);
   log_end(x, outcome, status, error, used);
 }
--- a/packages/ledger/home.c
+++ b/packages/ledger/home.c
@@ -7,7 +7,7 @@
 
 #define RATE_TAU 30.0  /* seconds over which a region's demand is averaged */
 #define SLOW_TAU 300.0 /* the same, for what is laid up */
-#define END_SHARE 1.5  /* a region lays up one part in so many of the rest */
+#define END_SHARE 3.0  /* a region lays up one part in so many of the rest */
 #define STAND_IN 1.0   /* seconds laid up by a home that is not the first */
 #define STORE_SLOW                                                             \
   0.08                    /* seconds; the store answers in 4 ms, so after this \
