Near the end of a budget little is laid up, and a surplus goes back

Now a home holds half of the rest at most, below 30 in 100 of the total 2 in 100, and gives back what exceeds that by half.

--- a/packages/ledger/home.c
+++ b/packages/ledger/home.c
@@ -7,8 +7,11 @@
 
 #define RATE_TAU 30.0  /* seconds over which a region's demand is averaged */
 #define SLOW_TAU 300.0 /* the same, for what is laid up */
-#define END_SHARE 3.0  /* a region lays up one part in so many of the rest */
-#define STAND_IN 1.0   /* seconds laid up by a home that is not the first */
+#define END_SHARE 2.0  /* a region lays up one part in so many of the rest */
+#define END_REST 0.3   /* of the total: below this a budget is near its end */
+#define UNUSED 0.02    /* of the total: 97 in 100 have to be usable */
+#define SURPLUS 1.5  /* more than so many times what is to be held goes back */
+#define STAND_IN 1.0 /* seconds laid up by a home that is not the first */
 #define STORE_SLOW                                                             \
   0.08                    /* seconds; the store answers in 4 ms, so after this \
                              another home may be nearer to it */
@@ -61,17 +64,28 @@
   return n;
 }
 
+/* What is laid up is lost when home and witness die together, so a region holds
+   no more than its share of the rest, and near the end of the budget no more
+   than may go unused. */
+static int64_t share_of_rest(const Ledger *l, const HomeBudget *h, int64_t have,
+                             int64_t remaining) {
+  const LedgerBudget *row = row_of(l, h);
+  double total = row ? (double)row->total : 0;
+  double rest = (double)(have + remaining);
+  double share = rest / END_SHARE;
+  if (rest < END_REST * total) share = MIN(share, UNUSED * total);
+  return (int64_t)(share / MAX(l->regions, 1));
+}
+
 /* How much to draw now, when `remaining` tokens are left in the store. Beyond
-   present need a region holds no more than its share of what is left, so that
-   grants shrink as the budget does: what is laid up is lost when home and
-   witness die together. */
+   present need a region holds no more than its share of the rest, so that
+   grants shrink as the budget does. */
 int64_t home_plan(const Ledger *l, const HomeBudget *h, int64_t remaining) {
   if (!h->held || h->held->frozen || remaining <= 0) return 0;
   int64_t have = home_free(h->held);
   int64_t need = needs(h) - have;
   int64_t ahead = (int64_t)laid_up(l, h) - have;
-  int64_t share = (have + remaining) / (END_SHARE * MAX(l->regions, 1));
-  int64_t cap = MAX(0, share - have);
+  int64_t cap = MAX(0, share_of_rest(l, h, have, remaining) - have);
   if (need > 0) ahead = MAX(ahead, need + LEDGER_MIN_DRAW);
   int64_t n = MAX(need, MIN(ahead, cap));
   return CLAMP(n, 0, remaining);
@@ -478,9 +492,10 @@
   home_pump(l, h);
   double lay = laid_up(l, h);
   int64_t have = home_free(g);
-  int64_t surplus = have - (int64_t)MAX(2 * lay, 2 * LEDGER_MIN_DRAW);
-  if (surplus > 0 && h->draws->len == 0)
-    give_to_store(l, h, (int64_t)MAX(lay, LEDGER_MIN_DRAW));
+  int64_t share = share_of_rest(l, h, have, MAX(h->remaining, 0));
+  int64_t keep = MAX(MIN((int64_t)lay, share), LEDGER_MIN_DRAW);
+  if ((double)have > SURPLUS * (double)keep && h->draws->len == 0)
+    give_to_store(l, h, keep);
   int64_t plan = home_plan(l, h, h->remaining);
   bool low = have < (int64_t)(lay * REFILL_BELOW);
   if (low && plan > (int64_t)(lay * REFILL_LEAST)) touch(l, h);
