--- /dev/null
+++ b/tests/test_conf.c
@@ -0,0 +1,90 @@
+/* test_conf.c: the operators' configuration, decoded and looked up. */
+#include <criterion/criterion.h>
+#include <string.h>
+
+#include "platform/document.h"
+
+static const char text[] =
+    "{\"version\":7,\"routes\":["
+    "{\"name\":\"r1\",\"host\":\"A.example\",\"path_prefix\":\"/x/\",\"type\":"
+    "\"stream\",\"timeout_ms\":12000,\"slo_ms\":800,\"priority\":1,\"split\":["
+    "{\"service\":\"s1\",\"weight\":90},{\"service\":\"s2\",\"weight\":10}],"
+    "\"max_attempts\":2,\"public\":false,\"resumable\":true},"
+    "{\"name\":\"r2\",\"host\":\"a.example\",\"path_prefix\":\"/x/y/"
+    "\",\"type\":"
+    "\"unsafe\",\"timeout_ms\":1000,\"slo_ms\":150,\"service\":\"s2\"}],"
+    "\"services\":[{\"name\":\"s1\",\"engine\":{\"slots\":64,\"kv_capacity\":"
+    "1000,\"stride\":3}},{\"name\":\"s2\"}],\"limits\":{\"max_body_bytes\":10},"
+    "\"tenants\":[{\"name\":\"acme\",\"api_keys\":[\"k1\",\"k2\"],\"prepaid\":"
+    "500},{\"name\":\"free\",\"api_keys\":[\"k3\"]}]}";
+
+static Conf *conf(void) {
+  Err e = {0};
+  json_t *o = json_loads(text, 0, NULL);
+  Conf *c = document_conf(o, &e);
+  json_decref(o);
+  return c;
+}
+
+Test(conf, the_longest_prefix_of_the_host_wins) {
+  Conf *c = conf();
+  cr_assert_str_eq(conf_route(c, "a.example", "/x/1")->name, "r1");
+  cr_assert_str_eq(conf_route(c, "a.example", "/x/y/1")->name, "r2");
+  cr_assert_null(conf_route(c, "a.example", "/z/"));
+  cr_assert_null(conf_route(c, "b.example", "/x/1"));
+  conf_unref(c);
+}
+
+Test(conf, kinds_times_and_attempts_are_read) {
+  Conf *c = conf();
+  const ConfRoute *r = conf_route(c, "a.example", "/x/1");
+  cr_assert_eq(r->kind, CONF_STREAM);
+  cr_assert(r->resumable);
+  cr_assert_float_eq(r->timeout_s, 12, 1e-9);
+  cr_assert_eq(r->attempts, 2);
+  r = conf_route(c, "a.example", "/x/y/1");
+  cr_assert_eq(r->kind, CONF_UNSAFE);
+  cr_assert_eq(r->attempts, 1, "what is not said is the careful thing");
+  cr_assert_eq(c->max_body, 10);
+  conf_unref(c);
+}
+
+Test(conf, keys_budgets_and_splits) {
+  Conf *c = conf();
+  cr_assert_str_eq(conf_customer(c, "k2")->name, "acme");
+  cr_assert_eq(conf_customer(c, "k1")->budget, 500);
+  cr_assert_eq(conf_customer(c, "k3")->budget, CONF_UNLIMITED);
+  cr_assert_null(conf_customer(c, "k4"));
+  const ConfRoute *r = conf_route(c, "a.example", "/x/1");
+  cr_assert_str_eq(conf_split(r, 0.89), "s1");
+  cr_assert_str_eq(conf_split(r, 0.91), "s2");
+  cr_assert_eq(conf_service(c, "s1")->event_tokens, 3);
+  cr_assert_not(conf_service(c, "s2")->engine);
+  conf_unref(c);
+}
+
+Test(conf, a_damaged_one_is_refused) {
+  Err e = {0};
+  json_t *o = json_loads("{\"version\":1}", 0, NULL);
+  cr_assert_null(document_conf(o, &e));
+  cr_assert_eq(e.kind, ERR_TABLE);
+  json_decref(o);
+}
+
+Test(conf, a_target_is_read) {
+  json_t *o = json_loads(
+      "{\"meta\":{\"name\":\"i-1\",\"revision\":5},\"spec\":{\"service\":"
+      "\"s1\","
+      "\"addr\":\"10.0.0.1:80\",\"zone\":\"z\",\"slots\":6,\"state\":"
+      "\"draining\",\"cold_left_ms\":500}}",
+      0, NULL);
+  Document d;
+  TargetInfo t;
+  cr_assert(document_read(o, &d));
+  cr_assert(document_target(&d, &t));
+  cr_assert_str_eq(t.id, "i-1");
+  cr_assert(t.leaving);
+  cr_assert_eq(t.revision, 5);
+  cr_assert_float_eq(t.cold_s, 0.5, 1e-9);
+  json_decref(o);
+}
--- a/tests/test_member.c
+++ b/tests/test_member.c
@@ -190,3 +190,52 @@
   cr_assert_eq(n, 20);
   member_free(s);
 }
+
+Test(member, who_is_introduced_is_greeted_and_counts_once_it_speaks) {
+  Member self = member(0), other = member(1);
+  MemberSet *s = member_new(&self);
+  int near;
+  member_introduced(s, 1, &other);
+  View *v = member_view(s, 1);
+  cr_assert_eq(v->n, 1, "a word of others is not its own");
+  view_free(v);
+  cr_assert_eq(beats(s, 1, &near), 1);
+  member_heard(s, 1.1, &other);
+  v = member_view(s, 1.2);
+  cr_assert_eq(v->n, 2);
+  view_free(v);
+  member_introduced(s, 2, &self);
+  cr_assert_eq(beats(s, 1.2, &near), 1, "only the greeting of who is new");
+  member_free(s);
+}
+
+Test(member, a_change_of_the_view_is_told_with_heartbeats) {
+  Member self = member(0), a = member(1), b = member(2);
+  MemberSet *s = member_new(&self);
+  member_heard(s, 1, &a);
+  cr_assert_null(member_introduce(s, 1, a.peer), "nobody else is known");
+  member_heard(s, 1, &b);
+  bool told = false;
+  for (int i = 0; i < 4; i++) {
+    const Member *m = member_introduce(s, 2, a.peer);
+    if (m) cr_assert_str_eq(m->id, b.id, "nobody is introduced to itself");
+    told |= m != NULL;
+  }
+  cr_assert(told);
+  cr_assert_null(member_introduce(s, 60, a.peer), "a view at rest is not told");
+  member_free(s);
+}
+
+/* All greetings were lost while many instances started; the next one came
+   after 112 s. */
+Test(member, a_seed_that_does_not_answer_is_greeted_again_soon) {
+  Member self = member(0);
+  MemberSet *s = member_new(&self);
+  MemberSeed seed = {.name = "seed", .peer = "tcp://10.0.9.9:1"};
+  int near, n = 0;
+  member_listed(s, 1, &seed, 1);
+  for (int i = 0; i < 600; i++) n += beats(s, 1 + i * 0.1, &near);
+  cr_assert_geq(n, 7, "0.5, 1, 2, 4, 8, 16, then 30 seconds apart");
+  cr_assert_leq(n, 9);
+  member_free(s);
+}
--- /dev/null
+++ b/tests/test_retries.c
@@ -0,0 +1,64 @@
+/* test_retries.c: the bound holds in every sliding window, over all instances.
+ */
+#include <criterion/criterion.h>
+
+#include <glib.h>
+
+#include "route/retries.h"
+
+#define INSTANCES 7
+#define WINDOW 10.0
+#define STEP 0.1
+
+static const RetriesOptions options = {
+    .ratio = 0.2, .window_s = WINDOW, .extra = 54};
+
+/* Retries and requests of all instances, step by step, under any pattern. */
+static void check_windows(const int *first, const int *again, int n) {
+  int span = (int)(WINDOW / STEP);
+  for (int end = span; end < n; end++) {
+    double requests = 0, retries = 0;
+    for (int i = end - span; i < end; i++) {
+      requests += first[i];
+      retries += again[i];
+    }
+    cr_assert_leq(retries, options.ratio * requests + options.extra,
+                  "%g retries for %g requests in the window that ends at %g s",
+                  retries, requests, end * STEP);
+  }
+}
+
+Test(retries, no_sliding_window_has_more_than_its_share) {
+  for (guint32 seed = 1; seed <= 20; seed++) {
+    enum { N = 600 };
+    int first[N] = {0}, again[N] = {0};
+    GRand *rand = g_rand_new_with_seed(seed);
+    Retries *all[INSTANCES];
+    for (int k = 0; k < INSTANCES; k++) {
+      all[k] = retries_new(&options);
+      retries_instances(all[k], INSTANCES);
+    }
+    for (int i = 0; i < N; i++)
+      for (int k = 0; k < INSTANCES; k++) {
+        bool busy = (i / 70 + k) % 3 != 0;
+        for (int r = g_rand_int_range(rand, 0, busy ? 6 : 1); r > 0; r--) {
+          retries_first(all[k], i * STEP, "svc");
+          first[i]++;
+        }
+        for (int r = g_rand_int_range(rand, 0, 6); r > 0; r--)
+          again[i] += retries_take(all[k], i * STEP, "svc");
+      }
+    check_windows(first, again, N);
+    for (int k = 0; k < INSTANCES; k++) retries_free(all[k]);
+    g_rand_free(rand);
+  }
+}
+
+Test(retries, services_do_not_share) {
+  Retries *r = retries_new(&options);
+  int n = 0;
+  while (retries_take(r, 1, "a")) n++;
+  cr_assert_eq(n, 54);
+  cr_assert(retries_take(r, 1, "b"));
+  retries_free(r);
+}
--- /dev/null
+++ b/tests/test_targets.c
@@ -0,0 +1,124 @@
+/* test_targets.c: which targets may get work, and which one gets it. */
+#include <criterion/criterion.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "route/targets.h"
+
+static TargetInfo info(int i, const char *service) {
+  TargetInfo t = {.slots = 4, .revision = 10};
+  snprintf(t.id, sizeof t.id, "i-%d", i);
+  snprintf(t.addr, sizeof t.addr, "10.0.0.%d:80", i);
+  g_strlcpy(t.service, service, sizeof t.service);
+  g_strlcpy(t.dc, "a", sizeof t.dc);
+  return t;
+}
+
+static Targets *some(int n) {
+  Targets *s = targets_new("a", 1);
+  for (int i = 0; i < n; i++) {
+    TargetInfo t = info(i, "svc");
+    targets_set(s, 0, &t);
+  }
+  return s;
+}
+
+static Target *pick(Targets *s, double now, const Ask *a, bool engine) {
+  TargetAsk ask = {.service = "svc", .ask = a, .engine = engine};
+  return targets_pick(s, now, &ask).target;
+}
+
+Test(targets, a_leaving_one_gets_no_new_work) {
+  Targets *s = some(1);
+  Ask a = {0};
+  cr_assert_not_null(pick(s, 1, &a, false));
+  TargetInfo t = info(0, "svc");
+  t.leaving = true;
+  t.revision = 11;
+  targets_set(s, 1, &t);
+  cr_assert_null(pick(s, 1, &a, false));
+  t.leaving = false;
+  t.revision = 9; /* older news */
+  targets_set(s, 2, &t);
+  cr_assert_null(pick(s, 2, &a, false));
+  targets_free(s);
+}
+
+Test(targets, an_entry_that_lapsed_with_the_store_is_used_a_little_longer) {
+  Targets *s = some(2);
+  Ask a = {0};
+  targets_gone(s, 10, "i-0", false);
+  cr_assert_str_eq(target_id(pick(s, 10, &a, false)), "i-1");
+  targets_gone(s, 10, "i-1", true);
+  cr_assert_not_null(pick(s, 11, &a, false));
+  cr_assert_null(pick(s, 11.6, &a, false), "its bound is two seconds");
+  TargetInfo t = info(1, "svc");
+  t.revision = 20;
+  targets_set(s, 12, &t);
+  cr_assert_not_null(pick(s, 12, &a, false), "it is back");
+  targets_free(s);
+}
+
+Test(targets, a_listing_ends_what_it_does_not_hold) {
+  Targets *s = some(3);
+  GHashTable *ids = g_hash_table_new(g_str_hash, g_str_equal);
+  g_hash_table_add(ids, "i-2");
+  targets_only(s, 5, ids, false);
+  cr_assert_eq(targets_count(s, "svc"), 1);
+  g_hash_table_destroy(ids);
+  targets_free(s);
+}
+
+Test(targets, silence_puts_one_aside_but_never_all) {
+  Targets *s = some(2);
+  Ask a = {0};
+  Target *t = pick(s, 1, &a, false);
+  target_sent(t, 1, &a, 0);
+  target_done(t, 1, TARGET_SILENT, false, 0, 0.1);
+  for (int i = 0; i < 20; i++) cr_assert_neq(pick(s, 1.1, &a, false), t);
+  Target *u = pick(s, 1.1, &a, false);
+  target_sent(u, 1.1, &a, 0);
+  target_done(u, 1.1, TARGET_SILENT, false, 0, 0.1);
+  cr_assert_not_null(pick(s, 1.2, &a, false));
+  targets_free(s);
+}
+
+Test(targets, equal_prompts_meet_at_one_home_without_a_word) {
+  Targets *s = some(8), *other = targets_new("a", 99);
+  for (int i = 7; i >= 0; i--) {
+    TargetInfo t = info(i, "svc");
+    targets_set(other, 0, &t);
+  }
+  int same = 0;
+  for (uint64_t k = 1; k <= 50; k++) {
+    Ask a = {.tokens_in = 9000, .n_parts = 2};
+    a.parts[0] = (AskPart){k, 8000};
+    a.parts[1] = (AskPart){1000 + k, 1000};
+    same += strcmp(target_id(pick(s, 1, &a, true)),
+                   target_id(pick(other, 1, &a, true))) == 0;
+  }
+  cr_assert_eq(same, 50);
+  targets_free(s);
+  targets_free(other);
+}
+
+Test(targets, a_home_under_load_spills) {
+  Targets *s = some(4);
+  Ask a = {.tokens_in = 2000, .n_parts = 2};
+  a.parts[0] = (AskPart){7, 1500};
+  a.parts[1] = (AskPart){8, 500};
+  Target *home = pick(s, 1, &a, true);
+  target_sent(home, 1, &a, 200000); /* four seconds of reading */
+  cr_assert_neq(pick(s, 1, &a, true), home);
+  target_first(home, 200000);
+  cr_assert_eq(pick(s, 1, &a, true), home);
+  targets_free(s);
+}
+
+Test(targets, another_at_its_address_ends_it) {
+  Targets *s = some(1);
+  Ask a = {0};
+  targets_replaced(s, 1, pick(s, 1, &a, false));
+  cr_assert_null(pick(s, 1, &a, false));
+  targets_free(s);
+}
--- /dev/null
+++ b/tests/test_wire.c
@@ -0,0 +1,144 @@
+/* test_wire.c: header fields of callers and targets, taken apart and put
+   together. */
+#include <criterion/criterion.h>
+#include <string.h>
+
+#include "platform/wire.h"
+
+static void fill(Headers *h, const char *const *list) {
+  headers_init(h);
+  for (int i = 0; list[i]; i += 2) {
+    headers_name_piece(h, list[i], strlen(list[i]));
+    headers_value_piece(h, list[i + 1], strlen(list[i + 1]));
+  }
+}
+
+static const char *const asked[] = {"Host",
+                                    "Front.Example:8080",
+                                    "X-Loftpath-Attempt-Id",
+                                    "a1",
+                                    "X-Loftpath-Token-Count",
+                                    "1460,80",
+                                    "X-Loftpath-Prefix-Hash",
+                                    "5c1e07a2:800,91bd3f06:410,e4402b7d:250",
+                                    "X-Loftpath-Deadline-Ms",
+                                    "12000",
+                                    "Authorization",
+                                    "Bearer secret",
+                                    "X-Loftpath-Tenant",
+                                    "forged",
+                                    "X-Loftpath-Expect-Instance",
+                                    "forged",
+                                    "Connection",
+                                    "keep-alive, X-Own",
+                                    "X-Own",
+                                    "hop",
+                                    "X-Other",
+                                    "kept",
+                                    NULL};
+
+Test(wire, a_request_is_read) {
+  Headers h;
+  Ask a;
+  Err e = {0};
+  fill(&h, asked);
+  cr_assert(wire_ask(&h, &a, &e));
+  cr_assert_str_eq(a.id, "a1");
+  cr_assert_str_eq(a.host, "front.example");
+  cr_assert_str_eq(a.key, "secret");
+  cr_assert_float_eq(a.deadline_s, 12, 1e-9);
+  cr_assert_eq(a.tokens_in, 1460);
+  cr_assert_eq(a.tokens_out, 80);
+  cr_assert_eq(a.n_parts, 3);
+  cr_assert_eq(a.parts[2].id, 0xe4402b7d);
+  cr_assert_eq(a.parts[2].tokens, 250);
+  headers_free(&h);
+}
+
+Test(wire, a_request_without_its_id_or_with_two_is_refused) {
+  static const char *const none[] = {"Host", "h", NULL};
+  static const char *const two[] = {"X-Loftpath-Attempt-Id", "a",
+                                    "X-Loftpath-Attempt-Id", "b", NULL};
+  const char *const *lists[] = {none, two};
+  for (int i = 0; i < 2; i++) {
+    Headers h;
+    Ask a;
+    Err e = {0};
+    fill(&h, lists[i]);
+    cr_assert_not(wire_ask(&h, &a, &e));
+    cr_assert_eq(e.kind, ERR_MALFORMED);
+    headers_free(&h);
+  }
+}
+
+Test(wire, a_target_gets_our_word_and_never_the_key) {
+  Headers h;
+  GString *body = g_string_new("abc"), *out = g_string_new(NULL);
+  AskSend send = {.target = "i-1",
+                  .customer = "acme",
+                  .left_s = 1.5,
+                  .priority = 2,
+                  .last_event = ASK_NO_EVENT};
+  fill(&h, asked);
+  wire_request(out, "POST", "/a/b?c=d", &h, body, &send);
+  cr_assert(g_str_has_prefix(out->str, "POST /a/b?c=d HTTP/1.1\r\n"));
+  cr_assert(strstr(out->str, "X-Loftpath-Attempt-Id: a1\r\n"));
+  cr_assert(strstr(out->str, "X-Loftpath-Deadline-Ms: 1500\r\n"));
+  cr_assert(strstr(out->str, "X-Loftpath-Expect-Instance: i-1\r\n"));
+  cr_assert(strstr(out->str, "X-Loftpath-Tenant: acme\r\n"));
+  cr_assert(strstr(out->str, "X-Loftpath-Request-Priority: 2\r\n"));
+  cr_assert(strstr(out->str, "X-Other: kept\r\n"));
+  cr_assert(strstr(out->str, "Content-Length: 3\r\n"));
+  cr_assert(g_str_has_suffix(out->str, "\r\n\r\nabc"));
+  cr_assert_null(strstr(out->str, "secret"));
+  cr_assert_null(strstr(out->str, "forged"));
+  cr_assert_null(strstr(out->str, "X-Own"));
+  g_string_free(out, TRUE);
+  g_string_free(body, TRUE);
+  headers_free(&h);
+}
+
+Test(wire, a_stream_goes_on_after_what_was_passed) {
+  static const char *const resumed[] = {"X-Loftpath-Attempt-Id", "a",
+                                        "Last-Event-Id", "3", NULL};
+  Headers h;
+  GString *body = g_string_new(NULL), *out = g_string_new(NULL);
+  AskSend send = {.target = "i", .left_s = 1, .priority = -1, .last_event = 9};
+  fill(&h, resumed);
+  wire_request(out, "GET", "/", &h, body, &send);
+  cr_assert(strstr(out->str, "Last-Event-Id: 9\r\n"));
+  cr_assert_null(strstr(out->str, "Last-Event-Id: 3"));
+  cr_assert_null(strstr(out->str, "Content-Length"));
+  g_string_free(out, TRUE);
+  g_string_free(body, TRUE);
+  headers_free(&h);
+}
+
+Test(wire, an_answer_is_ours_by_its_id) {
+  static const char *const list[] = {"X-Loftpath-Attempt-Id",
+                                     "a1",
+                                     "X-Loftpath-Server-Stamp",
+                                     "s",
+                                     "X-Loftpath-Server-Load",
+                                     "3,1,8",
+                                     NULL};
+  Headers h;
+  Answer a;
+  fill(&h, list);
+  wire_answer(&h, "a1", &a);
+  cr_assert(a.ours && a.signed_ && a.load_told && !a.not_run);
+  cr_assert_eq(a.running, 3);
+  cr_assert_eq(a.slots, 8);
+  wire_answer(&h, "a2", &a);
+  cr_assert_not(a.ours);
+  headers_free(&h);
+}
+
+Test(wire, a_refusal_says_when_to_come_back) {
+  GString *out = g_string_new(NULL);
+  Err e = {.retry_ms = 200};
+  wire_refusal(out, "a1", &e);
+  cr_assert(strstr(out->str, "Retry-After: 0.200\r\n"));
+  cr_assert(strstr(out->str, "Loftpath-Ran: not-run\r\n"));
+  g_string_free(out, TRUE);
+}
