--- a/Makefile
+++ b/Makefile
@@ -33,7 +33,7 @@
 	  --quiet --inline-suppr --std=c11 -j8 -Ipackages -I. \
 	  '-Djson_array_foreach(a,i,v)=for(i=0;(v=json_array_get(a,i));i++)' \
 	  '-Djson_object_foreach(o,k,v)=for(k="";(v=json_object_get(o,k));)' \
-	  --suppress=missingIncludeSystem packages bin fakes scenario bench
+	  --suppress=missingIncludeSystem packages platform bin fakes scenario bench
 	@echo lint: clean
 
 format:
--- a/packages/member/member.c
+++ b/packages/member/member.c
@@ -3,13 +3,11 @@
 
 #include <string.h>
 
-#define GREETINGS 4 /* the first ones are lost while a link is made */
-#define GREET_MOST                                                             \
-  30.0                /* seconds between greetings of a silent seed, at most */
-#define STRANGERS 128 /* introduced instances that are greeted at once */
+#define GREETINGS 4      /* the first ones are lost while a link is made */
+#define GREET_MOST 30.0  /* seconds between greetings of a silent seed */
+#define STRANGERS 128    /* introduced instances that are greeted at once */
 #define STRANGER_TRIES 6 /* greetings until an introduced one is given up */
-#define INTRODUCE_S 20.0 /* after a change of the view others are introduced   \
-                          */
+#define INTRODUCE_S 20.0 /* so long after a change others are introduced */
 #define BEAT_BYTES 160   /* a heartbeat on the wire, with its frame */
 
 typedef struct Peer {
