--- a/packages/ledger/ledger.c
+++ b/packages/ledger/ledger.c
@@ -180,7 +180,8 @@
     int shard = shard_index(row->name);
     if (!l->by_shard[shard]) l->by_shard[shard] = g_ptr_array_new();
     g_ptr_array_add(l->by_shard[shard], row);
-    if (l->ours[shard] && (!old || old->version != row->version))
+    /* A row that is new to us is put there with the first draw. */
+    if (l->ours[shard] && old && old->version != row->version)
       stored_shard(l, shard)->dirty = true;
     g_hash_table_insert(rows, row->name, row);
   }
--- a/packages/ledger/stored.c
+++ b/packages/ledger/stored.c
@@ -6,7 +6,10 @@
 
 #include <string.h>
 
-#define REFRESH 30.0  /* a shard that is ours is looked at this often */
+#define REFRESH 30.0 /* a shard that is ours is looked at this often */
+#define FIRST_READ                                                             \
+  3.0                 /* the same without a cause after its first sight: while \
+                         instances start, each thinks that it is the home */
 #define UNSEALED 10.0 /* a report waits this long for its grant's seal */
 
 ShardState *stored_shard(Ledger *l, int index) {
@@ -15,6 +18,7 @@
   s = l->shards[index] = g_new0(ShardState, 1);
   s->index = index;
   s->budgets = g_ptr_array_new();
+  s->read_at = l->now + FIRST_READ * (0.5 + g_rand_double(l->rng));
   return s;
 }
 
