--- a/packages/fleet/cluster.c
+++ b/packages/fleet/cluster.c
@@ -35,6 +35,7 @@
   uint64_t conf;
   double conf_behind, conf_asked; /* since when; last question */
   bool leaving;
+  bool is_seed; /* others know us from their start */
 };
 
 static double now_of(const Cluster *c) {
@@ -170,11 +171,25 @@
 
 /* == events == */
 
+/* Whoever starts greets the seeds first; they tell it of everybody, so that
+   after a start of all the views agree within a second. */
+static void tell_all(Cluster *c, const Member *to) {
+  for (int i = 0; i < c->view->n; i++) {
+    const Member *m = &c->view->list[i];
+    bool other = strcmp(m->id, to->id) != 0 &&
+                 strcmp(m->id, member_me(c->members)->id) != 0;
+    if (other) peer_beat(c->peer, to->peer, m);
+  }
+}
+
 static void take_beat(Cluster *c, uint64_t from, const Member *m) {
-  if (codec_hash(m->id) == from)
-    member_heard(c->members, now_of(c), m);
-  else
+  if (codec_hash(m->id) != from) {
     member_introduced(c->members, now_of(c), m);
+    return;
+  }
+  bool fresh = view_find(c->view, m->id) == NULL;
+  member_heard(c->members, now_of(c), m);
+  if (fresh && c->is_seed) tell_all(c, m);
 }
 
 static void on_message(void *ctx, uint64_t from, CodecMsg *m) {
@@ -243,6 +258,7 @@
     if (!ip[0]) continue;
     g_snprintf(s.name, sizeof s.name, "seed-%d", i);
     g_snprintf(s.peer, sizeof s.peer, "tcp://%s%s", ip, port);
+    c->is_seed |= strcmp(s.peer, member_me(c->members)->peer) == 0;
     g_array_append_val(all, s);
   }
   member_listed(c->members, now_of(c), (MemberSeed *)(void *)all->data,
--- a/packages/ledger/holder.c
+++ b/packages/ledger/holder.c
@@ -9,6 +9,7 @@
 /* An account elsewhere than at the first choice lives on while its home
    speaks. */
 #define LINGER 5.0
+#define HOME_SPOKE 1.0  /* seconds; a home that answered since is there */
 #define CHOICES 4       /* homes that are asked one after the other */
 #define FIRST_AGAIN 3.0 /* the first choice is tried again after this */
 
@@ -177,6 +178,14 @@
   ledger_send(l, home->id, &m);
 }
 
+/* Seconds until an unanswered draw goes out again, and after two to the next
+   choice. A home that spoke just now is busy, not gone: others that step in
+   for it would only race it for the store. */
+static double patience(const Ledger *l, const Purse *p) {
+  bool spoke = p->answered > 0 && l->now - p->answered < HOME_SPOKE;
+  return spoke ? LEDGER_RESEND : LEDGER_REDRAW;
+}
+
 void holder_reserve(Ledger *l, uint64_t handle, const char *budget,
                     int64_t amount) {
   assert(amount >= 0);
@@ -194,7 +203,7 @@
   *w = (Waiter){handle, amount, l->now + LEDGER_DRAW_WAIT, ERR_BUDGET_CUT};
   g_queue_push_tail(&p->waiters, w);
   g_hash_table_insert(l->waiting, g_memdup2(&handle, sizeof handle), p);
-  if (p->asked == 0 || l->now - p->asked >= LEDGER_REDRAW) ask(l, p);
+  if (p->asked == 0 || l->now - p->asked >= patience(l, p)) ask(l, p);
 }
 
 static GList *waiter_link(Purse *p, uint64_t handle) {
@@ -259,6 +268,7 @@
   }
   if (a) a->allotted = l->now;
   p->asked = 0;
+  p->answered = l->now;
   /* Whoever answered is asked first next time. */
   if (p->tries > 0) p->tries = (p->tries - 1) / 2 * 2;
   serve(l, p);
@@ -336,7 +346,7 @@
   }
   double quiet = l->now - p->asked;
   if (p->waiters.head) {
-    if (p->asked == 0 || quiet >= LEDGER_REDRAW) ask(l, p);
+    if (p->asked == 0 || quiet >= patience(l, p)) ask(l, p);
     return;
   }
   /* Ask ahead, so that a request need not wait for a message. */
--- a/packages/ledger/home.c
+++ b/packages/ledger/home.c
@@ -10,8 +10,9 @@
 #define END_SHARE 2.0  /* a region lays up one part in so many of the rest */
 #define END_REST 0.3   /* of the total: below this a budget is near its end */
 #define UNUSED 0.02    /* of the total: 97 in 100 have to be usable */
-#define SURPLUS 1.5  /* more than so many times what is to be held goes back */
-#define STAND_IN 1.0 /* seconds laid up by a home that is not the first */
+#define SURPLUS 1.5 /* more than so many times what is to be held goes back */
+#define SURPLUS_EVERY 1.0 /* seconds between writes for that alone */
+#define STAND_IN 1.0      /* seconds laid up by a home that is not the first */
 #define STORE_SLOW                                                             \
   0.08                    /* seconds; the store answers in 4 ms, so after this \
                              another home may be nearer to it */
@@ -494,7 +495,8 @@
   int64_t have = home_free(g);
   int64_t share = share_of_rest(l, h, have, MAX(h->remaining, 0));
   int64_t keep = MAX(MIN((int64_t)lay, share), LEDGER_MIN_DRAW);
-  if ((double)have > SURPLUS * (double)keep && h->draws->len == 0)
+  bool paced = l->now - shard_of(l, h)->wrote > SURPLUS_EVERY;
+  if (paced && (double)have > SURPLUS * (double)keep && h->draws->len == 0)
     give_to_store(l, h, keep);
   int64_t plan = home_plan(l, h, h->remaining);
   bool low = have < (int64_t)(lay * REFILL_BELOW);
--- a/packages/ledger/state.h
+++ b/packages/ledger/state.h
@@ -44,6 +44,7 @@
   double rate;         /* tokens a second, decayed */
   int64_t typical;     /* size of a recent reservation */
   double asked;        /* when the last DRAW went out; 0: none open */
+  double answered;     /* when a home last answered one; 0: never */
   double ahead;        /* when tokens were last asked for ahead of need */
   int tries;           /* DRAWs without an answer; two for each choice */
   double first_choice; /* when the first choice was last asked */
--- a/packages/member/member.c
+++ b/packages/member/member.c
@@ -5,7 +5,7 @@
 
 #define GREETINGS 4      /* the first ones are lost while a link is made */
 #define GREET_MOST 30.0  /* seconds between greetings of a silent seed */
-#define STRANGERS 128    /* introduced instances that are greeted at once */
+#define STRANGERS 512    /* introduced instances that are greeted at once */
 #define STRANGER_TRIES 6 /* greetings until an introduced one is given up */
 #define INTRODUCE_S 20.0 /* so long after a change others are introduced */
 #define BEAT_BYTES 160   /* a heartbeat on the wire, with its frame */
