An instance that has just started is no home of budgets until it knows the others

Cause: after a start of all each of 73 instances saw itself alone, drew a grant of every budget and kept racing the others for it: up to 46 homes of one budget, 1,200 conditional updates a second.

--- a/packages/fleet/cluster.c
+++ b/packages/fleet/cluster.c
@@ -14,6 +14,8 @@
 
 #define BUDGET_KIND "budgets" /* of our own, in the platform's store */
 #define TICK_S 0.05           /* the shortest time of the cores is 0.06 s */
+#define SETTLE_QUIET_S 0.4    /* greetings are repeated after 0.5 s */
+#define SETTLE_MOST_S 1.5     /* an instance may be the only one */
 #define CONF_ASK_S                                                             \
   0.4 /* a newer configuration elsewhere is asked for                          \
          when the store did not bring it by then */
@@ -34,6 +36,8 @@
   uint64_t next_handle;
   uint64_t conf;
   double conf_behind, conf_asked; /* since when; last question */
+  double started, changed;        /* we; the view */
+  bool settled;                   /* the view may be acted on */
   bool leaving;
   bool is_seed; /* others know us from their start */
 };
@@ -120,8 +124,25 @@
   if (same) return;
   log_info("view", "s:i", "members", v->n);
   remember_ids(c);
-  ledger_view(c->ledger, now_of(c), v);
+  c->changed = now_of(c);
   c->ev.instances(c->ctx, v->n);
+  if (!c->settled) return;
+  ledger_view(c->ledger, now_of(c), v);
+  act(c);
+}
+
+/* An instance that has just started sees itself alone, and would be the home
+   of every budget: after a start of all they would race each other for the
+   store (46 homes of one budget were seen). It waits until it knows others and
+   nobody new came for a while. */
+static void settle(Cluster *c) {
+  double now = now_of(c);
+  bool quiet = c->view->n > 1 && now - c->changed > SETTLE_QUIET_S;
+  if (c->settled || !(quiet || now - c->started > SETTLE_MOST_S)) return;
+  c->settled = true;
+  log_info("settled", "s:i,s:f", "members", c->view->n, "after",
+           now - c->started);
+  ledger_view(c->ledger, now, c->view);
   act(c);
 }
 
@@ -238,6 +259,7 @@
   member_self(c->members, c->leaving, c->conf);
   member_tick(c->members, now);
   refresh_view(c);
+  settle(c);
   send_beats(c);
   ask_conf(c);
   ledger_tick(c->ledger, now, (int64_t)time(NULL));
@@ -288,6 +310,7 @@
   c->ev = *ev;
   c->ctx = ctx;
   c->peer = peer;
+  c->started = ev_now(loop);
   c->members = member_new(&o->self);
   c->view = view_new(NULL, 0);
   c->ledger = ledger_new(o->self.id, o->self.region, o->seed);
@@ -347,6 +370,10 @@
   return ledger_drained(c->ledger);
 }
 
+bool cluster_settled(const Cluster *c) {
+  return c->settled;
+}
+
 int cluster_instances(const Cluster *c) {
   return c->view->n;
 }
--- a/packages/fleet/cluster.h
+++ b/packages/fleet/cluster.h
@@ -47,6 +47,9 @@
 /* Planned stop: everything free goes back. */
 void cluster_drain(Cluster *c);
 bool cluster_drained(const Cluster *c);
+/* False for a second or two after the start, while the others are found:
+   until then no reservation is decided. */
+bool cluster_settled(const Cluster *c);
 int cluster_instances(const Cluster *c);
 LedgerSums cluster_sums(const Cluster *c);
 
--- a/packages/node/node.c
+++ b/packages/node/node.c
@@ -166,7 +166,7 @@
 
 static bool is_ready(const Node *n) {
   return n->stop_at == 0 && relay_get_conf(n->relay) != NULL &&
-         feed_complete(n->feed);
+         feed_complete(n->feed) && cluster_settled(n->cluster);
 }
 
 static void on_question(void *ctx, Caller *c, const CallerReq *r,
