--- a/packages/fleet/cluster.c
+++ b/packages/fleet/cluster.c
@@ -16,9 +16,7 @@
 #define TICK_S 0.05           /* the shortest time of the cores is 0.06 s */
 #define SETTLE_QUIET_S 0.4    /* greetings are repeated after 0.5 s */
 #define SETTLE_MOST_S 1.5     /* an instance may be the only one */
-#define CONF_ASK_S                                                             \
-  0.4 /* a newer configuration elsewhere is asked for                          \
-         when the store did not bring it by then */
+#define CONF_ASK_S 0.4        /* the store is given this long to bring it */
 
 struct Cluster {
   struct ev_loop *loop;
