--- a/packages/flow/relay.c
+++ b/packages/flow/relay.c
@@ -128,15 +128,17 @@
 static void log_end(const Run *x, const char *outcome, int status,
                     const char *error, int64_t tokens) {
   double now = now_of(x);
-  log_info("request", "s:s,s:s,s:i,s:s,s:s,s:s,s:s,s:i,s:i,s:I,s:I,s:f,s:f,s:I",
-           "request", x->ask.id, "outcome", outcome, "status", status, "error",
-           error, "customer", x->customer ? x->customer->name : "", "service",
-           x->service_name ? x->service_name : "", "target",
-           x->n_tried > 0 ? target_id(x->tried[x->n_tried - 1]) : "", "sends",
-           x->sends, "tried", x->n_tried, "events", (json_int_t)x->events.count,
-           "tokens", (json_int_t)tokens, "predicted", x->wait_s, "seconds",
-           now - x->req->at, "conf",
-           (json_int_t)(x->conf ? x->conf->version : 0));
+  /* The line of a request that was not served is never dropped. */
+  void (*line)(const char *, const char *, ...) =
+      strcmp(outcome, "served") == 0 ? log_info : log_warn;
+  line("request", "s:s,s:s,s:i,s:s,s:s,s:s,s:s,s:i,s:i,s:I,s:I,s:f,s:f,s:I",
+       "request", x->ask.id, "outcome", outcome, "status", status, "error",
+       error, "customer", x->customer ? x->customer->name : "", "service",
+       x->service_name ? x->service_name : "", "target",
+       x->n_tried > 0 ? target_id(x->tried[x->n_tried - 1]) : "", "sends",
+       x->sends, "tried", x->n_tried, "events", (json_int_t)x->events.count,
+       "tokens", (json_int_t)tokens, "predicted", x->wait_s, "seconds",
+       now - x->req->at, "conf", (json_int_t)(x->conf ? x->conf->version : 0));
 }
 
 /* Everything but the answer: budget, target, log. */
@@ -187,6 +189,7 @@
 static void served(Run *x) {
   Caller *c = x->caller;
   count_add(COUNT_RAN, 1);
+  count_time(COUNT_TIME_ALL, now_of(x) - x->req->at);
   close_run(x, "served", x->status, "");
   caller_set(c, NULL);
   free_run(x);
@@ -308,7 +311,10 @@
 static void on_body(void *ctx, const char *data, size_t n) {
   Run *x = ctx;
   if (x->refused) return;
-  if (!x->first) target_first(x->target, x->fresh);
+  if (!x->first) {
+    target_first(x->target, x->fresh);
+    count_time(COUNT_TIME_FIRST, now_of(x) - x->req->at);
+  }
   x->first = true;
   if (x->stream)
     pass_stream(x, data, n);
--- a/packages/kernel/count.c
+++ b/packages/kernel/count.c
@@ -39,10 +39,53 @@
     [COUNT_STORE_FAILURES] = {"store_failures_total", "no usable answer"},
     [COUNT_PEER_BYTES_OUT] = {"peer_bytes_out_total", "bytes to instances"},
     [COUNT_PEER_BYTES_IN] = {"peer_bytes_in_total", "bytes from instances"},
+    [COUNT_LOG_DROPPED] = {"log_dropped_total",
+                           "log lines over the bound, or not taken in time"},
     [COUNT_PEER_DROPPED] = {"peer_dropped_total",
                             "messages not understood or not deliverable"},
 };
 
+/* Upper bounds of the buckets, seconds: from the store's 4 ms to the longest
+   deadline of the users' sheets. */
+static const double bounds[] = {0.004, 0.01, 0.025, 0.05, 0.1, 0.2,
+                                0.4,   0.8,  1.5,   3,    6,   15};
+#define BOUNDS G_N_ELEMENTS(bounds)
+
+static const char *const time_names[COUNT_TIMES] = {
+    [COUNT_TIME_FIRST] = "first_byte_seconds",
+    [COUNT_TIME_ALL] = "request_seconds",
+    [COUNT_TIME_STORE] = "store_call_seconds"};
+
+static _Atomic int64_t times[COUNT_TIMES][BOUNDS + 1];
+static _Atomic int64_t time_sums[COUNT_TIMES]; /* microseconds */
+
+void count_time(CountTime t, double seconds) {
+  size_t i = 0;
+  while (i < BOUNDS && seconds > bounds[i]) i++;
+  atomic_fetch_add_explicit(&times[t][i], 1, memory_order_relaxed);
+  atomic_fetch_add_explicit(&time_sums[t], (int64_t)(seconds * 1e6),
+                            memory_order_relaxed);
+}
+
+static void print_time(CountTime t, GString *out) {
+  const char *name = time_names[t];
+  int64_t n = 0;
+  g_string_append_printf(out, "# TYPE loftpath_%s histogram\n", name);
+  for (size_t i = 0; i <= BOUNDS; i++) {
+    n += atomic_load_explicit(&times[t][i], memory_order_relaxed);
+    if (i < BOUNDS)
+      g_string_append_printf(
+          out, "loftpath_%s_bucket{le=\"%g\"} %" G_GINT64_FORMAT "\n", name,
+          bounds[i], n);
+  }
+  int64_t sum = atomic_load_explicit(&time_sums[t], memory_order_relaxed);
+  g_string_append_printf(out,
+                         "loftpath_%s_bucket{le=\"+Inf\"} %" G_GINT64_FORMAT
+                         "\nloftpath_%s_sum %g\nloftpath_%s_count "
+                         "%" G_GINT64_FORMAT "\n",
+                         name, n, name, (double)sum / 1e6, name, n);
+}
+
 void count_add(Count c, int64_t n) {
   atomic_fetch_add_explicit(&values[c], n, memory_order_relaxed);
 }
@@ -58,4 +101,5 @@
                            "counter\nloftpath_%s %" G_GINT64_FORMAT "\n",
                            names[i].name, names[i].help, names[i].name,
                            names[i].name, count_get((Count)i));
+  for (int t = 0; t < COUNT_TIMES; t++) print_time((CountTime)t, out);
 }
--- a/packages/kernel/count.h
+++ b/packages/kernel/count.h
@@ -34,13 +34,24 @@
   COUNT_PEER_BYTES_OUT,
   COUNT_PEER_BYTES_IN,
   COUNT_PEER_DROPPED,
+  COUNT_LOG_DROPPED,
   COUNT_LAST
 } Count;
 
 /* Any thread, no lock. */
 void count_add(Count c, int64_t n);
 int64_t count_get(Count c);
-/* Appends all counters to `out`. */
+/* Times that are kept as histograms. */
+typedef enum {
+  COUNT_TIME_FIRST, /* until the first byte of a target's answer */
+  COUNT_TIME_ALL,   /* of a request that was served */
+  COUNT_TIME_STORE, /* of a call to the store, watches left out */
+  COUNT_TIMES
+} CountTime;
+
+/* Any thread, no lock. */
+void count_time(CountTime t, double seconds);
+/* Appends all counters and histograms to `out`. */
 void count_print(GString *out);
 
 #endif
--- a/packages/kernel/log.c
+++ b/packages/kernel/log.c
@@ -5,14 +5,35 @@
 #include <glib.h>
 #include <jansson.h>
 #include <stdarg.h>
+#include <fcntl.h>
 #include <stdio.h>
+#include <string.h>
 #include <time.h>
 #include <unistd.h>
 
+#include "kernel/count.h"
 #include "kernel/limits.h"
 
 static char self[LIMIT_ID];
 static bool verbose;
+static int most;             /* lines of log_info a second; 0: no bound */
+static int written, dropped; /* in this second; since the last word of it */
+static time_t second;
+
+/* One write for a line, so that lines of several threads do not mix. */
+static void put_line(const char *text) {
+  if (most == 0) {
+    fprintf(stderr, "%s\n", text);
+    return;
+  }
+  char *line = g_strconcat(text, "\n", NULL);
+  size_t len = strlen(line);
+  if (write(STDOUT_FILENO, line, len) != (ssize_t)len) {
+    dropped++;
+    count_add(COUNT_LOG_DROPPED, 1);
+  }
+  g_free(line);
+}
 
 /* Messages of libraries come here too and leave as the same JSON. */
 static GLogWriterOutput write_line(GLogLevelFlags level,
@@ -26,12 +47,12 @@
   }
   if ((level & G_LOG_LEVEL_DEBUG) && !verbose) return G_LOG_WRITER_HANDLED;
   if (ready) {
-    fprintf(stderr, "%s\n", ready);
+    put_line(ready);
     return G_LOG_WRITER_HANDLED;
   }
   json_t *o = json_pack("{s:s,s:s}", "event", "library", "text", text);
   char *s = json_dumps(o, JSON_COMPACT);
-  fprintf(stderr, "%s\n", s);
+  put_line(s);
   free(s);
   json_decref(o);
   return G_LOG_WRITER_HANDLED;
@@ -63,8 +84,32 @@
   json_decref(o);
 }
 
+void log_bound(int lines) {
+  most = lines;
+  int flags = fcntl(STDOUT_FILENO, F_GETFL);
+  if (flags >= 0) fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+}
+
+/* Bounded logs are of one thread, the event loop's. */
+static bool over_bound(void) {
+  if (most == 0) return false;
+  time_t now = time(NULL);
+  if (now != second) {
+    second = now;
+    written = 0;
+    int lost = dropped;
+    dropped = 0;
+    if (lost > 0) log_warn("log-dropped", "s:i", "lines", lost);
+  }
+  if (++written <= most) return false;
+  dropped++;
+  count_add(COUNT_LOG_DROPPED, 1);
+  return true;
+}
+
 void log_info(const char *event, const char *fmt, ...) {
   va_list ap;
+  if (over_bound()) return;
   va_start(ap, fmt);
   emit(G_LOG_LEVEL_MESSAGE, "info", event, fmt, ap);
   va_end(ap);
--- a/packages/node/node.c
+++ b/packages/node/node.c
@@ -21,7 +21,10 @@
                              takes an instance out after two misses */
 #define STOP_MARGIN_S 0.6 /* before the platform kills */
 #define LINGER_S 0.3      /* for the last answers to leave */
-#define BODY_SHARE 3      /* of the memory, one part for bodies held */
+#define LOG_LINES                                                              \
+  500                /* a second; the busiest instance of the users' days      \
+                        serves 40 requests a second */
+#define BODY_SHARE 3 /* of the memory, one part for bodies held */
 
 static Setting settings[] = {
     {"name", "LOFTPATH_NAME", SETTING_TEXT, NULL, "Name of this instance", 0, 0,
@@ -331,6 +334,7 @@
   snprintf(n->id, sizeof n->id, "%.36s.%08x", settings_text(settings, "name"),
            random_number());
   log_open(n->id, false);
+  log_bound(LOG_LINES);
   signal(SIGPIPE, SIG_IGN);
   n->loop = ev_default_loop(EVFLAG_AUTO);
   if (!n->loop || !open_parts(n, &e)) {
--- a/tests/node.py
+++ b/tests/node.py
@@ -422,6 +422,16 @@
     assert lines[1]["error"] == "target-failed" and lines[1]["conf"] == 1
 
 
+def test_counters_and_times_are_told(s):
+    assert s.call("/safe/x").status == 200
+    c = http.client.HTTPConnection(s.ip(0), BASE + 1, timeout=2)
+    c.request("GET", "/metrics")
+    text = c.getresponse().read().decode()
+    assert "loftpath_requests_total 1\n" in text, text[:300]
+    assert "loftpath_request_seconds_count 1\n" in text
+    assert 'loftpath_first_byte_seconds_bucket{le="+Inf"} 1\n' in text
+
+
 INSTANCES = {"test_a_budget_is_never_exceeded": 2,
              "test_budgets_and_configuration_live_through_an_outage": 2,
              "test_a_restart_in_an_outage_asks_its_peers": 2}
--- /dev/null
+++ b/tests/test_holder.c
@@ -0,0 +1,111 @@
+/* test_holder.c: whom an instance asks for tokens, and how long it waits. */
+#include <criterion/criterion.h>
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "kernel/limits.h"
+#include "ledger/ledger.h"
+#include "store/pace.h"
+
+#define BUDGET "c"
+#define MEMBERS 5
+
+static Ledger *ledger;
+static char asked[LIMIT_ID]; /* whom the last draw went to */
+static int draws;
+static ErrKind answer; /* of the last reservation; ERR_COUNT: none yet */
+
+static void take_actions(void) {
+  LedgerAction a;
+  while (ledger_next(ledger, &a)) {
+    if (a.what == LEDGER_DO_SEND && a.msg.kind == LEDGER_DRAW) {
+      g_strlcpy(asked, a.to, sizeof asked);
+      draws++;
+    }
+    if (a.what == LEDGER_DO_ANSWER) answer = a.cause;
+    g_free(a.text);
+  }
+}
+
+/* An instance that is no home: the fifth member is not in the view itself. */
+static void start(void) {
+  Member list[MEMBERS] = {0};
+  for (int i = 0; i < MEMBERS; i++) {
+    snprintf(list[i].id, LIMIT_ID, "n%d.1", i);
+    g_strlcpy(list[i].region, "r", LIMIT_NAME);
+  }
+  View *v = view_new(list, MEMBERS);
+  LedgerBudget row = {.name = BUDGET, .total = 100000, .version = 1};
+  ledger = ledger_new("self.1", "r", 1);
+  ledger_view(ledger, 1, v);
+  ledger_budgets(ledger, 1, &row, 1);
+  view_free(v);
+  answer = ERR_COUNT;
+  draws = 0;
+  take_actions();
+}
+
+static void reserve(double now, uint64_t handle) {
+  ledger_reserve(ledger, now, handle, BUDGET, 100);
+  take_actions();
+}
+
+static void say(double now, const char *from, ErrKind cause) {
+  LedgerMsg m = {.kind = LEDGER_ALLOT, .budget = BUDGET, .cause = cause};
+  ledger_receive(ledger, now, from, &m);
+  take_actions();
+}
+
+/* All of a budget was refused at an instance that reached the store, while its
+   home did not. */
+Test(holder, a_home_without_the_store_is_passed_by) {
+  char first[LIMIT_ID];
+  start();
+  reserve(1, 1);
+  g_strlcpy(first, asked, sizeof first);
+  say(1.01, first, ERR_BUDGET_STORE);
+  cr_assert_str_neq(asked, first);
+  cr_assert_eq(answer, ERR_COUNT, "not refused yet");
+  for (int i = 0; i < 4 && answer == ERR_COUNT; i++)
+    say(1.02, asked, ERR_BUDGET_STORE);
+  cr_assert_eq(answer, ERR_BUDGET_STORE, "nobody reaches it");
+  ledger_free(ledger);
+}
+
+/* Requests wait for 0.1 s; nobody may be waiting when the next tick comes. */
+Test(holder, a_silent_home_is_passed_by_while_requests_come_and_go) {
+  char first[LIMIT_ID];
+  start();
+  reserve(1, 1);
+  g_strlcpy(first, asked, sizeof first);
+  for (int i = 0; i < 4; i++) {
+    ledger_settle(ledger, 1.07 + i * 0.07, (uint64_t)i + 1, 0);
+    reserve(1.08 + i * 0.07, (uint64_t)i + 2);
+  }
+  cr_assert_str_neq(asked, first);
+  ledger_free(ledger);
+}
+
+/* A home that is busy is not raced for by others. */
+Test(holder, a_home_that_spoke_just_now_is_waited_for) {
+  char first[LIMIT_ID];
+  start();
+  reserve(1, 1);
+  g_strlcpy(first, asked, sizeof first);
+  say(1.01, first, ERR_BUDGET_HELD);
+  reserve(1.02, 2);
+  for (int i = 1; i < 5; i++) {
+    ledger_tick(ledger, 1.02 + i * 0.06, 0);
+    take_actions();
+  }
+  cr_assert_str_eq(asked, first);
+  cr_assert_leq(draws, 3);
+  ledger_free(ledger);
+}
+
+/* A home was away for 4 s after a cut had ended. */
+Test(holder, the_store_is_asked_again_within_a_second_and_a_half) {
+  double wait = 0;
+  for (int i = 0; i < 20; i++) cr_assert_leq(pace_backoff(&wait, 1.0), 1.5);
+}
