--- a/packages/fleet/cluster.c
+++ b/packages/fleet/cluster.c
@@ -15,8 +15,11 @@
 #define BUDGET_KIND "budgets" /* of our own, in the platform's store */
 #define TICK_S 0.05           /* the shortest time of the cores is 0.06 s */
 #define SETTLE_QUIET_S 0.4    /* greetings are repeated after 0.5 s */
-#define SETTLE_MOST_S 1.5     /* an instance may be the only one */
-#define CONF_ASK_S 0.4        /* the store is given this long to bring it */
+#define SETTLE_MOST_S 2.5     /* an instance may be the only one */
+#define TELL_FIRST_S 0.1      /* a link is made in a few milliseconds */
+#define TELL_AGAIN_S 0.5
+#define TELL_TIMES 3
+#define CONF_ASK_S 0.4 /* the store is given this long to bring it */
 
 struct Cluster {
   struct ev_loop *loop;
@@ -30,7 +33,8 @@
   ev_io readable;
   ev_prepare flush;
   ev_timer tick;
-  GHashTable *ids; /* hash of an id -> the id */
+  GHashTable *ids;   /* hash of an id -> the id */
+  GArray *newcomers; /* Newcomer, whom we as a seed tell of the others */
   uint64_t next_handle;
   uint64_t conf;
   double conf_behind, conf_asked; /* since when; last question */
@@ -191,7 +195,8 @@
 /* == events == */
 
 /* Whoever starts greets the seeds first; they tell it of everybody, so that
-   after a start of all the views agree within a second. */
+   after a start of all the views agree within a second. What is sent while the
+   link is made is lost, so they tell it a little later, and once more. */
 static void tell_all(Cluster *c, const Member *to) {
   for (int i = 0; i < c->view->n; i++) {
     const Member *m = &c->view->list[i];
@@ -201,6 +206,31 @@
   }
 }
 
+typedef struct Newcomer {
+  char id[LIMIT_ID];
+  double at; /* when it is told next */
+  int times; /* to come */
+} Newcomer;
+
+static void add_newcomer(Cluster *c, const Member *m) {
+  Newcomer n = {.at = now_of(c) + TELL_FIRST_S, .times = TELL_TIMES};
+  g_strlcpy(n.id, m->id, sizeof n.id);
+  g_array_append_val(c->newcomers, n);
+  peer_beat(c->peer, m->peer, member_me(c->members)); /* makes the link */
+}
+
+static void tell_newcomers(Cluster *c) {
+  double now = now_of(c);
+  for (guint i = c->newcomers->len; i-- > 0;) {
+    Newcomer *n = &g_array_index(c->newcomers, Newcomer, i);
+    if (now < n->at) continue;
+    const Member *m = view_find(c->view, n->id);
+    if (m) tell_all(c, m);
+    n->at = now + TELL_AGAIN_S;
+    if (--n->times == 0 || !m) g_array_remove_index_fast(c->newcomers, i);
+  }
+}
+
 static void take_beat(Cluster *c, uint64_t from, const Member *m) {
   if (codec_hash(m->id) != from) {
     member_introduced(c->members, now_of(c), m);
@@ -208,7 +238,7 @@
   }
   bool fresh = view_find(c->view, m->id) == NULL;
   member_heard(c->members, now_of(c), m);
-  if (fresh && c->is_seed) tell_all(c, m);
+  if (fresh && c->is_seed) add_newcomer(c, m);
 }
 
 static void on_message(void *ctx, uint64_t from, CodecMsg *m) {
@@ -258,6 +288,7 @@
   member_tick(c->members, now);
   refresh_view(c);
   settle(c);
+  tell_newcomers(c);
   send_beats(c);
   ask_conf(c);
   ledger_tick(c->ledger, now, (int64_t)time(NULL));
@@ -313,6 +344,7 @@
   c->view = view_new(NULL, 0);
   c->ledger = ledger_new(o->self.id, o->self.region, o->seed);
   c->ids = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+  c->newcomers = g_array_new(FALSE, FALSE, sizeof(Newcomer));
   read_seeds(c, o->seeds);
   start_watchers(c);
   return c;
@@ -327,6 +359,7 @@
   member_free(c->members);
   view_free(c->view);
   g_hash_table_destroy(c->ids);
+  g_array_free(c->newcomers, TRUE);
   g_free(c);
 }
 
--- a/packages/member/member.c
+++ b/packages/member/member.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #define GREETINGS 4      /* the first ones are lost while a link is made */
+#define GREET_FIRST 0.2  /* seconds until a seed is greeted again, doubled */
 #define GREET_MOST 30.0  /* seconds between greetings of a silent seed */
 #define STRANGERS 512    /* introduced instances that are greeted at once */
 #define STRANGER_TRIES 6 /* greetings until an introduced one is given up */
@@ -130,7 +131,7 @@
   Seed *x = g_new0(Seed, 1);
   x->m = *m;
   x->next_at = now;
-  x->wait = MEMBER_BEAT;
+  x->wait = GREET_FIRST;
   g_ptr_array_add(s->seeds, x);
   return x;
 }
@@ -265,7 +266,7 @@
     if (now < x->next_at) continue;
     if (answered) {
       x->tries = 0;
-      x->wait = MEMBER_BEAT;
+      x->wait = GREET_FIRST;
       x->next_at = now + GREET_MOST;
       continue;
     }
