--- /dev/null
+++ b/packages/flow/dispatch.c
@@ -0,0 +1,245 @@
+/* dispatch.c: choosing a target, passing its answer on, and what follows when
+   it fails. */
+#include <string.h>
+
+#include "flow/run.h"
+#include "kernel/count.h"
+#include "kernel/log.h"
+#include "platform/wire.h"
+
+#define FRESH_ONCE_S                                                           \
+  4.0                        /* the same for what may run only once: an old    \
+                                connection may be dead, and tells too late */
+#define ANSWER_BUFFER 262144 /* bytes of a plain answer that are held back */
+
+/* == passing an answer on == */
+
+static void put_head(Run *x, int64_t length) {
+  caller_head(x->caller, x->status, x->fields->str, length);
+  x->head_out = true;
+}
+
+static void pass_stream(Run *x, const char *data, size_t n) {
+  GString *out = g_string_sized_new(n + 64);
+  events_take(&x->events, data, n, out);
+  if (out->len > 0) {
+    if (!x->head_out) put_head(x, CALLER_CHUNKED);
+    caller_body(x->caller, out->str, out->len);
+  }
+  g_string_free(out, TRUE);
+}
+
+static void pass_plain(Run *x, const char *data, size_t n) {
+  if (!x->head_out && x->body->len + n > ANSWER_BUFFER) {
+    put_head(x, CALLER_CHUNKED);
+    caller_body(x->caller, x->body->str, x->body->len);
+  }
+  if (x->head_out)
+    caller_body(x->caller, data, n);
+  else
+    g_string_append_len(x->body, data, (gssize)n);
+}
+
+/* == after a target failed it == */
+
+static bool repeatable(const Run *x) {
+  if (x->route->kind == CONF_SAFE) return true;
+  return x->route->kind == CONF_STREAM && x->route->resumable;
+}
+
+/* May it go to one more target? `sent`: the last one had it. */
+static bool may_go_on(Run *x, bool sent) {
+  double now = run_now(x);
+  if (now >= x->deadline || x->n_tried == RUN_TRIED_MOST) return false;
+  if (!sent) return true;
+  if (x->sends >= x->route->attempts) return false;
+  return retries_take(x->relay->retries, now, x->service_name);
+}
+
+static void log_failure(const Run *x, const char *why) {
+  log_warn("target-failed", "s:s,s:s,s:s,s:s,s:i,s:I,s:f", "request", x->ask.id,
+           "target", target_id(x->target), "addr", target_addr(x->target),
+           "why", why, "status", x->status, "events",
+           (json_int_t)x->events.count, "after", run_now(x) - x->sent_at);
+}
+
+/* It did not run there: nothing was sent, or the target says so. */
+static void not_run(Run *x, bool sent) {
+  Err e;
+  log_failure(x, sent ? "refused" : "unreachable");
+  run_leave_target(x, sent ? TARGET_FULL : TARGET_SILENT);
+  if (may_go_on(x, sent)) {
+    run_dispatch(x);
+    return;
+  }
+  err_retry(&e, ERR_OVERLOADED, RUN_BACK_SOON_MS, "no target took the request");
+  run_give_up(x, &e);
+}
+
+/* It may have run there. */
+static void may_have_run(Run *x, TargetEnd how, const char *why) {
+  Err e;
+  log_failure(x, why);
+  run_leave_target(x, how);
+  events_broken(&x->events);
+  x->maybe = true;
+  if (repeatable(x) && may_go_on(x, true)) {
+    run_dispatch(x);
+    return;
+  }
+  err_set(&e, ERR_TARGET_FAILED, "the target's answer is missing or damaged");
+  run_give_up(x, &e);
+}
+
+/* == events of a link == */
+
+static bool is_stream(const Run *x, int status) {
+  return x->route->kind == CONF_STREAM && status == 200;
+}
+
+/* A failure of the target's own that another target may not have. */
+static bool worth_another(Run *x, int status) {
+  return status >= 500 && !x->head_out && repeatable(x) &&
+         x->sends < x->route->attempts && run_now(x) < x->deadline;
+}
+
+static LinkVerdict on_head(void *ctx, const LinkHead *h) {
+  Run *x = ctx;
+  Answer a;
+  wire_answer(h->headers, x->ask.id, &a);
+  if (!a.ours) return LINK_SKIP;
+  if (a.load_told) target_load(x->target, run_now(x), a.running, a.waiting);
+  x->refused = a.not_run || h->status == 421;
+  if (h->status == 421)
+    targets_replaced(x->relay->targets, run_now(x), x->target);
+  if (x->refused) return LINK_TAKE;
+  if (a.encoded || !a.signed_) return LINK_DROP;
+  if (x->head_out) /* goes on after a break: the first head stands */
+    return h->status == x->status ? LINK_TAKE : LINK_DROP;
+  x->status = h->status;
+  x->stream = is_stream(x, h->status);
+  g_string_truncate(x->fields, 0);
+  g_string_truncate(x->body, 0);
+  wire_pass(x->fields, h->headers);
+  return LINK_TAKE;
+}
+
+static void on_body(void *ctx, const char *data, size_t n) {
+  Run *x = ctx;
+  if (x->refused) return;
+  if (!x->first) {
+    target_first(x->target, x->fresh);
+    count_time(COUNT_TIME_FIRST, run_now(x) - x->req->at);
+  }
+  x->first = true;
+  if (x->stream)
+    pass_stream(x, data, n);
+  else
+    pass_plain(x, data, n);
+}
+
+static void on_batch(void *ctx) {
+  Run *x = ctx;
+  if (x->head_out) caller_flush(x->caller);
+}
+
+static void whole(Run *x) {
+  if (worth_another(x, x->status) && may_go_on(x, true)) {
+    log_failure(x, "error");
+    run_leave_target(x, TARGET_FAILED);
+    x->maybe = true;
+    run_dispatch(x);
+    return;
+  }
+  run_leave_target(x, x->status >= 500 ? TARGET_FAILED : TARGET_OK);
+  if (!x->head_out) {
+    put_head(x, x->stream ? CALLER_CHUNKED : (int64_t)x->body->len);
+    caller_body(x->caller, x->body->str, x->body->len);
+  }
+  run_served(x);
+}
+
+static void on_end(void *ctx, LinkEnd how) {
+  Run *x = ctx;
+  x->link = NULL;
+  switch (how) {
+  case LINK_NOT_SENT:
+    x->sends--;
+    not_run(x, false);
+    break;
+  case LINK_EMPTY: may_have_run(x, TARGET_SILENT, "silent"); break;
+  case LINK_CUT:
+    if (x->refused)
+      not_run(x, true);
+    else
+      may_have_run(x, TARGET_FAILED, "cut");
+    break;
+  case LINK_WHOLE:
+    if (x->refused)
+      not_run(x, true);
+    else if (x->stream && x->events.part->len > 0)
+      may_have_run(x, TARGET_FAILED, "cut inside an event");
+    else
+      whole(x);
+    break;
+  }
+}
+
+static const LinkEvents link_events = {on_head, on_body, on_batch, on_end};
+
+/* == dispatch == */
+
+static TargetChoice choose(Run *x) {
+  Relay *r = x->relay;
+  TargetAsk ask = {.service = x->service_name,
+                   .ask = &x->ask,
+                   .engine = x->service && x->service->engine,
+                   .memory = x->service ? x->service->memory : 0,
+                   .tried = x->tried,
+                   .n_tried = x->n_tried};
+  return targets_pick(r->targets, run_now(x), &ask);
+}
+
+static int priority(const Run *x) {
+  if (!x->service || !x->service->engine) return -1;
+  return x->route->priority;
+}
+
+static void send(Run *x, const TargetChoice *c) {
+  Relay *r = x->relay;
+  double now = run_now(x);
+  AskSend send = {.target = target_id(c->target),
+                  .customer = x->customer ? x->customer->name : NULL,
+                  .left_s = x->deadline - now,
+                  .priority = priority(x),
+                  .last_event =
+                      x->events.count > 0 ? x->events.last : ASK_NO_EVENT};
+  GString *out = g_string_sized_new(1024 + x->req->body->len);
+  wire_request(out, x->req->method, x->req->target->str, &x->req->headers,
+               x->req->body, &send);
+  x->target = c->target;
+  x->fresh = c->fresh;
+  x->wait_s = c->wait_s;
+  x->sent_at = now;
+  x->first = x->refused = false;
+  x->tried[x->n_tried++] = c->target;
+  x->sends++;
+  if (x->n_tried == 1) retries_first(r->retries, now, x->service_name);
+  target_sent(c->target, now, &x->ask, c->fresh);
+  double fresh_s = repeatable(x) ? RUN_LINK_KEEP_S : FRESH_ONCE_S;
+  x->link = link_send(r->links, target_addr(c->target), out, fresh_s,
+                      &link_events, x);
+}
+
+void run_dispatch(Run *x) {
+  Err e;
+  TargetChoice c = choose(x);
+  if (c.target) {
+    send(x, &c);
+    return;
+  }
+  err_retry(&e, ERR_NO_TARGET, RUN_BACK_SOON_MS, "no target serves %s now",
+            x->service_name);
+  if (x->maybe) err_set(&e, ERR_TARGET_FAILED, "no other target is left");
+  run_give_up(x, &e);
+}
--- /dev/null
+++ b/packages/flow/run.h
@@ -0,0 +1,84 @@
+/* run.h: one request on its way through the relay; shared by run.c, dispatch.c
+   and relay.c only. */
+#ifndef FLOW_RUN_H
+#define FLOW_RUN_H
+
+#include "flow/events.h"
+#include "flow/link.h"
+#include "flow/relay.h"
+
+#define RUN_LINK_KEEP_S 30.0 /* an idle connection to a target is kept */
+#define RUN_TRIED_MOST 8     /* targets that one request is tried at */
+#define RUN_BACK_SOON_MS 200 /* Retry-After of what passes quickly */
+
+typedef struct Run Run;
+
+struct Run {
+  Relay *relay;
+  Caller *caller;
+  const CallerReq *req;
+  Ask ask;
+  Conf *conf;
+  const ConfRoute *route;
+  const ConfService *service; /* NULL: not described */
+  const char *service_name;
+  const ConfCustomer *customer; /* NULL: an open route */
+  double deadline;
+  ev_timer timer;
+  /* budget */
+  int64_t reserved;
+  uint64_t handle; /* 0: nothing is reserved */
+  bool waits;      /* for the decision on it */
+  /* target */
+  const Target *tried[RUN_TRIED_MOST];
+  int n_tried, sends;
+  Target *target;
+  int64_t fresh;
+  double sent_at, wait_s;
+  bool first; /* its first byte has come */
+  Link *link;
+  bool refused; /* the answer under way says that it did not run */
+  bool maybe;   /* it was sent somewhere and may have run */
+  /* answer */
+  int status;
+  GString *fields, *body;
+  bool stream, head_out;
+  int64_t passed; /* bytes of the body handed on */
+  Events events;
+  struct Run *prev, *next;
+};
+
+struct Relay {
+  struct ev_loop *loop;
+  Callers *callers;
+  Links *links;
+  Targets *targets;
+  Cluster *cluster;
+  GHashTable *reserved; /* handle -> Run, of all that hold or wait */
+  Retries *retries;
+  Conf *conf;
+  int64_t body_room;
+  Run *first;
+  int n;
+  bool refusing;
+};
+
+/* == run.c: its life == */
+
+Run *run_new(Relay *r, Caller *c, const CallerReq *req);
+double run_now(const Run *x);
+/* The target is done with, one way or the other. */
+void run_leave_target(Run *x, TargetEnd how);
+/* Ends with an error of ours; breaks off what was begun. */
+void run_give_up(Run *x, Err *e);
+/* Ends with the answer that was passed on. */
+void run_served(Run *x);
+/* Ends without an answer: the caller left. */
+void run_left(Run *x);
+
+/* == dispatch.c: targets and their answers == */
+
+/* Chooses a target and sends the request there, or gives up. */
+void run_dispatch(Run *x);
+
+#endif
--- a/packages/flow/sock.c
+++ b/packages/flow/sock.c
@@ -16,7 +16,7 @@
 #define PROBE_EVERY_S 1 /* seconds between probes */
 #define PROBES 2        /* lost probes that end a connection */
 
-static bool parse(const char *addr, struct sockaddr_in *in) {
+bool sock_address(const char *addr, struct sockaddr_in *in) {
   char ip[64];
   const char *colon = strrchr(addr, ':');
   if (!colon || (size_t)(colon - addr) >= sizeof ip) return false;
@@ -36,7 +36,7 @@
   struct sockaddr_in in;
   int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   if (fd >= 0) set(fd, SOL_SOCKET, SO_REUSEADDR, 1);
-  if (fd >= 0 && parse(addr, &in) &&
+  if (fd >= 0 && sock_address(addr, &in) &&
       bind(fd, (struct sockaddr *)&in, sizeof in) == 0 &&
       listen(fd, BACKLOG) == 0)
     return fd;
@@ -53,7 +53,7 @@
 
 int sock_connect(const char *addr) {
   struct sockaddr_in in;
-  if (!parse(addr, &in)) return -1;
+  if (!sock_address(addr, &in)) return -1;
   int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   if (fd < 0) return -1;
   set(fd, IPPROTO_TCP, TCP_NODELAY, 1);
--- a/packages/flow/sock.h
+++ b/packages/flow/sock.h
@@ -3,10 +3,13 @@
 #define FLOW_SOCK_H
 
 #include <glib.h>
+#include <netinet/in.h>
 #include <stdbool.h>
 
 #include "kernel/err.h"
 
+/* "ip:port" as an address; false when it is none. */
+bool sock_address(const char *addr, struct sockaddr_in *in);
 /* Listens at "ip:port"; -1 with a typed error. */
 int sock_listen(const char *addr, Err *e);
 /* Next connection, -1 when there is none. */
--- a/packages/http/server.c
+++ b/packages/http/server.c
@@ -1,6 +1,8 @@
 /* server.c: libmicrohttpd behind server.h. */
 #include "http/server.h"
 
+#include "flow/sock.h"
+
 #include <linux/filter.h>
 #include <poll.h>
 #include <arpa/inet.h>
@@ -68,18 +70,6 @@
   *state = NULL;
 }
 
-static bool parse_addr(const char *addr, struct sockaddr_in *in) {
-  char ip[64];
-  const char *colon = strrchr(addr, ':');
-  if (!colon || (size_t)(colon - addr) >= sizeof ip) return false;
-  memcpy(ip, addr, (size_t)(colon - addr));
-  ip[colon - addr] = '\0';
-  memset(in, 0, sizeof *in);
-  in->sin_family = AF_INET;
-  in->sin_port = htons((uint16_t)atoi(colon + 1));
-  return inet_pton(AF_INET, ip, &in->sin_addr) == 1;
-}
-
 /* Pieces of a stream must leave at once. */
 static void on_connect(void *ctx, struct MHD_Connection *c, void **state,
                        enum MHD_ConnectionNotificationCode code) {
@@ -96,7 +86,7 @@
 HttpServer *http_serve(const char *addr, const HttpOptions *o,
                        HttpHandler handler, HttpDone done, void *ctx, Err *e) {
   struct sockaddr_in in;
-  if (!parse_addr(addr, &in)) {
+  if (!sock_address(addr, &in)) {
     err_set(e, ERR_SETTING, "'%s' is not an address of the form ip:port", addr);
     return NULL;
   }
