A caller that asks before its body is answered at once; one that reads nothing is given up

Found by reading the diff: the word to go on was kept until the answer, so such a caller waited for ever; and an answer of any size was held for a caller that does not take it. Both tests were red before.

--- a/packages/flow/caller.c
+++ b/packages/flow/caller.c
@@ -247,6 +247,8 @@
     refuse(c, ERR_MALFORMED, http_errno_description(bad));
   } else if (c->err.kind == ERR_TOO_LARGE) {
     refuse(c, ERR_TOO_LARGE, c->err.text);
+  } else if (c->out->len > 0) { /* it waits for our word to send its body */
+    caller_flush(c);
   }
   c->parsing = outer;
   if (c->broken && !outer) free_caller(c);
--- a/packages/flow/dispatch.c
+++ b/packages/flow/dispatch.c
@@ -8,9 +8,11 @@
 #include "platform/wire.h"
 
 #define FRESH_ONCE_S                                                           \
-  4.0                        /* the same for what may run only once: an old    \
-                                connection may be dead, and tells too late */
-#define ANSWER_BUFFER 262144 /* bytes of a plain answer that are held back */
+  4.0                          /* the same for what may run only once: an old  \
+                                  connection may be dead, and tells too late */
+#define PENDING_MOST (4 << 20) /* bytes that a slow caller may leave with us   \
+                                */
+#define ANSWER_BUFFER 262144   /* bytes of a plain answer that are held back */
 
 /* == passing an answer on == */
 
@@ -140,7 +142,12 @@
 
 static void on_batch(void *ctx) {
   Run *x = ctx;
-  if (x->head_out) caller_flush(x->caller);
+  Err e;
+  if (!x->head_out) return;
+  caller_flush(x->caller);
+  if (caller_pending(x->caller) < PENDING_MOST) return;
+  err_set(&e, ERR_TARGET_CUT, "the caller takes its answer too slowly");
+  run_give_up(x, &e);
 }
 
 static void whole(Run *x) {
--- a/tests/node.py
+++ b/tests/node.py
@@ -422,6 +422,36 @@
     assert lines[1]["error"] == "target-failed" and lines[1]["conf"] == 1
 
 
+def test_a_caller_that_asks_first_is_told_to_go_on(s):
+    with socket.create_connection((s.ip(0), BASE), timeout=3) as c:
+        c.sendall(b"POST /once/x HTTP/1.1\r\nHost: front\r\nContent-Length: 3\r\n"
+                  b"Authorization: Bearer key-acme\r\nX-Loftpath-Attempt-Id: e\r\n"
+                  b"Expect: 100-continue\r\n\r\n")
+        assert c.recv(100).startswith(b"HTTP/1.1 100 ")
+        c.sendall(b"abc")
+        assert c.recv(4096).startswith(b"HTTP/1.1 200 ")
+
+
+def test_a_caller_that_reads_nothing_is_given_up(s):
+    def play(w, c, h):
+        c.sendall(head(h["x-loftpath-attempt-id"], "Content-Length: 67108864"))
+        try:
+            for _ in range(64):
+                c.sendall(bytes(1 << 20))
+        except OSError:
+            pass
+        return False
+
+    for w in s.desks:
+        w.play = play
+    with socket.create_connection((s.ip(0), BASE), timeout=3) as c:
+        c.sendall(b"GET /once/x HTTP/1.1\r\nHost: front\r\n"
+                  b"Authorization: Bearer key-acme\r\nX-Loftpath-Attempt-Id: r\r\n\r\n")
+        wait_for("the end of it", lambda: any(
+            l["event"] == "request" and l["outcome"] == "cut" for l in s.log(0)), 5)
+    assert s.call("/nowhere/").status == 404, "the instance lives"
+
+
 def test_counters_and_times_are_told(s):
     assert s.call("/safe/x").status == 200
     c = http.client.HTTPConnection(s.ip(0), BASE + 1, timeout=2)
