--- a/packages/flow/dispatch.c
+++ b/packages/flow/dispatch.c
@@ -8,11 +8,12 @@
 #include "platform/wire.h"
 
 #define FRESH_ONCE_S                                                           \
-  4.0                          /* the same for what may run only once: an old  \
-                                  connection may be dead, and tells too late */
-#define PENDING_MOST (4 << 20) /* bytes that a slow caller may leave with us   \
-                                */
-#define ANSWER_BUFFER 262144   /* bytes of a plain answer that are held back */
+  4.0 /* the same for what may run only once: an old                           \
+         connection may be dead, and tells too late */
+#define PENDING_MOST                                                           \
+  (4 << 20)                  /* bytes that a slow caller may leave with us     \
+                              */
+#define ANSWER_BUFFER 262144 /* bytes of a plain answer that are held back */
 
 /* == passing an answer on == */
 
