--- a/packages/flow/dispatch.c
+++ b/packages/flow/dispatch.c
@@ -7,13 +7,11 @@
 #include "kernel/log.h"
 #include "platform/wire.h"
 
-#define FRESH_ONCE_S                                                           \
-  4.0 /* the same for what may run only once: an old                           \
-         connection may be dead, and tells too late */
-#define PENDING_MOST                                                           \
-  (4 << 20)                  /* bytes that a slow caller may leave with us     \
-                              */
-#define ANSWER_BUFFER 262144 /* bytes of a plain answer that are held back */
+/* An old connection may be dead and tells too late; what may run only once is
+   sent on one that was used within this time. */
+#define FRESH_ONCE_S 4.0
+#define PENDING_MOST (4 << 20) /* bytes that a slow caller may leave */
+#define ANSWER_BUFFER 262144   /* bytes of a plain answer held back */
 
 /* == passing an answer on == */
 
