--- a/packages/route/targets.c
+++ b/packages/route/targets.c
@@ -18,16 +18,20 @@
 #define TOOK_WEIGHT 0.1  /* of one answer in the mean time */
 #define FAIL_COST_S 0.2  /* a sure failure costs as much as this wait */
 #define PART_KEEP_S 60.0 /* a part unused for longer counts as lost */
-#define READ_RATE                                                              \
-  45000.0             /* tokens that an engine reads a second; the             \
-                         sheets give 38,400 and 50,700 */
+/* Tokens that an engine reads a second; the sheets give 38,400 and 50,700. */
+#define READ_RATE 45000.0
 #define STEP_S 0.006  /* of a batch without prompts, same source */
 #define CROSS_S 0.003 /* another data centre costs as much as this */
-#define HOMES 2       /* homes of a prompt that are tried first */
+/* One that is put aside, and one whose entry is missing, get work only when
+   there is no other: the first may fail, the second may be leaving. */
+#define ASIDE_COST_S 100.0
+#define LAPSED_COST_S 1000.0
+#define HOMES 2 /* homes of a prompt that are tried first */
 
 struct Target {
   TargetInfo info;
   double leave_at; /* no new work from here on; INFINITY: stays */
+  bool lapsed;     /* its entry is missing, perhaps by an outage only */
   double aside_until, aside_s;
   double fail;     /* mean of failures, 0 to 1 */
   double took_s;   /* mean time of an answer */
@@ -79,6 +83,7 @@
     g_hash_table_insert(s->by_id, t->info.id, t);
   }
   t->info = *info;
+  t->lapsed = false;
   if (info->leaving)
     t->leave_at = MIN(t->leave_at, now);
   else
@@ -87,6 +92,7 @@
 
 static void leave(Target *t, double now, bool lapsed) {
   double at = lapsed ? now + TARGET_LAPSE_S : now;
+  t->lapsed |= lapsed;
   t->leave_at = MIN(t->leave_at, at);
 }
 
@@ -266,7 +272,8 @@
   double c = *wait_s + t->fail * FAIL_COST_S;
   if (strcmp(t->info.dc, p->set->dc) != 0) c += CROSS_S;
   if (t->info.cold_s > 0) c += 0.05;
-  if (p->now < t->aside_until) c += 100;
+  if (p->now < t->aside_until) c += ASIDE_COST_S;
+  if (t->lapsed) c += LAPSED_COST_S;
   return c * (1 + 0.02 * g_rand_double(p->set->rand));
 }
 
--- a/tests/test_targets.c
+++ b/tests/test_targets.c
@@ -59,6 +59,22 @@
   targets_free(s);
 }
 
+/* An instance that was cut off itself can't tell a lapsed entry from one that
+   was taken away: a request reached a target 3.8 s after it had said that it
+   leaves. */
+Test(targets, a_lapsed_one_gets_work_only_when_there_is_no_other) {
+  Targets *s = some(3);
+  Ask a = {0};
+  targets_gone(s, 10, "i-0", true);
+  targets_gone(s, 10, "i-1", true);
+  for (int i = 0; i < 20; i++) {
+    Target *t = pick(s, 10.1, &a, false);
+    cr_assert_str_eq(target_id(t), "i-2");
+    target_sent(t, 10.1, &a, 0);
+  }
+  targets_free(s);
+}
+
 Test(targets, a_listing_ends_what_it_does_not_hold) {
   Targets *s = some(3);
   GHashTable *ids = g_hash_table_new(g_str_hash, g_str_equal);
