After a loss of power of all, instances find each other a second sooner

Cause: four of seven instances were up 0.3 s before the seeds. Their opening packet to a machine without power was lost in silence, the next one came a second later, and greetings had become rarer by then (0.2, 0.4, 0.8, 1.6 s): they knew the others 1.6 s after their start and were no homes until 2.5 s after it. Ruled out: the store (it answered), the race of homes (it came after). Change: connects between instances time out after 0.2 s and are repeated after 0.05 to 0.4 s; what is not acknowledged for 1.5 s ends a connection; seeds are greeted each 0.2 s for 2 s before the waits double; settled after 0.25 s without a newcomer.

--- a/packages/fleet/cluster.c
+++ b/packages/fleet/cluster.c
@@ -14,7 +14,7 @@
 
 #define BUDGET_KIND "budgets" /* of our own, in the platform's store */
 #define TICK_S 0.05           /* the shortest time of the cores is 0.06 s */
-#define SETTLE_QUIET_S 0.4    /* greetings are repeated after 0.5 s */
+#define SETTLE_QUIET_S 0.25   /* greetings are repeated after 0.2 s */
 #define SETTLE_MOST_S 2.5     /* an instance may be the only one */
 #define TELL_FIRST_S 0.1      /* a link is made in a few milliseconds */
 #define TELL_AGAIN_S 0.5
--- a/packages/member/member.c
+++ b/packages/member/member.c
@@ -5,6 +5,9 @@
 
 #define GREETINGS 4      /* the first ones are lost while a link is made */
 #define GREET_FIRST 0.2  /* seconds until a seed is greeted again, doubled */
+/* After a loss of power of all, seeds come up within a second of the others;
+   so long greetings do not become rarer. */
+#define GREET_SOON 2.0
 #define GREET_MOST 30.0  /* seconds between greetings of a silent seed */
 #define STRANGERS 512    /* introduced instances that are greeted at once */
 #define STRANGER_TRIES 6 /* greetings until an introduced one is given up */
@@ -23,6 +26,7 @@
   MemberSeed m;
   bool stranger;        /* known by introduction only */
   int tries;            /* greetings that were not answered */
+  double since;         /* when it was first greeted */
   double next_at, wait; /* the next one, seconds until the one after it */
 } Seed;
 
@@ -130,7 +134,7 @@
 static Seed *add_seed(MemberSet *s, double now, const MemberSeed *m) {
   Seed *x = g_new0(Seed, 1);
   x->m = *m;
-  x->next_at = now;
+  x->since = x->next_at = now;
   x->wait = GREET_FIRST;
   g_ptr_array_add(s->seeds, x);
   return x;
@@ -181,6 +185,7 @@
     const Seed *was = seed_at(old, list[i].peer);
     if (!was) continue;
     x->tries = was->tries;
+    x->since = was->since;
     x->next_at = was->next_at;
     x->wait = was->wait;
   }
@@ -273,7 +278,8 @@
     add_beat(out, x->m.peer, every_s);
     x->tries++;
     x->next_at = now + x->wait;
-    x->wait = MIN(x->wait * 2, GREET_MOST);
+    bool soon = !x->stranger && now - x->since < GREET_SOON;
+    if (!soon) x->wait = MIN(x->wait * 2, GREET_MOST);
   }
   g_hash_table_destroy(heard);
 }
--- a/packages/peer/peer.c
+++ b/packages/peer/peer.c
@@ -11,6 +11,14 @@
 #include "kernel/count.h"
 
 #define HIGH_WATER 1000 /* frames waiting for an address; more are dropped */
+/* An opening packet to a machine without power is lost silently, and the next
+   comes a second later; instances are 4 ms apart, so a new try is sooner. */
+#define CONNECT_MS 200
+#define RECONNECT_MS 50
+#define RECONNECT_MOST_MS 400
+/* What is not acknowledged for so long ends a connection: the other machine
+   lost its power, or is cut off. */
+#define SILENT_MS 1500
 
 typedef struct Frame {
   char addr[LIMIT_NAME];
@@ -134,11 +142,14 @@
   void *s = g_hash_table_lookup(p->push, addr);
   if (s) return s;
   s = zmq_socket(p->ctx, ZMQ_PUSH);
-  int linger = 0, high = HIGH_WATER, immediate = 1, ivl = 100, max = 1000;
+  int linger = 0, high = HIGH_WATER, immediate = 1, connect = CONNECT_MS;
+  int ivl = RECONNECT_MS, max = RECONNECT_MOST_MS, silent = SILENT_MS;
   zmq_setsockopt(s, ZMQ_LINGER, &linger, sizeof linger);
   zmq_setsockopt(s, ZMQ_SNDHWM, &high, sizeof high);
   /* Nothing piles up for an instance that is not there. */
   zmq_setsockopt(s, ZMQ_IMMEDIATE, &immediate, sizeof immediate);
+  zmq_setsockopt(s, ZMQ_CONNECT_TIMEOUT, &connect, sizeof connect);
+  zmq_setsockopt(s, ZMQ_TCP_MAXRT, &silent, sizeof silent);
   zmq_setsockopt(s, ZMQ_RECONNECT_IVL, &ivl, sizeof ivl);
   zmq_setsockopt(s, ZMQ_RECONNECT_IVL_MAX, &max, sizeof max);
   zmq_connect(s, addr);
