What an outage used up is laid up again over seconds, not at once

Ruled out: a trusted time across the kill. The store's answers carry none (its field made is a revision), the steady clock of a machine goes on after a kill but begins anew with its power, the time of day may jump. Change: after an outage the seconds laid up grow by 0.8 a second from what was left. Test layup/after_an_outage_it_is_built_up_again_slowly, seen red (9.7 s held 2 s after).

--- a/packages/ledger/home.c
+++ b/packages/ledger/home.c
@@ -13,6 +13,10 @@
 #define SURPLUS 1.5 /* more than so many times what is to be held goes back */
 #define SURPLUS_EVERY 1.0 /* seconds between writes for that alone */
 #define STAND_IN 1.0      /* seconds laid up by a home that is not the first */
+/* Seconds of demand laid up again in a second, after an outage used them up:
+   the store has just come back, and what is held when all are killed is lost.
+   Outages on the users' days are 9 s apart or more. */
+#define REBUILD 0.8
 #define STORE_SLOW                                                             \
   0.08                    /* seconds; the store answers in 4 ms, so after this \
                              another home may be nearer to it */
@@ -47,15 +51,23 @@
   return mean / (1 - exp(-age / tau));
 }
 
-static double laid_up(const Ledger *l, const HomeBudget *h) {
+/* Tokens a second that this region used. */
+static double demand(const Ledger *l, const HomeBudget *h) {
+  double age = MAX(l->now - h->born, YOUNG);
+  return MAX(grown(h->slow, age, SLOW_TAU), grown(h->rate, age, RATE_TAU));
+}
+
+/* Seconds of demand that the table asks this home to hold ready. */
+static double reserve_s(const Ledger *l, const HomeBudget *h) {
   const LedgerBudget *row = row_of(l, h);
   double s = row ? row->reserve_s : 0;
   if (h->held && !h->held->witness[0] && s > SOLE_RESERVE) s = SOLE_RESERVE;
   if (!l->ours[shard_index(h->name)] && s > STAND_IN) s = STAND_IN;
-  double age = MAX(l->now - h->born, YOUNG);
-  double demand =
-      MAX(grown(h->slow, age, SLOW_TAU), grown(h->rate, age, RATE_TAU));
-  return demand * SPARE * s;
+  return s;
+}
+
+static double laid_up(const Ledger *l, const HomeBudget *h) {
+  return demand(l, h) * SPARE * MIN(reserve_s(l, h), h->ready_s);
 }
 
 static int64_t needs(const HomeBudget *h) {
@@ -119,6 +131,7 @@
   h->seals = g_ptr_array_new_with_free_func(g_free);
   h->recalled = -1;
   h->born = h->looked = l->now;
+  h->ready_s = INFINITY;
   g_hash_table_insert(l->homes, h->name, h);
   g_ptr_array_add(stored_shard(l, shard_index(budget))->budgets, h);
   return h;
@@ -476,6 +489,17 @@
   h->held = NULL;
 }
 
+/* Follows what an outage uses up, and lets it grow again after it. */
+static void tick_ready(Ledger *l, HomeBudget *h, double dt) {
+  double rate = demand(l, h) * SPARE;
+  if (shard_of(l, h)->down_since == 0) {
+    h->ready_s = MIN(h->ready_s + dt * REBUILD, reserve_s(l, h));
+    return;
+  }
+  double left = rate > 0 ? (double)home_free(h->held) / rate : 0;
+  h->ready_s = MIN(h->ready_s, left);
+}
+
 static void tick_held(Ledger *l, HomeBudget *h) {
   Held *g = h->held;
   int shard = shard_index(h->name);
@@ -536,6 +560,7 @@
     h->looked = l->now;
     h->rate *= exp(-dt / RATE_TAU);
     h->slow *= exp(-dt / SLOW_TAU);
+    if (h->held) tick_ready(l, h, dt);
     if (h->held) tick_held(l, h);
     ShardState *s = shard_of(l, h);
     bool news = h->held && (h->held->spent > h->held->stored_spent ||
--- a/packages/ledger/state.h
+++ b/packages/ledger/state.h
@@ -112,6 +112,7 @@
   GPtrArray *seals; /* Seal* */
   double rate;      /* tokens a second, of the last half minute */
   double slow;      /* the same over minutes, decayed from `born` on */
+  double ready_s;   /* seconds of demand that may be laid up by now */
   double born;
   double looked;       /* when it was last looked at */
   double recalled;     /* when we last recalled; -1: never */
--- a/packages/member/member.c
+++ b/packages/member/member.c
@@ -3,8 +3,8 @@
 
 #include <string.h>
 
-#define GREETINGS 4      /* the first ones are lost while a link is made */
-#define GREET_FIRST 0.2  /* seconds until a seed is greeted again, doubled */
+#define GREETINGS 4     /* the first ones are lost while a link is made */
+#define GREET_FIRST 0.2 /* seconds until a seed is greeted again, doubled */
 /* After a loss of power of all, seeds come up within a second of the others;
    so long greetings do not become rarer. */
 #define GREET_SOON 2.0
--- a/tests/test_layup.c
+++ b/tests/test_layup.c
@@ -14,17 +14,30 @@
 
 static Ledger *ledger;
 static uint64_t version;
+static char *stored;   /* the document, NULL: none */
 static int64_t given;  /* to the holder, in all */
 static uint64_t grant; /* that it came from */
+static bool away;      /* the store does not answer */
 
 /* The store answers at once, the witness agrees to everything. */
 static void take_actions(double now) {
   LedgerAction a;
   while (ledger_next(ledger, &a)) {
-    if (a.what == LEDGER_DO_GET)
+    bool call = a.what == LEDGER_DO_GET || a.what == LEDGER_DO_PUT;
+    if (call && away) {
+      g_free(a.text);
+      ledger_stored(ledger, now, a.shard, ERR_STORE_DOWN, 0, NULL);
+      continue;
+    }
+    if (a.what == LEDGER_DO_GET && !stored)
       ledger_stored(ledger, now, a.shard, ERR_STORE_ABSENT, 0, NULL);
-    if (a.what == LEDGER_DO_PUT)
+    if (a.what == LEDGER_DO_GET && stored)
+      ledger_stored(ledger, now, a.shard, ERR_NONE, version, stored);
+    if (a.what == LEDGER_DO_PUT) {
+      g_free(stored);
+      stored = g_strdup(a.text);
       ledger_stored(ledger, now, a.shard, ERR_NONE, ++version, NULL);
+    }
     if (a.what == LEDGER_DO_SEND && a.msg.kind == LEDGER_ALLOT) {
       given = MAX(given, a.msg.granted);
       grant = a.msg.grant;
@@ -45,6 +58,8 @@
       .name = BUDGET, .total = total, .version = 1, .reserve_s = LAY_UP};
   ledger = ledger_new("self.1", "r", 1);
   version = 0;
+  g_clear_pointer(&stored, g_free);
+  away = false;
   given = 0;
   grant = 0;
   View *v = view_new(list, 2);
@@ -96,3 +111,21 @@
                 (long)s.home_free);
   ledger_free(ledger);
 }
+
+/* What was used up in an outage is laid up again over seconds, not at once: a
+   loss of power soon after it then costs little, and the store that has just
+   come back is not asked for all of it at the same moment. */
+Test(layup, after_an_outage_it_is_built_up_again_slowly) {
+  start(10000000);
+  double now = demand(1, 10);
+  away = true;
+  now = demand(now, 7);
+  cr_assert_lt(held_s(), 5.0, "%.1f s are left", held_s());
+  away = false;
+  now = demand(now, 2);
+  cr_assert_gt(held_s(), 0.5, "%.1f s are held", held_s());
+  cr_assert_lt(held_s(), 7.0, "%.1f s are held", held_s());
+  demand(now, 9);
+  cr_assert_gt(held_s(), 7.5, "%.1f s are held", held_s());
+  ledger_free(ledger);
+}
