A stopping home hands over its grants without waiting for accounts of lost homes

Cause: a planned stop handed a grant over only once its holder had nothing left of any grant. Change: a grant is handed over once our own account of it is back.

--- a/packages/ledger/holder.c
+++ b/packages/ledger/holder.c
@@ -375,6 +375,16 @@
   }
 }
 
+static bool left(const Account *a) {
+  return free_of(a) <= 0 && a->reserved == 0 && told(a);
+}
+
+bool holder_left(Ledger *l, const char *budget, uint64_t grant) {
+  const Purse *p = find_purse(l, budget);
+  const Account *a = p ? account(p, grant) : NULL;
+  return !a || left(a);
+}
+
 bool holder_empty(const Ledger *l) {
   if (g_hash_table_size(l->reservations) > 0) return false;
   if (g_hash_table_size(l->waiting) > 0) return false;
@@ -383,10 +393,8 @@
   g_hash_table_iter_init(&it, l->purses);
   while (g_hash_table_iter_next(&it, NULL, &v)) {
     const Purse *p = v;
-    for (guint i = 0; i < p->accounts->len; i++) {
-      const Account *a = p->accounts->pdata[i];
-      if (free_of(a) > 0 || a->reserved != 0 || !told(a)) return false;
-    }
+    for (guint i = 0; i < p->accounts->len; i++)
+      if (!left(p->accounts->pdata[i])) return false;
   }
   return true;
 }
--- a/packages/ledger/home.c
+++ b/packages/ledger/home.c
@@ -504,10 +504,12 @@
   Held *g = h->held;
   int shard = shard_index(h->name);
   /* Another instance is the home now, or we leave: hand over. A drain waits
-     for our own holder first, the rest reports to the successor. */
+     for what our own holder has of this grant, the rest reports to the
+     successor. Accounts of other homes are not waited for: with a home that
+     is lost they may last longer than the platform lets us live. */
   bool other =
       l->first[shard] && !l->ours[shard] && l->now - g->drawn >= LINGER;
-  bool leaving = l->draining && holder_empty(l);
+  bool leaving = l->draining && holder_left(l, h->name, g->id);
   if (!g->frozen && ((other && !l->draining) || leaving)) home_freeze(l, h);
   if (g->frozen) {
     touch(l, h);
--- a/packages/ledger/state.h
+++ b/packages/ledger/state.h
@@ -201,6 +201,8 @@
 void holder_recall(Ledger *l, const LedgerMsg *m);
 void holder_tick(Ledger *l);
 bool holder_empty(const Ledger *l);
+/* Nothing of that grant is held here, and its home knows. */
+bool holder_left(Ledger *l, const char *budget, uint64_t grant);
 void holder_purse_free(gpointer p);
 
 /* == home.c == */
