--- a/packages/node/node.c
+++ b/packages/node/node.c
@@ -74,7 +74,7 @@
   ev_timer tick, sweep;
   ev_signal term, intr, hup;
   double stop_at; /* loop time of SIGTERM; 0: none */
-  bool refusing, was_ready;
+  bool refusing, returning, was_ready;
   int status;
 } Node;
 
@@ -211,17 +211,20 @@
 }
 
 /* New callers still come until the balancer has heard; then open requests
-   end, budgets go back as they do, and the process exits. */
+   end, budgets go back, and the process exits. */
 static void stop_step(Node *n) {
   double past = ev_now(n->loop) - n->stop_at;
   double most = number("stop") - STOP_MARGIN_S;
   if (past > REFUSE_AFTER_S && !n->refusing) {
     n->refusing = true;
     relay_refuse(n->relay);
-    cluster_drain(n->cluster);
   }
   bool idle = relay_open_requests(n->relay) == 0;
-  bool done = n->refusing && idle && cluster_drained(n->cluster);
+  if (n->refusing && (idle || past > most - LINGER_S) && !n->returning) {
+    n->returning = true;
+    cluster_drain(n->cluster);
+  }
+  bool done = n->returning && idle && cluster_drained(n->cluster);
   if (past > most || (done && past > REFUSE_AFTER_S + LINGER_S)) end(n, idle);
 }
 
