--- a/fakes/standins.py
+++ b/fakes/standins.py
@@ -6,6 +6,7 @@
 import time
 
 HEARTBEAT_S = 0.2
+HANG_S = 5.0
 
 
 class Server:
@@ -77,13 +78,14 @@
 
 class Store(Server):
     """Objects by kind and name, conditional updates, watches. `down`: every
-    call gets 503. `lose`: writes are done, and their connection is closed."""
+    call gets 503. `lose`: writes are done, and their connection is closed.
+    `hang`: calls get no answer for a while."""
 
     def __init__(self, address):
         self.lock = threading.Condition()
         self.revision = 1
         self.kinds, self.history = {}, []
-        self.down = self.lose = False
+        self.down = self.lose = self.hang = False
         self.calls = 0
         super().__init__(address)
 
@@ -91,6 +93,9 @@
         self.calls += 1
         if self.down:
             return 503, {}, b"{}"
+        if self.hang:
+            time.sleep(HANG_S)
+            return None
         path, _, query = path.partition("?")
         args = dict(a.split("=", 1) for a in query.split("&") if a)
         parts = path.split("/")[3:]
--- a/packages/flow/relay.c
+++ b/packages/flow/relay.c
@@ -11,6 +11,9 @@
 #define CONNECT_S 0.4           /* data centres are 3 ms apart at most */
 #define USER_TIMEOUT_MS 1500    /* a target that acknowledges nothing is dark */
 #define BUDGET_WAIT_S 0.4       /* for the store; it answers in 4 ms */
+/* Of a request's aim: a refusal that reaches the caller within a quarter of it
+   leaves time to be served in time elsewhere; the rest is the way to and fro. */
+#define BUDGET_SHARE 0.2
 #define DEADLINE_DEFAULT_S 30.0 /* of a caller that names none */
 #define BACK_LATER_MS 1000      /* of what takes longer */
 
@@ -63,8 +66,8 @@
     run_dispatch(x);
     return;
   }
-  double wait_s = MIN(BUDGET_WAIT_S, x->route->aim_s / 4);
-  arm(x, MIN(x->deadline, run_now(x) + wait_s), on_budget_late);
+  double wait_s = MIN(BUDGET_WAIT_S, x->route->aim_s * BUDGET_SHARE);
+  arm(x, MIN(x->deadline, x->req->at + wait_s), on_budget_late);
   x->waits = true;
   x->handle = cluster_reserve(r->cluster, x->customer->name, x->reserved);
   g_hash_table_insert(r->reserved, &x->handle, x);
--- a/tests/node.py
+++ b/tests/node.py
@@ -393,6 +393,20 @@
     assert time.monotonic() - began < 0.2
 
 
+def test_a_budget_refusal_leaves_time_to_be_served_elsewhere(s):
+    """The caller hears it within a quarter of its aim of 1.6 s, way included."""
+    aim_s = 1.6
+    s.store.put("config", "main", config(2, routes=[
+        route("l", "/long/", "engine", "stream", slo_ms=aim_s * 1000)]))
+    wait_for("the route", lambda: s.call("/long/x", "POST", b"").status != 404)
+    s.store.hang = True
+    began = time.monotonic()
+    a = s.call("/long/x", "POST", b"", X_Loftpath_Token_Count="9000,1")
+    took = time.monotonic() - began
+    assert a.status in (429, 503) and float(a.headers["retry-after"]) > 0
+    assert took < aim_s / 4, took
+
+
 def test_damaged_requests_are_refused_and_close(s):
     for raw, status in (
             (b"GET /safe/x HTTP/1.1\r\nHost: front\r\n\r\n", b"400"),
