In a large fleet three instances read the store for all

Ruled out: longer watches (an answer that is lost would be noticed too late for a leaving target), fewer targets' changes (they are what is to be known). Change: from twelve members on, the first three by rendezvous in a region read (watches of 1 s) and tell the others revision by revision; a message that leaves something out, or 1.5 s without one, makes an instance read for itself; a reader silent for 3 s is replaced by the next choice. The configuration is told as a gap only, and read by each. member/readers.c is pure; platform/feed.c follows; log line reads. Tests: test_readers, test_codec, two in node.py with 14 processes, seen red (readers off; word of readers taken for 9.5 s).

--- a/packages/fleet/cluster.c
+++ b/packages/fleet/cluster.c
@@ -9,6 +9,7 @@
 
 #include "kernel/count.h"
 #include "kernel/log.h"
+#include "member/readers.h"
 #include "peer/peer.h"
 #include "platform/document.h"
 
@@ -27,6 +28,7 @@
   ClusterEvents ev;
   void *ctx;
   MemberSet *members;
+  Readers *readers;
   View *view;
   Ledger *ledger;
   Peer *peer;
@@ -41,6 +43,7 @@
   double started, changed;        /* we; the view */
   bool settled;                   /* the view may be acted on */
   bool leaving;
+  bool reads;   /* the store, for others as well */
   bool is_seed; /* others know us from their start */
 };
 
@@ -255,6 +258,9 @@
   }
   if (m->type == CODEC_CONF) {
     take_conf(c, id, &m->conf);
+  } else if (m->type == CODEC_FEED) {
+    readers_heard(c->readers, now_of(c), id);
+    c->ev.feed(c->ctx, &m->feed);
   } else if (m->type == CODEC_LEDGER) {
     ledger_receive(c->ledger, now_of(c), id, &m->ledger);
     act(c);
@@ -341,6 +347,7 @@
   c->peer = peer;
   c->started = ev_now(loop);
   c->members = member_new(&o->self);
+  c->readers = readers_new(o->self.id, o->self.region);
   c->view = view_new(NULL, 0);
   c->ledger = ledger_new(o->self.id, o->self.region, o->seed);
   c->ids = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
@@ -357,6 +364,7 @@
   peer_close(c->peer);
   ledger_free(c->ledger);
   member_free(c->members);
+  readers_free(c->readers);
   view_free(c->view);
   g_hash_table_destroy(c->ids);
   g_array_free(c->newcomers, TRUE);
@@ -370,6 +378,24 @@
   c->conf_behind = now_of(c);
 }
 
+bool cluster_reads(Cluster *c) {
+  bool reads = readers_self(c->readers, now_of(c), c->view);
+  if (reads != c->reads)
+    log_info("reads", "s:b,s:i", "reads", (int)reads, "members", c->view->n);
+  c->reads = reads;
+  return reads;
+}
+
+void cluster_feed(Cluster *c, const CodecFeed *feed) {
+  const Member *me = member_me(c->members);
+  for (int i = 0; i < c->view->n; i++) {
+    const Member *m = &c->view->list[i];
+    bool near = strcmp(m->region, me->region) == 0;
+    if (near && strcmp(m->id, me->id) != 0)
+      peer_feed(c->peer, m->peer, m->id, feed);
+  }
+}
+
 void cluster_budgets(Cluster *c, const LedgerBudget *list, int n) {
   ledger_budgets(c->ledger, now_of(c), list, n);
   act(c);
--- a/packages/fleet/cluster.h
+++ b/packages/fleet/cluster.h
@@ -8,6 +8,7 @@
 #include "kernel/err.h"
 #include "ledger/ledger.h"
 #include "member/member.h"
+#include "peer/codec.h"
 #include "platform/store.h"
 
 typedef struct Cluster Cluster;
@@ -28,6 +29,8 @@
   void (*conf)(void *ctx, const char *text);
   /* The configuration that another instance is to get; NULL: none. */
   const char *(*conf_text)(void *ctx);
+  /* Another instance read this in the store. */
+  void (*feed)(void *ctx, const CodecFeed *m);
 } ClusterEvents;
 
 Cluster *cluster_open(struct ev_loop *loop, Store *store,
@@ -37,6 +40,10 @@
 
 /* The configuration in force here, as the others hear of it. */
 void cluster_conf(Cluster *c, uint64_t version);
+/* True while this instance reads the store for others as well. */
+bool cluster_reads(Cluster *c);
+/* Tells the others of the region what was read. */
+void cluster_feed(Cluster *c, const CodecFeed *m);
 void cluster_budgets(Cluster *c, const LedgerBudget *list, int n);
 /* The handle of the reservation, never 0; its decision comes with the next
    cluster_act, or later. */
--- a/packages/flow/dispatch.c
+++ b/packages/flow/dispatch.c
@@ -211,7 +211,7 @@
   return x->route->priority;
 }
 
-static void send(Run *x, const TargetChoice *c) {
+static void send_to(Run *x, const TargetChoice *c) {
   Relay *r = x->relay;
   double now = run_now(x);
   AskSend send = {.target = target_id(c->target),
@@ -241,7 +241,7 @@
   Err e;
   TargetChoice c = choose(x);
   if (c.target) {
-    send(x, &c);
+    send_to(x, &c);
     return;
   }
   err_retry(&e, ERR_NO_TARGET, RUN_BACK_SOON_MS, "no target serves %s now",
--- /dev/null
+++ b/packages/member/readers.h
@@ -0,0 +1,26 @@
+/* readers.h: which instances read the platform's store for the others; pure.
+   In a large fleet a few of each region follow it and tell the rest, so that
+   its priced calls do not grow with the fleet. Nothing is agreed: each
+   instance judges by the view and by whom it heard, and one that hears nobody
+   reads for itself. */
+#ifndef MEMBER_READERS_H
+#define MEMBER_READERS_H
+
+#include "member/view.h"
+
+#define READERS 3       /* of a region; one that is cut off is not missed */
+#define READERS_FROM 12 /* members; fewer read for themselves each */
+/* Seconds without a word after which the next choice reads in its place. */
+#define READERS_SILENT 3.0
+
+typedef struct Readers Readers;
+
+/* `self` and `region` are those of this instance. */
+Readers *readers_new(const char *self, const char *region);
+void readers_free(Readers *r);
+/* Instance `id` told us what it read. */
+void readers_heard(Readers *r, double now, const char *id);
+/* True while this instance has to read for others. */
+bool readers_self(Readers *r, double now, const View *v);
+
+#endif
--- a/packages/node/node.c
+++ b/packages/node/node.c
@@ -165,6 +165,21 @@
   return c ? c->text : NULL;
 }
 
+static bool on_reads(void *ctx) {
+  Node *n = ctx;
+  return cluster_reads(n->cluster);
+}
+
+static void on_tell(void *ctx, const CodecFeed *m) {
+  Node *n = ctx;
+  cluster_feed(n->cluster, m);
+}
+
+static void on_feed(void *ctx, const CodecFeed *m) {
+  Node *n = ctx;
+  if (n->feed) feed_told(n->feed, m);
+}
+
 /* == readiness and metrics == */
 
 static bool is_ready(const Node *n) {
@@ -263,7 +278,7 @@
 
 static Cluster *open_cluster(Node *n, Err *e) {
   static const ClusterEvents events = {on_reserved, on_instances, on_peer_conf,
-                                       conf_text};
+                                       conf_text, on_feed};
   ClusterOptions o = {.seeds = settings_text(settings, "seeds"),
                       .seed = random_number()};
   g_strlcpy(o.self.id, n->id, sizeof o.self.id);
@@ -278,8 +293,8 @@
 }
 
 static bool open_parts(Node *n, Err *e) {
-  static const FeedEvents feed_events = {on_conf, on_target, on_gone,
-                                         on_listed};
+  static const FeedEvents feed_events = {on_conf,   on_target, on_gone,
+                                         on_listed, on_reads,  on_tell};
   static const CallerEvents ready_events = {on_question, on_questioner_gone};
   RetriesOptions retries = {.ratio = number("retry-ratio"),
                             .window_s = number("retry-window"),
--- a/packages/peer/codec.c
+++ b/packages/peer/codec.c
@@ -119,6 +119,20 @@
   msgpack_pack_bin_body(&p, text, n);
 }
 
+void codec_put_feed(msgpack_sbuffer *b, const CodecFeed *m) {
+  msgpack_packer p;
+  size_t n = m->text ? strlen(m->text) : 0;
+  msgpack_packer_init(&p, b, msgpack_sbuffer_write);
+  msgpack_pack_array(&p, 6);
+  msgpack_pack_uint8(&p, CODEC_FEED);
+  msgpack_pack_uint8(&p, (uint8_t)m->kind);
+  msgpack_pack_uint64(&p, m->from);
+  msgpack_pack_uint64(&p, m->at);
+  msgpack_pack_uint8(&p, m->lapsed);
+  msgpack_pack_bin(&p, n);
+  msgpack_pack_bin_body(&p, m->text, n);
+}
+
 /* == unpacking: any wrong type or length makes it not understood == */
 
 typedef struct Reader {
@@ -205,12 +219,25 @@
   m->silent = get_small(r, 2);
 }
 
-static void get_conf(Reader *r, CodecConf *m) {
-  m->version = get_u64(r);
+/* Bytes as a text of its own; NULL when there are none. */
+static char *get_text(Reader *r) {
   const msgpack_object *o = take(r);
   r->bad |= !o || o->type != MSGPACK_OBJECT_BIN;
-  if (!r->bad && o->via.bin.size > 0)
-    m->text = g_strndup(o->via.bin.ptr, o->via.bin.size);
+  if (r->bad || o->via.bin.size == 0) return NULL;
+  return g_strndup(o->via.bin.ptr, o->via.bin.size);
+}
+
+static void get_conf(Reader *r, CodecConf *m) {
+  m->version = get_u64(r);
+  m->text = get_text(r);
+}
+
+static void get_feed(Reader *r, CodecFeed *m) {
+  m->kind = get_small(r, CODEC_FEED_KINDS);
+  m->from = get_u64(r);
+  m->at = get_u64(r);
+  m->lapsed = get_small(r, 2);
+  m->text = get_text(r);
 }
 
 static void get_answer(Reader *r, OnceAnswer *a) {
@@ -298,8 +325,8 @@
 
 void codec_clear(CodecMsg *m) {
   once_message_clear(&m->once);
-  g_free(m->conf.text);
-  m->conf.text = NULL;
+  g_clear_pointer(&m->conf.text, g_free);
+  g_clear_pointer(&m->feed.text, g_free);
 }
 
 bool codec_get(const char *data, size_t len, size_t *off, CodecMsg *m) {
@@ -309,13 +336,14 @@
   msgpack_unpacked_init(&u);
   bool ok = open_array(data, len, off, &u, &r);
   if (ok) {
-    m->type = (CodecType)get_small(&r, CODEC_CONF + 1);
+    m->type = (CodecType)get_small(&r, CODEC_FEED + 1);
     switch (m->type) {
     case CODEC_BEAT: get_beat(&r, &m->beat); break;
     case CODEC_LEDGER: get_ledger(&r, &m->ledger); break;
     case CODEC_ONCE: get_once(&r, &m->once); break;
     case CODEC_LOAD: get_load(&r, &m->load); break;
     case CODEC_CONF: get_conf(&r, &m->conf); break;
+    case CODEC_FEED: get_feed(&r, &m->feed); break;
     }
     ok = !r.bad;
     if (!ok) codec_clear(m);
--- a/packages/peer/codec.h
+++ b/packages/peer/codec.h
@@ -15,7 +15,8 @@
   CODEC_LEDGER,
   CODEC_ONCE,
   CODEC_LOAD,
-  CODEC_CONF
+  CODEC_CONF,
+  CODEC_FEED
 } CodecType;
 
 typedef struct CodecHead {
@@ -29,6 +30,16 @@
   char *text; /* g_free; NULL: none */
 } CodecConf;
 
+/* What a reader of the store learned of one kind of objects. */
+typedef struct CodecFeed {
+  int kind;          /* the sender's number of it */
+  uint64_t from, at; /* revisions that this leads from and to */
+  bool lapsed;       /* the store was away just before */
+  char *text;        /* the changes, g_free; NULL: none */
+} CodecFeed;
+
+#define CODEC_FEED_KINDS 8
+
 typedef struct CodecMsg {
   CodecType type;
   Member beat;
@@ -36,6 +47,7 @@
   OnceMsg once; /* answer.body is owned by the receiver */
   LoadsMsg load;
   CodecConf conf;
+  CodecFeed feed;
 } CodecMsg;
 
 uint64_t codec_hash(const char *id);
@@ -45,6 +57,7 @@
 void codec_put_once(msgpack_sbuffer *b, const OnceMsg *m);
 void codec_put_load(msgpack_sbuffer *b, const LoadsMsg *m);
 void codec_put_conf(msgpack_sbuffer *b, uint64_t version, const char *text);
+void codec_put_feed(msgpack_sbuffer *b, const CodecFeed *m);
 
 /* Reads at *off; false at the end or when it is not understood. */
 bool codec_get_head(const char *data, size_t len, size_t *off, CodecHead *h);
--- a/tests/node.py
+++ b/tests/node.py
@@ -140,6 +140,13 @@
             s.close()
 
 
+def calls_in(s, seconds):
+    """Calls to the store in that time."""
+    before = s.store.calls
+    time.sleep(seconds)
+    return s.store.calls - before
+
+
 def wait_for(what, check, seconds=10.0):
     end = time.monotonic() + seconds
     while time.monotonic() < end:
@@ -407,6 +414,38 @@
     assert took < aim_s / 4, took
 
 
+def test_a_few_instances_read_the_store_for_all(s):
+    """Fourteen instances; without readers they made 9 calls a second, at rest."""
+    wait_for("rest", lambda: calls_in(s, 1.0) <= 8, 15)
+    assert calls_in(s, 4.0) <= 4 * 8
+    s.desks[0].drain()
+    time.sleep(0.7)
+    for i in range(len(s.processes)):
+        assert any(l["event"] == "target" and l["leaving"] for l in s.log(i)), i
+    s.store.put("config", "main", config(2, routes=[
+        route("n", "/new/", "desk", "safe")]))
+    time.sleep(1.0)
+    for i in range(len(s.processes)):
+        assert s.call("/new/x", i=i).status == 200, i
+
+
+def test_lost_readers_are_replaced(s):
+    wait_for("rest", lambda: calls_in(s, 1.0) <= 8, 15)
+    readers = [i for i in range(len(s.processes)) if [
+        l["reads"] for l in s.log(i) if l["event"] == "reads"][-1:] == [True]]
+    assert 1 <= len(readers) <= 4, readers
+    for i in readers[:3]:
+        s.processes[i].kill()
+        s.processes[i].wait()
+    time.sleep(0.2)
+    s.desks[0].drain()
+    time.sleep(1.8)  # of the two seconds that the target still serves
+    for i in range(len(s.processes)):
+        if s.processes[i].poll() is None:
+            assert any(l["event"] == "target" and l["leaving"]
+                       for l in s.log(i)), i
+
+
 def test_damaged_requests_are_refused_and_close(s):
     for raw, status in (
             (b"GET /safe/x HTTP/1.1\r\nHost: front\r\n\r\n", b"400"),
@@ -478,7 +517,9 @@
 
 INSTANCES = {"test_a_budget_is_never_exceeded": 2,
              "test_budgets_and_configuration_live_through_an_outage": 2,
-             "test_a_restart_in_an_outage_asks_its_peers": 2}
+             "test_a_restart_in_an_outage_asks_its_peers": 2,
+             "test_a_few_instances_read_the_store_for_all": 14,
+             "test_lost_readers_are_replaced": 14}
 
 
 def main():
--- a/tests/test_codec.c
+++ b/tests/test_codec.c
@@ -65,6 +65,28 @@
   msgpack_sbuffer_destroy(&b);
 }
 
+Test(codec, what_was_read_round_trips) {
+  CodecFeed f = {
+      .kind = 1, .from = 5, .at = UINT64_MAX, .lapsed = true, .text = NULL};
+  char text[] = "[{\"gone\":true}]";
+  msgpack_sbuffer b;
+  CodecMsg m;
+  msgpack_sbuffer_init(&b);
+  codec_put_feed(&b, &f);
+  cr_assert(same(&b, &m));
+  cr_assert_null(m.feed.text, "no change");
+  msgpack_sbuffer_clear(&b);
+  f.text = text;
+  codec_put_feed(&b, &f);
+  cr_assert(same(&b, &m));
+  cr_assert_eq(m.type, CODEC_FEED);
+  cr_assert(m.feed.kind == 1 && m.feed.from == 5 && m.feed.lapsed);
+  cr_assert_eq(m.feed.at, UINT64_MAX);
+  cr_assert_str_eq(m.feed.text, text);
+  codec_clear(&m);
+  msgpack_sbuffer_destroy(&b);
+}
+
 /* Seeded damage: cut short, bytes changed, noise. */
 Test(codec, damaged_frames_are_refused_or_read_as_something_valid) {
   GRand *r = g_rand_new_with_seed(1);
