Small fleets tell nobody what they read; customers' ranks; dead code out

Cause: below twelve members each instance took itself for a reader of all: it told the six others of each watch, which they took for gaps, and its watches were 1 s and 0.1 s long. Now an instance reads nothing, for itself, or for all (ReadersDuty).

--- a/packages/conf/conf.c
+++ b/packages/conf/conf.c
@@ -15,7 +15,6 @@
 static void free_service(gpointer p) {
   ConfService *s = p;
   g_free(s->name);
-  g_free(s->health_path);
   g_free(s);
 }
 
@@ -124,10 +123,3 @@
   }
   return r->n_splits > 0 ? r->splits[0].service : NULL;
 }
-
-bool conf_allows(const ConfRoute *r, const char *service) {
-  for (int i = 0; i < r->n_splits; i++)
-    if (r->splits[i].weight > 0 && strcmp(r->splits[i].service, service) == 0)
-      return true;
-  return false;
-}
--- a/packages/conf/conf.h
+++ b/packages/conf/conf.h
@@ -16,11 +16,8 @@
 /* What a service's targets say of themselves; 0: nothing. */
 typedef struct ConfService {
   char *name;
-  char *health_path;
-  int max_links;    /* connections that a target accepts */
   bool engine;      /* a model engine; the rest is told of these alone */
   int slots;        /* requests of one batch */
-  int64_t memory;   /* tokens */
   int event_tokens; /* tokens of one event of a stream */
 } ConfService;
 
@@ -79,7 +76,5 @@
 const ConfService *conf_service(const Conf *c, const char *name);
 /* Which service of a split route; `chance` from 0 to 1. */
 const char *conf_split(const ConfRoute *r, double chance);
-/* May the route send to that service at all? */
-bool conf_allows(const ConfRoute *r, const char *service);
 
 #endif
--- a/packages/fleet/cluster.c
+++ b/packages/fleet/cluster.c
@@ -9,7 +9,6 @@
 
 #include "kernel/count.h"
 #include "kernel/log.h"
-#include "member/readers.h"
 #include "peer/peer.h"
 #include "platform/document.h"
 
@@ -43,8 +42,8 @@
   double started, changed;        /* we; the view */
   bool settled;                   /* the view may be acted on */
   bool leaving;
-  bool reads;   /* the store, for others as well */
-  bool is_seed; /* others know us from their start */
+  ReadersDuty duty; /* what we read in the store */
+  bool is_seed;     /* others know us from their start */
 };
 
 static double now_of(const Cluster *c) {
@@ -378,12 +377,13 @@
   c->conf_behind = now_of(c);
 }
 
-bool cluster_reads(Cluster *c) {
-  bool reads = readers_self(c->readers, now_of(c), c->view);
-  if (reads != c->reads)
-    log_info("reads", "s:b,s:i", "reads", (int)reads, "members", c->view->n);
-  c->reads = reads;
-  return reads;
+ReadersDuty cluster_duty(Cluster *c) {
+  static const char *const names[] = {"nothing", "own", "all"};
+  ReadersDuty duty = readers_duty(c->readers, now_of(c), c->view);
+  if (duty != c->duty)
+    log_info("reads", "s:s,s:i", "duty", names[duty], "members", c->view->n);
+  c->duty = duty;
+  return duty;
 }
 
 void cluster_feed(Cluster *c, const CodecFeed *feed) {
@@ -430,11 +430,3 @@
 bool cluster_settled(const Cluster *c) {
   return c->settled;
 }
-
-int cluster_instances(const Cluster *c) {
-  return c->view->n;
-}
-
-LedgerSums cluster_sums(const Cluster *c) {
-  return ledger_sums(c->ledger);
-}
--- a/packages/fleet/cluster.h
+++ b/packages/fleet/cluster.h
@@ -8,6 +8,7 @@
 #include "kernel/err.h"
 #include "ledger/ledger.h"
 #include "member/member.h"
+#include "member/readers.h"
 #include "peer/codec.h"
 #include "platform/store.h"
 
@@ -40,8 +41,8 @@
 
 /* The configuration in force here, as the others hear of it. */
 void cluster_conf(Cluster *c, uint64_t version);
-/* True while this instance reads the store for others as well. */
-bool cluster_reads(Cluster *c);
+/* Whether this instance reads the store, and for whom. */
+ReadersDuty cluster_duty(Cluster *c);
 /* Tells the others of the region what was read. */
 void cluster_feed(Cluster *c, const CodecFeed *m);
 void cluster_budgets(Cluster *c, const LedgerBudget *list, int n);
@@ -57,7 +58,5 @@
 /* False for a second or two after the start, while the others are found:
    until then no reservation is decided. */
 bool cluster_settled(const Cluster *c);
-int cluster_instances(const Cluster *c);
-LedgerSums cluster_sums(const Cluster *c);
 
 #endif
--- a/packages/flow/caller.c
+++ b/packages/flow/caller.c
@@ -460,10 +460,6 @@
   s->draining = true;
 }
 
-int callers_count(const Callers *s) {
-  return s->n;
-}
-
 size_t callers_held(const Callers *s) {
   return s->held;
 }
--- a/packages/flow/caller.h
+++ b/packages/flow/caller.h
@@ -40,7 +40,6 @@
 void callers_limits(Callers *s, const CallerLimits *l);
 /* Answers from here on ask the caller to leave, idle connections close. */
 void callers_drain(Callers *s);
-int callers_count(const Callers *s);
 /* Bytes of bodies that are held. */
 size_t callers_held(const Callers *s);
 void callers_close(Callers *s);
--- a/packages/flow/dispatch.c
+++ b/packages/flow/dispatch.c
@@ -12,6 +12,7 @@
 #define FRESH_ONCE_S 4.0
 #define PENDING_MOST (4 << 20) /* bytes that a slow caller may leave */
 #define ANSWER_BUFFER 262144   /* bytes of a plain answer held back */
+#define ROUTE_RANKS 3          /* routes have the ranks 0, 1 and 2 */
 
 /* == passing an answer on == */
 
@@ -200,15 +201,17 @@
   TargetAsk ask = {.service = x->service_name,
                    .ask = &x->ask,
                    .engine = x->service && x->service->engine,
-                   .memory = x->service ? x->service->memory : 0,
                    .tried = x->tried,
                    .n_tried = x->n_tried};
   return targets_pick(r->targets, run_now(x), &ask);
 }
 
+/* The rank of the customer comes before that of the route. */
 static int priority(const Run *x) {
   if (!x->service || !x->service->engine) return -1;
-  return x->route->priority;
+  int customer = x->customer ? x->customer->priority : -1;
+  if (customer < 0) return x->route->priority;
+  return customer * ROUTE_RANKS + MIN(x->route->priority, ROUTE_RANKS - 1);
 }
 
 static void send_to(Run *x, const TargetChoice *c) {
--- a/packages/flow/link.c
+++ b/packages/flow/link.c
@@ -28,11 +28,11 @@
   Headers headers;
   GString *out;
   size_t out_off;
-  bool sent;         /* a byte of the request has left */
-  bool answered;     /* a byte of an answer has come */
-  bool skipping;     /* the answer in the parser is another's */
-  bool headed, done; /* of our answer */
-  bool bare;         /* it has no body, whatever its head says */
+  bool sent;     /* a byte of the request has left */
+  bool answered; /* a byte of an answer has come */
+  bool skipping; /* the answer in the parser is another's */
+  bool done;     /* our answer is complete */
+  bool bare;     /* it has no body, whatever its head says */
   bool dropped, fouled, parsing, cancelled;
   int skips;
   double since, keep_until;
@@ -46,7 +46,6 @@
   LinkOptions o;
   ev_timer sweep;
   GHashTable *idle; /* addr -> Link*, the youngest first */
-  int64_t opened;
 };
 
 static const http_parser_settings parser_settings;
@@ -157,7 +156,6 @@
   }
   l->dropped |= v == LINK_DROP;
   if (l->dropped) return -1;
-  l->headed = !l->skipping;
   return l->bare ? 1 : 0;
 }
 
@@ -296,7 +294,6 @@
   l->addr = g_strdup(addr);
   headers_init(&l->headers);
   l->fd = sock_connect(addr);
-  s->opened++;
   l->state = LINK_CONNECTING;
   ev_init(&l->read, on_readable);
   ev_init(&l->write, on_writable);
@@ -316,7 +313,7 @@
   if (l->out) g_string_free(l->out, TRUE);
   l->out = request;
   l->out_off = 0;
-  l->sent = l->answered = l->skipping = l->headed = l->done = false;
+  l->sent = l->answered = l->skipping = l->done = false;
   l->bare = g_str_has_prefix(request->str, "HEAD ");
   l->skips = 0;
   l->ev = *ev;
@@ -361,12 +358,6 @@
   }
 }
 
-void links_forget(Links *s, const char *addr) {
-  Link *l = g_hash_table_lookup(s->idle, addr);
-  g_hash_table_remove(s->idle, addr);
-  drop_list(l);
-}
-
 /* Cuts the tail of links that are too old off each list. */
 static void on_sweep(struct ev_loop *loop, ev_timer *w, int revents) {
   (void)revents;
@@ -410,7 +401,3 @@
   g_hash_table_destroy(s->idle);
   g_free(s);
 }
-
-int64_t links_opened(const Links *s) {
-  return s->opened;
-}
--- a/packages/flow/link.h
+++ b/packages/flow/link.h
@@ -58,9 +58,5 @@
 void link_cancel(Link *l);
 /* True once a byte of the request has left. */
 bool link_sent(const Link *l);
-/* Closes idle links to an address that is no longer used. */
-void links_forget(Links *s, const char *addr);
-/* Connections opened so far. */
-int64_t links_opened(const Links *s);
 
 #endif
--- a/packages/flow/relay.c
+++ b/packages/flow/relay.c
@@ -8,11 +8,12 @@
 #include "kernel/log.h"
 #include "platform/wire.h"
 
-#define CONNECT_S 0.4           /* data centres are 3 ms apart at most */
-#define USER_TIMEOUT_MS 1500    /* a target that acknowledges nothing is dark */
-#define BUDGET_WAIT_S 0.4       /* for the store; it answers in 4 ms */
+#define CONNECT_S 0.4        /* data centres are 3 ms apart at most */
+#define USER_TIMEOUT_MS 1500 /* a target that acknowledges nothing is dark */
+#define BUDGET_WAIT_S 0.4    /* for the store; it answers in 4 ms */
 /* Of a request's aim: a refusal that reaches the caller within a quarter of it
-   leaves time to be served in time elsewhere; the rest is the way to and fro. */
+   leaves time to be served in time elsewhere; the rest is the way to and fro.
+ */
 #define BUDGET_SHARE 0.2
 #define DEADLINE_DEFAULT_S 30.0 /* of a caller that names none */
 #define BACK_LATER_MS 1000      /* of what takes longer */
@@ -219,7 +220,3 @@
 int relay_open_requests(const Relay *r) {
   return r->n;
 }
-
-int64_t relay_links_opened(const Relay *r) {
-  return links_opened(r->links);
-}
--- a/packages/flow/relay.h
+++ b/packages/flow/relay.h
@@ -34,6 +34,5 @@
 /* From here on new requests are refused. */
 void relay_refuse(Relay *r);
 int relay_open_requests(const Relay *r);
-int64_t relay_links_opened(const Relay *r);
 
 #endif
--- a/packages/member/readers.c
+++ b/packages/member/readers.c
@@ -4,9 +4,10 @@
 #include <glib.h>
 #include <string.h>
 
-#define KEY 0x72656164 /* of the rendezvous: any number, the same everywhere   \
-                        */
-#define FORGET_S 60.0  /* an id that is not heard of again */
+#define KEY                                                                    \
+  0x72656164          /* of the rendezvous: any number, the same everywhere    \
+                       */
+#define FORGET_S 60.0 /* an id that is not heard of again */
 
 struct Readers {
   char self[LIMIT_ID];
@@ -44,15 +45,16 @@
   return *(double *)now - *(double *)at > FORGET_S;
 }
 
-bool readers_self(Readers *r, double now, const View *v) {
-  if (v->n < READERS_FROM) return true;
+ReadersDuty readers_duty(Readers *r, double now, const View *v) {
+  if (v->n < READERS_FROM) return READERS_OWN;
   g_hash_table_foreach_remove(r->heard, is_old, &now);
   int found = 0;
   for (int rank = 0; found < READERS; rank++) {
     const Member *m = view_home(v, r->region, KEY, rank);
-    if (!m || strcmp(m->id, r->self) == 0) return m != NULL;
+    if (!m) return READERS_OWN; /* we leave, and nobody else is heard */
+    if (strcmp(m->id, r->self) == 0) return READERS_ALL;
     /* Whoever was not looked for before has its time to speak. */
     if (now - *word_of(r, now, m->id) < READERS_SILENT) found++;
   }
-  return false;
+  return READERS_NOTHING;
 }
--- a/packages/member/readers.h
+++ b/packages/member/readers.h
@@ -13,6 +13,12 @@
 /* Seconds without a word after which the next choice reads in its place. */
 #define READERS_SILENT 3.0
 
+typedef enum {
+  READERS_NOTHING, /* others tell us */
+  READERS_OWN,     /* for ourselves: the fleet is small */
+  READERS_ALL      /* for ourselves and the others */
+} ReadersDuty;
+
 typedef struct Readers Readers;
 
 /* `self` and `region` are those of this instance. */
@@ -20,7 +26,7 @@
 void readers_free(Readers *r);
 /* Instance `id` told us what it read. */
 void readers_heard(Readers *r, double now, const char *id);
-/* True while this instance has to read for others. */
-bool readers_self(Readers *r, double now, const View *v);
+/* What this instance has to read at present. */
+ReadersDuty readers_duty(Readers *r, double now, const View *v);
 
 #endif
--- a/packages/node/node.c
+++ b/packages/node/node.c
@@ -165,9 +165,9 @@
   return c ? c->text : NULL;
 }
 
-static bool on_reads(void *ctx) {
+static ReadersDuty on_duty(void *ctx) {
   Node *n = ctx;
-  return cluster_reads(n->cluster);
+  return cluster_duty(n->cluster);
 }
 
 static void on_tell(void *ctx, const CodecFeed *m) {
@@ -294,7 +294,7 @@
 
 static bool open_parts(Node *n, Err *e) {
   static const FeedEvents feed_events = {on_conf,   on_target, on_gone,
-                                         on_listed, on_reads,  on_tell};
+                                         on_listed, on_duty,   on_tell};
   static const CallerEvents ready_events = {on_question, on_questioner_gone};
   RetriesOptions retries = {.ratio = number("retry-ratio"),
                             .window_s = number("retry-window"),
@@ -333,6 +333,18 @@
   ev_signal_start(n->loop, &n->hup);
 }
 
+/* The last words to the other instances leave as their links close; requests
+   that are still open are broken off with their connections. */
+static void close_parts(Node *n) {
+  feed_close(n->feed);
+  callers_close(n->ready);
+  relay_close(n->relay);
+  cluster_close(n->cluster);
+  store_close(n->store);
+  targets_free(n->targets);
+  retries_free(n->retries);
+}
+
 int node_run(int argc, char **argv) {
   static Node node;
   Node *n = &node;
@@ -361,5 +373,6 @@
   log_info("started", "s:s,s:s", "listen", settings_text(settings, "listen"),
            "datacentre", settings_text(settings, "datacentre"));
   ev_run(n->loop, 0);
+  close_parts(n);
   return n->status;
 }
--- a/packages/route/targets.h
+++ b/packages/route/targets.h
@@ -49,7 +49,6 @@
   const char *service;
   const Ask *ask;
   bool engine;
-  int64_t memory; /* tokens that an engine holds, 0 unknown */
   const Target *const *tried;
   int n_tried;
 } TargetAsk;
