A soak: random faults on real processes, judged by what callers and targets saw

tests/soak.py runs two to five instances on the stand-ins, each with a proxy of its own to the store and one before each target. Faults by seed, up to three at once: the store down or losing answers, cuts one way or both, links delayed, held, reset or refused, streams broken off, instances paused, killed or stopped and started again, targets that leave and are replaced, top-ups. Callers keep their connections until they break. It checks: the whole own answer; at most once; what was refused did not run; Retry-After; never beyond the budget; a leaving target gets nothing after its bound; answers in time; plain services served again after the faults; planned stops end. Not covered: clocks that jump (nothing decides by the time of day), more than five instances, configuration other than top-ups.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BUILD ?= build
 SOURCES = $(shell git ls-files '*.c' '*.h')
 
-.PHONY: all deps build demo test bench model lint asan format clean
+.PHONY: all deps build demo test soak bench model lint asan format clean
 
 all: build
 
@@ -19,6 +19,11 @@
 test: build model
 	@meson test -C $(BUILD) --print-errorlogs
 
+# Random faults on real processes, fresh seeds; SEED=N plays one again.
+SEEDS ?= 50
+soak: build
+	@python3 tests/soak.py $(BUILD) $(if $(SEED),--seed $(SEED),--seeds $(SEEDS) --kept)
+
 model: deps
 	@spec/run.sh
 
--- a/fakes/standins.py
+++ b/fakes/standins.py
@@ -79,13 +79,14 @@
 class Store(Server):
     """Objects by kind and name, conditional updates, watches. `down`: every
     call gets 503. `lose`: writes are done, and their connection is closed.
-    `hang`: calls get no answer for a while."""
+    `hang`: calls get no answer for a while. `unfenced`: conditions are not
+    looked at, so that tests of the fences are seen to fail."""
 
     def __init__(self, address):
         self.lock = threading.Condition()
         self.revision = 1
         self.kinds, self.history = {}, []
-        self.down = self.lose = self.hang = False
+        self.down = self.lose = self.hang = self.unfenced = False
         self.calls = 0
         super().__init__(address)
 
@@ -128,6 +129,8 @@
         if method == "GET":
             return (200, old) if old else (404, {})
         wanted = body.get("meta", {}).get("revision")
+        if self.unfenced:
+            wanted = None
         if method == "POST" and old:
             return 409, old
         if method == "PUT" and not old:
--- /dev/null
+++ b/tests/fleet.py
@@ -0,0 +1,172 @@
+"""fleet.py: instances on stand-ins of the users' platform, for tests with real
+processes."""
+import http.client
+import json
+import os
+import subprocess
+import sys
+import tempfile
+import time
+
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)),
+                                "..", "fakes"))
+from standins import Store, Worker, chunk, event, head  # noqa: E402
+
+BUILD = os.path.abspath(sys.argv[1])
+BASE = 31000 + os.getpid() * 40 % 900  # ports; two runs at once keep apart
+RETRY_WINDOW_S = 0.5  # an instance has no retries in its first window
+KEY = {"Authorization": "Bearer key-acme"}
+
+
+def route(name, prefix, service, kind, **more):
+    r = {"name": name, "host": "front", "path_prefix": prefix, "type": kind,
+         "timeout_ms": 3000, "slo_ms": 500, "priority": 1, "service": service,
+         "max_attempts": 2, "public": False, "resumable": True}
+    r.update(more)
+    return r
+
+
+def config(version, prepaid=10000, keys=("key-acme",), routes=()):
+    return {"version": version,
+            "routes": [route("s", "/safe/", "desk", "safe"),
+                       route("u", "/once/", "desk", "unsafe"),
+                       route("c", "/chat/", "engine", "stream")] + list(routes),
+            "services": [{"name": "desk"},
+                         {"name": "engine", "engine": {"slots": 8, "stride": 1}}],
+            "limits": {"max_header_bytes": 16384, "max_body_bytes": 65536,
+                       "header_timeout_ms": 1000, "idle_timeout_ms": 5000},
+            "tenants": [{"name": "acme", "api_keys": list(keys),
+                         "prepaid": prepaid}]}
+
+
+class Answer:
+    def __init__(self, r):
+        self.status, self.body = r.status, r.read()
+        self.headers = {k.lower(): v for k, v in r.getheaders()}
+
+
+class Site:
+    """Store, workers and instances of one test."""
+
+    def __init__(self, instances=1, desks=2, engines=2, store_proxy=None, **conf):
+        """`store_proxy`: makes the way of each instance to the store."""
+        self.dir = tempfile.mkdtemp()
+        self.store = Store(("127.0.0.1", 0))
+        self.proxies = [store_proxy(self.store.address)
+                        for _ in range(instances if store_proxy else 0)]
+        self.store.put("config", "main", config(1, **conf))
+        self.desks = [Worker(("127.0.0.1", 0), self.store, "d%d" % i, "desk")
+                      for i in range(desks)]
+        self.engines = [Worker(("127.0.0.1", 0), self.store, "e%d" % i, "engine")
+                        for i in range(engines)]
+        self.processes, self.next_id = [None] * instances, 0
+        for i in range(instances):
+            self.start(i)
+        for i in range(instances):
+            self.wait_ready(i)
+
+    def ip(self, i):
+        return "127.0.0.%d" % (i + 2)
+
+    def start(self, i):
+        path = os.path.join(self.dir, "settings-%d" % i)
+        ip = self.ip(i)
+        with open(path, "w") as f:
+            f.write("name = n%d\ndatacentre = a\nregion = r\n" % i)
+            f.write("listen = %s:%d\nready = %s:%d\n" % (ip, BASE, ip, BASE + 1))
+            f.write("peer = %s:%d\nseeds = %s\n" % (
+                ip, BASE + 2, ",".join(self.ip(k) for k in range(3))))
+            f.write("platform = %s\nmemory = 110\nstop = 4\n" % (
+                self.proxies[i] if self.proxies else self.store).address)
+            f.write("retry-window = %g\n" % RETRY_WINDOW_S)
+        log = open(os.path.join(self.dir, "log-%d" % i), "a")
+        self.processes[i] = subprocess.Popen(
+            [os.path.join(BUILD, "bin", "loftpathd")], stdout=log, stderr=log,
+            env=dict(os.environ, LOFTPATH_NODE_FILE=path))
+
+    def log(self, i):
+        lines = []
+        with open(os.path.join(self.dir, "log-%d" % i)) as f:
+            for line in f:
+                lines.append(json.loads(line))
+        return lines
+
+    def life(self, i):
+        """The log of its present life."""
+        lines = self.log(i)
+        starts = [k for k, l in enumerate(lines) if l["event"] == "started"]
+        return lines[starts[-1]:] if len(starts) > 1 else []
+
+    def ready(self, i):
+        try:
+            c = http.client.HTTPConnection(self.ip(i), BASE + 1, timeout=2)
+            c.request("GET", "/-/readyz")
+            return c.getresponse().status == 200
+        except OSError:
+            return False
+
+    def wait_ready(self, i):
+        wait_for("instance %d" % i, lambda: self.ready(i))
+
+    def connect(self, i=0):
+        return http.client.HTTPConnection(self.ip(i), BASE, timeout=10)
+
+    def head(self, **more):
+        self.next_id += 1
+        h = {"Host": "front", "X-Loftpath-Attempt-Id": "a%d" % self.next_id,
+             "X-Loftpath-Deadline-Ms": "3000"}
+        h.update(KEY)
+        h.update({k.replace("_", "-"): v for k, v in more.items()})
+        return h
+
+    def call(self, path, method="GET", body=None, i=0, conn=None, **more):
+        c = conn or self.connect(i)
+        h = self.head(**more)
+        c.request(method, path, body, h)
+        a = Answer(c.getresponse())
+        a.id = h["X-Loftpath-Attempt-Id"]
+        return a
+
+    def chat(self, tokens, out=10, i=0, **more):
+        return self.call("/chat/x", "POST", b"hello", i=i,
+                         X_Loftpath_Token_Count="%d,%d" % (tokens, out), **more)
+
+    def close(self):
+        for p in self.processes:
+            if p and p.poll() is None:
+                p.kill()
+                p.wait()
+        for s in [self.store] + self.desks + self.engines + self.proxies:
+            s.close()
+
+
+def wait_for(what, check, seconds=10.0):
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        if check():
+            return
+        time.sleep(0.05)
+    raise AssertionError("waited in vain for " + what)
+
+
+def play_stream(n, cut_at=None, inside=False):
+    """Events from the one asked for on; broken off before event `cut_at`."""
+
+    def play(w, c, headers):
+        first = int(headers.get("last-event-id", "0")) + 1
+        c.sendall(head(headers["x-loftpath-attempt-id"],
+                       "Content-Type: text/event-stream",
+                       "Transfer-Encoding: chunked"))
+        for k in range(first, n + 1):
+            if k == cut_at:
+                if inside:
+                    c.sendall(chunk(event(k)[:8]))
+                return False
+            c.sendall(chunk(event(k)))
+        c.sendall(b"0\r\n\r\n")
+        return True
+
+    return play
+
+
+# == tests ==
--- /dev/null
+++ b/tests/proxy.py
@@ -0,0 +1,92 @@
+"""proxy.py: a loopback TCP proxy that delays, resets, holds back or refuses."""
+import socket
+import struct
+import threading
+import time
+
+PIECE = 65536
+LOOK_S = 0.02  # between looks at what holds bytes back
+
+
+class Proxy:
+    """Passes connections on to `upstream` ("ip:port"). `delay` in seconds;
+    `hold` is a set of "up" and "down": bytes of that way wait; `closed`: new
+    connections are reset."""
+
+    def __init__(self, upstream):
+        host, port = upstream.split(":")
+        self.upstream = (host, int(port))
+        self.delay, self.hold, self.closed = 0.0, set(), False
+        self.lock, self.pairs = threading.Lock(), set()
+        self.socket = socket.socket()
+        self.socket.bind(("127.0.0.1", 0))
+        self.socket.listen(128)
+        self.address = "%s:%d" % self.socket.getsockname()
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def heal(self):
+        self.delay, self.hold, self.closed = 0.0, set(), False
+
+    def reset(self):
+        """Resets all connections that are open."""
+        with self.lock:
+            pairs, self.pairs = self.pairs, set()
+        for pair in pairs:
+            for s in pair:
+                _reset(s)
+
+    def close(self):
+        self.socket.close()
+        self.reset()
+
+    def _accept(self):
+        while True:
+            try:
+                c, _ = self.socket.accept()
+            except OSError:
+                return
+            if self.closed:
+                _reset(c)
+                continue
+            try:
+                u = socket.create_connection(self.upstream, timeout=2)
+                u.settimeout(None)
+            except OSError:
+                _reset(c)
+                continue
+            pair = (c, u)
+            with self.lock:
+                self.pairs.add(pair)
+            for a, b, way in ((c, u, "up"), (u, c, "down")):
+                threading.Thread(target=self._pump, args=(a, b, way, pair),
+                                 daemon=True).start()
+
+    def _pump(self, a, b, way, pair):
+        try:
+            while True:
+                data = a.recv(PIECE)
+                if self.delay:
+                    time.sleep(self.delay)
+                while way in self.hold:
+                    time.sleep(LOOK_S)
+                if not data:
+                    b.shutdown(socket.SHUT_WR)
+                    return
+                b.sendall(data)
+        except OSError:
+            with self.lock:
+                known = pair in self.pairs
+                self.pairs.discard(pair)
+            if known:
+                for s in pair:
+                    _reset(s)
+
+
+def _reset(s):
+    try:
+        s.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
+                     struct.pack("ii", 1, 0))
+        s.shutdown(socket.SHUT_RDWR)
+    except OSError:
+        pass
+    s.close()
