Request lines tell first event, longest pause, and what was at the target

What an account of losses needs: without them the lines told that an answer was late in nobody's terms.

--- a/packages/flow/dispatch.c
+++ b/packages/flow/dispatch.c
@@ -21,12 +21,23 @@
   x->head_out = true;
 }
 
+/* Callers judge a stream by its first event and its longest pause. */
+static void note_passed(Run *x) {
+  double now = run_now(x);
+  if (x->passed_at == 0)
+    x->first_s = now - x->req->at;
+  else
+    x->pause_s = MAX(x->pause_s, now - x->passed_at);
+  x->passed_at = now;
+}
+
 static void pass_stream(Run *x, const char *data, size_t n) {
   GString *out = g_string_sized_new(n + 64);
   events_take(&x->events, data, n, out);
   if (out->len > 0) {
     if (!x->head_out) put_head(x, CALLER_CHUNKED);
     caller_body(x->caller, out->str, out->len);
+    note_passed(x);
   }
   g_string_free(out, TRUE);
 }
@@ -229,6 +240,7 @@
   x->target = c->target;
   x->fresh = c->fresh;
   x->wait_s = c->wait_s;
+  x->load = target_load_now(c->target, now);
   x->sent_at = now;
   x->first = x->refused = false;
   x->tried[x->n_tried++] = c->target;
--- a/packages/flow/run.h
+++ b/packages/flow/run.h
@@ -35,7 +35,8 @@
   Target *target;
   int64_t fresh;
   double sent_at, wait_s;
-  bool first; /* its first byte has come */
+  TargetLoad load; /* what was there when it was sent */
+  bool first;      /* its first byte has come */
   Link *link;
   bool refused; /* the answer under way says that it did not run */
   bool maybe;   /* it was sent somewhere and may have run */
@@ -43,7 +44,9 @@
   int status;
   GString *fields, *body;
   bool stream, head_out;
-  int64_t passed; /* bytes of the body handed on */
+  double first_s;   /* until the first event or byte was handed on; 0: none */
+  double passed_at; /* when something was last handed on; 0: never */
+  double pause_s;   /* longest time between two events handed on */
   Events events;
   struct Run *prev, *next;
 };
--- a/packages/route/targets.c
+++ b/packages/route/targets.c
@@ -299,17 +299,23 @@
   return sum;
 }
 
-static double wait_engine(const Target *t, double now, int64_t fresh) {
+TargetLoad target_load_now(const Target *t, double now) {
   Other o = others(t, now);
-  double reading = (double)(t->backlog + o.tokens + fresh) / READ_RATE;
-  return reading + (t->open + o.open + 1) * STEP_S;
+  return (TargetLoad){.open = t->open + o.open,
+                      .tokens = t->backlog + o.tokens};
+}
+
+static double wait_engine(const Target *t, double now, int64_t fresh) {
+  TargetLoad load = target_load_now(t, now);
+  double reading = (double)(load.tokens + fresh) / READ_RATE;
+  return reading + (load.open + 1) * STEP_S;
 }
 
 static double wait_plain(const Target *t, double now) {
   double took = t->took_s > 0 ? t->took_s : 0.03;
   int slots = MAX(t->info.slots, 1);
   int told = now - t->told_at < 0.5 ? t->told_running + t->told_waiting : 0;
-  int there = MAX(t->open + others(t, now).open, told);
+  int there = MAX(target_load_now(t, now).open, told);
   return took * (1 + (double)there / slots);
 }
 
--- a/packages/route/targets.h
+++ b/packages/route/targets.h
@@ -85,6 +85,14 @@
                  int64_t fresh, double took_s);
 void target_load(Target *t, double now, int running, int waiting);
 
+/* Work at a target: ours, and what the others told of theirs. */
+typedef struct TargetLoad {
+  int open;       /* requests */
+  int64_t tokens; /* of prompts, to be read before their first byte */
+} TargetLoad;
+
+TargetLoad target_load_now(const Target *t, double now);
+
 /* == what the other instances have there == */
 
 /* Work of one instance at a target, in all: a lost message is made good by
