A pool is divided where long prompts hold up streams; the line of first bytes is learned

Cause: on the further site no counter query is late by its first event, every sixth by a pause: a long prompt is read in pieces between the tokens of the streams beside it, and three pieces in a row take longer than the pause allowed. Change: the first k targets of a pool (in the order of their hashes) read long prompts, the rest runs everything else; k by what there is to read, told among instances so that all draw the same border; only where more than 5 in 100 of the streams beside long prompts have a pause that is too long. What is long follows from the pause allowed and the reading rate, which is a line fitted to first bytes in place of a constant; each target has a factor. targets.c in files of one job: membership, choice, parts, line, division.

--- a/packages/conf/conf.c
+++ b/packages/conf/conf.c
@@ -87,9 +87,21 @@
   return m < n ? 1 : m > n ? -1 : 0;
 }
 
+/* Streams of one service run side by side; the most sensitive of them says
+   how long they may be held up. */
+static void note_pauses(Conf *c, const ConfRoute *r) {
+  for (int i = 0; i < r->n_splits && r->kind == CONF_STREAM; i++) {
+    ConfService *s = g_hash_table_lookup(c->services, r->splits[i].service);
+    if (s)
+      s->pause_s = s->pause_s > 0 ? MIN(s->pause_s, r->pause_s) : r->pause_s;
+  }
+}
+
 void conf_seal(Conf *c) {
   GHashTableIter it;
   gpointer v;
+  for (guint i = 0; i < c->routes->len; i++)
+    note_pauses(c, c->routes->pdata[i]);
   g_hash_table_iter_init(&it, c->hosts);
   while (g_hash_table_iter_next(&it, NULL, &v)) g_ptr_array_sort(v, by_length);
 }
--- a/packages/fleet/cluster.c
+++ b/packages/fleet/cluster.c
@@ -260,6 +260,8 @@
     take_conf(c, id, &m->conf);
   } else if (m->type == CODEC_WORK) {
     c->ev.work(c->ctx, from, &m->work);
+  } else if (m->type == CODEC_POOL) {
+    c->ev.pool(c->ctx, from, &m->pool);
   } else if (m->type == CODEC_FEED) {
     readers_heard(c->readers, now_of(c), id);
     c->ev.feed(c->ctx, &m->feed);
@@ -413,6 +415,12 @@
     peer_work(c->peer, m->peer, m->id, work);
 }
 
+void cluster_pool(Cluster *c, const TargetsPoolWord *word) {
+  const Member *m;
+  for (int i = 0; (m = next_near(c, &i));)
+    peer_pool(c->peer, m->peer, m->id, word);
+}
+
 void cluster_budgets(Cluster *c, const LedgerBudget *list, int n) {
   ledger_budgets(c->ledger, now_of(c), list, n);
   act(c);
--- a/packages/flow/dispatch.c
+++ b/packages/flow/dispatch.c
@@ -141,7 +141,8 @@
   Run *x = ctx;
   if (x->refused) return;
   if (!x->first) {
-    target_first(x->target, x->fresh);
+    target_first(x->target, x->choice.fresh, x->load.tokens,
+                 run_now(x) - x->sent_at);
     count_time(COUNT_TIME_FIRST, run_now(x) - x->req->at);
   }
   x->first = true;
@@ -212,6 +213,7 @@
   TargetAsk ask = {.service = x->service_name,
                    .ask = &x->ask,
                    .engine = x->service && x->service->engine,
+                   .pause_s = x->service ? x->service->pause_s : 0,
                    .tried = x->tried,
                    .n_tried = x->n_tried};
   return targets_pick(r->targets, run_now(x), &ask);
@@ -238,15 +240,14 @@
   wire_request(out, x->req->method, x->req->target->str, &x->req->headers,
                x->req->body, &send);
   x->target = c->target;
-  x->fresh = c->fresh;
-  x->wait_s = c->wait_s;
+  x->choice = *c;
   x->load = target_load_now(c->target, now);
   x->sent_at = now;
   x->first = x->refused = false;
   x->tried[x->n_tried++] = c->target;
   x->sends++;
   if (x->n_tried == 1) retries_first(r->retries, now, x->service_name);
-  target_sent(c->target, now, &x->ask, c->fresh);
+  target_sent(c->target, now, &x->ask, c);
   double fresh_s = repeatable(x) ? RUN_LINK_KEEP_S : FRESH_ONCE_S;
   x->link = link_send(r->links, target_addr(c->target), out, fresh_s,
                       &link_events, x);
--- a/packages/flow/run.c
+++ b/packages/flow/run.c
@@ -40,7 +40,9 @@
 void run_leave_target(Run *x, TargetEnd how) {
   if (!x->target) return;
   double now = run_now(x);
-  target_done(x->target, now, how, x->first, x->fresh, now - x->sent_at);
+  if (x->stream && x->events.count > 1 && x->choice.beside_long)
+    target_streamed(x->target, now, x->pause_s > x->route->pause_s);
+  target_done(x->target, now, how, x->first, x->choice.fresh, now - x->sent_at);
   x->target = NULL;
 }
 
@@ -73,9 +75,9 @@
        x->route ? x->route->name : "", "target",
        x->n_tried > 0 ? target_id(x->tried[x->n_tried - 1]) : "", "sends",
        x->sends, "tried", x->n_tried, "events", (json_int_t)x->events.count,
-       "tokens", (json_int_t)tokens, "fresh", (json_int_t)x->fresh, "there",
-       x->load.open, "unread", (json_int_t)x->load.tokens, "predicted",
-       x->wait_s, "first", x->first_s, "pause", x->pause_s, "aim",
+       "tokens", (json_int_t)tokens, "fresh", (json_int_t)x->choice.fresh,
+       "there", x->load.open, "unread", (json_int_t)x->load.tokens, "predicted",
+       x->choice.wait_s, "first", x->first_s, "pause", x->pause_s, "aim",
        x->route ? x->route->aim_s : 0, "pause_aim",
        x->route ? x->route->pause_s : 0, "seconds", now - x->req->at, "conf",
        (json_int_t)(x->conf ? x->conf->version : 0));
--- a/packages/flow/run.h
+++ b/packages/flow/run.h
@@ -33,8 +33,8 @@
   const Target *tried[RUN_TRIED_MOST];
   int n_tried, sends;
   Target *target;
-  int64_t fresh;
-  double sent_at, wait_s;
+  TargetChoice choice; /* that led there */
+  double sent_at;
   TargetLoad load; /* what was there when it was sent */
   bool first;      /* its first byte has come */
   Link *link;
--- a/packages/node/node.c
+++ b/packages/node/node.c
@@ -16,6 +16,9 @@
 
 #define TICK_S 0.05 /* between looks at what waits */
 #define SWEEP_S 1.0 /* between looks for targets to forget */
+/* Seconds for each instance between two words on pools: 40 bytes for each pool
+   and other instance, so 0.8 KB/s at any size. */
+#define POOLS_EACH_S 0.05
 #define REFUSE_AFTER_S                                                         \
   3.2                     /* of a stop; the balancer asks each second and      \
                              takes an instance out after two misses */
@@ -74,7 +77,9 @@
   ev_timer tick, sweep;
   ev_prepare turn;
   ev_signal term, intr, hup;
-  double stop_at; /* loop time of SIGTERM; 0: none */
+  double pools_at; /* when the others are told of our pools next */
+  int instances;   /* of the fleet, with ourselves */
+  double stop_at;  /* loop time of SIGTERM; 0: none */
   bool refusing, returning, was_ready;
   int status;
 } Node;
@@ -145,6 +150,7 @@
 
 static void on_instances(void *ctx, int count) {
   Node *n = ctx;
+  n->instances = count;
   retries_instances(n->retries, ev_now(n->loop), count);
 }
 
@@ -181,6 +187,21 @@
   targets_others(n->targets, ev_now(n->loop), from, m);
 }
 
+static void on_pool(void *ctx, uint64_t from, const TargetsPoolWord *m) {
+  Node *n = ctx;
+  targets_pool_told(n->targets, ev_now(n->loop), from, m);
+}
+
+/* Each instance hears of all, so they tell more seldom the more there are. */
+static void tell_pools(Node *n) {
+  double now = ev_now(n->loop);
+  TargetsPoolWord word;
+  if (now < n->pools_at) return;
+  n->pools_at = now + MAX(SWEEP_S, n->instances * POOLS_EACH_S);
+  for (int i = 0; targets_pool_word(n->targets, now, i, &word); i++)
+    cluster_pool(n->cluster, &word);
+}
+
 /* Before the loop sleeps, and before the messages of this turn leave. */
 static void on_turn(struct ev_loop *loop, ev_prepare *w, int revents) {
   (void)loop;
@@ -274,6 +295,7 @@
   (void)revents;
   Node *n = w->data;
   targets_sweep(n->targets, ev_now(loop));
+  tell_pools(n);
 }
 
 static void on_hup(struct ev_loop *loop, ev_signal *w, int revents) {
@@ -293,7 +315,8 @@
 
 static Cluster *open_cluster(Node *n, Err *e) {
   static const ClusterEvents events = {on_reserved, on_instances, on_peer_conf,
-                                       conf_text,   on_feed,      on_work};
+                                       conf_text,   on_feed,      on_work,
+                                       on_pool};
   ClusterOptions o = {.seeds = settings_text(settings, "seeds"),
                       .seed = random_number()};
   g_strlcpy(o.self.id, n->id, sizeof o.self.id);
--- a/packages/peer/codec.c
+++ b/packages/peer/codec.c
@@ -6,6 +6,7 @@
 #include <xxhash.h>
 
 #define VERSION 1
+#define THOUSAND 1000.0
 #define LOAD_MAX 1000000 /* requests at one target */
 #define EVERY_MAX_MS (24 * 3600 * 1000)
 
@@ -129,6 +130,23 @@
   msgpack_pack_int64(&p, m->tokens);
 }
 
+/* Counts of streams travel in thousandths: they fade. */
+static int64_t thousandths(double v) {
+  return (int64_t)(v * THOUSAND);
+}
+
+void codec_put_pool(msgpack_sbuffer *b, const TargetsPoolWord *m) {
+  msgpack_packer p;
+  msgpack_packer_init(&p, b, msgpack_sbuffer_write);
+  msgpack_pack_array(&p, 6);
+  msgpack_pack_uint8(&p, CODEC_POOL);
+  msgpack_pack_uint64(&p, m->pool);
+  msgpack_pack_int64(&p, (int64_t)m->word.long_read);
+  msgpack_pack_int64(&p, (int64_t)m->word.short_read);
+  msgpack_pack_int64(&p, thousandths(m->word.streams));
+  msgpack_pack_int64(&p, thousandths(m->word.held));
+}
+
 void codec_put_feed(msgpack_sbuffer *b, const CodecFeed *m) {
   msgpack_packer p;
   size_t n = m->text ? strlen(m->text) : 0;
@@ -242,6 +260,21 @@
   m->text = get_text(r);
 }
 
+/* A count; below 0 it is damaged. */
+static double get_count(Reader *r) {
+  int64_t n = get_i64(r);
+  r->bad |= n < 0;
+  return (double)n;
+}
+
+static void get_pool(Reader *r, TargetsPoolWord *m) {
+  m->pool = get_u64(r);
+  m->word.long_read = get_count(r);
+  m->word.short_read = get_count(r);
+  m->word.streams = get_count(r) / THOUSAND;
+  m->word.held = get_count(r) / THOUSAND;
+}
+
 static void get_work(Reader *r, TargetWork *m) {
   m->target = get_u64(r);
   m->open = get_small(r, LOAD_MAX);
@@ -352,7 +385,7 @@
   msgpack_unpacked_init(&u);
   bool ok = open_array(data, len, off, &u, &r);
   if (ok) {
-    m->type = (CodecType)get_small(&r, CODEC_WORK + 1);
+    m->type = (CodecType)get_small(&r, CODEC_POOL + 1);
     switch (m->type) {
     case CODEC_BEAT: get_beat(&r, &m->beat); break;
     case CODEC_LEDGER: get_ledger(&r, &m->ledger); break;
@@ -361,6 +394,7 @@
     case CODEC_CONF: get_conf(&r, &m->conf); break;
     case CODEC_FEED: get_feed(&r, &m->feed); break;
     case CODEC_WORK: get_work(&r, &m->work); break;
+    case CODEC_POOL: get_pool(&r, &m->pool); break;
     }
     ok = !r.bad;
     if (!ok) codec_clear(m);
--- a/packages/peer/codec.h
+++ b/packages/peer/codec.h
@@ -18,7 +18,8 @@
   CODEC_LOAD,
   CODEC_CONF,
   CODEC_FEED,
-  CODEC_WORK
+  CODEC_WORK,
+  CODEC_POOL
 } CodecType;
 
 typedef struct CodecHead {
@@ -51,6 +52,7 @@
   CodecConf conf;
   CodecFeed feed;
   TargetWork work;
+  TargetsPoolWord pool;
 } CodecMsg;
 
 uint64_t codec_hash(const char *id);
@@ -61,6 +63,7 @@
 void codec_put_load(msgpack_sbuffer *b, const LoadsMsg *m);
 void codec_put_conf(msgpack_sbuffer *b, uint64_t version, const char *text);
 void codec_put_work(msgpack_sbuffer *b, const TargetWork *m);
+void codec_put_pool(msgpack_sbuffer *b, const TargetsPoolWord *m);
 void codec_put_feed(msgpack_sbuffer *b, const CodecFeed *m);
 
 /* Reads at *off; false at the end or when it is not understood. */
--- a/packages/peer/peer.c
+++ b/packages/peer/peer.c
@@ -142,6 +142,13 @@
   pthread_mutex_unlock(&p->lock);
 }
 
+void peer_pool(Peer *p, const char *addr, const char *id,
+               const TargetsPoolWord *m) {
+  pthread_mutex_lock(&p->lock);
+  codec_put_pool(&frame_for(p, addr, codec_hash(id))->buf, m);
+  pthread_mutex_unlock(&p->lock);
+}
+
 void peer_feed(Peer *p, const char *addr, const char *id, const CodecFeed *m) {
   pthread_mutex_lock(&p->lock);
   codec_put_feed(&frame_for(p, addr, codec_hash(id))->buf, m);
--- /dev/null
+++ b/packages/route/choose.c
@@ -0,0 +1,170 @@
+/* choose.c: which target takes a request. */
+#include "route/state.h"
+
+#include <math.h>
+#include <string.h>
+#include <xxhash.h>
+
+#define FAIL_COST_S 0.2 /* a sure failure costs as much as this wait */
+/* What is read holds up all that runs there, so it weighs this much more than
+   its own time; of 0, 1 and 2 the best on the users' days (docs/BENCH.md). */
+#define READ_COST 1.0
+#define STEP_S                                                                 \
+  0.006                 /* one more stream there; a step of a batch, as in the \
+                           users' sheets */
+#define CROSS_S 0.003   /* another data centre costs as much as this */
+#define COLD_S 0.05     /* one that has just started */
+#define JITTER 0.02     /* of a cost, so that equal targets share the work */
+#define TOOK_FIRST 0.03 /* seconds; a plain answer, before one was seen */
+#define TOLD_FRESH_S                                                           \
+  0.5 /* a target's word of its load counts for this long                      \
+       */
+/* One that is put aside, and one whose entry is missing, get work only when
+   there is no other: the first may fail, the second may be leaving. */
+#define ASIDE_COST_S 100.0
+#define LAPSED_COST_S 1000.0
+#define HOMES 2 /* homes of a prompt that are tried first */
+/* A prompt is long when reading it alone takes this part of the longest pause
+   that streams beside it allow: a few of them in a row break that pause. */
+#define LONG_PAUSES 0.4
+
+typedef struct Pick {
+  const Targets *set;
+  const TargetAsk *ask;
+  double now;
+  bool long_prompt;
+  double slope;          /* seconds a token takes to be read */
+  uint64_t homes[HOMES]; /* weights of the best homes, 0: none */
+} Pick;
+
+static bool was_tried(const TargetAsk *ask, const Target *t) {
+  for (int i = 0; i < ask->n_tried; i++)
+    if (ask->tried[i] == t) return true;
+  return false;
+}
+
+/* == homes of prompts == */
+
+/* The deepest shared part decides the homes, so that all instances agree
+   without a word. */
+static uint64_t home_weight(const Target *t, uint64_t key) {
+  return XXH64(t->info.id, strlen(t->info.id), key);
+}
+
+static void find_homes(Pick *p, GPtrArray *list) {
+  uint64_t key = parts_key(p->ask->ask);
+  if (key == 0) return;
+  for (guint i = 0; i < list->len; i++) {
+    uint64_t w = home_weight(list->pdata[i], key);
+    for (int k = 0; k < HOMES; k++) {
+      if (w <= p->homes[k]) continue;
+      uint64_t lower = p->homes[k];
+      p->homes[k] = w;
+      w = lower;
+    }
+  }
+}
+
+static int64_t fresh_tokens(const Pick *p, const Target *t) {
+  const Ask *a = p->ask->ask;
+  int64_t all = parts_tokens(a), had = parts_kept(t->parts, a, p->now);
+  uint64_t key = parts_key(a);
+  if (had > 0 || key == 0) return all - had;
+  /* Its home has most likely read the shared parts for somebody else. */
+  if (home_weight(t, key) != p->homes[0]) return all;
+  return all - parts_shared(a);
+}
+
+/* == a pool in two parts == */
+
+static bool is_long(const Pick *p) {
+  const TargetAsk *a = p->ask;
+  if (!a->engine || a->pause_s <= 0) return false;
+  return (double)a->ask->tokens_in * p->slope > LONG_PAUSES * a->pause_s;
+}
+
+/* Long prompts hold up the streams beside them, so they are read at the first
+   targets of the pool and everything else runs at the rest. All instances see
+   the same order. True when long prompts are read at those that are left. */
+static bool divide(const Pick *p, Pool *pool, GPtrArray *list) {
+  int n = (int)list->len;
+  int k = division_count(pool->division, p->now, n);
+  if (k == n) return true;
+  if (p->long_prompt)
+    g_ptr_array_remove_range(list, (guint)k, (guint)(n - k));
+  else
+    g_ptr_array_remove_range(list, 0, (guint)k);
+  return p->long_prompt;
+}
+
+/* == cost == */
+
+static double wait_engine(const Pick *p, const Target *t, int64_t fresh) {
+  TargetLoad load = target_load_now(t, p->now);
+  double first = fit_at(&t->pool->first, (double)(load.tokens + fresh));
+  return first * t->slow;
+}
+
+static double wait_plain(const Target *t, double now) {
+  double took = t->took_s > 0 ? t->took_s : TOOK_FIRST;
+  int slots = MAX(t->info.slots, 1);
+  bool fresh = now - t->told_at < TOLD_FRESH_S;
+  int told = fresh ? t->told_running + t->told_waiting : 0;
+  int there = MAX(target_load_now(t, now).open, told);
+  return took * (1 + (double)there / slots);
+}
+
+static double cost(const Pick *p, const Target *t, int64_t *fresh,
+                   double *wait_s) {
+  *fresh = p->ask->engine ? fresh_tokens(p, t) : 0;
+  *wait_s = p->ask->engine ? wait_engine(p, t, *fresh) : wait_plain(t, p->now);
+  double c = *wait_s + t->fail * FAIL_COST_S;
+  if (p->ask->engine) {
+    c += READ_COST * (double)*fresh * p->slope;
+    c += (target_load_now(t, p->now).open + 1) * STEP_S;
+  }
+  if (strcmp(t->info.dc, p->set->dc) != 0) c += CROSS_S;
+  if (t->info.cold_s > 0) c += COLD_S;
+  if (p->now < t->aside_until) c += ASIDE_COST_S;
+  if (t->lapsed) c += LAPSED_COST_S;
+  return c * (1 + JITTER * g_rand_double(p->set->rand));
+}
+
+/* == the choice == */
+
+static GPtrArray *candidates(const Pick *p, const Pool *pool) {
+  GPtrArray *list = g_ptr_array_new();
+  for (guint i = 0; i < pool->members->len; i++) {
+    Target *t = pool->members->pdata[i];
+    if (target_usable(t, p->now) && !was_tried(p->ask, t))
+      g_ptr_array_add(list, t);
+  }
+  return list;
+}
+
+TargetChoice targets_pick(Targets *s, double now, const TargetAsk *ask) {
+  Pool *pool = g_hash_table_lookup(s->pools, ask->service);
+  TargetChoice best = {0};
+  double least = INFINITY;
+  if (!pool) return best;
+  Pick p = {.set = s, .ask = ask, .now = now};
+  p.slope = fit_slope(&pool->first);
+  p.long_prompt = is_long(&p);
+  GPtrArray *list = candidates(&p, pool);
+  best.candidates = (int)list->len;
+  if (ask->engine) best.beside_long = divide(&p, pool, list);
+  if (ask->engine) find_homes(&p, list);
+  for (guint i = 0; i < list->len; i++) {
+    int64_t fresh;
+    double wait_s;
+    double c = cost(&p, list->pdata[i], &fresh, &wait_s);
+    if (c >= least) continue;
+    least = c;
+    best.target = list->pdata[i];
+    best.fresh = fresh;
+    best.wait_s = wait_s;
+  }
+  best.long_prompt = p.long_prompt;
+  g_ptr_array_free(list, TRUE);
+  return best;
+}
--- /dev/null
+++ b/packages/route/fit.h
@@ -0,0 +1,17 @@
+/* fit.h: a straight line through recent points, y = base + slope * x; pure. */
+#ifndef ROUTE_FIT_H
+#define ROUTE_FIT_H
+
+/* Weighted sums; older points weigh less with each new one. */
+typedef struct Fit {
+  double w, x, y, xx, xy;
+} Fit;
+
+/* Begins as if points of that line had been seen, up to `span`. */
+void fit_start(Fit *f, double base, double slope, double span);
+void fit_add(Fit *f, double x, double y);
+/* Neither is ever below 0. */
+double fit_slope(const Fit *f);
+double fit_at(const Fit *f, double x);
+
+#endif
--- /dev/null
+++ b/packages/route/parts.h
@@ -0,0 +1,29 @@
+/* parts.h: the parts of prompts that a target has read, as far as is known;
+   pure. A part counts together with all that stands before it. */
+#ifndef ROUTE_PARTS_H
+#define ROUTE_PARTS_H
+
+#include <glib.h>
+
+#include "flow/ask.h"
+
+typedef struct Parts Parts;
+
+Parts *parts_new(void);
+void parts_free(Parts *p);
+/* The target reads this prompt. */
+void parts_note(Parts *p, const Ask *a, double now);
+/* Its memory is empty. */
+void parts_forget(Parts *p);
+/* Tokens of the prompt that it need not read again. */
+int64_t parts_kept(const Parts *p, const Ask *a, double now);
+
+/* Tokens of the whole prompt. */
+int64_t parts_tokens(const Ask *a);
+/* Tokens that other prompts may have in common with it: all but the last
+   part, which is the request's own. */
+int64_t parts_shared(const Ask *a);
+/* Names the shared parts; 0: nothing is shared. */
+uint64_t parts_key(const Ask *a);
+
+#endif
--- /dev/null
+++ b/packages/route/state.h
@@ -0,0 +1,56 @@
+/* state.h: the insides of targets, shared by targets.c and choose.c only. */
+#ifndef ROUTE_STATE_H
+#define ROUTE_STATE_H
+
+#include "route/division.h"
+#include "route/fit.h"
+#include "route/parts.h"
+#include "route/targets.h"
+
+/* What another instance told last. */
+typedef struct Other {
+  int open;
+  int64_t tokens;
+  double at;
+} Other;
+
+/* All targets of a service, and what is learned of them together. */
+typedef struct Pool {
+  char service[LIMIT_NAME];
+  GPtrArray *members; /* Target*, in the order of their hashes */
+  Fit first;          /* seconds until the first byte, by tokens to read */
+  Division *division;
+  uint64_t hash; /* of the service */
+} Pool;
+
+struct Target {
+  Targets *set;
+  Pool *pool;
+  TargetInfo info;
+  uint64_t hash;
+  double leave_at; /* no new work from here on; INFINITY: stays */
+  bool lapsed;     /* its entry is missing, perhaps by an outage only */
+  double aside_until, aside_s;
+  double fail;     /* mean of failures, 0 to 1 */
+  double took_s;   /* mean time of an answer */
+  double slow;     /* mean time of its first bytes, 1: as the pool's */
+  int open;        /* our own requests there */
+  int waiting;     /* of these, without a first byte */
+  int64_t backlog; /* tokens that these have to read */
+  int told_running, told_waiting;
+  double told_at;
+  Parts *parts;
+  GHashTable *others; /* hash of an instance -> Other */
+  bool changed;       /* our work there, since it was told */
+};
+
+struct Targets {
+  char dc[LIMIT_NAME];
+  GHashTable *by_id;
+  GHashTable *by_hash; /* the same targets */
+  GHashTable *pools;   /* service -> Pool */
+  GQueue changed;      /* Target* */
+  GRand *rand;
+};
+
+#endif
--- a/packages/route/targets.c
+++ b/packages/route/targets.c
@@ -1,5 +1,5 @@
-/* targets.c: membership of targets, what is learned of them, the choice. */
-#include "route/targets.h"
+/* targets.c: membership of targets and what is learned of them. */
+#include "route/state.h"
 
 #include <math.h>
 #include <string.h>
@@ -16,70 +16,37 @@
 #define FAIL_ASIDE_S 2.0
 #define FULL_ASIDE_S 0.1 /* after it said that it is full */
 #define TOOK_WEIGHT 0.1  /* of one answer in the mean time */
-#define FAIL_COST_S 0.2  /* a sure failure costs as much as this wait */
-#define PART_KEEP_S 60.0 /* a part unused for longer counts as lost */
-/* Tokens that an engine reads a second; the sheets give 38,400 and 50,700. */
-#define READ_RATE 45000.0
-/* What is read holds up all that runs there, so it weighs this much more than
-   its own time; of 0, 1 and 2 the best on the users' days (docs/BENCH.md). */
-#define READ_COST 1.0
-#define STEP_S 0.006  /* of a batch without prompts, same source */
-#define CROSS_S 0.003 /* another data centre costs as much as this */
-/* One that is put aside, and one whose entry is missing, get work only when
-   there is no other: the first may fail, the second may be leaving. */
-#define ASIDE_COST_S 100.0
-#define LAPSED_COST_S 1000.0
-#define HOMES 2 /* homes of a prompt that are tried first */
+#define SLOW_WEIGHT 0.1  /* of one first byte in the mean of a target's pace */
+#define SLOW_MOST 4.0    /* one first byte counts for no more than this */
+/* The line of first bytes before any was seen: the users' sheets give 32,400
+   to 50,700 tokens a second. Forgotten after some thirty answers. */
+#define FIRST_BASE_S 0.01
+#define FIRST_TOKEN_S (1 / 45000.0)
+#define FIRST_SPAN 5000 /* tokens */
 /* Word of another instance counts for this long: prompts are read in less, and
    one that is lost or cut off tells no more. */
 #define OTHERS_FRESH_S 2.0
 
-/* What another instance told last. */
-typedef struct Other {
-  int open;
-  int64_t tokens;
-  double at;
-} Other;
-
-struct Target {
-  Targets *set;
-  TargetInfo info;
-  uint64_t hash;
-  double leave_at; /* no new work from here on; INFINITY: stays */
-  bool lapsed;     /* its entry is missing, perhaps by an outage only */
-  double aside_until, aside_s;
-  double fail;     /* mean of failures, 0 to 1 */
-  double took_s;   /* mean time of an answer */
-  int open;        /* our own requests there */
-  int waiting;     /* of these, without a first byte */
-  int64_t backlog; /* tokens that these have to read */
-  int told_running, told_waiting;
-  double told_at;
-  GHashTable *parts;  /* chain hash of parts read there -> double* last use */
-  GHashTable *others; /* hash of an instance -> Other */
-  bool changed;       /* our work there, since it was told */
-};
-
-struct Targets {
-  char dc[LIMIT_NAME];
-  GHashTable *by_id;
-  GHashTable *by_hash; /* the same targets */
-  GQueue changed;      /* Target* */
-  GRand *rand;
-};
-
 static void target_free(gpointer p) {
   Target *t = p;
-  g_hash_table_destroy(t->parts);
+  parts_free(t->parts);
   g_hash_table_destroy(t->others);
   g_free(t);
 }
 
+static void pool_free(gpointer p) {
+  Pool *pool = p;
+  g_ptr_array_free(pool->members, TRUE);
+  division_free(pool->division);
+  g_free(pool);
+}
+
 Targets *targets_new(const char *dc, uint32_t seed) {
   Targets *s = g_new0(Targets, 1);
   g_strlcpy(s->dc, dc, sizeof s->dc);
   s->by_id = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, target_free);
   s->by_hash = g_hash_table_new(g_int64_hash, g_int64_equal);
+  s->pools = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, pool_free);
   g_queue_init(&s->changed);
   s->rand = g_rand_new_with_seed(seed);
   return s;
@@ -89,28 +56,53 @@
   g_hash_table_destroy(s->by_hash);
   g_queue_clear(&s->changed);
   g_hash_table_destroy(s->by_id);
+  g_hash_table_destroy(s->pools);
   g_rand_free(s->rand);
   g_free(s);
 }
 
 /* == membership == */
 
+static Pool *pool_of(Targets *s, const char *service) {
+  Pool *pool = g_hash_table_lookup(s->pools, service);
+  if (pool) return pool;
+  pool = g_new0(Pool, 1);
+  g_strlcpy(pool->service, service, sizeof pool->service);
+  pool->members = g_ptr_array_new();
+  pool->division = division_new();
+  pool->hash = target_hash(service);
+  fit_start(&pool->first, FIRST_BASE_S, FIRST_TOKEN_S, FIRST_SPAN);
+  g_hash_table_insert(s->pools, pool->service, pool);
+  return pool;
+}
+
+static gint by_hash(gconstpointer a, gconstpointer b) {
+  const Target *x = *(const Target *const *)a, *y = *(const Target *const *)b;
+  return x->hash < y->hash ? -1 : x->hash > y->hash;
+}
+
+static Target *target_new(Targets *s, const TargetInfo *info) {
+  Target *t = g_new0(Target, 1);
+  t->set = s;
+  t->info = *info;
+  t->hash = target_hash(info->id);
+  t->leave_at = INFINITY;
+  t->slow = 1;
+  t->parts = parts_new();
+  t->others =
+      g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+  t->pool = pool_of(s, info->service);
+  g_ptr_array_add(t->pool->members, t);
+  g_ptr_array_sort(t->pool->members, by_hash);
+  g_hash_table_insert(s->by_id, t->info.id, t);
+  g_hash_table_insert(s->by_hash, &t->hash, t);
+  return t;
+}
+
 void targets_set(Targets *s, double now, const TargetInfo *info) {
   Target *t = g_hash_table_lookup(s->by_id, info->id);
   if (t && info->revision < t->info.revision) return;
-  if (!t) {
-    t = g_new0(Target, 1);
-    t->leave_at = INFINITY;
-    t->parts =
-        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
-    t->others =
-        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
-    t->set = s;
-    t->info = *info;
-    t->hash = target_hash(info->id);
-    g_hash_table_insert(s->by_id, t->info.id, t);
-    g_hash_table_insert(s->by_hash, &t->hash, t);
-  }
+  if (!t) t = target_new(s, info);
   t->info = *info;
   t->lapsed = false;
   if (info->leaving)
@@ -151,6 +143,7 @@
   double now = *(double *)ctx;
   if (t->open > 0 || now <= t->leave_at + FORGET_S) return FALSE;
   g_hash_table_remove(t->set->by_hash, &t->hash);
+  g_ptr_array_remove(t->pool->members, t);
   g_queue_remove(&t->set->changed, t);
   return TRUE;
 }
@@ -160,13 +153,11 @@
 }
 
 int targets_count(const Targets *s, const char *service) {
-  GHashTableIter it;
-  gpointer v;
+  const Pool *pool = g_hash_table_lookup(s->pools, service);
   int n = 0;
-  g_hash_table_iter_init(&it, s->by_id);
-  while (g_hash_table_iter_next(&it, NULL, &v)) {
-    const Target *t = v;
-    n += isinf(t->leave_at) && strcmp(t->info.service, service) == 0;
+  for (guint i = 0; pool && i < pool->members->len; i++) {
+    const Target *t = pool->members->pdata[i];
+    n += isinf(t->leave_at);
   }
   return n;
 }
@@ -183,182 +174,6 @@
   return t->info.addr;
 }
 
-/* == prompts == */
-
-/* Parts that others may share: all but the last, which is the request's own. */
-static int shared_parts(const Ask *a) {
-  return a->n_parts > 0 ? a->n_parts - 1 : 0;
-}
-
-/* Identifies part `i` together with all before it. */
-static uint64_t chain(const Ask *a, int i, uint64_t before) {
-  uint64_t pair[2] = {before, a->parts[i].id};
-  return XXH64(pair, sizeof pair, 0);
-}
-
-static bool has_part(const Target *t, uint64_t id, double now) {
-  const double *used = g_hash_table_lookup(t->parts, &id);
-  return used && now - *used < PART_KEEP_S;
-}
-
-/* Tokens of the prompt that the target need not read again. */
-static int64_t kept(const Target *t, const Ask *a, double now) {
-  int64_t n = 0;
-  uint64_t id = 0;
-  for (int i = 0; i < a->n_parts; i++) {
-    id = chain(a, i, id);
-    if (!has_part(t, id, now)) break;
-    n += a->parts[i].tokens;
-  }
-  return n;
-}
-
-static void note_parts(Target *t, const Ask *a, double now) {
-  uint64_t id = 0;
-  for (int i = 0; i < a->n_parts; i++) {
-    id = chain(a, i, id);
-    double *used = g_hash_table_lookup(t->parts, &id);
-    if (!used) {
-      used = g_new(double, 1);
-      g_hash_table_insert(t->parts, g_memdup2(&id, sizeof id), used);
-    }
-    *used = now;
-  }
-}
-
-/* The deepest shared part decides the homes, so that all instances agree
-   without a word. 0: nothing is shared. */
-static uint64_t home_key(const Ask *a) {
-  uint64_t id = 0;
-  for (int i = 0; i < shared_parts(a); i++) id = chain(a, i, id);
-  return id;
-}
-
-static uint64_t home_weight(const Target *t, uint64_t key) {
-  return XXH64(t->info.id, strlen(t->info.id), key);
-}
-
-/* == the choice == */
-
-typedef struct Pick {
-  const Targets *set;
-  const TargetAsk *ask;
-  double now;
-  uint64_t homes[HOMES]; /* weights of the best homes, 0: none */
-} Pick;
-
-static bool was_tried(const TargetAsk *ask, const Target *t) {
-  for (int i = 0; i < ask->n_tried; i++)
-    if (ask->tried[i] == t) return true;
-  return false;
-}
-
-static bool fits(const Pick *p, const Target *t) {
-  return strcmp(t->info.service, p->ask->service) == 0 &&
-         target_usable(t, p->now) && !was_tried(p->ask, t);
-}
-
-static void find_homes(Pick *p, GPtrArray *list) {
-  uint64_t key = home_key(p->ask->ask);
-  if (key == 0) return;
-  for (guint i = 0; i < list->len; i++) {
-    uint64_t w = home_weight(list->pdata[i], key);
-    for (int k = 0; k < HOMES; k++) {
-      if (w <= p->homes[k]) continue;
-      uint64_t lower = p->homes[k];
-      p->homes[k] = w;
-      w = lower;
-    }
-  }
-}
-
-static int64_t fresh_tokens(const Pick *p, const Target *t) {
-  const Ask *a = p->ask->ask;
-  int64_t all = 0, had = kept(t, a, p->now);
-  for (int i = 0; i < a->n_parts; i++) all += a->parts[i].tokens;
-  all = MAX(all, a->tokens_in);
-  if (had > 0 || home_key(a) == 0) return all - had;
-  /* Its home has most likely read the shared parts for somebody else. */
-  if (home_weight(t, home_key(a)) != p->homes[0]) return all;
-  for (int i = 0; i < shared_parts(a); i++) all -= a->parts[i].tokens;
-  return all;
-}
-
-/* What the other instances have there, as far as their word is fresh. */
-static Other others(const Target *t, double now) {
-  Other sum = {0};
-  GHashTableIter it;
-  gpointer v;
-  g_hash_table_iter_init(&it, t->others);
-  while (g_hash_table_iter_next(&it, NULL, &v)) {
-    const Other *o = v;
-    if (now - o->at > OTHERS_FRESH_S) continue;
-    sum.open += o->open;
-    sum.tokens += o->tokens;
-  }
-  return sum;
-}
-
-TargetLoad target_load_now(const Target *t, double now) {
-  Other o = others(t, now);
-  return (TargetLoad){.open = t->open + o.open,
-                      .tokens = t->backlog + o.tokens};
-}
-
-static double wait_engine(const Target *t, double now, int64_t fresh) {
-  TargetLoad load = target_load_now(t, now);
-  double reading = (double)(load.tokens + fresh) / READ_RATE;
-  return reading + (load.open + 1) * STEP_S;
-}
-
-static double wait_plain(const Target *t, double now) {
-  double took = t->took_s > 0 ? t->took_s : 0.03;
-  int slots = MAX(t->info.slots, 1);
-  int told = now - t->told_at < 0.5 ? t->told_running + t->told_waiting : 0;
-  int there = MAX(target_load_now(t, now).open, told);
-  return took * (1 + (double)there / slots);
-}
-
-static double cost(const Pick *p, const Target *t, int64_t *fresh,
-                   double *wait_s) {
-  *fresh = p->ask->engine ? fresh_tokens(p, t) : 0;
-  *wait_s =
-      p->ask->engine ? wait_engine(t, p->now, *fresh) : wait_plain(t, p->now);
-  double c = *wait_s + t->fail * FAIL_COST_S;
-  c += READ_COST * (double)*fresh / READ_RATE;
-  if (strcmp(t->info.dc, p->set->dc) != 0) c += CROSS_S;
-  if (t->info.cold_s > 0) c += 0.05;
-  if (p->now < t->aside_until) c += ASIDE_COST_S;
-  if (t->lapsed) c += LAPSED_COST_S;
-  return c * (1 + 0.02 * g_rand_double(p->set->rand));
-}
-
-TargetChoice targets_pick(Targets *s, double now, const TargetAsk *ask) {
-  Pick p = {.set = s, .ask = ask, .now = now};
-  TargetChoice best = {0};
-  double least = INFINITY;
-  GPtrArray *list = g_ptr_array_new();
-  GHashTableIter it;
-  gpointer v;
-  g_hash_table_iter_init(&it, s->by_id);
-  while (g_hash_table_iter_next(&it, NULL, &v))
-    if (fits(&p, v)) g_ptr_array_add(list, v);
-  if (ask->engine) find_homes(&p, list);
-  for (guint i = 0; i < list->len; i++) {
-    int64_t fresh;
-    double wait_s;
-    double c = cost(&p, list->pdata[i], &fresh, &wait_s);
-    if (c >= least) continue;
-    least = c;
-    best.target = list->pdata[i];
-    best.fresh = fresh;
-    best.wait_s = wait_s;
-  }
-  best.candidates = (int)list->len;
-  g_ptr_array_free(list, TRUE);
-  return best;
-}
-
 /* == what is learned == */
 
 static void note_change(Target *t) {
@@ -367,17 +182,19 @@
   g_queue_push_tail(&t->set->changed, t);
 }
 
-void target_sent(Target *t, double now, const Ask *ask, int64_t fresh) {
-  t->open++;
-  t->waiting++;
-  t->backlog += fresh;
-  note_parts(t, ask, now);
+/* What was sent there and is still to be read. */
+static void take_off(Target *t, int64_t fresh) {
+  t->waiting--;
+  t->backlog -= fresh;
   note_change(t);
 }
 
-void target_first(Target *t, int64_t fresh) {
-  t->waiting--;
-  t->backlog -= fresh;
+void target_sent(Target *t, double now, const Ask *ask, const TargetChoice *c) {
+  t->open++;
+  t->waiting++;
+  t->backlog += c->fresh;
+  parts_note(t->parts, ask, now);
+  division_read(t->pool->division, now, c->long_prompt, c->fresh);
   note_change(t);
 }
 
@@ -385,11 +202,21 @@
   *m += weight * (v - *m);
 }
 
+void target_first(Target *t, int64_t fresh, int64_t ahead, double took_s) {
+  Fit *line = &t->pool->first;
+  double x = (double)(fresh + ahead), usual = fit_at(line, x);
+  take_off(t, fresh);
+  if (usual > 0)
+    mean(&t->slow, CLAMP(took_s / usual, 1 / SLOW_MOST, SLOW_MOST),
+         SLOW_WEIGHT);
+  fit_add(line, x, took_s);
+}
+
 void target_done(Target *t, double now, TargetEnd how, bool first,
                  int64_t fresh, double took_s) {
   t->open--;
   note_change(t);
-  if (!first) target_first(t, fresh);
+  if (!first) take_off(t, fresh);
   switch (how) {
   case TARGET_OK:
     mean(&t->fail, 0, FAIL_WEIGHT);
@@ -405,7 +232,7 @@
     mean(&t->fail, 1, FAIL_WEIGHT);
     t->aside_s = CLAMP(t->aside_s * 2, SILENT_ASIDE_S, SILENT_ASIDE_MOST_S);
     t->aside_until = now + t->aside_s;
-    g_hash_table_remove_all(t->parts); /* a restart has an empty memory */
+    parts_forget(t->parts); /* a restart has an empty memory */
     break;
   case TARGET_LEFT: break;
   }
@@ -419,6 +246,27 @@
 
 /* == what the other instances have there == */
 
+/* What the other instances have there, as far as their word is fresh. */
+static Other others(const Target *t, double now) {
+  Other sum = {0};
+  GHashTableIter it;
+  gpointer v;
+  g_hash_table_iter_init(&it, t->others);
+  while (g_hash_table_iter_next(&it, NULL, &v)) {
+    const Other *o = v;
+    if (now - o->at > OTHERS_FRESH_S) continue;
+    sum.open += o->open;
+    sum.tokens += o->tokens;
+  }
+  return sum;
+}
+
+TargetLoad target_load_now(const Target *t, double now) {
+  Other o = others(t, now);
+  return (TargetLoad){.open = t->open + o.open,
+                      .tokens = t->backlog + o.tokens};
+}
+
 uint64_t target_hash(const char *id) {
   return XXH64(id, strlen(id), 0);
 }
@@ -431,6 +279,41 @@
   return true;
 }
 
+void target_streamed(Target *t, double now, bool held) {
+  division_stream(t->pool->division, now, held);
+}
+
+bool targets_pool_word(Targets *s, double now, int i, TargetsPoolWord *w) {
+  GHashTableIter it;
+  gpointer v;
+  g_hash_table_iter_init(&it, s->pools);
+  while (g_hash_table_iter_next(&it, NULL, &v)) {
+    Pool *pool = v;
+    if (i-- > 0) continue;
+    w->pool = pool->hash;
+    w->word = division_own(pool->division, now);
+    return true;
+  }
+  return false;
+}
+
+static Pool *pool_by_hash(Targets *s, uint64_t hash) {
+  GHashTableIter it;
+  gpointer v;
+  g_hash_table_iter_init(&it, s->pools);
+  while (g_hash_table_iter_next(&it, NULL, &v)) {
+    Pool *pool = v;
+    if (pool->hash == hash) return pool;
+  }
+  return NULL;
+}
+
+void targets_pool_told(Targets *s, double now, uint64_t from,
+                       const TargetsPoolWord *w) {
+  Pool *pool = pool_by_hash(s, w->pool);
+  if (pool) division_told(pool->division, now, from, &w->word);
+}
+
 void targets_others(Targets *s, double now, uint64_t from,
                     const TargetWork *w) {
   Target *t = g_hash_table_lookup(s->by_hash, &w->target);
--- a/packages/route/targets.h
+++ b/packages/route/targets.h
@@ -8,6 +8,7 @@
 
 #include "flow/ask.h"
 #include "kernel/limits.h"
+#include "route/division.h"
 
 /* A target as it stands in the store. */
 typedef struct TargetInfo {
@@ -49,6 +50,8 @@
   const char *service;
   const Ask *ask;
   bool engine;
+  double pause_s; /* shortest pause that streams of the service allow; 0: none
+                     are known */
   const Target *const *tried;
   int n_tried;
 } TargetAsk;
@@ -58,6 +61,8 @@
   double wait_s;  /* predicted, until the first byte */
   int64_t fresh;  /* tokens of the prompt thought to be read anew */
   int candidates;
+  bool long_prompt; /* reading it holds up the streams beside it */
+  bool beside_long; /* long prompts are read at that target */
 } TargetChoice;
 
 TargetChoice targets_pick(Targets *s, double now, const TargetAsk *ask);
@@ -66,10 +71,11 @@
 const char *target_id(const Target *t);
 const char *target_addr(const Target *t);
 
-/* The chosen target gets the request, with `fresh` tokens to read. */
-void target_sent(Target *t, double now, const Ask *ask, int64_t fresh);
-/* Its first byte came. */
-void target_first(Target *t, int64_t fresh);
+/* The chosen target gets the request. */
+void target_sent(Target *t, double now, const Ask *ask, const TargetChoice *c);
+/* Its first byte came after `took_s`; `ahead` tokens of other prompts were to
+   be read there when it was sent. */
+void target_first(Target *t, int64_t fresh, int64_t ahead, double took_s);
 
 typedef enum {
   TARGET_OK,
@@ -103,6 +109,21 @@
   int64_t tokens;  /* of prompts, to be read before their first byte */
 } TargetWork;
 
+/* A stream that was sent there beside long prompts has ended; `held`: one of
+   its pauses was longer than its route allows. */
+void target_streamed(Target *t, double now, bool held);
+
+/* What one instance saw of a pool. */
+typedef struct TargetsPoolWord {
+  uint64_t pool; /* target_hash of the service */
+  DivisionWord word;
+} TargetsPoolWord;
+
+/* What we saw of the `i`-th pool; false: there are no more. */
+bool targets_pool_word(Targets *s, double now, int i, TargetsPoolWord *w);
+void targets_pool_told(Targets *s, double now, uint64_t from,
+                       const TargetsPoolWord *w);
+
 uint64_t target_hash(const char *id);
 /* Our own work at a target where it changed since the last call; false when
    there is no other. */
--- a/tests/test_codec.c
+++ b/tests/test_codec.c
@@ -78,6 +78,27 @@
   msgpack_sbuffer_destroy(&b);
 }
 
+Test(codec, what_was_seen_of_a_pool_round_trips) {
+  TargetsPoolWord w = {
+      .pool = 7,
+      .word = {
+          .long_read = 1e9, .short_read = 5, .streams = 12.25, .held = 0.5}};
+  msgpack_sbuffer b;
+  CodecMsg m;
+  msgpack_sbuffer_init(&b);
+  codec_put_pool(&b, &w);
+  cr_assert(same(&b, &m));
+  cr_assert_eq(m.type, CODEC_POOL);
+  cr_assert_eq(m.pool.pool, 7);
+  cr_assert(m.pool.word.long_read == 1e9 && m.pool.word.short_read == 5);
+  cr_assert(m.pool.word.streams == 12.25 && m.pool.word.held == 0.5);
+  msgpack_sbuffer_clear(&b);
+  w.word.held = -1;
+  codec_put_pool(&b, &w);
+  cr_assert_not(same(&b, &m), "a count is never below 0");
+  msgpack_sbuffer_destroy(&b);
+}
+
 Test(codec, what_was_read_round_trips) {
   CodecFeed f = {
       .kind = 1, .from = 5, .at = UINT64_MAX, .lapsed = true, .text = NULL};
--- a/tests/test_targets.c
+++ b/tests/test_targets.c
@@ -28,6 +28,11 @@
   return targets_pick(s, now, &ask).target;
 }
 
+static void sent(Target *t, double now, const Ask *a, int64_t fresh) {
+  TargetChoice c = {.target = t, .fresh = fresh};
+  target_sent(t, now, a, &c);
+}
+
 Test(targets, a_leaving_one_gets_no_new_work) {
   Targets *s = some(1);
   Ask a = {0};
@@ -70,7 +75,7 @@
   for (int i = 0; i < 20; i++) {
     Target *t = pick(s, 10.1, &a, false);
     cr_assert_str_eq(target_id(t), "i-2");
-    target_sent(t, 10.1, &a, 0);
+    sent(t, 10.1, &a, 0);
   }
   targets_free(s);
 }
@@ -89,11 +94,11 @@
   Targets *s = some(2);
   Ask a = {0};
   Target *t = pick(s, 1, &a, false);
-  target_sent(t, 1, &a, 0);
+  sent(t, 1, &a, 0);
   target_done(t, 1, TARGET_SILENT, false, 0, 0.1);
   for (int i = 0; i < 20; i++) cr_assert_neq(pick(s, 1.1, &a, false), t);
   Target *u = pick(s, 1.1, &a, false);
-  target_sent(u, 1.1, &a, 0);
+  sent(u, 1.1, &a, 0);
   target_done(u, 1.1, TARGET_SILENT, false, 0, 0.1);
   cr_assert_not_null(pick(s, 1.2, &a, false));
   targets_free(s);
@@ -124,9 +129,9 @@
   a.parts[0] = (AskPart){7, 1500};
   a.parts[1] = (AskPart){8, 500};
   Target *home = pick(s, 1, &a, true);
-  target_sent(home, 1, &a, 200000); /* four seconds of reading */
+  sent(home, 1, &a, 200000); /* four seconds of reading */
   cr_assert_neq(pick(s, 1, &a, true), home);
-  target_first(home, 200000);
+  target_first(home, 200000, 0, 4.5);
   cr_assert_eq(pick(s, 1, &a, true), home);
   targets_free(s);
 }
@@ -139,6 +144,34 @@
   targets_free(s);
 }
 
+/* Streams beside long prompts are held up: those get targets of their own. */
+Test(targets, short_prompts_run_where_no_long_ones_are_read) {
+  Targets *s = some(12);
+  GHashTable *longs = g_hash_table_new(g_str_hash, g_str_equal);
+  for (uint64_t k = 1; k <= 200; k++) {
+    Ask a = {.tokens_in = 9000, .n_parts = 1};
+    a.parts[0] = (AskPart){k, 9000};
+    TargetAsk ask = {
+        .service = "svc", .ask = &a, .engine = true, .pause_s = 0.3};
+    TargetChoice c = targets_pick(s, 1, &ask);
+    cr_assert(c.long_prompt && c.beside_long);
+    target_sent(c.target, 1, &a, &c);
+    g_hash_table_add(longs, (gpointer)target_id(c.target));
+  }
+  for (uint64_t k = 1000; k <= 1200; k++) {
+    Ask a = {.tokens_in = 400, .n_parts = 1};
+    a.parts[0] = (AskPart){k, 400};
+    TargetAsk ask = {
+        .service = "svc", .ask = &a, .engine = true, .pause_s = 0.3};
+    TargetChoice c = targets_pick(s, 1, &ask);
+    cr_assert_not(c.long_prompt || c.beside_long);
+    cr_assert_not(g_hash_table_contains(longs, target_id(c.target)));
+    target_sent(c.target, 1, &a, &c);
+  }
+  g_hash_table_destroy(longs);
+  targets_free(s);
+}
+
 /* What another instance has at a target holds ours up just as well. */
 Test(targets, what_others_have_there_counts_while_their_word_is_fresh) {
   Targets *s = some(2);
@@ -168,12 +201,12 @@
   TargetWork w;
   cr_assert_not(targets_changed(s, &w));
   Target *t = pick(s, 1, &a, true);
-  target_sent(t, 1, &a, 500);
+  sent(t, 1, &a, 500);
   cr_assert(targets_changed(s, &w));
   cr_assert_eq(w.target, target_hash(target_id(t)));
   cr_assert(w.open == 1 && w.tokens == 500);
   cr_assert_not(targets_changed(s, &w));
-  target_first(t, 500);
+  target_first(t, 500, 0, 0.02);
   target_done(t, 2, TARGET_OK, true, 500, 1);
   cr_assert(targets_changed(s, &w));
   cr_assert(w.open == 0 && w.tokens == 0);
