Instances of a small fleet tell each other which parts of prompts targets have read

Change: names of shared parts go to the others with the messages of the turn when they are new at a target or were last told 5 s ago.

--- a/packages/fleet/cluster.c
+++ b/packages/fleet/cluster.c
@@ -260,6 +260,8 @@
     take_conf(c, id, &m->conf);
   } else if (m->type == CODEC_WORK) {
     c->ev.work(c->ctx, from, &m->work);
+  } else if (m->type == CODEC_PARTS) {
+    c->ev.parts(c->ctx, &m->parts);
   } else if (m->type == CODEC_POOL) {
     c->ev.pool(c->ctx, from, &m->pool);
   } else if (m->type == CODEC_FEED) {
@@ -415,6 +417,13 @@
     peer_work(c->peer, m->peer, m->id, work);
 }
 
+void cluster_parts(Cluster *c, const TargetParts *parts) {
+  const Member *m;
+  if (c->view->n > WORK_MOST) return;
+  for (int i = 0; (m = next_near(c, &i));)
+    peer_parts(c->peer, m->peer, m->id, parts);
+}
+
 void cluster_pool(Cluster *c, const TargetsPoolWord *word) {
   const Member *m;
   for (int i = 0; (m = next_near(c, &i));)
--- a/packages/fleet/cluster.h
+++ b/packages/fleet/cluster.h
@@ -34,6 +34,8 @@
   void (*feed)(void *ctx, const CodecFeed *m);
   /* Another instance (hash of its id) tells of its work at a target. */
   void (*work)(void *ctx, uint64_t from, const TargetWork *m);
+  /* The same of parts of prompts that it had read there. */
+  void (*parts)(void *ctx, const TargetParts *m);
   /* The same of what it saw of a pool. */
   void (*pool)(void *ctx, uint64_t from, const TargetsPoolWord *m);
 } ClusterEvents;
@@ -51,6 +53,8 @@
 void cluster_feed(Cluster *c, const CodecFeed *m);
 /* Tells the others of our work at a target, in a small fleet. */
 void cluster_work(Cluster *c, const TargetWork *m);
+/* The same of parts of prompts. */
+void cluster_parts(Cluster *c, const TargetParts *m);
 /* Tells the others of the region what we saw of a pool. */
 void cluster_pool(Cluster *c, const TargetsPoolWord *m);
 void cluster_budgets(Cluster *c, const LedgerBudget *list, int n);
--- a/packages/node/node.c
+++ b/packages/node/node.c
@@ -187,6 +187,11 @@
   targets_others(n->targets, ev_now(n->loop), from, m);
 }
 
+static void on_parts(void *ctx, const TargetParts *m) {
+  Node *n = ctx;
+  targets_parts_told(n->targets, ev_now(n->loop), m);
+}
+
 static void on_pool(void *ctx, uint64_t from, const TargetsPoolWord *m) {
   Node *n = ctx;
   targets_pool_told(n->targets, ev_now(n->loop), from, m);
@@ -208,7 +213,10 @@
   (void)revents;
   Node *n = w->data;
   TargetWork work;
+  TargetParts parts;
   while (targets_changed(n->targets, &work)) cluster_work(n->cluster, &work);
+  while (targets_parts_news(n->targets, &parts))
+    cluster_parts(n->cluster, &parts);
 }
 
 static void on_feed(void *ctx, const CodecFeed *m) {
@@ -316,7 +324,7 @@
 static Cluster *open_cluster(Node *n, Err *e) {
   static const ClusterEvents events = {on_reserved, on_instances, on_peer_conf,
                                        conf_text,   on_feed,      on_work,
-                                       on_pool};
+                                       on_parts,    on_pool};
   ClusterOptions o = {.seeds = settings_text(settings, "seeds"),
                       .seed = random_number()};
   g_strlcpy(o.self.id, n->id, sizeof o.self.id);
--- a/packages/peer/codec.c
+++ b/packages/peer/codec.c
@@ -147,6 +147,16 @@
   msgpack_pack_int64(&p, thousandths(m->word.held));
 }
 
+void codec_put_parts(msgpack_sbuffer *b, const TargetParts *m) {
+  msgpack_packer p;
+  msgpack_packer_init(&p, b, msgpack_sbuffer_write);
+  msgpack_pack_array(&p, (size_t)m->n + 3);
+  msgpack_pack_uint8(&p, CODEC_PARTS);
+  msgpack_pack_uint64(&p, m->target);
+  msgpack_pack_uint8(&p, (uint8_t)m->n);
+  for (int i = 0; i < m->n; i++) msgpack_pack_uint64(&p, m->names[i]);
+}
+
 void codec_put_feed(msgpack_sbuffer *b, const CodecFeed *m) {
   msgpack_packer p;
   size_t n = m->text ? strlen(m->text) : 0;
@@ -275,6 +285,12 @@
   m->word.held = get_count(r) / THOUSAND;
 }
 
+static void get_parts(Reader *r, TargetParts *m) {
+  m->target = get_u64(r);
+  m->n = get_small(r, ASK_PARTS + 1);
+  for (int i = 0; i < m->n; i++) m->names[i] = get_u64(r);
+}
+
 static void get_work(Reader *r, TargetWork *m) {
   m->target = get_u64(r);
   m->open = get_small(r, LOAD_MAX);
@@ -385,7 +401,7 @@
   msgpack_unpacked_init(&u);
   bool ok = open_array(data, len, off, &u, &r);
   if (ok) {
-    m->type = (CodecType)get_small(&r, CODEC_POOL + 1);
+    m->type = (CodecType)get_small(&r, CODEC_PARTS + 1);
     switch (m->type) {
     case CODEC_BEAT: get_beat(&r, &m->beat); break;
     case CODEC_LEDGER: get_ledger(&r, &m->ledger); break;
@@ -395,6 +411,7 @@
     case CODEC_FEED: get_feed(&r, &m->feed); break;
     case CODEC_WORK: get_work(&r, &m->work); break;
     case CODEC_POOL: get_pool(&r, &m->pool); break;
+    case CODEC_PARTS: get_parts(&r, &m->parts); break;
     }
     ok = !r.bad;
     if (!ok) codec_clear(m);
--- a/packages/peer/codec.h
+++ b/packages/peer/codec.h
@@ -19,7 +19,8 @@
   CODEC_CONF,
   CODEC_FEED,
   CODEC_WORK,
-  CODEC_POOL
+  CODEC_POOL,
+  CODEC_PARTS
 } CodecType;
 
 typedef struct CodecHead {
@@ -53,6 +54,7 @@
   CodecFeed feed;
   TargetWork work;
   TargetsPoolWord pool;
+  TargetParts parts;
 } CodecMsg;
 
 uint64_t codec_hash(const char *id);
@@ -64,6 +66,7 @@
 void codec_put_conf(msgpack_sbuffer *b, uint64_t version, const char *text);
 void codec_put_work(msgpack_sbuffer *b, const TargetWork *m);
 void codec_put_pool(msgpack_sbuffer *b, const TargetsPoolWord *m);
+void codec_put_parts(msgpack_sbuffer *b, const TargetParts *m);
 void codec_put_feed(msgpack_sbuffer *b, const CodecFeed *m);
 
 /* Reads at *off; false at the end or when it is not understood. */
--- a/packages/peer/peer.c
+++ b/packages/peer/peer.c
@@ -142,6 +142,13 @@
   pthread_mutex_unlock(&p->lock);
 }
 
+void peer_parts(Peer *p, const char *addr, const char *id,
+                const TargetParts *m) {
+  pthread_mutex_lock(&p->lock);
+  codec_put_parts(&frame_for(p, addr, codec_hash(id))->buf, m);
+  pthread_mutex_unlock(&p->lock);
+}
+
 void peer_pool(Peer *p, const char *addr, const char *id,
                const TargetsPoolWord *m) {
   pthread_mutex_lock(&p->lock);
--- a/packages/peer/peer.h
+++ b/packages/peer/peer.h
@@ -25,6 +25,8 @@
 void peer_conf(Peer *p, const char *addr, const char *id, uint64_t version,
                const char *text);
 void peer_work(Peer *p, const char *addr, const char *id, const TargetWork *m);
+void peer_parts(Peer *p, const char *addr, const char *id,
+                const TargetParts *m);
 void peer_pool(Peer *p, const char *addr, const char *id,
                const TargetsPoolWord *m);
 void peer_feed(Peer *p, const char *addr, const char *id, const CodecFeed *m);
--- a/packages/route/parts.c
+++ b/packages/route/parts.c
@@ -4,24 +4,32 @@
 #include <xxhash.h>
 
 #define KEEP_S 60.0 /* a part unused for longer counts as lost */
+/* The others are told again after this: one that has just started knows
+   nothing, and prompts of one session come seconds apart. */
+#define TELL_AGAIN_S 5.0
+
+typedef struct Part {
+  double used; /* last, by anybody */
+  double told; /* when the others were told last; 0: never */
+} Part;
 
 struct Parts {
-  GHashTable *used; /* chain of ids -> double*, last use */
+  GHashTable *known; /* name -> Part */
 };
 
 Parts *parts_new(void) {
   Parts *p = g_new0(Parts, 1);
-  p->used = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+  p->known = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
   return p;
 }
 
 void parts_free(Parts *p) {
-  g_hash_table_destroy(p->used);
+  g_hash_table_destroy(p->known);
   g_free(p);
 }
 
 void parts_forget(Parts *p) {
-  g_hash_table_remove_all(p->used);
+  g_hash_table_remove_all(p->known);
 }
 
 /* Names part `i` together with all before it. */
@@ -30,26 +38,38 @@
   return XXH64(pair, sizeof pair, 0);
 }
 
-static void note(Parts *p, uint64_t id, double now) {
-  double *used = g_hash_table_lookup(p->used, &id);
-  if (!used) {
-    used = g_new(double, 1);
-    g_hash_table_insert(p->used, g_memdup2(&id, sizeof id), used);
+static Part *note(Parts *p, uint64_t name, double now) {
+  Part *part = g_hash_table_lookup(p->known, &name);
+  if (!part) {
+    part = g_new0(Part, 1);
+    g_hash_table_insert(p->known, g_memdup2(&name, sizeof name), part);
   }
-  *used = now;
+  part->used = now;
+  return part;
 }
 
-void parts_note(Parts *p, const Ask *a, double now) {
-  uint64_t id = 0;
+int parts_note(Parts *p, const Ask *a, double now, uint64_t *news) {
+  uint64_t name = 0;
+  int n = 0;
   for (int i = 0; i < a->n_parts; i++) {
-    id = chain(a, i, id);
-    note(p, id, now);
+    name = chain(a, i, name);
+    Part *part = note(p, name, now);
+    bool shared = i + 1 < a->n_parts;
+    if (!shared || (part->told > 0 && now - part->told < TELL_AGAIN_S))
+      continue;
+    part->told = now;
+    news[n++] = name;
   }
+  return n;
+}
+
+void parts_told(Parts *p, const uint64_t *names, int n, double now) {
+  for (int i = 0; i < n; i++) note(p, names[i], now);
 }
 
-static bool has(const Parts *p, uint64_t id, double now) {
-  const double *used = g_hash_table_lookup(p->used, &id);
-  return used && now - *used < KEEP_S;
+static bool has(const Parts *p, uint64_t name, double now) {
+  const Part *part = g_hash_table_lookup(p->known, &name);
+  return part && now - part->used < KEEP_S;
 }
 
 int64_t parts_kept(const Parts *p, const Ask *a, double now) {
--- a/packages/route/parts.h
+++ b/packages/route/parts.h
@@ -11,8 +11,12 @@
 
 Parts *parts_new(void);
 void parts_free(Parts *p);
-/* The target reads this prompt. */
-void parts_note(Parts *p, const Ask *a, double now);
+/* The target reads this prompt. Names of its shared parts that the other
+   instances have not been told of lately go to `news` (room for ASK_PARTS);
+   returns how many. */
+int parts_note(Parts *p, const Ask *a, double now, uint64_t *news);
+/* Another instance had these read there. */
+void parts_told(Parts *p, const uint64_t *names, int n, double now);
 /* Its memory is empty. */
 void parts_forget(Parts *p);
 /* Tokens of the prompt that it need not read again. */
--- a/packages/route/state.h
+++ b/packages/route/state.h
@@ -50,6 +50,7 @@
   GHashTable *by_hash; /* the same targets */
   GHashTable *pools;   /* service -> Pool */
   GQueue changed;      /* Target* */
+  GQueue parts_news;   /* TargetParts* */
   GRand *rand;
 };
 
--- a/packages/route/targets.c
+++ b/packages/route/targets.c
@@ -48,6 +48,7 @@
   s->by_hash = g_hash_table_new(g_int64_hash, g_int64_equal);
   s->pools = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, pool_free);
   g_queue_init(&s->changed);
+  g_queue_init(&s->parts_news);
   s->rand = g_rand_new_with_seed(seed);
   return s;
 }
@@ -55,6 +56,7 @@
 void targets_free(Targets *s) {
   g_hash_table_destroy(s->by_hash);
   g_queue_clear(&s->changed);
+  g_queue_clear_full(&s->parts_news, g_free);
   g_hash_table_destroy(s->by_id);
   g_hash_table_destroy(s->pools);
   g_rand_free(s->rand);
@@ -189,11 +191,17 @@
   note_change(t);
 }
 
+static void note_parts(Target *t, double now, const Ask *ask) {
+  TargetParts m = {.target = t->hash};
+  m.n = parts_note(t->parts, ask, now, m.names);
+  if (m.n > 0) g_queue_push_tail(&t->set->parts_news, g_memdup2(&m, sizeof m));
+}
+
 void target_sent(Target *t, double now, const Ask *ask, const TargetChoice *c) {
   t->open++;
   t->waiting++;
   t->backlog += c->fresh;
-  parts_note(t->parts, ask, now);
+  note_parts(t, now, ask);
   division_read(t->pool->division, now, c->long_prompt, c->fresh);
   note_change(t);
 }
@@ -279,6 +287,19 @@
   return true;
 }
 
+bool targets_parts_news(Targets *s, TargetParts *m) {
+  TargetParts *first = g_queue_pop_head(&s->parts_news);
+  if (!first) return false;
+  *m = *first;
+  g_free(first);
+  return true;
+}
+
+void targets_parts_told(Targets *s, double now, const TargetParts *m) {
+  const Target *t = g_hash_table_lookup(s->by_hash, &m->target);
+  if (t) parts_told(t->parts, m->names, m->n, now);
+}
+
 void target_streamed(Target *t, double now, bool held) {
   division_stream(t->pool->division, now, held);
 }
--- a/packages/route/targets.h
+++ b/packages/route/targets.h
@@ -109,6 +109,17 @@
   int64_t tokens;  /* of prompts, to be read before their first byte */
 } TargetWork;
 
+/* Shared parts of prompts that one instance had read at a target. */
+typedef struct TargetParts {
+  uint64_t target; /* target_hash of it */
+  int n;
+  uint64_t names[ASK_PARTS];
+} TargetParts;
+
+/* What the others have not been told yet; false: nothing. */
+bool targets_parts_news(Targets *s, TargetParts *m);
+void targets_parts_told(Targets *s, double now, const TargetParts *m);
+
 /* A stream that was sent there beside long prompts has ended; `held`: one of
    its pauses was longer than its route allows. */
 void target_streamed(Target *t, double now, bool held);
--- a/tests/test_codec.c
+++ b/tests/test_codec.c
@@ -99,6 +99,23 @@
   msgpack_sbuffer_destroy(&b);
 }
 
+Test(codec, parts_of_prompts_round_trip) {
+  TargetParts w = {.target = 7, .n = 2, .names = {UINT64_MAX, 3}};
+  msgpack_sbuffer b;
+  CodecMsg m;
+  msgpack_sbuffer_init(&b);
+  codec_put_parts(&b, &w);
+  cr_assert(same(&b, &m));
+  cr_assert_eq(m.type, CODEC_PARTS);
+  cr_assert(m.parts.target == 7 && m.parts.n == 2);
+  cr_assert(m.parts.names[0] == UINT64_MAX && m.parts.names[1] == 3);
+  msgpack_sbuffer_clear(&b);
+  w.n = ASK_PARTS;
+  codec_put_parts(&b, &w);
+  cr_assert(same(&b, &m));
+  msgpack_sbuffer_destroy(&b);
+}
+
 Test(codec, what_was_read_round_trips) {
   CodecFeed f = {
       .kind = 1, .from = 5, .at = UINT64_MAX, .lapsed = true, .text = NULL};
--- a/tests/test_division.c
+++ b/tests/test_division.c
@@ -53,7 +53,8 @@
   Parts *p = parts_new();
   Ask a = prompt(5, 6), b = prompt(5, 7), c = prompt(9, 6);
   cr_assert_eq(parts_kept(p, &a, 1), 0);
-  parts_note(p, &a, 1);
+  uint64_t news[ASK_PARTS];
+  parts_note(p, &a, 1, news);
   cr_assert_eq(parts_kept(p, &a, 2), 9000);
   cr_assert_eq(parts_kept(p, &b, 2), 6000, "its own part is new");
   cr_assert_eq(parts_kept(p, &c, 2), 2000, "the last part has other parents");
@@ -66,6 +67,20 @@
   parts_free(p);
 }
 
+Test(parts, others_learn_of_shared_parts_and_are_told_again_after_a_while) {
+  Parts *p = parts_new(), *other = parts_new();
+  Ask a = prompt(5, 6), b = prompt(5, 7), c = prompt(8, 7);
+  uint64_t news[ASK_PARTS];
+  cr_assert_eq(parts_note(p, &a, 1, news), 2, "not its own part");
+  parts_told(other, news, 2, 1);
+  cr_assert_eq(parts_kept(other, &b, 2), 6000);
+  cr_assert_eq(parts_note(p, &b, 2, news), 0, "nothing new");
+  cr_assert_eq(parts_note(p, &c, 3, news), 1, "one part is new");
+  cr_assert_eq(parts_note(p, &b, 8, news), 2, "told again");
+  parts_free(p);
+  parts_free(other);
+}
+
 /* == the division == */
 
 /* `held` of a hundred streams beside long prompts had too long a pause. */
