Where parts are told, nothing is assumed of homes; one limit for a small fleet

Hypothesis: with told parts the home worked out by rendezvous only makes first prompts of a session wait for it. Change: in a small fleet a prompt that nobody has read goes where it is read soonest. READERS_FROM and WORK_MOST, which meant the same, are FLEET_SMALL.

--- a/packages/fleet/cluster.c
+++ b/packages/fleet/cluster.c
@@ -19,7 +19,6 @@
 #define TELL_FIRST_S 0.1      /* a link is made in a few milliseconds */
 #define TELL_AGAIN_S 0.5
 #define TELL_TIMES 3
-#define WORK_MOST 12   /* members; messages grow with the square of them */
 #define CONF_ASK_S 0.4 /* the store is given this long to bring it */
 
 struct Cluster {
@@ -412,14 +411,14 @@
 
 void cluster_work(Cluster *c, const TargetWork *work) {
   const Member *m;
-  if (c->view->n > WORK_MOST) return;
+  if (c->view->n >= FLEET_SMALL) return;
   for (int i = 0; (m = next_near(c, &i));)
     peer_work(c->peer, m->peer, m->id, work);
 }
 
 void cluster_parts(Cluster *c, const TargetParts *parts) {
   const Member *m;
-  if (c->view->n > WORK_MOST) return;
+  if (c->view->n >= FLEET_SMALL) return;
   for (int i = 0; (m = next_near(c, &i));)
     peer_parts(c->peer, m->peer, m->id, parts);
 }
--- a/packages/kernel/limits.h
+++ b/packages/kernel/limits.h
@@ -52,6 +52,13 @@
 #define CLAIM_LINGER 1.0       /* outcomes wait this long for company */
 #define CLAIM_IDLE 60.0        /* a shard that nobody asks for is forgotten */
 
+/* == sizes of a fleet == */
+
+/* Fewer instances tell each other of each request and read the store for
+   themselves; messages grow with the square of them. From here on some read
+   for all, and each guesses what the others do. */
+#define FLEET_SMALL 12
+
 /* == members, seconds == */
 
 #define MEMBER_SMALL 32   /* instances that all hear of each other alike */
--- a/packages/member/readers.c
+++ b/packages/member/readers.c
@@ -46,7 +46,7 @@
 }
 
 ReadersDuty readers_duty(Readers *r, double now, const View *v) {
-  if (v->n < READERS_FROM) return READERS_OWN;
+  if (v->n < FLEET_SMALL) return READERS_OWN;
   g_hash_table_foreach_remove(r->heard, is_old, &now);
   int found = 0;
   for (int rank = 0; found < READERS; rank++) {
--- a/packages/member/readers.h
+++ b/packages/member/readers.h
@@ -8,8 +8,7 @@
 
 #include "member/view.h"
 
-#define READERS 3       /* of a region; one that is cut off is not missed */
-#define READERS_FROM 12 /* members; fewer read for themselves each */
+#define READERS 3 /* of a region; one that is cut off is not missed */
 /* Seconds without a word after which the next choice reads in its place. */
 #define READERS_SILENT 3.0
 
--- a/packages/node/node.c
+++ b/packages/node/node.c
@@ -151,6 +151,7 @@
 static void on_instances(void *ctx, int count) {
   Node *n = ctx;
   n->instances = count;
+  targets_parts_are_told(n->targets, count < FLEET_SMALL);
   retries_instances(n->retries, ev_now(n->loop), count);
 }
 
--- a/packages/route/choose.c
+++ b/packages/route/choose.c
@@ -69,7 +69,7 @@
   const Ask *a = p->ask->ask;
   int64_t all = parts_tokens(a), had = parts_kept(t->parts, a, p->now);
   uint64_t key = parts_key(a);
-  if (had > 0 || key == 0) return all - had;
+  if (had > 0 || key == 0 || p->set->parts_are_told) return all - had;
   /* Its home has most likely read the shared parts for somebody else. */
   if (home_weight(t, key) != p->homes[0]) return all;
   return all - parts_shared(a);
--- a/packages/route/state.h
+++ b/packages/route/state.h
@@ -51,6 +51,7 @@
   GHashTable *pools;   /* service -> Pool */
   GQueue changed;      /* Target* */
   GQueue parts_news;   /* TargetParts* */
+  bool parts_are_told; /* by the other instances, too */
   GRand *rand;
 };
 
--- a/packages/route/targets.c
+++ b/packages/route/targets.c
@@ -287,6 +287,10 @@
   return true;
 }
 
+void targets_parts_are_told(Targets *s, bool told) {
+  s->parts_are_told = told;
+}
+
 bool targets_parts_news(Targets *s, TargetParts *m) {
   TargetParts *first = g_queue_pop_head(&s->parts_news);
   if (!first) return false;
--- a/packages/route/targets.h
+++ b/packages/route/targets.h
@@ -116,6 +116,9 @@
   uint64_t names[ASK_PARTS];
 } TargetParts;
 
+/* Whether all instances tell each other of parts. Where they don't, equal
+   prompts meet at a home that all of them work out alike. */
+void targets_parts_are_told(Targets *s, bool told);
 /* What the others have not been told yet; false: nothing. */
 bool targets_parts_news(Targets *s, TargetParts *m);
 void targets_parts_told(Targets *s, double now, const TargetParts *m);
--- a/tests/test_readers.c
+++ b/tests/test_readers.c
@@ -51,11 +51,11 @@
 }
 
 Test(readers, a_small_fleet_reads_each_for_itself) {
-  start(READERS_FROM - 1);
-  cr_assert_eq(second(1, READERS_FROM - 1), 0);
-  for (int i = 0; i < READERS_FROM - 1; i++)
+  start(FLEET_SMALL - 1);
+  cr_assert_eq(second(1, FLEET_SMALL - 1), 0);
+  for (int i = 0; i < FLEET_SMALL - 1; i++)
     cr_assert_eq(readers_duty(all[i], 2, view), READERS_OWN);
-  stop(READERS_FROM - 1);
+  stop(FLEET_SMALL - 1);
 }
 
 Test(readers, a_few_read_for_a_large_fleet) {
--- a/tests/test_targets.c
+++ b/tests/test_targets.c
@@ -144,6 +144,30 @@
   targets_free(s);
 }
 
+/* Where others tell what they had read, nothing is assumed of a home. */
+Test(targets, told_parts_lead_to_the_target_that_has_them) {
+  Targets *s = some(8), *other = some(8);
+  Ask a = {.tokens_in = 9000, .n_parts = 2};
+  TargetParts m;
+  a.parts[0] = (AskPart){7, 8000};
+  a.parts[1] = (AskPart){8, 1000};
+  targets_parts_are_told(s, true);
+  targets_parts_are_told(other, true);
+  TargetAsk ask = {.service = "svc", .ask = &a, .engine = true};
+  TargetChoice c = targets_pick(other, 1, &ask);
+  cr_assert_eq(c.fresh, 9000, "nobody has read it");
+  target_sent(c.target, 1, &a, &c);
+  cr_assert(targets_parts_news(other, &m));
+  cr_assert_not(targets_parts_news(other, &m), "once");
+  targets_parts_told(s, 1, &m);
+  a.parts[1].id = 9;
+  c = targets_pick(s, 1.1, &ask);
+  cr_assert_eq(target_hash(target_id(c.target)), m.target);
+  cr_assert_eq(c.fresh, 1000);
+  targets_free(s);
+  targets_free(other);
+}
+
 /* Streams beside long prompts are held up: those get targets of their own. */
 Test(targets, short_prompts_run_where_no_long_ones_are_read) {
   Targets *s = some(12);
