While the store is away callers are told to come back after 5 s, or a third of their time

Hypothesis: after 1 s most are refused again; outages last 4 to 9 s. Change: Retry-After of an outage 5 s, never more than a third of the caller's time left, so that two thirds are left for being served.

--- a/packages/flow/relay.c
+++ b/packages/flow/relay.c
@@ -16,7 +16,10 @@
  */
 #define BUDGET_SHARE 0.2
 #define DEADLINE_DEFAULT_S 30.0 /* of a caller that names none */
-#define BACK_LATER_MS 1000      /* of what takes longer */
+#define BACK_LATER_MS 5000      /* of an outage; the users' last 4 to 9 s */
+/* Whoever is told to come back has this many times as long left as he waits:
+   later, and there is no time to be served in. */
+#define BACK_SHARE 3
 
 /* == budget == */
 
@@ -33,7 +36,8 @@
 
 static void budget_refused(Run *x, ErrKind cause, int retry_ms) {
   Err e;
-  err_retry(&e, cause, retry_ms,
+  int left_ms = (int)((x->deadline - run_now(x)) * 1000);
+  err_retry(&e, cause, MIN(retry_ms, left_ms / BACK_SHARE),
             "%" G_GINT64_FORMAT " tokens could not be reserved for %s",
             x->reserved, x->customer->name);
   run_give_up(x, &e);
--- a/packages/ledger/holder.c
+++ b/packages/ledger/holder.c
@@ -9,8 +9,12 @@
 /* An account elsewhere than at the first choice lives on while its home
    speaks. */
 #define LINGER 5.0
-#define HOME_SPOKE 1.0  /* seconds; a home that answered since is there */
-#define CHOICES 4       /* homes that are asked one after the other */
+#define HOME_SPOKE 1.0 /* seconds; a home that answered since is there */
+#define CHOICES 4      /* homes that are asked one after the other */
+#define BACK_MS 1000   /* Retry-After while tokens are on their way back */
+#define BACK_AWAY_MS                                                           \
+  5000                  /* while the store is away: 4 to 9 s on the users'     \
+                           days */
 #define FIRST_AGAIN 3.0 /* the first choice is tried again after this */
 
 /* == accounts == */
@@ -129,7 +133,8 @@
 
 static void refuse(Ledger *l, Purse *p, GList *link, ErrKind cause) {
   const Waiter *w = link->data;
-  int retry_ms = cause == ERR_BUDGET_EMPTY ? 0 : 1000;
+  bool away = cause == ERR_BUDGET_STORE;
+  int retry_ms = cause == ERR_BUDGET_EMPTY ? 0 : away ? BACK_AWAY_MS : BACK_MS;
   ledger_answer(l, w->handle, cause, retry_ms);
   drop_waiter(l, p, link);
 }
