loftpath account and loftpath explain: what the logs tell of lost worth, and of one request

account: by route and cause with the mean of the inputs that decided, by moment, by customer. explain: the lines of one request, what its instance believed before it, what its target did.

--- a/bin/loftpath.c
+++ b/bin/loftpath.c
@@ -10,6 +10,9 @@
 
 #include "http/client.h"
 #include "kernel/err.h"
+#include "report/account.h"
+#include "report/explain.h"
+#include "report/lines.h"
 #include "table/table.h"
 
 #define CALL_S 30
@@ -33,7 +36,9 @@
     "  instances      members of the fleet\n"
     "  status         what is wrong first, then what to do\n"
     "  drain          planned stop of the instance asked\n"
-    "  hash KEY       SHA-256 of a customer's key, for the table\n\n"
+    "  hash KEY       SHA-256 of a customer's key, for the table\n"
+    "  account [LOG]  where worth was lost, from instances' log lines\n"
+    "  explain ID LOG one request: its lines and what led to them\n\n"
     "Exit: 0 fine, 1 failed, 2 usage, 3 refused, 4 status found a fault.\n"
     "Environment: LOFTPATH_ADDRESS, LOFTPATH_ADMIN_KEY.";
 
@@ -47,7 +52,7 @@
     {0}};
 
 typedef struct Args {
-  const char *address, *key, *command, *file, *base;
+  const char *address, *key, *command, *file, *log, *base;
   int wait_s;
   bool json;
 } Args;
@@ -64,6 +69,8 @@
       a->command = arg;
     else if (state->arg_num == 1)
       a->file = arg;
+    else if (state->arg_num == 2)
+      a->log = arg;
     else
       argp_usage(state);
     break;
@@ -477,6 +484,49 @@
   return EXIT_FINE;
 }
 
+/* == logs == */
+
+static FILE *open_log(const char *path) {
+  FILE *f = path ? fopen(path, "r") : stdin;
+  if (!f) fprintf(stderr, "loftpath: %s can't be read\n", path);
+  return f;
+}
+
+static int cmd_account(const Args *a) {
+  FILE *in = open_log(a->file);
+  if (!in) return EXIT_FAILED;
+  Account *account = report_account_new();
+  long passed = 0;
+  json_t *line;
+  while ((line = lines_next(in, &passed))) {
+    report_account_add(account, line);
+    json_decref(line);
+  }
+  report_account_print(account, stdout);
+  if (passed > 0)
+    fprintf(stderr, "loftpath: %ld lines are no events\n", passed);
+  report_account_free(account);
+  if (in != stdin) fclose(in);
+  return EXIT_FINE;
+}
+
+static int cmd_explain(const Args *a) {
+  if (!a->file || !a->log) {
+    fprintf(stderr, "loftpath: explain needs a request's id and a log file\n");
+    return EXIT_USAGE;
+  }
+  FILE *in = open_log(a->log);
+  if (!in) return EXIT_FAILED;
+  bool found = report_explain(in, a->file, stdout);
+  fclose(in);
+  if (found) return EXIT_FINE;
+  fprintf(stderr,
+          "loftpath: no request %s in the log: look at the others' "
+          "logs, or in an older one\n",
+          a->file);
+  return EXIT_FAILED;
+}
+
 static const struct {
   const char *name;
   int (*run)(const Args *a);
@@ -487,13 +537,14 @@
     {"bills", cmd_bills},         {"targets", cmd_targets},
     {"instances", cmd_instances}, {"status", cmd_status},
     {"drain", cmd_drain},         {"hash", cmd_hash},
+    {"account", cmd_account},     {"explain", cmd_explain},
 };
 
 int main(int argc, char **argv) {
   Args a = {.address = getenv("LOFTPATH_ADDRESS"),
             .key = getenv("LOFTPATH_ADMIN_KEY"),
             .wait_s = 10};
-  struct argp argp = {options, on_option, "COMMAND [FILE]", doc, 0, 0, 0};
+  struct argp argp = {options, on_option, "COMMAND [FILE [LOG]]", doc, 0, 0, 0};
   argp_parse(&argp, argc, argv, 0, NULL, &a);
   if (!a.address) a.address = "127.0.0.1:8080";
   if (!a.key) a.key = "";
