--- a/packages/fleet/cluster.c
+++ b/packages/fleet/cluster.c
@@ -114,7 +114,7 @@
 static void remember_ids(Cluster *c) {
   g_hash_table_remove_all(c->ids);
   for (int i = 0; i < c->view->n; i++) {
-    uint64_t h = codec_hash(c->view->list[i].id);
+    uint64_t h = text_hash(c->view->list[i].id);
     g_hash_table_insert(c->ids, g_memdup2(&h, sizeof h),
                         g_strdup(c->view->list[i].id));
   }
@@ -234,7 +234,7 @@
 }
 
 static void take_beat(Cluster *c, uint64_t from, const Member *m) {
-  if (codec_hash(m->id) != from) {
+  if (text_hash(m->id) != from) {
     member_introduced(c->members, now_of(c), m);
     return;
   }
--- a/packages/fleet/fleet.c
+++ b/packages/fleet/fleet.c
@@ -113,7 +113,7 @@
 
 static void remember_ids(Fleet *f, const View *v) {
   for (int i = 0; i < v->n; i++) {
-    uint64_t h = codec_hash(v->list[i].id);
+    uint64_t h = text_hash(v->list[i].id);
     if (g_hash_table_contains(f->ids, &h)) continue;
     g_hash_table_insert(f->ids, g_memdup2(&h, sizeof h),
                         g_strdup(v->list[i].id));
--- a/packages/kernel/text.c
+++ b/packages/kernel/text.c
@@ -3,6 +3,8 @@
 
 #include <glib.h>
 #include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
 
 char *text_json(json_t *o) {
   char *text = json_dumps(o, JSON_COMPACT), *copy = g_strdup(text);
@@ -10,3 +12,7 @@
   json_decref(o);
   return copy;
 }
+
+uint64_t text_hash(const char *name) {
+  return XXH64(name, strlen(name), 0);
+}
--- a/packages/ledger/home.c
+++ b/packages/ledger/home.c
@@ -5,30 +5,17 @@
 #include <math.h>
 #include <string.h>
 
-#define RATE_TAU 30.0  /* seconds over which a region's demand is averaged */
-#define SLOW_TAU 300.0 /* the same, for what is laid up */
-#define END_SHARE 2.0  /* a region lays up one part in so many of the rest */
-#define END_REST 0.3   /* of the total: below this a budget is near its end */
-#define UNUSED 0.02    /* of the total: 97 in 100 have to be usable */
 #define SURPLUS 1.5 /* more than so many times what is to be held goes back */
 #define SURPLUS_EVERY 1.0 /* seconds between writes for that alone */
-#define STAND_IN 1.0      /* seconds laid up by a home that is not the first */
-/* Seconds of demand laid up again in a second, after an outage used them up:
-   the store has just come back, and what is held when all are killed is lost.
-   Outages on the users' days are 9 s apart or more. */
-#define REBUILD 0.8
 #define STORE_SLOW                                                             \
-  0.08                    /* seconds; the store answers in 4 ms, so after this \
-                             another home may be nearer to it */
-#define YOUNG 2.0         /* a mean of less time than this says little */
-#define SPARE 1.2         /* laid up for each token of measured demand */
-#define REFILL_BELOW 0.8  /* of what is to be laid up */
-#define REFILL_LEAST 0.1  /* smaller refills are not worth a write */
-#define RECALL_EVERY 1.0  /* seconds between two recalls of one budget */
-#define RECALL_WAIT 0.4   /* seconds that a recall is given */
-#define FRESH 0.25        /* seconds that a read of the store counts as new */
-#define GIVING 2.0        /* seconds that a recall from elsewhere is obeyed */
-#define SOLE_RESERVE 60.0 /* seconds laid up at most without a witness */
+  0.08                   /* seconds; the store answers in 4 ms, so after this  \
+                            another home may be nearer to it */
+#define REFILL_BELOW 0.8 /* of what is to be laid up */
+#define REFILL_LEAST 0.1 /* smaller refills are not worth a write */
+#define RECALL_EVERY 1.0 /* seconds between two recalls of one budget */
+#define RECALL_WAIT 0.4  /* seconds that a recall is given */
+#define FRESH 0.25       /* seconds that a read of the store counts as new */
+#define GIVING 2.0       /* seconds that a recall from elsewhere is obeyed */
 /* A home that is not the first choice hands over when nobody asked it for this
    long. */
 #define LINGER 5.0
@@ -42,34 +29,6 @@
   return g->granted - g->returned - (g->given - g->back);
 }
 
-static const LedgerBudget *row_of(const Ledger *l, const HomeBudget *h) {
-  return g_hash_table_lookup(l->rows, h->name);
-}
-
-/* A young average has not yet seen its whole time. */
-static double grown(double mean, double age, double tau) {
-  return mean / (1 - exp(-age / tau));
-}
-
-/* Tokens a second that this region used. */
-static double demand(const Ledger *l, const HomeBudget *h) {
-  double age = MAX(l->now - h->born, YOUNG);
-  return MAX(grown(h->slow, age, SLOW_TAU), grown(h->rate, age, RATE_TAU));
-}
-
-/* Seconds of demand that the table asks this home to hold ready. */
-static double reserve_s(const Ledger *l, const HomeBudget *h) {
-  const LedgerBudget *row = row_of(l, h);
-  double s = row ? row->reserve_s : 0;
-  if (h->held && !h->held->witness[0] && s > SOLE_RESERVE) s = SOLE_RESERVE;
-  if (!l->ours[shard_index(h->name)] && s > STAND_IN) s = STAND_IN;
-  return s;
-}
-
-static double laid_up(const Ledger *l, const HomeBudget *h) {
-  return demand(l, h) * SPARE * MIN(reserve_s(l, h), h->ready_s);
-}
-
 static int64_t needs(const HomeBudget *h) {
   int64_t n = 0;
   for (guint i = 0; i < h->draws->len; i++)
@@ -77,19 +36,6 @@
   return n;
 }
 
-/* What is laid up is lost when home and witness die together, so a region holds
-   no more than its share of the rest, and near the end of the budget no more
-   than may go unused. */
-static int64_t share_of_rest(const Ledger *l, const HomeBudget *h, int64_t have,
-                             int64_t remaining) {
-  const LedgerBudget *row = row_of(l, h);
-  double total = row ? (double)row->total : 0;
-  double rest = (double)(have + remaining);
-  double share = rest / END_SHARE;
-  if (rest < END_REST * total) share = MIN(share, UNUSED * total);
-  return (int64_t)(share / MAX(l->regions, 1));
-}
-
 /* How much to draw now, when `remaining` tokens are left in the store. Beyond
    present need a region holds no more than its share of the rest, so that
    grants shrink as the budget does. */
@@ -97,8 +43,8 @@
   if (!h->held || h->held->frozen || remaining <= 0) return 0;
   int64_t have = home_free(h->held);
   int64_t need = needs(h) - have;
-  int64_t ahead = (int64_t)laid_up(l, h) - have;
-  int64_t cap = MAX(0, share_of_rest(l, h, have, remaining) - have);
+  int64_t ahead = (int64_t)layup_tokens(l, h) - have;
+  int64_t cap = MAX(0, layup_share(l, h, have, remaining) - have);
   if (need > 0) ahead = MAX(ahead, need + LEDGER_MIN_DRAW);
   int64_t n = MAX(need, MIN(ahead, cap));
   return CLAMP(n, 0, remaining);
@@ -186,8 +132,7 @@
   Share *s = share_of(g, d->holder, true);
   s->granted += n;
   g->given += n;
-  h->rate += (double)n / RATE_TAU;
-  h->slow += (double)n / SLOW_TAU;
+  layup_used(h, n);
   send_allot(l, h, d->holder, s->granted, ERR_NONE);
 }
 
@@ -320,10 +265,7 @@
   int64_t twice = l->faults.add_reports ? s->returned : 0;
   int64_t before = h->held->back;
   take_counts(h->held, s, m->returned + twice, m->spent);
-  /* Demand is what is used, not what was reserved at most. */
-  double back = (double)(h->held->back - before);
-  h->rate = MAX(0, h->rate - back / RATE_TAU);
-  h->slow = MAX(0, h->slow - back / SLOW_TAU);
+  layup_used(h, before - h->held->back);
 }
 
 void home_draw(Ledger *l, const char *from, const LedgerMsg *m) {
@@ -489,17 +431,6 @@
   h->held = NULL;
 }
 
-/* Follows what an outage uses up, and lets it grow again after it. */
-static void tick_ready(Ledger *l, HomeBudget *h, double dt) {
-  double rate = demand(l, h) * SPARE;
-  if (shard_of(l, h)->down_since == 0) {
-    h->ready_s = MIN(h->ready_s + dt * REBUILD, reserve_s(l, h));
-    return;
-  }
-  double left = rate > 0 ? (double)home_free(h->held) / rate : 0;
-  h->ready_s = MIN(h->ready_s, left);
-}
-
 static void tick_held(Ledger *l, HomeBudget *h) {
   Held *g = h->held;
   int shard = shard_index(h->name);
@@ -517,9 +448,9 @@
   }
   witness_tick(l, h);
   home_pump(l, h);
-  double lay = laid_up(l, h);
+  double lay = layup_tokens(l, h);
   int64_t have = home_free(g);
-  int64_t share = share_of_rest(l, h, have, MAX(h->remaining, 0));
+  int64_t share = layup_share(l, h, have, MAX(h->remaining, 0));
   int64_t keep = MAX(MIN((int64_t)lay, share), LEDGER_MIN_DRAW);
   bool paced = l->now - shard_of(l, h)->wrote > SURPLUS_EVERY;
   if (paced && (double)have > SURPLUS * (double)keep && h->draws->len == 0)
@@ -560,9 +491,7 @@
     double dt = l->now - h->looked;
     if (dt < LEDGER_LOOK && quiet(l, h)) continue;
     h->looked = l->now;
-    h->rate *= exp(-dt / RATE_TAU);
-    h->slow *= exp(-dt / SLOW_TAU);
-    if (h->held) tick_ready(l, h, dt);
+    layup_tick(l, h, dt);
     if (h->held) tick_held(l, h);
     ShardState *s = shard_of(l, h);
     bool news = h->held && (h->held->spent > h->held->stored_spent ||
--- a/packages/ledger/state.h
+++ b/packages/ledger/state.h
@@ -223,6 +223,20 @@
 void home_freeze(Ledger *l, HomeBudget *h);
 void home_watch_grants(Ledger *l, ShardState *s);
 
+/* == layup.c == */
+
+/* Tokens that were given out, below 0: that came back unused. */
+void layup_used(HomeBudget *h, int64_t tokens);
+/* Tokens that are to be held ready now. */
+double layup_tokens(const Ledger *l, const HomeBudget *h);
+/* What is laid up is lost when home and witness die together, so a region holds
+   no more than its share of the rest, and near the end of the budget no more
+   than may go unused. */
+int64_t layup_share(const Ledger *l, const HomeBudget *h, int64_t have,
+                    int64_t remaining);
+/* `dt` seconds have passed. */
+void layup_tick(Ledger *l, HomeBudget *h, double dt);
+
 /* == witness.c == */
 
 /* Another instance of our region, of another data centre if there is one, and
--- a/packages/peer/codec.c
+++ b/packages/peer/codec.c
@@ -10,10 +10,6 @@
 #define LOAD_MAX 1000000 /* requests at one target */
 #define EVERY_MAX_MS (24 * 3600 * 1000)
 
-uint64_t codec_hash(const char *id) {
-  return XXH64(id, strlen(id), 0);
-}
-
 /* == packing == */
 
 static void put_str(msgpack_packer *p, const char *s) {
--- a/packages/peer/codec.h
+++ b/packages/peer/codec.h
@@ -6,6 +6,7 @@
 
 #include <msgpack.h>
 
+#include "kernel/text.h"
 #include "ledger/ledger.h"
 #include "once/once.h"
 #include "route/loads.h"
@@ -57,7 +58,6 @@
   TargetParts parts;
 } CodecMsg;
 
-uint64_t codec_hash(const char *id);
 void codec_put_head(msgpack_sbuffer *b, const CodecHead *h);
 void codec_put_beat(msgpack_sbuffer *b, const Member *m);
 void codec_put_ledger(msgpack_sbuffer *b, const LedgerMsg *m);
--- a/packages/peer/peer.c
+++ b/packages/peer/peer.c
@@ -45,7 +45,7 @@
   Peer *p = g_new0(Peer, 1);
   p->ctx = zmq_ctx_new();
   p->pull = zmq_socket(p->ctx, ZMQ_PULL);
-  p->self = codec_hash(self);
+  p->self = text_hash(self);
   p->wake = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
   p->push = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
   p->frames = g_ptr_array_new_with_free_func(frame_free);
@@ -96,6 +96,16 @@
   return f;
 }
 
+/* The buffer of that frame, for one message; unlock after it. */
+static msgpack_sbuffer *lock_frame(Peer *p, const char *addr, uint64_t to) {
+  pthread_mutex_lock(&p->lock);
+  return &frame_for(p, addr, to)->buf;
+}
+
+static void unlock(Peer *p) {
+  pthread_mutex_unlock(&p->lock);
+}
+
 static void wake(Peer *p) {
   uint64_t one = 1;
   ssize_t n = write(p->wake, &one, sizeof one);
@@ -104,62 +114,53 @@
 
 void peer_ledger(Peer *p, const char *addr, const char *id,
                  const LedgerMsg *m) {
-  pthread_mutex_lock(&p->lock);
-  codec_put_ledger(&frame_for(p, addr, codec_hash(id))->buf, m);
-  pthread_mutex_unlock(&p->lock);
+  codec_put_ledger(lock_frame(p, addr, text_hash(id)), m);
+  unlock(p);
   wake(p);
 }
 
 void peer_once(Peer *p, const char *addr, const char *id, const OnceMsg *m) {
-  pthread_mutex_lock(&p->lock);
-  codec_put_once(&frame_for(p, addr, codec_hash(id))->buf, m);
-  pthread_mutex_unlock(&p->lock);
+  codec_put_once(lock_frame(p, addr, text_hash(id)), m);
+  unlock(p);
   wake(p);
 }
 
 void peer_load(Peer *p, const char *addr, const char *id, const LoadsMsg *m) {
-  pthread_mutex_lock(&p->lock);
-  codec_put_load(&frame_for(p, addr, codec_hash(id))->buf, m);
-  pthread_mutex_unlock(&p->lock);
+  codec_put_load(lock_frame(p, addr, text_hash(id)), m);
+  unlock(p);
 }
 
 void peer_beat(Peer *p, const char *addr, const Member *m) {
-  pthread_mutex_lock(&p->lock);
-  codec_put_beat(&frame_for(p, addr, 0)->buf, m);
-  pthread_mutex_unlock(&p->lock);
+  codec_put_beat(lock_frame(p, addr, 0), m);
+  unlock(p);
 }
 
 void peer_conf(Peer *p, const char *addr, const char *id, uint64_t version,
                const char *text) {
-  pthread_mutex_lock(&p->lock);
-  codec_put_conf(&frame_for(p, addr, codec_hash(id))->buf, version, text);
-  pthread_mutex_unlock(&p->lock);
+  codec_put_conf(lock_frame(p, addr, text_hash(id)), version, text);
+  unlock(p);
 }
 
 void peer_work(Peer *p, const char *addr, const char *id, const TargetWork *m) {
-  pthread_mutex_lock(&p->lock);
-  codec_put_work(&frame_for(p, addr, codec_hash(id))->buf, m);
-  pthread_mutex_unlock(&p->lock);
+  codec_put_work(lock_frame(p, addr, text_hash(id)), m);
+  unlock(p);
 }
 
 void peer_parts(Peer *p, const char *addr, const char *id,
                 const TargetParts *m) {
-  pthread_mutex_lock(&p->lock);
-  codec_put_parts(&frame_for(p, addr, codec_hash(id))->buf, m);
-  pthread_mutex_unlock(&p->lock);
+  codec_put_parts(lock_frame(p, addr, text_hash(id)), m);
+  unlock(p);
 }
 
 void peer_pool(Peer *p, const char *addr, const char *id,
                const TargetsPoolWord *m) {
-  pthread_mutex_lock(&p->lock);
-  codec_put_pool(&frame_for(p, addr, codec_hash(id))->buf, m);
-  pthread_mutex_unlock(&p->lock);
+  codec_put_pool(lock_frame(p, addr, text_hash(id)), m);
+  unlock(p);
 }
 
 void peer_feed(Peer *p, const char *addr, const char *id, const CodecFeed *m) {
-  pthread_mutex_lock(&p->lock);
-  codec_put_feed(&frame_for(p, addr, codec_hash(id))->buf, m);
-  pthread_mutex_unlock(&p->lock);
+  codec_put_feed(lock_frame(p, addr, text_hash(id)), m);
+  unlock(p);
 }
 
 /* == the peer thread == */
--- a/packages/route/targets.c
+++ b/packages/route/targets.c
@@ -72,7 +72,7 @@
   g_strlcpy(pool->service, service, sizeof pool->service);
   pool->members = g_ptr_array_new();
   pool->division = division_new();
-  pool->hash = target_hash(service);
+  pool->hash = text_hash(service);
   fit_start(&pool->first, FIRST_BASE_S, FIRST_TOKEN_S, FIRST_SPAN);
   g_hash_table_insert(s->pools, pool->service, pool);
   return pool;
@@ -87,7 +87,7 @@
   Target *t = g_new0(Target, 1);
   t->set = s;
   t->info = *info;
-  t->hash = target_hash(info->id);
+  t->hash = text_hash(info->id);
   t->leave_at = INFINITY;
   t->slow = 1;
   t->parts = parts_new();
@@ -275,10 +275,6 @@
                       .tokens = t->backlog + o.tokens};
 }
 
-uint64_t target_hash(const char *id) {
-  return XXH64(id, strlen(id), 0);
-}
-
 bool targets_changed(Targets *s, TargetWork *w) {
   Target *t = g_queue_pop_head(&s->changed);
   if (!t) return false;
--- a/packages/route/targets.h
+++ b/packages/route/targets.h
@@ -8,6 +8,7 @@
 
 #include "flow/ask.h"
 #include "kernel/limits.h"
+#include "kernel/text.h"
 #include "route/division.h"
 
 /* A target as it stands in the store. */
@@ -107,14 +108,14 @@
 /* Work of one instance at a target, in all: a lost message is made good by
    the next. */
 typedef struct TargetWork {
-  uint64_t target; /* target_hash of it */
+  uint64_t target; /* text_hash of it */
   int open;        /* requests */
   int64_t tokens;  /* of prompts, to be read before their first byte */
 } TargetWork;
 
 /* Shared parts of prompts that one instance had read at a target. */
 typedef struct TargetParts {
-  uint64_t target; /* target_hash of it */
+  uint64_t target; /* text_hash of it */
   int n;
   uint64_t names[ASK_PARTS];
 } TargetParts;
@@ -132,7 +133,7 @@
 
 /* What one instance saw of a pool. */
 typedef struct TargetsPoolWord {
-  uint64_t pool; /* target_hash of the service */
+  uint64_t pool; /* text_hash of the service */
   DivisionWord word;
 } TargetsPoolWord;
 
@@ -141,7 +142,6 @@
 void targets_pool_told(Targets *s, double now, uint64_t from,
                        const TargetsPoolWord *w);
 
-uint64_t target_hash(const char *id);
 /* Our own work at a target where it changed since the last call; false when
    there is no other. */
 bool targets_changed(Targets *s, TargetWork *w);
--- a/tests/test_targets.c
+++ b/tests/test_targets.c
@@ -162,7 +162,7 @@
   targets_parts_told(s, 1, &m);
   a.parts[1].id = 9;
   c = targets_pick(s, 1.1, &ask);
-  cr_assert_eq(target_hash(target_id(c.target)), m.target);
+  cr_assert_eq(text_hash(target_id(c.target)), m.target);
   cr_assert_eq(c.fresh, 1000);
   targets_free(s);
   targets_free(other);
@@ -232,11 +232,11 @@
 Test(targets, what_others_have_there_counts_while_their_word_is_fresh) {
   Targets *s = some(2);
   Ask a = {.tokens_in = 100};
-  TargetWork w = {.target = target_hash("i-0"), .open = 4, .tokens = 90000};
+  TargetWork w = {.target = text_hash("i-0"), .open = 4, .tokens = 90000};
   targets_others(s, 1, 77, &w);
   for (int i = 0; i < 20; i++)
     cr_assert_str_eq(target_id(pick(s, 1.5, &a, true)), "i-1");
-  w.target = target_hash("i-1");
+  w.target = text_hash("i-1");
   w.tokens = 180000;
   targets_others(s, 1.5, 78, &w);
   cr_assert_str_eq(target_id(pick(s, 1.6, &a, true)), "i-0", "the less");
@@ -259,7 +259,7 @@
   Target *t = pick(s, 1, &a, true);
   sent(t, 1, &a, 500);
   cr_assert(targets_changed(s, &w));
-  cr_assert_eq(w.target, target_hash(target_id(t)));
+  cr_assert_eq(w.target, text_hash(target_id(t)));
   cr_assert(w.open == 1 && w.tokens == 500);
   cr_assert_not(targets_changed(s, &w));
   target_first(t, 500, 0, 0.02);
