Parts of prompts that are lost are no longer remembered

Cause: found by reading the change: each request has a part of its own, and nothing ever left the table of a target; with parts told among instances it grew by what all of them sent (some 100 bytes a request, at every instance). Lost parts are cleared out whenever the table has doubled. Instances that told nothing for 300 s are dropped from the words on pools. Test: test_division, seen red (20,000 parts remembered, 2,000 at most wanted).

--- a/packages/route/division.c
+++ b/packages/route/division.c
@@ -6,6 +6,7 @@
 /* Counts fade over this time: long enough to see some hundred prompts, short
    enough to follow a change of the traffic. */
 #define TAU_S 30.0
+#define FORGET_S 300.0 /* an instance that told nothing for so long is gone */
 /* Without a division streams beside long prompts are held up too often from
    here on; it ends when even those that stay beside them seldom are. */
 #define HELD_MUCH 0.05
@@ -104,6 +105,7 @@
   while (g_hash_table_iter_next(&it, NULL, &v)) {
     const Told *t = v;
     add(&sum, &t->word, faded(now, t->at));
+    if (now - t->at > FORGET_S) g_hash_table_iter_remove(&it);
   }
   return sum;
 }
--- a/packages/route/parts.c
+++ b/packages/route/parts.c
@@ -14,8 +14,13 @@
   double told;  /* when the others were told last; 0: never */
 } Part;
 
+/* What is forgotten is cleared out when the table has doubled since, but not
+   below this size: each request adds its own part, 100 bytes. */
+#define SWEEP_LEAST 512
+
 struct Parts {
   GHashTable *known; /* name -> Part */
+  guint sweep_at;    /* size at which it is cleared out next */
 };
 
 Parts *parts_new(void) {
@@ -39,6 +44,18 @@
   return XXH64(pair, sizeof pair, 0);
 }
 
+static gboolean is_lost(gpointer key, gpointer value, gpointer now) {
+  (void)key;
+  const Part *part = value;
+  return *(double *)now - part->used >= KEEP_S;
+}
+
+static void sweep(Parts *p, double now) {
+  if (g_hash_table_size(p->known) < p->sweep_at) return;
+  g_hash_table_foreach_remove(p->known, is_lost, &now);
+  p->sweep_at = MAX(SWEEP_LEAST, 2 * g_hash_table_size(p->known));
+}
+
 static Part *note(Parts *p, uint64_t name, double now) {
   Part *part = g_hash_table_lookup(p->known, &name);
   if (!part) {
@@ -53,6 +70,7 @@
 int parts_note(Parts *p, const Ask *a, double now, uint64_t *news) {
   uint64_t name = 0;
   int n = 0;
+  sweep(p, now);
   for (int i = 0; i < a->n_parts; i++) {
     name = chain(a, i, name);
     Part *part = note(p, name, now);
@@ -66,6 +84,7 @@
 }
 
 void parts_told(Parts *p, const uint64_t *names, int n, double now) {
+  sweep(p, now);
   for (int i = 0; i < n; i++) note(p, names[i], now);
 }
 
@@ -85,6 +104,10 @@
   return n;
 }
 
+int parts_count(const Parts *p) {
+  return (int)g_hash_table_size(p->known);
+}
+
 int64_t parts_tokens(const Ask *a) {
   int64_t n = 0;
   for (int i = 0; i < a->n_parts; i++) n += a->parts[i].tokens;
--- a/packages/route/parts.h
+++ b/packages/route/parts.h
@@ -23,6 +23,9 @@
    `age_s` ago or earlier. */
 int64_t parts_kept(const Parts *p, const Ask *a, double now, double age_s);
 
+/* Parts that are remembered. */
+int parts_count(const Parts *p);
+
 /* Tokens of the whole prompt. */
 int64_t parts_tokens(const Ask *a);
 /* Tokens that other prompts may have in common with it: all but the last
--- a/tests/test_division.c
+++ b/tests/test_division.c
@@ -82,6 +82,20 @@
   parts_free(other);
 }
 
+/* Each request has a part of its own: they filled the memory for good. */
+Test(parts, what_is_lost_is_not_remembered_for_ever) {
+  Parts *p = parts_new();
+  uint64_t news[ASK_PARTS];
+  for (uint64_t i = 0; i < 20000; i++) {
+    Ask a = prompt(i % 50, 1000 + i);
+    parts_note(p, &a, 1 + (double)i * 0.1, news);
+  }
+  cr_assert_lt(parts_count(p), 2000, "%d", parts_count(p));
+  Ask a = prompt(49, 1000 + 19999);
+  cr_assert_eq(parts_kept(p, &a, 2001, 0), 9000, "what is used is kept");
+  parts_free(p);
+}
+
 /* == the division == */
 
 /* `held` of a hundred streams beside long prompts had too long a pause. */
