A large fleet neither divides nor moves, and reads by the constant: there work is not told

Where work is not told, the line learns queues that nobody sees, the border is drawn on guesses, and the home is taken for a donor that it often is not. Test: test_targets, a_large_fleet_neither_divides_nor_moves.

--- a/packages/route/choose.c
+++ b/packages/route/choose.c
@@ -76,25 +76,19 @@
 
 /* == memory that is moved == */
 
-static int64_t has_of_prompt(const Pick *p, const Target *t) {
-  const Ask *a = p->ask->ask;
-  uint64_t key = parts_key(a);
-  int64_t had = parts_kept(t->parts, a, p->now, DONOR_AGE_S);
-  bool home =
-      !p->set->parts_are_told && key != 0 && home_weight(t, key) == p->home;
-  return had == 0 && home ? parts_shared(a) : had;
-}
-
 /* What one target has read another takes over in a fraction of the time, so a
    prompt need not wait where its parts are. Read again they cost the users'
    engines 20 to 40 us a token, moved 1 to 11. Worth 0.01 to 0.03 of the users'
    worth, and half of the tokens that are read again; measured on three sites,
    with and without. */
 static void find_donor(Pick *p, const Pool *pool) {
+  if (!p->set->parts_are_told) return; /* who has it is a guess there */
   if (p->ask->move_s <= 0 || p->ask->move_s >= p->slope) return;
   for (guint i = 0; i < pool->members->len; i++) {
     const Target *t = pool->members->pdata[i];
-    int64_t had = sound(p, t) ? has_of_prompt(p, t) : 0;
+    int64_t had = sound(p, t)
+                      ? parts_kept(t->parts, p->ask->ask, p->now, DONOR_AGE_S)
+                      : 0;
     if (had <= p->donated) continue;
     p->donor = t;
     p->donated = had;
@@ -133,6 +127,7 @@
    measured over eight seeds of three days, with and without. */
 static bool divide(const Pick *p, Pool *pool, GPtrArray *list) {
   int n = (int)list->len;
+  if (!p->set->parts_are_told) return true;
   int k = division_count(pool->division, p->now, n);
   int from = p->long_prompt ? 0 : k, to = p->long_prompt ? k : n;
   if (k == n || !any_sound(p, list, from, to)) return true;
@@ -146,7 +141,9 @@
 static double wait_engine(const Pick *p, const TargetChoice *c) {
   const Target *t = c->target;
   TargetLoad load = target_load_now(t, p->now);
-  double first = fit_at(&t->pool->first, (double)(load.tokens + c->fresh));
+  double unread = (double)(load.tokens + c->fresh);
+  if (!p->set->parts_are_told) return unread * p->slope;
+  double first = fit_at(&t->pool->first, unread);
   return first * t->slow + (double)c->moved * p->ask->move_s;
 }
 
@@ -206,7 +203,7 @@
   bool beside_long = false;
   if (!pool) return best;
   Pick p = {.set = s, .ask = ask, .now = now};
-  p.slope = fit_slope(&pool->first);
+  p.slope = s->parts_are_told ? fit_slope(&pool->first) : TARGETS_TOKEN_S;
   p.long_prompt = is_long(&p);
   GPtrArray *list = candidates(&p, pool);
   int n = (int)list->len;
--- a/packages/route/targets.c
+++ b/packages/route/targets.c
@@ -21,7 +21,6 @@
 /* The line of first bytes before any was seen: the users' sheets give 32,400
    to 50,700 tokens a second. Forgotten after some thirty answers. */
 #define FIRST_BASE_S 0.01
-#define FIRST_TOKEN_S (1 / 45000.0)
 #define FIRST_SPAN 5000 /* tokens */
 /* Word of another instance counts for this long: prompts are read in less, and
    one that is lost or cut off tells no more. */
@@ -73,7 +72,7 @@
   pool->members = g_ptr_array_new();
   pool->division = division_new();
   pool->hash = text_hash(service);
-  fit_start(&pool->first, FIRST_BASE_S, FIRST_TOKEN_S, FIRST_SPAN);
+  fit_start(&pool->first, FIRST_BASE_S, TARGETS_TOKEN_S, FIRST_SPAN);
   g_hash_table_insert(s->pools, pool->service, pool);
   return pool;
 }
--- a/packages/route/targets.h
+++ b/packages/route/targets.h
@@ -120,8 +120,9 @@
   uint64_t names[ASK_PARTS];
 } TargetParts;
 
-/* Whether all instances tell each other of parts. Where they don't, equal
-   prompts meet at a home that all of them work out alike. */
+/* Whether all instances tell each other of parts, and of their work. Where they
+   don't, equal prompts meet at a home that all of them work out alike, nothing
+   is moved and no pool is divided. */
 void targets_parts_are_told(Targets *s, bool told);
 /* What the others have not been told yet; false: nothing. */
 bool targets_parts_news(Targets *s, TargetParts *m);
--- a/tests/test_targets.c
+++ b/tests/test_targets.c
@@ -203,6 +203,7 @@
 /* Streams beside long prompts are held up: those get targets of their own. */
 Test(targets, short_prompts_run_where_no_long_ones_are_read) {
   Targets *s = some(12);
+  targets_parts_are_told(s, true);
   GHashTable *longs = g_hash_table_new(g_str_hash, g_str_equal);
   for (uint64_t k = 1; k <= 200; k++) {
     Ask a = {.tokens_in = 9000, .n_parts = 1};
@@ -228,9 +229,31 @@
   targets_free(s);
 }
 
+/* In a fleet too large to tell each other of work all of it is guessed. */
+Test(targets, a_large_fleet_neither_divides_nor_moves) {
+  Targets *s = some(6);
+  bool used[6] = {false};
+  Ask a = {.tokens_in = 400, .n_parts = 1};
+  TargetAsk ask = {.service = "svc",
+                   .ask = &a,
+                   .engine = true,
+                   .move_s = 2e-6,
+                   .pause_s = 0.3};
+  for (uint64_t k = 0; k < 60; k++) {
+    a.parts[0] = (AskPart){k + 1, 400};
+    TargetChoice c = targets_pick(s, 1 + (double)k, &ask);
+    cr_assert(c.beside_long && !c.donor);
+    target_sent(c.target, 1 + (double)k, &a, &c);
+    used[target_id(c.target)[2] - '0'] = true;
+  }
+  for (int i = 0; i < 6; i++) cr_assert(used[i], "%d", i);
+  targets_free(s);
+}
+
 /* With all targets for long prompts dark the others serve them. */
 Test(targets, long_prompts_spill_where_none_of_their_targets_is_sound) {
   Targets *s = some(6);
+  targets_parts_are_told(s, true);
   Ask a = {.tokens_in = 9000};
   TargetAsk ask = {.service = "svc", .ask = &a, .engine = true, .pause_s = 0.3};
   for (int i = 0; i < 5; i++) {
