Who is left out of a cut reads the store, for all who hear it

While the first choices say that the store is away nobody else tried it; with 84 of 86 instances cut off the eight were all cut, and the two others, which reached the store and so were bound by it, stayed at version 4 until 16.8 s while 14 was acknowledged at 8.5 s.

Change: who reads nothing looks once a second whether a connection comes up, which is no call and costs nothing there. Where nobody got a connection it asks at once; where others got one and no answer, in its turn, 16 calls a second over the fleet at any size. Whoever is answered reads for all.

Other way weighed: each asks by itself every two seconds; bounded by its own silence alone, 147 calls a second in an outage of 295 that the store refuses.

Tests (no network): 86 and 295 instances, one to three left out, a cut that ends first for two, a restart beside it, refusals to all but one; calls of an outage: 0 where all are cut, no more at 295 than at 86. Three red without the looks.

--- a/packages/fleet/cluster.c
+++ b/packages/fleet/cluster.c
@@ -218,7 +218,7 @@
 static void take_feed(Cluster *c, const CodecFeed *feed) {
   const char *reader = g_hash_table_lookup(c->ids, &feed->reader);
   hand_on(c, feed);
-  if (reader) readers_heard(c->readers, now_of(c), reader, feed->away);
+  if (reader) readers_heard(c->readers, now_of(c), reader, feed->word);
   c->ev.feed(c->ctx, feed);
 }
 
@@ -386,6 +386,18 @@
   return duty;
 }
 
+void cluster_met(Cluster *c, ReadersWord word) {
+  readers_met(c->readers, now_of(c), word);
+}
+
+bool cluster_knocks(Cluster *c) {
+  return readers_knocks(c->readers, now_of(c));
+}
+
+bool cluster_asks(Cluster *c) {
+  return readers_asks(c->readers, now_of(c));
+}
+
 /* The next other instance of our region from *i on; NULL: none. */
 static const Member *next_near(const Cluster *c, int *i) {
   const Member *me = gossip_me(c->members);
--- a/packages/fleet/cluster.h
+++ b/packages/fleet/cluster.h
@@ -51,6 +51,11 @@
 void cluster_conf(Cluster *c, uint64_t version);
 /* Whether this instance reads the store, and for whom. */
 ReadersDuty cluster_duty(Cluster *c);
+/* How the store met a call of the one who reads it. */
+void cluster_met(Cluster *c, ReadersWord word);
+/* readers_knocks and readers_asks, of our readers. */
+bool cluster_knocks(Cluster *c);
+bool cluster_asks(Cluster *c);
 /* Tells the others of the region what was read. */
 void cluster_feed(Cluster *c, const CodecFeed *m);
 /* Tells the others of our work at a target, in a small fleet. */
--- a/packages/flow/link.c
+++ b/packages/flow/link.c
@@ -46,6 +46,7 @@
   LinkOptions o;
   ev_timer sweep;
   GHashTable *idle; /* addr -> Link*, the youngest first */
+  double heard;
 };
 
 static const http_parser_settings parser_settings;
@@ -79,6 +80,10 @@
 }
 
 static void fail(Link *l) {
+  if (!l->out) { /* it was opened for the next exchange */
+    free_link(l);
+    return;
+  }
   finish(l, !l->sent ? LINK_NOT_SENT : l->answered ? LINK_CUT : LINK_EMPTY);
 }
 
@@ -218,12 +223,12 @@
 /* == events == */
 
 static void on_readable(struct ev_loop *loop, ev_io *w, int revents) {
-  (void)loop;
   (void)revents;
   Link *l = w->data;
   char buf[READ_BYTES];
   ssize_t n = recv(l->fd, buf, sizeof buf, 0);
   if (n < 0 && (errno == EAGAIN || errno == EINTR)) return;
+  if (n > 0) l->set->heard = ev_now(loop);
   if (l->state == LINK_IDLE) { /* closed, or bytes that nobody asked for */
     take_out(l);
     free_link(l);
@@ -263,10 +268,17 @@
       return;
     }
     l->state = LINK_OPEN;
+    l->set->heard = ev_now(loop);
     ev_timer_stop(loop, &l->timer);
     ev_io_start(loop, &l->read);
   }
-  push(l);
+  if (l->out) {
+    push(l);
+    return;
+  }
+  ev_io_stop(loop, &l->write);
+  l->keep_until = l->set->o.keep_s;
+  put_idle(l);
 }
 
 static void on_timer(struct ev_loop *loop, ev_timer *w, int revents) {
@@ -308,6 +320,11 @@
   return l;
 }
 
+static void connect_link(Link *l) {
+  ev_timer_start(l->set->loop, &l->timer);
+  if (l->fd >= 0) ev_io_start(l->set->loop, &l->write);
+}
+
 static void prepare(Link *l, GString *request, const LinkEvents *ev,
                     void *ctx) {
   if (l->out) g_string_free(l->out, TRUE);
@@ -333,12 +350,19 @@
     l->state = LINK_OPEN;
     push(l);
   } else {
-    ev_timer_start(s->loop, &l->timer);
-    if (l->fd >= 0) ev_io_start(s->loop, &l->write);
+    connect_link(l);
   }
   return l;
 }
 
+void link_open(Links *s, const char *addr) {
+  connect_link(new_link(s, addr));
+}
+
+double links_heard(const Links *s) {
+  return s->heard;
+}
+
 void link_cancel(Link *l) {
   l->ctx = NULL;
   release(l);
--- a/packages/flow/link.h
+++ b/packages/flow/link.h
@@ -54,6 +54,12 @@
    not older than `fresh_s` if there is one. Never calls back from within. */
 Link *link_send(Links *s, const char *addr, GString *request, double fresh_s,
                 const LinkEvents *ev, void *ctx);
+/* Opens a connection there for the next exchange. Nothing is sent on it and
+   nobody is called; links_heard tells whether it came up. */
+void link_open(Links *s, const char *addr);
+/* When a connection last came up or brought bytes, in the loop's time; 0:
+   never. */
+double links_heard(const Links *s);
 /* Gives the exchange up; the connection is closed and no event follows. */
 void link_cancel(Link *l);
 /* True once a byte of the request has left. */
--- a/packages/member/readers.c
+++ b/packages/member/readers.c
@@ -2,8 +2,11 @@
 #include "member/readers.h"
 
 #include <glib.h>
+#include <math.h>
 #include <string.h>
 
+#include "kernel/text.h"
+
 #define KEY                                                                    \
   0x72656164          /* of the rendezvous: any number, the same everywhere    \
                        */
@@ -19,7 +22,12 @@
   char self[LIMIT_ID];
   char region[LIMIT_NAME];
   GHashTable *heard; /* id -> Word */
-  bool small;        /* the fleet */
+  double phase;      /* 0 to 1: our place in a round of all */
+  double served;     /* when the store last answered us */
+  double refused;    /* it last took somebody's connection and did not answer */
+  double knock_at, ask_at; /* not before */
+  int members;             /* of the fleet */
+  bool small;              /* the fleet */
   int n;
   char choice[VIEW_HOMES][LIMIT_ID]; /* the first ones, of `n` */
 };
@@ -28,6 +36,8 @@
   Readers *r = g_new0(Readers, 1);
   g_strlcpy(r->self, self, sizeof r->self);
   g_strlcpy(r->region, region, sizeof r->region);
+  r->phase = (double)text_hash(self) / (double)UINT64_MAX;
+  r->served = r->refused = -INFINITY;
   r->small = true;
   r->heard = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
   return r;
@@ -47,17 +57,48 @@
   return w;
 }
 
-void readers_heard(Readers *r, double now, const char *id, bool away) {
+/* Seconds of a round in which each instance asks the store once. */
+static double round_s(const Readers *r) {
+  return MAX(READERS_KNOCK_S, r->members / READERS_TRIES);
+}
+
+/* The store takes connections and does not answer there. */
+static void note_refused(Readers *r, double now) {
+  bool first = now - r->refused >= READERS_SILENT;
+  if (first) r->ask_at = now + r->phase * round_s(r);
+  r->refused = now;
+}
+
+void readers_heard(Readers *r, double now, const char *id, ReadersWord word) {
   Word *w = word_of(r, now, id);
-  if (!away) {
+  if (word == READERS_READ) {
     w->well = now;
     w->away = 0;
     return;
   }
+  if (word == READERS_REFUSED) note_refused(r, now);
   w->well = now - READERS_SILENT;
   w->away = now;
 }
 
+void readers_met(Readers *r, double now, ReadersWord word) {
+  if (word == READERS_READ) r->served = now;
+  if (word == READERS_REFUSED) note_refused(r, now);
+}
+
+bool readers_knocks(Readers *r, double now) {
+  if (now < r->knock_at) return false;
+  r->knock_at = now + READERS_KNOCK_S;
+  return true;
+}
+
+bool readers_asks(Readers *r, double now) {
+  bool refused = now - r->refused < READERS_SILENT;
+  if (refused && now < r->ask_at) return false;
+  r->ask_at = now + round_s(r);
+  return true;
+}
+
 static gboolean is_old(gpointer id, gpointer word, gpointer now) {
   (void)id;
   const Word *w = word;
@@ -66,12 +107,29 @@
 
 void readers_view(Readers *r, const View *v) {
   const Member *first[VIEW_HOMES];
+  r->members = v->n;
   r->small = v->n < FLEET_SMALL;
   r->n = view_homes(v, r->region, KEY, first, VIEW_HOMES);
   for (int i = 0; i < r->n; i++)
     g_strlcpy(r->choice[i], first[i]->id, LIMIT_ID);
 }
 
+/* The store answers us and not the first choices: we step in for them, unless
+   others do who come before us by their ids. */
+static bool steps_in(const Readers *r, double now) {
+  int before = 0;
+  GHashTableIter it;
+  gpointer id, word;
+  if (now - r->served >= READERS_SILENT) return false;
+  g_hash_table_iter_init(&it, r->heard);
+  while (g_hash_table_iter_next(&it, &id, &word)) {
+    const Word *w = word;
+    bool well = now - w->well < READERS_SILENT;
+    before += well && strcmp(id, r->self) < 0;
+  }
+  return before < READERS;
+}
+
 ReadersDuty readers_duty(Readers *r, double now) {
   int well = 0, away = 0;
   if (r->small) return READERS_OWN;
@@ -85,5 +143,6 @@
     well += now - w->well < READERS_SILENT;
     away += w->away > 0 && now - w->away < READERS_SILENT;
   }
+  if (well < READERS && steps_in(r, now)) return READERS_ALL;
   return READERS_NOTHING;
 }
--- a/packages/member/readers.h
+++ b/packages/member/readers.h
@@ -16,6 +16,23 @@
    priced. With a third of the instances turned away, eight miss it once in
    7,000 times. */
 #define READERS_MOST 8
+/* Seconds between two looks of an instance that reads nothing, while those who
+   read say that the store is away, whether a connection to it comes up: that is
+   no call and costs nothing there. An instance that reaches the store has to
+   follow a new configuration within 2 s. */
+#define READERS_KNOCK_S 1.0
+/* Calls a second of all these instances together, where the store takes
+   connections and serves nobody who reads: no more at any size of the fleet.
+   The first eight make some twenty. */
+#define READERS_TRIES 16.0
+
+/* How the store met a call. */
+typedef enum {
+  READERS_READ,      /* it answered */
+  READERS_REFUSED,   /* a connection came up, and it did not answer there */
+  READERS_UNREACHED, /* no connection came up */
+  READERS_WORDS
+} ReadersWord;
 
 typedef enum {
   READERS_NOTHING, /* others tell us */
@@ -28,12 +45,24 @@
 /* `self` and `region` are those of this instance. */
 Readers *readers_new(const char *self, const char *region);
 void readers_free(Readers *r);
-/* Instance `id` told us what it read, or with `away` that the store does not
-   answer it. */
-void readers_heard(Readers *r, double now, const char *id, bool away);
+/* Instance `id` told us what it read, or how the store failed it. */
+void readers_heard(Readers *r, double now, const char *id, ReadersWord word);
+/* The same of a call of our own. */
+void readers_met(Readers *r, double now, ReadersWord word);
 /* The members have changed; `v` is not kept. */
 void readers_view(Readers *r, const View *v);
-/* What this instance has to read at present. */
+/* What this instance has to read at present. One that the store answers while
+   it does not answer the first choices reads for all, too. */
 ReadersDuty readers_duty(Readers *r, double now);
 
+/* The store is said to be away, and we read nothing. A cut may leave out just
+   us: with 84 of 86 instances cut off, the two others learned of a
+   configuration 8 s late, since the eight that try the store were all cut. */
+
+/* Whether to see now if a connection to the store comes up. */
+bool readers_knocks(Readers *r, double now);
+/* It did: whether to ask for news on it. At once where nobody got a connection;
+   in turn where others got one and no answer. */
+bool readers_asks(Readers *r, double now);
+
 #endif
--- a/packages/node/node.c
+++ b/packages/node/node.c
@@ -183,6 +183,21 @@
   cluster_feed(n->cluster, m);
 }
 
+static void on_met(void *ctx, ReadersWord word) {
+  Node *n = ctx;
+  cluster_met(n->cluster, word);
+}
+
+static bool on_knocks(void *ctx) {
+  Node *n = ctx;
+  return cluster_knocks(n->cluster);
+}
+
+static bool on_asks(void *ctx) {
+  Node *n = ctx;
+  return cluster_asks(n->cluster);
+}
+
 static void on_work(void *ctx, uint64_t from, const TargetWork *m) {
   Node *n = ctx;
   targets_others(n->targets, ev_now(n->loop), from, m);
@@ -347,7 +362,8 @@
 
 static bool open_parts(Node *n, Err *e) {
   static const FeedEvents feed_events = {on_conf,   on_target, on_gone,
-                                         on_listed, on_duty,   on_tell};
+                                         on_listed, on_duty,   on_tell,
+                                         on_met,    on_knocks, on_asks};
   static const CallerEvents ready_events = {on_question, on_questioner_gone};
   RetriesOptions retries = {.ratio = number("retry-ratio"),
                             .window_s = number("retry-window"),
--- a/packages/peer/codec.c
+++ b/packages/peer/codec.c
@@ -228,7 +228,7 @@
   msgpack_pack_uint8(&p, CODEC_FEED);
   msgpack_pack_uint64(&p, m->reader);
   put_str(&p, m->until);
-  msgpack_pack_uint8(&p, m->away);
+  msgpack_pack_uint8(&p, (uint8_t)m->word);
   msgpack_pack_uint8(&p, (uint8_t)m->kind);
   msgpack_pack_uint64(&p, m->from);
   msgpack_pack_uint64(&p, m->at);
@@ -415,7 +415,7 @@
 static void get_feed(Reader *r, CodecFeed *m) {
   m->reader = get_u64(r);
   get_str(r, m->until, sizeof m->until);
-  m->away = get_small(r, 2);
+  m->word = (ReadersWord)get_small(r, READERS_WORDS);
   m->kind = get_small(r, CODEC_FEED_KINDS);
   m->from = get_u64(r);
   m->at = get_u64(r);
--- a/packages/peer/codec.h
+++ b/packages/peer/codec.h
@@ -9,6 +9,7 @@
 #include "kernel/text.h"
 #include "ledger/ledger.h"
 #include "member/gossip.h"
+#include "member/readers.h"
 #include "member/spread.h"
 #include "once/once.h"
 #include "route/loads.h"
@@ -48,7 +49,7 @@
 typedef struct CodecFeed {
   uint64_t reader;          /* text_hash of its id */
   char until[SPREAD_PLACE]; /* the receiver cares for those before this */
-  bool away;                /* the store does not answer the reader */
+  ReadersWord word;         /* how the store met the reader */
   int kind;                 /* the sender's number of it */
   uint64_t from, at;        /* revisions that this leads from and to */
   bool lapsed;              /* the store was away just before */
--- a/tests/test_codec.c
+++ b/tests/test_codec.c
@@ -148,7 +148,7 @@
 Test(codec, what_was_read_round_trips) {
   CodecFeed f = {.reader = 77,
                  .until = "dc/n.1",
-                 .away = true,
+                 .word = READERS_REFUSED,
                  .kind = 1,
                  .from = 5,
                  .at = UINT64_MAX,
@@ -168,7 +168,7 @@
   cr_assert_eq(m.type, CODEC_FEED);
   cr_assert(m.feed.kind == 1 && m.feed.from == 5 && m.feed.lapsed);
   cr_assert_eq(m.feed.at, UINT64_MAX);
-  cr_assert(m.feed.reader == 77 && m.feed.away);
+  cr_assert(m.feed.reader == 77 && m.feed.word == READERS_REFUSED);
   cr_assert_str_eq(m.feed.until, "dc/n.1");
   cr_assert_str_eq(m.feed.text, text);
   codec_clear(&m);
--- a/tests/test_readers.c
+++ b/tests/test_readers.c
@@ -106,3 +106,228 @@
   cr_assert_leq(n, READERS_MOST);
   stop(FLEET);
 }
+
+/* == a cut that leaves out a few == */
+
+/* A large fleet with its feeds in short: whoever reads asks the store every
+   0.6 s and tells all others; who reads nothing waits for their word, 1.5 s
+   long, and then reads for itself. Steps of 0.2 s, as the feed has them. */
+#define MOST 295
+#define STEP_S 0.2
+#define STALE_S 1.5
+#define READ_S 0.6
+
+typedef enum { ANSWERS, TURNS_AWAY, CUT_OFF } Way;
+
+typedef struct Instance {
+  Readers *readers;
+  char id[LIMIT_ID];
+  Way way;       /* to the store */
+  int version;   /* that it knows */
+  double told;   /* last word of one who reads, with its version */
+  double away;   /* last word that the store does not answer */
+  double read_at;
+  bool knocked;
+} Instance;
+
+static Instance fleet[MOST];
+static int size, newest, calls;
+static double clock_s;
+
+static void fill_view(void) {
+  Member *list = g_new0(Member, (gsize)size);
+  for (int i = 0; i < size; i++) {
+    g_strlcpy(list[i].id, fleet[i].id, LIMIT_ID);
+    g_strlcpy(list[i].region, "r", LIMIT_NAME);
+  }
+  View *v = view_new(list, size);
+  for (int i = 0; i < size; i++) readers_view(fleet[i].readers, v);
+  view_free(v);
+  g_free(list);
+}
+
+static void begin(Instance *x) {
+  x->readers = readers_new(x->id, "r");
+  x->told = x->away = -STALE_S;
+  x->read_at = 0;
+  x->knocked = false;
+}
+
+static void begin_all(int n) {
+  size = n;
+  newest = 1;
+  clock_s = 0;
+  for (int i = 0; i < n; i++) {
+    fleet[i] = (Instance){.version = 1};
+    snprintf(fleet[i].id, LIMIT_ID, "n%03d.1", i);
+    begin(&fleet[i]);
+  }
+  fill_view();
+}
+
+static void end_all(void) {
+  for (int i = 0; i < size; i++) readers_free(fleet[i].readers);
+}
+
+static void tell_all(const Instance *x, ReadersWord word) {
+  for (int i = 0; i < size; i++) {
+    Instance *y = &fleet[i];
+    if (y == x) continue;
+    readers_heard(y->readers, clock_s, x->id, word);
+    if (word != READERS_READ) {
+      y->away = clock_s;
+      continue;
+    }
+    y->told = clock_s;
+    y->version = x->version > y->version ? x->version : y->version;
+  }
+}
+
+/* One call; those who read tell of it. */
+static void ask_store(Instance *x) {
+  static const ReadersWord words[] = {READERS_READ, READERS_REFUSED,
+                                      READERS_UNREACHED};
+  if (x->way != CUT_OFF) calls++;
+  if (x->way == ANSWERS) x->version = newest;
+  readers_met(x->readers, clock_s, words[x->way]);
+  if (readers_duty(x->readers, clock_s) == READERS_ALL)
+    tell_all(x, words[x->way]);
+}
+
+static void look(Instance *x) {
+  if (x->knocked && x->way != CUT_OFF) {
+    x->knocked = false;
+    if (readers_asks(x->readers, clock_s)) ask_store(x);
+    return;
+  }
+  x->knocked = readers_knocks(x->readers, clock_s) || x->knocked;
+}
+
+static void step(Instance *x) {
+  bool reads = readers_duty(x->readers, clock_s) != READERS_NOTHING;
+  bool told = clock_s - x->told < STALE_S;
+  bool away = clock_s - x->away < STALE_S;
+  if (!reads && told) return;
+  if (!reads && away) {
+    look(x);
+    return;
+  }
+  if (clock_s < x->read_at) return;
+  x->read_at = clock_s + READ_S;
+  ask_store(x);
+}
+
+static void run_until(double until) {
+  for (; clock_s < until; clock_s += STEP_S)
+    for (int i = 0; i < size; i++) step(&fleet[i]);
+}
+
+/* All but the `n_left` instances `left` lose the store. */
+static void leave_out(Way others, const int *left, int n_left) {
+  for (int i = 0; i < size; i++) fleet[i].way = others;
+  for (int k = 0; k < n_left; k++) fleet[left[k]].way = ANSWERS;
+}
+
+static int behind(void) {
+  int n = 0;
+  for (int i = 0; i < size; i++) n += fleet[i].version < newest;
+  return n;
+}
+
+/* The instances that are left out of the cut; each number is of one that is
+   not among the first eight choices of its fleet. */
+static const int few[] = {3, 40, 77};
+
+/* The cut begins at 10 s; those left out are in touch 3 s later, and have 2 s
+   for what is acknowledged from then on. */
+static void check_cut(int n, int n_left) {
+  begin_all(n);
+  run_until(10);
+  leave_out(CUT_OFF, few, n_left);
+  run_until(14);
+  newest = 2;
+  run_until(16);
+  for (int k = 0; k < n_left; k++)
+    cr_assert_eq(fleet[few[k]].version, 2, "%d of %d", few[k], n);
+  run_until(18);
+  cr_assert_eq(behind(), 0, "%d of %d were not told by them", behind(), n);
+  newest = 3;
+  run_until(20);
+  cr_assert_eq(behind(), 0, "%d of %d", behind(), n);
+  end_all();
+}
+
+Test(readers, who_is_left_out_of_a_cut_reads_and_tells) {
+  static const int sizes[] = {86, MOST};
+  for (int s = 0; s < 2; s++)
+    for (int left = 1; left <= 3; left++) check_cut(sizes[s], left);
+}
+
+/* Two are cut before the others, and reach the store again while those do
+   not. */
+Test(readers, whose_cut_ends_first_reads_and_tells) {
+  begin_all(86);
+  run_until(5);
+  fleet[few[0]].way = fleet[few[1]].way = CUT_OFF;
+  run_until(8);
+  for (int i = 0; i < size; i++) fleet[i].way = CUT_OFF;
+  run_until(11);
+  fleet[few[0]].way = fleet[few[1]].way = ANSWERS;
+  run_until(14);
+  newest = 2;
+  run_until(16);
+  cr_assert_eq(fleet[few[0]].version, 2);
+  cr_assert_eq(fleet[few[1]].version, 2);
+  end_all();
+}
+
+Test(readers, who_restarts_beside_a_cut_reads_and_tells) {
+  begin_all(86);
+  run_until(10);
+  leave_out(CUT_OFF, few, 1);
+  run_until(12);
+  Instance *x = &fleet[few[1]];
+  readers_free(x->readers);
+  snprintf(x->id, LIMIT_ID, "n%03d.2", few[1]);
+  begin(x);
+  fill_view();
+  run_until(16);
+  newest = 2;
+  run_until(18);
+  cr_assert_eq(x->version, 2);
+  end_all();
+}
+
+/* The store answers a few and turns the others away: found within a round. */
+Test(readers, who_is_served_while_others_are_turned_away_is_found) {
+  begin_all(86);
+  run_until(10);
+  leave_out(TURNS_AWAY, few, 1);
+  run_until(10 + 86 / READERS_TRIES + 3);
+  newest = 2;
+  run_until(clock_s + 2);
+  cr_assert_eq(fleet[few[0]].version, 2);
+  end_all();
+}
+
+/* Calls in 10 s of an outage of all: each is priced, also one that is turned
+   away; one that is cut off does not arrive. */
+static int calls_of_outage(int n, Way way) {
+  begin_all(n);
+  run_until(10);
+  leave_out(way, NULL, 0);
+  run_until(16);
+  calls = 0;
+  run_until(26);
+  end_all();
+  return calls;
+}
+
+Test(readers, calls_of_an_outage_do_not_grow_with_the_fleet) {
+  double most = 10 * (READERS_MOST / READ_S + READERS_TRIES);
+  int small = calls_of_outage(86, TURNS_AWAY);
+  int large = calls_of_outage(MOST, TURNS_AWAY);
+  cr_assert_leq(small, most * 1.1, "%d calls", small);
+  cr_assert_leq(large, most * 1.1, "%d calls", large);
+  cr_assert_eq(calls_of_outage(MOST, CUT_OFF), 0);
+}
