Evacuated data centres get nothing; cold targets no more than they bear

A cold target's rate was read nowhere either.

Change: evacuations are followed like the list of targets, by the few readers and told on; in force until they are taken back. Nothing new goes there: no first or second send, no question of load, no memory from there. Where nothing else is left the caller hears it at once, with 5 s. Cold targets: most of the bound is given out by the count of all that each target has anyway, a tenth is dealt out to the instances for when nobody counts; fleets below twelve deal out all of it. A count that has just begun, an instance that has just started, and fewer members (a cut) do not widen it. The two come as one contract and share the reasons of a choice without a target, so they land together.

Ways weighed for cold targets: each instance its part alone: with 74 instances 0.2 requests a second each, so nearly nothing; a lottery in each second: two seconds' draws overlap.

--- a/packages/conf/conf.h
+++ b/packages/conf/conf.h
@@ -19,6 +19,8 @@
   bool engine;      /* a model engine; the rest is told of these alone */
   int slots;        /* requests of one batch */
   int event_tokens; /* tokens of one event of a stream */
+  double cold_rate; /* requests a second that a cold target bears; 0: it needs
+                       no care */
   double move_s;    /* seconds to move the memory of one token from target to
                        target; 0: they don't */
   double pause_s;   /* shortest pause that its streams allow; 0: no streams */
--- a/packages/fleet/cluster.c
+++ b/packages/fleet/cluster.c
@@ -128,6 +128,13 @@
   }
 }
 
+static int rank_of_self(const Cluster *c) {
+  const char *self = gossip_me(c->members)->id;
+  int i = 0;
+  while (i < c->view->n && strcmp(c->view->list[i].id, self) < 0) i++;
+  return i;
+}
+
 static void refresh_view(Cluster *c) {
   double now = now_of(c);
   uint64_t version = gossip_version(c->members);
@@ -144,7 +151,7 @@
   remember_ids(c);
   readers_view(c->readers, c->view);
   tallies_view(c->tallies, c->view);
-  c->ev.instances(c->ctx, c->view->n);
+  c->ev.instances(c->ctx, rank_of_self(c), c->view->n);
   if (!c->settled) return;
   ledger_view(c->ledger, now, c->view);
   act(c);
--- a/packages/fleet/cluster.h
+++ b/packages/fleet/cluster.h
@@ -24,8 +24,9 @@
 typedef struct ClusterEvents {
   /* A reservation is decided. */
   void (*reserved)(void *ctx, uint64_t handle, ErrKind cause, int retry_ms);
-  /* Other instances came or went; `n` with ourselves. */
-  void (*instances)(void *ctx, int n);
+  /* Other instances came or went; `n` with ourselves, who are the `rank`-th by
+     id. */
+  void (*instances)(void *ctx, int rank, int n);
   /* Another instance sent its configuration. */
   void (*conf)(void *ctx, const char *text);
   /* The configuration that another instance is to get; NULL: none. */
--- a/packages/flow/ask.h
+++ b/packages/flow/ask.h
@@ -36,6 +36,7 @@
   bool other;     /* another target than the expected one has the address */
   bool encoded;   /* the body is not what the target made */
   bool leaving;   /* the target closes its connection */
+  double cold_s;  /* the target stays cold for so long; 0: not said */
   bool load_told; /* the three that follow are known */
   int running, waiting, slots;
 } Answer;
--- a/packages/flow/asking.c
+++ b/packages/flow/asking.c
@@ -7,9 +7,14 @@
    has not come by then is chosen without. */
 #define TOLD_WAIT_S 0.02
 
+/* Engines are asked for always, plain targets while one is cold and may get no
+   more than a number of requests from all. */
 static bool asks(const Run *x) {
-  bool engine = x->service && x->service->engine;
-  return engine && cluster_is_large(x->relay->cluster);
+  const ConfService *s = x->service;
+  if (!s || !cluster_is_large(x->relay->cluster)) return false;
+  if (s->engine) return true;
+  return s->cold_rate > 0 &&
+         targets_any_cold(x->relay->targets, run_now(x), x->service_name);
 }
 
 static void on_told_late(struct ev_loop *loop, ev_timer *w, int revents) {
--- a/packages/flow/dispatch.c
+++ b/packages/flow/dispatch.c
@@ -122,6 +122,7 @@
   wire_answer(h->headers, x->ask.id, &a);
   if (!a.ours) return LINK_SKIP;
   if (a.load_told) target_load(x->target, run_now(x), a.running, a.waiting);
+  if (a.cold_s > 0) target_cold(x->target, run_now(x), a.cold_s);
   x->refused = a.not_run || h->status == 421;
   if (h->status == 421)
     targets_replaced(x->relay->targets, run_now(x), x->target);
@@ -213,6 +214,7 @@
   return (TargetAsk){.service = x->service_name,
                      .ask = &x->ask,
                      .engine = x->service && x->service->engine,
+                     .cold_rate = x->service ? x->service->cold_rate : 0,
                      .move_s = x->service ? x->service->move_s : 0,
                      .pause_s = x->service ? x->service->pause_s : 0,
                      .tried = x->tried,
@@ -256,8 +258,26 @@
                       &link_events, x);
 }
 
-void run_choose(Run *x) {
+/* No target may take it: told at once, with the time that this may take. */
+static void give_up_unplaced(Run *x, TargetNone why) {
+  static const struct {
+    int retry_ms;
+    const char *text;
+  } causes[TARGET_NONES] = {
+      [TARGET_NONE_LEFT] = {RUN_BACK_SOON_MS, "no target serves %s now"},
+      [TARGET_NONE_EVACUATED] = {RUN_BACK_EVACUATED_MS,
+                                 "what is left of %s is evacuated"},
+      [TARGET_NONE_COLD] = {RUN_BACK_COLD_MS,
+                            "what is left of %s is cold and has its fill"},
+  };
   Err e;
+  err_retry(&e, ERR_NO_TARGET, causes[why].retry_ms, causes[why].text,
+            x->service_name);
+  if (x->maybe) err_set(&e, ERR_TARGET_FAILED, "no other target is left");
+  run_give_up(x, &e);
+}
+
+void run_choose(Run *x) {
   TargetAsk ask = run_target_ask(x);
   TargetChoice c = targets_pick(x->relay->targets, run_now(x), &ask);
   run_stop_asking(x);
@@ -266,10 +286,7 @@
     send_to(x, &c);
     return;
   }
-  err_retry(&e, ERR_NO_TARGET, RUN_BACK_SOON_MS, "no target serves %s now",
-            x->service_name);
-  if (x->maybe) err_set(&e, ERR_TARGET_FAILED, "no other target is left");
-  run_give_up(x, &e);
+  give_up_unplaced(x, c.none);
 }
 
 void run_dispatch(Run *x) {
--- a/packages/flow/run.h
+++ b/packages/flow/run.h
@@ -10,6 +10,12 @@
 #define RUN_LINK_KEEP_S 30.0 /* an idle connection to a target is kept */
 #define RUN_TRIED_MOST 8     /* targets that one request is tried at */
 #define RUN_BACK_SOON_MS 200 /* Retry-After of what passes quickly */
+/* The same while all targets that are left are evacuated. Nobody tells how long
+   it will take; operators' evacuations last for tens of seconds, and callers
+   wait for a third of their time at most. */
+#define RUN_BACK_EVACUATED_MS 5000
+/* The same while cold targets have had what they bear in a second. */
+#define RUN_BACK_COLD_MS 1000
 
 typedef struct Run Run;
 
--- a/packages/kernel/count.c
+++ b/packages/kernel/count.c
@@ -30,6 +30,8 @@
     [COUNT_CALLER_GONE] = {"caller_gone_total", "callers that hung up"},
     [COUNT_RESUMED] = {"resumed_total", "streams that went on after a break"},
     [COUNT_TARGET_CUT] = {"target_cut_total", "answers cut by a target"},
+    [COUNT_EVACUATIONS] = {"evacuations_total",
+                           "evacuations that came into force or ended here"},
     [COUNT_ORDERS] = {"orders_total", "placement orders to targets"},
     [COUNT_ORDERS_FENCED] = {"orders_fenced_total",
                              "placement orders refused as old"},
--- a/packages/node/node.c
+++ b/packages/node/node.c
@@ -60,6 +60,11 @@
      "Seconds of the window in which retries are bounded", 0, 0, NULL},
     {"retry-extra", "LOFTPATH_RETRY_EXTRA", SETTING_TEXT, "54",
      "Retries besides, over all instances, in each window", 0, 0, NULL},
+    {"cold-overrun", "LOFTPATH_COLD_OVERRUN", SETTING_TEXT, "1",
+     "Requests to a cold target in a second, times the rate that it says", 0, 0,
+     NULL},
+    {"cold-extra", "LOFTPATH_COLD_EXTRA", SETTING_TEXT, "0",
+     "Requests besides, from all instances together", 0, 0, NULL},
     {"check", "LOFTPATH_CHECK", SETTING_FLAG, "off",
      "Check the settings and exit", 0, 0, NULL},
     {NULL, NULL, SETTING_TEXT, NULL, NULL, 0, 0, NULL}};
@@ -79,6 +84,7 @@
   ev_signal term, intr, hup;
   double pools_at; /* when the others are told of our pools next */
   int instances;   /* of the fleet, with ourselves */
+  int seeds;       /* that the settings name */
   double stop_at;  /* loop time of SIGTERM; 0: none */
   bool refusing, returning, was_ready;
   int status;
@@ -140,6 +146,24 @@
            "lapsed", (int)lapsed);
 }
 
+static void on_evacuation(void *ctx, const char *dc, bool on,
+                          uint64_t revision) {
+  Node *n = ctx;
+  if (!targets_evacuate(n->targets, dc, on)) return;
+  count_add(COUNT_EVACUATIONS, 1);
+  log_info("evacuation", "s:s,s:b,s:i,s:I,s:f", "datacentre", dc, "in_force",
+           (int)on, "targets", targets_in(n->targets, dc), "revision",
+           (json_int_t)revision, "store_age", feed_age(n->feed));
+}
+
+static void on_evacuations(void *ctx, GHashTable *dcs) {
+  Node *n = ctx;
+  if (!targets_evacuate_only(n->targets, dcs)) return;
+  count_add(COUNT_EVACUATIONS, 1);
+  log_info("evacuations-listed", "s:i", "datacentres",
+           (int)g_hash_table_size(dcs));
+}
+
 /* == what other instances say == */
 
 static void on_reserved(void *ctx, uint64_t handle, ErrKind cause,
@@ -148,9 +172,13 @@
   relay_reserved(n->relay, handle, cause, retry_ms);
 }
 
-static void on_instances(void *ctx, int count) {
+/* Seeds are there even when they can't be seen: an instance that starts in a
+   cut must not take all of a bound for itself. */
+static void on_instances(void *ctx, int rank, int count) {
   Node *n = ctx;
+  int of = MAX(count, n->seeds);
   n->instances = count;
+  targets_place(n->targets, ev_now(n->loop), rank, of);
   targets_parts_are_told(n->targets, count < FLEET_SMALL);
   retries_instances(n->retries, ev_now(n->loop), count);
 }
@@ -360,10 +388,17 @@
   return cluster_open(n->loop, n->store, &o, &events, n, e);
 }
 
+static int count_seeds(const char *list) {
+  char **seeds = g_strsplit(list, ",", -1);
+  int n = (int)g_strv_length(seeds);
+  g_strfreev(seeds);
+  return n;
+}
+
 static bool open_parts(Node *n, Err *e) {
-  static const FeedEvents feed_events = {on_conf,   on_target, on_gone,
-                                         on_listed, on_duty,   on_tell,
-                                         on_met,    on_knocks, on_asks};
+  static const FeedEvents feed_events = {
+      on_conf, on_target, on_gone, on_listed, on_evacuation, on_evacuations,
+      on_duty, on_tell,   on_met,  on_knocks, on_asks};
   static const CallerEvents ready_events = {on_question, on_questioner_gone};
   RetriesOptions retries = {.ratio = number("retry-ratio"),
                             .window_s = number("retry-window"),
@@ -371,8 +406,10 @@
   RelayOptions relay = {
       .listen = settings_text(settings, "listen"),
       .body_room = (settings_number(settings, "memory") << 20) / BODY_SHARE};
+  n->seeds = count_seeds(settings_text(settings, "seeds"));
   n->targets =
       targets_new(settings_text(settings, "datacentre"), random_number());
+  targets_cold_bound(n->targets, number("cold-overrun"), number("cold-extra"));
   n->retries = retries_new(&retries);
   n->store = store_open(n->loop, settings_text(settings, "platform"));
   n->cluster = open_cluster(n, e);
--- a/packages/peer/codec.c
+++ b/packages/peer/codec.c
@@ -197,11 +197,12 @@
 void codec_put_tally_word(msgpack_sbuffer *b, const TallyWord *m) {
   msgpack_packer p;
   msgpack_packer_init(&p, b, msgpack_sbuffer_write);
-  msgpack_pack_array(&p, 7);
+  msgpack_pack_array(&p, 8);
   msgpack_pack_uint8(&p, CODEC_TALLY_WORD);
   msgpack_pack_uint64(&p, m->number);
   msgpack_pack_uint64(&p, m->target);
   msgpack_pack_uint32(&p, (uint32_t)m->open);
+  msgpack_pack_uint32(&p, (uint32_t)m->starts);
   msgpack_pack_int64(&p, m->tokens);
   msgpack_pack_uint8(&p, (uint8_t)m->known);
   msgpack_pack_uint8(&p, (uint8_t)m->ripe);
@@ -397,6 +398,7 @@
   m->number = get_u64(r);
   m->target = get_u64(r);
   m->open = get_small(r, LOAD_MAX);
+  m->starts = get_small(r, LOAD_MAX);
   m->tokens = get_i64(r);
   m->known = get_small(r, TALLY_NAMES + 1);
   m->ripe = get_small(r, TALLY_NAMES + 1);
--- a/packages/route/choose.c
+++ b/packages/route/choose.c
@@ -37,6 +37,7 @@
   const Targets *set;
   const TargetAsk *ask;
   double now;
+  bool asking; /* which targets to ask for, not which gets it */
   bool long_prompt;
   double slope;        /* seconds a token takes to be read */
   uint64_t home;       /* weight of the prompt's home, 0: none; where work is
@@ -221,7 +222,7 @@
   }
   cost += c->wait_s;
   if (strcmp(t->info.dc, p->set->dc) != 0) cost += CROSS_S;
-  if (t->info.cold_s > 0) cost += COLD_S;
+  if (p->now < t->cold.until) cost += COLD_S;
   if (p->now < t->aside_until) cost += ASIDE_COST_S;
   if (t->lapsed) cost += LAPSED_COST_S;
   return cost * (1 + JITTER * g_rand_double(p->set->rand));
@@ -229,6 +230,26 @@
 
 /* == the choice == */
 
+/* Why nobody is left to take it. */
+static TargetNone why_none(const Pick *p, const Pool *pool) {
+  TargetNone why = TARGET_NONE_LEFT;
+  for (guint i = 0; i < pool->members->len; i++) {
+    const Target *t = pool->members->pdata[i];
+    if (p->now >= t->leave_at || was_tried(p->ask, t)) continue;
+    why = t->evacuated ? MAX(why, TARGET_NONE_EVACUATED) : TARGET_NONE_COLD;
+  }
+  return why;
+}
+
+/* Whether it may get one more, as far as it is cold. */
+static bool has_room(const Pick *p, const Target *t) {
+  double rate = p->ask->cold_rate;
+  const TallyWord *w = word_of(p, t);
+  if (rate <= 0 || p->now >= t->cold.until) return true;
+  return cold_admits(&p->set->cold_share, &t->cold, p->now, rate, t->hash,
+                     w ? w->starts : -1);
+}
+
 /* All that may take it; of these only those that somebody told of, if any. */
 static GPtrArray *candidates(const Pick *p, const Pool *pool) {
   GPtrArray *list = g_ptr_array_new();
@@ -236,6 +257,7 @@
   for (guint i = 0; i < pool->members->len; i++) {
     Target *t = pool->members->pdata[i];
     if (!target_usable(t, p->now) || was_tried(p->ask, t)) continue;
+    if (!p->asking && !has_room(p, t)) continue;
     g_ptr_array_add(list, t);
     if (word_of(p, t) && sound(p, t)) g_ptr_array_add(told, t);
   }
@@ -268,7 +290,7 @@
                    uint64_t out[TARGETS_ASKED]) {
   const Pool *pool = g_hash_table_lookup(s->pools, ask->service);
   if (!pool) return 0;
-  Pick p = {.set = s, .ask = ask, .now = now};
+  Pick p = {.set = s, .ask = ask, .now = now, .asking = true};
   GPtrArray *list = candidates(&p, pool);
   int len = (int)list->len, n = add_homes(&p, list, out);
   for (int tries = 0; n < TARGETS_ASKED && tries < 2 * TARGETS_ASKED && len > 0;
@@ -305,6 +327,7 @@
     least = cost;
     best = c;
   }
+  if (!best.target) best.none = why_none(&p, pool);
   best.candidates = n;
   best.long_prompt = p.long_prompt;
   best.beside_long = beside_long;
--- a/packages/route/state.h
+++ b/packages/route/state.h
@@ -2,7 +2,9 @@
 #ifndef ROUTE_STATE_H
 #define ROUTE_STATE_H
 
+#include "route/cold.h"
 #include "route/division.h"
+#include "route/evacuation.h"
 #include "route/fit.h"
 #include "route/parts.h"
 #include "route/targets.h"
@@ -36,6 +38,8 @@
   uint64_t hash;
   double leave_at; /* no new work from here on; INFINITY: stays */
   bool lapsed;     /* its entry is missing, perhaps by an outage only */
+  bool evacuated;  /* its data centre is */
+  Cold cold;
   double aside_until, aside_s;
   double fail;     /* mean of failures, 0 to 1 */
   double took_s;   /* mean time of an answer */
@@ -52,6 +56,8 @@
 
 struct Targets {
   char dc[LIMIT_NAME];
+  Evacuation *evacuation;
+  ColdShare cold_share;
   GHashTable *by_id;
   GHashTable *by_hash; /* the same targets */
   GHashTable *pools;   /* service -> Pool */
--- a/packages/route/tally.c
+++ b/packages/route/tally.c
@@ -14,6 +14,10 @@
 #define RIPE_S 0.5    /* a part that was sent this long ago has been read */
 #define FORGET_S 60.0 /* a target that nobody speaks of */
 
+/* Starts that are remembered: more in a second than any cold target bears. */
+#define STARTS 64
+#define START_S 1.02 /* they count for a second; messages take milliseconds */
+
 typedef struct RunKey {
   uint64_t from, run;
 } RunKey;
@@ -28,7 +32,9 @@
   GHashTable *runs; /* RunKey -> Run, which holds its key */
   int64_t tokens;   /* sum over runs */
   Parts *parts;
-  double spoken;
+  double born, spoken;   /* when it was first and last spoken of */
+  double starts[STARTS]; /* of the last runs, in a ring */
+  int n_starts;          /* in all */
 } Count;
 
 struct Tally {
@@ -70,6 +76,7 @@
     c = g_new0(Count, 1);
     c->runs = g_hash_table_new_full(key_hash, key_equal, NULL, g_free);
     c->parts = parts_new();
+    c->born = now;
     g_hash_table_insert(t->counts, g_memdup2(&target, sizeof target), c);
   }
   c->spoken = now;
@@ -81,6 +88,17 @@
   g_hash_table_remove(c->runs, &r->key);
 }
 
+/* Whoever has just begun to count a target does not know what it got in the
+   second before, by another's count: it says the most. */
+static int recent_starts(const Count *c, double now) {
+  int n = 0;
+  if (now - c->born < START_S) return STARTS;
+  while (n < STARTS && n < c->n_starts &&
+         now - c->starts[(c->n_starts - 1 - n) % STARTS] < START_S)
+    n++;
+  return n;
+}
+
 void tally_take(Tally *t, double now, uint64_t from, const TallyRun *m) {
   Count *c = count_of(t, now, m->target);
   RunKey key = {from, m->run};
@@ -93,6 +111,7 @@
   if (!r) {
     r = g_new0(Run, 1);
     r->key = key;
+    c->starts[c->n_starts++ % STARTS] = now;
     g_hash_table_insert(c->runs, &r->key, r);
   }
   c->tokens += m->tokens - r->tokens;
@@ -106,6 +125,7 @@
   return (TallyWord){.number = a->number,
                      .target = a->target,
                      .open = (int)g_hash_table_size(c->runs),
+                     .starts = recent_starts(c, now),
                      .tokens = c->tokens,
                      .known = parts_known(c->parts, p->names, p->n, now, 0),
                      .ripe =
--- a/packages/route/tally.h
+++ b/packages/route/tally.h
@@ -44,6 +44,7 @@
   uint64_t number;
   uint64_t target;
   int open;       /* requests there */
+  int starts;     /* that were sent there in the last second, at most */
   int64_t tokens; /* of prompts, still to be read */
   int known;      /* of the parts asked for, from the first on: sent there */
   int ripe;       /* the same, of those that must have been read by now */
--- a/packages/route/targets.c
+++ b/packages/route/targets.c
@@ -43,6 +43,7 @@
 Targets *targets_new(const char *dc, uint32_t seed) {
   Targets *s = g_new0(Targets, 1);
   g_strlcpy(s->dc, dc, sizeof s->dc);
+  s->evacuation = evacuation_new();
   s->by_id = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, target_free);
   s->by_hash = g_hash_table_new(g_int64_hash, g_int64_equal);
   s->pools = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, pool_free);
@@ -53,6 +54,7 @@
 }
 
 void targets_free(Targets *s) {
+  evacuation_free(s->evacuation);
   g_hash_table_destroy(s->by_hash);
   g_queue_clear(&s->changed);
   g_queue_clear_full(&s->parts_news, g_free);
@@ -103,9 +105,12 @@
 void targets_set(Targets *s, double now, const TargetInfo *info) {
   Target *t = g_hash_table_lookup(s->by_id, info->id);
   if (t && info->revision < t->info.revision) return;
+  bool news = !t || info->revision > t->info.revision;
   if (!t) t = target_new(s, info);
+  if (news) t->cold.until = now + info->cold_s;
   t->info = *info;
   t->lapsed = false;
+  t->evacuated = evacuation_holds(s->evacuation, info->dc);
   if (info->leaving)
     t->leave_at = MIN(t->leave_at, now);
   else
@@ -133,6 +138,66 @@
   }
 }
 
+/* == evacuations == */
+
+static void mark_evacuated(Targets *s) {
+  GHashTableIter it;
+  gpointer v;
+  g_hash_table_iter_init(&it, s->by_id);
+  while (g_hash_table_iter_next(&it, NULL, &v)) {
+    Target *t = v;
+    t->evacuated = evacuation_holds(s->evacuation, t->info.dc);
+  }
+}
+
+bool targets_evacuate(Targets *s, const char *dc, bool on) {
+  bool changed = evacuation_set(s->evacuation, dc, on);
+  if (changed) mark_evacuated(s);
+  return changed;
+}
+
+bool targets_evacuate_only(Targets *s, GHashTable *dcs) {
+  bool changed = evacuation_only(s->evacuation, dcs);
+  if (changed) mark_evacuated(s);
+  return changed;
+}
+
+int targets_in(const Targets *s, const char *dc) {
+  GHashTableIter it;
+  gpointer v;
+  int n = 0;
+  g_hash_table_iter_init(&it, s->by_id);
+  while (g_hash_table_iter_next(&it, NULL, &v))
+    n += strcmp(((const Target *)v)->info.dc, dc) == 0;
+  return n;
+}
+
+/* == cold targets == */
+
+void targets_cold_bound(Targets *s, double overrun, double extra) {
+  s->cold_share.overrun = overrun;
+  s->cold_share.extra = extra;
+}
+
+void targets_place(Targets *s, double now, int rank, int of) {
+  cold_place(&s->cold_share, now, rank, of);
+}
+
+bool targets_any_cold(const Targets *s, double now, const char *service) {
+  const Pool *pool = g_hash_table_lookup(s->pools, service);
+  for (guint i = 0; pool && i < pool->members->len; i++) {
+    const Target *t = pool->members->pdata[i];
+    if (now < t->cold.until) return true;
+  }
+  return false;
+}
+
+void target_cold(Target *t, double now, double left_s) {
+  t->cold.until = MAX(t->cold.until, now + left_s);
+}
+
+/* == what ends them == */
+
 void targets_replaced(Targets *s, double now, Target *t) {
   (void)s;
   leave(t, now, false);
@@ -164,7 +229,7 @@
 }
 
 bool target_usable(const Target *t, double now) {
-  return now < t->leave_at;
+  return now < t->leave_at && !t->evacuated;
 }
 
 const char *target_id(const Target *t) {
@@ -203,6 +268,7 @@
 void target_sent(Target *t, double now, const Ask *ask, const TargetChoice *c) {
   t->open++;
   t->waiting++;
+  cold_sent(&t->cold, now);
   t->backlog += c->fresh;
   note_parts(t, now, ask);
   division_read(t->pool->division, now, c->long_prompt, c->fresh);
--- a/packages/route/targets.h
+++ b/packages/route/targets.h
@@ -39,6 +39,21 @@
 void targets_gone(Targets *s, double now, const char *id, bool lapsed);
 /* Everything that `keep` (a set of ids) does not hold is gone. */
 void targets_only(Targets *s, double now, GHashTable *keep, bool lapsed);
+/* The targets of a data centre get nothing from now on, or may again; false:
+   nothing has changed. */
+bool targets_evacuate(Targets *s, const char *dc, bool on);
+/* Just the data centres of `dcs` (a set of names) are evacuated; whether
+   anything has changed. */
+bool targets_evacuate_only(Targets *s, GHashTable *dcs);
+/* Operators' bound of requests to a cold target in a second: `overrun` times
+   its rate, and `extra` (cold.h). */
+void targets_cold_bound(Targets *s, double overrun, double extra);
+/* Our place among the instances, for our part of that bound. */
+void targets_place(Targets *s, double now, int rank, int of);
+/* Whether a target of the service is cold. */
+bool targets_any_cold(const Targets *s, double now, const char *service);
+/* How many targets of a data centre are known. */
+int targets_in(const Targets *s, const char *dc);
 /* Another one has its address. */
 void targets_replaced(Targets *s, double now, Target *t);
 /* Forgets those that left and have nothing open. */
@@ -52,9 +67,11 @@
   const char *service;
   const Ask *ask;
   bool engine;
-  double move_s;  /* to move the memory of one token; 0: it is not moved */
-  double pause_s; /* shortest pause that streams of the service allow; 0: none
-                     are known */
+  double cold_rate; /* requests a second that a cold target bears; 0: as a
+                       warm one */
+  double move_s;    /* to move the memory of one token; 0: it is not moved */
+  double pause_s;   /* shortest pause that streams of the service allow; 0: none
+                       are known */
   const Target *const *tried;
   int n_tried;
   const TallyWord *words; /* of targets_to_ask: only these are chosen from */
@@ -67,8 +84,17 @@
   int64_t tokens; /* of prompts, to be read before their first byte */
 } TargetLoad;
 
+/* Why no target was chosen. */
+typedef enum {
+  TARGET_NONE_LEFT,      /* there is none, or all were tried */
+  TARGET_NONE_EVACUATED, /* those that are left are evacuated */
+  TARGET_NONE_COLD,      /* those that are left are cold and had their fill */
+  TARGET_NONES
+} TargetNone;
+
 typedef struct TargetChoice {
   Target *target;      /* NULL: there is none */
+  TargetNone none;     /* why */
   double wait_s;       /* predicted, until the first byte */
   int64_t fresh;       /* tokens of the prompt thought to be read anew */
   int64_t moved;       /* tokens that come from the memory of `donor` */
@@ -113,6 +139,8 @@
 void target_done(Target *t, double now, TargetEnd how, bool first,
                  int64_t fresh, double took_s);
 void target_load(Target *t, double now, int running, int waiting);
+/* It says that it stays cold for so long. */
+void target_cold(Target *t, double now, double left_s);
 
 TargetLoad target_load_now(const Target *t, double now);
 
--- a/tests/node.py
+++ b/tests/node.py
@@ -10,6 +10,7 @@
 
 from fleet import (BASE, KEY, RETRY_WINDOW_S, Site, chunk, config, event, head,
                    play_stream, route, wait_for)
+from proxy import Proxy
 
 
 def calls_in(s, seconds):
@@ -305,6 +306,57 @@
                 if l["event"] == "reads" and l["duty"] == "all"]
 
 
+def in_force(s, dc, on=True):
+    """All instances know that the data centre is evacuated, or no longer is."""
+    def last(i):
+        return [l["in_force"] for l in s.log(i)
+                if l["event"] == "evacuation" and l["datacentre"] == dc][-1:]
+
+    return all(last(i) == [on] for i in range(len(s.processes)))
+
+
+def test_an_evacuated_data_centre_gets_nothing_until_it_is_taken_back(s):
+    there, away = s.desks[1], s.desks[0]
+    s.store.put("servers", away.name, dict(away.entry, zone="b"))
+    s.store.put("evacuations", "nowhere", "not an object")
+    s.store.put("evacuations", "a", {})
+    wait_for("the evacuation", lambda: in_force(s, "a"), 5)
+    before = len(there.ran)
+    for k in range(30):
+        assert s.call("/safe/x", i=k % len(s.processes)).status == 200
+    assert len(there.ran) == before and len(away.ran) >= 30
+    s.store.put("evacuations", "b", {})
+    wait_for("the other one", lambda: in_force(s, "b"), 2)
+    began = time.monotonic()
+    a = s.call("/safe/x")
+    assert a.status == 503 and float(a.headers["retry-after"]) >= 1, a.headers
+    assert time.monotonic() - began < 0.2
+    s.store.remove("evacuations", "a")
+    wait_for("its end", lambda: in_force(s, "a", False), 2)
+    assert s.call("/safe/x").status == 200
+    assert len(there.ran) == before + 1
+
+
+def test_whose_cut_ends_first_follows_the_configuration(s):
+    """All lose the store, and eight of fourteen try it for all. One of the
+    others gets it back; it hears of a change and tells the rest."""
+    wait_for("readers", lambda: 1 <= len(readers_of(s)) <= 4, 15)
+    for p in s.proxies:
+        p.closed = True
+        p.reset()
+    time.sleep(5.0)
+    tries = readers_of(s)
+    left = [i for i in range(len(s.processes)) if i not in tries][0]
+    s.proxies[left].heal()
+    time.sleep(3.0)
+    s.store.put("config", "main", config(2, routes=[
+        route("n", "/new/", "desk", "safe")]))
+    wait_for("it to take the change", lambda: s.call(
+        "/new/x", i=left).status == 200, 2)
+    wait_for("the others to take it", lambda: all(
+        s.call("/new/x", i=i).status == 200 for i in range(14)), 3)
+
+
 def test_lost_readers_are_replaced(s):
     wait_for("readers", lambda: 1 <= len(readers_of(s)) <= 4, 15)
     readers = readers_of(s)
@@ -394,14 +446,18 @@
              "test_a_restart_in_an_outage_asks_its_peers": 2,
              "test_a_few_instances_read_the_store_for_all": 14,
              "test_a_small_fleet_tells_nobody_what_it_reads": 3,
+             "test_an_evacuated_data_centre_gets_nothing_until_it_is_taken_back": 3,
+             "test_whose_cut_ends_first_follows_the_configuration": 14,
              "test_lost_readers_are_replaced": 14}
+PROXIES = {"test_whose_cut_ends_first_follows_the_configuration": Proxy}
 
 
 def main():
     names = sys.argv[2:] or [n for n in globals() if n.startswith("test_")]
     failed = 0
     for name in names:
-        s = Site(instances=INSTANCES.get(name, 1))
+        s = Site(instances=INSTANCES.get(name, 1),
+                 store_proxy=PROXIES.get(name))
         try:
             globals()[name](s)
             print("ok", name, flush=True)
--- a/tests/test_codec.c
+++ b/tests/test_codec.c
@@ -128,6 +128,27 @@
   msgpack_sbuffer_destroy(&b);
 }
 
+Test(codec, a_count_of_work_round_trips) {
+  msgpack_sbuffer b;
+  TallyWord w = {.number = 1,
+                 .target = UINT64_MAX,
+                 .open = 5,
+                 .starts = 9,
+                 .tokens = 70000,
+                 .known = 2,
+                 .ripe = 1};
+  CodecMsg m;
+  size_t off = 0;
+  msgpack_sbuffer_init(&b);
+  codec_put_tally_word(&b, &w);
+  cr_assert(codec_get(b.data, b.size, &off, &m));
+  cr_assert_eq(m.type, CODEC_TALLY_WORD);
+  cr_assert(m.tally_word.target == w.target && m.tally_word.open == 5);
+  cr_assert(m.tally_word.starts == 9 && m.tally_word.tokens == 70000);
+  cr_assert(m.tally_word.known == 2 && m.tally_word.ripe == 1);
+  msgpack_sbuffer_destroy(&b);
+}
+
 Test(codec, parts_of_prompts_round_trip) {
   TargetParts w = {.target = 7, .n = 2, .names = {UINT64_MAX, 3}};
   msgpack_sbuffer b;
--- a/tests/test_conf.c
+++ b/tests/test_conf.c
@@ -13,7 +13,8 @@
     "{\"name\":\"r2\",\"host\":\"a.example\",\"path_prefix\":\"/x/y/"
     "\",\"type\":"
     "\"unsafe\",\"timeout_ms\":1000,\"slo_ms\":150,\"service\":\"s2\"}],"
-    "\"services\":[{\"name\":\"s1\",\"engine\":{\"slots\":64,\"kv_capacity\":"
+    "\"services\":[{\"name\":\"s1\",\"cold_per_s\":6.6,\"engine\":{\"slots\":"
+    "64,\"kv_capacity\":"
     "1000,\"stride\":3,\"kv_bytes\":1000000,\"link_mbps\":8000,"
     "\"moves\":true}},{\"name\":\"s2\"}],\"limits\":{\"max_body_bytes\":10},"
     "\"tenants\":[{\"name\":\"acme\",\"api_keys\":[\"k1\",\"k2\"],\"prepaid\":"
@@ -62,6 +63,8 @@
   cr_assert_eq(conf_service(c, "s1")->event_tokens, 3);
   cr_assert_float_eq(conf_service(c, "s1")->move_s, 0.001, 1e-9);
   cr_assert_eq(conf_service(c, "s2")->move_s, 0, "not an engine");
+  cr_assert_float_eq(conf_service(c, "s1")->cold_rate, 6.6, 1e-9);
+  cr_assert_eq(conf_service(c, "s2")->cold_rate, 0, "not said");
   cr_assert_float_eq(conf_service(c, "s1")->pause_s, 1, 1e-9);
   cr_assert_not(conf_service(c, "s2")->engine);
   conf_unref(c);
--- a/tests/test_readers.c
+++ b/tests/test_readers.c
@@ -122,10 +122,10 @@
 typedef struct Instance {
   Readers *readers;
   char id[LIMIT_ID];
-  Way way;       /* to the store */
-  int version;   /* that it knows */
-  double told;   /* last word of one who reads, with its version */
-  double away;   /* last word that the store does not answer */
+  Way way;     /* to the store */
+  int version; /* that it knows */
+  double told; /* last word of one who reads, with its version */
+  double away; /* last word that the store does not answer */
   double read_at;
   bool knocked;
 } Instance;
--- a/tests/test_tally.c
+++ b/tests/test_tally.c
@@ -41,6 +41,21 @@
   tally_free(t);
 }
 
+/* For targets that bear a number of requests in a second. */
+Test(tally, starts_of_the_last_second_are_told_once_it_was_seen_whole) {
+  Tally *t = tally_new();
+  cr_assert_gt(ask(t, 1).starts, 50, "what came before is not known");
+  for (int i = 0; i < 4; i++) {
+    TallyRun a = run_of((uint64_t)i, true, 10);
+    tally_take(t, 3 + i * 0.4, 8, &a);
+    a.tokens = 0;
+    tally_take(t, 3 + i * 0.4, 8, &a); /* it was read: no start */
+  }
+  cr_assert_eq(ask(t, 4.3).starts, 3);
+  cr_assert_eq(ask(t, 6).starts, 0);
+  tally_free(t);
+}
+
 /* The word of an end is lost, or its sender. */
 Test(tally, what_is_not_heard_of_again_runs_out) {
   Tally *t = tally_new();
--- a/tests/test_targets.c
+++ b/tests/test_targets.c
@@ -310,3 +310,120 @@
   cr_assert_not(targets_changed(s, &w), "both changes in one");
   targets_free(s);
 }
+
+/* == evacuations == */
+
+/* Four targets, two in each of two data centres. */
+static Targets *two_places(void) {
+  Targets *s = targets_new("a", 1);
+  for (int i = 0; i < 4; i++) {
+    TargetInfo t = info(i, "svc");
+    if (i >= 2) g_strlcpy(t.dc, "b", sizeof t.dc);
+    targets_set(s, 0, &t);
+  }
+  return s;
+}
+
+static bool gets_work(Targets *s, double now, const char *dc) {
+  Ask a = {.tokens_in = 1000};
+  for (int i = 0; i < 40; i++) {
+    Target *t = pick(s, now, &a, i % 2 == 0);
+    if (!t) return false;
+    sent(t, now, &a, 1000);
+    bool there =
+        target_id(t)[2] >= '2' ? strcmp(dc, "b") == 0 : strcmp(dc, "a") == 0;
+    if (there) return true;
+  }
+  return false;
+}
+
+Test(targets, an_evacuated_data_centre_gets_nothing_until_it_is_taken_back) {
+  Targets *s = two_places();
+  cr_assert(gets_work(s, 1, "b"));
+  cr_assert(targets_evacuate(s, "b", true));
+  cr_assert(!gets_work(s, 1, "b"));
+  cr_assert(gets_work(s, 1, "a"));
+  cr_assert(!gets_work(s, 100000, "b"), "never by time");
+  cr_assert(!targets_evacuate(s, "b", true), "the same twice");
+  cr_assert(targets_evacuate(s, "b", false));
+  cr_assert(gets_work(s, 100001, "b"));
+  cr_assert(!targets_evacuate(s, "b", false), "it was taken back before");
+  targets_free(s);
+}
+
+Test(targets, a_target_that_appears_in_an_evacuated_data_centre_gets_nothing) {
+  Targets *s = two_places();
+  targets_evacuate(s, "b", true);
+  TargetInfo t = info(9, "svc");
+  g_strlcpy(t.dc, "b", sizeof t.dc);
+  targets_set(s, 2, &t);
+  t = info(2, "svc");
+  g_strlcpy(t.dc, "b", sizeof t.dc);
+  t.revision = 20; /* its entry changed */
+  targets_set(s, 2, &t);
+  cr_assert(!gets_work(s, 3, "b"));
+  targets_free(s);
+}
+
+Test(targets, a_listing_of_evacuations_ends_those_that_it_does_not_hold) {
+  Targets *s = two_places();
+  GHashTable *dcs = g_hash_table_new(g_str_hash, g_str_equal);
+  targets_evacuate(s, "a", true);
+  g_hash_table_add(dcs, "b");
+  cr_assert(targets_evacuate_only(s, dcs));
+  cr_assert(gets_work(s, 1, "a"));
+  cr_assert(!gets_work(s, 1, "b"));
+  cr_assert(!targets_evacuate_only(s, dcs));
+  g_hash_table_destroy(dcs);
+  targets_free(s);
+}
+
+/* Neither a question of its load, nor memory to be moved from there, nor a
+   second try. */
+Test(targets, nothing_touches_an_evacuated_target) {
+  Targets *s = two_places();
+  targets_parts_are_told(s, true);
+  Ask a = {.tokens_in = 9000, .n_parts = 2};
+  a.parts[0] = (AskPart){77, 8000};
+  a.parts[1] = (AskPart){78, 1000};
+  TargetAsk ask = {.service = "svc", .ask = &a, .engine = true, .move_s = 1e-6};
+  Target *home = targets_pick(s, 1, &ask).target;
+  sent(home, 1, &a, 9000);
+  const char *dc = target_id(home)[2] >= '2' ? "b" : "a";
+  targets_evacuate(s, dc, true);
+  for (int i = 0; i < 20; i++) {
+    TargetChoice c = targets_pick(s, 3, &ask);
+    cr_assert_not_null(c.target);
+    cr_assert_neq(c.target, home);
+    cr_assert_null(c.donor);
+    uint64_t asked[TARGETS_ASKED];
+    int n = targets_to_ask(s, 3, &ask, asked);
+    for (int k = 0; k < n; k++) cr_assert_neq(asked[k], target_hash(home));
+  }
+  targets_free(s);
+}
+
+Test(targets, a_choice_tells_that_an_evacuation_left_none) {
+  Targets *s = two_places();
+  Ask a = {0};
+  TargetAsk ask = {.service = "svc", .ask = &a};
+  targets_evacuate(s, "a", true);
+  targets_evacuate(s, "b", true);
+  cr_assert_null(targets_pick(s, 1, &ask).target);
+  cr_assert_eq(targets_pick(s, 1, &ask).none, TARGET_NONE_EVACUATED);
+  targets_evacuate(s, "nowhere", true); /* nobody knows it */
+  cr_assert_eq(targets_in(s, "nowhere"), 0);
+  targets_free(s);
+}
+
+Test(targets, wrong_input_does_not_fill_the_memory) {
+  Targets *s = two_places();
+  char dc[16];
+  for (int i = 0; i < 1000; i++) {
+    snprintf(dc, sizeof dc, "x%d", i);
+    targets_evacuate(s, dc, true);
+  }
+  cr_assert(!targets_evacuate(s, "x999", false), "it was passed over");
+  cr_assert(targets_evacuate(s, "x1", false));
+  targets_free(s);
+}
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -123,6 +123,8 @@
                                      "s",
                                      "X-Loftpath-Server-Load",
                                      "3,1,8",
+                                     "X-Loftpath-Cold-Ms",
+                                     "2500",
                                      NULL};
   Headers h;
   Answer a;
@@ -131,6 +133,7 @@
   cr_assert(a.ours && a.signed_ && a.load_told && !a.not_run);
   cr_assert_eq(a.running, 3);
   cr_assert_eq(a.slots, 8);
+  cr_assert_float_eq(a.cold_s, 2.5, 1e-9);
   wire_answer(&h, "a2", &a);
   cr_assert_not(a.ours);
   headers_free(&h);
