Who reads for others says that the store is away also while another tells

The first choices heard the instance that was left out of the cut, so they no longer said that the store does not answer them, counted as silent, and the sixteen choices ran out. And whoever stepped in gave way to choices that had just been looked for and had said nothing.

Change: the word tells how the store meets its speaker; who steps in counts only those that said they read. The process test asks that nobody reads for itself meanwhile.

--- a/packages/member/readers.c
+++ b/packages/member/readers.c
@@ -15,6 +15,7 @@
 /* What an instance last said. */
 typedef struct Word {
   double well; /* it read the store then, or was first looked for */
+  double read; /* it read the store then; 0: it never said so */
   double away; /* the store did not answer it then; 0: it never said so */
 } Word;
 
@@ -25,6 +26,7 @@
   double phase;      /* 0 to 1: our place in a round of all */
   double served;     /* when the store last answered us */
   double refused;    /* it last took somebody's connection and did not answer */
+  double failed;     /* somebody last told that it does not answer */
   double knock_at, ask_at; /* not before */
   int members;             /* of the fleet */
   bool small;              /* the fleet */
@@ -37,7 +39,7 @@
   g_strlcpy(r->self, self, sizeof r->self);
   g_strlcpy(r->region, region, sizeof r->region);
   r->phase = (double)text_hash(self) / (double)UINT64_MAX;
-  r->served = r->refused = -INFINITY;
+  r->served = r->refused = r->failed = -INFINITY;
   r->small = true;
   r->heard = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
   return r;
@@ -72,12 +74,14 @@
 void readers_heard(Readers *r, double now, const char *id, ReadersWord word) {
   Word *w = word_of(r, now, id);
   if (word == READERS_READ) {
-    w->well = now;
+    w->well = w->read = now;
     w->away = 0;
     return;
   }
   if (word == READERS_REFUSED) note_refused(r, now);
+  r->failed = now;
   w->well = now - READERS_SILENT;
+  w->read = 0;
   w->away = now;
 }
 
@@ -114,18 +118,19 @@
     g_strlcpy(r->choice[i], first[i]->id, LIMIT_ID);
 }
 
-/* The store answers us and not the first choices: we step in for them, unless
+/* The store answers us and not all of those that read: we read as well, unless
    others do who come before us by their ids. */
 static bool steps_in(const Readers *r, double now) {
   int before = 0;
   GHashTableIter it;
   gpointer id, word;
+  if (now - r->failed >= READERS_SILENT) return false;
   if (now - r->served >= READERS_SILENT) return false;
   g_hash_table_iter_init(&it, r->heard);
   while (g_hash_table_iter_next(&it, &id, &word)) {
     const Word *w = word;
-    bool well = now - w->well < READERS_SILENT;
-    before += well && strcmp(id, r->self) < 0;
+    bool reads = w->read > 0 && now - w->read < READERS_SILENT;
+    before += reads && strcmp(id, r->self) < 0;
   }
   return before < READERS;
 }
@@ -143,6 +148,5 @@
     well += now - w->well < READERS_SILENT;
     away += w->away > 0 && now - w->away < READERS_SILENT;
   }
-  if (well < READERS && steps_in(r, now)) return READERS_ALL;
-  return READERS_NOTHING;
+  return steps_in(r, now) ? READERS_ALL : READERS_NOTHING;
 }
--- a/tests/node.py
+++ b/tests/node.py
@@ -355,6 +355,10 @@
         "/new/x", i=left).status == 200, 2)
     wait_for("the others to take it", lambda: all(
         s.call("/new/x", i=i).status == 200 for i in range(14)), 3)
+    time.sleep(5.0)  # those that read for others must not take that for theirs
+    alone = [i for i in range(14) for l in s.log(i)
+             if l["event"] == "reads" and l["duty"] == "own" and l["members"] > 1]
+    assert not alone, alone
 
 
 def test_lost_readers_are_replaced(s):
