Packages no longer include the adapter: they declare what it implements

flow/wire.h (header fields), store/objects.h (calls to the store) and node/feed.h (what is followed there) are the packages' own interfaces; platform/ implements them. An answer's object is taken apart behind store_object, so that fleet needs no document. Six includes of platform/ in packages before, none now; no behaviour changed.

--- a/packages/fleet/cluster.c
+++ b/packages/fleet/cluster.c
@@ -11,7 +11,6 @@
 #include "kernel/count.h"
 #include "kernel/log.h"
 #include "peer/peer.h"
-#include "platform/document.h"
 
 #define BUDGET_KIND "budgets" /* of our own, in the platform's store */
 #define TICK_S 0.05           /* the shortest time of the cores is 0.06 s */
@@ -71,14 +70,14 @@
 static void on_stored(void *ctx, const StoreAnswer *a) {
   ShardCall *call = ctx;
   Cluster *c = call->cluster;
-  Document d = {0};
+  StoreObject o = {0};
   char *text = NULL;
-  if (a->body && document_read(a->body, &d) && !call->put && d.content)
-    text = json_dumps(d.content, JSON_COMPACT);
+  if (store_object(a, &o) && !call->put && o.content)
+    text = json_dumps(o.content, JSON_COMPACT);
   if (a->kind != ERR_NONE && a->kind != ERR_STORE_ABSENT)
     log_info("budget-call", "s:i,s:b,s:s", "shard", call->shard, "write",
              (int)call->put, "outcome", err_info(a->kind)->name);
-  ledger_stored(c->ledger, now_of(c), call->shard, a->kind, d.revision, text);
+  ledger_stored(c->ledger, now_of(c), call->shard, a->kind, o.revision, text);
   free(text);
   g_free(call);
   act(c);
--- a/packages/fleet/cluster.h
+++ b/packages/fleet/cluster.h
@@ -10,7 +10,7 @@
 #include "member/gossip.h"
 #include "member/readers.h"
 #include "peer/codec.h"
-#include "platform/store.h"
+#include "store/objects.h"
 
 typedef struct Cluster Cluster;
 
--- a/packages/flow/dispatch.c
+++ b/packages/flow/dispatch.c
@@ -5,7 +5,7 @@
 #include "flow/run.h"
 #include "kernel/count.h"
 #include "kernel/log.h"
-#include "platform/wire.h"
+#include "flow/wire.h"
 
 /* An old connection may be dead and tells too late; what may run only once is
    sent on one that was used within this time. */
--- a/packages/flow/relay.c
+++ b/packages/flow/relay.c
@@ -6,7 +6,7 @@
 #include "flow/run.h"
 #include "kernel/count.h"
 #include "kernel/log.h"
-#include "platform/wire.h"
+#include "flow/wire.h"
 
 #define CONNECT_S 0.4        /* data centres are 3 ms apart at most */
 #define USER_TIMEOUT_MS 1500 /* a target that acknowledges nothing is dark */
--- a/packages/flow/run.c
+++ b/packages/flow/run.c
@@ -7,7 +7,7 @@
 
 #include "kernel/count.h"
 #include "kernel/log.h"
-#include "platform/wire.h"
+#include "flow/wire.h"
 
 #define EVENTS_AHEAD 2 /* events a target may have made unseen */
 
--- a/platform/wire.h
+++ b/packages/flow/wire.h
@@ -1,7 +1,8 @@
-/* wire.h: the header fields of callers and targets, decoded and encoded. The
-   only place that knows how they are spelled. */
-#ifndef PLATFORM_WIRE_H
-#define PLATFORM_WIRE_H
+/* wire.h: the header fields of callers and targets, decoded and encoded, as the
+   relay needs them. The platform's adapter implements it: the only place that
+   knows how they are spelled. */
+#ifndef FLOW_WIRE_H
+#define FLOW_WIRE_H
 
 #include "flow/ask.h"
 #include "flow/headers.h"
--- a/platform/feed.h
+++ b/packages/node/feed.h
@@ -1,12 +1,13 @@
 /* feed.h: follows the operators' configuration, the list of targets and the
-   evacuations in the platform's store: one listing of each, then watches. */
-#ifndef PLATFORM_FEED_H
-#define PLATFORM_FEED_H
+   evacuations in the platform's store: one listing of each, then watches. The
+   platform's adapter implements it. */
+#ifndef NODE_FEED_H
+#define NODE_FEED_H
 
 #include "conf/conf.h"
 #include "member/readers.h"
 #include "peer/codec.h"
-#include "platform/store.h"
+#include "store/objects.h"
 #include "route/targets.h"
 
 typedef struct Feed Feed;
--- a/packages/node/node.c
+++ b/packages/node/node.c
@@ -12,7 +12,7 @@
 #include "kernel/count.h"
 #include "kernel/log.h"
 #include "kernel/settings.h"
-#include "platform/feed.h"
+#include "node/feed.h"
 
 #define TICK_S 0.05 /* between looks at what waits */
 #define SWEEP_S 1.0 /* between looks for targets to forget */
--- a/platform/store.h
+++ b/packages/store/objects.h
@@ -1,7 +1,8 @@
-/* store.h: the one client of the platform's object store, on the event loop.
-   Every call is priced there and counted here. */
-#ifndef PLATFORM_STORE_H
-#define PLATFORM_STORE_H
+/* objects.h: the one client of the platform's object store, on the event loop;
+   the platform's adapter implements it. Every call is priced there and counted
+   here. */
+#ifndef STORE_OBJECTS_H
+#define STORE_OBJECTS_H
 
 #include <ev.h>
 #include <jansson.h>
@@ -18,6 +19,15 @@
   json_t *body;
 } StoreAnswer;
 
+/* One object, taken apart. */
+typedef struct StoreObject {
+  uint64_t revision; /* of its last change */
+  json_t *content;   /* borrowed; NULL: none */
+} StoreObject;
+
+/* The object that an answer holds; false: it holds none. */
+bool store_object(const StoreAnswer *a, StoreObject *o);
+
 typedef void (*StoreDone)(void *ctx, const StoreAnswer *a);
 
 Store *store_open(struct ev_loop *loop, const char *addr);
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -3,7 +3,7 @@
 #include <criterion/criterion.h>
 #include <string.h>
 
-#include "platform/wire.h"
+#include "flow/wire.h"
 
 static void fill(Headers *h, const char *const *list) {
   headers_init(h);
