An instance whose callers send more than its link bears is not ready for a while

Cause: one instance carries half of a data centre.

Ruled out: processor (0.04 of 0.12 cores), the link outwards (nearly idle then), budgets as such (the home had millions).

--- a/packages/flow/caller.c
+++ b/packages/flow/caller.c
@@ -52,7 +52,9 @@
   Caller *first;
   int n;
   size_t held;
+  int64_t sent; /* bytes of all callers */
   bool draining;
+  bool leaving; /* answers ask callers to leave */
 };
 
 static const http_parser_settings parser_settings;
@@ -267,6 +269,7 @@
     drop(c);
     return;
   }
+  c->set->sent += n;
   if (c->state != CALLER_LINGER) parse(c, buf, (size_t)n);
 }
 
@@ -368,7 +371,7 @@
     c->chunked = false;
     c->keep = false;
   }
-  if (c->set->draining) c->keep = false;
+  if (c->set->draining || c->set->leaving) c->keep = false;
   g_string_append_printf(c->out, "HTTP/1.1 %d %s\r\n%s", status, reason(status),
                          fields);
   if (c->chunked)
@@ -456,6 +459,14 @@
   s->limits = *l;
 }
 
+void callers_leave(Callers *s, bool leave) {
+  s->leaving = leave;
+}
+
+int64_t callers_sent(const Callers *s) {
+  return s->sent;
+}
+
 void callers_drain(Callers *s) {
   s->draining = true;
 }
--- a/packages/flow/caller.h
+++ b/packages/flow/caller.h
@@ -40,6 +40,10 @@
 void callers_limits(Callers *s, const CallerLimits *l);
 /* Answers from here on ask the caller to leave, idle connections close. */
 void callers_drain(Callers *s);
+/* Answers ask callers to leave, or no longer do. */
+void callers_leave(Callers *s, bool leave);
+/* Bytes that callers have sent in all. */
+int64_t callers_sent(const Callers *s);
 /* Bytes of bodies that are held. */
 size_t callers_held(const Callers *s);
 void callers_close(Callers *s);
--- a/packages/flow/relay.c
+++ b/packages/flow/relay.c
@@ -225,6 +225,14 @@
   callers_drain(r->callers);
 }
 
+void relay_leave(Relay *r, bool leave) {
+  callers_leave(r->callers, leave);
+}
+
+int64_t relay_taken(const Relay *r) {
+  return callers_sent(r->callers);
+}
+
 void relay_refuse(Relay *r) {
   r->refusing = true;
 }
--- a/packages/flow/relay.h
+++ b/packages/flow/relay.h
@@ -33,6 +33,10 @@
 void relay_tally(Relay *r, const TallyWord *w);
 /* Planned stop: open requests go on, callers are asked to leave. */
 void relay_drain(Relay *r);
+/* Callers are asked to leave, or no longer. */
+void relay_leave(Relay *r, bool leave);
+/* Bytes that callers have sent in all. */
+int64_t relay_taken(const Relay *r);
 /* From here on new requests are refused. */
 void relay_refuse(Relay *r);
 int relay_open_requests(const Relay *r);
--- a/packages/kernel/count.c
+++ b/packages/kernel/count.c
@@ -39,6 +39,8 @@
     [COUNT_STORE_WRITES] = {"store_writes_total", "platform writes"},
     [COUNT_STORE_CONFLICTS] = {"store_conflicts_total", "lost version races"},
     [COUNT_STORE_FAILURES] = {"store_failures_total", "no usable answer"},
+    [COUNT_LINK_FULL] = {"link_full_total",
+                         "times that callers sent more than the link bears"},
     [COUNT_PEER_BYTES_OUT] = {"peer_bytes_out_total", "bytes to instances"},
     [COUNT_PEER_BYTES_IN] = {"peer_bytes_in_total", "bytes from instances"},
     [COUNT_LOG_DROPPED] = {"log_dropped_total",
--- a/packages/node/node.c
+++ b/packages/node/node.c
@@ -8,6 +8,7 @@
 #include <string.h>
 #include <sys/random.h>
 
+#include "flow/intake.h"
 #include "flow/relay.h"
 #include "kernel/count.h"
 #include "kernel/log.h"
@@ -65,6 +66,9 @@
      NULL},
     {"cold-extra", "LOFTPATH_COLD_EXTRA", SETTING_TEXT, "0",
      "Requests besides, from all instances together", 0, 0, NULL},
+    {"link", "LOFTPATH_LINK", SETTING_TEXT, "0",
+     "Mbit/s that this machine's link bears each way; 0: not known", 0, 0,
+     NULL},
     {"check", "LOFTPATH_CHECK", SETTING_FLAG, "off",
      "Check the settings and exit", 0, 0, NULL},
     {NULL, NULL, SETTING_TEXT, NULL, NULL, 0, 0, NULL}};
@@ -79,6 +83,8 @@
   Cluster *cluster;
   Relay *relay;
   Callers *ready;
+  Intake intake;
+  bool full; /* callers send more than the link bears */
   ev_timer tick, sweep;
   ev_prepare turn;
   ev_signal term, intr, hup;
@@ -276,7 +282,7 @@
 /* == readiness and metrics == */
 
 static bool is_ready(const Node *n) {
-  return n->stop_at == 0 && relay_get_conf(n->relay) != NULL &&
+  return n->stop_at == 0 && !n->full && relay_get_conf(n->relay) != NULL &&
          feed_complete(n->feed) && cluster_settled(n->cluster);
 }
 
@@ -338,10 +344,23 @@
 
 /* == time == */
 
+/* An instance that gets more than its link bears lets the balancer place its
+   callers elsewhere for a while. */
+static void watch_link(Node *n) {
+  bool full = intake_full(&n->intake, ev_now(n->loop), relay_taken(n->relay),
+                          n->instances);
+  if (full == n->full) return;
+  n->full = full;
+  relay_leave(n->relay, full);
+  count_add(COUNT_LINK_FULL, full);
+  log_info("link", "s:b,s:f", "full", (int)full, "room", n->intake.room);
+}
+
 static void on_tick(struct ev_loop *loop, ev_timer *w, int revents) {
   (void)loop;
   (void)revents;
   Node *n = w->data;
+  watch_link(n);
   cluster_away(n->cluster, feed_away(n->feed));
   if (n->stop_at > 0) stop_step(n);
   if (is_ready(n) == n->was_ready) return;
@@ -425,6 +444,7 @@
 }
 
 static void start_timers(Node *n) {
+  intake_start(&n->intake, ev_now(n->loop), number("link"));
   ev_timer_init(&n->tick, on_tick, TICK_S, TICK_S);
   ev_timer_init(&n->sweep, on_sweep, SWEEP_S, SWEEP_S);
   ev_signal_init(&n->term, on_stop_signal, SIGTERM);
--- a/tests/test_cold.c
+++ b/tests/test_cold.c
@@ -19,9 +19,9 @@
 #define EXTRA 5.0
 #define BOUND (RATE * OVERRUN + EXTRA)
 #define REQUESTS_S 800
-#define RUN_S 2.0   /* that a request takes */
+#define RUN_S 2.0    /* that a request takes */
 #define TELL_S 0.006 /* until the one who counts has heard of it */
-#define WAY_S 0.01  /* to a target, at most */
+#define WAY_S 0.01   /* to a target, at most */
 #define DECIDERS 300
 
 /* Something that is told later: a run at a target begins or ends. */
