--- a/packages/flow/intake.h
+++ b/packages/flow/intake.h
@@ -6,9 +6,9 @@
    targets stood 0.3 to 0.6 s behind request bodies, and of 300 requests in two
    seconds ten were served, while the others had room. Whoever is not ready gets
    no new connections, so that caller goes to the next instance; with its load
-   passed on every few seconds no link is full for long. With accounts that follow
-   the caller (ledger/holder) the worth of five days with trouble rose from 0.78
-   to 0.83 of what was owed, on the busiest from 0.78 to 0.89. */
+   passed on every few seconds no link is full for long. With accounts that
+   follow the caller (ledger/holder) the worth of five days with trouble rose
+   from 0.78 to 0.83 of what was owed, on the busiest from 0.78 to 0.89. */
 #ifndef FLOW_INTAKE_H
 #define FLOW_INTAKE_H
 
