--- a/packages/node/node.c
+++ b/packages/node/node.c
@@ -20,9 +20,9 @@
 /* Seconds for each instance between two words on pools: 40 bytes for each pool
    and other instance, so 0.8 KB/s at any size. */
 #define POOLS_EACH_S 0.05
-#define REFUSE_AFTER_S                                                         \
-  3.2                     /* of a stop; the balancer asks each second and      \
-                             takes an instance out after two misses */
+/* Of a stop: the balancer asks each second and takes an instance out after two
+   misses. What comes later than 3 s might not end before the process has to. */
+#define REFUSE_AFTER_S 2.9
 #define STOP_MARGIN_S 0.6 /* before the platform kills */
 #define LINGER_S 0.3      /* for the last answers to leave */
 #define LOG_LINES                                                              \
--- a/tests/node.py
+++ b/tests/node.py
@@ -239,6 +239,26 @@
     assert s.processes[0].returncode == 0
 
 
+def test_a_stopping_instance_takes_nothing_after_three_seconds(s):
+    """A stream that began later would be cut by the end of the process."""
+    def play(w, c, h):
+        time.sleep(3.3)
+        return None
+
+    s.desks[0].play = s.desks[1].play = play
+    c = s.connect()
+    c.request("GET", "/safe/x", headers=s.head(X_Loftpath_Deadline_Ms="4000"))
+    time.sleep(0.2)
+    s.processes[0].send_signal(signal.SIGTERM)
+    began = time.monotonic()
+    for w in s.engines:
+        w.play = play_stream(2)
+    assert s.chat(10).status == 200, "the balancer has not heard yet"
+    time.sleep(began + 3.02 - time.monotonic())
+    a = s.chat(10)
+    assert a.status == 503 and float(a.headers["retry-after"]) > 0, a.status
+
+
 def test_refusals_name_a_time_and_are_immediate(s):
     for w in s.desks:
         w.drain()
