--- a/bin/loftpath.c
+++ b/bin/loftpath.c
@@ -503,6 +503,7 @@
     json_decref(line);
   }
   report_account_print(account, stdout);
+  fflush(stdout); /* the note comes after the tables, not within them */
   if (passed > 0)
     fprintf(stderr, "loftpath: %ld lines are no events\n", passed);
   report_account_free(account);
--- a/packages/report/account.c
+++ b/packages/report/account.c
@@ -5,10 +5,15 @@
 #include <math.h>
 #include <string.h>
 
+#include "report/evacuations.h"
 #include "report/lines.h"
 
 #define WINDOW_S 2.0 /* of the table by moment */
 #define TOP 8        /* customers that are listed */
+/* Routes with fewer than one in so many requests share a line: a day with a
+   thousand routes was mostly those. */
+#define RARE 1000
+#define RARE_ROUTES "(rare routes)"
 #define IN_AIM "in aim"
 #define LATE "late:"
 #define FAILED "failed"
@@ -29,7 +34,9 @@
   GHashTable *routes;    /* route -> GHashTable: cause -> Sum */
   GHashTable *moments;   /* number of a window -> long[OUTS] */
   GHashTable *customers; /* name -> long*, requests refused */
-  double begin;          /* of the first line */
+  Evacuations *evacuations;
+  double begin; /* of the first line */
+  long n;       /* requests */
 };
 
 /* == causes == */
@@ -74,6 +81,7 @@
       g_hash_table_new_full(g_str_hash, g_str_equal, g_free, table_free);
   a->moments = g_hash_table_new_full(NULL, NULL, NULL, g_free);
   a->customers = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+  a->evacuations = report_evacuations_new();
   a->begin = INFINITY;
   return a;
 }
@@ -82,6 +90,7 @@
   g_hash_table_destroy(a->routes);
   g_hash_table_destroy(a->moments);
   g_hash_table_destroy(a->customers);
+  report_evacuations_free(a->evacuations);
   g_free(a);
 }
 
@@ -127,7 +136,9 @@
 void report_account_add(Account *a, const json_t *line) {
   double t = line_number(line, "t");
   a->begin = MIN(a->begin, t);
+  report_evacuations_add(a->evacuations, line);
   if (!line_is(line, "request")) return;
+  a->n++;
   const char *cause = report_cause(line);
   Out out = out_of(line, cause);
   add_cause(a, line, cause);
@@ -137,34 +148,80 @@
 
 /* == printing == */
 
-static gint by_name(gconstpointer a, gconstpointer b) {
-  return strcmp(a, b);
-}
-
 static gint by_number(gconstpointer a, gconstpointer b) {
   return GPOINTER_TO_INT(a) - GPOINTER_TO_INT(b);
 }
 
-static void print_causes(GHashTable *causes, const char *route, FILE *out) {
-  GList *names = g_list_sort(g_hash_table_get_keys(causes), by_name);
-  for (GList *i = names; i; i = i->next) {
-    const Sum *s = g_hash_table_lookup(causes, i->data);
-    fprintf(out, "%-14s %-28s %7ld", route, (const char *)i->data, s->n);
-    for (size_t k = 0; k < FIELDS; k++)
-      fprintf(out, " %9.3f", s->sums[k] / (double)s->n);
-    fprintf(out, "\n");
+/* A line of the table. */
+typedef struct Line {
+  const char *route, *cause;
+  Sum sum;
+} Line;
+
+static long requests_of(GHashTable *causes) {
+  long n = 0;
+  GHashTableIter it;
+  gpointer sum;
+  g_hash_table_iter_init(&it, causes);
+  while (g_hash_table_iter_next(&it, NULL, &sum)) n += ((const Sum *)sum)->n;
+  return n;
+}
+
+static Line *line_of(GArray *lines, const char *route, const char *cause) {
+  for (guint i = 0; i < lines->len; i++) {
+    Line *l = &g_array_index(lines, Line, i);
+    if (strcmp(l->route, route) == 0 && strcmp(l->cause, cause) == 0) return l;
   }
-  g_list_free(names);
+  Line l = {.route = route, .cause = cause};
+  g_array_append_val(lines, l);
+  return &g_array_index(lines, Line, lines->len - 1);
+}
+
+static void add_lines(GArray *lines, const char *route, GHashTable *causes) {
+  GHashTableIter it;
+  gpointer cause, v;
+  g_hash_table_iter_init(&it, causes);
+  while (g_hash_table_iter_next(&it, &cause, &v)) {
+    const Sum *s = v;
+    Line *l = line_of(lines, route, cause);
+    l->sum.n += s->n;
+    for (size_t i = 0; i < FIELDS; i++) l->sum.sums[i] += s->sums[i];
+  }
+}
+
+/* Losses first, the largest on top; then what was in aim. */
+static gint by_loss(gconstpointer a, gconstpointer b) {
+  const Line *x = a, *y = b;
+  int fine = (strcmp(x->cause, IN_AIM) == 0) - (strcmp(y->cause, IN_AIM) == 0);
+  if (fine != 0) return fine;
+  if (x->sum.n != y->sum.n) return x->sum.n < y->sum.n ? 1 : -1;
+  int route = strcmp(x->route, y->route);
+  return route != 0 ? route : strcmp(x->cause, y->cause);
+}
+
+static void print_line(const Line *l, FILE *out) {
+  fprintf(out, "%-14s %-28s %7ld", l->route, l->cause, l->sum.n);
+  for (size_t k = 0; k < FIELDS; k++)
+    fprintf(out, " %9.3f", l->sum.sums[k] / (double)l->sum.n);
+  fprintf(out, "\n");
 }
 
 static void print_routes(const Account *a, FILE *out) {
-  GList *routes = g_list_sort(g_hash_table_get_keys(a->routes), by_name);
+  GArray *lines = g_array_new(FALSE, FALSE, sizeof(Line));
+  GHashTableIter it;
+  gpointer route, causes;
+  g_hash_table_iter_init(&it, a->routes);
+  while (g_hash_table_iter_next(&it, &route, &causes)) {
+    bool rare = requests_of(causes) * RARE < a->n;
+    add_lines(lines, rare ? RARE_ROUTES : route, causes);
+  }
+  g_array_sort(lines, by_loss);
   fprintf(out, "%-14s %-28s %7s", "route", "cause", "n");
   for (size_t k = 0; k < FIELDS; k++) fprintf(out, " %9s", fields[k]);
   fprintf(out, "\n");
-  for (GList *i = routes; i; i = i->next)
-    print_causes(g_hash_table_lookup(a->routes, i->data), i->data, out);
-  g_list_free(routes);
+  for (guint i = 0; i < lines->len; i++)
+    print_line(&g_array_index(lines, Line, i), out);
+  g_array_free(lines, TRUE);
 }
 
 static void print_moments(const Account *a, FILE *out) {
@@ -201,4 +258,5 @@
   print_routes(a, out);
   print_moments(a, out);
   print_customers(a, out);
+  report_evacuations_print(a->evacuations, a->begin, out);
 }
--- a/packages/report/account.h
+++ b/packages/report/account.h
@@ -1,5 +1,6 @@
 /* account.h: where worth is lost, worked out from log lines: by route and
-   cause, with the mean of the inputs that decided, by moment, by customer. */
+   cause, the largest loss first, with the mean of the inputs that decided; by
+   moment; by customer; and the evacuations meanwhile. */
 #ifndef REPORT_ACCOUNT_H
 #define REPORT_ACCOUNT_H
 
--- a/tests/test_report.c
+++ b/tests/test_report.c
@@ -79,6 +79,70 @@
   free(text);
 }
 
+static void add_request(Account *a, const char *route, const char *outcome,
+                        const char *error) {
+  json_t *line = json_pack("{s:f,s:s,s:s,s:s,s:s,s:f,s:f}", "t", 5.0, "event",
+                           "request", "route", route, "outcome", outcome,
+                           "error", error, "aim", 1.0, "seconds", 0.1);
+  report_account_add(a, line);
+  json_decref(line);
+}
+
+static void add_evacuation(Account *a, double t, const char *id, bool on) {
+  json_t *line =
+      json_pack("{s:f,s:s,s:s,s:s,s:b}", "t", t, "event", "evacuation",
+                "instance", id, "datacentre", "hall-b", "in_force", (int)on);
+  report_account_add(a, line);
+  json_decref(line);
+}
+
+static char *print_to_text(const Account *a) {
+  static char *text; /* outlives the call, as the compiler wants it */
+  static size_t n;
+  FILE *out = open_memstream(&text, &n);
+  report_account_print(a, out);
+  fclose(out);
+  return text;
+}
+
+/* Where a word stands; -1: nowhere. */
+static long place(const char *text, const char *word) {
+  const char *at = strstr(text, word);
+  return at ? at - text : -1;
+}
+
+Test(report, the_largest_loss_stands_first_and_rare_routes_share_a_line) {
+  Account *a = report_account_new();
+  for (int i = 0; i < 3000; i++) add_request(a, "often", "served", "");
+  for (int i = 0; i < 9; i++) add_request(a, "often", "refused", "budget-cut");
+  for (int i = 0; i < 20; i++) add_request(a, "often", "refused", "no-target");
+  add_request(a, "rare-1", "served", "");
+  add_request(a, "rare-2", "served", "");
+  char *text = print_to_text(a);
+  long most = place(text, "no-target"), less = place(text, "budget-cut");
+  long fine = place(text, "in aim                          3000");
+  cr_assert(most > 0 && most < less && less < fine, "%ld, %ld, %ld", most, less,
+            fine);
+  cr_assert_not_null(strstr(text, "(rare routes)  in aim"), "%s", text);
+  cr_assert_null(strstr(text, "rare-1"));
+  free(text);
+  report_account_free(a);
+}
+
+Test(report, an_account_tells_of_evacuations) {
+  Account *a = report_account_new();
+  add_evacuation(a, 10, "n.1", true);
+  add_evacuation(a, 11, "n.2", true);
+  add_evacuation(a, 19, "n.1", false);
+  char *text = print_to_text(a);
+  cr_assert_not_null(
+      strstr(text,
+             "hall-b                        0.0      9.0        2        1"),
+      "%s", text);
+  free(text);
+  report_account_free(a);
+}
+
 Test(report, one_request_is_explained_by_what_its_instance_believed) {
   bool ok;
   char *text = printed(explain_d, &ok);
