--- a/packages/report/evacuations.c
+++ b/packages/report/evacuations.c
@@ -8,9 +8,9 @@
 #include "report/lines.h"
 
 typedef struct Row {
-  double first, last;  /* when an instance first took it in, and last spoke */
+  double first, last;   /* when an instance first took it in, and last spoke */
   GHashTable *in_force; /* instances where it is, as they last said */
-  int most;            /* instances where it was in force at the same time */
+  int most;             /* instances where it was in force at the same time */
 } Row;
 
 struct Evacuations {
