Only the first choices' words let another read in their place; who begins to read is not overdue

From the logs: an instance that had just become a reader said at once that the store is away, since it had been told by others and not asked; such a word let every instance that the store had answered step in; 288 changes of duty in a second, each reader telling all.

Change: who begins to read is overdue only after its own first watch; another steps in only while the first eight choices themselves say that the store is away.

--- a/packages/member/readers.c
+++ b/packages/member/readers.c
@@ -26,7 +26,6 @@
   double phase;      /* 0 to 1: our place in a round of all */
   double served;     /* when the store last answered us */
   double refused;    /* it last took somebody's connection and did not answer */
-  double failed;     /* somebody last told that it does not answer */
   double knock_at, ask_at; /* not before */
   int members;             /* of the fleet */
   bool small;              /* the fleet */
@@ -39,7 +38,7 @@
   g_strlcpy(r->self, self, sizeof r->self);
   g_strlcpy(r->region, region, sizeof r->region);
   r->phase = (double)text_hash(self) / (double)UINT64_MAX;
-  r->served = r->refused = r->failed = -INFINITY;
+  r->served = r->refused = -INFINITY;
   r->small = true;
   r->heard = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
   return r;
@@ -79,7 +78,6 @@
     return;
   }
   if (word == READERS_REFUSED) note_refused(r, now);
-  r->failed = now;
   w->well = now - READERS_SILENT;
   w->read = 0;
   w->away = now;
@@ -118,13 +116,12 @@
     g_strlcpy(r->choice[i], first[i]->id, LIMIT_ID);
 }
 
-/* The store answers us and not all of those that read: we read as well, unless
-   others do who come before us by their ids. */
+/* The store answers us and not the first choices: we read in their place,
+   unless enough others do who come before us by their ids. */
 static bool steps_in(const Readers *r, double now) {
   int before = 0;
   GHashTableIter it;
   gpointer id, word;
-  if (now - r->failed >= READERS_SILENT) return false;
   if (now - r->served >= READERS_SILENT) return false;
   g_hash_table_iter_init(&it, r->heard);
   while (g_hash_table_iter_next(&it, &id, &word)) {
@@ -148,5 +145,8 @@
     well += now - w->well < READERS_SILENT;
     away += w->away > 0 && now - w->away < READERS_SILENT;
   }
-  return steps_in(r, now) ? READERS_ALL : READERS_NOTHING;
+  /* Only the first choices' own words count here: at the end of an outage all
+     instances are answered at once, and would all begin to read. */
+  if (well < READERS && steps_in(r, now)) return READERS_ALL;
+  return READERS_NOTHING;
 }
