--- a/fakes/standins.py
+++ b/fakes/standins.py
@@ -1,6 +1,7 @@
 """site.py: small stand-ins of the users' platform for tests: its object store,
 and a worker. Each serves HTTP/1.1 on an address of the loopback range."""
 import json
+import random
 import socket
 import threading
 import time
@@ -80,14 +81,23 @@
     """Objects by kind and name, conditional updates, watches. `down`: every
     call gets 503. `lose`: writes are done, and their connection is closed.
     `hang`: calls get no answer for a while. `unfenced`: conditions are not
-    looked at, so that tests of the fences are seen to fail."""
+    looked at, so that tests of the fences are seen to fail. What a sound store
+    may do as well: `old_s`: listings that may be old show what stood so many
+    seconds ago. `cut`: the share of the waiting watches that are closed.
+    `per_s`: calls beyond so many a second get 429; 0: none do."""
 
-    def __init__(self, address):
+    def __init__(self, address, seed=1):
         self.lock = threading.Condition()
         self.revision = 1
         self.kinds, self.history = {}, []
+        self.changes = []  # (time, revision, kind, event), never forgotten
+        self.forgotten = 0  # revision up to which there is no history
         self.down = self.lose = self.hang = self.unfenced = False
-        self.calls = 0
+        self.old_s, self.cut, self.per_s = 0.0, 0.0, 0
+        self.dice = random.Random(seed)
+        self.calls, self.second = 0, (0, 0)
+        self.slowest = 0.0  # seconds that a call took, watches left out
+        self.texts = {}     # (kind, name) -> (revision, the object as JSON)
         super().__init__(address)
 
     def handle(self, method, path, headers, body):
@@ -101,52 +111,112 @@
         args = dict(a.split("=", 1) for a in query.split("&") if a)
         parts = path.split("/")[3:]
         with self.lock:
+            if self._beyond_rate():
+                return 429, {}, b"{}"
             if "watch" in args:
                 return self._watch(parts[0], args)
+            if "stale" in args and self.old_s:
+                return 200, {}, self._old(parts[0]).encode()
             status, answer = self._call(method, parts, json.loads(body or b"{}"))
         if self.lose and method != "GET":
             return None
-        return status, {}, json.dumps(answer).encode()
+        return status, {}, answer.encode()
+
+    def answer(self, c, method, path, headers, body):
+        began = time.monotonic()
+        done = super().answer(c, method, path, headers, body)
+        if "watch=" not in path and not self.hang:
+            self.slowest = max(self.slowest, time.monotonic() - began)
+        return done
+
+    def _text(self, kind, o):
+        """JSON of an object, kept: large ones go to many instances at once."""
+        key, revision = (kind, o["meta"]["name"]), o["meta"]["revision"]
+        if self.texts.get(key, (0, ""))[0] != revision:
+            self.texts[key] = (revision, json.dumps(o))
+        return self.texts[key][1]
+
+    def _list(self, kind, objects, at):
+        return '{"entries": [%s], "more": false, "at": %d}' % (
+            ", ".join(self._text(kind, o) for o in objects), at)
+
+    def _beyond_rate(self):
+        now = int(time.monotonic())
+        second, n = self.second
+        self.second = (now, n + 1 if second == now else 1)
+        return 0 < self.per_s < self.second[1]
+
+    def _old(self, kind):
+        """The list of a kind as it stood `old_s` ago."""
+        until, objects, at = time.monotonic() - self.old_s, {}, 1
+        for when, revision, k, e in self.changes:
+            if when > until:
+                break
+            at = revision
+            if k == kind and e["gone"]:
+                objects.pop(e["object"]["meta"]["name"], None)
+            elif k == kind:
+                objects[e["object"]["meta"]["name"]] = e["object"]
+        return self._list(kind, objects.values(), at)
+
+    def forget(self):
+        """The history is dropped, and waiting watches are told so."""
+        with self.lock:
+            self.history, self.forgotten = [], self.revision
+            self.lock.notify_all()
 
     def _watch(self, kind, args):
-        since, end = int(args["watch"]), time.monotonic() + int(args["wait_ms"]) / 1000
+        since, wait_s = int(args["watch"]), int(args["wait_ms"]) / 1000
+        now = time.monotonic()
+        end, cut_at = now + wait_s, None
+        if self.dice.random() < self.cut:
+            cut_at = now + self.dice.random() * wait_s
         while True:
+            if since < self.forgotten:
+                return 410, {}, b"{}"
             events = [e for r, k, e in self.history if k == kind and r > since]
-            left = end - time.monotonic()
-            if events or left <= 0:
+            now = time.monotonic()
+            if events or now >= end:
                 break
-            self.lock.wait(left)
-        answer = {"events": events, "at": self.revision}
-        return 200, {}, json.dumps(answer).encode()
+            if cut_at and now >= cut_at:
+                return None
+            self.lock.wait(min(end, cut_at or end) - now)
+        texts = ['{"object": %s, "gone": %s}' % (
+            self._text(kind, e["object"]), json.dumps(e["gone"])) for e in events]
+        answer = '{"events": [%s], "at": %d}' % (", ".join(texts), self.revision)
+        return 200, {}, answer.encode()
 
     def _call(self, method, parts, body):
         objects = self.kinds.setdefault(parts[0], {})
         name = parts[1] if len(parts) > 1 else body.get("meta", {}).get("name")
         old = objects.get(name)
         if method == "GET" and len(parts) == 1:
-            return 200, {"entries": list(objects.values()), "more": False,
-                         "at": self.revision}
+            return 200, self._list(parts[0], objects.values(), self.revision)
         if method == "GET":
-            return (200, old) if old else (404, {})
+            return (200, self._text(parts[0], old)) if old else (404, "{}")
         wanted = body.get("meta", {}).get("revision")
         if self.unfenced:
             wanted = None
         if method == "POST" and old:
-            return 409, old
+            return 409, self._text(parts[0], old)
         if method == "PUT" and not old:
-            return 404, {}
+            return 404, "{}"
         if method == "PUT" and wanted not in (None, old["meta"]["revision"]):
-            return 409, old
-        return 200, self._set(parts[0], name, body["spec"])
+            return 409, self._text(parts[0], old)
+        return 200, self._text(parts[0], self._set(parts[0], name, body["spec"]))
 
     def _set(self, kind, name, spec):
         self.revision += 1
         o = {"meta": {"name": name, "revision": self.revision}, "spec": spec}
         self.kinds.setdefault(kind, {})[name] = o
-        self.history.append((self.revision, kind, {"object": o, "gone": False}))
-        self.lock.notify_all()
+        self._changed(kind, {"object": o, "gone": False})
         return o
 
+    def _changed(self, kind, event):
+        self.history.append((self.revision, kind, event))
+        self.changes.append((time.monotonic(), self.revision, kind, event))
+        self.lock.notify_all()
+
     def put(self, kind, name, spec):
         with self.lock:
             self._set(kind, name, spec)
@@ -155,8 +225,7 @@
         with self.lock:
             o = self.kinds[kind].pop(name)
             self.revision += 1
-            self.history.append((self.revision, kind, {"object": o, "gone": True}))
-            self.lock.notify_all()
+            self._changed(kind, {"object": o, "gone": True})
 
 
 class Worker(Server):
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -10,6 +10,7 @@
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)),
                                 "..", "fakes"))
+from red import known_red  # noqa: E402
 from standins import Store, Worker, chunk, event, head  # noqa: E402
 
 BUILD = os.path.abspath(sys.argv[1])
@@ -169,4 +170,25 @@
     return play
 
 
-# == tests ==
+def run_tests(tests, instances=None, proxies=None):
+    """Runs the functions `test_...` of `tests` (or those named on the command
+    line), each on a site of its own; `instances` and `proxies` by test. The
+    status of the process."""
+    names = sys.argv[2:] or [n for n in tests if n.startswith("test_")]
+    failed, red = 0, known_red()
+    for name in names:
+        s = Site(instances=(instances or {}).get(name, 1),
+                 store_proxy=(proxies or {}).get(name))
+        try:
+            tests[name](s)
+            print("ok", name, flush=True)
+        except Exception as e:  # noqa: BLE001 (told, and counted)
+            known = name in red
+            failed += not known
+            print("%s %s: %s: %s (logs in %s)" % (
+                "known red:" if known else "FAILED", name, type(e).__name__, e,
+                s.dir), flush=True)
+        finally:
+            s.close()
+    print("%d passed, %d failed" % (len(names) - failed, failed))
+    return 1 if failed else 0
--- a/tests/node.py
+++ b/tests/node.py
@@ -9,7 +9,7 @@
 import time
 
 from fleet import (BASE, KEY, RETRY_WINDOW_S, Site, chunk, config, event, head,
-                   play_stream, route, wait_for)
+                   play_stream, route, run_tests, wait_for)
 from proxy import Proxy
 
 
@@ -476,24 +476,5 @@
 PROXIES = {"test_whose_cut_ends_first_follows_the_configuration": Proxy}
 
 
-def main():
-    names = sys.argv[2:] or [n for n in globals() if n.startswith("test_")]
-    failed = 0
-    for name in names:
-        s = Site(instances=INSTANCES.get(name, 1),
-                 store_proxy=PROXIES.get(name))
-        try:
-            globals()[name](s)
-            print("ok", name, flush=True)
-        except Exception as e:  # noqa: BLE001 (told, and counted)
-            failed += 1
-            print("FAILED %s: %s: %s (logs in %s)" % (
-                name, type(e).__name__, e, s.dir), flush=True)
-        finally:
-            s.close()
-    print("%d passed, %d failed" % (len(names) - failed, failed))
-    return 1 if failed else 0
-
-
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(run_tests(globals(), INSTANCES, PROXIES))
--- a/tests/process.py
+++ b/tests/process.py
@@ -15,6 +15,8 @@
 import threading
 import time
 
+from red import known_red
+
 BUILD = os.path.abspath(sys.argv[1])
 BASE = 20000
 KEYS = {"c": "key-c", "small": "key-small", "capped": "key-capped"}
@@ -740,15 +742,6 @@
     assert f.cli("nonsense").returncode == 2
 
 
-def known_red():
-    """Tests that may fail, from KNOWN-RED.txt: one a line, name first."""
-    path = os.path.join(os.path.dirname(__file__), "..", "KNOWN-RED.txt")
-    if not os.path.exists(path):
-        return {}
-    with open(path) as lines:
-        return dict(line.split(" ", 1) for line in lines if line.strip())
-
-
 def main():
     red = known_red()
     names = sys.argv[2:] or [n for n in globals() if n.startswith("test_")]
--- a/tests/proxy.py
+++ b/tests/proxy.py
@@ -1,15 +1,17 @@
-"""proxy.py: a loopback TCP proxy that delays, resets, holds back or refuses."""
+"""proxy.py: a loopback TCP proxy that delays, slows, resets, holds back or
+refuses."""
 import socket
 import struct
 import threading
 import time
 
-PIECE = 65536
+PIECE = 16384
 LOOK_S = 0.02  # between looks at what holds bytes back
 
 
 class Proxy:
     """Passes connections on to `upstream` ("ip:port"). `delay` in seconds;
+    `rate`: bytes a second each way, over all connections (0: any number);
     `hold` is a set of "up" and "down": bytes of that way wait; `closed`: new
     connections are reset."""
 
@@ -17,6 +19,7 @@
         host, port = upstream.split(":")
         self.upstream = (host, int(port))
         self.delay, self.hold, self.closed = 0.0, set(), False
+        self.rate, self.free_at = 0, {"up": 0.0, "down": 0.0}
         self.lock, self.pairs = threading.Lock(), set()
         self.socket = socket.socket()
         self.socket.bind(("127.0.0.1", 0))
@@ -61,12 +64,22 @@
                 threading.Thread(target=self._pump, args=(a, b, way, pair),
                                  daemon=True).start()
 
+    def _pace(self, way, n):
+        """Waits for the place of `n` bytes on the line."""
+        with self.lock:
+            now = time.monotonic()
+            self.free_at[way] = max(self.free_at[way], now) + n / self.rate
+            wait = self.free_at[way] - now
+        time.sleep(wait)
+
     def _pump(self, a, b, way, pair):
         try:
             while True:
                 data = a.recv(PIECE)
                 if self.delay:
                     time.sleep(self.delay)
+                if self.rate:
+                    self._pace(way, len(data))
                 while way in self.hold:
                     time.sleep(LOOK_S)
                 if not data:
