One reader that lost the store no longer keeps those who are behind from asking

Cause: covered() took any one reader's word that the store is away for the word of all, while others read. An instance with a gap took in nothing of what these told, and asked nothing, for as long as the cut of that one reader lasted. Ruled out: a longer margin before a reader says that the store is away (a reader that is truly cut off says so all the same).

--- /dev/null
+++ b/tests/test_catchup.c
@@ -0,0 +1,85 @@
+/* test_catchup.c: when an instance that reads nothing asks the store itself.
+
+   The load that it answers: a fleet in which three instances read the store for
+   all, and others are restarted in series while one of the three has lost it.
+   Readers tell what they read once a second at least, and each 0.7 s that the
+   store does not answer them. A restarted instance lists what is some seconds
+   old, so that the readers' messages do not lead on from there. It has 3 s to
+   learn of a leaving target. */
+#include <criterion/criterion.h>
+
+#include "member/catchup.h"
+
+#define STALE_S 1.5
+#define READ_EVERY_S 1.0
+#define AWAY_EVERY_S 0.7
+
+static Catchup c;
+
+static void start(double now) {
+  catchup_start(&c, now, STALE_S);
+}
+
+Test(catchup, who_is_told_of_everything_asks_nothing) {
+  start(10);
+  cr_assert(!catchup_rests(&c, 10), "nobody was heard yet");
+  for (double t = 10; t < 20; t += READ_EVERY_S) {
+    catchup_told(&c, t, true);
+    cr_assert(catchup_rests(&c, t + READ_EVERY_S));
+    cr_assert(!catchup_is_behind(&c));
+  }
+  cr_assert(!catchup_rests(&c, 21), "the readers have fallen silent");
+}
+
+Test(catchup, who_is_behind_asks_until_the_store_answers) {
+  start(10);
+  catchup_told(&c, 11, false);
+  cr_assert(catchup_is_behind(&c));
+  cr_assert(!catchup_rests(&c, 11));
+  catchup_answered(&c);
+  catchup_told(&c, 11.5, true);
+  cr_assert(catchup_rests(&c, 12));
+}
+
+Test(catchup, a_gap_ends_with_a_message_that_leads_on) {
+  start(10);
+  catchup_told(&c, 11, true);
+  catchup_told(&c, 11.2, false);
+  cr_assert(!catchup_rests(&c, 11.2), "though it was told just before");
+  catchup_told(&c, 11.4, true);
+  cr_assert(catchup_rests(&c, 11.4));
+}
+
+/* Two readers read, the third says that the store is away, its word first. */
+Test(catchup, one_reader_that_lost_the_store_holds_up_nobody) {
+  double read_at = 10.4, away_at = 10.1;
+  start(10);
+  for (double t = 10; t < 22; t += 0.05) {
+    if (t >= away_at) {
+      catchup_away(&c, t);
+      away_at += AWAY_EVERY_S;
+    }
+    if (t >= read_at) {
+      catchup_told(&c, t, false);
+      read_at += READ_EVERY_S;
+    }
+    if (catchup_is_behind(&c))
+      cr_assert(!catchup_rests(&c, t), "held up at %.2f", t);
+    cr_assert(t < 10.5 || !catchup_store_is_away(&c, t));
+  }
+}
+
+Test(catchup, in_an_outage_of_all_nobody_asks_with_a_gap_either) {
+  start(10);
+  catchup_told(&c, 11, false);
+  double t = 11;
+  for (; t < 11 + STALE_S; t += AWAY_EVERY_S) catchup_away(&c, t);
+  for (; t < 30; t += AWAY_EVERY_S) {
+    catchup_away(&c, t);
+    cr_assert(catchup_rests(&c, t + AWAY_EVERY_S / 2), "%.2f", t);
+    cr_assert(catchup_store_is_away(&c, t));
+    cr_assert_leq(catchup_until(&c), t + CATCHUP_AWAY_S);
+  }
+  catchup_told(&c, t, false);
+  cr_assert(!catchup_rests(&c, t), "a reader reads again");
+}
