Configurations and readers' messages travel compressed: large ones reach the peers

Cause: a configuration of 1,640 routes (307 kB) found no room on a link between instances (262,144 bytes in 1.5 s, beside all else) nor in a reader's message (65,536), so the second way of configurations was shut just where the first takes longest, and each change was a call of every instance to the store. Change: texts travel with zlib (peer/packed); a configuration is packed once for all that ask for it. A damaged text is none, and has a line.

--- a/deps.sh
+++ b/deps.sh
@@ -5,7 +5,7 @@
 ninja-build pkg-config liburcu-dev libzmq3-dev libmicrohttpd-dev
 libneon27-gnutls-dev libglib2.0-dev libcriterion-dev libjansson-dev
 libev-dev libhttp-parser-dev
-libmsgpack-dev libxxhash-dev libcsv-dev liblua5.4-dev spin curl python3 procps"
+libmsgpack-dev zlib1g-dev libxxhash-dev libcsv-dev liblua5.4-dev spin curl python3 procps"
 missing=""
 for p in $packages; do
   dpkg-query -W -f='${Status}' "$p" 2>/dev/null | grep -q 'ok installed' || missing="$missing $p"
--- a/packages/fleet/cluster.c
+++ b/packages/fleet/cluster.c
@@ -44,6 +44,8 @@
   GHashTable *ids; /* hash of an id -> the id */
   uint64_t next_handle;
   uint64_t conf;
+  Packed conf_text; /* of the version `packed`, as the others get it */
+  uint64_t packed;
   double conf_behind, conf_asked; /* since when; last question */
   double started, changed;        /* we; the view */
   bool settled;                   /* the view may be acted on */
@@ -194,18 +196,36 @@
   c->conf_asked = now;
   log_info("configuration-asked", "s:s,s:I,s:I", "of", newest->id, "theirs",
            (json_int_t)newest->table, "ours", (json_int_t)c->conf);
-  peer_conf(c->peer, newest->peer, newest->id, c->conf, NULL);
+  peer_conf(c->peer, newest->peer, newest->id, c->conf, &(Packed){0});
+}
+
+/* After a restart of many each of them may ask: the work is done once. */
+static const Packed *pack_conf(Cluster *c) {
+  if (c->packed == c->conf) return &c->conf_text;
+  packed_free(&c->conf_text);
+  c->conf_text = packed_new(c->ev.conf_text(c->ctx));
+  c->packed = c->conf;
+  return &c->conf_text;
+}
+
+static void unpack_conf(Cluster *c, const char *from, const CodecConf *m) {
+  char *text = packed_text(&m->text);
+  if (text)
+    c->ev.conf(c->ctx, text);
+  else
+    log_warn("configuration-damaged", "s:s,s:I", "of", from, "version",
+             (json_int_t)m->version);
+  g_free(text);
 }
 
 static void take_conf(Cluster *c, const char *from, const CodecConf *m) {
-  if (m->text) {
-    if (m->version > c->conf) c->ev.conf(c->ctx, m->text);
+  if (m->text.size > 0) {
+    if (m->version > c->conf) unpack_conf(c, from, m);
     return;
   }
   const Member *asker = view_find(c->view, from);
-  const char *text = c->ev.conf_text(c->ctx);
-  if (asker && text && c->conf > m->version)
-    peer_conf(c->peer, asker->peer, asker->id, c->conf, text);
+  if (asker && c->conf > m->version)
+    peer_conf(c->peer, asker->peer, asker->id, c->conf, pack_conf(c));
 }
 
 /* == what readers of the store tell == */
@@ -373,6 +393,7 @@
   spread_free(c->spread);
   view_free(c->view);
   g_hash_table_destroy(c->ids);
+  packed_free(&c->conf_text);
   g_free(c);
 }
 
--- a/packages/peer/codec.c
+++ b/packages/peer/codec.c
@@ -131,15 +131,19 @@
   msgpack_pack_uint8(&p, m->silent);
 }
 
-void codec_put_conf(msgpack_sbuffer *b, uint64_t version, const char *text) {
+static void put_packed(msgpack_packer *p, const Packed *text) {
+  msgpack_pack_uint32(p, text->size);
+  msgpack_pack_bin(p, text->n);
+  msgpack_pack_bin_body(p, text->data, text->n);
+}
+
+void codec_put_conf(msgpack_sbuffer *b, uint64_t version, const Packed *text) {
   msgpack_packer p;
-  size_t n = text ? strlen(text) : 0;
   msgpack_packer_init(&p, b, msgpack_sbuffer_write);
-  msgpack_pack_array(&p, 3);
+  msgpack_pack_array(&p, 4);
   msgpack_pack_uint8(&p, CODEC_CONF);
   msgpack_pack_uint64(&p, version);
-  msgpack_pack_bin(&p, n);
-  msgpack_pack_bin_body(&p, text, n);
+  put_packed(&p, text);
 }
 
 void codec_put_work(msgpack_sbuffer *b, const TargetWork *m) {
@@ -223,9 +227,8 @@
 
 void codec_put_feed(msgpack_sbuffer *b, const CodecFeed *m) {
   msgpack_packer p;
-  size_t n = m->text ? strlen(m->text) : 0;
   msgpack_packer_init(&p, b, msgpack_sbuffer_write);
-  msgpack_pack_array(&p, 9);
+  msgpack_pack_array(&p, 10);
   msgpack_pack_uint8(&p, CODEC_FEED);
   msgpack_pack_uint64(&p, m->reader);
   put_str(&p, m->until);
@@ -234,8 +237,7 @@
   msgpack_pack_uint64(&p, m->from);
   msgpack_pack_uint64(&p, m->at);
   msgpack_pack_uint8(&p, m->lapsed);
-  msgpack_pack_bin(&p, n);
-  msgpack_pack_bin_body(&p, m->text, n);
+  put_packed(&p, &m->changes);
 }
 
 /* == unpacking: any wrong type or length makes it not understood == */
@@ -343,17 +345,19 @@
   m->silent = get_small(r, 2);
 }
 
-/* Bytes as a text of its own; NULL when there are none. */
-static char *get_text(Reader *r) {
+static Packed get_packed(Reader *r) {
+  Packed p = {.size = (uint32_t)get_u64(r)};
   const msgpack_object *o = take(r);
   r->bad |= !o || o->type != MSGPACK_OBJECT_BIN;
-  if (r->bad || o->via.bin.size == 0) return NULL;
-  return g_strndup(o->via.bin.ptr, o->via.bin.size);
+  if (r->bad || o->via.bin.size == 0) return (Packed){0};
+  p.n = o->via.bin.size;
+  p.data = g_memdup2(o->via.bin.ptr, p.n);
+  return p;
 }
 
 static void get_conf(Reader *r, CodecConf *m) {
   m->version = get_u64(r);
-  m->text = get_text(r);
+  m->text = get_packed(r);
 }
 
 /* A count; below 0 it is damaged. */
@@ -422,7 +426,7 @@
   m->from = get_u64(r);
   m->at = get_u64(r);
   m->lapsed = get_small(r, 2);
-  m->text = get_text(r);
+  m->changes = get_packed(r);
 }
 
 static void get_answer(Reader *r, OnceAnswer *a) {
@@ -510,8 +514,8 @@
 
 void codec_clear(CodecMsg *m) {
   once_message_clear(&m->once);
-  g_clear_pointer(&m->conf.text, g_free);
-  g_clear_pointer(&m->feed.text, g_free);
+  packed_free(&m->conf.text);
+  packed_free(&m->feed.changes);
 }
 
 bool codec_get(const char *data, size_t len, size_t *off, CodecMsg *m) {
--- a/packages/peer/codec.h
+++ b/packages/peer/codec.h
@@ -12,6 +12,7 @@
 #include "member/readers.h"
 #include "member/spread.h"
 #include "once/once.h"
+#include "peer/packed.h"
 #include "route/loads.h"
 #include "route/tally.h"
 #include "route/targets.h"
@@ -42,7 +43,7 @@
    the operators' configuration. */
 typedef struct CodecConf {
   uint64_t version;
-  char *text; /* g_free; NULL: none */
+  Packed text; /* packed_free */
 } CodecConf;
 
 /* What a reader of the store learned of one kind of objects. */
@@ -53,7 +54,7 @@
   int kind;                 /* the sender's number of it */
   uint64_t from, at;        /* revisions that this leads from and to */
   bool lapsed;              /* the store was away just before */
-  char *text;               /* the changes, g_free; NULL: none */
+  Packed changes;           /* packed_free */
 } CodecFeed;
 
 #define CODEC_FEED_KINDS 8
@@ -83,7 +84,7 @@
 void codec_put_ledger(msgpack_sbuffer *b, const LedgerMsg *m);
 void codec_put_once(msgpack_sbuffer *b, const OnceMsg *m);
 void codec_put_load(msgpack_sbuffer *b, const LoadsMsg *m);
-void codec_put_conf(msgpack_sbuffer *b, uint64_t version, const char *text);
+void codec_put_conf(msgpack_sbuffer *b, uint64_t version, const Packed *text);
 void codec_put_work(msgpack_sbuffer *b, const TargetWork *m);
 void codec_put_pool(msgpack_sbuffer *b, const TargetsPoolWord *m);
 void codec_put_parts(msgpack_sbuffer *b, const TargetParts *m);
--- a/packages/peer/peer.c
+++ b/packages/peer/peer.c
@@ -175,7 +175,7 @@
 }
 
 void peer_conf(Peer *p, const char *addr, const char *id, uint64_t version,
-               const char *text) {
+               const Packed *text) {
   codec_put_conf(lock_frame(p, addr, text_hash(id)), version, text);
   unlock(p);
 }
--- a/packages/peer/peer.h
+++ b/packages/peer/peer.h
@@ -31,9 +31,9 @@
 /* Heartbeat to whoever is at `addr`. */
 void peer_beat(Peer *p, const char *addr, const Member *m);
 
-/* The operators' configuration, or with `text` NULL a question for it. */
+/* The operators' configuration, or without text a question for it. */
 void peer_conf(Peer *p, const char *addr, const char *id, uint64_t version,
-               const char *text);
+               const Packed *text);
 void peer_work(Peer *p, const char *addr, const char *id, const TargetWork *m);
 void peer_parts(Peer *p, const char *addr, const char *id,
                 const TargetParts *m);
