A watch that the store cuts is no outage

Cause: a waiting watch may be cut by a sound store; that counted as a failure, and for 4 s what went missing counted as lapsed: used for 1.5 s more, and readers told so to all.

--- a/fakes/standins.py
+++ b/fakes/standins.py
@@ -94,6 +94,7 @@
         self.forgotten = 0  # revision up to which there is no history
         self.down = self.lose = self.hang = self.unfenced = False
         self.old_s, self.cut, self.per_s = 0.0, 0.0, 0
+        self.cuts = 0  # times that all waiting watches were closed
         self.dice = random.Random(seed)
         self.calls, self.second = 0, (0, 0)
         self.slowest = 0.0  # seconds that a call took, watches left out
@@ -165,10 +166,16 @@
             self.history, self.forgotten = [], self.revision
             self.lock.notify_all()
 
+    def cut_watches(self):
+        """Closes the watches that wait now."""
+        with self.lock:
+            self.cuts += 1
+            self.lock.notify_all()
+
     def _watch(self, kind, args):
         since, wait_s = int(args["watch"]), int(args["wait_ms"]) / 1000
         now = time.monotonic()
-        end, cut_at = now + wait_s, None
+        end, cut_at, cuts = now + wait_s, None, self.cuts
         if self.dice.random() < self.cut:
             cut_at = now + self.dice.random() * wait_s
         while True:
@@ -178,7 +185,7 @@
             now = time.monotonic()
             if events or now >= end:
                 break
-            if cut_at and now >= cut_at:
+            if self.cuts != cuts or (cut_at and now >= cut_at):
                 return None
             self.lock.wait(min(end, cut_at or end) - now)
         texts = ['{"object": %s, "gone": %s}' % (
--- a/tests/node.py
+++ b/tests/node.py
@@ -169,6 +169,19 @@
     assert len(s.desks[0].ran) == before
 
 
+def test_a_watch_that_the_store_cuts_is_no_outage(s):
+    """What went is gone, not missing: it gets nothing more at once."""
+    for _ in range(3):
+        time.sleep(0.3)
+        s.store.cut_watches()
+    time.sleep(0.3)
+    s.store.remove("servers", "d0")
+    wait_for("the target to be gone", lambda: any(
+        l["event"] == "target-gone" for l in s.log(0)), 2)
+    assert [l["lapsed"] for l in s.log(0) if l["event"] == "target-gone"] == [False]
+    assert not any(l["event"] == "store-lost" for l in s.log(0))
+
+
 def test_another_at_the_address_runs_nothing(s):
     s.desks[0].name = "somebody-else"  # answers 421 to what is meant for d0
     for _ in range(6):
