--- a/packages/fleet/cluster.c
+++ b/packages/fleet/cluster.c
@@ -189,14 +189,14 @@
 /* Somebody has had a newer one for a while: the store is out of our reach. */
 static void ask_conf(Cluster *c) {
   double now = now_of(c);
-  const Member *newest = gossip_newer(c->members, c->conf);
-  if (!newest) c->conf_behind = now;
-  if (!newest || now - c->conf_behind < CONF_ASK_S) return;
+  const Member *newer = gossip_newer(c->members, c->conf);
+  if (!newer) c->conf_behind = now;
+  if (!newer || now - c->conf_behind < CONF_ASK_S) return;
   if (now - c->conf_asked < CONF_ASK_S) return;
   c->conf_asked = now;
-  log_info("configuration-asked", "s:s,s:I,s:I", "of", newest->id, "theirs",
-           (json_int_t)newest->table, "ours", (json_int_t)c->conf);
-  peer_conf(c->peer, newest->peer, newest->id, c->conf, &(Packed){0});
+  log_info("configuration-asked", "s:s,s:I,s:I", "of", newer->id, "theirs",
+           (json_int_t)newer->table, "ours", (json_int_t)c->conf);
+  peer_conf(c->peer, newer->peer, newer->id, c->conf, &(Packed){0});
 }
 
 /* After a restart of many each of them may ask: the work is done once. */
--- a/packages/member/gossip.c
+++ b/packages/member/gossip.c
@@ -665,12 +665,15 @@
   return v;
 }
 
-const Member *gossip_newer(const Gossip *g, uint64_t table) {
-  const Entry *newest = NULL;
+/* At random, since the newest may be the one that has just died: it would be
+   asked in vain until it counts as lost, 3 s. */
+const Member *gossip_newer(Gossip *g, uint64_t table) {
+  const Entry *pick = NULL;
+  int n = 0;
   for (guint i = 0; i < g->ring->len; i++) {
     const Entry *e = g->ring->pdata[i];
     if (e->m.table <= table) continue;
-    if (!newest || e->m.table > newest->m.table) newest = e;
+    if (g_rand_int_range(g->rng, 0, ++n) == 0) pick = e;
   }
-  return newest ? &newest->m : NULL;
+  return pick ? &pick->m : NULL;
 }
--- a/tests/test_gossip.c
+++ b/tests/test_gossip.c
@@ -462,3 +462,29 @@
   view_free(v);
   gossip_free(g);
 }
+
+/* An instance that has died is still a member for 3 s; it may have had the
+   newest configuration. */
+Test(gossip, whoever_has_a_newer_configuration_is_asked_in_turn) {
+  static const char *const ids[] = {"dead.1", "living.1", "behind.1"};
+  static const uint64_t tables[] = {9, 8, 5};
+  Member self = {.id = "self.1", .region = "r", .dc = "a", .peer = "tcp://1"};
+  Gossip *g = gossip_new(&self, 1);
+  int asked[3] = {0};
+  for (int i = 0; i < 3; i++) {
+    GossipNews n = {.m = {.region = "r", .dc = "a"}, .life = 1};
+    GossipMsg m = {.kind = GOSSIP_ACK, .table = tables[i]};
+    g_strlcpy(n.m.id, ids[i], sizeof n.m.id);
+    snprintf(n.m.peer, sizeof n.m.peer, "tcp://1.1.1.%d:1", i);
+    gossip_news(g, 1, text_hash(ids[i]), &n);
+    gossip_receive(g, 1, text_hash(ids[i]), &m);
+  }
+  for (int k = 0; k < 40; k++) {
+    const Member *m = gossip_newer(g, 5);
+    for (int i = 0; i < 3; i++) asked[i] += strcmp(m->id, ids[i]) == 0;
+  }
+  cr_assert(asked[0] > 0 && asked[1] > 0, "%d and %d", asked[0], asked[1]);
+  cr_assert_eq(asked[2], 0);
+  cr_assert_null(gossip_newer(g, 9));
+  gossip_free(g);
+}
