A target that starts again under its id is a new one; damaged entries name none

News of the platform: a target may start again with the id that it had, holding and knowing nothing of before, told by its time of birth; entries may come from other writers, damaged or unreadable. Change: a new birth (or another service) retires the target that was known: its open requests end by themselves, and parts, counts, words of other instances and failures of the former life don't attach, since what instances tell each other is keyed by id and birth. Idle links to it are closed: on one of these a request that may run only once was lost without having run. An entry has to have all its fields in their types and a known state; else its name is taken out of use. An answer of the store that is no JSON as a whole is read member by member. Before: a damaged entry left the target in use as it was known; one unreadable entry made every listing and watch of its kind fail.

--- a/fakes/standins.py
+++ b/fakes/standins.py
@@ -94,6 +94,7 @@
         self.forgotten = 0  # revision up to which there is no history
         self.down = self.lose = self.hang = self.unfenced = False
         self.old_s, self.cut, self.per_s = 0.0, 0.0, 0
+        self.torn = set()  # names of objects whose bytes can't be read
         self.cuts = 0  # times that all waiting watches were closed
         self.dice = random.Random(seed)
         self.calls, self.second = 0, (0, 0)
@@ -133,6 +134,8 @@
     def _text(self, kind, o):
         """JSON of an object, kept: large ones go to many instances at once."""
         key, revision = (kind, o["meta"]["name"]), o["meta"]["revision"]
+        if o["meta"]["name"] in self.torn:
+            return json.dumps(o)[:-2] + ', "x": "\x01"}}'  # no JSON
         if self.texts.get(key, (0, ""))[0] != revision:
             self.texts[key] = (revision, json.dumps(o))
         return self.texts[key][1]
--- a/packages/flow/link.c
+++ b/packages/flow/link.c
@@ -405,6 +405,12 @@
   }
 }
 
+void links_forget(Links *s, const char *addr) {
+  Link *first = g_hash_table_lookup(s->idle, addr);
+  g_hash_table_remove(s->idle, addr);
+  drop_list(first);
+}
+
 Links *links_open(struct ev_loop *loop, const LinkOptions *o) {
   Links *s = g_new0(Links, 1);
   s->loop = loop;
--- a/packages/flow/link.h
+++ b/packages/flow/link.h
@@ -57,6 +57,8 @@
 /* Opens a connection there for the next exchange. Nothing is sent on it and
    nobody is called; links_heard tells whether it came up. */
 void link_open(Links *s, const char *addr);
+/* Closes the idle links there: the other end has lost them. */
+void links_forget(Links *s, const char *addr);
 /* When a connection last came up or brought bytes, in the loop's time; 0:
    never. */
 double links_heard(const Links *s);
--- a/packages/flow/relay.c
+++ b/packages/flow/relay.c
@@ -233,6 +233,10 @@
   return callers_sent(r->callers);
 }
 
+void relay_restarted(Relay *r, const char *addr) {
+  links_forget(r->links, addr);
+}
+
 void relay_refuse(Relay *r) {
   r->refusing = true;
 }
--- a/packages/flow/relay.h
+++ b/packages/flow/relay.h
@@ -37,6 +37,8 @@
 void relay_leave(Relay *r, bool leave);
 /* Bytes that callers have sent in all. */
 int64_t relay_taken(const Relay *r);
+/* The target at `addr` has started again: links to it are dead. */
+void relay_restarted(Relay *r, const char *addr);
 /* From here on new requests are refused. */
 void relay_refuse(Relay *r);
 int relay_open_requests(const Relay *r);
--- a/packages/node/node.c
+++ b/packages/node/node.c
@@ -133,10 +133,12 @@
 
 static void on_target(void *ctx, const TargetInfo *t) {
   Node *n = ctx;
-  targets_set(n->targets, ev_now(n->loop), t);
-  log_info("target", "s:s,s:s,s:s,s:s,s:b,s:I", "target", t->id, "service",
-           t->service, "addr", t->addr, "datacentre", t->dc, "leaving",
-           (int)t->leaving, "revision", (json_int_t)t->revision);
+  bool again = targets_set(n->targets, ev_now(n->loop), t);
+  if (again) relay_restarted(n->relay, t->addr);
+  log_info("target", "s:s,s:s,s:s,s:s,s:b,s:I,s:I,s:b", "target", t->id,
+           "service", t->service, "addr", t->addr, "datacentre", t->dc,
+           "leaving", (int)t->leaving, "revision", (json_int_t)t->revision,
+           "born", (json_int_t)t->born, "again", (int)again);
 }
 
 static void on_gone(void *ctx, const char *id, bool lapsed) {
--- a/packages/route/state.h
+++ b/packages/route/state.h
@@ -35,7 +35,7 @@
   Targets *set;
   Pool *pool;
   TargetInfo info;
-  uint64_t hash;
+  uint64_t hash;   /* of this life: its id and when it was born */
   double leave_at; /* no new work from here on; INFINITY: stays */
   bool lapsed;     /* its entry is missing, perhaps by an outage only */
   bool evacuated;  /* its data centre is */
@@ -61,6 +61,7 @@
   GHashTable *by_id;
   GHashTable *by_hash; /* the same targets */
   GHashTable *pools;   /* service -> Pool */
+  GPtrArray *retired;  /* former lives, whose requests may still be open */
   GQueue changed;      /* Target* */
   GQueue parts_news;   /* TargetParts* */
   bool parts_are_told; /* by the other instances, too */
--- a/packages/route/targets.c
+++ b/packages/route/targets.c
@@ -47,6 +47,7 @@
   s->by_id = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, target_free);
   s->by_hash = g_hash_table_new(g_int64_hash, g_int64_equal);
   s->pools = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, pool_free);
+  s->retired = g_ptr_array_new_with_free_func(target_free);
   g_queue_init(&s->changed);
   g_queue_init(&s->parts_news);
   s->rand = g_rand_new_with_seed(seed);
@@ -59,6 +60,7 @@
   g_queue_clear(&s->changed);
   g_queue_clear_full(&s->parts_news, g_free);
   g_hash_table_destroy(s->by_id);
+  g_ptr_array_free(s->retired, TRUE);
   g_hash_table_destroy(s->pools);
   g_rand_free(s->rand);
   g_free(s);
@@ -84,11 +86,17 @@
   return x->hash < y->hash ? -1 : x->hash > y->hash;
 }
 
+/* What instances tell each other of a target is of one life of it. */
+static uint64_t hash_of(const TargetInfo *info) {
+  if (info->born == 0) return text_hash(info->id);
+  return XXH64(info->id, strlen(info->id), (uint64_t)info->born);
+}
+
 static Target *target_new(Targets *s, const TargetInfo *info) {
   Target *t = g_new0(Target, 1);
   t->set = s;
   t->info = *info;
-  t->hash = text_hash(info->id);
+  t->hash = hash_of(info);
   t->leave_at = INFINITY;
   t->slow = 1;
   t->parts = parts_new();
@@ -102,9 +110,26 @@
   return t;
 }
 
-void targets_set(Targets *s, double now, const TargetInfo *info) {
+/* Takes it out of everything but its own requests. */
+static void retire(Targets *s, double now, Target *t) {
+  t->leave_at = MIN(t->leave_at, now);
+  g_hash_table_steal(s->by_id, t->info.id);
+  g_hash_table_remove(s->by_hash, &t->hash);
+  g_ptr_array_remove(t->pool->members, t);
+  g_ptr_array_add(s->retired, t);
+}
+
+static bool is_same_life(const Target *t, const TargetInfo *info) {
+  return t->info.born == info->born &&
+         strcmp(t->info.service, info->service) == 0;
+}
+
+bool targets_set(Targets *s, double now, const TargetInfo *info) {
   Target *t = g_hash_table_lookup(s->by_id, info->id);
-  if (t && info->revision < t->info.revision) return;
+  if (t && info->revision < t->info.revision) return false;
+  bool again = t && !is_same_life(t, info);
+  if (again) retire(s, now, t);
+  if (again) t = NULL;
   bool news = !t || info->revision > t->info.revision;
   if (!t) t = target_new(s, info);
   if (news) t->cold.until = now + info->cold_s;
@@ -115,6 +140,7 @@
     t->leave_at = MIN(t->leave_at, now);
   else
     t->leave_at = INFINITY;
+  return again;
 }
 
 static void leave(Target *t, double now, bool lapsed) {
@@ -203,11 +229,14 @@
   leave(t, now, false);
 }
 
-static gboolean forgotten(gpointer key, gpointer value, gpointer ctx) {
+static bool is_over(const Target *t, double now) {
+  return t->open == 0 && now > t->leave_at + FORGET_S;
+}
+
+static gboolean forgotten(gpointer key, gpointer value, gpointer now) {
   (void)key;
   Target *t = value;
-  double now = *(double *)ctx;
-  if (t->open > 0 || now <= t->leave_at + FORGET_S) return FALSE;
+  if (!is_over(t, *(double *)now)) return FALSE;
   g_hash_table_remove(t->set->by_hash, &t->hash);
   g_ptr_array_remove(t->pool->members, t);
   g_queue_remove(&t->set->changed, t);
@@ -216,6 +245,12 @@
 
 void targets_sweep(Targets *s, double now) {
   g_hash_table_foreach_remove(s->by_id, forgotten, &now);
+  for (guint i = s->retired->len; i-- > 0;) {
+    Target *t = s->retired->pdata[i];
+    if (!is_over(t, now)) continue;
+    g_queue_remove(&s->changed, t);
+    g_ptr_array_remove_index_fast(s->retired, i);
+  }
 }
 
 int targets_count(const Targets *s, const char *service) {
--- a/packages/route/targets.h
+++ b/packages/route/targets.h
@@ -14,7 +14,8 @@
 
 /* A target as it stands in the store. */
 typedef struct TargetInfo {
-  char id[LIMIT_NAME]; /* of one start of it; used nowhere else */
+  char id[LIMIT_NAME]; /* used nowhere else; a new start may have the old one */
+  int64_t born;        /* Unix milliseconds of its start; 0: not told */
   char service[LIMIT_NAME];
   char addr[LIMIT_NAME]; /* ip:port */
   char dc[LIMIT_NAME];
@@ -32,8 +33,9 @@
 
 /* == membership == */
 
-/* Older news than what is known is passed over. */
-void targets_set(Targets *s, double now, const TargetInfo *t);
+/* Older news than what is known is passed over. True: it has started again
+   under its id, and holds and knows nothing of before. */
+bool targets_set(Targets *s, double now, const TargetInfo *t);
 /* Its entry went away. `lapsed`: perhaps only because the store was away; it
    is then used for TARGET_LAPSE_S more. */
 void targets_gone(Targets *s, double now, const char *id, bool lapsed);
--- a/packages/store/objects.h
+++ b/packages/store/objects.h
@@ -16,6 +16,7 @@
    with ERR_STORE_CONFLICT the object as it is, else NULL. */
 typedef struct StoreAnswer {
   ErrKind kind;
+  int lost; /* members of its list that could not be read */
   bool cut; /* the store ended the connection before it answered */
   json_t *body;
 } StoreAnswer;
--- a/tests/node.py
+++ b/tests/node.py
@@ -182,6 +182,65 @@
     assert not any(l["event"] == "store-lost" for l in s.log(0))
 
 
+def test_a_damaged_entry_names_no_target_and_costs_no_other(s):
+    def only(name):
+        for _ in range(8):
+            a = s.call("/safe/x")
+            assert a.status == 200 and a.body.startswith(name), a.body
+
+    d0, d1 = s.desks
+    for bad in ({"service": "desk"}, {"x": [1]}, dict(d0.entry, addr=7),
+                dict(d0.entry, state="asleep"), dict(d0.entry, slots="8"), 7):
+        s.store.put("servers", "d0", bad)
+        time.sleep(0.4)
+        only(b"d1")
+        s.store.put("servers", "d0", d0.entry)
+        wait_for("the sound entry", lambda: [
+            l["event"] for l in s.log(0) if l.get("target") == "d0"][-1] == "target", 2)
+    s.store.torn.add("d0")  # bytes that can't be read, in a watch and in lists
+    s.store.put("servers", "d0", d0.entry)
+    time.sleep(0.8)
+    only(b"d1")
+    s.processes[0].kill()
+    s.processes[0].wait()
+    s.start(0)
+    s.wait_ready(0)
+    only(b"d1")
+    s.store.torn.clear()
+    s.store.put("servers", "d1", dict(d1.entry, state="draining"))
+    s.store.put("servers", "d0", d0.entry)
+    time.sleep(0.8)
+    only(b"d0")
+
+
+def test_a_target_that_starts_again_under_its_id_is_a_new_one(s):
+    """Links to its former life are dead without a word; a request that may run
+    only once must not be lost on one, nor run twice."""
+    conn = s.connect()
+    for w in s.desks:
+        w.entry["born"] = 1796253698643
+        s.store.put("servers", w.name, w.entry)
+    time.sleep(0.4)
+    for _ in range(4):
+        assert s.call("/once/x", "POST", b"b", conn=conn).status == 200
+    s.desks[1].drain()
+    d0 = s.desks[0]
+    time.sleep(0.4)
+    assert s.call("/once/x", "POST", b"b", conn=conn).status == 200
+    d0.drain()
+    time.sleep(0.4)
+    assert s.call("/once/x", "POST", b"b", conn=conn).status == 503
+    d0.entry["born"] += 5000
+    before = d0.connections
+    s.store.put("servers", d0.name, d0.entry)
+    time.sleep(0.4)
+    a = s.call("/once/x", "POST", b"b", conn=conn)
+    assert a.status == 200 and d0.ran.count(a.id) == 1
+    assert d0.connections == before + 1, "an old link was used"
+    assert [l["again"] for l in s.log(0) if l.get("target") == "d0"
+            and l["event"] == "target"][-1]
+
+
 def test_another_at_the_address_runs_nothing(s):
     s.desks[0].name = "somebody-else"  # answers 421 to what is meant for d0
     for _ in range(6):
--- /dev/null
+++ b/tests/test_document.c
@@ -0,0 +1,175 @@
+/* test_document.c: entries of targets as they stand in the store, also damaged
+   ones of other writers. */
+#include <criterion/criterion.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "platform/document.h"
+#include "platform/salvage.h"
+
+#define GOOD                                                                   \
+  "\"service\":\"desk\",\"addr\":\"10.0.0.1:80\",\"zone\":\"a\","              \
+  "\"state\":\"ready\",\"slots\":4"
+
+/* Reads an entry with these fields. */
+static bool read_entry(const char *fields, TargetInfo *t) {
+  char text[1024];
+  Document d;
+  snprintf(text, sizeof text,
+           "{\"meta\":{\"name\":\"i-1\",\"revision\":7},\"spec\":{%s}}",
+           fields);
+  json_t *o = json_loads(text, 0, NULL);
+  cr_assert_not_null(o, "%s", text);
+  cr_assert(document_read(o, &d));
+  bool ok = document_target(&d, t);
+  json_decref(o);
+  return ok;
+}
+
+Test(document, a_sound_entry_is_read) {
+  TargetInfo t;
+  cr_assert(read_entry(GOOD, &t));
+  cr_assert(strcmp(t.id, "i-1") == 0 && strcmp(t.service, "desk") == 0);
+  cr_assert(strcmp(t.addr, "10.0.0.1:80") == 0 && strcmp(t.dc, "a") == 0);
+  cr_assert(t.slots == 4 && t.revision == 7 && t.born == 0 && !t.leaving);
+  cr_assert(read_entry(GOOD ",\"born\":1796253698643,\"seq\":3,"
+                            "\"cold_left_ms\":1500,\"phase\":\"both\"",
+                       &t));
+  cr_assert(t.born == 1796253698643 && t.cold_s == 1.5);
+}
+
+Test(document, one_that_drains_leaves) {
+  TargetInfo t;
+  cr_assert(read_entry("\"service\":\"desk\",\"addr\":\"10.0.0.1:80\","
+                       "\"zone\":\"a\",\"state\":\"draining\",\"slots\":4",
+                       &t));
+  cr_assert(t.leaving);
+}
+
+Test(document, a_damaged_entry_names_no_target) {
+  static const char *const bad[] = {
+      "",
+      /* a field is missing */
+      "\"addr\":\"10.0.0.1:80\",\"zone\":\"a\",\"state\":\"ready\",\"slots\":4",
+      "\"service\":\"d\",\"zone\":\"a\",\"state\":\"ready\",\"slots\":4",
+      "\"service\":\"d\",\"addr\":\"1.1.1.1:1\",\"state\":\"ready\",\"slots\":"
+      "4",
+      "\"service\":\"d\",\"addr\":\"1.1.1.1:1\",\"zone\":\"a\",\"slots\":4",
+      "\"service\":\"d\",\"addr\":\"1.1.1.1:1\",\"zone\":\"a\","
+      "\"state\":\"ready\"",
+      /* it is of another type, or nonsense */
+      GOOD ",\"slots\":\"4\"",
+      GOOD ",\"slots\":-1",
+      GOOD ",\"slots\":99999999999",
+      GOOD ",\"service\":7",
+      GOOD ",\"service\":\"\"",
+      GOOD ",\"addr\":\"somewhere\"",
+      GOOD ",\"addr\":\"10.0.0.1\"",
+      GOOD ",\"addr\":[1]",
+      GOOD ",\"zone\":null",
+      GOOD ",\"state\":\"asleep\"",
+      GOOD ",\"state\":true",
+      GOOD ",\"born\":\"today\"",
+      GOOD ",\"born\":1.5",
+      GOOD ",\"seq\":{}",
+      GOOD ",\"cold_left_ms\":\"\"",
+  };
+  TargetInfo t;
+  for (size_t i = 0; i < sizeof bad / sizeof bad[0]; i++)
+    cr_assert(!read_entry(bad[i], &t), "%s", bad[i]);
+}
+
+Test(document, content_that_is_no_object_names_no_target) {
+  static const char *const bad[] = {"null", "7", "\"x\"", "[]"};
+  TargetInfo t;
+  for (int i = 0; i < 4; i++) {
+    Document d = {.name = "i-1",
+                  .content = json_loads(bad[i], JSON_DECODE_ANY, NULL)};
+    cr_assert(!document_target(&d, &t), "%s", bad[i]);
+    json_decref(d.content);
+  }
+  Document none = {.name = "i-1"};
+  cr_assert(!document_target(&none, &t));
+}
+
+/* == answers that are no JSON == */
+
+#define ENTRY(name, spec) "{\"meta\":{\"name\":\"" name "\"},\"spec\":" spec "}"
+
+static json_t *salvage(const char *text, int *lost) {
+  cr_assert_null(json_loads(text, 0, NULL), "it is sound: %s", text);
+  return salvage_list(text, strlen(text), lost);
+}
+
+static const char *name_at(json_t *o, const char *list, size_t i) {
+  json_t *e = json_array_get(json_object_get(o, list), i);
+  if (json_object_get(e, "object")) e = json_object_get(e, "object");
+  return json_string_value(json_object_get(json_object_get(e, "meta"), "name"));
+}
+
+Test(document, one_entry_that_cannot_be_read_costs_no_other) {
+  static const char *const specs[] = {"{\"addr\":\"\xff\xfe]}\"}",
+                                      "{\"slots\":1e999}", "{\"slots\":,}",
+                                      "{\"a\":\"\x01\"}", "\"\\ud800\""};
+  for (int i = 0; i < 5; i++) {
+    char text[512];
+    int lost;
+    snprintf(text, sizeof text,
+             "{\"at\":9,\"entries\":[" ENTRY("a", "{}") "," ENTRY(
+                 "b", "%s") "," ENTRY("c", "{\"x\":[{}]}") "],\"more\":false}",
+             specs[i]);
+    json_t *o = salvage(text, &lost);
+    cr_assert_not_null(o, "%s", text);
+    cr_assert_eq(lost, 1, "%d", lost);
+    cr_assert_eq(json_array_size(json_object_get(o, "entries")), 2);
+    cr_assert_str_eq(name_at(o, "entries", 0), "a");
+    cr_assert_str_eq(name_at(o, "entries", 1), "c");
+    cr_assert_eq(json_integer_value(json_object_get(o, "at")), 9);
+    json_decref(o);
+  }
+}
+
+Test(document, events_are_salvaged_alike) {
+  int lost;
+  json_t *o =
+      salvage("{\"events\":[{\"object\":" ENTRY(
+                  "a", "{\"n\":\"\xc0\"}") ",\"gone\":false},"
+                                           "{\"object\":" ENTRY(
+                                               "b", "{}") ",\"gone\":true}],"
+                                                          "\"at\":12}",
+              &lost);
+  cr_assert_not_null(o);
+  cr_assert_eq(lost, 1);
+  cr_assert_str_eq(name_at(o, "events", 0), "b");
+  cr_assert_eq(json_integer_value(json_object_get(o, "at")), 12);
+  json_decref(o);
+}
+
+Test(document, an_answer_without_a_list_is_not_salvaged) {
+  static const char *const bad[] = {"",
+                                    "{",
+                                    "nonsense",
+                                    "{\"at\":}",
+                                    "{\"entries\":7,}",
+                                    "{\"entries\":[",
+                                    "{\"entries\":[{\"a\":\"\xff"};
+  int lost;
+  for (int i = 0; i < 7; i++)
+    cr_assert_null(salvage(bad[i], &lost), "%s", bad[i]);
+}
+
+/* Any cut and any changed byte: read or refused, never beyond the text. */
+Test(document, damage_anywhere_is_borne) {
+  const char *sound = "{\"entries\":[" ENTRY("a", "{\"x\":\"\\\"\"}") "," ENTRY(
+      "b", "{}") "],\"at\":3}";
+  size_t n = strlen(sound);
+  for (size_t cut = 0; cut <= n; cut++)
+    for (int byte = 0; byte < 256; byte += 5) {
+      char *text = malloc(cut + 1);
+      int lost;
+      memcpy(text, sound, cut);
+      if (cut > 0) text[cut / 2] = (char)byte;
+      json_decref(salvage_list(text, cut, &lost));
+      free(text);
+    }
+}
--- a/tests/test_targets.c
+++ b/tests/test_targets.c
@@ -427,3 +427,95 @@
   cr_assert(targets_evacuate(s, "x1", false));
   targets_free(s);
 }
+
+/* == a new start under the old id == */
+
+static Ask prompt(void) {
+  Ask a = {.tokens_in = 3000, .n_parts = 2};
+  a.parts[0] = (AskPart){.id = 5, .tokens = 2500};
+  a.parts[1] = (AskPart){.id = 6, .tokens = 500};
+  return a;
+}
+
+static TargetInfo born(int64_t at, uint64_t revision) {
+  TargetInfo t = info(0, "svc");
+  t.born = at;
+  t.revision = revision;
+  return t;
+}
+
+/* What is to be read there of this prompt. */
+static int64_t fresh(Targets *s, double now, const Ask *a) {
+  TargetAsk ask = {.service = "svc", .ask = a, .engine = true};
+  return targets_pick(s, now, &ask).fresh;
+}
+
+Test(targets, who_starts_again_under_its_id_holds_nothing_of_before) {
+  Targets *s = targets_new("a", 1);
+  targets_parts_are_told(s, true);
+  Ask a = prompt();
+  TargetInfo t = born(1000, 10);
+  cr_assert(!targets_set(s, 0, &t), "the first time");
+  Target *old = pick(s, 1, &a, true);
+  sent(old, 1, &a, 3000);
+  cr_assert_eq(fresh(s, 2, &a), 0, "it has read the prompt");
+  t = born(2000, 11);
+  cr_assert(targets_set(s, 3, &t));
+  Target *again = pick(s, 3, &a, true);
+  cr_assert_neq(again, old);
+  cr_assert_eq(fresh(s, 3, &a), 3000, "its memory is empty");
+  cr_assert_eq(target_load_now(again, 3).open, 0, "what it ran is lost");
+  cr_assert_eq(target_load_now(old, 3).open, 1, "and ends by itself");
+  target_done(old, 4, TARGET_SILENT, false, 3000, 3);
+  cr_assert_not_null(pick(s, 4, &a, true),
+                     "its end says nothing of the new one");
+  targets_sweep(s, 100);
+  cr_assert_eq(targets_count(s, "svc"), 1);
+  targets_free(s);
+}
+
+Test(targets, who_left_and_starts_again_gets_work) {
+  Targets *s = targets_new("a", 1);
+  Ask a = {0};
+  TargetInfo t = born(1000, 10);
+  t.leaving = true;
+  targets_set(s, 0, &t);
+  cr_assert_null(pick(s, 1, &a, false));
+  t = born(2000, 12);
+  targets_set(s, 2, &t);
+  cr_assert_not_null(pick(s, 2, &a, false));
+  t = born(1000, 11); /* older news of the former life */
+  t.leaving = true;
+  cr_assert(!targets_set(s, 3, &t));
+  cr_assert_not_null(pick(s, 3, &a, false));
+  targets_free(s);
+}
+
+Test(targets, words_on_a_former_life_do_not_count_for_the_new_one) {
+  Targets *s = targets_new("a", 1);
+  Ask a = prompt();
+  TargetInfo t = born(1000, 10);
+  targets_set(s, 0, &t);
+  TargetWork old = {
+      .target = target_hash(pick(s, 0, &a, true)), .open = 7, .tokens = 9000};
+  targets_others(s, 0, 77, &old);
+  cr_assert_eq(target_load_now(pick(s, 0, &a, true), 0).open, 7);
+  t = born(2000, 11);
+  targets_set(s, 1, &t);
+  targets_others(s, 1, 77, &old);
+  cr_assert_eq(target_load_now(pick(s, 1, &a, true), 1).open, 0);
+  targets_free(s);
+}
+
+Test(targets, an_entry_that_moves_to_another_service_serves_that_one) {
+  Targets *s = some(2);
+  Ask a = {0};
+  TargetInfo t = info(0, "other");
+  t.revision = 11;
+  targets_set(s, 1, &t);
+  cr_assert_eq(targets_count(s, "svc"), 1);
+  cr_assert_eq(targets_count(s, "other"), 1);
+  for (int i = 0; i < 10; i++)
+    cr_assert_str_eq(target_id(pick(s, 1, &a, false)), "i-1");
+  targets_free(s);
+}
