--- a/packages/member/gossip.h
+++ b/packages/member/gossip.h
@@ -80,8 +80,8 @@
 uint64_t gossip_version(const Gossip *g);
 /* A copy of the present view, to be freed with view_free. */
 View *gossip_view(Gossip *g);
-/* Any one of the members that have a newer configuration than `table`, as far as
-   they told us; NULL: nobody has. */
+/* Any one of the members that have a newer configuration than `table`, as far
+   as they told us; NULL: nobody has. */
 const Member *gossip_newer(Gossip *g, uint64_t table);
 
 #endif
