--- a/packages/fleet/cluster.c
+++ b/packages/fleet/cluster.c
@@ -10,6 +10,7 @@
 #include "fleet/tallies.h"
 #include "kernel/count.h"
 #include "kernel/log.h"
+#include "kernel/loopclock.h"
 #include "peer/peer.h"
 
 #define BUDGET_KIND "budgets" /* of our own, in the platform's store */
@@ -56,7 +57,7 @@
 };
 
 static double now_of(const Cluster *c) {
-  return ev_now(c->loop);
+  return loopclock_now(c->loop);
 }
 
 /* == what the ledger wants == */
@@ -368,7 +369,7 @@
   c->ev = *ev;
   c->ctx = ctx;
   c->peer = peer;
-  c->started = ev_now(loop);
+  c->started = loopclock_now(loop);
   peer_on_demand(peer);
   c->members = gossip_new(&o->self, o->seed);
   c->tallies = tallies_new(peer, o->self.id, ev->tally, ctx);
--- a/packages/flow/caller.c
+++ b/packages/flow/caller.c
@@ -9,6 +9,7 @@
 
 #include "flow/sock.h"
 #include "kernel/limits.h"
+#include "kernel/loopclock.h"
 
 #define READ_BYTES 16384 /* of one read */
 #define ACCEPT_MOST 64   /* connections taken in one turn */
@@ -116,7 +117,7 @@
   arm_write(c);
   if (!c->closing || c->out->len > 0) return;
   c->state = CALLER_LINGER;
-  c->since = ev_now(c->set->loop);
+  c->since = loopclock_now(c->set->loop);
   shutdown(c->fd, SHUT_WR);
   if (!ev_is_active(&c->read)) ev_io_start(c->set->loop, &c->read);
 }
@@ -130,7 +131,7 @@
   forget_body(c);
   c->err = (Err){0};
   c->state = CALLER_READING;
-  c->req.at = c->since = ev_now(c->set->loop);
+  c->req.at = c->since = loopclock_now(c->set->loop);
   return 0;
 }
 
@@ -175,7 +176,7 @@
 
 static int on_body(http_parser *p, const char *at, size_t n) {
   Caller *c = p->data;
-  c->since = ev_now(c->set->loop);
+  c->since = loopclock_now(c->set->loop);
   if (c->err.kind) return 0;
   if (c->req.body->len + n > c->set->limits.max_body) {
     err_set(&c->err, ERR_TOO_LARGE, "the body is over %zu bytes",
@@ -277,7 +278,7 @@
   (void)loop;
   (void)revents;
   Caller *c = w->data;
-  c->since = ev_now(c->set->loop);
+  c->since = loopclock_now(c->set->loop);
   caller_flush(c);
 }
 
@@ -285,7 +286,7 @@
   Caller *c = g_new0(Caller, 1);
   c->set = s;
   c->fd = fd;
-  c->since = ev_now(s->loop);
+  c->since = loopclock_now(s->loop);
   headers_init(&c->req.headers);
   c->req.target = g_string_new(NULL);
   c->req.body = g_string_new(NULL);
@@ -329,7 +330,7 @@
 static void on_sweep(struct ev_loop *loop, ev_timer *w, int revents) {
   (void)revents;
   Callers *s = w->data;
-  double now = ev_now(loop);
+  double now = loopclock_now(loop);
   for (Caller *c = s->first, *next; c; c = next) {
     next = c->next;
     if (!overdue(c, now)) continue;
@@ -394,7 +395,7 @@
 static void next_request(Caller *c) {
   Callers *s = c->set;
   c->state = CALLER_IDLE;
-  c->since = ev_now(s->loop);
+  c->since = loopclock_now(s->loop);
   c->data = NULL;
   forget_body(c);
   if (!ev_is_active(&c->read)) ev_io_start(s->loop, &c->read);
--- a/packages/flow/link.c
+++ b/packages/flow/link.c
@@ -9,6 +9,7 @@
 #include <unistd.h>
 
 #include "flow/sock.h"
+#include "kernel/loopclock.h"
 
 #define READ_BYTES 16384 /* of one read */
 #define SWEEP_S 1.0      /* between looks for idle links that are old */
@@ -106,7 +107,7 @@
 static void put_idle(Link *l) {
   Links *s = l->set;
   l->state = LINK_IDLE;
-  l->since = ev_now(s->loop);
+  l->since = loopclock_now(s->loop);
   l->next = g_hash_table_lookup(s->idle, l->addr);
   g_hash_table_insert(s->idle, g_strdup(l->addr), l);
 }
@@ -228,7 +229,7 @@
   char buf[READ_BYTES];
   ssize_t n = recv(l->fd, buf, sizeof buf, 0);
   if (n < 0 && (errno == EAGAIN || errno == EINTR)) return;
-  if (n > 0) l->set->heard = ev_now(loop);
+  if (n > 0) l->set->heard = loopclock_now(loop);
   if (l->state == LINK_IDLE) { /* closed, or bytes that nobody asked for */
     take_out(l);
     free_link(l);
@@ -268,7 +269,7 @@
       return;
     }
     l->state = LINK_OPEN;
-    l->set->heard = ev_now(loop);
+    l->set->heard = loopclock_now(loop);
     ev_timer_stop(loop, &l->timer);
     ev_io_start(loop, &l->read);
   }
@@ -290,7 +291,7 @@
 /* == sending == */
 
 static Link *fresh_idle(Links *s, const char *addr, double fresh_s) {
-  double now = ev_now(s->loop);
+  double now = loopclock_now(s->loop);
   Link *l = g_hash_table_lookup(s->idle, addr);
   if (!l) return NULL;
   double age = now - l->since;
@@ -386,7 +387,7 @@
 static void on_sweep(struct ev_loop *loop, ev_timer *w, int revents) {
   (void)revents;
   Links *s = w->data;
-  double now = ev_now(loop);
+  double now = loopclock_now(loop);
   GHashTableIter it;
   gpointer v;
   g_hash_table_iter_init(&it, s->idle);
--- a/packages/flow/relay.c
+++ b/packages/flow/relay.c
@@ -7,6 +7,7 @@
 #include "kernel/count.h"
 #include "kernel/log.h"
 #include "flow/wire.h"
+#include "kernel/loopclock.h"
 
 #define CONNECT_S 0.4        /* data centres are 3 ms apart at most */
 #define USER_TIMEOUT_MS 1500 /* a target that acknowledges nothing is dark */
@@ -27,7 +28,7 @@
                 void (*fn)(struct ev_loop *, ev_timer *, int)) {
   struct ev_loop *loop = x->relay->loop;
   ev_timer_stop(loop, &x->timer);
-  ev_timer_init(&x->timer, fn, MAX(0.001, at - ev_now(loop)), 0);
+  ev_timer_init(&x->timer, fn, MAX(0.001, at - loopclock_now(loop)), 0);
   x->timer.data = x;
   ev_timer_start(loop, &x->timer);
 }
--- a/packages/flow/run.c
+++ b/packages/flow/run.c
@@ -8,13 +8,14 @@
 #include "kernel/count.h"
 #include "kernel/log.h"
 #include "flow/wire.h"
+#include "kernel/loopclock.h"
 
 #define EVENTS_AHEAD 2 /* events a target may have made unseen */
 
 /* == the end of a run == */
 
 double run_now(const Run *x) {
-  return ev_now(x->relay->loop);
+  return loopclock_now(x->relay->loop);
 }
 
 /* Tokens that the customer got, at most: the prompt once a target took it in,
--- a/packages/node/node.c
+++ b/packages/node/node.c
@@ -12,6 +12,7 @@
 #include "flow/relay.h"
 #include "kernel/count.h"
 #include "kernel/log.h"
+#include "kernel/loopclock.h"
 #include "kernel/settings.h"
 #include "node/feed.h"
 
@@ -133,7 +134,7 @@
 
 static void on_target(void *ctx, const TargetInfo *t) {
   Node *n = ctx;
-  bool again = targets_set(n->targets, ev_now(n->loop), t);
+  bool again = targets_set(n->targets, loopclock_now(n->loop), t);
   if (again) relay_restarted(n->relay, t->addr);
   log_info("target", "s:s,s:s,s:s,s:s,s:b,s:I,s:I,s:b", "target", t->id,
            "service", t->service, "addr", t->addr, "datacentre", t->dc,
@@ -143,13 +144,13 @@
 
 static void on_gone(void *ctx, const char *id, bool lapsed) {
   Node *n = ctx;
-  targets_gone(n->targets, ev_now(n->loop), id, lapsed);
+  targets_gone(n->targets, loopclock_now(n->loop), id, lapsed);
   log_info("target-gone", "s:s,s:b", "target", id, "lapsed", (int)lapsed);
 }
 
 static void on_listed(void *ctx, GHashTable *ids, bool lapsed) {
   Node *n = ctx;
-  targets_only(n->targets, ev_now(n->loop), ids, lapsed);
+  targets_only(n->targets, loopclock_now(n->loop), ids, lapsed);
   log_info("targets-listed", "s:i,s:b", "targets", (int)g_hash_table_size(ids),
            "lapsed", (int)lapsed);
 }
@@ -186,9 +187,9 @@
   Node *n = ctx;
   int of = MAX(count, n->seeds);
   n->instances = count;
-  targets_place(n->targets, ev_now(n->loop), rank, of);
+  targets_place(n->targets, loopclock_now(n->loop), rank, of);
   targets_parts_are_told(n->targets, count < FLEET_SMALL);
-  retries_instances(n->retries, ev_now(n->loop), count);
+  retries_instances(n->retries, loopclock_now(n->loop), count);
 }
 
 static void on_peer_conf(void *ctx, const char *text) {
@@ -236,12 +237,12 @@
 
 static void on_work(void *ctx, uint64_t from, const TargetWork *m) {
   Node *n = ctx;
-  targets_others(n->targets, ev_now(n->loop), from, m);
+  targets_others(n->targets, loopclock_now(n->loop), from, m);
 }
 
 static void on_parts(void *ctx, const TargetParts *m) {
   Node *n = ctx;
-  targets_parts_told(n->targets, ev_now(n->loop), m);
+  targets_parts_told(n->targets, loopclock_now(n->loop), m);
 }
 
 static void on_tally(void *ctx, const TallyWord *m) {
@@ -251,12 +252,12 @@
 
 static void on_pool(void *ctx, uint64_t from, const TargetsPoolWord *m) {
   Node *n = ctx;
-  targets_pool_told(n->targets, ev_now(n->loop), from, m);
+  targets_pool_told(n->targets, loopclock_now(n->loop), from, m);
 }
 
 /* Each instance hears of all, so they tell more seldom the more there are. */
 static void tell_pools(Node *n) {
-  double now = ev_now(n->loop);
+  double now = loopclock_now(n->loop);
   TargetsPoolWord word;
   if (now < n->pools_at) return;
   n->pools_at = now + MAX(SWEEP_S, n->instances * POOLS_EACH_S);
@@ -314,7 +315,7 @@
   (void)revents;
   Node *n = w->data;
   if (n->stop_at > 0) return;
-  n->stop_at = ev_now(loop);
+  n->stop_at = loopclock_now(loop);
   log_info("draining", "s:i", "open", relay_open_requests(n->relay));
   relay_drain(n->relay);
 }
@@ -329,7 +330,7 @@
 /* New callers still come until the balancer has heard; then open requests
    end, budgets go back, and the process exits. */
 static void stop_step(Node *n) {
-  double past = ev_now(n->loop) - n->stop_at;
+  double past = loopclock_now(n->loop) - n->stop_at;
   double most = number("stop") - STOP_MARGIN_S;
   if (past > REFUSE_AFTER_S && !n->refusing) {
     n->refusing = true;
@@ -349,8 +350,8 @@
 /* An instance that gets more than its link bears lets the balancer place its
    callers elsewhere for a while. */
 static void watch_link(Node *n) {
-  bool full = intake_full(&n->intake, ev_now(n->loop), relay_taken(n->relay),
-                          n->instances);
+  bool full = intake_full(&n->intake, loopclock_now(n->loop),
+                          relay_taken(n->relay), n->instances);
   if (full == n->full) return;
   n->full = full;
   relay_leave(n->relay, full);
@@ -373,7 +374,7 @@
 static void on_sweep(struct ev_loop *loop, ev_timer *w, int revents) {
   (void)revents;
   Node *n = w->data;
-  targets_sweep(n->targets, ev_now(loop));
+  targets_sweep(n->targets, loopclock_now(loop));
   tell_pools(n);
 }
 
@@ -446,7 +447,7 @@
 }
 
 static void start_timers(Node *n) {
-  intake_start(&n->intake, ev_now(n->loop), number("link"));
+  intake_start(&n->intake, loopclock_now(n->loop), number("link"));
   ev_timer_init(&n->tick, on_tick, TICK_S, TICK_S);
   ev_timer_init(&n->sweep, on_sweep, SWEEP_S, SWEEP_S);
   ev_signal_init(&n->term, on_stop_signal, SIGTERM);
@@ -495,6 +496,7 @@
   log_bound(LOG_LINES);
   signal(SIGPIPE, SIG_IGN);
   n->loop = ev_default_loop(EVFLAG_AUTO);
+  if (n->loop) loopclock_start(n->loop);
   if (!n->loop || !open_parts(n, &e)) {
     log_warn("start-failed", "s:s,s:s", "error", e.text, "remedy",
              err_info(e.kind)->remedy);
--- /dev/null
+++ b/tests/test_loopclock.c
@@ -0,0 +1,71 @@
+/* test_loopclock.c: the loop's time while the time of day is set.
+
+   Answers: a machine whose time of day is corrected by ten seconds. Whatever has
+   a bound (a target that left, a word that counts for 1.5 s, a request's
+   deadline) must keep it. */
+#define _GNU_SOURCE
+#include <criterion/criterion.h>
+#include <sys/syscall.h>
+#include <sys/time.h>
+#include <time.h>
+#include <unistd.h>
+
+#include "kernel/loopclock.h"
+
+#define STEP_S 10
+#define TURN_S 0.02
+
+static time_t set_by;
+
+/* Takes the place of the C library's: only the time of day is set. */
+int clock_gettime(clockid_t id, struct timespec *t) {
+  int r = (int)syscall(SYS_clock_gettime, id, t);
+  if (id == CLOCK_REALTIME) t->tv_sec += set_by;
+  return r;
+}
+
+/* The one that libev reads it with. */
+int gettimeofday(struct timeval *restrict t, void *restrict zone) {
+  (void)zone;
+  struct timespec now;
+  int r = clock_gettime(CLOCK_REALTIME, &now);
+  *t = (struct timeval){.tv_sec = now.tv_sec, .tv_usec = now.tv_nsec / 1000};
+  return r;
+}
+
+static void on_timer(struct ev_loop *loop, ev_timer *w, int revents) {
+  (void)w;
+  (void)revents;
+  ev_break(loop, EVBREAK_ALL);
+}
+
+/* One turn of at least `seconds`. */
+static void turn(struct ev_loop *loop, double seconds) {
+  ev_timer t;
+  ev_timer_init(&t, on_timer, seconds, 0);
+  ev_timer_start(loop, &t);
+  ev_run(loop, 0);
+}
+
+static void check_step(int by) {
+  struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
+  set_by = 0;
+  loopclock_start(loop);
+  turn(loop, TURN_S);
+  double before = loopclock_now(loop), day = ev_now(loop);
+  set_by = by;
+  for (int i = 0; i < 60; i++) turn(loop, TURN_S); /* libev looks each 0.5 s */
+  double took = loopclock_now(loop) - before;
+  cr_assert(took >= 60 * TURN_S * 0.9 && took < 5, "%f", took);
+  double moved = ev_now(loop) - day - took;
+  cr_assert(moved / by > 0.9, "libev's time follows: %f", moved);
+  ev_loop_destroy(loop);
+}
+
+Test(loopclock, it_does_not_go_back_with_the_time_of_day) {
+  check_step(-STEP_S);
+}
+
+Test(loopclock, it_does_not_leap_with_the_time_of_day) {
+  check_step(STEP_S);
+}
