--- a/packages/kernel/loopclock.c
+++ b/packages/kernel/loopclock.c
@@ -5,21 +5,30 @@
 
 #include "kernel/clock.h"
 
+/* Added to the machine's clock, which may have just begun: a time of 0 stands
+   for "never" with many things, and must lie further back than anything counts.
+ */
+#define ORIGIN_S 86400.0
+
 typedef struct LoopClock {
   ev_check turn;
   double now;
 } LoopClock;
 
+static double read_clock(void) {
+  return ORIGIN_S + clock_now();
+}
+
 static void on_turn(struct ev_loop *loop, ev_check *w, int revents) {
   (void)loop;
   (void)revents;
   LoopClock *c = w->data;
-  c->now = clock_now();
+  c->now = read_clock();
 }
 
 void loopclock_start(struct ev_loop *loop) {
   LoopClock *c = g_new0(LoopClock, 1); /* as long as the loop */
-  c->now = clock_now();
+  c->now = read_clock();
   ev_check_init(&c->turn, on_turn);
   ev_set_priority(&c->turn, EV_MAXPRI); /* before whatever asks for it */
   c->turn.data = c;
--- a/packages/kernel/loopclock.h
+++ b/packages/kernel/loopclock.h
@@ -1,14 +1,14 @@
-/* loopclock.h: the time of an event loop's turn. libev's own (ev_now) follows the
-   time of day: when that is set back by ten seconds, a target that left a moment
-   ago may get work for ten seconds more, and words of readers count for as long.
-   This one never goes back. */
+/* loopclock.h: the time of an event loop's turn. libev's own (ev_now) follows
+   the time of day: when that is set back by ten seconds, a target that left a
+   moment ago may get work for ten seconds more, and words of readers count for
+   as long. This one never goes back. */
 #ifndef KERNEL_LOOPCLOCK_H
 #define KERNEL_LOOPCLOCK_H
 
 #include <ev.h>
 
-/* From here on it is taken anew at the begin of each turn; takes the loop's user
-   data for itself. */
+/* From here on it is taken anew at the begin of each turn; takes the loop's
+   user data for itself. */
 void loopclock_start(struct ev_loop *loop);
 /* Seconds, comparable only to others of this process. */
 double loopclock_now(struct ev_loop *loop);
--- a/tests/test_loopclock.c
+++ b/tests/test_loopclock.c
@@ -1,7 +1,7 @@
 /* test_loopclock.c: the loop's time while the time of day is set.
 
-   Answers: a machine whose time of day is corrected by ten seconds. Whatever has
-   a bound (a target that left, a word that counts for 1.5 s, a request's
+   Answers: a machine whose time of day is corrected by ten seconds. Whatever
+   has a bound (a target that left, a word that counts for 1.5 s, a request's
    deadline) must keep it. */
 #define _GNU_SOURCE
 #include <criterion/criterion.h>
