--- a/packages/flow/relay.c
+++ b/packages/flow/relay.c
@@ -37,8 +37,11 @@
 
 static void budget_refused(Run *x, ErrKind cause, int retry_ms) {
   Err e;
-  int left_ms = (int)((x->deadline - run_now(x)) * 1000);
-  err_retry(&e, cause, MIN(retry_ms, left_ms / BACK_SHARE),
+  int most_ms = (int)((x->deadline - run_now(x)) * 1000) / BACK_SHARE;
+  /* Who has no time left, since this process stood still, is told as well when
+     others may come back. */
+  int back_ms = most_ms > 0 ? MIN(retry_ms, most_ms) : retry_ms;
+  err_retry(&e, cause, back_ms,
             "%" G_GINT64_FORMAT " tokens could not be reserved for %s",
             x->reserved, x->customer->name);
   run_give_up(x, &e);
--- a/tests/node.py
+++ b/tests/node.py
@@ -341,6 +341,24 @@
     assert time.monotonic() - began < 0.2
 
 
+def test_a_refusal_past_the_deadline_names_a_time_as_well(s):
+    """The process stands still while the request waits for its budget."""
+    s.store.put("config", "main", config(2, routes=[
+        route("l", "/long/", "engine", "stream", slo_ms=8000)]))
+    wait_for("the route", lambda: s.call("/long/x").status != 404, 2)
+    s.store.down = True
+    c = s.connect()
+    c.request("POST", "/long/x", b"b", s.head(
+        X_Loftpath_Token_Count="9000,10", X_Loftpath_Deadline_Ms="500"))
+    time.sleep(0.1)
+    s.processes[0].send_signal(signal.SIGSTOP)
+    time.sleep(1.0)
+    s.processes[0].send_signal(signal.SIGCONT)
+    a = c.getresponse()
+    assert a.status == 503 and float(a.headers["retry-after"]) > 0, (
+        a.status, a.headers.items())
+
+
 def test_a_budget_refusal_leaves_time_to_be_served_elsewhere(s):
     """The caller hears it within a quarter of its aim of 1.6 s, way included."""
     aim_s = 1.6
