test_operators waits for the alarm's own line

Traced: it waited for the letters e0 in the screen, which the random id of the instance that was asked may hold (i0. in the failed run); then it took the screen of before the loss for the alarm. It waits for the line that names the target now, as strict or stricter.

--- a/tests/process.py
+++ b/tests/process.py
@@ -736,8 +736,9 @@
     s = f.cli("status").stdout
     assert "nothing" in s, s
     f.kill("engine0")
+    # The whole line: the id of an instance may hold the two letters "e0".
     wait_for("the alarm", lambda: "engine" not in f.cli("status").stdout and
-             "e0" in f.cli("status").stdout)
+             "fails: e0\n" in f.cli("status").stdout)
     assert f.cli("status").returncode == 4
     assert f.cli("nonsense").returncode == 2
 
