Suspects: a request under which two targets ended is tried at one target at a time, and held once another ends

Cause: an attempt was all that an instance knew; that the same request had ended targets before, here or elsewhere, was known nowhere. Class: state that belongs to the request was kept by attempt. Change: what had just begun (1 s), or was still to, at a target that ended is marked (route/ends). Marks go to two homes by the request's digest; the second target names it to all instances; whoever saw it end well since clears it for all (route/suspects). A named one is not sent a second time, and tried only once its trial, an object in the platform's store, is made: one try at a time over the fleet, where the fewest others run. The trial is taken away when the try ends well; else it stands, for all instances, also after a loss of all of them (route/trials, flow/trying). The feed follows the kind like the others.

--- a/fakes/standins.py
+++ b/fakes/standins.py
@@ -123,7 +123,9 @@
                 return self._watch(parts[0], args)
             if "stale" in args and self.old_s:
                 return 200, {}, self._old(parts[0]).encode()
-            status, answer = self._call(method, parts, json.loads(body or b"{}"))
+            wanted = int(args["revision"]) if "revision" in args else None
+            status, answer = self._call(method, parts, json.loads(body or b"{}"),
+                                        wanted)
         if self.lose and method != "GET":
             return None
         return status, {}, answer.encode()
@@ -200,7 +202,7 @@
         answer = '{"events": [%s], "at": %d}' % (", ".join(texts), self.revision)
         return 200, {}, answer.encode()
 
-    def _call(self, method, parts, body):
+    def _call(self, method, parts, body, wanted):
         objects = self.kinds.setdefault(parts[0], {})
         name = parts[1] if len(parts) > 1 else body.get("meta", {}).get("name")
         old = objects.get(name)
@@ -208,15 +210,18 @@
             return 200, self._list(parts[0], objects.values(), self.revision)
         if method == "GET":
             return (200, self._text(parts[0], old)) if old else (404, "{}")
-        wanted = body.get("meta", {}).get("revision")
+        wanted = body.get("meta", {}).get("revision", wanted)
         if self.unfenced:
             wanted = None
         if method == "POST" and old:
             return 409, self._text(parts[0], old)
-        if method == "PUT" and not old:
+        if method in ("PUT", "DELETE") and not old:
             return 404, "{}"
-        if method == "PUT" and wanted not in (None, old["meta"]["revision"]):
+        if method in ("PUT", "DELETE") and wanted not in (None, old["meta"]["revision"]):
             return 409, self._text(parts[0], old)
+        if method == "DELETE":
+            self._remove(parts[0], name)
+            return 200, "{}"
         return 200, self._text(parts[0], self._set(parts[0], name, body["spec"]))
 
     def _set(self, kind, name, spec):
@@ -237,9 +242,12 @@
 
     def remove(self, kind, name):
         with self.lock:
-            o = self.kinds[kind].pop(name)
-            self.revision += 1
-            self._changed(kind, {"object": o, "gone": True})
+            self._remove(kind, name)
+
+    def _remove(self, kind, name):
+        o = self.kinds[kind].pop(name)
+        self.revision += 1
+        self._changed(kind, {"object": o, "gone": True})
 
 
 class Worker(Server):
--- a/packages/fleet/cluster.c
+++ b/packages/fleet/cluster.c
@@ -249,6 +249,61 @@
   c->ev.feed(c->ctx, feed);
 }
 
+/* == requests under which targets ended == */
+
+#define SUSPECT_HOMES 2 /* that count its marks: one may be lost with them */
+
+static bool is_self(const Cluster *c, const Member *m) {
+  return strcmp(m->id, gossip_me(c->members)->id) == 0;
+}
+
+static void tell_homes(Cluster *c, const SuspectsMsg *m) {
+  const Member *homes[SUSPECT_HOMES];
+  CodecSuspect word = {.msg = *m};
+  int n = view_homes(c->view, NULL, m->digest.lo, homes, SUSPECT_HOMES);
+  for (int i = 0; i < n; i++) {
+    if (is_self(c, homes[i]))
+      c->ev.suspect(c->ctx, m);
+    else
+      peer_suspect(c->peer, homes[i]->peer, homes[i]->id, &word);
+  }
+}
+
+/* To those of our region whom we are to care for. */
+static void suspect_hand_on(Cluster *c, const CodecSuspect *word) {
+  SpreadPart part[SPREAD_FAN];
+  int n = c->spread ? spread_split(c->spread, word->until, part) : 0;
+  for (int i = 0; i < n; i++) {
+    CodecSuspect copy = *word;
+    g_strlcpy(copy.until, part[i].until, sizeof copy.until);
+    peer_suspect(c->peer, part[i].to->peer, part[i].to->id, &copy);
+  }
+}
+
+/* Whether a member before the `i`-th is of its region. */
+static bool region_is_known(const View *v, int i) {
+  for (int k = 0; k < i; k++)
+    if (strcmp(v->list[k].region, v->list[i].region) == 0) return true;
+  return false;
+}
+
+/* One member of each other region tells the others there. */
+static void tell_regions(Cluster *c, const CodecSuspect *word) {
+  const Member *me = gossip_me(c->members);
+  for (int i = 0; i < c->view->n; i++) {
+    const char *region = c->view->list[i].region;
+    if (strcmp(region, me->region) == 0 || region_is_known(c->view, i))
+      continue;
+    const Member *m = view_home(c->view, region, word->msg.digest.lo, 0);
+    if (m) peer_suspect(c->peer, m->peer, m->id, word);
+  }
+}
+
+static void take_suspect(Cluster *c, const CodecSuspect *word) {
+  if (word->msg.kind != SUSPECTS_MARK) suspect_hand_on(c, word);
+  c->ev.suspect(c->ctx, &word->msg);
+}
+
 /* == events == */
 
 static void on_message(void *ctx, uint64_t from, CodecMsg *m) {
@@ -276,6 +331,8 @@
     c->ev.pool(c->ctx, from, &m->pool);
   } else if (m->type == CODEC_FEED) {
     take_feed(c, &m->feed);
+  } else if (m->type == CODEC_SUSPECT) {
+    take_suspect(c, &m->suspect);
   } else if (tallies_take(c->tallies, now_of(c), view_find(c->view, id), m)) {
     return;
   } else if (m->type == CODEC_LEDGER) {
@@ -470,6 +527,16 @@
   tallies_tell(c->tallies, now_of(c), r);
 }
 
+void cluster_suspect(Cluster *c, const SuspectsMsg *m) {
+  CodecSuspect word = {.msg = *m};
+  if (m->kind == SUSPECTS_MARK) {
+    tell_homes(c, m);
+    return;
+  }
+  suspect_hand_on(c, &word);
+  tell_regions(c, &word);
+}
+
 void cluster_pool(Cluster *c, const TargetsPoolWord *word) {
   const Member *m;
   if (cluster_is_large(c)) return;
--- a/packages/fleet/cluster.h
+++ b/packages/fleet/cluster.h
@@ -39,6 +39,8 @@
   void (*parts)(void *ctx, const TargetParts *m);
   /* What all have at a target that we asked for. */
   void (*tally)(void *ctx, const TallyWord *m);
+  /* What is said of a request under which targets ended. */
+  void (*suspect)(void *ctx, const SuspectsMsg *m);
   /* The same of what it saw of a pool. */
   void (*pool)(void *ctx, uint64_t from, const TargetsPoolWord *m);
 } ClusterEvents;
@@ -72,6 +74,8 @@
 void cluster_tally_tell(Cluster *c, const TallyRun *r);
 /* Tells the others of the region what we saw of a pool. */
 void cluster_pool(Cluster *c, const TargetsPoolWord *m);
+/* Tells the homes of a request, or all instances, by the kind of message. */
+void cluster_suspect(Cluster *c, const SuspectsMsg *m);
 /* Whether the store answers nobody, as far as is known. */
 void cluster_away(Cluster *c, bool away);
 void cluster_budgets(Cluster *c, const LedgerBudget *list, int n);
--- a/packages/flow/breaks.c
+++ b/packages/flow/breaks.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "flow/run.h"
+#include "kernel/count.h"
 #include "kernel/log.h"
 #include "kernel/loopclock.h"
 #include "kernel/text.h"
@@ -30,10 +31,29 @@
 }
 
 static void log_ended(const Target *t, const char *sign) {
+  count_add(COUNT_TARGETS_ENDED, 1);
   log_warn("target-ended", "s:s,s:s,s:s", "target", target_id(t), "addr",
            target_addr(t), "sign", sign);
 }
 
+/* A request is named or cleared by us, or by another instance. */
+static void log_suspect(const SuspectsMsg *m, const char *word) {
+  char digest[DIGEST_TEXT];
+  digest_text(m->digest, digest);
+  count_add(COUNT_SUSPECTS, m->kind == SUSPECTS_NAMED);
+  log_warn(m->kind == SUSPECTS_NAMED ? "suspect" : "suspect-cleared",
+           "s:s,s:s,s:f", "digest", digest, "word", word, "age", m->age_s);
+}
+
+/* Messages of the core leave, some of them to ourselves. */
+static void tell_suspects(Relay *r) {
+  SuspectsMsg m;
+  while (suspects_next(r->suspects, &m)) {
+    if (m.kind != SUSPECTS_MARK) log_suspect(&m, "ours");
+    cluster_suspect(r->cluster, &m);
+  }
+}
+
 /* Each request under which a target has ended. */
 static void take_marks(Relay *r) {
   EndsMark m;
@@ -41,7 +61,27 @@
     char digest[DIGEST_TEXT];
     digest_text(m.digest, digest);
     log_warn("request-marked", "s:s", "digest", digest);
+    suspects_mark(r->suspects, loopclock_now(r->loop), &m);
+    relay_tried_ended(r, m.digest);
   }
+  tell_suspects(r);
+}
+
+void relay_suspect(Relay *r, const SuspectsMsg *m) {
+  bool known = suspects_has(r->suspects, m->digest);
+  suspects_take(r->suspects, loopclock_now(r->loop), m);
+  if (suspects_has(r->suspects, m->digest) != known && m->kind != SUSPECTS_MARK)
+    log_suspect(m, "another's");
+  tell_suspects(r);
+}
+
+void run_ran(Run *x) {
+  Relay *r = x->relay;
+  double now = run_now(x);
+  if (!suspects_looks(r->suspects, now)) return;
+  suspects_ran(r->suspects, now, run_digest(x));
+  relay_tried_well(r, run_digest(x));
+  tell_suspects(r);
 }
 
 void run_broke(Run *x, Target *t, bool young) {
@@ -89,4 +129,5 @@
 
 void relay_sweep(Relay *r) {
   ends_sweep(r->ends, loopclock_now(r->loop));
+  relay_close_tries(r);
 }
--- a/packages/flow/dispatch.c
+++ b/packages/flow/dispatch.c
@@ -65,6 +65,7 @@
   double now = run_now(x);
   if (now >= x->deadline || x->n_tried == RUN_TRIED_MOST) return false;
   if (!sent) return true;
+  if (x->try || suspects_has(x->relay->suspects, run_digest(x))) return false;
   if (x->sends >= x->route->attempts) return false;
   return retries_take(x->relay->retries, now, x->service_name);
 }
@@ -177,11 +178,13 @@
   if (worth_another(x, x->status) && may_go_on(x, true)) {
     log_failure(x, "error");
     run_leave_target(x, TARGET_FAILED);
+    run_ran(x);
     x->maybe = true;
     run_dispatch(x);
     return;
   }
   run_leave_target(x, x->status >= 500 ? TARGET_FAILED : TARGET_OK);
+  run_ran(x);
   if (!x->head_out) {
     put_head(x, x->stream ? CALLER_CHUNKED : (int64_t)x->body->len);
     caller_body(x->caller, x->body->str, x->body->len);
@@ -226,6 +229,7 @@
                      .cold_rate = x->service ? x->service->cold_rate : 0,
                      .move_s = x->service ? x->service->move_s : 0,
                      .pause_s = x->service ? x->service->pause_s : 0,
+                     .alone = x->try != NULL,
                      .tried = x->tried,
                      .n_tried = x->n_tried,
                      .words = x->words,
--- a/packages/flow/relay.c
+++ b/packages/flow/relay.c
@@ -130,12 +130,16 @@
 }
 
 static void start(Run *x) {
+  run_ask(x);
+  reserve(x);
+}
+
+static void admit(Run *x) {
   double wait_s =
       x->ask.deadline_s > 0 ? x->ask.deadline_s : DEADLINE_DEFAULT_S;
   x->deadline = x->req->at + MIN(wait_s, x->route->timeout_s);
   x->reserved = x->ask.tokens_in + x->ask.tokens_out;
-  run_ask(x);
-  reserve(x);
+  run_admit(x, start);
 }
 
 static bool check_room(const Relay *r, Err *e) {
@@ -158,7 +162,7 @@
   if (!bad && wire_ask(&req->headers, &x->ask, &e) && check_room(r, &e) &&
       resolve(x, &e)) {
     events_init(&x->events, x->ask.last_event);
-    start(x);
+    admit(x);
     return;
   }
   run_give_up(x, &e);
@@ -177,6 +181,14 @@
 
 static const CallerEvents caller_events = {on_request, on_gone};
 
+/* What is known of requests that end targets. */
+static void free_judgement(Relay *r) {
+  relay_free_tries(r);
+  trials_free(r->trials);
+  suspects_free(r->suspects);
+  ends_free(r->ends);
+}
+
 Relay *relay_open(struct ev_loop *loop, const RelayOptions *o, Targets *targets,
                   Retries *retries, Err *e) {
   LinkOptions links = {.connect_s = CONNECT_S,
@@ -192,11 +204,15 @@
   r->body_room = o->body_room;
   r->links = links_open(loop, &links);
   r->ends = ends_new();
+  r->suspects = suspects_new();
+  r->trials = trials_new();
+  r->tries = g_ptr_array_new();
+  r->store = o->store;
   links_watch(r->links, relay_reach, r);
   r->callers = callers_open(loop, o->listen, &caller_events, r, e);
   if (r->callers) return r;
   links_close(r->links);
-  ends_free(r->ends);
+  free_judgement(r);
   g_free(r);
   return NULL;
 }
@@ -204,7 +220,7 @@
 void relay_close(Relay *r) {
   callers_close(r->callers);
   links_close(r->links);
-  ends_free(r->ends);
+  free_judgement(r);
   conf_unref(r->conf);
   g_hash_table_destroy(r->reserved);
   g_hash_table_destroy(r->asking);
--- a/packages/flow/relay.h
+++ b/packages/flow/relay.h
@@ -16,6 +16,7 @@
 typedef struct RelayOptions {
   const char *listen; /* ip:port for callers */
   int64_t body_room;  /* bytes of bodies held at once */
+  Store *store;       /* where trials are kept */
 } RelayOptions;
 
 Relay *relay_open(struct ev_loop *loop, const RelayOptions *o, Targets *targets,
@@ -40,6 +41,12 @@
 /* The target at `addr` has started again, after the life with that target_hash:
    links to it are dead. */
 void relay_restarted(Relay *r, const char *addr, uint64_t life);
+/* What another instance says of a request under which targets ended. */
+void relay_suspect(Relay *r, const SuspectsMsg *m);
+/* The store's word on a trial, and on all of them; as in FeedEvents. */
+void relay_trial(Relay *r, const char *name, const json_t *content,
+                 uint64_t revision);
+void relay_trials(Relay *r, GHashTable *names);
 /* Forgets what is old; about once a second. */
 void relay_sweep(Relay *r);
 /* From here on new requests are refused. */
--- a/packages/flow/run.c
+++ b/packages/flow/run.c
@@ -93,6 +93,7 @@
   if (x->link) link_cancel(x->link);
   x->link = NULL;
   run_leave_target(x, TARGET_LEFT);
+  run_leave_trial(x, x->sends > 0);
   int64_t used = used_tokens(x, strcmp(outcome, "served") == 0);
   run_settle(x, used);
   log_end(x, outcome, status, error, used);
--- a/packages/flow/run.h
+++ b/packages/flow/run.h
@@ -7,7 +7,8 @@
 #include "flow/link.h"
 #include "flow/relay.h"
 #include "kernel/digest.h"
-#include "route/ends.h"
+#include "route/suspects.h"
+#include "route/trials.h"
 
 #define RUN_LINK_KEEP_S 30.0 /* an idle connection to a target is kept */
 #define RUN_TRIED_MOST 8     /* targets that one request is tried at */
@@ -33,6 +34,7 @@
   const ConfCustomer *customer; /* NULL: an open route */
   Digest digest;                /* run_digest */
   bool digested;
+  struct Try *try; /* of a suspect; NULL: it is none */
   double deadline;
   ev_timer timer;
   /* budget */
@@ -70,6 +72,7 @@
 
 struct Relay {
   struct ev_loop *loop;
+  Store *store;
   Callers *callers;
   Links *links;
   Targets *targets;
@@ -77,6 +80,9 @@
   GHashTable *reserved; /* handle -> Run, of all that hold or wait */
   Retries *retries;
   Ends *ends;
+  Suspects *suspects;
+  Trials *trials;
+  GPtrArray *tries;   /* Try*, of our own, until the store has their outcome */
   GHashTable *asking; /* question -> Run */
   uint64_t questions, runs;
   Conf *conf;
@@ -119,9 +125,24 @@
 bool run_is_young(const Run *x);
 /* Its exchange with `t` broke, and it is done with it. */
 void run_broke(Run *x, Target *t, bool young);
+/* Its exchange ended with the target's answer. */
+void run_ran(Run *x);
 /* A connection to `addr` was tried; `ctx` is the relay. */
 void relay_reach(void *ctx, const char *addr, LinkReach how);
 
+/* == trying.c: suspects == */
+
+/* Calls `go` at once, or once the store has its trial; or refuses it. */
+void run_admit(Run *x, void (*go)(Run *x));
+/* It ends; `sent`: it came to a target. */
+void run_leave_trial(Run *x, bool sent);
+/* A target ended under a request. */
+void relay_tried_ended(Relay *r, Digest d);
+/* An attempt of it ended well. */
+void relay_tried_well(Relay *r, Digest d);
+void relay_close_tries(Relay *r);
+void relay_free_tries(Relay *r);
+
 /* == dispatch.c: targets and their answers == */
 
 /* What the choice of a target is made by. */
--- a/packages/kernel/err.c
+++ b/packages/kernel/err.c
@@ -39,6 +39,14 @@
     [ERR_TARGET_CUT] = {"target-cut", 502,
                         "the answer is incomplete: retry with the same "
                         "Idempotency-Key if the request may be repeated"},
+    /* Not in the range of the caller's own mistakes: the request is proper, and
+       refused for what it did to targets. */
+    [ERR_ENDS_TARGETS] = {"ends-targets", 502,
+                          "don't send it again: the targets that ran it ended; "
+                          "change it, or ask the operator to release it"},
+    [ERR_ON_TRIAL] = {"on-trial", 503,
+                      "retry after the time given: two targets ended while it "
+                      "ran, so it is tried at one target at a time"},
     [ERR_IN_PROGRESS] = {"in-progress", 409,
                          "retry with the same Idempotency-Key to get the "
                          "answer"},
--- a/packages/node/feed.h
+++ b/packages/node/feed.h
@@ -1,6 +1,6 @@
-/* feed.h: follows the operators' configuration, the list of targets and the
-   evacuations in the platform's store: one listing of each, then watches. The
-   platform's adapter implements it. */
+/* feed.h: follows the operators' configuration, the list of targets, the
+   evacuations and the trials of requests in the platform's store: one listing
+   of each, then watches. The platform's adapter implements it. */
 #ifndef NODE_FEED_H
 #define NODE_FEED_H
 
@@ -10,6 +10,8 @@
 #include "store/objects.h"
 #include "route/targets.h"
 
+#define FEED_TRIALS_KIND "trials" /* of our own, in the platform's store */
+
 typedef struct Feed Feed;
 
 typedef struct FeedEvents {
@@ -24,6 +26,11 @@
   void (*evacuation)(void *ctx, const char *dc, bool on, uint64_t revision);
   /* All evacuations were read; `dcs` is the set of data centres. */
   void (*evacuations)(void *ctx, GHashTable *dcs);
+  /* The trial of a request (trials.h); `content` NULL: it was taken away. */
+  void (*trial)(void *ctx, const char *name, const json_t *content,
+                uint64_t revision);
+  /* All trials were read; `names` is the set of them. */
+  void (*trials)(void *ctx, GHashTable *names);
   /* What this instance has to read. */
   ReadersDuty (*duty)(void *ctx);
   /* What it read, for the others. */
--- a/packages/node/node.c
+++ b/packages/node/node.c
@@ -174,6 +174,17 @@
            (int)g_hash_table_size(dcs));
 }
 
+static void on_trial(void *ctx, const char *name, const json_t *content,
+                     uint64_t revision) {
+  Node *n = ctx;
+  relay_trial(n->relay, name, content, revision);
+}
+
+static void on_trials(void *ctx, GHashTable *names) {
+  Node *n = ctx;
+  relay_trials(n->relay, names);
+}
+
 /* == what other instances say == */
 
 static void on_reserved(void *ctx, uint64_t handle, ErrKind cause,
@@ -251,6 +262,11 @@
   relay_tally(n->relay, m);
 }
 
+static void on_suspect(void *ctx, const SuspectsMsg *m) {
+  Node *n = ctx;
+  if (n->relay) relay_suspect(n->relay, m);
+}
+
 static void on_pool(void *ctx, uint64_t from, const TargetsPoolWord *m) {
   Node *n = ctx;
   targets_pool_told(n->targets, loopclock_now(n->loop), from, m);
@@ -396,9 +412,9 @@
 }
 
 static Cluster *open_cluster(Node *n, Err *e) {
-  static const ClusterEvents events = {on_reserved, on_instances, on_peer_conf,
-                                       conf_text,   on_feed,      on_work,
-                                       on_parts,    on_tally,     on_pool};
+  static const ClusterEvents events = {
+      on_reserved, on_instances, on_peer_conf, conf_text,  on_feed,
+      on_work,     on_parts,     on_tally,     on_suspect, on_pool};
   ClusterOptions o = {.seeds = settings_text(settings, "seeds"),
                       .seed = random_number()};
   g_strlcpy(o.self.id, n->id, sizeof o.self.id);
@@ -421,8 +437,9 @@
 
 static bool open_parts(Node *n, Err *e) {
   static const FeedEvents feed_events = {
-      on_conf, on_target, on_gone, on_listed, on_evacuation, on_evacuations,
-      on_duty, on_tell,   on_met,  on_knocks, on_asks};
+      on_conf,        on_target, on_gone,   on_listed, on_evacuation,
+      on_evacuations, on_trial,  on_trials, on_duty,   on_tell,
+      on_met,         on_knocks, on_asks};
   static const CallerEvents ready_events = {on_question, on_questioner_gone};
   RetriesOptions retries = {.ratio = number("retry-ratio"),
                             .window_s = number("retry-window"),
@@ -438,6 +455,7 @@
   n->store = store_open(n->loop, settings_text(settings, "platform"));
   n->cluster = open_cluster(n, e);
   if (!n->cluster) return false;
+  relay.store = n->store;
   n->relay = relay_open(n->loop, &relay, n->targets, n->retries, e);
   if (!n->relay) return false;
   relay_cluster(n->relay, n->cluster);
--- a/packages/peer/codec.c
+++ b/packages/peer/codec.c
@@ -240,6 +240,20 @@
   put_packed(&p, &m->changes);
 }
 
+void codec_put_suspect(msgpack_sbuffer *b, const CodecSuspect *m) {
+  msgpack_packer p;
+  msgpack_packer_init(&p, b, msgpack_sbuffer_write);
+  msgpack_pack_array(&p, 8);
+  msgpack_pack_uint8(&p, CODEC_SUSPECT);
+  put_str(&p, m->until);
+  msgpack_pack_uint8(&p, (uint8_t)m->msg.kind);
+  msgpack_pack_uint64(&p, m->msg.digest.hi);
+  msgpack_pack_uint64(&p, m->msg.digest.lo);
+  msgpack_pack_uint64(&p, m->msg.owner);
+  msgpack_pack_uint64(&p, m->msg.target);
+  msgpack_pack_int64(&p, thousandths(m->msg.age_s));
+}
+
 /* == unpacking: any wrong type or length makes it not understood == */
 
 typedef struct Reader {
@@ -429,6 +443,16 @@
   m->changes = get_packed(r);
 }
 
+static void get_suspect(Reader *r, CodecSuspect *m) {
+  get_str(r, m->until, sizeof m->until);
+  m->msg.kind = (SuspectsKind)get_small(r, SUSPECTS_KINDS);
+  m->msg.digest.hi = get_u64(r);
+  m->msg.digest.lo = get_u64(r);
+  m->msg.owner = get_u64(r);
+  m->msg.target = get_u64(r);
+  m->msg.age_s = get_count(r) / THOUSAND;
+}
+
 static void get_answer(Reader *r, OnceAnswer *a) {
   a->status = (int)get_i64(r);
   get_str(r, a->type, sizeof a->type);
@@ -541,6 +565,7 @@
     case CODEC_TALLY_ASK: get_tally_ask(&r, &m->tally_ask); break;
     case CODEC_TALLY_WORD: get_tally_word(&r, &m->tally_word); break;
     case CODEC_TALLY_RUN: get_tally_run(&r, &m->tally_run); break;
+    case CODEC_SUSPECT: get_suspect(&r, &m->suspect); break;
     case CODEC_TYPES: break;
     }
     ok = !r.bad;
--- a/packages/peer/codec.h
+++ b/packages/peer/codec.h
@@ -14,6 +14,7 @@
 #include "once/once.h"
 #include "peer/packed.h"
 #include "route/loads.h"
+#include "route/suspects.h"
 #include "route/tally.h"
 #include "route/targets.h"
 
@@ -32,6 +33,7 @@
   CODEC_TALLY_ASK,
   CODEC_TALLY_WORD,
   CODEC_TALLY_RUN,
+  CODEC_SUSPECT,
   CODEC_TYPES
 } CodecType;
 
@@ -59,6 +61,11 @@
 
 #define CODEC_FEED_KINDS 8
 
+typedef struct CodecSuspect {
+  char until[SPREAD_PLACE]; /* as CodecFeed.until; not of a mark */
+  SuspectsMsg msg;
+} CodecSuspect;
+
 typedef struct CodecMsg {
   CodecType type;
   Member beat;
@@ -75,6 +82,7 @@
   TallyAsk tally_ask;
   TallyWord tally_word;
   TallyRun tally_run;
+  CodecSuspect suspect;
 } CodecMsg;
 
 void codec_put_head(msgpack_sbuffer *b, const CodecHead *h);
@@ -91,6 +99,7 @@
 void codec_put_tally_ask(msgpack_sbuffer *b, const TallyAsk *m);
 void codec_put_tally_word(msgpack_sbuffer *b, const TallyWord *m);
 void codec_put_tally_run(msgpack_sbuffer *b, const TallyRun *m);
+void codec_put_suspect(msgpack_sbuffer *b, const CodecSuspect *m);
 void codec_put_feed(msgpack_sbuffer *b, const CodecFeed *m);
 
 /* Reads at *off; false at the end or when it is not understood. */
--- a/packages/peer/peer.c
+++ b/packages/peer/peer.c
@@ -220,6 +220,12 @@
   unlock(p);
 }
 
+void peer_suspect(Peer *p, const char *addr, const char *id,
+                  const CodecSuspect *m) {
+  codec_put_suspect(lock_frame(p, addr, text_hash(id)), m);
+  unlock(p);
+}
+
 /* == the peer thread == */
 
 static void *connect_to(const Peer *p, const char *addr) {
--- a/packages/peer/peer.h
+++ b/packages/peer/peer.h
@@ -45,6 +45,8 @@
                      const TallyWord *m);
 void peer_tally_run(Peer *p, const char *addr, const char *id,
                     const TallyRun *m);
+void peer_suspect(Peer *p, const char *addr, const char *id,
+                  const CodecSuspect *m);
 void peer_feed(Peer *p, const char *addr, const char *id, const CodecFeed *m);
 
 /* For an event loop in place of peer_poll: readable when peer_turn has
--- a/packages/route/choose.c
+++ b/packages/route/choose.c
@@ -26,6 +26,8 @@
    there is no other: the first may fail, the second may be leaving. */
 #define ASIDE_COST_S 100.0
 #define LAPSED_COST_S 1000.0
+/* Of each request beside one that may end its target, in its place. */
+#define BESIDE_COST_S 1.0
 /* A prompt is long when reading it alone takes this part of the longest pause
    that streams beside it allow: a few of them in a row break that pause. */
 #define LONG_PAUSES 0.4
@@ -225,6 +227,7 @@
   if (p->now < t->cold.until) cost += COLD_S;
   if (p->now < t->aside_until) cost += ASIDE_COST_S;
   if (t->lapsed) cost += LAPSED_COST_S;
+  if (p->ask->alone) cost += c->load.open * BESIDE_COST_S;
   return cost * (1 + JITTER * g_rand_double(p->set->rand));
 }
 
--- /dev/null
+++ b/packages/route/fair.c
@@ -0,0 +1,44 @@
+/* fair.c: counts entries by owner. */
+#include "route/fair.h"
+
+/* The owner of most entries that may go; *most: how many. */
+static uint64_t largest_owner(GHashTable *table,
+                              FairEntry (*look)(gconstpointer), gsize *most) {
+  GHashTable *sizes =
+      g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
+  GHashTableIter it;
+  gpointer v;
+  uint64_t owner = 0;
+  *most = 0;
+  g_hash_table_iter_init(&it, table);
+  while (g_hash_table_iter_next(&it, NULL, &v)) {
+    FairEntry e = look(v);
+    if (e.keep) continue;
+    gsize n = GPOINTER_TO_SIZE(g_hash_table_lookup(sizes, &e.owner)) + 1;
+    g_hash_table_replace(sizes, g_memdup2(&e.owner, sizeof e.owner),
+                         GSIZE_TO_POINTER(n));
+    if (n <= *most) continue;
+    *most = n;
+    owner = e.owner;
+  }
+  g_hash_table_destroy(sizes);
+  return owner;
+}
+
+gpointer fair_victim(GHashTable *table,
+                     FairEntry (*look)(gconstpointer value)) {
+  GHashTableIter it;
+  gpointer v, victim = NULL;
+  double least = 0;
+  gsize n;
+  uint64_t owner = largest_owner(table, look, &n);
+  g_hash_table_iter_init(&it, table);
+  while (g_hash_table_iter_next(&it, NULL, &v)) {
+    FairEntry e = look(v);
+    if (e.keep || e.owner != owner) continue;
+    if (victim && e.age >= least) continue;
+    victim = v;
+    least = e.age;
+  }
+  return victim;
+}
--- a/packages/route/targets.h
+++ b/packages/route/targets.h
@@ -79,6 +79,7 @@
   double move_s;    /* to move the memory of one token; 0: it is not moved */
   double pause_s;   /* shortest pause that streams of the service allow; 0: none
                        are known */
+  bool alone;       /* it may end its target: where the fewest others run */
   const Target *const *tried;
   int n_tried;
   const TallyWord *words; /* of targets_to_ask: only these are chosen from */
--- a/packages/store/objects.h
+++ b/packages/store/objects.h
@@ -58,4 +58,8 @@
 void store_put(Store *s, const char *kind, const char *name, uint64_t revision,
                json_t *content, StoreDone done, void *ctx);
 
+/* Takes the object away, if it is at that revision. */
+void store_delete(Store *s, const char *kind, const char *name,
+                  uint64_t revision, StoreDone done, void *ctx);
+
 #endif
--- a/tests/crashes.py
+++ b/tests/crashes.py
@@ -99,13 +99,13 @@
 class Stream:
     """One request that was made, and how it ended."""
 
-    def __init__(self, s, i, body):
+    def __init__(self, s, i, body, key="key-acme"):
         self.began, self.served, self.status, self.kind = time.monotonic(), False, 0, ""
         self.again_s = None  # Retry-After
         try:
             c = s.connect(i)
-            c.request("POST", "/chat/x", body,
-                      s.head(X_Loftpath_Token_Count="20,30"))
+            h = s.head(X_Loftpath_Token_Count="20,30", Authorization="Bearer " + key)
+            c.request("POST", "/chat/x", body, h)
             r = c.getresponse()
             text = r.read()
             self.status = r.status
@@ -228,11 +228,7 @@
     n = len(pool.reached)
 
     def comes_to_a_target():
-        c = s.connect(0)
-        h = s.head(X_Loftpath_Token_Count="20,30")
-        h["Authorization"] = "Bearer key-other"
-        c.request("POST", "/chat/x", BAD, h)
-        c.getresponse().read()
+        Stream(s, 0, BAD, key="key-other")
         return len(pool.reached) > n
 
     wait_for("the other customer's request", comes_to_a_target, 3)
