An instance that stood still acts on nothing that it knew before

News of the platform: a machine may be suspended for seconds; the steady clock does not count them, CLOCK_BOOTTIME does. Change: clock_now reads CLOCK_BOOTTIME. A second or more between two turns of the loop, which has a timer of 50 ms, is told before anything else of the turn: listings and watches that wait are ended and asked anew, kept connections closed, and new requests refused (503 behind, 0.2 s) until the store has answered for all kinds, or a second has passed (then as in any outage).

--- a/packages/flow/dispatch.c
+++ b/packages/flow/dispatch.c
@@ -64,6 +64,7 @@
 static bool may_go_on(Run *x, bool sent) {
   double now = run_now(x);
   if (now >= x->deadline || x->n_tried == RUN_TRIED_MOST) return false;
+  if (x->relay->behind) return false;
   if (!sent) return true;
   if (x->try || suspects_has(x->relay->suspects, run_digest(x))) return false;
   if (x->sends >= x->route->attempts) return false;
@@ -290,7 +291,21 @@
   run_give_up(x, &e);
 }
 
+/* It waited, for its budget or for what others have at targets, while this
+   instance stood still. */
+static void give_up_behind(Run *x) {
+  Err e;
+  run_stop_asking(x);
+  err_retry(&e, ERR_BEHIND, RUN_BACK_SOON_MS, "this instance stood still");
+  if (x->maybe) err_set(&e, ERR_TARGET_FAILED, "this instance stood still");
+  run_give_up(x, &e);
+}
+
 void run_choose(Run *x) {
+  if (x->relay->behind) {
+    give_up_behind(x);
+    return;
+  }
   TargetAsk ask = run_target_ask(x);
   TargetChoice c = targets_pick(x->relay->targets, run_now(x), &ask);
   run_stop_asking(x);
--- a/packages/flow/link.c
+++ b/packages/flow/link.c
@@ -433,6 +433,14 @@
   drop_list(first);
 }
 
+void links_forget_all(Links *s) {
+  GHashTableIter it;
+  gpointer v;
+  g_hash_table_iter_init(&it, s->idle);
+  while (g_hash_table_iter_next(&it, NULL, &v)) drop_list(v);
+  g_hash_table_remove_all(s->idle);
+}
+
 Links *links_open(struct ev_loop *loop, const LinkOptions *o) {
   Links *s = g_new0(Links, 1);
   s->loop = loop;
@@ -450,11 +458,8 @@
 }
 
 void links_close(Links *s) {
-  GHashTableIter it;
-  gpointer v;
   ev_timer_stop(s->loop, &s->sweep);
-  g_hash_table_iter_init(&it, s->idle);
-  while (g_hash_table_iter_next(&it, NULL, &v)) drop_list(v);
+  links_forget_all(s);
   g_hash_table_destroy(s->idle);
   g_free(s);
 }
--- a/packages/flow/link.h
+++ b/packages/flow/link.h
@@ -70,6 +70,7 @@
 void link_open(Links *s, const char *addr);
 /* Closes the idle links there: the other end has lost them. */
 void links_forget(Links *s, const char *addr);
+void links_forget_all(Links *s);
 /* When a connection last came up or brought bytes, in the loop's time; 0:
    never. */
 double links_heard(const Links *s);
--- a/packages/flow/relay.c
+++ b/packages/flow/relay.c
@@ -146,6 +146,9 @@
   if (r->refusing)
     return err_retry(e, ERR_DRAINING, RUN_BACK_SOON_MS,
                      "this instance is stopping");
+  if (r->behind)
+    return err_retry(e, ERR_BEHIND, RUN_BACK_SOON_MS,
+                     "this instance stood still");
   if ((int64_t)callers_held(r->callers) > r->body_room)
     return err_retry(e, ERR_OVERLOADED, RUN_BACK_SOON_MS,
                      "this instance holds too many requests");
@@ -257,6 +260,11 @@
   return callers_sent(r->callers);
 }
 
+void relay_behind(Relay *r, bool behind) {
+  r->behind = behind;
+  if (behind) links_forget_all(r->links);
+}
+
 void relay_refuse(Relay *r) {
   r->refusing = true;
 }
--- a/packages/flow/relay.h
+++ b/packages/flow/relay.h
@@ -49,6 +49,9 @@
 void relay_trials(Relay *r, GHashTable *names);
 /* Forgets what is old; about once a second. */
 void relay_sweep(Relay *r);
+/* This instance stood still: until it is `false` again, nothing that it knows
+   is acted on, and new requests are refused. */
+void relay_behind(Relay *r, bool behind);
 /* From here on new requests are refused. */
 void relay_refuse(Relay *r);
 int relay_open_requests(const Relay *r);
--- a/packages/flow/run.h
+++ b/packages/flow/run.h
@@ -89,7 +89,7 @@
   int64_t body_room;
   Run *first;
   int n;
-  bool refusing;
+  bool refusing, behind;
 };
 
 /* == run.c: its life == */
--- a/packages/kernel/clock.h
+++ b/packages/kernel/clock.h
@@ -5,10 +5,12 @@
 #include <stdint.h>
 #include <time.h>
 
-/* Monotonic seconds; never goes back, not comparable between instances. */
+/* Seconds that never go back, not comparable between instances. Those for which
+   the machine was suspended count, other than with CLOCK_MONOTONIC: by that one
+   an instance that wakes takes for fresh whatever it knew before. */
 static inline double clock_now(void) {
   struct timespec t;
-  clock_gettime(CLOCK_MONOTONIC, &t);
+  clock_gettime(CLOCK_BOOTTIME, &t);
   return (double)t.tv_sec + (double)t.tv_nsec / 1e9;
 }
 
--- a/packages/kernel/err.c
+++ b/packages/kernel/err.c
@@ -61,6 +61,9 @@
     [ERR_DRAINING] = {"draining", 503, "retry at another instance"},
     [ERR_NOT_CONFIGURED] = {"not-configured", 503,
                             "retry: this instance has no configuration yet"},
+    [ERR_BEHIND] = {"behind", 503,
+                    "retry: this instance stood still, and reads what it "
+                    "missed"},
     [ERR_NO_ROUTE] = {"no-route", 404,
                       "ask the operator which hosts and paths are served"},
     [ERR_LATE] = {"late", 504,
--- a/packages/kernel/err.h
+++ b/packages/kernel/err.h
@@ -32,6 +32,7 @@
   ERR_CLAIM_STORE,
   ERR_DRAINING,
   ERR_NOT_CONFIGURED,
+  ERR_BEHIND,
   ERR_NO_ROUTE,
   ERR_LATE,
   /* operators */
--- a/packages/kernel/loopclock.c
+++ b/packages/kernel/loopclock.c
@@ -13,6 +13,9 @@
 typedef struct LoopClock {
   ev_check turn;
   double now;
+  double least_s; /* 0: nobody is told of gaps */
+  LoopclockGap on_gap;
+  void *ctx;
 } LoopClock;
 
 static double read_clock(void) {
@@ -23,7 +26,10 @@
   (void)loop;
   (void)revents;
   LoopClock *c = w->data;
+  double before = c->now;
   c->now = read_clock();
+  if (c->least_s > 0 && c->now - before >= c->least_s)
+    c->on_gap(c->ctx, c->now - before);
 }
 
 void loopclock_start(struct ev_loop *loop) {
@@ -37,6 +43,14 @@
   ev_set_userdata(loop, c);
 }
 
+void loopclock_on_gap(struct ev_loop *loop, double least_s, LoopclockGap fn,
+                      void *ctx) {
+  LoopClock *c = ev_userdata(loop);
+  c->least_s = least_s;
+  c->on_gap = fn;
+  c->ctx = ctx;
+}
+
 double loopclock_now(struct ev_loop *loop) {
   const LoopClock *c = ev_userdata(loop);
   return c->now;
--- a/packages/member/catchup.c
+++ b/packages/member/catchup.c
@@ -23,6 +23,11 @@
   c->away = now;
 }
 
+void catchup_missed(Catchup *c, double now) {
+  c->told = now - c->stale_s;
+  if (c->since == 0) c->since = now;
+}
+
 void catchup_answered(Catchup *c) {
   c->since = 0;
 }
--- a/packages/member/catchup.h
+++ b/packages/member/catchup.h
@@ -24,6 +24,8 @@
 void catchup_told(Catchup *c, double now, bool leads_on);
 /* A reader said that the store does not answer it. */
 void catchup_away(Catchup *c, double now);
+/* We stood still, and may have missed anything. */
+void catchup_missed(Catchup *c, double now);
 /* The store answered us: nothing is missing. */
 void catchup_answered(Catchup *c);
 
--- a/packages/node/feed.h
+++ b/packages/node/feed.h
@@ -47,6 +47,10 @@
 void feed_close(Feed *f);
 /* Another instance tells what it read. */
 void feed_told(Feed *f, const CodecFeed *m);
+/* This instance stood still: the store is asked for all that it missed. */
+void feed_stood_still(Feed *f);
+/* The store has answered for all kinds since then. */
+bool feed_knows_since(const Feed *f, double since);
 /* The configuration from its text, as Conf.text has it. */
 Conf *feed_parse(const char *text, Err *e);
 /* In a large fleet: those that read for all say that the store does not answer
--- a/packages/node/node.c
+++ b/packages/node/node.c
@@ -25,7 +25,14 @@
    misses. What comes later than 3 s might not end before the process has to. */
 #define REFUSE_AFTER_S 2.9
 #define STOP_MARGIN_S 0.6 /* before the platform kills */
-#define LINGER_S 0.3      /* for the last answers to leave */
+/* Two turns are 50 ms apart, on the busiest of machines a tenth of a second.
+   After so long what is known may be out of date, whatever clock it is measured
+   by: a leaving target may get work for two seconds. */
+#define STILL_S 1.0
+/* The store answers in milliseconds; when it doesn't within so long it is away,
+   and what is known counts as in any outage. */
+#define STILL_MOST_S 1.0
+#define LINGER_S 0.3 /* for the last answers to leave */
 #define LOG_LINES                                                              \
   500                /* a second; the busiest instance of the users' days      \
                         serves 40 requests a second */
@@ -93,6 +100,7 @@
   int instances;   /* of the fleet, with ourselves */
   int seeds;       /* that the settings name */
   double stop_at;  /* loop time of SIGTERM; 0: none */
+  double still_at; /* it stood still, and has not caught up since; 0: it has */
   bool refusing, returning, was_ready;
   int status;
 } Node;
@@ -302,8 +310,9 @@
 /* == readiness and metrics == */
 
 static bool is_ready(const Node *n) {
-  return n->stop_at == 0 && !n->full && relay_get_conf(n->relay) != NULL &&
-         feed_complete(n->feed) && cluster_settled(n->cluster);
+  return n->stop_at == 0 && !n->full && n->still_at == 0 &&
+         relay_get_conf(n->relay) != NULL && feed_complete(n->feed) &&
+         cluster_settled(n->cluster);
 }
 
 static void on_question(void *ctx, Caller *c, const CallerReq *r,
@@ -364,6 +373,26 @@
 
 /* == time == */
 
+/* Timers of before may fire late, and bytes of before be read first; so nothing
+   is decided by what was known until the store has told what is new. */
+static void on_still(void *ctx, double gap_s) {
+  Node *n = ctx;
+  log_warn("stood-still", "s:f", "seconds", gap_s);
+  n->still_at = loopclock_now(n->loop);
+  relay_behind(n->relay, true);
+  feed_stood_still(n->feed);
+}
+
+static void watch_still(Node *n) {
+  double past = loopclock_now(n->loop) - n->still_at;
+  if (n->still_at == 0) return;
+  bool knows = feed_knows_since(n->feed, n->still_at);
+  if (!knows && past < STILL_MOST_S) return;
+  log_info("caught-up", "s:b,s:f", "by_store", (int)knows, "after", past);
+  n->still_at = 0;
+  relay_behind(n->relay, false);
+}
+
 /* An instance that gets more than its link bears lets the balancer place its
    callers elsewhere for a while. */
 static void watch_link(Node *n) {
@@ -381,6 +410,7 @@
   (void)revents;
   Node *n = w->data;
   watch_link(n);
+  watch_still(n);
   cluster_away(n->cluster, feed_away(n->feed));
   if (n->stop_at > 0) stop_step(n);
   if (is_ready(n) == n->was_ready) return;
@@ -467,6 +497,7 @@
 }
 
 static void start_timers(Node *n) {
+  loopclock_on_gap(n->loop, STILL_S, on_still, n);
   intake_start(&n->intake, loopclock_now(n->loop), number("link"));
   ev_timer_init(&n->tick, on_tick, TICK_S, TICK_S);
   ev_timer_init(&n->sweep, on_sweep, SWEEP_S, SWEEP_S);
--- a/packages/store/objects.h
+++ b/packages/store/objects.h
@@ -35,6 +35,8 @@
 Store *store_open(struct ev_loop *loop, const char *addr);
 void store_close(Store *s);
 
+/* Closes the idle connections. */
+void store_forget(Store *s);
 /* Opens a connection, to see whether one comes up; it is no call and not
    priced. The next call uses it. */
 void store_knock(Store *s);
@@ -51,6 +53,8 @@
    the history does not go back that far. */
 void store_watch(Store *s, const char *kind, uint64_t revision, double wait_s,
                  StoreDone done, void *ctx);
+/* Ends the listings and watches that wait, as if the store had. */
+void store_end_reads(Store *s);
 void store_get(Store *s, const char *kind, const char *name, StoreDone done,
                void *ctx);
 /* Replaces the object at that revision, or makes it when `revision` is 0;
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -68,6 +68,8 @@
 class Site:
     """Store, workers and instances of one test."""
 
+    env = {}  # of the instances, besides ours
+
     def __init__(self, instances=1, desks=2, engines=2, store_proxy=None, **conf):
         """`store_proxy`: makes the way of each instance to the store."""
         self.dir = tempfile.mkdtemp()
@@ -102,7 +104,7 @@
         log = open(os.path.join(self.dir, "log-%d" % i), "a")
         self.processes[i] = subprocess.Popen(
             [os.path.join(BUILD, "bin", "loftpathd")], stdout=log, stderr=log,
-            env=dict(os.environ, LOFTPATH_NODE_FILE=path))
+            env=dict(os.environ, LOFTPATH_NODE_FILE=path, **self.env))
 
     def log(self, i):
         lines = []
--- a/tests/test_loopclock.c
+++ b/tests/test_loopclock.c
@@ -16,11 +16,13 @@
 #define TURN_S 0.02
 
 static time_t set_by;
+static time_t suspended; /* seconds that only the clock of such time counts */
 
 /* Takes the place of the C library's: only the time of day is set. */
 int clock_gettime(clockid_t id, struct timespec *t) {
   int r = (int)syscall(SYS_clock_gettime, id, t);
   if (id == CLOCK_REALTIME) t->tv_sec += set_by;
+  if (id == CLOCK_BOOTTIME) t->tv_sec += suspended;
   return r;
 }
 
@@ -69,3 +71,45 @@
 Test(loopclock, it_does_not_leap_with_the_time_of_day) {
   check_step(STEP_S);
 }
+
+/* == a machine that is suspended == */
+
+typedef struct Gaps {
+  int n;
+  double last;
+} Gaps;
+
+static void on_gap(void *ctx, double gap_s) {
+  Gaps *g = ctx;
+  g->n++;
+  g->last = gap_s;
+}
+
+Test(loopclock, time_in_which_the_machine_was_suspended_counts) {
+  static const int jumps[] = {1, 5, 30};
+  struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
+  Gaps g = {0};
+  loopclock_start(loop);
+  loopclock_on_gap(loop, 1.0, on_gap, &g);
+  for (int i = 0; i < 3; i++) {
+    turn(loop, TURN_S);
+    double before = loopclock_now(loop);
+    suspended += jumps[i];
+    turn(loop, TURN_S);
+    double took = loopclock_now(loop) - before;
+    cr_assert(took >= jumps[i] && took < jumps[i] + 1, "%f", took);
+    cr_assert_eq(g.n, i + 1);
+    cr_assert(g.last >= jumps[i] && g.last < jumps[i] + 1, "%f", g.last);
+  }
+  ev_loop_destroy(loop);
+}
+
+Test(loopclock, less_than_that_between_two_turns_is_no_gap) {
+  struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
+  Gaps g = {0};
+  loopclock_start(loop);
+  loopclock_on_gap(loop, 1.0, on_gap, &g);
+  for (int i = 0; i < 3; i++) turn(loop, 0.5);
+  cr_assert_eq(g.n, 0);
+  ev_loop_destroy(loop);
+}
