--- a/tests/crashes.py
+++ b/tests/crashes.py
@@ -14,9 +14,11 @@
 Proof: these tests; without the mend 60 of 60 attempts reached targets, each
 ending one or two.
 
-Usage: crashes.py BUILD_DIR [TEST...]"""
+Usage: crashes.py BUILD_DIR [TEST...]
+       crashes.py BUILD_DIR --seeds N [--seed FIRST]   random faults beside it"""
 import http.client
 import random
+import signal
 import sys
 import threading
 import time
@@ -51,7 +53,8 @@
             return super().answer(c, method, path, headers, body)
         bad = body == BAD
         if bad:
-            self.pool.reached.append(time.monotonic())
+            self.pool.reached.append(
+                (time.monotonic(), headers["x-loftpath-attempt-id"]))
         c.sendall(head(headers["x-loftpath-attempt-id"],
                        "Content-Type: text/event-stream",
                        "Transfer-Encoding: chunked"))
@@ -74,7 +77,7 @@
         self.store, self.lock = store, threading.Lock()
         self.n, self.engines = 0, []
         self.again = False  # they start again at once, under their ids
-        self.reached = []  # times at which the bad request came to an engine
+        self.reached = []  # (time, attempt) of the bad request at an engine
         self.ends = []     # times at which it ended one
         for _ in range(n):
             self.add()
@@ -117,9 +120,12 @@
     def __init__(self, s, i, body, key="key-acme", patience_s=None):
         self.began, self.served, self.status, self.kind = time.monotonic(), False, 0, ""
         self.again_s = None  # Retry-After
+        self.instance = i
         try:
             c = s.connect(i)
+            self.id = None
             h = s.head(X_Loftpath_Token_Count="20,30", Authorization="Bearer " + key)
+            self.id = h["X-Loftpath-Attempt-Id"]
             c.request("POST", "/chat/x", body, h)
             if patience_s:
                 time.sleep(patience_s)
@@ -192,12 +198,14 @@
     return Callers(s, every_s, seconds, lambda n: b"harmless %d" % n)
 
 
-def check_bound(pool, least=3):
+def check_bound(pool, least=3, counts=lambda at, attempt: True):
     """Times that the bad request reached a target later than allowed. Of `least`
-    ends at least, else the play has shown nothing."""
+    ends at least, else the play has shown nothing. `counts`: whether an arrival
+    does."""
     assert len(pool.ends) >= least, "only %d ends" % len(pool.ends)
     third = sorted(pool.ends)[min(2, len(pool.ends) - 1)]
-    more = [t for t in pool.reached if t > third + IN_TOUCH_S]
+    more = [t for t, attempt in pool.reached
+            if t > third + IN_TOUCH_S and counts(t, attempt)]
     print("   %d attempts came to targets, %d of them later than %g s after the "
           "third end; %d targets ended" % (len(pool.reached), len(more), IN_TOUCH_S,
                                            len(pool.ends)), flush=True)
@@ -343,9 +351,105 @@
     assert served >= 0.9 * len(good.made), "%d of %d" % (served, len(good.made))
 
 
+# == random faults ==
+
+class Faults:
+    """Strikes instances and the store at random, and keeps when: who was struck
+    within IN_TOUCH_S is not held to the bound."""
+
+    def __init__(self, s, pool, dice):
+        self.s, self.pool, self.dice = s, pool, dice
+        self.struck = []  # (from, until, instance; None: all)
+
+    def note(self, began, i):
+        self.struck.append((began, time.monotonic() + IN_TOUCH_S, i))
+
+    def restart(self):
+        began, i = time.monotonic(), self.dice.randrange(len(self.s.processes))
+        self.s.processes[i].kill()
+        self.s.processes[i].wait()
+        self.s.start(i)
+        self.note(began, i)
+
+    def restart_all(self):
+        began = time.monotonic()
+        for p in self.s.processes:
+            p.kill()
+            p.wait()
+        for i in range(len(self.s.processes)):
+            self.s.start(i)
+        self.note(began, None)
+
+    def freeze(self):
+        began, i = time.monotonic(), self.dice.randrange(len(self.s.processes))
+        self.s.processes[i].send_signal(signal.SIGSTOP)
+        time.sleep(self.dice.uniform(0.2, 2.0))
+        self.s.processes[i].send_signal(signal.SIGCONT)
+        self.note(began, i)
+
+    def outage(self):
+        began = time.monotonic()
+        self.s.store.down = True
+        time.sleep(self.dice.uniform(0.5, 3.0))
+        self.s.store.down = False
+        self.note(began, None)
+
+    def lost_answers(self):
+        began = time.monotonic()
+        self.s.store.lose = True
+        time.sleep(self.dice.uniform(0.2, 1.0))
+        self.s.store.lose = False
+        self.note(began, None)
+
+    def end_engine(self):
+        up = [e for e in self.pool.engines if not e.ended]
+        if len(up) > 3:
+            self.pool.end(self.dice.choice(up), False)
+
+    def burst(self):
+        for _ in range(4):
+            threading.Thread(target=Stream, args=(
+                self.s, self.dice.randrange(len(self.s.processes)), BAD)).start()
+
+    def strike(self, seconds):
+        kinds = [self.restart, self.freeze, self.outage, self.lost_answers,
+                 self.end_engine, self.end_engine, self.burst, self.restart_all]
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            time.sleep(self.dice.uniform(0.2, 1.5))
+            self.dice.choice(kinds)()
+
+    def in_touch(self, at, i):
+        return not any(a <= at <= b and j in (None, i) for a, b, j in self.struck)
+
+
+def play(s, seed):
+    dice = random.Random(seed)
+    pool = with_pool(s)
+    pool.again = dice.random() < 0.3
+    faults = Faults(s, pool, dice)
+    bad = repeat_bad(s, 20, every_s=dice.choice([0.1, 0.25, 0.6]))
+    good = harmless(s, 20)
+    faults.strike(14)
+    bad.join(), good.join()
+    sent = {m.id: m.instance for m in bad.made}
+    held = [g for g in good.made if "ends-targets" in g.kind]
+    assert not held, "%d harmless ones were held" % len(held)
+    check_bound(pool, 1, lambda at, a: a in sent and faults.in_touch(at, sent[a]))
+
+
+def play_seeds(first, n):
+    tests = {"seed_%d" % k: (lambda s, k=k: play(s, k)) for k in range(first, first + n)}
+    return run_tests(tests, dict.fromkeys(tests, INSTANCES), names=list(tests))
+
+
 TESTS = {n: f for n, f in globals().items() if n.startswith("test_")}
 
 if __name__ == "__main__":
+    if "--seeds" in sys.argv:
+        args = dict(zip(sys.argv[2::2], sys.argv[3::2]))
+        sys.exit(play_seeds(int(args.get("--seed", random.randrange(10**6))),
+                            int(args["--seeds"])))
     sizes = dict.fromkeys(TESTS, INSTANCES)
     sizes["test_copies_that_come_all_at_once"] = MANY
     sys.exit(run_tests(TESTS, sizes))
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -191,11 +191,11 @@
     return play
 
 
-def run_tests(tests, instances=None, proxies=None):
-    """Runs the functions `test_...` of `tests` (or those named on the command
-    line), each on a site of its own; `instances` and `proxies` by test. The
-    status of the process."""
-    names = sys.argv[2:] or [n for n in tests if n.startswith("test_")]
+def run_tests(tests, instances=None, proxies=None, names=None):
+    """Runs the functions `test_...` of `tests` (or those of `names`, or named on
+    the command line), each on a site of its own; `instances` and `proxies` by
+    test. The status of the process."""
+    names = names or sys.argv[2:] or [n for n in tests if n.startswith("test_")]
     failed, red = 0, known_red()
     for name in names:
         s = Site(instances=(instances or {}).get(name, 1),
--- a/tests/test_catchup.c
+++ b/tests/test_catchup.c
@@ -41,6 +41,18 @@
   cr_assert(catchup_rests(&c, 12));
 }
 
+Test(catchup, who_stood_still_asks_whatever_was_told_before) {
+  start(10);
+  catchup_told(&c, 11, true);
+  cr_assert(catchup_rests(&c, 11.1));
+  catchup_missed(&c, 11.2);
+  cr_assert(catchup_is_behind(&c));
+  cr_assert(!catchup_rests(&c, 11.2));
+  catchup_answered(&c);
+  catchup_told(&c, 11.4, true);
+  cr_assert(catchup_rests(&c, 11.5));
+}
+
 Test(catchup, a_gap_ends_with_a_message_that_leads_on) {
   start(10);
   catchup_told(&c, 11, true);
--- a/tests/test_codec.c
+++ b/tests/test_codec.c
@@ -107,6 +107,29 @@
   msgpack_sbuffer_destroy(&b);
 }
 
+Test(codec, what_is_said_of_a_suspect_round_trips) {
+  msgpack_sbuffer b;
+  CodecMsg m;
+  size_t off = 0;
+  CodecSuspect in = {.until = "a/n3.1",
+                     .msg = {.kind = SUSPECTS_NAMED,
+                             .digest = {.hi = UINT64_MAX, .lo = 7},
+                             .owner = 1ULL << 63,
+                             .target = 9,
+                             .age_s = 2.25}};
+  msgpack_sbuffer_init(&b);
+  codec_put_suspect(&b, &in);
+  cr_assert(codec_get(b.data, b.size, &off, &m));
+  cr_assert_eq(m.type, CODEC_SUSPECT);
+  cr_assert_str_eq(m.suspect.until, in.until);
+  cr_assert_eq(m.suspect.msg.kind, in.msg.kind);
+  cr_assert(digest_equal(m.suspect.msg.digest, in.msg.digest));
+  cr_assert(m.suspect.msg.owner == in.msg.owner);
+  cr_assert(m.suspect.msg.target == in.msg.target);
+  cr_assert_float_eq(m.suspect.msg.age_s, in.msg.age_s, 0.001);
+  msgpack_sbuffer_destroy(&b);
+}
+
 Test(codec, what_was_seen_of_a_pool_round_trips) {
   TargetsPoolWord w = {
       .pool = 7,
