--- a/packages/flow/breaks.c
+++ b/packages/flow/breaks.c
@@ -26,6 +26,10 @@
   return x->digest;
 }
 
+uint64_t run_owner(const Run *x) {
+  return text_hash(x->customer ? x->customer->name : "");
+}
+
 bool run_is_young(const Run *x) {
   return !x->first || run_now(x) - x->first_at < YOUNG_S;
 }
@@ -87,9 +91,8 @@
 }
 
 static EndsMark mark_of(Run *x, const Target *t) {
-  return (EndsMark){.target = target_hash(t),
-                    .digest = run_digest(x),
-                    .owner = text_hash(x->customer ? x->customer->name : "")};
+  return (EndsMark){
+      .target = target_hash(t), .digest = run_digest(x), .owner = run_owner(x)};
 }
 
 void run_cut_off(Run *x) {
--- a/packages/flow/relay.c
+++ b/packages/flow/relay.c
@@ -185,7 +185,7 @@
 static const CallerEvents caller_events = {on_request, on_gone};
 
 /* What is known of requests that end targets. */
-static void free_judgement(Relay *r) {
+static void free_suspects(Relay *r) {
   relay_free_tries(r);
   trials_free(r->trials);
   suspects_free(r->suspects);
@@ -215,7 +215,7 @@
   r->callers = callers_open(loop, o->listen, &caller_events, r, e);
   if (r->callers) return r;
   links_close(r->links);
-  free_judgement(r);
+  free_suspects(r);
   g_free(r);
   return NULL;
 }
@@ -223,7 +223,7 @@
 void relay_close(Relay *r) {
   callers_close(r->callers);
   links_close(r->links);
-  free_judgement(r);
+  free_suspects(r);
   conf_unref(r->conf);
   g_hash_table_destroy(r->reserved);
   g_hash_table_destroy(r->asking);
--- a/packages/flow/run.h
+++ b/packages/flow/run.h
@@ -121,6 +121,8 @@
 /* Stands for this request and all that repeat it: same method, host, path,
    customer and body. */
 Digest run_digest(Run *x);
+/* Stands for its customer. */
+uint64_t run_owner(const Run *x);
 /* Whether the request had just begun to run at its target, or was still to. */
 bool run_is_young(const Run *x);
 /* Its exchange with `t` broke, and it is done with it. */
--- a/packages/flow/trying.c
+++ b/packages/flow/trying.c
@@ -7,13 +7,14 @@
 #include "kernel/count.h"
 #include "kernel/log.h"
 #include "kernel/loopclock.h"
-#include "kernel/text.h"
 #include "node/feed.h"
 
 #define BACK_TRIED_MS 1000 /* Retry-After while it is tried elsewhere */
 /* Seconds after a try broke until it has told nothing: a target's end is known
    within two (ends.c). */
 #define SETTLE_S 2.5
+/* A write that the store did not answer may be done so many seconds later. */
+#define LATE_WRITE_S 8.0
 
 /* One try of ours, until the store has its outcome. */
 typedef struct Try {
@@ -121,7 +122,7 @@
               trials_read(name, o.content, o.revision, &found) &&
               found.by == t->trial.by;
   if (!ours) {
-    drop(t);
+    if (now_of(t->relay) - t->left_at > LATE_WRITE_S) drop(t);
     return;
   }
   t->unknown = false;
@@ -252,14 +253,14 @@
 static void begin(Run *x, void (*go)(Run *x)) {
   Relay *r = x->relay;
   char name[DIGEST_TEXT];
-  uint64_t owner = text_hash(x->customer ? x->customer->name : "");
   Try *t = g_new0(Try, 1);
   make_room(r);
   t->relay = r;
   t->run = x;
   t->go = go;
   t->outcome = TRIALS_NOTHING;
-  t->trial = trials_begin(r->trials, run_digest(x), owner, clock_unix() * 1000);
+  t->trial =
+      trials_begin(r->trials, run_digest(x), run_owner(x), clock_unix() * 1000);
   t->trial.by = (uint64_t)g_random_int() << 32 | g_random_int();
   t->calling = true;
   x->try = t;
--- a/packages/kernel/loopclock.c
+++ b/packages/kernel/loopclock.c
@@ -46,6 +46,7 @@
 void loopclock_on_gap(struct ev_loop *loop, double least_s, LoopclockGap fn,
                       void *ctx) {
   LoopClock *c = ev_userdata(loop);
+  c->now = read_clock(); /* what was done before the first turn is no gap */
   c->least_s = least_s;
   c->on_gap = fn;
   c->ctx = ctx;
