--- a/Makefile
+++ b/Makefile
@@ -23,6 +23,7 @@
 SEEDS ?= 50
 soak: build
 	@python3 tests/soak.py $(BUILD) $(if $(SEED),--seed $(SEED),--seeds $(SEEDS) --kept)
+	@python3 tests/crash_soak.py $(BUILD) $(if $(SEED),--seed $(SEED),--seeds $(SEEDS))
 
 model: deps
 	@spec/run.sh
--- /dev/null
+++ b/tests/crash_soak.py
@@ -0,0 +1,116 @@
+#!/usr/bin/env python3
+"""crash_soak.py: random faults beside a request that ends targets (crashes.py):
+instances killed and frozen, the store away or losing answers, engines that end by
+themselves or start again under their ids, copies all at once. Each seed is one
+play of 20 s.
+
+Usage: crash_soak.py BUILD_DIR [--seeds N] [--seed FIRST]"""
+import argparse
+import random
+import signal
+import sys
+import threading
+import time
+
+from fleet import run_tests
+from pool import (BAD, IN_TOUCH_S, Stream, check_bound, harmless, repeat_bad,
+                  with_pool)
+
+INSTANCES = 3
+PLAY_S, STRUCK_S = 20, 14  # seconds: all of it, and those with faults
+
+
+class Faults:
+    """Strikes instances and the store at random, and keeps when: who was struck
+    within IN_TOUCH_S is not held to the bound."""
+
+    def __init__(self, s, pool, dice):
+        self.s, self.pool, self.dice = s, pool, dice
+        self.struck = []  # (from, until, instance; None: all)
+
+    def note(self, began, i):
+        self.struck.append((began, time.monotonic() + IN_TOUCH_S, i))
+
+    def restart(self):
+        began, i = time.monotonic(), self.dice.randrange(len(self.s.processes))
+        self.s.processes[i].kill()
+        self.s.processes[i].wait()
+        self.s.start(i)
+        self.note(began, i)
+
+    def restart_all(self):
+        began = time.monotonic()
+        for p in self.s.processes:
+            p.kill()
+            p.wait()
+        for i in range(len(self.s.processes)):
+            self.s.start(i)
+        self.note(began, None)
+
+    def freeze(self):
+        began, i = time.monotonic(), self.dice.randrange(len(self.s.processes))
+        self.s.processes[i].send_signal(signal.SIGSTOP)
+        time.sleep(self.dice.uniform(0.2, 2.0))
+        self.s.processes[i].send_signal(signal.SIGCONT)
+        self.note(began, i)
+
+    def outage(self):
+        began = time.monotonic()
+        self.s.store.down = True
+        time.sleep(self.dice.uniform(0.5, 3.0))
+        self.s.store.down = False
+        self.note(began, None)
+
+    def lost_answers(self):
+        began = time.monotonic()
+        self.s.store.lose = True
+        time.sleep(self.dice.uniform(0.2, 1.0))
+        self.s.store.lose = False
+        self.note(began, None)
+
+    def end_engine(self):
+        up = [e for e in self.pool.engines if not e.ended]
+        if len(up) > 3:
+            self.pool.end(self.dice.choice(up), False)
+
+    def burst(self):
+        for _ in range(4):
+            threading.Thread(target=Stream, args=(
+                self.s, self.dice.randrange(len(self.s.processes)), BAD)).start()
+
+    def strike(self, seconds):
+        kinds = [self.restart, self.freeze, self.outage, self.lost_answers,
+                 self.end_engine, self.end_engine, self.burst, self.restart_all]
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            time.sleep(self.dice.uniform(0.2, 1.5))
+            self.dice.choice(kinds)()
+
+    def in_touch(self, at, i):
+        return not any(a <= at <= b and j in (None, i) for a, b, j in self.struck)
+
+
+def play(s, seed):
+    dice = random.Random(seed)
+    pool = with_pool(s)
+    pool.again = dice.random() < 0.3
+    faults = Faults(s, pool, dice)
+    bad = repeat_bad(s, PLAY_S, every_s=dice.choice([0.1, 0.25, 0.6]))
+    good = harmless(s, PLAY_S)
+    faults.strike(STRUCK_S)
+    bad.join(), good.join()
+    sent = {m.id: m.instance for m in bad.made}
+    held = [g for g in good.made if "ends-targets" in g.kind]
+    assert not held, "%d harmless ones were held" % len(held)
+    check_bound(pool, 1, lambda at, a: a in sent and faults.in_touch(at, sent[a]))
+
+
+if __name__ == "__main__":
+    args = argparse.ArgumentParser()
+    args.add_argument("build")
+    args.add_argument("--seeds", type=int, default=1)
+    args.add_argument("--seed", type=int, default=random.randrange(10**6))
+    a = args.parse_args()
+    tests = {"seed_%d" % k: (lambda s, k=k: play(s, k))
+             for k in range(a.seed, a.seed + a.seeds)}
+    sys.exit(run_tests(tests, dict.fromkeys(tests, INSTANCES), names=list(tests)))
