Requests that operators bind to regions are served only there

Cause: allowed_regions of routes and customers was read nowhere. Now a pure core (route/regions) names the four ways by which bytes of a request leave its instance: to a target (first try, retry, resumed stream, questions where to send), from a donor's memory, to who counts a target's work, to the peers of our region. Both lists set: what both allow. An unknown name is logged and counted and allows nothing. A list that changes while a request runs binds its next send as well. A request that no target may take is refused at once, with a time.

--- a/packages/conf/conf.c
+++ b/packages/conf/conf.c
@@ -6,6 +6,7 @@
 static void free_route(gpointer p) {
   ConfRoute *r = p;
   for (int i = 0; i < r->n_splits; i++) g_free(r->splits[i].service);
+  g_strfreev(r->regions);
   g_free(r->name);
   g_free(r->host);
   g_free(r->prefix);
@@ -20,6 +21,7 @@
 
 static void free_customer(gpointer p) {
   ConfCustomer *u = p;
+  g_strfreev(u->regions);
   g_free(u->name);
   g_free(u);
 }
--- a/packages/conf/conf.h
+++ b/packages/conf/conf.h
@@ -41,6 +41,7 @@
   double pause_s;   /* longest pause of a stream that is still in time */
   int priority;     /* 0 is served first */
   int attempts;     /* targets that one request may be sent to */
+  char **regions;   /* where it may be served, up to NULL; NULL: anywhere */
   ConfSplit splits[CONF_SPLITS];
   int n_splits;
 } ConfRoute;
@@ -49,6 +50,7 @@
   char *name;
   int priority; /* before the route's; -1: none of its own */
   int64_t budget;
+  char **regions; /* where its requests may be served, as in ConfRoute */
 } ConfCustomer;
 
 typedef struct Conf {
--- a/packages/fleet/cluster.c
+++ b/packages/fleet/cluster.c
@@ -429,7 +429,7 @@
   c->started = loopclock_now(loop);
   peer_on_demand(peer);
   c->members = gossip_new(&o->self, o->seed);
-  c->tallies = tallies_new(peer, o->self.id, ev->tally, ctx);
+  c->tallies = tallies_new(peer, o->self.id, o->regions, ev->tally, ctx);
   c->readers = readers_new(o->self.id, o->self.region);
   c->view = view_new(NULL, 0);
   c->ledger = ledger_new(o->self.id, o->self.region, o->seed);
--- a/packages/fleet/cluster.h
+++ b/packages/fleet/cluster.h
@@ -16,9 +16,10 @@
 
 typedef struct ClusterOptions {
   Member self;
-  const char *bind;  /* tcp://ip:port for the other instances */
-  const char *seeds; /* their IPs, parted by commas; may be out of date */
-  uint32_t seed;     /* of what is random */
+  const char *bind;       /* tcp://ip:port for the other instances */
+  const char *seeds;      /* their IPs, parted by commas; may be out of date */
+  uint32_t seed;          /* of what is random */
+  const Regions *regions; /* has to last */
 } ClusterOptions;
 
 typedef struct ClusterEvents {
--- a/packages/fleet/tallies.c
+++ b/packages/fleet/tallies.c
@@ -5,6 +5,7 @@
 
 struct Tallies {
   Peer *peer;
+  const Regions *regions;
   char self[LIMIT_ID];
   uint64_t hash; /* of `self` */
   Tally *tally;
@@ -14,10 +15,11 @@
   void *ctx;
 };
 
-Tallies *tallies_new(Peer *peer, const char *self,
+Tallies *tallies_new(Peer *peer, const char *self, const Regions *regions,
                      void (*told)(void *ctx, const TallyWord *w), void *ctx) {
   Tallies *t = g_new0(Tallies, 1);
   t->peer = peer;
+  t->regions = regions;
   t->hash = text_hash(self);
   t->tally = tally_new();
   t->counter = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
@@ -54,11 +56,18 @@
   return strcmp(m->id, t->self) == 0;
 }
 
+static TallyParts parts_to(const Tallies *t, const Member *m,
+                           const TallyParts *parts, RegionSet allowed) {
+  return tally_parts_to(parts, allowed, regions_named(t->regions, m->region));
+}
+
 void tallies_ask(Tallies *t, double now, const TallyAsk *a) {
   const Member *m = counter_of(t, a->target);
   if (!m) return;
   if (!is_self(t, m)) {
-    peer_tally_ask(t->peer, m->peer, m->id, a);
+    TallyAsk out = *a;
+    out.parts = parts_to(t, m, &a->parts, a->regions);
+    peer_tally_ask(t->peer, m->peer, m->id, &out);
     return;
   }
   TallyWord w = tally_word(t->tally, now, a);
@@ -68,10 +77,13 @@
 void tallies_tell(Tallies *t, double now, const TallyRun *r) {
   const Member *m = counter_of(t, r->target);
   if (!m) return;
-  if (is_self(t, m))
+  if (is_self(t, m)) {
     tally_take(t->tally, now, t->hash, r);
-  else
-    peer_tally_run(t->peer, m->peer, m->id, r);
+    return;
+  }
+  TallyRun out = *r;
+  out.parts = parts_to(t, m, &r->parts, r->regions);
+  peer_tally_run(t->peer, m->peer, m->id, &out);
 }
 
 bool tallies_take(Tallies *t, double now, const Member *from,
--- a/packages/fleet/tallies.h
+++ b/packages/fleet/tallies.h
@@ -7,8 +7,9 @@
 
 typedef struct Tallies Tallies;
 
-/* `told` gets the answer to a question of ours, at once where we count. */
-Tallies *tallies_new(Peer *peer, const char *self,
+/* `regions` has to last. `told` gets the answer to a question of ours, at once
+ * where we count. */
+Tallies *tallies_new(Peer *peer, const char *self, const Regions *regions,
                      void (*told)(void *ctx, const TallyWord *w), void *ctx);
 void tallies_free(Tallies *t);
 /* The members; `v` has to last until the next call. */
--- a/packages/flow/asking.c
+++ b/packages/flow/asking.c
@@ -29,6 +29,7 @@
   TallyAsk a = {0};
   if (!asks(x)) return;
   TargetAsk ask = run_target_ask(x);
+  a.regions = x->regions;
   x->n_words = 0;
   x->n_asked = targets_to_ask(r->targets, run_now(x), &ask, targets);
   x->question = a.number = ++r->questions;
@@ -63,7 +64,8 @@
   TallyRun m = {.target = target_hash(x->target),
                 .run = x->run,
                 .open = open,
-                .tokens = tokens};
+                .tokens = tokens,
+                .regions = x->regions};
   if (parts) m.parts.n = parts_names(&x->ask, m.parts.names, TALLY_NAMES);
   cluster_tally_tell(x->relay->cluster, &m);
 }
--- a/packages/flow/dispatch.c
+++ b/packages/flow/dispatch.c
@@ -223,13 +223,15 @@
 
 /* == dispatch == */
 
-TargetAsk run_target_ask(const Run *x) {
+TargetAsk run_target_ask(Run *x) {
+  run_bind(x);
   return (TargetAsk){.service = x->service_name,
                      .ask = &x->ask,
                      .engine = x->service && x->service->engine,
                      .cold_rate = x->service ? x->service->cold_rate : 0,
                      .move_s = x->service ? x->service->move_s : 0,
                      .pause_s = x->service ? x->service->pause_s : 0,
+                     .regions = x->regions,
                      .alone = x->try != NULL,
                      .tried = x->tried,
                      .n_tried = x->n_tried,
@@ -279,6 +281,8 @@
     const char *text;
   } causes[TARGET_NONES] = {
       [TARGET_NONE_LEFT] = {RUN_BACK_SOON_MS, "no target serves %s now"},
+      [TARGET_NONE_ALLOWED] = {RUN_BACK_CHANGED_MS,
+                               "%s has no target in the allowed regions"},
       [TARGET_NONE_EVACUATED] = {RUN_BACK_EVACUATED_MS,
                                  "what is left of %s is evacuated"},
       [TARGET_NONE_COLD] = {RUN_BACK_COLD_MS,
--- a/packages/flow/relay.c
+++ b/packages/flow/relay.c
@@ -105,6 +105,32 @@
   run_give_up(x, &e);
 }
 
+/* What a configuration allows it. */
+static const ConfRoute *route_in(const Run *x, const Conf *c) {
+  const char *target = x->req->target->str;
+  char *path = g_strndup(target, strcspn(target, "?"));
+  const ConfRoute *route = conf_route(c, x->ask.host, path);
+  g_free(path);
+  return route;
+}
+
+static RegionSet regions_in(const Run *x, const ConfRoute *route,
+                            const ConfCustomer *customer) {
+  const Regions *r = x->relay->regions;
+  RegionSet by_route = regions_listed(r, route->regions, NULL);
+  if (!customer) return by_route;
+  return regions_both(by_route, regions_listed(r, customer->regions, NULL));
+}
+
+void run_bind(Run *x) {
+  const Conf *c = x->relay->conf;
+  if (c == x->conf) return;
+  const ConfRoute *route = route_in(x, c);
+  if (!route) return;
+  RegionSet now = regions_in(x, route, conf_customer(c, x->ask.key));
+  x->regions = regions_both(x->regions, now);
+}
+
 /* Finds route, customer and service; false with a typed error. */
 static bool resolve(Run *x, Err *e) {
   const Relay *r = x->relay;
@@ -112,10 +138,7 @@
     return err_retry(e, ERR_NOT_CONFIGURED, RUN_BACK_SOON_MS,
                      "no configuration is known yet");
   x->conf = conf_ref(r->conf);
-  char *path =
-      g_strndup(x->req->target->str, strcspn(x->req->target->str, "?"));
-  x->route = conf_route(x->conf, x->ask.host, path);
-  g_free(path);
+  x->route = route_in(x, x->conf);
   if (!x->route)
     return err_set(e, ERR_NO_ROUTE, "nothing is served at %.100s", x->ask.host);
   x->customer = conf_customer(x->conf, x->ask.key);
@@ -126,6 +149,7 @@
   if (!x->service_name)
     return err_set(e, ERR_NO_ROUTE, "route %s has no service", x->route->name);
   x->service = conf_service(x->conf, x->service_name);
+  x->regions = regions_in(x, x->route, x->customer);
   return true;
 }
 
@@ -211,6 +235,7 @@
   r->trials = trials_new();
   r->tries = g_ptr_array_new();
   r->store = o->store;
+  r->regions = o->regions;
   links_watch(r->links, relay_reach, r);
   r->callers = callers_open(loop, o->listen, &caller_events, r, e);
   if (r->callers) return r;
--- a/packages/flow/relay.h
+++ b/packages/flow/relay.h
@@ -14,9 +14,10 @@
 typedef struct Relay Relay;
 
 typedef struct RelayOptions {
-  const char *listen; /* ip:port for callers */
-  int64_t body_room;  /* bytes of bodies held at once */
-  Store *store;       /* where trials are kept */
+  const char *listen;     /* ip:port for callers */
+  int64_t body_room;      /* bytes of bodies held at once */
+  Store *store;           /* where trials are kept */
+  const Regions *regions; /* of the data centres; has to last */
 } RelayOptions;
 
 Relay *relay_open(struct ev_loop *loop, const RelayOptions *o, Targets *targets,
--- a/packages/flow/run.h
+++ b/packages/flow/run.h
@@ -17,6 +17,9 @@
    it will take; operators' evacuations last for tens of seconds, and callers
    wait for a third of their time at most. */
 #define RUN_BACK_EVACUATED_MS 5000
+/* The same where the operators let it be served only where no target is: until
+   a target comes, or another configuration. */
+#define RUN_BACK_CHANGED_MS 5000
 /* The same while cold targets have had what they bear in a second. */
 #define RUN_BACK_COLD_MS 1000
 
@@ -32,6 +35,7 @@
   const ConfService *service; /* NULL: not described */
   const char *service_name;
   const ConfCustomer *customer; /* NULL: an open route */
+  RegionSet regions;            /* that it is bound to */
   Digest digest;                /* run_digest */
   bool digested;
   struct Try *try; /* of a suspect; NULL: it is none */
@@ -76,6 +80,7 @@
   Callers *callers;
   Links *links;
   Targets *targets;
+  const Regions *regions;
   Cluster *cluster;
   GHashTable *reserved; /* handle -> Run, of all that hold or wait */
   Retries *retries;
@@ -105,6 +110,12 @@
 /* Ends without an answer: the caller left. */
 void run_left(Run *x);
 
+/* == relay.c: what it is allowed == */
+
+/* Bounds it to the regions of the configuration in force as well, should that
+   have changed since it came. */
+void run_bind(Run *x);
+
 /* == asking.c: what others have at targets == */
 
 /* Asks for it, so that the answers are there when a target is chosen. */
@@ -150,7 +161,7 @@
 /* == dispatch.c: targets and their answers == */
 
 /* What the choice of a target is made by. */
-TargetAsk run_target_ask(const Run *x);
+TargetAsk run_target_ask(Run *x);
 void run_choose(Run *x);
 
 /* Chooses a target and sends the request there, or gives up. */
--- a/packages/kernel/count.c
+++ b/packages/kernel/count.c
@@ -32,6 +32,9 @@
     [COUNT_TARGET_CUT] = {"target_cut_total", "answers cut by a target"},
     [COUNT_EVACUATIONS] = {"evacuations_total",
                            "evacuations that came into force or ended here"},
+    [COUNT_REGIONS_UNKNOWN] = {"regions_unknown_total",
+                               "regions in the configuration that are unknown "
+                               "here"},
     [COUNT_TARGETS_ENDED] = {"targets_ended_total",
                              "targets seen to end under requests"},
     [COUNT_SUSPECTS] = {"suspects_total",
--- a/packages/node/node.c
+++ b/packages/node/node.c
@@ -45,6 +45,9 @@
      "Data centre it stands in", 0, 0, NULL},
     {"region", "LOFTPATH_REGION", SETTING_TEXT, NULL,
      "Region: instances that mostly reach each other", 0, 0, NULL},
+    {"datacentres", "LOFTPATH_DATACENTRES", SETTING_TEXT, "",
+     "All data centres with their regions: dc=region, parted by commas", 0, 0,
+     NULL},
     {"listen", "LOFTPATH_LISTEN", SETTING_ADDRESS, NULL, "ip:port for callers",
      0, 0, NULL},
     {"peer", "LOFTPATH_PEER", SETTING_ADDRESS, NULL,
@@ -86,6 +89,7 @@
   char id[LIMIT_ID];
   Store *store;
   Feed *feed;
+  Regions *regions;
   Targets *targets;
   Retries *retries;
   Cluster *cluster;
@@ -127,6 +131,28 @@
   g_array_free(rows, TRUE);
 }
 
+/* A list that names no region that there is would refuse all that it bounds. */
+static void check_regions(const Node *n, const char *what, const char *name,
+                          char *const *list) {
+  const char *unknown;
+  regions_listed(n->regions, list, &unknown);
+  if (!unknown) return;
+  count_add(COUNT_REGIONS_UNKNOWN, 1);
+  log_warn("region-unknown", "s:s,s:s,s:s", "region", unknown, what, name,
+           "remedy", "name a region of the setting datacentres");
+}
+
+static void check_bounds(const Node *n, const Conf *c) {
+  for (guint i = 0; i < c->routes->len; i++) {
+    const ConfRoute *r = c->routes->pdata[i];
+    check_regions(n, "route", r->name, r->regions);
+  }
+  for (guint i = 0; i < c->customers->len; i++) {
+    const ConfCustomer *u = c->customers->pdata[i];
+    check_regions(n, "customer", u->name, u->regions);
+  }
+}
+
 static void on_conf(void *ctx, Conf *c) {
   Node *n = ctx;
   const Conf *old = relay_get_conf(n->relay);
@@ -138,6 +164,7 @@
   relay_conf(n->relay, c);
   cluster_conf(n->cluster, c->version);
   set_budgets(n, c);
+  check_bounds(n, c);
 }
 
 static void on_target(void *ctx, const TargetInfo *t) {
@@ -446,7 +473,8 @@
       on_reserved, on_instances, on_peer_conf, conf_text,  on_feed,
       on_work,     on_parts,     on_tally,     on_suspect, on_pool};
   ClusterOptions o = {.seeds = settings_text(settings, "seeds"),
-                      .seed = random_number()};
+                      .seed = random_number(),
+                      .regions = n->regions};
   g_strlcpy(o.self.id, n->id, sizeof o.self.id);
   g_strlcpy(o.self.dc, settings_text(settings, "datacentre"), sizeof o.self.dc);
   g_strlcpy(o.self.region, settings_text(settings, "region"),
@@ -478,14 +506,19 @@
       .listen = settings_text(settings, "listen"),
       .body_room = (settings_number(settings, "memory") << 20) / BODY_SHARE};
   n->seeds = count_seeds(settings_text(settings, "seeds"));
+  n->regions = regions_new(settings_text(settings, "datacentre"),
+                           settings_text(settings, "region"),
+                           settings_text(settings, "datacentres"));
   n->targets =
       targets_new(settings_text(settings, "datacentre"), random_number());
+  targets_regions(n->targets, n->regions);
   targets_cold_bound(n->targets, number("cold-overrun"), number("cold-extra"));
   n->retries = retries_new(&retries);
   n->store = store_open(n->loop, settings_text(settings, "platform"));
   n->cluster = open_cluster(n, e);
   if (!n->cluster) return false;
   relay.store = n->store;
+  relay.regions = n->regions;
   n->relay = relay_open(n->loop, &relay, n->targets, n->retries, e);
   if (!n->relay) return false;
   relay_cluster(n->relay, n->cluster);
@@ -525,6 +558,7 @@
   cluster_close(n->cluster);
   store_close(n->store);
   targets_free(n->targets);
+  regions_free(n->regions);
   retries_free(n->retries);
 }
 
--- a/packages/route/choose.c
+++ b/packages/route/choose.c
@@ -54,6 +54,11 @@
   return false;
 }
 
+/* Whether its regions let the request come to this target. */
+static bool allowed(const Pick *p, const Target *t, RegionsWay way) {
+  return regions_admit(p->ask->regions, t->region, way);
+}
+
 /* Neither put aside nor perhaps leaving. */
 static bool sound(const Pick *p, const Target *t) {
   return target_usable(t, p->now) && !t->lapsed && p->now >= t->aside_until;
@@ -133,6 +138,7 @@
   for (guint i = 0; i < pool->members->len; i++) {
     const Target *t = pool->members->pdata[i];
     if (p->ask->n_words > 0 && !word_of(p, t)) continue;
+    if (!allowed(p, t, REGIONS_DONOR)) continue;
     int64_t had = ripe_tokens(p, t);
     if (had <= p->donated) continue;
     p->donor = t;
@@ -239,7 +245,12 @@
   for (guint i = 0; i < pool->members->len; i++) {
     const Target *t = pool->members->pdata[i];
     if (p->now >= t->leave_at || was_tried(p->ask, t)) continue;
-    why = t->evacuated ? MAX(why, TARGET_NONE_EVACUATED) : TARGET_NONE_COLD;
+    TargetNone this_one = TARGET_NONE_COLD;
+    if (!allowed(p, t, REGIONS_TARGET))
+      this_one = TARGET_NONE_ALLOWED;
+    else if (t->evacuated)
+      this_one = TARGET_NONE_EVACUATED;
+    why = MAX(why, this_one);
   }
   return why;
 }
@@ -260,6 +271,7 @@
   for (guint i = 0; i < pool->members->len; i++) {
     Target *t = pool->members->pdata[i];
     if (!target_usable(t, p->now) || was_tried(p->ask, t)) continue;
+    if (!allowed(p, t, REGIONS_TARGET)) continue;
     if (!p->asking && !has_room(p, t)) continue;
     g_ptr_array_add(list, t);
     if (word_of(p, t) && sound(p, t)) g_ptr_array_add(told, t);
@@ -332,6 +344,7 @@
   }
   if (!best.target) best.none = why_none(&p, pool);
   best.candidates = n;
+  best.regions = ask->regions;
   best.long_prompt = p.long_prompt;
   best.beside_long = beside_long;
   g_ptr_array_free(list, TRUE);
--- a/packages/route/state.h
+++ b/packages/route/state.h
@@ -35,10 +35,11 @@
   Targets *set;
   Pool *pool;
   TargetInfo info;
-  uint64_t hash;   /* of this life: its id and when it was born */
-  double leave_at; /* no new work from here on; INFINITY: stays */
-  bool lapsed;     /* its entry is missing, perhaps by an outage only */
-  bool evacuated;  /* its data centre is */
+  RegionSet region; /* that it lies in; empty: not known */
+  uint64_t hash;    /* of this life: its id and when it was born */
+  double leave_at;  /* no new work from here on; INFINITY: stays */
+  bool lapsed;      /* its entry is missing, perhaps by an outage only */
+  bool evacuated;   /* its data centre is */
   Cold cold;
   double aside_until, aside_s;
   double fail;     /* mean of failures, 0 to 1 */
@@ -56,6 +57,8 @@
 
 struct Targets {
   char dc[LIMIT_NAME];
+  const Regions *regions; /* NULL: none are known */
+  RegionSet region;       /* our own */
   Evacuation *evacuation;
   ColdShare cold_share;
   GHashTable *by_id;
--- a/packages/route/tally.c
+++ b/packages/route/tally.c
@@ -58,6 +58,12 @@
   g_free(c);
 }
 
+TallyParts tally_parts_to(const TallyParts *parts, RegionSet allowed,
+                          RegionSet at) {
+  if (regions_admit(allowed, at, REGIONS_COUNTER)) return *parts;
+  return (TallyParts){0};
+}
+
 Tally *tally_new(void) {
   Tally *t = g_new0(Tally, 1);
   t->counts =
--- a/packages/route/tally.h
+++ b/packages/route/tally.h
@@ -14,6 +14,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "route/regions.h"
+
 /* Shared parts of a prompt that are told, the first ones; the users' have one
    or two. */
 #define TALLY_NAMES 8
@@ -27,17 +29,19 @@
 /* All that a sender says of one of its requests at a target: a lost word is
    made good by the next, or runs out. */
 typedef struct TallyRun {
-  uint64_t target;  /* text_hash of it */
-  uint64_t run;     /* the sender's number of the request there */
-  bool open;        /* false: it has ended */
-  int64_t tokens;   /* of its prompt that are still to be read */
-  TallyParts parts; /* empty: as told before */
+  uint64_t target;   /* text_hash of it */
+  uint64_t run;      /* the sender's number of the request there */
+  bool open;         /* false: it has ended */
+  int64_t tokens;    /* of its prompt that are still to be read */
+  TallyParts parts;  /* empty: as told before */
+  RegionSet regions; /* that the request is bound to; kept by the sender */
 } TallyRun;
 
 typedef struct TallyAsk {
   uint64_t number; /* of the question */
   uint64_t target;
   TallyParts parts;
+  RegionSet regions; /* as in TallyRun */
 } TallyAsk;
 
 typedef struct TallyWord {
@@ -52,6 +56,10 @@
 
 typedef struct Tally Tally;
 
+/* What may be told of these parts to who counts, who stands in region `at`. */
+TallyParts tally_parts_to(const TallyParts *parts, RegionSet allowed,
+                          RegionSet at);
+
 Tally *tally_new(void);
 void tally_free(Tally *t);
 /* `from`: text_hash of the sender's id. */
--- a/packages/route/targets.c
+++ b/packages/route/targets.c
@@ -70,6 +70,11 @@
   g_free(s);
 }
 
+void targets_regions(Targets *s, const Regions *r) {
+  s->regions = r;
+  s->region = regions_of_dc(r, s->dc);
+}
+
 /* == membership == */
 
 static Pool *pool_of(Targets *s, const char *service) {
@@ -140,6 +145,7 @@
   t->info = *info;
   t->lapsed = false;
   t->evacuated = evacuation_holds(s->evacuation, info->dc);
+  t->region = s->regions ? regions_of_dc(s->regions, info->dc) : 0;
   if (info->leaving)
     t->leave_at = MIN(t->leave_at, now);
   else
@@ -316,10 +322,14 @@
   note_change(t);
 }
 
-static void note_parts(Target *t, double now, const Ask *ask) {
+static void note_parts(Target *t, double now, const Ask *ask,
+                       RegionSet regions) {
+  Targets *s = t->set;
   TargetParts m = {.target = t->hash};
   m.n = parts_note(t->parts, ask, now, m.names);
-  if (m.n > 0) g_queue_push_tail(&t->set->parts_news, g_memdup2(&m, sizeof m));
+  bool told = regions_admit(regions, s->region, REGIONS_PEERS);
+  if (m.n > 0 && told)
+    g_queue_push_tail(&s->parts_news, g_memdup2(&m, sizeof m));
 }
 
 void target_sent(Target *t, double now, const Ask *ask, const TargetChoice *c) {
@@ -327,7 +337,7 @@
   t->waiting++;
   cold_sent(&t->cold, now);
   t->backlog += c->fresh;
-  note_parts(t, now, ask);
+  note_parts(t, now, ask, c->regions);
   division_read(t->pool->division, now, c->long_prompt, c->fresh);
   note_change(t);
 }
--- a/packages/route/targets.h
+++ b/packages/route/targets.h
@@ -10,6 +10,7 @@
 #include "kernel/limits.h"
 #include "kernel/text.h"
 #include "route/division.h"
+#include "route/regions.h"
 #include "route/tally.h"
 
 /* A target as it stands in the store. */
@@ -30,6 +31,8 @@
 
 Targets *targets_new(const char *dc, uint32_t seed);
 void targets_free(Targets *s);
+/* Where data centres lie, before the first target; it has to last. */
+void targets_regions(Targets *s, const Regions *r);
 
 /* == membership == */
 
@@ -79,7 +82,8 @@
   double move_s;    /* to move the memory of one token; 0: it is not moved */
   double pause_s;   /* shortest pause that streams of the service allow; 0: none
                        are known */
-  bool alone;       /* it may end its target: where the fewest others run */
+  RegionSet regions; /* that it is bound to */
+  bool alone;        /* it may end its target: where the fewest others run */
   const Target *const *tried;
   int n_tried;
   const TallyWord *words; /* of targets_to_ask: only these are chosen from */
@@ -95,6 +99,7 @@
 /* Why no target was chosen. */
 typedef enum {
   TARGET_NONE_LEFT,      /* there is none, or all were tried */
+  TARGET_NONE_ALLOWED,   /* those that are left lie outside its regions */
   TARGET_NONE_EVACUATED, /* those that are left are evacuated */
   TARGET_NONE_COLD,      /* those that are left are cold and had their fill */
   TARGET_NONES
@@ -109,8 +114,9 @@
   const Target *donor; /* NULL: none */
   TargetLoad load;     /* what was there */
   int candidates;
-  bool long_prompt; /* reading it holds up the streams beside it */
-  bool beside_long; /* long prompts are read at that target */
+  RegionSet regions; /* that the request is bound to */
+  bool long_prompt;  /* reading it holds up the streams beside it */
+  bool beside_long;  /* long prompts are read at that target */
 } TargetChoice;
 
 /* Targets that are worth asking for what all have there, in a fleet that does
