--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -69,6 +69,8 @@
     """Store, workers and instances of one test."""
 
     env = {}  # of the instances, besides ours
+    memory_mb = 110  # of each
+    regions = {}  # data centre -> region; instance i is in the i-th of them
 
     def __init__(self, instances=1, desks=2, engines=2, store_proxy=None, **conf):
         """`store_proxy`: makes the way of each instance to the store."""
@@ -94,12 +96,16 @@
         path = os.path.join(self.dir, "settings-%d" % i)
         ip = self.ip(i)
         with open(path, "w") as f:
-            f.write("name = n%d\ndatacentre = a\nregion = r\n" % i)
+            f.write("name = n%d\n" % i)
+            dcs = list(self.regions.items()) or [("a", "r")]
+            f.write("datacentre = %s\nregion = %s\n" % dcs[i % len(dcs)])
+            f.write("datacentres = %s\n" % ",".join("%s=%s" % d for d in dcs))
             f.write("listen = %s:%d\nready = %s:%d\n" % (ip, BASE, ip, BASE + 1))
             f.write("peer = %s:%d\nseeds = %s\n" % (
                 ip, BASE + 2, ",".join(self.ip(k) for k in range(3))))
-            f.write("platform = %s\nmemory = 110\nstop = 4\n" % (
-                self.proxies[i] if self.proxies else self.store).address)
+            f.write("platform = %s\nmemory = %d\nstop = 4\n" % (
+                (self.proxies[i] if self.proxies else self.store).address,
+                self.memory_mb))
             f.write("retry-window = %g\n" % RETRY_WINDOW_S)
         log = open(os.path.join(self.dir, "log-%d" % i), "a")
         self.processes[i] = subprocess.Popen(
@@ -191,14 +197,14 @@
     return play
 
 
-def run_tests(tests, instances=None, proxies=None, names=None):
+def run_tests(tests, instances=None, proxies=None, names=None, engines=2):
     """Runs the functions `test_...` of `tests` (or those of `names`, or named on
     the command line), each on a site of its own; `instances` and `proxies` by
     test. The status of the process."""
     names = names or sys.argv[2:] or [n for n in tests if n.startswith("test_")]
     failed, red = 0, known_red()
     for name in names:
-        s = Site(instances=(instances or {}).get(name, 1),
+        s = Site(instances=(instances or {}).get(name, 1), engines=engines,
                  store_proxy=(proxies or {}).get(name))
         try:
             tests[name](s)
