A target's word of how long work takes there now counts in the choice

Cause: the fourth figure of a target's load was not read. Decoded with three and four figures; nonsense, 0 and huge values tell nothing or are bounded. It scales what is predicted, the less the older it is, and what is learned of an answer's time is scaled back, so that a busy moment of the machine is not taken for a slow target.

--- a/packages/flow/ask.h
+++ b/packages/flow/ask.h
@@ -39,6 +39,7 @@
   double cold_s;  /* the target stays cold for so long; 0: not said */
   bool load_told; /* the three that follow are known */
   int running, waiting, slots;
+  double pace; /* how long work takes there now, 1: as usual; 0: not told */
 } Answer;
 
 /* What a dispatch adds to a caller's request. */
--- a/packages/flow/dispatch.c
+++ b/packages/flow/dispatch.c
@@ -131,7 +131,8 @@
   Answer a;
   wire_answer(h->headers, x->ask.id, &a);
   if (!a.ours) return LINK_SKIP;
-  if (a.load_told) target_load(x->target, run_now(x), a.running, a.waiting);
+  if (a.load_told)
+    target_load(x->target, run_now(x), a.running, a.waiting, a.pace);
   if (a.cold_s > 0) target_cold(x->target, run_now(x), a.cold_s);
   x->refused = a.not_run || h->status == 421;
   if (h->status == 421)
--- a/packages/route/choose.c
+++ b/packages/route/choose.c
@@ -192,9 +192,11 @@
 static double wait_engine(const Pick *p, const TargetChoice *c) {
   const Target *t = c->target;
   double unread = (double)(c->load.tokens + c->fresh);
-  if (!p->set->parts_are_told) return unread * p->slope;
+  if (!p->set->parts_are_told)
+    return unread * p->slope * target_pace(t, p->now);
   double first = fit_at(&t->pool->first, unread);
-  return first * t->slow + (double)c->moved * p->ask->move_s;
+  return first * t->slow * target_pace(t, p->now) +
+         (double)c->moved * p->ask->move_s;
 }
 
 static double wait_plain(const Target *t, int open, double now) {
@@ -203,7 +205,7 @@
   bool fresh = now - t->told_at < TOLD_FRESH_S;
   int told = fresh ? t->told_running + t->told_waiting : 0;
   int there = MAX(open, told);
-  return took * (1 + (double)there / slots);
+  return took * target_pace(t, now) * (1 + (double)there / slots);
 }
 
 /* What is read, or moved, costs a target more than its own wait. */
--- a/packages/route/state.h
+++ b/packages/route/state.h
@@ -50,6 +50,7 @@
   int64_t backlog; /* tokens that these have to read */
   int told_running, told_waiting;
   double told_at;
+  double pace; /* how long work took there then, 1: as usual; 0: not told */
   Parts *parts;
   GHashTable *others; /* hash of an instance -> Other */
   bool changed;       /* our work there, since it was told */
@@ -71,4 +72,7 @@
   GRand *rand;
 };
 
+/* How long work takes there now, by what the target said; 1: as usual. */
+double target_pace(const Target *t, double now);
+
 #endif
--- a/packages/route/targets.c
+++ b/packages/route/targets.c
@@ -18,7 +18,12 @@
    and 3.8 at most in what the users saw. Until then each instance tried it
    three to four times, a refused connection each. */
 #define ENDED_ASIDE_S 4.0
+/* A target's word of its pace is believed within these: one wrong figure must
+   not decide for long. */
+#define PACE_LEAST 0.5
+#define PACE_MOST 20.0
 #define FULL_ASIDE_S 0.1 /* after it said that it is full */
+#define PACE_FRESH_S 0.3 /* its word of its pace counts for nothing then */
 #define TOOK_WEIGHT 0.1  /* of one answer in the mean time */
 #define SLOW_WEIGHT 0.1  /* of one first byte in the mean of a target's pace */
 #define SLOW_MOST 4.0    /* one first byte counts for no more than this */
@@ -356,6 +361,14 @@
   fit_add(line, x, took_s);
 }
 
+/* Others share its machine, and what it said of that changes many times a
+   second: so it counts for less the older it is. */
+double target_pace(const Target *t, double now) {
+  double age = now - t->told_at;
+  if (t->pace <= 0 || age >= PACE_FRESH_S) return 1;
+  return 1 + (t->pace - 1) * (1 - age / PACE_FRESH_S);
+}
+
 void target_done(Target *t, double now, TargetEnd how, bool first,
                  int64_t fresh, double took_s) {
   t->open--;
@@ -364,7 +377,8 @@
   switch (how) {
   case TARGET_OK:
     mean(&t->fail, 0, FAIL_WEIGHT);
-    mean(&t->took_s, took_s, t->took_s > 0 ? TOOK_WEIGHT : 1);
+    mean(&t->took_s, took_s / target_pace(t, now),
+         t->took_s > 0 ? TOOK_WEIGHT : 1);
     t->aside_s = 0;
     break;
   case TARGET_FULL: t->aside_until = now + FULL_ASIDE_S; break;
@@ -386,10 +400,11 @@
   t->aside_until = now + ENDED_ASIDE_S;
 }
 
-void target_load(Target *t, double now, int running, int waiting) {
+void target_load(Target *t, double now, int running, int waiting, double pace) {
   t->told_running = running;
   t->told_waiting = waiting;
   t->told_at = now;
+  t->pace = pace > 0 ? CLAMP(pace, PACE_LEAST, PACE_MOST) : 0;
 }
 
 /* == what the other instances have there == */
--- a/packages/route/targets.h
+++ b/packages/route/targets.h
@@ -155,7 +155,9 @@
                  int64_t fresh, double took_s);
 /* It has ended: its entry goes within seconds. */
 void target_ended(Target *t, double now);
-void target_load(Target *t, double now, int running, int waiting);
+/* What it says of its load; `pace`: how long work takes there now, 1: as
+   usual, 0: not told. */
+void target_load(Target *t, double now, int running, int waiting, double pace);
 /* It says that it stays cold for so long. */
 void target_cold(Target *t, double now, double left_s);
 
--- a/tests/test_targets.c
+++ b/tests/test_targets.c
@@ -541,3 +541,55 @@
     cr_assert_str_eq(target_id(pick(s, 1, &a, false)), "i-1");
   targets_free(s);
 }
+
+/* The load that this answers: targets share their machines with others, and
+   one of four works two to six times as long for some tenths of a second. */
+Test(targets, work_goes_past_one_whose_machine_is_busy_with_other_work) {
+  Targets *s = some(4);
+  Ask a = {0};
+  Target *busy = pick(s, 1, &a, false);
+  target_load(busy, 1, 0, 0, 4);
+  for (int i = 0; i < 20; i++) cr_assert_neq(pick(s, 1.02, &a, false), busy);
+  int back = 0;
+  for (int i = 0; i < 200; i++) back += pick(s, 1.5, &a, false) == busy;
+  cr_assert_gt(back, 10, "its word is old");
+  targets_free(s);
+}
+
+Test(targets, a_pace_that_is_absurd_is_believed_within_bounds) {
+  static const double paces[] = {0, 1, 1e9, 1e-9};
+  Ask a = {0};
+  TargetAsk ask = {.service = "svc", .ask = &a};
+  for (size_t k = 0; k < G_N_ELEMENTS(paces); k++) {
+    Targets *s = some(1);
+    Target *t = pick(s, 1, &a, false);
+    sent(t, 1, &a, 0);
+    target_load(t, 1.02, 0, 0, paces[k]);
+    target_done(t, 1.02, TARGET_OK, true, 0, 0.02);
+    double wait_s = targets_pick(s, 2, &ask).wait_s;
+    cr_assert(wait_s >= 0.001 && wait_s <= 0.04, "%g: %f", paces[k], wait_s);
+    if (paces[k] <= 1 && paces[k] != 1e-9)
+      cr_assert_float_eq(wait_s, 0.02, 1e-9);
+    targets_free(s);
+  }
+}
+
+/* A slow moment is the machine's, not the target's: what is learned of its
+   time is as it usually is. */
+Test(targets, what_is_learned_of_a_busy_moment_does_not_last) {
+  Targets *s = some(2);
+  Ask a = {0};
+  Target *t = pick(s, 1, &a, false);
+  sent(t, 1, &a, 0);
+  target_load(t, 1.12, 0, 0, 4);
+  target_done(t, 1.12, TARGET_OK, true, 0, 0.12);
+  Target *u = pick(s, 1.13, &a, false);
+  cr_assert_neq(u, t);
+  sent(u, 1.13, &a, 0);
+  target_load(u, 1.18, 0, 0, 1);
+  target_done(u, 1.18, TARGET_OK, true, 0, 0.05);
+  int used = 0;
+  for (int i = 0; i < 50; i++) used += pick(s, 3, &a, false) == t;
+  cr_assert_gt(used, 40, "30 ms beside 50 ms, as they usually take");
+  targets_free(s);
+}
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -1,6 +1,7 @@
 /* test_wire.c: header fields of callers and targets, taken apart and put
    together. */
 #include <criterion/criterion.h>
+#include <limits.h>
 #include <string.h>
 
 #include "flow/wire.h"
@@ -147,3 +148,39 @@
   cr_assert(strstr(out->str, "Loftpath-Ran: not-run\r\n"));
   g_string_free(out, TRUE);
 }
+
+Test(wire, what_a_target_says_of_its_load_is_read) {
+  static const struct {
+    const char *text;
+    bool told;
+    int running, waiting;
+    double pace; /* 0: not told */
+  } rows[] = {
+      {"3,0,8", true, 3, 0, 0},
+      {"3,1,8,100", true, 3, 1, 1},
+      {"3,1,8,250", true, 3, 1, 2.5},
+      {"3,1,8,0", true, 3, 1, 0},
+      {"3,1,8,-50", true, 3, 1, 0},
+      {"3,1,8,fast", true, 3, 1, 0},
+      {"3,1,8,100,9", true, 3, 1, 1},
+      {"3,1,8,", true, 3, 1, 0},
+      {"99999999999999999999,0,8", true, INT_MAX, 0, 0},
+      {"3,1,8,99999999999999999999", true, 3, 1, INT_MAX / 100.0},
+      {"-3,1,8,100", false, 0, 0, 0},
+      {"3,1", false, 0, 0, 0},
+      {"", false, 0, 0, 0},
+      {"much", false, 0, 0, 0},
+  };
+  for (size_t i = 0; i < sizeof rows / sizeof *rows; i++) {
+    const char *const list[] = {"X-Loftpath-Server-Load", rows[i].text, NULL};
+    Headers h;
+    Answer a;
+    fill(&h, list);
+    wire_answer(&h, "a1", &a);
+    cr_assert_eq(a.load_told, rows[i].told, "%s", rows[i].text);
+    cr_assert_eq(a.running, rows[i].running, "%s", rows[i].text);
+    cr_assert_eq(a.waiting, rows[i].waiting, "%s", rows[i].text);
+    cr_assert_float_eq(a.pace, rows[i].pace, 1e-6, "%s", rows[i].text);
+    headers_free(&h);
+  }
+}
