Callers that read slowly: bounded memory, targets that wait no longer than they bear

Cause: a caller might leave 4 MB unread and a plain answer 256 KB, each, at 128 MB a machine; nothing ever paused reading from a target, and the end of a last answer was cut off after a second without progress. Now what is held for callers shares one room of a quarter of the memory, each may have half of what is free; a full caller pauses its target; one that takes nothing for two seconds is ended and counted before the target suffers; what is left of a finished answer is delivered late. Buffers that were large once are given back.

--- a/packages/flow/breaks.c
+++ b/packages/flow/breaks.c
@@ -144,4 +144,5 @@
 void relay_sweep(Relay *r) {
   ends_sweep(r->ends, loopclock_now(r->loop));
   relay_close_tries(r);
+  relay_end_slow(r);
 }
--- a/packages/flow/caller.c
+++ b/packages/flow/caller.c
@@ -36,6 +36,9 @@
   GString *later; /* bytes that came while busy */
   GString *out;
   size_t out_off;
+  size_t kept;  /* bytes that its owner holds of its answer */
+  size_t waits; /* these and those of `out`, as the set counts them */
+  bool full;    /* its owner waits until it has taken some */
   bool keep, chunked, closing, broken, failed, no_body;
   bool parsing; /* inside the parser: not to be freed */
   void *data;
@@ -52,8 +55,10 @@
   void *ctx;
   Caller *first;
   int n;
-  size_t held;
-  int64_t sent; /* bytes of all callers */
+  size_t room;    /* of bodies and answers */
+  size_t held;    /* by bodies */
+  size_t pending; /* of answers that were not taken */
+  int64_t sent;   /* bytes of all callers */
   bool draining;
   bool leaving; /* answers ask callers to leave */
 };
@@ -70,6 +75,25 @@
   s->n--;
 }
 
+size_t caller_limit(const Caller *c) {
+  const Callers *s = c->set;
+  size_t used = s->held + s->pending - c->waits;
+  size_t free_bytes = s->room > used ? s->room - used : 0;
+  return CLAMP(free_bytes / 2, LIMIT_PENDING_LEAST, LIMIT_PENDING);
+}
+
+/* Bytes that it has not taken. */
+static size_t left_over(const Caller *c) {
+  return c->out->len - c->out_off;
+}
+
+/* Counts the memory that it takes. */
+static void count_pending(Caller *c) {
+  size_t waits = (c->out->len > 0 ? c->out->allocated_len : 0) + c->kept;
+  c->set->pending += waits - c->waits;
+  c->waits = waits;
+}
+
 static void forget_body(Caller *c) {
   c->set->held -= c->req.body->len;
   g_string_truncate(c->req.body, 0);
@@ -80,6 +104,7 @@
   ev_io_stop(s->loop, &c->read);
   ev_io_stop(s->loop, &c->write);
   forget_body(c);
+  s->pending -= c->waits;
   unlink_caller(c);
   headers_free(&c->req.headers);
   g_string_free(c->req.target, TRUE);
@@ -114,6 +139,7 @@
     ev_feed_event(c->set->loop, &c->read, EV_READ);
     return;
   }
+  count_pending(c);
   arm_write(c);
   if (!c->closing || c->out->len > 0) return;
   c->state = CALLER_LINGER;
@@ -280,6 +306,11 @@
   Caller *c = w->data;
   c->since = loopclock_now(c->set->loop);
   caller_flush(c);
+  if (!c->full || c->failed ||
+      left_over(c) + LIMIT_PENDING_STEP > caller_limit(c))
+    return;
+  c->full = false;
+  if (c->data) c->set->ev.drained(c->set->ctx, c);
 }
 
 static void add_caller(Callers *s, int fd) {
@@ -294,6 +325,7 @@
   http_parser_init(&c->parser, HTTP_REQUEST);
   c->parser.data = c;
   sock_user_timeout(fd, GIVE_UP_MS);
+  sock_send_bound(fd, LIMIT_SEND);
   ev_io_init(&c->read, on_readable, fd, EV_READ);
   ev_io_init(&c->write, on_writable, fd, EV_WRITE);
   c->read.data = c->write.data = c;
@@ -322,7 +354,8 @@
     return now - c->since > l->idle_s || (c->set->draining && !c->later);
   case CALLER_READING: return now - c->since > l->header_s;
   case CALLER_BUSY: return false;
-  case CALLER_LINGER: return now - c->since > LINGER_S;
+  case CALLER_LINGER: /* what is left of its answer is delivered, also late */
+    return now - c->since > (c->out->len > 0 ? l->idle_s : LINGER_S);
   }
   return false;
 }
@@ -410,6 +443,8 @@
   if (c->chunked) g_string_append(c->out, "0\r\n\r\n");
   c->closing = !c->keep;
   c->data = NULL;
+  c->full = false;
+  c->since = loopclock_now(c->set->loop);
   if (c->closing) c->state = CALLER_LINGER;
   caller_flush(c);
   if (!c->closing) next_request(c);
@@ -423,8 +458,14 @@
   if (!c->parsing) free_caller(c);
 }
 
-size_t caller_pending(const Caller *c) {
-  return c->out->len - c->out_off;
+void caller_hold(Caller *c, size_t bytes) {
+  c->kept = bytes;
+  count_pending(c);
+}
+
+bool caller_full(Caller *c) {
+  c->full = left_over(c) > caller_limit(c);
+  return c->full;
 }
 
 void caller_set(Caller *c, void *data) {
@@ -472,6 +513,10 @@
   s->draining = true;
 }
 
+void callers_room(Callers *s, size_t bytes) {
+  s->room = bytes;
+}
+
 size_t callers_held(const Callers *s) {
   return s->held;
 }
--- a/packages/flow/caller.h
+++ b/packages/flow/caller.h
@@ -32,6 +32,8 @@
   void (*request)(void *ctx, Caller *c, const CallerReq *r, const Err *err);
   /* The caller closed its connection before its answer ended. */
   void (*gone)(void *ctx, Caller *c);
+  /* It has taken enough of its answer to get more (caller_full). */
+  void (*drained)(void *ctx, Caller *c);
 } CallerEvents;
 
 /* Listens at "ip:port". */
@@ -44,6 +46,8 @@
 void callers_leave(Callers *s, bool leave);
 /* Bytes that callers have sent in all. */
 int64_t callers_sent(const Callers *s);
+/* Bytes that all callers' bodies and answers may hold. */
+void callers_room(Callers *s, size_t bytes);
 /* Bytes of bodies that are held. */
 size_t callers_held(const Callers *s);
 void callers_close(Callers *s);
@@ -64,7 +68,11 @@
 void caller_flush(Caller *c);
 /* Breaks the answer off, so that it can't look complete. */
 void caller_abort(Caller *c);
-/* Bytes that the caller has not taken yet. */
-size_t caller_pending(const Caller *c);
+/* Its owner holds so many bytes of its answer besides, in all. */
+void caller_hold(Caller *c, size_t bytes);
+/* Bytes of its answer that may be held for it: its part of the room. */
+size_t caller_limit(const Caller *c);
+/* It has as much of its answer before it as it may. */
+bool caller_full(Caller *c);
 
 #endif
--- a/packages/flow/dispatch.c
+++ b/packages/flow/dispatch.c
@@ -4,15 +4,17 @@
 
 #include "flow/run.h"
 #include "kernel/count.h"
+#include "kernel/limits.h"
 #include "kernel/log.h"
 #include "flow/wire.h"
 
 /* An old connection may be dead and tells too late; what may run only once is
    sent on one that was used within this time. */
 #define FRESH_ONCE_S 4.0
-#define PENDING_MOST (4 << 20) /* bytes that a slow caller may leave */
-#define ANSWER_BUFFER 262144   /* bytes of a plain answer held back */
-#define ROUTE_RANKS 3          /* routes have the ranks 0, 1 and 2 */
+/* Seconds for which a target may wait until its answer is read on. Some end an
+   answer that stays unread for some seconds, and hold it until then. */
+#define PAUSE_MOST_S 2.0
+#define ROUTE_RANKS 3 /* routes have the ranks 0, 1 and 2 */
 
 /* == passing an answer on == */
 
@@ -42,15 +44,25 @@
   g_string_free(out, TRUE);
 }
 
+static void drop_body(Run *x) {
+  g_string_free(x->body, TRUE);
+  x->body = g_string_new(NULL);
+  caller_hold(x->caller, 0);
+}
+
 static void pass_plain(Run *x, const char *data, size_t n) {
-  if (!x->head_out && x->body->len + n > ANSWER_BUFFER) {
+  size_t most = MIN(LIMIT_ANSWER_WHOLE, caller_limit(x->caller));
+  if (!x->head_out && x->body->len + n > most) {
     put_head(x, CALLER_CHUNKED);
     caller_body(x->caller, x->body->str, x->body->len);
+    drop_body(x);
   }
-  if (x->head_out)
+  if (x->head_out) {
     caller_body(x->caller, data, n);
-  else
-    g_string_append_len(x->body, data, (gssize)n);
+    return;
+  }
+  g_string_append_len(x->body, data, (gssize)n);
+  caller_hold(x->caller, x->body->allocated_len);
 }
 
 /* == after a target failed it == */
@@ -144,7 +156,7 @@
   x->status = h->status;
   x->stream = is_stream(x, h->status);
   g_string_truncate(x->fields, 0);
-  g_string_truncate(x->body, 0);
+  drop_body(x);
   wire_pass(x->fields, h->headers);
   return LINK_TAKE;
 }
@@ -168,12 +180,34 @@
 
 static void on_batch(void *ctx) {
   Run *x = ctx;
-  Err e;
   if (!x->head_out) return;
   caller_flush(x->caller);
-  if (caller_pending(x->caller) < PENDING_MOST) return;
-  err_set(&e, ERR_TARGET_CUT, "the caller takes its answer too slowly");
-  run_give_up(x, &e);
+  if (!caller_full(x->caller)) return;
+  x->paused_at = run_now(x);
+  count_add(COUNT_CALLER_PAUSED, 1);
+  link_pause(x->link);
+}
+
+void run_drained(Run *x) {
+  if (x->paused_at == 0 || !x->link) return;
+  x->paused_at = 0;
+  link_resume(x->link);
+}
+
+static bool is_too_slow(const Run *x) {
+  return x->link && x->paused_at > 0 &&
+         run_now(x) - x->paused_at > PAUSE_MOST_S;
+}
+
+void relay_end_slow(Relay *r) {
+  Err e;
+  for (Run *x = r->first, *next; x; x = next) {
+    next = x->next;
+    if (!is_too_slow(x)) continue;
+    count_add(COUNT_CALLER_SLOW, 1);
+    err_set(&e, ERR_TARGET_CUT, "the caller takes its answer too slowly");
+    run_give_up(x, &e);
+  }
 }
 
 static void whole(Run *x) {
@@ -265,6 +299,7 @@
   x->choice = *c;
   x->sent_at = now;
   x->first = x->refused = false;
+  x->paused_at = 0;
   x->tried[x->n_tried++] = c->target;
   x->sends++;
   if (x->n_tried == 1) retries_first(r->retries, now, x->service_name);
--- a/packages/flow/link.c
+++ b/packages/flow/link.c
@@ -390,6 +390,14 @@
   release(l);
 }
 
+void link_pause(Link *l) {
+  ev_io_stop(l->set->loop, &l->read);
+}
+
+void link_resume(Link *l) {
+  ev_io_start(l->set->loop, &l->read);
+}
+
 bool link_sent(const Link *l) {
   return l->sent;
 }
--- a/packages/flow/link.h
+++ b/packages/flow/link.h
@@ -76,6 +76,9 @@
 double links_heard(const Links *s);
 /* Gives the exchange up; the connection is closed and no event follows. */
 void link_cancel(Link *l);
+/* Nothing more of the answer is read until link_resume: its target waits. */
+void link_pause(Link *l);
+void link_resume(Link *l);
 /* True once a byte of the request has left. */
 bool link_sent(const Link *l);
 
--- a/packages/flow/relay.c
+++ b/packages/flow/relay.c
@@ -204,9 +204,15 @@
   run_left(x);
 }
 
+static void on_drained(void *ctx, Caller *c) {
+  (void)ctx;
+  Run *x = caller_get(c);
+  if (x) run_drained(x);
+}
+
 /* == the relay == */
 
-static const CallerEvents caller_events = {on_request, on_gone};
+static const CallerEvents caller_events = {on_request, on_gone, on_drained};
 
 /* What is known of requests that end targets. */
 static void free_suspects(Relay *r) {
@@ -238,6 +244,7 @@
   r->regions = o->regions;
   links_watch(r->links, relay_reach, r);
   r->callers = callers_open(loop, o->listen, &caller_events, r, e);
+  if (r->callers) callers_room(r->callers, (size_t)o->body_room);
   if (r->callers) return r;
   links_close(r->links);
   free_suspects(r);
--- a/packages/flow/run.c
+++ b/packages/flow/run.c
@@ -56,6 +56,7 @@
   if (x->next) x->next->prev = x->prev;
   if (r->first == x) r->first = x->next;
   r->n--;
+  caller_hold(x->caller, 0);
   conf_unref(x->conf);
   if (x->fields) g_string_free(x->fields, TRUE);
   if (x->body) g_string_free(x->body, TRUE);
--- a/packages/flow/run.h
+++ b/packages/flow/run.h
@@ -61,8 +61,9 @@
   bool first;      /* its first byte has come */
   double first_at; /* when; of this target */
   Link *link;
-  bool refused; /* the answer under way says that it did not run */
-  bool maybe;   /* it was sent somewhere and may have run */
+  double paused_at; /* nothing is read of its answer since; 0: it is read */
+  bool refused;     /* the answer under way says that it did not run */
+  bool maybe;       /* it was sent somewhere and may have run */
   /* answer */
   int status;
   GString *fields, *body;
@@ -145,6 +146,11 @@
 /* A connection to `addr` was tried; `ctx` is the relay. */
 void relay_reach(void *ctx, const char *addr, LinkReach how);
 
+/* Its caller has taken enough to get more. */
+void run_drained(Run *x);
+/* Ends those whose callers read so slowly that their targets would suffer. */
+void relay_end_slow(Relay *r);
+
 /* == trying.c: suspects == */
 
 /* Calls `go` at once, or once the store has its trial; or refuses it. */
--- a/packages/flow/sock.c
+++ b/packages/flow/sock.c
@@ -11,6 +11,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "kernel/limits.h"
+
 #define BACKLOG 1024    /* new connections that may wait */
 #define PROBE_AFTER_S 1 /* seconds of silence before a probe */
 #define PROBE_EVERY_S 1 /* seconds between probes */
@@ -90,14 +92,36 @@
   close(fd);
 }
 
+void sock_send_bound(int fd, int bytes) {
+  setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &bytes, sizeof bytes);
+}
+
+/* Who never takes everything must not make the buffer grow with all it took. */
+static void drop_sent(GString *out, size_t *off) {
+  if (*off < out->len / 2) return;
+  g_string_erase(out, 0, (gssize)*off);
+  *off = 0;
+}
+
+static void empty(GString *out) {
+  g_string_truncate(out, 0);
+  if (out->allocated_len <= LIMIT_BUFFER_KEPT) return;
+  out->allocated_len = LIMIT_BUFFER_KEPT;
+  out->str = g_realloc(out->str, out->allocated_len);
+}
+
 bool sock_write(int fd, GString *out, size_t *off) {
   while (*off < out->len) {
     ssize_t n = send(fd, out->str + *off, out->len - *off, MSG_NOSIGNAL);
     if (n < 0 && errno == EINTR) continue;
-    if (n < 0) return errno == EAGAIN || errno == EWOULDBLOCK;
+    if (n < 0) {
+      bool later = errno == EAGAIN || errno == EWOULDBLOCK;
+      if (later) drop_sent(out, off);
+      return later;
+    }
     *off += (size_t)n;
   }
-  g_string_truncate(out, 0);
+  empty(out);
   *off = 0;
   return true;
 }
--- a/packages/flow/sock.h
+++ b/packages/flow/sock.h
@@ -25,6 +25,9 @@
 /* Closes with a reset, so that the other side stops at once. */
 void sock_reset(int fd);
 
+/* The system buffers so many bytes of what is sent there. */
+void sock_send_bound(int fd, int bytes);
+
 /* Writes what it can of `out` from *off on; clears both when all has left.
    False when the connection is broken. */
 bool sock_write(int fd, GString *out, size_t *off);
--- a/packages/kernel/limits.h
+++ b/packages/kernel/limits.h
@@ -15,6 +15,27 @@
 #define LIMIT_CLAIM_ANSWER (2 << 10) /* bytes of an answer kept in a claim */
 #define LIMIT_KEPT (32 << 20) /* bytes of kept answers an instance holds */
 
+/* == bytes held for callers and targets that read slowly == */
+
+/* What callers send and have not taken yet shares one room, a part of the
+   memory. Of it each caller may have half of what is free, within these: many
+   slow ones get little each, and who reads nothing takes nobody's. */
+#define LIMIT_PENDING_LEAST (16 << 10)
+#define LIMIT_PENDING (1 << 20)
+/* Who takes so much gets more: its target sees that its answer is read. */
+#define LIMIT_PENDING_STEP (8 << 10)
+/* Of the system's buffer to one caller: with its own choice, up to 4 MB, a slow
+   caller's progress would be seen only in steps of a third of that. */
+#define LIMIT_SEND (128 << 10)
+#define LIMIT_ANSWER_WHOLE                                                     \
+  (256 << 10) /* of a plain answer, until it is whole */
+#define LIMIT_BUFFER_KEPT                                                      \
+  (32 << 10) /* of an empty buffer, for its next use                           \
+              */
+#define LIMIT_STORE_ANSWER                                                     \
+  (8 << 20) /* of one answer of the platform's store                           \
+             */
+
 /* == ledger, seconds and tokens == */
 
 #define LEDGER_DRAW_WAIT 1.5 /* a reservation waits this long for tokens */
--- a/packages/node/node.c
+++ b/packages/node/node.c
@@ -36,7 +36,8 @@
 #define LOG_LINES                                                              \
   500                /* a second; the busiest instance of the users' days      \
                         serves 40 requests a second */
-#define BODY_SHARE 3 /* of the memory, one part for bodies held */
+#define BODY_SHARE 4 /* of the memory, one part for bodies and answers held */
+#define READY_ROOM (1 << 20) /* bytes of the same, of questions */
 
 static Setting settings[] = {
     {"name", "LOFTPATH_NAME", SETTING_TEXT, NULL, "Name of this instance", 0, 0,
@@ -498,7 +499,8 @@
       on_conf,        on_target, on_gone,   on_listed, on_evacuation,
       on_evacuations, on_trial,  on_trials, on_duty,   on_tell,
       on_met,         on_knocks, on_asks};
-  static const CallerEvents ready_events = {on_question, on_questioner_gone};
+  static const CallerEvents ready_events = {on_question, on_questioner_gone,
+                                            on_questioner_gone};
   RetriesOptions retries = {.ratio = number("retry-ratio"),
                             .window_s = number("retry-window"),
                             .extra = number("retry-extra")};
@@ -525,6 +527,7 @@
   n->ready = callers_open(n->loop, settings_text(settings, "ready"),
                           &ready_events, n, e);
   if (!n->ready) return false;
+  callers_room(n->ready, READY_ROOM);
   n->feed = feed_open(n->loop, n->store, &feed_events, n);
   return true;
 }
--- /dev/null
+++ b/tests/slow.py
@@ -0,0 +1,155 @@
+#!/usr/bin/env python3
+"""slow.py: callers that read slowly or not at all, and a target that answers
+with more than a connection holds; real processes.
+
+Usage: slow.py BUILD_DIR [TEST...]"""
+import http.client
+import socket
+import sys
+import threading
+import time
+
+from fleet import BASE, Site, config, head, run_tests, wait_for
+
+SLOW = 500             # callers
+SLOW_BYTES_S = 1024    # that each reads
+ANSWER = 6 << 20       # bytes of one answer; what sockets take in is less
+UNREAD_S = 5.0         # a target ends an answer that waits for so long
+Site.memory_mb = 128
+OWN_SHARE = 0.75        # of it; what has come and is not read counts as well
+PIECE = bytes(16384)
+
+
+class Answers:
+    """A target's way to answer: with ANSWER bytes; how many were cut for want
+    of a reader, by the target itself."""
+
+    def __init__(self):
+        self.suffered = 0
+
+    def play(self, w, c, h):
+        if h["x-loftpath-attempt-id"].startswith("good"):
+            return None
+        c.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 16384)
+        c.settimeout(UNREAD_S)
+        c.sendall(head(h["x-loftpath-attempt-id"], "Content-Length: %d" % ANSWER))
+        try:
+            for _ in range(ANSWER // len(PIECE)):
+                c.sendall(PIECE)
+        except socket.timeout:
+            self.suffered += 1
+            return False
+        except OSError:
+            return False
+        return True
+
+
+def patient(s):
+    """Lets an answer take longer than a target waits."""
+    c = config(2)
+    c["routes"][1]["timeout_ms"] = 30000
+    s.store.put("config", "main", c)
+    wait_for("version 2", lambda: any(
+        l["event"] == "configuration" and l["version"] == 2 for l in s.log(0)))
+
+
+def ask(s, name):
+    c = socket.socket()
+    c.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    c.connect((s.ip(0), BASE))
+    c.sendall(b"GET /once/x HTTP/1.1\r\nHost: front\r\nAuthorization: Bearer "
+              b"key-acme\r\nX-Loftpath-Deadline-Ms: 30000\r\n"
+              b"X-Loftpath-Attempt-Id: " + name.encode() + b"\r\n\r\n")
+    return c
+
+
+def read_slowly(callers, end):
+    while time.monotonic() < end:
+        time.sleep(1)
+        for c in callers:
+            try:
+                c.recv(SLOW_BYTES_S, socket.MSG_DONTWAIT)
+            except OSError:
+                pass
+
+
+def peak_mb(s):
+    with open("/proc/%d/status" % s.processes[0].pid) as f:
+        return [int(l.split()[1]) for l in f if l.startswith("VmHWM")][0] / 1024
+
+
+def metric(s, name):
+    c = http.client.HTTPConnection(s.ip(0), BASE + 1, timeout=2)
+    c.request("GET", "/metrics")
+    return [int(l.split()[1]) for l in c.getresponse().read().decode().splitlines()
+            if l.startswith("loftpath_%s " % name)][0]
+
+
+def test_slow_callers_cost_neither_memory_nor_targets_nor_the_others(s):
+    answers = Answers()
+    patient(s)
+    for w in s.desks:
+        w.play = answers.play
+    callers = [ask(s, "slow%d" % i) for i in range(SLOW)]
+    dead = ask(s, "dead")
+    end = time.monotonic() + UNREAD_S + 3
+    reader = threading.Thread(target=read_slowly, args=(callers, end))
+    reader.start()
+    slowest = 0.0
+    while time.monotonic() < end - 1:
+        began = time.monotonic()
+        a = s.call("/once/x", "POST", b"b", X_Loftpath_Attempt_Id="good%g" % began)
+        assert a.status == 200, a.status
+        slowest = max(slowest, time.monotonic() - began)
+        time.sleep(0.05)
+    reader.join()
+    assert peak_mb(s) < OWN_SHARE * Site.memory_mb, "%.0f MB" % peak_mb(s)
+    assert slowest < 1.0, "a harmless caller waited %.2f s" % slowest
+    assert answers.suffered == 0, "%d targets waited in vain" % answers.suffered
+    assert metric(s, "caller_slow_total") >= SLOW / 2
+    for c in callers + [dead]:
+        c.close()
+
+
+def test_a_caller_that_pauses_and_goes_on_gets_all(s):
+    """A pause that is shorter than what a target bears costs nothing."""
+    s.desks[0].play = s.desks[1].play = Answers().play
+    patient(s)
+    c = ask(s, "pauses")
+    got = 0
+    for second in range(1, 5):
+        while got < second << 16:
+            got += len(c.recv(65536))
+        time.sleep(1.0)
+    while True:
+        data = c.recv(1 << 20)
+        got += len(data)
+        if not data or got >= ANSWER + 100:
+            break
+    assert got >= ANSWER, got
+    assert metric(s, "caller_slow_total") == 0
+    c.close()
+
+
+def test_what_is_left_of_a_last_answer_is_delivered_late(s):
+    """The instance is stopping, so its answer ends the connection."""
+    s.desks[0].play = s.desks[1].play = lambda w, c, h: (
+        c.sendall(head(h["x-loftpath-attempt-id"], "Content-Length: 400000")
+                  + bytes(400000)) or True)
+    c = ask(s, "late")
+    wait_for("the answer", lambda: any(
+        l["event"] == "request" for l in s.log(0)))
+    got = 0
+    for _ in range(3):
+        got += len(c.recv(2000))
+        time.sleep(1.5)
+    c.settimeout(5)
+    while got < 400000:
+        data = c.recv(65536)
+        assert data, "cut off after %d bytes" % got
+        got += len(data)
+    c.close()
+
+
+if __name__ == "__main__":
+    sys.exit(run_tests(globals()))
