Account of calls to the store by purpose, in the metrics, the log and loftpath account

Every call is counted by kind of object, for whom it is made (reader, self, budget, trial), operation, outcome (served, empty, lost, refused, unheard) and whether the store had failed one shortly before; a line each five seconds tells the sums, so that the volume does not grow with the calls. Tests: test_calls.

--- a/packages/fleet/cluster.c
+++ b/packages/fleet/cluster.c
@@ -94,10 +94,10 @@
   call->put = a->what == LEDGER_DO_PUT;
   g_snprintf(name, sizeof name, "%03d", a->shard);
   if (call->put)
-    store_put(c->store, BUDGET_KIND, name, a->version,
+    store_put(c->store, CALLS_BUDGET, BUDGET_KIND, name, a->version,
               json_loads(a->text, 0, NULL), on_stored, call);
   else
-    store_get(c->store, BUDGET_KIND, name, on_stored, call);
+    store_get(c->store, CALLS_BUDGET, BUDGET_KIND, name, on_stored, call);
   g_free(a->text);
 }
 
--- a/packages/flow/trying.c
+++ b/packages/flow/trying.c
@@ -137,17 +137,18 @@
   name_of(t, name);
   t->calling = true;
   if (t->unknown) {
-    store_get(s, FEED_TRIALS_KIND, name, on_looked, t);
+    store_get(s, CALLS_TRIAL, FEED_TRIALS_KIND, name, on_looked, t);
     return;
   }
   log_try(t, t->well ? "well" : outcomes[t->outcome]);
   if (t->well) {
-    store_delete(s, FEED_TRIALS_KIND, name, t->trial.revision, on_closed, t);
+    store_delete(s, CALLS_TRIAL, FEED_TRIALS_KIND, name, t->trial.revision,
+                 on_closed, t);
     return;
   }
   Trial closed = trials_close(&t->trial, t->outcome);
-  store_put(s, FEED_TRIALS_KIND, name, t->trial.revision, trials_write(&closed),
-            on_closed, t);
+  store_put(s, CALLS_TRIAL, FEED_TRIALS_KIND, name, t->trial.revision,
+            trials_write(&closed), on_closed, t);
 }
 
 /* Whether its outcome can't change any more. */
@@ -247,7 +248,8 @@
   if (!trials_shed(r->trials, &old)) return;
   digest_text(old.digest, name);
   count_add(COUNT_SUSPECTS_SHED, 1);
-  store_delete(r->store, FEED_TRIALS_KIND, name, old.revision, on_shed, NULL);
+  store_delete(r->store, CALLS_TRIAL, FEED_TRIALS_KIND, name, old.revision,
+               on_shed, NULL);
 }
 
 static void begin(Run *x, void (*go)(Run *x)) {
@@ -266,7 +268,7 @@
   x->try = t;
   g_ptr_array_add(r->tries, t);
   name_of(t, name);
-  store_put(r->store, FEED_TRIALS_KIND, name, t->trial.revision,
+  store_put(r->store, CALLS_TRIAL, FEED_TRIALS_KIND, name, t->trial.revision,
             trials_write(&t->trial), on_begun, t);
 }
 
--- a/packages/node/node.c
+++ b/packages/node/node.c
@@ -16,8 +16,9 @@
 #include "kernel/settings.h"
 #include "node/feed.h"
 
-#define TICK_S 0.05 /* between looks at what waits */
-#define SWEEP_S 1.0 /* between looks for targets to forget */
+#define TICK_S 0.05       /* between looks at what waits */
+#define SWEEP_S 1.0       /* between looks for targets to forget */
+#define CALLS_EVERY_S 5.0 /* between lines on calls to the store */
 /* Seconds for each instance between two words on pools: 40 bytes for each pool
    and other instance, so 0.8 KB/s at any size. */
 #define POOLS_EACH_S 0.05
@@ -101,6 +102,7 @@
   ev_timer tick, sweep;
   ev_prepare turn;
   ev_signal term, intr, hup;
+  double calls_at; /* when calls to the store were last logged */
   double pools_at; /* when the others are told of our pools next */
   int instances;   /* of the fleet, with ourselves */
   int seeds;       /* that the settings name */
@@ -308,6 +310,13 @@
   targets_pool_told(n->targets, loopclock_now(n->loop), from, m);
 }
 
+/* What the store was called for since the last such line. */
+static void log_calls(Node *n) {
+  n->calls_at = loopclock_now(n->loop);
+  json_t *news = calls_news(store_calls(n->store));
+  if (news) log_info("store-calls", "s:o", "calls", news);
+}
+
 /* Each instance hears of all, so they tell more seldom the more there are. */
 static void tell_pools(Node *n) {
   double now = loopclock_now(n->loop);
@@ -343,13 +352,18 @@
          cluster_settled(n->cluster);
 }
 
+static void print_metrics(Node *n, GString *out) {
+  count_print(out);
+  calls_print(store_calls(n->store), out);
+}
+
 static void on_question(void *ctx, Caller *c, const CallerReq *r,
                         const Err *bad) {
   Node *n = ctx;
   GString *text = g_string_new(NULL);
   int status = 200;
   if (!bad && strcmp(r->target->str, "/metrics") == 0)
-    count_print(text);
+    print_metrics(n, text);
   else
     status = is_ready(n) ? 200 : 503;
   caller_head(c, status, "", (int64_t)text->len);
@@ -375,6 +389,7 @@
 }
 
 static void end(Node *n, bool clean) {
+  log_calls(n);
   log_info("stopped", "s:b,s:i", "clean", (int)clean, "open",
            relay_open_requests(n->relay));
   n->status = clean ? 0 : 3;
@@ -452,6 +467,7 @@
   targets_sweep(n->targets, loopclock_now(loop));
   relay_sweep(n->relay);
   tell_pools(n);
+  if (loopclock_now(loop) - n->calls_at >= CALLS_EVERY_S) log_calls(n);
 }
 
 static void on_hup(struct ev_loop *loop, ev_signal *w, int revents) {
--- a/packages/report/account.c
+++ b/packages/report/account.c
@@ -7,6 +7,7 @@
 
 #include "report/evacuations.h"
 #include "report/lines.h"
+#include "report/storecalls.h"
 
 #define WINDOW_S 2.0 /* of the table by moment */
 #define TOP 8        /* customers that are listed */
@@ -35,6 +36,7 @@
   GHashTable *moments;   /* number of a window -> long[OUTS] */
   GHashTable *customers; /* name -> long*, requests refused */
   Evacuations *evacuations;
+  StoreCalls *calls;
   double begin; /* of the first line */
   long n;       /* requests */
 };
@@ -82,6 +84,7 @@
   a->moments = g_hash_table_new_full(NULL, NULL, NULL, g_free);
   a->customers = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
   a->evacuations = report_evacuations_new();
+  a->calls = report_storecalls_new();
   a->begin = INFINITY;
   return a;
 }
@@ -91,6 +94,7 @@
   g_hash_table_destroy(a->moments);
   g_hash_table_destroy(a->customers);
   report_evacuations_free(a->evacuations);
+  report_storecalls_free(a->calls);
   g_free(a);
 }
 
@@ -137,6 +141,7 @@
   double t = line_number(line, "t");
   a->begin = MIN(a->begin, t);
   report_evacuations_add(a->evacuations, line);
+  report_storecalls_add(a->calls, line);
   if (!line_is(line, "request")) return;
   a->n++;
   const char *cause = report_cause(line);
@@ -259,4 +264,5 @@
   print_moments(a, out);
   print_customers(a, out);
   report_evacuations_print(a->evacuations, a->begin, out);
+  report_storecalls_print(a->calls, out);
 }
--- /dev/null
+++ b/tests/test_calls.c
@@ -0,0 +1,67 @@
+/* test_calls.c: calls to the store are counted by what they were for, told
+   once, and summed by the report. */
+#include <criterion/criterion.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "report/account.h"
+#include "store/calls.h"
+
+Test(calls, are_told_as_counts_since_the_last_word) {
+  Calls *c = calls_new();
+  calls_note(c, "servers", CALLS_READER, CALLS_WATCH, CALLS_EMPTY, false);
+  calls_note(c, "servers", CALLS_READER, CALLS_WATCH, CALLS_EMPTY, false);
+  calls_note(c, "budgets", CALLS_BUDGET, CALLS_PUT, CALLS_REFUSED, true);
+  json_t *news = calls_news(c);
+  cr_assert_eq(json_array_size(news), 2);
+  json_decref(news);
+  cr_assert_null(calls_news(c));
+  calls_note(c, "servers", CALLS_READER, CALLS_WATCH, CALLS_EMPTY, false);
+  news = calls_news(c);
+  char *text = json_dumps(news, JSON_COMPACT);
+  cr_assert_str_eq(text,
+                   "[[\"servers\",\"reader\",\"watch\",\"empty\",false,1]]");
+  free(text);
+  json_decref(news);
+  calls_free(c);
+}
+
+Test(calls, stand_in_the_metrics) {
+  Calls *c = calls_new();
+  GString *out = g_string_new(NULL);
+  calls_note(c, "budgets", CALLS_BUDGET, CALLS_PUT, CALLS_REFUSED, true);
+  calls_print(c, out);
+  cr_assert_not_null(
+      strstr(out->str, "loftpath_store_calls_total{kind=\"budgets\",purpose="
+                       "\"budget\",op=\"put\",outcome=\"refused\",trouble="
+                       "\"1\"} 1\n"));
+  g_string_free(out, TRUE);
+  calls_free(c);
+}
+
+Test(calls, are_summed_over_instances_the_most_first) {
+  static const char *const lines[] = {
+      "{\"t\":1,\"event\":\"store-calls\",\"calls\":[[\"config\",\"self\","
+      "\"get\",\"served\",false,3],[\"servers\",\"reader\",\"watch\",\"empty\","
+      "true,2]]}",
+      "{\"t\":2,\"event\":\"store-calls\",\"calls\":[[\"servers\",\"reader\","
+      "\"watch\",\"empty\",false,5],[\"damaged\"]]}"};
+  Account *a = report_account_new();
+  for (size_t i = 0; i < G_N_ELEMENTS(lines); i++) {
+    json_t *line = json_loads(lines[i], 0, NULL);
+    report_account_add(a, line);
+    json_decref(line);
+  }
+  char *text = NULL;
+  size_t n;
+  FILE *out = open_memstream(&text, &n);
+  report_account_print(a, out);
+  fclose(out);
+  const char *first = strstr(text, "reader   servers      watch     empty");
+  const char *second = strstr(text, "self     config       get       served");
+  cr_assert(first && second && first < second, "%s", text);
+  cr_assert_not_null(strstr(first, "       5        2"));
+  cr_assert_not_null(strstr(text, "10 calls to the store"));
+  free(text);
+  report_account_free(a);
+}
