Learning a target and choosing one no longer grow with the pool

Cause of the largest part: each target that was learned sorted its whole pool, and each choice walked all members three to six times. Now a pool is put into order when that is asked for (few new ones are placed, many sorted once); who is told of is looked up; of a pool of more than 512 the homes of the prompt (a ring with several probes, by the same hashes everywhere) and sixteen others are looked at; what most targets never get (parts, others' words, sends) is made with the first use; nothing is swept while nothing has left. Pools up to 512, so all earlier deployments, are chosen from as before.

--- a/packages/route/choose.c
+++ b/packages/route/choose.c
@@ -32,18 +32,24 @@
    that streams beside it allow: a few of them in a row break that pause. */
 #define LONG_PAUSES 0.4
 
+/* A pool up to this size is walked for each choice, a few microseconds; of a
+   larger one the homes of the prompt are looked at, and some others. */
+#define TARGETS_WALKED 512
+#define TARGETS_DRAWN 16
+
 #define DONOR_AGE_S 0.5 /* a donor has read by then what it was sent */
 #define MOVE_LEAST 64   /* tokens; less is read anew in a few milliseconds */
 
 typedef struct Pick {
   const Targets *set;
+  Pool *pool;
   const TargetAsk *ask;
   double now;
   bool asking; /* which targets to ask for, not which gets it */
   bool long_prompt;
-  double slope;        /* seconds a token takes to be read */
-  uint64_t home;       /* weight of the prompt's home, 0: none; where work is
-                          told, of the second one */
+  double slope; /* seconds a token takes to be read */
+  Target *homes[POOL_HOMES];
+  int n_homes;
   const Target *donor; /* has most of the prompt in its memory; NULL: none */
   int64_t donated;     /* that many tokens */
 } Pick;
@@ -77,6 +83,22 @@
   return (TargetLoad){.open = w->open, .tokens = w->tokens};
 }
 
+/* Whether it may get one more, as far as it is cold. */
+static bool has_room(const Pick *p, const Target *t) {
+  double rate = p->ask->cold_rate;
+  const TallyWord *w = word_of(p, t);
+  if (rate <= 0 || p->now >= t->cold_until) return true;
+  static const Cold unused;
+  return cold_admits(&p->set->cold_share, t->use ? &t->use->cold : &unused,
+                     p->now, rate, t->hash, w ? w->starts : -1);
+}
+
+/* May it be sent there at all? */
+static bool may_take(const Pick *p, const Target *t) {
+  if (!target_usable(t, p->now) || was_tried(p->ask, t)) return false;
+  return allowed(p, t, REGIONS_TARGET) && (p->asking || has_room(p, t));
+}
+
 /* == homes of prompts == */
 
 /* The deepest shared part decides the home, so that all instances agree
@@ -85,14 +107,58 @@
   return XXH64(t->info.id, strlen(t->info.id), key);
 }
 
-static void find_home(Pick *p, GPtrArray *list) {
-  uint64_t key = parts_key(p->ask->ask), first = 0, second = 0;
+/* The two of a list with the highest weights. */
+static int weigh(const Pick *p, const GPtrArray *list, bool sound_only,
+                 Target *homes[POOL_HOMES]) {
+  uint64_t key = parts_key(p->ask->ask), top[POOL_HOMES] = {0};
+  int n = 0;
   for (guint i = 0; i < list->len && key != 0; i++) {
-    uint64_t w = home_weight(list->pdata[i], key);
-    second = MAX(second, MIN(w, first));
-    first = MAX(first, w);
+    Target *t = list->pdata[i];
+    uint64_t w = home_weight(t, key);
+    if ((sound_only && !sound(p, t)) || (n == 2 && w <= top[1])) continue;
+    int at = n < 2 ? n++ : 1;
+    if (at == 1 && w > top[0]) {
+      top[1] = top[0];
+      homes[1] = homes[0];
+      at = 0;
+    }
+    top[at] = w;
+    homes[at] = t;
   }
-  p->home = p->ask->n_words > 0 ? second : first;
+  return n;
+}
+
+static bool may_be_home(const void *ctx, const Target *t) {
+  const Pick *p = ctx;
+  return may_take(p, t) && sound(p, t);
+}
+
+static bool is_large(const Pool *pool) {
+  return pool->members->len > TARGETS_WALKED;
+}
+
+/* Among `list`; in a large pool among all that it holds. */
+static void find_homes(Pick *p, Pool *pool, const GPtrArray *list) {
+  uint64_t key = parts_key(p->ask->ask);
+  if (!is_large(pool))
+    p->n_homes = weigh(p, list, p->asking, p->homes);
+  else if (key != 0)
+    p->n_homes = pool_homes(pool, key, may_be_home, p, p->homes);
+}
+
+/* Where work is told a prompt has two homes, else one. */
+static bool is_home(const Pick *p, const Target *t) {
+  int n = MIN(p->n_homes, p->ask->n_words > 0 ? 2 : 1);
+  for (int i = 0; i < n; i++)
+    if (p->homes[i] == t) return true;
+  return false;
+}
+
+/* Tokens of the prompt that it got from us or, as far as they tell, from
+   others, `age_s` ago or earlier. */
+static int64_t kept_there(const Pick *p, const Target *t, double age_s) {
+  if (!t->use) return 0;
+  return parts_kept(t->use->parts, p->ask->ask, p->now, age_s);
 }
 
 /* Parts that are read elsewhere than at one of their homes are read once more
@@ -101,7 +167,7 @@
   const Ask *a = p->ask->ask;
   const TallyWord *w = word_of(p, t);
   uint64_t key = parts_key(a);
-  if (!w || key == 0 || home_weight(t, key) >= p->home) return 0;
+  if (!w || key == 0 || is_home(p, t)) return 0;
   return parts_shared(a) - parts_first(a, w->known);
 }
 
@@ -109,14 +175,25 @@
   const Ask *a = p->ask->ask;
   const TallyWord *w = word_of(p, t);
   if (w) return parts_tokens(a) - parts_first(a, w->known);
-  int64_t all = parts_tokens(a), had = parts_kept(t->parts, a, p->now, 0);
+  int64_t all = parts_tokens(a), had = kept_there(p, t, 0);
   uint64_t key = parts_key(a);
   if (had > 0 || key == 0 || p->set->parts_are_told) return all - had;
   /* Its home has most likely read the shared parts for somebody else. */
-  if (home_weight(t, key) != p->home) return all;
+  if (!is_home(p, t)) return all;
   return all - parts_shared(a);
 }
 
+/* Those that somebody told of. */
+static GPtrArray *told_of(const Pick *p) {
+  GPtrArray *list = g_ptr_array_new();
+  for (int i = 0; i < p->ask->n_words; i++) {
+    uint64_t hash = p->ask->words[i].target;
+    Target *t = g_hash_table_lookup(p->set->by_hash, &hash);
+    if (t && t->pool == p->pool) g_ptr_array_add(list, t);
+  }
+  return list;
+}
+
 /* == memory that is moved == */
 
 /* What one target has read another takes over in a fraction of the time, so a
@@ -128,22 +205,25 @@
   const TallyWord *w = word_of(p, t);
   if (!sound(p, t)) return 0;
   if (w) return parts_first(p->ask->ask, w->ripe);
-  return parts_kept(t->parts, p->ask->ask, p->now, DONOR_AGE_S);
+  return kept_there(p, t, DONOR_AGE_S);
 }
 
-static void find_donor(Pick *p, const Pool *pool) {
+/* The one that has read the most, of those whose reading is known. */
+static void find_donor(Pick *p) {
   bool told = p->set->parts_are_told || p->ask->n_words > 0;
   if (!told) return; /* who has it is a guess there */
   if (p->ask->move_s <= 0 || p->ask->move_s >= p->slope) return;
-  for (guint i = 0; i < pool->members->len; i++) {
-    const Target *t = pool->members->pdata[i];
-    if (p->ask->n_words > 0 && !word_of(p, t)) continue;
+  bool words = p->ask->n_words > 0;
+  GPtrArray *list = words ? told_of(p) : g_ptr_array_ref(p->pool->members);
+  for (guint i = 0; i < list->len; i++) {
+    const Target *t = list->pdata[i];
     if (!allowed(p, t, REGIONS_DONOR)) continue;
     int64_t had = ripe_tokens(p, t);
     if (had <= p->donated) continue;
     p->donor = t;
     p->donated = had;
   }
+  g_ptr_array_unref(list);
 }
 
 /* Takes what the donor has beyond the target's own. */
@@ -232,7 +312,7 @@
   }
   cost += c->wait_s;
   if (strcmp(t->info.dc, p->set->dc) != 0) cost += CROSS_S;
-  if (p->now < t->cold.until) cost += COLD_S;
+  if (p->now < t->cold_until) cost += COLD_S;
   if (p->now < t->aside_until) cost += ASIDE_COST_S;
   if (t->lapsed) cost += LAPSED_COST_S;
   if (p->ask->alone) cost += c->load.open * BESIDE_COST_S;
@@ -257,59 +337,52 @@
   return why;
 }
 
-/* Whether it may get one more, as far as it is cold. */
-static bool has_room(const Pick *p, const Target *t) {
-  double rate = p->ask->cold_rate;
-  const TallyWord *w = word_of(p, t);
-  if (rate <= 0 || p->now >= t->cold.until) return true;
-  return cold_admits(&p->set->cold_share, &t->cold, p->now, rate, t->hash,
-                     w ? w->starts : -1);
+static void walk(const Pick *p, GPtrArray *list) {
+  GPtrArray *members = pool_members(p->pool);
+  p->pool->looks += members->len;
+  for (guint i = 0; i < members->len; i++)
+    if (may_take(p, members->pdata[i]))
+      g_ptr_array_add(list, members->pdata[i]);
 }
 
-/* All that may take it; of these only those that somebody told of, if any. */
-static GPtrArray *candidates(const Pick *p, const Pool *pool) {
-  GPtrArray *list = g_ptr_array_new();
-  GPtrArray *told = g_ptr_array_new();
-  for (guint i = 0; i < pool->members->len; i++) {
-    Target *t = pool->members->pdata[i];
-    if (!target_usable(t, p->now) || was_tried(p->ask, t)) continue;
-    if (!allowed(p, t, REGIONS_TARGET)) continue;
-    if (!p->asking && !has_room(p, t)) continue;
-    g_ptr_array_add(list, t);
-    if (word_of(p, t) && sound(p, t)) g_ptr_array_add(told, t);
+/* Some at random: of a few of many the one with the least work is nearly as
+   good as the best of all. */
+static void draw(const Pick *p, GPtrArray *list) {
+  GPtrArray *members = p->pool->members;
+  p->pool->looks += TARGETS_DRAWN;
+  for (int i = 0; i < TARGETS_DRAWN; i++) {
+    guint k = (guint)g_rand_int_range(p->set->rand, 0, (gint32)members->len);
+    if (may_take(p, members->pdata[k]))
+      g_ptr_array_add(list, members->pdata[k]);
   }
-  GPtrArray *left = told->len > 0 ? list : told;
-  g_ptr_array_free(left, TRUE);
-  return left == list ? told : list;
 }
 
-/* The two with the highest weights for the prompt; all instances agree. */
-static int add_homes(const Pick *p, const GPtrArray *list, uint64_t *out) {
-  uint64_t key = parts_key(p->ask->ask), top[2] = {0};
-  int n = 0;
-  for (guint i = 0; i < list->len && key != 0; i++) {
-    const Target *t = list->pdata[i];
-    uint64_t w = home_weight(t, key);
-    if (!sound(p, t) || (n == 2 && w <= top[1])) continue;
-    int at = n < 2 ? n++ : 1;
-    if (at == 1 && w > top[0]) {
-      top[1] = top[0];
-      out[1] = out[0];
-      at = 0;
-    }
-    top[at] = w;
-    out[at] = t->hash;
+/* All that may take it, of a large pool its homes and some more; of these only
+   those that somebody told of, if any. */
+static GPtrArray *candidates(Pick *p) {
+  GPtrArray *told = told_of(p), *list = g_ptr_array_new();
+  for (guint i = 0; i < told->len; i++)
+    if (may_be_home(p, told->pdata[i])) g_ptr_array_add(list, told->pdata[i]);
+  g_ptr_array_free(told, TRUE);
+  if (list->len > 0) return list;
+  if (is_large(p->pool)) {
+    find_homes(p, p->pool, list);
+    for (int i = 0; i < p->n_homes; i++) g_ptr_array_add(list, p->homes[i]);
+    draw(p, list);
   }
-  return n;
+  if (list->len == 0) walk(p, list);
+  return list;
 }
 
 int targets_to_ask(Targets *s, double now, const TargetAsk *ask,
                    uint64_t out[TARGETS_ASKED]) {
-  const Pool *pool = g_hash_table_lookup(s->pools, ask->service);
+  Pool *pool = g_hash_table_lookup(s->pools, ask->service);
   if (!pool) return 0;
-  Pick p = {.set = s, .ask = ask, .now = now, .asking = true};
-  GPtrArray *list = candidates(&p, pool);
-  int len = (int)list->len, n = add_homes(&p, list, out);
+  Pick p = {.set = s, .pool = pool, .ask = ask, .now = now, .asking = true};
+  GPtrArray *list = candidates(&p);
+  find_homes(&p, pool, list);
+  int len = (int)list->len, n = 0;
+  for (int i = 0; i < p.n_homes; i++) out[n++] = p.homes[i]->hash;
   for (int tries = 0; n < TARGETS_ASKED && tries < 2 * TARGETS_ASKED && len > 0;
        tries++) {
     const Target *t = list->pdata[g_rand_int_range(s->rand, 0, len)];
@@ -327,15 +400,15 @@
   double least = INFINITY;
   bool beside_long = false;
   if (!pool) return best;
-  Pick p = {.set = s, .ask = ask, .now = now};
+  Pick p = {.set = s, .pool = pool, .ask = ask, .now = now};
   p.slope = s->parts_are_told ? fit_slope(&pool->first) : TARGETS_TOKEN_S;
   p.long_prompt = is_long(&p);
-  GPtrArray *list = candidates(&p, pool);
+  GPtrArray *list = candidates(&p);
   int n = (int)list->len;
   if (ask->engine) {
     beside_long = divide(&p, pool, list);
-    find_home(&p, list);
-    find_donor(&p, pool);
+    find_homes(&p, pool, list);
+    find_donor(&p);
   }
   for (guint i = 0; i < list->len; i++) {
     TargetChoice c = {.target = list->pdata[i]};
--- a/packages/route/cold.h
+++ b/packages/route/cold.h
@@ -39,9 +39,8 @@
    them in a second while the target is cold. */
 #define COLD_SENDS 32
 
-/* What is known of one target. */
+/* What we sent to one target. */
 typedef struct Cold {
-  double until;            /* it is cold until then */
   double sent[COLD_SENDS]; /* when we last sent it something */
   int n;                   /* that were sent in all */
 } Cold;
--- a/packages/route/state.h
+++ b/packages/route/state.h
@@ -7,6 +7,7 @@
 #include "route/evacuation.h"
 #include "route/fit.h"
 #include "route/parts.h"
+#include "route/pool.h"
 #include "route/targets.h"
 
 /* Seconds that a token takes to be read, before an answer was seen, and where
@@ -22,14 +23,13 @@
   double at;
 } Other;
 
-/* All targets of a service, and what is learned of them together. */
-typedef struct Pool {
-  char service[LIMIT_NAME];
-  GPtrArray *members; /* Target*, in the order of their hashes */
-  Fit first;          /* seconds until the first byte, by tokens to read */
-  Division *division;
-  uint64_t hash; /* of the service */
-} Pool;
+/* What we did with a target, and what others told of it. Most of a large
+   fleet's targets never get any: they are known by their entries alone. */
+typedef struct Use {
+  Cold cold; /* what we sent */
+  Parts *parts;
+  GHashTable *others; /* hash of an instance -> Other */
+} Use;
 
 struct Target {
   Targets *set;
@@ -40,7 +40,7 @@
   double leave_at;  /* no new work from here on; INFINITY: stays */
   bool lapsed;      /* its entry is missing, perhaps by an outage only */
   bool evacuated;   /* its data centre is */
-  Cold cold;
+  double cold_until;
   double aside_until, aside_s;
   double fail;     /* mean of failures, 0 to 1 */
   double took_s;   /* mean time of an answer */
@@ -50,10 +50,9 @@
   int64_t backlog; /* tokens that these have to read */
   int told_running, told_waiting;
   double told_at;
-  double pace; /* how long work took there then, 1: as usual; 0: not told */
-  Parts *parts;
-  GHashTable *others; /* hash of an instance -> Other */
-  bool changed;       /* our work there, since it was told */
+  double pace;  /* how long work took there then, 1: as usual; 0: not told */
+  Use *use;     /* NULL: none yet */
+  bool changed; /* our work there, since it was told */
 };
 
 struct Targets {
@@ -68,6 +67,7 @@
   GPtrArray *retired;  /* former lives, whose requests may still be open */
   GQueue changed;      /* Target* */
   GQueue parts_news;   /* TargetParts* */
+  bool any_left;       /* a target has left and is not forgotten yet */
   bool parts_are_told; /* by the other instances, too */
   GRand *rand;
 };
--- a/packages/route/targets.c
+++ b/packages/route/targets.c
@@ -27,28 +27,32 @@
 #define TOOK_WEIGHT 0.1  /* of one answer in the mean time */
 #define SLOW_WEIGHT 0.1  /* of one first byte in the mean of a target's pace */
 #define SLOW_MOST 4.0    /* one first byte counts for no more than this */
-/* The line of first bytes before any was seen: the users' sheets give 32,400
-   to 50,700 tokens a second. Forgotten after some thirty answers. */
-#define FIRST_BASE_S 0.01
-#define FIRST_SPAN 5000 /* tokens */
 /* Word of another instance counts for this long: prompts are read in less, and
    one that is lost or cut off tells no more. */
 #define OTHERS_FRESH_S 2.0
 
+static void use_free(Use *u) {
+  if (!u) return;
+  parts_free(u->parts);
+  g_hash_table_destroy(u->others);
+  g_free(u);
+}
+
+static Use *use_of(Target *t) {
+  if (t->use) return t->use;
+  t->use = g_new0(Use, 1);
+  t->use->parts = parts_new();
+  t->use->others =
+      g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+  return t->use;
+}
+
 static void target_free(gpointer p) {
   Target *t = p;
-  parts_free(t->parts);
-  g_hash_table_destroy(t->others);
+  use_free(t->use);
   g_free(t);
 }
 
-static void pool_free(gpointer p) {
-  Pool *pool = p;
-  g_ptr_array_free(pool->members, TRUE);
-  division_free(pool->division);
-  g_free(pool);
-}
-
 Targets *targets_new(const char *dc, uint32_t seed) {
   Targets *s = g_new0(Targets, 1);
   g_strlcpy(s->dc, dc, sizeof s->dc);
@@ -85,21 +89,11 @@
 static Pool *pool_of(Targets *s, const char *service) {
   Pool *pool = g_hash_table_lookup(s->pools, service);
   if (pool) return pool;
-  pool = g_new0(Pool, 1);
-  g_strlcpy(pool->service, service, sizeof pool->service);
-  pool->members = g_ptr_array_new();
-  pool->division = division_new();
-  pool->hash = text_hash(service);
-  fit_start(&pool->first, FIRST_BASE_S, TARGETS_TOKEN_S, FIRST_SPAN);
+  pool = pool_new(service);
   g_hash_table_insert(s->pools, pool->service, pool);
   return pool;
 }
 
-static gint by_hash(gconstpointer a, gconstpointer b) {
-  const Target *x = *(const Target *const *)a, *y = *(const Target *const *)b;
-  return x->hash < y->hash ? -1 : x->hash > y->hash;
-}
-
 /* What instances tell each other of a target is of one life of it. */
 static uint64_t hash_of(const TargetInfo *info) {
   if (info->born == 0) return text_hash(info->id);
@@ -113,26 +107,34 @@
   t->hash = hash_of(info);
   t->leave_at = INFINITY;
   t->slow = 1;
-  t->parts = parts_new();
-  t->others =
-      g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
   t->pool = pool_of(s, info->service);
-  g_ptr_array_add(t->pool->members, t);
-  g_ptr_array_sort(t->pool->members, by_hash);
+  pool_add(t->pool, t);
   g_hash_table_insert(s->by_id, t->info.id, t);
   g_hash_table_insert(s->by_hash, &t->hash, t);
   return t;
 }
 
+static void leave(Target *t, double now, bool lapsed) {
+  double at = lapsed ? now + TARGET_LAPSE_S : now;
+  t->lapsed |= lapsed;
+  t->leave_at = MIN(t->leave_at, at);
+  t->set->any_left = true;
+}
+
 /* Takes it out of everything but its own requests. */
 static void retire(Targets *s, double now, Target *t) {
-  t->leave_at = MIN(t->leave_at, now);
+  leave(t, now, false);
   g_hash_table_steal(s->by_id, t->info.id);
   g_hash_table_remove(s->by_hash, &t->hash);
-  g_ptr_array_remove(t->pool->members, t);
+  pool_remove(t->pool, t);
   g_ptr_array_add(s->retired, t);
 }
 
+static void set_cold(Target *t, double until) {
+  t->cold_until = until;
+  t->pool->cold_until = MAX(t->pool->cold_until, until);
+}
+
 static bool is_same_life(const Target *t, const TargetInfo *info) {
   return t->info.born == info->born &&
          strcmp(t->info.service, info->service) == 0;
@@ -146,24 +148,18 @@
   if (again) t = NULL;
   bool news = !t || info->revision > t->info.revision;
   if (!t) t = target_new(s, info);
-  if (news) t->cold.until = now + info->cold_s;
+  if (news) set_cold(t, now + info->cold_s);
   t->info = *info;
   t->lapsed = false;
   t->evacuated = evacuation_holds(s->evacuation, info->dc);
   t->region = s->regions ? regions_of_dc(s->regions, info->dc) : 0;
   if (info->leaving)
-    t->leave_at = MIN(t->leave_at, now);
+    leave(t, now, false);
   else
     t->leave_at = INFINITY;
   return again;
 }
 
-static void leave(Target *t, double now, bool lapsed) {
-  double at = lapsed ? now + TARGET_LAPSE_S : now;
-  t->lapsed |= lapsed;
-  t->leave_at = MIN(t->leave_at, at);
-}
-
 void targets_gone(Targets *s, double now, const char *id, bool lapsed) {
   Target *t = g_hash_table_lookup(s->by_id, id);
   if (t) leave(t, now, lapsed);
@@ -224,17 +220,22 @@
   cold_place(&s->cold_share, now, rank, of);
 }
 
+uint64_t targets_looks(const Targets *s) {
+  uint64_t n = 0;
+  GHashTableIter it;
+  gpointer pool;
+  g_hash_table_iter_init(&it, s->pools);
+  while (g_hash_table_iter_next(&it, NULL, &pool)) n += ((Pool *)pool)->looks;
+  return n;
+}
+
 bool targets_any_cold(const Targets *s, double now, const char *service) {
   const Pool *pool = g_hash_table_lookup(s->pools, service);
-  for (guint i = 0; pool && i < pool->members->len; i++) {
-    const Target *t = pool->members->pdata[i];
-    if (now < t->cold.until) return true;
-  }
-  return false;
+  return pool && now < pool->cold_until;
 }
 
 void target_cold(Target *t, double now, double left_s) {
-  t->cold.until = MAX(t->cold.until, now + left_s);
+  set_cold(t, MAX(t->cold_until, now + left_s));
 }
 
 /* == what ends them == */
@@ -267,12 +268,18 @@
   Target *t = value;
   if (!is_over(t, *(double *)now)) return FALSE;
   g_hash_table_remove(t->set->by_hash, &t->hash);
-  g_ptr_array_remove(t->pool->members, t);
+  pool_remove(t->pool, t);
   g_queue_remove(&t->set->changed, t);
   return TRUE;
 }
 
+static void note_left(gpointer id, gpointer target, gpointer any) {
+  (void)id;
+  *(bool *)any |= !isinf(((const Target *)target)->leave_at);
+}
+
 void targets_sweep(Targets *s, double now) {
+  if (!s->any_left) return;
   g_hash_table_foreach_remove(s->by_id, forgotten, &now);
   for (guint i = s->retired->len; i-- > 0;) {
     Target *t = s->retired->pdata[i];
@@ -280,6 +287,8 @@
     g_queue_remove(&s->changed, t);
     g_ptr_array_remove_index_fast(s->retired, i);
   }
+  s->any_left = s->retired->len > 0;
+  g_hash_table_foreach(s->by_id, note_left, &s->any_left);
 }
 
 int targets_count(const Targets *s, const char *service) {
@@ -331,7 +340,7 @@
                        RegionSet regions) {
   Targets *s = t->set;
   TargetParts m = {.target = t->hash};
-  m.n = parts_note(t->parts, ask, now, m.names);
+  m.n = parts_note(use_of(t)->parts, ask, now, m.names);
   bool told = regions_admit(regions, s->region, REGIONS_PEERS);
   if (m.n > 0 && told)
     g_queue_push_tail(&s->parts_news, g_memdup2(&m, sizeof m));
@@ -340,7 +349,7 @@
 void target_sent(Target *t, double now, const Ask *ask, const TargetChoice *c) {
   t->open++;
   t->waiting++;
-  cold_sent(&t->cold, now);
+  cold_sent(&use_of(t)->cold, now);
   t->backlog += c->fresh;
   note_parts(t, now, ask, c->regions);
   division_read(t->pool->division, now, c->long_prompt, c->fresh);
@@ -390,7 +399,7 @@
     mean(&t->fail, 1, FAIL_WEIGHT);
     t->aside_s = CLAMP(t->aside_s * 2, SILENT_ASIDE_S, SILENT_ASIDE_MOST_S);
     t->aside_until = now + t->aside_s;
-    parts_forget(t->parts); /* a restart has an empty memory */
+    if (t->use) parts_forget(t->use->parts); /* a restart has an empty memory */
     break;
   case TARGET_LEFT: break;
   }
@@ -414,7 +423,8 @@
   Other sum = {0};
   GHashTableIter it;
   gpointer v;
-  g_hash_table_iter_init(&it, t->others);
+  if (!t->use) return sum;
+  g_hash_table_iter_init(&it, t->use->others);
   while (g_hash_table_iter_next(&it, NULL, &v)) {
     const Other *o = v;
     if (now - o->at > OTHERS_FRESH_S) continue;
@@ -451,8 +461,8 @@
 }
 
 void targets_parts_told(Targets *s, double now, const TargetParts *m) {
-  const Target *t = g_hash_table_lookup(s->by_hash, &m->target);
-  if (t) parts_told(t->parts, m->names, m->n, now);
+  Target *t = g_hash_table_lookup(s->by_hash, &m->target);
+  if (t) parts_told(use_of(t)->parts, m->names, m->n, now);
 }
 
 void target_streamed(Target *t, double now, bool held) {
@@ -494,10 +504,11 @@
                     const TargetWork *w) {
   Target *t = g_hash_table_lookup(s->by_hash, &w->target);
   if (!t) return;
-  Other *o = g_hash_table_lookup(t->others, &from);
+  GHashTable *told = use_of(t)->others;
+  Other *o = g_hash_table_lookup(told, &from);
   if (!o) {
     o = g_new0(Other, 1);
-    g_hash_table_insert(t->others, g_memdup2(&from, sizeof from), o);
+    g_hash_table_insert(told, g_memdup2(&from, sizeof from), o);
   }
   *o = (Other){.open = w->open, .tokens = w->tokens, .at = now};
 }
--- a/packages/route/targets.h
+++ b/packages/route/targets.h
@@ -55,7 +55,10 @@
 void targets_cold_bound(Targets *s, double overrun, double extra);
 /* Our place among the instances, for our part of that bound. */
 void targets_place(Targets *s, double now, int rank, int of);
-/* Whether a target of the service is cold. */
+/* Looks at single targets that choices and the order of pools took so far: the
+   measure of their work. */
+uint64_t targets_looks(const Targets *s);
+/* Whether a target of the service may be cold. */
 bool targets_any_cold(const Targets *s, double now, const char *service);
 /* How many targets of a data centre are known. */
 int targets_in(const Targets *s, const char *dc);
--- a/tests/test_cold.c
+++ b/tests/test_cold.c
@@ -277,7 +277,7 @@
 
 Test(cold, who_does_not_know_its_place_sends_nothing) {
   ColdShare s = {.overrun = OVERRUN, .extra = EXTRA};
-  Cold c = {.until = 100};
+  Cold c = {0};
   cr_assert(!cold_admits(&s, &c, 1, RATE, 5, -1));
   cr_assert(!cold_admits(&s, &c, 1, RATE, 5, 0));
   cold_place(&s, 1, 0, 1);
