A start logs how many targets it learned, not each of them

Each of 985 instances logged a line for each of 10,000 targets. Lines on single targets: none of a first listing, twenty a second after it, and a sum of the rest.

--- a/packages/node/node.c
+++ b/packages/node/node.c
@@ -18,6 +18,7 @@
 
 #define TICK_S 0.05       /* between looks at what waits */
 #define SWEEP_S 1.0       /* between looks for targets to forget */
+#define TARGET_LINES 20   /* on single targets, a second */
 #define CALLS_EVERY_S 5.0 /* between lines on calls to the store */
 /* Seconds for each instance between two words on pools: 40 bytes for each pool
    and other instance, so 0.8 KB/s at any size. */
@@ -102,6 +103,8 @@
   ev_timer tick, sweep;
   ev_prepare turn;
   ev_signal term, intr, hup;
+  bool listed;     /* all targets were, once */
+  int changes;     /* of targets, in this second */
   double calls_at; /* when calls to the store were last logged */
   double pools_at; /* when the others are told of our pools next */
   int instances;   /* of the fleet, with ourselves */
@@ -170,11 +173,26 @@
   check_bounds(n, c);
 }
 
+/* Whether a line is due for a single target: of a first listing, and of more
+   changes at once than a reader of the log would read, only the number is. */
+static bool tells_of_target(Node *n) {
+  n->changes++;
+  return n->listed && n->changes <= TARGET_LINES;
+}
+
+/* The changes of the last second that had no line. */
+static void log_changes(Node *n) {
+  int more = n->listed ? n->changes - TARGET_LINES : n->changes;
+  if (more > 0) log_info("targets-changed", "s:i", "more", more);
+  n->changes = 0;
+}
+
 static void on_target(void *ctx, const TargetInfo *t) {
   Node *n = ctx;
   uint64_t life = targets_life(n->targets, t->id);
   bool again = targets_set(n->targets, loopclock_now(n->loop), t);
   if (again) relay_restarted(n->relay, t->addr, life);
+  if (!tells_of_target(n)) return;
   log_info("target", "s:s,s:s,s:s,s:s,s:b,s:I,s:I,s:b", "target", t->id,
            "service", t->service, "addr", t->addr, "datacentre", t->dc,
            "leaving", (int)t->leaving, "revision", (json_int_t)t->revision,
@@ -184,12 +202,14 @@
 static void on_gone(void *ctx, const char *id, bool lapsed) {
   Node *n = ctx;
   targets_gone(n->targets, loopclock_now(n->loop), id, lapsed);
+  if (!tells_of_target(n)) return;
   log_info("target-gone", "s:s,s:b", "target", id, "lapsed", (int)lapsed);
 }
 
 static void on_listed(void *ctx, GHashTable *ids, bool lapsed) {
   Node *n = ctx;
   targets_only(n->targets, loopclock_now(n->loop), ids, lapsed);
+  n->listed = true;
   log_info("targets-listed", "s:i,s:b", "targets", (int)g_hash_table_size(ids),
            "lapsed", (int)lapsed);
 }
@@ -466,6 +486,7 @@
   Node *n = w->data;
   targets_sweep(n->targets, loopclock_now(loop));
   relay_sweep(n->relay);
+  log_changes(n);
   tell_pools(n);
   if (loopclock_now(loop) - n->calls_at >= CALLS_EVERY_S) log_calls(n);
 }
