A long list of targets is handed from neighbour to neighbour; changes are told in words that fit

Cause: each start listed all targets in the store: 50 pages at 9,995 entries, so 49,250 calls and 2.5 GB at a start of all, on a line of 1 Gbit/s; a third of the instances' own time was JSON of those pages. And a watch that brought more than 64 KB was told to nobody, so that each instance asked the store for it. Now an instance lists 150 entries for itself, and of a longer list waits for its neighbour on the way of the readers' words: parts of 500 rows, made once for all who ask, and the words since (member/handover, route/roster, node/giving). Nobody gives for 8 to 16 s: the store is asked. Changes of one watch are told in words of some 300 that each lead on from the one before. Ruled out: pushing the list down the tree of words (three readers, three copies for each, and nothing for one that restarts alone). The messages are two more kinds of an old one, which older builds pass over. Tests: test_handover (three sizes up to 20,000; bytes and parts), node.py with 16 instances of which 8 restart, 400 targets in pages of 100.

--- a/fakes/standins.py
+++ b/fakes/standins.py
@@ -5,6 +5,7 @@
 import socket
 import threading
 import time
+import urllib.parse
 
 HEARTBEAT_S = 0.2
 HANG_S = 5.0
@@ -88,7 +89,8 @@
     looked at, so that tests of the fences are seen to fail. What a sound store
     may do as well: `old_s`: listings that may be old show what stood so many
     seconds ago. `cut`: the share of the waiting watches that are closed.
-    `per_s`: calls beyond so many a second get 429; 0: none do."""
+    `per_s`: calls beyond so many a second get 429; 0: none do. `page`: entries
+    of one page of a listing; 0: all."""
 
     def __init__(self, address, seed=1):
         self.lock = threading.Condition()
@@ -98,7 +100,9 @@
         self.forgotten = 0  # revision up to which there is no history
         self.down = self.lose = self.hang = self.unfenced = False
         self.old_s, self.cut, self.per_s = 0.0, 0.0, 0
+        self.page = 0
         self.torn = set()  # names of objects whose bytes can't be read
+        self.pages = []  # (kind, time) of each listing's pages
         self.cuts = 0  # times that all waiting watches were closed
         self.dice = random.Random(seed)
         self.calls, self.second = 0, (0, 0)
@@ -122,10 +126,10 @@
             if "watch" in args:
                 return self._watch(parts[0], args)
             if "stale" in args and self.old_s:
-                return 200, {}, self._old(parts[0]).encode()
+                return 200, {}, self._old(parts[0], args).encode()
             wanted = int(args["revision"]) if "revision" in args else None
             status, answer = self._call(method, parts, json.loads(body or b"{}"),
-                                        wanted)
+                                        wanted, args)
         if self.lose and method != "GET":
             return None
         return status, {}, answer.encode()
@@ -146,9 +150,15 @@
             self.texts[key] = (revision, json.dumps(o))
         return self.texts[key][1]
 
-    def _list(self, kind, objects, at):
-        return '{"entries": [%s], "more": false, "at": %d}' % (
-            ", ".join(self._text(kind, o) for o in objects), at)
+    def _list(self, kind, objects, at, args):
+        after = urllib.parse.unquote(args.get("since_rev", ""))
+        rest = sorted((o for o in objects if o["meta"]["name"] > after),
+                      key=lambda o: o["meta"]["name"])
+        page = rest[:self.page] if self.page else rest
+        self.pages.append((kind, time.monotonic()))
+        return '{"entries": [%s], "more": %s, "at": %d}' % (
+            ", ".join(self._text(kind, o) for o in page),
+            json.dumps(len(page) < len(rest)), at)
 
     def _beyond_rate(self):
         now = int(time.monotonic())
@@ -156,7 +166,7 @@
         self.second = (now, n + 1 if second == now else 1)
         return 0 < self.per_s < self.second[1]
 
-    def _old(self, kind):
+    def _old(self, kind, args):
         """The list of a kind as it stood `old_s` ago."""
         until, objects, at = time.monotonic() - self.old_s, {}, 1
         for when, revision, k, e in self.changes:
@@ -167,7 +177,7 @@
                 objects.pop(e["object"]["meta"]["name"], None)
             elif k == kind:
                 objects[e["object"]["meta"]["name"]] = e["object"]
-        return self._list(kind, objects.values(), at)
+        return self._list(kind, objects.values(), at, args)
 
     def forget(self):
         """The history is dropped, and waiting watches are told so."""
@@ -202,12 +212,13 @@
         answer = '{"events": [%s], "at": %d}' % (", ".join(texts), self.revision)
         return 200, {}, answer.encode()
 
-    def _call(self, method, parts, body, wanted):
+    def _call(self, method, parts, body, wanted, args):
         objects = self.kinds.setdefault(parts[0], {})
         name = parts[1] if len(parts) > 1 else body.get("meta", {}).get("name")
         old = objects.get(name)
         if method == "GET" and len(parts) == 1:
-            return 200, self._list(parts[0], objects.values(), self.revision)
+            return 200, self._list(parts[0], objects.values(), self.revision,
+                                   args)
         if method == "GET":
             return (200, self._text(parts[0], old)) if old else (404, "{}")
         wanted = body.get("meta", {}).get("revision", wanted)
--- a/packages/fleet/cluster.c
+++ b/packages/fleet/cluster.c
@@ -242,11 +242,13 @@
   }
 }
 
-static void take_feed(Cluster *c, const CodecFeed *feed) {
+static void take_feed(Cluster *c, const char *from, const CodecFeed *feed) {
   const char *reader = g_hash_table_lookup(c->ids, &feed->reader);
-  hand_on(c, feed);
-  if (reader) readers_heard(c->readers, now_of(c), reader, feed->word);
-  c->ev.feed(c->ctx, feed);
+  bool to_us = feed->kind == CODEC_FEED_ASK || feed->kind == CODEC_FEED_PART;
+  if (!to_us) hand_on(c, feed);
+  if (!to_us && reader)
+    readers_heard(c->readers, now_of(c), reader, feed->word);
+  c->ev.feed(c->ctx, from, feed);
 }
 
 /* == requests under which targets ended == */
@@ -330,7 +332,7 @@
   } else if (m->type == CODEC_POOL) {
     c->ev.pool(c->ctx, from, &m->pool);
   } else if (m->type == CODEC_FEED) {
-    take_feed(c, &m->feed);
+    take_feed(c, id, &m->feed);
   } else if (m->type == CODEC_SUSPECT) {
     take_suspect(c, &m->suspect);
   } else if (tallies_take(c->tallies, now_of(c), view_find(c->view, id), m)) {
@@ -501,6 +503,14 @@
   hand_on(c, &ours);
 }
 
+void cluster_feed_to(Cluster *c, const char *id, const CodecFeed *feed) {
+  const Member *m = view_find(c->view, id);
+  CodecFeed copy = *feed;
+  if (!m) return;
+  spread_alone(m, copy.until);
+  peer_feed(c->peer, m->peer, m->id, &copy);
+}
+
 void cluster_work(Cluster *c, const TargetWork *work) {
   const Member *m;
   if (cluster_is_large(c)) return;
--- a/packages/fleet/cluster.h
+++ b/packages/fleet/cluster.h
@@ -32,8 +32,9 @@
   void (*conf)(void *ctx, const char *text);
   /* The configuration that another instance is to get; NULL: none. */
   const char *(*conf_text)(void *ctx);
-  /* Another instance read this in the store. */
-  void (*feed)(void *ctx, const CodecFeed *m);
+  /* Another instance read this in the store, or is a neighbour that asks or
+     answers (CODEC_FEED_ASK); it came by way of `from`. */
+  void (*feed)(void *ctx, const char *from, const CodecFeed *m);
   /* Another instance (hash of its id) tells of its work at a target. */
   void (*work)(void *ctx, uint64_t from, const TargetWork *m);
   /* The same of parts of prompts that it had read there. */
@@ -60,6 +61,8 @@
 /* readers_knocks and readers_asks, of our readers. */
 bool cluster_knocks(Cluster *c);
 bool cluster_asks(Cluster *c);
+/* A word to one neighbour alone. */
+void cluster_feed_to(Cluster *c, const char *id, const CodecFeed *m);
 /* Tells the others of the region what was read. */
 void cluster_feed(Cluster *c, const CodecFeed *m);
 /* Tells the others of our work at a target, in a small fleet. */
--- /dev/null
+++ b/packages/member/handover.h
@@ -0,0 +1,60 @@
+/* handover.h: how an instance that has just started gets the list of targets
+   from a neighbour in a large fleet, part by part; pure. The platform's store
+   would have to give each of a thousand instances fifty pages, for a price
+   each.
+
+   Whoever starts asks the one from whom it hears a reader's word, so that the
+   list goes the way that the words go: no instance is asked by more than the
+   few that it cares for. A neighbour that has nothing yet says nothing, and the
+   next word is the next try. */
+#ifndef MEMBER_HANDOVER_H
+#define MEMBER_HANDOVER_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "kernel/limits.h"
+
+/* A part that does not come is asked for again after so many seconds, twice;
+   then another neighbour is asked. */
+#define HANDOVER_AGAIN_S 0.6
+#define HANDOVER_TRIES 3
+/* Nobody could give it for so long, in seconds, and up to twice as long: each
+   by its own chance, so that they do not all ask the store at once. */
+#define HANDOVER_ALONE_S 8.0
+/* One list is given out for so long, in seconds; what changed since is told
+   with it. Its parts are made once for all who ask. */
+#define HANDOVER_KEEP_S 5.0
+
+/* What is asked for: a part, of the list as of a revision. */
+typedef struct HandoverAsk {
+  uint64_t part; /* 0 first */
+  uint64_t at;   /* of the list; 0 with part 0: any */
+} HandoverAsk;
+
+/* Who takes. */
+typedef struct Handover {
+  char from[LIMIT_ID]; /* who is asked; "": nobody */
+  HandoverAsk next;    /* the part that is awaited */
+  double asked;
+  int tries;
+} Handover;
+
+typedef enum {
+  HANDOVER_STRAY, /* it was not asked for: passed over */
+  HANDOVER_PART,  /* take it in, and ask for the next */
+  HANDOVER_FIRST, /* the same; what was taken in before is of another list */
+  HANDOVER_WHOLE  /* take it in: it is the last */
+} HandoverTake;
+
+/* A word came by way of this neighbour: whether to ask it (for `h->next`). */
+bool handover_heard(Handover *h, double now, const char *neighbour);
+/* Whether to ask `h->from` once more. */
+bool handover_overdue(Handover *h, double now);
+/* A part came. */
+HandoverTake handover_took(Handover *h, double now, const char *from,
+                           uint64_t part, uint64_t at, bool more);
+/* Whether to ask the store. `chance` from 0 to 1, the same at each call. */
+bool handover_alone(double now, double since, double chance);
+
+#endif
--- a/packages/member/spread.c
+++ b/packages/member/spread.c
@@ -18,6 +18,11 @@
   g_snprintf(out, SPREAD_PLACE, "%s/%s", m->dc, m->id);
 }
 
+void spread_alone(const Member *to, char out[SPREAD_PLACE]) {
+  name_place(to, out);
+  g_strlcat(out, "!", SPREAD_PLACE); /* nothing stands between */
+}
+
 /* The order of the ring as seen from `self`: whoever comes after it first. */
 static gint from_self(gconstpointer a, gconstpointer b, gpointer self) {
   const Place *x = a, *y = b;
--- a/packages/member/spread.h
+++ b/packages/member/spread.h
@@ -22,6 +22,10 @@
 
 typedef struct Spread Spread;
 
+/* The end of a part in which nobody is, as `to` sees it: for a message that is
+   meant for it alone. */
+void spread_alone(const Member *to, char out[SPREAD_PLACE]);
+
 /* The members of our region in `v`, which has to outlive it. Data centres stand
    together, so that a message crosses to each once or twice. */
 Spread *spread_new(const View *v, const Member *self);
--- a/packages/node/feed.h
+++ b/packages/node/feed.h
@@ -8,6 +8,7 @@
 #include "member/readers.h"
 #include "peer/codec.h"
 #include "store/objects.h"
+#include "route/roster.h"
 #include "route/targets.h"
 
 #define FEED_TRIALS_KIND "trials" /* of our own, in the platform's store */
@@ -35,6 +36,13 @@
   ReadersDuty (*duty)(void *ctx);
   /* What it read, for the others. */
   void (*tell)(void *ctx, const CodecFeed *m);
+  /* The other instances are known, and with them what we have to read. */
+  bool (*settled)(void *ctx);
+  /* A word for one neighbour alone. */
+  void (*tell_one)(void *ctx, const char *id, const CodecFeed *m);
+  /* The next part of the list of targets, and whether another follows; to be
+     freed with free. */
+  char *(*part)(void *ctx, RosterAt *at, bool *more);
   /* How the store met a call of it. */
   void (*met)(void *ctx, ReadersWord word);
   /* readers_knocks and readers_asks. */
@@ -45,8 +53,9 @@
 Feed *feed_open(struct ev_loop *loop, Store *store, const FeedEvents *ev,
                 void *ctx);
 void feed_close(Feed *f);
-/* Another instance tells what it read. */
-void feed_told(Feed *f, const CodecFeed *m);
+/* Another instance tells what it read, by way of `from`, or this neighbour asks
+   or answers for the list of targets. */
+void feed_told(Feed *f, const char *from, const CodecFeed *m);
 /* This instance stood still: the store is asked for all that it missed. */
 void feed_stood_still(Feed *f);
 /* The store has answered for all kinds since then. */
--- a/packages/node/node.c
+++ b/packages/node/node.c
@@ -290,6 +290,21 @@
   cluster_feed(n->cluster, m);
 }
 
+static bool on_settled(void *ctx) {
+  Node *n = ctx;
+  return cluster_settled(n->cluster);
+}
+
+static void on_tell_one(void *ctx, const char *id, const CodecFeed *m) {
+  Node *n = ctx;
+  cluster_feed_to(n->cluster, id, m);
+}
+
+static char *on_part(void *ctx, RosterAt *at, bool *more) {
+  Node *n = ctx;
+  return roster_part(n->targets, loopclock_now(n->loop), at, more);
+}
+
 static void on_met(void *ctx, ReadersWord word) {
   Node *n = ctx;
   cluster_met(n->cluster, word);
@@ -359,9 +374,9 @@
     cluster_parts(n->cluster, &parts);
 }
 
-static void on_feed(void *ctx, const CodecFeed *m) {
+static void on_feed(void *ctx, const char *from, const CodecFeed *m) {
   Node *n = ctx;
-  if (n->feed) feed_told(n->feed, m);
+  if (n->feed) feed_told(n->feed, from, m);
 }
 
 /* == readiness and metrics == */
@@ -533,9 +548,9 @@
 
 static bool open_parts(Node *n, Err *e) {
   static const FeedEvents feed_events = {
-      on_conf,        on_target, on_gone,   on_listed, on_evacuation,
-      on_evacuations, on_trial,  on_trials, on_duty,   on_tell,
-      on_met,         on_knocks, on_asks};
+      on_conf,  on_target, on_gone,   on_listed, on_evacuation, on_evacuations,
+      on_trial, on_trials, on_duty,   on_tell,   on_settled,    on_tell_one,
+      on_part,  on_met,    on_knocks, on_asks};
   static const CallerEvents ready_events = {on_question, on_questioner_gone,
                                             on_questioner_gone};
   RetriesOptions retries = {.ratio = number("retry-ratio"),
--- a/packages/peer/codec.h
+++ b/packages/peer/codec.h
@@ -60,6 +60,12 @@
 } CodecFeed;
 
 #define CODEC_FEED_KINDS 8
+/* Two kinds of words that are not of a reader, but of a neighbour. An instance
+   that does not know them passes them over. */
+#define CODEC_FEED_ASK 6 /* it asks for a part of the list of targets */
+#define CODEC_FEED_PART                                                        \
+  7 /* the part: `from` is its number, `at` the list's                         \
+       revision, `lapsed`: another part follows */
 
 typedef struct CodecSuspect {
   char until[SPREAD_PLACE]; /* as CodecFeed.until; not of a mark */
--- /dev/null
+++ b/packages/route/roster.c
@@ -0,0 +1,143 @@
+/* roster.c: rows of figures and names, services and data centres by number. */
+#include "route/roster.h"
+
+#include <jansson.h>
+#include <math.h>
+#include <string.h>
+
+#include "route/state.h"
+
+#define MS 1000.0
+
+/* == writing == */
+
+/* The number of a name in a list, which is added if need be. */
+static int number_in(json_t *list, const char *name) {
+  size_t i;
+  json_t *known;
+  json_array_foreach(list, i, known) if (strcmp(json_string_value(known),
+                                                name) == 0) return (int)i;
+  json_array_append_new(list, json_string(name));
+  return (int)json_array_size(list) - 1;
+}
+
+static json_t *row_of(const Target *t, double now, json_t *services,
+                      json_t *dcs) {
+  const TargetInfo *i = &t->info;
+  int cold_ms = (int)(MAX(0, t->cold_until - now) * MS);
+  return json_pack("[s,s,i,i,i,b,i,I,I]", i->id, i->addr,
+                   number_in(services, i->service), number_in(dcs, i->dc),
+                   i->slots, (int)i->leaving, cold_ms, (json_int_t)i->born,
+                   (json_int_t)i->revision);
+}
+
+/* It is there as far as its entry says. */
+static bool is_listed(const Target *t) {
+  return !t->lapsed && (t->info.leaving || isinf(t->leave_at));
+}
+
+/* The pool to go on with: the first whose hash is not below; NULL: none. */
+static Pool *pool_from(const Targets *s, uint64_t hash) {
+  Pool *next = NULL;
+  GHashTableIter it;
+  gpointer v;
+  g_hash_table_iter_init(&it, s->pools);
+  while (g_hash_table_iter_next(&it, NULL, &v)) {
+    Pool *p = v;
+    if (p->hash >= hash && (!next || p->hash < next->hash)) next = p;
+  }
+  return next;
+}
+
+/* Adds members of a pool from `at` on; false: the part is full. */
+static bool add_rows(Pool *p, double now, RosterAt *at, json_t *rows,
+                     json_t *services, json_t *dcs) {
+  GPtrArray *members = pool_members(p);
+  bool inside = at->inside && at->pool == p->hash;
+  at->pool = p->hash;
+  for (guint i = 0; i < members->len; i++) {
+    const Target *t = members->pdata[i];
+    if (inside && t->hash <= at->target) continue;
+    if (json_array_size(rows) == ROSTER_ROWS) return false;
+    at->target = t->hash;
+    at->inside = true;
+    if (is_listed(t))
+      json_array_append_new(rows, row_of(t, now, services, dcs));
+  }
+  return true;
+}
+
+char *roster_part(Targets *s, double now, RosterAt *at, bool *more) {
+  json_t *rows = json_array(), *services = json_array(), *dcs = json_array();
+  Pool *p;
+  *more = false;
+  while (!*more && (p = pool_from(s, at->pool)) != NULL) {
+    *more = !add_rows(p, now, at, rows, services, dcs);
+    if (!*more && p->hash == UINT64_MAX) break;
+    if (!*more) *at = (RosterAt){.pool = p->hash + 1};
+  }
+  json_t *o = json_pack("{s:o,s:o,s:o}", "services", services, "dcs", dcs,
+                        "rows", rows);
+  char *text = json_dumps(o, JSON_COMPACT);
+  json_decref(o);
+  return text;
+}
+
+/* == reading == */
+
+static bool copy_name(char *to, size_t size, const char *from) {
+  return from && from[0] && g_strlcpy(to, from, size) < size;
+}
+
+static bool read_row(json_t *row, json_t *services, json_t *dcs,
+                     TargetInfo *t) {
+  const char *id, *addr;
+  int service, dc, leaving, cold_ms;
+  json_int_t born, revision;
+  memset(t, 0, sizeof *t);
+  if (json_unpack(row, "[s,s,i,i,i,b,i,I,I!]", &id, &addr, &service, &dc,
+                  &t->slots, &leaving, &cold_ms, &born, &revision) != 0)
+    return false;
+  if (t->slots < 0 || cold_ms < 0 || born < 0 || revision <= 0) return false;
+  t->leaving = leaving;
+  t->cold_s = cold_ms / MS;
+  t->born = born;
+  t->revision = (uint64_t)revision;
+  return copy_name(t->id, sizeof t->id, id) &&
+         copy_name(t->addr, sizeof t->addr, addr) &&
+         copy_name(
+             t->service, sizeof t->service,
+             json_string_value(json_array_get(services, (size_t)service))) &&
+         copy_name(t->dc, sizeof t->dc,
+                   json_string_value(json_array_get(dcs, (size_t)dc)));
+}
+
+/* All rows, or none. */
+static GArray *read_rows(json_t *o) {
+  GArray *list = g_array_new(FALSE, FALSE, sizeof(TargetInfo));
+  json_t *services, *dcs, *rows, *row;
+  size_t i;
+  bool ok = json_unpack(o, "{s:o,s:o,s:o}", "services", &services, "dcs", &dcs,
+                        "rows", &rows) == 0 &&
+            json_is_array(rows);
+  json_array_foreach(ok ? rows : NULL, i, row) {
+    TargetInfo t;
+    ok = ok && read_row(row, services, dcs, &t);
+    if (ok) g_array_append_val(list, t);
+  }
+  if (ok) return list;
+  g_array_free(list, TRUE);
+  return NULL;
+}
+
+bool roster_read(const char *text, void (*fn)(void *ctx, const TargetInfo *t),
+                 void *ctx) {
+  json_t *o = json_loads(text, 0, NULL);
+  GArray *list = o ? read_rows(o) : NULL;
+  json_decref(o);
+  if (!list) return false;
+  for (guint i = 0; i < list->len; i++)
+    fn(ctx, &g_array_index(list, TargetInfo, i));
+  g_array_free(list, TRUE);
+  return true;
+}
--- a/tests/node.py
+++ b/tests/node.py
@@ -471,6 +471,50 @@
     assert not alone, alone
 
 
+def many_targets(s, n=400):
+    """Entries of targets that nobody runs, and pages of a hundred."""
+    s.store.page = 100
+    for k in range(n):
+        s.store.put("servers", "z%03d" % k, {
+            "service": "engine", "addr": "127.9.%d.%d:9" % (k // 250, k % 250 + 1),
+            "zone": "a", "slots": 4, "state": "ready", "cold_left_ms": 0})
+
+
+def pages_since(s, at):
+    return sum(kind == "servers" and t >= at for kind, t in s.store.pages)
+
+
+def test_a_long_list_of_targets_comes_from_neighbours(s):
+    """Half of the fleet restarts: its lists cost the store a page each, changes
+    meanwhile are known, and a leaving target is known everywhere."""
+    many_targets(s)
+    n = len(s.processes)
+    began, half = time.monotonic(), range(n // 2, n)  # the seeds stay
+    for i in half:
+        s.processes[i].kill()
+        s.processes[i].wait()
+        s.start(i)
+    for k in range(20):
+        s.store.put("servers", "y%d" % k, dict(s.desks[0].entry))
+        time.sleep(0.1)
+    for i in half:
+        s.wait_ready(i)
+    for i in half:
+        given = [l for l in s.life(i) if l["event"] == "targets-given"]
+        listed = [l for l in s.life(i) if l["event"] == "targets-listed"]
+        assert given or listed, "%d knows no targets" % i
+        if given:
+            assert given[0]["targets"] >= 400, given
+    by_neighbours = sum(any(l["event"] == "targets-given" for l in s.life(i))
+                        for i in half)
+    assert by_neighbours >= len(half) - 3, "%d of %d" % (by_neighbours, len(half))
+    assert pages_since(s, began) <= len(half) * 2 + 3 * 8, pages_since(s, began)
+    s.desks[0].drain()
+    wait_for("the leaving target", lambda: all(any(
+        l["event"] == "target" and l["target"] == "d0" and l["leaving"]
+        for l in s.log(i)) for i in range(n)), 3)
+
+
 def test_lost_readers_are_replaced(s):
     wait_for("readers", lambda: 1 <= len(readers_of(s)) <= 4, 15)
     readers = readers_of(s)
@@ -555,7 +599,8 @@
     assert 'loftpath_first_byte_seconds_bucket{le="+Inf"} 1\n' in text
 
 
-INSTANCES = {"test_a_budget_is_never_exceeded": 2,
+INSTANCES = {"test_a_long_list_of_targets_comes_from_neighbours": 16,
+             "test_a_budget_is_never_exceeded": 2,
              "test_budgets_and_configuration_live_through_an_outage": 2,
              "test_a_restart_in_an_outage_asks_its_peers": 2,
              "test_a_few_instances_read_the_store_for_all": 14,
