--- a/tests/test_document.c
+++ b/tests/test_document.c
@@ -173,3 +173,32 @@
       free(text);
     }
 }
+
+/* Readers tell thousands of entries to all: what nobody reads is left out, and
+   what is told is read as the entry itself. */
+Test(document, a_brief_entry_is_read_as_the_whole) {
+  static const char *const texts[] = {
+      "{\"meta\":{\"name\":\"i-1\",\"revision\":7,\"made\":5,"
+      "\"finalizers\":[],\"deleting\":false},\"spec\":{" GOOD
+      ",\"born\":9,\"seq\":3,\"version\":\"v1\",\"phase\":\"both\","
+      "\"models\":[{\"name\":\"m\",\"version\":1,\"adapters\":[]}]},"
+      "\"status\":null}",
+      "{\"meta\":{\"name\":\"i-1\",\"revision\":7},\"spec\":{\"x\":1}}",
+      "{\"meta\":{\"name\":\"i-1\",\"revision\":7},\"spec\":7}",
+      "{\"meta\":{\"name\":\"i-1\",\"revision\":7}}"};
+  for (size_t i = 0; i < sizeof texts / sizeof *texts; i++) {
+    json_t *whole = json_loads(texts[i], 0, NULL);
+    json_t *brief = document_brief(whole);
+    Document a, b;
+    TargetInfo x, y;
+    memset(&x, 0, sizeof x);
+    memset(&y, 0, sizeof y);
+    cr_assert_eq(document_read(whole, &a), document_read(brief, &b));
+    cr_assert_eq(document_target(&a, &x), document_target(&b, &y), "%zu", i);
+    cr_assert(a.revision == b.revision && strcmp(a.name, b.name) == 0);
+    cr_assert_eq(memcmp(&x, &y, sizeof x), 0, "%zu", i);
+    if (i == 0) cr_assert_null(json_object_get(b.content, "models"));
+    json_decref(whole);
+    json_decref(brief);
+  }
+}
