--- a/packages/member/gossip.c
+++ b/packages/member/gossip.c
@@ -38,7 +38,14 @@
 #define ALL_FRESH_S 0.1
 #define ALL_EVERY_S 0.5
 #define DIFFER_S 0.3
-#define FILL 16 /* members that are told where a whole list is not due */
+/* News go to all neighbours, but when so many are due at once: at a start of
+   all each would hear each of them from everybody, and the copies would grow
+   with the square of the fleet and its logarithm. Then they go to a few, by
+   chance; who misses one differs from its neighbours, and asks. */
+#define NEWS_MANY 32
+#define NEWS_COPIES 6
+#define TELLERS 4 /* neighbours that are known to know of a news */
+#define FILL 16   /* members that are told where a whole list is not due */
 
 /* One member as we know it. */
 typedef struct Entry {
@@ -49,6 +56,8 @@
   double until; /* SUSPECT: counts as gone then; GONE: is forgotten then */
   bool fresh;   /* the neighbours are to hear of it */
   bool met;     /* it spoke to us itself */
+  uint64_t teller[TELLERS]; /* who told the same, since it is fresh */
+  guint tellers;
 } Entry;
 
 /* A question without an answer yet. */
@@ -105,11 +114,22 @@
 }
 
 static void freshen(Gossip *g, Entry *e) {
+  e->tellers = 0; /* they told what was before */
   if (e->fresh) return;
   e->fresh = true;
   g_ptr_array_add(g->fresh, e);
 }
 
+static void note_teller(Entry *e, uint64_t from) {
+  if (e->fresh && e->tellers < TELLERS) e->teller[e->tellers++] = from;
+}
+
+static bool has_told(const Entry *e, uint64_t hash) {
+  for (guint i = 0; i < e->tellers; i++)
+    if (e->teller[i] == hash) return true;
+  return false;
+}
+
 static Entry *add_entry(Gossip *g, const GossipNews *n) {
   Entry *e = g_new0(Entry, 1);
   e->m = n->m;
@@ -368,6 +388,7 @@
   }
   bool known = find(g, hash) != NULL;
   Entry *e = take_news(g, n);
+  if (e->life == n->life && e->state == n->state) note_teller(e, from);
   if (hash != from) return;
   if (!is_there(e)) { /* it does not know yet that it counts as lost */
     send_news(g, n->m.peer, hash, e);
@@ -559,19 +580,27 @@
   }
 }
 
-/* What is new goes to all neighbours once, also to those who told us: they may
-   know it by another way, and a second time does no harm. */
+/* To `most` neighbours, from one by chance on, who did not tell us the same. */
+static void spread_one(Gossip *g, const Entry *e, guint most) {
+  guint n = g->neighbour->len, sent = 0;
+  guint from = most < n ? (guint)g_rand_int_range(g->rng, 0, (gint32)n) : 0;
+  for (guint k = 0; k < n && sent < most; k++) {
+    const Entry *to = g->neighbour->pdata[(from + k) % n];
+    if ((to == e && e->state == GOSSIP_ALIVE) || has_told(e, to->hash))
+      continue;
+    send_news(g, to->m.peer, to->hash, e);
+    sent++;
+  }
+}
+
 static void spread(Gossip *g) {
   if (g->fresh->len == 0) return;
   rebuild(g);
+  guint most = g->fresh->len > NEWS_MANY ? NEWS_COPIES : G_MAXUINT;
   for (guint i = 0; i < g->fresh->len; i++) {
     Entry *e = g->fresh->pdata[i];
     e->fresh = false;
-    for (guint k = 0; k < g->neighbour->len; k++) {
-      const Entry *to = g->neighbour->pdata[k];
-      if (to != e || e->state != GOSSIP_ALIVE)
-        send_news(g, to->m.peer, to->hash, e);
-    }
+    spread_one(g, e, most);
   }
   g_ptr_array_set_size(g->fresh, 0);
 }
