Readers tell what is new of a target, not that its entry was written again

Cause: each target writes its entry with each heartbeat, and each such change was told to every instance: targets times instances. Now the reader compares with what it knows and tells what differs; a cold target's count-down differs by nothing.

--- a/packages/node/feed.h
+++ b/packages/node/feed.h
@@ -18,7 +18,8 @@
 typedef struct FeedEvents {
   /* A configuration as it was read; it may be an old one. */
   void (*conf)(void *ctx, Conf *c);
-  void (*target)(void *ctx, const TargetInfo *t);
+  /* False: nothing of it was new. */
+  bool (*target)(void *ctx, const TargetInfo *t);
   /* `lapsed`: the store was away just before. */
   void (*gone)(void *ctx, const char *id, bool lapsed);
   /* The whole list was read; `ids` is the set of those in it. */
--- a/packages/node/node.c
+++ b/packages/node/node.c
@@ -187,16 +187,18 @@
   n->changes = 0;
 }
 
-static void on_target(void *ctx, const TargetInfo *t) {
+static bool on_target(void *ctx, const TargetInfo *t) {
   Node *n = ctx;
+  bool news = targets_is_news(n->targets, loopclock_now(n->loop), t);
   uint64_t life = targets_life(n->targets, t->id);
   bool again = targets_set(n->targets, loopclock_now(n->loop), t);
   if (again) relay_restarted(n->relay, t->addr, life);
-  if (!tells_of_target(n)) return;
+  if (!news || !tells_of_target(n)) return news;
   log_info("target", "s:s,s:s,s:s,s:s,s:b,s:I,s:I,s:b", "target", t->id,
            "service", t->service, "addr", t->addr, "datacentre", t->dc,
            "leaving", (int)t->leaving, "revision", (json_int_t)t->revision,
            "born", (json_int_t)t->born, "again", (int)again);
+  return true;
 }
 
 static void on_gone(void *ctx, const char *id, bool lapsed) {
