Long lists of targets are read member by member

A reader held 88 MB of 120: its first watch brings all entries, 45 MB as one tree of JSON beside its text.

--- a/tests/test_document.c
+++ b/tests/test_document.c
@@ -202,3 +202,34 @@
     json_decref(brief);
   }
 }
+
+/* The load that this answers: a reader's first watch brings all entries of ten
+   thousand targets at once. */
+Test(document, a_long_answer_is_read_member_by_member) {
+  enum { N = 1000 };
+  GString *text = g_string_new("{\"events\":[");
+  int lost = 0;
+  for (int i = 0; i < N; i++)
+    g_string_append_printf(
+        text,
+        "%s{\"gone\":%s,\"object\":{\"meta\":{\"name\":\"i-%d\",\"revision\":"
+        "%d,\"made\":1,\"finalizers\":[]},\"spec\":{" GOOD
+        ",\"phase\":\"]}\\\"both\",\"models\":[{\"name\":\"m\"}],\"seq\":%d}}}",
+        i ? "," : "", i % 10 ? "false" : "true", i, i + 1, i);
+  g_string_append(text, "],\"at\":4711}");
+  json_t *o = salvage_brief(text->str, text->len, &lost, document_brief_member);
+  json_t *events = json_object_get(o, "events"), *e;
+  size_t i;
+  cr_assert(lost == 0 && json_array_size(events) == N);
+  cr_assert_eq(json_integer_value(json_object_get(o, "at")), 4711);
+  json_array_foreach(events, i, e) {
+    Document d;
+    TargetInfo t;
+    cr_assert(document_read(json_object_get(e, "object"), &d));
+    cr_assert(document_target(&d, &t) && t.revision == i + 1);
+    cr_assert_null(json_object_get(d.content, "models"));
+    cr_assert_eq(json_is_true(json_object_get(e, "gone")), i % 10 == 0);
+  }
+  json_decref(o);
+  g_string_free(text, TRUE);
+}
