--- a/packages/member/handover.c
+++ b/packages/member/handover.c
@@ -18,6 +18,7 @@
   if (!h->from[0] || now - h->asked < HANDOVER_AGAIN_S) return false;
   if (h->tries == HANDOVER_TRIES) {
     h->from[0] = '\0';
+    h->silent++;
     return false;
   }
   h->tries++;
@@ -33,10 +34,19 @@
   h->next = (HandoverAsk){.part = part + 1, .at = at};
   h->asked = now;
   h->tries = 1;
+  h->silent = 0;
   if (!more) return HANDOVER_WHOLE;
   return first ? HANDOVER_FIRST : HANDOVER_PART;
 }
 
-bool handover_alone(double now, double since, double chance) {
+void handover_not_yet(Handover *h, const char *from) {
+  if (strcmp(from, h->from) != 0) return;
+  h->from[0] = '\0';
+  h->silent = 0;
+}
+
+bool handover_alone(const Handover *h, double now, double since,
+                    double chance) {
+  if (h->silent >= HANDOVER_SILENT) return true;
   return now - since > HANDOVER_ALONE_S * (1 + chance);
 }
--- a/packages/member/handover.h
+++ b/packages/member/handover.h
@@ -5,8 +5,9 @@
 
    Whoever starts asks the one from whom it hears a reader's word, so that the
    list goes the way that the words go: no instance is asked by more than the
-   few that it cares for. A neighbour that has nothing yet says nothing, and the
-   next word is the next try. */
+   few that it cares for. A neighbour that has nothing yet says so, and the next
+   word is the next try. One that says nothing is lost, or of a build that does
+   not know the question. */
 #ifndef MEMBER_HANDOVER_H
 #define MEMBER_HANDOVER_H
 
@@ -15,10 +16,11 @@
 
 #include "kernel/limits.h"
 
-/* A part that does not come is asked for again after so many seconds, twice;
-   then another neighbour is asked. */
+/* A part that does not come is asked for again after so many seconds, once;
+   then another neighbour is asked, and after two such the store. */
 #define HANDOVER_AGAIN_S 0.6
-#define HANDOVER_TRIES 3
+#define HANDOVER_TRIES 2
+#define HANDOVER_SILENT 2
 /* Nobody could give it for so long, in seconds, and up to twice as long: each
    by its own chance, so that they do not all ask the store at once. */
 #define HANDOVER_ALONE_S 8.0
@@ -38,6 +40,7 @@
   HandoverAsk next;    /* the part that is awaited */
   double asked;
   int tries;
+  int silent; /* neighbours that did not answer, in a row */
 } Handover;
 
 typedef enum {
@@ -54,7 +57,9 @@
 /* A part came. */
 HandoverTake handover_took(Handover *h, double now, const char *from,
                            uint64_t part, uint64_t at, bool more);
+/* It answered that it has nothing yet. */
+void handover_not_yet(Handover *h, const char *from);
 /* Whether to ask the store. `chance` from 0 to 1, the same at each call. */
-bool handover_alone(double now, double since, double chance);
+bool handover_alone(const Handover *h, double now, double since, double chance);
 
 #endif
--- a/packages/peer/codec.h
+++ b/packages/peer/codec.h
@@ -65,7 +65,8 @@
 #define CODEC_FEED_ASK 6 /* it asks for a part of the list of targets */
 #define CODEC_FEED_PART                                                        \
   7 /* the part: `from` is its number, `at` the list's                         \
-       revision, `lapsed`: another part follows */
+       revision, `lapsed`: another part follows; `at` 0:                       \
+                             there is no list yet */
 
 typedef struct CodecSuspect {
   char until[SPREAD_PLACE]; /* as CodecFeed.until; not of a mark */
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -89,6 +89,9 @@
         for i in range(instances):
             self.wait_ready(i)
 
+    def binary_of(self, i):
+        return os.path.join(BUILD, "bin", "loftpathd")
+
     def ip(self, i):
         return "127.0.0.%d" % (i + 2)
 
@@ -109,7 +112,7 @@
             f.write("retry-window = %g\n" % RETRY_WINDOW_S)
         log = open(os.path.join(self.dir, "log-%d" % i), "a")
         self.processes[i] = subprocess.Popen(
-            [os.path.join(BUILD, "bin", "loftpathd")], stdout=log, stderr=log,
+            [self.binary_of(i)], stdout=log, stderr=log,
             env=dict(os.environ, LOFTPATH_NODE_FILE=path, **self.env))
 
     def log(self, i):
--- a/tests/test_handover.c
+++ b/tests/test_handover.c
@@ -125,17 +125,30 @@
   cr_assert_eq(handover_took(&h, 1.5, "n1", 1, 60, false), HANDOVER_WHOLE);
 }
 
-Test(handover, silence_leads_to_another_neighbour_and_in_the_end_to_the_store) {
+Test(handover, silence_leads_to_another_neighbour_and_then_to_the_store) {
   Handover h = {0};
   double now = 1;
-  int asked = 1;
-  handover_heard(&h, now, "n1");
-  for (; h.from[0] && now < 20; now += 0.2) asked += handover_overdue(&h, now);
-  cr_assert_eq(asked, HANDOVER_TRIES);
-  cr_assert_lt(now, 4);
-  cr_assert(handover_heard(&h, now, "n2"));
-  cr_assert_not(handover_alone(HANDOVER_ALONE_S, 0, 0.5));
-  cr_assert(handover_alone(2 * HANDOVER_ALONE_S + 0.1, 0, 1));
+  for (int k = 0; k < HANDOVER_SILENT; k++) {
+    int asked = 1;
+    cr_assert_not(handover_alone(&h, now, 1, 0));
+    cr_assert(handover_heard(&h, now, k ? "n2" : "n1"));
+    for (; h.from[0]; now += 0.2) asked += handover_overdue(&h, now);
+    cr_assert_eq(asked, HANDOVER_TRIES);
+  }
+  cr_assert(handover_alone(&h, now, 1, 1));
+  cr_assert_lt(now, 5, "the balancer waits");
+}
+
+Test(handover, who_has_nothing_yet_is_no_reason_to_ask_the_store) {
+  Handover h = {0};
+  for (int k = 0; k < 20; k++) {
+    cr_assert(handover_heard(&h, k * 0.3, "n1"));
+    handover_not_yet(&h, "n2");
+    cr_assert_str_eq(h.from, "n1", "it was not asked");
+    handover_not_yet(&h, "n1");
+    cr_assert_not(handover_alone(&h, k * 0.3, 0, 0.5));
+  }
+  cr_assert(handover_alone(&h, 2 * HANDOVER_ALONE_S + 0.1, 0, 1));
 }
 
 /* == what is handed out == */
