--- a/tests/node.py
+++ b/tests/node.py
@@ -408,6 +408,14 @@
         assert s.call("/new/x", i=i).status == 200, i
 
 
+def test_readers_at_rest_make_few_calls(s):
+    """Three readers, watches of two seconds for two kinds, and nobody else: their
+    words come each second all the same."""
+    wait_for("readers", lambda: 1 <= len(readers_of(s)) <= 4, 15)
+    wait_for("rest", lambda: calls_in(s, 1.0) <= 6, 15)
+    assert calls_in(s, 6.0) <= 6 * 6
+
+
 def test_a_small_fleet_tells_nobody_what_it_reads(s):
     """Three instances, each with two watches of three seconds."""
     time.sleep(1.0)
@@ -599,7 +607,8 @@
     assert 'loftpath_first_byte_seconds_bucket{le="+Inf"} 1\n' in text
 
 
-INSTANCES = {"test_a_long_list_of_targets_comes_from_neighbours": 16,
+INSTANCES = {"test_readers_at_rest_make_few_calls": 14,
+             "test_a_long_list_of_targets_comes_from_neighbours": 16,
              "test_a_budget_is_never_exceeded": 2,
              "test_budgets_and_configuration_live_through_an_outage": 2,
              "test_a_restart_in_an_outage_asks_its_peers": 2,
