A request of which most has left may have run

Found in reading the change: since a buffer drops what was sent, its offset may stand at 0 after a part has left, and link.c took that for nothing sent: a booking with a large body, reset by its target, was answered 503, not run. It now goes by what is left. Test: node.py what_left_in_part_may_have_run, red before (503 at 4 MB), green.

--- a/packages/flow/link.c
+++ b/packages/flow/link.c
@@ -247,10 +247,9 @@
 }
 
 static void push(Link *l) {
-  size_t before = l->out_off;
-  size_t len = l->out->len;
+  size_t left = l->out->len - l->out_off;
   bool ok = sock_write(l->fd, l->out, &l->out_off);
-  l->sent |= len > 0 && (l->out->len == 0 || l->out_off > before);
+  l->sent |= l->out->len - l->out_off < left;
   if (!ok) {
     /* What the target said before it closed may still be read. */
     ev_io_stop(l->set->loop, &l->write);
--- a/tests/node.py
+++ b/tests/node.py
@@ -6,6 +6,7 @@
 import signal
 import socket
 import sys
+import threading
 import time
 
 from fleet import (BASE, KEY, RETRY_WINDOW_S, Site, chunk, config, event, head,
@@ -60,6 +61,36 @@
     assert sum(w.ran.count(a.id) for w in s.desks) == 1
 
 
+def test_what_left_in_part_may_have_run(s):
+    """The target takes most of a large body and resets: no "not run" is true."""
+    c = config(2, routes=[route("l", "/large/", "desk", "unsafe", max_attempts=1)])
+    c["limits"]["max_body_bytes"] = 8 << 20
+    s.store.put("config", "main", c)
+    wait_for("version 2", lambda: s.call("/large/x", "POST", b"b").status == 200)
+    taken = []
+
+    def take_some(connection):
+        """Reads none of the body: what it has is in the system's buffers."""
+        time.sleep(0.5)
+        taken.append(True)
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
+                              b"\x01\x00\x00\x00\x00\x00\x00\x00")
+        connection.close()
+
+    for w in s.desks:  # a listener of its own in place of the worker
+        l = socket.socket()
+        l.bind(("127.0.0.1", 0))
+        l.listen()
+        s.store.put("servers", w.name, dict(w.entry, addr="%s:%d" % l.getsockname()))
+        threading.Thread(target=lambda l=l: take_some(l.accept()[0]),
+                         daemon=True).start()
+    time.sleep(0.6)
+    for size in (3 << 20, 4 << 20):
+        a = s.call("/large/x", "POST", bytes(size))
+        assert a.status == 502, (size, a.status, a.headers)
+    assert taken
+
+
 def test_a_kept_connection_that_died_does_not_repeat_it(s):
     conn = s.connect()
     for w in s.desks:
