--- a/packages/node/node.c
+++ b/packages/node/node.c
@@ -351,7 +351,8 @@
 static void log_calls(Node *n) {
   n->calls_at = loopclock_now(n->loop);
   json_t *news = calls_news(store_calls(n->store));
-  if (news) log_info("store-calls", "s:o", "calls", news);
+  if (news) log_info("store-calls", "s:O", "calls", news);
+  json_decref(news);
 }
 
 /* Each instance hears of all, so they tell more seldom the more there are. */
