--- a/packages/fleet/tallies.h
+++ b/packages/fleet/tallies.h
@@ -8,7 +8,7 @@
 typedef struct Tallies Tallies;
 
 /* `regions` has to last. `told` gets the answer to a question of ours, at once
- * where we count. */
+   where we count. */
 Tallies *tallies_new(Peer *peer, const char *self, const Regions *regions,
                      void (*told)(void *ctx, const TallyWord *w), void *ctx);
 void tallies_free(Tallies *t);
--- a/packages/node/giving.c
+++ b/packages/node/giving.c
@@ -23,17 +23,11 @@
   size_t bytes;  /* of these */
 };
 
-static void word_free(gpointer p) {
-  CodecFeed *m = p;
-  packed_free(&m->changes);
-  g_free(m);
-}
-
 static void forget(Giving *g) {
   for (guint i = 0; i < g->parts->len; i++)
     packed_free(&g_array_index(g->parts, Part, i).text);
   g_array_set_size(g->parts, 0);
-  g_queue_clear_full(&g->words, word_free);
+  g_queue_clear_full(&g->words, codec_feed_free);
   g->next = (RosterAt){0};
   g->at = g->bytes = 0;
 }
@@ -98,10 +92,8 @@
     forget(g);
     return;
   }
-  CodecFeed *copy = g_memdup2(m, sizeof *m);
-  copy->changes.data = g_memdup2(m->changes.data, m->changes.n);
   g->bytes += m->changes.n;
-  g_queue_push_tail(&g->words, copy);
+  g_queue_push_tail(&g->words, codec_feed_copy(m));
 }
 
 void giving_words(const Giving *g, void (*fn)(void *ctx, const CodecFeed *m),
--- a/packages/peer/codec.c
+++ b/packages/peer/codec.c
@@ -240,6 +240,18 @@
   put_packed(&p, &m->changes);
 }
 
+CodecFeed *codec_feed_copy(const CodecFeed *m) {
+  CodecFeed *copy = g_memdup2(m, sizeof *m);
+  copy->changes.data = g_memdup2(m->changes.data, m->changes.n);
+  return copy;
+}
+
+void codec_feed_free(void *copy) {
+  CodecFeed *m = copy;
+  packed_free(&m->changes);
+  g_free(m);
+}
+
 void codec_put_suspect(msgpack_sbuffer *b, const CodecSuspect *m) {
   msgpack_packer p;
   msgpack_packer_init(&p, b, msgpack_sbuffer_write);
--- a/packages/peer/codec.h
+++ b/packages/peer/codec.h
@@ -59,6 +59,10 @@
   Packed changes;           /* packed_free */
 } CodecFeed;
 
+/* A copy with changes of its own, and its end. */
+CodecFeed *codec_feed_copy(const CodecFeed *m);
+void codec_feed_free(void *copy);
+
 #define CODEC_FEED_KINDS 8
 /* Two kinds of words that are not of a reader, but of a neighbour. An instance
    that does not know them passes them over. */
