Sight: the limit that a target names is decoded, logged and counted; nothing is decided by it

What the lines could not tell apart: whether an instance saw a limit, when, and what it sent after it. Each instance logs target-limit when it first sees one, sees it changed or ended, or a figure that is none (1.7x, -1, nan, 1e9); two counters beside it.

--- a/packages/flow/ask.h
+++ b/packages/flow/ask.h
@@ -29,6 +29,13 @@
   int64_t last_event; /* the caller has the stream up to here */
 } Ask;
 
+/* What an answer says of the requests that its target takes. */
+typedef enum {
+  ANSWER_NO_LIMIT,
+  ANSWER_LIMIT,
+  ANSWER_LIMIT_DAMAGED, /* a figure that is none */
+} AnswerLimit;
+
 typedef struct Answer {
   bool ours;      /* it echoes the attempt's id */
   bool signed_;   /* it bears a target's signature */
@@ -39,7 +46,9 @@
   double cold_s;  /* the target stays cold for so long; 0: not said */
   bool load_told; /* the three that follow are known */
   int running, waiting, slots;
-  double pace; /* how long work takes there now, 1: as usual; 0: not told */
+  AnswerLimit limits;
+  double limit; /* requests a second that the target takes of all instances */
+  double pace;  /* how long work takes there now, 1: as usual; 0: not told */
 } Answer;
 
 /* What a dispatch adds to a caller's request. */
--- a/packages/flow/dispatch.c
+++ b/packages/flow/dispatch.c
@@ -138,6 +138,26 @@
          x->sends < x->route->attempts && run_now(x) < x->deadline;
 }
 
+static void log_limit(const Run *x, const char *word, double per_s) {
+  log_info("target-limit", "s:s,s:s,s:s,s:f", "request", x->ask.id, "target",
+           target_id(x->target), "word", word, "per_s", per_s);
+}
+
+/* What the target says of the requests that it takes. An answer without its
+   signature may have lost that word. */
+static void note_limit(Run *x, const Answer *a) {
+  if (a->limits == ANSWER_LIMIT_DAMAGED) {
+    count_add(COUNT_LIMITS_DAMAGED, 1);
+    if (target_limit_damaged(x->target)) log_limit(x, "damaged", 0);
+    return;
+  }
+  bool named = a->limits == ANSWER_LIMIT;
+  if (!named && !a->signed_) return;
+  if (!target_limit(x->target, named ? a->limit : TARGET_UNLIMITED)) return;
+  count_add(COUNT_LIMITS, 1);
+  log_limit(x, named ? "named" : "ended", named ? a->limit : 0);
+}
+
 static LinkVerdict on_head(void *ctx, const LinkHead *h) {
   Run *x = ctx;
   Answer a;
@@ -149,6 +169,8 @@
   x->refused = a.not_run || h->status == 421;
   if (h->status == 421)
     targets_replaced(x->relay->targets, run_now(x), x->target);
+  else
+    note_limit(x, &a);
   if (x->refused) return LINK_TAKE;
   if (a.encoded || !a.signed_) return LINK_DROP;
   if (x->head_out) /* goes on after a break: the first head stands */
--- a/packages/kernel/count.c
+++ b/packages/kernel/count.c
@@ -39,6 +39,10 @@
     [COUNT_REGIONS_UNKNOWN] = {"regions_unknown_total",
                                "regions in the configuration that are unknown "
                                "here"},
+    [COUNT_LIMITS] = {"target_limits_total",
+                      "limits that targets named, changed or ended here"},
+    [COUNT_LIMITS_DAMAGED] = {"target_limits_damaged_total",
+                              "limits whose figure is none"},
     [COUNT_TARGETS_ENDED] = {"targets_ended_total",
                              "targets seen to end under requests"},
     [COUNT_SUSPECTS] = {"suspects_total",
--- a/packages/route/state.h
+++ b/packages/route/state.h
@@ -49,8 +49,10 @@
   int told_running, told_waiting;
   double told_at;
   double pace;  /* how long work took there then, 1: as usual; 0: not told */
-  Use *use;     /* NULL: none yet */
-  bool changed; /* our work there, since it was told */
+  double limit; /* requests a second that it takes; TARGET_UNLIMITED */
+  bool limit_damaged; /* its last word on it could not be read */
+  Use *use;           /* NULL: none yet */
+  bool changed;       /* our work there, since it was told */
 };
 
 struct Targets {
--- a/packages/route/targets.c
+++ b/packages/route/targets.c
@@ -105,6 +105,7 @@
   t->info = *info;
   t->hash = hash_of(info);
   t->leave_at = INFINITY;
+  t->limit = TARGET_UNLIMITED;
   t->slow = 1;
   t->pool = pool_of(s, info->service);
   pool_add(t->pool, t);
@@ -425,6 +426,19 @@
   t->pace = pace > 0 ? CLAMP(pace, PACE_LEAST, PACE_MOST) : 0;
 }
 
+bool target_limit(Target *t, double per_s) {
+  bool changed = t->limit != per_s;
+  t->limit = per_s;
+  t->limit_damaged = false;
+  return changed;
+}
+
+bool target_limit_damaged(Target *t) {
+  bool was = t->limit_damaged;
+  t->limit_damaged = true;
+  return !was;
+}
+
 /* == what the other instances have there == */
 
 /* What the other instances have there, as far as their word is fresh. */
--- a/packages/route/targets.h
+++ b/packages/route/targets.h
@@ -4,6 +4,7 @@
 #define ROUTE_TARGETS_H
 
 #include <glib.h>
+#include <math.h>
 #include <stdbool.h>
 
 #include "flow/ask.h"
@@ -166,6 +167,13 @@
 /* What it says of its load; `pace`: how long work takes there now, 1: as
    usual, 0: not told. */
 void target_load(Target *t, double now, int running, int waiting, double pace);
+/* Requests a second that it takes of all instances, as its answer names them;
+   TARGET_UNLIMITED: it names none. Whether that has changed. */
+#define TARGET_UNLIMITED HUGE_VAL
+bool target_limit(Target *t, double per_s);
+/* The figure in its answer is damaged, and says nothing; whether the one before
+   was sound. */
+bool target_limit_damaged(Target *t);
 /* It says that it stays cold for so long. */
 void target_cold(Target *t, double now, double left_s);
 
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -149,6 +149,39 @@
   g_string_free(out, TRUE);
 }
 
+Test(wire, a_limit_is_a_decimal_figure_or_damaged) {
+  static const struct {
+    const char *text;
+    AnswerLimit limits;
+    double limit;
+  } rows[] = {
+      {"1.7", ANSWER_LIMIT, 1.7},        {"0.7", ANSWER_LIMIT, 0.7},
+      {"100", ANSWER_LIMIT, 100},        {"0", ANSWER_LIMIT, 0},
+      {".5", ANSWER_LIMIT, 0.5},         {"2.", ANSWER_LIMIT, 2},
+      {"", ANSWER_LIMIT_DAMAGED, 0},     {".", ANSWER_LIMIT_DAMAGED, 0},
+      {"-1", ANSWER_LIMIT_DAMAGED, 0},   {"nan", ANSWER_LIMIT_DAMAGED, 0},
+      {"inf", ANSWER_LIMIT_DAMAGED, 0},  {"1,7", ANSWER_LIMIT_DAMAGED, 0},
+      {"1.7x", ANSWER_LIMIT_DAMAGED, 0}, {"1e9", ANSWER_LIMIT_DAMAGED, 0},
+      {"0x10", ANSWER_LIMIT_DAMAGED, 0}, {"few", ANSWER_LIMIT_DAMAGED, 0},
+  };
+  for (size_t i = 0; i < sizeof rows / sizeof *rows; i++) {
+    const char *const list[] = {"Server-Limit", rows[i].text, NULL};
+    Headers h;
+    Answer a;
+    fill(&h, list);
+    wire_answer(&h, "a1", &a);
+    cr_assert_eq(a.limits, rows[i].limits, "%s", rows[i].text);
+    cr_assert_float_eq(a.limit, rows[i].limit, 1e-9, "%s", rows[i].text);
+    headers_free(&h);
+  }
+  Headers none;
+  Answer a;
+  fill(&none, (const char *const[]){NULL});
+  wire_answer(&none, "a1", &a);
+  cr_assert_eq(a.limits, ANSWER_NO_LIMIT);
+  headers_free(&none);
+}
+
 Test(wire, what_a_target_says_of_its_load_is_read) {
   static const struct {
     const char *text;
