--- a/tests/limits.py
+++ b/tests/limits.py
@@ -18,7 +18,7 @@
 import threading
 import time
 
-from fleet import config, run_tests
+from fleet import config, run_tests, wait_for
 from standins import Worker, chunk, event, head
 
 INSTANCES, MANY = 3, 14
@@ -118,7 +118,8 @@
     s.store.put("config", "main", config(2, prepaid=10**6))
     old[:] = [Needy(s.store, "%s%d" % (service, i), service, l)
               for i, l in enumerate(limits)]
-    time.sleep(2.0)  # known everywhere
+    for i in range(len(s.processes)):  # known everywhere, and its budget
+        wait_for("instance %d to serve" % i, lambda: s.chat(5, i=i).status == 200)
     return list(old)
 
 
