A message of a type that is not known is passed over, not the frame with it

What one turn has for an instance leaves in one frame, and a type that the receiver did not know ended the reading of it: a newer build's word would have cost an older one the ledger's words behind it. The test failed before (the load behind the unknown message was lost). Builds that are in production drop such a frame still, so new kinds of messages go in frames of their own.

--- a/packages/peer/codec.c
+++ b/packages/peer/codec.c
@@ -318,6 +318,13 @@
   out[o->via.str.size] = '\0';
 }
 
+/* A newer build's message is passed over, with what else its frame holds kept.
+ */
+static CodecType get_type(Reader *r) {
+  uint64_t n = get_u64(r);
+  return n < CODEC_TYPES ? (CodecType)n : CODEC_TYPES;
+}
+
 static void get_beat(Reader *r, Member *m) {
   get_str(r, m->id, sizeof m->id);
   get_str(r, m->region, sizeof m->region);
@@ -561,7 +568,7 @@
   msgpack_unpacked_init(&u);
   bool ok = open_array(data, len, off, &u, &r);
   if (ok) {
-    m->type = (CodecType)get_small(&r, CODEC_TYPES);
+    m->type = get_type(&r);
     switch (m->type) {
     case CODEC_BEAT: get_beat(&r, &m->beat); break;
     case CODEC_LEDGER: get_ledger(&r, &m->ledger); break;
--- a/packages/peer/codec.h
+++ b/packages/peer/codec.h
@@ -113,7 +113,8 @@
 void codec_put_suspect(msgpack_sbuffer *b, const CodecSuspect *m);
 void codec_put_feed(msgpack_sbuffer *b, const CodecFeed *m);
 
-/* Reads at *off; false at the end or when it is not understood. */
+/* Reads at *off; false at the end or when it is damaged. A message of a type
+   that is not known is CODEC_TYPES, and holds nothing. */
 bool codec_get_head(const char *data, size_t len, size_t *off, CodecHead *h);
 bool codec_get(const char *data, size_t len, size_t *off, CodecMsg *m);
 /* Frees what a message that was read holds. */
--- a/packages/peer/peer.c
+++ b/packages/peer/peer.c
@@ -318,7 +318,10 @@
       count_add(COUNT_PEER_DROPPED, 1);
       return;
     }
-    h(ctx, head.from, &m);
+    if (m.type == CODEC_TYPES)
+      count_add(COUNT_PEER_DROPPED, 1);
+    else
+      h(ctx, head.from, &m);
     codec_clear(&m);
   }
 }
--- a/tests/test_codec.c
+++ b/tests/test_codec.c
@@ -272,6 +272,29 @@
   g_free(text);
 }
 
+/* An instance of an older build hears a newer one's words in one frame with
+   those that it knows: what stands behind them in the frame is not lost. */
+Test(codec, a_message_of_an_unknown_type_is_passed_over) {
+  LoadsMsg l = {.target = 5};
+  msgpack_sbuffer b;
+  msgpack_packer p;
+  CodecMsg m;
+  size_t off = 0;
+  msgpack_sbuffer_init(&b);
+  msgpack_packer_init(&p, &b, msgpack_sbuffer_write);
+  msgpack_pack_array(&p, 3);
+  msgpack_pack_uint8(&p, 100);
+  msgpack_pack_str(&p, 4);
+  msgpack_pack_str_body(&p, "more", 4);
+  msgpack_pack_nil(&p);
+  codec_put_load(&b, &l);
+  cr_assert(codec_get(b.data, b.size, &off, &m));
+  cr_assert_eq(m.type, CODEC_TYPES);
+  cr_assert(codec_get(b.data, b.size, &off, &m));
+  cr_assert(m.type == CODEC_LOAD && m.load.target == 5 && off == b.size);
+  msgpack_sbuffer_destroy(&b);
+}
+
 /* Seeded damage: cut short, bytes changed, noise. */
 Test(codec, damaged_frames_are_refused_or_read_as_something_valid) {
   GRand *r = g_rand_new_with_seed(1);
