--- a/packages/fleet/cluster.c
+++ b/packages/fleet/cluster.c
@@ -24,7 +24,12 @@
 #define VIEW_EVERY_S 0.15
 #define DROPPED_EVERY_S 1.0 /* between lines on what was not sent */
 #define SWEEP_S 1.0         /* between looks for counts that ran out */
-#define CONF_ASK_S 0.4      /* the store is given this long to bring it */
+/* Who counts at a target tells all of its limit: of one target at a time, the
+   more seldom the more instances hear of it, and of each again after a while
+   for those who have just started. */
+#define LIMIT_EACH_S 0.01 /* for each instance, between two words */
+#define LIMIT_AGAIN_S 2.0
+#define CONF_ASK_S 0.4 /* the store is given this long to bring it */
 
 struct Cluster {
   struct ev_loop *loop;
@@ -54,6 +59,7 @@
   ReadersDuty duty; /* what we read in the store */
   int64_t dropped;  /* messages that were not sent, when last logged */
   double dropped_at, swept;
+  double limits_at; /* when the others are told of a limit next */
 };
 
 static double now_of(const Cluster *c) {
@@ -152,7 +158,7 @@
   log_info("view", "s:i", "members", c->view->n);
   remember_ids(c);
   readers_view(c->readers, c->view);
-  tallies_view(c->tallies, c->view);
+  tallies_view(c->tallies, now, c->view);
   c->ev.instances(c->ctx, rank_of_self(c), c->view->n);
   if (!c->settled) return;
   ledger_view(c->ledger, now, c->view);
@@ -231,21 +237,49 @@
 
 /* == what readers of the store tell == */
 
-/* Hands it on to those whom we are to care for. */
-static void hand_on(Cluster *c, const CodecFeed *feed) {
+/* Sends one copy of a message; `until`: of the receiver's part. */
+typedef void (*SendCopy)(Cluster *c, const Member *to, const char *until,
+                         const void *msg);
+
+/* Hands it on to those of our region whom we are to care for. */
+static void hand_on(Cluster *c, const char *until, SendCopy send,
+                    const void *msg) {
   SpreadPart part[SPREAD_FAN];
-  int n = c->spread ? spread_split(c->spread, feed->until, part) : 0;
-  for (int i = 0; i < n; i++) {
-    CodecFeed copy = *feed;
-    g_strlcpy(copy.until, part[i].until, sizeof copy.until);
-    peer_feed(c->peer, part[i].to->peer, part[i].to->id, &copy);
+  int n = c->spread ? spread_split(c->spread, until, part) : 0;
+  for (int i = 0; i < n; i++) send(c, part[i].to, part[i].until, msg);
+}
+
+static void send_feed(Cluster *c, const Member *to, const char *until,
+                      const void *msg) {
+  CodecFeed copy = *(const CodecFeed *)msg;
+  g_strlcpy(copy.until, until, sizeof copy.until);
+  peer_feed(c->peer, to->peer, to->id, &copy);
+}
+
+/* Whether a member before the `i`-th is of its region. */
+static bool region_is_known(const View *v, int i) {
+  for (int k = 0; k < i; k++)
+    if (strcmp(v->list[k].region, v->list[i].region) == 0) return true;
+  return false;
+}
+
+/* One member of each other region tells the others there; `name` chooses. */
+static void tell_regions(Cluster *c, uint64_t name, SendCopy send,
+                         const void *msg) {
+  const Member *me = gossip_me(c->members);
+  for (int i = 0; i < c->view->n; i++) {
+    const char *region = c->view->list[i].region;
+    if (strcmp(region, me->region) == 0 || region_is_known(c->view, i))
+      continue;
+    const Member *m = view_home(c->view, region, name, 0);
+    if (m) send(c, m, "", msg);
   }
 }
 
 static void take_feed(Cluster *c, const char *from, const CodecFeed *feed) {
   const char *reader = g_hash_table_lookup(c->ids, &feed->reader);
   bool to_us = feed->kind == CODEC_FEED_ASK || feed->kind == CODEC_FEED_PART;
-  if (!to_us) hand_on(c, feed);
+  if (!to_us) hand_on(c, feed->until, send_feed, feed);
   if (!to_us && reader)
     readers_heard(c->readers, now_of(c), reader, feed->word);
   c->ev.feed(c->ctx, from, feed);
@@ -271,39 +305,40 @@
   }
 }
 
-/* To those of our region whom we are to care for. */
-static void suspect_hand_on(Cluster *c, const CodecSuspect *word) {
-  SpreadPart part[SPREAD_FAN];
-  int n = c->spread ? spread_split(c->spread, word->until, part) : 0;
-  for (int i = 0; i < n; i++) {
-    CodecSuspect copy = *word;
-    g_strlcpy(copy.until, part[i].until, sizeof copy.until);
-    peer_suspect(c->peer, part[i].to->peer, part[i].to->id, &copy);
-  }
+static void send_suspect(Cluster *c, const Member *to, const char *until,
+                         const void *msg) {
+  CodecSuspect copy = *(const CodecSuspect *)msg;
+  g_strlcpy(copy.until, until, sizeof copy.until);
+  peer_suspect(c->peer, to->peer, to->id, &copy);
 }
 
-/* Whether a member before the `i`-th is of its region. */
-static bool region_is_known(const View *v, int i) {
-  for (int k = 0; k < i; k++)
-    if (strcmp(v->list[k].region, v->list[i].region) == 0) return true;
-  return false;
+static void take_suspect(Cluster *c, const CodecSuspect *word) {
+  if (word->msg.kind != SUSPECTS_MARK)
+    hand_on(c, word->until, send_suspect, word);
+  c->ev.suspect(c->ctx, &word->msg);
 }
 
-/* One member of each other region tells the others there. */
-static void tell_regions(Cluster *c, const CodecSuspect *word) {
-  const Member *me = gossip_me(c->members);
-  for (int i = 0; i < c->view->n; i++) {
-    const char *region = c->view->list[i].region;
-    if (strcmp(region, me->region) == 0 || region_is_known(c->view, i))
-      continue;
-    const Member *m = view_home(c->view, region, word->msg.digest.lo, 0);
-    if (m) peer_suspect(c->peer, m->peer, m->id, word);
-  }
+/* == what targets take == */
+
+static void send_limit(Cluster *c, const Member *to, const char *until,
+                       const void *msg) {
+  CodecLimit copy = *(const CodecLimit *)msg;
+  g_strlcpy(copy.until, until, sizeof copy.until);
+  peer_limit(c->peer, to->peer, to->id, &copy);
 }
 
-static void take_suspect(Cluster *c, const CodecSuspect *word) {
-  if (word->msg.kind != SUSPECTS_MARK) suspect_hand_on(c, word);
-  c->ev.suspect(c->ctx, &word->msg);
+static void take_limit(Cluster *c, const CodecLimit *word) {
+  hand_on(c, word->until, send_limit, word);
+  c->ev.limit(c->ctx, &word->msg);
+}
+
+static void tell_limits(Cluster *c, double now) {
+  CodecLimit word = {.to_all = true};
+  if (now < c->limits_at) return;
+  if (!tallies_limit_news(c->tallies, now, LIMIT_AGAIN_S, &word.msg)) return;
+  c->limits_at = now + c->view->n * LIMIT_EACH_S;
+  tell_regions(c, word.msg.target, send_limit, &word);
+  take_limit(c, &word);
 }
 
 /* == events == */
@@ -335,6 +370,8 @@
     take_feed(c, id, &m->feed);
   } else if (m->type == CODEC_SUSPECT) {
     take_suspect(c, &m->suspect);
+  } else if (m->type == CODEC_LIMIT && m->limit.to_all) {
+    take_limit(c, &m->limit);
   } else if (tallies_take(c->tallies, now_of(c), view_find(c->view, id), m)) {
     return;
   } else if (m->type == CODEC_LEDGER) {
@@ -382,6 +419,7 @@
   settle(c);
   ask_conf(c);
   log_dropped(c, now);
+  tell_limits(c, now);
   if (now - c->swept >= SWEEP_S) {
     c->swept = now;
     tallies_sweep(c->tallies, now);
@@ -431,7 +469,8 @@
   c->started = loopclock_now(loop);
   peer_on_demand(peer);
   c->members = gossip_new(&o->self, o->seed);
-  c->tallies = tallies_new(peer, o->self.id, o->regions, ev->tally, ctx);
+  TalliesEvents tallies = {ev->tally, ev->permit};
+  c->tallies = tallies_new(peer, o->self.id, o->regions, &tallies, ctx);
   c->readers = readers_new(o->self.id, o->self.region);
   c->view = view_new(NULL, 0);
   c->ledger = ledger_new(o->self.id, o->self.region, o->seed);
@@ -500,7 +539,7 @@
   CodecFeed ours = *feed;
   ours.reader = text_hash(gossip_me(c->members)->id);
   ours.until[0] = '\0';
-  hand_on(c, &ours);
+  hand_on(c, ours.until, send_feed, &ours);
 }
 
 void cluster_feed_to(Cluster *c, const char *id, const CodecFeed *feed) {
@@ -537,14 +576,26 @@
   tallies_tell(c->tallies, now_of(c), r);
 }
 
+void cluster_permit_ask(Cluster *c, const TallyPermitAsk *a) {
+  tallies_ask_permit(c->tallies, now_of(c), a);
+}
+
+void cluster_limit(Cluster *c, const TallyLimit *m) {
+  tallies_limit(c->tallies, now_of(c), m);
+}
+
+void cluster_stood_still(Cluster *c) {
+  tallies_stood_still(c->tallies, now_of(c));
+}
+
 void cluster_suspect(Cluster *c, const SuspectsMsg *m) {
   CodecSuspect word = {.msg = *m};
   if (m->kind == SUSPECTS_MARK) {
     tell_homes(c, m);
     return;
   }
-  suspect_hand_on(c, &word);
-  tell_regions(c, &word);
+  hand_on(c, "", send_suspect, &word);
+  tell_regions(c, m->digest.lo, send_suspect, &word);
 }
 
 void cluster_pool(Cluster *c, const TargetsPoolWord *word) {
--- a/packages/fleet/cluster.h
+++ b/packages/fleet/cluster.h
@@ -41,6 +41,10 @@
   void (*parts)(void *ctx, const TargetParts *m);
   /* What all have at a target that we asked for. */
   void (*tally)(void *ctx, const TallyWord *m);
+  /* Whether a request of ours may go to a bounded target. */
+  void (*permit)(void *ctx, const TallyPermit *m);
+  /* What a target takes, as who counts there tells all. */
+  void (*limit)(void *ctx, const TallyLimit *m);
   /* What is said of a request under which targets ended. */
   void (*suspect)(void *ctx, const SuspectsMsg *m);
   /* The same of what it saw of a pool. */
@@ -76,6 +80,13 @@
 void cluster_tally_ask(Cluster *c, const TallyAsk *a);
 /* Tells whoever counts it of a request of ours at a target. */
 void cluster_tally_tell(Cluster *c, const TallyRun *r);
+/* Asks whoever counts there for a permit; the answer may come before this
+   returns, or never. */
+void cluster_permit_ask(Cluster *c, const TallyPermitAsk *a);
+/* Tells whoever counts there of a target's limit. */
+void cluster_limit(Cluster *c, const TallyLimit *m);
+/* This instance stood still. */
+void cluster_stood_still(Cluster *c);
 /* Tells the others of the region what we saw of a pool. */
 void cluster_pool(Cluster *c, const TargetsPoolWord *m);
 /* Tells the homes of a request, or all instances, by the kind of message. */
--- a/packages/fleet/tallies.c
+++ b/packages/fleet/tallies.c
@@ -12,19 +12,19 @@
   Tally *tally;
   const View *view;
   GHashTable *counter; /* its name -> Member of `view`, as far as asked for */
-  void (*told)(void *ctx, const TallyWord *w);
+  TalliesEvents ev;
   void *ctx;
 };
 
 Tallies *tallies_new(Peer *peer, const char *self, const Regions *regions,
-                     void (*told)(void *ctx, const TallyWord *w), void *ctx) {
+                     const TalliesEvents *ev, void *ctx) {
   Tallies *t = g_new0(Tallies, 1);
   t->peer = peer;
   t->regions = regions;
   t->hash = text_hash(self);
   t->tally = tally_new();
   t->counter = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
-  t->told = told;
+  t->ev = *ev;
   t->ctx = ctx;
   g_strlcpy(t->self, self, sizeof t->self);
   return t;
@@ -36,11 +36,6 @@
   g_free(t);
 }
 
-void tallies_view(Tallies *t, const View *v) {
-  t->view = v;
-  g_hash_table_remove_all(t->counter);
-}
-
 /* Who counts, by that name; NULL: nobody is known. */
 static const Member *counter_of(Tallies *t, uint64_t name) {
   if (!t->view) return NULL;
@@ -56,6 +51,28 @@
   return strcmp(m->id, t->self) == 0;
 }
 
+static bool count_for(void *ctx, uint64_t name) {
+  Tallies *t = ctx;
+  const Member *m = counter_of(t, name);
+  return m && is_self(t, m);
+}
+
+static bool count_for_nobody(void *ctx, uint64_t name) {
+  (void)ctx;
+  (void)name;
+  return false;
+}
+
+void tallies_view(Tallies *t, double now, const View *v) {
+  t->view = v;
+  g_hash_table_remove_all(t->counter);
+  tally_members(t->tally, now, v->n, count_for, t);
+}
+
+void tallies_stood_still(Tallies *t, double now) {
+  if (t->view) tally_members(t->tally, now, t->view->n, count_for_nobody, NULL);
+}
+
 static TallyParts parts_to(const Tallies *t, const Member *m,
                            const TallyParts *parts, RegionSet allowed) {
   return tally_parts_to(parts, allowed, regions_named(t->regions, m->region));
@@ -71,7 +88,7 @@
     return;
   }
   TallyWord w = tally_word(t->tally, now, a);
-  t->told(t->ctx, &w);
+  t->ev.word(t->ctx, &w);
 }
 
 void tallies_tell(Tallies *t, double now, const TallyRun *r) {
@@ -86,13 +103,55 @@
   peer_tally_run(t->peer, m->peer, m->id, &out);
 }
 
+void tallies_ask_permit(Tallies *t, double now, const TallyPermitAsk *a) {
+  const Member *m = counter_of(t, a->counter);
+  if (!m) return;
+  if (!is_self(t, m)) {
+    peer_permit_ask(t->peer, m->peer, m->id, a);
+    return;
+  }
+  TallyPermit p = tally_permit(t->tally, now, t->hash, a);
+  t->ev.permit(t->ctx, &p);
+}
+
+void tallies_limit(Tallies *t, double now, const TallyLimit *m) {
+  const Member *to = counter_of(t, m->counter);
+  if (!to) return;
+  if (is_self(t, to)) {
+    tally_limit(t->tally, now, m);
+    return;
+  }
+  CodecLimit word = {.msg = *m};
+  peer_limit(t->peer, to->peer, to->id, &word);
+}
+
+bool tallies_limit_news(Tallies *t, double now, double again_s, TallyLimit *m) {
+  return tally_limit_news(t->tally, now, again_s, m);
+}
+
+/* Only who counts by its own view answers: of two that are asked in turn, while
+   their views differ, one gives nothing. */
+static void take_permit_ask(Tallies *t, double now, const Member *from,
+                            const TallyPermitAsk *a) {
+  if (!count_for(t, a->counter)) return;
+  TallyPermit p = tally_permit(t->tally, now, text_hash(from->id), a);
+  peer_permit(t->peer, from->peer, from->id, &p);
+}
+
 bool tallies_take(Tallies *t, double now, const Member *from,
                   const CodecMsg *m) {
   if (m->type == CODEC_TALLY_ASK) {
     TallyWord w = tally_word(t->tally, now, &m->tally_ask);
     peer_tally_word(t->peer, from->peer, from->id, &w);
   } else if (m->type == CODEC_TALLY_WORD) {
-    t->told(t->ctx, &m->tally_word);
+    t->ev.word(t->ctx, &m->tally_word);
+  } else if (m->type == CODEC_PERMIT_ASK) {
+    take_permit_ask(t, now, from, &m->permit_ask);
+  } else if (m->type == CODEC_PERMIT) {
+    t->ev.permit(t->ctx, &m->permit);
+  } else if (m->type == CODEC_LIMIT && !m->limit.to_all) {
+    if (count_for(t, m->limit.msg.counter))
+      tally_limit(t->tally, now, &m->limit.msg);
   } else if (m->type == CODEC_TALLY_RUN) {
     tally_take(t->tally, now, text_hash(from->id), &m->tally_run);
   } else {
--- a/packages/fleet/tallies.h
+++ b/packages/fleet/tallies.h
@@ -7,16 +7,28 @@
 
 typedef struct Tallies Tallies;
 
-/* `regions` has to last. `told` gets the answer to a question of ours, at once
-   where we count. */
+/* The answers to questions of ours, at once where we count. */
+typedef struct TalliesEvents {
+  void (*word)(void *ctx, const TallyWord *w);
+  void (*permit)(void *ctx, const TallyPermit *p);
+} TalliesEvents;
+
+/* `regions` has to last. */
 Tallies *tallies_new(Peer *peer, const char *self, const Regions *regions,
-                     void (*told)(void *ctx, const TallyWord *w), void *ctx);
+                     const TalliesEvents *ev, void *ctx);
 void tallies_free(Tallies *t);
 /* The members; `v` has to last until the next call. */
-void tallies_view(Tallies *t, const View *v);
+void tallies_view(Tallies *t, double now, const View *v);
+/* We stood still: others may have counted for us meanwhile. */
+void tallies_stood_still(Tallies *t, double now);
 /* Who counts there is asked, or told of one of our requests. */
 void tallies_ask(Tallies *t, double now, const TallyAsk *a);
 void tallies_tell(Tallies *t, double now, const TallyRun *r);
+/* Who counts there is asked for a permit, or told of a target's limit. */
+void tallies_ask_permit(Tallies *t, double now, const TallyPermitAsk *a);
+void tallies_limit(Tallies *t, double now, const TallyLimit *m);
+/* tally_limit_news of what we count. */
+bool tallies_limit_news(Tallies *t, double now, double again_s, TallyLimit *m);
 /* A message from `from`; false: it is none of ours. */
 bool tallies_take(Tallies *t, double now, const Member *from,
                   const CodecMsg *m);
--- a/packages/flow/asking.c
+++ b/packages/flow/asking.c
@@ -7,14 +7,9 @@
    has not come by then is chosen without. */
 #define TOLD_WAIT_S 0.02
 
-/* Engines are asked for always, plain targets while one is cold and may get no
-   more than a number of requests from all. */
 static bool asks(const Run *x) {
-  const ConfService *s = x->service;
-  if (!s || !cluster_is_large(x->relay->cluster)) return false;
-  if (s->engine) return true;
-  return s->cold_rate > 0 &&
-         targets_any_cold(x->relay->targets, run_now(x), x->service_name);
+  return x->service && x->service->engine &&
+         cluster_is_large(x->relay->cluster);
 }
 
 static void on_told_late(struct ev_loop *loop, ev_timer *w, int revents) {
@@ -45,6 +40,7 @@
 }
 
 void run_stop_asking(Run *x) {
+  run_stop_asking_permit(x);
   if (x->question == 0) return;
   ev_timer_stop(x->relay->loop, &x->told_timer);
   g_hash_table_remove(x->relay->asking, &x->question);
@@ -54,7 +50,7 @@
 
 void relay_tally(Relay *r, const TallyWord *w) {
   Run *x = g_hash_table_lookup(r->asking, &w->number);
-  if (!x || x->n_words == x->n_asked) return;
+  if (!x || x->permit_asked || x->n_words == x->n_asked) return;
   x->words[x->n_words++] = *w;
   if (x->holds && x->n_words == x->n_asked) run_choose(x);
 }
@@ -73,8 +69,8 @@
 }
 
 void run_tell_sent(Run *x) {
-  if (!asks(x)) return;
-  x->run = ++x->relay->runs;
+  if (!asks(x) && !x->choice.bounded) return;
+  x->run = x->permit_run != 0 ? x->permit_run : ++x->relay->runs;
   x->counter = targets_counter(x->relay->targets, target_hash(x->target));
   tell(x, true, x->choice.fresh, true);
 }
--- a/packages/flow/dispatch.c
+++ b/packages/flow/dispatch.c
@@ -146,16 +146,23 @@
 /* What the target says of the requests that it takes. An answer without its
    signature may have lost that word. */
 static void note_limit(Run *x, const Answer *a) {
+  Target *t = x->target;
   if (a->limits == ANSWER_LIMIT_DAMAGED) {
     count_add(COUNT_LIMITS_DAMAGED, 1);
-    if (target_limit_damaged(x->target)) log_limit(x, "damaged", 0);
+    if (target_limit_damaged(t)) log_limit(x, "damaged", 0);
     return;
   }
   bool named = a->limits == ANSWER_LIMIT;
   if (!named && !a->signed_) return;
-  if (!target_limit(x->target, named ? a->limit : TARGET_UNLIMITED)) return;
+  double limit = named ? a->limit : QUOTA_UNLIMITED;
+  bool changed = limit != target_limit_of(t);
+  if (!target_limit(t, run_now(x), limit)) return;
+  TallyLimit word = {.target = target_hash(t), .limit = limit};
+  word.counter = targets_counter(x->relay->targets, word.target);
+  cluster_limit(x->relay->cluster, &word);
+  if (!changed) return;
   count_add(COUNT_LIMITS, 1);
-  log_limit(x, named ? "named" : "ended", named ? a->limit : 0);
+  log_limit(x, named ? "named" : "ended", named ? limit : 0);
 }
 
 static LinkVerdict on_head(void *ctx, const LinkHead *h) {
@@ -289,6 +296,7 @@
                      .move_s = x->service ? x->service->move_s : 0,
                      .pause_s = x->service ? x->service->pause_s : 0,
                      .regions = x->regions,
+                     .no_permit = !run_may_ask_permit(x),
                      .alone = x->try != NULL,
                      .tried = x->tried,
                      .n_tried = x->n_tried,
@@ -304,8 +312,9 @@
   return customer * ROUTE_RANKS + MIN(x->route->priority, ROUTE_RANKS - 1);
 }
 
-static void send_to(Run *x, const TargetChoice *c) {
+void run_send(Run *x) {
   Relay *r = x->relay;
+  const TargetChoice *c = &x->choice;
   double now = run_now(x);
   AskSend send = {.target = target_id(c->target),
                   .donor = c->donor ? target_addr(c->donor) : NULL,
@@ -318,7 +327,7 @@
   wire_request(out, x->req->method, x->req->target->str, &x->req->headers,
                x->req->body, &send);
   x->target = c->target;
-  x->choice = *c;
+  x->n_asked = x->n_words = 0;
   x->sent_at = now;
   x->first = x->refused = false;
   x->paused_at = 0;
@@ -327,13 +336,15 @@
   if (x->n_tried == 1) retries_first(r->retries, now, x->service_name);
   target_sent(c->target, now, &x->ask, c);
   run_tell_sent(x);
+  x->n_permits = 0;
+  x->permit_run = 0;
   double fresh_s = repeatable(x) ? RUN_LINK_KEEP_S : FRESH_ONCE_S;
   x->link = link_send(r->links, target_addr(c->target), out, fresh_s,
                       &link_events, x);
 }
 
 /* No target may take it: told at once, with the time that this may take. */
-static void give_up_unplaced(Run *x, TargetNone why) {
+static void give_up_unplaced(Run *x, const TargetChoice *c) {
   static const struct {
     int retry_ms;
     const char *text;
@@ -343,12 +354,12 @@
                                "%s has no target in the allowed regions"},
       [TARGET_NONE_EVACUATED] = {RUN_BACK_EVACUATED_MS,
                                  "what is left of %s is evacuated"},
-      [TARGET_NONE_COLD] = {RUN_BACK_COLD_MS,
-                            "what is left of %s is cold and has its fill"},
+      [TARGET_NONE_FULL] = {0, "what is left of %s takes no more now"},
   };
   Err e;
-  err_retry(&e, ERR_NO_TARGET, causes[why].retry_ms, causes[why].text,
-            x->service_name);
+  int retry_ms = causes[c->none].retry_ms;
+  if (c->none == TARGET_NONE_FULL) retry_ms = (int)(c->back_s * 1000);
+  err_retry(&e, ERR_NO_TARGET, retry_ms, causes[c->none].text, x->service_name);
   if (x->maybe) err_set(&e, ERR_TARGET_FAILED, "no other target is left");
   run_give_up(x, &e);
 }
@@ -371,12 +382,16 @@
   TargetAsk ask = run_target_ask(x);
   TargetChoice c = targets_pick(x->relay->targets, run_now(x), &ask);
   run_stop_asking(x);
-  x->n_asked = x->n_words = 0;
-  if (c.target) {
-    send_to(x, &c);
+  if (!c.target) {
+    give_up_unplaced(x, &c);
+    return;
+  }
+  if (c.bounded) {
+    run_ask_permit(x, &c);
     return;
   }
-  give_up_unplaced(x, c.none);
+  x->choice = c;
+  run_send(x);
 }
 
 void run_dispatch(Run *x) {
--- /dev/null
+++ b/packages/flow/permits.c
@@ -0,0 +1,86 @@
+/* permits.c: a request to a bounded target goes there with the permit of
+   whoever counts its work. */
+#include "flow/run.h"
+#include "kernel/count.h"
+
+/* For the answer; instances are 1.4 ms apart, and take a turn. Without one the
+   instance's own part of the bound decides. */
+#define ANSWER_S 0.02
+/* A permit is for now: one that this process could not use at once, since it
+   stood still, is for a time that has passed. */
+#define PERMIT_OLD_S 0.1
+/* Who counts gave no answer: not asked again for so long. */
+#define SILENT_S 0.25
+/* Targets that one request asks for in turn. */
+#define PERMITS_MOST 6
+
+static double cold_rate(const Run *x) {
+  return x->service ? x->service->cold_rate : 0;
+}
+
+static void close_question(Run *x) {
+  ev_timer_stop(x->relay->loop, &x->told_timer);
+  g_hash_table_remove(x->relay->asking, &x->question);
+  x->question = 0;
+  x->permit_asked = false;
+}
+
+static void on_no_answer(struct ev_loop *loop, ev_timer *w, int revents) {
+  (void)loop;
+  (void)revents;
+  Run *x = w->data;
+  Target *t = x->choice.target;
+  double now = run_now(x);
+  close_question(x);
+  count_add(COUNT_PERMITS_SILENT, 1);
+  if (target_usable(t, now) && target_deals(t, now, cold_rate(x))) {
+    run_send(x);
+    return;
+  }
+  target_full(t, now, SILENT_S);
+  run_choose(x);
+}
+
+bool run_may_ask_permit(const Run *x) {
+  return x->n_permits < PERMITS_MOST;
+}
+
+void run_ask_permit(Run *x, const TargetChoice *c) {
+  Relay *r = x->relay;
+  double now = run_now(x);
+  TallyPermitAsk a = target_permit_ask(c->target, now, cold_rate(x));
+  x->choice = *c;
+  x->n_permits++;
+  x->all_permits++;
+  x->asked_at = now;
+  x->permit_asked = true;
+  x->question = a.number = ++r->questions;
+  x->permit_run = a.run = ++r->runs;
+  g_hash_table_insert(r->asking, &x->question, x);
+  ev_timer_init(&x->told_timer, on_no_answer, ANSWER_S, 0);
+  x->told_timer.data = x;
+  ev_timer_start(r->loop, &x->told_timer);
+  cluster_permit_ask(r->cluster, &a);
+}
+
+void run_stop_asking_permit(Run *x) {
+  if (x->permit_asked) close_question(x);
+}
+
+void relay_permit(Relay *r, const TallyPermit *p) {
+  Run *x = g_hash_table_lookup(r->asking, &p->number);
+  if (!x || !x->permit_asked) return;
+  Target *t = x->choice.target;
+  double now = run_now(x);
+  bool old = now - x->asked_at > PERMIT_OLD_S;
+  close_question(x);
+  targets_limit_told(r->targets, p->target, p->limit);
+  if (!p->given) {
+    count_add(COUNT_PERMITS_REFUSED, 1);
+    target_full(t, now, p->wait_s);
+  }
+  if (p->given && !old && !r->behind && target_usable(t, now))
+    run_send(x);
+  else
+    run_choose(x);
+}
--- a/packages/flow/relay.h
+++ b/packages/flow/relay.h
@@ -33,6 +33,8 @@
 void relay_reserved(Relay *r, uint64_t handle, ErrKind cause, int retry_ms);
 /* What all have at a target that a request asked about. */
 void relay_tally(Relay *r, const TallyWord *w);
+/* Whether a request may go to the bounded target that it was chosen for. */
+void relay_permit(Relay *r, const TallyPermit *p);
 /* Planned stop: open requests go on, callers are asked to leave. */
 void relay_drain(Relay *r);
 /* Callers are asked to leave, or no longer. */
--- a/packages/flow/run.c
+++ b/packages/flow/run.c
@@ -72,7 +72,7 @@
       strcmp(outcome, "served") == 0 ? log_info : log_warn;
   line("request",
        "s:s,s:s,s:i,s:s,s:s,s:s,s:s,s:s,s:i,s:i,s:I,s:I,s:I,s:I,s:i,s:I,"
-       "s:f,s:f,s:f,s:f,s:f,s:f,s:I",
+       "s:f,s:f,s:f,s:f,s:f,s:f,s:i,s:I",
        "request", x->ask.id, "outcome", outcome, "status", status, "error",
        error, "customer", x->customer ? x->customer->name : "", "service",
        x->service_name ? x->service_name : "", "route",
@@ -84,8 +84,8 @@
        "unread", (json_int_t)x->choice.load.tokens, "predicted",
        x->choice.wait_s, "first", x->first_s, "pause", x->pause_s, "aim",
        x->route ? x->route->aim_s : 0, "pause_aim",
-       x->route ? x->route->pause_s : 0, "seconds", now - x->req->at, "conf",
-       (json_int_t)(x->conf ? x->conf->version : 0));
+       x->route ? x->route->pause_s : 0, "seconds", now - x->req->at, "permits",
+       x->all_permits, "conf", (json_int_t)(x->conf ? x->conf->version : 0));
 }
 
 /* Everything but the answer: budget, target, log. */
--- a/packages/flow/run.h
+++ b/packages/flow/run.h
@@ -20,8 +20,6 @@
 /* The same where the operators let it be served only where no target is: until
    a target comes, or another configuration. */
 #define RUN_BACK_CHANGED_MS 5000
-/* The same while cold targets have had what they bear in a second. */
-#define RUN_BACK_COLD_MS 1000
 
 typedef struct Run Run;
 
@@ -57,6 +55,11 @@
   bool holds;        /* the choice waits for the answers */
   int n_asked, n_words;
   TallyWord words[TARGETS_ASKED];
+  /* a permit for the target of `choice` */
+  bool permit_asked; /* by the question that is open */
+  double asked_at;
+  int n_permits, all_permits; /* asked for: since it was last sent, in all */
+  uint64_t permit_run; /* its number at that target; 0: it asked for none */
   uint64_t run;     /* its number at the target, as told; 0: it was not told */
   uint64_t counter; /* of its work there */
   bool first;       /* its first byte has come */
@@ -129,6 +132,15 @@
 void run_tell_read(Run *x);
 void run_tell_done(Run *x);
 
+/* == permits.c: bounded targets == */
+
+/* Whether it has not been refused too often. */
+bool run_may_ask_permit(const Run *x);
+/* Sends it to the chosen target once it has a permit, or chooses again. */
+void run_ask_permit(Run *x, const TargetChoice *c);
+/* The request ends. */
+void run_stop_asking_permit(Run *x);
+
 /* == breaks.c: targets that end, and under which requests == */
 
 /* Stands for this request and all that repeat it: same method, host, path,
@@ -170,6 +182,8 @@
 /* What the choice of a target is made by. */
 TargetAsk run_target_ask(Run *x);
 void run_choose(Run *x);
+/* Sends it to the target of `choice`. */
+void run_send(Run *x);
 
 /* Chooses a target and sends the request there, or gives up. */
 void run_dispatch(Run *x);
--- a/packages/kernel/count.c
+++ b/packages/kernel/count.c
@@ -43,6 +43,12 @@
                       "limits that targets named, changed or ended here"},
     [COUNT_LIMITS_DAMAGED] = {"target_limits_damaged_total",
                               "limits whose figure is none"},
+    [COUNT_PERMITS_REFUSED] = {"permits_refused_total",
+                               "questions for a bounded target that had its "
+                               "fill"},
+    [COUNT_PERMITS_SILENT] = {"permits_silent_total",
+                              "questions for a bounded target that nobody "
+                              "answered"},
     [COUNT_TARGETS_ENDED] = {"targets_ended_total",
                              "targets seen to end under requests"},
     [COUNT_SUSPECTS] = {"suspects_total",
--- a/packages/kernel/limits.h
+++ b/packages/kernel/limits.h
@@ -36,6 +36,10 @@
   (8 << 20) /* of one answer of the platform's store                           \
              */
 
+/* == requests to targets == */
+
+#define LIMIT_RATE 1e6 /* a second, to one target: a higher bound is none */
+
 /* == ledger, seconds and tokens == */
 
 #define LEDGER_DRAW_WAIT 1.5 /* a reservation waits this long for tokens */
--- a/packages/node/node.c
+++ b/packages/node/node.c
@@ -337,6 +337,16 @@
   relay_tally(n->relay, m);
 }
 
+static void on_permit(void *ctx, const TallyPermit *m) {
+  Node *n = ctx;
+  relay_permit(n->relay, m);
+}
+
+static void on_limit(void *ctx, const TallyLimit *m) {
+  Node *n = ctx;
+  targets_limit_told(n->targets, m->target, m->limit);
+}
+
 static void on_suspect(void *ctx, const SuspectsMsg *m) {
   Node *n = ctx;
   if (n->relay) relay_suspect(n->relay, m);
@@ -461,6 +471,7 @@
   log_warn("stood-still", "s:f", "seconds", gap_s);
   n->still_at = loopclock_now(n->loop);
   relay_behind(n->relay, true);
+  cluster_stood_still(n->cluster);
   feed_stood_still(n->feed);
 }
 
@@ -526,8 +537,8 @@
 
 static Cluster *open_cluster(Node *n, Err *e) {
   static const ClusterEvents events = {
-      on_reserved, on_instances, on_peer_conf, conf_text,  on_feed,
-      on_work,     on_parts,     on_tally,     on_suspect, on_pool};
+      on_reserved, on_instances, on_peer_conf, conf_text, on_feed,    on_work,
+      on_parts,    on_tally,     on_permit,    on_limit,  on_suspect, on_pool};
   ClusterOptions o = {.seeds = settings_text(settings, "seeds"),
                       .seed = random_number(),
                       .regions = n->regions};
--- a/packages/peer/codec.c
+++ b/packages/peer/codec.c
@@ -266,6 +266,52 @@
   msgpack_pack_int64(&p, thousandths(m->msg.age_s));
 }
 
+/* No limit travels as nil. */
+static void put_limit(msgpack_packer *p, double limit) {
+  if (limit < QUOTA_UNLIMITED)
+    msgpack_pack_int64(p, (int64_t)round(MIN(limit, LIMIT_RATE) * THOUSAND));
+  else
+    msgpack_pack_nil(p);
+}
+
+void codec_put_permit_ask(msgpack_sbuffer *b, const TallyPermitAsk *m) {
+  msgpack_packer p;
+  msgpack_packer_init(&p, b, msgpack_sbuffer_write);
+  msgpack_pack_array(&p, 8);
+  msgpack_pack_uint8(&p, CODEC_PERMIT_ASK);
+  msgpack_pack_uint64(&p, m->number);
+  msgpack_pack_uint64(&p, m->target);
+  msgpack_pack_uint64(&p, m->counter);
+  msgpack_pack_uint64(&p, m->run);
+  msgpack_pack_int64(&p, thousandths(MIN(m->bounds.cold, LIMIT_RATE)));
+  put_limit(&p, m->bounds.limit);
+  msgpack_pack_int64(&p, thousandths(m->reach));
+}
+
+void codec_put_permit(msgpack_sbuffer *b, const TallyPermit *m) {
+  msgpack_packer p;
+  msgpack_packer_init(&p, b, msgpack_sbuffer_write);
+  msgpack_pack_array(&p, 6);
+  msgpack_pack_uint8(&p, CODEC_PERMIT);
+  msgpack_pack_uint64(&p, m->number);
+  msgpack_pack_uint64(&p, m->target);
+  msgpack_pack_uint8(&p, m->given);
+  msgpack_pack_int64(&p, thousandths(m->wait_s));
+  put_limit(&p, m->limit);
+}
+
+void codec_put_limit(msgpack_sbuffer *b, const CodecLimit *m) {
+  msgpack_packer p;
+  msgpack_packer_init(&p, b, msgpack_sbuffer_write);
+  msgpack_pack_array(&p, 6);
+  msgpack_pack_uint8(&p, CODEC_LIMIT);
+  msgpack_pack_uint8(&p, m->to_all);
+  put_str(&p, m->until);
+  msgpack_pack_uint64(&p, m->msg.target);
+  msgpack_pack_uint64(&p, m->msg.counter);
+  put_limit(&p, m->msg.limit);
+}
+
 /* == unpacking: any wrong type or length makes it not understood == */
 
 typedef struct Reader {
@@ -472,6 +518,41 @@
   m->msg.age_s = get_count(r) / THOUSAND;
 }
 
+static double get_limit(Reader *r) {
+  if (r->left > 0 && r->at->type == MSGPACK_OBJECT_NIL) {
+    take(r);
+    return QUOTA_UNLIMITED;
+  }
+  return get_count(r) / THOUSAND;
+}
+
+static void get_permit_ask(Reader *r, TallyPermitAsk *m) {
+  m->number = get_u64(r);
+  m->target = get_u64(r);
+  m->counter = get_u64(r);
+  m->run = get_u64(r);
+  m->bounds.cold = get_count(r) / THOUSAND;
+  m->bounds.limit = get_limit(r);
+  m->reach = get_count(r) / THOUSAND;
+  r->bad |= m->reach > 1;
+}
+
+static void get_permit(Reader *r, TallyPermit *m) {
+  m->number = get_u64(r);
+  m->target = get_u64(r);
+  m->given = get_small(r, 2);
+  m->wait_s = get_count(r) / THOUSAND;
+  m->limit = get_limit(r);
+}
+
+static void get_limit_word(Reader *r, CodecLimit *m) {
+  m->to_all = get_small(r, 2);
+  get_str(r, m->until, sizeof m->until);
+  m->msg.target = get_u64(r);
+  m->msg.counter = get_u64(r);
+  m->msg.limit = get_limit(r);
+}
+
 static void get_answer(Reader *r, OnceAnswer *a) {
   a->status = (int)get_i64(r);
   get_str(r, a->type, sizeof a->type);
@@ -585,6 +666,9 @@
     case CODEC_TALLY_WORD: get_tally_word(&r, &m->tally_word); break;
     case CODEC_TALLY_RUN: get_tally_run(&r, &m->tally_run); break;
     case CODEC_SUSPECT: get_suspect(&r, &m->suspect); break;
+    case CODEC_PERMIT_ASK: get_permit_ask(&r, &m->permit_ask); break;
+    case CODEC_PERMIT: get_permit(&r, &m->permit); break;
+    case CODEC_LIMIT: get_limit_word(&r, &m->limit); break;
     case CODEC_TYPES: break;
     }
     ok = !r.bad;
--- a/packages/peer/codec.h
+++ b/packages/peer/codec.h
@@ -34,6 +34,9 @@
   CODEC_TALLY_WORD,
   CODEC_TALLY_RUN,
   CODEC_SUSPECT,
+  CODEC_PERMIT_ASK,
+  CODEC_PERMIT,
+  CODEC_LIMIT,
   CODEC_TYPES
 } CodecType;
 
@@ -77,6 +80,12 @@
   SuspectsMsg msg;
 } CodecSuspect;
 
+typedef struct CodecLimit {
+  bool to_all;              /* from who counts; else to it */
+  char until[SPREAD_PLACE]; /* as CodecFeed.until */
+  TallyLimit msg;
+} CodecLimit;
+
 typedef struct CodecMsg {
   CodecType type;
   Member beat;
@@ -94,6 +103,9 @@
   TallyWord tally_word;
   TallyRun tally_run;
   CodecSuspect suspect;
+  TallyPermitAsk permit_ask;
+  TallyPermit permit;
+  CodecLimit limit;
 } CodecMsg;
 
 void codec_put_head(msgpack_sbuffer *b, const CodecHead *h);
@@ -111,6 +123,9 @@
 void codec_put_tally_word(msgpack_sbuffer *b, const TallyWord *m);
 void codec_put_tally_run(msgpack_sbuffer *b, const TallyRun *m);
 void codec_put_suspect(msgpack_sbuffer *b, const CodecSuspect *m);
+void codec_put_permit_ask(msgpack_sbuffer *b, const TallyPermitAsk *m);
+void codec_put_permit(msgpack_sbuffer *b, const TallyPermit *m);
+void codec_put_limit(msgpack_sbuffer *b, const CodecLimit *m);
 void codec_put_feed(msgpack_sbuffer *b, const CodecFeed *m);
 
 /* Reads at *off; false at the end or when it is damaged. A message of a type
--- a/packages/peer/peer.c
+++ b/packages/peer/peer.c
@@ -108,20 +108,25 @@
   p->on_demand = true;
 }
 
+static Frame *new_frame(Peer *p, const char *addr, uint64_t to) {
+  Frame *f = g_new0(Frame, 1);
+  g_strlcpy(f->addr, addr, sizeof f->addr);
+  f->to = to;
+  msgpack_sbuffer_init(&f->buf);
+  CodecHead h = {p->self, to};
+  codec_put_head(&f->buf, &h);
+  g_ptr_array_add(p->frames, f);
+  return f;
+}
+
 /* The open frame for a receiver; messages of one turn share it. */
 static Frame *frame_for(Peer *p, const char *addr, uint64_t to) {
   uint64_t key = to != 0 ? to : text_hash(addr);
   Frame *f = g_hash_table_lookup(p->frame_of, &key);
   if (f) return f;
-  f = g_new0(Frame, 1);
-  g_strlcpy(f->addr, addr, sizeof f->addr);
-  f->to = to;
+  f = new_frame(p, addr, to);
   f->key = key;
   g_hash_table_insert(p->frame_of, &f->key, f);
-  msgpack_sbuffer_init(&f->buf);
-  CodecHead h = {p->self, to};
-  codec_put_head(&f->buf, &h);
-  g_ptr_array_add(p->frames, f);
   return f;
 }
 
@@ -131,6 +136,12 @@
   return &frame_for(p, addr, to)->buf;
 }
 
+/* The buffer of a frame that nothing else travels in; unlock after it. */
+static msgpack_sbuffer *lock_own_frame(Peer *p, const char *addr, uint64_t to) {
+  pthread_mutex_lock(&p->lock);
+  return &new_frame(p, addr, to)->buf;
+}
+
 static void unlock(Peer *p) {
   pthread_mutex_unlock(&p->lock);
 }
@@ -220,6 +231,24 @@
   unlock(p);
 }
 
+void peer_permit_ask(Peer *p, const char *addr, const char *id,
+                     const TallyPermitAsk *m) {
+  codec_put_permit_ask(lock_own_frame(p, addr, text_hash(id)), m);
+  unlock(p);
+}
+
+void peer_permit(Peer *p, const char *addr, const char *id,
+                 const TallyPermit *m) {
+  codec_put_permit(lock_own_frame(p, addr, text_hash(id)), m);
+  unlock(p);
+}
+
+void peer_limit(Peer *p, const char *addr, const char *id,
+                const CodecLimit *m) {
+  codec_put_limit(lock_own_frame(p, addr, text_hash(id)), m);
+  unlock(p);
+}
+
 void peer_suspect(Peer *p, const char *addr, const char *id,
                   const CodecSuspect *m) {
   codec_put_suspect(lock_frame(p, addr, text_hash(id)), m);
--- a/packages/peer/peer.h
+++ b/packages/peer/peer.h
@@ -47,6 +47,13 @@
                     const TallyRun *m);
 void peer_suspect(Peer *p, const char *addr, const char *id,
                   const CodecSuspect *m);
+/* These travel in frames of their own: builds that do not know them drop all
+   that stands behind them in a frame. */
+void peer_permit_ask(Peer *p, const char *addr, const char *id,
+                     const TallyPermitAsk *m);
+void peer_permit(Peer *p, const char *addr, const char *id,
+                 const TallyPermit *m);
+void peer_limit(Peer *p, const char *addr, const char *id, const CodecLimit *m);
 void peer_feed(Peer *p, const char *addr, const char *id, const CodecFeed *m);
 
 /* For an event loop in place of peer_poll: readable when peer_turn has
--- a/packages/route/choose.c
+++ b/packages/route/choose.c
@@ -33,6 +33,11 @@
 #define TARGETS_DRAWN 16 /* of a large pool, beside the homes of a prompt */
 #define TARGETS_NEAR 16  /* of a home's group, to draw from */
 
+/* Seconds after which a caller may come back to a pool that is full, at least
+   and at most: later, hardly one has time left to be served in. */
+#define BACK_LEAST_S 0.1
+#define BACK_MOST_S 4.0
+
 #define DONOR_AGE_S 0.5 /* a donor has read by then what it was sent */
 #define MOVE_LEAST 64   /* tokens; less is read anew in a few milliseconds */
 
@@ -79,20 +84,21 @@
   return (TargetLoad){.open = w->open, .tokens = w->tokens};
 }
 
-/* Whether it may get one more, as far as it is cold. */
-static bool has_room(const Pick *p, const Target *t) {
-  double rate = p->ask->cold_rate;
-  const TallyWord *w = word_of(p, t);
-  if (rate <= 0 || p->now >= t->cold_until) return true;
-  static const Cold unused;
-  return cold_admits(&p->set->cold_share, t->use ? &t->use->cold : &unused,
-                     p->now, rate, t->hash, w ? w->starts : -1);
+static bool is_bounded(const Pick *p, const Target *t) {
+  QuotaBounds b = target_bounds(t, p->now, p->ask->cold_rate);
+  return quota_is_bounded(&b);
+}
+
+/* Bounded, and it has had its fill, as far as we know: who counts there decides
+   (tally.h). */
+static bool is_full(const Pick *p, const Target *t) {
+  return (p->ask->no_permit || p->now < t->full_until) && is_bounded(p, t);
 }
 
 /* May it be sent there at all? */
 static bool may_take(const Pick *p, const Target *t) {
   if (!target_usable(t, p->now) || was_tried(p->ask, t)) return false;
-  return allowed(p, t, REGIONS_TARGET) && (p->asking || has_room(p, t));
+  return allowed(p, t, REGIONS_TARGET) && !is_full(p, t);
 }
 
 /* == homes of prompts == */
@@ -312,20 +318,48 @@
 
 /* == the choice == */
 
-/* Why nobody is left to take it. */
-static TargetNone why_none(const Pick *p, const Pool *pool) {
-  TargetNone why = TARGET_NONE_LEFT;
-  for (guint i = 0; i < pool->members->len; i++) {
-    const Target *t = pool->members->pdata[i];
-    if (p->now >= t->leave_at || was_tried(p->ask, t)) continue;
-    TargetNone this_one = TARGET_NONE_COLD;
-    if (!allowed(p, t, REGIONS_TARGET))
-      this_one = TARGET_NONE_ALLOWED;
-    else if (t->evacuated)
-      this_one = TARGET_NONE_EVACUATED;
-    why = MAX(why, this_one);
+/* Why this one does not take it. */
+static TargetNone why_not(const Pick *p, const Target *t) {
+  if (p->now >= t->leave_at || was_tried(p->ask, t)) return TARGET_NONE_LEFT;
+  if (!allowed(p, t, REGIONS_TARGET)) return TARGET_NONE_ALLOWED;
+  return t->evacuated ? TARGET_NONE_EVACUATED : TARGET_NONE_FULL;
+}
+
+/* What a full pool takes in a second, and when the first has room again. */
+typedef struct Room {
+  double per_s, wait_s;
+} Room;
+
+static void add_room(const Pick *p, const Target *t, Room *room) {
+  QuotaBounds b = target_bounds(t, p->now, p->ask->cold_rate);
+  double per_s = b.limit;
+  if (b.cold > 0) per_s = MIN(per_s, b.cold);
+  if (per_s < QUOTA_UNLIMITED) room->per_s += per_s;
+  room->wait_s = MIN(room->wait_s, MAX(0, t->full_until - p->now));
+}
+
+/* Those who are refused come back one after the other, at the pace at which the
+   pool has room for the callers of one instance. */
+static double back_after(const Pick *p, const Room *room) {
+  Pool *pool = p->pool;
+  int of = MAX(p->set->share.now_of, 1);
+  double step = room->per_s > 0 ? of / room->per_s : BACK_MOST_S;
+  double first = p->now + CLAMP(room->wait_s, BACK_LEAST_S, BACK_MOST_S);
+  double at = MAX(first, pool->back_at + step);
+  pool->back_at = MIN(at, p->now + BACK_MOST_S);
+  return pool->back_at - p->now;
+}
+
+/* Why nobody is left to take it, and when to come back. */
+static void explain_none(const Pick *p, TargetChoice *c) {
+  Room room = {.wait_s = INFINITY};
+  for (guint i = 0; i < p->pool->members->len; i++) {
+    const Target *t = p->pool->members->pdata[i];
+    TargetNone why = why_not(p, t);
+    c->none = MAX(c->none, why);
+    if (why == TARGET_NONE_FULL) add_room(p, t, &room);
   }
-  return why;
+  if (c->none == TARGET_NONE_FULL) c->back_s = back_after(p, &room);
 }
 
 static void walk(const Pick *p, GPtrArray *list) {
@@ -417,7 +451,10 @@
     least = cost;
     best = c;
   }
-  if (!best.target) best.none = why_none(&p, pool);
+  if (best.target)
+    best.bounded = is_bounded(&p, best.target);
+  else
+    explain_none(&p, &best);
   best.candidates = n;
   best.regions = ask->regions;
   best.long_prompt = p.long_prompt;
--- a/packages/route/pool.h
+++ b/packages/route/pool.h
@@ -30,9 +30,10 @@
   guint ordered; /* of these, from the first on, are in order */
   Fit first;     /* seconds until the first byte, by tokens to read */
   Division *division;
-  uint64_t hash;     /* of the service */
-  double cold_until; /* none of them is cold from then on */
-  uint64_t looks;    /* at members, made so far: what the work of it grows by */
+  uint64_t hash;  /* of the service */
+  double back_at; /* the last caller that was refused for want of room is to
+                     come back then */
+  uint64_t looks; /* at members, made so far: what the work of it grows by */
 } Pool;
 
 /* `first` is the line to start with; see fit.h. */
--- /dev/null
+++ b/packages/route/quota.c
@@ -0,0 +1,144 @@
+/* quota.c: windows of requests, and parts of them. */
+#include "route/quota.h"
+
+#include <glib.h>
+
+/* Parts of a cold target's bound: what is given out by count, and what is dealt
+   out to the instances. Both may be used at once. */
+#define COLD_COUNTED 0.85
+#define COLD_DEALT 0.1
+/* Seconds: the bound counts what arrives within one, and timers are late. */
+#define COLD_WINDOW_S 1.02
+
+/* A limit is kept to over so many seconds, with so many requests at most: more
+   of them make the window shorter. */
+#define LIMIT_WINDOW_S 4.0
+#define LIMIT_UNITS 32
+/* A target that takes next to nothing is still sent one request in so many
+   seconds: only an answer tells that its need is over. */
+#define LIMIT_WINDOW_MOST_S 10.0
+/* Dealt out on top of a limit in a window: one of so many, and where windows
+   are long these, so that small fleets reach the target without its count. */
+#define LIMIT_DEALT 4
+#define LIMIT_DEALT_LEAST 2
+
+/* Instances that are gone may be cut off and use their parts all the same. They
+   are reckoned with for this long, in seconds: regions lose each other for
+   minutes. */
+#define KEEP_S 600.0
+/* Instances that were cut off had a count of their own just before they are
+   back: for so many seconds only the part of before is given out. */
+#define REJOIN_S 4.2
+
+/* At most `units` requests in any window. */
+typedef struct Window {
+  double s;
+  int units, dealt; /* by count; and to all instances together */
+} Window;
+
+/* == the instances == */
+
+void quota_place(QuotaShare *s, double now, int rank, int of) {
+  bool back = of > s->now_of && s->now_of < s->of;
+  if (s->of == 0) s->since = now;
+  if (back && now >= s->low_until) s->low_of = s->now_of;
+  if (back) s->low_until = now + REJOIN_S;
+  s->low_of = MIN(s->low_of, of);
+  s->now_of = of;
+  if (of < s->of && now < s->until) return;
+  s->rank = rank;
+  s->of = of;
+  s->until = now + KEEP_S;
+}
+
+double quota_reach(const QuotaShare *s, double now) {
+  if (s->of == 0) return 0;
+  int n = now < s->low_until ? s->low_of : s->now_of;
+  return MIN((double)n / s->of, 1);
+}
+
+/* Our part of `units` that are dealt out to all, one after the other; each
+   target begins with another instance, so that all have work. */
+static int part_of(const QuotaShare *s, int units, uint64_t target) {
+  int place = (int)((s->rank + target % (uint64_t)s->of) % (uint64_t)s->of);
+  return units / s->of + (place < units % s->of);
+}
+
+/* == windows == */
+
+static Window cold_window(double bound, double reach) {
+  return (Window){.s = COLD_WINDOW_S,
+                  .units = (int)MIN(COLD_COUNTED * bound * reach, QUOTA_UNITS),
+                  .dealt = (int)(COLD_DEALT * bound)};
+}
+
+/* The window is so long that its requests are just the limit's. */
+static Window limit_window(double limit, double reach) {
+  double per_s = limit * reach;
+  int units = (int)CLAMP(ceil(per_s * LIMIT_WINDOW_S), 1, LIMIT_UNITS);
+  double s = per_s > 0 ? units / per_s : LIMIT_WINDOW_MOST_S;
+  int least = s >= LIMIT_WINDOW_S ? LIMIT_DEALT_LEAST : 0;
+  return (Window){.s = MIN(s, LIMIT_WINDOW_MOST_S),
+                  .units = units,
+                  .dealt = units / LIMIT_DEALT + least};
+}
+
+/* The windows of the bounds; how many. */
+static int windows_of(const QuotaBounds *b, double reach, Window out[2]) {
+  int n = 0;
+  if (b->cold > 0) out[n++] = cold_window(b->cold, reach);
+  if (b->limit < QUOTA_UNLIMITED) out[n++] = limit_window(b->limit, reach);
+  return n;
+}
+
+bool quota_is_bounded(const QuotaBounds *b) {
+  return b->cold > 0 || b->limit < QUOTA_UNLIMITED;
+}
+
+double quota_window(const QuotaBounds *b) {
+  Window w[2];
+  double longest = 0;
+  int n = windows_of(b, 1, w);
+  for (int i = 0; i < n; i++) longest = MAX(longest, w[i].s);
+  return longest;
+}
+
+/* == sends == */
+
+void quota_sent(QuotaSends *s, double now) {
+  s->at[s->n % QUOTA_UNITS] = now;
+  s->n++;
+}
+
+/* Seconds until fewer than `units` of the sends lie within the last `window`.
+ */
+static double wait_for(const QuotaSends *s, double now, double window,
+                       int units) {
+  if (units <= 0) return window;
+  if (s->n < units) return 0;
+  double at = s->at[(s->n - units) % QUOTA_UNITS];
+  return MAX(0, at + window - now);
+}
+
+double quota_wait(const QuotaSends *sent, double now, const QuotaBounds *b,
+                  double reach) {
+  Window w[2];
+  double wait = 0;
+  int n = windows_of(b, reach, w);
+  for (int i = 0; i < n; i++)
+    wait = MAX(wait, wait_for(sent, now, w[i].s, w[i].units));
+  return wait;
+}
+
+bool quota_deals(const QuotaShare *s, const QuotaSends *own, double now,
+                 const QuotaBounds *b, uint64_t target) {
+  Window w[2];
+  int n = windows_of(b, 1, w);
+  if (s->of == 0) return false;
+  for (int i = 0; i < n; i++) {
+    int part = MIN(part_of(s, w[i].dealt, target), QUOTA_UNITS);
+    if (now - s->since < w[i].s) return false;
+    if (wait_for(own, now, w[i].s, part) > 0) return false;
+  }
+  return true;
+}
--- /dev/null
+++ b/packages/route/quota.h
@@ -0,0 +1,68 @@
+/* quota.h: how many requests a target gets in a window of time, from all
+   instances together; pure. Two things bound a target: it has just started, or
+   was left without work, and falls over under much more than it then bears
+   (cold); or it is in need, and names a rate in its answers (limit).
+
+   The load that this answers: a data centre's targets come back cold together,
+   half of the others are gone, and 74 instances that know nothing of each
+   other's choices have all of the traffic to place; and seven instances, or a
+   thousand, of which each sends less than a target's limit, and all more.
+   Whoever counts a target's work (tally.h) gives a permit for each request to a
+   bounded target. Where it gives no answer, each instance has a fixed small
+   part. */
+#ifndef ROUTE_QUOTA_H
+#define ROUTE_QUOTA_H
+
+#include <math.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+/* No limit: a target takes as many requests a second as come. */
+#define QUOTA_UNLIMITED HUGE_VAL
+/* Requests that one window holds at most, whatever the bound. */
+#define QUOTA_UNITS 64
+
+/* What bounds a target. */
+typedef struct QuotaBounds {
+  double cold;  /* requests in any second; 0: it is warm */
+  double limit; /* requests a second that it takes; QUOTA_UNLIMITED */
+} QuotaBounds;
+
+/* Our place among the instances, which share the bounds of each target. */
+typedef struct QuotaShare {
+  int rank, of;     /* our place; of 0: unknown */
+  int now_of;       /* how many of them there are now */
+  double until;     /* the place counts, though there are fewer */
+  double since;     /* when it was first known */
+  int low_of;       /* the fewest that there were lately, */
+  double low_until; /* until then */
+} QuotaShare;
+
+/* When a target was last sent something. */
+typedef struct QuotaSends {
+  double at[QUOTA_UNITS]; /* a ring */
+  int n;                  /* that were sent in all */
+} QuotaSends;
+
+/* We are `rank`-th (0 first) of `of` instances, in an order that all share. */
+void quota_place(QuotaShare *s, double now, int rank, int of);
+/* Part of the instances that are within reach, 0 to 1: who counts for these
+   gives out no more than that part of a bound, since the others may be cut off
+   and have a count of their own. */
+double quota_reach(const QuotaShare *s, double now);
+
+bool quota_is_bounded(const QuotaBounds *b);
+/* Seconds of the longest window of these bounds. */
+double quota_window(const QuotaBounds *b);
+void quota_sent(QuotaSends *s, double now);
+/* Seconds until one more may be sent, where `sent` is all that the target got;
+   0: now. `reach`: quota_reach of those who ask. */
+double quota_wait(const QuotaSends *sent, double now, const QuotaBounds *b,
+                  double reach);
+/* Whether our fixed part has one more, where nobody counts for us. `own`: what
+   we sent; `target`: hash of its id. For a window after our place was first
+   known there is none, since an earlier life may have used it. */
+bool quota_deals(const QuotaShare *s, const QuotaSends *own, double now,
+                 const QuotaBounds *b, uint64_t target);
+
+#endif
--- a/packages/route/state.h
+++ b/packages/route/state.h
@@ -2,12 +2,12 @@
 #ifndef ROUTE_STATE_H
 #define ROUTE_STATE_H
 
-#include "route/cold.h"
 #include "route/division.h"
 #include "route/evacuation.h"
 #include "route/fit.h"
 #include "route/parts.h"
 #include "route/pool.h"
+#include "route/quota.h"
 #include "route/targets.h"
 
 /* Seconds that a token takes to be read, before an answer was seen, and where
@@ -24,7 +24,7 @@
 /* What we did with a target, and what others told of it. Most of a large
    fleet's targets never get any: they are known by their entries alone. */
 typedef struct Use {
-  Cold cold; /* what we sent */
+  QuotaSends sends; /* ours */
   Parts *parts;
   GHashTable *others; /* hash of an instance -> Other */
 } Use;
@@ -39,6 +39,7 @@
   bool lapsed;      /* its entry is missing, perhaps by an outage only */
   bool evacuated;   /* its data centre is */
   double cold_until;
+  double full_until; /* who counts there gives no permit before, as we know */
   double aside_until, aside_s;
   double fail;     /* mean of failures, 0 to 1 */
   double took_s;   /* mean time of an answer */
@@ -49,10 +50,11 @@
   int told_running, told_waiting;
   double told_at;
   double pace;  /* how long work took there then, 1: as usual; 0: not told */
-  double limit; /* requests a second that it takes; TARGET_UNLIMITED */
-  bool limit_damaged; /* its last word on it could not be read */
-  Use *use;           /* NULL: none yet */
-  bool changed;       /* our work there, since it was told */
+  double limit; /* requests a second that it takes; QUOTA_UNLIMITED */
+  double limit_told_at; /* by us, to who counts there */
+  bool limit_damaged;   /* its last word on it could not be read */
+  Use *use;             /* NULL: none yet */
+  bool changed;         /* our work there, since it was told */
 };
 
 struct Targets {
@@ -60,7 +62,8 @@
   const Regions *regions; /* NULL: none are known */
   RegionSet region;       /* our own */
   Evacuation *evacuation;
-  ColdShare cold_share;
+  double cold_overrun, cold_extra; /* targets_cold_bound */
+  QuotaShare share;                /* of what bounds a target */
   GHashTable *by_id;
   GHashTable *by_hash; /* the same targets */
   GHashTable *pools;   /* service -> Pool */
@@ -72,6 +75,8 @@
   GRand *rand;
 };
 
+/* What bounds it now; `cold_rate` as in TargetAsk. */
+QuotaBounds target_bounds(const Target *t, double now, double cold_rate);
 /* How long work takes there now, by what the target said; 1: as usual. */
 double target_pace(const Target *t, double now);
 
--- a/packages/route/tally.h
+++ b/packages/route/tally.h
@@ -7,13 +7,17 @@
    The load that this answers: 295 instances with two requests a second each
    share 160 engines. None knows what the others send, equal prompts go to one
    engine for their common parts, and while all prompts are new many come
-   late on engines that are hardly in use. */
+   late on engines that are hardly in use.
+
+   The same count says what a bounded target (quota.h) may still get: in a fleet
+   of any size who sends there asks for a permit first. */
 #ifndef ROUTE_TALLY_H
 #define ROUTE_TALLY_H
 
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "route/quota.h"
 #include "route/regions.h"
 
 /* Shared parts of a prompt that are told, the first ones; the users' have one
@@ -50,12 +54,38 @@
   uint64_t number;
   uint64_t target;
   int open;       /* requests there */
-  int starts;     /* that were sent there in the last second, at most */
+  int starts;     /* that were sent there in the last second, at most; read by
+                     older builds only */
   int64_t tokens; /* of prompts, still to be read */
   int known;      /* of the parts asked for, from the first on: sent there */
   int ripe;       /* the same, of those that must have been read by now */
 } TallyWord;
 
+/* Asks for one request to a bounded target. */
+typedef struct TallyPermitAsk {
+  uint64_t number; /* of the question */
+  uint64_t target;
+  uint64_t counter;   /* as in TallyRun, but told */
+  uint64_t run;       /* the number that the request will have there */
+  QuotaBounds bounds; /* as the sender knows them */
+  double reach;       /* quota_reach of the sender */
+} TallyPermitAsk;
+
+typedef struct TallyPermit {
+  uint64_t number;
+  uint64_t target;
+  bool given;
+  double wait_s; /* until one may be given; 0 where it is */
+  double limit;  /* of the target, as who counts knows it */
+} TallyPermit;
+
+/* What a target takes, as its answer said. */
+typedef struct TallyLimit {
+  uint64_t target;
+  uint64_t counter; /* as in TallyRun, but told */
+  double limit;     /* requests a second; QUOTA_UNLIMITED */
+} TallyLimit;
+
 typedef struct Tally Tally;
 
 /* What may be told of these parts to who counts, who stands in region `at`. */
@@ -66,6 +96,18 @@
 void tally_free(Tally *t);
 /* `from`: text_hash of the sender's id. */
 void tally_take(Tally *t, double now, uint64_t from, const TallyRun *r);
+/* From now on there are `n` members: who counted a target before may have given
+   permits that are not known here. `ours`: whether we count for that name; what
+   others count is forgotten. Before the first call no permit is given. */
+void tally_members(Tally *t, double now, int n,
+                   bool (*ours)(void *ctx, uint64_t name), void *ctx);
+TallyPermit tally_permit(Tally *t, double now, uint64_t from,
+                         const TallyPermitAsk *a);
+/* A target's limit, as somebody was told it. */
+void tally_limit(Tally *t, double now, const TallyLimit *m);
+/* The next limit that the others are to hear of: one that changed, or one in
+   force that they were told of so long (s) ago; false: none. */
+bool tally_limit_news(Tally *t, double now, double again_s, TallyLimit *m);
 TallyWord tally_word(Tally *t, double now, const TallyAsk *a);
 /* Forgets what has run out; about once a second. */
 void tally_sweep(Tally *t, double now);
--- a/packages/route/targets.c
+++ b/packages/route/targets.c
@@ -29,6 +29,9 @@
 /* Word of another instance counts for this long: prompts are read in less, and
    one that is lost or cut off tells no more. */
 #define OTHERS_FRESH_S 2.0
+/* Who counts at a target is told its limit again after this, in seconds: a word
+   may be lost, and another instance may count by now. */
+#define LIMIT_AGAIN_S 1.0
 
 static void use_free(Use *u) {
   if (!u) return;
@@ -105,7 +108,7 @@
   t->info = *info;
   t->hash = hash_of(info);
   t->leave_at = INFINITY;
-  t->limit = TARGET_UNLIMITED;
+  t->limit = QUOTA_UNLIMITED;
   t->slow = 1;
   t->pool = pool_of(s, info->service);
   pool_add(t->pool, t);
@@ -130,11 +133,6 @@
   g_ptr_array_add(s->retired, t);
 }
 
-static void set_cold(Target *t, double until) {
-  t->cold_until = until;
-  t->pool->cold_until = MAX(t->pool->cold_until, until);
-}
-
 static bool is_same_life(const Target *t, const TargetInfo *info) {
   return t->info.born == info->born &&
          strcmp(t->info.service, info->service) == 0;
@@ -153,7 +151,7 @@
   if (again) t = NULL;
   bool news = !t || info->revision > t->info.revision;
   if (!t) t = target_new(s, info);
-  if (news) set_cold(t, now + info->cold_s);
+  if (news) t->cold_until = now + info->cold_s;
   t->info = *info;
   t->lapsed = false;
   t->evacuated = evacuation_holds(s->evacuation, info->dc);
@@ -217,12 +215,12 @@
 /* == cold targets == */
 
 void targets_cold_bound(Targets *s, double overrun, double extra) {
-  s->cold_share.overrun = overrun;
-  s->cold_share.extra = extra;
+  s->cold_overrun = overrun;
+  s->cold_extra = extra;
 }
 
 void targets_place(Targets *s, double now, int rank, int of) {
-  cold_place(&s->cold_share, now, rank, of);
+  quota_place(&s->share, now, rank, of);
 }
 
 uint64_t targets_looks(const Targets *s) {
@@ -234,13 +232,8 @@
   return n;
 }
 
-bool targets_any_cold(const Targets *s, double now, const char *service) {
-  const Pool *pool = g_hash_table_lookup(s->pools, service);
-  return pool && now < pool->cold_until;
-}
-
 void target_cold(Target *t, double now, double left_s) {
-  set_cold(t, MAX(t->cold_until, now + left_s));
+  t->cold_until = MAX(t->cold_until, now + left_s);
 }
 
 /* == what ends them == */
@@ -359,7 +352,7 @@
 void target_sent(Target *t, double now, const Ask *ask, const TargetChoice *c) {
   t->open++;
   t->waiting++;
-  cold_sent(&use_of(t)->cold, now);
+  quota_sent(&use_of(t)->sends, now);
   t->backlog += c->fresh;
   note_parts(t, now, ask, c->regions);
   division_read(t->pool->division, now, c->long_prompt, c->fresh);
@@ -426,19 +419,68 @@
   t->pace = pace > 0 ? CLAMP(pace, PACE_LEAST, PACE_MOST) : 0;
 }
 
-bool target_limit(Target *t, double per_s) {
+/* == bounded targets == */
+
+QuotaBounds target_bounds(const Target *t, double now, double cold_rate) {
+  const Targets *s = t->set;
+  double overrun = s->cold_overrun > 0 ? s->cold_overrun : 1;
+  bool cold = cold_rate > 0 && now < t->cold_until;
+  return (QuotaBounds){.cold = cold ? cold_rate * overrun + s->cold_extra : 0,
+                       .limit = t->limit};
+}
+
+/* A target that takes more than it did may have room at once. */
+static bool set_limit(Target *t, double per_s) {
   bool changed = t->limit != per_s;
+  if (per_s > t->limit) t->full_until = 0;
   t->limit = per_s;
-  t->limit_damaged = false;
   return changed;
 }
 
+bool target_limit(Target *t, double now, double per_s) {
+  bool changed = set_limit(t, per_s);
+  bool again =
+      per_s < QUOTA_UNLIMITED && now - t->limit_told_at >= LIMIT_AGAIN_S;
+  t->limit_damaged = false;
+  if (changed || again) t->limit_told_at = now;
+  return changed || again;
+}
+
+double target_limit_of(const Target *t) {
+  return t->limit;
+}
+
+bool targets_limit_told(Targets *s, uint64_t target, double per_s) {
+  Target *t = g_hash_table_lookup(s->by_hash, &target);
+  return t && set_limit(t, per_s);
+}
+
 bool target_limit_damaged(Target *t) {
   bool was = t->limit_damaged;
   t->limit_damaged = true;
   return !was;
 }
 
+TallyPermitAsk target_permit_ask(const Target *t, double now,
+                                 double cold_rate) {
+  const Targets *s = t->set;
+  return (TallyPermitAsk){.target = t->hash,
+                          .counter = targets_counter(s, t->hash),
+                          .bounds = target_bounds(t, now, cold_rate),
+                          .reach = quota_reach(&s->share, now)};
+}
+
+void target_full(Target *t, double now, double wait_s) {
+  t->full_until = now + wait_s;
+}
+
+bool target_deals(const Target *t, double now, double cold_rate) {
+  static const QuotaSends unused;
+  QuotaBounds b = target_bounds(t, now, cold_rate);
+  const QuotaSends *own = t->use ? &t->use->sends : &unused;
+  return quota_deals(&t->set->share, own, now, &b, t->hash);
+}
+
 /* == what the other instances have there == */
 
 /* What the other instances have there, as far as their word is fresh. */
--- a/packages/route/targets.h
+++ b/packages/route/targets.h
@@ -4,7 +4,6 @@
 #define ROUTE_TARGETS_H
 
 #include <glib.h>
-#include <math.h>
 #include <stdbool.h>
 
 #include "flow/ask.h"
@@ -55,15 +54,13 @@
    anything has changed. */
 bool targets_evacuate_only(Targets *s, GHashTable *dcs);
 /* Operators' bound of requests to a cold target in a second: `overrun` times
-   its rate, and `extra` (cold.h). */
+   its rate, and `extra` (quota.h). */
 void targets_cold_bound(Targets *s, double overrun, double extra);
-/* Our place among the instances, for our part of that bound. */
+/* Our place among the instances, for our part of what bounds a target. */
 void targets_place(Targets *s, double now, int rank, int of);
 /* Looks at single targets that choices and the order of pools took so far: the
    measure of their work. */
 uint64_t targets_looks(const Targets *s);
-/* Whether a target of the service may be cold. */
-bool targets_any_cold(const Targets *s, double now, const char *service);
 /* How many targets of a data centre are known. */
 int targets_in(const Targets *s, const char *dc);
 /* target_hash of the one that is known by that id; 0: none is. */
@@ -90,7 +87,8 @@
   double pause_s;   /* shortest pause that streams of the service allow; 0: none
                        are known */
   RegionSet regions; /* that it is bound to */
-  bool alone;        /* it may end its target: where the fewest others run */
+  bool no_permit; /* it may ask for no more of them: bounded targets are full */
+  bool alone;     /* it may end its target: where the fewest others run */
   const Target *const *tried;
   int n_tried;
   const TallyWord *words; /* of targets_to_ask: only these are chosen from */
@@ -108,13 +106,15 @@
   TARGET_NONE_LEFT,      /* there is none, or all were tried */
   TARGET_NONE_ALLOWED,   /* those that are left lie outside its regions */
   TARGET_NONE_EVACUATED, /* those that are left are evacuated */
-  TARGET_NONE_COLD,      /* those that are left are cold and had their fill */
+  TARGET_NONE_FULL, /* those that are left are bounded, and had their fill */
   TARGET_NONES
 } TargetNone;
 
 typedef struct TargetChoice {
   Target *target;      /* NULL: there is none */
   TargetNone none;     /* why */
+  double back_s;       /* TARGET_NONE_FULL: when the caller may come back */
+  bool bounded;        /* it needs a permit (tally.h) */
   double wait_s;       /* predicted, until the first byte */
   int64_t fresh;       /* tokens of the prompt thought to be read anew */
   int64_t moved;       /* tokens that come from the memory of `donor` */
@@ -167,15 +167,28 @@
 /* What it says of its load; `pace`: how long work takes there now, 1: as
    usual, 0: not told. */
 void target_load(Target *t, double now, int running, int waiting, double pace);
-/* Requests a second that it takes of all instances, as its answer names them;
-   TARGET_UNLIMITED: it names none. Whether that has changed. */
-#define TARGET_UNLIMITED HUGE_VAL
-bool target_limit(Target *t, double per_s);
+/* It says that it stays cold for so long. */
+void target_cold(Target *t, double now, double left_s);
+
+/* == bounded targets == */
+
+/* Requests a second that it takes of all instances, as its answer says;
+   QUOTA_UNLIMITED: it names none. Whether that has changed, or has to be told
+   again to who counts there. */
+bool target_limit(Target *t, double now, double per_s);
+double target_limit_of(const Target *t);
+/* The same as another instance tells it; whether it has changed. */
+bool targets_limit_told(Targets *s, uint64_t target, double per_s);
 /* The figure in its answer is damaged, and says nothing; whether the one before
    was sound. */
 bool target_limit_damaged(Target *t);
-/* It says that it stays cold for so long. */
-void target_cold(Target *t, double now, double left_s);
+/* The question for a permit there; `number` and `run` are the caller's to fill.
+   `cold_rate` as in TargetAsk. */
+TallyPermitAsk target_permit_ask(const Target *t, double now, double cold_rate);
+/* No permit is given there for so long. */
+void target_full(Target *t, double now, double wait_s);
+/* Nobody answers for it: whether our own part has room for one more. */
+bool target_deals(const Target *t, double now, double cold_rate);
 
 TargetLoad target_load_now(const Target *t, double now);
 
--- a/tests/limits.py
+++ b/tests/limits.py
@@ -119,7 +119,9 @@
     old[:] = [Needy(s.store, "%s%d" % (service, i), service, l)
               for i, l in enumerate(limits)]
     for i in range(len(s.processes)):  # known everywhere, and its budget
-        wait_for("instance %d to serve" % i, lambda: s.chat(5, i=i).status == 200)
+        wait_for("instance %d to serve" % i, lambda: (
+            s.chat(5, i=i) if service == "engine" else s.call("/safe/x", i=i)
+        ).status == 200)
     return list(old)
 
 
--- a/tests/test_codec.c
+++ b/tests/test_codec.c
@@ -272,6 +272,44 @@
   g_free(text);
 }
 
+Test(codec, words_on_bounded_targets_round_trip) {
+  static const double limits[] = {0, 0.29, 1.7, 100, QUOTA_UNLIMITED};
+  for (size_t i = 0; i < G_N_ELEMENTS(limits); i++) {
+    TallyPermitAsk ask = {.number = 1,
+                          .target = UINT64_MAX,
+                          .counter = 3,
+                          .run = 4,
+                          .bounds = {.cold = 14.9, .limit = limits[i]},
+                          .reach = 0.5};
+    TallyPermit permit = {.number = 5,
+                          .target = 6,
+                          .given = true,
+                          .wait_s = 0.25,
+                          .limit = limits[i]};
+    CodecLimit limit = {.to_all = true,
+                        .until = "a b",
+                        .msg = {.target = 7, .counter = 8, .limit = limits[i]}};
+    msgpack_sbuffer b;
+    CodecMsg m;
+    size_t off = 0;
+    msgpack_sbuffer_init(&b);
+    codec_put_permit_ask(&b, &ask);
+    codec_put_permit(&b, &permit);
+    codec_put_limit(&b, &limit);
+    cr_assert(codec_get(b.data, b.size, &off, &m));
+    cr_assert_eq(memcmp(&m.permit_ask, &ask, sizeof ask), 0);
+    cr_assert(codec_get(b.data, b.size, &off, &m));
+    cr_assert_eq(m.permit.given, true);
+    cr_assert(m.permit.number == 5 && m.permit.wait_s == 0.25);
+    cr_assert_eq(m.permit.limit, limits[i]);
+    cr_assert(codec_get(b.data, b.size, &off, &m));
+    cr_assert_eq(memcmp(&m.limit.msg, &limit.msg, sizeof limit.msg), 0);
+    cr_assert(m.limit.to_all && strcmp(m.limit.until, "a b") == 0);
+    cr_assert_eq(off, b.size);
+    msgpack_sbuffer_destroy(&b);
+  }
+}
+
 /* An instance of an older build hears a newer one's words in one frame with
    those that it knows: what stands behind them in the frame is not lost. */
 Test(codec, a_message_of_an_unknown_type_is_passed_over) {
--- a/tests/test_cold.c
+++ b/tests/test_quota.c
@@ -1,4 +1,4 @@
-/* test_cold.c: a data centre's targets come back cold together, half of the
+/* test_quota.c: a data centre's targets come back cold together, half of the
    others are gone and traffic has doubled: no target gets more than it bears in
    any second, however many instances decide. Figures of the users' sheet: 94
    engines, a cold one bears 6.6 x 1.5 + 5 requests a second from all, and 800
@@ -9,7 +9,7 @@
 #include <stdio.h>
 #include <string.h>
 
-#include "route/cold.h"
+#include "route/quota.h"
 #include "route/targets.h"
 
 #define TARGETS 94
@@ -34,8 +34,9 @@
 
 static Targets *deciders[DECIDERS];
 static int n_deciders;
-static bool counted[DECIDERS]; /* it gets answers to its questions */
-static int side[DECIDERS];     /* of a cut */
+static bool
+    counted[DECIDERS];     /* it gets answers to its questions and permits */
+static int side[DECIDERS]; /* of a cut */
 static Tally *tallies[2];
 static GQueue tells; /* Tell*, those that begin; and those that end */
 static GQueue ends;
@@ -71,6 +72,12 @@
   return s;
 }
 
+static bool counts_none(void *ctx, uint64_t name) {
+  (void)ctx;
+  (void)name;
+  return false;
+}
+
 static void begin(int n, int left) {
   dice = g_rand_new_with_seed(7);
   n_deciders = n;
@@ -78,10 +85,13 @@
   g_queue_init(&tells);
   g_queue_init(&ends);
   numbers = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
-  for (int k = 0; k < 2; k++) tallies[k] = tally_new();
+  for (int k = 0; k < 2; k++) {
+    tallies[k] = tally_new();
+    tally_members(tallies[k], -100, n, counts_none, NULL);
+  }
   for (int i = 0; i < n; i++) {
     deciders[i] = decider(0, i, n, left);
-    counted[i] = n >= FLEET_SMALL;
+    counted[i] = true;
     side[i] = 0;
   }
   for (int i = 0; i < TARGETS; i++) {
@@ -120,7 +130,7 @@
 static int ask_counts(int who, double now, const TargetAsk *ask,
                       TallyWord *words) {
   uint64_t asked[TARGETS_ASKED];
-  if (!counted[who]) return 0;
+  if (!counted[who] || n_deciders < FLEET_SMALL) return 0;
   int n = targets_to_ask(deciders[who], now, ask, asked);
   for (int i = 0; i < n; i++) {
     TallyAsk a = {.number = 1, .target = asked[i]};
@@ -129,6 +139,30 @@
   return n;
 }
 
+/* Whether it may go to the target that was chosen; `run`: its number there. */
+static bool permitted(int who, double now, Target *t, uint64_t run) {
+  TallyPermitAsk a = target_permit_ask(t, now, RATE);
+  if (!counted[who]) {
+    bool deals = target_deals(t, now, RATE);
+    if (!deals) target_full(t, now, 0.25);
+    return deals;
+  }
+  a.run = run;
+  TallyPermit p = tally_permit(tallies[side[who]], now, (uint64_t)who, &a);
+  if (!p.given) target_full(t, now, p.wait_s);
+  return p.given;
+}
+
+static TargetChoice choose(int who, double now, TargetAsk *ask) {
+  TargetChoice c;
+  int tries = 0;
+  do {
+    ask->no_permit = tries++ == 6;
+    c = targets_pick(deciders[who], now, ask);
+  } while (c.bounded && !permitted(who, now, c.target, ++runs));
+  return c;
+}
+
 static void request(int who, double now) {
   Ask a = {.tokens_in = 3000, .tokens_out = 100};
   TallyWord words[TARGETS_ASKED];
@@ -136,14 +170,16 @@
       .service = "engines", .ask = &a, .engine = true, .cold_rate = RATE};
   ask.n_words = ask_counts(who, now, &ask, words);
   ask.words = words;
-  TargetChoice c = targets_pick(deciders[who], now, &ask);
+  TargetChoice c = choose(who, now, &ask);
   if (!c.target) {
-    cr_assert_eq(c.none, TARGET_NONE_COLD);
+    cr_assert_eq(c.none, TARGET_NONE_FULL);
+    cr_assert(c.back_s > 0 && c.back_s < 10);
     refused++;
     return;
   }
   uint64_t h = target_hash(c.target);
-  TallyRun run = {.target = h, .run = ++runs, .open = true, .tokens = 3000};
+  if (!c.bounded) runs++;
+  TallyRun run = {.target = h, .run = runs, .open = true, .tokens = 3000};
   target_sent(c.target, now, &a, &c);
   later(&tells, now + TELL_S, who, run);
   run.open = false;
@@ -217,7 +253,7 @@
 
 /* Half of the instances get no answers to their questions. */
 Test(cold, it_holds_while_counts_are_not_told) {
-  for (int k = 1; k < 3; k++) {
+  for (int k = 0; k < 3; k++) {
     begin(sizes[k], 0);
     for (int i = 0; i < n_deciders; i += 2) counted[i] = false;
     load(0, 4);
@@ -232,6 +268,7 @@
     begin(sizes[k], 0);
     load(0, 1);
     int small = n_deciders / 3;
+    tally_members(tallies[1], 1, small, counts_none, NULL);
     for (int i = 0; i < n_deciders; i++) {
       side[i] = i < small;
       int of = side[i] ? small : n_deciders - small;
@@ -265,22 +302,27 @@
   Ask a = {0};
   TargetAsk ask = {
       .service = "engines", .ask = &a, .engine = true, .cold_rate = 1e-9};
-  targets_cold_bound(s, 1, 0);
+  ask.no_permit = true;
   Target *t = targets_pick(s, 1, &ask).target;
   cr_assert_str_eq(target_id(t), "t000", "the warm one");
+  cr_assert_not(targets_pick(s, 1, &ask).bounded);
   target_cold(t, 1, 3);
   cr_assert_null(targets_pick(s, 2, &ask).target);
-  cr_assert_eq(targets_pick(s, 2, &ask).none, TARGET_NONE_COLD);
+  cr_assert_eq(targets_pick(s, 2, &ask).none, TARGET_NONE_FULL);
   cr_assert_eq(targets_pick(s, 4.1, &ask).target, t, "it is warm again");
+  ask.no_permit = false;
+  cr_assert(targets_pick(s, 2, &ask).bounded, "with a permit a cold one may");
   end();
 }
 
 Test(cold, who_does_not_know_its_place_sends_nothing) {
-  ColdShare s = {.overrun = OVERRUN, .extra = EXTRA};
-  Cold c = {0};
-  cr_assert(!cold_admits(&s, &c, 1, RATE, 5, -1));
-  cr_assert(!cold_admits(&s, &c, 1, RATE, 5, 0));
-  cold_place(&s, 1, 0, 1);
-  cr_assert(!cold_admits(&s, &c, 2, RATE, 5, -1));
-  cr_assert(cold_admits(&s, &c, 3, RATE, 5, -1));
+  QuotaShare s = {0};
+  QuotaSends none = {0};
+  QuotaBounds b = {.cold = BOUND, .limit = QUOTA_UNLIMITED};
+  cr_assert(!quota_deals(&s, &none, 1, &b, 5));
+  cr_assert_eq(quota_reach(&s, 1), 0);
+  cr_assert_gt(quota_wait(&none, 1, &b, quota_reach(&s, 1)), 0);
+  quota_place(&s, 1, 0, 1);
+  cr_assert(!quota_deals(&s, &none, 2, &b, 5));
+  cr_assert(quota_deals(&s, &none, 3, &b, 5));
 }
