A request that would be refused is placed beyond a limit, as far as that is tolerated

A target is asked beyond its limit only once no target has room within. An instance whose counter does not know what was sent uses its own part at once. Ruled out: the tolerance for all requests (a target in need would get twice what it names while others are free).

--- a/packages/flow/permits.c
+++ b/packages/flow/permits.c
@@ -14,10 +14,6 @@
 /* Targets that one request asks for in turn. */
 #define PERMITS_MOST 6
 
-static double cold_rate(const Run *x) {
-  return x->service ? x->service->cold_rate : 0;
-}
-
 static void close_question(Run *x) {
   ev_timer_stop(x->relay->loop, &x->told_timer);
   g_hash_table_remove(x->relay->asking, &x->question);
@@ -25,22 +21,28 @@
   x->permit_asked = false;
 }
 
-static void on_no_answer(struct ev_loop *loop, ev_timer *w, int revents) {
-  (void)loop;
-  (void)revents;
-  Run *x = w->data;
+/* Our own part of the bound decides. */
+static void take_own_part(Run *x) {
   Target *t = x->choice.target;
   double now = run_now(x);
-  close_question(x);
-  count_add(COUNT_PERMITS_SILENT, 1);
-  if (target_usable(t, now) && target_deals(t, now, cold_rate(x))) {
+  TargetAsk ask = run_target_ask(x);
+  if (target_usable(t, now) && target_deals(t, now, &ask)) {
     run_send(x);
     return;
   }
-  target_full(t, now, SILENT_S);
+  target_full(t, now, SILENT_S, x->pressed);
   run_choose(x);
 }
 
+static void on_no_answer(struct ev_loop *loop, ev_timer *w, int revents) {
+  (void)loop;
+  (void)revents;
+  Run *x = w->data;
+  close_question(x);
+  count_add(COUNT_PERMITS_SILENT, 1);
+  take_own_part(x);
+}
+
 bool run_may_ask_permit(const Run *x) {
   return x->n_permits < PERMITS_MOST;
 }
@@ -48,7 +50,8 @@
 void run_ask_permit(Run *x, const TargetChoice *c) {
   Relay *r = x->relay;
   double now = run_now(x);
-  TallyPermitAsk a = target_permit_ask(c->target, now, cold_rate(x));
+  TargetAsk ask = run_target_ask(x);
+  TallyPermitAsk a = target_permit_ask(c->target, now, &ask);
   x->choice = *c;
   x->n_permits++;
   x->all_permits++;
@@ -75,11 +78,16 @@
   bool old = now - x->asked_at > PERMIT_OLD_S;
   close_question(x);
   targets_limit_told(r->targets, p->target, p->limit);
-  if (!p->given) {
+  if (p->verdict == TALLY_UNKNOWN && !old && !r->behind) {
+    take_own_part(x);
+    return;
+  }
+  if (p->verdict != TALLY_GIVEN) {
     count_add(COUNT_PERMITS_REFUSED, 1);
-    target_full(t, now, p->wait_s);
+    target_full(t, now, p->wait_s, x->pressed);
   }
-  if (p->given && !old && !r->behind && target_usable(t, now))
+  bool given = p->verdict == TALLY_GIVEN && !old && !r->behind;
+  if (given && target_usable(t, now))
     run_send(x);
   else
     run_choose(x);
--- a/packages/peer/codec.c
+++ b/packages/peer/codec.c
@@ -277,7 +277,7 @@
 void codec_put_permit_ask(msgpack_sbuffer *b, const TallyPermitAsk *m) {
   msgpack_packer p;
   msgpack_packer_init(&p, b, msgpack_sbuffer_write);
-  msgpack_pack_array(&p, 8);
+  msgpack_pack_array(&p, 9);
   msgpack_pack_uint8(&p, CODEC_PERMIT_ASK);
   msgpack_pack_uint64(&p, m->number);
   msgpack_pack_uint64(&p, m->target);
@@ -285,6 +285,7 @@
   msgpack_pack_uint64(&p, m->run);
   msgpack_pack_int64(&p, thousandths(MIN(m->bounds.cold, LIMIT_RATE)));
   put_limit(&p, m->bounds.limit);
+  msgpack_pack_uint8(&p, m->bounds.pressed);
   msgpack_pack_int64(&p, thousandths(m->reach));
 }
 
@@ -295,7 +296,7 @@
   msgpack_pack_uint8(&p, CODEC_PERMIT);
   msgpack_pack_uint64(&p, m->number);
   msgpack_pack_uint64(&p, m->target);
-  msgpack_pack_uint8(&p, m->given);
+  msgpack_pack_uint8(&p, (uint8_t)m->verdict);
   msgpack_pack_int64(&p, thousandths(m->wait_s));
   put_limit(&p, m->limit);
 }
@@ -533,6 +534,7 @@
   m->run = get_u64(r);
   m->bounds.cold = get_count(r) / THOUSAND;
   m->bounds.limit = get_limit(r);
+  m->bounds.pressed = get_small(r, 2);
   m->reach = get_count(r) / THOUSAND;
   r->bad |= m->reach > 1;
 }
@@ -540,7 +542,7 @@
 static void get_permit(Reader *r, TallyPermit *m) {
   m->number = get_u64(r);
   m->target = get_u64(r);
-  m->given = get_small(r, 2);
+  m->verdict = (TallyVerdict)get_small(r, TALLY_VERDICTS);
   m->wait_s = get_count(r) / THOUSAND;
   m->limit = get_limit(r);
 }
--- a/packages/route/choose.c
+++ b/packages/route/choose.c
@@ -85,14 +85,19 @@
 }
 
 static bool is_bounded(const Pick *p, const Target *t) {
-  QuotaBounds b = target_bounds(t, p->now, p->ask->cold_rate);
+  QuotaBounds b = target_bounds(t, p->now, p->ask);
   return quota_is_bounded(&b);
 }
 
+static double full_until(const Pick *p, const Target *t) {
+  return p->ask->pressed ? t->most_until : t->full_until;
+}
+
 /* Bounded, and it has had its fill, as far as we know: who counts there decides
    (tally.h). */
 static bool is_full(const Pick *p, const Target *t) {
-  return (p->ask->no_permit || p->now < t->full_until) && is_bounded(p, t);
+  bool full = p->ask->no_permit || p->now < full_until(p, t);
+  return full && is_bounded(p, t);
 }
 
 /* May it be sent there at all? */
@@ -331,11 +336,11 @@
 } Room;
 
 static void add_room(const Pick *p, const Target *t, Room *room) {
-  QuotaBounds b = target_bounds(t, p->now, p->ask->cold_rate);
+  QuotaBounds b = target_bounds(t, p->now, p->ask);
   double per_s = b.limit;
   if (b.cold > 0) per_s = MIN(per_s, b.cold);
   if (per_s < QUOTA_UNLIMITED) room->per_s += per_s;
-  room->wait_s = MIN(room->wait_s, MAX(0, t->full_until - p->now));
+  room->wait_s = MIN(room->wait_s, MAX(0, full_until(p, t) - p->now));
 }
 
 /* Those who are refused come back one after the other, at the pace at which the
--- a/packages/route/quota.c
+++ b/packages/route/quota.c
@@ -13,14 +13,18 @@
 /* A limit is kept to over so many seconds, with so many requests at most: more
    of them make the window shorter. */
 #define LIMIT_WINDOW_S 4.0
-#define LIMIT_UNITS 32
+#define LIMIT_UNITS 48
 /* A target that takes next to nothing is still sent one request in so many
    seconds: only an answer tells that its need is over. */
 #define LIMIT_WINDOW_MOST_S 10.0
-/* Dealt out on top of a limit in a window: one of so many, and where windows
-   are long these, so that small fleets reach the target without its count. */
-#define LIMIT_DEALT 4
-#define LIMIT_DEALT_LEAST 2
+/* In a window the users tolerate so many times the limit, and so many requests
+   more; and the parts of that which are given out by count where callers would
+   be refused otherwise, and dealt out. */
+#define LIMIT_OVERRUN 1.5
+#define LIMIT_EXTRA 5
+#define LIMIT_LATE_S 0.1 /* timers are late, and ways are not equally long */
+#define LIMIT_COUNTED 0.75
+#define LIMIT_DEALT 0.2
 
 /* Instances that are gone may be cut off and use their parts all the same. They
    are reckoned with for this long, in seconds: regions lose each other for
@@ -33,7 +37,7 @@
 /* At most `units` requests in any window. */
 typedef struct Window {
   double s;
-  int units, dealt; /* by count; and to all instances together */
+  int units;
 } Window;
 
 /* == the instances == */
@@ -66,28 +70,42 @@
 
 /* == windows == */
 
-static Window cold_window(double bound, double reach) {
+static Window cold_window(double bound, double part) {
   return (Window){.s = COLD_WINDOW_S,
-                  .units = (int)MIN(COLD_COUNTED * bound * reach, QUOTA_UNITS),
-                  .dealt = (int)(COLD_DEALT * bound)};
+                  .units = (int)MIN(part * bound, QUOTA_UNITS)};
 }
 
 /* The window is so long that its requests are just the limit's. */
-static Window limit_window(double limit, double reach) {
-  double per_s = limit * reach;
+static Window limit_window(double per_s) {
   int units = (int)CLAMP(ceil(per_s * LIMIT_WINDOW_S), 1, LIMIT_UNITS);
   double s = per_s > 0 ? units / per_s : LIMIT_WINDOW_MOST_S;
-  int least = s >= LIMIT_WINDOW_S ? LIMIT_DEALT_LEAST : 0;
-  return (Window){.s = MIN(s, LIMIT_WINDOW_MOST_S),
-                  .units = units,
-                  .dealt = units / LIMIT_DEALT + least};
+  return (Window){.s = MIN(s, LIMIT_WINDOW_MOST_S), .units = units};
 }
 
-/* The windows of the bounds; how many. */
-static int windows_of(const QuotaBounds *b, double reach, Window out[2]) {
+/* Part of what is tolerated. */
+static Window most_window(double limit, double part) {
+  double all = part * (LIMIT_OVERRUN * LIMIT_WINDOW_S * limit + LIMIT_EXTRA);
+  double shorter = MIN(1, LIMIT_UNITS / all);
+  return (Window){.s = (LIMIT_WINDOW_S + LIMIT_LATE_S) * shorter,
+                  .units = (int)(all * shorter)};
+}
+
+/* The windows of what is given out by count; how many. */
+static int counted_windows(const QuotaBounds *b, double reach, Window out[2]) {
+  int n = 0;
+  if (b->cold > 0) out[n++] = cold_window(b->cold, COLD_COUNTED * reach);
+  if (b->limit >= QUOTA_UNLIMITED) return n;
+  bool most = b->pressed && b->limit > 0;
+  out[n++] = most ? most_window(b->limit, LIMIT_COUNTED * reach)
+                  : limit_window(b->limit * reach);
+  return n;
+}
+
+/* The same of what is dealt out to all instances together. */
+static int dealt_windows(const QuotaBounds *b, Window out[2]) {
   int n = 0;
-  if (b->cold > 0) out[n++] = cold_window(b->cold, reach);
-  if (b->limit < QUOTA_UNLIMITED) out[n++] = limit_window(b->limit, reach);
+  if (b->cold > 0) out[n++] = cold_window(b->cold, COLD_DEALT);
+  if (b->limit < QUOTA_UNLIMITED) out[n++] = most_window(b->limit, LIMIT_DEALT);
   return n;
 }
 
@@ -97,8 +115,9 @@
 
 double quota_window(const QuotaBounds *b) {
   Window w[2];
-  double longest = 0;
-  int n = windows_of(b, 1, w);
+  double longest =
+      b->limit < QUOTA_UNLIMITED ? LIMIT_WINDOW_S + LIMIT_LATE_S : 0;
+  int n = counted_windows(b, 1, w);
   for (int i = 0; i < n; i++) longest = MAX(longest, w[i].s);
   return longest;
 }
@@ -124,7 +143,7 @@
                   double reach) {
   Window w[2];
   double wait = 0;
-  int n = windows_of(b, reach, w);
+  int n = counted_windows(b, reach, w);
   for (int i = 0; i < n; i++)
     wait = MAX(wait, wait_for(sent, now, w[i].s, w[i].units));
   return wait;
@@ -133,10 +152,10 @@
 bool quota_deals(const QuotaShare *s, const QuotaSends *own, double now,
                  const QuotaBounds *b, uint64_t target) {
   Window w[2];
-  int n = windows_of(b, 1, w);
+  int n = dealt_windows(b, w);
   if (s->of == 0) return false;
   for (int i = 0; i < n; i++) {
-    int part = MIN(part_of(s, w[i].dealt, target), QUOTA_UNITS);
+    int part = MIN(part_of(s, w[i].units, target), QUOTA_UNITS);
     if (now - s->since < w[i].s) return false;
     if (wait_for(own, now, w[i].s, part) > 0) return false;
   }
--- a/packages/route/state.h
+++ b/packages/route/state.h
@@ -39,7 +39,9 @@
   bool lapsed;      /* its entry is missing, perhaps by an outage only */
   bool evacuated;   /* its data centre is */
   double cold_until;
-  double full_until; /* who counts there gives no permit before, as we know */
+  /* Who counts there gives no permit before, as we know; nor if it is pressed.
+   */
+  double full_until, most_until;
   double aside_until, aside_s;
   double fail;     /* mean of failures, 0 to 1 */
   double took_s;   /* mean time of an answer */
@@ -75,8 +77,8 @@
   GRand *rand;
 };
 
-/* What bounds it now; `cold_rate` as in TargetAsk. */
-QuotaBounds target_bounds(const Target *t, double now, double cold_rate);
+/* What bounds it now for what is to be placed. */
+QuotaBounds target_bounds(const Target *t, double now, const TargetAsk *ask);
 /* How long work takes there now, by what the target said; 1: as usual. */
 double target_pace(const Target *t, double now);
 
--- a/packages/route/tally.c
+++ b/packages/route/tally.c
@@ -207,7 +207,9 @@
    the lowest that a sender knows of counts. */
 static QuotaBounds bounds_of(Count *c, const TallyPermitAsk *a) {
   if (!c->limit_known) c->limit = MIN(c->limit, a->bounds.limit);
-  return (QuotaBounds){.cold = a->bounds.cold, .limit = c->limit};
+  QuotaBounds b = a->bounds;
+  b.limit = c->limit;
+  return b;
 }
 
 static void give(Count *c, double now, const RunKey *key) {
@@ -223,13 +225,15 @@
   Count *c = named_count(t, now, a->target, a->counter);
   QuotaBounds b = bounds_of(c, a);
   RunKey key = {from, a->run};
-  double wait = unknown_for(t, c, now, quota_window(&b));
   double reach = MIN(a->reach, quota_reach(&t->share, now));
-  wait = MAX(wait, quota_wait(&c->starts, now, &b, reach));
-  if (wait <= 0) give(c, now, &key);
+  double unknown = unknown_for(t, c, now, quota_window(&b));
+  double wait = MAX(unknown, quota_wait(&c->starts, now, &b, reach));
+  TallyVerdict verdict = wait <= 0 ? TALLY_GIVEN : TALLY_FULL;
+  if (unknown > 0) verdict = TALLY_UNKNOWN;
+  if (verdict == TALLY_GIVEN) give(c, now, &key);
   return (TallyPermit){.number = a->number,
                        .target = a->target,
-                       .given = wait <= 0,
+                       .verdict = verdict,
                        .wait_s = wait,
                        .limit = c->limit};
 }
--- a/packages/route/tally.h
+++ b/packages/route/tally.h
@@ -71,10 +71,17 @@
   double reach;       /* quota_reach of the sender */
 } TallyPermitAsk;
 
+typedef enum {
+  TALLY_FULL,    /* the target had its fill */
+  TALLY_GIVEN,   /* the request may go there */
+  TALLY_UNKNOWN, /* what it got is not known: the asker's own part holds */
+  TALLY_VERDICTS
+} TallyVerdict;
+
 typedef struct TallyPermit {
   uint64_t number;
   uint64_t target;
-  bool given;
+  TallyVerdict verdict;
   double wait_s; /* until one may be given; 0 where it is */
   double limit;  /* of the target, as who counts knows it */
 } TallyPermit;
--- a/packages/route/targets.c
+++ b/packages/route/targets.c
@@ -421,18 +421,19 @@
 
 /* == bounded targets == */
 
-QuotaBounds target_bounds(const Target *t, double now, double cold_rate) {
+QuotaBounds target_bounds(const Target *t, double now, const TargetAsk *ask) {
   const Targets *s = t->set;
   double overrun = s->cold_overrun > 0 ? s->cold_overrun : 1;
-  bool cold = cold_rate > 0 && now < t->cold_until;
-  return (QuotaBounds){.cold = cold ? cold_rate * overrun + s->cold_extra : 0,
-                       .limit = t->limit};
+  bool cold = ask->cold_rate > 0 && now < t->cold_until;
+  double bound = ask->cold_rate * overrun + s->cold_extra;
+  return (QuotaBounds){
+      .cold = cold ? bound : 0, .limit = t->limit, .pressed = ask->pressed};
 }
 
 /* A target that takes more than it did may have room at once. */
 static bool set_limit(Target *t, double per_s) {
   bool changed = t->limit != per_s;
-  if (per_s > t->limit) t->full_until = 0;
+  if (per_s > t->limit) t->full_until = t->most_until = 0;
   t->limit = per_s;
   return changed;
 }
@@ -462,21 +463,22 @@
 }
 
 TallyPermitAsk target_permit_ask(const Target *t, double now,
-                                 double cold_rate) {
+                                 const TargetAsk *ask) {
   const Targets *s = t->set;
   return (TallyPermitAsk){.target = t->hash,
                           .counter = targets_counter(s, t->hash),
-                          .bounds = target_bounds(t, now, cold_rate),
+                          .bounds = target_bounds(t, now, ask),
                           .reach = quota_reach(&s->share, now)};
 }
 
-void target_full(Target *t, double now, double wait_s) {
-  t->full_until = now + wait_s;
+void target_full(Target *t, double now, double wait_s, bool pressed) {
+  if (pressed) t->most_until = now + wait_s;
+  t->full_until = MAX(t->full_until, now + wait_s);
 }
 
-bool target_deals(const Target *t, double now, double cold_rate) {
+bool target_deals(const Target *t, double now, const TargetAsk *ask) {
   static const QuotaSends unused;
-  QuotaBounds b = target_bounds(t, now, cold_rate);
+  QuotaBounds b = target_bounds(t, now, ask);
   const QuotaSends *own = t->use ? &t->use->sends : &unused;
   return quota_deals(&t->set->share, own, now, &b, t->hash);
 }
--- a/packages/route/targets.h
+++ b/packages/route/targets.h
@@ -88,6 +88,7 @@
                        are known */
   RegionSet regions; /* that it is bound to */
   bool no_permit; /* it may ask for no more of them: bounded targets are full */
+  bool pressed;   /* no target has room within its limit: as in QuotaBounds */
   bool alone;     /* it may end its target: where the fewest others run */
   const Target *const *tried;
   int n_tried;
@@ -183,12 +184,14 @@
    was sound. */
 bool target_limit_damaged(Target *t);
 /* The question for a permit there; `number` and `run` are the caller's to fill.
-   `cold_rate` as in TargetAsk. */
-TallyPermitAsk target_permit_ask(const Target *t, double now, double cold_rate);
-/* No permit is given there for so long. */
-void target_full(Target *t, double now, double wait_s);
-/* Nobody answers for it: whether our own part has room for one more. */
-bool target_deals(const Target *t, double now, double cold_rate);
+   `ask`: what is to be placed. */
+TallyPermitAsk target_permit_ask(const Target *t, double now,
+                                 const TargetAsk *ask);
+/* No permit is given there for so long; `pressed` as in QuotaBounds. */
+void target_full(Target *t, double now, double wait_s, bool pressed);
+/* Who counts there does not answer, or does not know: whether our own part has
+   room for one more. */
+bool target_deals(const Target *t, double now, const TargetAsk *ask);
 
 TargetLoad target_load_now(const Target *t, double now);
 
--- a/tests/test_codec.c
+++ b/tests/test_codec.c
@@ -279,11 +279,11 @@
                           .target = UINT64_MAX,
                           .counter = 3,
                           .run = 4,
-                          .bounds = {.cold = 14.9, .limit = limits[i]},
+                          .bounds = {14.9, limits[i], true},
                           .reach = 0.5};
     TallyPermit permit = {.number = 5,
                           .target = 6,
-                          .given = true,
+                          .verdict = TALLY_GIVEN,
                           .wait_s = 0.25,
                           .limit = limits[i]};
     CodecLimit limit = {.to_all = true,
@@ -297,9 +297,13 @@
     codec_put_permit(&b, &permit);
     codec_put_limit(&b, &limit);
     cr_assert(codec_get(b.data, b.size, &off, &m));
-    cr_assert_eq(memcmp(&m.permit_ask, &ask, sizeof ask), 0);
+    cr_assert(m.permit_ask.number == 1 && m.permit_ask.target == UINT64_MAX);
+    cr_assert(m.permit_ask.counter == 3 && m.permit_ask.run == 4);
+    cr_assert_float_eq(m.permit_ask.bounds.cold, 14.9, 1e-9);
+    cr_assert(m.permit_ask.bounds.limit == limits[i]);
+    cr_assert(m.permit_ask.bounds.pressed && m.permit_ask.reach == 0.5);
     cr_assert(codec_get(b.data, b.size, &off, &m));
-    cr_assert_eq(m.permit.given, true);
+    cr_assert_eq(m.permit.verdict, TALLY_GIVEN);
     cr_assert(m.permit.number == 5 && m.permit.wait_s == 0.25);
     cr_assert_eq(m.permit.limit, limits[i]);
     cr_assert(codec_get(b.data, b.size, &off, &m));
--- a/tests/test_limit.c
+++ b/tests/test_limit.c
@@ -94,19 +94,20 @@
 
 /* == one request == */
 
-static bool permitted(int who, double now, Target *t, uint64_t run) {
-  TallyPermitAsk a = target_permit_ask(t, now, 0);
+static bool permitted(int who, double now, Target *t, const TargetAsk *ask,
+                      uint64_t run) {
+  TallyPermitAsk a = target_permit_ask(t, now, ask);
   if (sim.silent[who]) {
-    bool deals = target_deals(t, now, 0);
-    if (!deals) target_full(t, now, 0.25);
+    bool deals = target_deals(t, now, ask);
+    if (!deals) target_full(t, now, 0.25, ask->pressed);
     return deals;
   }
   a.run = run;
   TallyPermit p =
       tally_permit(sim.tally[sim.side[who]], now, (uint64_t)who, &a);
   targets_limit_told(sim.set[who], p.target, p.limit);
-  if (!p.given) target_full(t, now, p.wait_s);
-  return p.given;
+  if (p.verdict != TALLY_GIVEN) target_full(t, now, p.wait_s, ask->pressed);
+  return p.verdict == TALLY_GIVEN;
 }
 
 /* The answer names the target's limit; who counts there is told. */
@@ -126,15 +127,24 @@
           targets_limit_told(sim.set[i], m.target, m.limit);
 }
 
-static void request(int who, double now) {
-  Ask prompt = {.tokens_in = 3000, .tokens_out = 100};
-  TargetAsk ask = {.service = "engines", .ask = &prompt};
+static TargetChoice choose(int who, double now, TargetAsk *ask) {
   TargetChoice c;
   int tries = 0;
   do {
-    ask.no_permit = tries++ == TRIES;
-    c = targets_pick(sim.set[who], now, &ask);
-  } while (c.bounded && !permitted(who, now, c.target, ++sim.runs));
+    ask->no_permit = tries++ == TRIES;
+    c = targets_pick(sim.set[who], now, ask);
+  } while (c.bounded && !permitted(who, now, c.target, ask, ++sim.runs));
+  return c;
+}
+
+static void request(int who, double now) {
+  Ask prompt = {.tokens_in = 3000, .tokens_out = 100};
+  TargetAsk ask = {.service = "engines", .ask = &prompt};
+  TargetChoice c = choose(who, now, &ask);
+  if (!c.target) {
+    ask.pressed = true;
+    c = choose(who, now, &ask);
+  }
   if (!c.target) {
     cr_assert_eq(c.none, TARGET_NONE_FULL);
     cr_assert(c.back_s > 0 && c.back_s < 4.001, "%g", c.back_s);
--- a/tests/test_quota.c
+++ b/tests/test_quota.c
@@ -140,17 +140,18 @@
 }
 
 /* Whether it may go to the target that was chosen; `run`: its number there. */
-static bool permitted(int who, double now, Target *t, uint64_t run) {
-  TallyPermitAsk a = target_permit_ask(t, now, RATE);
+static bool permitted(int who, double now, Target *t, const TargetAsk *ask,
+                      uint64_t run) {
+  TallyPermitAsk a = target_permit_ask(t, now, ask);
   if (!counted[who]) {
-    bool deals = target_deals(t, now, RATE);
-    if (!deals) target_full(t, now, 0.25);
+    bool deals = target_deals(t, now, ask);
+    if (!deals) target_full(t, now, 0.25, ask->pressed);
     return deals;
   }
   a.run = run;
   TallyPermit p = tally_permit(tallies[side[who]], now, (uint64_t)who, &a);
-  if (!p.given) target_full(t, now, p.wait_s);
-  return p.given;
+  if (p.verdict != TALLY_GIVEN) target_full(t, now, p.wait_s, ask->pressed);
+  return p.verdict == TALLY_GIVEN;
 }
 
 static TargetChoice choose(int who, double now, TargetAsk *ask) {
@@ -159,7 +160,7 @@
   do {
     ask->no_permit = tries++ == 6;
     c = targets_pick(deciders[who], now, ask);
-  } while (c.bounded && !permitted(who, now, c.target, ++runs));
+  } while (c.bounded && !permitted(who, now, c.target, ask, ++runs));
   return c;
 }
 
