--- a/tests/crash_soak.py
+++ b/tests/crash_soak.py
@@ -7,66 +7,23 @@
 Usage: crash_soak.py BUILD_DIR [--seeds N] [--seed FIRST]"""
 import argparse
 import random
-import signal
 import sys
 import threading
-import time
 
+from faults import Faults
 from fleet import run_tests
-from pool import (BAD, IN_TOUCH_S, Stream, check_bound, harmless, repeat_bad,
-                  with_pool)
+from pool import BAD, Stream, check_bound, harmless, repeat_bad, with_pool
 
 INSTANCES = 3
 PLAY_S, STRUCK_S = 20, 14  # seconds: all of it, and those with faults
 
 
-class Faults:
-    """Strikes instances and the store at random, and keeps when: who was struck
-    within IN_TOUCH_S is not held to the bound."""
+class Ends(Faults):
+    """Also ends engines, and sends copies all at once."""
 
     def __init__(self, s, pool, dice):
-        self.s, self.pool, self.dice = s, pool, dice
-        self.struck = []  # (from, until, instance; None: all)
-
-    def note(self, began, i):
-        self.struck.append((began, time.monotonic() + IN_TOUCH_S, i))
-
-    def restart(self):
-        began, i = time.monotonic(), self.dice.randrange(len(self.s.processes))
-        self.s.processes[i].kill()
-        self.s.processes[i].wait()
-        self.s.start(i)
-        self.note(began, i)
-
-    def restart_all(self):
-        began = time.monotonic()
-        for p in self.s.processes:
-            p.kill()
-            p.wait()
-        for i in range(len(self.s.processes)):
-            self.s.start(i)
-        self.note(began, None)
-
-    def freeze(self):
-        began, i = time.monotonic(), self.dice.randrange(len(self.s.processes))
-        self.s.processes[i].send_signal(signal.SIGSTOP)
-        time.sleep(self.dice.uniform(0.2, 2.0))
-        self.s.processes[i].send_signal(signal.SIGCONT)
-        self.note(began, i)
-
-    def outage(self):
-        began = time.monotonic()
-        self.s.store.down = True
-        time.sleep(self.dice.uniform(0.5, 3.0))
-        self.s.store.down = False
-        self.note(began, None)
-
-    def lost_answers(self):
-        began = time.monotonic()
-        self.s.store.lose = True
-        time.sleep(self.dice.uniform(0.2, 1.0))
-        self.s.store.lose = False
-        self.note(began, None)
+        super().__init__(s, dice)
+        self.pool = pool
 
     def end_engine(self):
         up = [e for e in self.pool.engines if not e.ended]
@@ -78,26 +35,20 @@
             threading.Thread(target=Stream, args=(
                 self.s, self.dice.randrange(len(self.s.processes)), BAD)).start()
 
-    def strike(self, seconds):
-        kinds = [self.restart, self.freeze, self.outage, self.lost_answers,
-                 self.end_engine, self.end_engine, self.burst, self.restart_all]
-        end = time.monotonic() + seconds
-        while time.monotonic() < end:
-            time.sleep(self.dice.uniform(0.2, 1.5))
-            self.dice.choice(kinds)()
-
-    def in_touch(self, at, i):
-        return not any(a <= at <= b and j in (None, i) for a, b, j in self.struck)
+    def strike_all(self, seconds):
+        self.strike(seconds, [self.restart, self.freeze, self.outage,
+                              self.lost_answers, self.end_engine, self.end_engine,
+                              self.burst, self.restart_all])
 
 
 def play(s, seed):
     dice = random.Random(seed)
     pool = with_pool(s)
     pool.again = dice.random() < 0.3
-    faults = Faults(s, pool, dice)
+    faults = Ends(s, pool, dice)
     bad = repeat_bad(s, PLAY_S, every_s=dice.choice([0.1, 0.25, 0.6]))
     good = harmless(s, PLAY_S)
-    faults.strike(STRUCK_S)
+    faults.strike_all(STRUCK_S)
     bad.join(), good.join()
     sent = {m.id: m.instance for m in bad.made}
     held = [g for g in good.made if "ends-targets" in g.kind]
--- /dev/null
+++ b/tests/faults.py
@@ -0,0 +1,72 @@
+"""faults.py: random faults of instances and of the store, for soaks with real
+processes."""
+import signal
+import time
+
+IN_TOUCH_S = 3.0  # after a fault an instance is held to bounds again
+
+
+class Faults:
+    """Strikes instances and the store at random, and keeps when: who was struck
+    within IN_TOUCH_S is not held to a bound."""
+
+    def __init__(self, s, dice):
+        self.s, self.dice = s, dice
+        self.struck = []  # (from, until, instance; None: all)
+
+    def note(self, began, i):
+        self.struck.append((began, time.monotonic() + IN_TOUCH_S, i))
+
+    def restart(self):
+        began, i = time.monotonic(), self.dice.randrange(len(self.s.processes))
+        self.s.processes[i].kill()
+        self.s.processes[i].wait()
+        self.s.start(i)
+        self.note(began, i)
+
+    def restart_all(self):
+        began = time.monotonic()
+        for p in self.s.processes:
+            p.kill()
+            p.wait()
+        for i in range(len(self.s.processes)):
+            self.s.start(i)
+        self.note(began, None)
+
+    def freeze(self):
+        began, i = time.monotonic(), self.dice.randrange(len(self.s.processes))
+        self.s.processes[i].send_signal(signal.SIGSTOP)
+        time.sleep(self.dice.uniform(0.2, 2.0))
+        self.s.processes[i].send_signal(signal.SIGCONT)
+        self.note(began, i)
+
+    def outage(self):
+        began = time.monotonic()
+        self.s.store.down = True
+        time.sleep(self.dice.uniform(0.5, 3.0))
+        self.s.store.down = False
+        self.note(began, None)
+
+    def lost_answers(self):
+        began = time.monotonic()
+        self.s.store.lose = True
+        time.sleep(self.dice.uniform(0.2, 1.0))
+        self.s.store.lose = False
+        self.note(began, None)
+
+    def stop(self):
+        """As planned; the instance starts again when it has ended."""
+        began, i = time.monotonic(), self.dice.randrange(len(self.s.processes))
+        self.s.processes[i].send_signal(signal.SIGTERM)
+        self.s.processes[i].wait()
+        self.s.start(i)
+        self.note(began, i)
+
+    def strike(self, seconds, kinds):
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            time.sleep(self.dice.uniform(0.2, 1.5))
+            self.dice.choice(kinds)()
+
+    def in_touch(self, at, i):
+        return not any(a <= at <= b and j in (None, i) for a, b, j in self.struck)
--- a/tests/limits.py
+++ b/tests/limits.py
@@ -34,7 +34,8 @@
 
     def __init__(self, store, name, service, limit=None):
         self.limit, self.broken = limit, False
-        self.arrived = []  # times
+        self.arrived = []   # times
+        self.attempts = []  # that arrived then
         super().__init__(("127.0.0.1", 0), store, name, service)
 
     def words(self):
@@ -44,8 +45,9 @@
     def answer(self, c, method, path, headers, body):
         if headers.get("x-loftpath-expect-instance") != self.name:
             return super().answer(c, method, path, headers, body)
-        self.arrived.append(time.monotonic())
         attempt = headers["x-loftpath-attempt-id"]
+        self.arrived.append(time.monotonic())
+        self.attempts.append(attempt)
         if not path.startswith("/chat/"):
             return self.plain(c, attempt)
         first = int(headers.get("last-event-id", "0")) + 1
