Limits: heard from another instance is logged; refused callers are counted once

A request that found no room within the limits and then some beyond them moved the time at which refused callers are told to come back, though it was placed.

--- a/packages/flow/permits.c
+++ b/packages/flow/permits.c
@@ -2,6 +2,7 @@
    whoever counts its work. */
 #include "flow/run.h"
 #include "kernel/count.h"
+#include "kernel/log.h"
 
 /* For the answer; instances are 1.4 ms apart, and take a turn. Without one the
    instance's own part of the bound decides. */
@@ -70,6 +71,14 @@
   if (x->permit_asked) close_question(x);
 }
 
+void relay_limit(Relay *r, uint64_t target, double limit) {
+  const Target *t = targets_limit_told(r->targets, target, limit);
+  if (!t) return;
+  bool ended = limit >= QUOTA_UNLIMITED;
+  log_info("target-limit", "s:s,s:s,s:f", "target", target_id(t), "word",
+           ended ? "told ended" : "told", "per_s", ended ? 0 : limit);
+}
+
 void relay_permit(Relay *r, const TallyPermit *p) {
   Run *x = g_hash_table_lookup(r->asking, &p->number);
   if (!x || !x->permit_asked) return;
@@ -77,7 +86,7 @@
   double now = run_now(x);
   bool old = now - x->asked_at > PERMIT_OLD_S;
   close_question(x);
-  targets_limit_told(r->targets, p->target, p->limit);
+  relay_limit(r, p->target, p->limit);
   if (p->verdict == TALLY_UNKNOWN && !old && !r->behind) {
     take_own_part(x);
     return;
--- a/packages/flow/relay.h
+++ b/packages/flow/relay.h
@@ -35,6 +35,8 @@
 void relay_tally(Relay *r, const TallyWord *w);
 /* Whether a request may go to the bounded target that it was chosen for. */
 void relay_permit(Relay *r, const TallyPermit *p);
+/* What a target takes (TallyLimit), as another instance tells it. */
+void relay_limit(Relay *r, uint64_t target, double limit);
 /* Planned stop: open requests go on, callers are asked to leave. */
 void relay_drain(Relay *r);
 /* Callers are asked to leave, or no longer. */
--- a/packages/flow/run.h
+++ b/packages/flow/run.h
@@ -57,7 +57,7 @@
   TallyWord words[TARGETS_ASKED];
   /* a permit for the target of `choice` */
   bool pressed;      /* as in QuotaBounds */
-  bool permit_asked; /* by the question that is open */
+  bool permit_asked; /* the question that is open is for it */
   double asked_at;
   int n_permits, all_permits; /* asked for: since it was last sent, in all */
   uint64_t permit_run; /* its number at that target; 0: it asked for none */
--- a/packages/node/node.c
+++ b/packages/node/node.c
@@ -344,7 +344,7 @@
 
 static void on_limit(void *ctx, const TallyLimit *m) {
   Node *n = ctx;
-  targets_limit_told(n->targets, m->target, m->limit);
+  relay_limit(n->relay, m->target, m->limit);
 }
 
 static void on_suspect(void *ctx, const SuspectsMsg *m) {
--- a/packages/route/choose.c
+++ b/packages/route/choose.c
@@ -364,7 +364,8 @@
     c->none = MAX(c->none, why);
     if (why == TARGET_NONE_FULL) add_room(p, t, &room);
   }
-  if (c->none == TARGET_NONE_FULL) c->back_s = back_after(p, &room);
+  if (c->none == TARGET_NONE_FULL && p->ask->pressed)
+    c->back_s = back_after(p, &room);
 }
 
 static void walk(const Pick *p, GPtrArray *list) {
--- a/packages/route/targets.c
+++ b/packages/route/targets.c
@@ -451,9 +451,9 @@
   return t->limit;
 }
 
-bool targets_limit_told(Targets *s, uint64_t target, double per_s) {
+const Target *targets_limit_told(Targets *s, uint64_t target, double per_s) {
   Target *t = g_hash_table_lookup(s->by_hash, &target);
-  return t && set_limit(t, per_s);
+  return t && set_limit(t, per_s) ? t : NULL;
 }
 
 bool target_limit_damaged(Target *t) {
--- a/packages/route/targets.h
+++ b/packages/route/targets.h
@@ -114,7 +114,7 @@
 typedef struct TargetChoice {
   Target *target;      /* NULL: there is none */
   TargetNone none;     /* why */
-  double back_s;       /* TARGET_NONE_FULL: when the caller may come back */
+  double back_s;       /* TARGET_NONE_FULL, pressed: when to come back */
   bool bounded;        /* it needs a permit (tally.h) */
   double wait_s;       /* predicted, until the first byte */
   int64_t fresh;       /* tokens of the prompt thought to be read anew */
@@ -178,8 +178,8 @@
    again to who counts there. */
 bool target_limit(Target *t, double now, double per_s);
 double target_limit_of(const Target *t);
-/* The same as another instance tells it; whether it has changed. */
-bool targets_limit_told(Targets *s, uint64_t target, double per_s);
+/* The same as another instance tells it; the target if it has changed. */
+const Target *targets_limit_told(Targets *s, uint64_t target, double per_s);
 /* The figure in its answer is damaged, and says nothing; whether the one before
    was sound. */
 bool target_limit_damaged(Target *t);
--- a/tests/test_limit.c
+++ b/tests/test_limit.c
@@ -353,8 +353,11 @@
 Test(limit, callers_come_back_at_the_pace_of_the_pool) {
   begin(1);
   Ask prompt = {.tokens_in = 3000, .tokens_out = 100};
-  TargetAsk ask = {
-      .service = "engines", .ask = &prompt, .engine = true, .no_permit = true};
+  TargetAsk ask = {.service = "engines",
+                   .ask = &prompt,
+                   .engine = true,
+                   .no_permit = true,
+                   .pressed = true};
   for (int i = 0; i < TARGETS; i++) {
     char id[LIMIT_NAME];
     snprintf(id, sizeof id, "t%02d", i);
--- a/tests/test_quota.c
+++ b/tests/test_quota.c
@@ -172,6 +172,10 @@
   ask.n_words = ask_counts(who, now, &ask, words);
   ask.words = words;
   TargetChoice c = choose(who, now, &ask);
+  if (!c.target) {
+    ask.pressed = true;
+    c = choose(who, now, &ask);
+  }
   if (!c.target) {
     cr_assert_eq(c.none, TARGET_NONE_FULL);
     cr_assert(c.back_s > 0 && c.back_s < 10);
