--- a/packages/flow/dispatch.c
+++ b/packages/flow/dispatch.c
@@ -297,7 +297,6 @@
                      .pause_s = x->service ? x->service->pause_s : 0,
                      .regions = x->regions,
                      .no_permit = !run_may_ask_permit(x),
-                     .pressed = x->pressed,
                      .alone = x->try != NULL,
                      .tried = x->tried,
                      .n_tried = x->n_tried,
@@ -338,7 +337,6 @@
   target_sent(c->target, now, &x->ask, c);
   run_tell_sent(x);
   x->n_permits = 0;
-  x->pressed = false;
   x->permit_run = 0;
   double fresh_s = repeatable(x) ? RUN_LINK_KEEP_S : FRESH_ONCE_S;
   x->link = link_send(r->links, target_addr(c->target), out, fresh_s,
@@ -376,25 +374,14 @@
   run_give_up(x, &e);
 }
 
-static TargetChoice pick(Run *x) {
-  TargetAsk ask = run_target_ask(x);
-  return targets_pick(x->relay->targets, run_now(x), &ask);
-}
-
-/* Only who would be refused otherwise is placed beyond what targets say that
-   they take, as far as that is tolerated. */
 void run_choose(Run *x) {
   if (x->relay->behind) {
     give_up_behind(x);
     return;
   }
-  TargetChoice c = pick(x);
+  TargetAsk ask = run_target_ask(x);
+  TargetChoice c = targets_pick(x->relay->targets, run_now(x), &ask);
   run_stop_asking(x);
-  if (!c.target && c.none == TARGET_NONE_FULL && !x->pressed) {
-    x->pressed = true;
-    x->n_permits = 0;
-    c = pick(x);
-  }
   if (!c.target) {
     give_up_unplaced(x, &c);
     return;
--- a/packages/flow/permits.c
+++ b/packages/flow/permits.c
@@ -13,7 +13,7 @@
 /* Who counts gave no answer: not asked again for so long. */
 #define SILENT_S 0.25
 /* Targets that one request asks for in turn. */
-#define PERMITS_MOST 6
+#define PERMITS_MOST 10
 
 static void close_question(Run *x) {
   ev_timer_stop(x->relay->loop, &x->told_timer);
@@ -31,7 +31,7 @@
     run_send(x);
     return;
   }
-  target_full(t, now, SILENT_S, x->pressed);
+  target_full(&x->choice, now, SILENT_S);
   run_choose(x);
 }
 
@@ -52,7 +52,7 @@
   Relay *r = x->relay;
   double now = run_now(x);
   TargetAsk ask = run_target_ask(x);
-  TallyPermitAsk a = target_permit_ask(c->target, now, &ask);
+  TallyPermitAsk a = target_permit_ask(c, now, &ask);
   x->choice = *c;
   x->n_permits++;
   x->all_permits++;
@@ -93,7 +93,7 @@
   }
   if (p->verdict != TALLY_GIVEN) {
     count_add(COUNT_PERMITS_REFUSED, 1);
-    target_full(t, now, p->wait_s, x->pressed);
+    target_full(&x->choice, now, p->wait_s);
   }
   bool given = p->verdict == TALLY_GIVEN && !old && !r->behind;
   if (given && target_usable(t, now))
--- a/packages/flow/run.h
+++ b/packages/flow/run.h
@@ -56,7 +56,6 @@
   int n_asked, n_words;
   TallyWord words[TARGETS_ASKED];
   /* a permit for the target of `choice` */
-  bool pressed;      /* as in QuotaBounds */
   bool permit_asked; /* the question that is open is for it */
   double asked_at;
   int n_permits, all_permits; /* asked for: since it was last sent, in all */
--- a/packages/route/quota.c
+++ b/packages/route/quota.c
@@ -18,8 +18,8 @@
    seconds: only an answer tells that its need is over. */
 #define LIMIT_WINDOW_MOST_S 10.0
 /* In a window the users tolerate so many times the limit, and so many requests
-   more; and the parts of that which are given out by count where callers would
-   be refused otherwise, and dealt out. */
+   more; and the parts of that which are given out by count where others would
+   be late, and dealt out. */
 #define LIMIT_OVERRUN 1.5
 #define LIMIT_EXTRA 5
 #define LIMIT_LATE_S 0.1 /* timers are late, and ways are not equally long */
--- a/packages/route/quota.h
+++ b/packages/route/quota.h
@@ -26,8 +26,8 @@
 typedef struct QuotaBounds {
   double cold;  /* requests in any second; 0: it is warm */
   double limit; /* requests a second that it takes; QUOTA_UNLIMITED */
-  bool pressed; /* no other target has room: in place of its limit it gets what
-                   the users tolerate beyond it */
+  bool pressed; /* others would be late: in place of its limit it gets what the
+                   users tolerate beyond it */
 } QuotaBounds;
 
 /* Our place among the instances, which share the bounds of each target. */
--- a/packages/route/state.h
+++ b/packages/route/state.h
@@ -39,8 +39,8 @@
   bool lapsed;      /* its entry is missing, perhaps by an outage only */
   bool evacuated;   /* its data centre is */
   double cold_until;
-  /* Who counts there gives no permit before, as we know; nor if it is pressed.
-   */
+  /* Who counts there gives no permit within its limit before this, as we know;
+     nor any. */
   double full_until, most_until;
   double aside_until, aside_s;
   double fail;     /* mean of failures, 0 to 1 */
--- a/packages/route/targets.c
+++ b/packages/route/targets.c
@@ -426,8 +426,7 @@
   double overrun = s->cold_overrun > 0 ? s->cold_overrun : 1;
   bool cold = ask->cold_rate > 0 && now < t->cold_until;
   double bound = ask->cold_rate * overrun + s->cold_extra;
-  return (QuotaBounds){
-      .cold = cold ? bound : 0, .limit = t->limit, .pressed = ask->pressed};
+  return (QuotaBounds){.cold = cold ? bound : 0, .limit = t->limit};
 }
 
 /* A target that takes more than it did may have room at once. */
@@ -462,17 +461,20 @@
   return !was;
 }
 
-TallyPermitAsk target_permit_ask(const Target *t, double now,
+TallyPermitAsk target_permit_ask(const TargetChoice *c, double now,
                                  const TargetAsk *ask) {
-  const Targets *s = t->set;
-  return (TallyPermitAsk){.target = t->hash,
-                          .counter = targets_counter(s, t->hash),
-                          .bounds = target_bounds(t, now, ask),
-                          .reach = quota_reach(&s->share, now)};
-}
-
-void target_full(Target *t, double now, double wait_s, bool pressed) {
-  if (pressed) t->most_until = now + wait_s;
+  const Target *t = c->target;
+  TallyPermitAsk a = {.target = t->hash,
+                      .counter = targets_counter(t->set, t->hash),
+                      .bounds = target_bounds(t, now, ask),
+                      .reach = quota_reach(&t->set->share, now)};
+  a.bounds.pressed = c->pressed;
+  return a;
+}
+
+void target_full(const TargetChoice *c, double now, double wait_s) {
+  Target *t = c->target;
+  if (c->pressed || t->limit >= QUOTA_UNLIMITED) t->most_until = now + wait_s;
   t->full_until = MAX(t->full_until, now + wait_s);
 }
 
--- a/packages/route/targets.h
+++ b/packages/route/targets.h
@@ -88,7 +88,6 @@
                        are known */
   RegionSet regions; /* that it is bound to */
   bool no_permit; /* it may ask for no more of them: bounded targets are full */
-  bool pressed;   /* no target has room within its limit: as in QuotaBounds */
   bool alone;     /* it may end its target: where the fewest others run */
   const Target *const *tried;
   int n_tried;
@@ -114,8 +113,9 @@
 typedef struct TargetChoice {
   Target *target;      /* NULL: there is none */
   TargetNone none;     /* why */
-  double back_s;       /* TARGET_NONE_FULL, pressed: when to come back */
-  bool bounded;        /* it needs a permit (tally.h) */
+  double back_s;       /* TARGET_NONE_FULL: when the caller may come back */
+  bool bounded;        /* it needs a permit (tally.h), */
+  bool pressed;        /* beyond the target's limit */
   double wait_s;       /* predicted, until the first byte */
   int64_t fresh;       /* tokens of the prompt thought to be read anew */
   int64_t moved;       /* tokens that come from the memory of `donor` */
@@ -183,12 +183,12 @@
 /* The figure in its answer is damaged, and says nothing; whether the one before
    was sound. */
 bool target_limit_damaged(Target *t);
-/* The question for a permit there; `number` and `run` are the caller's to fill.
-   `ask`: what is to be placed. */
-TallyPermitAsk target_permit_ask(const Target *t, double now,
+/* The question for a permit where the choice led; `number` and `run` are the
+   caller's to fill. */
+TallyPermitAsk target_permit_ask(const TargetChoice *c, double now,
                                  const TargetAsk *ask);
-/* No permit is given there for so long; `pressed` as in QuotaBounds. */
-void target_full(Target *t, double now, double wait_s, bool pressed);
+/* No permit is given for such a choice for so long. */
+void target_full(const TargetChoice *c, double now, double wait_s);
 /* Who counts there does not answer, or does not know: whether our own part has
    room for one more. */
 bool target_deals(const Target *t, double now, const TargetAsk *ask);
--- a/tests/test_limit.c
+++ b/tests/test_limit.c
@@ -94,19 +94,19 @@
 
 /* == one request == */
 
-static bool permitted(int who, double now, Target *t, const TargetAsk *ask,
-                      uint64_t run) {
-  TallyPermitAsk a = target_permit_ask(t, now, ask);
+static bool permitted(int who, double now, const TargetChoice *c,
+                      const TargetAsk *ask, uint64_t run) {
+  TallyPermitAsk a = target_permit_ask(c, now, ask);
   if (sim.silent[who]) {
-    bool deals = target_deals(t, now, ask);
-    if (!deals) target_full(t, now, 0.25, ask->pressed);
+    bool deals = target_deals(c->target, now, ask);
+    if (!deals) target_full(c, now, 0.25);
     return deals;
   }
   a.run = run;
   TallyPermit p =
       tally_permit(sim.tally[sim.side[who]], now, (uint64_t)who, &a);
   targets_limit_told(sim.set[who], p.target, p.limit);
-  if (p.verdict != TALLY_GIVEN) target_full(t, now, p.wait_s, ask->pressed);
+  if (p.verdict != TALLY_GIVEN) target_full(c, now, p.wait_s);
   return p.verdict == TALLY_GIVEN;
 }
 
@@ -133,7 +133,7 @@
   do {
     ask->no_permit = tries++ == TRIES;
     c = targets_pick(sim.set[who], now, ask);
-  } while (c.bounded && !permitted(who, now, c.target, ask, ++sim.runs));
+  } while (c.bounded && !permitted(who, now, &c, ask, ++sim.runs));
   return c;
 }
 
@@ -141,10 +141,6 @@
   Ask prompt = {.tokens_in = 3000, .tokens_out = 100};
   TargetAsk ask = {.service = "engines", .ask = &prompt};
   TargetChoice c = choose(who, now, &ask);
-  if (!c.target) {
-    ask.pressed = true;
-    c = choose(who, now, &ask);
-  }
   if (!c.target) {
     cr_assert_eq(c.none, TARGET_NONE_FULL);
     cr_assert(c.back_s > 0 && c.back_s < 4.001, "%g", c.back_s);
@@ -353,11 +349,8 @@
 Test(limit, callers_come_back_at_the_pace_of_the_pool) {
   begin(1);
   Ask prompt = {.tokens_in = 3000, .tokens_out = 100};
-  TargetAsk ask = {.service = "engines",
-                   .ask = &prompt,
-                   .engine = true,
-                   .no_permit = true,
-                   .pressed = true};
+  TargetAsk ask = {
+      .service = "engines", .ask = &prompt, .engine = true, .no_permit = true};
   for (int i = 0; i < TARGETS; i++) {
     char id[LIMIT_NAME];
     snprintf(id, sizeof id, "t%02d", i);
--- a/tests/test_quota.c
+++ b/tests/test_quota.c
@@ -140,17 +140,17 @@
 }
 
 /* Whether it may go to the target that was chosen; `run`: its number there. */
-static bool permitted(int who, double now, Target *t, const TargetAsk *ask,
-                      uint64_t run) {
-  TallyPermitAsk a = target_permit_ask(t, now, ask);
+static bool permitted(int who, double now, const TargetChoice *c,
+                      const TargetAsk *ask, uint64_t run) {
+  TallyPermitAsk a = target_permit_ask(c, now, ask);
   if (!counted[who]) {
-    bool deals = target_deals(t, now, ask);
-    if (!deals) target_full(t, now, 0.25, ask->pressed);
+    bool deals = target_deals(c->target, now, ask);
+    if (!deals) target_full(c, now, 0.25);
     return deals;
   }
   a.run = run;
   TallyPermit p = tally_permit(tallies[side[who]], now, (uint64_t)who, &a);
-  if (p.verdict != TALLY_GIVEN) target_full(t, now, p.wait_s, ask->pressed);
+  if (p.verdict != TALLY_GIVEN) target_full(c, now, p.wait_s);
   return p.verdict == TALLY_GIVEN;
 }
 
@@ -160,7 +160,7 @@
   do {
     ask->no_permit = tries++ == 6;
     c = targets_pick(deciders[who], now, ask);
-  } while (c.bounded && !permitted(who, now, c.target, ask, ++runs));
+  } while (c.bounded && !permitted(who, now, &c, ask, ++runs));
   return c;
 }
 
@@ -172,10 +172,6 @@
   ask.n_words = ask_counts(who, now, &ask, words);
   ask.words = words;
   TargetChoice c = choose(who, now, &ask);
-  if (!c.target) {
-    ask.pressed = true;
-    c = choose(who, now, &ask);
-  }
   if (!c.target) {
     cr_assert_eq(c.none, TARGET_NONE_FULL);
     cr_assert(c.back_s > 0 && c.back_s < 10);
