--- a/packages/route/tally.c
+++ b/packages/route/tally.c
@@ -14,9 +14,8 @@
 #define RIPE_S 0.5    /* a part that was sent this long ago has been read */
 #define FORGET_S 60.0 /* a target that nobody speaks of */
 
-#define START_S                                                                \
-  1.02 /* starts count for a second; messages take milliseconds                \
-        */
+/* Starts count for a second; messages take milliseconds. */
+#define START_S 1.02
 /* Who was given a permit sends at once; a word of it later than this was lost
    or is of another request. */
 #define PERMIT_S 2.0
