Limits in many small parts of a fleet: each gives out its part rounded down

Found in review: a part of the fleet gave one request in ten seconds whatever its size, so that instances that are all cut off from each other, and reach the target, sent as many as they are. Only a part that may be the larger one rounds up now.

--- a/packages/route/quota.c
+++ b/packages/route/quota.c
@@ -75,11 +75,14 @@
                   .units = (int)MIN(part * bound, QUOTA_UNITS)};
 }
 
-/* The window is so long that its requests are just the limit's. */
-static Window limit_window(double per_s) {
-  int units = (int)CLAMP(ceil(per_s * LIMIT_WINDOW_S), 1, LIMIT_UNITS);
-  double s = per_s > 0 ? units / per_s : LIMIT_WINDOW_MOST_S;
-  return (Window){.s = MIN(s, LIMIT_WINDOW_MOST_S), .units = units};
+/* The window is so long that its requests are just the limit's. Only a part of
+   the fleet that may be the larger one rounds up: of many small ones each would
+   give a request more than its part. */
+static Window limit_window(double limit, double reach) {
+  double per_s = limit * reach, n = per_s * LIMIT_WINDOW_S;
+  int units = (int)MIN(reach > 0.5 ? MAX(ceil(n), 1) : n, LIMIT_UNITS);
+  double s = units / MAX(per_s, 1 / LIMIT_WINDOW_MOST_S);
+  return (Window){.s = units > 0 ? s : LIMIT_WINDOW_S, .units = units};
 }
 
 /* Part of what is tolerated. */
@@ -97,7 +100,7 @@
   if (b->limit >= QUOTA_UNLIMITED) return n;
   bool most = b->pressed && b->limit > 0;
   out[n++] = most ? most_window(b->limit, LIMIT_COUNTED * reach)
-                  : limit_window(b->limit * reach);
+                  : limit_window(b->limit, reach);
   return n;
 }
 
--- a/tests/test_limit.c
+++ b/tests/test_limit.c
@@ -24,9 +24,10 @@
 typedef struct Sim {
   Targets *set[DECIDERS];
   int n;
-  bool silent[DECIDERS]; /* it gets no answers */
-  int side[DECIDERS];    /* of a cut: which count answers it */
-  Tally *tally[2];
+  bool silent[DECIDERS];  /* it gets no answers */
+  int side[DECIDERS];     /* of a cut: which count answers it */
+  Tally *tally[DECIDERS]; /* of each side of a cut */
+  int sides;
   double limit[TARGETS]; /* as the target names it now */
   GArray *arrivals[TARGETS];
   GHashTable *numbers; /* hash -> number + 1 of a target */
@@ -68,7 +69,8 @@
   sim.dice = g_rand_new_with_seed(5);
   sim.numbers =
       g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
-  for (int k = 0; k < 2; k++) {
+  sim.sides = n;
+  for (int k = 0; k < n; k++) {
     sim.tally[k] = tally_new();
     tally_members(sim.tally[k], -100, n, counts_none, NULL);
   }
@@ -86,7 +88,7 @@
 
 static void end(void) {
   for (int i = 0; i < sim.n; i++) targets_free(sim.set[i]);
-  for (int k = 0; k < 2; k++) tally_free(sim.tally[k]);
+  for (int k = 0; k < sim.sides; k++) tally_free(sim.tally[k]);
   for (int i = 0; i < TARGETS; i++) g_array_free(sim.arrivals[i], TRUE);
   g_hash_table_destroy(sim.numbers);
   g_rand_free(sim.dice);
@@ -120,7 +122,7 @@
 /* All on a side hear of changes, as who counts there tells them. */
 static void spread(double now) {
   TallyLimit m;
-  for (int k = 0; k < 2; k++)
+  for (int k = 0; k < sim.sides; k++)
     while (tally_limit_news(sim.tally[k], now, 2, &m))
       for (int i = 0; i < sim.n; i++)
         if (sim.side[i] == k && !sim.silent[i])
@@ -304,6 +306,26 @@
       for (int after = 0; after < 2; after++) cut(sizes[k], limits[l], after);
 }
 
+/* Each instance is cut off from all others, and reaches all targets. */
+Test(limit, it_holds_where_each_instance_is_alone) {
+  for (int k = 0; k < SIZES; k++)
+    for (int l = 0; l < LIMITS; l++) {
+      begin(sizes[k]);
+      for (int i = 0; i < TARGETS; i++) sim.limit[i] = limits[l];
+      double per_s = MAX(300, MIN(4 * limits[l], 100) * TARGETS);
+      load(0, 4, per_s);
+      for (int i = 0; i < sim.n; i++) {
+        sim.side[i] = i;
+        targets_place(sim.set[i], 4, 0, 1);
+        tally_members(sim.tally[i], 4, 1, i == 0 ? counts_all : counts_none,
+                      NULL);
+      }
+      load(4, 16, per_s);
+      for (int i = 0; i < TARGETS; i++) check(limits[l], i, 3, 16);
+      end();
+    }
+}
+
 /* Who counted is lost again and again, and another begins without its count. */
 Test(limit, it_holds_while_who_counts_is_lost) {
   for (int k = 0; k < SIZES; k++)
