--- a/packages/peer/codec.c
+++ b/packages/peer/codec.c
@@ -2,6 +2,7 @@
 #include "peer/codec.h"
 
 #include <glib.h>
+#include <math.h>
 #include <string.h>
 #include <xxhash.h>
 
@@ -9,6 +10,7 @@
 #define THOUSAND 1000.0
 #define LOAD_MAX 1000000 /* requests at one target */
 #define EVERY_MAX_MS (24 * 3600 * 1000)
+#define COUNT_MAX 1000000000000000 /* a double holds it exactly */
 
 /* == packing == */
 
@@ -158,7 +160,7 @@
 
 /* Counts of streams travel in thousandths: they fade. */
 static int64_t thousandths(double v) {
-  return (int64_t)(v * THOUSAND);
+  return (int64_t)round(v * THOUSAND);
 }
 
 void codec_put_pool(msgpack_sbuffer *b, const TargetsPoolWord *m) {
@@ -269,7 +271,7 @@
 /* No limit travels as nil. */
 static void put_limit(msgpack_packer *p, double limit) {
   if (limit < QUOTA_UNLIMITED)
-    msgpack_pack_int64(p, (int64_t)round(MIN(limit, LIMIT_RATE) * THOUSAND));
+    msgpack_pack_int64(p, thousandths(MIN(limit, LIMIT_RATE)));
   else
     msgpack_pack_nil(p);
 }
@@ -443,7 +445,7 @@
 /* A count; below 0 it is damaged. */
 static double get_count(Reader *r) {
   int64_t n = get_i64(r);
-  r->bad |= n < 0;
+  r->bad |= n < 0 || n > COUNT_MAX;
   return (double)n;
 }
 
--- a/tests/test_codec.c
+++ b/tests/test_codec.c
@@ -272,6 +272,23 @@
   g_free(text);
 }
 
+/* What is handed on from instance to instance is read and written at each. */
+Test(codec, figures_in_thousandths_do_not_shrink_on_their_way) {
+  for (int64_t ms = 0; ms < 5000; ms++) {
+    CodecSuspect s = {.msg = {.age_s = (double)ms / 1000}};
+    for (int hop = 0; hop < 3; hop++) {
+      msgpack_sbuffer b;
+      CodecMsg m;
+      msgpack_sbuffer_init(&b);
+      codec_put_suspect(&b, &s);
+      cr_assert(same(&b, &m));
+      s = m.suspect;
+      msgpack_sbuffer_destroy(&b);
+    }
+    cr_assert_eq(s.msg.age_s, (double)ms / 1000, "%d ms", (int)ms);
+  }
+}
+
 Test(codec, words_on_bounded_targets_round_trip) {
   static const double limits[] = {0, 0.29, 1.7, 100, QUOTA_UNLIMITED};
   for (size_t i = 0; i < G_N_ELEMENTS(limits); i++) {
--- /dev/null
+++ b/tests/test_golden.c
@@ -0,0 +1,344 @@
+/* test_golden.c: bytes of messages between instances, and texts of objects in
+   the store, as builds in production write them. Builds run side by side while
+   instances are replaced, so what one writes the other has to read: bytes
+   change by a new kind of message or a new member, never in place. */
+#include <criterion/criterion.h>
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "ledger/shard.h"
+#include "peer/codec.h"
+#include "route/trials.h"
+
+/* == what is written == */
+
+static void put_beat(msgpack_sbuffer *b) {
+  Member m = {.id = "n.1",
+              .region = "r",
+              .dc = "d",
+              .peer = "tcp://1.2.3.4:5",
+              .http = "1.2.3.4:6",
+              .leaving = true,
+              .table = 9,
+              .every_s = 0.5};
+  codec_put_beat(b, &m);
+}
+
+static void put_news(msgpack_sbuffer *b) {
+  GossipNews n = {.m = {.id = "n.1",
+                        .region = "r",
+                        .dc = "d",
+                        .peer = "tcp://1.2.3.4:5",
+                        .leaving = true},
+                  .life = 3,
+                  .state = (GossipState)1};
+  codec_put_news(b, &n);
+}
+
+static void put_gossip(msgpack_sbuffer *b) {
+  GossipMsg m = {.kind = (GossipKind)1,
+                 .about = 2,
+                 .digest = UINT64_MAX,
+                 .table = 3,
+                 .answer = true};
+  codec_put_gossip(b, &m);
+}
+
+static void put_ledger(msgpack_sbuffer *b) {
+  LedgerMsg m = {.kind = LEDGER_REPORT,
+                 .grant = UINT64_MAX,
+                 .granted = 1000,
+                 .returned = 1LL << 40,
+                 .spent = 3,
+                 .limit = 4,
+                 .need = 5,
+                 .want = 6,
+                 .cause = ERR_BUDGET_HELD,
+                 .final = true,
+                 .sealed = true};
+  g_strlcpy(m.budget, "acme", sizeof m.budget);
+  codec_put_ledger(b, &m);
+}
+
+static void put_once(msgpack_sbuffer *b) {
+  OnceMsg m = {.kind = ONCE_FINISH,
+               .key = {1, 2},
+               .nonce = 3,
+               .digest = 4,
+               .doubled = true,
+               .answer = {.status = 200, .body = (char *)"body", .len = 4}};
+  g_strlcpy(m.bill.customer, "acme", sizeof m.bill.customer);
+  g_strlcpy(m.bill.budget, "acme", sizeof m.bill.budget);
+  m.bill.tokens = 77;
+  g_strlcpy(m.answer.type, "text/plain", sizeof m.answer.type);
+  codec_put_once(b, &m);
+}
+
+static void put_load(msgpack_sbuffer *b) {
+  LoadsMsg m = {.target = 5, .running = 70000, .waiting = 1, .silent = true};
+  codec_put_load(b, &m);
+}
+
+static void put_conf(msgpack_sbuffer *b) {
+  Packed text = {.size = 10, .n = 3, .data = (void *)"abc"};
+  codec_put_conf(b, 7, &text);
+}
+
+static void put_feed(msgpack_sbuffer *b) {
+  CodecFeed m = {.reader = 1,
+                 .until = "d n.1",
+                 .word = (ReadersWord)1,
+                 .kind = 2,
+                 .from = 3,
+                 .at = 4,
+                 .lapsed = true,
+                 .changes = {.size = 10, .n = 3, .data = (void *)"abc"}};
+  codec_put_feed(b, &m);
+}
+
+static void put_work(msgpack_sbuffer *b) {
+  TargetWork m = {.target = UINT64_MAX, .open = 3, .tokens = 17000};
+  codec_put_work(b, &m);
+}
+
+static void put_pool(msgpack_sbuffer *b) {
+  TargetsPoolWord m = {
+      .pool = 1,
+      .word = {.long_read = 2, .short_read = 3, .streams = 4.5, .held = 0.25}};
+  codec_put_pool(b, &m);
+}
+
+static void put_parts(msgpack_sbuffer *b) {
+  TargetParts m = {.target = 1, .n = 2, .names = {2, UINT64_MAX}};
+  codec_put_parts(b, &m);
+}
+
+static void put_tally_ask(msgpack_sbuffer *b) {
+  TallyAsk m = {.number = 1, .target = 2, .parts = {2, {3, 4}}};
+  codec_put_tally_ask(b, &m);
+}
+
+static void put_tally_word(msgpack_sbuffer *b) {
+  TallyWord m = {.number = 1,
+                 .target = 2,
+                 .open = 3,
+                 .starts = 4,
+                 .tokens = 5,
+                 .known = 2,
+                 .ripe = 1};
+  codec_put_tally_word(b, &m);
+}
+
+static void put_tally_run(msgpack_sbuffer *b) {
+  TallyRun m = {
+      .target = 1, .run = 2, .open = true, .tokens = 3, .parts = {1, {4}}};
+  codec_put_tally_run(b, &m);
+}
+
+static void put_suspect(msgpack_sbuffer *b) {
+  CodecSuspect m = {.until = "d n.1",
+                    .msg = {.kind = SUSPECTS_NAMED,
+                            .digest = {1, 2},
+                            .owner = 3,
+                            .target = 4,
+                            .age_s = 1.5}};
+  codec_put_suspect(b, &m);
+}
+
+static void put_permit_ask(msgpack_sbuffer *b) {
+  TallyPermitAsk m = {.number = 1,
+                      .target = 2,
+                      .counter = 3,
+                      .run = 4,
+                      .bounds = {.cold = 14.5, .limit = 1.7, .pressed = true},
+                      .reach = 0.5};
+  codec_put_permit_ask(b, &m);
+}
+
+static void put_permit(msgpack_sbuffer *b) {
+  TallyPermit m = {.number = 1,
+                   .target = 2,
+                   .verdict = TALLY_UNKNOWN,
+                   .wait_s = 0.25,
+                   .limit = QUOTA_UNLIMITED};
+  codec_put_permit(b, &m);
+}
+
+static void put_limit(msgpack_sbuffer *b) {
+  CodecLimit m = {.to_all = true,
+                  .until = "d n.1",
+                  .msg = {.target = 1, .counter = 2, .limit = 0.7}};
+  codec_put_limit(b, &m);
+}
+
+/* == what is read, written again == */
+
+#define AGAIN(field)                                                           \
+  static void again_##field(msgpack_sbuffer *b, const CodecMsg *m) {           \
+    codec_put_##field(b, &m->field);                                           \
+  }
+AGAIN(beat)
+AGAIN(news)
+AGAIN(gossip)
+AGAIN(ledger)
+AGAIN(once)
+AGAIN(load)
+AGAIN(feed)
+AGAIN(work)
+AGAIN(pool)
+AGAIN(parts)
+AGAIN(tally_ask)
+AGAIN(tally_word)
+AGAIN(tally_run)
+AGAIN(suspect)
+AGAIN(permit_ask)
+AGAIN(permit)
+AGAIN(limit)
+
+static void again_conf(msgpack_sbuffer *b, const CodecMsg *m) {
+  codec_put_conf(b, m->conf.version, &m->conf.text);
+}
+
+/* == as builds in production write it == */
+
+typedef struct Golden {
+  const char *name, *hex;
+  CodecType type;
+  void (*put)(msgpack_sbuffer *b);
+  void (*again)(msgpack_sbuffer *b, const CodecMsg *m);
+} Golden;
+
+static const Golden messages[] = {
+    {"beat",
+     "9900a36e2e31a172a164af7463703a2f2f312e322e332e343a35a9312e32"
+     "2e332e343a360109cd01f4",
+     CODEC_BEAT, put_beat, again_beat},
+    {"news", "9809a36e2e31a172a164af7463703a2f2f312e322e332e343a35010301",
+     CODEC_NEWS, put_news, again_news},
+    {"gossip", "960a0102cfffffffffffffffff0301", CODEC_GOSSIP, put_gossip,
+     again_gossip},
+    {"ledger",
+     "9c0102a461636d65cfffffffffffffffffcd03e8cf000001000000000003"
+     "0405060a03",
+     CODEC_LEDGER, put_ledger, again_ledger},
+    {"once",
+     "9e0202010203040007a461636d65a461636d654dccc8aa746578742f706c"
+     "61696ec404626f6479",
+     CODEC_ONCE, put_once, again_once},
+    {"load", "950305ce000111700101", CODEC_LOAD, put_load, again_load},
+    {"conf", "9404070ac403616263", CODEC_CONF, put_conf, again_conf},
+    {"feed", "9a0501a564206e2e3101020304010ac403616263", CODEC_FEED, put_feed,
+     again_feed},
+    {"work", "9406cfffffffffffffffff03cd4268", CODEC_WORK, put_work,
+     again_work},
+    {"pool", "9607010203cd1194ccfa", CODEC_POOL, put_pool, again_pool},
+    {"parts", "9508010202cfffffffffffffffff", CODEC_PARTS, put_parts,
+     again_parts},
+    {"tally_ask", "960b0102020304", CODEC_TALLY_ASK, put_tally_ask,
+     again_tally_ask},
+    {"tally_word", "980c01020304050201", CODEC_TALLY_WORD, put_tally_word,
+     again_tally_word},
+    {"tally_run", "970d010201030104", CODEC_TALLY_RUN, put_tally_run,
+     again_tally_run},
+    {"suspect", "980ea564206e2e310101020304cd05dc", CODEC_SUSPECT, put_suspect,
+     again_suspect},
+    {"permit_ask", "990f01020304cd38a4cd06a401cd01f4", CODEC_PERMIT_ASK,
+     put_permit_ask, again_permit_ask},
+    {"permit", "9610010202ccfac0", CODEC_PERMIT, put_permit, again_permit},
+    {"limit", "961101a564206e2e310102cd02bc", CODEC_LIMIT, put_limit,
+     again_limit},
+};
+
+static GString *hex_of(const msgpack_sbuffer *b) {
+  GString *s = g_string_new(NULL);
+  for (size_t i = 0; i < b->size; i++)
+    g_string_append_printf(s, "%02x", (unsigned char)b->data[i]);
+  return s;
+}
+
+static void bytes_of(const char *hex, msgpack_sbuffer *b) {
+  for (const char *c = hex; *c; c += 2) {
+    char two[] = {c[0], c[1], '\0'};
+    char byte = (char)strtoul(two, NULL, 16);
+    msgpack_sbuffer_write(b, &byte, 1);
+  }
+}
+
+#define REMEDY                                                                 \
+  "builds in production read this: leave it, and add a kind of message or an " \
+  "optional member, with a line of its own here"
+
+Test(golden, each_kind_of_message_is_here) {
+  bool seen[CODEC_TYPES] = {false};
+  for (size_t i = 0; i < G_N_ELEMENTS(messages); i++)
+    seen[messages[i].type] = true;
+  for (int k = 0; k < CODEC_TYPES; k++)
+    cr_assert(seen[k], "add the bytes of the kind of message %d", k);
+}
+
+Test(golden, messages_are_written_as_before) {
+  for (size_t i = 0; i < G_N_ELEMENTS(messages); i++) {
+    msgpack_sbuffer b;
+    msgpack_sbuffer_init(&b);
+    messages[i].put(&b);
+    GString *hex = hex_of(&b);
+    cr_assert_str_eq(hex->str, messages[i].hex, "%s: %s", messages[i].name,
+                     REMEDY);
+    g_string_free(hex, TRUE);
+    msgpack_sbuffer_destroy(&b);
+  }
+}
+
+Test(golden, messages_of_before_are_read_whole) {
+  for (size_t i = 0; i < G_N_ELEMENTS(messages); i++) {
+    msgpack_sbuffer b, again;
+    CodecMsg m;
+    size_t off = 0;
+    msgpack_sbuffer_init(&b);
+    msgpack_sbuffer_init(&again);
+    bytes_of(messages[i].hex, &b);
+    cr_assert(codec_get(b.data, b.size, &off, &m), "%s: %s", messages[i].name,
+              REMEDY);
+    cr_assert(m.type == messages[i].type && off == b.size);
+    messages[i].again(&again, &m);
+    GString *hex = hex_of(&again);
+    cr_assert_str_eq(hex->str, messages[i].hex, "%s: %s", messages[i].name,
+                     REMEDY);
+    g_string_free(hex, TRUE);
+    codec_clear(&m);
+    msgpack_sbuffer_destroy(&b);
+    msgpack_sbuffer_destroy(&again);
+  }
+}
+
+/* == objects in the store == */
+
+static const char shard_text[] =
+    "{\"ids\":[\"r\",\"n2.ae391f2a\",\"n0.b84de17c\"],\"budgets\":{\"acme\":"
+    "[10000,1,0,0,[[2863908050039806264,2,1,0,1054,0,0]]]}}";
+static const char trial_text[] =
+    "{\"owner\":11,\"by\":12,\"tries\":2,\"open\":true,\"ended\":false,"
+    "\"began\":1000}";
+
+Test(golden, a_budget_shard_of_before_is_read_and_written_as_before) {
+  Shard *s = shard_decode(shard_text);
+  cr_assert_not_null(s, "%s", REMEDY);
+  char *again = shard_encode(s);
+  cr_assert_str_eq(again, shard_text, "%s", REMEDY);
+  g_free(again);
+  shard_free(s);
+}
+
+Test(golden, a_trial_of_before_is_read_and_written_as_before) {
+  static const char name[] = "00000000000000010000000000000002";
+  Trial x;
+  json_t *o = json_loads(trial_text, 0, NULL);
+  cr_assert(trials_read(name, o, 5, &x), "%s", REMEDY);
+  json_t *again = trials_write(&x);
+  char *text = json_dumps(again, JSON_COMPACT);
+  cr_assert_str_eq(text, trial_text, "%s", REMEDY);
+  free(text);
+  json_decref(again);
+  json_decref(o);
+}
