Messages: encoder and decoder in a file each; bounded targets in one of their own; rule for formats

Moved, not changed: peer/codec.c (690 lines) is encode.c and decode.c, with what both agree on in format.h; what bounds a target left route/targets.c for bounded.c.

--- /dev/null
+++ b/packages/peer/encode.c
@@ -0,0 +1,296 @@
+/* encode.c: packing messages between instances. */
+#include <glib.h>
+#include <math.h>
+#include <string.h>
+
+#include "peer/codec.h"
+#include "peer/format.h"
+
+static void put_str(msgpack_packer *p, const char *s) {
+  size_t n = strlen(s);
+  msgpack_pack_str(p, n);
+  msgpack_pack_str_body(p, s, n);
+}
+
+void codec_put_head(msgpack_sbuffer *b, const CodecHead *h) {
+  msgpack_packer p;
+  msgpack_packer_init(&p, b, msgpack_sbuffer_write);
+  msgpack_pack_array(&p, 3);
+  msgpack_pack_uint8(&p, FORMAT_VERSION);
+  msgpack_pack_uint64(&p, h->from);
+  msgpack_pack_uint64(&p, h->to);
+}
+
+void codec_put_beat(msgpack_sbuffer *b, const Member *m) {
+  msgpack_packer p;
+  msgpack_packer_init(&p, b, msgpack_sbuffer_write);
+  msgpack_pack_array(&p, 9);
+  msgpack_pack_uint8(&p, CODEC_BEAT);
+  put_str(&p, m->id);
+  put_str(&p, m->region);
+  put_str(&p, m->dc);
+  put_str(&p, m->peer);
+  put_str(&p, m->http);
+  msgpack_pack_uint8(&p, m->leaving);
+  msgpack_pack_uint64(&p, m->table);
+  msgpack_pack_uint32(&p, (uint32_t)(m->every_s * 1000));
+}
+
+void codec_put_news(msgpack_sbuffer *b, const GossipNews *n) {
+  msgpack_packer p;
+  msgpack_packer_init(&p, b, msgpack_sbuffer_write);
+  msgpack_pack_array(&p, 8);
+  msgpack_pack_uint8(&p, CODEC_NEWS);
+  put_str(&p, n->m.id);
+  put_str(&p, n->m.region);
+  put_str(&p, n->m.dc);
+  put_str(&p, n->m.peer);
+  msgpack_pack_uint8(&p, n->m.leaving);
+  msgpack_pack_uint32(&p, n->life);
+  msgpack_pack_uint8(&p, (uint8_t)n->state);
+}
+
+void codec_put_gossip(msgpack_sbuffer *b, const GossipMsg *m) {
+  msgpack_packer p;
+  msgpack_packer_init(&p, b, msgpack_sbuffer_write);
+  msgpack_pack_array(&p, 6);
+  msgpack_pack_uint8(&p, CODEC_GOSSIP);
+  msgpack_pack_uint8(&p, (uint8_t)m->kind);
+  msgpack_pack_uint64(&p, m->about);
+  msgpack_pack_uint64(&p, m->digest);
+  msgpack_pack_uint64(&p, m->table);
+  msgpack_pack_uint8(&p, m->answer);
+}
+
+void codec_put_ledger(msgpack_sbuffer *b, const LedgerMsg *m) {
+  msgpack_packer p;
+  msgpack_packer_init(&p, b, msgpack_sbuffer_write);
+  msgpack_pack_array(&p, 12);
+  msgpack_pack_uint8(&p, CODEC_LEDGER);
+  msgpack_pack_uint8(&p, (uint8_t)m->kind);
+  put_str(&p, m->budget);
+  msgpack_pack_uint64(&p, m->grant);
+  msgpack_pack_int64(&p, m->granted);
+  msgpack_pack_int64(&p, m->returned);
+  msgpack_pack_int64(&p, m->spent);
+  msgpack_pack_int64(&p, m->limit);
+  msgpack_pack_int64(&p, m->need);
+  msgpack_pack_int64(&p, m->want);
+  msgpack_pack_uint8(&p, (uint8_t)m->cause);
+  msgpack_pack_uint8(&p, (uint8_t)(m->final | m->sealed << 1));
+}
+
+void codec_put_once(msgpack_sbuffer *b, const OnceMsg *m) {
+  msgpack_packer p;
+  msgpack_packer_init(&p, b, msgpack_sbuffer_write);
+  bool answer = m->answer.status != 0;
+  bool bill = m->kind == ONCE_FINISH || m->kind == ONCE_COPY;
+  bool target = m->target[0] != '\0';
+  msgpack_pack_array(&p,
+                     8 + (bill ? 3 : 0) + (target ? 1 : 0) + (answer ? 3 : 0));
+  msgpack_pack_uint8(&p, CODEC_ONCE);
+  msgpack_pack_uint8(&p, (uint8_t)m->kind);
+  msgpack_pack_uint64(&p, m->key.hi);
+  msgpack_pack_uint64(&p, m->key.lo);
+  msgpack_pack_uint64(&p, m->nonce);
+  msgpack_pack_uint64(&p, m->digest);
+  msgpack_pack_uint8(&p, (uint8_t)m->verdict);
+  msgpack_pack_uint8(
+      &p, (uint8_t)(m->doubled | bill << 1 | answer << 2 | target << 3));
+  if (bill) {
+    put_str(&p, m->bill.customer);
+    put_str(&p, m->bill.budget);
+    msgpack_pack_int64(&p, m->bill.tokens);
+  }
+  if (target) put_str(&p, m->target);
+  if (!answer) return;
+  msgpack_pack_int(&p, m->answer.status);
+  put_str(&p, m->answer.type);
+  if (!m->answer.body) {
+    msgpack_pack_nil(&p);
+    return;
+  }
+  msgpack_pack_bin(&p, m->answer.len);
+  msgpack_pack_bin_body(&p, m->answer.body, m->answer.len);
+}
+
+void codec_put_load(msgpack_sbuffer *b, const LoadsMsg *m) {
+  msgpack_packer p;
+  msgpack_packer_init(&p, b, msgpack_sbuffer_write);
+  msgpack_pack_array(&p, 5);
+  msgpack_pack_uint8(&p, CODEC_LOAD);
+  msgpack_pack_uint64(&p, m->target);
+  msgpack_pack_uint32(&p, (uint32_t)m->running);
+  msgpack_pack_uint32(&p, (uint32_t)m->waiting);
+  msgpack_pack_uint8(&p, m->silent);
+}
+
+static void put_packed(msgpack_packer *p, const Packed *text) {
+  msgpack_pack_uint32(p, text->size);
+  msgpack_pack_bin(p, text->n);
+  msgpack_pack_bin_body(p, text->data, text->n);
+}
+
+void codec_put_conf(msgpack_sbuffer *b, uint64_t version, const Packed *text) {
+  msgpack_packer p;
+  msgpack_packer_init(&p, b, msgpack_sbuffer_write);
+  msgpack_pack_array(&p, 4);
+  msgpack_pack_uint8(&p, CODEC_CONF);
+  msgpack_pack_uint64(&p, version);
+  put_packed(&p, text);
+}
+
+void codec_put_work(msgpack_sbuffer *b, const TargetWork *m) {
+  msgpack_packer p;
+  msgpack_packer_init(&p, b, msgpack_sbuffer_write);
+  msgpack_pack_array(&p, 4);
+  msgpack_pack_uint8(&p, CODEC_WORK);
+  msgpack_pack_uint64(&p, m->target);
+  msgpack_pack_uint32(&p, (uint32_t)m->open);
+  msgpack_pack_int64(&p, m->tokens);
+}
+
+/* Counts of streams travel in thousandths: they fade. */
+static int64_t thousandths(double v) {
+  return (int64_t)round(v * FORMAT_THOUSAND);
+}
+
+void codec_put_pool(msgpack_sbuffer *b, const TargetsPoolWord *m) {
+  msgpack_packer p;
+  msgpack_packer_init(&p, b, msgpack_sbuffer_write);
+  msgpack_pack_array(&p, 6);
+  msgpack_pack_uint8(&p, CODEC_POOL);
+  msgpack_pack_uint64(&p, m->pool);
+  msgpack_pack_int64(&p, (int64_t)m->word.long_read);
+  msgpack_pack_int64(&p, (int64_t)m->word.short_read);
+  msgpack_pack_int64(&p, thousandths(m->word.streams));
+  msgpack_pack_int64(&p, thousandths(m->word.held));
+}
+
+void codec_put_parts(msgpack_sbuffer *b, const TargetParts *m) {
+  msgpack_packer p;
+  msgpack_packer_init(&p, b, msgpack_sbuffer_write);
+  msgpack_pack_array(&p, (size_t)m->n + 3);
+  msgpack_pack_uint8(&p, CODEC_PARTS);
+  msgpack_pack_uint64(&p, m->target);
+  msgpack_pack_uint8(&p, (uint8_t)m->n);
+  for (int i = 0; i < m->n; i++) msgpack_pack_uint64(&p, m->names[i]);
+}
+
+static void put_tally_parts(msgpack_packer *p, const TallyParts *m) {
+  for (int i = 0; i < m->n; i++) msgpack_pack_uint64(p, m->names[i]);
+}
+
+void codec_put_tally_ask(msgpack_sbuffer *b, const TallyAsk *m) {
+  msgpack_packer p;
+  msgpack_packer_init(&p, b, msgpack_sbuffer_write);
+  msgpack_pack_array(&p, (size_t)m->parts.n + 4);
+  msgpack_pack_uint8(&p, CODEC_TALLY_ASK);
+  msgpack_pack_uint64(&p, m->number);
+  msgpack_pack_uint64(&p, m->target);
+  msgpack_pack_uint8(&p, (uint8_t)m->parts.n);
+  put_tally_parts(&p, &m->parts);
+}
+
+void codec_put_tally_word(msgpack_sbuffer *b, const TallyWord *m) {
+  msgpack_packer p;
+  msgpack_packer_init(&p, b, msgpack_sbuffer_write);
+  msgpack_pack_array(&p, 8);
+  msgpack_pack_uint8(&p, CODEC_TALLY_WORD);
+  msgpack_pack_uint64(&p, m->number);
+  msgpack_pack_uint64(&p, m->target);
+  msgpack_pack_uint32(&p, (uint32_t)m->open);
+  msgpack_pack_uint32(&p, (uint32_t)m->starts);
+  msgpack_pack_int64(&p, m->tokens);
+  msgpack_pack_uint8(&p, (uint8_t)m->known);
+  msgpack_pack_uint8(&p, (uint8_t)m->ripe);
+}
+
+void codec_put_tally_run(msgpack_sbuffer *b, const TallyRun *m) {
+  msgpack_packer p;
+  msgpack_packer_init(&p, b, msgpack_sbuffer_write);
+  msgpack_pack_array(&p, (size_t)m->parts.n + 6);
+  msgpack_pack_uint8(&p, CODEC_TALLY_RUN);
+  msgpack_pack_uint64(&p, m->target);
+  msgpack_pack_uint64(&p, m->run);
+  msgpack_pack_uint8(&p, m->open);
+  msgpack_pack_int64(&p, m->tokens);
+  msgpack_pack_uint8(&p, (uint8_t)m->parts.n);
+  put_tally_parts(&p, &m->parts);
+}
+
+void codec_put_feed(msgpack_sbuffer *b, const CodecFeed *m) {
+  msgpack_packer p;
+  msgpack_packer_init(&p, b, msgpack_sbuffer_write);
+  msgpack_pack_array(&p, 10);
+  msgpack_pack_uint8(&p, CODEC_FEED);
+  msgpack_pack_uint64(&p, m->reader);
+  put_str(&p, m->until);
+  msgpack_pack_uint8(&p, (uint8_t)m->word);
+  msgpack_pack_uint8(&p, (uint8_t)m->kind);
+  msgpack_pack_uint64(&p, m->from);
+  msgpack_pack_uint64(&p, m->at);
+  msgpack_pack_uint8(&p, m->lapsed);
+  put_packed(&p, &m->changes);
+}
+
+void codec_put_suspect(msgpack_sbuffer *b, const CodecSuspect *m) {
+  msgpack_packer p;
+  msgpack_packer_init(&p, b, msgpack_sbuffer_write);
+  msgpack_pack_array(&p, 8);
+  msgpack_pack_uint8(&p, CODEC_SUSPECT);
+  put_str(&p, m->until);
+  msgpack_pack_uint8(&p, (uint8_t)m->msg.kind);
+  msgpack_pack_uint64(&p, m->msg.digest.hi);
+  msgpack_pack_uint64(&p, m->msg.digest.lo);
+  msgpack_pack_uint64(&p, m->msg.owner);
+  msgpack_pack_uint64(&p, m->msg.target);
+  msgpack_pack_int64(&p, thousandths(m->msg.age_s));
+}
+
+/* No limit travels as nil. */
+static void put_limit(msgpack_packer *p, double limit) {
+  if (limit < QUOTA_UNLIMITED)
+    msgpack_pack_int64(p, thousandths(MIN(limit, LIMIT_RATE)));
+  else
+    msgpack_pack_nil(p);
+}
+
+void codec_put_permit_ask(msgpack_sbuffer *b, const TallyPermitAsk *m) {
+  msgpack_packer p;
+  msgpack_packer_init(&p, b, msgpack_sbuffer_write);
+  msgpack_pack_array(&p, 9);
+  msgpack_pack_uint8(&p, CODEC_PERMIT_ASK);
+  msgpack_pack_uint64(&p, m->number);
+  msgpack_pack_uint64(&p, m->target);
+  msgpack_pack_uint64(&p, m->counter);
+  msgpack_pack_uint64(&p, m->run);
+  msgpack_pack_int64(&p, thousandths(MIN(m->bounds.cold, LIMIT_RATE)));
+  put_limit(&p, m->bounds.limit);
+  msgpack_pack_uint8(&p, m->bounds.pressed);
+  msgpack_pack_int64(&p, thousandths(m->reach));
+}
+
+void codec_put_permit(msgpack_sbuffer *b, const TallyPermit *m) {
+  msgpack_packer p;
+  msgpack_packer_init(&p, b, msgpack_sbuffer_write);
+  msgpack_pack_array(&p, 6);
+  msgpack_pack_uint8(&p, CODEC_PERMIT);
+  msgpack_pack_uint64(&p, m->number);
+  msgpack_pack_uint64(&p, m->target);
+  msgpack_pack_uint8(&p, (uint8_t)m->verdict);
+  msgpack_pack_int64(&p, thousandths(m->wait_s));
+  put_limit(&p, m->limit);
+}
+
+void codec_put_limit(msgpack_sbuffer *b, const CodecLimit *m) {
+  msgpack_packer p;
+  msgpack_packer_init(&p, b, msgpack_sbuffer_write);
+  msgpack_pack_array(&p, 6);
+  msgpack_pack_uint8(&p, CODEC_LIMIT);
+  msgpack_pack_uint8(&p, m->to_all);
+  put_str(&p, m->until);
+  msgpack_pack_uint64(&p, m->msg.target);
+  msgpack_pack_uint64(&p, m->msg.counter);
+  put_limit(&p, m->msg.limit);
+}
--- a/packages/route/targets.c
+++ b/packages/route/targets.c
@@ -29,9 +29,6 @@
 /* Word of another instance counts for this long: prompts are read in less, and
    one that is lost or cut off tells no more. */
 #define OTHERS_FRESH_S 2.0
-/* Who counts at a target is told its limit again after this, in seconds: a word
-   may be lost, and another instance may count by now. */
-#define LIMIT_AGAIN_S 1.0
 
 static void use_free(Use *u) {
   if (!u) return;
@@ -419,72 +416,6 @@
   t->pace = pace > 0 ? CLAMP(pace, PACE_LEAST, PACE_MOST) : 0;
 }
 
-/* == bounded targets == */
-
-QuotaBounds target_bounds(const Target *t, double now, const TargetAsk *ask) {
-  const Targets *s = t->set;
-  double overrun = s->cold_overrun > 0 ? s->cold_overrun : 1;
-  bool cold = ask->cold_rate > 0 && now < t->cold_until;
-  double bound = ask->cold_rate * overrun + s->cold_extra;
-  return (QuotaBounds){.cold = cold ? bound : 0, .limit = t->limit};
-}
-
-/* A target that takes more than it did may have room at once. */
-static bool set_limit(Target *t, double per_s) {
-  bool changed = t->limit != per_s;
-  if (per_s > t->limit) t->full_until = t->most_until = 0;
-  t->limit = per_s;
-  return changed;
-}
-
-bool target_limit(Target *t, double now, double per_s) {
-  bool changed = set_limit(t, per_s);
-  bool again =
-      per_s < QUOTA_UNLIMITED && now - t->limit_told_at >= LIMIT_AGAIN_S;
-  t->limit_damaged = false;
-  if (changed || again) t->limit_told_at = now;
-  return changed || again;
-}
-
-double target_limit_of(const Target *t) {
-  return t->limit;
-}
-
-const Target *targets_limit_told(Targets *s, uint64_t target, double per_s) {
-  Target *t = g_hash_table_lookup(s->by_hash, &target);
-  return t && set_limit(t, per_s) ? t : NULL;
-}
-
-bool target_limit_damaged(Target *t) {
-  bool was = t->limit_damaged;
-  t->limit_damaged = true;
-  return !was;
-}
-
-TallyPermitAsk target_permit_ask(const TargetChoice *c, double now,
-                                 const TargetAsk *ask) {
-  const Target *t = c->target;
-  TallyPermitAsk a = {.target = t->hash,
-                      .counter = targets_counter(t->set, t->hash),
-                      .bounds = target_bounds(t, now, ask),
-                      .reach = quota_reach(&t->set->share, now)};
-  a.bounds.pressed = c->pressed;
-  return a;
-}
-
-void target_full(const TargetChoice *c, double now, double wait_s) {
-  Target *t = c->target;
-  if (c->pressed || t->limit >= QUOTA_UNLIMITED) t->most_until = now + wait_s;
-  t->full_until = MAX(t->full_until, now + wait_s);
-}
-
-bool target_deals(const Target *t, double now, const TargetAsk *ask) {
-  static const QuotaSends unused;
-  QuotaBounds b = target_bounds(t, now, ask);
-  const QuotaSends *own = t->use ? &t->use->sends : &unused;
-  return quota_deals(&t->set->share, own, now, &b, t->hash);
-}
-
 /* == what the other instances have there == */
 
 /* What the other instances have there, as far as their word is fresh. */
--- a/tests/fuzz.sh
+++ b/tests/fuzz.sh
@@ -10,8 +10,8 @@
 libs="glib-2.0 jansson libzmq msgpack zlib libxxhash"
 clang -g -O1 -std=gnu11 -fsanitize=fuzzer,address,undefined \
   -fno-sanitize-recover=undefined -I"$root/packages" -I"$root" \
-  "$root/tests/fuzz_codec.c" "$root/packages/peer/codec.c" \
-  "$root/packages/peer/packed.c" "$build/packages/libloftpath.a" \
+  "$root/tests/fuzz_codec.c" "$root/packages/peer/decode.c" \
+  "$root/packages/peer/encode.c" "$root/packages/peer/packed.c" "$build/packages/libloftpath.a" \
   $(pkg-config --cflags --libs $libs) -lm -o "$dir/fuzz"
 mkdir "$dir/corpus"
 # Each golden message is a frame of its own to begin with.
