--- a/packages/peer/decode.c
+++ b/packages/peer/decode.c
@@ -229,7 +229,7 @@
   m->run = get_u64(r);
   m->bounds.cold = get_count(r) / FORMAT_THOUSAND;
   m->bounds.limit = get_limit(r);
-  m->bounds.pressed = get_small(r, 2);
+  m->bounds.beyond_limit = get_small(r, 2);
   m->reach = get_count(r) / FORMAT_THOUSAND;
   r->bad |= m->reach > 1;
 }
--- a/packages/peer/encode.c
+++ b/packages/peer/encode.c
@@ -267,7 +267,7 @@
   msgpack_pack_uint64(&p, m->run);
   msgpack_pack_int64(&p, thousandths(MIN(m->bounds.cold, LIMIT_RATE)));
   put_limit(&p, m->bounds.limit);
-  msgpack_pack_uint8(&p, m->bounds.pressed);
+  msgpack_pack_uint8(&p, m->bounds.beyond_limit);
   msgpack_pack_int64(&p, thousandths(m->reach));
 }
 
--- a/packages/route/bounded.c
+++ b/packages/route/bounded.c
@@ -17,7 +17,7 @@
 /* A target that takes more than it did may have room at once. */
 static bool set_limit(Target *t, double per_s) {
   bool changed = t->limit != per_s;
-  if (per_s > t->limit) t->full_until = t->most_until = 0;
+  if (per_s > t->limit) t->limit_until = t->full_until = 0;
   t->limit = per_s;
   return changed;
 }
@@ -53,14 +53,15 @@
                       .counter = targets_counter(t->set, t->hash),
                       .bounds = target_bounds(t, now, ask),
                       .reach = quota_reach(&t->set->share, now)};
-  a.bounds.pressed = c->pressed;
+  a.bounds.beyond_limit = c->beyond_limit;
   return a;
 }
 
 void target_full(const TargetChoice *c, double now, double wait_s) {
   Target *t = c->target;
-  if (c->pressed || t->limit >= QUOTA_UNLIMITED) t->most_until = now + wait_s;
-  t->full_until = MAX(t->full_until, now + wait_s);
+  if (c->beyond_limit || t->limit >= QUOTA_UNLIMITED)
+    t->full_until = now + wait_s;
+  t->limit_until = MAX(t->limit_until, now + wait_s);
 }
 
 bool target_deals(const Target *t, double now, const TargetAsk *ask) {
--- a/packages/route/choose.c
+++ b/packages/route/choose.c
@@ -18,7 +18,7 @@
 #define COLD_S 0.05   /* one that has just started */
 /* One that gets more than it says that it takes, as far as that is tolerated:
    it is spared while others would be no later than this. */
-#define PRESSED_S 0.1
+#define BEYOND_S 0.1
 #define JITTER 0.02     /* of a cost, so that equal targets share the work */
 #define TOOK_FIRST 0.03 /* seconds; a plain answer, before one was seen */
 /* A target's word of its load counts for this long, in seconds. */
@@ -95,13 +95,13 @@
 /* Bounded, and it has had all that it may get, as far as we know: who counts
    there decides (tally.h). */
 static bool is_full(const Pick *p, const Target *t) {
-  bool full = p->ask->no_permit || p->now < t->most_until;
+  bool full = p->ask->no_permit || p->now < t->full_until;
   return full && is_bounded(p, t);
 }
 
 /* It has had as much as it says that it takes. */
 static bool is_beyond_limit(const Pick *p, const Target *t) {
-  return t->limit < QUOTA_UNLIMITED && p->now < t->full_until;
+  return t->limit < QUOTA_UNLIMITED && p->now < t->limit_until;
 }
 
 /* May it be sent there at all? */
@@ -319,8 +319,8 @@
   cost += c->wait_s;
   if (strcmp(t->info.dc, p->set->dc) != 0) cost += CROSS_S;
   if (p->now < t->cold_until) cost += COLD_S;
-  c->pressed = is_beyond_limit(p, t);
-  if (c->pressed) cost += PRESSED_S;
+  c->beyond_limit = is_beyond_limit(p, t);
+  if (c->beyond_limit) cost += BEYOND_S;
   if (p->now < t->aside_until) cost += ASIDE_COST_S;
   if (t->lapsed) cost += LAPSED_COST_S;
   if (p->ask->alone) cost += c->load.open * BESIDE_COST_S;
@@ -346,7 +346,7 @@
   double per_s = b.limit;
   if (b.cold > 0) per_s = MIN(per_s, b.cold);
   if (per_s < QUOTA_UNLIMITED) room->per_s += per_s;
-  room->wait_s = MIN(room->wait_s, MAX(0, t->most_until - p->now));
+  room->wait_s = MIN(room->wait_s, MAX(0, t->full_until - p->now));
 }
 
 /* Those who are refused come back one after the other, at the pace at which the
--- a/packages/route/quota.c
+++ b/packages/route/quota.c
@@ -98,7 +98,7 @@
   int n = 0;
   if (b->cold > 0) out[n++] = cold_window(b->cold, COLD_COUNTED * reach);
   if (b->limit >= QUOTA_UNLIMITED) return n;
-  bool most = b->pressed && b->limit > 0;
+  bool most = b->beyond_limit && b->limit > 0;
   out[n++] = most ? most_window(b->limit, LIMIT_COUNTED * reach)
                   : limit_window(b->limit, reach);
   return n;
--- a/packages/route/quota.h
+++ b/packages/route/quota.h
@@ -24,10 +24,10 @@
 
 /* What bounds a target. */
 typedef struct QuotaBounds {
-  double cold;  /* requests in any second; 0: it is warm */
-  double limit; /* requests a second that it takes; QUOTA_UNLIMITED */
-  bool pressed; /* others would be late: in place of its limit it gets what the
-                   users tolerate beyond it */
+  double cold;       /* requests in any second; 0: it is warm */
+  double limit;      /* requests a second that it takes; QUOTA_UNLIMITED */
+  bool beyond_limit; /* others would be late: in place of its limit it gets what
+                   the users tolerate beyond it */
 } QuotaBounds;
 
 /* Our place among the instances, which share the bounds of each target. */
--- a/packages/route/state.h
+++ b/packages/route/state.h
@@ -41,7 +41,7 @@
   double cold_until;
   /* Who counts there gives no permit within its limit before this, as we know;
      nor any. */
-  double full_until, most_until;
+  double limit_until, full_until;
   double aside_until, aside_s;
   double fail;     /* mean of failures, 0 to 1 */
   double took_s;   /* mean time of an answer */
--- a/packages/route/targets.h
+++ b/packages/route/targets.h
@@ -115,7 +115,7 @@
   TargetNone none;     /* why */
   double back_s;       /* TARGET_NONE_FULL: when the caller may come back */
   bool bounded;        /* it needs a permit (tally.h), */
-  bool pressed;        /* beyond the target's limit */
+  bool beyond_limit;   /* beyond the target's limit */
   double wait_s;       /* predicted, until the first byte */
   int64_t fresh;       /* tokens of the prompt thought to be read anew */
   int64_t moved;       /* tokens that come from the memory of `donor` */
--- a/tests/test_codec.c
+++ b/tests/test_codec.c
@@ -318,7 +318,7 @@
     cr_assert(m.permit_ask.counter == 3 && m.permit_ask.run == 4);
     cr_assert_float_eq(m.permit_ask.bounds.cold, 14.9, 1e-9);
     cr_assert(m.permit_ask.bounds.limit == limits[i]);
-    cr_assert(m.permit_ask.bounds.pressed && m.permit_ask.reach == 0.5);
+    cr_assert(m.permit_ask.bounds.beyond_limit && m.permit_ask.reach == 0.5);
     cr_assert(codec_get(b.data, b.size, &off, &m));
     cr_assert_eq(m.permit.verdict, TALLY_GIVEN);
     cr_assert(m.permit.number == 5 && m.permit.wait_s == 0.25);
--- a/tests/test_golden.c
+++ b/tests/test_golden.c
@@ -147,12 +147,13 @@
 }
 
 static void put_permit_ask(msgpack_sbuffer *b) {
-  TallyPermitAsk m = {.number = 1,
-                      .target = 2,
-                      .counter = 3,
-                      .run = 4,
-                      .bounds = {.cold = 14.5, .limit = 1.7, .pressed = true},
-                      .reach = 0.5};
+  TallyPermitAsk m = {
+      .number = 1,
+      .target = 2,
+      .counter = 3,
+      .run = 4,
+      .bounds = {.cold = 14.5, .limit = 1.7, .beyond_limit = true},
+      .reach = 0.5};
   codec_put_permit_ask(b, &m);
 }
 
