--- a/tests/node.py
+++ b/tests/node.py
@@ -154,6 +154,9 @@
 
 def test_a_stream_goes_on_elsewhere_without_a_seam(s):
     time.sleep(RETRY_WINDOW_S)
+    # On a busy machine the store may take longer than a request waits for its
+    # first tokens.
+    wait_for("tokens", lambda: s.chat(10).status != 503)
     for inside in (False, True):
         broken = []
 
