--- a/packages/flow/permits.c
+++ b/packages/flow/permits.c
@@ -19,8 +19,7 @@
 static void take_own_part(Run *x) {
   Target *t = x->choice.target;
   double now = run_now(x);
-  TargetAsk ask = run_target_ask(x);
-  if (target_usable(t, now) && target_deals(t, now, &ask)) {
+  if (target_usable(t, now) && target_deals(&x->choice, now)) {
     run_send(x);
     return;
   }
@@ -44,8 +43,7 @@
 void run_ask_permit(Run *x, const TargetChoice *c) {
   Relay *r = x->relay;
   double now = run_now(x);
-  TargetAsk ask = run_target_ask(x);
-  TallyPermitAsk a = target_permit_ask(c, now, &ask);
+  TallyPermitAsk a = target_permit_ask(c, now);
   x->choice = *c;
   x->n_permits++;
   x->all_permits++;
@@ -71,12 +69,12 @@
 void relay_permit(Relay *r, const TallyPermit *p) {
   Run *x = g_hash_table_lookup(r->asking, &p->number);
   if (!x || !x->permit_asked) return;
-  Target *t = x->choice.target;
   double now = run_now(x);
-  bool old = now - x->asked_at > PERMIT_OLD_S;
+  bool late = r->behind || now - x->asked_at > PERMIT_OLD_S;
   run_stop_asking(x);
   relay_limit(r, p->target, p->limit);
-  if (p->verdict == TALLY_UNKNOWN && !old && !r->behind) {
+  x->choice.bounds.limit = p->limit;
+  if (p->verdict == TALLY_UNKNOWN && !late) {
     take_own_part(x);
     return;
   }
@@ -84,8 +82,8 @@
     count_add(COUNT_PERMITS_REFUSED, 1);
     target_full(&x->choice, now, p->wait_s);
   }
-  bool given = p->verdict == TALLY_GIVEN && !old && !r->behind;
-  if (given && target_usable(t, now))
+  bool given = p->verdict == TALLY_GIVEN && !late;
+  if (given && target_usable(x->choice.target, now))
     run_send(x);
   else
     run_choose(x);
--- a/packages/route/bounded.c
+++ b/packages/route/bounded.c
@@ -46,27 +46,24 @@
   return !was;
 }
 
-TallyPermitAsk target_permit_ask(const TargetChoice *c, double now,
-                                 const TargetAsk *ask) {
+TallyPermitAsk target_permit_ask(const TargetChoice *c, double now) {
   const Target *t = c->target;
-  TallyPermitAsk a = {.target = t->hash,
-                      .counter = targets_counter(t->set, t->hash),
-                      .bounds = target_bounds(t, now, ask),
-                      .reach = quota_reach(&t->set->share, now)};
-  a.bounds.beyond_limit = c->beyond_limit;
-  return a;
+  return (TallyPermitAsk){.target = t->hash,
+                          .counter = targets_counter(t->set, t->hash),
+                          .bounds = c->bounds,
+                          .reach = quota_reach(&t->set->share, now)};
 }
 
 void target_full(const TargetChoice *c, double now, double wait_s) {
   Target *t = c->target;
-  if (c->beyond_limit || t->limit >= QUOTA_UNLIMITED)
+  if (c->bounds.beyond_limit || t->limit >= QUOTA_UNLIMITED)
     t->full_until = now + wait_s;
   t->limit_until = MAX(t->limit_until, now + wait_s);
 }
 
-bool target_deals(const Target *t, double now, const TargetAsk *ask) {
+bool target_deals(const TargetChoice *c, double now) {
   static const QuotaSends unused;
-  QuotaBounds b = target_bounds(t, now, ask);
+  const Target *t = c->target;
   const QuotaSends *own = t->use ? &t->use->sends : &unused;
-  return quota_deals(&t->set->share, own, now, &b, t->hash);
+  return quota_deals(&t->set->share, own, now, &c->bounds, t->hash);
 }
--- a/packages/route/choose.c
+++ b/packages/route/choose.c
@@ -319,8 +319,7 @@
   cost += c->wait_s;
   if (strcmp(t->info.dc, p->set->dc) != 0) cost += CROSS_S;
   if (p->now < t->cold_until) cost += COLD_S;
-  c->beyond_limit = is_beyond_limit(p, t);
-  if (c->beyond_limit) cost += BEYOND_S;
+  if (is_beyond_limit(p, t)) cost += BEYOND_S;
   if (p->now < t->aside_until) cost += ASIDE_COST_S;
   if (t->lapsed) cost += LAPSED_COST_S;
   if (p->ask->alone) cost += c->load.open * BESIDE_COST_S;
@@ -373,6 +372,13 @@
   if (c->none == TARGET_NONE_FULL) c->back_s = back_after(p, &room);
 }
 
+/* Fills in what bounds the target that was chosen. */
+static void bound(const Pick *p, TargetChoice *c) {
+  c->bounds = target_bounds(c->target, p->now, p->ask);
+  c->bounds.beyond_limit = is_beyond_limit(p, c->target);
+  c->bounded = quota_is_bounded(&c->bounds);
+}
+
 static void walk(const Pick *p, GPtrArray *list) {
   GPtrArray *members = pool_members(p->pool);
   p->pool->looks += members->len;
@@ -463,7 +469,7 @@
     best = c;
   }
   if (best.target)
-    best.bounded = is_bounded(&p, best.target);
+    bound(&p, &best);
   else
     explain_none(&p, &best);
   best.candidates = n;
--- a/packages/route/targets.h
+++ b/packages/route/targets.h
@@ -114,8 +114,8 @@
   Target *target;      /* NULL: there is none */
   TargetNone none;     /* why */
   double back_s;       /* TARGET_NONE_FULL: when the caller may come back */
-  bool bounded;        /* it needs a permit (tally.h), */
-  bool beyond_limit;   /* beyond the target's limit */
+  QuotaBounds bounds;  /* of the target, for this request */
+  bool bounded;        /* by them: it needs a permit (tally.h) */
   double wait_s;       /* predicted, until the first byte */
   int64_t fresh;       /* tokens of the prompt thought to be read anew */
   int64_t moved;       /* tokens that come from the memory of `donor` */
@@ -185,13 +185,12 @@
 bool target_limit_damaged(Target *t);
 /* The question for a permit where the choice led; `number` and `run` are the
    caller's to fill. */
-TallyPermitAsk target_permit_ask(const TargetChoice *c, double now,
-                                 const TargetAsk *ask);
+TallyPermitAsk target_permit_ask(const TargetChoice *c, double now);
 /* No permit is given for such a choice for so long. */
 void target_full(const TargetChoice *c, double now, double wait_s);
 /* Who counts there does not answer, or does not know: whether our own part has
    room for one more. */
-bool target_deals(const Target *t, double now, const TargetAsk *ask);
+bool target_deals(const TargetChoice *c, double now);
 
 TargetLoad target_load_now(const Target *t, double now);
 
--- a/tests/test_limit.c
+++ b/tests/test_limit.c
@@ -9,6 +9,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "permits.h"
 #include "route/quota.h"
 #include "route/targets.h"
 
@@ -19,7 +20,6 @@
 #define EXTRA 5
 #define RUN_S 0.5
 #define WAY_S 0.01 /* to a target, at most */
-#define TRIES 6
 
 typedef struct Sim {
   Targets *set[DECIDERS];
@@ -51,18 +51,6 @@
   return s;
 }
 
-static bool counts_none(void *ctx, uint64_t name) {
-  (void)ctx;
-  (void)name;
-  return false;
-}
-
-static bool counts_all(void *ctx, uint64_t name) {
-  (void)ctx;
-  (void)name;
-  return true;
-}
-
 static void begin(int n) {
   memset(&sim, 0, sizeof sim);
   sim.n = n;
@@ -72,7 +60,7 @@
   sim.sides = n;
   for (int k = 0; k < n; k++) {
     sim.tally[k] = tally_new();
-    tally_members(sim.tally[k], -100, n, counts_none, NULL);
+    tally_members(sim.tally[k], -100, n, permits_count_none, NULL);
   }
   for (int i = 0; i < n; i++) sim.set[i] = decider(-100, i, n);
   for (int i = 0; i < TARGETS; i++) {
@@ -96,22 +84,6 @@
 
 /* == one request == */
 
-static bool permitted(int who, double now, const TargetChoice *c,
-                      const TargetAsk *ask, uint64_t run) {
-  TallyPermitAsk a = target_permit_ask(c, now, ask);
-  if (sim.silent[who]) {
-    bool deals = target_deals(c->target, now, ask);
-    if (!deals) target_full(c, now, 0.25);
-    return deals;
-  }
-  a.run = run;
-  TallyPermit p =
-      tally_permit(sim.tally[sim.side[who]], now, (uint64_t)who, &a);
-  targets_limit_told(sim.set[who], p.target, p.limit);
-  if (p.verdict != TALLY_GIVEN) target_full(c, now, p.wait_s);
-  return p.verdict == TALLY_GIVEN;
-}
-
 /* The answer names the target's limit; who counts there is told. */
 static void answered(int who, double now, Target *t, int number) {
   TallyLimit m = {.target = target_hash(t), .limit = sim.limit[number]};
@@ -129,20 +101,12 @@
           targets_limit_told(sim.set[i], m.target, m.limit);
 }
 
-static TargetChoice choose(int who, double now, TargetAsk *ask) {
-  TargetChoice c;
-  int tries = 0;
-  do {
-    ask->no_permit = tries++ == TRIES;
-    c = targets_pick(sim.set[who], now, ask);
-  } while (c.bounded && !permitted(who, now, &c, ask, ++sim.runs));
-  return c;
-}
-
 static void request(int who, double now) {
   Ask prompt = {.tokens_in = 3000, .tokens_out = 100};
   TargetAsk ask = {.service = "engines", .ask = &prompt};
-  TargetChoice c = choose(who, now, &ask);
+  Tally *tally = sim.silent[who] ? NULL : sim.tally[sim.side[who]];
+  TargetChoice c =
+      permits_choose(sim.set[who], tally, (uint64_t)who, now, &ask, &sim.runs);
   if (!c.target) {
     cr_assert_eq(c.none, TARGET_NONE_FULL);
     cr_assert(c.back_s > 0 && c.back_s < 4.001, "%g", c.back_s);
@@ -282,8 +246,8 @@
   double per_s = MAX(40, MIN(10 * limit, 300) * TARGETS);
   int small = MAX(1, n / 10);
   load(0, 4, per_s);
-  tally_members(sim.tally[0], 4, n - small, counts_all, NULL);
-  tally_members(sim.tally[1], 4, small, counts_none, NULL);
+  tally_members(sim.tally[0], 4, n - small, permits_count_all, NULL);
+  tally_members(sim.tally[1], 4, small, permits_count_none, NULL);
   for (int i = 0; i < n; i++) {
     sim.side[i] = i < small;
     int of = sim.side[i] ? small : n - small;
@@ -294,7 +258,7 @@
     sim.side[i] = after;
     targets_place(sim.set[i], 16, i, n);
   }
-  tally_members(sim.tally[after], 16, n, counts_all, NULL);
+  tally_members(sim.tally[after], 16, n, permits_count_all, NULL);
   load(16, 24, per_s);
   for (int i = 0; i < TARGETS; i++) check(limit, i, 3, 24);
   end();
@@ -317,8 +281,8 @@
       for (int i = 0; i < sim.n; i++) {
         sim.side[i] = i;
         targets_place(sim.set[i], 4, 0, 1);
-        tally_members(sim.tally[i], 4, 1, i == 0 ? counts_all : counts_none,
-                      NULL);
+        tally_members(sim.tally[i], 4, 1,
+                      i == 0 ? permits_count_all : permits_count_none, NULL);
       }
       load(4, 16, per_s);
       for (int i = 0; i < TARGETS; i++) check(limits[l], i, 3, 16);
@@ -334,7 +298,8 @@
       for (int i = 0; i < TARGETS; i++) sim.limit[i] = limits[l];
       for (int round = 0; round < 5; round++) {
         load(round * 3, round * 3 + 3, 200);
-        tally_members(sim.tally[0], round * 3 + 3, sim.n, counts_none, NULL);
+        tally_members(sim.tally[0], round * 3 + 3, sim.n, permits_count_none,
+                      NULL);
       }
       for (int i = 0; i < TARGETS; i++) check(limits[l], i, 3, 15);
       end();
--- a/tests/test_quota.c
+++ b/tests/test_quota.c
@@ -9,6 +9,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "permits.h"
 #include "route/quota.h"
 #include "route/targets.h"
 
@@ -72,12 +73,6 @@
   return s;
 }
 
-static bool counts_none(void *ctx, uint64_t name) {
-  (void)ctx;
-  (void)name;
-  return false;
-}
-
 static void begin(int n, int left) {
   dice = g_rand_new_with_seed(7);
   n_deciders = n;
@@ -87,7 +82,7 @@
   numbers = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
   for (int k = 0; k < 2; k++) {
     tallies[k] = tally_new();
-    tally_members(tallies[k], -100, n, counts_none, NULL);
+    tally_members(tallies[k], -100, n, permits_count_none, NULL);
   }
   for (int i = 0; i < n; i++) {
     deciders[i] = decider(0, i, n, left);
@@ -139,31 +134,6 @@
   return n;
 }
 
-/* Whether it may go to the target that was chosen; `run`: its number there. */
-static bool permitted(int who, double now, const TargetChoice *c,
-                      const TargetAsk *ask, uint64_t run) {
-  TallyPermitAsk a = target_permit_ask(c, now, ask);
-  if (!counted[who]) {
-    bool deals = target_deals(c->target, now, ask);
-    if (!deals) target_full(c, now, 0.25);
-    return deals;
-  }
-  a.run = run;
-  TallyPermit p = tally_permit(tallies[side[who]], now, (uint64_t)who, &a);
-  if (p.verdict != TALLY_GIVEN) target_full(c, now, p.wait_s);
-  return p.verdict == TALLY_GIVEN;
-}
-
-static TargetChoice choose(int who, double now, TargetAsk *ask) {
-  TargetChoice c;
-  int tries = 0;
-  do {
-    ask->no_permit = tries++ == 6;
-    c = targets_pick(deciders[who], now, ask);
-  } while (c.bounded && !permitted(who, now, &c, ask, ++runs));
-  return c;
-}
-
 static void request(int who, double now) {
   Ask a = {.tokens_in = 3000, .tokens_out = 100};
   TallyWord words[TARGETS_ASKED];
@@ -171,7 +141,9 @@
       .service = "engines", .ask = &a, .engine = true, .cold_rate = RATE};
   ask.n_words = ask_counts(who, now, &ask, words);
   ask.words = words;
-  TargetChoice c = choose(who, now, &ask);
+  Tally *tally = counted[who] ? tallies[side[who]] : NULL;
+  TargetChoice c =
+      permits_choose(deciders[who], tally, (uint64_t)who, now, &ask, &runs);
   if (!c.target) {
     cr_assert_eq(c.none, TARGET_NONE_FULL);
     cr_assert(c.back_s > 0 && c.back_s < 10);
@@ -269,7 +241,7 @@
     begin(sizes[k], 0);
     load(0, 1);
     int small = n_deciders / 3;
-    tally_members(tallies[1], 1, small, counts_none, NULL);
+    tally_members(tallies[1], 1, small, permits_count_none, NULL);
     for (int i = 0; i < n_deciders; i++) {
       side[i] = i < small;
       int of = side[i] ? small : n_deciders - small;
