Limits: learned, told and logged in one file; the ring of sends read where it is kept

dispatch.c and permits.c each had a line for a limit, and dispatch.c compared what targets.c had just compared: target_limit says now whether a word is known, to be told again, or changed. tally.c walked the ring of quota.c by itself. Two constants with one name and two values are told apart. No change of behaviour.

--- a/packages/fleet/cluster.c
+++ b/packages/fleet/cluster.c
@@ -27,8 +27,8 @@
 /* Who counts at a target tells all of its limit: of one target at a time, the
    more seldom the more instances hear of it, and of each again after a while
    for those who have just started. */
-#define LIMIT_EACH_S 0.01 /* for each instance, between two words */
-#define LIMIT_AGAIN_S 2.0
+#define LIMIT_WORD_EACH_S 0.01 /* for each instance, between two words */
+#define LIMIT_WORD_AGAIN_S 2.0
 #define CONF_ASK_S 0.4 /* the store is given this long to bring it */
 
 struct Cluster {
@@ -335,8 +335,9 @@
 static void tell_limits(Cluster *c, double now) {
   CodecLimit word = {.to_all = true};
   if (now < c->limits_at) return;
-  if (!tallies_limit_news(c->tallies, now, LIMIT_AGAIN_S, &word.msg)) return;
-  c->limits_at = now + c->view->n * LIMIT_EACH_S;
+  if (!tallies_limit_news(c->tallies, now, LIMIT_WORD_AGAIN_S, &word.msg))
+    return;
+  c->limits_at = now + c->view->n * LIMIT_WORD_EACH_S;
   tell_regions(c, word.msg.target, send_limit, &word);
   take_limit(c, &word);
 }
--- a/packages/flow/dispatch.c
+++ b/packages/flow/dispatch.c
@@ -138,33 +138,6 @@
          x->sends < x->route->attempts && run_now(x) < x->deadline;
 }
 
-static void log_limit(const Run *x, const char *word, double per_s) {
-  log_info("target-limit", "s:s,s:s,s:s,s:f", "request", x->ask.id, "target",
-           target_id(x->target), "word", word, "per_s", per_s);
-}
-
-/* What the target says of the requests that it takes. An answer without its
-   signature may have lost that word. */
-static void note_limit(Run *x, const Answer *a) {
-  Target *t = x->target;
-  if (a->limits == ANSWER_LIMIT_DAMAGED) {
-    count_add(COUNT_LIMITS_DAMAGED, 1);
-    if (target_limit_damaged(t)) log_limit(x, "damaged", 0);
-    return;
-  }
-  bool named = a->limits == ANSWER_LIMIT;
-  if (!named && !a->signed_) return;
-  double limit = named ? a->limit : QUOTA_UNLIMITED;
-  bool changed = limit != target_limit_of(t);
-  if (!target_limit(t, run_now(x), limit)) return;
-  TallyLimit word = {.target = target_hash(t), .limit = limit};
-  word.counter = targets_counter(x->relay->targets, word.target);
-  cluster_limit(x->relay->cluster, &word);
-  if (!changed) return;
-  count_add(COUNT_LIMITS, 1);
-  log_limit(x, named ? "named" : "ended", named ? limit : 0);
-}
-
 static LinkVerdict on_head(void *ctx, const LinkHead *h) {
   Run *x = ctx;
   Answer a;
@@ -177,7 +150,7 @@
   if (h->status == 421)
     targets_replaced(x->relay->targets, run_now(x), x->target);
   else
-    note_limit(x, &a);
+    run_note_limit(x, &a);
   if (x->refused) return LINK_TAKE;
   if (a.encoded || !a.signed_) return LINK_DROP;
   if (x->head_out) /* goes on after a break: the first head stands */
--- a/packages/flow/permits.c
+++ b/packages/flow/permits.c
@@ -1,5 +1,5 @@
-/* permits.c: a request to a bounded target goes there with the permit of
-   whoever counts its work. */
+/* permits.c: what targets take, and the permits of whoever counts their work,
+   with which a request goes to a bounded one. */
 #include "flow/run.h"
 #include "kernel/count.h"
 #include "kernel/log.h"
@@ -15,6 +15,8 @@
 /* Targets that one request asks for in turn. */
 #define PERMITS_MOST 10
 
+/* == questions == */
+
 /* Our own part of the bound decides. */
 static void take_own_part(Run *x) {
   Target *t = x->choice.target;
@@ -58,14 +60,48 @@
   cluster_permit_ask(r->cluster, &a);
 }
 
+/* == limits == */
+
+/* `request`: whose answer says so; NULL: another instance. */
+static void log_limit(const Target *t, const char *request, const char *word,
+                      double limit) {
+  log_info("target-limit", "s:s,s:s*,s:s,s:f", "target", target_id(t),
+           "request", request, "word", word, "per_s",
+           limit < QUOTA_UNLIMITED ? limit : 0);
+}
+
+static void tell_limit(const Run *x, double limit) {
+  TallyLimit word = {.target = target_hash(x->target), .limit = limit};
+  word.counter = targets_counter(x->relay->targets, word.target);
+  cluster_limit(x->relay->cluster, &word);
+}
+
+void run_note_limit(Run *x, const Answer *a) {
+  Target *t = x->target;
+  if (a->limits == ANSWER_LIMIT_DAMAGED) {
+    count_add(COUNT_LIMITS_DAMAGED, 1);
+    if (target_limit_damaged(t)) log_limit(t, x->ask.id, "damaged", 0);
+    return;
+  }
+  bool named = a->limits == ANSWER_LIMIT;
+  /* An answer without its signature may have lost that word. */
+  if (!named && !a->signed_) return;
+  double limit = named ? a->limit : QUOTA_UNLIMITED;
+  TargetNews news = target_limit(t, run_now(x), limit);
+  if (news != TARGET_KNOWN) tell_limit(x, limit);
+  if (news != TARGET_CHANGED) return;
+  count_add(COUNT_LIMITS, 1);
+  log_limit(t, x->ask.id, named ? "named" : "ended", limit);
+}
+
 void relay_limit(Relay *r, uint64_t target, double limit) {
   const Target *t = targets_limit_told(r->targets, target, limit);
-  if (!t) return;
   bool ended = limit >= QUOTA_UNLIMITED;
-  log_info("target-limit", "s:s,s:s,s:f", "target", target_id(t), "word",
-           ended ? "told ended" : "told", "per_s", ended ? 0 : limit);
+  if (t) log_limit(t, NULL, ended ? "told ended" : "told", limit);
 }
 
+/* == answers == */
+
 void relay_permit(Relay *r, const TallyPermit *p) {
   Run *x = g_hash_table_lookup(r->asking, &p->number);
   if (!x || !x->permit_asked) return;
--- a/packages/flow/run.h
+++ b/packages/flow/run.h
@@ -136,6 +136,8 @@
 
 /* Whether it has not been refused too often. */
 bool run_may_ask_permit(const Run *x);
+/* What its target's answer says of the requests that it takes. */
+void run_note_limit(Run *x, const Answer *a);
 /* Sends it to the chosen target once it has a permit, or chooses again. */
 void run_ask_permit(Run *x, const TargetChoice *c);
 
--- a/packages/route/bounded.c
+++ b/packages/route/bounded.c
@@ -22,17 +22,14 @@
   return changed;
 }
 
-bool target_limit(Target *t, double now, double per_s) {
+TargetNews target_limit(Target *t, double now, double per_s) {
   bool changed = set_limit(t, per_s);
   bool again =
       per_s < QUOTA_UNLIMITED && now - t->limit_told_at >= LIMIT_AGAIN_S;
   t->limit_damaged = false;
-  if (changed || again) t->limit_told_at = now;
-  return changed || again;
-}
-
-double target_limit_of(const Target *t) {
-  return t->limit;
+  if (!changed && !again) return TARGET_KNOWN;
+  t->limit_told_at = now;
+  return changed ? TARGET_CHANGED : TARGET_AGAIN;
 }
 
 const Target *targets_limit_told(Targets *s, uint64_t target, double per_s) {
--- a/packages/route/quota.c
+++ b/packages/route/quota.c
@@ -132,6 +132,14 @@
   s->n++;
 }
 
+int quota_lately(const QuotaSends *s, double now, double window_s) {
+  int n = 0;
+  while (n < QUOTA_UNITS && n < s->n &&
+         now - s->at[(s->n - 1 - n) % QUOTA_UNITS] < window_s)
+    n++;
+  return n;
+}
+
 /* Seconds until fewer than `units` of the sends lie within the last `window`.
  */
 static double wait_for(const QuotaSends *s, double now, double window,
--- a/packages/route/quota.h
+++ b/packages/route/quota.h
@@ -57,6 +57,8 @@
 /* Seconds of the longest window of these bounds. */
 double quota_window(const QuotaBounds *b);
 void quota_sent(QuotaSends *s, double now);
+/* How many of the last QUOTA_UNITS were sent within so many seconds. */
+int quota_lately(const QuotaSends *s, double now, double window_s);
 /* Seconds until one more may be sent, where `sent` is all that the target got;
    0: now. `reach`: quota_reach of those who ask. */
 double quota_wait(const QuotaSends *sent, double now, const QuotaBounds *b,
--- a/packages/route/tally.c
+++ b/packages/route/tally.c
@@ -125,13 +125,8 @@
 }
 
 static int recent_starts(const Tally *t, const Count *c, double now) {
-  const QuotaSends *s = &c->starts;
-  int n = 0;
   if (unknown_for(t, c, now, START_S) > 0) return QUOTA_UNITS;
-  while (n < QUOTA_UNITS && n < s->n &&
-         now - s->at[(s->n - 1 - n) % QUOTA_UNITS] < START_S)
-    n++;
-  return n;
+  return quota_lately(&c->starts, now, START_S);
 }
 
 /* A run begins; one that had a permit was counted with that. */
--- a/packages/route/targets.h
+++ b/packages/route/targets.h
@@ -173,11 +173,16 @@
 
 /* == bounded targets == */
 
+/* What a word of a target's limit is to us. */
+typedef enum {
+  TARGET_KNOWN,
+  TARGET_AGAIN,  /* known, but who counts there is to be told again */
+  TARGET_CHANGED /* as well */
+} TargetNews;
+
 /* Requests a second that it takes of all instances, as its answer says;
-   QUOTA_UNLIMITED: it names none. Whether that has changed, or has to be told
-   again to who counts there. */
-bool target_limit(Target *t, double now, double per_s);
-double target_limit_of(const Target *t);
+   QUOTA_UNLIMITED: it names none. */
+TargetNews target_limit(Target *t, double now, double per_s);
 /* The same as another instance tells it; the target if it has changed. */
 const Target *targets_limit_told(Targets *s, uint64_t target, double per_s);
 /* The figure in its answer is damaged, and says nothing; whether the one before
--- a/tests/test_limit.c
+++ b/tests/test_limit.c
@@ -87,7 +87,8 @@
 /* The answer names the target's limit; who counts there is told. */
 static void answered(int who, double now, Target *t, int number) {
   TallyLimit m = {.target = target_hash(t), .limit = sim.limit[number]};
-  if (target_limit(t, now, sim.limit[number]) && !sim.silent[who])
+  TargetNews news = target_limit(t, now, sim.limit[number]);
+  if (news != TARGET_KNOWN && !sim.silent[who])
     tally_limit(sim.tally[sim.side[who]], now, &m);
 }
 
