Large pools: a prompt's homes are found once, and nothing is drawn to be thrown away

A choice in a pool of more than 512 found the homes for its candidates and again for its costs; a question besides drew sixteen targets, which those near the homes then replaced. What is chosen or asked is the same; of the numbers drawn by chance fewer are used. Unit tests of targets, pools and tallies are the same and green; not timed.

--- a/packages/route/choose.c
+++ b/packages/route/choose.c
@@ -148,13 +148,13 @@
   return pool->members->len > POOL_SMALL;
 }
 
-/* Among `list`; in a large pool among all that it holds. */
-static void find_homes(Pick *p, Pool *pool, const GPtrArray *list) {
+/* Among `list`; in a large pool among all that it holds, and once. */
+static void find_homes(Pick *p, const GPtrArray *list) {
   uint64_t key = parts_key(p->ask->ask);
-  if (!is_large(pool))
+  if (!is_large(p->pool))
     p->n_homes = weigh(p, list, p->asking, p->homes);
-  else if (key != 0)
-    p->n_homes = pool_homes(pool, key, may_be_home, p, p->homes);
+  else if (key != 0 && p->n_homes == 0)
+    p->n_homes = pool_homes(p->pool, key, may_be_home, p, p->homes);
 }
 
 /* Where work is told a prompt has two homes, else one. */
@@ -408,9 +408,10 @@
   g_ptr_array_free(told, TRUE);
   if (list->len > 0) return list;
   if (is_large(p->pool)) {
-    find_homes(p, p->pool, list);
+    find_homes(p, list);
     for (int i = 0; i < p->n_homes; i++) g_ptr_array_add(list, p->homes[i]);
-    draw(p, list);
+    /* A prompt with homes asks only for those near them. */
+    if (!p->asking || p->n_homes == 0) draw(p, list);
   }
   if (list->len == 0) walk(p, list);
   return list;
@@ -430,7 +431,7 @@
   if (!pool) return 0;
   Pick p = {.set = s, .pool = pool, .ask = ask, .now = now, .asking = true};
   GPtrArray *list = candidates(&p);
-  find_homes(&p, pool, list);
+  find_homes(&p, list);
   if (is_large(pool) && p.n_homes > 0) keep_near(&p, list);
   int len = (int)list->len, n = 0;
   for (int i = 0; i < p.n_homes; i++) out[n++] = p.homes[i]->hash;
@@ -458,7 +459,7 @@
   int n = (int)list->len;
   if (ask->engine) {
     beside_long = divide(&p, pool, list);
-    find_homes(&p, pool, list);
+    find_homes(&p, list);
     find_donor(&p);
   }
   for (guint i = 0; i < list->len; i++) {
