--- a/tests/crash_soak.py
+++ b/tests/crash_soak.py
@@ -5,13 +5,12 @@
 play of 20 s.
 
 Usage: crash_soak.py BUILD_DIR [--seeds N] [--seed FIRST]"""
-import argparse
 import random
 import sys
 import threading
 
 from faults import Faults
-from fleet import run_tests
+from fleet import run_seeds
 from pool import BAD, Stream, check_bound, harmless, repeat_bad, with_pool
 
 INSTANCES = 3
@@ -57,11 +56,4 @@
 
 
 if __name__ == "__main__":
-    args = argparse.ArgumentParser()
-    args.add_argument("build")
-    args.add_argument("--seeds", type=int, default=1)
-    args.add_argument("--seed", type=int, default=random.randrange(10**6))
-    a = args.parse_args()
-    tests = {"seed_%d" % k: (lambda s, k=k: play(s, k))
-             for k in range(a.seed, a.seed + a.seeds)}
-    sys.exit(run_tests(tests, dict.fromkeys(tests, INSTANCES), names=list(tests)))
+    sys.exit(run_seeds(play, INSTANCES))
--- a/tests/faults.py
+++ b/tests/faults.py
@@ -3,7 +3,7 @@
 import signal
 import time
 
-IN_TOUCH_S = 3.0  # after a fault an instance is held to bounds again
+IN_TOUCH_S = 3.0  # bounds hold so long after what they follow, or after a fault
 
 
 class Faults:
@@ -17,13 +17,20 @@
     def note(self, began, i):
         self.struck.append((began, time.monotonic() + IN_TOUCH_S, i))
 
-    def restart(self):
+    def end_one(self, how):
+        """By that signal; the instance starts again when it has ended."""
         began, i = time.monotonic(), self.dice.randrange(len(self.s.processes))
-        self.s.processes[i].kill()
+        self.s.processes[i].send_signal(how)
         self.s.processes[i].wait()
         self.s.start(i)
         self.note(began, i)
 
+    def restart(self):
+        self.end_one(signal.SIGKILL)
+
+    def stop(self):
+        self.end_one(signal.SIGTERM)
+
     def restart_all(self):
         began = time.monotonic()
         for p in self.s.processes:
@@ -40,27 +47,19 @@
         self.s.processes[i].send_signal(signal.SIGCONT)
         self.note(began, i)
 
-    def outage(self):
+    def store_fails(self, way, least_s, most_s):
+        """`way`: the store's attribute (standins.py) that makes it so."""
         began = time.monotonic()
-        self.s.store.down = True
-        time.sleep(self.dice.uniform(0.5, 3.0))
-        self.s.store.down = False
+        setattr(self.s.store, way, True)
+        time.sleep(self.dice.uniform(least_s, most_s))
+        setattr(self.s.store, way, False)
         self.note(began, None)
 
-    def lost_answers(self):
-        began = time.monotonic()
-        self.s.store.lose = True
-        time.sleep(self.dice.uniform(0.2, 1.0))
-        self.s.store.lose = False
-        self.note(began, None)
+    def outage(self):
+        self.store_fails("down", 0.5, 3.0)
 
-    def stop(self):
-        """As planned; the instance starts again when it has ended."""
-        began, i = time.monotonic(), self.dice.randrange(len(self.s.processes))
-        self.s.processes[i].send_signal(signal.SIGTERM)
-        self.s.processes[i].wait()
-        self.s.start(i)
-        self.note(began, i)
+    def lost_answers(self):
+        self.store_fails("lose", 0.2, 1.0)
 
     def strike(self, seconds, kinds):
         end = time.monotonic() + seconds
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -1,5 +1,6 @@
 """fleet.py: instances on stand-ins of the users' platform, for tests with real
 processes."""
+import argparse
 import http.client
 import json
 import os
@@ -222,3 +223,16 @@
             s.close()
     print("%d passed, %d failed" % (len(names) - failed, failed))
     return 1 if failed else 0
+
+
+def run_seeds(play, instances):
+    """A soak's command line: `play(site, seed)` for each of its seeds, on a site
+    of its own. The status of the process."""
+    args = argparse.ArgumentParser()
+    args.add_argument("build")
+    args.add_argument("--seeds", type=int, default=1)
+    args.add_argument("--seed", type=int, default=random.randrange(10**6))
+    a = args.parse_args()
+    tests = {"seed_%d" % k: (lambda s, k=k: play(s, k))
+             for k in range(a.seed, a.seed + a.seeds)}
+    return run_tests(tests, dict.fromkeys(tests, instances), names=list(tests))
--- a/tests/limit_soak.py
+++ b/tests/limit_soak.py
@@ -5,7 +5,6 @@
 play of 20 s.
 
 Usage: limit_soak.py BUILD_DIR [--seeds N] [--seed FIRST]"""
-import argparse
 import http.client
 import random
 import sys
@@ -13,7 +12,7 @@
 import time
 
 from faults import IN_TOUCH_S, Faults
-from fleet import run_tests
+from fleet import run_seeds
 from limits import WINDOW_S, allowed, with_targets
 
 INSTANCES, ENGINES, CALLERS = 4, 5, 12
@@ -126,11 +125,4 @@
 
 
 if __name__ == "__main__":
-    args = argparse.ArgumentParser()
-    args.add_argument("build")
-    args.add_argument("--seeds", type=int, default=1)
-    args.add_argument("--seed", type=int, default=random.randrange(10**6))
-    a = args.parse_args()
-    tests = {"seed_%d" % k: (lambda s, k=k: play(s, k))
-             for k in range(a.seed, a.seed + a.seeds)}
-    sys.exit(run_tests(tests, dict.fromkeys(tests, INSTANCES), names=list(tests)))
+    sys.exit(run_seeds(play, INSTANCES))
--- a/tests/limits.py
+++ b/tests/limits.py
@@ -18,12 +18,12 @@
 import threading
 import time
 
+from faults import IN_TOUCH_S  # after a limit was named, all hold to it
 from fleet import config, run_tests, wait_for
 from standins import Worker, chunk, event, head
 
 INSTANCES, MANY = 3, 14
 WINDOW_S, OVERRUN, EXTRA = 4.0, 1.5, 5  # what a target may get in a window
-IN_TOUCH_S = 3.0  # all instances hold to a limit so long after it was named
 AT_ONCE_S = 0.1   # a refusal takes less
 EVENTS, PAUSE_S = 4, 0.02
 
--- a/tests/pool.py
+++ b/tests/pool.py
@@ -5,6 +5,7 @@
 import threading
 import time
 
+from faults import IN_TOUCH_S  # after the third end, all have to know
 from fleet import config
 from standins import Worker, chunk, event, head
 
@@ -15,7 +16,6 @@
 BEGUN_S = 0.05    # from the first event of the bad request to the end
 EVENTS, PAUSE_S = 10, 0.04  # of a harmless stream
 BAD = b"ends whoever runs it"
-IN_TOUCH_S = 3.0  # all instances have to know so long after the third end
 MORE = 3          # times that it may reach a target after that
 
 
--- a/tests/test_golden.c
+++ b/tests/test_golden.c
@@ -7,8 +7,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "codec_again.h"
 #include "ledger/shard.h"
-#include "peer/codec.h"
 #include "route/trials.h"
 
 /* == what is written == */
@@ -173,82 +173,44 @@
   codec_put_limit(b, &m);
 }
 
-/* == what is read, written again == */
-
-#define AGAIN(field)                                                           \
-  static void again_##field(msgpack_sbuffer *b, const CodecMsg *m) {           \
-    codec_put_##field(b, &m->field);                                           \
-  }
-AGAIN(beat)
-AGAIN(news)
-AGAIN(gossip)
-AGAIN(ledger)
-AGAIN(once)
-AGAIN(load)
-AGAIN(feed)
-AGAIN(work)
-AGAIN(pool)
-AGAIN(parts)
-AGAIN(tally_ask)
-AGAIN(tally_word)
-AGAIN(tally_run)
-AGAIN(suspect)
-AGAIN(permit_ask)
-AGAIN(permit)
-AGAIN(limit)
-
-static void again_conf(msgpack_sbuffer *b, const CodecMsg *m) {
-  codec_put_conf(b, m->conf.version, &m->conf.text);
-}
-
 /* == as builds in production write it == */
 
 typedef struct Golden {
   const char *name, *hex;
   CodecType type;
   void (*put)(msgpack_sbuffer *b);
-  void (*again)(msgpack_sbuffer *b, const CodecMsg *m);
 } Golden;
 
 static const Golden messages[] = {
     {"beat",
      "9900a36e2e31a172a164af7463703a2f2f312e322e332e343a35a9312e32"
      "2e332e343a360109cd01f4",
-     CODEC_BEAT, put_beat, again_beat},
+     CODEC_BEAT, put_beat},
     {"news", "9809a36e2e31a172a164af7463703a2f2f312e322e332e343a35010301",
-     CODEC_NEWS, put_news, again_news},
-    {"gossip", "960a0102cfffffffffffffffff0301", CODEC_GOSSIP, put_gossip,
-     again_gossip},
+     CODEC_NEWS, put_news},
+    {"gossip", "960a0102cfffffffffffffffff0301", CODEC_GOSSIP, put_gossip},
     {"ledger",
      "9c0102a461636d65cfffffffffffffffffcd03e8cf000001000000000003"
      "0405060a03",
-     CODEC_LEDGER, put_ledger, again_ledger},
+     CODEC_LEDGER, put_ledger},
     {"once",
      "9e0202010203040007a461636d65a461636d654dccc8aa746578742f706c"
      "61696ec404626f6479",
-     CODEC_ONCE, put_once, again_once},
-    {"load", "950305ce000111700101", CODEC_LOAD, put_load, again_load},
-    {"conf", "9404070ac403616263", CODEC_CONF, put_conf, again_conf},
-    {"feed", "9a0501a564206e2e3101020304010ac403616263", CODEC_FEED, put_feed,
-     again_feed},
-    {"work", "9406cfffffffffffffffff03cd4268", CODEC_WORK, put_work,
-     again_work},
-    {"pool", "9607010203cd1194ccfa", CODEC_POOL, put_pool, again_pool},
-    {"parts", "9508010202cfffffffffffffffff", CODEC_PARTS, put_parts,
-     again_parts},
-    {"tally_ask", "960b0102020304", CODEC_TALLY_ASK, put_tally_ask,
-     again_tally_ask},
-    {"tally_word", "980c01020304050201", CODEC_TALLY_WORD, put_tally_word,
-     again_tally_word},
-    {"tally_run", "970d010201030104", CODEC_TALLY_RUN, put_tally_run,
-     again_tally_run},
-    {"suspect", "980ea564206e2e310101020304cd05dc", CODEC_SUSPECT, put_suspect,
-     again_suspect},
+     CODEC_ONCE, put_once},
+    {"load", "950305ce000111700101", CODEC_LOAD, put_load},
+    {"conf", "9404070ac403616263", CODEC_CONF, put_conf},
+    {"feed", "9a0501a564206e2e3101020304010ac403616263", CODEC_FEED, put_feed},
+    {"work", "9406cfffffffffffffffff03cd4268", CODEC_WORK, put_work},
+    {"pool", "9607010203cd1194ccfa", CODEC_POOL, put_pool},
+    {"parts", "9508010202cfffffffffffffffff", CODEC_PARTS, put_parts},
+    {"tally_ask", "960b0102020304", CODEC_TALLY_ASK, put_tally_ask},
+    {"tally_word", "980c01020304050201", CODEC_TALLY_WORD, put_tally_word},
+    {"tally_run", "970d010201030104", CODEC_TALLY_RUN, put_tally_run},
+    {"suspect", "980ea564206e2e310101020304cd05dc", CODEC_SUSPECT, put_suspect},
     {"permit_ask", "990f01020304cd38a4cd06a401cd01f4", CODEC_PERMIT_ASK,
-     put_permit_ask, again_permit_ask},
-    {"permit", "9610010202ccfac0", CODEC_PERMIT, put_permit, again_permit},
-    {"limit", "961101a564206e2e310102cd02bc", CODEC_LIMIT, put_limit,
-     again_limit},
+     put_permit_ask},
+    {"permit", "9610010202ccfac0", CODEC_PERMIT, put_permit},
+    {"limit", "961101a564206e2e310102cd02bc", CODEC_LIMIT, put_limit},
 };
 
 static GString *hex_of(const msgpack_sbuffer *b) {
@@ -302,7 +264,7 @@
     cr_assert(codec_get(b.data, b.size, &off, &m), "%s: %s", messages[i].name,
               REMEDY);
     cr_assert(m.type == messages[i].type && off == b.size);
-    messages[i].again(&again, &m);
+    codec_again(&again, &m);
     GString *hex = hex_of(&again);
     cr_assert_str_eq(hex->str, messages[i].hex, "%s: %s", messages[i].name,
                      REMEDY);
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -149,6 +149,15 @@
   g_string_free(out, TRUE);
 }
 
+/* What an answer with that one field says. */
+static void answer_of(const char *field, const char *text, Answer *a) {
+  const char *const list[] = {field, text, NULL};
+  Headers h;
+  fill(&h, list);
+  wire_answer(&h, "a1", a);
+  headers_free(&h);
+}
+
 Test(wire, a_limit_is_a_decimal_figure_or_damaged) {
   static const struct {
     const char *text;
@@ -165,14 +174,10 @@
       {"0x10", ANSWER_LIMIT_DAMAGED, 0}, {"few", ANSWER_LIMIT_DAMAGED, 0},
   };
   for (size_t i = 0; i < sizeof rows / sizeof *rows; i++) {
-    const char *const list[] = {"Server-Limit", rows[i].text, NULL};
-    Headers h;
     Answer a;
-    fill(&h, list);
-    wire_answer(&h, "a1", &a);
+    answer_of("Server-Limit", rows[i].text, &a);
     cr_assert_eq(a.limits, rows[i].limits, "%s", rows[i].text);
     cr_assert_float_eq(a.limit, rows[i].limit, 1e-9, "%s", rows[i].text);
-    headers_free(&h);
   }
   Headers none;
   Answer a;
@@ -205,15 +210,11 @@
       {"much", false, 0, 0, 0},
   };
   for (size_t i = 0; i < sizeof rows / sizeof *rows; i++) {
-    const char *const list[] = {"X-Loftpath-Server-Load", rows[i].text, NULL};
-    Headers h;
     Answer a;
-    fill(&h, list);
-    wire_answer(&h, "a1", &a);
+    answer_of("X-Loftpath-Server-Load", rows[i].text, &a);
     cr_assert_eq(a.load_told, rows[i].told, "%s", rows[i].text);
     cr_assert_eq(a.running, rows[i].running, "%s", rows[i].text);
     cr_assert_eq(a.waiting, rows[i].waiting, "%s", rows[i].text);
     cr_assert_float_eq(a.pace, rows[i].pace, 1e-6, "%s", rows[i].text);
-    headers_free(&h);
   }
 }
