One wait for other instances' answers

A question before a choice and a question for a permit wait the same time for the same reason; it stood twice, in two words. Behaviour is unchanged.

--- a/packages/flow/asking.c
+++ b/packages/flow/asking.c
@@ -3,10 +3,6 @@
 #include "flow/run.h"
 #include "route/parts.h"
 
-/* For answers to a question; instances are 1.4 ms apart, and take a turn. What
-   has not come by then is chosen without. */
-#define TOLD_WAIT_S 0.02
-
 static bool asks(const Run *x) {
   return x->service && x->service->engine &&
          cluster_is_large(x->relay->cluster);
@@ -35,7 +31,7 @@
     a.counter = targets_counter(r->targets, targets[i]);
     cluster_tally_ask(r->cluster, &a);
   }
-  ev_timer_init(&x->told_timer, on_told_late, TOLD_WAIT_S, 0);
+  ev_timer_init(&x->told_timer, on_told_late, RUN_ANSWER_S, 0);
   x->told_timer.data = x;
 }
 
--- a/packages/flow/permits.c
+++ b/packages/flow/permits.c
@@ -4,9 +4,6 @@
 #include "kernel/count.h"
 #include "kernel/log.h"
 
-/* For the answer; instances are 1.4 ms apart, and take a turn. Without one the
-   instance's own part of the bound decides. */
-#define ANSWER_S 0.02
 /* A permit is for now: one that this process could not use at once, since it
    stood still, is for a time that has passed. */
 #define PERMIT_OLD_S 0.1
@@ -54,7 +51,7 @@
   x->question = a.number = ++r->questions;
   x->permit_run = a.run = ++r->runs;
   g_hash_table_insert(r->asking, &x->question, x);
-  ev_timer_init(&x->told_timer, on_no_answer, ANSWER_S, 0);
+  ev_timer_init(&x->told_timer, on_no_answer, RUN_ANSWER_S, 0);
   x->told_timer.data = x;
   ev_timer_start(r->loop, &x->told_timer);
   cluster_permit_ask(r->cluster, &a);
--- a/packages/flow/run.h
+++ b/packages/flow/run.h
@@ -12,6 +12,9 @@
 
 #define RUN_LINK_KEEP_S 30.0 /* an idle connection to a target is kept */
 #define RUN_TRIED_MOST 8     /* targets that one request is tried at */
+/* Seconds for other instances' answers, which take a way to and fro and a turn:
+   what has not come by then is done without. */
+#define RUN_ANSWER_S 0.02
 #define RUN_BACK_SOON_MS 200 /* Retry-After of what passes quickly */
 /* The same while all targets that are left are evacuated. Nobody tells how long
    it will take; operators' evacuations last for tens of seconds, and callers
