--- a/packages/route/quota.h
+++ b/packages/route/quota.h
@@ -3,10 +3,10 @@
    was left without work, and falls over under much more than it then bears
    (cold); or it is in need, and names a rate in its answers (limit).
 
-   The load that this answers: a data centre's targets come back cold together,
-   half of the others are gone, and 74 instances that know nothing of each
-   other's choices have all of the traffic to place; and seven instances, or a
-   thousand, of which each sends less than a target's limit, and all more.
+   It protects targets from instances that know nothing of each other's choices:
+   from all of the traffic when a data centre's targets come back cold together,
+   and from a fleet of which each instance sends less than a target's limit, and
+   all together more.
    Whoever counts a target's work (tally.h) gives a permit for each request to a
    bounded target. Where it gives no answer, each instance has a fixed small
    part. */
--- a/tests/builds.py
+++ b/tests/builds.py
@@ -1,8 +1,8 @@
 """builds.py: the program of the build in production, for tests that play it
 beside this one.
 
-It is the commit that deploy/system.toml names; it may be missing in the history
-(a shallow clone)."""
+It is the commit that deploy/system.toml names, or BESIDE=COMMIT of the
+environment; it may be missing in the history (a shallow clone)."""
 import os
 import re
 import shutil
@@ -16,6 +16,8 @@
 
 
 def production():
+    if os.environ.get("BESIDE"):
+        return os.environ["BESIDE"]
     with open(os.path.join(ROOT, "deploy", "system.toml")) as f:
         return re.search(r'^production = "(\w+)"', f.read(), re.M).group(1)
 
