--- a/packages/flow/ask.h
+++ b/packages/flow/ask.h
@@ -47,6 +47,7 @@
   bool is_wrong_target; /* another target now has the address */
   bool is_encoded;      /* it has a content encoding, which targets don't use */
   bool is_closing;      /* the target closes the connection */
+  bool is_leaving;      /* the target is leaving and accepts no new requests */
   double cold_s; /* the target remains cold for this much longer: it has just
                     started and is slow; 0: not given */
   bool has_load; /* the next three fields are set */
--- a/packages/flow/run.h
+++ b/packages/flow/run.h
@@ -164,6 +164,11 @@
    for it has passed, sends the request there or chooses another target. */
 void run_request_permit(Run *x, const TargetChoice *c);
 
+/* == notices.c: what targets state about themselves == */
+
+/* Records what the target's answer states about the target itself. */
+void run_record_notices(Run *x, const AnswerInfo *a);
+
 /* == breaks.c: targets that end, and the requests involved == */
 
 /* Returns the digest of method, host, path, customer and body, which is equal
--- a/packages/kernel/count.c
+++ b/packages/kernel/count.c
@@ -40,6 +40,8 @@
     [COUNT_REGIONS_UNKNOWN] = {"regions_unknown_total",
                                "regions in the configuration that are unknown "
                                "here"},
+    [COUNT_LEAVING] = {"target_leaving_answers_total",
+                       "targets that stated in an answer that they leave"},
     [COUNT_LIMITS] = {"target_limits_total",
                       "limits that targets named, changed or ended here"},
     [COUNT_LIMITS_DAMAGED] = {"target_limits_damaged_total",
--- a/packages/route/state.h
+++ b/packages/route/state.h
@@ -39,10 +39,11 @@
   RegionSet region; /* region of its data centre; empty: unknown */
   uint64_t hash;    /* of its id and start time */
   double leave_at;  /* it gets no new work from then on; INFINITY: it stays */
-  bool lapsed;    /* its entry in the store is missing, perhaps only because the
-                     store is unavailable */
-  bool evacuated; /* its data centre is under evacuation: operators have
-                     excluded its targets */
+  bool lapsed; /* its entry in the store is missing, perhaps only because the
+                  store is unavailable */
+  bool stated_leaving; /* it stated in an answer that it is leaving */
+  bool evacuated;      /* its data centre is under evacuation: operators have
+                          excluded its targets */
   double cold_until;
   /* Before limit_until the counting instance probably gives no permit within
      the target's limit; before full_until it probably gives none at all. */
--- a/packages/route/targets.c
+++ b/packages/route/targets.c
@@ -433,6 +433,12 @@
   t->slowdown = slowdown > 0 ? CLAMP(slowdown, SLOWDOWN_MIN, SLOWDOWN_MAX) : 0;
 }
 
+bool target_note_leaving(Target *t) {
+  bool is_first = !t->stated_leaving;
+  t->stated_leaving = true;
+  return is_first;
+}
+
 /* == work of the other instances == */
 
 /* Sums up what the other instances have there, by their recent reports. */
--- a/packages/route/targets.h
+++ b/packages/route/targets.h
@@ -183,6 +183,10 @@
 /* The target reports that it remains cold for `left_s`. */
 void target_set_cold(Target *t, double now, double left_s);
 
+/* It states in an answer that it is leaving. Returns false if it did so
+   before. */
+bool target_note_leaving(Target *t);
+
 /* == bounded targets == */
 
 /* How a reported limit compares with the known one. */
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -189,6 +189,20 @@
   headers_free(&none);
 }
 
+Test(wire, leaving_is_stated_by_one_value_only) {
+  static const struct {
+    const char *text;
+    bool is_leaving;
+  } rows[] = {{"1", true}, {"0", false}, {"", false}, {"10", false}};
+  AnswerInfo a;
+  for (size_t i = 0; i < sizeof rows / sizeof *rows; i++) {
+    read_answer("Server-Leaving", rows[i].text, &a);
+    cr_assert_eq(a.is_leaving, rows[i].is_leaving, "%s", rows[i].text);
+  }
+  read_answer("Server-Limit", "1", &a);
+  cr_assert_not(a.is_leaving);
+}
+
 Test(wire, a_reported_load_is_read) {
   static const struct {
     const char *text;
