--- /dev/null
+++ b/tests/notices.py
@@ -0,0 +1,137 @@
+#!/usr/bin/env python3
+"""notices.py: instances obey what targets state about themselves in their answers:
+that they are leaving, or want no requests for a time.
+
+Usage: notices.py BUILD_DIR [TEST...]"""
+import sys
+import time
+
+from fleet import config, run_tests, wait_for
+from standins import Worker, chunk, event, head
+
+INSTANCES = 3
+DRAIN_S = 2.0  # after this an instance sends no request to a target that leaves
+EVENTS = 3
+
+
+class Stating(Worker):
+    """Adds `fields` to the head of its answers. `status`: of its plain answers; 503:
+    it rejects all requests without running them."""
+
+    def __init__(self, store, name, service):
+        self.fields, self.status = [], 200
+        self.arrived = []  # (time, path) of the requests it got
+        super().__init__(("127.0.0.1", 0), store, name, service)
+
+    def answer(self, c, method, path, headers, body):
+        if headers.get("x-loftpath-expect-instance") != self.name:
+            return super().answer(c, method, path, headers, body)
+        attempt = headers["x-loftpath-attempt-id"]
+        self.arrived.append((time.monotonic(), path))
+        if self.status == 503:
+            more = ["Content-Length: 0", "X-Loftpath-Not-Executed: shed"]
+            c.sendall(head(attempt, *more, *self.fields).replace(b"200 OK", b"503 X"))
+        elif path.startswith("/chat/"):
+            c.sendall(head(attempt, "Content-Type: text/event-stream",
+                           "Transfer-Encoding: chunked", *self.fields))
+            for k in range(1, EVENTS + 1):
+                c.sendall(chunk(event(k)))
+            c.sendall(b"0\r\n\r\n")
+        else:
+            text = head(attempt, "Content-Length: 2", *self.fields) + b"ok"
+            c.sendall(text.replace(b"200", b"%d" % self.status))
+        return True
+
+    def since(self, t):
+        return sum(at >= t for at, _ in self.arrived)
+
+
+def add_targets(s, n):
+    for _ in range(n):
+        s.engines.append(Stating(s.store, "x%d" % len(s.engines), "engine"))
+        s.desks.append(Stating(s.store, "y%d" % len(s.desks), "desk"))
+
+
+def wait_until_served(s, status=200):
+    for i in range(len(s.processes)):
+        wait_for("answers of instance %d" % i, lambda: s.chat(
+            5, i=i).status == status and s.call("/safe/x", i=i).status == status)
+
+
+def state_to_all(s, fields, status=200):
+    """One engine and one desk, which state `fields` in their answers; each instance
+    gets one of each. Then two more of both join that state nothing. Returns the
+    first ones."""
+    for e in s.engines + s.desks:
+        s.store.remove("servers", e.name)
+        e.close()
+    s.engines[:], s.desks[:] = [], []
+    s.store.put("config", "main", config(2, prepaid=10**7))
+    add_targets(s, 1)
+    wait_until_served(s)
+    first = s.engines + s.desks
+    for t in first:
+        t.fields, t.status = fields, status
+    for i in range(len(s.processes)):
+        s.chat(5, i=i)
+        s.call("/safe/x", i=i)
+    for t in first:
+        assert t.since(0) >= 2 * len(s.processes), "not all instances were told"
+    add_targets(s, 2)
+    wait_until_served(s)
+    return first
+
+
+def send_all(s, n=6):
+    """`n` requests of each kind to each instance; returns the answers."""
+    return [s.chat(5, i=i) if k % 2 else s.call("/safe/x", i=i)
+            for k in range(2 * n) for i in range(len(s.processes))]
+
+
+def check_no_more_requests(s, targets, since):
+    answers = send_all(s)
+    for t in targets:
+        n = t.since(since)
+        assert n == 0, "%s got %d requests after it had stated it" % (t.name, n)
+    assert all(a.status == 200 for a in answers), [a.status for a in answers]
+
+
+def leave_in_answers(s, status=200):
+    """The first engine and desk state that they leave; the store doesn't know, and is
+    down from then on. Returns them after the time in which they may get more."""
+    leaving = state_to_all(s, ["Server-Leaving: 1"], status)
+    s.store.down = True
+    time.sleep(DRAIN_S)
+    return leaving
+
+
+def test_a_target_that_states_it_leaves_gets_no_more_requests(s):
+    """Guards against requests to a target that told us in an answer, while the store
+    was away, that it is leaving."""
+    leaving = leave_in_answers(s)
+    check_no_more_requests(s, leaving, time.monotonic())
+
+
+def test_a_rejection_that_states_it_leaves_counts_too(s):
+    """Guards against the same where the target rejects the request."""
+    leaving = leave_in_answers(s, 503)
+    check_no_more_requests(s, leaving, time.monotonic())
+
+
+def test_a_newer_entry_does_not_undo_what_an_answer_stated(s):
+    """Guards against a leaving target coming back with an entry in the store that
+    does not say so yet, or with a new listing."""
+    leaving = leave_in_answers(s)
+    s.store.down = False
+    for t in leaving:
+        s.store.put("servers", t.name, dict(t.entry, cold_left_ms=50))
+    time.sleep(1.0)
+    s.store.forget()  # instances list the targets again
+    time.sleep(1.0)
+    check_no_more_requests(s, leaving, time.monotonic())
+
+
+TESTS = {n: f for n, f in globals().items() if n.startswith("test_")}
+
+if __name__ == "__main__":
+    sys.exit(run_tests(TESTS, dict.fromkeys(TESTS, INSTANCES)))
