route: a target that states in its answers that it leaves gets no new work

Callers' requests reached an engine 4.1 s after one of its answers had stated Server-Leaving (2 s are allowed). Cause: an instance learned of a leaving target from its entry in the store alone, and the store was away; the field was read by nobody. Evidence: with the field only decoded and logged, tests/notices.py shows 18 requests 2 s and more after the statement, each a first send, with no update of the entry (hypotheses 2 and 3 ruled out: nothing came back with an entry, nothing was a retry).

Now the statement ends new work at once, and holds against any entry of the same incarnation: the target can't write its entry while the store is away, and an entry that comes later may be older than the statement. Such a target is therefore known until its entry has been gone for 30 s, not 30 s from the statement on.

Before: three tests of tests/notices.py failed (18, 2, 18 requests). After: 3 passed; three unit tests in test_targets.

--- a/packages/flow/notices.c
+++ b/packages/flow/notices.c
@@ -4,7 +4,7 @@
 #include "kernel/log.h"
 
 static void record_leaving(Run *x) {
-  if (!target_note_leaving(x->target)) return;
+  if (!target_note_leaving(x->target, run_now(x))) return;
   count_add(COUNT_LEAVING, 1);
   log_info("target-leaving", "s:s,s:s,s:i", "target", target_id(x->target),
            "request", x->request.id, "open", target_open(x->target));
--- a/packages/route/state.h
+++ b/packages/route/state.h
@@ -41,6 +41,7 @@
   double leave_at;  /* it gets no new work from then on; INFINITY: it stays */
   bool lapsed; /* its entry in the store is missing, perhaps only because the
                   store is unavailable */
+  double unlisted_at; /* its entry is missing since then; INFINITY: it is not */
   bool stated_leaving; /* it stated in an answer that it is leaving */
   bool evacuated;      /* its data centre is under evacuation: operators have
                           excluded its targets */
--- a/packages/route/targets.c
+++ b/packages/route/targets.c
@@ -109,7 +109,7 @@
   t->set = s;
   t->info = *info;
   t->hash = hash_incarnation(info);
-  t->leave_at = INFINITY;
+  t->leave_at = t->unlisted_at = INFINITY;
   t->limit = QUOTA_UNLIMITED;
   t->first_byte_ratio = 1;
   t->pool = ensure_pool(s, info->service);
@@ -126,9 +126,15 @@
   t->set->any_left = true;
 }
 
+/* Its entry is not in the store. */
+static void mark_unlisted(Target *t, double now, bool lapsed) {
+  mark_leaving(t, now, lapsed);
+  t->unlisted_at = MIN(t->unlisted_at, now);
+}
+
 /* Removes it from everything but its own requests. */
 static void retire_target(Targets *s, double now, Target *t) {
-  mark_leaving(t, now, false);
+  mark_unlisted(t, now, false);
   g_hash_table_steal(s->by_id, t->info.id);
   g_hash_table_remove(s->by_hash, &t->hash);
   pool_remove(t->pool, t);
@@ -158,7 +164,8 @@
   t->lapsed = false;
   t->evacuated = evacuation_contains(s->evacuation, info->dc);
   t->region = s->regions ? regions_of_dc(s->regions, info->dc) : 0;
-  if (info->leaving)
+  t->unlisted_at = INFINITY;
+  if (info->leaving || t->stated_leaving)
     mark_leaving(t, now, false);
   else
     t->leave_at = INFINITY;
@@ -167,7 +174,7 @@
 
 void targets_remove(Targets *s, double now, const char *id, bool lapsed) {
   Target *t = g_hash_table_lookup(s->by_id, id);
-  if (t) mark_leaving(t, now, lapsed);
+  if (t) mark_unlisted(t, now, lapsed);
 }
 
 void targets_retain_only(Targets *s, double now, GHashTable *keep,
@@ -177,7 +184,7 @@
   g_hash_table_iter_init(&it, s->by_id);
   while (g_hash_table_iter_next(&it, NULL, &v)) {
     Target *t = v;
-    if (!g_hash_table_contains(keep, t->info.id)) mark_leaving(t, now, lapsed);
+    if (!g_hash_table_contains(keep, t->info.id)) mark_unlisted(t, now, lapsed);
   }
 }
 
@@ -260,8 +267,11 @@
   mark_leaving(t, now, false);
 }
 
+/* One that stated that it leaves is known until its entry, which may not say
+   so, is gone. */
 static bool is_forgettable(const Target *t, double now) {
-  return t->open == 0 && now > t->leave_at + FORGET_LEFT_S;
+  double since = t->stated_leaving ? t->unlisted_at : t->leave_at;
+  return t->open == 0 && now > since + FORGET_LEFT_S;
 }
 
 static gboolean remove_if_forgettable(gpointer key, gpointer value,
@@ -433,9 +443,10 @@
   t->slowdown = slowdown > 0 ? CLAMP(slowdown, SLOWDOWN_MIN, SLOWDOWN_MAX) : 0;
 }
 
-bool target_note_leaving(Target *t) {
+bool target_note_leaving(Target *t, double now) {
   bool is_first = !t->stated_leaving;
   t->stated_leaving = true;
+  mark_leaving(t, now, false);
   return is_first;
 }
 
--- a/packages/route/targets.h
+++ b/packages/route/targets.h
@@ -183,9 +183,10 @@
 /* The target reports that it remains cold for `left_s`. */
 void target_set_cold(Target *t, double now, double left_s);
 
-/* It states in an answer that it is leaving. Returns false if it did so
-   before. */
-bool target_note_leaving(Target *t);
+/* It states in an answer that it is leaving: it gets no new work, whatever its
+   entry says, since it can't write its entry while the store is unavailable.
+   Returns false if it did so before. */
+bool target_note_leaving(Target *t, double now);
 
 /* == bounded targets == */
 
--- a/tests/test_targets.c
+++ b/tests/test_targets.c
@@ -82,6 +82,60 @@
   targets_free(s);
 }
 
+static void list_again(Targets *s, double now, int i, uint64_t revision) {
+  TargetInfo t = info(i, "svc");
+  t.revision = revision;
+  targets_set(s, now, &t);
+}
+
+/* Guards against requests to a target that stated in an answer that it is
+   leaving, while its entry in the store does not say so. */
+Test(targets, target_that_stated_it_leaves_gets_no_work_whatever_its_entry) {
+  Targets *s = targets_with(1);
+  RequestInfo a = {0};
+  Target *t = pick(s, 1, &a, false);
+  cr_assert(target_note_leaving(t, 1));
+  cr_assert_not(target_note_leaving(t, 2), "it was stated before");
+  cr_assert_null(pick(s, 2, &a, false));
+  list_again(s, 3, 0, 10);
+  list_again(s, 4, 0, 20);
+  cr_assert_null(pick(s, 5, &a, false));
+  targets_remove(s, 6, "i-0", true);
+  list_again(s, 7, 0, 30);
+  cr_assert_null(pick(s, 8, &a, false), "a lapsed entry returned");
+  targets_free(s);
+}
+
+Test(targets, target_that_stated_it_leaves_is_known_while_its_entry_is_there) {
+  Targets *s = targets_with(1);
+  RequestInfo a = {0};
+  target_note_leaving(pick(s, 1, &a, false), 1);
+  targets_sweep(s, 1000);
+  list_again(s, 1000, 0, 20);
+  cr_assert_null(pick(s, 1000, &a, false));
+  targets_remove(s, 1000, "i-0", false);
+  targets_sweep(s, 1029);
+  list_again(s, 1029, 0, 30);
+  cr_assert_null(pick(s, 1029, &a, false), "an old entry came back");
+  targets_remove(s, 1030, "i-0", false);
+  targets_sweep(s, 1061);
+  list_again(s, 1061, 0, 40);
+  cr_assert_not_null(pick(s, 1061, &a, false), "it is a new one by then");
+  targets_free(s);
+}
+
+Test(targets, restarted_target_does_not_inherit_that_it_leaves) {
+  Targets *s = targets_with(1);
+  RequestInfo a = {0};
+  target_note_leaving(pick(s, 1, &a, false), 1);
+  TargetInfo t = info(0, "svc");
+  t.start_ms = 77;
+  t.revision = 11;
+  cr_assert(targets_set(s, 2, &t));
+  cr_assert_not_null(pick(s, 2, &a, false));
+  targets_free(s);
+}
+
 Test(targets, listing_removes_unlisted_targets) {
   Targets *s = targets_with(3);
   GHashTable *ids = g_hash_table_new(g_str_hash, g_str_equal);
