--- a/packages/flow/ask.h
+++ b/packages/flow/ask.h
@@ -54,6 +54,9 @@
   /* Numbers of requests at the target; `slots`: that it runs at the same
      time. */
   int running, waiting, slots;
+  double retry_after_s; /* the target wants no requests from this instance for
+                           this long; 0: not given */
+  bool retry_after_invalid; /* it is given, but is not a number of seconds */
   AnswerLimitStatus limit_status;
   double limit_per_s; /* requests per second that it accepts from all
                          instances together */
--- a/packages/flow/dispatch.c
+++ b/packages/flow/dispatch.c
@@ -156,7 +156,7 @@
   if (h->status == 421)
     targets_mark_replaced(x->relay->targets, run_now(x), x->target);
   else
-    run_record_notices(x, &a);
+    run_record_notices(x, h->status, &a);
   if (x->refused) return LINK_ACCEPT;
   if (a.is_encoded || !a.is_signed) return LINK_REJECT;
   if (x->head_sent) /* resumed after a failure: the first head was sent */
--- a/packages/flow/run.h
+++ b/packages/flow/run.h
@@ -166,8 +166,9 @@
 
 /* == notices.c: what targets state about themselves == */
 
-/* Records what the target's answer states about the target itself. */
-void run_record_notices(Run *x, const AnswerInfo *a);
+/* Records what the target's answer, which has this status, states about the
+   target itself. */
+void run_record_notices(Run *x, int status, const AnswerInfo *a);
 
 /* == breaks.c: targets that end, and the requests involved == */
 
--- a/packages/kernel/count.c
+++ b/packages/kernel/count.c
@@ -42,6 +42,8 @@
                                "here"},
     [COUNT_LEAVING] = {"target_leaving_answers_total",
                        "targets that stated in an answer that they leave"},
+    [COUNT_PAUSES_REQUESTED] = {"target_pauses_total",
+                                "times that a target asked for no requests"},
     [COUNT_LIMITS] = {"target_limits_total",
                       "limits that targets named, changed or ended here"},
     [COUNT_LIMITS_DAMAGED] = {"target_limits_damaged_total",
--- a/packages/kernel/limits.h
+++ b/packages/kernel/limits.h
@@ -49,6 +49,9 @@
 
 /* Requests to one target; a higher limit counts as none. */
 #define LIMIT_TARGET_RATE_PER_S 1e6
+/* Time for which one target may ask not to be sent requests. A longer one is
+   cut, so that a wrong figure does not exclude a target for good. */
+#define LIMIT_TARGET_RETRY_AFTER_S 3600.0
 
 /* == ledger == */
 
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -203,6 +203,28 @@
   cr_assert_not(a.is_leaving);
 }
 
+Test(wire, retry_after_is_a_number_of_seconds_or_damaged) {
+  static const struct {
+    const char *text;
+    double seconds;
+    bool is_invalid;
+  } rows[] = {{"3", 3, false},       {"0.25", 0.25, false},
+              {"0", 0, false},       {"1e9", 0, true},
+              {"-3", 0, true},       {"", 0, true},
+              {"soon", 0, true},     {"Wed, 21 Oct 2026 07:28:00 GMT", 0, true},
+              {"99999", 3600, false}};
+  AnswerInfo a;
+  for (size_t i = 0; i < sizeof rows / sizeof *rows; i++) {
+    read_answer("Retry-After", rows[i].text, &a);
+    cr_assert_float_eq(a.retry_after_s, rows[i].seconds, 1e-9, "%s",
+                       rows[i].text);
+    cr_assert_eq(a.retry_after_invalid, rows[i].is_invalid, "%s", rows[i].text);
+  }
+  read_answer("Server-Limit", "1", &a);
+  cr_assert_eq(a.retry_after_s, 0);
+  cr_assert_not(a.retry_after_invalid);
+}
+
 Test(wire, a_reported_load_is_read) {
   static const struct {
     const char *text;
