route: a target that asks for a pause gets no requests until its end

Engines that had rejected an instance with 503 and Retry-After: 3 got up to 12 more requests of it in that time (2 are allowed from half a second on). Cause: Retry-After of targets was read by nobody; a rejection ejected its target for 0.1 s. A target that rejects all is idle and so the cheapest choice, which draws more requests to it: four of twelve got 28 to 80 requests a second, all rejected, while eight were free.

Now the target is no candidate of this instance until the pause ends; a shorter Retry-After or a newer entry does not end it. Where all that is left has asked for a pause, callers are refused at once with the end of the first one, spread over 0.3 s; a request whose targets rejected it is told the same.

--- a/packages/flow/dispatch.c
+++ b/packages/flow/dispatch.c
@@ -99,6 +99,35 @@
            "begun", x->has_first_byte ? now - x->first_byte_at : -1);
 }
 
+/* Why no target could be chosen. retry_ms 0: the choice states it. */
+static const struct {
+  int retry_ms;
+  const char *text;
+} none_causes[TARGET_NONE_COUNT] = {
+    [TARGET_NONE_AVAILABLE] = {RUN_RETRY_SOON_MS, "no target serves %s now"},
+    [TARGET_NONE_IN_REGION] = {RUN_RETRY_NOT_ALLOWED_MS,
+                               "%s has no target in the allowed regions"},
+    [TARGET_NONE_EVACUATED] = {RUN_RETRY_EVACUATED_MS,
+                               "what is left of %s is evacuated"},
+    [TARGET_NONE_PAUSED] = {0, "what is left of %s asked for a pause"},
+    [TARGET_NONE_FULL] = {0, "what is left of %s takes no more now"},
+};
+
+/* Retry-After when no target could be chosen. */
+static int none_retry_ms(const TargetChoice *c) {
+  int ms = none_causes[c->none].retry_ms;
+  return ms > 0 ? ms : (int)(c->retry_after_s * 1000);
+}
+
+/* Retry-After of a request that its targets rejected: soon, unless none of the
+   service takes requests now. */
+static int rejected_retry_ms(Run *x) {
+  TargetRequest criteria = run_target_criteria(x);
+  criteria.n_tried = 0;
+  TargetChoice c = targets_pick(x->relay->targets, run_now(x), &criteria);
+  return c.target ? RUN_RETRY_SOON_MS : none_retry_ms(&c);
+}
+
 /* The target did not run the request: nothing was sent, or its answer states
    so. */
 static void handle_not_run(Run *x, bool sent) {
@@ -109,7 +138,7 @@
     run_dispatch(x);
     return;
   }
-  err_retry(&e, ERR_OVERLOADED, RUN_RETRY_SOON_MS,
+  err_retry(&e, ERR_OVERLOADED, rejected_retry_ms(x),
             "no target took the request");
   run_fail(x, &e);
 }
@@ -330,21 +359,9 @@
 /* Refuses at once when no target can be used, with a Retry-After by the
    cause. */
 static void fail_without_target(Run *x, const TargetChoice *c) {
-  static const struct {
-    int retry_ms;
-    const char *text;
-  } causes[TARGET_NONE_COUNT] = {
-      [TARGET_NONE_AVAILABLE] = {RUN_RETRY_SOON_MS, "no target serves %s now"},
-      [TARGET_NONE_IN_REGION] = {RUN_RETRY_NOT_ALLOWED_MS,
-                                 "%s has no target in the allowed regions"},
-      [TARGET_NONE_EVACUATED] = {RUN_RETRY_EVACUATED_MS,
-                                 "what is left of %s is evacuated"},
-      [TARGET_NONE_FULL] = {0, "what is left of %s takes no more now"},
-  };
   Err e;
-  int retry_ms = causes[c->none].retry_ms;
-  if (c->none == TARGET_NONE_FULL) retry_ms = (int)(c->retry_after_s * 1000);
-  err_retry(&e, ERR_NO_TARGET, retry_ms, causes[c->none].text, x->service_name);
+  err_retry(&e, ERR_NO_TARGET, none_retry_ms(c), none_causes[c->none].text,
+            x->service_name);
   if (x->maybe_ran) err_set(&e, ERR_TARGET_FAILED, "no other target is left");
   run_fail(x, &e);
 }
--- a/packages/flow/notices.c
+++ b/packages/flow/notices.c
@@ -16,6 +16,7 @@
     log_warn("target-pause-damaged", "s:s,s:s", "target", target_id(x->target),
              "request", x->request.id);
   if (a->retry_after_s <= 0) return;
+  target_note_pause(x->target, run_now(x), a->retry_after_s);
   count_add(COUNT_PAUSES_REQUESTED, 1);
   log_info("target-pause", "s:s,s:s,s:f", "target", target_id(x->target),
            "request", x->request.id, "seconds", a->retry_after_s);
--- a/packages/route/choose.c
+++ b/packages/route/choose.c
@@ -46,6 +46,8 @@
    longer one hardly any caller has time left to be served. */
 #define RETRY_AFTER_MIN_S 0.1
 #define RETRY_AFTER_MAX_S 4.0
+/* Callers return within this time after the end of a target's pause. */
+#define PAUSE_RETRY_SPREAD_S 0.3
 
 #define DONOR_MIN_AGE_S 0.5 /* a donor has read by then what it was sent */
 /* Moving less is not worthwhile: it is read again in a few milliseconds. */
@@ -358,7 +360,8 @@
   if (p->now >= t->leave_at || was_tried(p->request, t))
     return TARGET_NONE_AVAILABLE;
   if (!is_in_allowed_region(p, t, REGIONS_TARGET)) return TARGET_NONE_IN_REGION;
-  return t->evacuated ? TARGET_NONE_EVACUATED : TARGET_NONE_FULL;
+  if (t->evacuated) return TARGET_NONE_EVACUATED;
+  return p->now < t->paused_until ? TARGET_NONE_PAUSED : TARGET_NONE_FULL;
 }
 
 /* Requests per second that a full pool accepts, and when its first target has
@@ -389,15 +392,26 @@
   return pool->last_retry_at - p->now;
 }
 
+/* Callers that were refused during a pause do not all return at its end. */
+static double retry_after_pause_s(const Pick *p, double paused_until) {
+  double spread_s = PAUSE_RETRY_SPREAD_S * g_rand_double(p->set->rand);
+  return paused_until - p->now + spread_s;
+}
+
 /* Sets why no target can take the request, and when to retry. */
 static void set_none_reason(const Pick *p, TargetChoice *c) {
   PoolCapacity capacity = {.wait_s = INFINITY};
+  double paused_until = INFINITY; /* end of the first pause */
   for (guint i = 0; i < p->pool->members->len; i++) {
     const Target *t = p->pool->members->pdata[i];
     TargetNoneReason why = exclusion_reason(p, t);
     c->none = MAX(c->none, why);
     if (why == TARGET_NONE_FULL) add_pool_capacity(p, t, &capacity);
+    if (why == TARGET_NONE_PAUSED)
+      paused_until = MIN(paused_until, t->paused_until);
   }
+  if (c->none == TARGET_NONE_PAUSED)
+    c->retry_after_s = retry_after_pause_s(p, paused_until);
   if (c->none == TARGET_NONE_FULL)
     c->retry_after_s = next_retry_after_s(p, &capacity);
 }
--- a/packages/route/state.h
+++ b/packages/route/state.h
@@ -46,6 +46,7 @@
   bool evacuated;      /* its data centre is under evacuation: operators have
                           excluded its targets */
   double cold_until;
+  double paused_until; /* it asked for no requests of ours until then */
   /* Before limit_until the counting instance probably gives no permit within
      the target's limit; before full_until it probably gives none at all. */
   double limit_until, full_until;
--- a/packages/route/targets.c
+++ b/packages/route/targets.c
@@ -271,7 +271,7 @@
    so, is gone. */
 static bool is_forgettable(const Target *t, double now) {
   double since = t->stated_leaving ? t->unlisted_at : t->leave_at;
-  return t->open == 0 && now > since + FORGET_LEFT_S;
+  return t->open == 0 && now > since + FORGET_LEFT_S && now >= t->paused_until;
 }
 
 static gboolean remove_if_forgettable(gpointer key, gpointer value,
@@ -314,7 +314,7 @@
 }
 
 bool target_is_usable(const Target *t, double now) {
-  return now < t->leave_at && !t->evacuated;
+  return now < t->leave_at && !t->evacuated && now >= t->paused_until;
 }
 
 const char *target_id(const Target *t) {
@@ -450,6 +450,10 @@
   return is_first;
 }
 
+void target_note_pause(Target *t, double now, double seconds) {
+  t->paused_until = MAX(t->paused_until, now + seconds);
+}
+
 /* == work of the other instances == */
 
 /* Sums up what the other instances have there, by their recent reports. */
--- a/packages/route/targets.h
+++ b/packages/route/targets.h
@@ -114,6 +114,7 @@
   TARGET_NONE_AVAILABLE, /* there are none, or all were tried */
   TARGET_NONE_IN_REGION, /* the rest is outside the request's regions */
   TARGET_NONE_EVACUATED, /* the rest is evacuated */
+  TARGET_NONE_PAUSED,    /* the rest has asked for no requests for a time */
   TARGET_NONE_FULL,      /* the rest is bounded and has no capacity left */
   TARGET_NONE_COUNT
 } TargetNoneReason;
@@ -121,8 +122,9 @@
 typedef struct TargetChoice {
   Target *target;        /* NULL: none was chosen */
   TargetNoneReason none; /* why none was chosen */
-  double retry_after_s;  /* for TARGET_NONE_FULL: when the caller may retry */
-  QuotaBounds bounds;    /* bounds on the target for this request */
+  double retry_after_s; /* for TARGET_NONE_PAUSED and TARGET_NONE_FULL: when the
+                           caller may retry */
+  QuotaBounds bounds;   /* bounds on the target for this request */
   bool bounded;  /* the bounds apply: the request needs a permit (tally.h) */
   double wait_s; /* predicted time until the first byte */
   int64_t uncached_tokens; /* the target probably has to read them */
@@ -145,7 +147,7 @@
                      uint64_t out[TARGETS_MAX_QUERIED]);
 
 TargetChoice targets_pick(Targets *s, double now, const TargetRequest *request);
-/* Whether it may take new work. */
+/* Whether it may take new work of this instance. */
 bool target_is_usable(const Target *t, double now);
 const char *target_id(const Target *t);
 const char *target_addr(const Target *t);
@@ -187,6 +189,9 @@
    entry says, since it can't write its entry while the store is unavailable.
    Returns false if it did so before. */
 bool target_note_leaving(Target *t, double now);
+/* It asks not to be sent requests by this instance for `seconds`. A shorter
+   time does not end a longer one. */
+void target_note_pause(Target *t, double now, double seconds);
 
 /* == bounded targets == */
 
--- a/tests/test_targets.c
+++ b/tests/test_targets.c
@@ -136,6 +136,57 @@
   targets_free(s);
 }
 
+/* Guards against requests to a target that asked, with Retry-After, to be sent
+   none for a time. */
+Test(targets, target_that_asked_for_a_pause_gets_no_work_until_its_end) {
+  Targets *s = targets_with(1);
+  RequestInfo a = {0};
+  TargetRequest request = {.service = "svc", .info = &a};
+  Target *t = pick(s, 1, &a, false);
+  target_note_pause(t, 1, 3);
+  target_note_pause(t, 2, 0.5);
+  list_again(s, 2, 0, 20);
+  TargetChoice c = targets_pick(s, 3.5, &request);
+  cr_assert_null(c.target, "a shorter pause does not end it");
+  cr_assert_eq(c.none, TARGET_NONE_PAUSED);
+  cr_assert_geq(c.retry_after_s, 0.5 - 1e-9);
+  cr_assert_leq(c.retry_after_s, 0.8 + 1e-9);
+  cr_assert_not(target_is_usable(t, 3.9));
+  cr_assert_eq(pick(s, 4, &a, false), t);
+  targets_free(s);
+}
+
+Test(targets, callers_return_when_the_first_pause_ends) {
+  Targets *s = targets_with(2);
+  RequestInfo a = {0};
+  TargetRequest request = {.service = "svc", .info = &a};
+  Target *t = pick(s, 1, &a, false);
+  target_note_pause(t, 1, 30);
+  Target *u = pick(s, 1, &a, false);
+  cr_assert_neq(t, u);
+  target_note_pause(u, 1, 5);
+  double first = targets_pick(s, 2, &request).retry_after_s, last = first;
+  for (int i = 0; i < 50; i++) {
+    double at = targets_pick(s, 2, &request).retry_after_s;
+    first = MIN(first, at);
+    last = MAX(last, at);
+  }
+  cr_assert(first >= 4 && last < 5, "%f to %f", first, last);
+  cr_assert_gt(last - first, 0.1, "they do not all return at once");
+  targets_free(s);
+}
+
+Test(targets, target_with_a_pause_is_not_forgotten_before_its_end) {
+  Targets *s = targets_with(1);
+  RequestInfo a = {0};
+  target_note_pause(pick(s, 1, &a, false), 1, 100);
+  targets_remove(s, 2, "i-0", false);
+  targets_sweep(s, 60);
+  list_again(s, 60, 0, 20);
+  cr_assert_null(pick(s, 60, &a, false));
+  targets_free(s);
+}
+
 Test(targets, listing_removes_unlisted_targets) {
   Targets *s = targets_with(3);
   GHashTable *ids = g_hash_table_new(g_str_hash, g_str_equal);
