--- a/packages/kernel/count.c
+++ b/packages/kernel/count.c
@@ -70,6 +70,8 @@
     [COUNT_STORE_WRITES] = {"store_writes_total", "platform writes"},
     [COUNT_STORE_CONFLICTS] = {"store_conflicts_total", "lost version races"},
     [COUNT_STORE_FAILURES] = {"store_failures_total", "no usable answer"},
+    [COUNT_STORE_RESTORES] = {"store_restores_total",
+                              "restores of the store from a backup seen"},
     [COUNT_FEED_GAPS] = {"feed_gaps_total",
                          "times that what was told left something out"},
     [COUNT_FEED_HELD] = {"feed_held_total",
--- a/packages/store/objects.h
+++ b/packages/store/objects.h
@@ -22,6 +22,9 @@
   ErrKind kind;
   int unreadable_members; /* entries of a list that could not be read */
   bool connection_cut; /* the store closed the connection before it answered */
+  /* Number of restores of the store from a backup, as it states it; each may
+     undo its last seconds. 0: not stated. */
+  uint64_t era;
   json_t *body;
 } StoreAnswer;
 
@@ -53,6 +56,9 @@
    the loop's time. */
 double store_last_contact(const Store *s);
 
+/* The highest era that an answer has stated; 0: none. */
+uint64_t store_era(const Store *s);
+
 /* Lists one page of the objects of a kind, starting with the first name after
    `after` ("": the first page). The answer is
    {"entries":[..],"more":bool,"at":revision}. `stale`: the list may be seconds
