--- a/fakes/standins.py
+++ b/fakes/standins.py
@@ -58,8 +58,11 @@
             self.open.discard(c)
             c.close()
 
+    def respond(self, method, path, headers, body):
+        return self.handle(method, path, headers, body)
+
     def answer(self, c, method, path, headers, body):
-        response = self.handle(method, path, headers, body)
+        response = self.respond(method, path, headers, body)
         if response is None:
             return False
         status, extra, data = response
@@ -93,7 +96,12 @@
     A healthy store may also do this: `old_s`: listings that allow stale data show
     the state of so many seconds ago. `cut`: the share of waiting watches that are
     closed. `per_s`: calls over this rate per second get 429; 0: no limit. `page`:
-    max entries per page of a listing; 0: no limit."""
+    max entries per page of a listing; 0: no limit.
+
+    restore() brings back an older copy. `era`: the number of copies so far, stated in
+    all answers; None: it is not stated before the first."""
+
+    WRITTEN_AGAIN = ("config", "servers", "evacuations")
 
     def __init__(self, address, seed=1):
         self.lock = threading.Condition()
@@ -104,6 +112,7 @@
         self.down = self.lose = self.hang = self.unfenced = False
         self.old_s, self.cut, self.per_s = 0.0, 0.0, 0
         self.page = 0
+        self.era = None
         self.torn = set()  # names of objects returned as invalid JSON
         self.pages = []  # (kind, time) of each listing page served
         self.cuts = 0  # how often all waiting watches were closed
@@ -137,6 +146,12 @@
             return None
         return status, {}, answer.encode()
 
+    def respond(self, method, path, headers, body):
+        response = self.handle(method, path, headers, body)
+        if response and self.era is not None:
+            response[1]["Store-Era"] = str(self.era)
+        return response
+
     def answer(self, c, method, path, headers, body):
         started_at = time.monotonic()
         done = super().answer(c, method, path, headers, body)
@@ -188,6 +203,43 @@
             self.history, self.forgotten = [], self.revision
             self.lock.notify_all()
 
+    def restore(self, age_s, away_s=0.2, again_s=0.5):
+        """Is away, then comes back as it was `age_s` seconds ago, in a new era: the
+        revisions since are given out again. What operators and workers wrote since
+        is written again after `again_s`; what the instances wrote is lost."""
+        self.down = True
+        self.cut_watches()
+        time.sleep(away_s)
+        with self.lock:
+            until = time.monotonic() - away_s - age_s
+            lost = [c for c in self.changes if c[0] > until]
+            self.changes = [c for c in self.changes if c[0] <= until]
+            self.kinds, self.texts = {}, {}
+            for _, _, kind, e in self.changes:
+                self._apply(kind, e)
+            self.revision = max([1] + [c[1] for c in self.changes])
+            self.history = [h for h in self.history if h[0] <= self.revision]
+            self.forgotten = min(self.forgotten, self.revision)
+            self.era = (self.era or 0) + 1
+        self.down = False
+        time.sleep(again_s)
+        with self.lock:
+            last = {(k, e["object"]["meta"]["name"]): e for _, _, k, e in lost}
+            for (kind, name), e in last.items():
+                if kind not in self.WRITTEN_AGAIN:
+                    continue
+                if not e["gone"]:
+                    self._set(kind, name, e["object"]["spec"])
+                elif name in self.kinds.get(kind, {}):
+                    self._remove(kind, name)
+
+    def _apply(self, kind, event):
+        objects, o = self.kinds.setdefault(kind, {}), event["object"]
+        if event["gone"]:
+            objects.pop(o["meta"]["name"], None)
+        else:
+            objects[o["meta"]["name"]] = o
+
     def cut_watches(self):
         """Closes all watches that are waiting."""
         with self.lock:
@@ -201,7 +253,7 @@
         if self.dice.random() < self.cut:
             cut_at = now + self.dice.random() * wait_s
         while True:
-            if since < self.forgotten:
+            if since < self.forgotten or since > self.revision:
                 return 410, {}, b"{}"
             events = [e for r, k, e in self.history if k == kind and r > since]
             now = time.monotonic()
