store, feed: revisions carry the era of the store

After a drill, callers' requests reached a target 3.2 s after the store had its leaving (3 s are allowed), and 86 instances called the store 4,000 times a second. Cause: a revision was taken for one that only grows. An instance kept the one from before the drill (482), asked for a watch from it, got 410, listed at a lower one (410), kept the higher, and began again; entries whose revision was lower than the known one were passed over, and updates of readers as well. Evidence: tests/restored.py on the stand-in, 34 and 57 requests to targets that had left, 15,558 calls a second of 3 instances; the same revision in each history-lost line (hypothesis 1). Hypothesis 2 (the store's rate keeps readers away) is ruled out: the stand-in has no rate.

Now every revision in memory and between instances has the store's era in its upper bits (store/revision.h), so that a later era is newer in each comparison: entries, trials, listings, handover, readers' updates and budget shards. A conditional write with a revision of an earlier era is not sent: another text may have that number by now. A target that stated its leaving in its entry never takes that back, so the copy's older entry does not bring it back; without this the test for it fails from this change on.

--- a/packages/fleet/cluster.c
+++ b/packages/fleet/cluster.c
@@ -94,6 +94,7 @@
   Cluster *c = call->cluster;
   StoreObject o = {0};
   char *text = NULL;
+  o.revision = revision_make(a->era, 0); /* when there is no object */
   if (store_parse_object(a, &o) && !call->is_write && o.content)
     text = json_dumps(o.content, JSON_COMPACT);
   if (a->kind != ERR_NONE && a->kind != ERR_STORE_ABSENT)
--- a/packages/route/state.h
+++ b/packages/route/state.h
@@ -42,7 +42,8 @@
   bool lapsed; /* its entry in the store is missing, perhaps only because the
                   store is unavailable */
   double unlisted_at; /* its entry is missing since then; INFINITY: it is not */
-  bool stated_leaving; /* it stated in an answer that it is leaving */
+  bool stated_leaving; /* it stated, in an answer or in its entry, that it is
+                          leaving; it never takes that back */
   bool evacuated;      /* its data centre is under evacuation: operators have
                           excluded its targets */
   double cold_until;
--- a/packages/route/targets.c
+++ b/packages/route/targets.c
@@ -165,7 +165,8 @@
   t->evacuated = evacuation_contains(s->evacuation, info->dc);
   t->region = s->regions ? regions_of_dc(s->regions, info->dc) : 0;
   t->unlisted_at = INFINITY;
-  if (info->leaving || t->stated_leaving)
+  t->stated_leaving |= info->leaving;
+  if (t->stated_leaving)
     mark_leaving(t, now, false);
   else
     t->leave_at = INFINITY;
--- a/packages/store/objects.h
+++ b/packages/store/objects.h
@@ -1,7 +1,8 @@
 /* objects.h: the asynchronous client of the platform's object store, for use on
    the event loop; the platform's adapter implements it. An object has a kind, a
-   name and a revision, which grows with each change. The platform charges for
-   every call, and every call is counted. */
+   name and a revision, which grows with each change; all revisions here include
+   the store's era (revision.h). The platform charges for every call, and every
+   call is counted. */
 #ifndef STORE_OBJECTS_H
 #define STORE_OBJECTS_H
 
@@ -11,6 +12,7 @@
 
 #include "kernel/err.h"
 #include "store/calls.h"
+#include "store/revision.h"
 
 typedef struct Store Store;
 
@@ -61,21 +63,25 @@
 
 /* Lists one page of the objects of a kind, starting with the first name after
    `after` ("": the first page). The answer is
-   {"entries":[..],"more":bool,"at":revision}. `stale`: the list may be seconds
-   old, and the call has a tenth of the price. */
+   {"entries":[..],"more":bool,"at":number of the revision}. `stale`: the list
+   may be seconds old, and the call has a tenth of the price. */
 void store_list(Store *s, CallsPurpose purpose, const char *kind,
                 const char *after, bool stale, StoreDone done, void *ctx);
 /* Waits up to `wait_s` for changes of objects of a kind after `revision`. The
-   answer is {"events":[{"object":..,"gone":bool}],"at":revision}, or
-   ERR_STORE_ABSENT when the store's history no longer contains `revision`. */
+   answer is {"events":[{"object":..,"gone":bool}],"at":number of the revision},
+   or ERR_STORE_ABSENT when the store's history does not contain `revision`.
+   When its era has risen, the events may be those after another revision with
+   the same number. */
 void store_watch(Store *s, CallsPurpose purpose, const char *kind,
                  uint64_t revision, double wait_s, StoreDone done, void *ctx);
 /* Ends the pending lists and watches, as if the store had ended them. */
 void store_end_reads(Store *s);
 void store_get(Store *s, CallsPurpose purpose, const char *kind,
                const char *name, StoreDone done, void *ctx);
-/* Replaces the object if it is at `revision`, or creates it when `revision` is
-   0. Takes ownership of `content`. */
+/* Replaces the object if it is at `revision`, or creates it when the number of
+   `revision` is 0. The answer is ERR_STORE_UNKNOWN when the era has risen since
+   `revision` was read, as the object may be another one with the same number.
+   Takes ownership of `content`. */
 void store_put(Store *s, CallsPurpose purpose, const char *kind,
                const char *name, uint64_t revision, json_t *content,
                StoreDone done, void *ctx);
--- a/tests/test_targets.c
+++ b/tests/test_targets.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "route/targets.h"
+#include "store/revision.h"
 
 static TargetInfo info(int i, const char *service) {
   TargetInfo t = {.slots = 4, .revision = 10};
@@ -124,6 +125,20 @@
   targets_free(s);
 }
 
+/* Guards against a target coming back with an entry of a store that was
+   restored from a backup, which is older than its leaving. */
+Test(targets, target_does_not_return_with_an_entry_from_before_its_leaving) {
+  Targets *s = targets_with(1);
+  RequestInfo a = {0};
+  TargetInfo t = info(0, "svc");
+  t.leaving = true;
+  t.revision = 11;
+  targets_set(s, 1, &t);
+  list_again(s, 2, 0, revision_make(1, 5));
+  cr_assert_null(pick(s, 2, &a, false));
+  targets_free(s);
+}
+
 Test(targets, restarted_target_does_not_inherit_that_it_leaves) {
   Targets *s = targets_with(1);
   RequestInfo a = {0};
