route: a target whose removal a restored store lost is confirmed before it gets work

After a restore, a target whose entry had been removed got 37 requests, as the copy still had the entry: some targets leave without saying so, and end. Cause: the removal was remembered only until the entry was read again, whatever copy it came from. Now such a target gets work when its entry changes in the new era, or has stayed for 5 s, in which the entry of an ended target disappears; one that lapsed with the store is usable at once.

--- a/packages/route/state.h
+++ b/packages/route/state.h
@@ -42,6 +42,7 @@
   bool lapsed; /* its entry in the store is missing, perhaps only because the
                   store is unavailable */
   double unlisted_at; /* its entry is missing since then; INFINITY: it is not */
+  double unconfirmed_until; /* its entry is back with a copy of the store */
   bool stated_leaving; /* it stated, in an answer or in its entry, that it is
                           leaving; it never takes that back */
   bool evacuated;      /* its data centre is under evacuation: operators have
--- a/packages/route/targets.c
+++ b/packages/route/targets.c
@@ -5,9 +5,12 @@
 #include <string.h>
 #include <xxhash.h>
 
+#include "store/revision.h"
+
 /* Entries that disappeared during a store outage are back within two seconds
    of its return, and a leaving target may get work for two seconds. */
 #define LAPSED_USE_S 1.5
+#define CONFIRM_S 5.0      /* the entry of an ended target disappears in 4 s */
 #define FORGET_LEFT_S 30.0 /* targets that left are forgotten after this */
 /* An unresponsive target is ejected for this long, doubled each time up to the
    maximum. */
@@ -151,6 +154,23 @@
   return !t || info->revision > t->info.revision;
 }
 
+/* The entry was removed, and is back since the store was restored from a backup
+   that is older than the removal. */
+static bool is_back_with_copy(const Target *t, const TargetInfo *info) {
+  bool is_restored =
+      revision_era(info->revision) > revision_era(t->info.revision);
+  return is_restored && !isinf(t->unlisted_at) && !t->lapsed;
+}
+
+/* Such a target may have left. It gets work once its entry changes, or has not
+   disappeared in the time that the entry of an ended target takes to do so. */
+static void update_unconfirmed(Target *t, double now, const TargetInfo *info) {
+  if (is_back_with_copy(t, info))
+    t->unconfirmed_until = now + CONFIRM_S;
+  else if (info->revision > t->info.revision)
+    t->unconfirmed_until = 0;
+}
+
 bool targets_set(Targets *s, double now, const TargetInfo *info) {
   Target *t = g_hash_table_lookup(s->by_id, info->id);
   if (t && info->revision < t->info.revision) return false;
@@ -160,6 +180,7 @@
   bool is_newer = !t || info->revision > t->info.revision;
   if (!t) t = target_new(s, info);
   if (is_newer) t->cold_until = now + info->cold_s;
+  update_unconfirmed(t, now, info);
   t->info = *info;
   t->lapsed = false;
   t->evacuated = evacuation_contains(s->evacuation, info->dc);
@@ -315,7 +336,8 @@
 }
 
 bool target_is_usable(const Target *t, double now) {
-  return now < t->leave_at && !t->evacuated && now >= t->paused_until;
+  return now < t->leave_at && now >= t->unconfirmed_until && !t->evacuated &&
+         now >= t->paused_until;
 }
 
 const char *target_id(const Target *t) {
--- a/tests/test_targets.c
+++ b/tests/test_targets.c
@@ -139,6 +139,35 @@
   targets_free(s);
 }
 
+/* Guards against requests to a target whose entry was removed and came back
+   with a store that was restored from a backup. */
+Test(targets, removed_entry_that_a_restore_brings_back_is_confirmed_first) {
+  Targets *s = targets_with(1);
+  RequestInfo a = {0};
+  targets_remove(s, 1, "i-0", false);
+  list_again(s, 2, 0, revision_make(1, 5));
+  cr_assert_null(pick(s, 3, &a, false));
+  list_again(s, 4, 0, revision_make(1, 5));
+  cr_assert_null(pick(s, 4, &a, false), "only listed again");
+  cr_assert_not_null(pick(s, 7, &a, false), "it is still there");
+  targets_remove(s, 8, "i-0", false);
+  list_again(s, 9, 0, revision_make(2, 5));
+  cr_assert_null(pick(s, 9, &a, false));
+  list_again(s, 9.5, 0, revision_make(2, 6));
+  cr_assert_not_null(pick(s, 9.5, &a, false), "it has written it again");
+  targets_free(s);
+}
+
+/* An entry that lapsed with its store is usable as soon as it is back. */
+Test(targets, lapsed_entry_that_a_restore_brings_back_is_usable) {
+  Targets *s = targets_with(1);
+  RequestInfo a = {0};
+  targets_remove(s, 1, "i-0", true);
+  list_again(s, 2, 0, revision_make(1, 5));
+  cr_assert_not_null(pick(s, 2, &a, false));
+  targets_free(s);
+}
+
 Test(targets, restarted_target_does_not_inherit_that_it_leaves) {
   Targets *s = targets_with(1);
   RequestInfo a = {0};
