--- a/tests/restored.py
+++ b/tests/restored.py
@@ -147,9 +147,7 @@
     assert time.monotonic() - began < BOUND_S
 
 
-def test_an_evacuation_that_the_store_lost_stays_in_force(s):
-    """Guards against requests to an evacuated data centre, of whose evacuation the
-    copy does not know yet."""
+def evacuation_stays(s):
     with_targets(s)
     away = s.engines[:1] + s.desks[:1]
     for t in away:
@@ -167,9 +165,18 @@
         send_all(s, 4), all(t.since(began) for t in away))[-1])
 
 
-def test_an_evacuation_ended_before_a_restore_does_not_stay(s):
-    """Guards against an evacuation that is kept for ever, since the store neither has
-    it nor tells of its end."""
+def test_an_evacuation_that_the_store_lost_stays_in_force(s):
+    """Guards against requests to an evacuated data centre, of whose evacuation the
+    copy does not know yet."""
+    evacuation_stays(s)
+
+
+def test_an_evacuation_that_the_store_lost_stays_for_fourteen_instances(s):
+    """The same where a few instances read the store for the others."""
+    evacuation_stays(s)
+
+
+def evacuation_ends(s):
     with_targets(s)
     for t in s.engines + s.desks:
         s.store.put("servers", t.name, dict(t.entry, zone="b"))
@@ -182,6 +189,17 @@
              lambda: all(a.status == 200 for a in send_all(s, 1)), 20)
 
 
+def test_an_evacuation_ended_before_a_restore_does_not_stay(s):
+    """Guards against an evacuation that is kept for ever, since the store neither has
+    it nor tells of its end."""
+    evacuation_ends(s)
+
+
+def test_an_evacuation_does_not_stay_for_fourteen_instances(s):
+    """The same where a few instances read the store for the others."""
+    evacuation_ends(s)
+
+
 TESTS = {n: f for n, f in globals().items() if n.startswith("test_")}
 
 if __name__ == "__main__":
