ledger: a witness restores grants of homes that are lost beside a restore

Causes: a witness looked for lost homes only as it saw the new era, when the view still has them; where the home had replaced its witness, the former one wrote its lower limit first; and a late answer of the store took what was left of the 6 s hold.

Now the witness looks each second until a document of the era has the grant, raises a grant that the document has with less, and names itself; the hold is 10 s, which the lay-up covers. What remains is listed: without a witness, or with home and witness both lost, nobody knows what the store lost.

--- a/packages/ledger/state.h
+++ b/packages/ledger/state.h
@@ -166,7 +166,8 @@
   char budget[LIMIT_NAME_BYTES], home[LIMIT_ID_BYTES];
   int64_t limit, returned_to_home;
   bool sealed;
-  double raised_at; /* when the home last requested a limit */
+  double raised_at;   /* when the home last requested a limit */
+  uint64_t found_era; /* of the last document in which it was found */
 } WitnessedGrant;
 
 struct Ledger {
@@ -183,6 +184,7 @@
   /* After a restore of the store: until then no tokens are drawn, and until
      then grants may be missing from documents. */
   double no_draws_until, losses_until;
+  double losses_checked_at;
   int lanes;
   double report_write_s; /* seconds between two writes of spend reports */
   GHashTable *rows;      /* name -> LedgerBudget, as in the table */
@@ -296,7 +298,8 @@
 /* Writes grants of lost homes, of which this instance is the witness, into a
    document that may have lost them. Returns whether it changed `b`. */
 bool witness_restore_grants(Ledger *l, ShardBudget *b);
-/* Touches the shards of such grants. */
+/* Touches the shards of such grants. A home that is lost beside the restore
+   leaves the view only seconds later, so this is repeated. */
 void witness_touch_lost_grants(Ledger *l);
 
 /* == stored.c == */
--- a/packages/ledger/stored.c
+++ b/packages/ledger/stored.c
@@ -20,7 +20,7 @@
 /* After a restore of the store each home writes its grants again before any
    draws tokens that the store takes for free. An instance that does not call
    the store learns of a restore within 3 s. */
-#define RESTORE_HOLD_S 6.0
+#define RESTORE_HOLD_S 10.0
 
 ShardState *sync_shard(Ledger *l, int index) {
   ShardState *s = l->shards[index];
@@ -242,7 +242,8 @@
     HomeBudget *h = s->budgets->pdata[i];
     ShardBudget *b = shard_find_budget(s->doc, h->name);
     if (!b) continue;
-    changed |= witness_restore_grants(l, b);
+    if (revision_era(s->version) == l->era)
+      changed |= witness_restore_grants(l, b);
     changed |= apply_seals(l, h, b);
     changed |= apply_orphan_reports(l, s, h, b);
     changed |= apply_former_grants(l, s, h, b);
@@ -511,6 +512,11 @@
 }
 
 void sync_tick(Ledger *l) {
+  if (l->now < l->losses_until &&
+      l->now - l->losses_checked_at >= LEDGER_IDLE_CHECK_S) {
+    l->losses_checked_at = l->now;
+    witness_touch_lost_grants(l);
+  }
   for (int i = 0; i < LIMIT_BUDGET_SHARDS; i++) {
     ShardState *s = l->shards[i];
     bool is_home = l->rows_by_shard[i] && ledger_is_home(l, i) && !l->draining;
--- a/packages/ledger/witness.c
+++ b/packages/ledger/witness.c
@@ -51,11 +51,24 @@
    that was not raised lately is in the backup, or was closed. */
 static bool may_be_lost(const Ledger *l, const WitnessedGrant *w) {
   double restored_at = l->losses_until - RESTORE_LOSSES_S;
-  return l->now < l->losses_until && w->limit > 0 &&
+  return l->now < l->losses_until && w->limit > 0 && w->found_era < l->era &&
          w->raised_at > restored_at - BACKUP_MAX_AGE_S &&
          !view_find(l->view, w->home);
 }
 
+/* The document may name an earlier witness, which agreed to less. */
+static bool restore_witnessed(const Ledger *l, const WitnessedGrant *w,
+                              uint64_t id, ShardBudget *b) {
+  ShardGrant *g = shard_find_grant(b, id);
+  int64_t open = w->limit - w->returned_to_home;
+  if (g && (g->sealed || g->granted - g->returned >= open)) return false;
+  if (!g) g = shard_add_grant(b, id, w->home, l->self, l->region);
+  g_strlcpy(g->witness, l->self, sizeof g->witness);
+  g->granted = g->returned + open;
+  g->changed_unix_s = l->unix_s;
+  return true;
+}
+
 bool witness_restore_grants(Ledger *l, ShardBudget *b) {
   GHashTableIter it;
   gpointer k, v;
@@ -63,14 +76,11 @@
   if (l->now >= l->losses_until) return false;
   g_hash_table_iter_init(&it, l->witnessed);
   while (g_hash_table_iter_next(&it, &k, &v)) {
-    const WitnessedGrant *w = v;
+    WitnessedGrant *w = v;
     uint64_t id = *(const uint64_t *)k;
     if (strcmp(w->budget, b->name) != 0 || !may_be_lost(l, w)) continue;
-    if (shard_find_grant(b, id)) continue;
-    ShardGrant *g = shard_add_grant(b, id, w->home, l->self, l->region);
-    g->granted = w->limit;
-    g->changed_unix_s = l->unix_s;
-    changed = true;
+    w->found_era = l->era;
+    changed |= restore_witnessed(l, w, id, b);
   }
   return changed;
 }
