ledger: an instance that has just started draws after 5 s, where the store states an era

With the hold of a restore, 10 s, a fleet that starts serves no customer for its first ten seconds. It can't know whether the store was restored a moment ago; others have written their grants again by 5 s, or a store that answers late keeps them from it. Also a test that a request that ends targets stays away though the store lost its trial: it passes, with the three attempts that a new trial may cost.

--- a/packages/ledger/state.h
+++ b/packages/ledger/state.h
@@ -180,7 +180,8 @@
   int64_t unix_s;
   bool draining;
   bool store_down;
-  uint64_t era; /* of the store; 0: unknown, or it states none */
+  uint64_t era;  /* of the store; 0: unknown, or it states none */
+  bool has_read; /* a shard was read */
   /* After a restore of the store: until then no tokens are drawn, and until
      then grants may be missing from documents. */
   double no_draws_until, losses_until;
--- a/packages/ledger/stored.c
+++ b/packages/ledger/stored.c
@@ -21,6 +21,9 @@
    draws tokens that the store takes for free. An instance that does not call
    the store learns of a restore within 3 s. */
 #define RESTORE_HOLD_S 10.0
+/* The same for an instance that has just started: the store may have been
+   restored a moment ago. */
+#define START_HOLD_S 5.0
 
 ShardState *sync_shard(Ledger *l, int index) {
   ShardState *s = l->shards[index];
@@ -419,12 +422,10 @@
   }
 }
 
-/* An instance that has just started does not know whether the store was
-   restored a moment ago, so it draws nothing at first either. */
 void sync_note_era(Ledger *l, uint64_t era) {
   if (era <= l->era) return;
   l->era = era;
-  l->no_draws_until = l->now + RESTORE_HOLD_S;
+  l->no_draws_until = l->now + (l->has_read ? RESTORE_HOLD_S : START_HOLD_S);
   l->losses_until = l->now + RESTORE_LOSSES_S;
   reread_all(l);
   witness_touch_lost_grants(l);
@@ -471,6 +472,7 @@
     return;
   }
   forget_doc(s);
+  l->has_read = true;
   s->doc = doc;
   s->version = version;
   s->dirty = true;
--- a/tests/restored.py
+++ b/tests/restored.py
@@ -10,6 +10,7 @@
 import time
 
 from fleet import config, route, run_tests, wait_for
+from pool import check_bound, repeat_bad, with_pool
 from notices import EVENTS, add_targets, send_all, wait_until_served
 
 INSTANCES, MANY = 3, 14  # in a fleet of MANY a few instances read for the others
@@ -203,6 +204,24 @@
     evacuation_ends(s)
 
 
+def test_a_request_that_ends_targets_stays_away_though_its_trial_was_lost(s):
+    """Guards against a request that ends targets reaching them again, since the store
+    lost its trial and all instances that knew of it were restarted."""
+    s.store.era = 1
+    pool = with_pool(s)
+    for i in range(len(s.processes)):  # all have budget
+        wait_for("instance %d to serve" % i, lambda: s.chat(5, i=i).status == 200)
+    began = time.monotonic()
+    repeat_bad(s, 4).join()
+    s.store.restore(time.monotonic() - began)
+    time.sleep(2.0)
+    restart_all(s)
+    for i in range(len(s.processes)):
+        s.wait_ready(i)
+    repeat_bad(s, 6).join()
+    check_bound(pool)
+
+
 def chat_until(s, end, seed):
     """Sends chats to random instances, one after the other."""
     dice = random.Random(seed)
