trying: a trial that a restored store lost is written again

An instance whose trial was open during a restore wrote its outcome with the revision of the former era each second for ever, and each was rejected here; the trial stayed open for its request, which was refused. Cause: the client does not send a conditional write with a revision of an earlier era, and the trial's was never read again. Now the object is read first; if it is gone, the outcome is written as a new one, and a new attempt at a lost trial creates it.

--- a/packages/flow/trying.c
+++ b/packages/flow/trying.c
@@ -111,7 +111,27 @@
   remove_try(t);
 }
 
-/* Finds whether the trial was created, after a call without an answer. */
+/* The revision is of an earlier era: the store was restored and may have lost
+   the trial, or its last change. */
+static bool is_outdated(const Try *t) {
+  uint64_t r = t->trial.revision;
+  return revision_number(r) > 0 && revision_era(r) < store_era(t->relay->store);
+}
+
+/* The store has lost the trial: its outcome is written as a new object. */
+static void close_lost(Try *t, uint64_t era) {
+  log_try(t, "lost by the store");
+  t->trial.revision = revision_make(era, 0);
+  if (!t->succeeded) {
+    close_try(t);
+    return;
+  }
+  trials_remove(t->relay->trials, t->trial.digest);
+  remove_try(t);
+}
+
+/* Finds whether the trial was created, after a call without an answer, or
+   whether the store still has it. */
 static void on_checked(void *ctx, const StoreAnswer *a) {
   Try *t = ctx;
   StoreObject o;
@@ -120,6 +140,10 @@
   t->store_pending = false;
   format_name(t, name);
   if (a->kind != ERR_NONE && a->kind != ERR_STORE_ABSENT) return;
+  if (is_outdated(t) && !t->unknown && a->kind == ERR_STORE_ABSENT) {
+    close_lost(t, a->era);
+    return;
+  }
   bool ours = store_parse_object(a, &o) &&
               trials_read(name, o.content, o.revision, &found) &&
               found.by == t->trial.by;
@@ -138,7 +162,7 @@
   Store *s = t->relay->store;
   format_name(t, name);
   t->store_pending = true;
-  if (t->unknown) {
+  if (t->unknown || is_outdated(t)) {
     store_get(s, CALLS_TRIAL, FEED_TRIALS_KIND, name, on_checked, t);
     return;
   }
@@ -267,6 +291,8 @@
   t->trial = trials_begin(r->trials, run_digest(x), run_customer_hash(x),
                           clock_unix() * 1000);
   t->trial.by = (uint64_t)g_random_int() << 32 | g_random_int();
+  /* If the store still has it, this fails and tells its state. */
+  if (is_outdated(t)) t->trial.revision = 0;
   t->store_pending = true;
   x->try = t;
   g_ptr_array_add(r->tries, t);
--- a/tests/restored.py
+++ b/tests/restored.py
@@ -222,6 +222,28 @@
     check_bound(pool)
 
 
+def test_a_trial_that_is_open_during_a_restore_is_closed(s):
+    """Guards against a trial whose outcome is written with a revision of the former
+    era, and rejected each second for ever; its request would not be tried again."""
+    s.store.era = 1
+    with_pool(s)
+    for i in range(len(s.processes)):
+        wait_for("instance %d to serve" % i, lambda: s.chat(5, i=i).status == 200)
+
+    def trials(field):
+        return [o for o in list(s.store.kinds.get("trials", {}).values())
+                if o["spec"][field]]
+    bad = repeat_bad(s, 8)
+    wait_for("an open trial", lambda: trials("open"))
+    s.store.restore(2.0)
+    bad.join()
+    time.sleep(3.0)
+    for i in range(len(s.processes)):
+        n = sum(l["event"] == "store-call-outdated" for l in s.log(i))
+        assert n <= 3, "%d outdated calls of instance %d" % (n, i)
+    assert trials("ended"), "the outcome is not in the store"
+
+
 def chat_until(s, end, seed):
     """Sends chats to random instances, one after the other."""
     dice = random.Random(seed)
