route: within an era a newer entry may take a target's leaving back

Only an entry of a later era, which may be older than the leaving, must not take it back; what an answer stated still holds for the life of the target. After: still.py and restored.py pass.

--- a/packages/route/state.h
+++ b/packages/route/state.h
@@ -43,10 +43,11 @@
                   store is unavailable */
   double unlisted_at; /* its entry is missing since then; INFINITY: it is not */
   double unconfirmed_until; /* its entry is back with a copy of the store */
-  bool stated_leaving; /* it stated, in an answer or in its entry, that it is
-                          leaving; it never takes that back */
-  bool evacuated;      /* its data centre is under evacuation: operators have
-                          excluded its targets */
+  /* It stated that it is leaving, in an answer or in an entry that a restored
+     store has lost; no entry takes that back. */
+  bool stated_leaving;
+  bool evacuated; /* its data centre is under evacuation: operators have
+                     excluded its targets */
   double cold_until;
   double paused_until; /* it asked for no requests of ours until then */
   /* Before limit_until the counting instance probably gives no permit within
--- a/packages/route/targets.c
+++ b/packages/route/targets.c
@@ -154,12 +154,19 @@
   return !t || info->revision > t->info.revision;
 }
 
-/* The entry was removed, and is back since the store was restored from a backup
-   that is older than the removal. */
+/* The store was restored from a backup since the known entry was read. */
+static bool is_after_restore(const Target *t, const TargetInfo *info) {
+  return revision_era(info->revision) > revision_era(t->info.revision);
+}
+
+/* The entry was removed, and is back with a backup that is older than that. */
 static bool is_back_with_copy(const Target *t, const TargetInfo *info) {
-  bool is_restored =
-      revision_era(info->revision) > revision_era(t->info.revision);
-  return is_restored && !isinf(t->unlisted_at) && !t->lapsed;
+  return is_after_restore(t, info) && !isinf(t->unlisted_at) && !t->lapsed;
+}
+
+/* The entry stated that the target leaves, and a backup does not say so yet. */
+static bool is_before_leaving(const Target *t, const TargetInfo *info) {
+  return is_after_restore(t, info) && t->info.leaving && !info->leaving;
 }
 
 /* Such a target may have left. It gets work once its entry changes, or has not
@@ -181,13 +188,13 @@
   if (!t) t = target_new(s, info);
   if (is_newer) t->cold_until = now + info->cold_s;
   update_unconfirmed(t, now, info);
+  t->stated_leaving |= is_before_leaving(t, info);
   t->info = *info;
   t->lapsed = false;
   t->evacuated = evacuation_contains(s->evacuation, info->dc);
   t->region = s->regions ? regions_of_dc(s->regions, info->dc) : 0;
   t->unlisted_at = INFINITY;
-  t->stated_leaving |= info->leaving;
-  if (t->stated_leaving)
+  if (info->leaving || t->stated_leaving)
     mark_leaving(t, now, false);
   else
     t->leave_at = INFINITY;
