--- a/packages/route/state.h
+++ b/packages/route/state.h
@@ -42,7 +42,7 @@
   bool lapsed; /* its entry in the store is missing, perhaps only because the
                   store is unavailable */
   double unlisted_at; /* its entry is missing since then; INFINITY: it is not */
-  double unconfirmed_until; /* its entry is back with a copy of the store */
+  double unconfirmed_until; /* its entry is back with a restored store */
   /* It stated that it is leaving, in an answer or in an entry that a restored
      store has lost; no entry takes that back. */
   bool stated_leaving;
--- a/packages/route/targets.c
+++ b/packages/route/targets.c
@@ -160,7 +160,7 @@
 }
 
 /* The entry was removed, and is back with a backup that is older than that. */
-static bool is_back_with_copy(const Target *t, const TargetInfo *info) {
+static bool is_back_with_backup(const Target *t, const TargetInfo *info) {
   return is_after_restore(t, info) && !isinf(t->unlisted_at) && !t->lapsed;
 }
 
@@ -172,7 +172,7 @@
 /* Such a target may have left. It gets work once its entry changes, or has not
    disappeared in the time that the entry of an ended target takes to do so. */
 static void update_unconfirmed(Target *t, double now, const TargetInfo *info) {
-  if (is_back_with_copy(t, info))
+  if (is_back_with_backup(t, info))
     t->unconfirmed_until = now + CONFIRM_S;
   else if (info->revision > t->info.revision)
     t->unconfirmed_until = 0;
