One piece for each check of a restored store

Read again as a whole, no behaviour changed. Whether a revision is of an earlier era was asked by the store's client and by trials, each in its own function: store_is_outdated serves both. Whether a target may have left was asked twice with opposite signs, by target_is_usable and by the cause of a refusal: target_may_have_left. The ledger kept the end of a time and took its begin from it: it keeps restored_at, and one function says whether documents may lack grants; the scenario's store tested the name of a shard twice.

--- a/packages/flow/trying.c
+++ b/packages/flow/trying.c
@@ -111,11 +111,8 @@
   remove_try(t);
 }
 
-/* The revision is of an earlier era: the store was restored and may have lost
-   the trial, or its last change. */
 static bool is_outdated(const Try *t) {
-  uint64_t r = t->trial.revision;
-  return revision_number(r) > 0 && revision_era(r) < store_era(t->relay->store);
+  return store_is_outdated(t->relay->store, t->trial.revision);
 }
 
 /* The store has lost the trial: its outcome is written as a new object. */
--- a/packages/ledger/ledger.c
+++ b/packages/ledger/ledger.c
@@ -73,6 +73,10 @@
   return m ? m->id : l->self;
 }
 
+bool ledger_may_lack_grants(const Ledger *l) {
+  return l->era > 0 && l->now - l->restored_at < RESTORE_LOSSES_S;
+}
+
 /* == events == */
 
 static void dispatch(Ledger *l, const char *from, const LedgerMsg *m) {
--- a/packages/ledger/state.h
+++ b/packages/ledger/state.h
@@ -180,12 +180,12 @@
   int64_t unix_s;
   bool draining;
   bool store_down;
-  uint64_t era;  /* of the store; 0: unknown, or it states none */
-  bool has_read; /* a shard was read */
-  /* After a restore of the store: until then no tokens are drawn, and until
-     then grants may be missing from documents. */
-  double no_draws_until, losses_until;
-  double losses_checked_at;
+  uint64_t era;             /* of the store; 0: unknown, or it states none */
+  bool has_read;            /* a shard was read */
+  double restored_at;       /* when `era` was first seen */
+  double no_draws_until;    /* until then few tokens are drawn */
+  double losses_checked_at; /* when grants were last looked for that documents
+                               may have lost */
   int lanes;
   double report_write_s; /* seconds between two writes of spend reports */
   GHashTable *rows;      /* name -> LedgerBudget, as in the table */
@@ -216,6 +216,8 @@
 
 /* == ledger.c == */
 
+/* Documents may have lost grants in a restore of the store. */
+bool ledger_may_lack_grants(const Ledger *l);
 void ledger_send(Ledger *l, const char *to, const LedgerMsg *m);
 void ledger_add_answer(Ledger *l, uint64_t handle, ErrKind cause, int retry_ms);
 LedgerMsg ledger_make_msg(LedgerKind kind, const char *budget, uint64_t grant);
--- a/packages/ledger/stored.c
+++ b/packages/ledger/stored.c
@@ -56,7 +56,7 @@
 static void restore_granted(const Ledger *l, ShardGrant *g,
                             const PendingSeal *s) {
   int64_t max_open = s->limit - s->returned_to_home;
-  if (l->now >= l->losses_until || !s->witness[0]) return;
+  if (!ledger_may_lack_grants(l) || !s->witness[0]) return;
   g->granted = MAX(g->granted, g->returned + max_open);
 }
 
@@ -426,7 +426,7 @@
   if (era <= l->era) return;
   l->era = era;
   l->no_draws_until = l->now + (l->has_read ? RESTORE_HOLD_S : START_HOLD_S);
-  l->losses_until = l->now + RESTORE_LOSSES_S;
+  l->restored_at = l->now;
   reread_all(l);
   witness_touch_lost_grants(l);
 }
@@ -514,7 +514,7 @@
 }
 
 void sync_tick(Ledger *l) {
-  if (l->now < l->losses_until &&
+  if (ledger_may_lack_grants(l) &&
       l->now - l->losses_checked_at >= LEDGER_IDLE_CHECK_S) {
     l->losses_checked_at = l->now;
     witness_touch_lost_grants(l);
--- a/packages/ledger/witness.c
+++ b/packages/ledger/witness.c
@@ -50,9 +50,8 @@
 /* Whether a document may have lost the grant, and its home can't write it. One
    that was not raised lately is in the backup, or was closed. */
 static bool may_be_lost(const Ledger *l, const WitnessedGrant *w) {
-  double restored_at = l->losses_until - RESTORE_LOSSES_S;
-  return l->now < l->losses_until && w->limit > 0 && w->found_era < l->era &&
-         w->raised_at > restored_at - BACKUP_MAX_AGE_S &&
+  return w->limit > 0 && w->found_era < l->era &&
+         w->raised_at > l->restored_at - BACKUP_MAX_AGE_S &&
          !view_find(l->view, w->home);
 }
 
@@ -73,7 +72,7 @@
   GHashTableIter it;
   gpointer k, v;
   bool changed = false;
-  if (l->now >= l->losses_until) return false;
+  if (!ledger_may_lack_grants(l)) return false;
   g_hash_table_iter_init(&it, l->witnessed);
   while (g_hash_table_iter_next(&it, &k, &v)) {
     WitnessedGrant *w = v;
@@ -88,7 +87,6 @@
 void witness_touch_lost_grants(Ledger *l) {
   GHashTableIter it;
   gpointer v;
-  if (l->now >= l->losses_until) return;
   g_hash_table_iter_init(&it, l->witnessed);
   while (g_hash_table_iter_next(&it, NULL, &v)) {
     const WitnessedGrant *w = v;
--- a/packages/route/choose.c
+++ b/packages/route/choose.c
@@ -357,8 +357,8 @@
 
 /* Why this target can't take the request. */
 static TargetNoneReason exclusion_reason(const Pick *p, const Target *t) {
-  bool may_have_left = p->now >= t->leave_at || p->now < t->unconfirmed_until;
-  if (may_have_left || was_tried(p->request, t)) return TARGET_NONE_AVAILABLE;
+  if (target_may_have_left(t, p->now) || was_tried(p->request, t))
+    return TARGET_NONE_AVAILABLE;
   if (!is_in_allowed_region(p, t, REGIONS_TARGET)) return TARGET_NONE_IN_REGION;
   if (t->evacuated) return TARGET_NONE_EVACUATED;
   return p->now < t->paused_until ? TARGET_NONE_PAUSED : TARGET_NONE_FULL;
--- a/packages/route/state.h
+++ b/packages/route/state.h
@@ -101,6 +101,8 @@
 /* Returns the current bounds on the target for this request. */
 QuotaBounds target_bounds(const Target *t, double now,
                           const TargetRequest *request);
+/* It is leaving, or may be: its entry is missing or not confirmed. */
+bool target_may_have_left(const Target *t, double now);
 /* Returns processing time / usual time at the target, by its last report; 1
    when there is no recent one. */
 double target_slowdown(const Target *t, double now);
--- a/packages/route/targets.c
+++ b/packages/route/targets.c
@@ -342,8 +342,12 @@
   return n;
 }
 
+bool target_may_have_left(const Target *t, double now) {
+  return now >= t->leave_at || now < t->unconfirmed_until;
+}
+
 bool target_is_usable(const Target *t, double now) {
-  return now < t->leave_at && now >= t->unconfirmed_until && !t->evacuated &&
+  return !target_may_have_left(t, now) && !t->evacuated &&
          now >= t->paused_until;
 }
 
--- a/packages/store/objects.h
+++ b/packages/store/objects.h
@@ -60,6 +60,9 @@
 
 /* The highest era that an answer has stated; 0: none. */
 uint64_t store_era(const Store *s);
+/* Whether `revision` is one of an object in an earlier era: the store was
+   restored and may have lost that object, or its last change. */
+bool store_is_outdated(const Store *s, uint64_t revision);
 
 /* Lists one page of the objects of a kind, starting with the first name after
    `after` ("": the first page). The answer is
--- a/scenario/store.c
+++ b/scenario/store.c
@@ -44,8 +44,12 @@
 
 /* Only budget shards are restored. Claims are for the interface whose store
    does not lose what it has acknowledged. */
+static bool is_restorable(const char *name) {
+  return g_str_has_prefix(name, "budget/");
+}
+
 static void save_write(World *w, const char *name, const Object *o) {
-  if (!g_str_has_prefix(name, "budget/")) return;
+  if (!is_restorable(name)) return;
   SavedWrite *x = g_new0(SavedWrite, 1);
   x->at = w->now;
   g_strlcpy(x->name, name, sizeof x->name);
@@ -60,14 +64,15 @@
   g_free(x);
 }
 
-static gboolean is_budget_shard(gpointer name, gpointer object, gpointer ctx) {
+static gboolean remove_restorable(gpointer name, gpointer object,
+                                  gpointer ctx) {
   (void)object;
   (void)ctx;
-  return g_str_has_prefix(name, "budget/");
+  return is_restorable(name);
 }
 
 void world_restore(World *w, double age_s) {
-  g_hash_table_foreach_remove(w->objects, is_budget_shard, NULL);
+  g_hash_table_foreach_remove(w->objects, remove_restorable, NULL);
   guint n = 0;
   for (; n < w->saved_writes->len; n++) {
     const SavedWrite *x = w->saved_writes->pdata[n];
@@ -85,8 +90,7 @@
 }
 
 static uint64_t version_of(const World *w, const Event *e, uint64_t version) {
-  bool is_shard = is_budget_shard((gpointer)e->name, NULL, NULL);
-  return revision_make(is_shard ? w->era : 0, version);
+  return revision_make(is_restorable(e->name) ? w->era : 0, version);
 }
 
 static void store_put(World *w, Event *e) {
