--- a/fakes/standins.py
+++ b/fakes/standins.py
@@ -58,11 +58,8 @@
             self.open.discard(c)
             c.close()
 
-    def respond(self, method, path, headers, body):
-        return self.handle(method, path, headers, body)
-
     def answer(self, c, method, path, headers, body):
-        response = self.respond(method, path, headers, body)
+        response = self.handle(method, path, headers, body)
         if response is None:
             return False
         status, extra, data = response
@@ -123,6 +120,12 @@
         super().__init__(address)
 
     def handle(self, method, path, headers, body):
+        response = self._respond(method, path, body)
+        if response and self.era is not None:
+            response[1]["Store-Era"] = str(self.era)
+        return response
+
+    def _respond(self, method, path, body):
         self.calls += 1
         if self.down:
             return 503, {}, b"{}"
@@ -146,12 +149,6 @@
             return None
         return status, {}, answer.encode()
 
-    def respond(self, method, path, headers, body):
-        response = self.handle(method, path, headers, body)
-        if response and self.era is not None:
-            response[1]["Store-Era"] = str(self.era)
-        return response
-
     def answer(self, c, method, path, headers, body):
         started_at = time.monotonic()
         done = super().answer(c, method, path, headers, body)
@@ -191,10 +188,8 @@
             if when > until:
                 break
             at = revision
-            if k == kind and e["gone"]:
-                objects.pop(e["object"]["meta"]["name"], None)
-            elif k == kind:
-                objects[e["object"]["meta"]["name"]] = e["object"]
+            if k == kind:
+                self._apply(objects, e)
         return self._list(kind, objects.values(), at, args)
 
     def forget(self):
@@ -216,7 +211,7 @@
             self.changes = [c for c in self.changes if c[0] <= until]
             self.kinds, self.texts = {}, {}
             for _, _, kind, e in self.changes:
-                self._apply(kind, e)
+                self._apply(self.kinds.setdefault(kind, {}), e)
             self.revision = max([1] + [c[1] for c in self.changes])
             self.history = [h for h in self.history if h[0] <= self.revision]
             self.forgotten = min(self.forgotten, self.revision)
@@ -233,8 +228,9 @@
                 elif name in self.kinds.get(kind, {}):
                     self._remove(kind, name)
 
-    def _apply(self, kind, event):
-        objects, o = self.kinds.setdefault(kind, {}), event["object"]
+    @staticmethod
+    def _apply(objects, event):
+        o = event["object"]
         if event["gone"]:
             objects.pop(o["meta"]["name"], None)
         else:
--- a/tests/behind.py
+++ b/tests/behind.py
@@ -35,14 +35,6 @@
 LARGEST = 5000    # one of 0.94 MB
 
 
-def restart_all(s):
-    for p in s.processes:
-        p.kill()
-        p.wait()
-    for i in range(len(s.processes)):
-        s.start(i)
-
-
 def instances_too_late(s, knows, since):
     """The instances whose log has no line that satisfies `knows` within BOUND_S
     after `since`."""
@@ -68,7 +60,7 @@
     for p in s.proxies:
         p.rate = LINE
     storm(OLD_S)
-    restart_all(s)
+    s.restart_all()
     storm(IN_TOUCH_S)
     put, wanted = time.time(), version[0]
     gone = s.engines[0].name
@@ -89,7 +81,7 @@
             for k in range(LARGEST)]
     s.proxies[0].rate = LINE // 2
     s.store.put("config", "main", config(2, routes=more))
-    restart_all(s)
+    s.restart_all()
     wait_for("the configuration", lambda: serves(
         s, 0, "/idle-%05d/x" % (LARGEST - 1)), BOUND_S + 1)
 
--- a/tests/crashes.py
+++ b/tests/crashes.py
@@ -45,11 +45,7 @@
 def test_it_stays_away_after_a_restart_of_all(s):
     pool = with_pool(s)
     repeat_bad(s, 4).join()
-    for p in s.processes:
-        p.kill()
-        p.wait()
-    for i in range(len(s.processes)):
-        s.start(i)
+    s.restart_all()
     for i in range(len(s.processes)):
         s.wait_ready(i)
     repeat_bad(s, 6).join()
--- a/tests/faults.py
+++ b/tests/faults.py
@@ -33,11 +33,7 @@
 
     def restart_all(self):
         began = time.monotonic()
-        for p in self.s.processes:
-            p.kill()
-            p.wait()
-        for i in range(len(self.s.processes)):
-            self.s.start(i)
+        self.s.restart_all()
         self.note(began, None)
 
     def freeze(self):
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -164,6 +164,21 @@
         return self.call("/chat/x", "POST", b"hello", i=i,
                          X_Loftpath_Token_Count="%d,%d" % (tokens, out), **more)
 
+    def restart_all(self):
+        """Kills all instances and starts them again."""
+        for p in self.processes:
+            p.kill()
+            p.wait()
+        for i in range(len(self.processes)):
+            self.start(i)
+
+    def remove_workers(self, workers):
+        """Ends workers of one of the site's lists and empties that list."""
+        for w in workers:
+            self.store.remove("servers", w.name)
+            w.close()
+        workers.clear()
+
     def close(self):
         for p in self.processes:
             if p and p.poll() is None:
--- a/tests/limits.py
+++ b/tests/limits.py
@@ -113,9 +113,7 @@
 def with_targets(s, service, limits):
     """Replaces the site's targets by ones with these limits."""
     old = s.engines if service == "engine" else s.desks
-    for e in old:
-        s.store.remove("servers", e.name)
-        e.close()
+    s.remove_workers(old)
     s.store.put("config", "main", config(2, prepaid=10**6))
     old[:] = [Needy(s.store, "%s%d" % (service, i), service, l)
               for i, l in enumerate(limits)]
--- a/tests/notice_soak.py
+++ b/tests/notice_soak.py
@@ -13,7 +13,6 @@
 from fleet import config, run_seeds, wait_for
 from limit_soak import CALLERS, PLAY_S, STRUCK_S, Caller
 from notices import DRAIN_S, GRACE_S, Stating
-from standins import head
 
 INSTANCES, ENGINES = 4, 8
 STAYING = 3        # engines that never leave
@@ -37,11 +36,9 @@
         pause = self.pause
         self.fields = ["Server-Leaving: 1"] if self.leaves else []
         if pause:
-            fields = self.fields + ["Retry-After: %g" % pause, "Content-Length: 0",
-                                    "X-Loftpath-Not-Executed: shed"]
-            c.sendall(head(attempt, *fields).replace(b"200 OK", b"503 X"))
+            done = self.reject(c, attempt, "Retry-After: %g" % pause)
             self.stated.append((time.monotonic(), attempt, pause))
-            return True
+            return done
         done = super().answer(c, method, path, headers, body)
         if self.fields:
             self.stated.append((time.monotonic(), attempt, None))
@@ -49,10 +46,6 @@
 
 
 class Notices(Faults):
-    def __init__(self, s, dice):
-        super().__init__(s, dice)
-        self.dice = dice
-
     def leave(self):
         """Half of those that leave can't tell the store."""
         e = self.dice.choice(self.s.engines[STAYING:])
@@ -101,9 +94,7 @@
 def play(s, seed):
     dice = random.Random(seed)
     s.store.era = 1
-    for e in s.engines:
-        s.store.remove("servers", e.name)
-        e.close()
+    s.remove_workers(s.engines)
     s.store.put("config", "main", config(2, prepaid=10**7))
     s.engines[:] = [Noticed(s.store, "x%d" % k, "engine") for k in range(ENGINES)]
     for i in range(len(s.processes)):
--- a/tests/notices.py
+++ b/tests/notices.py
@@ -33,9 +33,7 @@
         attempt = headers["x-loftpath-attempt-id"]
         self.arrived.append((time.monotonic(), path))
         if self.status == 503:
-            more = ["Content-Length: 0", "X-Loftpath-Not-Executed: shed"]
-            c.sendall(head(attempt, *more, *self.fields).replace(b"200 OK", b"503 X"))
-            return True
+            return self.reject(c, attempt)
         time.sleep(WORK_S)  # beside these, a target that rejects looks idle
         if path.startswith("/chat/"):
             c.sendall(head(attempt, "Content-Type: text/event-stream",
@@ -47,6 +45,12 @@
             c.sendall(head(attempt, "Content-Length: 2", *self.fields) + b"ok")
         return True
 
+    def reject(self, c, attempt, *more):
+        text = head(attempt, "Content-Length: 0", "X-Loftpath-Not-Executed: shed",
+                    *self.fields, *more)
+        c.sendall(text.replace(b"200 OK", b"503 X"))
+        return True
+
     def since(self, t):
         return sum(at >= t for at, _ in self.arrived)
 
@@ -57,20 +61,18 @@
         s.desks.append(Stating(s.store, "y%d" % len(s.desks), "desk"))
 
 
-def wait_until_served(s, status=200):
+def wait_until_served(s):
     for i in range(len(s.processes)):
         wait_for("answers of instance %d" % i, lambda: s.chat(
-            5, i=i).status == status and s.call("/safe/x", i=i).status == status)
+            5, i=i).status == 200 and s.call("/safe/x", i=i).status == 200)
 
 
 def state_to_all(s, fields, status=200):
     """One engine and one desk, which state `fields` in their answers; each instance
     gets one of each. Then two more of both join that state nothing. Returns the
     first ones, and the time from which on all instances were told."""
-    for e in s.engines + s.desks:
-        s.store.remove("servers", e.name)
-        e.close()
-    s.engines[:], s.desks[:] = [], []
+    s.remove_workers(s.engines)
+    s.remove_workers(s.desks)
     s.store.put("config", "main", config(2, prepaid=10**7))
     add_targets(s, 1)
     wait_until_served(s)
@@ -104,6 +106,15 @@
     assert all(a.status == 200 for a in answers), [a.status for a in answers]
 
 
+def list_again(s, targets):
+    """The targets' entries change, and the instances list all of them again."""
+    for t in targets:
+        s.store.put("servers", t.name, dict(t.entry, cold_left_ms=50))
+    time.sleep(1.0)
+    s.store.forget()
+    time.sleep(1.0)
+
+
 def leave_in_answers(s, status=200):
     """The first engine and desk state that they leave; the store doesn't know, and is
     down from then on. Returns them after the time in which they may get more."""
@@ -131,11 +142,7 @@
     does not say so yet, or with a new listing."""
     leaving = leave_in_answers(s)
     s.store.down = False
-    for t in leaving:
-        s.store.put("servers", t.name, dict(t.entry, cold_left_ms=50))
-    time.sleep(1.0)
-    s.store.forget()  # instances list the targets again
-    time.sleep(1.0)
+    list_again(s, leaving)
     check_no_more_requests(s, leaving, time.monotonic())
 
 
@@ -170,11 +177,7 @@
     """Guards against a pause being forgotten with an update of the target's entry, or
     with a new listing."""
     paused, _ = pause(s, LONG_PAUSE_S)
-    for t in paused:
-        s.store.put("servers", t.name, dict(t.entry, cold_left_ms=50))
-    time.sleep(1.0)
-    s.store.forget()  # instances list the targets again
-    time.sleep(1.0)
+    list_again(s, paused)
     check_no_more_requests(s, paused, time.monotonic())
 
 
--- a/tests/pool.py
+++ b/tests/pool.py
@@ -154,10 +154,7 @@
 
 def with_pool(s):
     """Replaces the site's engines by a Pool."""
-    for e in s.engines:
-        s.store.remove("servers", e.name)
-        e.close()
-    s.engines = []
+    s.remove_workers(s.engines)
     conf = config(2, prepaid=10**6)
     conf["tenants"].append({"name": "other", "api_keys": ["key-other"],
                             "prepaid": 10**6})
--- a/tests/restored.py
+++ b/tests/restored.py
@@ -25,10 +25,8 @@
     """Replaces the site's targets by ones that record what they get, and waits until
     the copy has them."""
     s.store.era = 1
-    for e in s.engines + s.desks:
-        s.store.remove("servers", e.name)
-        e.close()
-    s.engines[:], s.desks[:] = [], []
+    s.remove_workers(s.engines)
+    s.remove_workers(s.desks)
     s.store.put("config", "main", config(2, prepaid=10**7))
     add_targets(s, n)
     wait_until_served(s)
@@ -55,6 +53,18 @@
             t.name, len(late), late[-1])
 
 
+def check_unused_beside_restore(s, targets, again_s, seconds):
+    """The targets get no requests from now on until `seconds` later. Meanwhile the
+    store is restored; operators and workers write theirs again after `again_s`.
+    Returns when it began."""
+    began = time.monotonic()
+    restore = threading.Thread(target=s.store.restore, args=(AGE_S, 0.2, again_s))
+    restore.start()
+    check_unused(s, targets, began, seconds)
+    restore.join()
+    return began
+
+
 def leaving_is_seen(s):
     with_targets(s)
     raise_revision(s)
@@ -109,11 +119,7 @@
     for t in leaving:
         t.drain()
     time.sleep(1.0)
-    began = time.monotonic()
-    restore = threading.Thread(target=s.store.restore, args=(AGE_S, 0.2, 4.0))
-    restore.start()
-    check_unused(s, leaving, began, 5.0)
-    restore.join()
+    check_unused_beside_restore(s, leaving, 4.0, 5.0)
 
 
 def test_a_removal_that_the_store_lost_is_not_forgotten(s):
@@ -123,11 +129,7 @@
     for t in gone:
         s.store.remove("servers", t.name)
     time.sleep(1.0)
-    began = time.monotonic()
-    restore = threading.Thread(target=s.store.restore, args=(AGE_S, 0.2, 2.0))
-    restore.start()
-    check_unused(s, gone, began, 4.0)
-    restore.join()
+    check_unused_beside_restore(s, gone, 2.0, 4.0)
 
 
 def test_a_configuration_that_the_store_lost_stays_in_force(s):
@@ -159,11 +161,7 @@
     time.sleep(AGE_S + 0.5)
     s.store.put("evacuations", "b", {})
     time.sleep(1.0)
-    began = time.monotonic()
-    restore = threading.Thread(target=s.store.restore, args=(AGE_S, 0.2, 3.0))
-    restore.start()
-    check_unused(s, away, began, 4.5)
-    restore.join()
+    began = check_unused_beside_restore(s, away, 3.0, 4.5)
     s.store.remove("evacuations", "b")
     wait_for("the targets to be used again", lambda: (
         send_all(s, 4), all(t.since(began) for t in away))[-1])
@@ -209,13 +207,12 @@
     lost its trial and all instances that knew of it were restarted."""
     s.store.era = 1
     pool = with_pool(s)
-    for i in range(len(s.processes)):  # all have budget
-        wait_for("instance %d to serve" % i, lambda: s.chat(5, i=i).status == 200)
+    wait_until_served(s)  # all have budget
     began = time.monotonic()
     repeat_bad(s, 4).join()
     s.store.restore(time.monotonic() - began)
     time.sleep(2.0)
-    restart_all(s)
+    s.restart_all()
     for i in range(len(s.processes)):
         s.wait_ready(i)
     repeat_bad(s, 6).join()
@@ -227,8 +224,7 @@
     era, and rejected each second for ever; its request would not be tried again."""
     s.store.era = 1
     with_pool(s)
-    for i in range(len(s.processes)):
-        wait_for("instance %d to serve" % i, lambda: s.chat(5, i=i).status == 200)
+    wait_until_served(s)
 
     def trials(field):
         return [o for o in list(s.store.kinds.get("trials", {}).values())
@@ -254,14 +250,6 @@
             time.sleep(0.05)  # the instance is not running
 
 
-def restart_all(s):
-    for p in s.processes:
-        p.kill()
-        p.wait()
-    for i in range(len(s.processes)):
-        s.start(i)
-
-
 def budget_is_kept(s, seconds=14, killed=False):
     with_targets(s)
     before = sum(len(e.arrived) for e in s.engines)
@@ -273,7 +261,7 @@
     for _ in range(3):
         time.sleep(seconds / 7)
         if killed:
-            restart_all(s)
+            s.restart_all()
         s.store.restore(2.0)
     for c in callers:
         c.join()
