--- a/packages/flow/relay.c
+++ b/packages/flow/relay.c
@@ -249,6 +249,7 @@
   r->tries = g_ptr_array_new();
   r->store = o->store;
   r->regions = o->regions;
+  r->managed = o->managed;
   links_set_connect_fn(r->links, relay_on_connect, r);
   r->callers = callers_open(loop, o->listen_addr, &caller_events, r, e);
   if (r->callers)
--- a/packages/flow/relay.h
+++ b/packages/flow/relay.h
@@ -7,6 +7,7 @@
 #include <ev.h>
 
 #include "conf/conf.h"
+#include "conf/managed.h"
 #include "flow/caller.h"
 #include "fleet/cluster.h"
 #include "route/retries.h"
@@ -19,6 +20,7 @@
   int64_t max_held_body_bytes; /* of request bodies in memory */
   Store *store;                /* holds the trials of suspects (run.h) */
   const Regions *regions;      /* of the data centres; outlives the relay */
+  const Managed *managed;      /* outlives the relay */
 } RelayOptions;
 
 Relay *relay_open(struct ev_loop *loop, const RelayOptions *o, Targets *targets,
--- a/packages/flow/run.c
+++ b/packages/flow/run.c
@@ -19,6 +19,10 @@
   return loopclock_now(x->relay->loop);
 }
 
+bool run_is_managed(const Run *x, ManagedPart part) {
+  return managed_applies(x->relay->managed, part, x->service);
+}
+
 /* Upper bound of the tokens that the customer used: the prompt once a target
    may have run it, and the output that a target may have produced. */
 static int64_t used_tokens(const Run *x, bool whole) {
--- a/packages/flow/run.h
+++ b/packages/flow/run.h
@@ -103,6 +103,7 @@
   Links *links;
   Targets *targets;
   const Regions *regions;
+  const Managed *managed;
   Cluster *cluster;
   GHashTable *runs_by_reservation; /* reservation -> Run, decided or pending */
   Retries *retries;
@@ -125,6 +126,8 @@
 
 Run *run_new(Relay *r, Caller *c, const CallerRequest *req);
 double run_now(const Run *x);
+/* Whether a part for decisions under load is active for the run's service. */
+bool run_is_managed(const Run *x, ManagedPart part);
 /* Ends the exchange with the current target, if any, with outcome `how`. */
 void run_release_target(Run *x, TargetOutcome how);
 /* Ends the run with an error answer, or breaks off an answer that has begun. */
--- a/packages/node/node.c
+++ b/packages/node/node.c
@@ -86,6 +86,12 @@
     {"link", "LOFTPATH_LINK", SETTING_TEXT, "0",
      "Mbit/s that this machine's link bears each way; 0: not known", 0, 0,
      NULL},
+    {"managed-slots", "LOFTPATH_MANAGED_SLOTS", SETTING_NUMBER, "0",
+     "Engines with at most this many slots are managed under load; 0: none", 0,
+     1 << 16, NULL},
+    {"managed-parts", "LOFTPATH_MANAGED_PARTS", SETTING_TEXT,
+     "rates,admission,shares,reserve",
+     "What is active for managed engines, parted by commas", 0, 0, NULL},
     {"check", "LOFTPATH_CHECK", SETTING_FLAG, "off",
      "Check the settings and exit", 0, 0, NULL},
     {NULL, NULL, SETTING_TEXT, NULL, NULL, 0, 0, NULL}};
@@ -102,6 +108,7 @@
   Relay *relay;
   Callers *ready;
   Intake intake;
+  Managed managed;
   bool link_is_full; /* callers send more than the link carries */
   ev_timer tick, sweep;
   ev_prepare turn;
@@ -613,6 +620,7 @@
   n->cluster = open_cluster(n, e);
   if (!n->cluster) return false;
   relay.store = n->store;
+  relay.managed = &n->managed;
   relay.regions = n->regions;
   n->relay = relay_open(n->loop, &relay, n->targets, n->retries, e);
   if (!n->relay) return false;
@@ -667,6 +675,12 @@
     fprintf(stderr, "loftpathd: %s: %s\n", e.text, err_info(e.kind)->remedy);
     return 2;
   }
+  if (!managed_parse(&n->managed,
+                     (int)settings_number(settings, "managed-slots"),
+                     settings_text(settings, "managed-parts"), &e)) {
+    fprintf(stderr, "loftpathd: %s: %s\n", e.text, err_info(e.kind)->remedy);
+    return 2;
+  }
   if (settings_flag(settings, "check")) {
     printf("settings are valid\n");
     return 0;
