--- a/packages/conf/managed.c
+++ b/packages/conf/managed.c
@@ -50,3 +50,9 @@
     if (managed_applies(m, part, v)) return true;
   return false;
 }
+
+bool managed_applies_to_plain(const Managed *m, ManagedPart part,
+                              const Conf *c) {
+  bool serves_plain = part == MANAGED_RATES || part == MANAGED_ADMISSION;
+  return serves_plain && managed_applies_to_any(m, part, c);
+}
--- a/packages/conf/managed.h
+++ b/packages/conf/managed.h
@@ -26,9 +26,16 @@
 /* Parses the names of the active parts, separated by commas. Returns false with
    an error if a name is unknown. */
 bool managed_parse(Managed *m, int max_slots, const char *parts, Err *e);
-/* Whether a part is active for a service; `s` may be NULL: unknown. */
+/* Whether a part is active for a service; `s` may be NULL: unknown. False for
+   plain services, see managed_applies_to_plain. */
 bool managed_applies(const Managed *m, ManagedPart part, const ConfService *s);
-/* Whether a part is active for any service of the configuration. */
+/* Whether a part is active for any engine service of the configuration; `c` may
+   be NULL. */
 bool managed_applies_to_any(const Managed *m, ManagedPart part, const Conf *c);
+/* Whether a part is active for the plain services of the configuration. The
+   targets of a plain service state no slots in it, so its engine services
+   decide. */
+bool managed_applies_to_plain(const Managed *m, ManagedPart part,
+                              const Conf *c);
 
 #endif
--- a/packages/flow/run.c
+++ b/packages/flow/run.c
@@ -20,7 +20,10 @@
 }
 
 bool run_is_managed(const Run *x, ManagedPart part) {
-  return managed_applies(x->relay->managed, part, x->service);
+  const Managed *m = x->relay->managed;
+  if (x->service && x->service->engine)
+    return managed_applies(m, part, x->service);
+  return managed_applies_to_plain(m, part, x->conf);
 }
 
 /* Upper bound of the tokens that the customer used: the prompt once a target
--- a/tests/test_managed.c
+++ b/tests/test_managed.c
@@ -64,6 +64,11 @@
   conf_add_service(c, s);
   cr_assert(managed_applies_to_any(&m, MANAGED_RESERVE, c));
   cr_assert_not(managed_applies_to_any(&m, MANAGED_RATES, c));
+  cr_assert_not(managed_applies_to_plain(&m, MANAGED_RESERVE, c));
+  m = parse(16, "rates,shares");
+  cr_assert(managed_applies_to_plain(&m, MANAGED_RATES, c));
+  cr_assert_not(managed_applies_to_plain(&m, MANAGED_ADMISSION, c));
+  cr_assert_not(managed_applies_to_plain(&m, MANAGED_SHARES, c));
   cr_assert_not(managed_applies_to_any(&m, MANAGED_RESERVE, NULL));
   conf_unref(c);
 }
