Rates of targets: learned by their counting instances

A counting instance reports open requests and unread tokens but not how fast the target reads, so a large fleet counts each engine at 45,000 tokens per second. route/rates learns seconds per token and per slot use from the reports that the counting instance gets anyway. A sample is the time with unread prompts that no earlier sample covers, at most as long as its own request was there. tally_rate gives the estimate for a query, tally_pool_state the sums of a service. The tally looks a target up by a function that its owner sets; without one nothing is learned, and nothing sets it yet.

--- a/packages/route/tally.c
+++ b/packages/route/tally.c
@@ -21,6 +21,8 @@
 /* An instance sends as soon as it has a permit; a later report was lost or is
    of another request. */
 #define PERMIT_MAX_AGE_S 2.0
+/* The service, slots and counting instance of a target change rarely. */
+#define TARGET_REFRESH_S 1.0
 
 typedef struct RunKey {
   uint64_t from, run;
@@ -30,6 +32,8 @@
   RunKey key;
   int64_t tokens;
   double at;
+  bool rated;   /* it counts in the rates of the target */
+  double since; /* it is unread, or read, since then */
 } Run;
 
 /* A permit that was given and whose run was not reported yet. */
@@ -52,12 +56,20 @@
   bool limit_known;    /* an instance received it from the target itself */
   bool limit_changed;  /* since it was last sent */
   double limit_sent_at;
+  TallyTarget info;
+  bool is_known;    /* `info` is set */
+  double looked_at; /* when it was last looked up */
+  RatesTarget rates;
+  RatesPool *pool; /* of info.pool; NULL: unknown */
 } Count;
 
 struct Tally {
   GHashTable *counts;        /* target -> Count */
   double members_changed_at; /* when the members last changed */
   QuotaShare share;          /* the number of members; the rank is not used */
+  TallyFindTarget find;      /* NULL: no rates are learned */
+  void *find_ctx;
+  GHashTable *pools; /* text_hash of a service -> RatesPool */
 };
 
 static guint key_hash(gconstpointer p) {
@@ -88,14 +100,44 @@
   Tally *t = g_new0(Tally, 1);
   t->counts =
       g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, count_free);
+  t->pools = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
   return t;
 }
 
 void tally_free(Tally *t) {
   g_hash_table_destroy(t->counts);
+  g_hash_table_destroy(t->pools);
   g_free(t);
 }
 
+void tally_set_find_target(Tally *t, TallyFindTarget find, void *ctx) {
+  t->find = find;
+  t->find_ctx = ctx;
+}
+
+static RatesPool *ensure_rates_pool(Tally *t, uint64_t pool) {
+  RatesPool *p = g_hash_table_lookup(t->pools, &pool);
+  if (p) return p;
+  p = g_new0(RatesPool, 1);
+  g_hash_table_insert(t->pools, g_memdup2(&pool, sizeof pool), p);
+  return p;
+}
+
+/* Looks the target up again if the last time is TARGET_REFRESH_S ago. */
+static void refresh_info(Tally *t, Count *c, double now, uint64_t target) {
+  if (!t->find || (c->looked_at > 0 && now - c->looked_at < TARGET_REFRESH_S))
+    return;
+  c->looked_at = now;
+  c->is_known = t->find(t->find_ctx, target, &c->info);
+  if (!c->is_known) return;
+  c->rates.slots = c->info.slots;
+  c->pool = ensure_rates_pool(t, c->info.pool);
+}
+
+static bool is_rated(const Count *c) {
+  return c->is_known && c->info.managed;
+}
+
 static Count *ensure_count(Tally *t, double now, uint64_t target) {
   Count *c = g_hash_table_lookup(t->counts, &target);
   if (!c) {
@@ -108,9 +150,45 @@
     g_hash_table_insert(t->counts, g_memdup2(&target, sizeof target), c);
   }
   c->last_message_at = now;
+  refresh_info(t, c, now, target);
   return c;
 }
 
+/* == rates == */
+
+/* A run was reported first, or with another number of unread tokens than
+   `before`. */
+static void rate_run(Count *c, double now, Run *r, int64_t before,
+                     bool is_first) {
+  if (is_first && is_rated(c)) {
+    rates_note_arrival(&c->rates, now, r->tokens > 0);
+    r->rated = true;
+    r->since = now;
+  } else if (r->rated && before > 0 && r->tokens == 0) {
+    rates_note_read(&c->rates, c->pool, now, before, r->since);
+    r->since = now;
+  } else if (r->rated && before == 0 && r->tokens > 0) {
+    /* A repeated first report that arrived after the next one. */
+    rates_drop(&c->rates, now, false);
+    r->rated = false;
+  }
+}
+
+/* A run that ended before its prompt was read was rejected, or its report was
+   lost: neither tells how fast the target is. */
+static void rate_end(Count *c, double now, const Run *r) {
+  if (!r->rated) return;
+  if (r->tokens > 0)
+    rates_drop(&c->rates, now, true);
+  else
+    rates_note_done(&c->rates, c->pool, now, r->since);
+}
+
+static void rate_expiry(Count *c, double now, Run *r) {
+  if (r->rated) rates_drop(&c->rates, now, r->tokens > 0);
+  r->rated = false;
+}
+
 static void drop_run(Count *c, const Run *r) {
   c->tokens -= r->tokens;
   g_hash_table_remove(c->runs, &r->key);
@@ -143,18 +221,22 @@
   Run *r = g_hash_table_lookup(c->runs, &key);
   parts_apply_report(c->parts, m->parts.names, m->parts.n, now);
   if (!m->open) {
+    if (r) rate_end(c, now, r);
     if (r) drop_run(c, r);
     return;
   }
+  bool is_first = !r;
   if (!r) {
     r = g_new0(Run, 1);
     r->key = key;
     record_start(c, now, &key);
     g_hash_table_insert(c->runs, &r->key, r);
   }
-  c->tokens += m->tokens - r->tokens;
+  int64_t before = r->tokens;
+  c->tokens += m->tokens - before;
   r->tokens = m->tokens;
   r->at = now;
+  rate_run(c, now, r, before, is_first);
 }
 
 TallyReport tally_report(Tally *t, double now, const TallyQuery *a) {
@@ -268,13 +350,41 @@
 
 /* == state of a service == */
 
+static RatesEstimate estimate(const Count *c, double now) {
+  return rates_estimate(&c->rates, c->pool, now, c->info.start_token_s);
+}
+
+bool tally_rate(Tally *t, double now, const TallyQuery *a, TallyRate *out) {
+  const Count *c = ensure_count(t, now, a->target);
+  if (!is_rated(c)) return false;
+  *out = (TallyRate){
+      .number = a->number, .target = a->target, .rate = estimate(c, now)};
+  return true;
+}
+
+static void add_to_state(const Count *c, double now, TallyPoolState *out) {
+  RatesEstimate e = estimate(c, now);
+  int open = (int)g_hash_table_size(c->runs);
+  out->targets++;
+  if (e.token_s > 0) out->tokens_per_s += 1 / e.token_s;
+  out->wait_s +=
+      rates_wait_s(open, c->info.slots, (double)c->tokens, e.token_s, e.slot_s);
+  out->read_per_s += rates_read_per_s(&c->rates, now);
+}
+
 bool tally_pool_state(Tally *t, double now, uint64_t pool,
                       TallyPoolState *out) {
-  (void)t;
-  (void)now;
-  (void)pool;
+  GHashTableIter it;
+  gpointer k, v;
   *out = (TallyPoolState){0};
-  return false;
+  g_hash_table_iter_init(&it, t->counts);
+  while (g_hash_table_iter_next(&it, &k, &v)) {
+    Count *c = v;
+    refresh_info(t, c, now, *(uint64_t *)k);
+    if (is_rated(c) && c->info.ours && c->info.pool == pool)
+      add_to_state(c, now, out);
+  }
+  return out->targets > 0;
 }
 
 /* == expiry == */
@@ -290,11 +400,14 @@
   g_hash_table_iter_init(&it, c->runs);
   while (g_hash_table_iter_next(&it, NULL, &v)) {
     Run *r = v;
-    if (now - r->at >= PREFILL_MAX_AGE_S) {
+    if (now - r->at >= PREFILL_MAX_AGE_S && r->tokens > 0) {
+      rate_expiry(c, now, r);
       c->tokens -= r->tokens;
       r->tokens = 0;
     }
-    if (now - r->at >= RUN_MAX_AGE_S) g_hash_table_iter_remove(&it);
+    if (now - r->at < RUN_MAX_AGE_S) continue;
+    rate_expiry(c, now, r);
+    g_hash_table_iter_remove(&it);
   }
 }
 
--- a/packages/route/tally.h
+++ b/packages/route/tally.h
@@ -20,6 +20,7 @@
 #include <stdint.h>
 
 #include "route/quota.h"
+#include "route/rates.h"
 #include "route/regions.h"
 
 /* Shared parts of a prompt that are reported, from the first one on; usual
@@ -64,6 +65,27 @@
   int finished_parts; /* the same, of those that must have been read by now */
 } TallyReport;
 
+/* How fast a target of a managed service works (conf/managed.h); sent just
+   before the report on it. */
+typedef struct TallyRate {
+  uint64_t number; /* of the query */
+  uint64_t target;
+  RatesEstimate rate;
+} TallyRate;
+
+/* What the counting instance knows of a target besides its counts. */
+typedef struct TallyTarget {
+  uint64_t pool;        /* text_hash of its service */
+  uint64_t counter;     /* as in TallyRun */
+  bool managed;         /* its rates are learned and reported */
+  bool ours;            /* this instance is its counting instance */
+  int slots;            /* requests that it runs at the same time */
+  double start_token_s; /* as in rates_estimate */
+} TallyTarget;
+
+/* Fills in `out`; false: the target is unknown. */
+typedef bool (*TallyFindTarget)(void *ctx, uint64_t target, TallyTarget *out);
+
 /* Requests a permit to send one request to a bounded target. */
 typedef struct TallyPermitRequest {
   uint64_t number; /* of the permit request */
@@ -116,6 +138,8 @@
 
 Tally *tally_new(void);
 void tally_free(Tally *t);
+/* Sets how targets are looked up. Without it no rates are learned. */
+void tally_set_find_target(Tally *t, TallyFindTarget find, void *ctx);
 /* `from`: text_hash of the sender's id. */
 void tally_apply_run(Tally *t, double now, uint64_t from, const TallyRun *r);
 /* Sets the number of members. The previous counting instance of a target may
@@ -136,6 +160,9 @@
    state of zeros: this instance counts none of its targets. Visits all targets
    that this instance counts. */
 bool tally_pool_state(Tally *t, double now, uint64_t pool, TallyPoolState *out);
+/* The rate that goes with the report on the same query; false: the target is
+   not known to be of a managed service, and none is sent. */
+bool tally_rate(Tally *t, double now, const TallyQuery *a, TallyRate *out);
 /* Drops what has expired; call it about once a second. */
 void tally_sweep(Tally *t, double now);
 
