codec: the rate of a target, kind 18

A counting instance sends it to the instance that queries the target, in the frame of the report that follows. The golden bytes are in tests/test_golden.c, from which the fuzz corpus is taken. Figures that do not fit are clamped when written, NaN and negative ones to 0; the receiver ignores what is impossible.

--- a/packages/peer/codec.h
+++ b/packages/peer/codec.h
@@ -37,6 +37,7 @@
   CODEC_PERMIT_REQUEST,
   CODEC_PERMIT,
   CODEC_LIMIT,
+  CODEC_RATE,
   CODEC_TYPES
 } CodecType;
 
@@ -106,6 +107,7 @@
   TallyPermitRequest permit_request;
   TallyPermit permit;
   CodecLimit limit;
+  TallyRate rate;
 } CodecMsg;
 
 void codec_put_head(msgpack_sbuffer *b, const CodecHead *h);
@@ -126,6 +128,7 @@
 void codec_put_permit_request(msgpack_sbuffer *b, const TallyPermitRequest *m);
 void codec_put_permit(msgpack_sbuffer *b, const TallyPermit *m);
 void codec_put_limit(msgpack_sbuffer *b, const CodecLimit *m);
+void codec_put_rate(msgpack_sbuffer *b, const TallyRate *m);
 void codec_put_feed(msgpack_sbuffer *b, const CodecFeed *m);
 
 /* Decodes at *off; false at the end or when the data is damaged. A message of
--- a/packages/peer/decode.c
+++ b/packages/peer/decode.c
@@ -8,7 +8,6 @@
 
 #define MAX_REQUESTS 1000000 /* requests at one target */
 #define HEARTBEAT_INTERVAL_MAX_MS (24 * 3600 * 1000)
-#define COUNT_MAX 1000000000000000 /* a double holds it exactly */
 
 typedef struct Reader {
   const msgpack_object *at;
@@ -137,7 +136,7 @@
 /* A count, which is damaged when below 0 or too large. */
 static double get_count(Reader *r) {
   int64_t n = get_i64(r);
-  r->damaged |= n < 0 || n > COUNT_MAX;
+  r->damaged |= n < 0 || n > FORMAT_COUNT_MAX;
   return (double)n;
 }
 
@@ -249,6 +248,15 @@
   m->msg.limit = get_limit(r);
 }
 
+static void get_rate(Reader *r, TallyRate *m) {
+  m->number = get_u64(r);
+  m->target = get_u64(r);
+  m->rate.token_s = get_count(r) / FORMAT_TOKEN_SCALE;
+  m->rate.slot_s = get_count(r) / FORMAT_SLOT_SCALE;
+  m->rate.age_s = get_count(r) / FORMAT_FRACTION_SCALE;
+  m->rate.tokens = get_count(r);
+}
+
 static void get_answer(Reader *r, OnceAnswer *a) {
   a->status = (int)get_i64(r);
   get_str(r, a->type, sizeof a->type);
@@ -367,6 +375,7 @@
       break;
     case CODEC_PERMIT: get_permit(&r, &m->permit); break;
     case CODEC_LIMIT: get_limit_report(&r, &m->limit); break;
+    case CODEC_RATE: get_rate(&r, &m->rate); break;
     case CODEC_TYPES: break;
     }
     ok = !r.damaged;
--- a/packages/peer/encode.c
+++ b/packages/peer/encode.c
@@ -236,6 +236,26 @@
   put_packed(&p, &m->changes);
 }
 
+/* Converts a figure, which may be any, to an integer that can be decoded. */
+static uint64_t scaled(double v, double by) {
+  double n = round(v * by);
+  if (!(n > 0)) return 0; /* also NaN */
+  return (uint64_t)MIN(n, FORMAT_COUNT_MAX);
+}
+
+void codec_put_rate(msgpack_sbuffer *b, const TallyRate *m) {
+  msgpack_packer p;
+  msgpack_packer_init(&p, b, msgpack_sbuffer_write);
+  msgpack_pack_array(&p, 7);
+  msgpack_pack_uint8(&p, CODEC_RATE);
+  msgpack_pack_uint64(&p, m->number);
+  msgpack_pack_uint64(&p, m->target);
+  msgpack_pack_uint64(&p, scaled(m->rate.token_s, FORMAT_TOKEN_SCALE));
+  msgpack_pack_uint64(&p, scaled(m->rate.slot_s, FORMAT_SLOT_SCALE));
+  msgpack_pack_uint64(&p, scaled(m->rate.age_s, FORMAT_FRACTION_SCALE));
+  msgpack_pack_uint64(&p, scaled(m->rate.tokens, 1));
+}
+
 void codec_put_suspect(msgpack_sbuffer *b, const CodecSuspect *m) {
   msgpack_packer p;
   msgpack_packer_init(&p, b, msgpack_sbuffer_write);
--- a/packages/peer/format.h
+++ b/packages/peer/format.h
@@ -5,5 +5,11 @@
 #define FORMAT_VERSION 1 /* version of the frame format, sent in its head */
 /* Numbers with a fraction are multiplied by this and sent as integers. */
 #define FORMAT_FRACTION_SCALE 1000.0
+/* The same for seconds per token, which are some ten millionths of one, and for
+   seconds of a slot use. */
+#define FORMAT_TOKEN_SCALE 1e9
+#define FORMAT_SLOT_SCALE 1e6
+
+#define FORMAT_COUNT_MAX 1000000000000000 /* a double holds it exactly */
 
 #endif
--- a/packages/peer/peer.c
+++ b/packages/peer/peer.c
@@ -233,6 +233,12 @@
   unlock(p);
 }
 
+void peer_send_rate(Peer *p, const char *addr, const char *id,
+                    const TallyRate *m) {
+  codec_put_rate(lock_shared_frame(p, addr, text_hash(id)), m);
+  unlock(p);
+}
+
 void peer_send_feed(Peer *p, const char *addr, const char *id,
                     const CodecFeed *m) {
   codec_put_feed(lock_shared_frame(p, addr, text_hash(id)), m);
--- a/packages/peer/peer.h
+++ b/packages/peer/peer.h
@@ -52,6 +52,9 @@
                            const TallyQuery *m);
 void peer_send_tally_report(Peer *p, const char *addr, const char *id,
                             const TallyReport *m);
+/* In the frame of the report that follows it. */
+void peer_send_rate(Peer *p, const char *addr, const char *id,
+                    const TallyRate *m);
 void peer_send_tally_run(Peer *p, const char *addr, const char *id,
                          const TallyRun *m);
 void peer_send_suspect(Peer *p, const char *addr, const char *id,
--- a/tests/codec_again.h
+++ b/tests/codec_again.h
@@ -30,6 +30,7 @@
     break;
   case CODEC_PERMIT: codec_put_permit(b, &m->permit); break;
   case CODEC_LIMIT: codec_put_limit(b, &m->limit); break;
+  case CODEC_RATE: codec_put_rate(b, &m->rate); break;
   case CODEC_TYPES: break;
   }
 }
--- a/tests/test_golden.c
+++ b/tests/test_golden.c
@@ -177,6 +177,16 @@
   codec_put_limit(b, &m);
 }
 
+static void put_rate(msgpack_sbuffer *b) {
+  TallyRate m = {.number = 1,
+                 .target = 2,
+                 .rate = {.token_s = 1 / 61800.0,
+                          .slot_s = 0.25,
+                          .age_s = 0.1,
+                          .tokens = 5000}};
+  codec_put_rate(b, &m);
+}
+
 /* == messages of the builds in production == */
 
 typedef struct Golden {
@@ -215,6 +225,7 @@
      put_permit_request},
     {"permit", "9610010202ccfac0", CODEC_PERMIT, put_permit},
     {"limit", "961101a564206e2e310102cd02bc", CODEC_LIMIT, put_limit},
+    {"rate", "97120102cd3f35ce0003d09064cd1388", CODEC_RATE, put_rate},
 };
 
 static GString *hex_of(const msgpack_sbuffer *b) {
