Choice by the rates of targets

For managed services (run_is_managed, MANAGED_RATES) the expected time to the first byte is the unread tokens at the rate of the target, or the wait for a slot if that is longer, plus the own prompt; for plain services the wait for a slot and a slot use. Rates come with the reports of queries, are kept for each target, and lose their weight to the mean of the service in 10 s. Where all reported targets would miss the objective, three others are queried once. In fleets of fewer than twelve, which report their work to each other, queries are sent only where a rate is 0.1 s old, and nothing waits for them. Counting instances find the service of a target in their own list of targets. Metrics target_rates_*, second_queries_total, log lines service-rates and target-rate-invalid, member rate of the line request.

The cost of reading stays at the rate of the service.

Services that are not managed: choices with rates received equal those without (test_rated), as do those of managed services without any rate.

--- a/packages/conf/managed.c
+++ b/packages/conf/managed.c
@@ -44,7 +44,7 @@
 bool managed_applies_to_any(const Managed *m, ManagedPart part, const Conf *c) {
   GHashTableIter it;
   gpointer v;
-  if (!c) return false;
+  if (!c || m->max_slots <= 0) return false;
   g_hash_table_iter_init(&it, c->services);
   while (g_hash_table_iter_next(&it, NULL, &v))
     if (managed_applies(m, part, v)) return true;
--- a/packages/fleet/cluster.c
+++ b/packages/fleet/cluster.c
@@ -518,7 +518,8 @@
   c->started_at = loopclock_now(loop);
   peer_use_on_demand_links(peer);
   c->members = gossip_new(&o->self, o->seed);
-  TalliesEvents tallies = {ev->tally_received, ev->permit_answered};
+  TalliesEvents tallies = {ev->tally_received, ev->permit_answered,
+                           ev->rate_received, ev->find_target};
   c->tallies = tallies_new(peer, o->self.id, o->regions, &tallies, ctx);
   c->readers = readers_new(o->self.id, o->self.region);
   c->view = view_new(NULL, 0);
@@ -621,6 +622,10 @@
   tallies_request_tally(c->tallies, current_time(c), a);
 }
 
+bool cluster_pool_state(Cluster *c, uint64_t pool, TallyPoolState *out) {
+  return tallies_pool_state(c->tallies, current_time(c), pool, out);
+}
+
 void cluster_report_run(Cluster *c, const TallyRun *r) {
   tallies_report_run(c->tallies, current_time(c), r);
 }
--- a/packages/fleet/cluster.h
+++ b/packages/fleet/cluster.h
@@ -49,6 +49,10 @@
   /* The answer to cluster_request_permit: whether a request may go to a target
      with a limit. */
   void (*permit_answered)(void *ctx, const TallyPermit *m);
+  /* The rate of a target that was queried, just before the report on it. */
+  void (*rate_received)(void *ctx, const TallyRate *m);
+  /* Fills in what is known of a target, all but `ours`; false: unknown. */
+  TallyFindTarget find_target;
   /* A target's limit, as the instance that counts its work sent it to all. */
   void (*limit_received)(void *ctx, const TallyLimit *m);
   /* A message about a suspect: a request during which targets failed. */
@@ -92,6 +96,9 @@
 /* Reports a request of this instance at a target to the instance that counts
    its work. */
 void cluster_report_run(Cluster *c, const TallyRun *r);
+/* The state of a service (text_hash of its name) at the targets whose work this
+   instance counts (tally_pool_state). */
+bool cluster_pool_state(Cluster *c, uint64_t pool, TallyPoolState *out);
 /* Requests a permit (the right to send one request to a target with a limit)
    from the instance that counts there. The answer may arrive before this
    returns, or never. */
--- a/packages/fleet/tallies.c
+++ b/packages/fleet/tallies.c
@@ -16,6 +16,8 @@
   void *ctx;
 };
 
+static bool find_target(void *ctx, uint64_t target, TallyTarget *out);
+
 Tallies *tallies_new(Peer *peer, const char *self, const Regions *regions,
                      const TalliesEvents *ev, void *ctx) {
   Tallies *t = g_new0(Tallies, 1);
@@ -23,6 +25,7 @@
   t->regions = regions;
   t->self_hash = text_hash(self);
   t->tally = tally_new();
+  tally_set_find_target(t->tally, find_target, t);
   t->counters =
       g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
   t->ev = *ev;
@@ -59,6 +62,13 @@
   return m && is_self(t, m);
 }
 
+static bool find_target(void *ctx, uint64_t target, TallyTarget *out) {
+  Tallies *t = ctx;
+  if (!t->ev.find_target(t->ctx, target, out)) return false;
+  out->ours = counts_here(t, out->counter);
+  return true;
+}
+
 static bool counts_nowhere(void *ctx, uint64_t name) {
   (void)ctx;
   (void)name;
@@ -91,10 +101,26 @@
     peer_send_tally_query(t->peer, m->peer, m->id, &out);
     return;
   }
+  TallyRate rate;
+  if (tally_rate(t->tally, now, a, &rate)) t->ev.rate_received(t->ctx, &rate);
   TallyReport w = tally_report(t->tally, now, a);
   t->ev.tally_received(t->ctx, &w);
 }
 
+static void answer_query(Tallies *t, double now, const Member *from,
+                         const TallyQuery *a) {
+  TallyRate rate;
+  if (tally_rate(t->tally, now, a, &rate))
+    peer_send_rate(t->peer, from->peer, from->id, &rate);
+  TallyReport w = tally_report(t->tally, now, a);
+  peer_send_tally_report(t->peer, from->peer, from->id, &w);
+}
+
+bool tallies_pool_state(Tallies *t, double now, uint64_t pool,
+                        TallyPoolState *out) {
+  return tally_pool_state(t->tally, now, pool, out);
+}
+
 void tallies_report_run(Tallies *t, double now, const TallyRun *r) {
   const Member *m = counter_of(t, r->counter);
   if (!m) return;
@@ -147,8 +173,9 @@
 bool tallies_receive(Tallies *t, double now, const Member *from,
                      const CodecMsg *m) {
   if (m->type == CODEC_TALLY_QUERY) {
-    TallyReport w = tally_report(t->tally, now, &m->tally_query);
-    peer_send_tally_report(t->peer, from->peer, from->id, &w);
+    answer_query(t, now, from, &m->tally_query);
+  } else if (m->type == CODEC_RATE) {
+    t->ev.rate_received(t->ctx, &m->rate);
   } else if (m->type == CODEC_TALLY_REPORT) {
     t->ev.tally_received(t->ctx, &m->tally_report);
   } else if (m->type == CODEC_PERMIT_REQUEST) {
--- a/packages/fleet/tallies.h
+++ b/packages/fleet/tallies.h
@@ -13,6 +13,10 @@
 typedef struct TalliesEvents {
   void (*tally_received)(void *ctx, const TallyReport *report);
   void (*permit_answered)(void *ctx, const TallyPermit *permit);
+  /* The rate of a target, just before the report on it. */
+  void (*rate_received)(void *ctx, const TallyRate *rate);
+  /* Fills in what is known of a target, all but `ours`; false: unknown. */
+  TallyFindTarget find_target;
 } TalliesEvents;
 
 /* `regions` is borrowed and must outlive the result. */
@@ -42,6 +46,10 @@
 /* Handles a message from `from`; false: another module handles its type. */
 bool tallies_receive(Tallies *t, double now, const Member *from,
                      const CodecMsg *m);
+/* The state of a service at the targets that this instance counts
+   (tally_pool_state). */
+bool tallies_pool_state(Tallies *t, double now, uint64_t pool,
+                        TallyPoolState *out);
 /* Removes counts that their senders no longer refresh. */
 void tallies_remove_expired(Tallies *t, double now);
 
--- a/packages/flow/dispatch.c
+++ b/packages/flow/dispatch.c
@@ -308,6 +308,8 @@
       .max_pause_s = x->service ? x->service->max_pause_s : 0,
       .regions = x->regions,
       .permits_exhausted = !run_may_request_permit(x),
+      .rated = run_is_managed(x, MANAGED_RATES),
+      .slots = x->service ? x->service->batch_slots : 0,
       .isolate = x->try != NULL,
       .tried = x->tried,
       .n_tried = x->n_tried,
@@ -376,13 +378,29 @@
   run_fail(x, &e);
 }
 
+static TargetChoice pick_target(Run *x) {
+  TargetRequest criteria = run_target_criteria(x);
+  return targets_pick(x->relay->targets, run_now(x), &criteria);
+}
+
+/* Waits for the reports that are missing; false: there are none. */
+static bool await_reports(Run *x) {
+  if (x->n_reports == x->n_queried) return false;
+  x->awaits_reports = true;
+  ev_timer_start(x->relay->loop, &x->query_timer);
+  return true;
+}
+
 void run_choose_target(Run *x) {
   if (x->relay->stale) {
     fail_stale(x);
     return;
   }
-  TargetRequest criteria = run_target_criteria(x);
-  TargetChoice c = targets_pick(x->relay->targets, run_now(x), &criteria);
+  TargetChoice c = pick_target(x);
+  if (c.target && run_query_more(x, &c)) {
+    if (await_reports(x)) return;
+    c = pick_target(x); /* this instance counts all of them */
+  }
   run_cancel_query(x);
   if (!c.target) {
     fail_without_target(x, &c);
@@ -398,10 +416,5 @@
 
 void run_dispatch(Run *x) {
   if (x->query_id == 0) run_query_tallies(x);
-  if (x->n_reports == x->n_queried) {
-    run_choose_target(x);
-    return;
-  }
-  x->awaits_reports = true;
-  ev_timer_start(x->relay->loop, &x->query_timer);
+  if (!await_reports(x)) run_choose_target(x);
 }
--- a/packages/flow/relay.h
+++ b/packages/flow/relay.h
@@ -39,6 +39,13 @@
 /* The number of requests of all instances at a target, which a request
    queried. */
 void relay_on_tally(Relay *r, const TallyReport *w);
+/* The rate of a target that a request queried. */
+void relay_on_rate(Relay *r, const TallyRate *m);
+/* What this instance, as a counting instance, knows of a target; `ours` is not
+   set. False: the target is unknown. */
+bool relay_find_target(const Relay *r, uint64_t target, TallyTarget *out);
+/* Logs the rates of the targets that this instance counts, by service. */
+void relay_log_rates(const Relay *r);
 /* Answer to a permit request. A permit allows one request to be sent to a
    target that limits its rate. */
 void relay_on_permit(Relay *r, const TallyPermit *p);
--- a/packages/flow/run.c
+++ b/packages/flow/run.c
@@ -83,7 +83,7 @@
       strcmp(outcome, "served") == 0 ? log_info : log_warn;
   line("request",
        "s:s,s:s,s:i,s:s,s:s,s:s,s:s,s:s,s:i,s:i,s:I,s:I,s:I,s:I,s:i,s:I,"
-       "s:f,s:f,s:f,s:f,s:f,s:f,s:i,s:I",
+       "s:f,s:f,s:f,s:f,s:f,s:f,s:i,s:I,s:o*",
        "request", x->request.id, "outcome", outcome, "status", status, "error",
        error, "customer", x->customer ? x->customer->name : "", "service",
        x->service_name ? x->service_name : "", "route",
@@ -98,7 +98,8 @@
        "aim", x->route ? x->route->slo_s : 0, "pause_aim",
        x->route ? x->route->max_pause_s : 0, "seconds",
        now - x->http_request->received_at, "permits", x->total_permit_requests,
-       "conf", (json_int_t)(x->conf ? x->conf->version : 0));
+       "conf", (json_int_t)(x->conf ? x->conf->version : 0), "rate",
+       run_rate_fields(x));
 }
 
 /* Does everything but the answer: budget, target, log. */
--- a/packages/flow/run.h
+++ b/packages/flow/run.h
@@ -10,6 +10,8 @@
 #ifndef FLOW_RUN_H
 #define FLOW_RUN_H
 
+#include <jansson.h>
+
 #include "flow/events.h"
 #include "flow/link.h"
 #include "flow/relay.h"
@@ -23,6 +25,7 @@
    round trip and a turn of their event loop. It continues without those that
    are still missing. */
 #define RUN_ANSWER_TIMEOUT_S 0.02
+#define RUN_MAX_REPORTS (2 * TARGETS_MAX_QUERIED) /* of two queries */
 #define RUN_RETRY_SOON_MS 200 /* Retry-After for conditions that end soon */
 /* Retry-After while all remaining targets are under evacuation, that is,
    operators have excluded them for a time. The duration is unknown; evacuations
@@ -66,7 +69,11 @@
   uint64_t query_id;   /* of the pending query or permit request; 0: none */
   bool awaits_reports; /* the choice of a target waits for the reports */
   int n_queried, n_reports;
-  TallyReport reports[TARGETS_MAX_QUERIED];
+  TallyReport reports[RUN_MAX_REPORTS];
+  /* Targets queried since the run was last sent, in at most two queries. */
+  uint64_t queried[RUN_MAX_REPORTS];
+  int n_queried_targets;
+  bool queried_twice;
   /* The permit for the target of `choice`. */
   bool awaits_permit; /* the pending query is a permit request */
   double permit_requested_at;
@@ -120,6 +127,7 @@
   /* refusing: new requests are refused, since the instance is stopping. stale:
      our state is out of date, since the process was paused. */
   bool refusing, stale;
+  double invalid_rate_logged_at; /* last log line on an invalid rate */
 };
 
 /* == run.c: start and end of a run == */
@@ -148,6 +156,9 @@
 /* Sends queries for the work of all instances at candidate targets, before one
    is chosen. */
 void run_query_tallies(Run *x);
+/* If all reported targets would miss the route's objective, queries others once
+   and returns true; run_choose_target is called again. */
+bool run_query_more(Run *x, const TargetChoice *c);
 /* Stops waiting for the answers to a query or permit request. */
 void run_cancel_query(Run *x);
 /* Report to the counter of the target that the request was sent, that the
@@ -155,6 +166,9 @@
 void run_report_sent(Run *x);
 void run_report_prompt_read(Run *x);
 void run_report_done(Run *x);
+/* What the log line of the request states about the rate that its target was
+   chosen by; NULL: rates did not decide. */
+json_t *run_rate_fields(const Run *x);
 
 /* == permits.c: targets that limit their rate == */
 
--- a/packages/kernel/count.c
+++ b/packages/kernel/count.c
@@ -54,6 +54,14 @@
     [COUNT_PERMITS_UNANSWERED] = {"permits_silent_total",
                                   "questions for a bounded target that nobody "
                                   "answered"},
+    [COUNT_RATES] = {"target_rates_total", "rates of targets received"},
+    [COUNT_RATES_INVALID] = {"target_rates_invalid_total",
+                             "rates of targets ignored: impossible figures"},
+    [COUNT_RATES_MISSING] = {"target_rates_missing_total",
+                             "requests sent without a rate of the service"},
+    [COUNT_SECOND_QUERIES] = {"second_queries_total",
+                              "queries for more targets: those queried before "
+                              "would miss the objective"},
     [COUNT_TARGETS_ENDED] = {"targets_ended_total",
                              "targets seen to end under requests"},
     [COUNT_SUSPECTS] = {"suspects_total",
--- a/packages/node/node.c
+++ b/packages/node/node.c
@@ -20,6 +20,7 @@
 #define SWEEP_INTERVAL_S 1.0 /* between removals of expired state */
 #define TARGET_LOG_LINES_PER_S 20 /* about single targets */
 #define CALLS_LOG_INTERVAL_S 5.0  /* between log lines on calls to the store */
+#define RATES_LOG_INTERVAL_S 5.0  /* between log lines on rates of targets */
 /* The interval between two reports on pools is this times the instances. A
    report takes 40 bytes for each pool and other instance, so the traffic is
    0.8 KB/s for any number of instances. */
@@ -116,6 +117,7 @@
   bool targets_listed;    /* all targets were listed at least once */
   int target_changes;     /* in the current second */
   double calls_logged_at; /* last log line on calls to the store */
+  double rates_logged_at; /* last log lines on rates of targets */
   double next_pools_at;   /* when the next pool reports are due */
   int instance_count;     /* in the fleet, including this one */
   int seed_count;         /* addresses in the setting `seeds` */
@@ -351,6 +353,16 @@
   relay_on_tally(n->relay, m);
 }
 
+static void on_rate_received(void *ctx, const TallyRate *m) {
+  Node *n = ctx;
+  relay_on_rate(n->relay, m);
+}
+
+static bool on_find_target(void *ctx, uint64_t target, TallyTarget *out) {
+  Node *n = ctx;
+  return n->relay && relay_find_target(n->relay, target, out);
+}
+
 static void on_permit_answered(void *ctx, const TallyPermit *m) {
   Node *n = ctx;
   relay_on_permit(n->relay, m);
@@ -543,6 +555,10 @@
   broadcast_pools(n);
   if (loopclock_now(loop) - n->calls_logged_at >= CALLS_LOG_INTERVAL_S)
     log_calls(n);
+  if (loopclock_now(loop) - n->rates_logged_at >= RATES_LOG_INTERVAL_S) {
+    n->rates_logged_at = loopclock_now(loop);
+    relay_log_rates(n->relay);
+  }
 }
 
 static void on_hup(struct ev_loop *loop, ev_signal *w, int revents) {
@@ -566,7 +582,8 @@
       on_peer_conf,           conf_text,
       on_feed_received,       on_work_reported,
       on_parts_reported,      on_tally_received,
-      on_permit_answered,     on_limit_received,
+      on_permit_answered,     on_rate_received,
+      on_find_target,         on_limit_received,
       on_suspect_received,    on_pool_reported};
   ClusterOptions o = {.seeds = settings_text(settings, "seeds"),
                       .seed = random_number(),
--- a/packages/route/choose.c
+++ b/packages/route/choose.c
@@ -24,6 +24,10 @@
 #define COST_JITTER_RATIO 0.02
 /* Assumed time of a plain answer until one was seen. */
 #define INITIAL_ANSWER_S 0.03
+/* Of two plain targets with a free slot the one with fewer requests is
+   preferred: the counts are some milliseconds old. This part of a slot use is
+   the cost of a target with all slots in use. */
+#define BUSY_SLOTS_COST_RATIO 0.1
 /* A target's reported load is used for this long. */
 #define LOAD_REPORT_MAX_AGE_S 0.5
 /* An ejected target and one whose entry is missing get work only when there is
@@ -298,8 +302,37 @@
 
 /* == cost == */
 
+/* Sets the rate that the choice uses; false: no rate of the service is known,
+   and the choice is the same as without rates. */
+static bool set_rate(const Pick *p, TargetChoice *c) {
+  const Target *t = c->target;
+  const RatesMean *mean = &t->pool->rates;
+  if (!p->request->rated) return false;
+  double known = p->request->engine ? mean->token_s : mean->slot_s;
+  if (known <= 0) return false;
+  c->rated = true;
+  c->rate_age_s =
+      t->rate.received_at > 0 ? p->now - t->rate.received_at : INFINITY;
+  if (p->request->engine)
+    c->token_s =
+        rates_token_s(&t->rate, mean, p->now, targets_start_token_s(t->pool));
+  return true;
+}
+
+/* Until a new request has a slot there. */
+static double rated_wait_s(const Pick *p, const TargetChoice *c) {
+  const Target *t = c->target;
+  int slots = p->request->engine && p->request->slots > 0 ? p->request->slots
+                                                          : t->info.slots;
+  return rates_wait_s(c->load.open, slots, (double)c->load.tokens, c->token_s,
+                      rates_slot_s(&t->rate, &t->pool->rates, p->now));
+}
+
 static double engine_wait_s(const Pick *p, const TargetChoice *c) {
   const Target *t = c->target;
+  if (c->rated)
+    return rated_wait_s(p, c) + (double)c->uncached_tokens * c->token_s +
+           (double)c->moved_tokens * p->request->move_token_s;
   double unread = (double)(c->load.tokens + c->uncached_tokens);
   if (!p->set->parts_are_exchanged)
     return unread * p->prefill_s_per_token * target_slowdown(t, p->now);
@@ -317,8 +350,21 @@
   return took * target_slowdown(t, now) * (1 + (double)there / slots);
 }
 
+static double rated_plain_wait_s(const Pick *p, const TargetChoice *c) {
+  const Target *t = c->target;
+  return rated_wait_s(p, c) + rates_slot_s(&t->rate, &t->pool->rates, p->now);
+}
+
+static double busy_slots_cost(const Pick *p, const TargetChoice *c) {
+  const Target *t = c->target;
+  double slot_s = rates_slot_s(&t->rate, &t->pool->rates, p->now);
+  return BUSY_SLOTS_COST_RATIO * slot_s * c->load.open / MAX(t->info.slots, 1);
+}
+
 /* Reading and moving tokens costs a target more than the wait of the request
-   itself. */
+   itself. The cost is at the rate of the service: with the rate of the target,
+   which counts several times here, targets that seem slow get too little and
+   the others too much (docs/design/rates.md). */
 static double engine_cost(const Pick *p, const TargetChoice *c) {
   double read_s = (double)c->uncached_tokens * p->prefill_s_per_token;
   double move_s = (double)c->moved_tokens * p->request->move_token_s;
@@ -335,11 +381,15 @@
   const Target *t = c->target;
   double cost = t->failure_ratio * FAILURE_COST_S;
   c->load = get_load(p, t);
+  bool rated = set_rate(p, c);
   if (p->request->engine) {
     c->uncached_tokens = count_uncached_tokens(p, t);
     apply_donor(p, c);
     c->wait_s = engine_wait_s(p, c);
     cost += engine_cost(p, c);
+  } else if (rated) {
+    c->wait_s = rated_plain_wait_s(p, c);
+    cost += busy_slots_cost(p, c);
   } else {
     c->wait_s = plain_wait_s(t, c->load.open, p->now);
   }
@@ -471,6 +521,24 @@
   for (int i = 0; i < n; i++) g_ptr_array_add(list, near[i]);
 }
 
+/* Adds random healthy members of `list` to the `n` hashes in `out`, none that
+   is there or among the `n_known`. Returns the new number. */
+static int add_random_targets(const Pick *p, const GPtrArray *list,
+                              const uint64_t *known, int n_known,
+                              uint64_t out[TARGETS_MAX_QUERIED], int n) {
+  int len = (int)list->len;
+  for (int tries = 0;
+       n < TARGETS_MAX_QUERIED && tries < 2 * TARGETS_MAX_QUERIED && len > 0;
+       tries++) {
+    const Target *t = list->pdata[g_rand_int_range(p->set->rand, 0, len)];
+    bool is_duplicate = !is_healthy(p, t);
+    for (int i = 0; i < n; i++) is_duplicate |= out[i] == t->hash;
+    for (int i = 0; i < n_known; i++) is_duplicate |= known[i] == t->hash;
+    if (!is_duplicate) out[n++] = t->hash;
+  }
+  return n;
+}
+
 int targets_to_query(Targets *s, double now, const TargetRequest *request,
                      uint64_t out[TARGETS_MAX_QUERIED]) {
   Pool *pool = g_hash_table_lookup(s->pools, request->service);
@@ -480,16 +548,28 @@
   GPtrArray *list = candidates(&p);
   choose_homes(&p, list);
   if (is_large(pool) && p.n_homes > 0) keep_home_group(&p, list);
-  int len = (int)list->len, n = 0;
+  int n = 0;
   for (int i = 0; i < p.n_homes; i++) out[n++] = p.homes[i]->hash;
-  for (int tries = 0;
-       n < TARGETS_MAX_QUERIED && tries < 2 * TARGETS_MAX_QUERIED && len > 0;
-       tries++) {
-    const Target *t = list->pdata[g_rand_int_range(s->rand, 0, len)];
-    bool is_duplicate = !is_healthy(&p, t);
-    for (int i = 0; i < n; i++) is_duplicate |= out[i] == t->hash;
-    if (!is_duplicate) out[n++] = t->hash;
-  }
+  n = add_random_targets(&p, list, NULL, 0, out, n);
+  g_ptr_array_free(list, TRUE);
+  return n;
+}
+
+int targets_to_query_more(Targets *s, double now, const TargetRequest *request,
+                          const uint64_t *known, int n_known,
+                          uint64_t out[TARGETS_MAX_QUERIED]) {
+  Pool *pool = g_hash_table_lookup(s->pools, request->service);
+  if (!pool) return 0;
+  TargetRequest all = *request;
+  all.n_reports = 0; /* any target, not those that were reported */
+  Pick p = {
+      .set = s, .pool = pool, .request = &all, .now = now, .querying = true};
+  GPtrArray *list = g_ptr_array_new();
+  if (is_large(pool))
+    sample_eligible(&p, list);
+  else
+    list_all_eligible(&p, list);
+  int n = add_random_targets(&p, list, known, n_known, out, 0);
   g_ptr_array_free(list, TRUE);
   return n;
 }
@@ -504,6 +584,8 @@
   Pick p = {.set = s, .pool = pool, .request = request, .now = now};
   p.prefill_s_per_token = s->parts_are_exchanged ? fit_slope(&pool->first_byte)
                                                  : TARGETS_DEFAULT_TOKEN_S;
+  if (request->rated && pool->rates.token_s > 0)
+    p.prefill_s_per_token = pool->rates.token_s;
   p.long_prompt = is_long(&p);
   GPtrArray *list = candidates(&p);
   int n = (int)list->len;
--- a/packages/route/pool.h
+++ b/packages/route/pool.h
@@ -15,6 +15,7 @@
 
 #include "route/division.h"
 #include "route/fit.h"
+#include "route/rates.h"
 #include "kernel/limits.h"
 
 typedef struct Target Target;
@@ -36,6 +37,7 @@
   guint n_sorted; /* the first n_sorted members are sorted by hash */
   Fit first_byte; /* seconds until the first byte as a function of the tokens to
                      read */
+  RatesMean rates; /* of the members, as received from counting instances */
   Division *division;
   uint64_t hash;        /* text_hash of the service */
   double last_retry_at; /* the retry time given to the last caller that was
--- a/packages/route/rates.c
+++ b/packages/route/rates.c
@@ -206,8 +206,8 @@
 
 void rates_receive(RatesReceived *r, RatesMean *mean, double now,
                    const RatesEstimate *e) {
-  *r = (RatesReceived){e->token_s, e->slot_s, now - e->age_s};
-  update_mean(&mean->token_s, e->token_s);
+  *r = (RatesReceived){e->token_s, e->slot_s, now - e->age_s, now};
+  if (e->tokens > 0) update_mean(&mean->token_s, e->token_s);
   update_mean(&mean->slot_s, e->slot_s);
 }
 
--- a/packages/route/rates.h
+++ b/packages/route/rates.h
@@ -84,6 +84,7 @@
 typedef struct RatesReceived {
   double token_s, slot_s; /* as in RatesEstimate */
   double sampled_at;      /* time of the newest sample behind it */
+  double received_at;     /* 0: none was received */
 } RatesReceived;
 
 /* Means of the estimates received for the targets of a service. */
--- a/packages/route/state.h
+++ b/packages/route/state.h
@@ -14,7 +14,7 @@
 /* Assumed time in which a target reads a token of a prompt. It applies until
    an answer has arrived, and where the work of other instances is unknown: a
    line fitted to the measured times would include the time in their queues. */
-#define TARGETS_DEFAULT_TOKEN_S (1 / 45000.0)
+#define TARGETS_DEFAULT_TOKEN_S RATES_DEFAULT_TOKEN_S
 
 /* The last report of another instance on its work at a target. */
 typedef struct OtherLoad {
@@ -71,6 +71,7 @@
                       QUOTA_UNLIMITED: it reports no limit */
   double limit_sent_at; /* when we last sent it to the counting instance */
   bool limit_damaged;   /* the last limit it reported could not be parsed */
+  RatesReceived rate;   /* from the counting instance, of managed services */
   TargetUse *use;       /* NULL: this instance has no information yet */
   bool changed; /* our work there changed since we last reported it to the other
                    instances */
@@ -101,6 +102,9 @@
 /* Returns the current bounds on the target for this request. */
 QuotaBounds target_bounds(const Target *t, double now,
                           const TargetRequest *request);
+/* Seconds per token of a pool's targets where no rate of theirs is known: the
+   slope of its first-byte line. */
+double targets_start_token_s(const Pool *pool);
 /* It is leaving, or may be: its entry is missing or not confirmed. */
 bool target_may_have_left(const Target *t, double now);
 /* Returns processing time / usual time at the target, by its last report; 1
--- a/packages/route/targets.c
+++ b/packages/route/targets.c
@@ -538,6 +538,40 @@
   if (t) parts_apply_report(ensure_use(t)->parts, m->names, m->n, now);
 }
 
+/* == rates == */
+
+bool targets_apply_rate(Targets *s, double now, const TallyRate *m) {
+  if (!rates_is_valid(&m->rate)) return false;
+  Target *t = g_hash_table_lookup(s->by_hash, &m->target);
+  if (t) rates_receive(&t->rate, &t->pool->rates, now, &m->rate);
+  return true;
+}
+
+bool targets_rate_is_fresh(const Targets *s, double now, uint64_t target) {
+  const Target *t = g_hash_table_lookup(s->by_hash, &target);
+  return t && t->rate.received_at > 0 &&
+         now - t->rate.received_at < TARGETS_RATE_REFRESH_S;
+}
+
+double targets_start_token_s(const Pool *pool) {
+  double slope = fit_slope(&pool->first_byte);
+  return slope > 0 ? slope : TARGETS_DEFAULT_TOKEN_S;
+}
+
+const char *targets_describe(const Targets *s, uint64_t target,
+                             TallyTarget *out) {
+  const Target *t = g_hash_table_lookup(s->by_hash, &target);
+  if (!t) return NULL;
+  double received = t->pool->rates.token_s;
+  *out = (TallyTarget){.pool = t->pool->hash,
+                       .counter = pool_group(t->pool, target),
+                       .slots = t->info.slots,
+                       .start_token_s = received > 0
+                                            ? received
+                                            : targets_start_token_s(t->pool)};
+  return t->pool->service;
+}
+
 void target_note_stream(Target *t, double now, bool stalled) {
   division_note_stream(t->pool->division, now, stalled);
 }
--- a/packages/route/targets.h
+++ b/packages/route/targets.h
@@ -94,6 +94,8 @@
   RegionSet regions;   /* regions the request is bound to */
   bool permits_exhausted; /* it may request no more permits: bounded targets
                              count as full */
+  bool rated;             /* rates of targets decide (MANAGED_RATES) */
+  int slots;    /* engine: requests that a target runs at the same time */
   bool isolate; /* it may end its target: choose the one with the fewest other
                    requests */
   const Target *const *tried;
@@ -127,6 +129,11 @@
   QuotaBounds bounds;   /* bounds on the target for this request */
   bool bounded;  /* the bounds apply: the request needs a permit (tally.h) */
   double wait_s; /* predicted time until the first byte */
+  /* The prediction uses rates of targets: the target's own, received so long
+     ago, or the service's (INFINITY). */
+  bool rated;
+  double rate_age_s;
+  double token_s;          /* seconds per token that it uses; 0: no rate */
   int64_t uncached_tokens; /* the target probably has to read them */
   int64_t moved_tokens;    /* tokens taken from the cache of `donor` */
   const Target *donor;     /* NULL: none */
@@ -146,6 +153,24 @@
 int targets_to_query(Targets *s, double now, const TargetRequest *request,
                      uint64_t out[TARGETS_MAX_QUERIED]);
 
+/* The same for a second query: other random targets than the `n_known` that
+   were queried before. */
+int targets_to_query_more(Targets *s, double now, const TargetRequest *request,
+                          const uint64_t *known, int n_known,
+                          uint64_t out[TARGETS_MAX_QUERIED]);
+
+/* A counting instance's estimate for a target; false, without any effect: its
+   figures are impossible. */
+bool targets_apply_rate(Targets *s, double now, const TallyRate *m);
+/* Whether one was received within TARGETS_RATE_REFRESH_S. */
+#define TARGETS_RATE_REFRESH_S 0.1
+bool targets_rate_is_fresh(const Targets *s, double now, uint64_t target);
+/* Fills in what a counting instance has to know of a target but its part in the
+   fleet (`managed`, `ours`); `slots` are those of its entry. Returns the name
+   of its service; NULL: it is unknown. */
+const char *targets_describe(const Targets *s, uint64_t target,
+                             TallyTarget *out);
+
 TargetChoice targets_pick(Targets *s, double now, const TargetRequest *request);
 /* Whether it may take new work of this instance. */
 bool target_is_usable(const Target *t, double now);
