--- a/tests/test_rates.c
+++ b/tests/test_rates.c
@@ -2,9 +2,12 @@
    reports of targets with known speeds. */
 #include <criterion/criterion.h>
 #include <glib.h>
+#include <malloc.h>
 #include <math.h>
 #include <string.h>
+#include <time.h>
 
+#include "peer/codec.h"
 #include "route/rates.h"
 #include "route/tally.h"
 
@@ -375,3 +378,77 @@
   cr_assert_float_eq(rates_token_s(&slow, &mean, 100, 0), mean.token_s, 1e-7);
   cr_assert_float_eq(rates_slot_s(&fast, &mean, 5), 0.4, 1e-9);
 }
+
+/* == cost == */
+
+/* What an instance of 350 counts of 2,400 targets, and its part of 13,000
+   requests per second, each of which queries three targets. */
+#define COUNTED_TARGETS 7
+#define REQUESTS_PER_S 37
+#define RUNS_OF_A_TARGET 16
+/* Control work of an instance has 11 KB/s and 1.3% of a core in all. */
+#define MAX_RATE_BYTES_PER_S 4000
+#define MAX_TARGET_BYTES 200
+#define MAX_REPORT_US 5
+
+static double cpu_s(void) {
+  struct timespec t;
+  clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &t);
+  return (double)t.tv_sec + (double)t.tv_nsec * 1e-9;
+}
+
+/* Guards against state or messages that no longer fit a small instance. */
+Test(rates, cost_fits_an_instance_of_350) {
+  msgpack_sbuffer b;
+  msgpack_sbuffer_init(&b);
+  TallyRate m = {.number = 1000000,
+                 .target = 0xfedcba9876543210,
+                 .rate = {1 / 61800.0, 1.25, 0.113, 250000}};
+  codec_put_rate(&b, &m);
+  size_t bytes = b.size * TARGETS_MAX_QUERIED;
+  b.size = 0;
+  TallyQuery query = {.number = m.number, .target = m.target};
+  TallyReport report = {.number = m.number, .target = m.target, .open = 9};
+  TallyRun run = {.target = m.target, .run = m.number, .open = true};
+  for (int i = 0; i < 3; i++) {
+    codec_put_tally_query(&b, &query);
+    codec_put_tally_report(&b, &report);
+    codec_put_tally_run(&b, &run);
+  }
+  cr_log_info("counting of a plain request without rates: %d bytes",
+              (int)b.size);
+  msgpack_sbuffer_destroy(&b);
+  cr_log_info("rates of a request: %d bytes, %.2f KB/s", (int)bytes,
+              (double)bytes * REQUESTS_PER_S / 1000);
+  cr_assert_lt(bytes * REQUESTS_PER_S, MAX_RATE_BYTES_PER_S);
+
+  size_t before = mallinfo2().uordblks;
+  Tally *t = rated_tally();
+  size_t counts = 0, rates_only = sizeof(RatesTarget) + sizeof(TallyTarget);
+  double began = cpu_s();
+  int n = 0;
+  for (int round = 0; round < 2000; round++)
+    for (uint64_t k = 1; k <= COUNTED_TARGETS; k++) {
+      double now = 1 + round * 0.01;
+      TallyRun r = {.target = k, .run = (uint64_t)round, .open = true};
+      r.tokens = 2000;
+      tally_apply_run(t, now, 3, &r);
+      r.tokens = 0;
+      tally_apply_run(t, now + 0.005, 3, &r);
+      r.run -= RUNS_OF_A_TARGET;
+      r.open = false;
+      tally_apply_run(t, now + 0.006, 3, &r);
+      TallyQuery q = {.target = k};
+      tally_rate(t, now + 0.007, &q, &m);
+      n += 4;
+    }
+  double us = (cpu_s() - began) / n * 1e6;
+  counts = mallinfo2().uordblks - before;
+  cr_log_info("%d bytes a counted target with %d requests, of which rates %d; "
+              "%.2f us a report or query; %d bytes a known target",
+              (int)(counts / COUNTED_TARGETS), RUNS_OF_A_TARGET,
+              (int)rates_only, us, (int)sizeof(RatesReceived));
+  cr_assert_lt(rates_only, MAX_TARGET_BYTES);
+  cr_assert_lt(us, MAX_REPORT_US);
+  tally_free(t);
+}
