--- a/tests/test_rates.c
+++ b/tests/test_rates.c
@@ -254,6 +254,48 @@
   sim_free(&s);
 }
 
+static bool find_unmanaged(void *ctx, uint64_t target, TallyTarget *out) {
+  find_target(ctx, target, out);
+  out->managed = false;
+  return true;
+}
+
+static bool find_nothing(void *ctx, uint64_t target, TallyTarget *out) {
+  (void)ctx;
+  (void)target;
+  (void)out;
+  return false;
+}
+
+/* Guards against new messages for services that are not managed: a rate is sent
+   only where tally_rate gives one. */
+Test(rates, other_targets_have_no_rate_and_the_same_report) {
+  TallyFindTarget find[] = {NULL, find_nothing, find_unmanaged, find_target};
+  TallyReport expected = {0};
+  for (size_t i = 0; i < G_N_ELEMENTS(find); i++) {
+    Tally *t = tally_new();
+    TallyPoolState state;
+    TallyRate m;
+    if (find[i]) tally_set_find_target(t, find[i], NULL);
+    for (uint64_t run = 1; run < 20; run++) {
+      TallyRun r = {.target = 1, .run = run, .open = true, .tokens = 900};
+      tally_apply_run(t, (double)run, 3, &r);
+      r.tokens = 0;
+      if (run % 3) tally_apply_run(t, (double)run + 0.2, 3, &r);
+      r.open = false;
+      if (run % 5) tally_apply_run(t, (double)run + 0.5, 3, &r);
+      tally_sweep(t, (double)run + 0.9);
+    }
+    TallyQuery q = {.number = 4, .target = 1};
+    TallyReport report = tally_report(t, 21, &q);
+    if (i == 0) expected = report;
+    cr_assert_eq(memcmp(&report, &expected, sizeof report), 0);
+    cr_assert_eq(tally_rate(t, 21, &q, &m), find[i] == find_target);
+    cr_assert_eq(tally_pool_state(t, 21, POOL, &state), find[i] == find_target);
+    tally_free(t);
+  }
+}
+
 /* == slots == */
 
 /* Plain targets: no prompt, and a queue before the slots. */
