Admission by expected lateness: used by the relay, with log fields and metrics

A request that would be answered too late is rejected before it is sent (503 overloaded, not run), one above its customer's cutoff before its budget is reserved; Retry-After comes from the schedule of promised retries. TargetChoice tells whether its wait is backed by a report, which part of it is for the request itself and whether anything is ahead.

--- a/packages/flow/dispatch.c
+++ b/packages/flow/dispatch.c
@@ -125,7 +125,7 @@
   TargetRequest criteria = run_target_criteria(x);
   criteria.n_tried = 0;
   TargetChoice c = targets_pick(x->relay->targets, run_now(x), &criteria);
-  return c.target ? RUN_RETRY_SOON_MS : none_retry_ms(&c);
+  return c.target ? run_retry_ms(x) : none_retry_ms(&c);
 }
 
 /* The target did not run the request: nothing was sent, or its answer states
@@ -207,6 +207,7 @@
     count_observe_time(COUNT_TIME_FIRST_BYTE,
                        run_now(x) - x->http_request->received_at);
     run_report_prompt_read(x);
+    run_record_wait(x, true);
     x->first_byte_at = run_now(x);
   }
   x->has_first_byte = true;
@@ -316,7 +317,7 @@
 }
 
 /* The customer's priority takes precedence over the route's. */
-static int priority_of(const Run *x) {
+int run_priority(const Run *x) {
   if (!x->service || !x->service->engine) return -1;
   int customer = x->customer ? x->customer->priority : -1;
   if (customer < 0) return x->route->priority;
@@ -332,7 +333,7 @@
                          .donor = c->donor ? target_addr(c->donor) : NULL,
                          .customer = x->customer ? x->customer->name : NULL,
                          .remaining_s = x->deadline - now,
-                         .priority = priority_of(x),
+                         .priority = run_priority(x),
                          .last_event = x->events.count > 0 ? x->events.last_id
                                                            : REQUEST_NO_EVENT};
   GString *out = g_string_sized_new(1024 + x->http_request->body->len);
@@ -388,6 +389,7 @@
     fail_without_target(x, &c);
     return;
   }
+  if (!run_check_lateness(x, &c)) return;
   if (c.bounded) {
     run_request_permit(x, &c);
     return;
--- a/packages/flow/relay.c
+++ b/packages/flow/relay.c
@@ -18,9 +18,6 @@
 #define BUDGET_AIM_RATIO 0.2
 #define DEFAULT_DEADLINE_S 30.0    /* when the caller gives none */
 #define RETRY_STORE_OUTAGE_MS 5000 /* store outages last 4 to 9 s */
-/* Retry-After is at most the remaining time divided by this; a later retry
-   would not leave enough time to be served. */
-#define RETRY_DEADLINE_DIVISOR 3
 
 /* == budget == */
 
@@ -38,7 +35,7 @@
 static void refuse_budget(Run *x, ErrKind cause, int retry_ms) {
   Err e;
   int max_ms =
-      (int)((x->deadline - run_now(x)) * 1000) / RETRY_DEADLINE_DIVISOR;
+      (int)((x->deadline - run_now(x)) * 1000) / RUN_RETRY_DEADLINE_DIVISOR;
   /* When no time is left because this process was paused, the full retry time
      is sent, as to others. */
   int capped_retry_ms = max_ms > 0 ? MIN(retry_ms, max_ms) : retry_ms;
@@ -156,6 +153,7 @@
     return err_set(e, ERR_NO_ROUTE, "route %s has no service", x->route->name);
   x->service = conf_find_service(x->conf, x->service_name);
   x->regions = allowed_regions(x, x->route, x->customer);
+  run_init_admission(x);
   return true;
 }
 
@@ -169,7 +167,7 @@
       x->request.deadline_s > 0 ? x->request.deadline_s : DEFAULT_DEADLINE_S;
   x->deadline = x->http_request->received_at + MIN(wait_s, x->route->timeout_s);
   x->reserved_tokens = x->request.prompt_tokens + x->request.max_output_tokens;
-  run_admit(x, start_run);
+  if (run_check_share(x)) run_admit(x, start_run);
 }
 
 static bool check_capacity(const Relay *r, Err *e) {
@@ -221,8 +219,11 @@
 static const CallerEvents caller_events = {on_request, on_disconnected,
                                            on_drained};
 
-/* Frees the state about requests that end targets. */
-static void free_suspects(Relay *r) {
+/* Frees what is known about requests: those that end targets, and those that
+   are expected late. */
+static void free_knowledge(Relay *r) {
+  admission_free(r->admission);
+  returns_free(r->returns);
   relay_free_tries(r);
   trials_free(r->trials);
   suspects_free(r->suspects);
@@ -241,6 +242,8 @@
   r->runs_by_reservation = g_hash_table_new(g_int64_hash, g_int64_equal);
   r->runs_by_query = g_hash_table_new(g_int64_hash, g_int64_equal);
   r->retries = retries;
+  r->admission = admission_new();
+  r->returns = returns_new();
   r->max_held_body_bytes = o->max_held_body_bytes;
   r->links = links_open(loop, &links);
   r->ends = ends_new();
@@ -256,7 +259,7 @@
     callers_set_memory_limit(r->callers, (size_t)o->max_held_body_bytes);
   if (r->callers) return r;
   links_close(r->links);
-  free_suspects(r);
+  free_knowledge(r);
   g_free(r);
   return NULL;
 }
@@ -264,7 +267,7 @@
 void relay_close(Relay *r) {
   callers_close(r->callers);
   links_close(r->links);
-  free_suspects(r);
+  free_knowledge(r);
   conf_unref(r->conf);
   g_hash_table_destroy(r->runs_by_reservation);
   g_hash_table_destroy(r->runs_by_query);
--- a/packages/flow/run.c
+++ b/packages/flow/run.c
@@ -3,6 +3,7 @@
 #include "flow/run.h"
 
 #include <jansson.h>
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -51,6 +52,7 @@
   if (!x->target) return;
   double now = run_now(x);
   run_report_done(x);
+  if (how == TARGET_ABANDONED && !x->has_first_byte) run_record_wait(x, false);
   if (x->stream && x->events.count > 1 && x->choice.serves_long)
     target_note_stream(x->target, now, x->max_pause_s > x->route->max_pause_s);
   target_note_done(x->target, now, how, x->has_first_byte,
@@ -74,6 +76,13 @@
   g_free(x);
 }
 
+/* Types of the fields of a line; the second are those of managed services. */
+#define END_FIELDS                                                             \
+  "s:s,s:s,s:i,s:s,s:s,s:s,s:s,s:s,s:i,s:i,s:I,s:I,s:I,s:I,s:i,s:I,"           \
+  "s:f,s:f,s:f,s:f,s:f,s:f,s:i,s:I"
+#define ADMISSION_FIELDS ",s:s,s:f,s:f"
+#define NO_CUTOFF (-1.0) /* JSON has no infinity */
+
 static void log_end(const Run *x, const char *outcome, int status,
                     const char *error, int64_t tokens) {
   double now = run_now(x);
@@ -82,8 +91,7 @@
   void (*line)(const char *, const char *, ...) =
       strcmp(outcome, "served") == 0 ? log_info : log_warn;
   line("request",
-       "s:s,s:s,s:i,s:s,s:s,s:s,s:s,s:s,s:i,s:i,s:I,s:I,s:I,s:I,s:i,s:I,"
-       "s:f,s:f,s:f,s:f,s:f,s:f,s:i,s:I",
+       x->checks_admission ? END_FIELDS ADMISSION_FIELDS : END_FIELDS,
        "request", x->request.id, "outcome", outcome, "status", status, "error",
        error, "customer", x->customer ? x->customer->name : "", "service",
        x->service_name ? x->service_name : "", "route",
@@ -98,7 +106,9 @@
        "aim", x->route ? x->route->slo_s : 0, "pause_aim",
        x->route ? x->route->max_pause_s : 0, "seconds",
        now - x->http_request->received_at, "permits", x->total_permit_requests,
-       "conf", (json_int_t)(x->conf ? x->conf->version : 0));
+       "conf", (json_int_t)(x->conf ? x->conf->version : 0), "cause",
+       admission_cause_name(x->rejected), "expected", x->expected_s, "cutoff",
+       isfinite(x->cutoff.cutoff) ? x->cutoff.cutoff : NO_CUTOFF);
 }
 
 /* Does everything but the answer: budget, target, log. */
@@ -150,6 +160,7 @@
 void run_end_served(Run *x) {
   Caller *c = x->caller;
   count_add(COUNT_RAN, 1);
+  run_record_served(x);
   count_observe_time(COUNT_TIME_REQUEST,
                      run_now(x) - x->http_request->received_at);
   close_run(x, "served", x->status, "");
--- a/packages/flow/run.h
+++ b/packages/flow/run.h
@@ -14,6 +14,8 @@
 #include "flow/link.h"
 #include "flow/relay.h"
 #include "kernel/digest.h"
+#include "route/admission.h"
+#include "route/returns.h"
 #include "route/suspects.h"
 #include "route/trials.h"
 
@@ -24,6 +26,9 @@
    are still missing. */
 #define RUN_ANSWER_TIMEOUT_S 0.02
 #define RUN_RETRY_SOON_MS 200 /* Retry-After for conditions that end soon */
+/* Callers follow Retry-After up to the remaining time divided by this; a later
+   retry would not leave enough time to be served. */
+#define RUN_RETRY_DEADLINE_DIVISOR 3
 /* Retry-After while all remaining targets are under evacuation, that is,
    operators have excluded them for a time. The duration is unknown; evacuations
    last for tens of seconds, and callers wait for at most a third of their
@@ -51,6 +56,11 @@
   struct Try *try; /* the attempt on a suspect; NULL: it is not a suspect */
   double deadline; /* the run fails if there is no answer by then */
   ev_timer timer;
+  /* admission (overload.c); all but the first are unused if it is false */
+  bool checks_admission;   /* the part `admission` is active for the service */
+  AdmissionCutoff cutoff;  /* of the customer */
+  AdmissionCause rejected; /* why it was rejected */
+  double expected_s; /* last expected time until the first byte; 0: none */
   /* budget */
   int64_t reserved_tokens;
   uint64_t reservation; /* number of the reservation; 0: none */
@@ -107,6 +117,8 @@
   Cluster *cluster;
   GHashTable *runs_by_reservation; /* reservation -> Run, decided or pending */
   Retries *retries;
+  Admission *admission;
+  Returns *returns;
   Ends *ends;
   Suspects *suspects;
   Trials *trials;
@@ -137,6 +149,23 @@
 /* Ends the run without an answer, after the caller disconnected. */
 void run_end_disconnected(Run *x);
 
+/* == overload.c: rejections for the expected time of an answer == */
+
+/* To be called when the service of the run is known. */
+void run_init_admission(Run *x);
+/* These return true, or reject the request and return false: whether it is
+   within its customer's share, and whether it may be sent to the chosen target
+   by the time at which its answer is expected. */
+bool run_check_share(Run *x);
+bool run_check_lateness(Run *x, const TargetChoice *c);
+/* Records how long the run waited for its first byte or, if that has not
+   `begun` to arrive, until it was ended. */
+void run_record_wait(Run *x, bool begun);
+/* Records that the run was served. */
+void run_record_served(Run *x);
+/* Returns Retry-After, in ms, of a request that targets rejected. */
+int run_retry_ms(Run *x);
+
 /* == relay.c: allowed regions == */
 
 /* If the configuration has changed since the request arrived, restricts the run
@@ -217,6 +246,8 @@
 
 /* == dispatch.c: targets and their answers == */
 
+/* Returns the priority that targets are sent; -1: none. */
+int run_priority(const Run *x);
 /* Returns the criteria for the choice of a target. */
 TargetRequest run_target_criteria(Run *x);
 /* Chooses a target by the reports that have arrived, and sends the request
--- a/packages/kernel/count.c
+++ b/packages/kernel/count.c
@@ -26,6 +26,18 @@
                              "consumed twice, billed once"},
     [COUNT_BILLS] = {"bills_total", "bill lines made durable"},
     [COUNT_REPLAYS] = {"replays_total", "retries answered from the record"},
+    [COUNT_REJECTED_DEADLINE] = {"rejected_deadline_total",
+                                 "requests not sent: their answers would begin "
+                                 "after the deadline"},
+    [COUNT_REJECTED_LATE] = {"rejected_late_total",
+                             "requests not sent: they would be late, and their "
+                             "service is persistently"},
+    [COUNT_REJECTED_SHARE] = {"rejected_share_total",
+                              "requests not sent: their customers are above "
+                              "their shares"},
+    [COUNT_RETRIES_PROMISED] = {"retries_promised_total",
+                                "callers that were told a time to retry at "
+                                "that they can wait for"},
     [COUNT_RETRIES] = {"retries_total", "dispatches after the first"},
     [COUNT_EJECTED] = {"ejections_total", "targets put aside"},
     [COUNT_CALLER_GONE] = {"caller_gone_total", "callers that hung up"},
--- a/packages/route/admission.c
+++ b/packages/route/admission.c
@@ -17,6 +17,14 @@
 #define SHARE_WINDOW_S 0.3
 #define SAMPLE_MAX_WEIGHT 0.25
 #define ENTER_SHARE 0.75
+/* A queue that is longer than the objective by this much makes late all that
+   comes for longer than a moment, so it counts for up to LONG_MAX_WEIGHT: two
+   requests in a row suffice. With two requests per second and service, as in a
+   fleet of 72 instances, five took 3 s, and the queue grew to three times the
+   objective. One does not suffice: it may have been sent to a slow target for
+   what that has cached. */
+#define LONG_EXCESS_S 0.5
+#define LONG_MAX_WEIGHT 0.5
 /* The state ends when the share has been below this for LEAVE_AFTER_S. At 10%
    more load than capacity a tenth is rejected, which keeps the state. */
 #define LEAVE_SHARE 0.1
@@ -38,20 +46,23 @@
 
 /* == correction of the expectation == */
 
-/* Time over which measured waits fade: the composition of a queue changes with
-   its load within seconds. */
-#define MEASURED_WINDOW_S 2.0
-/* Weight of the expectation as it is, in seconds of waiting: in all, and for
-   each measured wait. Without the second, many waits of some milliseconds for
-   the network and the next step of a batch would count as a queue that was
-   several times longer than expected. */
+/* Measured waits fade over this time, and to this part with each further one:
+   the composition of a queue changes within a second where there are many
+   requests, and an instance with one in 1.4 s needs several of them. */
+#define MEASURED_WINDOW_S 5.0
+#define MEASURED_KEEP_RATIO 0.9
+/* Weight of what is assumed without a measured wait, in seconds of waiting. */
 #define PRIOR_S 0.2
+/* Added to both sides of each measured wait. Without it, many waits of some
+   milliseconds for the network and the next step of a batch would count as a
+   queue that was several times longer than expected. */
 #define SAMPLE_PRIOR_S 0.05
 #define CORRECTION_MIN 0.05
 #define CORRECTION_MAX 4.0
-/* One request is admitted when none of its priority was for this long; the time
-   doubles with each such request up to the maximum. A prompt of 12,000 tokens
-   every 8 s from each of 72 instances is 1% of what 140 engines read. */
+/* One request is admitted when no wait of its priority was measured, nor is
+   about to be, for this long; the time doubles with each such request up to the
+   maximum. A prompt of 12,000 tokens every 8 s from each of 72 instances is 1%
+   of what 140 engines read. */
 #define PROBE_MIN_S 1.0
 #define PROBE_MAX_S 8.0
 
@@ -60,9 +71,14 @@
   double sampled_at;
   double calm_since;       /* late_share is below LEAVE_SHARE since then */
   bool late;               /* persistently */
-  double waited, expected; /* sums over recent requests */
-  double measured_at;
-  double admitted_at;
+  double waited, expected; /* sums over recent requests, as of faded_at */
+  /* Sum over the same requests of the time to read one, times the time that it
+     was unread: its part of the queue. */
+  double queued;
+  double faded_at;
+  /* When a wait was last measured, or that of the last admitted request is
+     expected to be. */
+  double known_at;
   double probe_after_s;
 } Class;
 
@@ -101,8 +117,9 @@
   if (s) return s;
   s = g_new0(ServiceState, 1);
   for (int i = 0; i < PRIORITIES; i++) {
-    s->classes[i].sampled_at = s->classes[i].admitted_at = -INFINITY;
-    s->classes[i].probe_after_s = PROBE_MIN_S;
+    Class *k = &s->classes[i];
+    k->sampled_at = k->known_at = -INFINITY;
+    k->probe_after_s = PROBE_MIN_S;
   }
   g_hash_table_insert(a->services, g_memdup2(&service, sizeof service), s);
   return s;
@@ -123,30 +140,54 @@
 /* == expectation == */
 
 static void fade_measured(Class *k, double now) {
-  double keep = exp(-MAX(0, now - k->measured_at) / MEASURED_WINDOW_S);
+  double keep = exp(-MAX(0, now - k->faded_at) / MEASURED_WINDOW_S);
   k->waited *= keep;
   k->expected *= keep;
-  k->measured_at = now;
+  k->queued *= keep;
+  k->faded_at = now;
 }
 
-static double correction(Class *k, double now) {
-  fade_measured(k, now);
-  return CLAMP((k->waited + PRIOR_S) / (k->expected + PRIOR_S), CORRECTION_MIN,
-               CORRECTION_MAX);
+/* Part of what is unread that requests of class `at` have to wait for: that of
+   the more urgent classes and their own. Known by what this instance sent; 1 if
+   it sent nothing. */
+static double part_ahead(ServiceState *s, double now, int at) {
+  double ahead = 0, all = 0;
+  for (int i = 0; i < PRIORITIES; i++) {
+    Class *k = &s->classes[i];
+    fade_measured(k, now);
+    all += k->queued;
+    if (i <= at) ahead += k->queued;
+  }
+  return all > 0 ? ahead / all : 1;
+}
+
+/* Time that requests of the class wait for others, relative to the expectation
+   in order of arrival. */
+static double correction(ServiceState *s, double now, int at) {
+  double assumed = part_ahead(s, now, at);
+  const Class *k = &s->classes[at];
+  return CLAMP((k->waited + PRIOR_S * assumed) / (k->expected + PRIOR_S),
+               CORRECTION_MIN, CORRECTION_MAX);
 }
 
 static bool is_time(double s) {
   return isfinite(s) && s >= 0;
 }
 
+static void add_measured(double *sum, double s) {
+  *sum = *sum * MEASURED_KEEP_RATIO + s;
+}
+
 void admission_note_wait(Admission *a, double now, uint64_t service,
                          int priority, double wait_s, double own_s,
                          double took_s) {
   if (!is_time(wait_s) || !is_time(own_s) || !is_time(took_s)) return;
   Class *k = &ensure_service(a, service)->classes[class_index(priority)];
   fade_measured(k, now);
-  k->waited += MAX(0, took_s - own_s) + SAMPLE_PRIOR_S;
-  k->expected += MAX(0, wait_s - own_s) + SAMPLE_PRIOR_S;
+  k->known_at = MAX(k->known_at, now);
+  add_measured(&k->waited, MAX(0, took_s - own_s) + SAMPLE_PRIOR_S);
+  add_measured(&k->expected, MAX(0, wait_s - own_s) + SAMPLE_PRIOR_S);
+  k->queued += own_s * took_s;
 }
 
 /* == persistent lateness == */
@@ -167,10 +208,15 @@
   return s && is_late(s, now, priority);
 }
 
-static void note_sample(Class *k, double now, bool late) {
-  k->late = is_current(k, now);
+/* `excess_s`: how much later than its objective a request is expected. */
+static void note_sample(Class *k, double now, bool late, double excess_s) {
+  double more = CLAMP(excess_s / LONG_EXCESS_S, 0, 1);
+  double max_weight =
+      SAMPLE_MAX_WEIGHT + (LONG_MAX_WEIGHT - SAMPLE_MAX_WEIGHT) * more;
   double weight = 1 - exp(-MAX(0, now - k->sampled_at) / SHARE_WINDOW_S);
-  k->late_share += MIN(weight, SAMPLE_MAX_WEIGHT) * (late - k->late_share);
+  k->late = is_current(k, now);
+  if (now - k->sampled_at > LEAVE_AFTER_S) k->late_share = 0;
+  k->late_share += MIN(weight, max_weight) * (late - k->late_share);
   k->sampled_at = now;
   if (k->late_share >= LEAVE_SHARE) k->calm_since = now;
   if (k->late_share >= ENTER_SHARE) k->late = true;
@@ -190,7 +236,8 @@
                    double expected_s) {
   if (!r->is_reported || r->own_s >= r->objective_s) return;
   double aim_s = aim_of(r, is_current(k, now));
-  note_sample(k, now, !r->is_free && expected_s > aim_s);
+  note_sample(k, now, !r->is_free && expected_s > aim_s,
+              expected_s - r->objective_s);
 }
 
 /* == decision == */
@@ -210,10 +257,9 @@
 
 /* Whether a request to an engine is admitted in order to measure its wait. */
 static bool take_probe(Class *k, double now, const AdmissionRequest *r) {
-  if (r->priority < 0 || now - k->admitted_at < k->probe_after_s) return false;
+  if (r->priority < 0 || now - k->known_at < k->probe_after_s) return false;
   if (r->own_s > r->left_s) return false; /* however short the queue is */
   k->probe_after_s = MIN(k->probe_after_s * 2, PROBE_MAX_S);
-  k->admitted_at = now;
   return true;
 }
 
@@ -222,18 +268,20 @@
   AdmissionVerdict v = {.cause = ADMISSION_ADMITTED};
   if (!is_time(r->wait_s) || !is_time(r->own_s)) return v;
   ServiceState *s = ensure_service(a, r->service);
-  Class *k = &s->classes[class_index(r->priority)];
+  int at = class_index(r->priority);
+  Class *k = &s->classes[at];
   double own_s = MIN(r->own_s, r->wait_s);
-  v.expected_s = own_s + (r->wait_s - own_s) * correction(k, now);
+  v.expected_s = own_s + (r->wait_s - own_s) * correction(s, now, at);
   sample(k, now, r, v.expected_s);
   bool late = r->short_of_capacity || is_late(s, now, r->priority);
   v.cause = find_cause(r, v.expected_s, late);
-  if (v.cause == ADMISSION_ADMITTED) {
-    k->admitted_at = now;
+  if (v.cause == ADMISSION_ADMITTED)
     k->probe_after_s = PROBE_MIN_S;
-    return v;
-  }
-  if (take_probe(k, now, r)) v.cause = ADMISSION_ADMITTED;
-  v.earliest_s = MAX(0, v.expected_s - aim_of(r, true));
+  else if (take_probe(k, now, r))
+    v.cause = ADMISSION_ADMITTED;
+  else
+    v.earliest_s = MAX(0, v.expected_s - aim_of(r, true));
+  if (v.cause == ADMISSION_ADMITTED)
+    k->known_at = MAX(k->known_at, now + v.expected_s);
   return v;
 }
--- a/packages/route/admission.h
+++ b/packages/route/admission.h
@@ -37,10 +37,11 @@
    The expectation counts all that is unread at the target, as if it was read in
    order of arrival. A request of an urgent priority overtakes most of that, one
    of a low priority is overtaken. So for each priority the time ahead is
-   corrected by what recent requests waited, relative to what was expected.
-   Where nothing was measured since nothing was admitted, one request is
-   admitted now and then: otherwise an expectation that is too high would
-   exclude a priority for good.
+   corrected by what recent requests waited, relative to what was expected, and
+   where few were measured by the part of the queue that is as urgent, as far as
+   this instance filled it. Where nothing was measured since nothing was
+   admitted, one request is admitted now and then: otherwise an expectation that
+   is too high would exclude a priority for good.
 
    Without a fresh report of the counting instance a request to an engine is
    admitted. A plain target's queue is served in order of arrival, and what this
--- a/packages/route/choose.c
+++ b/packages/route/choose.c
@@ -308,15 +308,26 @@
          (double)c->moved_tokens * p->request->move_token_s;
 }
 
-static double plain_wait_s(const Target *t, int open, double now) {
-  double took = t->mean_answer_s > 0 ? t->mean_answer_s : INITIAL_ANSWER_S;
-  int slots = MAX(t->info.slots, 1);
+/* Requests at a plain target, by our counts or its own report. */
+static int count_plain_requests(const Target *t, int open, double now) {
   bool is_fresh = now - t->reported_at < LOAD_REPORT_MAX_AGE_S;
   int reported = is_fresh ? t->reported_running + t->reported_waiting : 0;
-  int there = MAX(open, reported);
+  return MAX(open, reported);
+}
+
+static double plain_wait_s(const Target *t, int there, double now) {
+  double took = t->mean_answer_s > 0 ? t->mean_answer_s : INITIAL_ANSWER_S;
+  int slots = MAX(t->info.slots, 1);
   return took * target_slowdown(t, now) * (1 + (double)there / slots);
 }
 
+static double engine_own_s(const Pick *p, const TargetChoice *c) {
+  double read_s = (double)c->uncached_tokens * p->prefill_s_per_token *
+                  target_slowdown(c->target, p->now);
+  double move_s = (double)c->moved_tokens * p->request->move_token_s;
+  return MIN(c->wait_s, read_s + move_s);
+}
+
 /* Reading and moving tokens costs a target more than the wait of the request
    itself. */
 static double engine_cost(const Pick *p, const TargetChoice *c) {
@@ -339,10 +350,15 @@
     c->uncached_tokens = count_uncached_tokens(p, t);
     apply_donor(p, c);
     c->wait_s = engine_wait_s(p, c);
+    c->own_s = engine_own_s(p, c);
+    c->is_free = c->load.tokens <= 0 && c->load.open < t->info.slots;
     cost += engine_cost(p, c);
   } else {
-    c->wait_s = plain_wait_s(t, c->load.open, p->now);
+    int there = count_plain_requests(t, c->load.open, p->now);
+    c->wait_s = plain_wait_s(t, there, p->now);
+    c->is_free = there < MAX(t->info.slots, 1);
   }
+  c->wait_is_reported = find_report(p, t) != NULL;
   cost += c->wait_s;
   if (strcmp(t->info.dc, p->set->dc) != 0) cost += CROSS_DC_COST_S;
   if (p->now < t->cold_until) cost += COLD_COST_S;
--- a/packages/route/targets.h
+++ b/packages/route/targets.h
@@ -127,6 +127,10 @@
   QuotaBounds bounds;   /* bounds on the target for this request */
   bool bounded;  /* the bounds apply: the request needs a permit (tally.h) */
   double wait_s; /* predicted time until the first byte */
+  bool wait_is_reported; /* it is backed by a fresh report of the counting
+                            instance */
+  double own_s;          /* engine: part of it for reading the request itself */
+  bool is_free;          /* nothing is ahead of the request at the target */
   int64_t uncached_tokens; /* the target probably has to read them */
   int64_t moved_tokens;    /* tokens taken from the cache of `donor` */
   const Target *donor;     /* NULL: none */
--- a/tests/test_targets.c
+++ b/tests/test_targets.c
@@ -429,6 +429,50 @@
   targets_free(s);
 }
 
+/* Guards against rejections by a wait that no report backs, and against an idle
+   target that counts as busy for its reading of the request itself. */
+Test(targets, choice_tells_whether_its_wait_is_reported_and_for_what) {
+  Targets *s = targets_with(1);
+  RequestInfo a = {.prompt_tokens = 9000};
+  TargetRequest request = {.service = "svc", .info = &a, .engine = true};
+  TargetChoice c = targets_pick(s, 1, &request);
+  cr_assert(!c.wait_is_reported && c.is_free);
+  cr_assert_float_eq(c.own_s, c.wait_s, 1e-9);
+  TallyReport w = {.target = target_hash(c.target), .open = 2, .tokens = 18000};
+  request.reports = &w;
+  request.n_reports = 1;
+  c = targets_pick(s, 1, &request);
+  cr_assert(c.wait_is_reported && !c.is_free);
+  cr_assert_float_eq(c.own_s, c.wait_s / 3, 1e-9, "%g of %g", c.own_s,
+                     c.wait_s);
+  w.tokens = 0; /* all prompts are read */
+  w.open = 3;
+  cr_assert(targets_pick(s, 1, &request).is_free);
+  w.open = 4; /* as many as it has slots */
+  cr_assert_not(targets_pick(s, 1, &request).is_free);
+  w.target++; /* a report on another target */
+  cr_assert_not(targets_pick(s, 1, &request).wait_is_reported);
+  targets_free(s);
+}
+
+/* Guards against plain targets that count as idle by our own requests only. */
+Test(targets, plain_target_is_free_while_it_has_slots) {
+  Targets *s = targets_with(1);
+  RequestInfo a = {0};
+  TargetRequest request = {.service = "svc", .info = &a};
+  TargetChoice c = targets_pick(s, 1, &request);
+  cr_assert(c.is_free);
+  for (int i = 0; i < 4; i++) target_note_sent(c.target, 1, &a, &c);
+  cr_assert_not(targets_pick(s, 1, &request).is_free);
+  for (int i = 0; i < 4; i++)
+    target_note_done(c.target, 2, TARGET_OK, true, 0, 0.1);
+  cr_assert(targets_pick(s, 2, &request).is_free);
+  target_set_load(c.target, 2, 4, 20, 0);
+  cr_assert_not(targets_pick(s, 2.1, &request).is_free);
+  cr_assert(targets_pick(s, 3, &request).is_free, "its report is too old");
+  targets_free(s);
+}
+
 /* When all targets for long prompts are unresponsive, the others serve
    them. */
 Test(targets, long_prompts_spill_if_their_targets_are_unhealthy) {
