account: refusals by route and cause with the time until them; rejections by customer

Rejections for the expected time of an answer all counted as "overloaded". They are named by their cause, a table lists the mean and the longest time until a refusal, and the table of customers says how many of each cause.

--- a/packages/report/account.c
+++ b/packages/report/account.c
@@ -28,8 +28,23 @@
 typedef struct CauseSum {
   long requests;
   double sums[INPUT_FIELD_COUNT];
+  long refused; /* of `requests`; the next two are theirs */
+  double refused_after_s, refused_after_max_s;
 } CauseSum;
 
+/* Causes of rejections by the expected time of an answer, as the event
+   "request" names them, and as they are printed. */
+static const char *const rejections[][2] = {{"deadline", "rejected: deadline"},
+                                            {"late", "rejected: late"},
+                                            {"share", "rejected: share"}};
+#define REJECTION_COUNT G_N_ELEMENTS(rejections)
+
+/* Requests of one customer that were refused. */
+typedef struct CustomerSum {
+  long refused, rejected[REJECTION_COUNT];
+  double refused_after_s;
+} CustomerSum;
+
 typedef enum {
   OUTCOME_WITHIN_OBJECTIVE,
   OUTCOME_LATE,
@@ -41,7 +56,7 @@
 struct ReportLosses {
   GHashTable *routes;            /* route -> GHashTable: cause -> CauseSum */
   GHashTable *windows_by_number; /* number of a window -> long[OUTCOME_COUNT] */
-  GHashTable *customers;         /* name -> long *: requests refused */
+  GHashTable *customers;         /* name -> CustomerSum */
   ReportEvacuations *evacuations;
   ReportStoreCalls *store_calls;
   double started_at; /* time of the first event */
@@ -63,12 +78,22 @@
   return CAUSE_WITHIN_OBJECTIVE;
 }
 
+/* Returns the index in `rejections`, or REJECTION_COUNT. */
+static size_t find_rejection(const json_t *line) {
+  const char *cause = report_event_string(line, "cause");
+  size_t i = 0;
+  while (i < REJECTION_COUNT && strcmp(rejections[i][0], cause) != 0) i++;
+  return i;
+}
+
 const char *report_request_cause(const json_t *line) {
   const char *outcome = report_event_string(line, "outcome");
   if (strcmp(outcome, "served") == 0) return classify_served_request(line);
   if (strcmp(outcome, "caller-gone") == 0) return CAUSE_FAILED ": caller left";
   if (strcmp(outcome, "cut") == 0) return CAUSE_FAILED ": broken off";
-  return report_event_string(line, "error");
+  size_t rejection = find_rejection(line);
+  return rejection < REJECTION_COUNT ? rejections[rejection][1]
+                                     : report_event_string(line, "error");
 }
 
 /* A request that was sent to a target and ended with an error of the instance
@@ -117,8 +142,14 @@
   return causes;
 }
 
-static void count_cause(ReportLosses *a, const json_t *line,
-                        const char *cause) {
+static void count_refused(CauseSum *s, double after_s) {
+  s->refused++;
+  s->refused_after_s += after_s;
+  s->refused_after_max_s = MAX(s->refused_after_max_s, after_s);
+}
+
+static void count_cause(ReportLosses *a, const json_t *line, const char *cause,
+                        Outcome outcome) {
   GHashTable *causes = find_or_add_route(a, report_event_string(line, "route"));
   CauseSum *s = g_hash_table_lookup(causes, cause);
   if (!s) {
@@ -128,6 +159,8 @@
   s->requests++;
   for (size_t i = 0; i < INPUT_FIELD_COUNT; i++)
     s->sums[i] += report_event_number(line, input_fields[i]);
+  if (outcome == OUTCOME_REFUSED)
+    count_refused(s, report_event_number(line, "seconds"));
 }
 
 static void count_window(ReportLosses *a, double since_start_s,
@@ -141,13 +174,17 @@
   counts[outcome]++;
 }
 
-static void count_refused_customer(ReportLosses *a, const char *name) {
-  long *n = g_hash_table_lookup(a->customers, name);
-  if (!n) {
-    n = g_new0(long, 1);
-    g_hash_table_insert(a->customers, g_strdup(name), n);
+static void count_refused_customer(ReportLosses *a, const json_t *line) {
+  const char *name = report_event_string(line, "customer");
+  CustomerSum *s = g_hash_table_lookup(a->customers, name);
+  size_t rejection = find_rejection(line);
+  if (!s) {
+    s = g_new0(CustomerSum, 1);
+    g_hash_table_insert(a->customers, g_strdup(name), s);
   }
-  ++*n;
+  s->refused++;
+  s->refused_after_s += report_event_number(line, "seconds");
+  if (rejection < REJECTION_COUNT) s->rejected[rejection]++;
 }
 
 void report_losses_add(ReportLosses *a, const json_t *line) {
@@ -159,10 +196,9 @@
   a->requests++;
   const char *cause = report_request_cause(line);
   Outcome outcome = classify_outcome(line, cause);
-  count_cause(a, line, cause);
+  count_cause(a, line, cause, outcome);
   count_window(a, t - a->started_at, outcome);
-  if (outcome == OUTCOME_REFUSED)
-    count_refused_customer(a, report_event_string(line, "customer"));
+  if (outcome == OUTCOME_REFUSED) count_refused_customer(a, line);
 }
 
 /* == printing == */
@@ -209,6 +245,10 @@
     row->sum.requests += s->requests;
     for (size_t i = 0; i < INPUT_FIELD_COUNT; i++)
       row->sum.sums[i] += s->sums[i];
+    row->sum.refused += s->refused;
+    row->sum.refused_after_s += s->refused_after_s;
+    row->sum.refused_after_max_s =
+        MAX(row->sum.refused_after_max_s, s->refused_after_max_s);
   }
 }
 
@@ -232,7 +272,7 @@
   fprintf(out, "\n");
 }
 
-static void print_routes(const ReportLosses *a, FILE *out) {
+static GArray *list_rows(const ReportLosses *a) {
   GArray *rows = g_array_new(FALSE, FALSE, sizeof(Row));
   GHashTableIter it;
   gpointer route, causes;
@@ -243,13 +283,30 @@
     add_rows(rows, is_rare ? RARE_ROUTES : route, causes);
   }
   g_array_sort(rows, compare_rows_by_loss);
+  return rows;
+}
+
+static void print_routes(const GArray *rows, FILE *out) {
   fprintf(out, "%-14s %-28s %7s", "route", "cause", "n");
   for (size_t k = 0; k < INPUT_FIELD_COUNT; k++)
     fprintf(out, " %9s", input_fields[k]);
   fprintf(out, "\n");
   for (guint i = 0; i < rows->len; i++)
     print_row(&g_array_index(rows, Row, i), out);
-  g_array_free(rows, TRUE);
+}
+
+/* Requests refused before they were sent, and how soon. */
+static void print_refusals(const GArray *rows, FILE *out) {
+  fprintf(out, "\n%-14s %-28s %7s %9s %9s\n", "route", "refused for", "n",
+          "after s", "longest");
+  for (guint i = 0; i < rows->len; i++) {
+    const Row *row = &g_array_index(rows, Row, i);
+    if (row->sum.refused == 0) continue;
+    fprintf(out, "%-14s %-28s %7ld %9.3f %9.3f\n", row->route, row->cause,
+            row->sum.refused,
+            row->sum.refused_after_s / (double)row->sum.refused,
+            row->sum.refused_after_max_s);
+  }
 }
 
 static void print_windows(const ReportLosses *a, FILE *out) {
@@ -268,24 +325,35 @@
 
 static gint compare_refused_counts(gconstpointer a, gconstpointer b,
                                    gpointer customers) {
-  const long *x = g_hash_table_lookup(customers, a);
-  const long *y = g_hash_table_lookup(customers, b);
-  return *x < *y ? 1 : *x > *y ? -1 : strcmp(a, b);
+  const CustomerSum *x = g_hash_table_lookup(customers, a);
+  const CustomerSum *y = g_hash_table_lookup(customers, b);
+  if (x->refused != y->refused) return x->refused < y->refused ? 1 : -1;
+  return strcmp(a, b);
 }
 
 static void print_customers(const ReportLosses *a, FILE *out) {
   GList *names = g_hash_table_get_keys(a->customers);
   int n = 0;
   names = g_list_sort_with_data(names, compare_refused_counts, a->customers);
-  fprintf(out, "\n%-24s %8s\n", "customer", "refused");
-  for (GList *i = names; i && n < CUSTOMERS_LISTED_MAX; i = i->next, n++)
-    fprintf(out, "%-24s %8ld\n", (const char *)i->data,
-            *(long *)g_hash_table_lookup(a->customers, i->data));
+  fprintf(out, "\n%-24s %8s", "customer", "refused");
+  for (size_t k = 0; k < REJECTION_COUNT; k++)
+    fprintf(out, " %9s", rejections[k][0]);
+  fprintf(out, " %9s\n", "after s");
+  for (GList *i = names; i && n < CUSTOMERS_LISTED_MAX; i = i->next, n++) {
+    const CustomerSum *s = g_hash_table_lookup(a->customers, i->data);
+    fprintf(out, "%-24s %8ld", (const char *)i->data, s->refused);
+    for (size_t k = 0; k < REJECTION_COUNT; k++)
+      fprintf(out, " %9ld", s->rejected[k]);
+    fprintf(out, " %9.3f\n", s->refused_after_s / (double)s->refused);
+  }
   g_list_free(names);
 }
 
 void report_losses_print(const ReportLosses *a, FILE *out) {
-  print_routes(a, out);
+  GArray *rows = list_rows(a);
+  print_routes(rows, out);
+  print_refusals(rows, out);
+  g_array_free(rows, TRUE);
   print_windows(a, out);
   print_customers(a, out);
   report_evacuations_print(a->evacuations, a->started_at, out);
--- a/tests/test_report.c
+++ b/tests/test_report.c
@@ -132,6 +132,43 @@
   report_losses_free(a);
 }
 
+static void add_rejection(ReportLosses *a, const char *route,
+                          const char *customer, const char *cause,
+                          double seconds) {
+  json_t *line = json_pack("{s:f,s:s,s:s,s:s,s:s,s:s,s:s,s:f}", "t", 5.0,
+                           "event", "request", "route", route, "customer",
+                           customer, "outcome", "refused", "error",
+                           "overloaded", "cause", cause, "seconds", seconds);
+  report_losses_add(a, line);
+  json_decref(line);
+}
+
+/* Guards against rejections that all count as "overloaded", and against slow
+   ones that nobody sees. */
+Test(report, rejections_are_listed_by_cause_and_customer_with_their_time) {
+  ReportLosses *a = report_losses_new();
+  add_rejection(a, "draft", "c1", "late", 0.002);
+  add_rejection(a, "draft", "c1", "late", 0.006);
+  add_rejection(a, "draft", "c1", "deadline", 0.001);
+  add_rejection(a, "draft", "c2", "share", 0.001);
+  add_rejection(a, "draft", "c2", "", 0.2); /* its targets rejected it */
+  char *text = print_to_text(a);
+  cr_assert_not_null(strstr(text, "draft          rejected: late               "
+                                  "      2     0.004     0.006"),
+                     "%s", text);
+  cr_assert_not_null(strstr(text, "draft          overloaded                   "
+                                  "      1     0.200     0.200"),
+                     "%s", text);
+  cr_assert_not_null(strstr(text, "c1                              3         1 "
+                                  "        2         0     0.003"),
+                     "%s", text);
+  cr_assert_not_null(strstr(text, "c2                              2         0 "
+                                  "        0         1     0.101"),
+                     "%s", text);
+  free(text);
+  report_losses_free(a);
+}
+
 Test(report, evacuations_are_listed) {
   ReportLosses *a = report_losses_new();
   add_evacuation(a, 10, "n.1", true);
