tally: declare the state of a service that the allocation reads

The allocation of a service (docs/design/load.md, part 4) needs the number of its targets that an instance counts, their reading rates, expected waits and the tokens read. The counts do not know the service of a target yet, so the function states that no target is known; the rates follow.

--- a/packages/route/tally.c
+++ b/packages/route/tally.c
@@ -266,6 +266,17 @@
   return false;
 }
 
+/* == state of a service == */
+
+bool tally_pool_state(Tally *t, double now, uint64_t pool,
+                      TallyPoolState *out) {
+  (void)t;
+  (void)now;
+  (void)pool;
+  *out = (TallyPoolState){0};
+  return false;
+}
+
 /* == expiry == */
 
 static gboolean is_permit_expired(gpointer key, gpointer permit, gpointer now) {
--- a/packages/route/tally.h
+++ b/packages/route/tally.h
@@ -97,6 +97,16 @@
   double limit;     /* requests per second; QUOTA_UNLIMITED */
 } TallyLimit;
 
+/* What this instance counts of one service (docs/design/load.md, part 4), over
+   its targets that were reported or queried in the last minute. */
+typedef struct TallyPoolState {
+  int targets;
+  double tokens_per_s; /* sum of the rates at which they read prompts */
+  double wait_s;       /* sum of the expected waits of a new request there,
+                          without the reading of its own prompt */
+  double read_per_s;   /* prompt tokens that they read in the last second */
+} TallyPoolState;
+
 typedef struct Tally Tally;
 
 /* The parts that may be sent to the counting instance, which is in region
@@ -122,6 +132,10 @@
    force that was last sent at least `resend_s` ago; false: none. */
 bool tally_next_limit(Tally *t, double now, double resend_s, TallyLimit *m);
 TallyReport tally_report(Tally *t, double now, const TallyQuery *a);
+/* Fills in the state of the service with the text_hash `pool`; false, with a
+   state of zeros: this instance counts none of its targets. Visits all targets
+   that this instance counts. */
+bool tally_pool_state(Tally *t, double now, uint64_t pool, TallyPoolState *out);
 /* Drops what has expired; call it about once a second. */
 void tally_sweep(Tally *t, double now);
 
