admission: the interface to the allocation of a service's capacity

The cutoff of a customer comes from the allocation (docs/design/load.md, part 4). Until that part is there, cluster_admission_cutoff answers that no service is short of capacity.

--- a/packages/fleet/cluster.c
+++ b/packages/fleet/cluster.c
@@ -4,6 +4,7 @@
 
 #include <glib.h>
 #include <jansson.h>
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 #include <time.h>
@@ -637,6 +638,16 @@
   tallies_note_pause(c->tallies, current_time(c));
 }
 
+/* Nothing divides the capacity of services yet, so no service counts as short
+   of it. */
+void cluster_admission_cutoff(Cluster *c, uint64_t service, uint64_t customer,
+                              AdmissionCutoff *out) {
+  (void)c;
+  (void)service;
+  (void)customer;
+  *out = (AdmissionCutoff){.cutoff = INFINITY};
+}
+
 void cluster_send_suspect(Cluster *c, const SuspectsMsg *m) {
   CodecSuspect packet = {.msg = *m};
   if (m->kind == SUSPECTS_MARK) {
--- a/packages/fleet/cluster.h
+++ b/packages/fleet/cluster.h
@@ -10,6 +10,7 @@
 #include "member/gossip.h"
 #include "member/readers.h"
 #include "peer/codec.h"
+#include "route/admission.h"
 #include "store/objects.h"
 
 typedef struct Cluster Cluster;
@@ -103,6 +104,11 @@
 /* Reports observations of a pool to the other instances of the region; does
    nothing in a large fleet. */
 void cluster_broadcast_pool(Cluster *c, const TargetsPoolReport *m);
+/* Sets `out` to what the allocation of a service's capacity states about a
+   customer; both are given by text_hash of their names. A request without a
+   customer has the hash of "". */
+void cluster_admission_cutoff(Cluster *c, uint64_t service, uint64_t customer,
+                              AdmissionCutoff *out);
 /* Sends a mark to the homes of the request (the instances that its digest
    selects), and any other kind of message to all instances. */
 void cluster_send_suspect(Cluster *c, const SuspectsMsg *m);
