peer: messages for the demand of customers and for the allocation

CODEC_DEMAND (19) reports what an instance saw of a service, CODEC_ALLOCATION (20) answers with cutoffs. Rows are unsigned integers in one field of bytes, because builds in production read arrays of at most 15 members without nesting. Each travels in a frame of its own. 18 is reserved for the rates of targets; until it has a content it is read as an unknown kind.

--- a/packages/peer/codec.h
+++ b/packages/peer/codec.h
@@ -13,6 +13,7 @@
 #include "member/spread.h"
 #include "once/once.h"
 #include "peer/packed.h"
+#include "route/allocation.h"
 #include "route/loads.h"
 #include "route/suspects.h"
 #include "route/tally.h"
@@ -37,6 +38,9 @@
   CODEC_PERMIT_REQUEST,
   CODEC_PERMIT,
   CODEC_LIMIT,
+  CODEC_RATE, /* reserved: its number is given, its content follows */
+  CODEC_DEMAND,
+  CODEC_ALLOCATION,
   CODEC_TYPES
 } CodecType;
 
@@ -106,6 +110,10 @@
   TallyPermitRequest permit_request;
   TallyPermit permit;
   CodecLimit limit;
+  /* Kept apart, since they are large and each message of any type is cleared
+     before it is decoded; freed by codec_clear. NULL: another type. */
+  AllocationDemand *demand;
+  AllocationAnswer *allocation;
 } CodecMsg;
 
 void codec_put_head(msgpack_sbuffer *b, const CodecHead *h);
@@ -127,6 +135,8 @@
 void codec_put_permit(msgpack_sbuffer *b, const TallyPermit *m);
 void codec_put_limit(msgpack_sbuffer *b, const CodecLimit *m);
 void codec_put_feed(msgpack_sbuffer *b, const CodecFeed *m);
+void codec_put_demand(msgpack_sbuffer *b, const AllocationDemand *m);
+void codec_put_allocation(msgpack_sbuffer *b, const AllocationAnswer *m);
 
 /* Decodes at *off; false at the end or when the data is damaged. A message of
    an unknown type gets the type CODEC_TYPES, and holds nothing. */
--- a/packages/peer/decode.c
+++ b/packages/peer/decode.c
@@ -7,8 +7,8 @@
 #include "peer/format.h"
 
 #define MAX_REQUESTS 1000000 /* requests at one target */
+#define CUTOFF_LIMIT (ALLOCATION_PRIORITY_LIMIT * 1000) /* in thousandths */
 #define HEARTBEAT_INTERVAL_MAX_MS (24 * 3600 * 1000)
-#define COUNT_MAX 1000000000000000 /* a double holds it exactly */
 
 typedef struct Reader {
   const msgpack_object *at;
@@ -63,7 +63,7 @@
 /* A message type of a newer build is skipped; the rest of the frame is read. */
 static CodecType get_type(Reader *r) {
   uint64_t n = get_u64(r);
-  return n < CODEC_TYPES ? (CodecType)n : CODEC_TYPES;
+  return n < CODEC_TYPES && n != CODEC_RATE ? (CodecType)n : CODEC_TYPES;
 }
 
 static void get_heartbeat(Reader *r, Member *m) {
@@ -137,7 +137,7 @@
 /* A count, which is damaged when below 0 or too large. */
 static double get_count(Reader *r) {
   int64_t n = get_i64(r);
-  r->damaged |= n < 0 || n > COUNT_MAX;
+  r->damaged |= n < 0 || n > FORMAT_COUNT_MAX;
   return (double)n;
 }
 
@@ -249,6 +249,97 @@
   m->msg.limit = get_limit(r);
 }
 
+/* == shares of customers == */
+
+/* Numbers in a field of bytes. */
+typedef struct Numbers {
+  const char *data;
+  size_t size, at;
+  bool damaged;
+} Numbers;
+
+static Numbers get_numbers(Reader *r) {
+  const msgpack_object *o = next_value(r);
+  if (o && o->type == MSGPACK_OBJECT_BIN)
+    return (Numbers){.data = o->via.bin.ptr, .size = o->via.bin.size};
+  r->damaged = true;
+  return (Numbers){0};
+}
+
+static bool has_number(const Numbers *n) {
+  return !n->damaged && n->at < n->size;
+}
+
+/* Returns the next number, which is below `limit`. */
+static uint64_t next_number(Numbers *n, uint64_t limit) {
+  msgpack_unpacked u;
+  uint64_t value = 0;
+  /* Only unsigned integers: the library would allocate for other types. */
+  unsigned char c = has_number(n) ? (unsigned char)n->data[n->at] : 0xc1;
+  if (c > 0x7f && (c < 0xcc || c > 0xcf)) {
+    n->damaged = true;
+    return 0;
+  }
+  msgpack_unpacked_init(&u);
+  n->damaged = msgpack_unpack_next(&u, n->data, n->size, &n->at) !=
+               MSGPACK_UNPACK_SUCCESS;
+  if (!n->damaged) value = u.data.via.u64;
+  msgpack_unpacked_destroy(&u);
+  n->damaged |= value > limit;
+  return n->damaged ? 0 : value;
+}
+
+static void get_demand_rows(Reader *r, AllocationDemand *m) {
+  Numbers n = get_numbers(r);
+  while (has_number(&n) && m->n < ALLOCATION_MAX_ROWS) {
+    AllocationRow *row = &m->rows[m->n++];
+    row->customer = next_number(&n, UINT64_MAX);
+    row->priority = (int)next_number(&n, ALLOCATION_PRIORITY_LIMIT - 1);
+    row->asked = (double)next_number(&n, FORMAT_COUNT_MAX);
+    row->admitted = (double)next_number(&n, FORMAT_COUNT_MAX);
+  }
+  r->damaged |= n.damaged || n.at < n.size;
+}
+
+static AllocationDemand *get_demand(Reader *r) {
+  AllocationDemand *m = g_new0(AllocationDemand, 1);
+  m->service = get_u64(r);
+  m->number = get_u64(r);
+  m->period_s = get_count(r) / FORMAT_FRACTION_SCALE;
+  get_demand_rows(r, m);
+  m->rest_asked = get_count(r);
+  m->rest_admitted = get_count(r);
+  m->rejected = get_count(r);
+  m->promised = get_count(r);
+  m->targets = get_small(r, INT32_MAX);
+  m->reading_per_s = get_count(r);
+  m->wait_s = get_count(r) / FORMAT_FRACTION_SCALE;
+  m->read_per_s = get_count(r);
+  return m;
+}
+
+static void get_cutoffs(Reader *r, AllocationAnswer *m) {
+  Numbers n = get_numbers(r);
+  while (has_number(&n) && m->n < ALLOCATION_MAX_CUTOFFS) {
+    AllocationCutoff *row = &m->cutoffs[m->n++];
+    row->customer = next_number(&n, UINT64_MAX);
+    row->cutoff = (double)next_number(&n, CUTOFF_LIMIT) / FORMAT_FRACTION_SCALE;
+  }
+  r->damaged |= n.damaged || n.at < n.size;
+}
+
+static AllocationAnswer *get_allocation(Reader *r) {
+  AllocationAnswer *m = g_new0(AllocationAnswer, 1);
+  m->service = get_u64(r);
+  m->number = get_u64(r);
+  m->is_short = get_small(r, 2);
+  m->age_s = get_count(r) / FORMAT_FRACTION_SCALE;
+  m->retries_per_s = get_count(r) / FORMAT_FRACTION_SCALE;
+  m->retries_in_s = get_count(r) / FORMAT_FRACTION_SCALE;
+  get_cutoffs(r, m);
+  return m;
+}
+
 static void get_answer(Reader *r, OnceAnswer *a) {
   a->status = (int)get_i64(r);
   get_str(r, a->type, sizeof a->type);
@@ -336,6 +427,10 @@
   once_message_clear(&m->once);
   packed_free(&m->config.text);
   packed_free(&m->feed.changes);
+  g_free(m->demand);
+  g_free(m->allocation);
+  m->demand = NULL;
+  m->allocation = NULL;
 }
 
 bool codec_get(const char *data, size_t len, size_t *off, CodecMsg *m) {
@@ -367,6 +462,9 @@
       break;
     case CODEC_PERMIT: get_permit(&r, &m->permit); break;
     case CODEC_LIMIT: get_limit_report(&r, &m->limit); break;
+    case CODEC_DEMAND: m->demand = get_demand(&r); break;
+    case CODEC_ALLOCATION: m->allocation = get_allocation(&r); break;
+    case CODEC_RATE:
     case CODEC_TYPES: break;
     }
     ok = !r.damaged;
--- a/packages/peer/encode.c
+++ b/packages/peer/encode.c
@@ -297,3 +297,79 @@
   msgpack_pack_uint64(&p, m->msg.counter);
   put_limit(&p, m->msg.limit);
 }
+
+/* == shares of customers == */
+
+/* Encodes a count; an invalid one as 0. */
+static void put_count(msgpack_packer *p, double n) {
+  msgpack_pack_uint64(p,
+                      n > 0 && n <= FORMAT_COUNT_MAX ? (uint64_t)(n + 0.5) : 0);
+}
+
+static void put_scaled(msgpack_packer *p, double n) {
+  put_count(p, n * FORMAT_FRACTION_SCALE);
+}
+
+/* Encodes a cutoff; an invalid one as one that admits all. */
+static void put_cutoff(msgpack_packer *p, double cutoff) {
+  bool valid = allocation_is_valid(cutoff, ALLOCATION_PRIORITY_LIMIT);
+  put_scaled(p, valid ? cutoff : ALLOCATION_PRIORITY_LIMIT);
+}
+
+/* Rows are numbers in a field of bytes: older builds read no nested arrays, and
+   an array has at most 15 members there. */
+static void put_rows(msgpack_packer *p, const msgpack_sbuffer *rows) {
+  msgpack_pack_bin(p, rows->size);
+  msgpack_pack_bin_body(p, rows->data, rows->size);
+}
+
+void codec_put_demand(msgpack_sbuffer *b, const AllocationDemand *m) {
+  msgpack_packer p;
+  msgpack_sbuffer rows;
+  msgpack_sbuffer_init(&rows);
+  msgpack_packer_init(&p, &rows, msgpack_sbuffer_write);
+  for (int i = 0; i < m->n; i++) {
+    msgpack_pack_uint64(&p, m->rows[i].customer);
+    msgpack_pack_int(&p, m->rows[i].priority);
+    put_count(&p, m->rows[i].asked);
+    put_count(&p, m->rows[i].admitted);
+  }
+  msgpack_packer_init(&p, b, msgpack_sbuffer_write);
+  msgpack_pack_array(&p, 13);
+  msgpack_pack_uint8(&p, CODEC_DEMAND);
+  msgpack_pack_uint64(&p, m->service);
+  msgpack_pack_uint64(&p, m->number);
+  put_scaled(&p, m->period_s);
+  put_rows(&p, &rows);
+  put_count(&p, m->rest_asked);
+  put_count(&p, m->rest_admitted);
+  put_count(&p, m->rejected);
+  put_count(&p, m->promised);
+  msgpack_pack_int(&p, m->targets);
+  put_count(&p, m->reading_per_s);
+  put_scaled(&p, m->wait_s);
+  put_count(&p, m->read_per_s);
+  msgpack_sbuffer_destroy(&rows);
+}
+
+void codec_put_allocation(msgpack_sbuffer *b, const AllocationAnswer *m) {
+  msgpack_packer p;
+  msgpack_sbuffer rows;
+  msgpack_sbuffer_init(&rows);
+  msgpack_packer_init(&p, &rows, msgpack_sbuffer_write);
+  for (int i = 0; i < m->n; i++) {
+    msgpack_pack_uint64(&p, m->cutoffs[i].customer);
+    put_cutoff(&p, m->cutoffs[i].cutoff);
+  }
+  msgpack_packer_init(&p, b, msgpack_sbuffer_write);
+  msgpack_pack_array(&p, 8);
+  msgpack_pack_uint8(&p, CODEC_ALLOCATION);
+  msgpack_pack_uint64(&p, m->service);
+  msgpack_pack_uint64(&p, m->number);
+  msgpack_pack_uint8(&p, m->is_short);
+  put_scaled(&p, m->age_s);
+  put_scaled(&p, m->retries_per_s);
+  put_scaled(&p, m->retries_in_s);
+  put_rows(&p, &rows);
+  msgpack_sbuffer_destroy(&rows);
+}
--- a/packages/peer/format.h
+++ b/packages/peer/format.h
@@ -5,5 +5,6 @@
 #define FORMAT_VERSION 1 /* version of the frame format, sent in its head */
 /* Numbers with a fraction are multiplied by this and sent as integers. */
 #define FORMAT_FRACTION_SCALE 1000.0
+#define FORMAT_COUNT_MAX 1000000000000000 /* a double holds it exactly */
 
 #endif
--- a/packages/peer/peer.c
+++ b/packages/peer/peer.c
@@ -257,6 +257,18 @@
   unlock(p);
 }
 
+void peer_send_demand(Peer *p, const char *addr, const char *id,
+                      const AllocationDemand *m) {
+  codec_put_demand(lock_own_frame(p, addr, text_hash(id)), m);
+  unlock(p);
+}
+
+void peer_send_allocation(Peer *p, const char *addr, const char *id,
+                          const AllocationAnswer *m) {
+  codec_put_allocation(lock_own_frame(p, addr, text_hash(id)), m);
+  unlock(p);
+}
+
 void peer_send_suspect(Peer *p, const char *addr, const char *id,
                        const CodecSuspect *m) {
   codec_put_suspect(lock_shared_frame(p, addr, text_hash(id)), m);
--- a/packages/peer/peer.h
+++ b/packages/peer/peer.h
@@ -56,7 +56,7 @@
                          const TallyRun *m);
 void peer_send_suspect(Peer *p, const char *addr, const char *id,
                        const CodecSuspect *m);
-/* Each of the next three is sent in a frame of its own: builds that do not know
+/* Each of the next five is sent in a frame of its own: builds that do not know
    the type drop whatever follows it in a frame. */
 void peer_send_permit_request(Peer *p, const char *addr, const char *id,
                               const TallyPermitRequest *m);
@@ -64,6 +64,10 @@
                       const TallyPermit *m);
 void peer_send_limit(Peer *p, const char *addr, const char *id,
                      const CodecLimit *m);
+void peer_send_demand(Peer *p, const char *addr, const char *id,
+                      const AllocationDemand *m);
+void peer_send_allocation(Peer *p, const char *addr, const char *id,
+                          const AllocationAnswer *m);
 void peer_send_feed(Peer *p, const char *addr, const char *id,
                     const CodecFeed *m);
 
--- a/tests/codec_again.h
+++ b/tests/codec_again.h
@@ -30,6 +30,9 @@
     break;
   case CODEC_PERMIT: codec_put_permit(b, &m->permit); break;
   case CODEC_LIMIT: codec_put_limit(b, &m->limit); break;
+  case CODEC_DEMAND: codec_put_demand(b, m->demand); break;
+  case CODEC_ALLOCATION: codec_put_allocation(b, m->allocation); break;
+  case CODEC_RATE:
   case CODEC_TYPES: break;
   }
 }
--- a/tests/test_codec.c
+++ b/tests/test_codec.c
@@ -2,6 +2,7 @@
    rejected safely. */
 #include <criterion/criterion.h>
 #include <glib.h>
+#include <math.h>
 #include <string.h>
 
 #include "peer/codec.h"
@@ -401,3 +402,74 @@
   }
   g_rand_free(r);
 }
+
+static AllocationDemand full_demand(void) {
+  AllocationDemand m = {
+      .service = 5, .number = 6, .period_s = 0.25, .n = ALLOCATION_MAX_ROWS};
+  for (int i = 0; i < m.n; i++)
+    m.rows[i] = (AllocationRow){UINT64_MAX - (uint64_t)i, i, 1e9, 1e9};
+  return m;
+}
+
+Test(codec, full_reports_of_demand_and_answers_round_trip) {
+  AllocationDemand d = full_demand();
+  AllocationAnswer a = {.service = 5,
+                        .number = 6,
+                        .is_short = true,
+                        .retries_per_s = 0.01,
+                        .n = ALLOCATION_MAX_CUTOFFS};
+  for (int i = 0; i < a.n; i++)
+    a.cutoffs[i] = (AllocationCutoff){UINT64_MAX - (uint64_t)i, i + 0.5};
+  msgpack_sbuffer b;
+  CodecMsg m;
+  msgpack_sbuffer_init(&b);
+  codec_put_demand(&b, &d);
+  cr_assert(decodes_whole(&b, &m));
+  cr_assert_eq(memcmp(m.demand, &d, sizeof d), 0);
+  codec_clear(&m);
+  msgpack_sbuffer_clear(&b);
+  codec_put_allocation(&b, &a);
+  cr_assert(decodes_whole(&b, &m));
+  cr_assert_eq(memcmp(m.allocation, &a, sizeof a), 0);
+  codec_clear(&m);
+  msgpack_sbuffer_destroy(&b);
+}
+
+/* Guards against more rows than there is room for, rows that are cut off and
+   values that no build writes. */
+Test(codec, damaged_rows_of_demand_are_rejected) {
+  AllocationDemand d = full_demand();
+  CodecMsg m;
+  msgpack_sbuffer b;
+  msgpack_sbuffer_init(&b);
+  d.n = 1;
+  d.rows[0] = (AllocationRow){1, 2, 3, 3};
+  codec_put_demand(&b, &d);
+  size_t rows = 9; /* [19, 5, 6, 250, bin 8 of 4 bytes */
+  cr_assert_eq((unsigned char)b.data[rows - 3], 0xc4);
+  cr_assert_eq(b.data[rows - 2], 4);
+  cr_assert(decodes_whole(&b, &m));
+  codec_clear(&m);
+  static const unsigned char bad[] = {0xc0, 0x91, 0xff, 0xcb, 0xdd, 0xcf};
+  for (size_t i = 0; i < sizeof bad; i++)
+    for (size_t at = rows - 1; at < rows + 3; at++) {
+      char good = b.data[at];
+      b.data[at] = (char)bad[i];
+      cr_assert(!decodes_whole(&b, &m), "%zu at %zu", i, at);
+      b.data[at] = good;
+    }
+  msgpack_sbuffer_destroy(&b);
+}
+
+Test(codec, an_invalid_cutoff_is_sent_as_one_that_admits_all) {
+  AllocationAnswer a = {.n = 2, .cutoffs = {{1, NAN}, {2, -1}}};
+  msgpack_sbuffer b;
+  CodecMsg m;
+  msgpack_sbuffer_init(&b);
+  codec_put_allocation(&b, &a);
+  cr_assert(decodes_whole(&b, &m));
+  cr_assert_eq(m.allocation->cutoffs[0].cutoff, ALLOCATION_PRIORITY_LIMIT);
+  cr_assert_eq(m.allocation->cutoffs[1].cutoff, ALLOCATION_PRIORITY_LIMIT);
+  codec_clear(&m);
+  msgpack_sbuffer_destroy(&b);
+}
