fleet/allocations: demand is reported to the allocator of a service

Cause: instances do not know the demand of each other, so none can tell a flood from its own part of it.

Each instance counts tokens asked for and admitted by customer and priority, reports them to the allocator of the service (rendezvous hashing on its name), and keeps the answer for 1 s from when the report was sent. A change to or from shortage is sent to all at once. Active only for services that run_is_managed(x, MANAGED_SHARES) names; without such a service nothing is counted, sent or answered.

A request counts when it is decided: when it is sent, with the tokens that its target has not cached; when it is rejected, with its prompt times the part that was not cached of the customer's last requests. Ruled out: whole prompts of rejected requests. A customer whose prompts are nine tenths cached would seem to ask for ten times as much as soon as some are rejected, and stay rejected.

--- a/packages/fleet/cluster.c
+++ b/packages/fleet/cluster.c
@@ -4,11 +4,11 @@
 
 #include <glib.h>
 #include <jansson.h>
-#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 #include <time.h>
 
+#include "fleet/allocations.h"
 #include "fleet/tallies.h"
 #include "kernel/count.h"
 #include "kernel/log.h"
@@ -53,6 +53,7 @@
   View *view;
   Spread *spread; /* forwarding tree for `view` */
   Tallies *tallies;
+  Allocations *allocations;
   uint64_t view_version; /* membership version of `view`; 0: none yet */
   Ledger *ledger;
   Peer *peer;
@@ -178,6 +179,7 @@
   index_ids(c);
   readers_update_view(c->readers, c->view);
   tallies_set_members(c->tallies, now, c->view);
+  allocations_set_members(c->allocations, c->view);
   c->ev.instances_changed(c->ctx, own_rank(c), c->view->n);
   if (!c->is_ready) return;
   ledger_set_view(c->ledger, now, c->view);
@@ -382,6 +384,33 @@
   receive_limit(c, &packet);
 }
 
+/* == shares of customers == */
+
+static void send_demand(void *ctx, const Member *to,
+                        const AllocationDemand *m) {
+  Cluster *c = ctx;
+  peer_send_demand(c->peer, to->peer, to->id, m);
+}
+
+static void send_allocation(void *ctx, const Member *to,
+                            const AllocationAnswer *m) {
+  Cluster *c = ctx;
+  peer_send_allocation(c->peer, to->peer, to->id, m);
+}
+
+static bool get_pool_state(void *ctx, uint64_t service, TallyPoolState *out) {
+  Cluster *c = ctx;
+  return tallies_pool_state(c->tallies, current_time(c), service, out);
+}
+
+static const char *get_customer_name(void *ctx, uint64_t customer) {
+  Cluster *c = ctx;
+  return c->ev.customer_name(c->ctx, customer);
+}
+
+static const AllocationsEvents allocations_events = {
+    send_demand, send_allocation, get_pool_state, get_customer_name};
+
 /* == events == */
 
 /* Messages other than those of the membership are dropped if the sender is not
@@ -419,6 +448,11 @@
   } else if (tallies_receive(c->tallies, current_time(c),
                              view_find(c->view, id), m)) {
     return;
+  } else if (m->type == CODEC_DEMAND) {
+    allocations_receive_demand(c->allocations, current_time(c),
+                               view_find(c->view, id), m->demand);
+  } else if (m->type == CODEC_ALLOCATION) {
+    allocations_receive_answer(c->allocations, current_time(c), m->allocation);
   } else if (m->type == CODEC_LEDGER) {
     ledger_receive(c->ledger, current_time(c), id, &m->ledger);
     run_ledger_actions(c);
@@ -468,6 +502,7 @@
   request_newer_conf(c);
   log_dropped(c, now);
   broadcast_next_limit(c, now);
+  allocations_tick(c->allocations, now);
   if (now - c->swept_at >= SWEEP_INTERVAL_S) {
     c->swept_at = now;
     tallies_remove_expired(c->tallies, now);
@@ -521,6 +556,7 @@
   c->members = gossip_new(&o->self, o->seed);
   TalliesEvents tallies = {ev->tally_received, ev->permit_answered};
   c->tallies = tallies_new(peer, o->self.id, o->regions, &tallies, ctx);
+  c->allocations = allocations_new(o->self.id, &allocations_events, c);
   c->readers = readers_new(o->self.id, o->self.region);
   c->view = view_new(NULL, 0);
   c->ledger = ledger_new(o->self.id, o->self.region, o->seed);
@@ -539,6 +575,7 @@
   gossip_free(c->members);
   readers_free(c->readers);
   tallies_free(c->tallies);
+  allocations_free(c->allocations);
   spread_free(c->spread);
   view_free(c->view);
   g_hash_table_destroy(c->ids);
@@ -636,16 +673,21 @@
 
 void cluster_note_pause(Cluster *c) {
   tallies_note_pause(c->tallies, current_time(c));
+  allocations_note_pause(c->allocations, current_time(c));
+}
+
+void cluster_set_shared_services(Cluster *c, const AllocationsService *list,
+                                 int n) {
+  allocations_set_services(c->allocations, list, n);
+}
+
+void cluster_note_decision(Cluster *c, const AllocationsDecision *d) {
+  allocations_note_decision(c->allocations, current_time(c), d);
 }
 
-/* Nothing divides the capacity of services yet, so no service counts as short
-   of it. */
 void cluster_admission_cutoff(Cluster *c, uint64_t service, uint64_t customer,
                               AdmissionCutoff *out) {
-  (void)c;
-  (void)service;
-  (void)customer;
-  *out = (AdmissionCutoff){.cutoff = INFINITY};
+  allocations_cutoff(c->allocations, current_time(c), service, customer, out);
 }
 
 void cluster_send_suspect(Cluster *c, const SuspectsMsg *m) {
--- a/packages/fleet/cluster.h
+++ b/packages/fleet/cluster.h
@@ -5,6 +5,7 @@
 
 #include <ev.h>
 
+#include "fleet/allocations.h"
 #include "kernel/err.h"
 #include "ledger/ledger.h"
 #include "member/gossip.h"
@@ -52,6 +53,9 @@
   void (*permit_answered)(void *ctx, const TallyPermit *m);
   /* A target's limit, as the instance that counts its work sent it to all. */
   void (*limit_received)(void *ctx, const TallyLimit *m);
+  /* Returns the name of the customer with this text_hash, for log lines; NULL:
+     unknown. */
+  const char *(*customer_name)(void *ctx, uint64_t customer);
   /* A message about a suspect: a request during which targets failed. */
   void (*suspect_received)(void *ctx, const SuspectsMsg *m);
   /* Another instance (`from`: hash of its id) reported its observations of a
@@ -104,6 +108,12 @@
 /* Reports observations of a pool to the other instances of the region; does
    nothing in a large fleet. */
 void cluster_broadcast_pool(Cluster *c, const TargetsPoolReport *m);
+/* Sets the services whose capacity is divided between customers (the part
+   `shares`, conf/managed.h). */
+void cluster_set_shared_services(Cluster *c, const AllocationsService *list,
+                                 int n);
+/* Counts a decision about a request for the allocation of its service. */
+void cluster_note_decision(Cluster *c, const AllocationsDecision *d);
 /* Sets `out` to what the allocation of a service's capacity states about a
    customer; both are given by text_hash of their names. A request without a
    customer has the hash of "". */
--- a/packages/fleet/tallies.h
+++ b/packages/fleet/tallies.h
@@ -42,6 +42,9 @@
 /* Handles a message from `from`; false: another module handles its type. */
 bool tallies_receive(Tallies *t, double now, const Member *from,
                      const CodecMsg *m);
+/* As tally_pool_state. */
+bool tallies_pool_state(Tallies *t, double now, uint64_t pool,
+                        TallyPoolState *out);
 /* Removes counts that their senders no longer refresh. */
 void tallies_remove_expired(Tallies *t, double now);
 
--- a/packages/flow/dispatch.c
+++ b/packages/flow/dispatch.c
@@ -15,7 +15,6 @@
 /* How long reading of an answer may be paused. Some targets abort an answer
    that is not read for some seconds, and hold its resources until then. */
 #define MAX_PAUSE_S 2.0
-#define ROUTE_PRIORITIES 3 /* routes have the priorities 0, 1 and 2 */
 
 /* == passing an answer on == */
 
@@ -315,15 +314,6 @@
       .n_reports = x->n_reports};
 }
 
-/* The customer's priority takes precedence over the route's. */
-static int priority_of(const Run *x) {
-  if (!x->service || !x->service->engine) return -1;
-  int customer = x->customer ? x->customer->priority : -1;
-  if (customer < 0) return x->route->priority;
-  return customer * ROUTE_PRIORITIES +
-         MIN(x->route->priority, ROUTE_PRIORITIES - 1);
-}
-
 void run_send(Run *x) {
   Relay *r = x->relay;
   const TargetChoice *c = &x->choice;
@@ -332,7 +322,7 @@
                          .donor = c->donor ? target_addr(c->donor) : NULL,
                          .customer = x->customer ? x->customer->name : NULL,
                          .remaining_s = x->deadline - now,
-                         .priority = priority_of(x),
+                         .priority = run_priority(x),
                          .last_event = x->events.count > 0 ? x->events.last_id
                                                            : REQUEST_NO_EVENT};
   GString *out = g_string_sized_new(1024 + x->http_request->body->len);
@@ -346,6 +336,7 @@
   x->tried[x->n_tried++] = c->target;
   x->sends++;
   if (x->n_tried == 1) retries_note_first(r->retries, now, x->service_name);
+  if (x->n_tried == 1) run_note_admitted(x);
   target_note_sent(c->target, now, &x->request, c);
   run_report_sent(x);
   x->n_permit_requests = 0;
--- a/packages/flow/run.c
+++ b/packages/flow/run.c
@@ -136,6 +136,7 @@
   g_strlcpy(id, x->request.id, sizeof id);
   if (x->maybe_ran) e->ran = RAN_MAYBE;
   bool begun = x->head_sent;
+  run_note_rejected(x, e);
   const ErrInfo *info = err_info(e->kind);
   count_add(begun ? COUNT_TARGET_CUT : COUNT_REFUSED_OTHER, 1);
   close_run(x, begun ? "cut" : "refused", info->status, info->name);
--- a/packages/flow/run.h
+++ b/packages/flow/run.h
@@ -199,6 +199,16 @@
 /* Ends runs whose callers read so slowly that the targets would be affected. */
 void relay_end_slow_callers(Relay *r);
 
+/* == demand.c: demand of customers == */
+
+/* Returns the priority that is sent to the target, 0 for the most urgent; the
+   customer's takes precedence over the route's. -1: not an engine service. */
+int run_priority(const Run *x);
+/* Counts a request that is sent for the first time, and one that fails with
+   `e`, for the division of the service's capacity. */
+void run_note_admitted(const Run *x);
+void run_note_rejected(const Run *x, const Err *e);
+
 /* == trying.c: suspects == */
 
 /* Calls `proceed` at once or, for a suspect, once the store has its trial, or
--- a/packages/kernel/count.c
+++ b/packages/kernel/count.c
@@ -78,6 +78,16 @@
                          "gaps in which nothing was asked at first"},
     [COUNT_LINK_FULL] = {"link_full_total",
                          "times that callers sent more than the link bears"},
+    [COUNT_SERVICES_SHORT] = {"services_short_total",
+                              "times that a service divided here became short "
+                              "of capacity"},
+    [COUNT_ALLOCATIONS] = {"allocations_total",
+                           "allocations of a service's capacity received"},
+    [COUNT_CUTOFFS] = {"cutoffs_total",
+                       "cutoffs of customers in allocations received"},
+    [COUNT_ALLOCATION_INVALID] = {"allocation_invalid_total",
+                                  "invalid values in reports of demand and in "
+                                  "allocations"},
     [COUNT_PEER_BYTES_OUT] = {"peer_bytes_out_total", "bytes to instances"},
     [COUNT_PEER_BYTES_IN] = {"peer_bytes_in_total", "bytes from instances"},
     [COUNT_LOG_DROPPED] = {"log_dropped_total",
--- a/packages/node/node.c
+++ b/packages/node/node.c
@@ -2,6 +2,7 @@
 #include "node/node.h"
 
 #include <ev.h>
+#include <math.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -147,6 +148,39 @@
   g_array_free(rows, TRUE);
 }
 
+/* Returns the shortest objective of the service's routes. */
+static double shortest_objective(const Conf *c, const char *service) {
+  double shortest = INFINITY;
+  for (guint i = 0; i < c->routes->len; i++) {
+    const ConfRoute *r = c->routes->pdata[i];
+    for (int k = 0; k < r->n_splits; k++)
+      if (r->slo_s > 0 && strcmp(r->splits[k].service, service) == 0)
+        shortest = MIN(shortest, r->slo_s);
+  }
+  return shortest;
+}
+
+/* Sets the services whose capacity is divided between customers: those that are
+   managed and have a route with an objective. */
+static void set_shared_services(Node *n, const Conf *c) {
+  GArray *rows = g_array_new(FALSE, TRUE, sizeof(AllocationsService));
+  GHashTableIter it;
+  gpointer v;
+  g_hash_table_iter_init(&it, c->services);
+  while (g_hash_table_iter_next(&it, NULL, &v)) {
+    const ConfService *s = v;
+    AllocationsService row = {.objective_s = shortest_objective(c, s->name)};
+    if (!managed_applies(&n->managed, MANAGED_SHARES, s) ||
+        !isfinite(row.objective_s))
+      continue;
+    g_strlcpy(row.name, s->name, sizeof row.name);
+    g_array_append_val(rows, row);
+  }
+  cluster_set_shared_services(
+      n->cluster, (AllocationsService *)(void *)rows->data, (int)rows->len);
+  g_array_free(rows, TRUE);
+}
+
 /* Warns of an unknown region: a list with no existing region would refuse every
    request that it restricts. */
 static void check_regions(const Node *n, const char *what, const char *name,
@@ -182,6 +216,7 @@
   relay_set_conf(n->relay, c);
   cluster_set_conf_version(n->cluster, c->version);
   set_budgets(n, c);
+  set_shared_services(n, c);
   check_conf_regions(n, c);
 }
 
@@ -361,6 +396,16 @@
   relay_on_limit(n->relay, m->target, m->limit);
 }
 
+static const char *on_customer_name(void *ctx, uint64_t customer) {
+  const Node *n = ctx;
+  const Conf *c = relay_get_conf(n->relay);
+  for (guint i = 0; c && i < c->customers->len; i++) {
+    const ConfCustomer *u = c->customers->pdata[i];
+    if (text_hash(u->name) == customer) return u->name;
+  }
+  return NULL;
+}
+
 static void on_suspect_received(void *ctx, const SuspectsMsg *m) {
   Node *n = ctx;
   if (n->relay) relay_on_suspect(n->relay, m);
@@ -567,7 +612,8 @@
       on_feed_received,       on_work_reported,
       on_parts_reported,      on_tally_received,
       on_permit_answered,     on_limit_received,
-      on_suspect_received,    on_pool_reported};
+      on_customer_name,       on_suspect_received,
+      on_pool_reported};
   ClusterOptions o = {.seeds = settings_text(settings, "seeds"),
                       .seed = random_number(),
                       .regions = n->regions};
