--- a/tests/test_allocations.c
+++ b/tests/test_allocations.c
@@ -122,10 +122,15 @@
   return net;
 }
 
-static void net_free(Net *net) {
-  for (int i = 0; i < net->n; i++) allocations_free(net->hosts[i].t);
+static void drop_packets(Net *net) {
   for (guint i = 0; i < net->packets->len; i++)
     g_free(g_array_index(net->packets, Packet, i).data);
+  g_array_set_size(net->packets, 0);
+}
+
+static void net_free(Net *net) {
+  for (int i = 0; i < net->n; i++) allocations_free(net->hosts[i].t);
+  drop_packets(net);
   g_array_free(net->packets, TRUE);
   view_free(net->view);
   g_free(net);
@@ -333,7 +338,7 @@
   tick(net, 0.05); /* the allocator reports to itself, without a packet */
   net->hosts[from].frozen = false;
   allocations_tick(net->hosts[from].t, net->now += 0.5);
-  net->packets->len = 0;
+  drop_packets(net);
   d.unread_tokens = -1;
   d.admitted = false;
   d.rejected = true;
