--- a/packages/flow/dispatch.c
+++ b/packages/flow/dispatch.c
@@ -15,7 +15,6 @@
 /* How long reading of an answer may be paused. Some targets abort an answer
    that is not read for some seconds, and hold its resources until then. */
 #define MAX_PAUSE_S 2.0
-#define ROUTE_PRIORITIES 3 /* routes have the priorities 0, 1 and 2 */
 
 /* == passing an answer on == */
 
@@ -318,15 +317,6 @@
       .n_reports = x->n_reports};
 }
 
-/* The customer's priority takes precedence over the route's. */
-int run_priority(const Run *x) {
-  if (!x->service || !x->service->engine) return -1;
-  int customer = x->customer ? x->customer->priority : -1;
-  if (customer < 0) return x->route->priority;
-  return customer * ROUTE_PRIORITIES +
-         MIN(x->route->priority, ROUTE_PRIORITIES - 1);
-}
-
 void run_send(Run *x) {
   Relay *r = x->relay;
   const TargetChoice *c = &x->choice;
@@ -349,6 +339,7 @@
   x->tried[x->n_tried++] = c->target;
   x->sends++;
   if (x->n_tried == 1) retries_note_first(r->retries, now, x->service_name);
+  if (x->n_tried == 1) run_note_admitted(x);
   target_note_sent(c->target, now, &x->request, c);
   run_report_sent(x);
   x->n_permit_requests = 0;
--- a/packages/peer/codec.h
+++ b/packages/peer/codec.h
@@ -13,6 +13,7 @@
 #include "member/spread.h"
 #include "once/once.h"
 #include "peer/packed.h"
+#include "route/allocation.h"
 #include "route/loads.h"
 #include "route/suspects.h"
 #include "route/tally.h"
@@ -38,6 +39,8 @@
   CODEC_PERMIT,
   CODEC_LIMIT,
   CODEC_RATE,
+  CODEC_DEMAND,
+  CODEC_ALLOCATION,
   CODEC_TYPES
 } CodecType;
 
@@ -108,6 +111,10 @@
   TallyPermit permit;
   CodecLimit limit;
   TallyRate rate;
+  /* Kept apart, since they are large and each message of any type is cleared
+     before it is decoded; freed by codec_clear. NULL: another type. */
+  AllocationDemand *demand;
+  AllocationAnswer *allocation;
 } CodecMsg;
 
 void codec_put_head(msgpack_sbuffer *b, const CodecHead *h);
@@ -130,6 +137,8 @@
 void codec_put_limit(msgpack_sbuffer *b, const CodecLimit *m);
 void codec_put_rate(msgpack_sbuffer *b, const TallyRate *m);
 void codec_put_feed(msgpack_sbuffer *b, const CodecFeed *m);
+void codec_put_demand(msgpack_sbuffer *b, const AllocationDemand *m);
+void codec_put_allocation(msgpack_sbuffer *b, const AllocationAnswer *m);
 
 /* Decodes at *off; false at the end or when the data is damaged. A message of
    an unknown type gets the type CODEC_TYPES, and holds nothing. */
--- a/tests/codec_again.h
+++ b/tests/codec_again.h
@@ -31,6 +31,8 @@
   case CODEC_PERMIT: codec_put_permit(b, &m->permit); break;
   case CODEC_LIMIT: codec_put_limit(b, &m->limit); break;
   case CODEC_RATE: codec_put_rate(b, &m->rate); break;
+  case CODEC_DEMAND: codec_put_demand(b, m->demand); break;
+  case CODEC_ALLOCATION: codec_put_allocation(b, m->allocation); break;
   case CODEC_TYPES: break;
   }
 }
