Choice states whether its load is reported; a test of the second query with real processes

Admission needs to know whether an expectation rests on a fresh report. A count that may have moved to another instance is looked up again at each change of members, not up to a second later, so that two instances do not both report its state to the allocation.

--- a/packages/route/choose.c
+++ b/packages/route/choose.c
@@ -381,6 +381,7 @@
   const Target *t = c->target;
   double cost = t->failure_ratio * FAILURE_COST_S;
   c->load = get_load(p, t);
+  c->reported = find_report(p, t) || p->set->parts_are_exchanged;
   bool rated = set_rate(p, c);
   if (p->request->engine) {
     c->uncached_tokens = count_uncached_tokens(p, t);
--- a/packages/route/tally.c
+++ b/packages/route/tally.c
@@ -262,8 +262,9 @@
 
 static gboolean is_anothers(gpointer target, gpointer count, gpointer data) {
   (void)target;
-  const Count *c = count;
+  Count *c = count;
   const Ours *ours = data;
+  c->looked_at = 0; /* whether it is ours may have changed */
   return c->has_counter && !ours->fn(ours->ctx, c->counter);
 }
 
--- a/packages/route/targets.h
+++ b/packages/route/targets.h
@@ -133,7 +133,9 @@
      ago, or the service's (INFINITY). */
   bool rated;
   double rate_age_s;
-  double token_s;          /* seconds per token that it uses; 0: no rate */
+  double token_s; /* seconds per token that it uses; 0: no rate */
+  bool reported;  /* `load` is that of all instances: of the target's counting
+                     instance, or of the instances' reports to each other */
   int64_t uncached_tokens; /* the target probably has to read them */
   int64_t moved_tokens;    /* tokens taken from the cache of `donor` */
   const Target *donor;     /* NULL: none */
--- a/tests/rates.py
+++ b/tests/rates.py
@@ -25,7 +25,7 @@
 TOKENS, MEAN_SPEED = 2000, 20000  # of a prompt; tokens per second of an engine
 SPEEDS = [0.5, 0.7, 1.0, 1.0, 1.4, 2.0]
 LOAD = 0.7  # of what the engines read
-LIGHT_LOAD = 0.35
+LIGHT_LOAD, OVERLOAD = 0.35, 1.2
 AIM_S = 0.5  # of the route
 EVENTS, PAUSE_S = 4, 0.02
 LEARN_S, SECONDS = 3.0, 6.0
@@ -71,10 +71,11 @@
 class Load:
     """Prompts at random instances other than `away`, for `seconds`."""
 
-    def __init__(self, s, seconds, away=(), load=LOAD):
-        self.s, self.made, self.threads = s, [], []  # made: (start, first byte or None)
+    def __init__(self, s, seconds, away=(), load=LOAD, tokens=TOKENS):
+        self.s, self.tokens, self.threads = s, tokens, []
+        self.made = []  # (start, first byte or None)
         who = [i for i in range(len(s.processes)) if i not in away]
-        per_s = load * MEAN_SPEED * sum(SPEEDS) / TOKENS
+        per_s = load * MEAN_SPEED * sum(SPEEDS) / tokens
         dice, end = random.Random(1), time.monotonic() + seconds
         while time.monotonic() < end:
             t = threading.Thread(target=self._one, args=(dice.choice(who),))
@@ -89,7 +90,7 @@
         try:
             c = self.s.connect(i)
             c.request("POST", "/chat/x", b"hello", self.s.head(
-                X_Loftpath_Token_Count="%d,10" % TOKENS))
+                X_Loftpath_Token_Count="%d,10" % self.tokens))
             r = c.getresponse()
             first = time.monotonic() - began if r.status == 200 else None
             r.read()
@@ -183,6 +184,18 @@
     assert load.on_time() >= 0.9, load.on_time()
 
 
+def test_fourteen_instances_before_busy_engines_query_once_more(s):
+    with_engines(s)
+    load = Load(s, LEARN_S + SECONDS, load=OVERLOAD, tokens=2 * TOKENS)
+    asked = [l["rate"]["queried"] for l in requests_of(s, 0)
+             if l["service"] == "engine" and l.get("rate")]
+    print("  second queries %d for %d requests" % (
+        total(s, "second_queries_total"), len(load.made)))
+    assert total(s, "second_queries_total") > 0
+    assert 3 < max(asked) <= 6, max(asked)
+    assert all(f is not None for _, f in load.made), "a request was not served"
+
+
 def unmanaged(s):
     s.env = {"LOFTPATH_MANAGED_SLOTS": "4"}  # the engines have eight
     s.restart_all()
--- a/tests/test_rated.c
+++ b/tests/test_rated.c
@@ -70,7 +70,9 @@
   apply(s, 1, 1, 1 / 5000.0, 0.4); /* fewer tokens, but slower */
   TargetChoice c = targets_pick(s, 1, &r);
   cr_assert_str_eq(target_id(c.target), "i-0");
-  cr_assert(c.rated && c.rate_age_s == 0);
+  cr_assert(c.rated && c.rate_age_s == 0 && c.reported);
+  r.n_reports = 0;
+  cr_assert(!targets_pick(s, 1, &r).reported);
   cr_assert_float_eq(c.wait_s, 5000 / 20000.0, 1e-6);
   cr_assert_float_eq(c.token_s, 1 / 20000.0, 1e-9);
   targets_free(s);
