--- a/packages/route/targets.h
+++ b/packages/route/targets.h
@@ -133,11 +133,12 @@
      ago, or the service's (INFINITY). */
   bool rated;
   double rate_age_s;
-  double token_s;          /* seconds per token that it uses; 0: no rate */
-  bool wait_is_reported; /* it is backed by a fresh report of the counting
-                            instance */
-  double own_s;          /* engine: part of it for reading the request itself */
-  bool is_free;          /* nothing is ahead of the request at the target */
+  double token_s; /* seconds per token that it uses; 0: no rate */
+  /* `load` is that of all instances: of the target's counting instance, or of
+     the instances' reports to each other. */
+  bool wait_is_reported;
+  double own_s; /* engine: part of wait_s for reading the request itself */
+  bool is_free; /* nothing is ahead of the request at the target */
   int64_t uncached_tokens; /* the target probably has to read them */
   int64_t moved_tokens;    /* tokens taken from the cache of `donor` */
   const Target *donor;     /* NULL: none */
