--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -218,6 +218,16 @@
   admission_free(a);
 }
 
+/* Guards against late requests of long ago that count as recent: with them one
+   slow target makes the service persistently late. */
+Test(admission, a_late_request_after_a_long_time_counts_alone) {
+  Admission *a = admission_new();
+  offer(a, 100, 102, 1, 1.5);
+  decide(a, 200, 1, 1.5);
+  cr_assert_not(admission_is_late(a, 200, SERVICE, 1));
+  admission_free(a);
+}
+
 /* Guards against a state that flickers: it must last while a fifth more comes
    than is served. */
 Test(admission, a_small_overload_does_not_swing_either) {
--- a/tests/test_returns.c
+++ b/tests/test_returns.c
@@ -79,6 +79,16 @@
   returns_free(r);
 }
 
+/* Guards against promises that are kept for good: once MAX_PROMISED were given,
+   no further place was reserved. */
+Test(returns, promises_of_hours_leave_room_for_later_ones) {
+  Returns *r = returns_new();
+  for (int i = 0; i < 10000; i++) promise(r, 100 + i, PATIENT_S, 10);
+  cr_assert_eq(returns_pending(r, 100 + 9999, SERVICE), 1);
+  check_near(promise(r, 100 + 9999, PATIENT_S, 10), RETURNS_MIN_S + 0.1, 1e-6);
+  returns_free(r);
+}
+
 /* Guards against past promises that hold back later callers. */
 Test(returns, the_past_is_dropped) {
   Returns *r = returns_new();
