--- a/tests/admission.py
+++ b/tests/admission.py
@@ -134,9 +134,9 @@
     assert metric(s, "retries_promised_total") == 0
 
 
-def load(s, again=lambda a, send: a):
-    """Returns the first answers to long and to urgent requests. `again` gets each of
-    them and a function that sends the request once more."""
+def load(s, again=lambda a, send: a, long_per_s=LONG_PER_S):
+    """Returns the first answers to long and to urgent requests. `again` gets each that
+    was rejected, and a function that sends the request once more."""
     s.store.put("config", "main", config(2, prepaid=10**9, routes=ROUTES))
     for i in range(LARGE):
         wait_for("version 2", lambda: any(
@@ -168,7 +168,7 @@
 
     with ThreadPoolExecutor(400) as pool:
         urgent = pool.submit(send_all, pool, "/urgent/x", URGENT_TOKENS, URGENT_PER_S)
-        long = send_all(pool, "/long/x", LONG_TOKENS, LONG_PER_S)
+        long = send_all(pool, "/long/x", LONG_TOKENS, long_per_s)
         return long, urgent.result()
 
 
@@ -227,6 +227,17 @@
     assert slowest < 3 * AT_ONCE_S
 
 
+def test_at_two_thirds_of_the_capacity_nothing_is_rejected(s):
+    """Guards against rejections where all can be served before the deadline, though
+    some not within the objective."""
+    long, urgent = load(s, long_per_s=LONG_CAPACITY_PER_S / 2)
+    describe("long", long, LONG_AIM_S)
+    describe("urgent", urgent, URGENT_AIM_S)
+    assert all(a.status == 200 for a in long + urgent)
+    for i in range(LARGE):
+        assert metric(s, "rejected_late_total", i) == 0
+
+
 def test_unmanaged_engines_get_everything(s):
     """Guards against rejections where nothing asks for them."""
     long, urgent = load(s)
