allocation: one moment of waiting does not lower a short service's capacity to what is read

The wait passed half of the objective for a moment each second or so, the capacity became what was read, which the cutoffs had limited, and the cutoffs followed it down.

The tokens read count as the capacity only after targets were overloaded for a whole second. Before, the capacity of a short service falls by 5% a step at most.

--- a/packages/route/allocation.c
+++ b/packages/route/allocation.c
@@ -117,7 +117,6 @@
   int targets;
   bool is_short, watching;
   double watched_since, watched_until;
-  double short_since;
   double overloaded_since; /* 0: the targets are not */
   double ample_since;      /* 0: the capacity is not ample */
   double retries_per_s;    /* of all instances; 0: unknown */
@@ -369,15 +368,19 @@
   return sum;
 }
 
-/* Returns what the targets can read. The tokens that they read in the last
-   second are too few where they were not overloaded for all of it: three
+/* Returns the capacity of overloaded targets. The tokens that they read in the
+   last second are too few where they were not overloaded for all of it: six
    engines of real processes that had just started at half of their load had
-   read 33,000 of 57,000 tokens. The rates at which they read count as well
-   then. These are too high where slots limit the targets, so not for longer. */
-static double readable_per_s(const Allocation *a, double now) {
-  double since = a->is_short ? a->short_since : a->overloaded_since;
+   read 33,000 of 57,000 tokens; and cutoffs that were set by one moment of
+   waiting lowered what is read, and so the next capacity. Until a second is
+   over, the rates at which they read count as well, and the capacity of a short
+   service falls by 5% a step only. The rates are too high where slots limit the
+   targets, so they do not count for longer. */
+static double overloaded_capacity(const Allocation *a, double now) {
   double read = a->read_per_s * READ_RATIO;
-  if (now - since < READ_WINDOW_S) return MAX(read, a->reading_per_s);
+  bool whole = now - a->overloaded_since >= READ_WINDOW_S;
+  if (!whole && !a->is_short) return MAX(read, a->reading_per_s);
+  if (!whole) return MIN(a->capacity, MAX(read, a->capacity * READ_RATIO));
   double excess_s = a->wait_s - WAIT_RATIO * a->objective_s;
   double drained = MAX(excess_s, 0) / DRAIN_S * a->reading_per_s;
   return read - MIN(drained, a->read_per_s * MAX_DRAIN_RATIO);
@@ -400,7 +403,7 @@
 static void update_capacity(Allocation *a, double now, bool overloaded) {
   double ample = AMPLE_RATIO * a->demand;
   if (overloaded)
-    a->capacity = readable_per_s(a, now);
+    a->capacity = overloaded_capacity(a, now);
   else if (!a->is_short)
     a->capacity = ample;
   else if (a->capacity < ample)
@@ -413,7 +416,6 @@
   bool ample = !overloaded && a->capacity >= AMPLE_RATIO * a->demand;
   if (overloaded && a->demand > a->capacity && knows_demand(a, now))
     a->is_short = true;
-  if (a->is_short && !was_short) a->short_since = now;
   if (!ample) a->ample_since = 0;
   if (ample && a->ample_since == 0) a->ample_since = now;
   if (ample && now - a->ample_since >= AMPLE_S) a->is_short = false;
