--- a/packages/flow/asking.c
+++ b/packages/flow/asking.c
@@ -56,27 +56,31 @@
   x->query_timer.data = x;
 }
 
-/* Queries the rates of targets of which none was received recently. Nothing
-   waits for them: they serve the next requests. */
-static void query_rates(Run *x, const uint64_t *targets, int n) {
+/* Queries the rate of one random target of which none was received recently.
+   Nothing waits for it: it serves the next requests. */
+static void query_rate(Run *x, const TargetRequest *criteria) {
   Relay *r = x->relay;
+  double now = run_now(x);
+  uint64_t targets[TARGETS_MAX_QUERIED];
   TallyQuery a = {.number = ++r->last_query_id, .regions = x->regions};
-  for (int i = 0; i < n; i++)
-    if (!targets_rate_is_fresh(r->targets, run_now(x), targets[i]))
-      query_target(x, &a, targets[i]);
+  int i = 0,
+      n = targets_to_query_more(r->targets, now, criteria, NULL, 0, targets);
+  while (i < n && targets_rate_is_fresh(r->targets, now, targets[i])) i++;
+  if (i < n) query_target(x, &a, targets[i]);
 }
 
 void run_query_tallies(Run *x) {
   uint64_t targets[TARGETS_MAX_QUERIED];
   if (!uses_tallies(x)) return;
   TargetRequest criteria = run_target_criteria(x);
-  int n = targets_to_query(x->relay->targets, run_now(x), &criteria, targets);
   x->n_reports = x->n_queried = x->n_queried_targets = 0;
   x->queried_twice = false;
-  if (awaits_tallies(x))
-    query_for_run(x, targets, n);
-  else
-    query_rates(x, targets, n);
+  if (!awaits_tallies(x)) {
+    query_rate(x, &criteria);
+    return;
+  }
+  int n = targets_to_query(x->relay->targets, run_now(x), &criteria, targets);
+  query_for_run(x, targets, n);
 }
 
 bool run_query_more(Run *x, const TargetChoice *c) {
