ledger: a lost call to the store is repeated at once

For all services. Cause: the first failed call of a shard marked the store as down for it, and the next call waited for a back-off of 0.1 to 0.6 s. Requests wait for a fifth of their objective (0.08 to 0.3 s), so one lost read refused them as in an outage, while the store answered. Seen with an instance's first request, 2.7 s after its start.

Now the first failure of a shard's call is followed by a read at once, unless the instances that read the store report an outage; only a second failure within 2 s marks the shard's store as down and backs off.

Ruled out: a second read beside one that is still open; an answer carries no number, so a late one would be taken for that of a write.

Tests: test_home, three new cases, red before (first read lost: not allotted; second lost call: 1 call instead of 2).

Conclusion: costs one more call per shard in use and outage.

--- a/packages/ledger/state.h
+++ b/packages/ledger/state.h
@@ -157,6 +157,7 @@
   double next_read_at;      /* next periodic read */
   double retry_at, backoff;
   double down_since;  /* 0: the store answers */
+  double repeated_at; /* when a failed call was last repeated at once */
   GPtrArray *budgets; /* HomeBudget* */
 } ShardState;
 
--- a/packages/ledger/stored.c
+++ b/packages/ledger/stored.c
@@ -15,6 +15,8 @@
 #define SEAL_WAIT_S 10.0 /* a report waits this long for its grant's seal */
 /* Between two writes of a shard whose budgets are nearly used up. */
 #define LOW_BUDGET_WRITE_INTERVAL_S 1.0
+/* Between two failed calls of a shard that are repeated at once. */
+#define REPEAT_INTERVAL_S 2.0
 /* After an outage the homes' calls to the store are spread over this time. */
 #define RETURN_SPREAD_S 0.2
 /* After a restore of the store each home writes its grants again before any
@@ -461,6 +463,15 @@
   s->retry_at = l->now + pace_backoff(&s->backoff, g_rand_double(l->rng));
 }
 
+/* True when the shard's last call failed while the store answers: it is
+   repeated at once, as requests wait for less time than a back-off. Only the
+   second of two failures in a row means that the store is away. */
+static bool is_lost_call(const Ledger *l, const ShardState *s) {
+  bool repeated_lately =
+      s->repeated_at > 0 && l->now - s->repeated_at < REPEAT_INTERVAL_S;
+  return !l->store_down && s->down_since == 0 && !repeated_lately;
+}
+
 static void receive_doc(Ledger *l, ShardState *s, uint64_t version,
                         const char *text) {
   /* A read may return an old copy, which must not replace a newer one. */
@@ -504,6 +515,10 @@
   default: /* no answer: a write may have taken effect, so read first */
     forget_doc(s);
     s->dirty = true;
+    if (is_lost_call(l, s)) {
+      s->repeated_at = l->now;
+      break;
+    }
     if (s->down_since == 0) s->down_since = l->now;
     schedule_retry(l, s);
     for (guint i = 0; i < s->budgets->len; i++)
--- a/tests/test_home.c
+++ b/tests/test_home.c
@@ -17,6 +17,7 @@
 static char *stored; /* the document, NULL: none */
 static int calls;
 static bool store_down;  /* the store does not answer */
+static int lost_calls;   /* the next calls that fail, though the store is up */
 static int64_t allotted; /* to the holder, in all */
 static uint64_t grant;   /* that it came from */
 static ErrKind cause;    /* of the last allotment */
@@ -37,6 +38,12 @@
     bool put = a.action == LEDGER_ACTION_PUT,
          get = a.action == LEDGER_ACTION_GET;
     calls += put || get;
+    if ((put || get) && lost_calls > 0) {
+      lost_calls--;
+      ledger_store_result(ledger, now, a.shard, ERR_STORE_UNKNOWN, 0, NULL);
+      g_free(a.text);
+      continue;
+    }
     if (put && !store_down) {
       g_free(stored);
       stored = g_strdup(a.text);
@@ -82,6 +89,7 @@
   version = 0;
   calls = 0;
   store_down = false;
+  lost_calls = 0;
   allotted = 0;
   grant = 0;
   g_clear_pointer(&stored, g_free);
@@ -158,3 +166,39 @@
   cr_assert_gt(calls, 0, "the store is called again");
   ledger_free(ledger);
 }
+
+/* Guards against a refusal as in an outage when one call to the store was lost:
+   an instance refused its first request after 0.1 s, 2.7 s after its start, as
+   the first read of the shard was repeated only after a back-off. */
+Test(home, one_lost_call_is_repeated_at_once) {
+  start(100 * 1000 * 1000);
+  lost_calls = 1;
+  draw(1, "holder.1", REQUEST, REQUEST);
+  cr_assert_geq(allotted, REQUEST, "the first read was lost");
+  ledger_free(ledger);
+}
+
+/* The same for the first write, of which it is unknown whether the store did
+   it: it is read first. */
+Test(home, a_lost_write_is_read_at_once) {
+  start(100 * 1000 * 1000);
+  for (int i = 0; i < 60 && calls == 0; i++) {
+    ledger_tick(ledger, 1 + i * 0.1, 1000);
+    execute_actions(1 + i * 0.1);
+  }
+  cr_assert_gt(calls, 0, "the shard was read");
+  lost_calls = 1;
+  draw(7, "holder.1", REQUEST, REQUEST);
+  cr_assert_geq(allotted, REQUEST);
+  ledger_free(ledger);
+}
+
+/* Only one call is repeated at once: a store that is away isn't called more
+   often than before. */
+Test(home, a_second_lost_call_waits_for_the_back_off) {
+  start(100 * 1000 * 1000);
+  lost_calls = 100;
+  draw(1, "holder.1", REQUEST, REQUEST);
+  cr_assert_eq(calls, 2, "%d calls", calls);
+  ledger_free(ledger);
+}
