ledger: one round trip to a budget's home serves all requests that wait

Cause: a DRAW names the tokens of the first waiting request as its need, and a home draws from the store, asks its witness for and allots just that, plus a quarter of its free tokens. A customer that sends 200 requests per second to one instance got one of them per round trip to the home, its witness and the store, and the others were refused as budget-store after a fifth of their objective.

For managed services, a new message (type 21) goes before a DRAW: the tokens that wait, and the demand of the last 2 s, by the route's priority. With it - a home draws, raises and allots for all that wait; - waiting requests of a holder are ordered by priority; - an account, the witness's headroom and the outage reserve follow the demand of the last seconds, not only the means over 10, 30 and 300 s; - one holder's share of the home's tokens follows its part of the demand.

Builds in production take an unknown ledger kind for damage and drop the rest of the frame, so the message has a type of its own, which they pass over.

Ruled out: a higher need in the DRAW itself. Older homes, and homes near the end of the budget, would then refuse the first request for want of the sum.

--- a/bench/budget.c
+++ b/bench/budget.c
@@ -54,7 +54,7 @@
 }
 
 static WorldRequest draw_request(const Shape *s, GRand *r, int node) {
-  WorldRequest q = {.node = node};
+  WorldRequest q = {.node = node, .priority = -1};
   snprintf(q.budget, sizeof q.budget, "c%d/any", pick_customer(r));
   q.consumed_tokens =
       50 + g_rand_int_range(r, 0, (gint32)(2 * s->mean_tokens - 100));
--- a/packages/fleet/cluster.c
+++ b/packages/fleet/cluster.c
@@ -134,6 +134,11 @@
       break;
     case LEDGER_ACTION_GET:
     case LEDGER_ACTION_PUT: access_shard(c, &a); break;
+    case LEDGER_ACTION_NOTE:
+      count_add(COUNT_BUDGET_CUTOFFS, 1);
+      log_info("budget-cutoff", "s:s,s:i,s:i", "customer", a.msg.budget, "from",
+               a.msg.priority, "retry_ms", a.msg.retry_ms);
+      break;
     case LEDGER_ACTION_ANSWER:
       c->ev.reservation_decided(c->ctx, a.handle, a.cause, a.retry_ms);
       break;
@@ -418,7 +423,7 @@
   } else if (tallies_receive(c->tallies, current_time(c),
                              view_find(c->view, id), m)) {
     return;
-  } else if (m->type == CODEC_LEDGER) {
+  } else if (m->type == CODEC_LEDGER || m->type == CODEC_RESERVE) {
     ledger_receive(c->ledger, current_time(c), id, &m->ledger);
     run_ledger_actions(c);
   }
@@ -664,12 +669,17 @@
   run_ledger_actions(c);
 }
 
-uint64_t cluster_reserve(Cluster *c, const char *budget, int64_t tokens) {
+uint64_t cluster_reserve(Cluster *c, const char *budget, int64_t tokens,
+                         int priority) {
   uint64_t handle = ++c->next_handle;
-  ledger_reserve(c->ledger, current_time(c), handle, budget, tokens);
+  ledger_reserve(c->ledger, current_time(c), handle, budget, tokens, priority);
   return handle;
 }
 
+int cluster_outage_left_ms(const Cluster *c) {
+  return ledger_outage_left_ms(c->ledger, current_time(c));
+}
+
 void cluster_settle(Cluster *c, uint64_t handle, int64_t used) {
   ledger_settle(c->ledger, current_time(c), handle, used);
   run_ledger_actions(c);
--- a/packages/fleet/cluster.h
+++ b/packages/fleet/cluster.h
@@ -110,8 +110,11 @@
 void cluster_set_store_unavailable(Cluster *c, bool unavailable);
 void cluster_set_budgets(Cluster *c, const LedgerBudget *list, int n);
 /* Returns the handle of the reservation, never 0. The decision is reported by
-   the next cluster_run_actions, or later. */
-uint64_t cluster_reserve(Cluster *c, const char *budget, int64_t tokens);
+   the next cluster_run_actions, or later. `priority`: see ledger_reserve. */
+uint64_t cluster_reserve(Cluster *c, const char *budget, int64_t tokens,
+                         int priority);
+/* See ledger_outage_left_ms. */
+int cluster_outage_left_ms(const Cluster *c);
 void cluster_run_actions(Cluster *c);
 /* Ends a reservation, or cancels one that is still undecided (`used` 0). */
 void cluster_settle(Cluster *c, uint64_t handle, int64_t used);
--- a/packages/fleet/fleet.c
+++ b/packages/fleet/fleet.c
@@ -106,10 +106,10 @@
     count_add(COUNT_PEER_DROPPED, 1);
     return;
   }
-  Lane *l = m->type == CODEC_LEDGER ? lane_of_budget(f, m->ledger.budget)
-                                    : records_lane(f);
+  bool is_ledger = m->type == CODEC_LEDGER || m->type == CODEC_RESERVE;
+  Lane *l = is_ledger ? lane_of_budget(f, m->ledger.budget) : records_lane(f);
   pthread_mutex_lock(&l->lock);
-  if (m->type == CODEC_LEDGER) {
+  if (is_ledger) {
     ledger_receive(l->ledger, clock_now(), id, &m->ledger);
     lane_run_actions(l);
   } else {
@@ -339,7 +339,7 @@
   LaneWait w;
   pthread_mutex_lock(&l->lock);
   lane_wait_prepare(l, handle, &w);
-  ledger_reserve(l->ledger, clock_now(), handle, budget, tokens);
+  ledger_reserve(l->ledger, clock_now(), handle, budget, tokens, -1);
   lane_run_actions(l);
   lane_wait(l, handle, &w);
   pthread_mutex_unlock(&l->lock);
--- a/packages/fleet/lane.c
+++ b/packages/fleet/lane.c
@@ -51,6 +51,7 @@
       shard_object_name(a.shard, j.name);
       jobs_add(l->host->jobs, &j);
       break;
+    case LEDGER_ACTION_NOTE: break;
     case LEDGER_ACTION_ANSWER:
       complete_wait(l, a.handle,
                     &(LaneWait){.cause = a.cause, .retry_ms = a.retry_ms});
--- a/packages/flow/relay.c
+++ b/packages/flow/relay.c
@@ -85,8 +85,9 @@
   set_timer(x, MIN(x->deadline, x->http_request->received_at + wait_s),
             on_budget_timeout);
   x->awaits_budget = true;
-  x->reservation =
-      cluster_reserve(r->cluster, x->customer->name, x->reserved_tokens);
+  x->reservation = cluster_reserve(
+      r->cluster, x->customer->name, x->reserved_tokens,
+      run_is_managed(x, MANAGED_RESERVE) ? x->route->priority : -1);
   g_hash_table_insert(r->runs_by_reservation, &x->reservation, x);
   cluster_run_actions(r->cluster);
 }
--- a/packages/kernel/count.c
+++ b/packages/kernel/count.c
@@ -15,6 +15,12 @@
                             "tokens exist but are held elsewhere"},
     [COUNT_REFUSED_STORE] = {"refused_store_total", "store slow or down"},
     [COUNT_REFUSED_CUT] = {"refused_cut_total", "no holder reachable"},
+    [COUNT_REFUSED_CUTOFF] = {"refused_cutoff_total",
+                              "of refused_store_total, by priority: more "
+                              "urgent requests need the tokens"},
+    [COUNT_BUDGET_CUTOFFS] = {"budget_cutoffs_total",
+                              "changes of the priorities that a budget's home "
+                              "rejects"},
     [COUNT_REFUSED_CAP] = {"refused_cap_total", "a row's cap reached"},
     [COUNT_REFUSED_OVERLOAD] = {"refused_overload_total", "shed by the queue"},
     [COUNT_REFUSED_OTHER] = {"refused_other_total", "every other refusal"},
--- a/packages/kernel/limits.h
+++ b/packages/kernel/limits.h
@@ -80,6 +80,11 @@
 /* Of a budget's total: 97 in 100 have to be usable. */
 #define LEDGER_MAX_UNUSED_RATIO 0.02
 #define LEDGER_IDLE_CHECK_S 1.0 /* between checks of an idle budget */
+/* Priorities of routes, 0 is served first; a budget belongs to one customer, so
+   the customer's own priority doesn't matter within it. */
+#define LEDGER_PRIORITIES 3
+/* Max time that a rejection tells callers to wait for. */
+#define LEDGER_MAX_RETRY_MS 60000
 
 /* == records of requests == */
 
--- a/packages/ledger/holder.c
+++ b/packages/ledger/holder.c
@@ -116,14 +116,22 @@
   g_free(b);
 }
 
+/* Returns the tokens per second that requests use here. For managed services
+   the demand of the last seconds counts too: the average over ten seconds of
+   what was settled has hardly risen when a customer's requests move to this
+   instance, and each one then waited for a home's answer. */
+static double demand_per_s(const Ledger *l, const HolderBudget *b) {
+  return MAX(b->demand_per_s, priority_holder_demand_per_s(l, b));
+}
+
 /* Returns how many free tokens an account should keep beyond those for the
    waiting requests. For a budget that is seldom used here it is 0: other
    instances would lack these tokens near the end of the budget, and they are
    lost if this instance dies. When each of 295 instances kept tokens for 40
    customers, a power failure of all instances lost all of these tokens. */
 static int64_t tokens_to_keep(const Ledger *l, const HolderBudget *b) {
-  int64_t cover_tokens = (int64_t)(b->demand_per_s * l->account_cover_s);
-  if (b->demand_per_s < 1 || cover_tokens < b->typical_tokens) return 0;
+  int64_t cover_tokens = (int64_t)(demand_per_s(l, b) * l->account_cover_s);
+  if (demand_per_s(l, b) < 1 || cover_tokens < b->typical_tokens) return 0;
   if (l->now - b->reserve_called_at >= IDLE_BUDGET_S) return 0;
   return b->typical_tokens + cover_tokens;
 }
@@ -173,6 +181,16 @@
   }
 }
 
+/* Queues a waiter; one of a managed service goes before less urgent ones. */
+static void add_waiter(Ledger *l, HolderBudget *b, Waiter *w) {
+  GList *after = b->waiters.tail;
+  while (after && ((Waiter *)after->data)->priority > w->priority &&
+         w->priority >= 0)
+    after = after->prev;
+  g_queue_insert_after(&b->waiters, after, w);
+  g_hash_table_insert(l->waiting, g_memdup2(&w->handle, sizeof w->handle), b);
+}
+
 /* Sends a DRAW, which requests tokens, to a home. After two DRAWs without an
    answer the next one goes to the next choice, as every instance can act as a
    home. */
@@ -207,6 +225,7 @@
     m.returned = a->returned;
     m.spent = a->spent;
   }
+  priority_send_demand(l, b, home->id);
   ledger_send(l, home->id, &m);
 }
 
@@ -219,8 +238,19 @@
   return answered_recently ? LEDGER_RESEND_S : LEDGER_REDRAW_S;
 }
 
+void holder_apply_cutoff(Ledger *l, HolderBudget *b) {
+  int retry_ms;
+  for (GList *i = b->waiters.head, *next; i; i = next) {
+    next = i->next;
+    const Waiter *w = i->data;
+    if (!priority_is_rejected(l, b, w->priority, &retry_ms)) continue;
+    ledger_add_answer(l, w->handle, ERR_BUDGET_STORE, retry_ms);
+    drop_waiter(l, b, i);
+  }
+}
+
 void holder_reserve(Ledger *l, uint64_t handle, const char *budget,
-                    int64_t amount) {
+                    int64_t amount, int priority) {
   assert(amount >= 0);
   if (l->draining) {
     ledger_add_answer(l, handle, ERR_DRAINING, 1000);
@@ -232,11 +262,17 @@
   }
   HolderBudget *b = ensure_budget(l, budget);
   b->reserve_called_at = l->now;
+  priority_note_request(l, b, priority, amount);
+  int retry_ms;
+  if (priority_is_rejected(l, b, priority, &retry_ms)) {
+    ledger_add_answer(l, handle, ERR_BUDGET_STORE, retry_ms);
+    return;
+  }
   if (reserve_from_account(l, b, handle, amount)) return;
   Waiter *w = g_new0(Waiter, 1);
-  *w = (Waiter){handle, amount, l->now + LEDGER_DRAW_WAIT_S, ERR_BUDGET_CUT};
-  g_queue_push_tail(&b->waiters, w);
-  g_hash_table_insert(l->waiting, g_memdup2(&handle, sizeof handle), b);
+  *w = (Waiter){handle, amount, l->now + LEDGER_DRAW_WAIT_S, ERR_BUDGET_CUT,
+                priority};
+  add_waiter(l, b, w);
   if (b->draw_sent_at == 0 || l->now - b->draw_sent_at >= draw_resend_s(l, b))
     send_draw(l, b);
 }
@@ -260,6 +296,7 @@
   HolderBudget *b = r->budget;
   a->reserved -= r->amount;
   a->spent += used;
+  priority_note_settled(b, r->amount, used);
   if (l->faults.settle_twice) a->reserved -= r->amount;
   b->demand_per_s += (double)used / DEMAND_AVERAGE_S;
   if (!l->faults.settle_twice) g_hash_table_remove(l->reservations, &handle);
@@ -380,7 +417,7 @@
     if (a->closing) return_tokens(l, b, a, free_tokens(a));
     int64_t keep = tokens_to_keep(l, b);
     int64_t max_free =
-        keep ? b->typical_tokens + (int64_t)(b->demand_per_s * LEDGER_IDLE_S)
+        keep ? b->typical_tokens + (int64_t)(demand_per_s(l, b) * LEDGER_IDLE_S)
              : 0;
     /* For a budget that is seldom used, one report covers both the spent and
        the returned tokens. */
@@ -411,7 +448,7 @@
   /* Requests tokens in advance, so that a reservation need not wait for an
      ALLOT. */
   const Account *a = account_with_most_free(b);
-  int64_t min_free = (int64_t)(b->demand_per_s * l->account_cover_s / 2);
+  int64_t min_free = (int64_t)(demand_per_s(l, b) * l->account_cover_s / 2);
   if (l->draining || !tokens_to_keep(l, b) || (a && free_tokens(a) >= min_free))
     return;
   if (l->now - b->prefetched_at < l->account_cover_s * PREFETCH_INTERVAL_SHARE)
@@ -432,6 +469,7 @@
     b->ticked_at = l->now;
     tick_accounts(l, b);
     tick_waiters(l, b);
+    priority_tick_holder(l, b);
     bool is_unused =
         b->accounts->len == 0 && !b->waiters.head && b->demand_per_s < 1;
     if (is_unused) g_hash_table_iter_remove(&it);
--- a/packages/ledger/home.c
+++ b/packages/ledger/home.c
@@ -45,10 +45,10 @@
   return g->granted - g->returned - (g->allotted - g->returned_by_holders);
 }
 
-static int64_t total_need(const HomeBudget *h) {
+static int64_t total_need(const Ledger *l, const HomeBudget *h) {
   int64_t n = 0;
   for (guint i = 0; i < h->draws->len; i++)
-    n += ((Draw *)h->draws->pdata[i])->need;
+    n += priority_pressing_tokens(l, h, h->draws->pdata[i]);
   return n;
 }
 
@@ -72,7 +72,7 @@
   if (l->now < l->no_draws_until) remaining -= held_tokens(l, h);
   if (remaining <= 0) return 0;
   int64_t have = home_free_tokens(h->home_grant);
-  int64_t need = total_need(h) - have;
+  int64_t need = total_need(l, h) - have;
   int64_t ahead = (int64_t)outage_reserve_tokens(l, h) - have;
   int64_t cap = MAX(0, outage_reserve_max(l, h, have, remaining) - have);
   if (need > 0) ahead = MAX(ahead, need + LEDGER_MIN_DRAW_TOKENS);
@@ -96,6 +96,7 @@
   g_ptr_array_free(h->draws, TRUE);
   g_ptr_array_free(h->orphan_reports, TRUE);
   g_ptr_array_free(h->seals, TRUE);
+  g_clear_pointer(&h->demands, g_hash_table_destroy);
   g_free(h);
 }
 
@@ -237,8 +238,11 @@
 static bool try_draw(Ledger *l, HomeBudget *h, const Draw *d) {
   HomeGrant *g = h->home_grant;
   int64_t have = home_free_tokens(g);
-  if (d->need <= have && d->need <= witness_headroom(g)) {
-    int64_t max_share = have / ALLOT_DIVISOR;
+  int64_t usable = priority_usable_tokens(l, h, d);
+  int64_t pressing = priority_pressing_tokens(l, h, d);
+  if (d->need <= usable && d->need <= witness_headroom(g)) {
+    int64_t max_share = MAX(have / ALLOT_DIVISOR, MIN(pressing, usable));
+    max_share = MAX(max_share, priority_share_tokens(l, h, d));
     int64_t n = CLAMP(d->want, d->need, MAX(d->need, max_share));
     n = MIN(n, witness_headroom(g));
     if (n > 0)
@@ -248,8 +252,8 @@
     witness_request_headroom(l, h, 0);
     return true;
   }
-  if (d->need <= have) {
-    witness_request_headroom(l, h, d->need);
+  if (d->need <= usable) {
+    witness_request_headroom(l, h, MIN(pressing, usable));
     return l->now >= d->deadline ? (deny_draw(l, h, d, ERR_BUDGET_CUT), true)
                                  : false;
   }
@@ -267,7 +271,7 @@
     else
       i++;
   }
-  if (total_need(h) > home_free_tokens(h->home_grant)) touch_shard(l, h);
+  if (total_need(l, h) > home_free_tokens(h->home_grant)) touch_shard(l, h);
 }
 
 /* Returns free tokens to the store, except `keep` and the need of open
@@ -275,7 +279,7 @@
 static void return_to_store(Ledger *l, HomeBudget *h, int64_t keep) {
   HomeGrant *g = h->home_grant;
   if (!g || g->frozen) return;
-  int64_t n = home_free_tokens(g) - total_need(h) - keep;
+  int64_t n = home_free_tokens(g) - total_need(l, h) - keep;
   if (n <= 0) return;
   g->returned += n;
   touch_shard(l, h);
@@ -558,6 +562,7 @@
     if (dt < LEDGER_IDLE_CHECK_S && is_at_rest(l, h)) continue;
     h->ticked_at = l->now;
     outage_tick(l, h, dt);
+    priority_tick_home(l, h);
     tick_former_grants(l, h);
     if (h->home_grant) tick_grant(l, h);
     ShardState *s = shard_of(l, h);
--- a/packages/ledger/layup.c
+++ b/packages/ledger/layup.c
@@ -41,8 +41,12 @@
 /* Returns the tokens per second that this region uses. */
 static double measured_demand_per_s(const Ledger *l, const HomeBudget *h) {
   double age = MAX(l->now - h->started_at, MIN_AVERAGE_S);
-  return MAX(remove_start_bias(h->slow_demand_per_s, age, SLOW_AVERAGE_S),
-             remove_start_bias(h->demand_per_s, age, DEMAND_AVERAGE_S));
+  double mean =
+      MAX(remove_start_bias(h->slow_demand_per_s, age, SLOW_AVERAGE_S),
+          remove_start_bias(h->demand_per_s, age, DEMAND_AVERAGE_S));
+  /* For managed services a burst of seconds counts: a customer that sent 2 to 7
+     times its usual load found a reserve for a tenth of an outage. */
+  return MAX(mean, priority_demand_per_s(l, h));
 }
 
 /* Demand counts tokens that were used, not those that were reserved, so
--- a/packages/ledger/ledger.c
+++ b/packages/ledger/ledger.c
@@ -92,6 +92,8 @@
   case LEDGER_RETURN: holder_on_return(l, m); break;
   case LEDGER_RECALL: home_on_recall(l, from, m); break;
   case LEDGER_RECALL_DONE: home_on_recall_done(l, m); break;
+  case LEDGER_DEMAND: priority_on_demand(l, from, m); break;
+  case LEDGER_CUTOFF: priority_on_cutoff(l, m); break;
   case LEDGER_KIND_COUNT: break;
   }
 }
@@ -216,9 +218,10 @@
 }
 
 void ledger_reserve(Ledger *l, double now, uint64_t handle, const char *budget,
-                    int64_t amount) {
+                    int64_t amount, int priority) {
   l->now = now;
-  holder_reserve(l, handle, budget, amount);
+  holder_reserve(l, handle, budget, amount,
+                 MIN(priority, LEDGER_PRIORITIES - 1));
   process_queued(l);
 }
 
@@ -256,6 +259,7 @@
   if (l->store_down == down) return;
   l->now = now;
   l->store_down = down;
+  l->store_down_since = now;
   if (!down) sync_store_back(l);
   process_queued(l);
 }
--- a/packages/ledger/ledger.h
+++ b/packages/ledger/ledger.h
@@ -32,9 +32,16 @@
   LEDGER_RETURN,      /* home -> its holder: return free tokens */
   LEDGER_RECALL,      /* home -> home: return free tokens to the store */
   LEDGER_RECALL_DONE, /* home -> home: tokens were returned to the store */
+  LEDGER_DEMAND, /* holder -> home: waiting tokens and demand by priority, just
+                    before a DRAW; only for managed services */
+  LEDGER_CUTOFF, /* home -> holder: the priorities that are rejected now */
   LEDGER_KIND_COUNT
 } LedgerKind;
 
+/* The kinds from this one on travel as messages of a type of their own, as
+   older builds take an unknown ledger kind for damage. */
+#define LEDGER_FIRST_NEW_KIND LEDGER_DEMAND
+
 /* One message. Counts are cumulative, so lost, duplicated and delayed messages
    do no harm. */
 typedef struct LedgerMsg {
@@ -45,6 +52,12 @@
   int64_t need, want;
   ErrKind cause;
   bool final, sealed;
+  /* LEDGER_DEMAND and LEDGER_CUTOFF only. */
+  int priority; /* of the first waiting request; or the first that is rejected,
+                   LEDGER_PRIORITIES: none */
+  int retry_ms; /* until the store is expected back */
+  int64_t waiting[LEDGER_PRIORITIES];      /* tokens of waiting requests */
+  int64_t tokens_per_s[LEDGER_PRIORITIES]; /* demand of the last seconds */
 } LedgerMsg;
 
 typedef enum {
@@ -52,6 +65,7 @@
   LEDGER_ACTION_GET,    /* read the shard */
   LEDGER_ACTION_PUT,    /* conditional update of the shard: version, text */
   LEDGER_ACTION_ANSWER, /* the reservation `handle` is decided: cause */
+  LEDGER_ACTION_NOTE,   /* for the log: `msg` with a changed cutoff came in */
 } LedgerActionKind;
 
 typedef struct LedgerAction {
@@ -89,6 +103,8 @@
   bool settle_twice;     /* a settlement is added to the free tokens twice */
   bool add_reports;      /* cumulative reports are summed, not maximised */
   bool no_recall;
+  bool no_demand; /* homes ignore reports of waiting requests */
+  bool no_cutoff; /* tokens go to any priority during an outage */
 } LedgerFaults;
 
 typedef struct Ledger Ledger;
@@ -104,9 +120,14 @@
    the actions from ledger_next_action. */
 void ledger_set_view(Ledger *l, double now, const View *v);
 void ledger_set_budgets(Ledger *l, double now, const LedgerBudget *list, int n);
-/* Requests `amount` tokens; a LEDGER_ACTION_ANSWER decides `handle`. */
+/* Requests `amount` tokens; a LEDGER_ACTION_ANSWER decides `handle`.
+   `priority`: 0 first; -1: the service is not managed, its requests are served
+   in the order of their arrival. */
 void ledger_reserve(Ledger *l, double now, uint64_t handle, const char *budget,
-                    int64_t amount);
+                    int64_t amount, int priority);
+/* Milliseconds until a store outage that this instance knows of is expected to
+   be over; 0: it knows of none. */
+int ledger_outage_left_ms(const Ledger *l, double now);
 /* Ends a reservation of which `used` tokens were consumed. With `used` 0 it
    also cancels one that is still waiting. Tokens above the reserved amount are
    charged to the account too. */
--- a/packages/ledger/state.h
+++ b/packages/ledger/state.h
@@ -34,6 +34,7 @@
   int64_t amount;
   double deadline;
   ErrKind cause; /* the refusal to send if the wait ends now */
+  int priority;  /* -1: of a service that is not managed */
 } Waiter;
 
 typedef struct Reservation {
@@ -58,6 +59,14 @@
   double first_choice_at;   /* when the first choice was last sent a DRAW */
   double ticked_at;
   bool needs_tick; /* changed since the last tick, or has to resend soon */
+  /* For managed services (priority.c). */
+  double managed_at; /* when one last requested tokens; 0: never */
+  double priority_per_s[LEDGER_PRIORITIES]; /* reserved tokens a second */
+  double priority_decayed_at;
+  double unused_ratio;   /* average of reserved tokens that were not used */
+  double demand_sent_at; /* when the last DEMAND was sent */
+  int cutoff, cutoff_retry_ms;
+  double cutoff_at; /* when a home last sent one; 0: never */
 } HolderBudget;
 
 /* == home == */
@@ -138,6 +147,10 @@
   char recaller[LIMIT_ID_BYTES];
   bool notify_recaller;
   int64_t remaining, unspent; /* from the last version of the document */
+  GHashTable *demands; /* holder -> HolderDemand (priority.c); NULL: none */
+  double demand_at;    /* when the last DEMAND arrived */
+  double away_since;   /* when the store went away for this home; 0: it
+                          answers. Kept while there are `demands` only. */
 } HomeBudget;
 
 /* One shard of the store as this instance knows it. */
@@ -181,6 +194,7 @@
   int64_t unix_s;
   bool draining;
   bool store_down;
+  double store_down_since;  /* when `store_down` last changed */
   uint64_t era;             /* of the store; 0: unknown, or it states none */
   bool has_read;            /* a shard was read */
   double restored_at;       /* when `era` was first seen */
@@ -235,7 +249,9 @@
 /* == holder.c == */
 
 void holder_reserve(Ledger *l, uint64_t handle, const char *budget,
-                    int64_t amount);
+                    int64_t amount, int priority);
+/* Rejects the waiting requests whose priority is rejected now. */
+void holder_apply_cutoff(Ledger *l, HolderBudget *b);
 void holder_settle(Ledger *l, uint64_t handle, int64_t used);
 void holder_on_allot(Ledger *l, const char *from, const LedgerMsg *m);
 void holder_on_report_ack(Ledger *l, const LedgerMsg *m);
@@ -268,6 +284,41 @@
 /* Seals grants of the shard whose homes are gone. */
 void home_check_grants(Ledger *l, ShardState *s);
 
+/* == priority.c == */
+
+void priority_note_request(const Ledger *l, HolderBudget *b, int priority,
+                           int64_t amount);
+void priority_note_settled(HolderBudget *b, int64_t reserved, int64_t used);
+/* Tokens per second that managed services reserved in the last seconds. */
+double priority_holder_demand_per_s(const Ledger *l, const HolderBudget *b);
+/* A managed service used the budget here lately. */
+bool priority_is_managed_here(const Ledger *l, const HolderBudget *b);
+/* The home rejects this priority now; *retry_ms: until when. */
+bool priority_is_rejected(const Ledger *l, const HolderBudget *b, int priority,
+                          int *retry_ms);
+/* Reports waiting tokens and demand to a home, just before a DRAW. */
+void priority_send_demand(Ledger *l, HolderBudget *b, const char *home);
+void priority_on_cutoff(Ledger *l, const LedgerMsg *m);
+void priority_tick_holder(Ledger *l, HolderBudget *b);
+
+/* Holders of managed services use the budget of this home. */
+bool priority_is_managed(const Ledger *l, const HomeBudget *h);
+void priority_on_demand(Ledger *l, const char *from, const LedgerMsg *m);
+/* Demand of managed services in the last seconds. */
+double priority_demand_per_s(const Ledger *l, const HomeBudget *h);
+/* Free tokens, without those that are kept for more urgent requests. */
+int64_t priority_usable_tokens(const Ledger *l, const HomeBudget *h,
+                               const Draw *d);
+/* Tokens of all waiting requests behind a draw that may be served now, at least
+   its `need`; without a report of its holder: `need`. */
+int64_t priority_pressing_tokens(const Ledger *l, const HomeBudget *h,
+                                 const Draw *d);
+/* The holder's share of the free tokens by its part of the demand; 0 while the
+   store is away, or without reports. */
+int64_t priority_share_tokens(const Ledger *l, const HomeBudget *h,
+                              const Draw *d);
+void priority_tick_home(Ledger *l, HomeBudget *h);
+
 /* == layup.c == */
 
 /* Counts tokens that were allotted; below 0: that holders returned unused. */
--- a/packages/ledger/witness.c
+++ b/packages/ledger/witness.c
@@ -157,7 +157,8 @@
 void witness_request_headroom(Ledger *l, HomeBudget *h, int64_t n) {
   HomeGrant *g = h->home_grant;
   if (g->replacing_witness || !g->witness[0]) return;
-  int64_t ahead = (int64_t)(h->demand_per_s * l->witness_ahead_s);
+  double per_s = MAX(h->demand_per_s, priority_demand_per_s(l, h));
+  int64_t ahead = (int64_t)(per_s * l->witness_ahead_s);
   /* Tokens up to the limit are written off if this home dies, so the home
      requests few in advance for a small budget. For a large budget it requests
      enough that not every allotment needs a RAISE. */
--- a/packages/peer/codec.h
+++ b/packages/peer/codec.h
@@ -37,6 +37,8 @@
   CODEC_PERMIT_REQUEST,
   CODEC_PERMIT,
   CODEC_LIMIT,
+  /* 18 to 20 are not known to this build. */
+  CODEC_RESERVE = 21, /* ledger messages from LEDGER_FIRST_NEW_KIND on */
   CODEC_TYPES
 } CodecType;
 
@@ -112,6 +114,7 @@
 void codec_put_heartbeat(msgpack_sbuffer *b, const Member *m);
 void codec_put_member_update(msgpack_sbuffer *b, const GossipUpdate *n);
 void codec_put_gossip(msgpack_sbuffer *b, const GossipMsg *m);
+/* Writes the type CODEC_RESERVE for kinds from LEDGER_FIRST_NEW_KIND on. */
 void codec_put_ledger(msgpack_sbuffer *b, const LedgerMsg *m);
 void codec_put_once(msgpack_sbuffer *b, const OnceMsg *m);
 void codec_put_load(msgpack_sbuffer *b, const LoadsMsg *m);
--- a/packages/peer/decode.c
+++ b/packages/peer/decode.c
@@ -63,7 +63,8 @@
 /* A message type of a newer build is skipped; the rest of the frame is read. */
 static CodecType get_type(Reader *r) {
   uint64_t n = get_u64(r);
-  return n < CODEC_TYPES ? (CodecType)n : CODEC_TYPES;
+  bool is_unknown = n > CODEC_LIMIT && n < CODEC_RESERVE;
+  return n < CODEC_TYPES && !is_unknown ? (CodecType)n : CODEC_TYPES;
 }
 
 static void get_heartbeat(Reader *r, Member *m) {
@@ -97,7 +98,7 @@
 }
 
 static void get_ledger(Reader *r, LedgerMsg *m) {
-  m->kind = (LedgerKind)get_small(r, LEDGER_KIND_COUNT);
+  m->kind = (LedgerKind)get_small(r, LEDGER_FIRST_NEW_KIND);
   get_str(r, m->budget, sizeof m->budget);
   m->grant = get_u64(r);
   m->granted = get_i64(r);
@@ -112,6 +113,24 @@
   m->sealed = flags & 2;
 }
 
+static int64_t get_tokens(Reader *r) {
+  int64_t n = get_i64(r);
+  r->damaged |= n < 0 || n > COUNT_MAX;
+  return n;
+}
+
+static void get_reserve(Reader *r, LedgerMsg *m) {
+  m->kind =
+      (LedgerKind)(LEDGER_FIRST_NEW_KIND +
+                   get_small(r, LEDGER_KIND_COUNT - LEDGER_FIRST_NEW_KIND));
+  get_str(r, m->budget, sizeof m->budget);
+  m->priority = get_small(r, LEDGER_PRIORITIES + 1);
+  m->retry_ms = get_small(r, LEDGER_MAX_RETRY_MS + 1);
+  for (int i = 0; i < LEDGER_PRIORITIES; i++) m->waiting[i] = get_tokens(r);
+  for (int i = 0; i < LEDGER_PRIORITIES; i++)
+    m->tokens_per_s[i] = get_tokens(r);
+}
+
 static void get_load(Reader *r, LoadsMsg *m) {
   m->target = get_u64(r);
   m->running = get_small(r, MAX_REQUESTS);
@@ -349,6 +368,7 @@
     switch (m->type) {
     case CODEC_HEARTBEAT: get_heartbeat(&r, &m->heartbeat); break;
     case CODEC_LEDGER: get_ledger(&r, &m->ledger); break;
+    case CODEC_RESERVE: get_reserve(&r, &m->ledger); break;
     case CODEC_ONCE: get_once(&r, &m->once); break;
     case CODEC_LOAD: get_load(&r, &m->load); break;
     case CODEC_CONFIG: get_config(&r, &m->config); break;
--- a/packages/peer/encode.c
+++ b/packages/peer/encode.c
@@ -62,8 +62,27 @@
   msgpack_pack_uint8(&p, m->is_reply);
 }
 
+static void put_reserve(msgpack_sbuffer *b, const LedgerMsg *m) {
+  msgpack_packer p;
+  msgpack_packer_init(&p, b, msgpack_sbuffer_write);
+  msgpack_pack_array(&p, 5 + 2 * LEDGER_PRIORITIES);
+  msgpack_pack_uint8(&p, CODEC_RESERVE);
+  msgpack_pack_uint8(&p, (uint8_t)(m->kind - LEDGER_FIRST_NEW_KIND));
+  put_str(&p, m->budget);
+  msgpack_pack_uint8(&p, (uint8_t)m->priority);
+  msgpack_pack_int64(&p, m->retry_ms);
+  for (int i = 0; i < LEDGER_PRIORITIES; i++)
+    msgpack_pack_int64(&p, m->waiting[i]);
+  for (int i = 0; i < LEDGER_PRIORITIES; i++)
+    msgpack_pack_int64(&p, m->tokens_per_s[i]);
+}
+
 void codec_put_ledger(msgpack_sbuffer *b, const LedgerMsg *m) {
   msgpack_packer p;
+  if (m->kind >= LEDGER_FIRST_NEW_KIND) {
+    put_reserve(b, m);
+    return;
+  }
   msgpack_packer_init(&p, b, msgpack_sbuffer_write);
   msgpack_pack_array(&p, 12);
   msgpack_pack_uint8(&p, CODEC_LEDGER);
--- a/scenario/requests.c
+++ b/scenario/requests.c
@@ -61,7 +61,7 @@
   case ONCE_RUN:
     q->run_allowed = true;
     ledger_reserve(w->nodes[node].ledger, w->now, q->handle, q->params.budget,
-                   q->params.amount);
+                   q->params.amount, q->params.priority);
     break;
   case ONCE_REPLAY: requests_conclude(w, q, WORLD_REPLAYED); break;
   case ONCE_PENDING:
--- a/scenario/restored.lua
+++ b/scenario/restored.lua
@@ -1,7 +1,7 @@
 -- restored.lua: seeded random runs in which the store comes back from a copy some
 -- seconds old. What it lost of the budgets must not be spent again.
 -- Argument: FROM COUNT, the seeds, and "one" or "all" when instances crash beside each
--- restore.
+-- restore, or "managed" when all requests are of managed services.
 
 local COPY_MAX_AGE_S = 5
 
@@ -18,12 +18,15 @@
   return nodes
 end
 
+local managed = false
+
 local function load_for(r, nodes, seconds)
   for _ = 1, seconds * 5 do
     for _ = 1, r(4) do
       local amount = 50 + r(300)
       request { at = nodes[r(#nodes)], budget = r(4) == 1 and "small" or "large",
-                amount = amount, used = r(amount), lasts = r(60) / 100 }
+                amount = amount, used = r(amount), lasts = r(60) / 100,
+                priority = managed and amount % 3 or nil }
     end
     advance(0.2)
   end
@@ -51,6 +54,7 @@
   math.randomseed(seed)
   local r = function(n) return math.random(n) end
   local nodes = build(r, seed)
+  managed = kills == "managed"
   advance(2)
   for _ = 1, 3 do
     load_for(r, nodes, 2 + r(8))
--- a/scenario/script.c
+++ b/scenario/script.c
@@ -67,6 +67,10 @@
     faults.ledger.add_reports = true;
   else if (strcmp(what, "recall") == 0)
     faults.ledger.no_recall = true;
+  else if (strcmp(what, "demand") == 0)
+    faults.ledger.no_demand = true;
+  else if (strcmp(what, "cutoff") == 0)
+    faults.ledger.no_cutoff = true;
   else if (strcmp(what, "claim") == 0)
     faults.once.skip_claims = true;
   else if (strcmp(what, "sealed claims") == 0)
@@ -97,7 +101,8 @@
                     .amount = (int64_t)number_field(l, "amount", 100),
                     .duration_s = number_field(l, "lasts", 0.5),
                     .once_only = bool_field(l, "once"),
-                    .target_unresponsive = bool_field(l, "silent")};
+                    .target_unresponsive = bool_field(l, "silent"),
+                    .priority = (int)number_field(l, "priority", -1)};
   r.consumed_tokens = (int64_t)number_field(l, "used", (double)r.amount);
   snprintf(r.budget, sizeof r.budget, "%s", string_field(l, "budget", "b"));
   snprintf(r.key, sizeof r.key, "%s", string_field(l, "key", ""));
--- a/scenario/world.h
+++ b/scenario/world.h
@@ -63,6 +63,7 @@
   char key[LIMIT_NAME_BYTES]; /* "": the world generates one */
   bool once_only;             /* not repeatable */
   bool target_unresponsive;   /* the target runs it and never answers */
+  int priority; /* of a managed service, 0 first; -1: not managed */
 } WorldRequest;
 
 typedef enum {
