ledger: in an outage the tokens go to urgent requests, and rejections are fast

Cause: while a home can't refill, its reserve went to whichever request came first, and a long request takes the tokens of 14 urgent ones. A request that could not be served waited for a recall of 0.4 s, longer than its own wait, so callers were told after 0.08 to 0.3 s, with a fixed Retry-After of 5 s cut to a third of their time.

For managed services: - A home keeps for each priority what the more urgent ones need for the rest of the outage, by the demand of the last seconds, for the seconds of the row's reserve at most. It tells holders the first priority that gets nothing; they reject from there on at once, and discard what is not renewed for 1 s. - A home without the store denies a draw at once where another home may reach the store, and waits 30 ms for a recall only where holders have tokens. - An answer holds for all waiting requests that need as much or more. - After all homes were found without the store, draws go to the first choice, which has the reserve, for a second. In a fleet of fewer than 12 instances nobody knows that the store is away for all; without this, requests got the answers of homes that hold nothing. - Retry-After is the expected rest of the outage, 1 to 6.5 s within 9 s. - A request waits for its budget for 0.4 of its objective instead of 0.2: homes on a tenth of a core need 60 to 100 ms for draw, witness and store.

test_home, test_holder: three of the new cases red before.

--- a/packages/fleet/cluster.c
+++ b/packages/fleet/cluster.c
@@ -140,6 +140,7 @@
                a.msg.priority, "retry_ms", a.msg.retry_ms);
       break;
     case LEDGER_ACTION_ANSWER:
+      if (a.by_cutoff) count_add(COUNT_REFUSED_CUTOFF, 1);
       c->ev.reservation_decided(c->ctx, a.handle, a.cause, a.retry_ms);
       break;
     }
--- a/packages/flow/relay.c
+++ b/packages/flow/relay.c
@@ -16,6 +16,13 @@
    time). A refusal that reaches the caller within a quarter of the aim leaves
    time to be served elsewhere; the difference is for the network round trip. */
 #define BUDGET_AIM_RATIO 0.2
+/* The same for managed services. Their objectives start at 0.3 s; instances of
+   a tenth of a core take 60 to 100 ms to pass a draw on to the home, its
+   witness and the store, and prompts are read in 20 to 200 ms. */
+#define MANAGED_BUDGET_AIM_RATIO 0.4
+/* To callers whose wait ended while no outage is known: the home was slow, and
+   the tokens arrive meanwhile. */
+#define RETRY_UNANSWERED_MS 300
 #define DEFAULT_DEADLINE_S 30.0    /* when the caller gives none */
 #define RETRY_STORE_OUTAGE_MS 5000 /* store outages last 4 to 9 s */
 /* Retry-After is at most the remaining time divided by this; a later retry
@@ -40,8 +47,12 @@
   int max_ms =
       (int)((x->deadline - run_now(x)) * 1000) / RETRY_DEADLINE_DIVISOR;
   /* When no time is left because this process was paused, the full retry time
-     is sent, as to others. */
-  int capped_retry_ms = max_ms > 0 ? MIN(retry_ms, max_ms) : retry_ms;
+     is sent, as to others. The expected end of an outage is stated as it is to
+     managed services: a retry before it would be rejected again. */
+  bool is_outage =
+      cause == ERR_BUDGET_STORE && run_is_managed(x, MANAGED_RESERVE);
+  int capped_retry_ms =
+      max_ms > 0 && !is_outage ? MIN(retry_ms, max_ms) : retry_ms;
   err_retry(&e, cause, capped_retry_ms,
             "%" G_GINT64_FORMAT " tokens could not be reserved for %s",
             x->reserved_tokens, x->customer->name);
@@ -51,7 +62,13 @@
 static void on_budget_timeout(struct ev_loop *loop, ev_timer *w, int revents) {
   (void)loop;
   (void)revents;
-  refuse_budget(w->data, ERR_BUDGET_STORE, RETRY_STORE_OUTAGE_MS);
+  Run *x = w->data;
+  int retry_ms = RETRY_STORE_OUTAGE_MS;
+  if (run_is_managed(x, MANAGED_RESERVE)) {
+    int left_ms = cluster_outage_left_ms(x->relay->cluster);
+    retry_ms = left_ms > 0 ? left_ms : RETRY_UNANSWERED_MS;
+  }
+  refuse_budget(x, ERR_BUDGET_STORE, retry_ms);
 }
 
 void relay_on_reserved(Relay *r, uint64_t handle, ErrKind cause, int retry_ms) {
@@ -81,13 +98,15 @@
     refuse_budget(x, ERR_BUDGET_CUT, settles_ms);
     return;
   }
-  double wait_s = MIN(MAX_BUDGET_WAIT_S, x->route->slo_s * BUDGET_AIM_RATIO);
+  bool managed = run_is_managed(x, MANAGED_RESERVE);
+  double ratio = managed ? MANAGED_BUDGET_AIM_RATIO : BUDGET_AIM_RATIO;
+  double wait_s = MIN(MAX_BUDGET_WAIT_S, x->route->slo_s * ratio);
   set_timer(x, MIN(x->deadline, x->http_request->received_at + wait_s),
             on_budget_timeout);
   x->awaits_budget = true;
-  x->reservation = cluster_reserve(
-      r->cluster, x->customer->name, x->reserved_tokens,
-      run_is_managed(x, MANAGED_RESERVE) ? x->route->priority : -1);
+  x->reservation =
+      cluster_reserve(r->cluster, x->customer->name, x->reserved_tokens,
+                      managed ? x->route->priority : -1);
   g_hash_table_insert(r->runs_by_reservation, &x->reservation, x);
   cluster_run_actions(r->cluster);
 }
--- a/packages/ledger/holder.c
+++ b/packages/ledger/holder.c
@@ -166,10 +166,31 @@
   int retry_ms = cause == ERR_BUDGET_EMPTY ? 0
                  : store_down              ? RETRY_AFTER_OUTAGE_MS
                                            : RETRY_AFTER_MS;
+  if (store_down && w->priority >= 0) {
+    int left_ms = priority_retry_ms(l, b);
+    /* Without an outage only the homes that were asked are cut off. */
+    retry_ms = left_ms > 0 ? left_ms : RETRY_AFTER_MS;
+  }
   ledger_add_answer(l, w->handle, cause, retry_ms);
   drop_waiter(l, b, link);
 }
 
+/* Refuses the first waiter. For managed services the answer holds for those
+   behind it as well that are neither smaller nor more urgent; asking for one
+   after the other took them a round trip each. */
+static void refuse_head(Ledger *l, HolderBudget *b, ErrKind cause) {
+  const Waiter *head = b->waiters.head->data;
+  int priority = head->priority;
+  int64_t amount = head->amount;
+  refuse_waiter(l, b, b->waiters.head, cause);
+  for (GList *i = b->waiters.head, *next; i && priority >= 0; i = next) {
+    next = i->next;
+    const Waiter *w = i->data;
+    if (w->priority >= priority && w->amount >= amount)
+      refuse_waiter(l, b, i, cause);
+  }
+}
+
 /* Serves every waiter whose amount is free in an account. A large request at
    the head doesn't block small ones behind it; its own wait ends at its
    deadline. */
@@ -238,13 +259,21 @@
   return answered_recently ? LEDGER_RESEND_S : LEDGER_REDRAW_S;
 }
 
+static void reject_by_cutoff(Ledger *l, uint64_t handle, int retry_ms) {
+  LedgerAction *a = ledger_add_action(l, LEDGER_ACTION_ANSWER);
+  a->handle = handle;
+  a->cause = ERR_BUDGET_STORE;
+  a->retry_ms = retry_ms;
+  a->by_cutoff = true;
+}
+
 void holder_apply_cutoff(Ledger *l, HolderBudget *b) {
   int retry_ms;
   for (GList *i = b->waiters.head, *next; i; i = next) {
     next = i->next;
     const Waiter *w = i->data;
     if (!priority_is_rejected(l, b, w->priority, &retry_ms)) continue;
-    ledger_add_answer(l, w->handle, ERR_BUDGET_STORE, retry_ms);
+    reject_by_cutoff(l, w->handle, retry_ms);
     drop_waiter(l, b, i);
   }
 }
@@ -265,7 +294,7 @@
   priority_note_request(l, b, priority, amount);
   int retry_ms;
   if (priority_is_rejected(l, b, priority, &retry_ms)) {
-    ledger_add_answer(l, handle, ERR_BUDGET_STORE, retry_ms);
+    reject_by_cutoff(l, handle, retry_ms);
     return;
   }
   if (reserve_from_account(l, b, handle, amount)) return;
@@ -311,7 +340,9 @@
    Returns false when there is no further choice. */
 static bool skip_to_next_home(const Ledger *l, HolderBudget *b,
                               const char *from) {
-  int choices = l->store_down ? 1 : MIN(l->region_members, MAX_HOME_CHOICES);
+  int choices = priority_store_is_away(l, b)
+                    ? 1
+                    : MIN(l->region_members, MAX_HOME_CHOICES);
   for (int rank = 0; rank + 1 < choices; rank++) {
     const Member *m = ledger_home(l, b->shard, rank);
     if (!m || strcmp(m->id, from) != 0) continue;
@@ -367,7 +398,12 @@
     send_draw(l, b);
     return;
   }
-  if (m->cause != ERR_NONE && head) refuse_waiter(l, b, head, m->cause);
+  if (m->cause == ERR_BUDGET_STORE && priority_is_managed_here(l, b)) {
+    /* The first choice has the tokens that are left. */
+    if (!priority_store_is_away(l, b)) b->all_away_at = l->now;
+    b->draw_tries = 0;
+  }
+  if (m->cause != ERR_NONE && head) refuse_head(l, b, m->cause);
   if (b->waiters.head) send_draw(l, b);
 }
 
--- a/packages/ledger/home.c
+++ b/packages/ledger/home.c
@@ -17,6 +17,8 @@
 #define MIN_REFILL_RATIO 0.1
 #define RECALL_INTERVAL_S 1.0 /* between two recalls of one budget */
 #define RECALL_WAIT_S 0.4     /* time for a recall to take effect */
+/* The same when nothing passes through the store: holders are 3 ms away. */
+#define RECALL_AWAY_WAIT_S 0.03
 /* A draw is refused only after a read of the store that is no older than this
    when the draw arrives. With 0.25 s, reads of budgets were a fifth of all
    store calls. */
@@ -201,6 +203,36 @@
   }
 }
 
+/* Whether other holders may still have tokens of the grant. */
+static bool can_recall(const HomeBudget *h, const char *asker) {
+  GHashTableIter it;
+  gpointer k, v;
+  g_hash_table_iter_init(&it, h->home_grant->shares);
+  while (g_hash_table_iter_next(&it, &k, &v)) {
+    const HolderShare *s = v;
+    if (strcmp(k, asker) != 0 && s->granted - s->returned - s->spent > 0)
+      return true;
+  }
+  return false;
+}
+
+/* The same for a budget of managed services while the home is without the
+   store. The draw waits only for what a recall may return, and not at all where
+   another home may reach the store, or where the tokens are kept for more
+   urgent requests. */
+static ErrKind find_refusal_cause_away(Ledger *l, HomeBudget *h,
+                                       const Draw *d) {
+  if (!l->store_down || d->need <= home_free_tokens(h->home_grant))
+    return ERR_BUDGET_STORE;
+  if (!can_recall(h, d->holder)) return ERR_BUDGET_STORE;
+  if (h->recalled_at < 0 || l->now - h->recalled_at >= RECALL_INTERVAL_S) {
+    h->recalled_at = l->now;
+    recall_free_tokens(l, h, false);
+  }
+  bool is_recalled = l->now - h->recalled_at >= RECALL_AWAY_WAIT_S;
+  return is_recalled ? ERR_BUDGET_STORE : ERR_NONE;
+}
+
 /* The cause for refusing a draw, or ERR_NONE while it may still be served. */
 static ErrKind find_refusal_cause(Ledger *l, HomeBudget *h, const Draw *d) {
   ShardState *s = shard_of(l, h);
@@ -213,6 +245,8 @@
   if (is_late)
     return s->confirmed_at < d->received_at && !is_down ? ERR_BUDGET_STORE
                                                         : cause;
+  if ((l->store_down || s->down_since > 0) && priority_is_managed(l, h))
+    return find_refusal_cause_away(l, h, d);
   if (!is_down && h->remaining > 0 &&
       home_free_tokens(h->home_grant) + h->remaining >= d->need)
     return ERR_NONE; /* the next update of the store provides it */
@@ -259,6 +293,7 @@
   }
   ErrKind cause = find_refusal_cause(l, h, d);
   if (cause == ERR_NONE) return false;
+  if (cause == ERR_BUDGET_STORE) priority_note_denied(l, h, d);
   deny_draw(l, h, d, cause);
   return true;
 }
--- a/packages/ledger/ledger.h
+++ b/packages/ledger/ledger.h
@@ -78,6 +78,7 @@
   uint64_t handle;
   ErrKind cause; /* ERR_NONE: granted */
   int retry_ms;
+  bool by_cutoff; /* rejected by priority, without asking the home */
 } LedgerAction;
 
 /* The row of one budget in the configuration table. */
--- a/packages/ledger/priority.c
+++ b/packages/ledger/priority.c
@@ -86,11 +86,26 @@
   return valid && !l->faults.no_cutoff ? b->cutoff : LEDGER_PRIORITIES;
 }
 
+bool priority_store_is_away(const Ledger *l, const HolderBudget *b) {
+  /* In a small fleet each instance reads the store for itself, and none knows
+     of the others. */
+  return l->store_down ||
+         (b->all_away_at > 0 && l->now - b->all_away_at < CUTOFF_VALID_S);
+}
+
+int priority_retry_ms(const Ledger *l, const HolderBudget *b) {
+  int left_ms = ledger_outage_left_ms(l, l->now);
+  if (left_ms > 0) return left_ms;
+  bool is_stated =
+      priority_store_is_away(l, b) && current_cutoff(l, b) < LEDGER_PRIORITIES;
+  return is_stated ? b->cutoff_retry_ms : 0;
+}
+
 bool priority_is_rejected(const Ledger *l, const HolderBudget *b, int priority,
                           int *retry_ms) {
   *retry_ms = b->cutoff_retry_ms;
   /* While others reach the store, another home may refill. */
-  return l->store_down && priority >= current_cutoff(l, b);
+  return priority_store_is_away(l, b) && priority >= current_cutoff(l, b);
 }
 
 void priority_send_demand(Ledger *l, HolderBudget *b, const char *home) {
@@ -111,9 +126,20 @@
   ledger_send(l, home, &m);
 }
 
-void priority_on_cutoff(Ledger *l, const LedgerMsg *m) {
+/* A substitute home has less than the first choice, so its cutoff doesn't
+   replace that one's. */
+static bool accepts_cutoff(const Ledger *l, const HolderBudget *b,
+                           const char *from) {
+  const Member *home = ledger_home(l, b->shard, 0);
+  return (home && strcmp(home->id, from) == 0) ||
+         current_cutoff(l, b) == LEDGER_PRIORITIES ||
+         strcmp(b->cutoff_home, from) == 0;
+}
+
+void priority_on_cutoff(Ledger *l, const char *from, const LedgerMsg *m) {
   HolderBudget *b = g_hash_table_lookup(l->holder_budgets, m->budget);
-  if (!b || m->priority < 0) return;
+  if (!b || m->priority < 0 || !accepts_cutoff(l, b, from)) return;
+  g_strlcpy(b->cutoff_home, from, sizeof b->cutoff_home);
   bool changed = current_cutoff(l, b) != m->priority;
   b->cutoff = m->priority;
   b->cutoff_retry_ms = m->retry_ms;
@@ -216,7 +242,8 @@
 
 /* The first priority that gets nothing; LEDGER_PRIORITIES: all are served. */
 static int find_cutoff(const Ledger *l, const HomeBudget *h) {
-  if (h->away_since == 0 || !h->home_grant) return LEDGER_PRIORITIES;
+  if (h->away_since == 0 || !h->home_grant || h->home_grant->granted == 0)
+    return LEDGER_PRIORITIES;
   int64_t have = home_free_tokens(h->home_grant);
   for (int i = 0; i < LEDGER_PRIORITIES; i++)
     if (have <= kept_tokens(l, h, i)) return i;
@@ -231,6 +258,16 @@
     h->away_since = l->store_down ? l->store_down_since : l->now;
 }
 
+static void send_cutoff(Ledger *l, const HomeBudget *h, const char *holder,
+                        int cutoff) {
+  if (h->away_since == 0 || cutoff == LEDGER_PRIORITIES) return;
+  LedgerMsg r = ledger_make_msg(LEDGER_CUTOFF, h->name, 0);
+  r.priority = cutoff;
+  r.retry_ms = (int)MIN(1000 * outage_left_s(l->now - h->away_since),
+                        LEDGER_MAX_RETRY_MS);
+  ledger_send(l, holder, &r);
+}
+
 void priority_on_demand(Ledger *l, const char *from, const LedgerMsg *m) {
   if (l->draining || l->faults.no_demand) return;
   if (!g_hash_table_contains(l->rows, m->budget)) return;
@@ -248,13 +285,13 @@
   d->received_at = h->demand_at = l->now;
   note_store(l, h);
   /* A holder that hears nothing discards its cutoff after CUTOFF_VALID_S. */
-  int cutoff = find_cutoff(l, h);
-  if (h->away_since == 0 || cutoff == LEDGER_PRIORITIES) return;
-  LedgerMsg r = ledger_make_msg(LEDGER_CUTOFF, h->name, 0);
-  r.priority = cutoff;
-  r.retry_ms = (int)MIN(1000 * outage_left_s(l->now - h->away_since),
-                        LEDGER_MAX_RETRY_MS);
-  ledger_send(l, from, &r);
+  send_cutoff(l, h, from, find_cutoff(l, h));
+}
+
+void priority_note_denied(Ledger *l, HomeBudget *h, const Draw *d) {
+  const HolderDemand *demand = find_demand(l, h, d->holder);
+  if (demand && h->home_grant->granted > 0)
+    send_cutoff(l, h, d->holder, MIN(find_cutoff(l, h), demand->priority));
 }
 
 void priority_tick_home(Ledger *l, HomeBudget *h) {
--- a/packages/ledger/state.h
+++ b/packages/ledger/state.h
@@ -66,7 +66,10 @@
   double unused_ratio;   /* average of reserved tokens that were not used */
   double demand_sent_at; /* when the last DEMAND was sent */
   int cutoff, cutoff_retry_ms;
-  double cutoff_at; /* when a home last sent one; 0: never */
+  double cutoff_at;                 /* when a home last sent one; 0: never */
+  char cutoff_home[LIMIT_ID_BYTES]; /* that sent it */
+  double all_away_at; /* when the last of the homes was found without the store;
+                         0: never */
 } HolderBudget;
 
 /* == home == */
@@ -298,7 +301,12 @@
                           int *retry_ms);
 /* Reports waiting tokens and demand to a home, just before a DRAW. */
 void priority_send_demand(Ledger *l, HolderBudget *b, const char *home);
-void priority_on_cutoff(Ledger *l, const LedgerMsg *m);
+void priority_on_cutoff(Ledger *l, const char *from, const LedgerMsg *m);
+/* All homes that can be asked were without the store within the last second, or
+   the store is away for all. */
+bool priority_store_is_away(const Ledger *l, const HolderBudget *b);
+/* The end of the outage that a home states; 0: unknown. */
+int priority_retry_ms(const Ledger *l, const HolderBudget *b);
 void priority_tick_holder(Ledger *l, HolderBudget *b);
 
 /* Holders of managed services use the budget of this home. */
@@ -317,6 +325,9 @@
    store is away, or without reports. */
 int64_t priority_share_tokens(const Ledger *l, const HomeBudget *h,
                               const Draw *d);
+/* The store is away and the draw is denied: tells its holder, so that further
+   requests of this priority are rejected there at once. */
+void priority_note_denied(Ledger *l, HomeBudget *h, const Draw *d);
 void priority_tick_home(Ledger *l, HomeBudget *h);
 
 /* == layup.c == */
--- a/scenario/script.c
+++ b/scenario/script.c
@@ -151,6 +151,11 @@
   return 0;
 }
 
+static int v_announce_outage(lua_State *l) {
+  world_announce_outage(world, lua_toboolean(l, 1));
+  return raise_violation(l);
+}
+
 static int v_restore(lua_State *l) {
   world_restore(world, luaL_checknumber(l, 1));
   return 0;
@@ -250,31 +255,20 @@
   return raise_error(l, luaL_optstring(l, 2, "expectation not met"));
 }
 
-static const luaL_Reg verbs[] = {{"world", v_world},
-                                 {"without", v_without},
-                                 {"node", v_node},
-                                 {"budget", v_budget},
-                                 {"request", v_request},
-                                 {"outcome", v_outcome},
-                                 {"advance", v_advance},
-                                 {"cut", v_cut},
-                                 {"cut_store", v_cut_store},
-                                 {"heal", v_heal},
-                                 {"store", v_store},
-                                 {"lose", v_lose},
-                                 {"delay", v_delay},
-                                 {"kill", v_kill},
-                                 {"restart", v_restart},
-                                 {"pause", v_pause},
-                                 {"resume", v_resume},
-                                 {"drain", v_drain},
-                                 {"drained", v_drained},
-                                 {"tokens", v_tokens},
-                                 {"sums", v_sums},
-                                 {"restore", v_restore},
-                                 {"rest", v_rest},
-                                 {"expect", v_expect},
-                                 {NULL, NULL}};
+static const luaL_Reg verbs[] = {
+    {"world", v_world},         {"without", v_without},
+    {"node", v_node},           {"budget", v_budget},
+    {"request", v_request},     {"outcome", v_outcome},
+    {"advance", v_advance},     {"cut", v_cut},
+    {"cut_store", v_cut_store}, {"heal", v_heal},
+    {"store", v_store},         {"lose", v_lose},
+    {"delay", v_delay},         {"kill", v_kill},
+    {"restart", v_restart},     {"pause", v_pause},
+    {"resume", v_resume},       {"drain", v_drain},
+    {"drained", v_drained},     {"tokens", v_tokens},
+    {"sums", v_sums},           {"announce_outage", v_announce_outage},
+    {"restore", v_restore},     {"rest", v_rest},
+    {"expect", v_expect},       {NULL, NULL}};
 
 /* == running == */
 
--- a/scenario/world.c
+++ b/scenario/world.c
@@ -419,6 +419,14 @@
   w->store = mode;
 }
 
+void world_announce_outage(World *w, bool down) {
+  for (int i = 0; i < w->node_count; i++) {
+    if (!w->nodes[i].up || w->nodes[i].paused) continue;
+    ledger_set_store_down(w->nodes[i].ledger, w->now, down);
+    world_run_actions(w, i);
+  }
+}
+
 void world_set_loss_rates(World *w, double messages, double answers,
                           double stale) {
   w->message_loss_rate = messages;
--- a/scenario/world.h
+++ b/scenario/world.h
@@ -41,6 +41,9 @@
 void world_cut_region(World *w, const char *region, bool cut);
 void world_cut_region_store(World *w, const char *region, bool cut);
 void world_set_store_mode(World *w, WorldStoreMode mode);
+/* Tells the running nodes that the store is away for all, or back, as the
+   instances that read the store do. */
+void world_announce_outage(World *w, bool down);
 /* Brings the store's budget shards back as they were `age_s` seconds ago. */
 void world_restore(World *w, double age_s);
 void world_set_loss_rates(World *w, double messages, double answers,
--- a/tests/test_holder.c
+++ b/tests/test_holder.c
@@ -18,6 +18,7 @@
 static int demands;        /* messages about demand by priority */
 static LedgerMsg demanded; /* the last of them */
 static ErrKind answer;     /* of the last reservation; ERR_COUNT: none yet */
+static int answers, answer_retry_ms;
 
 static void collect_actions(void) {
   LedgerAction a;
@@ -30,7 +31,11 @@
       demands++;
       demanded = a.msg;
     }
-    if (a.action == LEDGER_ACTION_ANSWER) answer = a.cause;
+    if (a.action == LEDGER_ACTION_ANSWER) {
+      answer = a.cause;
+      answer_retry_ms = a.retry_ms;
+      answers++;
+    }
     g_free(a.text);
   }
 }
@@ -50,7 +55,7 @@
   ledger_set_budgets(ledger, 1, &row, 1);
   view_free(v);
   answer = ERR_COUNT;
-  draws = demands = 0;
+  draws = demands = answers = 0;
   collect_actions();
 }
 
@@ -287,3 +292,89 @@
   cr_assert_eq(demanded.priority, 0);
   ledger_free(ledger);
 }
+
+static void receive_cutoff(double now, int priority) {
+  LedgerMsg m = {.kind = LEDGER_CUTOFF,
+                 .budget = BUDGET,
+                 .priority = priority,
+                 .retry_ms = 4321};
+  ledger_receive(ledger, now, draw_recipient, &m);
+  collect_actions();
+}
+
+/* Guards against a wait of 0.08 to 0.28 s for a rejection that is known. */
+Test(holder, what_the_home_rejects_is_rejected_at_once) {
+  start();
+  ledger_set_store_down(ledger, 1, true);
+  reserve_at(1, 1, 12000, 2);
+  reserve_at(1, 2, 800, 0);
+  receive_cutoff(1.01, 1);
+  cr_assert_eq(answers, 1, "the request that waits");
+  cr_assert_eq(answer, ERR_BUDGET_STORE);
+  cr_assert_eq(answer_retry_ms, 4321);
+  reserve_at(1.02, 3, 2000, 1);
+  cr_assert_eq(answers, 2, "one that comes later");
+  reserve_at(1.02, 4, 800, 0);
+  reserve_at(1.02, 5, 800, -1);
+  cr_assert_eq(answers, 2, "an urgent one, and one that is not managed, wait");
+  ledger_free(ledger);
+}
+
+/* A cutoff of a home that is lost must not outlive it by more than a second. */
+Test(holder, a_cutoff_without_renewal_is_discarded) {
+  start();
+  ledger_set_store_down(ledger, 1, true);
+  reserve_at(1, 1, 12000, 2);
+  receive_cutoff(1.01, 0);
+  reserve_at(1.9, 2, 800, 0);
+  cr_assert_eq(answers, 2);
+  reserve_at(2.1, 3, 800, 0);
+  cr_assert_eq(answers, 2, "it waits for a home");
+  ledger_free(ledger);
+}
+
+/* While other instances reach the store another home can refill. */
+Test(holder, a_cutoff_counts_only_while_the_store_is_down_for_all) {
+  start();
+  reserve_at(1, 1, 12000, 2);
+  receive_cutoff(1.01, 0);
+  reserve_at(1.02, 2, 800, 0);
+  cr_assert_eq(answers, 0);
+  ledger_set_store_down(ledger, 1.03, true);
+  receive_cutoff(1.04, 0);
+  ledger_set_store_down(ledger, 1.05, false);
+  int before = answers;
+  reserve_at(1.06, 3, 800, 0);
+  cr_assert_eq(answers, before, "the store is back");
+  ledger_free(ledger);
+}
+
+/* Requests that one answer of the home covers are not asked for one after the
+   other. */
+Test(holder, one_refusal_covers_those_that_need_more) {
+  start();
+  ledger_set_store_down(ledger, 1, true);
+  reserve_at(1, 1, 800, 1);
+  reserve_at(1, 2, 900, 1);
+  reserve_at(1, 3, 12000, 2);
+  reserve_at(1, 4, 700, 1);
+  receive_allot(1.01, draw_recipient, ERR_BUDGET_STORE);
+  cr_assert_eq(answers, 3, "%d answers", answers);
+  ledger_free(ledger);
+}
+
+/* The outage's expected end, not a fixed time: outages last 4 to 9 s. */
+Test(holder, the_time_to_retry_is_that_of_the_outage) {
+  start();
+  cr_assert_eq(ledger_outage_left_ms(ledger, 1), 0);
+  ledger_set_store_down(ledger, 1, true);
+  int at_first = ledger_outage_left_ms(ledger, 1);
+  int later = ledger_outage_left_ms(ledger, 4.5);
+  int late = ledger_outage_left_ms(ledger, 9.5);
+  int long_after = ledger_outage_left_ms(ledger, 1000);
+  cr_assert(at_first >= 4000 && at_first <= 9000, "%d ms", at_first);
+  cr_assert(later < at_first && later >= 1000, "%d ms", later);
+  cr_assert_eq(late, 1000, "%d ms", late);
+  cr_assert_eq(long_after, LEDGER_MAX_RETRY_MS);
+  ledger_free(ledger);
+}
--- a/tests/test_home.c
+++ b/tests/test_home.c
@@ -21,6 +21,9 @@
 static int64_t allotted; /* to the holder, in all */
 static uint64_t grant;   /* that it came from */
 static ErrKind cause;    /* of the last allotment */
+static int allots;       /* messages with one */
+static int cutoff;       /* of the last message with one; -1: none */
+static int cutoff_retry_ms;
 
 static View *new_view(void) {
   Member list[MEMBERS] = {0};
@@ -57,6 +60,11 @@
       allotted = MAX(allotted, a.msg.granted);
       grant = a.msg.grant;
       cause = a.msg.cause;
+      allots++;
+    }
+    if (a.action == LEDGER_ACTION_SEND && a.msg.kind == LEDGER_CUTOFF) {
+      cutoff = a.msg.priority;
+      cutoff_retry_ms = a.msg.retry_ms;
     }
     if (a.action == LEDGER_ACTION_SEND && a.msg.kind == LEDGER_RAISE) {
       LedgerMsg agreed = a.msg;
@@ -92,6 +100,7 @@
   lost_calls = 0;
   allotted = 0;
   grant = 0;
+  cutoff = -1;
   g_clear_pointer(&stored, g_free);
   ledger_set_view(ledger, 1, v);
   ledger_set_budgets(ledger, 1, &row, 1);
@@ -202,3 +211,116 @@
   cr_assert_eq(calls, 2, "%d calls", calls);
   ledger_free(ledger);
 }
+
+/* == managed services == */
+
+/* Demand of the first customer: 830 tokens most urgent, 12,000 least. */
+static const int64_t sizes[LEDGER_PRIORITIES] = {830, 2400, 12000};
+
+/* A draw for one request, from a holder that uses `per_s` tokens per second of
+   each priority. */
+static void draw_managed(double now, const char *holder, int priority,
+                         int64_t per_s) {
+  LedgerMsg m = {.kind = LEDGER_DEMAND, .budget = BUDGET, .priority = priority};
+  m.waiting[priority] = sizes[priority];
+  for (int i = 0; i < LEDGER_PRIORITIES; i++) m.tokens_per_s[i] = per_s;
+  ledger_receive(ledger, now, holder, &m);
+  draw(now, holder, sizes[priority], sizes[priority]);
+}
+
+/* One request of each priority ten times a second. */
+static double demand_managed(double from, double seconds) {
+  double now = from;
+  for (; now < from + seconds; now += 0.1) {
+    for (int i = 0; i < LEDGER_PRIORITIES; i++)
+      draw_managed(now, "holder.1", i, 10 * sizes[i]);
+    ledger_tick(ledger, now, 1000);
+    execute_actions(now);
+  }
+  return now;
+}
+
+/* Draws until one is denied; returns how many were not. */
+static int draws_served(double now, int priority) {
+  for (int n = 0; n < 10000; n++) {
+    int64_t before = allotted;
+    draw_managed(now, "holder.1", priority, 10000);
+    if (allotted == before) return n;
+  }
+  return 10000;
+}
+
+/* Guards against an outage reserve that goes to whichever request comes first:
+   a request of the lowest priority takes the tokens of 14 urgent ones. */
+Test(home, in_an_outage_tokens_are_kept_for_urgent_requests) {
+  start(100 * 1000 * 1000);
+  double now = demand_managed(1, 20);
+  ledger_set_store_down(ledger, now, true);
+  store_down = true;
+  now += 1;
+  draws_served(now, 2);
+  cr_assert_eq(cause, ERR_BUDGET_STORE);
+  cr_assert_geq(cutoff, 1, "the most urgent are not rejected");
+  cr_assert_leq(cutoff, 2);
+  cr_assert(cutoff_retry_ms >= 1000 && cutoff_retry_ms <= 9000, "%d ms",
+            cutoff_retry_ms);
+  int urgent = draws_served(now, 0);
+  /* Of the 8 s that are left at most, with 10,000 tokens per second. */
+  cr_assert_geq(urgent, 8 * 10000 / 830, "%d urgent requests", urgent);
+  ledger_free(ledger);
+}
+
+/* The store's return ends the order by priority at once. */
+Test(home, with_the_store_all_priorities_are_served) {
+  start(100 * 1000 * 1000);
+  double now = demand_managed(1, 20);
+  int64_t before = allotted;
+  cutoff = -1;
+  for (int i = 0; i < 500; i++) draw_managed(now, "holder.1", 2, 10000);
+  cr_assert_geq(allotted - before, 500 * sizes[2]);
+  cr_assert_eq(cutoff, -1);
+  ledger_free(ledger);
+}
+
+/* Guards against a wait of 0.4 s for a recall, beyond the wait of the requests:
+   a home whose own calls to the store fail says so at once, since another home
+   may reach it. */
+Test(home, a_home_without_the_store_denies_at_once) {
+  start(100 * 1000 * 1000);
+  double now = demand_managed(1, 5);
+  lost_calls = 1000000;
+  allots = 0;
+  LedgerMsg m = {.kind = LEDGER_DEMAND, .budget = BUDGET};
+  ledger_receive(ledger, now, "holder.1", &m);
+  draw(now, "holder.1", 90 * 1000 * 1000, 90 * 1000 * 1000);
+  cr_assert_eq(allots, 1);
+  cr_assert_eq(cause, ERR_BUDGET_STORE);
+  cr_assert_eq(cutoff, -1, "another home may serve them");
+  ledger_free(ledger);
+}
+
+/* All that wait are served with one allotment, also when the home has to draw
+   from the store first. */
+Test(home, one_allotment_serves_all_that_wait) {
+  start(100 * 1000 * 1000);
+  LedgerMsg m = {.kind = LEDGER_DEMAND,
+                 .budget = BUDGET,
+                 .waiting = {20 * 830, 10 * 2400, 12000}};
+  int64_t sum = 20 * 830 + 10 * 2400 + 12000;
+  ledger_receive(ledger, 1, "holder.1", &m);
+  draw(1, "holder.1", 830, sum);
+  cr_assert_geq(allotted, sum, "%d of %d tokens", (int)allotted, (int)sum);
+  ledger_free(ledger);
+}
+
+/* Near the end of a budget the first request must not be refused for want of
+   the sum of all that wait. */
+Test(home, the_first_of_many_is_served_near_the_end) {
+  start(3000);
+  LedgerMsg m = {.kind = LEDGER_DEMAND, .budget = BUDGET, .waiting = {83000}};
+  ledger_receive(ledger, 1, "holder.1", &m);
+  draw(1, "holder.1", 830, 83000);
+  cr_assert_geq(allotted, 830);
+  cr_assert_leq(allotted, 3000);
+  ledger_free(ledger);
+}
--- a/tests/test_layup.c
+++ b/tests/test_layup.c
@@ -134,3 +134,32 @@
   cr_assert_gt(held_s(), 7.5, "%.1f s are held", held_s());
   ledger_free(ledger);
 }
+
+/* Guards against a reserve that follows only the mean of 30 s: a customer of a
+   managed service that sends four times its usual load has the reserve for it
+   within 3 s. */
+Test(outage, the_reserve_follows_a_burst_of_a_managed_service) {
+  start(100 * 1000 * 1000);
+  double now = demand(1, 60);
+  LedgerMsg m = {.kind = LEDGER_DEMAND, .budget = BUDGET};
+  m.tokens_per_s[0] = 4 * (int64_t)(REQUEST_TOKENS / REQUEST_INTERVAL_S);
+  for (int i = 0; i < 30; i++, now += REQUEST_INTERVAL_S) {
+    ledger_receive(ledger, now, HOLDER, &m);
+    demand(now, REQUEST_INTERVAL_S / 2);
+  }
+  cr_assert_gt(held_s(), 4 * 6.0, "%.1f s of the mean are held", held_s());
+  cr_assert_lt(held_s(), 4 * 16.0, "%.1f s of the mean are held", held_s());
+  ledger_free(ledger);
+}
+
+/* The burst counts only while it is reported. */
+Test(outage, the_reserve_shrinks_after_a_burst) {
+  start(100 * 1000 * 1000);
+  double now = demand(1, 60);
+  LedgerMsg m = {.kind = LEDGER_DEMAND, .budget = BUDGET};
+  m.tokens_per_s[0] = 4 * (int64_t)(REQUEST_TOKENS / REQUEST_INTERVAL_S);
+  ledger_receive(ledger, now, HOLDER, &m);
+  demand(now, 10);
+  cr_assert_lt(held_s(), 2 * 16.0, "%.1f s are held", held_s());
+  ledger_free(ledger);
+}
