ledger: a budget that was not read yet is not taken for nearly used up

For all services. Cause: after any write of a shard the home makes no further call for a second while all budgets that it serves in that shard are nearly used up, and a budget that it had just begun to serve counted as such: its remaining tokens were 0 until the next version was confirmed. So the first draw of a budget was neither served nor refused for up to a second, the holder went to the second home after 0.12 s, and that one met conflicts with the first.

Now the remaining tokens are taken from the document when a home begins to serve a budget, and an unread budget doesn't hold calls back.

Ruled out: links between instances (the draws arrived after 6 and 1 ms), the stand-in of the store (2 ms).

--- a/packages/ledger/home.c
+++ b/packages/ledger/home.c
@@ -115,7 +115,10 @@
   h->started_at = h->ticked_at = l->now;
   h->reserve_cap_s = INFINITY;
   g_hash_table_insert(l->home_budgets, h->name, h);
-  g_ptr_array_add(sync_shard(l, shard_index(budget))->budgets, h);
+  ShardState *s = sync_shard(l, shard_index(budget));
+  g_ptr_array_add(s->budgets, h);
+  const ShardBudget *b = s->doc ? shard_find_budget(s->doc, budget) : NULL;
+  if (b) sync_note_remaining(h, b);
   return h;
 }
 
--- a/packages/ledger/state.h
+++ b/packages/ledger/state.h
@@ -150,6 +150,7 @@
   char recaller[LIMIT_ID_BYTES];
   bool notify_recaller;
   int64_t remaining, unspent; /* from the last version of the document */
+  bool is_known;              /* they were read */
   GHashTable *demands; /* holder -> HolderDemand (priority.c); NULL: none */
   double demand_at;    /* when the last DEMAND arrived */
   double away_since;   /* when the store went away for this home; 0: it
@@ -371,6 +372,8 @@
 /* == stored.c == */
 
 ShardState *sync_shard(Ledger *l, int index);
+/* `b`: the budget in the current document; NULL: it is not there. */
+void sync_note_remaining(HomeBudget *h, const ShardBudget *b);
 /* Queues the shard to be synchronised before the event ends. */
 void sync_touch(Ledger *l, ShardState *s);
 /* Starts the next store call of the shard if one is needed and allowed now. */
--- a/packages/ledger/stored.c
+++ b/packages/ledger/stored.c
@@ -326,6 +326,12 @@
   }
 }
 
+void sync_note_remaining(HomeBudget *h, const ShardBudget *b) {
+  h->remaining = b ? shard_budget_remaining(b) : 0;
+  h->unspent = b ? b->total - b->written_off - shard_budget_spent(b) : 0;
+  h->is_known = true;
+}
+
 /* Removes pending changes that the document now contains. */
 static void confirm_changes(Ledger *l, ShardState *s) {
   for (guint i = 0; i < s->budgets->len; i++) {
@@ -335,8 +341,7 @@
     confirm_former_grants(s, h, b);
     confirm_orphan_reports(l, h);
     confirm_seals(h, b);
-    h->remaining = b ? shard_budget_remaining(b) : 0;
-    h->unspent = b ? b->total - b->written_off - shard_budget_spent(b) : 0;
+    sync_note_remaining(h, b);
   }
 }
 
@@ -401,6 +406,7 @@
   for (guint i = 0; i < s->budgets->len; i++) {
     const HomeBudget *h = s->budgets->pdata[i];
     const LedgerBudget *row = g_hash_table_lookup(l->rows, h->name);
+    if (!h->is_known) return false;
     double threshold = row ? LEDGER_MAX_UNUSED_RATIO * (double)row->total : 0;
     if ((double)h->remaining >= threshold) return false;
   }
--- a/tests/test_home.c
+++ b/tests/test_home.c
@@ -212,6 +212,36 @@
   ledger_free(ledger);
 }
 
+/* Guards against a budget that is taken for nearly used up until the next read:
+   the first draw of a budget did nothing for a second after any write of its
+   shard, and the holder went to another home. */
+Test(home, the_first_draw_after_a_write_is_served) {
+  double now = 1;
+  start(100 * 1000 * 1000);
+  for (; now < 7 && calls < 2; now += 0.1) {
+    ledger_tick(ledger, now, 1000);
+    execute_actions(now);
+  }
+  cr_assert_eq(calls, 2, "the row was written");
+  draw(now + 0.1, "holder.1", REQUEST, REQUEST);
+  cr_assert_geq(allotted, REQUEST);
+  ledger_free(ledger);
+}
+
+/* The same where the document has to be read again first. */
+Test(home, the_first_draw_after_a_lost_write_is_served) {
+  double now = 1;
+  start(100 * 1000 * 1000);
+  for (; now < 7 && calls < 2; now += 0.1) {
+    ledger_tick(ledger, now, 1000);
+    execute_actions(now);
+  }
+  lost_calls = 1;
+  draw(now + 0.1, "holder.1", REQUEST, REQUEST);
+  cr_assert_geq(allotted, REQUEST);
+  ledger_free(ledger);
+}
+
 /* == managed services == */
 
 /* Demand of the first customer: 830 tokens most urgent, 12,000 least. */
