flow: managed services wait for their budget as long as others

Takes back the wait of 0.4 of the objective for managed services. Cause: a refusal after a quarter of the objective leaves no time to be served elsewhere; tests/node.py test_a_budget_refusal_leaves_time_to_be_served_elsewhere, with LOFTPATH_MANAGED_SLOTS=16: 0.402 s of 1.6 s, failed. Now it passes.

--- a/packages/flow/relay.c
+++ b/packages/flow/relay.c
@@ -16,10 +16,6 @@
    time). A refusal that reaches the caller within a quarter of the aim leaves
    time to be served elsewhere; the difference is for the network round trip. */
 #define BUDGET_AIM_RATIO 0.2
-/* The same for managed services. Their objectives start at 0.3 s; instances of
-   a tenth of a core take 60 to 100 ms to pass a draw on to the home, its
-   witness and the store, and prompts are read in 20 to 200 ms. */
-#define MANAGED_BUDGET_AIM_RATIO 0.4
 /* To callers whose wait ended while no outage is known: the home was slow, and
    the tokens arrive meanwhile. */
 #define RETRY_UNANSWERED_MS 300
@@ -99,8 +95,7 @@
     return;
   }
   bool managed = run_is_managed(x, MANAGED_RESERVE);
-  double ratio = managed ? MANAGED_BUDGET_AIM_RATIO : BUDGET_AIM_RATIO;
-  double wait_s = MIN(MAX_BUDGET_WAIT_S, x->route->slo_s * ratio);
+  double wait_s = MIN(MAX_BUDGET_WAIT_S, x->route->slo_s * BUDGET_AIM_RATIO);
   set_timer(x, MIN(x->deadline, x->http_request->received_at + wait_s),
             on_budget_timeout);
   x->awaits_budget = true;
