ledger: a budget that is held after a restore is allotted by priority

Cause: for 10 s after a restore, or 5 s after the start where the store states an era, a budget of which a quarter is used is not drawn. Requests of managed services then waited for a recall of 0.4 s and were refused by their own wait. Now the home treats such a budget as in an outage: tokens for the more urgent, denials at once, and the end of the hold as the time to retry. Not managed: as before.

--- a/packages/ledger/home.c
+++ b/packages/ledger/home.c
@@ -61,7 +61,7 @@
   return row ? (int64_t)(HELD_RATIO * (double)row->total) : INT64_MAX / 4;
 }
 
-static bool is_held(const Ledger *l, const HomeBudget *h) {
+bool home_is_held(const Ledger *l, const HomeBudget *h) {
   return l->now < l->no_draws_until && h->remaining <= held_tokens(l, h);
 }
 
@@ -206,6 +206,11 @@
   }
 }
 
+bool home_is_away(Ledger *l, const HomeBudget *h) {
+  bool is_held = h->is_known && home_is_held(l, h);
+  return l->store_down || shard_of(l, h)->down_since > 0 || is_held;
+}
+
 /* Whether other holders may still have tokens of the grant. */
 static bool can_recall(const HomeBudget *h, const char *asker) {
   GHashTableIter it;
@@ -225,7 +230,8 @@
    urgent requests. */
 static ErrKind find_refusal_cause_away(Ledger *l, HomeBudget *h,
                                        const Draw *d) {
-  if (!l->store_down || d->need <= home_free_tokens(h->home_grant))
+  bool is_away_for_all = l->store_down || home_is_held(l, h);
+  if (!is_away_for_all || d->need <= home_free_tokens(h->home_grant))
     return ERR_BUDGET_STORE;
   if (!can_recall(h, d->holder)) return ERR_BUDGET_STORE;
   if (h->recalled_at < 0 || l->now - h->recalled_at >= RECALL_INTERVAL_S) {
@@ -241,14 +247,15 @@
   ShardState *s = shard_of(l, h);
   bool is_late = l->now >= d->deadline;
   bool is_slow = s->call_pending && l->now - s->call_started_at > STORE_SLOW_S;
-  bool is_down = l->store_down || s->down_since > 0 || is_slow || is_held(l, h);
+  bool is_down =
+      l->store_down || s->down_since > 0 || is_slow || home_is_held(l, h);
   ErrKind cause = is_down                ? ERR_BUDGET_STORE
                   : h->unspent < d->need ? ERR_BUDGET_EMPTY
                                          : ERR_BUDGET_HELD;
   if (is_late)
     return s->confirmed_at < d->received_at && !is_down ? ERR_BUDGET_STORE
                                                         : cause;
-  if ((l->store_down || s->down_since > 0) && priority_is_managed(l, h))
+  if (home_is_away(l, h) && priority_is_managed(l, h))
     return find_refusal_cause_away(l, h, d);
   if (!is_down && h->remaining > 0 &&
       home_free_tokens(h->home_grant) + h->remaining >= d->need)
--- a/packages/ledger/priority.c
+++ b/packages/ledger/priority.c
@@ -198,12 +198,20 @@
   return more_urgent_per_s(l, h, LEDGER_PRIORITIES);
 }
 
+/* The store answers, but a restore forbids draws until `no_draws_until`. */
+static bool is_only_held(const Ledger *l, const HomeBudget *h) {
+  const ShardState *s = l->shards[shard_index(h->name)];
+  return !l->store_down && s && s->down_since == 0 && home_is_held(l, h);
+}
+
 /* Tokens that the home keeps for requests that are more urgent than `priority`,
    for the rest of the outage, but no longer than the row's reserve is for. */
 static int64_t kept_tokens(const Ledger *l, const HomeBudget *h, int priority) {
   const LedgerBudget *row = g_hash_table_lookup(l->rows, h->name);
   if (h->away_since == 0 || l->faults.no_cutoff) return 0;
-  double left_s = MAX(h->away_since + OUTAGE_MAX_S - l->now, OUTAGE_LEFT_MIN_S);
+  double left_s = h->away_since + OUTAGE_MAX_S - l->now;
+  if (is_only_held(l, h)) left_s = l->no_draws_until - l->now;
+  left_s = MAX(left_s, OUTAGE_LEFT_MIN_S);
   double kept_s = MIN(left_s, row ? row->outage_reserve_s : 0);
   return (int64_t)(kept_s * more_urgent_per_s(l, h, priority));
 }
@@ -251,8 +259,7 @@
 }
 
 static void note_store(Ledger *l, HomeBudget *h) {
-  bool is_away =
-      l->store_down || sync_shard(l, shard_index(h->name))->down_since > 0;
+  bool is_away = home_is_away(l, h);
   if (!is_away) h->away_since = 0;
   if (is_away && h->away_since == 0)
     h->away_since = l->store_down ? l->store_down_since : l->now;
@@ -263,8 +270,9 @@
   if (h->away_since == 0 || cutoff == LEDGER_PRIORITIES) return;
   LedgerMsg r = ledger_make_msg(LEDGER_CUTOFF, h->name, 0);
   r.priority = cutoff;
-  r.retry_ms = (int)MIN(1000 * outage_left_s(l->now - h->away_since),
-                        LEDGER_MAX_RETRY_MS);
+  double left_s = is_only_held(l, h) ? l->no_draws_until - l->now
+                                     : outage_left_s(l->now - h->away_since);
+  r.retry_ms = (int)MIN(1000 * left_s, LEDGER_MAX_RETRY_MS);
   ledger_send(l, holder, &r);
 }
 
--- a/packages/ledger/state.h
+++ b/packages/ledger/state.h
@@ -274,6 +274,11 @@
 void home_on_recall(Ledger *l, const char *from, const LedgerMsg *m);
 void home_on_recall_done(Ledger *l, const LedgerMsg *m);
 void home_serve_draws(Ledger *l, HomeBudget *h);
+/* The remaining tokens are not drawn, as a restored store may have lost draws
+   of them. */
+bool home_is_held(const Ledger *l, const HomeBudget *h);
+/* The home can't refill: it doesn't reach the store, or the budget is held. */
+bool home_is_away(Ledger *l, const HomeBudget *h);
 void home_tick(Ledger *l);
 void home_budget_free(gpointer p);
 int64_t home_free_tokens(const HomeGrant *g);
--- a/tests/test_home.c
+++ b/tests/test_home.c
@@ -354,3 +354,25 @@
   cr_assert_leq(allotted, 3000);
   ledger_free(ledger);
 }
+
+/* After a restore of the store a budget of which a quarter is used is not drawn
+   for ten seconds. Guards against waits for a recall, and against a time to
+   retry at which it is still held. */
+Test(home, a_held_budget_keeps_tokens_for_urgent_requests) {
+  start(3000 * 1000);
+  double now = demand_managed(1, 6);
+  ledger_note_store_era(ledger, now, 1);
+  execute_actions(now);
+  draws_served(now + 0.1, 2);
+  cr_assert_eq(cause, ERR_BUDGET_STORE);
+  cr_assert_geq(cutoff, 1);
+  cr_assert(cutoff_retry_ms > 9000 && cutoff_retry_ms <= 10000, "%d ms",
+            cutoff_retry_ms);
+  cr_assert_gt(draws_served(now + 0.1, 0), 10);
+  ledger_tick(ledger, now + 10.1, 1000);
+  execute_actions(now + 10.1);
+  int64_t before = allotted;
+  draw_managed(now + 10.2, "holder.1", 2, 10000);
+  cr_assert_gt(allotted, before, "it is drawn again");
+  ledger_free(ledger);
+}
