--- a/packages/ledger/holder.c
+++ b/packages/ledger/holder.c
@@ -116,14 +116,22 @@
   g_free(b);
 }
 
+/* Returns the tokens per second that requests use here. For managed services
+   the demand of the last seconds counts too: the average over ten seconds of
+   what was settled has hardly risen when a customer's requests move to this
+   instance, and each one then waited for a home's answer. */
+static double demand_per_s(const Ledger *l, const HolderBudget *b) {
+  return MAX(b->demand_per_s, priority_holder_demand_per_s(l, b));
+}
+
 /* Returns how many free tokens an account should keep beyond those for the
    waiting requests. For a budget that is seldom used here it is 0: other
    instances would lack these tokens near the end of the budget, and they are
    lost if this instance dies. When each of 295 instances kept tokens for 40
    customers, a power failure of all instances lost all of these tokens. */
 static int64_t tokens_to_keep(const Ledger *l, const HolderBudget *b) {
-  int64_t cover_tokens = (int64_t)(b->demand_per_s * l->account_cover_s);
-  if (b->demand_per_s < 1 || cover_tokens < b->typical_tokens) return 0;
+  int64_t cover_tokens = (int64_t)(demand_per_s(l, b) * l->account_cover_s);
+  if (demand_per_s(l, b) < 1 || cover_tokens < b->typical_tokens) return 0;
   if (l->now - b->reserve_called_at >= IDLE_BUDGET_S) return 0;
   return b->typical_tokens + cover_tokens;
 }
@@ -158,10 +166,31 @@
   int retry_ms = cause == ERR_BUDGET_EMPTY ? 0
                  : store_down              ? RETRY_AFTER_OUTAGE_MS
                                            : RETRY_AFTER_MS;
+  if (store_down && w->priority >= 0) {
+    int left_ms = priority_retry_ms(l, b);
+    /* Without an outage only the homes that were asked are cut off. */
+    retry_ms = left_ms > 0 ? left_ms : RETRY_AFTER_MS;
+  }
   ledger_add_answer(l, w->handle, cause, retry_ms);
   drop_waiter(l, b, link);
 }
 
+/* Refuses the first waiter. For managed services the answer holds for those
+   behind it as well that are neither smaller nor more urgent; asking for one
+   after the other took them a round trip each. */
+static void refuse_head(Ledger *l, HolderBudget *b, ErrKind cause) {
+  const Waiter *head = b->waiters.head->data;
+  int priority = head->priority;
+  int64_t amount = head->amount;
+  refuse_waiter(l, b, b->waiters.head, cause);
+  for (GList *i = b->waiters.head, *next; i && priority >= 0; i = next) {
+    next = i->next;
+    const Waiter *w = i->data;
+    if (w->priority >= priority && w->amount >= amount)
+      refuse_waiter(l, b, i, cause);
+  }
+}
+
 /* Serves every waiter whose amount is free in an account. A large request at
    the head doesn't block small ones behind it; its own wait ends at its
    deadline. */
@@ -173,6 +202,16 @@
   }
 }
 
+/* Queues a waiter; one of a managed service goes before less urgent ones. */
+static void add_waiter(Ledger *l, HolderBudget *b, Waiter *w) {
+  GList *after = b->waiters.tail;
+  while (after && ((Waiter *)after->data)->priority > w->priority &&
+         w->priority >= 0)
+    after = after->prev;
+  g_queue_insert_after(&b->waiters, after, w);
+  g_hash_table_insert(l->waiting, g_memdup2(&w->handle, sizeof w->handle), b);
+}
+
 /* Sends a DRAW, which requests tokens, to a home. After two DRAWs without an
    answer the next one goes to the next choice, as every instance can act as a
    home. */
@@ -207,6 +246,7 @@
     m.returned = a->returned;
     m.spent = a->spent;
   }
+  priority_send_demand(l, b, home->id);
   ledger_send(l, home->id, &m);
 }
 
@@ -219,8 +259,27 @@
   return answered_recently ? LEDGER_RESEND_S : LEDGER_REDRAW_S;
 }
 
+static void reject_by_cutoff(Ledger *l, uint64_t handle, int retry_ms) {
+  LedgerAction *a = ledger_add_action(l, LEDGER_ACTION_ANSWER);
+  a->handle = handle;
+  a->cause = ERR_BUDGET_STORE;
+  a->retry_ms = retry_ms;
+  a->by_cutoff = true;
+}
+
+void holder_apply_cutoff(Ledger *l, HolderBudget *b) {
+  int retry_ms;
+  for (GList *i = b->waiters.head, *next; i; i = next) {
+    next = i->next;
+    const Waiter *w = i->data;
+    if (!priority_is_rejected(l, b, w->priority, &retry_ms)) continue;
+    reject_by_cutoff(l, w->handle, retry_ms);
+    drop_waiter(l, b, i);
+  }
+}
+
 void holder_reserve(Ledger *l, uint64_t handle, const char *budget,
-                    int64_t amount) {
+                    int64_t amount, int priority) {
   assert(amount >= 0);
   if (l->draining) {
     ledger_add_answer(l, handle, ERR_DRAINING, 1000);
@@ -232,11 +291,17 @@
   }
   HolderBudget *b = ensure_budget(l, budget);
   b->reserve_called_at = l->now;
+  priority_note_request(l, b, priority, amount);
+  int retry_ms;
+  if (priority_is_rejected(l, b, priority, &retry_ms)) {
+    reject_by_cutoff(l, handle, retry_ms);
+    return;
+  }
   if (reserve_from_account(l, b, handle, amount)) return;
   Waiter *w = g_new0(Waiter, 1);
-  *w = (Waiter){handle, amount, l->now + LEDGER_DRAW_WAIT_S, ERR_BUDGET_CUT};
-  g_queue_push_tail(&b->waiters, w);
-  g_hash_table_insert(l->waiting, g_memdup2(&handle, sizeof handle), b);
+  *w = (Waiter){handle, amount, l->now + LEDGER_DRAW_WAIT_S, ERR_BUDGET_CUT,
+                priority};
+  add_waiter(l, b, w);
   if (b->draw_sent_at == 0 || l->now - b->draw_sent_at >= draw_resend_s(l, b))
     send_draw(l, b);
 }
@@ -260,6 +325,7 @@
   HolderBudget *b = r->budget;
   a->reserved -= r->amount;
   a->spent += used;
+  priority_note_settled(b, r->amount, used);
   if (l->faults.settle_twice) a->reserved -= r->amount;
   b->demand_per_s += (double)used / DEMAND_AVERAGE_S;
   if (!l->faults.settle_twice) g_hash_table_remove(l->reservations, &handle);
@@ -274,7 +340,9 @@
    Returns false when there is no further choice. */
 static bool skip_to_next_home(const Ledger *l, HolderBudget *b,
                               const char *from) {
-  int choices = l->store_down ? 1 : MIN(l->region_members, MAX_HOME_CHOICES);
+  int choices = priority_store_is_away(l, b)
+                    ? 1
+                    : MIN(l->region_members, MAX_HOME_CHOICES);
   for (int rank = 0; rank + 1 < choices; rank++) {
     const Member *m = ledger_home(l, b->shard, rank);
     if (!m || strcmp(m->id, from) != 0) continue;
@@ -330,7 +398,12 @@
     send_draw(l, b);
     return;
   }
-  if (m->cause != ERR_NONE && head) refuse_waiter(l, b, head, m->cause);
+  if (m->cause == ERR_BUDGET_STORE && priority_is_managed_here(l, b)) {
+    /* The first choice has the tokens that are left. */
+    if (!priority_store_is_away(l, b)) b->all_away_at = l->now;
+    b->draw_tries = 0;
+  }
+  if (m->cause != ERR_NONE && head) refuse_head(l, b, m->cause);
   if (b->waiters.head) send_draw(l, b);
 }
 
@@ -380,7 +453,7 @@
     if (a->closing) return_tokens(l, b, a, free_tokens(a));
     int64_t keep = tokens_to_keep(l, b);
     int64_t max_free =
-        keep ? b->typical_tokens + (int64_t)(b->demand_per_s * LEDGER_IDLE_S)
+        keep ? b->typical_tokens + (int64_t)(demand_per_s(l, b) * LEDGER_IDLE_S)
              : 0;
     /* For a budget that is seldom used, one report covers both the spent and
        the returned tokens. */
@@ -411,7 +484,7 @@
   /* Requests tokens in advance, so that a reservation need not wait for an
      ALLOT. */
   const Account *a = account_with_most_free(b);
-  int64_t min_free = (int64_t)(b->demand_per_s * l->account_cover_s / 2);
+  int64_t min_free = (int64_t)(demand_per_s(l, b) * l->account_cover_s / 2);
   if (l->draining || !tokens_to_keep(l, b) || (a && free_tokens(a) >= min_free))
     return;
   if (l->now - b->prefetched_at < l->account_cover_s * PREFETCH_INTERVAL_SHARE)
@@ -432,6 +505,7 @@
     b->ticked_at = l->now;
     tick_accounts(l, b);
     tick_waiters(l, b);
+    priority_tick_holder(l, b);
     bool is_unused =
         b->accounts->len == 0 && !b->waiters.head && b->demand_per_s < 1;
     if (is_unused) g_hash_table_iter_remove(&it);
--- a/packages/ledger/home.c
+++ b/packages/ledger/home.c
@@ -17,6 +17,8 @@
 #define MIN_REFILL_RATIO 0.1
 #define RECALL_INTERVAL_S 1.0 /* between two recalls of one budget */
 #define RECALL_WAIT_S 0.4     /* time for a recall to take effect */
+/* The same when nothing passes through the store: holders are 3 ms away. */
+#define RECALL_AWAY_WAIT_S 0.03
 /* A draw is refused only after a read of the store that is no older than this
    when the draw arrives. With 0.25 s, reads of budgets were a fifth of all
    store calls. */
@@ -45,10 +47,10 @@
   return g->granted - g->returned - (g->allotted - g->returned_by_holders);
 }
 
-static int64_t total_need(const HomeBudget *h) {
+static int64_t total_need(const Ledger *l, const HomeBudget *h) {
   int64_t n = 0;
   for (guint i = 0; i < h->draws->len; i++)
-    n += ((Draw *)h->draws->pdata[i])->need;
+    n += priority_pressing_tokens(l, h, h->draws->pdata[i]);
   return n;
 }
 
@@ -59,7 +61,7 @@
   return row ? (int64_t)(HELD_RATIO * (double)row->total) : INT64_MAX / 4;
 }
 
-static bool is_held(const Ledger *l, const HomeBudget *h) {
+bool home_is_held(const Ledger *l, const HomeBudget *h) {
   return l->now < l->no_draws_until && h->remaining <= held_tokens(l, h);
 }
 
@@ -72,7 +74,7 @@
   if (l->now < l->no_draws_until) remaining -= held_tokens(l, h);
   if (remaining <= 0) return 0;
   int64_t have = home_free_tokens(h->home_grant);
-  int64_t need = total_need(h) - have;
+  int64_t need = total_need(l, h) - have;
   int64_t ahead = (int64_t)outage_reserve_tokens(l, h) - have;
   int64_t cap = MAX(0, outage_reserve_max(l, h, have, remaining) - have);
   if (need > 0) ahead = MAX(ahead, need + LEDGER_MIN_DRAW_TOKENS);
@@ -96,6 +98,7 @@
   g_ptr_array_free(h->draws, TRUE);
   g_ptr_array_free(h->orphan_reports, TRUE);
   g_ptr_array_free(h->seals, TRUE);
+  g_clear_pointer(&h->demands, g_hash_table_destroy);
   g_free(h);
 }
 
@@ -112,7 +115,10 @@
   h->started_at = h->ticked_at = l->now;
   h->reserve_cap_s = INFINITY;
   g_hash_table_insert(l->home_budgets, h->name, h);
-  g_ptr_array_add(sync_shard(l, shard_index(budget))->budgets, h);
+  ShardState *s = sync_shard(l, shard_index(budget));
+  g_ptr_array_add(s->budgets, h);
+  const ShardBudget *b = s->doc ? shard_find_budget(s->doc, budget) : NULL;
+  if (b) sync_note_remaining(h, b);
   return h;
 }
 
@@ -200,18 +206,57 @@
   }
 }
 
+bool home_is_away(Ledger *l, const HomeBudget *h) {
+  bool is_held = h->is_known && home_is_held(l, h);
+  return l->store_down || shard_of(l, h)->down_since > 0 || is_held;
+}
+
+/* Whether other holders may still have tokens of the grant. */
+static bool can_recall(const HomeBudget *h, const char *asker) {
+  GHashTableIter it;
+  gpointer k, v;
+  g_hash_table_iter_init(&it, h->home_grant->shares);
+  while (g_hash_table_iter_next(&it, &k, &v)) {
+    const HolderShare *s = v;
+    if (strcmp(k, asker) != 0 && s->granted - s->returned - s->spent > 0)
+      return true;
+  }
+  return false;
+}
+
+/* The same for a budget of managed services while the home is without the
+   store. The draw waits only for what a recall may return, and not at all where
+   another home may reach the store, or where the tokens are kept for more
+   urgent requests. */
+static ErrKind find_refusal_cause_away(Ledger *l, HomeBudget *h,
+                                       const Draw *d) {
+  bool is_away_for_all = l->store_down || home_is_held(l, h);
+  if (!is_away_for_all || d->need <= home_free_tokens(h->home_grant))
+    return ERR_BUDGET_STORE;
+  if (!can_recall(h, d->holder)) return ERR_BUDGET_STORE;
+  if (h->recalled_at < 0 || l->now - h->recalled_at >= RECALL_INTERVAL_S) {
+    h->recalled_at = l->now;
+    recall_free_tokens(l, h, false);
+  }
+  bool is_recalled = l->now - h->recalled_at >= RECALL_AWAY_WAIT_S;
+  return is_recalled ? ERR_BUDGET_STORE : ERR_NONE;
+}
+
 /* The cause for refusing a draw, or ERR_NONE while it may still be served. */
 static ErrKind find_refusal_cause(Ledger *l, HomeBudget *h, const Draw *d) {
   ShardState *s = shard_of(l, h);
   bool is_late = l->now >= d->deadline;
   bool is_slow = s->call_pending && l->now - s->call_started_at > STORE_SLOW_S;
-  bool is_down = l->store_down || s->down_since > 0 || is_slow || is_held(l, h);
+  bool is_down =
+      l->store_down || s->down_since > 0 || is_slow || home_is_held(l, h);
   ErrKind cause = is_down                ? ERR_BUDGET_STORE
                   : h->unspent < d->need ? ERR_BUDGET_EMPTY
                                          : ERR_BUDGET_HELD;
   if (is_late)
     return s->confirmed_at < d->received_at && !is_down ? ERR_BUDGET_STORE
                                                         : cause;
+  if (home_is_away(l, h) && priority_is_managed(l, h))
+    return find_refusal_cause_away(l, h, d);
   if (!is_down && h->remaining > 0 &&
       home_free_tokens(h->home_grant) + h->remaining >= d->need)
     return ERR_NONE; /* the next update of the store provides it */
@@ -237,8 +282,11 @@
 static bool try_draw(Ledger *l, HomeBudget *h, const Draw *d) {
   HomeGrant *g = h->home_grant;
   int64_t have = home_free_tokens(g);
-  if (d->need <= have && d->need <= witness_headroom(g)) {
-    int64_t max_share = have / ALLOT_DIVISOR;
+  int64_t usable = priority_usable_tokens(l, h, d);
+  int64_t pressing = priority_pressing_tokens(l, h, d);
+  if (d->need <= usable && d->need <= witness_headroom(g)) {
+    int64_t max_share = MAX(have / ALLOT_DIVISOR, MIN(pressing, usable));
+    max_share = MAX(max_share, priority_share_tokens(l, h, d));
     int64_t n = CLAMP(d->want, d->need, MAX(d->need, max_share));
     n = MIN(n, witness_headroom(g));
     if (n > 0)
@@ -248,13 +296,14 @@
     witness_request_headroom(l, h, 0);
     return true;
   }
-  if (d->need <= have) {
-    witness_request_headroom(l, h, d->need);
+  if (d->need <= usable) {
+    witness_request_headroom(l, h, MIN(pressing, usable));
     return l->now >= d->deadline ? (deny_draw(l, h, d, ERR_BUDGET_CUT), true)
                                  : false;
   }
   ErrKind cause = find_refusal_cause(l, h, d);
   if (cause == ERR_NONE) return false;
+  if (cause == ERR_BUDGET_STORE) priority_note_denied(l, h, d);
   deny_draw(l, h, d, cause);
   return true;
 }
@@ -267,7 +316,7 @@
     else
       i++;
   }
-  if (total_need(h) > home_free_tokens(h->home_grant)) touch_shard(l, h);
+  if (total_need(l, h) > home_free_tokens(h->home_grant)) touch_shard(l, h);
 }
 
 /* Returns free tokens to the store, except `keep` and the need of open
@@ -275,7 +324,7 @@
 static void return_to_store(Ledger *l, HomeBudget *h, int64_t keep) {
   HomeGrant *g = h->home_grant;
   if (!g || g->frozen) return;
-  int64_t n = home_free_tokens(g) - total_need(h) - keep;
+  int64_t n = home_free_tokens(g) - total_need(l, h) - keep;
   if (n <= 0) return;
   g->returned += n;
   touch_shard(l, h);
@@ -558,6 +607,7 @@
     if (dt < LEDGER_IDLE_CHECK_S && is_at_rest(l, h)) continue;
     h->ticked_at = l->now;
     outage_tick(l, h, dt);
+    priority_tick_home(l, h);
     tick_former_grants(l, h);
     if (h->home_grant) tick_grant(l, h);
     ShardState *s = shard_of(l, h);
--- a/packages/ledger/state.h
+++ b/packages/ledger/state.h
@@ -34,6 +34,7 @@
   int64_t amount;
   double deadline;
   ErrKind cause; /* the refusal to send if the wait ends now */
+  int priority;  /* -1: of a service that is not managed */
 } Waiter;
 
 typedef struct Reservation {
@@ -58,6 +59,17 @@
   double first_choice_at;   /* when the first choice was last sent a DRAW */
   double ticked_at;
   bool needs_tick; /* changed since the last tick, or has to resend soon */
+  /* For managed services (priority.c). */
+  double managed_at; /* when one last requested tokens; 0: never */
+  double priority_per_s[LEDGER_PRIORITIES]; /* reserved tokens a second */
+  double priority_decayed_at;
+  double unused_ratio;   /* average of reserved tokens that were not used */
+  double demand_sent_at; /* when the last DEMAND was sent */
+  int cutoff, cutoff_retry_ms;
+  double cutoff_at;                 /* when a home last sent one; 0: never */
+  char cutoff_home[LIMIT_ID_BYTES]; /* that sent it */
+  double all_away_at; /* when the last of the homes was found without the store;
+                         0: never */
 } HolderBudget;
 
 /* == home == */
@@ -138,6 +150,11 @@
   char recaller[LIMIT_ID_BYTES];
   bool notify_recaller;
   int64_t remaining, unspent; /* from the last version of the document */
+  bool is_known;              /* they were read */
+  GHashTable *demands; /* holder -> HolderDemand (priority.c); NULL: none */
+  double demand_at;    /* when the last DEMAND arrived */
+  double away_since;   /* when the store went away for this home; 0: it
+                          answers. Kept while there are `demands` only. */
 } HomeBudget;
 
 /* One shard of the store as this instance knows it. */
@@ -157,6 +174,7 @@
   double next_read_at;      /* next periodic read */
   double retry_at, backoff;
   double down_since;  /* 0: the store answers */
+  double repeated_at; /* when a failed call was last repeated at once */
   GPtrArray *budgets; /* HomeBudget* */
 } ShardState;
 
@@ -180,6 +198,7 @@
   int64_t unix_s;
   bool draining;
   bool store_down;
+  double store_down_since;  /* when `store_down` last changed */
   uint64_t era;             /* of the store; 0: unknown, or it states none */
   bool has_read;            /* a shard was read */
   double restored_at;       /* when `era` was first seen */
@@ -234,7 +253,9 @@
 /* == holder.c == */
 
 void holder_reserve(Ledger *l, uint64_t handle, const char *budget,
-                    int64_t amount);
+                    int64_t amount, int priority);
+/* Rejects the waiting requests whose priority is rejected now. */
+void holder_apply_cutoff(Ledger *l, HolderBudget *b);
 void holder_settle(Ledger *l, uint64_t handle, int64_t used);
 void holder_on_allot(Ledger *l, const char *from, const LedgerMsg *m);
 void holder_on_report_ack(Ledger *l, const LedgerMsg *m);
@@ -253,6 +274,11 @@
 void home_on_recall(Ledger *l, const char *from, const LedgerMsg *m);
 void home_on_recall_done(Ledger *l, const LedgerMsg *m);
 void home_serve_draws(Ledger *l, HomeBudget *h);
+/* The remaining tokens are not drawn, as a restored store may have lost draws
+   of them. */
+bool home_is_held(const Ledger *l, const HomeBudget *h);
+/* The home can't refill: it doesn't reach the store, or the budget is held. */
+bool home_is_away(Ledger *l, const HomeBudget *h);
 void home_tick(Ledger *l);
 void home_budget_free(gpointer p);
 int64_t home_free_tokens(const HomeGrant *g);
@@ -267,6 +293,49 @@
 /* Seals grants of the shard whose homes are gone. */
 void home_check_grants(Ledger *l, ShardState *s);
 
+/* == priority.c == */
+
+void priority_note_request(const Ledger *l, HolderBudget *b, int priority,
+                           int64_t amount);
+void priority_note_settled(HolderBudget *b, int64_t reserved, int64_t used);
+/* Tokens per second that managed services reserved in the last seconds. */
+double priority_holder_demand_per_s(const Ledger *l, const HolderBudget *b);
+/* A managed service used the budget here lately. */
+bool priority_is_managed_here(const Ledger *l, const HolderBudget *b);
+/* The home rejects this priority now; *retry_ms: until when. */
+bool priority_is_rejected(const Ledger *l, const HolderBudget *b, int priority,
+                          int *retry_ms);
+/* Reports waiting tokens and demand to a home, just before a DRAW. */
+void priority_send_demand(Ledger *l, HolderBudget *b, const char *home);
+void priority_on_cutoff(Ledger *l, const char *from, const LedgerMsg *m);
+/* All homes that can be asked were without the store within the last second, or
+   the store is away for all. */
+bool priority_store_is_away(const Ledger *l, const HolderBudget *b);
+/* The end of the outage that a home states; 0: unknown. */
+int priority_retry_ms(const Ledger *l, const HolderBudget *b);
+void priority_tick_holder(Ledger *l, HolderBudget *b);
+
+/* Holders of managed services use the budget of this home. */
+bool priority_is_managed(const Ledger *l, const HomeBudget *h);
+void priority_on_demand(Ledger *l, const char *from, const LedgerMsg *m);
+/* Demand of managed services in the last seconds. */
+double priority_demand_per_s(const Ledger *l, const HomeBudget *h);
+/* Free tokens, without those that are kept for more urgent requests. */
+int64_t priority_usable_tokens(const Ledger *l, const HomeBudget *h,
+                               const Draw *d);
+/* Tokens of all waiting requests behind a draw that may be served now, at least
+   its `need`; without a report of its holder: `need`. */
+int64_t priority_pressing_tokens(const Ledger *l, const HomeBudget *h,
+                                 const Draw *d);
+/* The holder's share of the free tokens by its part of the demand; 0 while the
+   store is away, or without reports. */
+int64_t priority_share_tokens(const Ledger *l, const HomeBudget *h,
+                              const Draw *d);
+/* The store is away and the draw is denied: tells its holder, so that further
+   requests of this priority are rejected there at once. */
+void priority_note_denied(Ledger *l, HomeBudget *h, const Draw *d);
+void priority_tick_home(Ledger *l, HomeBudget *h);
+
 /* == layup.c == */
 
 /* Counts tokens that were allotted; below 0: that holders returned unused. */
@@ -308,6 +377,8 @@
 /* == stored.c == */
 
 ShardState *sync_shard(Ledger *l, int index);
+/* `b`: the budget in the current document; NULL: it is not there. */
+void sync_note_remaining(HomeBudget *h, const ShardBudget *b);
 /* Queues the shard to be synchronised before the event ends. */
 void sync_touch(Ledger *l, ShardState *s);
 /* Starts the next store call of the shard if one is needed and allowed now. */
--- a/scenario/script.c
+++ b/scenario/script.c
@@ -67,6 +67,10 @@
     faults.ledger.add_reports = true;
   else if (strcmp(what, "recall") == 0)
     faults.ledger.no_recall = true;
+  else if (strcmp(what, "demand") == 0)
+    faults.ledger.no_demand = true;
+  else if (strcmp(what, "cutoff") == 0)
+    faults.ledger.no_cutoff = true;
   else if (strcmp(what, "claim") == 0)
     faults.once.skip_claims = true;
   else if (strcmp(what, "sealed claims") == 0)
@@ -97,7 +101,8 @@
                     .amount = (int64_t)number_field(l, "amount", 100),
                     .duration_s = number_field(l, "lasts", 0.5),
                     .once_only = bool_field(l, "once"),
-                    .target_unresponsive = bool_field(l, "silent")};
+                    .target_unresponsive = bool_field(l, "silent"),
+                    .priority = (int)number_field(l, "priority", -1)};
   r.consumed_tokens = (int64_t)number_field(l, "used", (double)r.amount);
   snprintf(r.budget, sizeof r.budget, "%s", string_field(l, "budget", "b"));
   snprintf(r.key, sizeof r.key, "%s", string_field(l, "key", ""));
@@ -146,6 +151,11 @@
   return 0;
 }
 
+static int v_announce_outage(lua_State *l) {
+  world_announce_outage(world, lua_toboolean(l, 1));
+  return raise_violation(l);
+}
+
 static int v_restore(lua_State *l) {
   world_restore(world, luaL_checknumber(l, 1));
   return 0;
@@ -245,31 +255,20 @@
   return raise_error(l, luaL_optstring(l, 2, "expectation not met"));
 }
 
-static const luaL_Reg verbs[] = {{"world", v_world},
-                                 {"without", v_without},
-                                 {"node", v_node},
-                                 {"budget", v_budget},
-                                 {"request", v_request},
-                                 {"outcome", v_outcome},
-                                 {"advance", v_advance},
-                                 {"cut", v_cut},
-                                 {"cut_store", v_cut_store},
-                                 {"heal", v_heal},
-                                 {"store", v_store},
-                                 {"lose", v_lose},
-                                 {"delay", v_delay},
-                                 {"kill", v_kill},
-                                 {"restart", v_restart},
-                                 {"pause", v_pause},
-                                 {"resume", v_resume},
-                                 {"drain", v_drain},
-                                 {"drained", v_drained},
-                                 {"tokens", v_tokens},
-                                 {"sums", v_sums},
-                                 {"restore", v_restore},
-                                 {"rest", v_rest},
-                                 {"expect", v_expect},
-                                 {NULL, NULL}};
+static const luaL_Reg verbs[] = {
+    {"world", v_world},         {"without", v_without},
+    {"node", v_node},           {"budget", v_budget},
+    {"request", v_request},     {"outcome", v_outcome},
+    {"advance", v_advance},     {"cut", v_cut},
+    {"cut_store", v_cut_store}, {"heal", v_heal},
+    {"store", v_store},         {"lose", v_lose},
+    {"delay", v_delay},         {"kill", v_kill},
+    {"restart", v_restart},     {"pause", v_pause},
+    {"resume", v_resume},       {"drain", v_drain},
+    {"drained", v_drained},     {"tokens", v_tokens},
+    {"sums", v_sums},           {"announce_outage", v_announce_outage},
+    {"restore", v_restore},     {"rest", v_rest},
+    {"expect", v_expect},       {NULL, NULL}};
 
 /* == running == */
 
--- a/tests/test_holder.c
+++ b/tests/test_holder.c
@@ -15,7 +15,10 @@
 static Ledger *ledger;
 static char draw_recipient[LIMIT_ID_BYTES]; /* the recipient of the last draw */
 static int draws;
-static ErrKind answer; /* of the last reservation; ERR_COUNT: none yet */
+static int demands;        /* messages about demand by priority */
+static LedgerMsg demanded; /* the last of them */
+static ErrKind answer;     /* of the last reservation; ERR_COUNT: none yet */
+static int answers, answer_retry_ms;
 
 static void collect_actions(void) {
   LedgerAction a;
@@ -24,7 +27,15 @@
       g_strlcpy(draw_recipient, a.to, sizeof draw_recipient);
       draws++;
     }
-    if (a.action == LEDGER_ACTION_ANSWER) answer = a.cause;
+    if (a.action == LEDGER_ACTION_SEND && a.msg.kind == LEDGER_DEMAND) {
+      demands++;
+      demanded = a.msg;
+    }
+    if (a.action == LEDGER_ACTION_ANSWER) {
+      answer = a.cause;
+      answer_retry_ms = a.retry_ms;
+      answers++;
+    }
     g_free(a.text);
   }
 }
@@ -44,7 +55,7 @@
   ledger_set_budgets(ledger, 1, &row, 1);
   view_free(v);
   answer = ERR_COUNT;
-  draws = 0;
+  draws = demands = answers = 0;
   collect_actions();
 }
 
@@ -53,7 +64,7 @@
 }
 
 static void reserve(double now, uint64_t handle) {
-  ledger_reserve(ledger, now, handle, BUDGET, 100);
+  ledger_reserve(ledger, now, handle, BUDGET, 100, -1);
   collect_actions();
 }
 
@@ -125,7 +136,7 @@
   for (gsize i = 0; i < G_N_ELEMENTS(rows); i++) {
     start();
     reserve(1, 1);
-    ledger_reserve(ledger, 1, 2, BUDGET, rows[i].amount);
+    ledger_reserve(ledger, 1, 2, BUDGET, rows[i].amount, -1);
     receive_allot(1.01, draw_recipient, rows[i].sent);
     answer = ERR_COUNT;
     ledger_tick(ledger, 1.02 + LEDGER_DRAW_WAIT_S, 0);
@@ -223,7 +234,7 @@
   granted = returned = 0;
   for (uint64_t i = 1; i < 900; i++) {
     now += 1 / 90.0;
-    ledger_reserve(ledger, now, i, BUDGET, 100);
+    ledger_reserve(ledger, now, i, BUDGET, 100, -1);
     answer_draws(now);
     ledger_settle(ledger, now, i, 100);
     ledger_tick(ledger, now, 0);
@@ -242,3 +253,128 @@
   cr_assert_geq(returned, kept);
   ledger_free(ledger);
 }
+
+/* == managed services == */
+
+static void reserve_at(double now, uint64_t handle, int64_t amount,
+                       int priority) {
+  ledger_reserve(ledger, now, handle, BUDGET, amount, priority);
+  collect_actions();
+}
+
+/* Builds without managed services send the messages of before. */
+Test(holder, a_service_that_is_not_managed_reports_no_demand) {
+  start();
+  for (uint64_t i = 1; i < 50; i++) {
+    reserve_at(1 + (double)i * 0.1, i, 100, -1);
+    ledger_tick(ledger, 1 + (double)i * 0.1, 0);
+    collect_actions();
+  }
+  cr_assert_gt(draws, 0);
+  cr_assert_eq(demands, 0);
+  ledger_free(ledger);
+}
+
+/* Guards against one request per round trip: the home has to know of all that
+   wait, not only of the first. */
+Test(holder, a_draw_reports_all_that_wait) {
+  start();
+  reserve_at(1, 1, 800, 0);
+  reserve_at(1.001, 2, 12000, 2);
+  reserve_at(1.002, 3, 2000, 1);
+  reserve_at(1.003, 4, 900, 0);
+  ledger_tick(ledger, 1.1, 0);
+  collect_actions();
+  cr_assert_eq(demanded.waiting[0], 1700);
+  cr_assert_eq(demanded.waiting[1], 2000);
+  cr_assert_eq(demanded.waiting[2], 12000);
+  cr_assert_gt(demanded.tokens_per_s[0], 0);
+  cr_assert_eq(demanded.priority, 0);
+  ledger_free(ledger);
+}
+
+static void receive_cutoff(double now, int priority) {
+  LedgerMsg m = {.kind = LEDGER_CUTOFF,
+                 .budget = BUDGET,
+                 .priority = priority,
+                 .retry_ms = 4321};
+  ledger_receive(ledger, now, draw_recipient, &m);
+  collect_actions();
+}
+
+/* Guards against a wait of 0.08 to 0.28 s for a rejection that is known. */
+Test(holder, what_the_home_rejects_is_rejected_at_once) {
+  start();
+  ledger_set_store_down(ledger, 1, true);
+  reserve_at(1, 1, 12000, 2);
+  reserve_at(1, 2, 800, 0);
+  receive_cutoff(1.01, 1);
+  cr_assert_eq(answers, 1, "the request that waits");
+  cr_assert_eq(answer, ERR_BUDGET_STORE);
+  cr_assert_eq(answer_retry_ms, 4321);
+  reserve_at(1.02, 3, 2000, 1);
+  cr_assert_eq(answers, 2, "one that comes later");
+  reserve_at(1.02, 4, 800, 0);
+  reserve_at(1.02, 5, 800, -1);
+  cr_assert_eq(answers, 2, "an urgent one, and one that is not managed, wait");
+  ledger_free(ledger);
+}
+
+/* A cutoff of a home that is lost must not outlive it by more than a second. */
+Test(holder, a_cutoff_without_renewal_is_discarded) {
+  start();
+  ledger_set_store_down(ledger, 1, true);
+  reserve_at(1, 1, 12000, 2);
+  receive_cutoff(1.01, 0);
+  reserve_at(1.9, 2, 800, 0);
+  cr_assert_eq(answers, 2);
+  reserve_at(2.1, 3, 800, 0);
+  cr_assert_eq(answers, 2, "it waits for a home");
+  ledger_free(ledger);
+}
+
+/* While other instances reach the store another home can refill. */
+Test(holder, a_cutoff_counts_only_while_the_store_is_down_for_all) {
+  start();
+  reserve_at(1, 1, 12000, 2);
+  receive_cutoff(1.01, 0);
+  reserve_at(1.02, 2, 800, 0);
+  cr_assert_eq(answers, 0);
+  ledger_set_store_down(ledger, 1.03, true);
+  receive_cutoff(1.04, 0);
+  ledger_set_store_down(ledger, 1.05, false);
+  int before = answers;
+  reserve_at(1.06, 3, 800, 0);
+  cr_assert_eq(answers, before, "the store is back");
+  ledger_free(ledger);
+}
+
+/* Requests that one answer of the home covers are not asked for one after the
+   other. */
+Test(holder, one_refusal_covers_those_that_need_more) {
+  start();
+  ledger_set_store_down(ledger, 1, true);
+  reserve_at(1, 1, 800, 1);
+  reserve_at(1, 2, 900, 1);
+  reserve_at(1, 3, 12000, 2);
+  reserve_at(1, 4, 700, 1);
+  receive_allot(1.01, draw_recipient, ERR_BUDGET_STORE);
+  cr_assert_eq(answers, 3, "%d answers", answers);
+  ledger_free(ledger);
+}
+
+/* The outage's expected end, not a fixed time: outages last 4 to 9 s. */
+Test(holder, the_time_to_retry_is_that_of_the_outage) {
+  start();
+  cr_assert_eq(ledger_outage_left_ms(ledger, 1), 0);
+  ledger_set_store_down(ledger, 1, true);
+  int at_first = ledger_outage_left_ms(ledger, 1);
+  int later = ledger_outage_left_ms(ledger, 4.5);
+  int late = ledger_outage_left_ms(ledger, 9.5);
+  int long_after = ledger_outage_left_ms(ledger, 1000);
+  cr_assert(at_first >= 4000 && at_first <= 9000, "%d ms", at_first);
+  cr_assert(later < at_first && later >= 1000, "%d ms", later);
+  cr_assert_eq(late, 1000, "%d ms", late);
+  cr_assert_eq(long_after, LEDGER_MAX_RETRY_MS);
+  ledger_free(ledger);
+}
