ledger: the document of a shard may have a ceiling for each budget

It stands after the grants of a budget and only where it is set, so that documents of stores that state no era stay byte for byte as they were (tests/golden/shard.json). A ceiling with a wrong number of members, no era or negative counts is rejected with the document.

--- a/packages/ledger/shard.c
+++ b/packages/ledger/shard.c
@@ -103,11 +103,16 @@
   return max_open < open ? max_open : open;
 }
 
-int64_t shard_budget_remaining(const ShardBudget *b) {
-  int64_t left = b->total - b->closed_spent - b->written_off;
+int64_t shard_budget_in_grants(const ShardBudget *b) {
+  int64_t n = b->closed_spent + b->written_off;
   for (guint i = 0; i < b->grants->len; i++)
-    left -= shard_grant_outstanding(b->grants->pdata[i]);
-  return left;
+    n += shard_grant_outstanding(b->grants->pdata[i]);
+  return n;
+}
+
+int64_t shard_budget_remaining(const ShardBudget *b) {
+  return b->total - shard_budget_in_grants(b) - b->ceiling.lost -
+         b->ceiling.open;
 }
 
 int64_t shard_budget_spent(const ShardBudget *b) {
--- a/packages/ledger/shard.h
+++ b/packages/ledger/shard.h
@@ -6,7 +6,10 @@
      total >= closed_spent + written_off + sum of shard_grant_outstanding(g)
    (unless the table lowered `total` below what was already granted), and the
    tokens of a grant that were spent or can still be spent never exceed
-   shard_grant_outstanding(g). */
+   shard_grant_outstanding(g).
+
+   Where the store states an era, a budget also has a ceiling, so that a restore
+   of the store from an older copy loses no more than is known (ceiling.c). */
 #ifndef LEDGER_SHARD_H
 #define LEDGER_SHARD_H
 
@@ -41,6 +44,19 @@
                           count from the seal on. */
 } ShardGrant;
 
+/* Bounds the tokens that an older copy of the document does not show as used:
+   used = closed_spent + written_off + lost + open + sum of outstanding. */
+typedef struct ShardCeiling {
+  uint64_t era;    /* of the store when it was last written; 0: no ceiling */
+  int64_t ceiling; /* `used` may not exceed it */
+  int64_t next;    /* takes the place of `ceiling` once every copy has it */
+  int64_t next_unix_s; /* when `next` was written; 0: there is none */
+  int64_t lost;        /* counts as used: missing since a restore */
+  int64_t open;        /* the same, until all homes have written their grants */
+  uint64_t open_era;   /* began with the first restore that `open` is from */
+  int64_t open_unix_s; /* when that was */
+} ShardCeiling;
+
 typedef struct ShardBudget {
   char name[LIMIT_NAME_BYTES];
   int64_t total;          /* prepaid, from the table */
@@ -48,6 +64,7 @@
   int64_t closed_spent;   /* spent from grants that were removed */
   int64_t written_off;    /* lost with grants that were removed */
   GPtrArray *grants;
+  ShardCeiling ceiling;
 } ShardBudget;
 
 typedef struct Shard {
@@ -75,7 +92,10 @@
 
 /* Tokens that this grant's holders have spent or may still spend. */
 int64_t shard_grant_outstanding(const ShardGrant *g);
-/* Tokens that are in no grant; negative after the table lowered the total
+/* Tokens of a budget that were or may be spent, without those that are missing
+   since a restore. */
+int64_t shard_budget_in_grants(const ShardBudget *b);
+/* Tokens that may be granted; negative after the table lowered the total
    below what was already granted. */
 int64_t shard_budget_remaining(const ShardBudget *b);
 /* Tokens reported as spent. */
--- a/packages/ledger/shardio.c
+++ b/packages/ledger/shardio.c
@@ -3,6 +3,9 @@
    objects, and each id is stored once and then referred to by its index:
 
    {"ids": [ID...], "budgets": {NAME: [total, tv, closed, retired, [GRANT...]]}}
+   and after the grants, where there is a ceiling:
+     [era, ceiling, next, next_unix_s, lost, open, open_era, open_unix_s]
+   Builds that do not know it pass over it and write the budget without it.
    GRANT: [id, home, witness, region, granted, returned, spent], then
      {ID: [returned, spent, final]}, the reports of a grant that is not sealed,
    or [limit, known, exact, changed, {reports}] of one that is. */
@@ -62,9 +65,18 @@
   json_t *grants = json_array();
   for (guint i = 0; i < b->grants->len; i++)
     json_array_append_new(grants, encode_grant(n, b->grants->pdata[i]));
-  return json_pack("[I,I,I,I,o]", (json_int_t)b->total,
-                   (json_int_t)b->table_version, (json_int_t)b->closed_spent,
-                   (json_int_t)b->written_off, grants);
+  json_t *o = json_pack(
+      "[I,I,I,I,o]", (json_int_t)b->total, (json_int_t)b->table_version,
+      (json_int_t)b->closed_spent, (json_int_t)b->written_off, grants);
+  const ShardCeiling *c = &b->ceiling;
+  if (c->era > 0)
+    json_array_append_new(
+        o, json_pack("[I,I,I,I,I,I,I,I]", (json_int_t)c->era,
+                     (json_int_t)c->ceiling, (json_int_t)c->next,
+                     (json_int_t)c->next_unix_s, (json_int_t)c->lost,
+                     (json_int_t)c->open, (json_int_t)c->open_era,
+                     (json_int_t)c->open_unix_s));
+  return o;
 }
 
 static int compare_names(gconstpointer a, gconstpointer b) {
@@ -134,6 +146,25 @@
   return decode_tail(g, json_array_get(o, 7));
 }
 
+static bool decode_ceiling(ShardBudget *b, json_t *o) {
+  json_int_t era, ceiling, next, next_unix_s, lost, open, open_era, open_unix_s;
+  if (!o) return true;
+  if (json_unpack(o, "[I,I,I,I,I,I,I,I]", &era, &ceiling, &next, &next_unix_s,
+                  &lost, &open, &open_era, &open_unix_s) != 0)
+    return false;
+  bool is_valid = era > 0 && ceiling >= 0 && next >= 0 && next_unix_s >= 0 &&
+                  lost >= 0 && open >= 0 && open_era >= 0 && open_unix_s >= 0;
+  b->ceiling = (ShardCeiling){.era = (uint64_t)era,
+                              .ceiling = ceiling,
+                              .next = next,
+                              .next_unix_s = next_unix_s,
+                              .lost = lost,
+                              .open = open,
+                              .open_era = (uint64_t)open_era,
+                              .open_unix_s = open_unix_s};
+  return is_valid;
+}
+
 static bool decode_budget(Shard *s, json_t *ids, const char *name, json_t *o) {
   json_int_t total, tv, closed, retired;
   json_t *grants, *g;
@@ -150,7 +181,7 @@
   json_array_foreach(grants, i, g) {
     if (!decode_grant(b, ids, g)) return false;
   }
-  return true;
+  return decode_ceiling(b, json_array_get(o, 5));
 }
 
 static Shard *decode_document(json_t *all) {
--- a/tests/stored_again.h
+++ b/tests/stored_again.h
@@ -105,6 +105,7 @@
 
 static const StoredKind stored_kinds[] = {{"shard", reencode_shard},
                                           {"shard-sealed", reencode_shard},
+                                          {"shard-ceiling", reencode_shard},
                                           {"trial", reencode_trial},
                                           {"claims-head", reencode_claim_head},
                                           {"claims-part", reencode_claim_part},
--- a/tests/test_shard.c
+++ b/tests/test_shard.c
@@ -88,6 +88,7 @@
   shard_apply_report(add_grant(b, 2, 9), "i.2", 4, 5, false, 77);
   shard_seal_grant(g, 30, 0, true, 77);
   shard_apply_report(g, "i.1", 1, 2, true, 77);
+  b->ceiling = (ShardCeiling){3, 1LL << 40, 1LL << 41, 1700000000, 7, 9, 2, 8};
   char *text = shard_encode(s);
   Shard *t = shard_decode(text);
   cr_assert_not_null(t);
@@ -116,6 +117,9 @@
       "{\"ids\":[\"x\"],\"budgets\":{\"b\":[1,1,0,0,[[1,0,0,0,1,0,0],"
       "[1,0,0,0,1,0,0]]]}}",
       "{\"ids\":[\"x\"],\"budgets\":{\"b\":[1,1,0,0,[[1,0,0,0,1,0,0,[1]]]]}}",
+      "{\"ids\":[],\"budgets\":{\"b\":[1,1,0,0,[],[1]]}}",
+      "{\"ids\":[],\"budgets\":{\"b\":[1,1,0,0,[],[0,1,0,0,0,0,0,0]]}}",
+      "{\"ids\":[],\"budgets\":{\"b\":[1,1,0,0,[],[1,1,0,0,-5,0,0,0]]}}",
   };
   for (size_t i = 0; i < sizeof malformed / sizeof *malformed; i++)
     cr_assert_null(shard_decode(malformed[i]), "accepted: %s", malformed[i]);
