ledger: a ceiling bounds what a restored store may have lost of a budget

Cause: after a restore from an older copy homes and witnesses write again what they know. When home and witness of a grant are lost, or it had no witness, nobody knows its draws, and they were drawn again. Ruled out: a longer hold (nobody knows more later), a ceiling for each grant (a new home has none and would wait 35 s), and all below the ceiling counting as used after every restore (each would take up to an eighth of each budget).

Now a home draws up to a ceiling that is in the document and older than a copy can be.

Not run: the whole suite, the soaks, upgrade.py and mixed_soak.py.

--- a/packages/ledger/home.c
+++ b/packages/ledger/home.c
@@ -36,9 +36,6 @@
 /* A home decides a draw this long before the holder's wait ends. */
 #define DRAW_GRACE_S 0.2
 
-/* Of a budget's total; not drawn for a time after a restore of the store. */
-#define HELD_RATIO 0.75
-
 /* == arithmetic == */
 
 int64_t home_free_tokens(const HomeGrant *g) {
@@ -52,25 +49,12 @@
   return n;
 }
 
-/* Of the remaining tokens, those that a restored store may have lost draws of:
-   far more than are drawn within the age of a backup. */
-static int64_t held_tokens(const Ledger *l, const HomeBudget *h) {
-  const LedgerBudget *row = g_hash_table_lookup(l->rows, h->name);
-  return row ? (int64_t)(HELD_RATIO * (double)row->total) : INT64_MAX / 4;
-}
-
-static bool is_held(const Ledger *l, const HomeBudget *h) {
-  return l->now < l->no_draws_until && h->remaining <= held_tokens(l, h);
-}
-
 /* Tokens to take from the store now, of the `remaining` ones there. Beyond the
    present need a region holds no more than its share of the rest, so that
    grants shrink with the budget. */
 int64_t home_plan_draw(const Ledger *l, const HomeBudget *h,
                        int64_t remaining) {
   if (!h->home_grant || h->home_grant->frozen || remaining <= 0) return 0;
-  if (l->now < l->no_draws_until) remaining -= held_tokens(l, h);
-  if (remaining <= 0) return 0;
   int64_t have = home_free_tokens(h->home_grant);
   int64_t need = total_need(h) - have;
   int64_t ahead = (int64_t)outage_reserve_tokens(l, h) - have;
@@ -205,7 +189,7 @@
   ShardState *s = shard_of(l, h);
   bool is_late = l->now >= d->deadline;
   bool is_slow = s->call_pending && l->now - s->call_started_at > STORE_SLOW_S;
-  bool is_down = l->store_down || s->down_since > 0 || is_slow || is_held(l, h);
+  bool is_down = l->store_down || s->down_since > 0 || is_slow || h->is_held;
   ErrKind cause = is_down                ? ERR_BUDGET_STORE
                   : h->unspent < d->need ? ERR_BUDGET_EMPTY
                                          : ERR_BUDGET_HELD;
--- a/packages/ledger/ledger.c
+++ b/packages/ledger/ledger.c
@@ -125,6 +125,7 @@
   g_strlcpy(l->region, region, sizeof l->region);
   l->rng = g_rand_new_with_seed(seed);
   l->view = view_new(NULL, 0);
+  l->losses = g_array_new(FALSE, FALSE, sizeof(MemberLoss));
   l->lanes = 1;
   l->view_epoch = 1;
   for (int i = 0; i < LIMIT_BUDGET_SHARDS; i++) {
@@ -165,6 +166,7 @@
   g_hash_table_destroy(l->home_budgets);
   g_hash_table_destroy(l->witnessed);
   view_free(l->view);
+  g_array_free(l->losses, TRUE);
   g_rand_free(l->rng);
   g_free(l);
 }
@@ -179,6 +181,7 @@
 
 void ledger_set_view(Ledger *l, double now, const View *v) {
   l->now = now;
+  ceiling_note_view(l, l->view, v);
   view_free(l->view);
   l->view = view_copy(v);
   bool is_small = v->n <= MEMBER_SMALL_INSTANCES;
--- a/packages/ledger/ledger.h
+++ b/packages/ledger/ledger.h
@@ -89,6 +89,7 @@
   bool settle_twice;     /* a settlement is added to the free tokens twice */
   bool add_reports;      /* cumulative reports are summed, not maximised */
   bool no_recall;
+  bool no_ceiling; /* a restored document shows all that was used */
 } LedgerFaults;
 
 typedef struct Ledger Ledger;
--- a/packages/ledger/state.h
+++ b/packages/ledger/state.h
@@ -137,7 +137,9 @@
                           to the store at once */
   char recaller[LIMIT_ID_BYTES];
   bool notify_recaller;
-  int64_t remaining, unspent; /* from the last version of the document */
+  int64_t remaining; /* from the last version of the document */
+  int64_t unspent;   /* from the same version */
+  bool is_held;      /* more could be drawn but for a restore of the store */
 } HomeBudget;
 
 /* One shard of the store as this instance knows it. */
@@ -158,6 +160,14 @@
   double retry_at, backoff;
   double down_since;  /* 0: the store answers */
   GPtrArray *budgets; /* HomeBudget* */
+  Shard *former;      /* the last copy that was dropped; NULL: none */
+  uint64_t former_era;
+  double former_at;    /* when it was last known to be current */
+  bool former_applied; /* `doc` contains what `former` showed */
+  uint64_t merged_era; /* so does the store's document of this era */
+  double merged_at;    /* `former_at` of that copy */
+  uint64_t chain_era;  /* the same of the first of several restores */
+  double chain_at;
 } ShardState;
 
 /* == witness == */
@@ -170,6 +180,13 @@
   uint64_t found_era; /* of the last document in which it was found */
 } WitnessedGrant;
 
+/* A member that left the view, planned or not. */
+typedef struct MemberLoss {
+  double at;
+  char region[LIMIT_NAME_BYTES];
+  bool has_witnesses; /* its grants had witnesses in its region */
+} MemberLoss;
+
 struct Ledger {
   char self[LIMIT_ID_BYTES];
   char region[LIMIT_NAME_BYTES];
@@ -182,6 +199,10 @@
   bool store_down;
   uint64_t era;             /* of the store; 0: unknown, or it states none */
   bool has_read;            /* a shard was read */
+  bool must_settle;         /* once draws are no longer held */
+  bool saw_restore;         /* a shard was read before `era` began */
+  GArray *losses;           /* MemberLoss, oldest first */
+  double started_at;        /* when it was first told a view */
   double restored_at;       /* when `era` was first seen */
   double no_draws_until;    /* until then few tokens are drawn */
   double losses_checked_at; /* when grants were last looked for that documents
@@ -305,6 +326,40 @@
    leaves the view only seconds later, so this is repeated. */
 void witness_touch_lost_grants(Ledger *l);
 
+/* == ceiling.c == */
+
+/* Tokens that a home may draw now. */
+int64_t ceiling_drawable(const Ledger *l, const ShardBudget *b);
+/* Applies a row whose total has changed by `more`. */
+void ceiling_add(ShardBudget *b, int64_t more);
+/* Starts the ceiling of a budget that the document did not contain. */
+void ceiling_start(const Ledger *l, ShardBudget *b);
+/* Puts back what this instance last read of the shard in an earlier era.
+   Returns whether it changed the document. */
+bool ceiling_merge_former(Ledger *l, ShardState *s);
+/* Whether `former` is still needed, so that `doc` must not take its place. */
+bool ceiling_must_keep_former(const Ledger *l, const ShardState *s);
+/* Grants were written again: `before` is shard_budget_in_grants before that.
+   What they account for is no longer missing. */
+void ceiling_account(ShardBudget *b, int64_t before);
+/* Some tokens may be drawn while more are open than remain. Counts as open only
+   what is not drawn. Returns whether it changed the budget. */
+bool ceiling_fit_open(ShardBudget *b);
+/* In the first document of a later era: counts as used what an older copy may
+   not show. Returns whether it changed the budget. */
+bool ceiling_begin_era(const Ledger *l, const ShardState *s, ShardBudget *b);
+/* Frees what was counted as used, if all that may have drawn it have written
+   their grants. Returns whether it changed the budget. */
+bool ceiling_settle(const Ledger *l, const ShardState *s, ShardBudget *b);
+/* Whether this instance could do so for a budget of the shard. */
+bool ceiling_may_settle(const Ledger *l, const ShardState *s);
+/* Sets the ceiling, or raises it ahead of need; `is_written`: the document is
+   written anyway. Returns whether it changed the budget. */
+bool ceiling_raise(const Ledger *l, const HomeBudget *h, ShardBudget *b,
+                   bool is_written);
+/* Records which members of `old` are missing in `new`. */
+void ceiling_note_view(Ledger *l, const View *old, const View *new);
+
 /* == stored.c == */
 
 ShardState *sync_shard(Ledger *l, int index);
--- a/packages/ledger/stored.c
+++ b/packages/ledger/stored.c
@@ -38,6 +38,7 @@
 void sync_shard_free(ShardState *s) {
   if (!s) return;
   shard_free(s->doc);
+  shard_free(s->former);
   g_ptr_array_free(s->budgets, TRUE);
   g_free(s);
 }
@@ -46,6 +47,7 @@
 
 static bool apply_row(ShardBudget *b, const LedgerBudget *row) {
   if (b->table_version >= row->version) return false;
+  ceiling_add(b, row->total - b->total);
   b->total = row->total;
   b->table_version = row->version;
   return true;
@@ -53,11 +55,13 @@
 
 /* The document may have lost the last draws of a grant whose home is gone. What
    its witness agreed to is at least what was allotted. */
-static void restore_granted(const Ledger *l, ShardGrant *g,
+static void restore_granted(const Ledger *l, ShardBudget *b, ShardGrant *g,
                             const PendingSeal *s) {
   int64_t max_open = s->limit - s->returned_to_home;
   if (!ledger_may_lack_grants(l) || !s->witness[0]) return;
+  int64_t before = shard_budget_in_grants(b);
   g->granted = MAX(g->granted, g->returned + max_open);
+  ceiling_account(b, before);
 }
 
 static bool apply_seals(Ledger *l, HomeBudget *h, ShardBudget *b) {
@@ -69,7 +73,7 @@
     /* Only the limit of the witness that the document names is valid. A witness
        that the home has replaced may have agreed to less than was allotted. */
     if (strcmp(g->witness, s->witness) != 0) continue;
-    restore_granted(l, g, s);
+    restore_granted(l, b, g, s);
     shard_seal_grant(g, s->limit, s->returned_to_home, false, l->unix_s);
     changed = true;
   }
@@ -149,7 +153,8 @@
 static bool has_lost(const HomeGrant *g, const ShardGrant *sg) {
   if (!sg) return true;
   if (sg->sealed) return false;
-  return sg->granted < g->granted || strcmp(sg->witness, g->witness) != 0;
+  return sg->granted < g->granted || sg->returned < g->stored_returned ||
+         strcmp(sg->witness, g->witness) != 0;
 }
 
 /* Writes the grant as its home knows it into such a document. */
@@ -199,19 +204,26 @@
       changed = true;
     }
   }
-  int64_t left = shard_budget_remaining(b);
-  if (left < 0 && home_free_tokens(g) > 0) { /* the table lowered the total */
-    int64_t n = MIN(-left, home_free_tokens(g));
+  changed |= ceiling_fit_open(b);
+  int64_t left = ceiling_drawable(l, b);
+  if (shard_budget_remaining(b) < 0 &&
+      home_free_tokens(g) > 0) { /* the table lowered the total */
+    int64_t n = MIN(-shard_budget_remaining(b), home_free_tokens(g));
     g->returned += n;
     if (sg) sg->returned = g->returned;
     return true;
   }
+  /* Below the ceiling there is room for the draws of several homes: one plans
+     with all that remains, but takes at most half of the room ahead of need. */
   int64_t n = home_plan_draw(l, h, left);
+  if (l->now >= l->no_draws_until)
+    n = MAX(n, MIN(home_plan_draw(l, h, shard_budget_remaining(b)), left / 2));
   if (n <= 0) return changed;
   if (!sg) sg = shard_add_grant(b, g->id, l->self, g->witness, l->region);
   sg->granted += n;
   sg->spent = g->spent;
   sg->changed_unix_s = l->unix_s;
+  ceiling_fit_open(b);
   return true;
 }
 
@@ -234,24 +246,71 @@
   return changed;
 }
 
-static bool apply_changes(Ledger *l, ShardState *s) {
+/* Returns whether a row was new or newer. */
+static bool apply_rows(Ledger *l, ShardState *s) {
   bool changed = false;
   const GPtrArray *rows = l->rows_by_shard[s->index];
   for (guint i = 0; rows && i < rows->len; i++) {
     const LedgerBudget *row = rows->pdata[i];
-    changed |= apply_row(shard_ensure_budget(s->doc, row->name), row);
+    ShardBudget *b = shard_find_budget(s->doc, row->name);
+    bool is_new = !b;
+    if (is_new) b = shard_ensure_budget(s->doc, row->name);
+    changed |= apply_row(b, row);
+    if (is_new) ceiling_start(l, b);
+  }
+  return changed;
+}
+
+/* Writes what this instance knows of grants that the document may have lost,
+   as their home or as their witness. */
+static bool restore_known_grants(Ledger *l, const ShardState *s, HomeBudget *h,
+                                 ShardBudget *b) {
+  int64_t before = shard_budget_in_grants(b);
+  bool changed = witness_restore_grants(l, b);
+  for (guint i = 0; i < h->former_grants->len; i++) {
+    const HomeGrant *g = h->former_grants->pdata[i];
+    changed |= may_have_lost(s, g) && restore_grant(l, g, b);
   }
+  if (h->home_grant && may_have_lost(s, h->home_grant))
+    changed |= restore_grant(l, h->home_grant, b);
+  ceiling_account(b, before);
+  return changed;
+}
+
+/* In a document of the current era: first what may have been lost, then what
+   counts as used because nobody has accounted for it. */
+static bool apply_restore(Ledger *l, ShardState *s) {
+  bool changed = false;
+  if (revision_era(s->version) != l->era) return false;
+  for (guint i = 0; i < s->budgets->len; i++) {
+    HomeBudget *h = s->budgets->pdata[i];
+    ShardBudget *b = shard_find_budget(s->doc, h->name);
+    if (b) changed |= restore_known_grants(l, s, h, b);
+  }
+  GHashTableIter it;
+  gpointer v;
+  g_hash_table_iter_init(&it, s->doc->budgets);
+  while (g_hash_table_iter_next(&it, NULL, &v)) {
+    changed |= ceiling_begin_era(l, s, v);
+    changed |= ceiling_settle(l, s, v);
+  }
+  return changed;
+}
+
+static bool apply_changes(Ledger *l, ShardState *s) {
+  bool changed = ceiling_merge_former(l, s);
+  changed |= apply_rows(l, s);
+  changed |= apply_restore(l, s);
   for (guint i = 0; i < s->budgets->len; i++) {
     HomeBudget *h = s->budgets->pdata[i];
     ShardBudget *b = shard_find_budget(s->doc, h->name);
     if (!b) continue;
-    if (revision_era(s->version) == l->era)
-      changed |= witness_restore_grants(l, b);
     changed |= apply_seals(l, h, b);
     changed |= apply_orphan_reports(l, s, h, b);
     changed |= apply_former_grants(l, s, h, b);
     changed |= apply_grant(l, s, h, b);
     changed |= remove_settled_grants(l, b);
+    changed |= ceiling_raise(l, h, b, changed);
   }
   return changed;
 }
@@ -324,6 +383,18 @@
   }
 }
 
+/* What a restored store may have lost counts as left until it is known. */
+static int64_t open_tokens(const Ledger *l, const ShardBudget *b) {
+  return ledger_may_lack_grants(l) ? b->ceiling.open : 0;
+}
+
+/* Tokens are left, but hardly any may be drawn yet. */
+static bool is_held(const Ledger *l, const ShardBudget *b) {
+  int64_t left = shard_budget_remaining(b) + open_tokens(l, b);
+  int64_t drawable = ceiling_drawable(l, b);
+  return drawable < MIN(left, LEDGER_MIN_DRAW_TOKENS);
+}
+
 /* Removes pending changes that the document now contains. */
 static void confirm_changes(Ledger *l, ShardState *s) {
   for (guint i = 0; i < s->budgets->len; i++) {
@@ -333,9 +404,18 @@
     confirm_former_grants(s, h, b);
     confirm_orphan_reports(l, h);
     confirm_seals(h, b);
-    h->remaining = b ? shard_budget_remaining(b) : 0;
-    h->unspent = b ? b->total - b->written_off - shard_budget_spent(b) : 0;
+    if (!b) {
+      h->remaining = h->unspent = 0;
+      h->is_held = false;
+      continue;
+    }
+    int64_t open = open_tokens(l, b);
+    h->remaining = shard_budget_remaining(b) + open;
+    h->unspent = b->total - b->written_off - shard_budget_spent(b) -
+                 b->ceiling.lost - b->ceiling.open + open;
+    h->is_held = is_held(l, b);
   }
+  if (s->former_applied) s->merged_era = l->era;
 }
 
 static void confirm_doc(Ledger *l, ShardState *s) {
@@ -374,11 +454,27 @@
   a->text = shard_encode(s->doc);
 }
 
+/* Keeps the copy that is dropped: a restored store may lack what it shows. One
+   of an earlier era is kept until the store's document contains it. */
+static void keep_former(const Ledger *l, ShardState *s) {
+  uint64_t era = revision_era(s->version);
+  if (!s->doc) return;
+  if (ceiling_must_keep_former(l, s)) {
+    shard_free(s->doc);
+    return;
+  }
+  shard_free(s->former);
+  s->former = s->doc;
+  s->former_era = era;
+  s->former_at = s->confirmed_at;
+}
+
 /* Drops the local copy; reports that were applied only to it are pending
    again. */
-static void forget_doc(ShardState *s) {
-  shard_free(s->doc);
+static void forget_doc(const Ledger *l, ShardState *s) {
+  keep_former(l, s);
   s->doc = NULL;
+  s->former_applied = false;
   for (guint i = 0; i < s->budgets->len; i++) {
     HomeBudget *h = s->budgets->pdata[i];
     for (guint k = 0; k < h->orphan_reports->len; k++)
@@ -425,8 +521,10 @@
 void sync_note_era(Ledger *l, uint64_t era) {
   if (era <= l->era) return;
   l->era = era;
+  l->saw_restore = l->has_read;
   l->no_draws_until = l->now + (l->has_read ? RESTORE_HOLD_S : START_HOLD_S);
   l->restored_at = l->now;
+  l->must_settle = true;
   reread_all(l);
   witness_touch_lost_grants(l);
 }
@@ -437,7 +535,7 @@
   bool wrote_recently =
       l->now - s->written_at < LOW_BUDGET_WRITE_INTERVAL_S && s->written_at > 0;
   if (wrote_recently && !l->draining && is_nearly_used_up(l, s)) return;
-  if (s->must_reread) forget_doc(s);
+  if (s->must_reread) forget_doc(l, s);
   s->must_reread = false;
   if (!s->doc) {
     start_call(l, s, LEDGER_ACTION_GET);
@@ -471,7 +569,7 @@
     schedule_retry(l, s);
     return;
   }
-  forget_doc(s);
+  forget_doc(l, s);
   l->has_read = true;
   s->doc = doc;
   s->version = version;
@@ -497,12 +595,12 @@
     break;
   case ERR_STORE_ABSENT: receive_doc(l, s, version, NULL); break;
   case ERR_STORE_CONFLICT:
-    forget_doc(s);
+    forget_doc(l, s);
     s->dirty = true;
     s->retry_at = l->now + g_rand_double(l->rng) * 0.02;
     break;
   default: /* no answer: a write may have taken effect, so read first */
-    forget_doc(s);
+    forget_doc(l, s);
     s->dirty = true;
     if (s->down_since == 0) s->down_since = l->now;
     schedule_retry(l, s);
@@ -513,7 +611,19 @@
   sync_start_call(l, s);
 }
 
+/* The hold is over: frees at once what all homes have accounted for. */
+static void settle_all(Ledger *l) {
+  l->must_settle = false;
+  for (int i = 0; i < LIMIT_BUDGET_SHARDS; i++) {
+    ShardState *s = l->shards[i];
+    if (!s || !ceiling_may_settle(l, s)) continue;
+    s->must_reread = s->dirty = true;
+    s->retry_at = l->now + RETURN_SPREAD_S * g_rand_double(l->rng);
+  }
+}
+
 void sync_tick(Ledger *l) {
+  if (l->must_settle && l->now >= l->no_draws_until) settle_all(l);
   if (ledger_may_lack_grants(l) &&
       l->now - l->losses_checked_at >= LEDGER_IDLE_CHECK_S) {
     l->losses_checked_at = l->now;
--- a/scenario/script.c
+++ b/scenario/script.c
@@ -67,6 +67,8 @@
     faults.ledger.add_reports = true;
   else if (strcmp(what, "recall") == 0)
     faults.ledger.no_recall = true;
+  else if (strcmp(what, "ceiling") == 0)
+    faults.ledger.no_ceiling = true;
   else if (strcmp(what, "claim") == 0)
     faults.once.skip_claims = true;
   else if (strcmp(what, "sealed claims") == 0)
