ledger: tests of what is put back from a copy that was read in the earlier era

Three cases: a grant that the copy lacks, a young instance that frees what is open since it had read the document, and a copy so old that each backup has it.

--- a/tests/test_ceiling.c
+++ b/tests/test_ceiling.c
@@ -190,6 +190,53 @@
   cr_assert_not(ceiling_settle(ledger, &shard, budget));
 }
 
+/* What this instance read 2 s ago, in the earlier era, shows a grant that the
+   copy lacks; its home is gone since long ago. */
+static void read_before(void) {
+  ledger->started_at = ledger->now - 5;
+  shard.former = shard_new();
+  shard.former_era = 1;
+  shard.former_at = ledger->now - 2;
+  ShardBudget *old = shard_ensure_budget(shard.former, BUDGET);
+  old->total = TOTAL;
+  shard_add_grant(old, 1, "h.1", "w.1", "r")->granted = TOTAL / 2;
+  shard_add_grant(old, 2, "h.2", "w.2", "r")->granted = 700;
+}
+
+/* Guards against draws that only an earlier reader knows of. */
+Test(ceiling, what_was_read_in_the_earlier_era_is_put_back) {
+  read_before();
+  set_ceiling(TOTAL / 2 + 1000);
+  restore();
+  cr_assert(ceiling_merge_former(ledger, &shard));
+  cr_assert_eq(shard_find_grant(budget, 2)->granted, 700);
+  ceiling_begin_era(ledger, &shard, budget);
+  cr_assert_eq(budget->ceiling.open, 300);
+  cr_assert_not(ceiling_merge_former(ledger, &shard), "put back twice");
+}
+
+/* Guards against a young fleet that loses what is open after each restore. */
+Test(ceiling, a_young_instance_that_read_before_frees_it) {
+  read_before();
+  set_ceiling(TOTAL / 2 + 1000);
+  restore();
+  ceiling_merge_former(ledger, &shard);
+  ceiling_begin_era(ledger, &shard, budget);
+  ledger->now += 11;
+  ledger->unix_s += 11;
+  cr_assert(ceiling_settle(ledger, &shard, budget));
+  cr_assert_eq(shard_budget_remaining(budget), TOTAL / 2 - 700);
+}
+
+/* Guards against a grant that was settled and removed since it was read. */
+Test(ceiling, a_copy_that_is_older_than_backups_is_not_put_back) {
+  read_before();
+  shard.former_at = ledger->now - BACKUP_MAX_AGE_S - 1;
+  restore();
+  cr_assert_not(ceiling_merge_former(ledger, &shard));
+  cr_assert_null(shard_find_grant(budget, 2));
+}
+
 /* Guards against a budget without a ceiling, as an older build writes it, that
    is held for ever because an instance starts. */
 Test(ceiling, a_document_of_an_older_build_is_usable) {
