--- a/packages/ledger/home.c
+++ b/packages/ledger/home.c
@@ -38,9 +38,6 @@
 /* A home decides a draw this long before the holder's wait ends. */
 #define DRAW_GRACE_S 0.2
 
-/* Of a budget's total; not drawn for a time after a restore of the store. */
-#define HELD_RATIO 0.75
-
 /* == arithmetic == */
 
 int64_t home_free_tokens(const HomeGrant *g) {
@@ -54,25 +51,12 @@
   return n;
 }
 
-/* Of the remaining tokens, those that a restored store may have lost draws of:
-   far more than are drawn within the age of a backup. */
-static int64_t held_tokens(const Ledger *l, const HomeBudget *h) {
-  const LedgerBudget *row = g_hash_table_lookup(l->rows, h->name);
-  return row ? (int64_t)(HELD_RATIO * (double)row->total) : INT64_MAX / 4;
-}
-
-bool home_is_held(const Ledger *l, const HomeBudget *h) {
-  return l->now < l->no_draws_until && h->remaining <= held_tokens(l, h);
-}
-
 /* Tokens to take from the store now, of the `remaining` ones there. Beyond the
    present need a region holds no more than its share of the rest, so that
    grants shrink with the budget. */
 int64_t home_plan_draw(const Ledger *l, const HomeBudget *h,
                        int64_t remaining) {
   if (!h->home_grant || h->home_grant->frozen || remaining <= 0) return 0;
-  if (l->now < l->no_draws_until) remaining -= held_tokens(l, h);
-  if (remaining <= 0) return 0;
   int64_t have = home_free_tokens(h->home_grant);
   int64_t need = total_need(l, h) - have;
   int64_t ahead = (int64_t)outage_reserve_tokens(l, h) - have;
@@ -118,7 +102,7 @@
   ShardState *s = sync_shard(l, shard_index(budget));
   g_ptr_array_add(s->budgets, h);
   const ShardBudget *b = s->doc ? shard_find_budget(s->doc, budget) : NULL;
-  if (b) sync_note_remaining(h, b);
+  if (b) sync_note_remaining(l, h, b);
   return h;
 }
 
@@ -206,6 +190,13 @@
   }
 }
 
+bool home_is_held(const Ledger *l, const HomeBudget *h) {
+  const ShardState *s = l->shards[shard_index(h->name)];
+  const ShardBudget *b =
+      s && s->doc ? shard_find_budget(s->doc, h->name) : NULL;
+  return b ? sync_is_held(l, b) : h->is_held;
+}
+
 bool home_is_away(Ledger *l, const HomeBudget *h) {
   bool is_held = h->is_known && home_is_held(l, h);
   return l->store_down || shard_of(l, h)->down_since > 0 || is_held;
--- a/packages/ledger/ledger.h
+++ b/packages/ledger/ledger.h
@@ -104,8 +104,9 @@
   bool settle_twice;     /* a settlement is added to the free tokens twice */
   bool add_reports;      /* cumulative reports are summed, not maximised */
   bool no_recall;
-  bool no_demand; /* homes ignore reports of waiting requests */
-  bool no_cutoff; /* tokens go to any priority during an outage */
+  bool no_demand;  /* homes ignore reports of waiting requests */
+  bool no_cutoff;  /* tokens go to any priority during an outage */
+  bool no_ceiling; /* a restored document shows all that was used */
 } LedgerFaults;
 
 typedef struct Ledger Ledger;
--- a/packages/ledger/priority.c
+++ b/packages/ledger/priority.c
@@ -198,7 +198,8 @@
   return more_urgent_per_s(l, h, LEDGER_PRIORITIES);
 }
 
-/* The store answers, but a restore forbids draws until `no_draws_until`. */
+/* The store answers, but the tokens that are left may not be drawn yet after a
+   restore. */
 static bool is_only_held(const Ledger *l, const HomeBudget *h) {
   const ShardState *s = l->shards[shard_index(h->name)];
   return !l->store_down && s && s->down_since == 0 && home_is_held(l, h);
@@ -210,7 +211,8 @@
   const LedgerBudget *row = g_hash_table_lookup(l->rows, h->name);
   if (h->away_since == 0 || l->faults.no_cutoff) return 0;
   double left_s = h->away_since + OUTAGE_MAX_S - l->now;
-  if (is_only_held(l, h)) left_s = l->no_draws_until - l->now;
+  if (is_only_held(l, h))
+    left_s = MAX(ceiling_hold_left_s(l), OUTAGE_LEFT_MIN_S);
   left_s = MAX(left_s, OUTAGE_LEFT_MIN_S);
   double kept_s = MIN(left_s, row ? row->outage_reserve_s : 0);
   return (int64_t)(kept_s * more_urgent_per_s(l, h, priority));
@@ -270,8 +272,9 @@
   if (h->away_since == 0 || cutoff == LEDGER_PRIORITIES) return;
   LedgerMsg r = ledger_make_msg(LEDGER_CUTOFF, h->name, 0);
   r.priority = cutoff;
-  double left_s = is_only_held(l, h) ? l->no_draws_until - l->now
-                                     : outage_left_s(l->now - h->away_since);
+  double left_s = is_only_held(l, h)
+                      ? MAX(ceiling_hold_left_s(l), OUTAGE_LEFT_MIN_S)
+                      : outage_left_s(l->now - h->away_since);
   r.retry_ms = (int)MIN(1000 * left_s, LEDGER_MAX_RETRY_MS);
   ledger_send(l, holder, &r);
 }
--- a/packages/ledger/state.h
+++ b/packages/ledger/state.h
@@ -149,8 +149,10 @@
                           to the store at once */
   char recaller[LIMIT_ID_BYTES];
   bool notify_recaller;
-  int64_t remaining, unspent; /* from the last version of the document */
-  bool is_known;              /* they were read */
+  int64_t remaining;   /* from the last version of the document */
+  int64_t unspent;     /* from the same version */
+  bool is_held;        /* more could be drawn but for a restore of the store */
+  bool is_known;       /* they were read */
   GHashTable *demands; /* holder -> HolderDemand (priority.c); NULL: none */
   double demand_at;    /* when the last DEMAND arrived */
   double away_since;   /* when the store went away for this home; 0: it
@@ -176,6 +178,14 @@
   double down_since;  /* 0: the store answers */
   double repeated_at; /* when a failed call was last repeated at once */
   GPtrArray *budgets; /* HomeBudget* */
+  Shard *former;      /* the last copy that was dropped; NULL: none */
+  uint64_t former_era;
+  double former_at;    /* when it was last known to be current */
+  bool former_applied; /* `doc` contains what `former` showed */
+  uint64_t merged_era; /* so does the store's document of this era */
+  double merged_at;    /* `former_at` of that copy */
+  uint64_t chain_era;  /* the same of the first of several restores */
+  double chain_at;
 } ShardState;
 
 /* == witness == */
@@ -188,6 +198,13 @@
   uint64_t found_era; /* of the last document in which it was found */
 } WitnessedGrant;
 
+/* A member that left the view, planned or not. */
+typedef struct MemberLoss {
+  double at;
+  char region[LIMIT_NAME_BYTES];
+  bool has_witnesses; /* its grants had witnesses in its region */
+} MemberLoss;
+
 struct Ledger {
   char self[LIMIT_ID_BYTES];
   char region[LIMIT_NAME_BYTES];
@@ -201,6 +218,10 @@
   double store_down_since;  /* when `store_down` last changed */
   uint64_t era;             /* of the store; 0: unknown, or it states none */
   bool has_read;            /* a shard was read */
+  bool must_settle;         /* once draws are no longer held */
+  bool saw_restore;         /* a shard was read before `era` began */
+  GArray *losses;           /* MemberLoss, oldest first */
+  double started_at;        /* when it was first told a view */
   double restored_at;       /* when `era` was first seen */
   double no_draws_until;    /* until then few tokens are drawn */
   double losses_checked_at; /* when grants were last looked for that documents
@@ -274,8 +295,8 @@
 void home_on_recall(Ledger *l, const char *from, const LedgerMsg *m);
 void home_on_recall_done(Ledger *l, const LedgerMsg *m);
 void home_serve_draws(Ledger *l, HomeBudget *h);
-/* The remaining tokens are not drawn, as a restored store may have lost draws
-   of them. */
+/* Tokens are left, but hardly any may be drawn yet after a restore of the
+   store. */
 bool home_is_held(const Ledger *l, const HomeBudget *h);
 /* The home can't refill: it doesn't reach the store, or the budget is held. */
 bool home_is_away(Ledger *l, const HomeBudget *h);
@@ -374,11 +395,50 @@
    leaves the view only seconds later, so this is repeated. */
 void witness_touch_lost_grants(Ledger *l);
 
+/* == ceiling.c == */
+
+/* Seconds until what is held for the restore that was last seen may be drawn,
+   unless a ceiling is not old enough by then; below 0: it may. */
+double ceiling_hold_left_s(const Ledger *l);
+/* Tokens that a home may draw now. */
+int64_t ceiling_drawable(const Ledger *l, const ShardBudget *b);
+/* Applies a row whose total has changed by `more`. */
+void ceiling_add(ShardBudget *b, int64_t more);
+/* Starts the ceiling of a budget that the document did not contain. */
+void ceiling_start(const Ledger *l, ShardBudget *b);
+/* Puts back what this instance last read of the shard in an earlier era.
+   Returns whether it changed the document. */
+bool ceiling_merge_former(Ledger *l, ShardState *s);
+/* Whether `former` is still needed, so that `doc` must not take its place. */
+bool ceiling_must_keep_former(const Ledger *l, const ShardState *s);
+/* Grants were written again: `before` is shard_budget_in_grants before that.
+   What they account for is no longer missing. */
+void ceiling_account(ShardBudget *b, int64_t before);
+/* Some tokens may be drawn while more are open than remain. Counts as open only
+   what is not drawn. Returns whether it changed the budget. */
+bool ceiling_fit_open(ShardBudget *b);
+/* In the first document of a later era: counts as used what an older copy may
+   not show. Returns whether it changed the budget. */
+bool ceiling_begin_era(const Ledger *l, const ShardState *s, ShardBudget *b);
+/* Frees what was counted as used, if all that may have drawn it have written
+   their grants. Returns whether it changed the budget. */
+bool ceiling_settle(const Ledger *l, const ShardState *s, ShardBudget *b);
+/* Whether this instance could do so for a budget of the shard. */
+bool ceiling_may_settle(const Ledger *l, const ShardState *s);
+/* Sets the ceiling, or raises it ahead of need; `is_written`: the document is
+   written anyway. Returns whether it changed the budget. */
+bool ceiling_raise(const Ledger *l, const HomeBudget *h, ShardBudget *b,
+                   bool is_written);
+/* Records which members of `old` are missing in `new`. */
+void ceiling_note_view(Ledger *l, const View *old, const View *new);
+
 /* == stored.c == */
 
 ShardState *sync_shard(Ledger *l, int index);
+/* As home_is_held, of a budget in the document. */
+bool sync_is_held(const Ledger *l, const ShardBudget *b);
 /* `b`: the budget in the current document; NULL: it is not there. */
-void sync_note_remaining(HomeBudget *h, const ShardBudget *b);
+void sync_note_remaining(const Ledger *l, HomeBudget *h, const ShardBudget *b);
 /* Queues the shard to be synchronised before the event ends. */
 void sync_touch(Ledger *l, ShardState *s);
 /* Starts the next store call of the shard if one is needed and allowed now. */
--- a/scenario/script.c
+++ b/scenario/script.c
@@ -71,6 +71,8 @@
     faults.ledger.no_demand = true;
   else if (strcmp(what, "cutoff") == 0)
     faults.ledger.no_cutoff = true;
+  else if (strcmp(what, "ceiling") == 0)
+    faults.ledger.no_ceiling = true;
   else if (strcmp(what, "claim") == 0)
     faults.once.skip_claims = true;
   else if (strcmp(what, "sealed claims") == 0)
