ledger: a denial concerns the home and the request that were asked

For managed services.

Now the holder remembers what its last DRAW was for, asks the first choice again when a more urgent request has come, and takes all homes for being without the store only when each said so within a second, from the first choice on.

--- a/packages/ledger/holder.c
+++ b/packages/ledger/holder.c
@@ -175,18 +175,20 @@
   drop_waiter(l, b, link);
 }
 
-/* Refuses the first waiter. For managed services the answer holds for those
-   behind it as well that are neither smaller nor more urgent; asking for one
-   after the other took them a round trip each. */
-static void refuse_head(Ledger *l, HolderBudget *b, ErrKind cause) {
+/* Refuses the first waiter. For managed services refuses those that need as
+   much as the request for which the last DRAW was sent and are not more urgent:
+   the first may be another one by now, and asking for one after the other takes
+   them a round trip each. */
+static void refuse_after_denial(Ledger *l, HolderBudget *b, ErrKind cause) {
   const Waiter *head = b->waiters.head->data;
-  int priority = head->priority;
-  int64_t amount = head->amount;
-  refuse_waiter(l, b, b->waiters.head, cause);
-  for (GList *i = b->waiters.head, *next; i && priority >= 0; i = next) {
+  if (head->priority < 0) {
+    refuse_waiter(l, b, b->waiters.head, cause);
+    return;
+  }
+  for (GList *i = b->waiters.head, *next; i; i = next) {
     next = i->next;
     const Waiter *w = i->data;
-    if (w->priority >= priority && w->amount >= amount)
+    if (w->priority >= b->drawn_priority && w->amount >= b->drawn_amount)
       refuse_waiter(l, b, i, cause);
   }
 }
@@ -237,6 +239,8 @@
     sum += ((Waiter *)i->data)->amount;
   const Waiter *head = b->waiters.head ? b->waiters.head->data : NULL;
   LedgerMsg m = ledger_make_msg(LEDGER_DRAW, b->name, a ? a->grant : 0);
+  b->drawn_priority = head ? head->priority : 0;
+  b->drawn_amount = head ? head->amount : INT64_MAX;
   m.need = head ? head->amount - have : 0;
   if (m.need < 0) m.need = 0;
   m.want = sum + tokens_to_keep(l, b) - have;
@@ -352,6 +356,31 @@
   return false;
 }
 
+/* The same for managed services: all homes are taken for being without the
+   store only when each was asked, from the first choice on, within a second.
+   The next DRAW then goes to the first choice, which has the tokens that are
+   left. */
+static bool find_home_after_denial(const Ledger *l, HolderBudget *b,
+                                   const char *from) {
+  const Member *first = ledger_home(l, b->shard, 0);
+  if (first && strcmp(first->id, from) == 0) b->first_away_at = l->now;
+  const Waiter *head = b->waiters.head ? b->waiters.head->data : NULL;
+  bool is_other = head && (head->priority < b->drawn_priority ||
+                           head->amount < b->drawn_amount);
+  if (is_other &&
+      !priority_store_is_away(l, b)) { /* no home was asked for it */
+    b->draw_tries = 0;
+    return true;
+  }
+  if (skip_to_next_home(l, b, from)) return true;
+  b->draw_tries = 0;
+  if (priority_store_is_away(l, b)) return false;
+  if (b->first_away_at == 0 || l->now - b->first_away_at >= RECENT_ANSWER_S)
+    return true;
+  b->all_away_at = l->now;
+  return false;
+}
+
 /* Sets the cause with which the waiters are refused at their deadline. A home
    answers for the first waiter, of `amount` tokens, but the answer shows that
    the home was reached, so its cause applies to all. The exception is
@@ -394,16 +423,18 @@
   serve_waiters(l, b);
   GList *head = b->waiters.head;
   if (head) set_waiter_causes(b, m->cause, ((Waiter *)head->data)->amount);
-  if (head && m->cause == ERR_BUDGET_STORE && skip_to_next_home(l, b, from)) {
+  bool is_managed = priority_is_managed_here(l, b);
+  if (m->cause == ERR_BUDGET_STORE && is_managed) {
+    if (find_home_after_denial(l, b, from)) {
+      if (head) send_draw(l, b);
+      return;
+    }
+  } else if (head && m->cause == ERR_BUDGET_STORE &&
+             skip_to_next_home(l, b, from)) {
     send_draw(l, b);
     return;
   }
-  if (m->cause == ERR_BUDGET_STORE && priority_is_managed_here(l, b)) {
-    /* The first choice has the tokens that are left. */
-    if (!priority_store_is_away(l, b)) b->all_away_at = l->now;
-    b->draw_tries = 0;
-  }
-  if (m->cause != ERR_NONE && head) refuse_head(l, b, m->cause);
+  if (m->cause != ERR_NONE && head) refuse_after_denial(l, b, m->cause);
   if (b->waiters.head) send_draw(l, b);
 }
 
--- a/packages/ledger/state.h
+++ b/packages/ledger/state.h
@@ -65,9 +65,14 @@
   double priority_decayed_at;
   double unused_ratio;   /* average of reserved tokens that were not used */
   double demand_sent_at; /* when the last DEMAND was sent */
+  int drawn_priority; /* of the first waiter at the last DRAW, and its amount;
+                         INT64_MAX: none waited */
+  int64_t drawn_amount;
   int cutoff, cutoff_retry_ms;
   double cutoff_at;                 /* when a home last sent one; 0: never */
   char cutoff_home[LIMIT_ID_BYTES]; /* that sent it */
+  double first_away_at; /* when the first choice said that it is without the
+                           store; 0: never */
   double all_away_at; /* when the last of the homes was found without the store;
                          0: never */
 } HolderBudget;
--- a/tests/reserve.py
+++ b/tests/reserve.py
@@ -7,7 +7,8 @@
 import threading
 import time
 
-from fleet import Site, play_stream, route, run_tests, config, wait_for
+from fleet import Site, config, play_stream, route, run_tests, wait_for
+from proxy import Proxy
 
 PREPAID = 4000000
 URGENT, LONG = (800, 0.6), (8000, 1.5)  # tokens, objective in seconds
@@ -80,9 +81,7 @@
     assert served(answers) == 1, answers
 
 
-def test_a_longer_outage_than_the_reserve_serves_urgent_requests(s):
-    """Guards against a reserve that long requests of the lowest priority use up, and
-    against rejections that take as long as the wait for tokens."""
+def a_longer_outage_than_the_reserve(s):
     with_routes(s)
     loads = [Load(s, "/urgent/x", URGENT[0], 10, (0, 1, 2)),
              Load(s, "/long/x", LONG[0], 2, (0, 1, 2))]
@@ -91,7 +90,8 @@
         l.stop()
     s.store.down = True
     wait_for("the outage to be known", lambda: all(
-        any(l["event"] == "store-lost" for l in s.log(i)) for i in range(3)))
+        any(l["event"] == "store-lost" for l in s.log(i))
+        for i in range(len(s.processes))))
     # Four times as many long requests as before: the reserve is used up in seconds.
     urgent = Load(s, "/urgent/x", URGENT[0], 10, (0, 1, 2))
     long = Load(s, "/long/x", LONG[0], 20, (0, 1, 2))
@@ -107,7 +107,49 @@
     assert served(long) < 0.8, "the reserve was not used up"
     assert refused_s[len(refused) * 9 // 10] < 0.05, refused_s
     assert all(1.0 <= a[2] <= 9.0 for a in refused), refused
-    assert any(l["event"] == "budget-cutoff" for i in range(3) for l in s.log(i))
+    assert any(l["event"] == "budget-cutoff" for i in (0, 1, 2) for l in s.log(i))
+
+
+def test_a_longer_outage_than_the_reserve_serves_urgent_requests(s):
+    """Guards against a reserve that long requests of the lowest priority use up, and
+    against rejections that take as long as the wait for tokens."""
+    a_longer_outage_than_the_reserve(s)
+
+
+def test_a_longer_outage_of_fourteen_instances(s):
+    """The same where a few instances read the store for the others."""
+    a_longer_outage_than_the_reserve(s)
+
+
+def home_without_the_store(s, fail):
+    """Each instance in turn, one of which is the budget's home, loses the store."""
+    with_routes(s)
+    answers = []
+    for i, proxy in enumerate(s.proxies):
+        at = ((i + 1) % 3,)
+        calm = Load(s, "/urgent/x", URGENT[0], 4, at)
+        time.sleep(2)
+        calm.stop()
+        fail(proxy)
+        # Twenty times as many as before: more than the home has in reserve.
+        load = Load(s, "/urgent/x", URGENT[0], 80, at)
+        time.sleep(3)
+        part = load.stop()
+        print("   without %d: served %.2f of %d" % (i, served(part), len(part)))
+        answers += part
+        proxy.heal()
+        time.sleep(1)
+    assert served(answers) >= 0.95, served(answers)
+
+
+def test_a_home_whose_calls_are_refused_is_replaced(s):
+    """Guards against a home that waits for a recall before it says that it is without
+    the store, while another instance reaches it."""
+    def refuse(proxy):
+        proxy.closed = True
+        proxy.reset()
+
+    home_without_the_store(s, refuse)
 
 
 def test_a_budget_of_managed_services_is_never_exceeded(s):
@@ -133,7 +175,9 @@
 
 
 INSTANCES = dict.fromkeys([n for n in globals() if n.startswith("test_")], 3)
+INSTANCES["test_a_longer_outage_of_fourteen_instances"] = 14
+PROXIES = {"test_a_home_whose_calls_are_refused_is_replaced": Proxy}
 
 
 if __name__ == "__main__":
-    sys.exit(run_tests(globals(), INSTANCES))
+    sys.exit(run_tests(globals(), INSTANCES, PROXIES))
--- a/tests/test_holder.c
+++ b/tests/test_holder.c
@@ -378,3 +378,75 @@
   cr_assert_eq(long_after, LEDGER_MAX_RETRY_MS);
   ledger_free(ledger);
 }
+
+/* Guards against a home that is taken for the last of all: its denial of a draw
+   in advance, when nothing waits, rejected all requests for a second at a time,
+   while other homes reached the store. */
+Test(holder, a_denial_with_nothing_waiting_concerns_one_home) {
+  char first[LIMIT_ID_BYTES];
+  start();
+  reserve_at(1, 1, 800, 0);
+  g_strlcpy(first, draw_recipient, sizeof first);
+  ledger_settle(ledger, 1.001, 1, 0);
+  receive_allot(1.01, first, ERR_BUDGET_STORE);
+  receive_cutoff(1.01, 0);
+  int before = answers;
+  reserve_at(1.02, 2, 800, 0);
+  cr_assert_eq(answers, before, "not rejected");
+  cr_assert_str_neq(draw_recipient, first);
+  ledger_free(ledger);
+}
+
+/* Guards against the same by a home that is the last choice: earlier ones may
+   have the store back. */
+Test(holder, the_last_choice_alone_is_not_all_homes) {
+  char first[LIMIT_ID_BYTES], last[LIMIT_ID_BYTES] = "";
+  start();
+  reserve_at(1, 1, 800, 0);
+  g_strlcpy(first, draw_recipient, sizeof first);
+  for (int i = 0; i < 3; i++) {
+    receive_allot(1.01, draw_recipient, ERR_BUDGET_STORE);
+    g_strlcpy(last, draw_recipient, sizeof last);
+  }
+  cr_assert_eq(answers, 0);
+  reserve_at(3, 2, 800, 0);
+  receive_allot(3.01, last, ERR_BUDGET_STORE);
+  cr_assert_eq(answers, 0, "the first choice is asked");
+  cr_assert_str_eq(draw_recipient, first);
+  for (int i = 0; i < 4 && answers == 0; i++)
+    receive_allot(3.02, draw_recipient, ERR_BUDGET_STORE);
+  cr_assert_gt(answers, 0, "all were asked");
+  ledger_free(ledger);
+}
+
+/* Guards against a denial of a long request that refuses an urgent one, which
+   came in between and is the first now. */
+Test(holder, a_denial_holds_for_the_request_that_was_asked_for) {
+  start();
+  ledger_set_store_down(ledger, 1, true);
+  reserve_at(1, 1, 12000, 2);
+  reserve_at(1.001, 2, 800, 0);
+  receive_allot(1.002, draw_recipient, ERR_BUDGET_STORE);
+  cr_assert_eq(answers, 1, "%d answers", answers);
+  cr_assert_eq(draws, 2, "the urgent one is asked for");
+  receive_allot(1.003, draw_recipient, ERR_BUDGET_STORE);
+  cr_assert_eq(answers, 2);
+  ledger_free(ledger);
+}
+
+/* Guards against an urgent request that is refused by a substitute home, while
+   the first choice keeps tokens for it: the homes after the first were asked
+   for a long one. */
+Test(holder, an_urgent_request_is_asked_of_the_first_choice) {
+  char first[LIMIT_ID_BYTES];
+  start();
+  reserve_at(1, 1, 12000, 2);
+  g_strlcpy(first, draw_recipient, sizeof first);
+  receive_allot(1.001, first, ERR_BUDGET_STORE);
+  cr_assert_str_neq(draw_recipient, first);
+  reserve_at(1.002, 2, 800, 0);
+  receive_allot(1.003, draw_recipient, ERR_BUDGET_STORE);
+  cr_assert_str_eq(draw_recipient, first);
+  cr_assert_eq(answers, 0);
+  ledger_free(ledger);
+}
