choice: a pool of which rates are received is not divided

Small fleets divide a pool between long and short prompts, by a border that follows the work of the last 30 s. With rates the reading time of a prompt is that of the targets, so that a prompt of 4,000 tokens is a long one at 20 tokens per ms. In tests/load.py all prompts of a kind have one length: the first requests were sent to two of six engines, and later ones never to the first. Five sixths of the capacity at most were used, and the queues of the two that got everything at the start made quiet customers late.

Found by the candidates of each choice in a flood (3 instances): 2 of 6 at first, then 3, 4 and 5. Ruled out: targets without a rate, ejected targets, requests that the first engine rejected.

Without any received rate the choice is as before.

--- a/packages/route/choose.c
+++ b/packages/route/choose.c
@@ -288,10 +288,15 @@
    targets of the pool and everything else runs at the remaining ones; where a
    side has no healthy target, all targets serve both. All instances use the
    same order. Returns whether the remaining targets of `list` read long
-   prompts. */
+   prompts. A pool of which rates are received is not divided: the border
+   follows the work of the last 30 s. When requests began, all short prompts
+   were sent to two of six targets, and later none to the first, while the
+   queues of the others exceeded the objective. */
 static bool apply_division(const Pick *p, Pool *pool, GPtrArray *list) {
   int n = (int)list->len;
-  if (!p->set->parts_are_exchanged) return true;
+  if (!p->set->parts_are_exchanged ||
+      (p->request->rated && pool->rates.received))
+    return true;
   int k = division_count_long(pool->division, p->now, n);
   int from = p->long_prompt ? 0 : k, to = p->long_prompt ? k : n;
   if (k == n || !has_healthy(p, list, from, to)) return true;
--- a/packages/route/rates.c
+++ b/packages/route/rates.c
@@ -210,6 +210,7 @@
 void rates_receive(RatesReceived *r, RatesMean *mean, double now,
                    const RatesEstimate *e) {
   *r = (RatesReceived){e->token_s, e->slot_s, now - e->age_s, now};
+  mean->received = true;
   if (e->tokens > 0) update_mean(&mean->token_s, e->token_s);
   update_mean(&mean->slot_s, e->slot_s);
 }
--- a/packages/route/rates.h
+++ b/packages/route/rates.h
@@ -89,7 +89,8 @@
 
 /* Means of the estimates received for the targets of a service. */
 typedef struct RatesMean {
-  double token_s, slot_s; /* 0: none was received */
+  double token_s, slot_s; /* 0: none was received that rests on samples */
+  bool received;          /* any estimate */
 } RatesMean;
 
 /* Stores an estimate that is valid. */
--- a/tests/test_rated.c
+++ b/tests/test_rated.c
@@ -96,6 +96,24 @@
   targets_free(s);
 }
 
+/* Guards against targets that stay idle because a pool is divided between long
+   and short prompts, as small fleets do, while others have long queues. */
+Test(rated, prompts_of_one_length_use_all_targets) {
+  Targets *s = targets_with(6, 1);
+  RequestInfo a = {.prompt_tokens = 4000};
+  TargetRequest r = engine_request(&a, true);
+  targets_set_parts_exchanged(s, true);
+  TallyRate start = rate(0, 1 / 20000.0, 0.4);
+  start.rate.tokens = 0; /* without a sample */
+  cr_assert(targets_apply_rate(s, 1, &start));
+  for (int i = 0; i < 60; i++) {
+    TargetChoice c = targets_pick(s, 1, &r);
+    target_note_sent(c.target, 1, &a, &c);
+    cr_expect_leq(c.load.open, i / 6, "%s", target_id(c.target));
+  }
+  targets_free(s);
+}
+
 Test(rated, plain_wait_is_that_of_a_slot) {
   Targets *s = targets_with(2, 6);
   RequestInfo a = {0};
