allocation: the capacity of a short service follows the waits alone

A service counted as overloaded while the wait exceeded a quarter of the shortest objective and the demand the rates of its targets. That is meant for the moment in which an overload begins. While the service is short its demand exceeds the rates by definition, so that any wait made the capacity what was read less 5%.

The rule now applies until the service is short.

--- a/packages/route/allocation.c
+++ b/packages/route/allocation.c
@@ -387,10 +387,14 @@
 }
 
 /* The targets are overloaded when they have to wait for too long, or are about
-   to: no target reads faster than its rate. */
+   to: no target reads faster than its rate. The demand of a short service says
+   nothing about its queues, because cutoffs hold it back: counted there, any
+   wait made the capacity what was read, which fell with the cutoffs to half of
+   what the targets could read. */
 static bool update_overloaded(Allocation *a, double now) {
   bool overloaded = a->wait_s > WAIT_RATIO * a->objective_s;
-  bool growing = a->wait_s > WATCH_WAIT_RATIO * a->objective_s &&
+  bool growing = !a->is_short &&
+                 a->wait_s > WATCH_WAIT_RATIO * a->objective_s &&
                  a->demand > a->reading_per_s;
   overloaded = a->targets > 0 && (overloaded || growing);
   if (!overloaded) a->overloaded_since = 0;
@@ -398,6 +402,18 @@
   return overloaded;
 }
 
+/* Returns the growth of the capacity in a step: GROWTH up to WATCH_WAIT_RATIO of
+   the objective, less the closer the wait is to WAIT_RATIO of it. Growing at
+   GROWTH until then overshoots by the requests that are on their way: 0.92
+   instead of 0.96 of quiet customers' requests were on time beside a flood. */
+static double growth(const Allocation *a) {
+  double limit_s = WAIT_RATIO * a->objective_s;
+  double watch_s = WATCH_WAIT_RATIO * a->objective_s;
+  if (limit_s <= watch_s) return 1;
+  double slack = CLAMP((limit_s - a->wait_s) / (limit_s - watch_s), 0, 1);
+  return 1 + (GROWTH - 1) * slack;
+}
+
 /* While targets are overloaded, the capacity is what they read. Otherwise it
    grows until it is ample, and stays so when the demand falls for a moment. */
 static void update_capacity(Allocation *a, double now, bool overloaded) {
@@ -407,7 +423,7 @@
   else if (!a->is_short)
     a->capacity = ample;
   else if (a->capacity < ample)
-    a->capacity = MIN(a->capacity * GROWTH, ample);
+    a->capacity = MIN(a->capacity * growth(a), ample);
   a->capacity = MAX(a->capacity, MIN_CAPACITY_RATIO * a->reading_per_s);
 }
 
@@ -488,6 +504,13 @@
     a->cutoffs[i] = (AllocationCutoff){list[i]->hash, list[i]->cutoff};
 }
 
+/* No target reads faster than its rate: the capacity may grow beyond the rates
+   while the queues that it causes are still on their way. */
+static double divided_capacity(const Allocation *a) {
+  if (a->reading_per_s <= 0) return a->capacity;
+  return MIN(a->capacity, a->reading_per_s * READ_RATIO);
+}
+
 /* Demand without a customer can't be held back, so it is served first. */
 static void update_division(Allocation *a) {
   int n = 0;
@@ -499,7 +522,7 @@
   g_hash_table_iter_init(&it, a->customers);
   while (g_hash_table_iter_next(&it, NULL, &v)) list[n++] = v;
   qsort(list, (size_t)n, sizeof(Customer *), compare_by_class);
-  divide(list, n, MAX(a->capacity * a->known - a->rest.asked, 0));
+  divide(list, n, MAX(divided_capacity(a) * a->known - a->rest.asked, 0));
   set_cutoffs(a, list, n);
   g_free(list);
 }
--- a/tests/test_allocation.c
+++ b/tests/test_allocation.c
@@ -896,6 +896,21 @@
   allocation_free(a);
 }
 
+/* Guards against a capacity that falls with the cutoffs, down to half of what
+   the targets can read: while a service is short its demand exceeds their rates
+   by definition, so a wait below half of the objective is no overload. */
+Test(allocation, the_capacity_of_a_short_service_grows_while_waits_are_short) {
+  Allocation *a = new_allocation();
+  double now = 100;
+  uint64_t number = 0;
+  feed(a, &now, &number, 3, 0.55);
+  double before = allocation_summary(a).capacity;
+  cr_assert(before < allocation_summary(a).demand);
+  feed(a, &now, &number, 0.75, 0.375);
+  cr_assert_float_eq(allocation_summary(a).capacity, before * 1.157625, 1);
+  allocation_free(a);
+}
+
 /* Guards against a service that becomes short of capacity when its load begins:
    the tokens of the last second are then fewer than the targets can read. */
 Test(allocation, a_load_that_begins_makes_no_service_short) {
