admission: customers above their share leave room in the queues

While a service is short, a request was late from 0.8 of its objective on, whoever sent it. A flood thus kept all queues at that length, and customers within their shares were rejected as late although cutoffs left them capacity. Requests of a priority that their customer's share does not fully admit are now late when they would wait for others for a fifth of the objective.

--- a/packages/flow/overload.c
+++ b/packages/flow/overload.c
@@ -108,6 +108,7 @@
                         .objective_s = x->route->slo_s,
                         .left_s = x->deadline - now,
                         .short_of_capacity = x->cutoff.short_of_capacity,
+                        .above_share = run_priority(x) + 1 > x->cutoff.cutoff,
                         .is_return = x->is_return};
   AdmissionVerdict v = admission_decide(x->relay->admission, now, &r);
   x->expected_s = v.expected_s;
--- a/packages/route/admission.c
+++ b/packages/route/admission.c
@@ -34,7 +34,8 @@
    old, and requests of other instances are on their way. */
 #define AIM_RATIO 0.8
 /* Part of the objective that a request may wait for others where its own
-   reading takes up most of the objective. */
+   reading takes up most of the objective, or where its customer is above its
+   share. */
 #define MIN_QUEUE_RATIO 0.2
 
 /* == deadlines == */
@@ -226,8 +227,9 @@
 /* Time until the first byte up to which a request is not late. */
 static double aim_of(const AdmissionRequest *r, bool state) {
   if (!state) return r->objective_s;
-  return CLAMP(r->own_s + MIN_QUEUE_RATIO * r->objective_s,
-               AIM_RATIO * r->objective_s, r->objective_s);
+  double short_s = r->own_s + MIN_QUEUE_RATIO * r->objective_s;
+  if (r->above_share) return MIN(short_s, r->objective_s);
+  return CLAMP(short_s, AIM_RATIO * r->objective_s, r->objective_s);
 }
 
 /* Only what waits for others says something about the service: a prompt that
--- a/packages/route/admission.h
+++ b/packages/route/admission.h
@@ -31,6 +31,12 @@
    so that the errors of the expectation do not make admitted requests late and
    the state does not end because rejecting works.
 
+   While the state lasts, requests of a priority that its customer's share does
+   not fully admit are late as soon as they would wait for others for a fifth of
+   their objective. They fill the targets; the rest of what the objective allows
+   is left to customers that are within their shares, whose requests would
+   otherwise find the queues as long as a flood makes them.
+
    A caller that was rejected before and comes back at the time that it was
    promised is not rejected as late again. Promises are given at less than the
    rate at which the service serves (returns.h), and new requests are admitted
@@ -94,7 +100,8 @@
                          it is late; 0: none */
   double left_s;      /* until its deadline */
   bool short_of_capacity; /* the allocation says so of the service */
-  bool is_return; /* its caller comes back at a promised time (returns.h) */
+  bool above_share; /* its priority is not fully admitted of its customer */
+  bool is_return;   /* its caller comes back at a promised time (returns.h) */
 } AdmissionRequest;
 
 typedef struct AdmissionVerdict {
--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -39,6 +39,25 @@
   return admitted;
 }
 
+/* Guards against a flood that keeps the queues at what callers just accept, so
+   that customers within their shares find them full. */
+Test(admission, customers_above_their_share_leave_room_in_the_queue) {
+  Admission *a = admission_new();
+  decide(a, 99.9, 1, 0.1); /* its wait is about to be measured */
+  AdmissionRequest r = waiting(1, 0.3);
+  r.short_of_capacity = r.above_share = true;
+  cr_assert_eq(admission_decide(a, 100, &r).cause, ADMISSION_LATE);
+  r.above_share = false;
+  cr_assert_eq(admission_decide(a, 100, &r).cause, ADMISSION_ADMITTED);
+  r.above_share = true;
+  r.wait_s = 0.1;
+  cr_assert_eq(admission_decide(a, 100, &r).cause, ADMISSION_ADMITTED);
+  r.wait_s = 0.3;
+  r.short_of_capacity = false;
+  cr_assert_eq(admission_decide(a, 100, &r).cause, ADMISSION_ADMITTED);
+  admission_free(a);
+}
+
 /* Guards against requests that are sent although their caller is gone before
    the answer begins. */
 Test(admission, what_begins_after_the_deadline_is_rejected_at_once) {
