admission: a queue that can't drain in a moment depends on the objective

Two requests in a row make a service persistently late if its queue exceeds the objective by 0.5 s. With an objective of 0.5 s that is a queue of twice the objective: the first second of a flood went to late answers, and the second one to the drain of that queue. The excess is now half of the objective if that is less.

New test, seen red before.

--- a/packages/route/admission.c
+++ b/packages/route/admission.c
@@ -17,13 +17,15 @@
 #define SHARE_WINDOW_S 0.3
 #define SAMPLE_MAX_WEIGHT 0.25
 #define ENTER_SHARE 0.75
-/* A queue that is longer than the objective by this much makes late all that
-   comes for longer than a moment, so it counts for up to LONG_MAX_WEIGHT: two
-   requests in a row suffice. With two requests per second and service, as in a
-   fleet of 72 instances, five took 3 s, and the queue grew to three times the
-   objective. One does not suffice: it may have been sent to a slow target for
-   what that has cached. */
+/* A queue that is longer than the objective by this much, or by this part of
+   the objective if that is less, makes late all that comes for longer than a
+   moment, so it counts for up to LONG_MAX_WEIGHT: two requests in a row
+   suffice. With two requests per second and service, as in a fleet of 72
+   instances, five took 3 s, and the queue grew to three times the objective.
+   One does not suffice: it may have been sent to a slow target for what that
+   has cached. */
 #define LONG_EXCESS_S 0.5
+#define LONG_EXCESS_RATIO 0.5
 #define LONG_MAX_WEIGHT 0.5
 /* The state ends when the share has been below this for LEAVE_AFTER_S. At 10%
    more load than capacity a tenth is rejected, which keeps the state. */
@@ -209,9 +211,10 @@
   return s && is_late(s, now, priority);
 }
 
-/* `excess_s`: how much later than its objective a request is expected. */
-static void note_sample(Class *k, double now, bool late, double excess_s) {
-  double more = CLAMP(excess_s / LONG_EXCESS_S, 0, 1);
+/* `excess`: how much later than its objective a request is expected, relative
+   to what is long. */
+static void note_sample(Class *k, double now, bool late, double excess) {
+  double more = CLAMP(excess, 0, 1);
   double max_weight =
       SAMPLE_MAX_WEIGHT + (LONG_MAX_WEIGHT - SAMPLE_MAX_WEIGHT) * more;
   double weight = 1 - exp(-MAX(0, now - k->sampled_at) / SHARE_WINDOW_S);
@@ -238,8 +241,9 @@
                    double expected_s) {
   if (!r->is_reported || r->own_s >= r->objective_s) return;
   double aim_s = aim_of(r, is_current(k, now));
+  double long_s = MIN(LONG_EXCESS_S, LONG_EXCESS_RATIO * r->objective_s);
   note_sample(k, now, !r->is_free && expected_s > aim_s,
-              expected_s - r->objective_s);
+              (expected_s - r->objective_s) / long_s);
 }
 
 /* == decision == */
--- a/packages/route/allocation.c
+++ b/packages/route/allocation.c
@@ -402,8 +402,8 @@
   return overloaded;
 }
 
-/* Returns the growth of the capacity in a step: GROWTH up to WATCH_WAIT_RATIO of
-   the objective, less the closer the wait is to WAIT_RATIO of it. Growing at
+/* Returns the growth of the capacity in a step: GROWTH up to WATCH_WAIT_RATIO
+   of the objective, less the closer the wait is to WAIT_RATIO of it. Growing at
    GROWTH until then overshoots by the requests that are on their way: 0.92
    instead of 0.96 of quiet customers' requests were on time beside a flood. */
 static double growth(const Allocation *a) {
--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -157,6 +157,16 @@
   admission_free(a);
 }
 
+/* Guards against the same where the objective is short: a queue that exceeds it
+   by half is as persistent as one of a second. */
+Test(admission, the_queue_that_can_t_drain_depends_on_the_objective) {
+  Admission *a = admission_new();
+  decide(a, 100, 1, 0.1);
+  cr_assert_eq(decide(a, 100.5, 1, 0.85), ADMISSION_ADMITTED);
+  cr_assert_eq(decide(a, 101, 1, 0.85), ADMISSION_LATE);
+  admission_free(a);
+}
+
 /* Guards against callers that come back as promised and find that new requests
    have filled the queue up to the point at which all are rejected. */
 Test(admission, returning_callers_are_not_rejected_as_late_again) {
