--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -39,6 +39,25 @@
   return admitted;
 }
 
+/* Guards against a flood that keeps the queues at what callers just accept, so
+   that customers within their shares find them full. */
+Test(admission, customers_above_their_share_leave_room_in_the_queue) {
+  Admission *a = admission_new();
+  decide(a, 99.9, 1, 0.1); /* its wait is about to be measured */
+  AdmissionRequest r = waiting(1, 0.3);
+  r.short_of_capacity = r.above_share = true;
+  cr_assert_eq(admission_decide(a, 100, &r).cause, ADMISSION_LATE);
+  r.above_share = false;
+  cr_assert_eq(admission_decide(a, 100, &r).cause, ADMISSION_ADMITTED);
+  r.above_share = true;
+  r.wait_s = 0.1;
+  cr_assert_eq(admission_decide(a, 100, &r).cause, ADMISSION_ADMITTED);
+  r.wait_s = 0.3;
+  r.short_of_capacity = false;
+  cr_assert_eq(admission_decide(a, 100, &r).cause, ADMISSION_ADMITTED);
+  admission_free(a);
+}
+
 /* Guards against requests that are sent although their caller is gone before
    the answer begins. */
 Test(admission, what_begins_after_the_deadline_is_rejected_at_once) {
@@ -138,6 +157,30 @@
   admission_free(a);
 }
 
+/* Guards against customers within their shares that are rejected behind one
+   other request although they would be on time. */
+Test(admission, customers_within_their_shares_may_use_the_objective) {
+  Admission *a = admission_new();
+  offer(a, 100, 102, 1, 1.5);
+  AdmissionRequest r = waiting(1, 0.43);
+  cr_assert_eq(admission_decide(a, 102, &r).cause, ADMISSION_LATE);
+  r.short_of_capacity = true;
+  cr_assert_eq(admission_decide(a, 102, &r).cause, ADMISSION_ADMITTED);
+  r.wait_s = 0.47;
+  cr_assert_eq(admission_decide(a, 102, &r).cause, ADMISSION_LATE);
+  admission_free(a);
+}
+
+/* Guards against the same where the objective is short: a queue that exceeds it
+   by half is as persistent as one of a second. */
+Test(admission, the_queue_that_can_t_drain_depends_on_the_objective) {
+  Admission *a = admission_new();
+  decide(a, 100, 1, 0.1);
+  cr_assert_eq(decide(a, 100.5, 1, 0.85), ADMISSION_ADMITTED);
+  cr_assert_eq(decide(a, 101, 1, 0.85), ADMISSION_LATE);
+  admission_free(a);
+}
+
 /* Guards against callers that come back as promised and find that new requests
    have filled the queue up to the point at which all are rejected. */
 Test(admission, returning_callers_are_not_rejected_as_late_again) {
