admission: an instance whose link is full rejects at once

Cause: a customer whose callers all use one instance sends it 1.5 MB per second over a link of 10 Mbit/s.

--- a/packages/route/admission.c
+++ b/packages/route/admission.c
@@ -102,7 +102,8 @@
     [ADMISSION_ADMITTED] = "",
     [ADMISSION_DEADLINE] = "deadline",
     [ADMISSION_LATE] = "late",
-    [ADMISSION_SHARE] = "share"};
+    [ADMISSION_SHARE] = "share",
+    [ADMISSION_LINK] = "link"};
 
 Admission *admission_new(void) {
   Admission *a = g_new0(Admission, 1);
