Revert "admission: an instance whose link is full rejects at once"

Moving callers takes what is there: not ready and closed connections. What is left: less work for a full link without a rejection.

--- a/packages/flow/intake.c
+++ b/packages/flow/intake.c
@@ -14,14 +14,6 @@
   k->available_bytes = k->bytes_per_s * INTAKE_BURST_S;
 }
 
-static bool is_limited(const Intake *k, int instances) {
-  return k->bytes_per_s > 0 && instances >= INTAKE_MIN_INSTANCES;
-}
-
-bool intake_is_overdrawn(const Intake *k, int instances) {
-  return is_limited(k, instances) && k->available_bytes < 0;
-}
-
 bool intake_update(Intake *k, double now, int64_t received_total,
                    int instances) {
   double max_bytes = k->bytes_per_s * INTAKE_BURST_S;
@@ -33,7 +25,8 @@
   k->available_bytes = MAX(room, -max_bytes);
   k->received_bytes = received_total;
   k->updated_at = now;
-  if (intake_is_overdrawn(k, instances) && now >= k->not_ready_until)
+  bool is_limited = k->bytes_per_s > 0 && instances >= INTAKE_MIN_INSTANCES;
+  if (is_limited && k->available_bytes < 0 && now >= k->not_ready_until)
     k->not_ready_until = now + INTAKE_NOT_READY_S;
   return now < k->not_ready_until;
 }
--- a/packages/flow/intake.h
+++ b/packages/flow/intake.h
@@ -41,9 +41,6 @@
 
 /* `link_mbps` is the link's capacity in each direction; 0: unknown. */
 void intake_init(Intake *k, double now, double link_mbps);
-/* Whether callers have sent more than the link carries: what arrives now waits
-   behind other bodies, and its answer too. False where nothing is limited. */
-bool intake_is_overdrawn(const Intake *k, int instances);
 /* Takes the total of bytes received from callers and the number of instances of
    the fleet. Returns true while the instance should report not ready. */
 bool intake_update(Intake *k, double now, int64_t received_total,
--- a/packages/flow/overload.c
+++ b/packages/flow/overload.c
@@ -19,15 +19,8 @@
     [ADMISSION_SHARE] = {COUNT_REJECTED_SHARE,
                          "%s is short of capacity, and the customer above its "
                          "share"},
-    [ADMISSION_LINK] = {COUNT_REJECTED_LINK,
-                        "a request of %s would wait for the network link of "
-                        "this instance"},
 };
 
-/* Retry-After where the instance's own link is full: other instances can take
-   the request at once. */
-#define LINK_RETRY_MS 50
-
 void run_init_admission(Run *x) {
   x->checks_admission = run_is_managed(x, MANAGED_ADMISSION);
   x->cutoff.cutoff = INFINITY;
@@ -77,36 +70,23 @@
   return x->checks_admission ? promise_retry_ms(x, 0) : RUN_RETRY_SOON_MS;
 }
 
-static void reject_for(Run *x, AdmissionCause cause, int retry_ms) {
+static void reject(Run *x, AdmissionCause cause, double earliest_s) {
   Err e;
   x->rejected = cause;
   count_add(causes[cause].count, 1);
-  err_retry(&e, ERR_OVERLOADED, retry_ms, causes[cause].text, x->service_name);
+  err_retry(&e, ERR_OVERLOADED, promise_retry_ms(x, earliest_s),
+            causes[cause].text, x->service_name);
   run_fail(x, &e);
 }
 
-static void reject(Run *x, AdmissionCause cause, double earliest_s) {
-  reject_for(x, cause, promise_retry_ms(x, earliest_s));
-}
-
 /* A number in [0, 1) that differs between the attempts of a caller. */
 static double id_fraction(const Run *x) {
   if (x->is_return) return 0;
   return (double)(text_hash(x->request.id) >> 11) * 0x1p-53;
 }
 
-/* A customer whose callers all use one instance may send more than its link
-   carries. Requests that were admitted there answered after 0.5 s and more, and
-   so did those of other customers, while other instances were idle. */
-static bool check_link(Run *x) {
-  if (!x->relay->link_overdrawn) return true;
-  reject_for(x, ADMISSION_LINK, LINK_RETRY_MS);
-  return false;
-}
-
 bool run_check_share(Run *x) {
   if (!x->checks_admission) return true;
-  if (!check_link(x)) return false;
   claim_return(x);
   if (admission_is_within_share(&x->cutoff, run_priority(x), id_fraction(x)))
     return true;
--- a/packages/flow/relay.c
+++ b/packages/flow/relay.c
@@ -315,10 +315,6 @@
   callers_set_leaving(r->callers, leaving);
 }
 
-void relay_set_link_overdrawn(Relay *r, bool overdrawn) {
-  r->link_overdrawn = overdrawn;
-}
-
 int64_t relay_bytes_received(const Relay *r) {
   return callers_bytes_received(r->callers);
 }
--- a/packages/flow/relay.h
+++ b/packages/flow/relay.h
@@ -56,8 +56,6 @@
 void relay_drain(Relay *r);
 /* Sets whether answers close their connections. */
 void relay_set_leaving(Relay *r, bool leaving);
-/* Sets whether callers send this instance more than its link carries. */
-void relay_set_link_overdrawn(Relay *r, bool overdrawn);
 /* Returns the total of bytes received from callers. */
 int64_t relay_bytes_received(const Relay *r);
 /* The target at `addr` has restarted: links to it are dead. `old_hash` is the
--- a/packages/flow/run.h
+++ b/packages/flow/run.h
@@ -140,7 +140,6 @@
   /* refusing: new requests are refused, since the instance is stopping. stale:
      our state is out of date, since the process was paused. */
   bool refusing, stale;
-  bool link_overdrawn;           /* callers send more than the link carries */
   double invalid_rate_logged_at; /* last log line on an invalid rate */
 };
 
--- a/packages/kernel/count.c
+++ b/packages/kernel/count.c
@@ -41,9 +41,6 @@
     [COUNT_REJECTED_SHARE] = {"rejected_share_total",
                               "requests not sent: their customers are above "
                               "their shares"},
-    [COUNT_REJECTED_LINK] = {"rejected_link_total",
-                             "requests not sent: callers send more than the "
-                             "link of this instance carries"},
     [COUNT_RETRIES_PROMISED] = {"retries_promised_total",
                                 "callers that were told a time to retry at "
                                 "that they can wait for"},
--- a/packages/node/node.c
+++ b/packages/node/node.c
@@ -570,8 +570,6 @@
 static void check_link(Node *n) {
   bool full = intake_update(&n->intake, loopclock_now(n->loop),
                             relay_bytes_received(n->relay), n->instance_count);
-  relay_set_link_overdrawn(n->relay,
-                           intake_is_overdrawn(&n->intake, n->instance_count));
   if (full == n->link_is_full) return;
   n->link_is_full = full;
   relay_set_leaving(n->relay, full);
--- a/packages/route/admission.c
+++ b/packages/route/admission.c
@@ -102,8 +102,7 @@
     [ADMISSION_ADMITTED] = "",
     [ADMISSION_DEADLINE] = "deadline",
     [ADMISSION_LATE] = "late",
-    [ADMISSION_SHARE] = "share",
-    [ADMISSION_LINK] = "link"};
+    [ADMISSION_SHARE] = "share"};
 
 Admission *admission_new(void) {
   Admission *a = g_new0(Admission, 1);
--- a/packages/route/admission.h
+++ b/packages/route/admission.h
@@ -81,7 +81,6 @@
   ADMISSION_DEADLINE, /* its answer would begin after the deadline */
   ADMISSION_LATE,     /* it would be late, and the service is persistently */
   ADMISSION_SHARE,    /* its customer is above its share (AdmissionCutoff) */
-  ADMISSION_LINK,     /* the instance's link is full (flow/intake.h) */
   ADMISSION_CAUSES
 } AdmissionCause;
 
