--- a/packages/flow/demand.c
+++ b/packages/flow/demand.c
@@ -40,7 +40,7 @@
   double left_s = x->deadline - run_now(x);
   d.admitted = x->n_tried > 0;
   d.rejected = true;
-  d.retry_promised = e->retry_ms > 0 &&
-                     e->retry_ms / 1000.0 <= left_s / RUN_RETRY_DEADLINE_DIVISOR;
+  d.retry_promised = e->retry_ms > 0 && e->retry_ms / 1000.0 <=
+                                            left_s / RUN_RETRY_DEADLINE_DIVISOR;
   cluster_note_decision(x->relay->cluster, &d);
 }
