--- a/packages/fleet/allocations.c
+++ b/packages/fleet/allocations.c
@@ -23,9 +23,8 @@
 /* Weight of earlier requests in Unread at each new one: the last ten or so
    decide. */
 #define UNREAD_KEEP 0.9
-#define MAX_UNREAD_CUSTOMERS                                                   \
-  1024                   /* of a service; then all are learned anew            \
-                          */
+/* Customers of a service of which this is kept; then all are learned anew. */
+#define MAX_UNREAD_CUSTOMERS 1024
 #define MAX_PERIOD_S 5.0 /* of a report; longer ones are not accepted */
 #define MAX_RETRIES_PER_S 1e6
 #define CUTOFFS_LOG_INTERVAL_S 1.0 /* for one service */
