Logs: the software version of targets, and the attempt that a request resumes

The hypotheses on streams at two versions cannot be told apart by the lines: neither a target's version nor `Resumes` is decoded.

--- a/packages/flow/run.c
+++ b/packages/flow/run.c
@@ -79,7 +79,7 @@
 /* Types of the fields of a line; the second are those of managed services. */
 #define END_FIELDS                                                             \
   "s:s,s:s,s:i,s:s,s:s,s:s,s:s,s:s,s:i,s:i,s:I,s:I,s:I,s:I,s:i,s:I,"           \
-  "s:f,s:f,s:f,s:f,s:f,s:f,s:i,s:I,s:s*,s:o*"
+  "s:f,s:f,s:f,s:f,s:f,s:f,s:i,s:I,s:s*,s:s*,s:s*,s:o*"
 #define ADMISSION_FIELDS ",s:s,s:f,s:f"
 #define NO_CUTOFF (-1.0) /* JSON has no infinity */
 
@@ -107,7 +107,9 @@
        x->route ? x->route->max_pause_s : 0, "seconds",
        now - x->http_request->received_at, "permits", x->total_permit_requests,
        "conf", (json_int_t)(x->conf ? x->conf->version : 0), "via",
-       x->via ? gateways_id(x->relay->gateways, x->via) : NULL, "rate",
+       x->via ? gateways_id(x->relay->gateways, x->via) : NULL, "version",
+       x->n_tried > 0 ? target_version_text(x->tried[x->n_tried - 1]) : NULL,
+       "resumes", x->request.resumes[0] ? x->request.resumes : NULL, "rate",
        run_rate_fields(x), "cause", admission_cause_name(x->rejected),
        "expected", x->expected_s, "cutoff",
        isfinite(x->cutoff.cutoff) ? x->cutoff.cutoff : NO_CUTOFF);
--- a/packages/node/node.c
+++ b/packages/node/node.c
@@ -248,10 +248,11 @@
   bool restarted = targets_set(n->targets, loopclock_now(n->loop), t);
   if (restarted) relay_on_target_restarted(n->relay, t->addr, life);
   if (!is_new || !target_line_is_due(n)) return is_new;
-  log_info("target", "s:s,s:s,s:s,s:s,s:b,s:I,s:I,s:b", "target", t->id,
+  log_info("target", "s:s,s:s,s:s,s:s,s:s,s:b,s:I,s:I,s:b", "target", t->id,
            "service", t->service, "addr", t->addr, "datacentre", t->dc,
-           "leaving", (int)t->leaving, "revision", (json_int_t)t->revision,
-           "born", (json_int_t)t->start_ms, "again", (int)restarted);
+           "version", t->version, "leaving", (int)t->leaving, "revision",
+           (json_int_t)t->revision, "born", (json_int_t)t->start_ms, "again",
+           (int)restarted);
   return true;
 }
 
--- a/packages/route/targets.c
+++ b/packages/route/targets.c
@@ -396,6 +396,10 @@
   return t->info.addr;
 }
 
+const char *target_version_text(const Target *t) {
+  return t->info.version;
+}
+
 /* == observations == */
 
 static void queue_work_update(Target *t) {
--- a/packages/route/targets.h
+++ b/packages/route/targets.h
@@ -20,6 +20,7 @@
   char service[LIMIT_NAME_BYTES];
   char addr[LIMIT_NAME_BYTES]; /* ip:port */
   char dc[LIMIT_NAME_BYTES];
+  char version[LIMIT_NAME_BYTES]; /* of its software; "": not known */
   int slots;
   bool leaving;
   double cold_s; /* it remains slow for this much longer */
@@ -184,6 +185,7 @@
 bool target_is_usable(const Target *t, double now);
 const char *target_id(const Target *t);
 const char *target_addr(const Target *t);
+const char *target_version_text(const Target *t); /* "": not known */
 uint64_t target_hash(const Target *t); /* of its id and start time */
 /* Identifies the instance that counts its work; 0: unknown. */
 uint64_t targets_counter(const Targets *s, uint64_t target);
