--- a/fakes/standins.py
+++ b/fakes/standins.py
@@ -317,12 +317,14 @@
     the response itself and return True to keep the connection open or False to
     close it; if it returns None, the worker sends its default response."""
 
-    def __init__(self, address, store, name, service):
+    def __init__(self, address, store, name, service, version=None):
         self.ran, self.heads, self.play = [], [], None
-        self.store, self.name = store, name
+        self.store, self.name, self.version = store, name, version
         super().__init__(address)
         self.entry = {"service": service, "addr": self.address, "zone": "a",
                       "slots": 8, "state": "ready", "cold_left_ms": 0}
+        if version:
+            self.entry["version"] = version
         store.put("servers", name, self.entry)
 
     def drain(self):
