Streams go on only at the software version that began them

Cause: the version of a target was read nowhere. Within one answer a broken stream went to the target of least cost; a caller that took its stream up at another instance was served there as if nothing had begun. Class: what binds a stream is a fact of its beginning, and was known neither to the choice that continues it nor outside the process that made it.

- The version is part of a target (its entry, rows that neighbours hand on), a change of it is another incarnation, and the choice takes it as a criterion.
No target of the version: the answer ends at once, or 503 no-target without a time to come back.
- route/origins records which version brought a stream's first event, by the attempt, its customer and service.
While targets of several versions are known, the record is told to two homes (one of them in the next region, if there is one); records from before are told when a second version appears.
An instance without a record asks: all in a small fleet, the homes' first choices in a large one, 80 ms at most.
An instance that has seen one version alone for 30 s may conclude it; nobody knows: 503 stream-unknown.
- A target takes prompt memory only from one of its version.

Weighed: to choose the version by a hash of the attempt, so that no record is needed (the versions that serve change in between); to ask all instances always (350 messages a stream); to tell each record always (3.6 KB/s and 45 messages a second and instance at the target size, of 11 KB/s).

Before, tests/versions.py: twelve of fifteen fail (16 of 199 streams in one answer, 12 and 16 of 199 over attempts, 49 and 53 of 199 with fourteen instances, 9 of 32 and 14 of 40 after a kill). After: none mixed in any; 14 of 14, 57 of 57 and 72 of 75 that were taken up went on, 40 of 40 and 37 of 40 after a kill of their instance. Two set-ups of the test changed: streams begin at the same time, so that several targets get some (one after the other all came to one), and a version that left counts from its leaving.

--- a/packages/fleet/cluster.c
+++ b/packages/fleet/cluster.c
@@ -364,6 +364,83 @@
   c->ev.suspect_received(c->ctx, &packet->msg);
 }
 
+/* == origins: the versions that began streams == */
+
+/* Homes of a stream in this region, to which its record is told; another one
+   is in the next region, if there is one. */
+#define ORIGIN_HOMES 2
+/* Choices for a home that are asked in this region: some of them may have
+   joined after the record was told. A small fleet asks all instances, the one
+   that began the stream among them. */
+#define ORIGIN_ASKED 4
+
+static void send_origin(Cluster *c, const Member *to, const OriginsMsg *m) {
+  peer_send_origin(c->peer, to->peer, to->id, m);
+}
+
+/* Sends `m` to the first `max` choices for the homes of its key in a region,
+   this instance excepted. Returns to how many. */
+static int send_origin_to_homes(Cluster *c, const char *region,
+                                const OriginsMsg *m, int max) {
+  const Member *homes[ORIGIN_ASKED + 1];
+  int n = view_homes(c->view, region, m->key, homes, max + 1), sent = 0;
+  for (int i = 0; i < n && sent < max; i++) {
+    if (is_self(c, homes[i])) continue;
+    send_origin(c, homes[i], m);
+    sent++;
+  }
+  return sent;
+}
+
+/* Returns the region after this one in the order of names, the first after the
+   last; NULL: there is only one. */
+static const char *next_region(const Cluster *c) {
+  const char *own = gossip_get_self(c->members)->region;
+  const char *first = NULL, *next = NULL;
+  for (int i = 0; i < c->view->n; i++) {
+    const char *r = c->view->list[i].region;
+    if (!first || strcmp(r, first) < 0) first = r;
+    if (strcmp(r, own) > 0 && (!next || strcmp(r, next) < 0)) next = r;
+  }
+  if (next) return next;
+  return first && strcmp(first, own) != 0 ? first : NULL;
+}
+
+void cluster_share_origin(Cluster *c, const OriginsMsg *record) {
+  const char *other = next_region(c);
+  send_origin_to_homes(c, gossip_get_self(c->members)->region, record,
+                       other ? ORIGIN_HOMES - 1 : ORIGIN_HOMES);
+  if (other) send_origin_to_homes(c, other, record, 1);
+}
+
+static int query_all(Cluster *c, const OriginsMsg *query) {
+  int n = 0;
+  for (int i = 0; i < c->view->n; i++) {
+    if (is_self(c, &c->view->list[i])) continue;
+    send_origin(c, &c->view->list[i], query);
+    n++;
+  }
+  return n;
+}
+
+int cluster_query_origin(Cluster *c, const OriginsMsg *query) {
+  const char *own = gossip_get_self(c->members)->region;
+  if (!cluster_is_large(c)) return query_all(c, query);
+  int n = send_origin_to_homes(c, own, query, ORIGIN_ASKED);
+  for (int i = 0; i < c->view->n; i++) {
+    const char *region = c->view->list[i].region;
+    if (strcmp(region, own) == 0 || region_is_listed_before(c->view, i))
+      continue;
+    n += send_origin_to_homes(c, region, query, 1);
+  }
+  return n;
+}
+
+void cluster_answer_origin(Cluster *c, const char *to, const OriginsMsg *m) {
+  const Member *asker = view_find(c->view, to);
+  if (asker) send_origin(c, asker, m);
+}
+
 /* == limits of targets == */
 
 static void send_limit(Cluster *c, const Member *to, const char *until,
@@ -449,6 +526,8 @@
     receive_feed(c, id, &m->feed);
   } else if (m->type == CODEC_SUSPECT) {
     receive_suspect(c, &m->suspect);
+  } else if (m->type == CODEC_ORIGIN) {
+    c->ev.origin_received(c->ctx, id, &m->origin);
   } else if (m->type == CODEC_LIMIT && m->limit.to_all) {
     receive_limit(c, &m->limit);
   } else if (tallies_receive(c->tallies, current_time(c),
--- a/packages/fleet/cluster.h
+++ b/packages/fleet/cluster.h
@@ -62,6 +62,9 @@
   const char *(*customer_name)(void *ctx, uint64_t customer);
   /* A message about a suspect: a request during which targets failed. */
   void (*suspect_received)(void *ctx, const SuspectsMsg *m);
+  /* A message about the version that began a stream; `from` is the id of the
+     instance that sent it. */
+  void (*origin_received)(void *ctx, const char *from, const OriginsMsg *m);
   /* Another instance (`from`: hash of its id) reported its observations of a
      pool. */
   void (*pool_reported)(void *ctx, uint64_t from, const TargetsPoolReport *m);
@@ -129,6 +132,13 @@
 /* Sends a mark to the homes of the request (the instances that its digest
    selects), and any other kind of message to all instances. */
 void cluster_send_suspect(Cluster *c, const SuspectsMsg *m);
+/* Tells the record of a stream to its homes (the instances that its key
+   selects). */
+void cluster_share_origin(Cluster *c, const OriginsMsg *record);
+/* Asks the instances that may know a stream; returns how many there are. */
+int cluster_query_origin(Cluster *c, const OriginsMsg *query);
+/* Answers the instance `to`. */
+void cluster_answer_origin(Cluster *c, const char *to, const OriginsMsg *m);
 /* Sets whether the store is known to answer no instance. */
 void cluster_set_store_unavailable(Cluster *c, bool unavailable);
 void cluster_set_budgets(Cluster *c, const LedgerBudget *list, int n);
--- a/packages/flow/asking.c
+++ b/packages/flow/asking.c
@@ -105,7 +105,7 @@
   ev_timer_stop(x->relay->loop, &x->query_timer);
   g_hash_table_remove(x->relay->runs_by_query, &x->query_id);
   x->query_id = 0;
-  x->awaits_reports = x->awaits_permit = false;
+  x->awaits_reports = x->awaits_permit = x->awaits_origin = false;
 }
 
 void relay_on_tally(Relay *r, const TallyReport *w) {
--- a/packages/flow/breaks.c
+++ b/packages/flow/breaks.c
@@ -183,5 +183,6 @@
 void relay_sweep(Relay *r) {
   ends_sweep(r->ends, loopclock_now(r->loop));
   relay_close_tries(r);
+  relay_sweep_origins(r);
   relay_end_slow_callers(r);
 }
--- a/packages/flow/dispatch.c
+++ b/packages/flow/dispatch.c
@@ -41,6 +41,7 @@
     if (!x->head_sent) send_head(x, CALLER_CHUNKED);
     caller_write_body(x->caller, out->str, out->len);
     record_forwarded(x);
+    run_record_begun(x);
   }
   g_string_free(out, TRUE);
 }
@@ -104,6 +105,8 @@
   const char *text;
 } none_causes[TARGET_NONE_COUNT] = {
     [TARGET_NONE_AVAILABLE] = {RUN_RETRY_SOON_MS, "no target serves %s now"},
+    [TARGET_NONE_OF_VERSION] = {0, "%s has no target of the version that began "
+                                   "the stream"},
     [TARGET_NONE_IN_REGION] = {RUN_RETRY_NOT_ALLOWED_MS,
                                "%s has no target in the allowed regions"},
     [TARGET_NONE_EVACUATED] = {RUN_RETRY_EVACUATED_MS,
@@ -350,6 +353,7 @@
       .move_token_s = x->service ? x->service->move_s_per_token : 0,
       .max_pause_s = x->service ? x->service->max_pause_s : 0,
       .regions = x->regions,
+      .version = x->has_version ? &x->version : NULL,
       .permits_exhausted = !run_may_request_permit(x),
       .rated = run_is_managed(x, MANAGED_RATES),
       .slots = x->service ? x->service->batch_slots : 0,
--- /dev/null
+++ b/packages/flow/origins.c
@@ -0,0 +1,167 @@
+/* origins.c: a stream goes on only at targets of the software version that
+   began it. For a caller that takes a stream up, that version is found here or
+   at other instances (route/origins.h). */
+#include "flow/run.h"
+#include "kernel/count.h"
+#include "kernel/log.h"
+#include "kernel/loopclock.h"
+#include "kernel/text.h"
+
+/* For the answers of other instances, also of another region. A refusal after
+   this still leaves its caller time to begin anew. */
+#define ORIGIN_TIMEOUT_S 0.08
+
+static bool is_stream_route(const Run *x) {
+  return x->route->kind == CONF_STREAM;
+}
+
+static uint64_t key_of(const Run *x, const char *attempt) {
+  return origins_key(x->service_name, x->customer ? x->customer->name : "",
+                     attempt);
+}
+
+/* == records == */
+
+static void share_record(Relay *r, const OriginsMsg *record) {
+  count_add(COUNT_ORIGINS_SHARED, 1);
+  cluster_share_origin(r->cluster, record);
+}
+
+void run_record_begun(Run *x) {
+  Relay *r = x->relay;
+  if (x->origin_key != 0 || x->events.count == 0) return;
+  const char *first =
+      x->request.resumes[0] ? x->request.resumes : x->request.id;
+  uint64_t service = text_hash(x->service_name);
+  x->has_version = true;
+  x->version = target_version(x->target);
+  x->origin_key = key_of(x, first);
+  OriginsMsg record = {.kind = ORIGINS_RECORD,
+                       .key = x->origin_key,
+                       .service = service,
+                       .version = x->version};
+  bool shared = targets_have_versions(r->targets, service);
+  origins_set(r->origins, run_now(x), &record, shared);
+  if (shared) share_record(r, &record);
+}
+
+void run_forget_origin(Run *x) {
+  if (x->origin_key != 0) origins_remove(x->relay->origins, x->origin_key);
+}
+
+static bool has_versions(void *ctx, uint64_t service) {
+  const Relay *r = ctx;
+  return targets_have_versions(r->targets, service);
+}
+
+void relay_sweep_origins(Relay *r) {
+  OriginsMsg record;
+  origins_sweep(r->origins, loopclock_now(r->loop));
+  while (origins_take_unshared(r->origins, has_versions, r, &record))
+    share_record(r, &record);
+}
+
+/* == answers == */
+
+/* Returns what this instance knows of a stream. */
+static OriginsMsg own_answer(const Relay *r, const OriginsMsg *query) {
+  OriginsMsg a = *query;
+  double now = loopclock_now(r->loop);
+  a.kind = ORIGINS_UNKNOWN;
+  a.version = 0;
+  if (origins_find(r->origins, query->key, &a.version))
+    a.kind = ORIGINS_KNOWN;
+  else if (targets_have_versions(r->targets, query->service))
+    a.kind = ORIGINS_SEVERAL;
+  else if (targets_sole_version(r->targets, now, query->service, &a.version))
+    a.kind = ORIGINS_SOLE;
+  return a;
+}
+
+/* == requests that take up a stream == */
+
+static void log_origin(const Run *x, const char *how) {
+  log_info("stream-taken-up", "s:s,s:s,s:s,s:i", "request", x->request.id,
+           "resumes", x->request.resumes, "origin", how, "missing",
+           x->n_origins_missing);
+}
+
+static void refuse_stream(Run *x) {
+  Err e;
+  /* One that did not answer may know it, and answer the next time. */
+  int retry_ms = x->n_origins_missing > 0 ? RUN_RETRY_SOON_MS : 0;
+  count_add(COUNT_REFUSED_ORIGIN, 1);
+  log_origin(x, "unknown");
+  err_retry(&e, ERR_STREAM_UNKNOWN, retry_ms,
+            "the version of %s that began the stream is not known",
+            x->service_name);
+  run_fail(x, &e);
+}
+
+/* Goes on with the answers that there are. */
+static void conclude(Run *x) {
+  run_cancel_query(x);
+  if (!origins_is_conclusive(&x->origin)) {
+    refuse_stream(x);
+    return;
+  }
+  log_origin(x, x->origin.kind == ORIGINS_KNOWN ? "known" : "sole");
+  x->has_version = true;
+  x->version = x->origin.version;
+  x->admit(x);
+}
+
+static void on_timeout(struct ev_loop *loop, ev_timer *w, int revents) {
+  (void)loop;
+  (void)revents;
+  conclude(w->data);
+}
+
+static void query_others(Run *x, OriginsMsg *query) {
+  Relay *r = x->relay;
+  x->query_id = query->number = ++r->last_query_id;
+  x->awaits_origin = true;
+  g_hash_table_insert(r->runs_by_query, &x->query_id, x);
+  ev_timer_init(&x->query_timer, on_timeout, ORIGIN_TIMEOUT_S, 0);
+  x->query_timer.data = x;
+  ev_timer_start(r->loop, &x->query_timer);
+  x->n_origins_missing = cluster_query_origin(r->cluster, query);
+}
+
+void run_find_origin(Run *x, void (*admit)(Run *x)) {
+  const RequestInfo *a = &x->request;
+  bool takes_up = a->last_event != REQUEST_NO_EVENT || a->resumes[0];
+  x->admit = admit;
+  if (!is_stream_route(x) || !takes_up) {
+    admit(x);
+    return;
+  }
+  OriginsMsg query = {.kind = ORIGINS_QUERY,
+                      .key = key_of(x, a->resumes),
+                      .service = text_hash(x->service_name)};
+  x->origin = own_answer(x->relay, &query);
+  if (x->origin.kind != ORIGINS_KNOWN && a->resumes[0]) query_others(x, &query);
+  if (x->n_origins_missing == 0) conclude(x);
+}
+
+static void apply_answer(Relay *r, const OriginsMsg *m) {
+  Run *x = g_hash_table_lookup(r->runs_by_query, &m->number);
+  if (!x || !x->awaits_origin) return;
+  x->origin = origins_combine(&x->origin, m);
+  x->n_origins_missing--;
+  if (x->origin.kind == ORIGINS_KNOWN || x->n_origins_missing == 0) conclude(x);
+}
+
+void relay_on_origin(Relay *r, const char *from, const OriginsMsg *m) {
+  OriginsMsg answer;
+  switch (m->kind) {
+  case ORIGINS_RECORD:
+    origins_set(r->origins, loopclock_now(r->loop), m, true);
+    break;
+  case ORIGINS_QUERY:
+    answer = own_answer(r, m);
+    cluster_answer_origin(r->cluster, from, &answer);
+    break;
+  default: apply_answer(r, m);
+  }
+}
--- a/packages/flow/relay.c
+++ b/packages/flow/relay.c
@@ -179,11 +179,14 @@
 }
 
 static void admit_run(Run *x) {
+  x->reserved_tokens = x->request.prompt_tokens + x->request.max_output_tokens;
+  if (run_check_share(x)) run_admit(x, start_run);
+}
+
+static void set_deadline(Run *x) {
   double wait_s =
       x->request.deadline_s > 0 ? x->request.deadline_s : DEFAULT_DEADLINE_S;
   x->deadline = x->http_request->received_at + MIN(wait_s, x->route->timeout_s);
-  x->reserved_tokens = x->request.prompt_tokens + x->request.max_output_tokens;
-  if (run_check_share(x)) run_admit(x, start_run);
 }
 
 static bool check_capacity(const Relay *r, Err *e) {
@@ -209,7 +212,8 @@
   if (!bad && wire_decode_request(&req->headers, &x->request, &e) &&
       check_capacity(r, &e) && resolve_request(x, &e)) {
     events_init(&x->events, x->request.last_event);
-    admit_run(x);
+    set_deadline(x);
+    run_find_origin(x, admit_run);
     return;
   }
   run_fail(x, &e);
@@ -241,6 +245,7 @@
   admission_free(r->admission);
   returns_free(r->returns);
   relay_free_tries(r);
+  origins_free(r->origins);
   trials_free(r->trials);
   suspects_free(r->suspects);
   ends_free(r->ends);
@@ -285,6 +290,7 @@
   r->links = links_open(loop, &links);
   r->paths = paths_new();
   r->gateways = gateways_new(o->self, port_of(o->tunnel_addr));
+  r->origins = origins_new();
   r->ends = ends_new();
   r->suspects = suspects_new();
   r->trials = trials_new();
--- a/packages/flow/relay.h
+++ b/packages/flow/relay.h
@@ -66,6 +66,9 @@
 /* Another instance reported on a suspect: a request under which targets
    ended. */
 void relay_on_suspect(Relay *r, const SuspectsMsg *m);
+/* Another instance (`from`: its id) tells the version that began a stream, or
+   asks for it. */
+void relay_on_origin(Relay *r, const char *from, const OriginsMsg *m);
 /* The store's content of a trial, and the names of all trials; as in
    FeedEvents. */
 void relay_on_trial(Relay *r, const char *name, const json_t *content,
--- a/packages/flow/run.c
+++ b/packages/flow/run.c
@@ -166,6 +166,7 @@
   Caller *c = x->caller;
   count_add(COUNT_RAN, 1);
   run_record_served(x);
+  run_forget_origin(x);
   count_observe_time(COUNT_TIME_REQUEST,
                      run_now(x) - x->http_request->received_at);
   close_run(x, "served", x->status, "");
--- a/packages/flow/run.h
+++ b/packages/flow/run.h
@@ -19,6 +19,7 @@
 #include "flow/tunnel.h"
 #include "route/admission.h"
 #include "route/gateways.h"
+#include "route/origins.h"
 #include "route/paths.h"
 #include "route/returns.h"
 #include "route/suspects.h"
@@ -69,6 +70,16 @@
   bool is_return; /* its caller was rejected and comes back as promised */
   AdmissionCause rejected; /* why it was rejected */
   double expected_s; /* last expected time until the first byte; 0: none */
+  /* The software version that began the stream. Another one can't continue it,
+     neither in this answer nor in a later attempt. */
+  bool has_version;
+  uint64_t version;
+  uint64_t origin_key; /* of the stream; 0: it has not begun */
+  /* The query for the version of a stream that began in another attempt. */
+  void (*admit)(Run *x); /* once it is known */
+  bool awaits_origin;
+  int n_origins_missing;
+  OriginsMsg origin; /* the answers so far */
   /* budget */
   int64_t reserved_tokens;
   uint64_t reservation; /* number of the reservation; 0: none */
@@ -141,6 +152,7 @@
   Paths *paths;       /* from this instance to the targets */
   Gateways *gateways; /* while those are interrupted */
   Tunnels *tunnels;   /* for other instances */
+  Origins *origins;
   Ends *ends;
   Suspects *suspects;
   Trials *trials;
@@ -196,6 +208,19 @@
    to the regions that both the old and the new one allow. */
 void run_update_regions(Run *x);
 
+/* == origins.c: the software versions that began streams == */
+
+/* Calls `admit` at once or, if the request takes up a stream, once the version
+   that began it is found, or refuses the request. */
+void run_find_origin(Run *x, void (*admit)(Run *x));
+/* The first event of the answer, or of a further answer, is forwarded. */
+void run_record_begun(Run *x);
+/* The stream was delivered to its end. */
+void run_forget_origin(Run *x);
+/* Tells records to their homes that are needed there by now, and drops old
+   ones. */
+void relay_sweep_origins(Relay *r);
+
 /* == asking.c: requests of all instances at targets == */
 
 /* Sends queries for the work of all instances at candidate targets, before one
--- a/packages/kernel/err.c
+++ b/packages/kernel/err.c
@@ -36,6 +36,9 @@
     [ERR_NO_TARGET] = {"no-target", 503,
                        "retry; the operator can see targets in loftpath "
                        "targets"},
+    [ERR_STREAM_UNKNOWN] = {"stream-unknown", 503,
+                            "begin the stream anew, without Last-Event-Id: "
+                            "which version began it is not known"},
     [ERR_TARGET_FAILED] = {"target-failed", 502, "retry"},
     [ERR_TARGET_CUT] = {"target-cut", 502,
                         "the answer is incomplete: retry with the same "
--- a/packages/node/node.c
+++ b/packages/node/node.c
@@ -430,6 +430,12 @@
   if (n->relay) relay_on_suspect(n->relay, m);
 }
 
+static void on_origin_received(void *ctx, const char *from,
+                               const OriginsMsg *m) {
+  Node *n = ctx;
+  if (n->relay) relay_on_origin(n->relay, from, m);
+}
+
 static void on_pool_reported(void *ctx, uint64_t from,
                              const TargetsPoolReport *m) {
   Node *n = ctx;
@@ -651,7 +657,7 @@
       on_permit_answered,     on_rate_received,
       on_find_target,         on_limit_received,
       on_customer_name,       on_suspect_received,
-      on_pool_reported};
+      on_origin_received,     on_pool_reported};
   ClusterOptions o = {.seeds = settings_text(settings, "seeds"),
                       .seed = random_number(),
                       .self = own_member(n),
--- a/packages/peer/codec.h
+++ b/packages/peer/codec.h
@@ -15,6 +15,7 @@
 #include "peer/packed.h"
 #include "route/allocation.h"
 #include "route/loads.h"
+#include "route/origins.h"
 #include "route/suspects.h"
 #include "route/tally.h"
 #include "route/targets.h"
@@ -42,6 +43,7 @@
   CODEC_DEMAND,
   CODEC_ALLOCATION,
   CODEC_RESERVE, /* ledger messages from LEDGER_FIRST_NEW_KIND on */
+  CODEC_ORIGIN,
   CODEC_TYPES
 } CodecType;
 
@@ -112,6 +114,7 @@
   TallyPermit permit;
   CodecLimit limit;
   TallyRate rate;
+  OriginsMsg origin;
   /* Kept apart, since they are large and each message of any type is cleared
      before it is decoded; freed by codec_clear. NULL: another type. */
   AllocationDemand *demand;
@@ -139,6 +142,7 @@
 void codec_put_limit(msgpack_sbuffer *b, const CodecLimit *m);
 void codec_put_rate(msgpack_sbuffer *b, const TallyRate *m);
 void codec_put_feed(msgpack_sbuffer *b, const CodecFeed *m);
+void codec_put_origin(msgpack_sbuffer *b, const OriginsMsg *m);
 void codec_put_demand(msgpack_sbuffer *b, const AllocationDemand *m);
 void codec_put_allocation(msgpack_sbuffer *b, const AllocationAnswer *m);
 
--- a/packages/peer/decode.c
+++ b/packages/peer/decode.c
@@ -231,6 +231,14 @@
   m->msg.first_mark_age_s = get_count(r) / FORMAT_FRACTION_SCALE;
 }
 
+static void get_origin(Reader *r, OriginsMsg *m) {
+  m->kind = (OriginsKind)get_small(r, ORIGINS_KINDS);
+  m->number = get_u64(r);
+  m->key = get_u64(r);
+  m->service = get_u64(r);
+  m->version = get_u64(r);
+}
+
 static double get_limit(Reader *r) {
   if (r->left > 0 && r->at->type == MSGPACK_OBJECT_NIL) {
     next_value(r);
@@ -492,6 +500,7 @@
     case CODEC_PERMIT: get_permit(&r, &m->permit); break;
     case CODEC_LIMIT: get_limit_report(&r, &m->limit); break;
     case CODEC_RATE: get_rate(&r, &m->rate); break;
+    case CODEC_ORIGIN: get_origin(&r, &m->origin); break;
     case CODEC_DEMAND: m->demand = get_demand(&r); break;
     case CODEC_ALLOCATION: m->allocation = get_allocation(&r); break;
     case CODEC_TYPES: break;
--- a/packages/peer/encode.c
+++ b/packages/peer/encode.c
@@ -289,6 +289,18 @@
   msgpack_pack_int64(&p, thousandths(m->msg.first_mark_age_s));
 }
 
+void codec_put_origin(msgpack_sbuffer *b, const OriginsMsg *m) {
+  msgpack_packer p;
+  msgpack_packer_init(&p, b, msgpack_sbuffer_write);
+  msgpack_pack_array(&p, 6);
+  msgpack_pack_uint8(&p, CODEC_ORIGIN);
+  msgpack_pack_uint8(&p, (uint8_t)m->kind);
+  msgpack_pack_uint64(&p, m->number);
+  msgpack_pack_uint64(&p, m->key);
+  msgpack_pack_uint64(&p, m->service);
+  msgpack_pack_uint64(&p, m->version);
+}
+
 /* Encodes a rate limit per second; nil: no limit. */
 static void put_limit(msgpack_packer *p, double limit) {
   if (limit < QUOTA_UNLIMITED)
--- a/packages/peer/peer.c
+++ b/packages/peer/peer.c
@@ -281,6 +281,12 @@
   unlock(p);
 }
 
+void peer_send_origin(Peer *p, const char *addr, const char *id,
+                      const OriginsMsg *m) {
+  codec_put_origin(lock_shared_frame(p, addr, text_hash(id)), m);
+  unlock(p);
+}
+
 /* == the peer thread == */
 
 static void *open_link_socket(const Peer *p, const char *addr) {
--- a/packages/peer/peer.h
+++ b/packages/peer/peer.h
@@ -59,6 +59,8 @@
                          const TallyRun *m);
 void peer_send_suspect(Peer *p, const char *addr, const char *id,
                        const CodecSuspect *m);
+void peer_send_origin(Peer *p, const char *addr, const char *id,
+                      const OriginsMsg *m);
 /* Each of the next five is sent in a frame of its own: builds that do not know
    the type drop whatever follows it in a frame. */
 void peer_send_permit_request(Peer *p, const char *addr, const char *id,
--- a/packages/route/choose.c
+++ b/packages/route/choose.c
@@ -120,9 +120,15 @@
   return t->limit < QUOTA_UNLIMITED && p->now < t->limit_until;
 }
 
+/* A stream goes on only at the version that began it. */
+static bool is_of_version(const Pick *p, const Target *t) {
+  return !p->request->version || *p->request->version == t->version;
+}
+
 /* Whether the request may be sent there at all. */
 static bool may_send_to(const Pick *p, const Target *t) {
   if (!target_is_usable(t, p->now) || was_tried(p->request, t)) return false;
+  if (!is_of_version(p, t)) return false;
   return is_in_allowed_region(p, t, REGIONS_TARGET) && !is_full(p, t);
 }
 
@@ -263,6 +269,8 @@
   int64_t all = parts_prompt_tokens(p->request->info);
   int64_t more = p->donor_tokens - (all - c->uncached_tokens);
   if (!p->donor || p->donor == c->target || more < MIN_MOVED_TOKENS) return;
+  /* Versions may keep their caches in different formats. */
+  if (p->donor->version != c->target->version) return;
   c->donor = p->donor;
   c->moved_tokens = more;
   c->uncached_tokens -= more;
@@ -431,6 +439,7 @@
 static TargetNoneReason exclusion_reason(const Pick *p, const Target *t) {
   if (target_may_have_left(t, p->now) || was_tried(p->request, t))
     return TARGET_NONE_AVAILABLE;
+  if (!is_of_version(p, t)) return TARGET_NONE_OF_VERSION;
   if (!is_in_allowed_region(p, t, REGIONS_TARGET)) return TARGET_NONE_IN_REGION;
   if (t->evacuated) return TARGET_NONE_EVACUATED;
   return p->now < t->paused_until ? TARGET_NONE_PAUSED : TARGET_NONE_FULL;
--- a/packages/route/pool.c
+++ b/packages/route/pool.c
@@ -26,6 +26,7 @@
   g_strlcpy(p->service, service, sizeof p->service);
   p->members = g_ptr_array_new();
   p->division = division_new();
+  p->versions = versions_new();
   p->hash = text_hash(service);
   fit_init(&p->first_byte, INITIAL_FIRST_BYTE_S, TARGETS_DEFAULT_TOKEN_S,
            INITIAL_SPAN_TOKENS);
@@ -36,6 +37,7 @@
   Pool *p = data;
   g_ptr_array_free(p->members, TRUE);
   division_free(p->division);
+  versions_free(p->versions);
   g_free(p);
 }
 
--- a/packages/route/pool.h
+++ b/packages/route/pool.h
@@ -16,6 +16,7 @@
 #include "route/division.h"
 #include "route/fit.h"
 #include "route/rates.h"
+#include "route/versions.h"
 #include "kernel/limits.h"
 
 typedef struct Target Target;
@@ -39,6 +40,7 @@
                      read */
   RatesMean rates; /* of the members, as received from counting instances */
   Division *division;
+  Versions *versions;   /* of the members */
   uint64_t hash;        /* text_hash of the service */
   double last_retry_at; /* the retry time given to the last caller that was
                            refused for lack of capacity */
--- a/packages/route/roster.c
+++ b/packages/route/roster.c
@@ -31,6 +31,20 @@
                    cold_ms, (json_int_t)i->start_ms, (json_int_t)i->revision);
 }
 
+/* Builds without versions read rows of exactly nine members, so the versions
+   are a list of their own. */
+typedef struct Lists {
+  json_t *services, *dcs, *versions; /* names */
+  json_t *rows;
+  json_t *row_versions; /* index of each row's version */
+} Lists;
+
+static void add_row(Lists *l, const Target *t, double now) {
+  json_array_append_new(l->rows, make_row(t, now, l->services, l->dcs));
+  json_array_append_new(l->row_versions, json_integer(index_of_name(
+                                             l->versions, t->info.version)));
+}
+
 /* Its entry is present. */
 static bool is_listed(const Target *t) {
   return !t->lapsed && (t->info.leaving || isinf(t->leave_at));
@@ -50,34 +64,34 @@
 }
 
 /* Adds members of a pool from `at` on; false: the part is full. */
-static bool add_rows(Pool *p, double now, RosterCursor *at, json_t *rows,
-                     json_t *services, json_t *dcs) {
+static bool add_rows(Pool *p, double now, RosterCursor *at, Lists *l) {
   GPtrArray *members = pool_sorted_members(p);
   bool after_target = at->has_target && at->pool == p->hash;
   at->pool = p->hash;
   for (guint i = 0; i < members->len; i++) {
     const Target *t = members->pdata[i];
     if (after_target && t->hash <= at->target) continue;
-    if (json_array_size(rows) == ROSTER_MAX_ROWS) return false;
+    if (json_array_size(l->rows) == ROSTER_MAX_ROWS) return false;
     at->target = t->hash;
     at->has_target = true;
-    if (is_listed(t))
-      json_array_append_new(rows, make_row(t, now, services, dcs));
+    if (is_listed(t)) add_row(l, t, now);
   }
   return true;
 }
 
 char *roster_part(Targets *s, double now, RosterCursor *at, bool *more) {
-  json_t *rows = json_array(), *services = json_array(), *dcs = json_array();
+  Lists l = {json_array(), json_array(), json_array(), json_array(),
+             json_array()};
   Pool *p;
   *more = false;
   while (!*more && (p = next_pool(s, at->pool)) != NULL) {
-    *more = !add_rows(p, now, at, rows, services, dcs);
+    *more = !add_rows(p, now, at, &l);
     if (!*more && p->hash == UINT64_MAX) break;
     if (!*more) *at = (RosterCursor){.pool = p->hash + 1};
   }
-  json_t *o = json_pack("{s:o,s:o,s:o}", "services", services, "dcs", dcs,
-                        "rows", rows);
+  json_t *o = json_pack("{s:o,s:o,s:o,s:o,s:o}", "services", l.services, "dcs",
+                        l.dcs, "rows", l.rows, "versions", l.versions,
+                        "row_versions", l.row_versions);
   char *text = json_dumps(o, JSON_COMPACT);
   json_decref(o);
   return text;
@@ -113,6 +127,18 @@
                    json_string_value(json_array_get(dcs, (size_t)dc)));
 }
 
+/* Sets the version of the i-th row; "" when an earlier build wrote it. */
+static bool read_version(json_t *o, size_t i, TargetInfo *t) {
+  json_t *indices = json_object_get(o, "row_versions");
+  json_t *names = json_object_get(o, "versions");
+  if (!indices) return true;
+  json_t *at = json_array_get(indices, i);
+  const char *name =
+      json_string_value(json_array_get(names, (size_t)json_integer_value(at)));
+  return json_is_integer(at) && name &&
+         g_strlcpy(t->version, name, sizeof t->version) < sizeof t->version;
+}
+
 /* All rows; NULL: one is damaged. */
 static GArray *read_rows(json_t *o) {
   GArray *list = g_array_new(FALSE, FALSE, sizeof(TargetInfo));
@@ -123,7 +149,7 @@
             json_is_array(rows);
   json_array_foreach(ok ? rows : NULL, i, row) {
     TargetInfo t;
-    ok = ok && read_row(row, services, dcs, &t);
+    ok = ok && read_row(row, services, dcs, &t) && read_version(o, i, &t);
     if (ok) g_array_append_val(list, t);
   }
   if (ok) return list;
--- a/packages/route/state.h
+++ b/packages/route/state.h
@@ -38,6 +38,7 @@
   TargetInfo info;
   RegionSet region; /* region of its data centre; empty: unknown */
   uint64_t hash;    /* of its id and start time */
+  uint64_t version; /* versions_hash of its software version */
   double leave_at;  /* it gets no new work from then on; INFINITY: it stays */
   bool lapsed; /* its entry in the store is missing, perhaps only because the
                   store is unavailable */
--- a/packages/route/targets.c
+++ b/packages/route/targets.c
@@ -92,6 +92,17 @@
 
 /* == membership == */
 
+static Pool *find_pool_by_hash(const Targets *s, uint64_t hash) {
+  GHashTableIter it;
+  gpointer v;
+  g_hash_table_iter_init(&it, s->pools);
+  while (g_hash_table_iter_next(&it, NULL, &v)) {
+    Pool *pool = v;
+    if (pool->hash == hash) return pool;
+  }
+  return NULL;
+}
+
 static Pool *ensure_pool(Targets *s, const char *service) {
   Pool *pool = g_hash_table_lookup(s->pools, service);
   if (pool) return pool;
@@ -107,16 +118,18 @@
   return XXH64(info->id, strlen(info->id), (uint64_t)info->start_ms);
 }
 
-static Target *target_new(Targets *s, const TargetInfo *info) {
+static Target *target_new(Targets *s, double now, const TargetInfo *info) {
   Target *t = g_new0(Target, 1);
   t->set = s;
   t->info = *info;
   t->hash = hash_incarnation(info);
+  t->version = versions_hash(info->version);
   t->leave_at = t->unlisted_at = INFINITY;
   t->limit = QUOTA_UNLIMITED;
   t->first_byte_ratio = 1;
   t->pool = ensure_pool(s, info->service);
   pool_add(t->pool, t);
+  versions_add(t->pool->versions, now, t->version);
   g_hash_table_insert(s->by_id, t->info.id, t);
   g_hash_table_insert(s->by_hash, &t->hash, t);
   return t;
@@ -135,18 +148,43 @@
   t->unlisted_at = MIN(t->unlisted_at, now);
 }
 
+static void leave_pool(Target *t) {
+  pool_remove(t->pool, t);
+  versions_remove(t->pool->versions, t->leave_at, t->version);
+}
+
 /* Removes it from everything but its own requests. */
 static void retire_target(Targets *s, double now, Target *t) {
   mark_unlisted(t, now, false);
   g_hash_table_steal(s->by_id, t->info.id);
   g_hash_table_remove(s->by_hash, &t->hash);
-  pool_remove(t->pool, t);
+  leave_pool(t);
   g_ptr_array_add(s->retired, t);
 }
 
+/* Instances of earlier builds hand entries on without the version. */
+static bool may_be_version(const Target *t, const TargetInfo *info) {
+  return !t->info.version[0] || !info->version[0] ||
+         strcmp(t->info.version, info->version) == 0;
+}
+
 static bool is_same_incarnation(const Target *t, const TargetInfo *info) {
   return t->info.start_ms == info->start_ms &&
-         strcmp(t->info.service, info->service) == 0;
+         strcmp(t->info.service, info->service) == 0 && may_be_version(t, info);
+}
+
+/* Replaces its entry; a version that is known is kept if the new one has none.
+ */
+static void set_info(Target *t, double now, const TargetInfo *info) {
+  char version[LIMIT_NAME_BYTES];
+  g_strlcpy(version, info->version[0] ? info->version : t->info.version,
+            sizeof version);
+  t->info = *info;
+  g_strlcpy(t->info.version, version, sizeof t->info.version);
+  if (versions_hash(version) == t->version) return;
+  versions_remove(t->pool->versions, now, t->version);
+  t->version = versions_hash(version);
+  versions_add(t->pool->versions, now, t->version);
 }
 
 bool targets_is_newer(const Targets *s, const TargetInfo *info) {
@@ -185,11 +223,11 @@
   if (restarted) retire_target(s, now, t);
   if (restarted) t = NULL;
   bool is_newer = !t || info->revision > t->info.revision;
-  if (!t) t = target_new(s, info);
+  if (!t) t = target_new(s, now, info);
   if (is_newer) t->cold_until = now + info->cold_s;
   update_unconfirmed(t, now, info);
   t->stated_leaving |= is_before_leaving(t, info);
-  t->info = *info;
+  set_info(t, now, info);
   t->lapsed = false;
   t->evacuated = evacuation_contains(s->evacuation, info->dc);
   t->region = s->regions ? regions_of_dc(s->regions, info->dc) : 0;
@@ -309,7 +347,7 @@
   Target *t = value;
   if (!is_forgettable(t, *(double *)now)) return FALSE;
   g_hash_table_remove(t->set->by_hash, &t->hash);
-  pool_remove(t->pool, t);
+  leave_pool(t);
   g_queue_remove(&t->set->changed_targets, t);
   return TRUE;
 }
@@ -342,6 +380,17 @@
   return n;
 }
 
+bool targets_have_versions(const Targets *s, uint64_t service) {
+  const Pool *pool = find_pool_by_hash(s, service);
+  return pool && versions_are_several(pool->versions);
+}
+
+bool targets_sole_version(const Targets *s, double now, uint64_t service,
+                          uint64_t *version) {
+  const Pool *pool = find_pool_by_hash(s, service);
+  return pool && versions_sole(pool->versions, now, version);
+}
+
 int targets_count_all(const Targets *s) {
   return (int)g_hash_table_size(s->by_id);
 }
@@ -400,6 +449,10 @@
   return t->info.version;
 }
 
+uint64_t target_version(const Target *t) {
+  return t->version;
+}
+
 /* == observations == */
 
 static void queue_work_update(Target *t) {
@@ -629,17 +682,6 @@
   return false;
 }
 
-static Pool *find_pool_by_hash(Targets *s, uint64_t hash) {
-  GHashTableIter it;
-  gpointer v;
-  g_hash_table_iter_init(&it, s->pools);
-  while (g_hash_table_iter_next(&it, NULL, &v)) {
-    Pool *pool = v;
-    if (pool->hash == hash) return pool;
-  }
-  return NULL;
-}
-
 void targets_apply_pool_report(Targets *s, double now, uint64_t from,
                                const TargetsPoolReport *w) {
   Pool *pool = find_pool_by_hash(s, w->pool);
--- a/packages/route/targets.h
+++ b/packages/route/targets.h
@@ -76,6 +76,12 @@
                               void (*fn)(void *ctx, Target *t), void *ctx);
 /* Another target now has its address. */
 void targets_mark_replaced(Targets *s, double now, Target *t);
+/* Whether targets of several software versions of a service (text_hash of its
+   name) are known, those that left recently included. */
+bool targets_have_versions(const Targets *s, uint64_t service);
+/* The same as versions_sole, for a service. */
+bool targets_sole_version(const Targets *s, double now, uint64_t service,
+                          uint64_t *version);
 /* Forgets targets that have left and have no open requests. */
 void targets_sweep(Targets *s, double now);
 int targets_count(const Targets *s, const char *service);
@@ -96,9 +102,11 @@
   double max_pause_s;  /* lowest limit of pauses among the streams of the
                           service; 0: unknown */
   RegionSet regions;   /* regions the request is bound to */
-  bool permits_exhausted; /* it may request no more permits: bounded targets
-                             count as full */
-  bool rated;             /* rates of targets decide (MANAGED_RATES) */
+  const uint64_t *version; /* software version that began the stream; NULL: the
+                              request begins one */
+  bool permits_exhausted;  /* it may request no more permits: bounded targets
+                              count as full */
+  bool rated;              /* rates of targets decide (MANAGED_RATES) */
   int slots;    /* engine: requests that a target runs at the same time */
   bool isolate; /* it may end its target: choose the one with the fewest other
                    requests */
@@ -117,11 +125,13 @@
 
 /* Why no target was chosen. */
 typedef enum {
-  TARGET_NONE_AVAILABLE, /* there are none, or all were tried */
-  TARGET_NONE_IN_REGION, /* the rest is outside the request's regions */
-  TARGET_NONE_EVACUATED, /* the rest is evacuated */
-  TARGET_NONE_PAUSED,    /* the rest has asked for no requests for a time */
-  TARGET_NONE_FULL,      /* the rest is bounded and has no capacity left */
+  TARGET_NONE_AVAILABLE,  /* there are none, or all were tried */
+  TARGET_NONE_OF_VERSION, /* the rest has other software versions than the one
+                             that began the stream */
+  TARGET_NONE_IN_REGION,  /* the rest is outside the request's regions */
+  TARGET_NONE_EVACUATED,  /* the rest is evacuated */
+  TARGET_NONE_PAUSED,     /* the rest has asked for no requests for a time */
+  TARGET_NONE_FULL,       /* the rest is bounded and has no capacity left */
   TARGET_NONE_COUNT
 } TargetNoneReason;
 
@@ -186,7 +196,8 @@
 const char *target_id(const Target *t);
 const char *target_addr(const Target *t);
 const char *target_version_text(const Target *t); /* "": not known */
-uint64_t target_hash(const Target *t); /* of its id and start time */
+uint64_t target_version(const Target *t);         /* versions_hash of it */
+uint64_t target_hash(const Target *t);            /* of its id and start time */
 /* Identifies the instance that counts its work; 0: unknown. */
 uint64_t targets_counter(const Targets *s, uint64_t target);
 int target_open(const Target *t); /* number of our own requests there */
--- a/tests/codec_again.h
+++ b/tests/codec_again.h
@@ -34,6 +34,7 @@
   case CODEC_RATE: codec_put_rate(b, &m->rate); break;
   case CODEC_DEMAND: codec_put_demand(b, m->demand); break;
   case CODEC_ALLOCATION: codec_put_allocation(b, m->allocation); break;
+  case CODEC_ORIGIN: codec_put_origin(b, &m->origin); break;
   case CODEC_TYPES: break;
   }
 }
--- a/tests/test_codec.c
+++ b/tests/test_codec.c
@@ -172,6 +172,24 @@
   msgpack_sbuffer_destroy(&b);
 }
 
+Test(codec, a_message_on_the_origin_of_a_stream_round_trips) {
+  msgpack_sbuffer b;
+  CodecMsg m;
+  OriginsMsg in = {.kind = ORIGINS_SOLE,
+                   .number = 7,
+                   .key = UINT64_MAX,
+                   .service = 1ULL << 63,
+                   .version = 9};
+  msgpack_sbuffer_init(&b);
+  codec_put_origin(&b, &in);
+  cr_assert(decodes_whole(&b, &m));
+  cr_assert_eq(m.type, CODEC_ORIGIN);
+  cr_assert_eq(m.origin.kind, in.kind);
+  cr_assert(m.origin.number == in.number && m.origin.key == in.key);
+  cr_assert(m.origin.service == in.service && m.origin.version == in.version);
+  msgpack_sbuffer_destroy(&b);
+}
+
 Test(codec, a_pool_report_round_trips) {
   TargetsPoolReport w = {.pool = 7,
                          .report = {.long_tokens = 1e9,
--- a/tests/test_document.c
+++ b/tests/test_document.c
@@ -36,6 +36,21 @@
                                     "\"cold_left_ms\":1500,\"phase\":\"both\"",
                        &t));
   cr_assert(t.start_ms == 1796253698643 && t.cold_s == 1.5);
+  cr_assert_str_eq(t.version, "");
+  cr_assert(read_entry(VALID_FIELDS ",\"version\":\"v1.2\"", &t));
+  cr_assert_str_eq(t.version, "v1.2");
+}
+
+/* Guards against two versions that look equal, with names cut at one length. */
+Test(document, long_version_names_differ) {
+  TargetInfo one, other;
+  char name[200] = {0}, fields[300];
+  memset(name, 'x', sizeof name - 2);
+  g_snprintf(fields, sizeof fields, VALID_FIELDS ",\"version\":\"%sa\"", name);
+  cr_assert(read_entry(fields, &one));
+  g_snprintf(fields, sizeof fields, VALID_FIELDS ",\"version\":\"%sb\"", name);
+  cr_assert(read_entry(fields, &other));
+  cr_assert_str_neq(one.version, other.version);
 }
 
 Test(document, a_draining_target_is_leaving) {
--- a/tests/test_golden.c
+++ b/tests/test_golden.c
@@ -160,6 +160,15 @@
   codec_put_suspect(b, &m);
 }
 
+static void put_origin(msgpack_sbuffer *b) {
+  OriginsMsg m = {.kind = ORIGINS_KNOWN,
+                  .number = 1,
+                  .key = UINT64_MAX,
+                  .service = 2,
+                  .version = 3};
+  codec_put_origin(b, &m);
+}
+
 static void put_permit_request(msgpack_sbuffer *b) {
   TallyPermitRequest m = {
       .number = 1,
@@ -264,6 +273,7 @@
     {"tally_word", "980c01020304050201", CODEC_TALLY_REPORT, put_tally_report},
     {"tally_run", "970d010201030104", CODEC_TALLY_RUN, put_tally_run},
     {"suspect", "980ea564206e2e310101020304cd05dc", CODEC_SUSPECT, put_suspect},
+    {"origin", "96160501cfffffffffffffffff0203", CODEC_ORIGIN, put_origin},
     {"permit_ask", "990f01020304cd38a4cd06a401cd01f4", CODEC_PERMIT_REQUEST,
      put_permit_request},
     {"permit", "9610010202ccfac0", CODEC_PERMIT, put_permit},
--- a/tests/test_handover.c
+++ b/tests/test_handover.c
@@ -90,6 +90,26 @@
   targets_free(t);
 }
 
+/* Guards against targets whose version is lost on the way to a neighbour. */
+Test(handover, versions_are_handed_on_and_earlier_builds_send_none) {
+  Targets *from = targets_new("b", 1), *to = targets_new("b", 2);
+  size_t bytes;
+  TargetInfo t = make_info(0), other = make_info(1);
+  g_strlcpy(t.version, "v1", sizeof t.version);
+  g_strlcpy(other.version, "v2", sizeof other.version);
+  g_strlcpy(other.service, t.service, sizeof other.service);
+  targets_set(from, NOW, &t);
+  targets_set(from, NOW, &other);
+  copy_list(from, to, &bytes);
+  cr_assert(targets_have_versions(to, text_hash(t.service)));
+  cr_assert(roster_read("{\"services\":[\"s\"],\"dcs\":[\"a\"],\"rows\":[["
+                        "\"x\",\"1.1.1.1:1\",0,0,4,false,0,0,9]]}",
+                        set_target, to));
+  cr_assert_eq(targets_count(to, "s"), 1);
+  targets_free(from);
+  targets_free(to);
+}
+
 Test(handover, a_damaged_part_adds_no_target) {
   static const char *const bad[] = {
       "", "[]", "{}", "{\"services\":[\"s\"],\"dcs\":[\"a\"],\"rows\":7}",
@@ -100,7 +120,10 @@
       "{\"services\":[\"s\"],\"dcs\":[\"a\"],\"rows\":[[\"x\",\"1.1.1.1:1\",0,"
       "0,-4,false,0,0,9]]}",
       "{\"services\":[\"s\"],\"dcs\":[\"a\"],\"rows\":[[\"x\",\"1.1.1.1:1\",0,"
-      "0,4,false,0,0,9,9]]}"};
+      "0,4,false,0,0,9,9]]}",
+      /* a version that the list does not have */
+      "{\"services\":[\"s\"],\"dcs\":[\"a\"],\"rows\":[[\"x\",\"1.1.1.1:1\",0,"
+      "0,4,false,0,0,9]],\"versions\":[\"v1\"],\"row_versions\":[1]}"};
   Targets *t = targets_new("b", 2);
   for (size_t i = 0; i < G_N_ELEMENTS(bad); i++)
     cr_assert_not(roster_read(bad[i], set_target, t), "%s", bad[i]);
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -102,6 +102,26 @@
   headers_free(&h);
 }
 
+/* Guards against a stream that goes on by a forged or damaged origin. */
+Test(wire, a_request_names_the_attempt_whose_stream_it_resumes) {
+  char long_id[300] = {0};
+  memset(long_id, 'x', sizeof long_id - 1);
+  const char *const lists[][8] = {
+      {"X-Loftpath-Attempt-Id", "b", "Resumes", "a", NULL},
+      {"X-Loftpath-Attempt-Id", "b", NULL},
+      {"X-Loftpath-Attempt-Id", "b", "Resumes", "a", "Resumes", "c", NULL},
+      {"X-Loftpath-Attempt-Id", "b", "Resumes", long_id, NULL}};
+  for (int i = 0; i < 4; i++) {
+    Headers h;
+    RequestInfo a;
+    Err e = {0};
+    fill(&h, lists[i]);
+    cr_assert(wire_decode_request(&h, &a, &e));
+    cr_assert_str_eq(a.resumes, i == 0 ? "a" : "");
+    headers_free(&h);
+  }
+}
+
 Test(wire, a_stream_resumes_after_the_last_passed_event) {
   static const char *const resumed[] = {"X-Loftpath-Attempt-Id", "a",
                                         "Last-Event-Id", "3", NULL};
--- a/tests/versions.py
+++ b/tests/versions.py
@@ -212,6 +212,17 @@
             "%d of %d went on" % (self.gone_on, self.taken_up))
 
 
+def begin_at_once(s, n, i=0, leave_at=4):
+    """Streams that begin together, and so at several targets; their callers leave."""
+    made = [Taken(s) for _ in range(n)]
+    threads = [threading.Thread(target=t.attempt, args=(i, leave_at)) for t in made]
+    for t in threads:
+        t.start()
+    for t in threads:
+        t.join()
+    return made
+
+
 def play(s, load, seconds=PLAY_S):
     time.sleep(seconds)
     load.stop()
@@ -295,15 +306,10 @@
     on, mixed, n = 0, 0, 0
     for k in range(5):
         i = k % len(s.processes)
-        made = [Taken(s) for _ in range(8)]
-        threads = [threading.Thread(target=t.attempt, args=(i,)) for t in made]
-        for t in threads:
-            t.start()
-        time.sleep(EVENTS * PAUSE_S / 2)
-        s.processes[i].kill()
+        killer = threading.Timer(EVENTS * PAUSE_S / 2, s.processes[i].kill)
+        killer.start()
+        made = begin_at_once(s, 8, i, leave_at=None)
         s.processes[i].wait()
-        for t in threads:
-            t.join()
         for t in made:
             if 0 < t.last < EVENTS:
                 n += 1
@@ -319,9 +325,7 @@
 def test_taken_up_after_all_instances_were_killed(s):
     """Nobody knows the version any more, and two serve: refused, not mixed."""
     Versions(s, {"v1": 3, "v2": 3})
-    made = [Taken(s) for _ in range(12)]
-    for t in made:
-        t.attempt(0, leave_at=4)
+    made = begin_at_once(s, 12)
     s.restart_all()
     for i in range(len(s.processes)):
         s.wait_ready(i)
@@ -346,9 +350,7 @@
 def test_all_targets_of_a_version_leave(s):
     """What they began is refused at once; what began at the others goes on."""
     v = Versions(s, {"v1": 4, "v2": 4})
-    made = [Taken(s) for _ in range(24)]
-    for t in made:
-        t.attempt(0, leave_at=4)
+    made = begin_at_once(s, 24)
     for e in v.of("v1"):
         v.remove(e)
     time.sleep(SETTLE_S)
@@ -368,9 +370,7 @@
 def test_a_version_that_comes_back(s):
     """A rollback: its targets take up what the version began."""
     v = Versions(s, {"v1": 2, "v2": 2})
-    made = [Taken(s) for _ in range(12)]
-    for t in made:
-        t.attempt(0, leave_at=4)
+    made = begin_at_once(s, 12)
     for e in v.of("v1"):
         v.remove(e)
     time.sleep(SETTLE_S)
@@ -417,9 +417,7 @@
 def test_a_stopping_instance_hands_on_what_it_knows(s):
     """A planned stop of the instance that began the streams."""
     Versions(s, {"v1": 3, "v2": 3})
-    made = [Taken(s) for _ in range(10)]
-    for t in made:
-        t.attempt(0, leave_at=4)
+    made = begin_at_once(s, 10)
     s.processes[0].send_signal(signal.SIGTERM)
     s.processes[0].wait()
     for t in made:
