origins: a fleet that has just started tells the records of its streams

Cause: records were told while several versions are known, but an instance concludes that there was one version only after 30 s. In between nobody told, and nobody could conclude. Records are told unless that conclusion is open to the instance itself.

A loss of all instances still loses all records; its callers are refused for 30 s.

--- a/packages/flow/origins.c
+++ b/packages/flow/origins.c
@@ -22,6 +22,15 @@
 
 /* == records == */
 
+/* Whether the homes need records of a service's streams: its targets have not
+   all had one version for long enough, as far as this instance knows. */
+static bool needs_records(void *ctx, uint64_t service) {
+  const Relay *r = ctx;
+  uint64_t version;
+  return !targets_sole_version(r->targets, loopclock_now(r->loop), service,
+                               &version);
+}
+
 static void share_record(Relay *r, const OriginsMsg *record) {
   count_add(COUNT_ORIGINS_SHARED, 1);
   cluster_share_origin(r->cluster, record);
@@ -40,7 +49,7 @@
                        .key = x->origin_key,
                        .service = service,
                        .version = x->version};
-  bool shared = targets_have_versions(r->targets, service);
+  bool shared = needs_records(r, service);
   origins_set(r->origins, run_now(x), &record, shared);
   if (shared) share_record(r, &record);
 }
@@ -49,15 +58,10 @@
   if (x->origin_key != 0) origins_remove(x->relay->origins, x->origin_key);
 }
 
-static bool has_versions(void *ctx, uint64_t service) {
-  const Relay *r = ctx;
-  return targets_have_versions(r->targets, service);
-}
-
 void relay_sweep_origins(Relay *r) {
   OriginsMsg record;
   origins_sweep(r->origins, loopclock_now(r->loop));
-  while (origins_take_unshared(r->origins, has_versions, r, &record))
+  while (origins_take_unshared(r->origins, needs_records, r, &record))
     share_record(r, &record);
 }
 
--- a/packages/route/origins.h
+++ b/packages/route/origins.h
@@ -2,12 +2,12 @@
    one up; pure, for one instance.
 
    A caller names the attempt that brought the first event of its stream, at any
-   instance. An instance records what it began itself. While targets of several
-   versions serve, it also tells the record to the homes of the stream,
-   instances that are chosen by its key, so that the record outlives it. An
-   instance that has no record asks others, each of which answers from its own
-   knowledge; the answers are combined. Nobody may know: then the stream is
-   refused. */
+   instance. An instance records what it began itself. Unless the targets of the
+   service have had one version for long, it also tells the record to the homes
+   of the stream, instances that are chosen by its key, so that the record
+   outlives it. An instance that has no record asks others, each of which
+   answers from its own knowledge; the answers are combined. Nobody may know:
+   then the stream is refused. */
 #ifndef ROUTE_ORIGINS_H
 #define ROUTE_ORIGINS_H
 
--- a/tests/versions.py
+++ b/tests/versions.py
@@ -223,6 +223,17 @@
     return made
 
 
+def take_up(t, i):
+    """The killed instance may have been the budget's home, whose place another takes
+    within seconds; new streams are refused in that time as well."""
+    end = time.monotonic() + 8.0
+    while not t.attempt(i):
+        if "budget" not in (t.error or "") or time.monotonic() > end:
+            return False
+        time.sleep(0.3)
+    return True
+
+
 def play(s, load, seconds=PLAY_S):
     time.sleep(seconds)
     load.stop()
@@ -322,6 +333,32 @@
     assert n >= 20 and mixed == 0 and on >= GOES_ON * n, (n, mixed, on)
 
 
+def slow_stream(w, c, headers):
+    """Streams EVENTS events, a target whose entry states no version."""
+    c.sendall(head(headers["x-loftpath-attempt-id"], "Content-Type: text/event-stream",
+                   "Transfer-Encoding: chunked"))
+    for k in range(int(headers.get("last-event-id", "0")) + 1, EVENTS + 1):
+        c.sendall(chunk(event(k).replace("token", "none token")))
+        time.sleep(PAUSE_S)
+    c.sendall(b"0\r\n\r\n")
+    return True
+
+
+def test_taken_up_in_a_fleet_that_has_just_started(s):
+    """No instance has known the targets for long, so none can conclude that there
+    was only one version: the instance that began the streams tells the others."""
+    for w in s.engines:
+        w.play = slow_stream
+    wait_for("engines", lambda: all(
+        s.chat(10, i=k).status == 200 for k in range(len(s.processes))))
+    killer = threading.Timer(EVENTS * PAUSE_S / 2, s.processes[0].kill)
+    killer.start()
+    made = [t for t in begin_at_once(s, 12, 0, leave_at=None) if 0 < t.last < EVENTS]
+    on = sum(take_up(t, 1) for t in made)
+    print("   %d of %d went on" % (on, len(made)), flush=True)
+    assert len(made) >= 6 and on >= 0.9 * len(made), (on, len(made))
+
+
 def test_taken_up_after_all_instances_were_killed(s):
     """Nobody knows the version any more, and two serve: refused, not mixed."""
     Versions(s, {"v1": 3, "v2": 3})
