--- a/packages/flow/dispatch.c
+++ b/packages/flow/dispatch.c
@@ -87,16 +87,28 @@
   return retries_take(x->relay->retries, now, x->service_name);
 }
 
+/* Returns the ids of the parts of the prompt, the last one of which is the
+   request's own; NULL: it has no parts. */
+static json_t *part_ids(const RequestInfo *a) {
+  json_t *ids = a->n_parts > 0 ? json_array() : NULL;
+  for (int i = 0; i < a->n_parts; i++)
+    json_array_append_new(
+        ids, json_sprintf("%" G_GINT64_MODIFIER "x", a->parts[i].id));
+  return ids;
+}
+
 /* The field "begun" is the time since the first byte, or -1 without one. */
 static void log_failure(Run *x, const char *why) {
   char digest[DIGEST_TEXT_BYTES];
   double now = run_now(x);
   digest_format(run_digest(x), digest);
-  log_warn("target-failed", "s:s,s:s,s:s,s:s,s:s,s:i,s:I,s:f,s:f", "request",
-           x->request.id, "digest", digest, "target", target_id(x->target),
-           "addr", target_addr(x->target), "why", why, "status", x->status,
-           "events", (json_int_t)x->events.count, "after", now - x->sent_at,
-           "begun", x->has_first_byte ? now - x->first_byte_at : -1);
+  log_warn("target-failed", "s:s,s:s,s:s,s:s,s:s,s:i,s:I,s:f,s:f,s:o*",
+           "request", x->request.id, "digest", digest, "target",
+           target_id(x->target), "addr", target_addr(x->target), "why", why,
+           "status", x->status, "events", (json_int_t)x->events.count, "after",
+           now - x->sent_at, "begun",
+           x->has_first_byte ? now - x->first_byte_at : -1, "parts",
+           part_ids(&x->request));
 }
 
 /* Why no target could be chosen. retry_ms 0: the choice states it. */
