Tests: requests with a part in their prompts that ends targets

Real instances, ten stand-in engines that are back 3 s after they end; requests with the bad part each 0.2 s at any instance, no two alike, repeated once; sound ones share the customer and all other parts.

That what was suspected is served after three ends, and that targets which end by themselves hold nothing, pass and stay as guards.

--- /dev/null
+++ b/tests/parts.py
@@ -0,0 +1,270 @@
+#!/usr/bin/env python3
+"""parts.py: requests with a part in their prompts that crashes each target are kept
+from targets, whatever else they hold. Requests that share their other parts or their
+caller are served.
+
+Guards against this failure: requests with one such part, no two alike, reached
+targets 42 more times after five had ended, and 61 ended in all. Instances knew
+only whole requests by their digests, so each request was new to them.
+
+Usage: parts.py BUILD_DIR [TEST...]"""
+import random
+import sys
+import threading
+import time
+
+from faults import IN_TOUCH_S
+from fleet import run_tests, wait_for
+from pool import BACK_S, MORE, Stream, with_pool
+
+INSTANCES, MANY = 3, 14
+FREE_ENDS = 5     # crashes after which the bound begins to count
+PLAY_S = 14.0
+SHARE = 0.5       # of sound requests that begin, relative to those before
+FIRST = "f1"      # a part of all prompts, a system prompt
+BAD_PART = "bad1"
+
+
+class Caller:
+    """Sends requests every `every_s` to random instances; `parts` and `body` give
+    those of the n-th request. One that fails is repeated once, at another."""
+
+    def __init__(self, s, every_s, seconds, parts, again=True, burst=1, seed=1,
+                 key="key-acme"):
+        self.s, self.again, self.key = s, again, key
+        self.made, self.threads = [], []
+        self.dice = random.Random(seed)
+        self.thread = threading.Thread(
+            target=self._run, args=(every_s, seconds, parts, burst))
+        self.thread.start()
+
+    def _run(self, every_s, seconds, parts, burst):
+        end, n = time.monotonic() + seconds, 0
+        while time.monotonic() < end:
+            for _ in range(burst):
+                n += 1
+                i = self.dice.randrange(len(self.s.processes))
+                t = threading.Thread(target=self._make, args=(i, n, parts(n)))
+                t.start()
+                self.threads.append(t)
+            time.sleep(every_s)
+
+    def _make(self, i, n, parts):
+        body = b"%d of %d" % (n, id(self))
+        first = Stream(self.s, i, body, key=self.key, parts=parts)
+        self.made.append(first)
+        if self.again and not first.served:
+            i = (i + 1) % len(self.s.processes)
+            Stream(self.s, i, body, key=self.key, parts=parts)
+
+    def join(self):
+        self.thread.join()
+        for t in self.threads:
+            t.join()
+
+
+def bad(s, seconds=PLAY_S, every_s=0.2, part=BAD_PART, **more):
+    return Caller(s, every_s, seconds, lambda n: [FIRST, part, "own%d" % n], **more)
+
+
+def sound(s, seconds=PLAY_S, every_s=0.08, **more):
+    """They share the caller and all parts but the bad one."""
+    return Caller(s, every_s, seconds,
+                  lambda n: [FIRST, "doc%d" % (n % 4), "sound%d" % n], seed=2, **more)
+
+
+def check_kept_away(pool, least=3, counts=lambda at, attempt: True, parts=1):
+    """Checks how often bad requests reached a target later than allowed."""
+    assert len(pool.ends) >= least, "only %d ends" % len(pool.ends)
+    ends = sorted(pool.ends)
+    fifth = ends[min(FREE_ENDS * parts, len(ends)) - 1]
+    late = [t for t, attempt in pool.reached
+            if t > fifth + IN_TOUCH_S and counts(t, attempt)]
+    print("   %d attempts came to targets, %d of them later than %g s after the "
+          "fifth end; %d targets ended" % (
+              len(pool.reached), len(late), IN_TOUCH_S, len(ends)), flush=True)
+    assert len(late) <= MORE * parts, "%d more" % len(late)
+    return fifth
+
+
+def check_sound(caller, after, share=SHARE, least=20):
+    """Checks that first tries begin from a time on."""
+    counted = [m for m in caller.made if m.began > after]
+    begun = sum(m.begun for m in counted)
+    held = sum("ends-targets" in m.kind for m in counted)
+    trial = sum("on-trial" in m.kind for m in counted)
+    print("   %d of %d sound first tries begin; %d held, %d on trial" % (
+        begun, len(counted), held, trial), flush=True)
+    assert len(counted) >= least, "only %d sound requests" % len(counted)
+    assert begun >= share * len(counted), "%d of %d" % (begun, len(counted))
+    assert held == 0, "%d sound requests were held" % held
+
+
+def with_bad(s, *parts):
+    pool = with_pool(s)
+    pool.bad_parts = set(parts or [BAD_PART])
+    time.sleep(1.5)  # until all instances know all engines
+    return pool
+
+
+def play(s, pool, seconds=PLAY_S, **more):
+    b, g = bad(s, seconds, **more), sound(s, seconds)
+    b.join(), g.join()
+    fifth = check_kept_away(pool)
+    check_sound(g, fifth + 2 * IN_TOUCH_S)
+
+
+def test_requests_with_a_part_that_ends_targets_are_kept_from_them(s):
+    """Of 73 that reached targets 61 did so later than 3 s after the fifth end."""
+    play(s, with_bad(s))
+
+
+def test_a_larger_fleet_keeps_them_away(s):
+    play(s, with_bad(s))
+
+
+def test_they_come_in_bursts(s):
+    play(s, with_bad(s), every_s=1.0, burst=5)
+
+
+def test_they_come_seldom(s):
+    """One each second and a half: sound requests succeed between two ends."""
+    play(s, with_bad(s), seconds=24.0, every_s=1.5)
+
+
+def test_the_part_is_the_first(s):
+    """Sound requests share the caller alone."""
+    pool = with_bad(s)
+    b = Caller(s, 0.2, PLAY_S, lambda n: [BAD_PART, "doc%d" % (n % 4), "own%d" % n])
+    g = sound(s)
+    b.join(), g.join()
+    check_sound(g, check_kept_away(pool) + 2 * IN_TOUCH_S)
+
+
+def test_the_part_stands_among_many(s):
+    """Parts of the session and of the customer stand before and after it."""
+    pool = with_bad(s)
+    b = Caller(s, 0.2, PLAY_S, lambda n: [FIRST, "customer", "doc%d" % (n % 4), BAD_PART,
+                                          "session%d" % (n % 3), "own%d" % n])
+    g = Caller(s, 0.08, PLAY_S, lambda n: [FIRST, "customer", "doc%d" % (n % 4),
+                                           "session%d" % (n % 3), "sound%d" % n], seed=2)
+    b.join(), g.join()
+    check_sound(g, check_kept_away(pool) + 2 * IN_TOUCH_S)
+
+
+def test_two_parts_at_once(s):
+    """Some requests have both."""
+    pool = with_bad(s, BAD_PART, "bad2")
+    mixes = [[BAD_PART], ["bad2"], [BAD_PART, "bad2"]]
+    b = Caller(s, 0.2, PLAY_S, lambda n: [FIRST] + mixes[n % 3] + ["own%d" % n])
+    g = sound(s)
+    b.join(), g.join()
+    check_sound(g, check_kept_away(pool, parts=2) + 2 * IN_TOUCH_S)
+
+
+def test_answers_that_last_long(s):
+    """No sound answer ends between the ends of targets; that it goes on is enough."""
+    pool = with_bad(s)
+    pool.pause_s = 0.5
+    b, g = bad(s, 20.0), sound(s, 20.0, every_s=0.2)
+    b.join(), g.join()
+    check_sound(g, check_kept_away(pool) + 2 * IN_TOUCH_S)
+
+
+def test_it_stops_after_three_ends(s):
+    """What was suspected is served again."""
+    pool = with_bad(s)
+    b, g = bad(s, 0.5, again=False), sound(s)
+    b.join(), g.join()
+    check_sound(g, max(pool.ends) + 2 * IN_TOUCH_S, share=0.95)
+
+
+def test_targets_that_end_by_themselves(s):
+    """19 ends, no bad part: no sound request is held."""
+    pool = with_pool(s)
+    g = sound(s, 15.0)
+    dice = random.Random(2)
+    for _ in range(19):
+        time.sleep(15.0 / 20)
+        pool.end(dice.choice([e for e in pool.engines if not e.ended]), False)
+    g.join()
+    check_sound(g, 0, share=0.9)
+
+
+def test_they_are_kept_away_after_a_restart_of_all(s):
+    pool = with_bad(s)
+    b, g = bad(s, 5.0), sound(s, 5.0)
+    b.join(), g.join()
+    before = len(pool.reached)
+    s.restart_all()
+    for i in range(len(s.processes)):
+        s.wait_ready(i)
+    b, g = bad(s, 8.0), sound(s, 8.0)
+    b.join(), g.join()
+    print("   %d reached targets after the restart" % (len(pool.reached) - before))
+    check_kept_away(pool)
+    check_sound(g, max(pool.ends) + 2 * IN_TOUCH_S if len(pool.reached) > before
+                else 0)
+
+
+def test_instances_restart_in_series(s):
+    """The bound does not apply to an instance for three seconds after its start."""
+    pool = with_bad(s)
+    b, g = bad(s), sound(s)
+    time.sleep(0.6)
+    for i in list(range(len(s.processes))) * 2:
+        time.sleep(1.0)
+        s.processes[i].kill()
+        s.processes[i].wait()
+        s.start(i)
+    b.join(), g.join()
+    check_sound(g, check_kept_away(pool) + 2 * IN_TOUCH_S)
+
+
+def test_the_store_is_away(s):
+    """A trial is impossible in an outage, so nothing suspected is sent."""
+    pool = with_bad(s)
+    b, g = bad(s, 16.0), sound(s, 16.0)
+    wait_for("the second end", lambda: len(pool.ends) >= 2)
+    s.store.down = True
+    time.sleep(4.0)
+    s.store.down = False
+    b.join(), g.join()
+    check_sound(g, check_kept_away(pool) + 2 * IN_TOUCH_S)
+
+
+def test_engines_that_restart_at_once_under_their_ids(s):
+    pool = with_bad(s)
+    pool.again = True
+    play(s, pool)
+
+
+def test_their_callers_are_told_at_once_not_to_come_again(s):
+    pool = with_bad(s)
+    b, g = bad(s, 6.0), sound(s, 6.0)
+    b.join(), g.join()
+    before = len(pool.reached)
+    began = time.monotonic()
+    a = Stream(s, 0, b"new", parts=[FIRST, BAD_PART, "new"])
+    assert time.monotonic() - began < 0.1
+    assert a.status == 502 and a.again_s is None, (a.status, a.again_s)
+    assert '"ends-targets"' in a.kind, a.kind
+    assert len(pool.reached) == before
+
+
+def test_the_last_part_is_never_held(s):
+    """It belongs to one request or session, which is known by its digest."""
+    pool = with_bad(s)
+    b, g = bad(s, 6.0), sound(s, 6.0)
+    b.join(), g.join()
+    a = Stream(s, 0, b"as the last part", parts=[FIRST, BAD_PART])
+    assert a.served, (a.status, a.kind)
+    assert pool.ends
+
+
+TESTS = {n: f for n, f in globals().items() if n.startswith("test_")}
+
+if __name__ == "__main__":
+    sizes = dict.fromkeys(TESTS, INSTANCES)
+    sizes["test_a_larger_fleet_keeps_them_away"] = MANY
+    sys.exit(run_tests(TESTS, sizes))
--- a/tests/pool.py
+++ b/tests/pool.py
@@ -19,8 +19,15 @@
 MORE = 3          # how often it may still reach a target after that
 
 
+def parts_of(headers):
+    """The ids of the prompt's parts; the last is the request's own."""
+    listed = headers.get("x-loftpath-prefix-hash", "")
+    return [p.split(":")[0] for p in listed.split(",") if p]
+
+
 class Engine(Worker):
-    """Streams EVENTS events; exits while it runs BAD."""
+    """Streams EVENTS events; exits while it runs BAD, or a prompt with one of the
+    pool's bad parts before its last."""
 
     def __init__(self, pool, name, address=("127.0.0.1", 0)):
         self.pool, self.ended = pool, False
@@ -29,7 +36,7 @@
     def answer(self, c, method, path, headers, body):
         if headers.get("x-loftpath-expect-instance") != self.name:
             return super().answer(c, method, path, headers, body)
-        bad = body == BAD
+        bad = body == BAD or bool(self.pool.bad_parts & set(parts_of(headers)[:-1]))
         if bad:
             self.pool.reached.append(
                 (time.monotonic(), headers["x-loftpath-attempt-id"]))
@@ -42,7 +49,7 @@
             self.pool.end(self, True)
             return False
         for k in range(2, EVENTS + 1):
-            time.sleep(PAUSE_S)
+            time.sleep(self.pool.pause_s)
             c.sendall(chunk(event(k)))
         c.sendall(b"0\r\n\r\n")
         return True
@@ -54,6 +61,7 @@
     def __init__(self, store, n):
         self.store, self.lock = store, threading.Lock()
         self.n, self.engines = 0, []
+        self.bad_parts, self.pause_s = set(), PAUSE_S
         self.again = False  # whether engines restart at once under their ids
         self.reached = []  # (time, attempt) of the bad request at an engine
         self.ends = []     # times at which it ended an engine
@@ -95,14 +103,16 @@
 class Stream:
     """One request and its outcome."""
 
-    def __init__(self, s, i, body, key="key-acme", patience_s=None):
+    def __init__(self, s, i, body, key="key-acme", patience_s=None, parts=None):
         self.began, self.served, self.status, self.kind = time.monotonic(), False, 0, ""
         self.again_s = None  # Retry-After
-        self.instance = i
+        self.instance, self.begun = i, False
         try:
             c = s.connect(i)
             self.id = None
             h = s.head(X_Loftpath_Token_Count="20,30", Authorization="Bearer " + key)
+            if parts:
+                h["X-Loftpath-Prefix-Hash"] = ",".join(p + ":5" for p in parts)
             self.id = h["X-Loftpath-Attempt-Id"]
             c.request("POST", "/chat/x", body, h)
             if patience_s:
@@ -113,6 +123,7 @@
             text = r.read()
             self.status = r.status
             self.served = r.status == 200 and text.count(b"id: ") == EVENTS
+            self.begun = r.status == 200
             if r.getheader("Retry-After"):
                 self.again_s = float(r.getheader("Retry-After"))
             if r.status != 200:
