suspects: a part of a prompt that ends targets is kept from them

Requests with one part in their prompts that ends each target, no two alike, went on reaching targets: 42 times more after five had ended in the users' record, 61 ends; the sound requests beside them lost their targets.

Cause: ends are counted by the digest of a whole request. What comes again is a part, and each request that has it was new.

Marks, homes, names and trials are the same; the key is a request or a part of a prompt, any but its last: - A target that ends marks the parts of the requests that had just begun there. To go on: a whole answer, or an event a second after the first. - A part is tried at one target of the fleet at a time, and held after two trials that ended their targets while all other parts of the prompt were known to be sound. A request with several suspect parts waits a second for each further one, then all such requests have one trial together, which proves nothing but their soundness. - Held: 502 ends-targets at once, not run, no time to come back; the trial stays in the store, so it is held after a loss of all.

--- a/packages/fleet/cluster.c
+++ b/packages/fleet/cluster.c
@@ -524,7 +524,7 @@
     c->ev.pool_reported(c->ctx, from, &m->pool);
   } else if (m->type == CODEC_FEED) {
     receive_feed(c, id, &m->feed);
-  } else if (m->type == CODEC_SUSPECT) {
+  } else if (m->type == CODEC_SUSPECT || m->type == CODEC_SUSPECT_PART) {
     receive_suspect(c, &m->suspect);
   } else if (m->type == CODEC_ORIGIN) {
     c->ev.origin_received(c->ctx, id, &m->origin);
--- a/packages/flow/ask.h
+++ b/packages/flow/ask.h
@@ -28,8 +28,9 @@
   int64_t max_output_tokens;
   RequestPart parts[REQUEST_MAX_PARTS];
   int n_parts;
-  int64_t last_event; /* number of the last event of the answer that the caller
-                         has received; REQUEST_NO_EVENT */
+  bool has_more_parts; /* the list was longer; its last parts are missing */
+  int64_t last_event;  /* number of the last event of the answer that the caller
+                          has received; REQUEST_NO_EVENT */
   /* The caller's attempt that brought the first event of the stream that this
      one takes up; "": not given, or damaged. */
   char resumes[LIMIT_ID_BYTES * 2];
--- a/packages/flow/breaks.c
+++ b/packages/flow/breaks.c
@@ -27,6 +27,13 @@
   return x->digest;
 }
 
+int run_shared_parts(const Run *x, uint64_t *ids) {
+  const RequestInfo *a = &x->request;
+  int n = a->has_more_parts ? a->n_parts : MAX(a->n_parts - 1, 0);
+  for (int i = 0; i < n; i++) ids[i] = a->parts[i].id;
+  return n;
+}
+
 uint64_t run_customer_hash(const Run *x) {
   return text_hash(x->customer ? x->customer->name : "");
 }
@@ -48,8 +55,9 @@
   bool named = m->kind == SUSPECTS_NAMED;
   digest_format(m->digest, digest);
   count_add(COUNT_SUSPECTS, named);
-  log_info(named ? "suspect" : "suspect-cleared", "s:s,s:s,s:f", "digest",
-           digest, "word", source, "age", m->first_mark_age_s);
+  log_info(named ? "suspect" : "suspect-cleared", "s:s,s:b,s:s,s:f", "digest",
+           digest, "part", (int)m->is_part, "word", source, "age",
+           m->first_mark_age_s);
 }
 
 /* Sends the pending messages about suspects; some are for this instance. */
@@ -69,32 +77,69 @@
     digest_format(m.digest, digest);
     log_info("request-marked", "s:s", "digest", digest);
     suspects_mark(r->suspects, loopclock_now(r->loop), &m);
-    relay_on_trial_target_ended(r, m.digest);
+    relay_on_trial_target_ended(r, &m);
   }
   send_suspect_messages(r);
 }
 
-void relay_on_suspect(Relay *r, const SuspectsMsg *m) {
-  bool known = suspects_has(r->suspects, m->digest);
-  suspects_apply_message(r->suspects, loopclock_now(r->loop), m);
-  if (suspects_has(r->suspects, m->digest) != known && m->kind != SUSPECTS_MARK)
-    log_suspect(m, "another's");
-  send_suspect_messages(r);
+static bool tracks_successes(const Run *x) {
+  return x->try || suspects_track_successes(x->relay->suspects, run_now(x));
+}
+
+/* A target goes on after it began to write an answer on these parts. */
+static void record_sound_parts(Run *x) {
+  Relay *r = x->relay;
+  uint64_t ids[REQUEST_MAX_PARTS];
+  int n = run_shared_parts(x, ids);
+  for (int i = 0; i < n; i++) {
+    Digest d = suspects_part_digest(ids[i]);
+    suspects_note_success(r->suspects, run_now(x), d);
+    relay_release_part(r, d);
+  }
+  run_pass_part_trial(x);
 }
 
 void run_record_completed(Run *x) {
   Relay *r = x->relay;
-  double now = run_now(x);
-  if (!suspects_track_successes(r->suspects, now)) return;
-  suspects_note_success(r->suspects, now, run_digest(x));
+  if (!tracks_successes(x)) return;
+  suspects_note_success(r->suspects, run_now(x), run_digest(x));
   relay_on_trial_succeeded(r, run_digest(x));
+  if (x->has_first_byte && x->status / 100 == 2) record_sound_parts(x);
+  send_suspect_messages(r);
+}
+
+/* An event has just arrived, long after the first byte. */
+static bool goes_on(const Run *x) {
+  return x->link && x->has_first_byte && x->stream &&
+         x->forwarded_at - x->first_byte_at >= RECENT_START_S &&
+         run_now(x) - x->forwarded_at < RECENT_START_S;
+}
+
+/* Answers may last for longer than it takes to suspect their parts. */
+static void record_ongoing(Relay *r) {
+  for (Run *x = r->first_run; x; x = x->next)
+    if (goes_on(x) && tracks_successes(x)) record_sound_parts(x);
+  send_suspect_messages(r);
+}
+
+void relay_on_suspect(Relay *r, const SuspectsMsg *m) {
+  double now = loopclock_now(r->loop);
+  bool known = suspects_is_named(r->suspects, m->digest);
+  if (m->is_part && m->kind == SUSPECTS_NAMED) record_ongoing(r);
+  suspects_apply_message(r->suspects, now, m);
+  if (suspects_is_named(r->suspects, m->digest) != known &&
+      m->kind != SUSPECTS_MARK)
+    log_suspect(m, "another's");
   send_suspect_messages(r);
 }
 
 static EndsMark make_mark(Run *x, const Target *t) {
-  return (EndsMark){.target = target_hash(t),
-                    .digest = run_digest(x),
-                    .owner = run_customer_hash(x)};
+  EndsMark m = {.target = target_hash(t),
+                .digest = run_digest(x),
+                .owner = run_customer_hash(x),
+                .trial = run_trial_number(x)};
+  m.n_parts = run_shared_parts(x, m.parts);
+  return m;
 }
 
 void run_record_cut_off(Run *x) {
@@ -182,6 +227,7 @@
 
 void relay_sweep(Relay *r) {
   ends_sweep(r->ends, loopclock_now(r->loop));
+  record_ongoing(r);
   relay_close_tries(r);
   relay_sweep_origins(r);
   relay_end_slow_callers(r);
--- a/packages/flow/dispatch.c
+++ b/packages/flow/dispatch.c
@@ -82,7 +82,9 @@
   if (now >= x->deadline || x->n_tried == RUN_MAX_TARGETS) return false;
   if (x->relay->stale) return false;
   if (!sent) return true;
-  if (x->try || suspects_has(x->relay->suspects, run_digest(x))) return false;
+  if (x->try || suspects_has(x->relay->suspects, now, run_digest(x)))
+    return false;
+  if (run_has_suspect_part(x)) return false;
   if (x->sends >= x->route->max_attempts) return false;
   return retries_take(x->relay->retries, now, x->service_name);
 }
--- a/packages/flow/run.h
+++ b/packages/flow/run.h
@@ -262,6 +262,9 @@
 /* Returns the digest of method, host, path, customer and body, which is equal
    for this request and its repetitions. */
 Digest run_digest(Run *x);
+/* Sets `ids` (REQUEST_MAX_PARTS) to the parts of the prompt that other requests
+   may have too, all but the last, and returns their number. */
+int run_shared_parts(const Run *x, uint64_t *ids);
 /* Returns the hash of the customer's name. */
 uint64_t run_customer_hash(const Run *x);
 /* Whether the target has not begun to answer, or began only recently: the
@@ -322,8 +325,17 @@
 /* Ends the run's part in its trial, if it has one. `sent`: it was sent to a
    target. */
 void run_end_trial(Run *x, bool sent);
-/* Records that a target ended while it ran the request with digest `d`. */
-void relay_on_trial_target_ended(Relay *r, Digest d);
+/* Returns Trial.by of the run's trial; 0: it is none. */
+uint64_t run_trial_number(const Run *x);
+/* Whether a target may end under a part of the run's prompt. */
+bool run_has_suspect_part(const Run *x);
+/* Records that the target goes on after it began to write on the parts of the
+   run's prompt: a trial of them is over. */
+void run_pass_part_trial(Run *x);
+/* Removes the trial of a part that is sound, unless it is under way. */
+void relay_release_part(Relay *r, Digest part);
+/* Records that a target ended while it ran a request. */
+void relay_on_trial_target_ended(Relay *r, const EndsMark *m);
 /* Records that an attempt of that request was answered. */
 void relay_on_trial_succeeded(Relay *r, Digest d);
 /* Writes the outcomes of tries that are over to the store. */
--- a/packages/flow/trying.c
+++ b/packages/flow/trying.c
@@ -1,6 +1,8 @@
 /* trying.c: a suspect is sent to a target once the store has a trial for it. It
    is refused while another try is open, or when it is held because a target
-   ended in its trial. */
+   ended in its trial. A request is a suspect by itself, or for a part of its
+   prompt; one with several suspect parts is a trial of these together, since it
+   can't tell which of them ends targets. */
 #include <stdlib.h>
 
 #include "flow/run.h"
@@ -10,6 +12,9 @@
 #include "kernel/loopclock.h"
 #include "node/feed.h"
 
+/* A request with several suspect parts is tried only if none with fewer of
+   them, whose trial tells more, came in this time for each part. */
+#define FEWER_PARTS_WAIT_S 1.0
 #define RETRY_TRIAL_MS 1000 /* Retry-After while another try is open */
 /* Time after a try until its outcome is final: the end of a target is detected
    within 2 s (ends.c). */
@@ -60,29 +65,109 @@
   return NULL;
 }
 
+static Try *find_try_by_number(const Relay *r, uint64_t by) {
+  for (guint i = 0; i < r->tries->len; i++) {
+    Try *t = r->tries->pdata[i];
+    if (t->trial.by == by) return t;
+  }
+  return NULL;
+}
+
+/* == verdicts == */
+
+/* What a request is tried or refused for. */
+typedef struct Verdict {
+  TrialsVerdict verdict;
+  Digest key;   /* of the trial: the request's, a part's, or several_key */
+  bool is_part; /* the key is not that of the request */
+} Verdict;
+
+static bool has_no_suspects(const Relay *r) {
+  return !suspects_has_any(r->suspects) && !trials_has_any(r->trials);
+}
+
+static TrialsVerdict verdict_on(const Relay *r, Digest d) {
+  double now = loop_time(r);
+  TrialsVerdict v =
+      trials_verdict(r->trials, now, d, suspects_has(r->suspects, now, d));
+  return v == TRIALS_TRY && find_try(r, d) ? TRIALS_BUSY : v;
+}
+
+/* The key of all trials of several parts, of which one is open in the fleet. */
+static Digest several_key(void) {
+  static const char name[] = "several parts";
+  DigestPart text = {name, sizeof name};
+  return digest_of(&text, 1);
+}
+
+/* The verdict on a request with several suspect parts. */
+static Verdict judge_together(const Relay *r, const Digest *parts, int n) {
+  double since = loop_time(r) - (n - 1) * FEWER_PARTS_WAIT_S;
+  Verdict v = {.verdict = TRIALS_BUSY, .is_part = true, .key = several_key()};
+  for (int i = 0; i < n; i++)
+    if (suspects_is_named(r->suspects, parts[i]) &&
+        !suspects_has(r->suspects, since, parts[i]))
+      return v;
+  if (!find_try(r, v.key))
+    v.verdict = trials_verdict(r->trials, loop_time(r), v.key, true);
+  return v;
+}
+
+/* The verdict on the parts of a request's prompt. One that is held decides,
+   then one that is being tried. */
+static Verdict judge_parts(const Run *x) {
+  if (has_no_suspects(x->relay)) return (Verdict){.verdict = TRIALS_FREE};
+  uint64_t ids[REQUEST_MAX_PARTS];
+  Digest suspects[REQUEST_MAX_PARTS];
+  Verdict v = {.verdict = TRIALS_FREE};
+  int n = run_shared_parts(x, ids), n_suspects = 0;
+  for (int i = 0; i < n; i++) {
+    Digest d = suspects_part_digest(ids[i]);
+    TrialsVerdict one = verdict_on(x->relay, d);
+    if (one == TRIALS_TRY) suspects[n_suspects++] = d;
+    if (one > v.verdict) v.verdict = one;
+  }
+  if (v.verdict != TRIALS_TRY) return v;
+  if (n_suspects > 1) return judge_together(x->relay, suspects, n_suspects);
+  v.key = suspects[0];
+  v.is_part = true;
+  return v;
+}
+
+static Verdict judge(Run *x) {
+  Verdict v = judge_parts(x);
+  if (v.verdict != TRIALS_FREE) return v;
+  v.key = run_digest(x);
+  v.verdict = verdict_on(x->relay, v.key);
+  return v;
+}
+
+bool run_has_suspect_part(const Run *x) {
+  return judge_parts(x).verdict != TRIALS_FREE;
+}
+
+uint64_t run_trial_number(const Run *x) {
+  return x->try ? x->try->trial.by : 0;
+}
+
 /* == refusals == */
 
-static void refuse_run(Run *x, TrialsVerdict verdict) {
+static void refuse_run(Run *x, const Verdict *v) {
   Err e;
+  bool is_request = digest_equal(v->key, run_digest(x));
   count_add(COUNT_REFUSED_HELD_BACK, 1);
-  if (verdict == TRIALS_HELD) {
-    err_set(&e, ERR_ENDS_TARGETS, "the targets that ran this request ended");
-    e.ran = RAN_MAYBE; /* in earlier attempts */
+  if (v->verdict == TRIALS_HELD) {
+    err_set(&e, ERR_ENDS_TARGETS, "the targets that ran %s ended",
+            is_request ? "this request" : "a part of this prompt");
+    e.ran = is_request ? RAN_MAYBE : RAN_NOT; /* in earlier attempts */
   } else {
     err_retry(&e, ERR_ON_TRIAL, RETRY_TRIAL_MS,
-              "targets ended under this request, and it is being tried");
+              "targets ended under %s, which is being tried",
+              is_request ? "this request" : "a part of this prompt");
   }
   run_fail(x, &e);
 }
 
-static TrialsVerdict verdict_of(Run *x) {
-  const Relay *r = x->relay;
-  Digest d = run_digest(x);
-  TrialsVerdict v =
-      trials_verdict(r->trials, loop_time(r), d, suspects_has(r->suspects, d));
-  return v == TRIALS_TRY && find_try(r, d) ? TRIALS_BUSY : v;
-}
-
 /* == writing the outcome == */
 
 static void close_try(Try *t);
@@ -154,7 +239,8 @@
 }
 
 static void close_try(Try *t) {
-  static const char *const outcomes[] = {"unsent", "nothing", "target ended"};
+  static const char *const outcomes[] = {"unsent", "nothing", "unproven",
+                                         "target ended"};
   char name[DIGEST_TEXT_BYTES];
   Store *s = t->relay->store;
   format_name(t, name);
@@ -191,13 +277,26 @@
   if (is_over(t)) close_try(t);
 }
 
-void relay_on_trial_target_ended(Relay *r, Digest d) {
-  Try *t = find_try(r, d);
-  if (!t || t->succeeded) return;
+static void fail_try(Try *t) {
+  if (!t || t->succeeded || t->outcome == TRIALS_ENDED) return;
   t->outcome = TRIALS_ENDED;
   if (is_over(t)) close_try(t);
 }
 
+/* Other requests with a part on trial may end their targets, but a repetition
+   of a request on trial is as good as the trial. */
+void relay_on_trial_target_ended(Relay *r, const EndsMark *m) {
+  fail_try(find_try(r, m->digest));
+  if (m->trial != 0) fail_try(find_try_by_number(r, m->trial));
+}
+
+void run_pass_part_trial(Run *x) {
+  Try *t = x->try;
+  if (!t || digest_equal(t->trial.digest, run_digest(x))) return;
+  t->succeeded = true;
+  run_end_trial(x, true);
+}
+
 void relay_on_trial_succeeded(Relay *r, Digest d) {
   Try *t = find_try(r, d);
   if (t) t->succeeded = true;
@@ -257,8 +356,9 @@
   if (t->unknown && x) run_end_trial(x, false);
   if (!t->unknown) remove_try(t);
   if (!x) return;
-  bool held = verdict_of(x) == TRIALS_HELD;
-  refuse_run(x, held ? TRIALS_HELD : TRIALS_BUSY);
+  Verdict v = judge(x);
+  if (v.verdict != TRIALS_HELD) v.verdict = TRIALS_BUSY;
+  refuse_run(x, &v);
 }
 
 static void on_trial_removed(void *ctx, const StoreAnswer *a) {
@@ -266,6 +366,16 @@
   log_info("trial-shed", "s:s", "outcome", err_info(a->kind)->name);
 }
 
+void relay_release_part(Relay *r, Digest part) {
+  Trial held;
+  char name[DIGEST_TEXT_BYTES];
+  if (!trials_find(r->trials, part, &held) || held.open) return;
+  digest_format(part, name);
+  trials_remove(r->trials, part);
+  store_delete(r->store, CALLS_TRIAL, FEED_TRIALS_KIND, name, held.revision,
+               on_trial_removed, NULL);
+}
+
 static void remove_excess_trial(Relay *r) {
   Trial old;
   char name[DIGEST_TEXT_BYTES];
@@ -276,7 +386,7 @@
                on_trial_removed, NULL);
 }
 
-static void begin_trial(Run *x, void (*proceed)(Run *x)) {
+static void begin_trial(Run *x, const Verdict *v, void (*proceed)(Run *x)) {
   Relay *r = x->relay;
   char name[DIGEST_TEXT_BYTES];
   Try *t = g_new0(Try, 1);
@@ -285,8 +395,9 @@
   t->run = x;
   t->proceed = proceed;
   t->outcome = TRIALS_INCONCLUSIVE;
-  t->trial = trials_begin(r->trials, run_digest(x), run_customer_hash(x),
+  t->trial = trials_begin(r->trials, v->key, run_customer_hash(x),
                           clock_unix() * 1000);
+  t->trial.is_part = v->is_part;
   t->trial.by = (uint64_t)g_random_int() << 32 | g_random_int();
   /* If the store still has it, this fails and tells its state. */
   if (is_outdated(t)) t->trial.revision = 0;
@@ -299,18 +410,17 @@
 }
 
 void run_admit(Run *x, void (*proceed)(Run *x)) {
-  const Relay *r = x->relay;
-  if (!suspects_has_any(r->suspects) && !trials_has_any(r->trials)) {
+  if (has_no_suspects(x->relay)) {
     proceed(x);
     return;
   }
-  TrialsVerdict v = verdict_of(x);
-  if (v == TRIALS_FREE)
+  Verdict v = judge(x);
+  if (v.verdict == TRIALS_FREE)
     proceed(x);
-  else if (v == TRIALS_TRY)
-    begin_trial(x, proceed);
+  else if (v.verdict == TRIALS_TRY)
+    begin_trial(x, &v, proceed);
   else
-    refuse_run(x, v);
+    refuse_run(x, &v);
 }
 
 /* == updates from the store == */
--- a/packages/peer/codec.h
+++ b/packages/peer/codec.h
@@ -44,6 +44,7 @@
   CODEC_ALLOCATION,
   CODEC_RESERVE, /* ledger messages from LEDGER_FIRST_NEW_KIND on */
   CODEC_ORIGIN,
+  CODEC_SUSPECT_PART, /* a suspect message about a part of prompts */
   CODEC_TYPES
 } CodecType;
 
@@ -136,6 +137,7 @@
 void codec_put_tally_query(msgpack_sbuffer *b, const TallyQuery *m);
 void codec_put_tally_report(msgpack_sbuffer *b, const TallyReport *m);
 void codec_put_tally_run(msgpack_sbuffer *b, const TallyRun *m);
+/* Writes the type CODEC_SUSPECT_PART for a part. */
 void codec_put_suspect(msgpack_sbuffer *b, const CodecSuspect *m);
 void codec_put_permit_request(msgpack_sbuffer *b, const TallyPermitRequest *m);
 void codec_put_permit(msgpack_sbuffer *b, const TallyPermit *m);
--- a/packages/peer/decode.c
+++ b/packages/peer/decode.c
@@ -494,6 +494,10 @@
     case CODEC_TALLY_REPORT: get_tally_report(&r, &m->tally_report); break;
     case CODEC_TALLY_RUN: get_tally_run(&r, &m->tally_run); break;
     case CODEC_SUSPECT: get_suspect(&r, &m->suspect); break;
+    case CODEC_SUSPECT_PART:
+      get_suspect(&r, &m->suspect);
+      m->suspect.msg.is_part = true;
+      break;
     case CODEC_PERMIT_REQUEST:
       get_permit_request(&r, &m->permit_request);
       break;
--- a/packages/peer/encode.c
+++ b/packages/peer/encode.c
@@ -279,7 +279,7 @@
   msgpack_packer p;
   msgpack_packer_init(&p, b, msgpack_sbuffer_write);
   msgpack_pack_array(&p, 8);
-  msgpack_pack_uint8(&p, CODEC_SUSPECT);
+  msgpack_pack_uint8(&p, m->msg.is_part ? CODEC_SUSPECT_PART : CODEC_SUSPECT);
   put_str(&p, m->until);
   msgpack_pack_uint8(&p, (uint8_t)m->msg.kind);
   msgpack_pack_uint64(&p, m->msg.digest.hi);
--- a/packages/route/trials.c
+++ b/packages/route/trials.c
@@ -16,6 +16,15 @@
    objects, has them all. */
 #define MAX_STORED_TRIALS 400
 
+/* Trials that prove that a part ends targets. The second is not beside requests
+   that were under way when the part became a suspect. */
+#define MAX_PART_ENDS 2
+/* Time between the first trials of a part, and between all others: each may end
+   a target. */
+#define PART_RETRY_S 1.0
+#define PART_FIRST_TRIES 3
+#define PART_LATER_RETRY_S 60.0
+
 typedef struct TrialEntry {
   Trial trial;
   double updated_at; /* when we learned of this revision */
@@ -64,6 +73,12 @@
   return !g_hash_table_contains(names, text);
 }
 
+bool trials_find(const Trials *t, Digest digest, Trial *x) {
+  const TrialEntry *entry = find_entry(t, digest);
+  if (entry) *x = entry->trial;
+  return entry != NULL;
+}
+
 void trials_retain_only(Trials *t, GHashTable *names) {
   g_hash_table_foreach_remove(t->entries, is_missing, names);
 }
@@ -74,12 +89,22 @@
 
 /* == decisions == */
 
+static TrialsVerdict part_verdict(const TrialEntry *entry, double now) {
+  const Trial *x = &entry->trial;
+  double wait_s =
+      x->tries < PART_FIRST_TRIES ? PART_RETRY_S : PART_LATER_RETRY_S;
+  if (x->ends >= MAX_PART_ENDS) return TRIALS_HELD;
+  bool waits = x->tries > 0 && now - entry->updated_at < wait_s;
+  return waits ? TRIALS_BUSY : TRIALS_TRY;
+}
+
 TrialsVerdict trials_verdict(const Trials *t, double now, Digest digest,
                              bool suspect) {
   const TrialEntry *entry = find_entry(t, digest);
   if (!entry) return suspect ? TRIALS_TRY : TRIALS_FREE;
   if (entry->trial.open && now - entry->updated_at < MAX_OPEN_S)
     return TRIALS_BUSY;
+  if (entry->trial.is_part) return part_verdict(entry, now);
   if (entry->trial.ended || entry->trial.tries >= MAX_INCONCLUSIVE_TRIES)
     return TRIALS_HELD;
   return TRIALS_TRY;
@@ -99,6 +124,7 @@
   Trial closed = *x;
   closed.open = false;
   closed.ended = outcome == TRIALS_ENDED;
+  if (x->is_part && outcome == TRIALS_ENDED) closed.ends++;
   if (outcome == TRIALS_UNSENT) closed.tries--;
   return closed;
 }
@@ -119,10 +145,12 @@
 /* == in the store == */
 
 json_t *trials_write(const Trial *x) {
-  return json_pack("{s:I,s:I,s:i,s:b,s:b,s:I}", "owner", (json_int_t)x->owner,
-                   "by", (json_int_t)x->by, "tries", x->tries, "open",
-                   (int)x->open, "ended", (int)x->ended, "began",
-                   (json_int_t)x->began);
+  json_t *o = json_pack("{s:I,s:I,s:i,s:b,s:b,s:I}", "owner",
+                        (json_int_t)x->owner, "by", (json_int_t)x->by, "tries",
+                        x->tries, "open", (int)x->open, "ended", (int)x->ended,
+                        "began", (json_int_t)x->began);
+  if (x->is_part) json_object_set_new(o, "part_ends", json_integer(x->ends));
+  return o;
 }
 
 bool trials_read(const char *name, const json_t *content, uint64_t revision,
@@ -140,6 +168,9 @@
   x->tries = tries;
   x->open = open;
   x->ended = ended;
+  const json_t *ends = json_object_get(content, "part_ends");
+  x->is_part = json_is_integer(ends);
+  x->ends = x->is_part ? (int)json_integer_value(ends) : 0;
   x->began = began;
   return true;
 }
--- a/tests/codec_again.h
+++ b/tests/codec_again.h
@@ -25,6 +25,7 @@
   case CODEC_TALLY_QUERY: codec_put_tally_query(b, &m->tally_query); break;
   case CODEC_TALLY_REPORT: codec_put_tally_report(b, &m->tally_report); break;
   case CODEC_TALLY_RUN: codec_put_tally_run(b, &m->tally_run); break;
+  case CODEC_SUSPECT_PART:
   case CODEC_SUSPECT: codec_put_suspect(b, &m->suspect); break;
   case CODEC_PERMIT_REQUEST:
     codec_put_permit_request(b, &m->permit_request);
--- a/tests/test_codec.c
+++ b/tests/test_codec.c
@@ -172,6 +172,20 @@
   msgpack_sbuffer_destroy(&b);
 }
 
+Test(codec, a_suspect_message_about_a_part_round_trips) {
+  msgpack_sbuffer b;
+  CodecMsg m;
+  CodecSuspect in = {
+      .msg = {.kind = SUSPECTS_MARK, .is_part = true, .digest = {1, 2}}};
+  msgpack_sbuffer_init(&b);
+  codec_put_suspect(&b, &in);
+  cr_assert(decodes_whole(&b, &m));
+  cr_assert_eq(m.type, CODEC_SUSPECT_PART);
+  cr_assert(m.suspect.msg.is_part);
+  cr_assert(digest_equal(m.suspect.msg.digest, in.msg.digest));
+  msgpack_sbuffer_destroy(&b);
+}
+
 Test(codec, a_message_on_the_origin_of_a_stream_round_trips) {
   msgpack_sbuffer b;
   CodecMsg m;
--- a/tests/test_golden.c
+++ b/tests/test_golden.c
@@ -160,6 +160,17 @@
   codec_put_suspect(b, &m);
 }
 
+static void put_suspect_part(msgpack_sbuffer *b) {
+  CodecSuspect m = {.until = "d n.1",
+                    .msg = {.kind = SUSPECTS_NAMED,
+                            .is_part = true,
+                            .digest = {1, 2},
+                            .owner = 3,
+                            .target = 4,
+                            .first_mark_age_s = 1.5}};
+  codec_put_suspect(b, &m);
+}
+
 static void put_origin(msgpack_sbuffer *b) {
   OriginsMsg m = {.kind = ORIGINS_KNOWN,
                   .number = 1,
@@ -273,6 +284,8 @@
     {"tally_word", "980c01020304050201", CODEC_TALLY_REPORT, put_tally_report},
     {"tally_run", "970d010201030104", CODEC_TALLY_RUN, put_tally_run},
     {"suspect", "980ea564206e2e310101020304cd05dc", CODEC_SUSPECT, put_suspect},
+    {"suspect_part", "9817a564206e2e310101020304cd05dc", CODEC_SUSPECT_PART,
+     put_suspect_part},
     {"origin", "96160501cfffffffffffffffff0203", CODEC_ORIGIN, put_origin},
     {"permit_ask", "990f01020304cd38a4cd06a401cd01f4", CODEC_PERMIT_REQUEST,
      put_permit_request},
