parts: a part that is named is kept in the store before its first trial

Its first trial writes an object, but waits for others to clear the part and for a request with no other suspect part.

A home that names a part makes its trial at once, without a try. Until the part counts as a suspect the object has no effect; who clears the part removes it, and the others forget it with the message. After a loss of all the part is tried at one target at a time.

Cost: one or two writes for a part that is named, one more if it is cleared.

--- a/packages/flow/breaks.c
+++ b/packages/flow/breaks.c
@@ -27,13 +27,6 @@
   return x->digest;
 }
 
-int run_shared_parts(const Run *x, uint64_t *ids) {
-  const RequestInfo *a = &x->request;
-  int n = a->has_more_parts ? a->n_parts : MAX(a->n_parts - 1, 0);
-  for (int i = 0; i < n; i++) ids[i] = a->parts[i].id;
-  return n;
-}
-
 uint64_t run_customer_hash(const Run *x) {
   return text_hash(x->customer ? x->customer->name : "");
 }
@@ -65,6 +58,7 @@
   SuspectsMsg m;
   while (suspects_next_message(r->suspects, &m)) {
     if (m.kind != SUSPECTS_MARK) log_suspect(&m, "ours");
+    if (m.kind == SUSPECTS_NAMED && m.is_part) relay_keep_part(r, &m);
     cluster_send_suspect(r->cluster, &m);
   }
 }
@@ -127,6 +121,8 @@
   bool known = suspects_is_named(r->suspects, m->digest);
   if (m->is_part && m->kind == SUSPECTS_NAMED) record_ongoing(r);
   suspects_apply_message(r->suspects, now, m);
+  if (m->kind == SUSPECTS_CLEARED && m->is_part)
+    relay_forget_part(r, m->digest);
   if (suspects_is_named(r->suspects, m->digest) != known &&
       m->kind != SUSPECTS_MARK)
     log_suspect(m, "another's");
--- a/packages/flow/run.h
+++ b/packages/flow/run.h
@@ -262,9 +262,6 @@
 /* Returns the digest of method, host, path, customer and body, which is equal
    for this request and its repetitions. */
 Digest run_digest(Run *x);
-/* Sets `ids` (REQUEST_MAX_PARTS) to the parts of the prompt that other requests
-   may have too, all but the last, and returns their number. */
-int run_shared_parts(const Run *x, uint64_t *ids);
 /* Returns the hash of the customer's name. */
 uint64_t run_customer_hash(const Run *x);
 /* Whether the target has not begun to answer, or began only recently: the
@@ -332,8 +329,6 @@
 /* Records that the target goes on after it began to write on the parts of the
    run's prompt: a trial of them is over. */
 void run_pass_part_trial(Run *x);
-/* Removes the trial of a part that is sound, unless it is under way. */
-void relay_release_part(Relay *r, Digest part);
 /* Records that a target ended while it ran a request. */
 void relay_on_trial_target_ended(Relay *r, const EndsMark *m);
 /* Records that an attempt of that request was answered. */
@@ -342,6 +337,18 @@
 void relay_close_tries(Relay *r);
 void relay_free_tries(Relay *r);
 
+/* == parts.c: parts of prompts that are suspects == */
+
+/* Sets `ids` (REQUEST_MAX_PARTS) to the parts of the prompt that other requests
+   may have too, all but the last, and returns their number. */
+int run_shared_parts(const Run *x, uint64_t *ids);
+/* Keeps a part in the store that this instance has named as a home. */
+void relay_keep_part(Relay *r, const SuspectsMsg *named);
+/* Removes a part that is sound from the store, unless a trial is under way. */
+void relay_release_part(Relay *r, Digest part);
+/* Another instance cleared a part: forgets it here if it had no trial. */
+void relay_forget_part(Relay *r, Digest part);
+
 /* == dispatch.c: targets and their answers == */
 
 /* Returns the criteria for the choice of a target. */
--- a/packages/flow/trying.c
+++ b/packages/flow/trying.c
@@ -366,16 +366,6 @@
   log_info("trial-shed", "s:s", "outcome", err_info(a->kind)->name);
 }
 
-void relay_release_part(Relay *r, Digest part) {
-  Trial held;
-  char name[DIGEST_TEXT_BYTES];
-  if (!trials_find(r->trials, part, &held) || held.open) return;
-  digest_format(part, name);
-  trials_remove(r->trials, part);
-  store_delete(r->store, CALLS_TRIAL, FEED_TRIALS_KIND, name, held.revision,
-               on_trial_removed, NULL);
-}
-
 static void remove_excess_trial(Relay *r) {
   Trial old;
   char name[DIGEST_TEXT_BYTES];
--- a/packages/route/trials.c
+++ b/packages/route/trials.c
@@ -25,6 +25,9 @@
 #define PART_FIRST_TRIES 3
 #define PART_LATER_RETRY_S 60.0
 
+/* Time in which a part that was named, and has had no trial, may be cleared. */
+#define PART_UNTRIED_WAIT_S 0.5
+
 typedef struct TrialEntry {
   Trial trial;
   double updated_at; /* when we learned of this revision */
@@ -89,13 +92,16 @@
 
 /* == decisions == */
 
-static TrialsVerdict part_verdict(const TrialEntry *entry, double now) {
+static TrialsVerdict part_verdict(const TrialEntry *entry, double now,
+                                  bool suspect) {
   const Trial *x = &entry->trial;
+  double age_s = now - entry->updated_at;
+  if (x->tries == 0)
+    return suspect || age_s >= PART_UNTRIED_WAIT_S ? TRIALS_TRY : TRIALS_FREE;
   double wait_s =
       x->tries < PART_FIRST_TRIES ? PART_RETRY_S : PART_LATER_RETRY_S;
   if (x->ends >= MAX_PART_ENDS) return TRIALS_HELD;
-  bool waits = x->tries > 0 && now - entry->updated_at < wait_s;
-  return waits ? TRIALS_BUSY : TRIALS_TRY;
+  return age_s < wait_s ? TRIALS_BUSY : TRIALS_TRY;
 }
 
 TrialsVerdict trials_verdict(const Trials *t, double now, Digest digest,
@@ -104,7 +110,7 @@
   if (!entry) return suspect ? TRIALS_TRY : TRIALS_FREE;
   if (entry->trial.open && now - entry->updated_at < MAX_OPEN_S)
     return TRIALS_BUSY;
-  if (entry->trial.is_part) return part_verdict(entry, now);
+  if (entry->trial.is_part) return part_verdict(entry, now, suspect);
   if (entry->trial.ended || entry->trial.tries >= MAX_INCONCLUSIVE_TRIES)
     return TRIALS_HELD;
   return TRIALS_TRY;
--- a/tests/parts.py
+++ b/tests/parts.py
@@ -47,6 +47,7 @@
                  key="key-acme"):
         self.s, self.again, self.key = s, again, key
         self.made, self.threads = [], []
+        self.instances = {}  # attempt -> the instance that it came to
         self.dice = random.Random(seed)
         self.thread = threading.Thread(
             target=self._run, args=(every_s, seconds, parts, burst))
@@ -65,11 +66,15 @@
 
     def _make(self, i, n, parts):
         body = b"%d of %d" % (n, id(self))
-        first = Stream(self.s, i, body, key=self.key, parts=parts)
+        first = self._send(i, body, parts)
         self.made.append(first)
         if self.again and not first.served:
-            i = (i + 1) % len(self.s.processes)
-            Stream(self.s, i, body, key=self.key, parts=parts)
+            self._send((i + 1) % len(self.s.processes), body, parts)
+
+    def _send(self, i, body, parts):
+        sent = Stream(self.s, i, body, key=self.key, parts=parts)
+        self.instances[sent.id] = i
+        return sent
 
     def join(self):
         self.thread.join()
@@ -221,6 +226,23 @@
     check_sound(g, ready + IN_TOUCH_S)
 
 
+def test_all_are_killed_as_soon_as_the_part_is_known(s):
+    """The part has had no trial yet, and no instance remembers it."""
+    pool = with_bad(s)
+    b, g = bad(s), sound(s)
+    wait_for("the third end", lambda: len(pool.ends) >= 3)
+    time.sleep(0.15)
+    s.restart_all()
+    restarted = time.monotonic()
+    for i in range(len(s.processes)):
+        s.wait_ready(i)
+    b.join(), g.join()
+    after = sum(t > restarted for t, _ in pool.reached)
+    print("   %d reached targets after the restart" % after, flush=True)
+    assert after <= MORE, "%d after the restart" % after
+    check_sound(g, restarted + 2 * IN_TOUCH_S)
+
+
 def test_instances_restart_in_series(s):
     """The bound does not apply to an instance for three seconds after its start."""
     pool = with_bad(s)
--- a/tests/test_suspects.c
+++ b/tests/test_suspects.c
@@ -594,6 +594,17 @@
   trials_free(t);
 }
 
+/* Guards against a part that is named, and forgotten with all instances. */
+Test(trials, part_without_a_trial_is_tried_first) {
+  Trials *t = trials_new();
+  Trial x = {.digest = digest(1), .revision = 5, .is_part = true};
+  trials_set(t, 10, &x);
+  cr_assert_eq(verdict(t, 10.1, false), TRIALS_FREE, "it may be cleared");
+  cr_assert_eq(verdict(t, 10.1, true), TRIALS_TRY);
+  cr_assert_eq(verdict(t, 11, false), TRIALS_TRY);
+  trials_free(t);
+}
+
 Test(trials, trial_of_a_part_round_trips_through_its_object) {
   Trials *t = trials_new();
   close_part_trial(t, 10, TRIALS_ENDED);
