--- a/packages/flow/ask.h
+++ b/packages/flow/ask.h
@@ -32,7 +32,7 @@
   int64_t last_event;  /* number of the last event of the answer that the caller
                           has received; REQUEST_NO_EVENT */
   /* The caller's attempt that brought the first event of the stream that this
-     one takes up; "": not given, or damaged. */
+     one resumes; "": not given, or damaged. */
   char resumes[LIMIT_ID_BYTES * 2];
 } RequestInfo;
 
--- a/packages/flow/origins.c
+++ b/packages/flow/origins.c
@@ -1,5 +1,5 @@
-/* origins.c: a stream goes on only at targets of the software version that
-   began it. For a caller that takes a stream up, that version is found here or
+/* origins.c: a stream continues only at targets of the software version that
+   began it. For a caller that resumes a stream, that version is found here or
    at other instances (route/origins.h). */
 #include "flow/run.h"
 #include "kernel/count.h"
@@ -82,10 +82,10 @@
   return a;
 }
 
-/* == requests that take up a stream == */
+/* == requests that resume a stream == */
 
 static void log_origin(const Run *x, const char *how) {
-  log_info("stream-taken-up", "s:s,s:s,s:s,s:i", "request", x->request.id,
+  log_info("stream-resumed", "s:s,s:s,s:s,s:i", "request", x->request.id,
            "resumes", x->request.resumes, "origin", how, "missing",
            x->n_origins_missing);
 }
@@ -134,9 +134,9 @@
 
 void run_find_origin(Run *x, void (*admit)(Run *x)) {
   const RequestInfo *a = &x->request;
-  bool takes_up = a->last_event != REQUEST_NO_EVENT || a->resumes[0];
+  bool is_resumed = a->last_event != REQUEST_NO_EVENT || a->resumes[0];
   x->admit = admit;
-  if (!is_stream_route(x) || !takes_up) {
+  if (!is_stream_route(x) || !is_resumed) {
     admit(x);
     return;
   }
--- a/packages/flow/run.h
+++ b/packages/flow/run.h
@@ -210,7 +210,7 @@
 
 /* == origins.c: the software versions that began streams == */
 
-/* Calls `admit` at once or, if the request takes up a stream, once the version
+/* Calls `admit` at once or, if the request resumes a stream, once the version
    that began it is found, or refuses the request. */
 void run_find_origin(Run *x, void (*admit)(Run *x));
 /* The first event of the answer, or of a further answer, is forwarded. */
--- a/packages/kernel/count.c
+++ b/packages/kernel/count.c
@@ -56,7 +56,7 @@
     [COUNT_ORIGINS_SHARED] = {"origins_shared_total",
                               "streams whose version was told to others"},
     [COUNT_REFUSED_ORIGIN] = {"refused_origin_total",
-                              "streams not taken up, their version unknown"},
+                              "streams not resumed, their version unknown"},
     [COUNT_RESUMED] = {"resumed_total", "streams that went on after a break"},
     [COUNT_TARGET_CUT] = {"target_cut_total", "answers cut by a target"},
     [COUNT_EVACUATIONS] = {"evacuations_total",
--- a/packages/route/origins.c
+++ b/packages/route/origins.c
@@ -7,7 +7,7 @@
 
 #include "route/versions.h"
 
-/* A stream may last for as long as its caller waits for it, and is taken up
+/* A stream may last for as long as its caller waits for it, and is resumed
    soon after. */
 #define KEEP_S (2 * VERSIONS_MEMORY_S)
 /* 100 bytes each. An instance of the largest fleet has some three thousand. */
--- a/packages/route/origins.h
+++ b/packages/route/origins.h
@@ -1,5 +1,5 @@
-/* origins.h: the software version that began each stream, for callers that take
-   one up; pure, for one instance.
+/* origins.h: the software version that began each stream, for callers that
+   resume one; pure, for one instance.
 
    A caller names the attempt that brought the first event of its stream, at any
    instance. An instance records what it began itself. Unless the targets of the
@@ -19,7 +19,7 @@
   ORIGINS_QUERY,   /* asks for the version of a stream */
   ORIGINS_UNKNOWN, /* answer: no record, and no knowledge of the versions */
   /* Answer: no record, but all targets of the service have had this version
-     for as long as a caller may take a stream up. */
+     for as long as a caller may resume a stream. */
   ORIGINS_SOLE,
   ORIGINS_SEVERAL, /* answer: no record, and there were several versions */
   ORIGINS_KNOWN,   /* answer: the record */
@@ -47,7 +47,7 @@
 /* Records that a stream began at a version. `shared`: its homes have the record
    or we are one of them. */
 void origins_set(Origins *o, double now, const OriginsMsg *record, bool shared);
-/* The whole stream was delivered: its caller won't take it up. */
+/* The whole stream was delivered: its caller won't resume it. */
 void origins_remove(Origins *o, uint64_t key);
 bool origins_find(const Origins *o, uint64_t key, uint64_t *version);
 /* Sets `out` to a record that no home has and marks it as shared; `needed`:
@@ -55,7 +55,7 @@
 typedef bool (*OriginsNeeded)(void *ctx, uint64_t service);
 bool origins_take_unshared(Origins *o, OriginsNeeded needed, void *ctx,
                            OriginsMsg *out);
-/* Drops records of streams that nobody takes up any more. */
+/* Drops records of streams that nobody resumes any more. */
 void origins_sweep(Origins *o, double now);
 
 /* Combines two answers on the same stream. A record decides; several versions
--- a/packages/route/versions.h
+++ b/packages/route/versions.h
@@ -7,7 +7,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-/* Callers take no stream up that began longer ago, in seconds. */
+/* Callers resume no stream that began longer ago, in seconds. */
 #define VERSIONS_MEMORY_S 30.0
 
 typedef struct Versions Versions;
