--- a/packages/flow/run.h
+++ b/packages/flow/run.h
@@ -2,11 +2,11 @@
    and the other files named below.
 
    A target ends when its process ends. A request is a suspect when targets
-   ended while they ran it. A trial, kept in the store, lets one instance at a
-   time send a suspect to a target. A permit lets an instance send one request
-   to a target that limits its rate; the instance that counts the target's
-   requests issues it (route/tally.h). A reservation reserves tokens of the
-   customer's budget. */
+   ended while they ran it, or ran others that share a part of its prompt. A
+   trial, kept in the store, lets one instance at a time send a suspect to a
+   target. A permit lets an instance send one request to a target that limits
+   its rate; the instance that counts the target's requests issues it
+   (route/tally.h). A reservation reserves tokens of the customer's budget. */
 #ifndef FLOW_RUN_H
 #define FLOW_RUN_H
 
