--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -246,6 +246,16 @@
     return 1 if failed else 0
 
 
+def run_in_groups(names, n):
+    """Runs the tests `names` of this program in `n` processes side by side, each on
+    its own sites. Returns the exit status."""
+    groups = [subprocess.Popen([sys.executable] + sys.argv[:2] + names[k::n],
+                               stdout=subprocess.PIPE, text=True) for k in range(n)]
+    for g in groups:
+        print(g.communicate()[0], end="", flush=True)
+    return max(g.returncode for g in groups)
+
+
 def run_seeds(play, instances, site=Site):
     """Parses a soak's command line and runs `play(site, seed)` for each seed on its
     own site. Returns the exit status."""
--- a/tests/parts.py
+++ b/tests/parts.py
@@ -14,10 +14,11 @@
 import time
 
 from faults import IN_TOUCH_S
-from fleet import run_tests, wait_for
+from fleet import run_in_groups, run_tests, wait_for
 from pool import BACK_S, MORE, Stream, with_pool
 
 INSTANCES, MANY = 3, 14
+GROUPS = 4        # of tests that run side by side
 FREE_ENDS = 5     # crashes after which the bound begins to count
 PLAY_S = 14.0
 SHARE = 0.5       # of sound requests that begin, relative to those before
@@ -303,4 +304,5 @@
 if __name__ == "__main__":
     sizes = dict.fromkeys(TESTS, INSTANCES)
     sizes["test_a_larger_fleet_keeps_them_away"] = MANY
-    sys.exit(run_tests(TESTS, sizes))
+    sys.exit(run_tests(TESTS, sizes) if sys.argv[2:] else
+             run_in_groups(list(TESTS), GROUPS))
--- a/tests/versions.py
+++ b/tests/versions.py
@@ -15,10 +15,11 @@
 import threading
 import time
 
-from fleet import config, run_tests, wait_for
+from fleet import Site, config, run_in_groups, run_tests, wait_for
 from standins import Worker, chunk, event, head
 
 INSTANCES, MANY = 3, 14
+GROUPS = 4          # of tests that run side by side
 EVENTS, PAUSE_S = 10, 0.03
 PLAY_S = 10.0
 SETTLE_S = 2.5      # until all instances know of new targets
@@ -371,6 +372,19 @@
         assert len(t.versions) == 1, t.versions
 
 
+def test_taken_up_in_another_region_after_a_region_was_lost(s):
+    """One of a stream's homes is in the next region. Instances 0 and 2 are in one."""
+    Versions(s, {"v1": 3, "v2": 3})
+    made = begin_at_once(s, 12)
+    for i in (0, 2):
+        s.processes[i].kill()
+        s.processes[i].wait()
+    on = sum(take_up(t, 1 + 2 * (k % 2)) for k, t in enumerate(made))
+    mixed = sum(len(t.versions) > 1 for t in made)
+    print("   %d of 12 went on, %d at another version" % (on, mixed), flush=True)
+    assert mixed == 0 and on >= 0.9 * len(made), (mixed, on)
+
+
 def test_engines_replaced_at_their_own_addresses(s):
     """A target of another version stands at the address of the one that is gone."""
     v = Versions(s, {"v1": 8}, breaks=0.1)
@@ -462,9 +476,25 @@
             t.ids, t.versions, t.error)
 
 
+class TwoRegions(Site):
+    """Instances are in the one and the other by turns."""
+
+    regions = {"a": "region-a", "b": "region-b"}
+
+
 TESTS = {n: f for n, f in globals().items() if n.startswith("test_")}
 
 if __name__ == "__main__":
     sizes = dict.fromkeys(TESTS, INSTANCES)
     sizes["test_broken_and_taken_up_in_a_larger_fleet"] = MANY
-    sys.exit(run_tests(TESTS, sizes))
+    regional = "test_taken_up_in_another_region_after_a_region_was_lost"
+    sizes[regional] = 4
+    names = sys.argv[2:]
+    if not names:
+        sys.exit(run_in_groups(list(TESTS), GROUPS))
+    others, status = [n for n in names if n != regional], 0
+    if others:
+        status = run_tests(TESTS, sizes, names=others)
+    if regional in names:
+        status |= run_tests(TESTS, sizes, names=[regional], site=TwoRegions)
+    sys.exit(status)
