--- a/tests/parts.py
+++ b/tests/parts.py
@@ -182,6 +182,21 @@
     check_sound(g, check_kept_away(pool, parts=2) + 2 * IN_TOUCH_S)
 
 
+def test_a_shared_part_is_not_held_for_parts_that_never_come_again(s):
+    """Each request has a bad part of its own, which is never named. The part that all
+    prompts share is tried by such requests alone; that proves nothing about it."""
+    unique = ["bad%03x" % n for n in range(1, 400)]
+    pool = with_bad(s, *unique)
+    Caller(s, 0.4, 8.0, lambda n: [FIRST, unique[n], own(n)]).join()
+    assert len(pool.ends) >= 5, "only %d ends" % len(pool.ends)
+    g = sound(s, 4.0)
+    g.join()
+    held = sum("ends-targets" in m.kind for m in g.made)
+    print("   %d of %d sound first tries are held; %d targets ended" % (
+        held, len(g.made), len(pool.ends)), flush=True)
+    assert held == 0, "%d sound requests were held" % held
+
+
 def test_answers_that_last_long(s):
     """No sound answer ends between the ends of targets; that it goes on is enough."""
     pool = with_bad(s)
