trying: a trial counts for a part only if the others of its prompt are sound

So two trials that ended their targets held a part whatever else their prompts held.

A trial whose target ends is now unproven unless all other parts succeeded since the part was first marked.

--- a/packages/flow/trying.c
+++ b/packages/flow/trying.c
@@ -277,17 +277,31 @@
   if (is_over(t)) close_try(t);
 }
 
-static void fail_try(Try *t) {
-  if (!t || t->succeeded || t->outcome == TRIALS_ENDED) return;
-  t->outcome = TRIALS_ENDED;
+static void fail_try(Try *t, TrialsOutcome outcome) {
+  if (!t || t->succeeded || t->outcome >= outcome) return;
+  t->outcome = outcome;
   if (is_over(t)) close_try(t);
 }
 
-/* Other requests with a part on trial may end their targets, but a repetition
-   of a request on trial is as good as the trial. */
+/* Whether all parts of the prompt but the one on trial are sound. */
+static bool proves_part(const Relay *r, const EndsMark *m, Digest on_trial) {
+  for (int i = 0; i < m->n_parts; i++) {
+    Digest d = suspects_part_digest(m->parts[i]);
+    if (!digest_equal(d, on_trial) &&
+        !suspects_is_sound(r->suspects, loop_time(r), d, on_trial))
+      return false;
+  }
+  return true;
+}
+
+/* A repetition of a request on trial is as good as the trial. Other requests
+   with a part on trial may end their targets for another reason. */
 void relay_on_trial_target_ended(Relay *r, const EndsMark *m) {
-  fail_try(find_try(r, m->digest));
-  if (m->trial != 0) fail_try(find_try_by_number(r, m->trial));
+  Try *t = m->trial != 0 ? find_try_by_number(r, m->trial) : NULL;
+  fail_try(find_try(r, m->digest), TRIALS_ENDED);
+  if (t && t->trial.is_part)
+    fail_try(t, proves_part(r, m, t->trial.digest) ? TRIALS_ENDED
+                                                   : TRIALS_UNPROVEN);
 }
 
 void run_pass_part_trial(Run *x) {
--- a/packages/route/ends.h
+++ b/packages/route/ends.h
@@ -20,9 +20,9 @@
 typedef struct EndsMark {
   uint64_t target; /* target_hash: of its id and start time */
   Digest digest;
-  uint64_t owner; /* text_hash of the customer */
-  uint64_t trial; /* Trial.by if it was a trial of a part, else 0 */
-  int n_parts;    /* of its prompt, without its own */
+  uint64_t owner;                    /* text_hash of the customer */
+  uint64_t trial;                    /* Trial.by if it was a trial, else 0 */
+  int n_parts;                       /* of its prompt, without its own */
   uint64_t parts[REQUEST_MAX_PARTS]; /* their ids */
 } EndsMark;
 
