Tests: a part that goes on elsewhere is refused until its trial ends

The object of the trial stays open in the store, and whoever reads it refuses.

Two faults are in this. The first, here: a part known to be sound is refused while its trial is open.

--- a/tests/parts.py
+++ b/tests/parts.py
@@ -15,7 +15,7 @@
 
 from faults import IN_TOUCH_S
 from fleet import run_in_groups, run_tests, wait_for
-from pool import BACK_S, MORE, Stream, with_pool
+from pool import MORE, PAUSE_S, Stream, with_pool
 
 INSTANCES, MANY = 3, 14
 GROUPS = 4        # of tests that run side by side
@@ -276,6 +276,35 @@
     check_sound(g, check_kept_away(pool) + 2 * IN_TOUCH_S)
 
 
+def begin_trial_of_first(s, pool):
+    """Has the part of all prompts suspected, though no target ends for it, and tried
+    at instance 0 by a request whose caller disconnects."""
+    pool.bad_parts = {"bad001", "bad002"}
+    for n in (1, 2):
+        Stream(s, n, b"bad", parts=[FIRST, "bad00%d" % n, own(n)])
+    time.sleep(0.4)  # until it counts as a suspect
+    Stream(s, 0, b"left", parts=[FIRST, own(3)], patience_s=0.1)
+    a = Stream(s, 1, b"refused", parts=[FIRST, own(4)])
+    assert "on-trial" in a.kind, (a.status, a.kind)
+
+
+def test_a_part_that_goes_on_elsewhere_is_served_during_its_trial(s):
+    """Guards against refusals until the trial ends, though an answer on the same part
+    went on at another instance."""
+    pool = with_bad(s)
+    pool.pause_s = 2.0
+    long = threading.Thread(target=Stream, args=(s, 2, b"long"),
+                            kwargs={"parts": [FIRST, own(5)]})
+    long.start()
+    time.sleep(0.1)
+    pool.pause_s = PAUSE_S  # from its third event on
+    begin_trial_of_first(s, pool)
+    long.join()
+    for i in range(INSTANCES):
+        a = Stream(s, i, b"sound", parts=[FIRST, own(10 + i)])
+        assert a.served, (i, a.status, a.kind)
+
+
 def test_the_store_is_away(s):
     """A trial is impossible in an outage, so nothing suspected is sent. The bound does
     not apply for three seconds after it."""
