trying: a success elsewhere ends the trial of a part

A part that is known to be sound was refused until its trial had ended, 2.5 s and more.

Cause: only the instance that makes a trial ended it, and only by the trial's own request. An answer on the same part at another instance cleared the part among the suspects, but not its trial, which decides as well.

Whoever sees a part go on now removes its trial from the store, open or not, and the instance that makes the trial ends it, also when it learns of the success from another. The write of that instance then finds no object, or one that is newer, which it takes for settled as before.

--- a/packages/flow/parts.c
+++ b/packages/flow/parts.c
@@ -65,13 +65,15 @@
 
 void relay_release_part(Relay *r, Digest part) {
   Trial held;
-  if (!trials_find(r->trials, part, &held) || held.open) return;
+  if (relay_pass_part_trial(r, part)) return;
+  if (!trials_find(r->trials, part, &held)) return;
   trials_remove(r->trials, part);
   remove_from_store(r, &held);
 }
 
 void relay_forget_part(Relay *r, Digest part) {
   Trial known;
+  if (relay_pass_part_trial(r, part)) return;
   if (trials_find(r->trials, part, &known) && known.tries == 0)
     trials_remove(r->trials, part);
 }
--- a/packages/flow/run.h
+++ b/packages/flow/run.h
@@ -329,6 +329,9 @@
 /* Records that the target goes on after it began to write on the parts of the
    run's prompt: a trial of them is over. */
 void run_pass_part_trial(Run *x);
+/* As run_pass_part_trial, when another request has shown that the part is
+   sound. Returns whether this instance has a trial of it. */
+bool relay_pass_part_trial(Relay *r, Digest part);
 /* Records that a target ended while it ran a request. */
 void relay_on_trial_target_ended(Relay *r, const EndsMark *m);
 /* Records that an attempt of that request was answered. */
@@ -344,9 +347,11 @@
 int run_shared_parts(const Run *x, uint64_t *ids);
 /* Keeps a part in the store that this instance has named as a home. */
 void relay_keep_part(Relay *r, const SuspectsMsg *named);
-/* Removes a part that is sound from the store, unless a trial is under way. */
+/* Ends any trial of a part that is sound, and removes the part from the store.
+ */
 void relay_release_part(Relay *r, Digest part);
-/* Another instance cleared a part: forgets it here if it had no trial. */
+/* Another instance cleared a part: ends a trial of it here, or forgets it if it
+   had none. */
 void relay_forget_part(Relay *r, Digest part);
 
 /* == dispatch.c: targets and their answers == */
--- a/packages/flow/trying.c
+++ b/packages/flow/trying.c
@@ -311,6 +311,18 @@
   run_end_trial(x, true);
 }
 
+bool relay_pass_part_trial(Relay *r, Digest part) {
+  Try *t = find_try(r, part);
+  if (!t) return false;
+  t->succeeded = true;
+  /* Until the trial is created, its request waits for it. */
+  if (t->run && !t->store_pending)
+    run_end_trial(t->run, true);
+  else if (is_over(t))
+    close_try(t);
+  return true;
+}
+
 void relay_on_trial_succeeded(Relay *r, Digest d) {
   Try *t = find_try(r, d);
   if (t) t->succeeded = true;
