Tests: the trial of a part outlasts the instance that made it

A part is refused for 30 s after the instance with its trial was killed: no one tells the result, and its object stays open in the store.

--- a/tests/parts.py
+++ b/tests/parts.py
@@ -305,6 +305,20 @@
         assert a.served, (i, a.status, a.kind)
 
 
+def test_a_trial_does_not_outlast_its_instance(s):
+    """Guards against refusals for 30 s, since the instance that was killed never tells
+    the result."""
+    begin_trial_of_first(s, with_bad(s))
+    s.processes[0].kill()
+    killed = time.monotonic()
+    wait_for("a request that is served", lambda: Stream(
+        s, 1, b"tried", parts=[FIRST, own(6)]).served, 2 * IN_TOUCH_S)
+    print("   served %.1f s after the kill" % (time.monotonic() - killed), flush=True)
+    for i in range(1, INSTANCES):
+        a = Stream(s, i, b"sound", parts=[FIRST, own(10 + i)])
+        assert a.served, (i, a.status, a.kind)
+
+
 def test_the_store_is_away(s):
     """A trial is impossible in an outage, so nothing suspected is sent. The bound does
     not apply for three seconds after it."""
--- a/tests/test_suspects.c
+++ b/tests/test_suspects.c
@@ -594,6 +594,24 @@
   trials_free(t);
 }
 
+/* Guards against a shared part that is refused for half a minute, since the
+   instance that tried it was lost. */
+Test(trials, open_trial_of_a_part_expires_before_that_of_a_request) {
+  Trials *t = trials_new();
+  Trial x = trials_begin(t, digest(1), 1, 1000);
+  x.revision = 1;
+  x.is_part = true;
+  trials_set(t, 10, &x);
+  cr_assert_eq(verdict(t, 14, true), TRIALS_BUSY);
+  cr_assert_eq(verdict(t, 15.5, true), TRIALS_TRY);
+  x.is_part = false;
+  x.revision = 2;
+  trials_set(t, 20, &x);
+  cr_assert_eq(verdict(t, 45, true), TRIALS_BUSY);
+  cr_assert_eq(verdict(t, 51, true), TRIALS_TRY);
+  trials_free(t);
+}
+
 /* Guards against a part that is named, and forgotten with all instances. */
 Test(trials, part_without_a_trial_is_tried_first) {
   Trials *t = trials_new();
