trials: an open trial of a part expires after 5 s

After the loss of an instance that tried a part, all requests with this part were refused for 30 s, and an instance that restarts meanwhile counts them from its start.

Cause: one limit for all open trials, set for requests, which may run at most once and for up to 15 s. The result of a part's trial is known once its target has begun to write; a second trial beside the first is no harm by itself, and the number of trials of a part is limited as before.

--- a/packages/route/trials.c
+++ b/packages/route/trials.c
@@ -12,6 +12,9 @@
    instance that made it is lost or can't reach the store, since the longest
    requests take 15 s. */
 #define MAX_OPEN_S 30.0
+/* The same for a part, which many requests wait for. Its result comes within
+   seconds, as its target begins to write an answer. */
+#define PART_MAX_OPEN_S 5.0
 /* Trials in the store, so that one page of a listing, about five hundred
    objects, has them all. */
 #define MAX_STORED_TRIALS 400
@@ -108,7 +111,8 @@
                              bool suspect) {
   const TrialEntry *entry = find_entry(t, digest);
   if (!entry) return suspect ? TRIALS_TRY : TRIALS_FREE;
-  if (entry->trial.open && now - entry->updated_at < MAX_OPEN_S)
+  double max_open_s = entry->trial.is_part ? PART_MAX_OPEN_S : MAX_OPEN_S;
+  if (entry->trial.open && now - entry->updated_at < max_open_s)
     return TRIALS_BUSY;
   if (entry->trial.is_part) return part_verdict(entry, now, suspect);
   if (entry->trial.ended || entry->trial.tries >= MAX_INCONCLUSIVE_TRIES)
