--- a/tests/parts.py
+++ b/tests/parts.py
@@ -319,6 +319,26 @@
         assert a.served, (i, a.status, a.kind)
 
 
+def test_a_restart_ends_the_trial_of_the_instance(s):
+    """Guards against instances that restart in series, and count the time of an open
+    trial anew."""
+    begin_trial_of_first(s, with_bad(s))
+    killed = time.monotonic()
+    for i in range(2):
+        s.processes[i].kill()
+        s.processes[i].wait()
+        s.start(i)
+        time.sleep(0.5)
+    wait_for("a request that is served", lambda: Stream(
+        s, 2, b"tried", parts=[FIRST, own(6)]).served, IN_TOUCH_S - 1)
+    print("   served %.1f s after the first kill" % (time.monotonic() - killed),
+          flush=True)
+    s.wait_ready(1)
+    for i in range(INSTANCES):
+        a = Stream(s, i, b"sound", parts=[FIRST, own(10 + i)])
+        assert a.served, (i, a.status, a.kind)
+
+
 def test_the_store_is_away(s):
     """A trial is impossible in an outage, so nothing suspected is sent. The bound does
     not apply for three seconds after it."""
