Tests: a part whose trial found no target is free for half a second

Its trace: after a loss of all instances all of them take their paths to targets for interrupted, so the trials of the bad part end "unsent", at 4.788, 5.341 and 5.951 s. Six requests with that part are sent without a trial at 5.7 to 6.7 s, each within 0.7 s of one of them.

--- a/tests/test_suspects.c
+++ b/tests/test_suspects.c
@@ -559,6 +559,7 @@
   static uint64_t revision = 100;
   Trial x = trials_begin(t, digest(1), 1, 1000);
   x.is_part = true;
+  x.by = revision;
   x = trials_close(&x, how);
   x.revision = ++revision;
   trials_set(t, now, &x);
@@ -651,6 +652,16 @@
   trials_free(t);
 }
 
+/* Guards against a part that all requests may carry to targets for half a second
+   after each trial that found no target. */
+Test(trials, part_whose_trial_was_unsent_is_tried_again) {
+  Trials *t = trials_new();
+  Trial x = close_part_trial(t, 10, TRIALS_UNSENT);
+  cr_assert_eq(x.tries, 0);
+  cr_assert_eq(verdict(t, 10.1, false), TRIALS_TRY);
+  trials_free(t);
+}
+
 Test(trials, trial_of_a_part_round_trips_through_its_object) {
   Trials *t = trials_new();
   close_part_trial(t, 10, TRIALS_ENDED);
