--- a/packages/route/trials.h
+++ b/packages/route/trials.h
@@ -8,8 +8,10 @@
    A trial is an object in the platform's store. It is created before the
    request is sent and deleted when the request ends well. So two instances
    can't try it at the same time, and a trial that is not deleted stays in
-   force even if all instances are lost. Two or three targets end under a
-   harmful request before it is named a suspect, and one more in its trial. */
+   force even if all instances are lost. An open trial of a part, which many
+   requests wait for, ends with its instance or after some seconds. Two or three
+   targets end under a harmful request before it is named a suspect, and one
+   more in its trial. */
 #ifndef ROUTE_TRIALS_H
 #define ROUTE_TRIALS_H
 
