--- a/review/rig.py
+++ b/review/rig.py
@@ -275,8 +275,8 @@
     record.note("disruption: " + ("on" if TROUBLE else "off"))
     try:
         broken = play(record)
-    except CannotRun as e:
-        record.note("could not run: %s" % e)
+    except Exception as e:  # noqa: BLE001 (an error of the script is no result)
+        record.note("could not run: %s: %s" % (type(e).__name__, e))
         sys.exit(2)
     record.note("the rule was broken" if broken else "the rule held")
     sys.exit(1 if broken else 0)
