--- a/review/rig.py
+++ b/review/rig.py
@@ -175,6 +175,16 @@
         except OSError:
             return False
 
+    def metrics(self, i):
+        """The lines of an instance's metrics."""
+        s = socket.create_connection((self.ip(i), self.base + 1), 2)
+        s.sendall(b"GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+        data = b""
+        while part := s.recv(65536):
+            data += part
+        s.close()
+        return data.decode().splitlines()
+
     def start(self):
         for i in range(len(self.instances)):
             self.start_instance(i)
@@ -185,8 +195,10 @@
             time.sleep(0.1)
         self.record.note("all instances are ready")
 
-    def connect(self, i, receive_buffer=0, timeout=15):
+    def connect(self, i, receive_buffer=0, timeout=15, mss=0):
         s = socket.socket()
+        if mss:  # as on a network with this segment size
+            s.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, mss)
         if receive_buffer:
             s.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
         s.settimeout(timeout)
