--- a/review/rig.py
+++ b/review/rig.py
@@ -285,6 +285,8 @@
     broken), 0 if it returns False, and 2 if the case could not run."""
     record = Record(os.path.join(os.path.dirname(os.path.abspath(path)), "record.txt"))
     record.note("disruption: " + ("on" if TROUBLE else "off"))
+    # Leaves play() by its `finally`, which ends all processes.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         broken = play(record)
     except Exception as e:  # noqa: BLE001 (an error of the script is no result)
