Observability: what marked the end of a target's answer

A link now reports the framing with the head, and LINK_CLOSED for an end by the connection alone; the request line has "framing", and answers_closed_total counts. Nothing is decided by it yet: LINK_CLOSED is handled as LINK_COMPLETE.

--- a/packages/flow/dispatch.c
+++ b/packages/flow/dispatch.c
@@ -236,6 +236,7 @@
   if (a.has_load)
     target_set_load(x->target, run_now(x), a.running, a.waiting, a.slowdown);
   if (a.cold_s > 0) target_set_cold(x->target, run_now(x), a.cold_s);
+  x->framing = h->framing;
   x->refused = a.not_run || h->status == 421;
   if (h->status == 421)
     targets_mark_replaced(x->relay->targets, run_now(x), x->target);
@@ -324,6 +325,7 @@
 static void on_end(void *ctx, LinkEnd how) {
   Run *x = ctx;
   x->link = NULL;
+  if (how == LINK_CLOSED) count_add(COUNT_ANSWERS_CLOSED, 1);
   switch (how) {
   case LINK_NOT_SENT:
     x->sends--;
@@ -342,6 +344,7 @@
     else
       handle_maybe_run(x, TARGET_FAILED, "cut");
     break;
+  case LINK_CLOSED:
   case LINK_COMPLETE:
     if (x->refused)
       handle_not_run(x, true);
--- a/packages/flow/link.c
+++ b/packages/flow/link.c
@@ -163,6 +163,14 @@
   return MIN(max_s, atof(t + strlen("timeout=")) * KEEP_ALIVE_RATIO);
 }
 
+static LinkFraming framing_of(const Link *l) {
+  const http_parser *p = &l->parser;
+  if (l->no_body || p->status_code == 204 || p->status_code == 304)
+    return LINK_FRAMING_LENGTH;
+  if (p->flags & F_CHUNKED) return LINK_FRAMING_CHUNKS;
+  return p->flags & F_CONTENTLENGTH ? LINK_FRAMING_LENGTH : LINK_FRAMING_CLOSE;
+}
+
 static int on_head(http_parser *p) {
   Link *l = p->data;
   if (p->status_code / 100 == 1) return 0;
@@ -170,10 +178,9 @@
     l->rejected = true;
     return -1;
   }
-  bool length = p->content_length != ULLONG_MAX && !(p->flags & F_CHUNKED);
   LinkHead h = {.status = p->status_code,
                 .headers = &l->headers,
-                .length = length ? (int64_t)p->content_length : -1};
+                .framing = framing_of(l)};
   l->keep_s = keep_alive_s(l);
   LinkVerdict v = l->ev.head(l->ctx, &h);
   if (l->cancelled) return -1;
@@ -214,9 +221,10 @@
     .on_message_complete = on_done,
 };
 
-/* Ends a complete exchange, and keeps the link if it can be reused. */
-static void finish_complete(Link *l, bool at_end) {
-  bool keep = !at_end && !l->not_reusable && l->out->len == 0 &&
+/* Ends a complete exchange, and keeps the link if it can be reused. `closed`:
+   the end of the connection ended it. */
+static void finish_complete(Link *l, bool closed) {
+  bool keep = !closed && !l->not_reusable && l->out->len == 0 &&
               l->keep_s > 0 && http_should_keep_alive(&l->parser);
   LinkEvents ev = l->ev;
   void *ctx = l->ctx;
@@ -225,7 +233,7 @@
     add_idle(l);
   else
     release_link(l);
-  ev.end(ctx, LINK_COMPLETE);
+  ev.end(ctx, closed ? LINK_CLOSED : LINK_COMPLETE);
 }
 
 static void parse(Link *l, const char *p, size_t n) {
--- a/packages/flow/link.h
+++ b/packages/flow/link.h
@@ -11,10 +11,17 @@
 typedef struct Links Links;
 typedef struct Link Link;
 
+/* What marks the end of an answer's body. */
+typedef enum {
+  LINK_FRAMING_LENGTH, /* a length, or the answer has no body */
+  LINK_FRAMING_CHUNKS,
+  LINK_FRAMING_CLOSE /* nothing but the end of the connection */
+} LinkFraming;
+
 typedef struct LinkHead {
   int status;
   Headers *headers;
-  int64_t length; /* of the body; -1: chunked, or until the connection closes */
+  LinkFraming framing;
 } LinkHead;
 
 /* What to do with an answer after its head was received. */
@@ -27,6 +34,8 @@
 /* How an exchange ended. */
 typedef enum {
   LINK_COMPLETE,
+  LINK_CLOSED,    /* by the peer, in order, and nothing else marks the end of
+                     the answer */
   LINK_NOT_SENT,  /* no byte of the request was sent */
   LINK_NO_TUNNEL, /* the same: the gateway opened no tunnel to the peer */
   LINK_BROKEN,    /* sent at least in part, and broke */
--- a/packages/flow/run.c
+++ b/packages/flow/run.c
@@ -79,10 +79,14 @@
 /* Types of the fields of a line; the second are those of managed services. */
 #define END_FIELDS                                                             \
   "s:s,s:s,s:i,s:s,s:s,s:s,s:s,s:s,s:i,s:i,s:I,s:I,s:I,s:I,s:i,s:I,"           \
-  "s:f,s:f,s:f,s:f,s:f,s:f,s:i,s:I,s:s*,s:s*,s:s*,s:o*"
+  "s:f,s:f,s:f,s:f,s:f,s:f,s:i,s:I,s:s*,s:s*,s:s*,s:s*,s:o*"
 #define ADMISSION_FIELDS ",s:s,s:f,s:f"
 #define NO_CUTOFF (-1.0) /* JSON has no infinity */
 
+static const char *const framings[] = {[LINK_FRAMING_LENGTH] = "length",
+                                       [LINK_FRAMING_CHUNKS] = "chunks",
+                                       [LINK_FRAMING_CLOSE] = "close"};
+
 static void log_end(const Run *x, const char *outcome, int status,
                     const char *error, int64_t tokens) {
   double now = run_now(x);
@@ -109,7 +113,8 @@
        "conf", (json_int_t)(x->conf ? x->conf->version : 0), "via",
        x->via ? gateways_id(x->relay->gateways, x->via) : NULL, "version",
        x->n_tried > 0 ? target_version_text(x->tried[x->n_tried - 1]) : NULL,
-       "resumes", x->request.resumes[0] ? x->request.resumes : NULL, "rate",
+       "resumes", x->request.resumes[0] ? x->request.resumes : NULL, "framing",
+       x->has_first_byte ? framings[x->framing] : NULL, "rate",
        run_rate_fields(x), "cause", admission_cause_name(x->rejected),
        "expected", x->expected_s, "cutoff",
        isfinite(x->cutoff.cutoff) ? x->cutoff.cutoff : NO_CUTOFF);
--- a/packages/flow/run.h
+++ b/packages/flow/run.h
@@ -125,6 +125,7 @@
   bool maybe_ran; /* a target may have run it */
   /* answer */
   int status;
+  LinkFraming framing;    /* of the target's current or last answer */
   GString *fields, *body; /* header fields and body to send to the caller */
   /* The answer is an event stream; its head was sent to the caller. */
   bool stream, head_sent;
--- a/packages/kernel/count.c
+++ b/packages/kernel/count.c
@@ -58,6 +58,9 @@
     [COUNT_REFUSED_ORIGIN] = {"refused_origin_total",
                               "streams not resumed, their version unknown"},
     [COUNT_RESUMED] = {"resumed_total", "streams that went on after a break"},
+    [COUNT_ANSWERS_CLOSED] = {"answers_closed_total",
+                              "answers of targets that only the end of their "
+                              "connections ended"},
     [COUNT_TARGET_CUT] = {"target_cut_total", "answers cut by a target"},
     [COUNT_EVACUATIONS] = {"evacuations_total",
                            "evacuations that came into force or ended here"},
