--- a/packages/flow/sock.c
+++ b/packages/flow/sock.c
@@ -86,9 +86,13 @@
   set_option(fd, IPPROTO_TCP, TCP_KEEPCNT, KEEPALIVE_PROBE_COUNT);
 }
 
-void sock_reset(int fd) {
-  struct linger l = {1, 0};
+void sock_set_reset_on_close(int fd, bool on) {
+  struct linger l = {on, 0};
   setsockopt(fd, SOL_SOCKET, SO_LINGER, &l, sizeof l);
+}
+
+void sock_reset(int fd) {
+  sock_set_reset_on_close(fd, true);
   close(fd);
 }
 
--- a/packages/flow/sock.h
+++ b/packages/flow/sock.h
@@ -23,6 +23,11 @@
 /* Probes a peer after a second without data; two lost probes end the
    connection or, if there is a user timeout, the first lost one after it. */
 void sock_enable_keepalive(int fd);
+/* Sets whether a close of the socket, by the end of its process as well, is a
+   TCP reset. The kernel otherwise ends the connections of a killed process by
+   FIN, which peers take for the end of a message without a length. Bytes that
+   were written but not yet sent are lost by the reset. */
+void sock_set_reset_on_close(int fd, bool on);
 /* Closes with a TCP reset, so that the peer stops at once. */
 void sock_reset(int fd);
 
