Dispatch: an answer without framing counts only if its target goes on

The targets had answered with neither a length nor chunks, or by HTTP/1.0, and were killed while they wrote.

Cause: an end of input was taken for the end of the answer. A kernel closes the connections of a killed process as if the process had closed them, and a link reported that as the end of a message that only the end of its connection ends.

Now such an end is reported apart (LINK_CLOSED) and the answer is held open for 25 ms; then a new connection to the target, by the way that the answer took, shows whether the target goes on. If it does, the answer is complete, and the connection is kept for the next request. If it is refused, or another target is known at the address, the exchange is broken: a stream that may be resumed goes on at another target after its last event, a safe request runs again, and everything else fails visibly. Events are passed on at once as before.

Ruled out: passing on the target's own framing. An answer that ends by the end of its connection looks complete to a caller, a stream that goes on at a target with chunks could not be marked, and the break would rest on a reset alone.

--- a/packages/flow/dispatch.c
+++ b/packages/flow/dispatch.c
@@ -186,8 +186,7 @@
   fail_not_run(x);
 }
 
-/* The target may have run the request. */
-static void handle_maybe_run(Run *x, TargetOutcome how, const char *why) {
+void run_handle_broken(Run *x, TargetOutcome how, const char *why) {
   Err e;
   Target *t = x->target;
   bool recently_started = run_is_recently_started(x);
@@ -304,7 +303,7 @@
   }
 }
 
-static void finish_answer(Run *x) {
+void run_finish_answer(Run *x) {
   if (is_worth_retrying(x, x->status) && may_try_another(x, true)) {
     log_failure(x, "error");
     run_release_target(x, TARGET_FAILED);
@@ -325,7 +324,6 @@
 static void on_end(void *ctx, LinkEnd how) {
   Run *x = ctx;
   x->link = NULL;
-  if (how == LINK_CLOSED) count_add(COUNT_ANSWERS_CLOSED, 1);
   switch (how) {
   case LINK_NOT_SENT:
     x->sends--;
@@ -336,22 +334,24 @@
     handle_no_tunnel(x);
     break;
   case LINK_NO_ANSWER:
-    handle_maybe_run(x, TARGET_UNRESPONSIVE, "silent");
+    run_handle_broken(x, TARGET_UNRESPONSIVE, "silent");
     break;
   case LINK_BROKEN:
     if (x->refused)
       handle_not_run(x, true);
     else
-      handle_maybe_run(x, TARGET_FAILED, "cut");
+      run_handle_broken(x, TARGET_FAILED, "cut");
     break;
   case LINK_CLOSED:
   case LINK_COMPLETE:
     if (x->refused)
       handle_not_run(x, true);
     else if (x->stream && x->events.partial->len > 0)
-      handle_maybe_run(x, TARGET_FAILED, "cut inside an event");
+      run_handle_broken(x, TARGET_FAILED, "cut inside an event");
+    else if (how == LINK_CLOSED)
+      run_check_end(x);
     else
-      finish_answer(x);
+      run_finish_answer(x);
     break;
   }
 }
--- a/packages/flow/link.c
+++ b/packages/flow/link.c
@@ -51,8 +51,9 @@
   int skips;
   double idle_since, keep_s;
   LinkEvents ev;
-  void *ctx;
-  Link *next; /* in the list of idle links of an address */
+  LinkCheckedFn checked; /* of link_check; NULL: none */
+  void *ctx;             /* of `ev` or `checked` */
+  Link *next;            /* in the list of idle links of an address */
 };
 
 struct Links {
@@ -312,13 +313,28 @@
   if (s->connect_fn) s->connect_fn(s->connect_ctx, addr, via, how);
 }
 
+/* Reports the result of a check once; it may free the owner of `ctx`. */
+static void end_check(Link *l, LinkConnectResult how) {
+  LinkCheckedFn checked = l->checked;
+  void *ctx = l->ctx;
+  l->checked = NULL;
+  l->ctx = NULL;
+  if (how == LINK_CONNECTED)
+    add_idle(l);
+  else
+    free_link(l);
+  checked(ctx, how);
+}
+
 /* The connection failed. The exchange ends before connect_fn is called, so that
    connect_fn counts only the exchanges that continue. */
 static void fail_connect(Link *l, LinkConnectResult how) {
   const Links *s = l->set;
   char *addr = g_strdup(l->addr), *via = g_strdup(l->via);
   notify_attempt(l, how);
-  if (how == LINK_TUNNEL_FAILED && l->out)
+  if (l->checked)
+    end_check(l, how);
+  else if (how == LINK_TUNNEL_FAILED && l->out)
     finish_exchange(l, LINK_NO_TUNNEL);
   else
     fail_exchange(l);
@@ -342,7 +358,10 @@
   }
   ev_io_stop(loop, &l->write);
   l->keep_s = l->set->o.max_idle_s;
-  add_idle(l);
+  if (l->checked)
+    end_check(l, LINK_CONNECTED);
+  else
+    add_idle(l);
 }
 
 /* == tunnels == */
@@ -514,6 +533,15 @@
   link_preconnect_via(s, addr, NULL);
 }
 
+Link *link_check(Links *s, const char *addr, const char *via, LinkCheckedFn fn,
+                 void *ctx) {
+  Link *l = new_link(s, addr, via);
+  l->checked = fn;
+  l->ctx = ctx;
+  connect_link(l);
+  return l;
+}
+
 double links_last_activity(const Links *s) {
   return s->last_activity;
 }
--- a/packages/flow/link.h
+++ b/packages/flow/link.h
@@ -63,6 +63,9 @@
 typedef void (*LinksConnectFn)(void *ctx, const char *addr, const char *via,
                                LinkConnectResult how);
 
+/* Receives the result of link_check, whose link must not be used after it. */
+typedef void (*LinkCheckedFn)(void *ctx, LinkConnectResult how);
+
 typedef struct LinkOptions {
   double connect_timeout_s; /* to connect */
   int user_timeout_ms;      /* see sock_set_user_timeout */
@@ -92,6 +95,10 @@
    established. */
 void link_preconnect(Links *s, const char *addr);
 void link_preconnect_via(Links *s, const char *addr, const char *via);
+/* As link_preconnect_via, and reports whether the connection was established.
+   Makes no callback before it returns; link_cancel cancels it. */
+Link *link_check(Links *s, const char *addr, const char *via, LinkCheckedFn fn,
+                 void *ctx);
 /* Closes the idle direct links to `addr`, after the peer has lost them. */
 void links_close_idle(Links *s, const char *addr);
 void links_close_all_idle(Links *s);
--- a/packages/flow/run.c
+++ b/packages/flow/run.c
@@ -126,6 +126,7 @@
   run_record_cut_off(x);
   if (x->link) link_cancel(x->link);
   x->link = NULL;
+  run_cancel_check(x);
   run_release_target(x, TARGET_ABANDONED);
   run_end_trial(x, x->sends > 0);
   int64_t used = used_tokens(x, strcmp(outcome, "served") == 0);
--- a/packages/flow/run.h
+++ b/packages/flow/run.h
@@ -120,6 +120,9 @@
   bool has_first_byte;  /* the target's answer has begun to arrive */
   double first_byte_at; /* when it did */
   Link *link;           /* the exchange with `target`; NULL: none */
+  /* Whether the target of an unframed answer goes on (unframed.c). */
+  ev_timer check_timer; /* until `check` */
+  Link *check;          /* NULL: none */
   double paused_at; /* reading of the answer is paused since; 0: not paused */
   bool refused;   /* the current answer states that the target did not run it */
   bool maybe_ran; /* a target may have run it */
@@ -306,6 +309,13 @@
 TunnelStatus relay_on_tunnel_attempt(void *ctx, const char *addr,
                                      TunnelStatus status);
 
+/* == unframed.c: answers whose end only the end of their connection marks == */
+
+/* The target has closed the connection in order after such an answer. Finishes
+   the answer if the target goes on, or else handles it as broken. */
+void run_check_end(Run *x);
+void run_cancel_check(Run *x);
+
 /* == demand.c: demand of customers == */
 
 /* Returns the priority that is sent to the target, 0 for the most urgent; the
@@ -360,6 +370,12 @@
 
 /* Returns the criteria for the choice of a target. */
 TargetRequest run_target_criteria(Run *x);
+/* Goes on after a broken exchange, whose target may have run the request: at
+   another target, or with an error. `why` is for the log. */
+void run_handle_broken(Run *x, TargetOutcome how, const char *why);
+/* Ends the run with the target's complete answer, or tries another target after
+   an error answer. */
+void run_finish_answer(Run *x);
 /* Chooses a target by the reports that have arrived, and sends the request
    there, requests a permit for it, or fails. */
 void run_choose_target(Run *x);
--- /dev/null
+++ b/packages/flow/unframed.c
@@ -0,0 +1,66 @@
+/* unframed.c: answers whose end only the end of their connection marks. The
+   kernel closes the connections of a process that is killed as if the process
+   had closed them itself, so such an answer counts as complete only if its
+   target goes on. */
+#include "flow/run.h"
+#include "kernel/count.h"
+
+/* A process that ends closes its connections and its listening socket one after
+   the other, in no fixed order. */
+#define CHECK_DELAY_S 0.025
+
+typedef struct Successor {
+  uint64_t target; /* target_hash of the former target */
+  bool found;
+} Successor;
+
+static void note_successor(void *ctx, Target *t) {
+  Successor *s = ctx;
+  s->found |= target_hash(t) != s->target;
+}
+
+/* Whether another target is known at the address, which accepted the connection
+   in place of the former one. */
+static bool has_successor(const Run *x) {
+  Successor s = {.target = target_hash(x->target)};
+  targets_for_each_at_addr(x->relay->targets, target_addr(x->target),
+                           note_successor, &s);
+  return s.found;
+}
+
+static void on_checked(void *ctx, LinkConnectResult how) {
+  Run *x = ctx;
+  x->check = NULL;
+  if (how == LINK_CONNECTED && !has_successor(x))
+    run_finish_answer(x);
+  else if (how == LINK_TUNNEL_FAILED)
+    run_handle_broken(x, TARGET_NO_PATH, "closed, no tunnel");
+  else
+    run_handle_broken(x, TARGET_UNRESPONSIVE, "closed, target ended");
+}
+
+/* After this process was paused, a target that ended may have started again. */
+static void on_delay(struct ev_loop *loop, ev_timer *w, int revents) {
+  (void)loop;
+  (void)revents;
+  Run *x = w->data;
+  if (x->relay->stale)
+    run_handle_broken(x, TARGET_FAILED, "closed");
+  else /* the way that the answer took, whose gateway may have ended */
+    x->check = link_check(x->relay->links, target_addr(x->target), x->via,
+                          on_checked, x);
+}
+
+void run_check_end(Run *x) {
+  count_add(COUNT_ANSWERS_CLOSED, 1);
+  x->maybe_ran = true;
+  ev_timer_init(&x->check_timer, on_delay, CHECK_DELAY_S, 0);
+  x->check_timer.data = x;
+  ev_timer_start(x->relay->loop, &x->check_timer);
+}
+
+void run_cancel_check(Run *x) {
+  ev_timer_stop(x->relay->loop, &x->check_timer);
+  if (x->check) link_cancel(x->check);
+  x->check = NULL;
+}
