Dispatch: a plain answer that was passed on in part is not run again

Callers of long answers got the first part of one run's body and the whole body of a second run behind it, in one complete answer (MIXED). A plain answer over the bound for held answers (256 KB, less when memory is short) is passed on as it comes; when its target broke off, a safe request was sent again, and the second body followed the first.

Now a run is repeated only if nothing of its answer was passed on, or if the answer is a stream of events, which goes on after the last one. Otherwise the caller's connection is reset, so that it sees that the answer is not complete and can send the request again. The same holds where a run leaves an interrupted path.

--- a/packages/flow/dispatch.c
+++ b/packages/flow/dispatch.c
@@ -75,6 +75,13 @@
   return x->route->kind == CONF_STREAM && x->route->resumable;
 }
 
+/* Whether another target may answer in place of the current one, or go on with
+   its answer: the body of a plain answer that was passed on in part can't be
+   completed by another run. */
+static bool may_be_continued(const Run *x) {
+  return is_repeatable(x) && (!x->head_sent || x->stream);
+}
+
 /* Whether another target may be tried; `sent`: the last one was sent the
    request. */
 static bool may_try_another(Run *x, bool sent) {
@@ -195,7 +202,7 @@
   run_record_broken(x, t, recently_started);
   events_drop_partial(&x->events);
   x->maybe_ran = true;
-  if (is_repeatable(x) && may_try_another(x, true)) {
+  if (may_be_continued(x) && may_try_another(x, true)) {
     run_dispatch(x);
     return;
   }
@@ -204,7 +211,7 @@
 }
 
 void run_leave_path(Run *x) {
-  if (!is_repeatable(x) || !may_try_another(x, true)) return;
+  if (!may_be_continued(x) || !may_try_another(x, true)) return;
   log_failure(x, "no path");
   link_cancel(x->link);
   x->link = NULL;
