Tests: sound answers that a close ends, and breaks in the other framings

A sound answer whose end only a close marks has to be served, in time and once, with no mark of an end that its target did not give: callers now get a last chunk or a Content-Length instead.

--- a/tests/answer_ends.py
+++ b/tests/answer_ends.py
@@ -5,11 +5,13 @@
 processes as well, which are killed.
 
 Usage: answer_ends.py BUILD_DIR [TEST...]"""
+import itertools
+import random
 import sys
 import time
 
-from ending import (EVENTS, FRAMES, UNFRAMED, Call, cut_answer, plain_parts,
-                    stream_parts)
+from ending import (EVENTS, FRAMES, HEAD_PLACES, PLACES, UNFRAMED, Call, cut_answer,
+                    plain_parts, play_answer, stream_parts, whole_answer)
 from fleet import (RETRY_WINDOW_S, Site, play_stream, route, run_in_groups,
                    run_tests, wait_for)
 from standins import Worker
@@ -18,7 +20,12 @@
 SERVICE = {"/safe/": "desk", "/once/": "desk", "/chat/": "engine",
            "/firm/": "engine"}  # of each route; /firm/ can't be resumed
 CALLERS_AT_ONCE = 6
-GROUPS = 3  # of tests side by side; most of their time is waiting
+PAUSE_S = 0.1  # between the pieces of an answer
+END_WAIT_S = 0.3  # for evidence whether a target that closed is alive
+BUSY_S = 0.25  # for two processes to run on a busy machine
+HOW = ("fin", "rst", "kill")  # how a target breaks its answer off
+SEED, CASES = 1, 12  # of the breaks that are tried in each framing
+GROUPS = 5  # of tests side by side; most of their time is waiting
 LONG_LINES = 1800  # per part; six parts are longer than a held answer
 
 
@@ -54,14 +61,15 @@
         self.wait_known(name)
         return w
 
-    def add_sound(self, path):
-        """Adds a target whose answers are whole."""
-        w = Worker(("127.0.0.1", 0), self.store, self.new_name(), SERVICE[path])
-        if is_stream(path):
-            w.play = play_stream(EVENTS)
-        (self.engines if is_stream(path) else self.desks).append(w)
-        self.wait_known(w.name)
-        return w
+    def add_sound(self, path, n=1):
+        """Adds targets whose answers are whole."""
+        added = [Worker(("127.0.0.1", 0), self.store, self.new_name(), SERVICE[path])
+                 for _ in range(n)]
+        (self.engines if is_stream(path) else self.desks).extend(added)
+        for w in added:
+            w.play = play_stream(EVENTS) if is_stream(path) else None
+            self.wait_known(w.name)
+        return added
 
     def clear(self):
         for w in self.killed:
@@ -85,7 +93,7 @@
     w = s.add_process(path, frame, place, parts)
     calls = [Call(s, path, **call) for _ in range(callers)]
     w.wait_stopped(callers)
-    other = s.add_sound(path) if others else None
+    other = s.add_sound(path)[0] if others else None
     w.kill()
     for c in calls:
         c.join()
@@ -180,6 +188,192 @@
                                                  CALLERS_AT_ONCE))
 
 
+# == targets that live on ==
+
+def parts_of(path, name, lines=8):
+    return stream_parts() if is_stream(path) else plain_parts(name, lines=lines)
+
+
+def close_after(s, path, frame, lines=8):
+    """A target ends a whole answer by closing its connection, beside another
+    target. Returns the reply."""
+    plays, workers = [], s.add_sound(path, 2)
+    for w in workers:
+        plays.append(play_answer(whole_answer(frame, parts_of(path, w.name, lines)),
+                                 "fin", PAUSE_S))
+        w.play = plays[-1]
+    c = Call(s, path)
+    r = c.result()
+    ran = [k for k in range(2) if workers[k].ran]
+    assert [w.ran for w in workers if w.ran] == [[c.attempt]], "ran elsewhere too"
+    r.target, r.sent_at = workers[ran[0]], plays[ran[0]].sent_at
+    want = parts_of(path, r.target.name, lines)
+    r.want = [p.replace(b"ATTEMPT", c.attempt.encode()) for p in want]
+    return r
+
+
+def check_served(r):
+    """The answer is whole, in time, and framed as the target framed it."""
+    assert r.status == 200 and r.body == b"".join(r.want), str(r)
+    late = r.ended_at - r.sent_at[-1]
+    assert late < END_WAIT_S + BUSY_S, "ended %.2f s after its target" % late
+    assert not r.framed and r.end == "fin", "%s, %s" % (r, r.fields)
+
+
+def close_each(s, path, check=check_served, lines=8):
+    failed = []
+    for frame in UNFRAMED:
+        try:
+            check(close_after(s, path, frame, lines))
+        except AssertionError as e:
+            failed.append("%s: %s" % (frame, e))
+        s.clear()
+    assert not failed, "%d cases: %s" % (len(failed), "; ".join(failed))
+
+
+# Guards against sound streams that are run again, held, or given a mark of an end
+# that their target did not give.
+def test_a_stream_that_its_connection_ends_is_served(s):
+    close_each(s, "/chat/")
+
+
+# Guards against the same where the stream can't be resumed.
+def test_a_stream_for_one_target_that_its_connection_ends_is_served(s):
+    close_each(s, "/firm/")
+
+
+# Guards against events that wait for the end of a stream without a framing.
+def test_events_of_a_stream_without_framing_are_passed_on_at_once(s):
+    def check(r):
+        late = [r.time_of(e) - at for e, at in zip(r.want, r.sent_at[1:])]
+        assert len(late) == EVENTS and max(late) < BUSY_S, late
+
+    close_each(s, "/chat/", check)
+
+
+# Guards against sound plain answers that are run again, held, or given a length.
+def test_a_safe_answer_that_its_connection_ends_is_served(s):
+    close_each(s, "/safe/")
+
+
+# Guards against a failure, or a second run, of a sound unsafe answer.
+def test_an_unsafe_answer_that_its_connection_ends_is_served(s):
+    close_each(s, "/once/")
+
+
+# Guards against the same where an answer is longer than a held one.
+def test_a_long_answer_that_its_connection_ends_is_served(s):
+    close_each(s, "/safe/", lines=LONG_LINES)
+
+
+# Guards against one close of a connection that is taken for the end of its target.
+def test_other_streams_of_a_target_that_closes_a_connection_go_on(s):
+    [w] = s.add_sound("/chat/")
+    slow = play_answer(whole_answer("chunks", stream_parts()), "fin", 3 * PAUSE_S)
+    ends = play_answer(whole_answer("close", stream_parts()), "fin", PAUSE_S)
+    w.play = lambda w, c, h: (slow if len(w.ran) == 1 else ends)(w, c, h)
+    first = Call(s, "/chat/")
+    wait_for("the first", lambda: w.ran)
+    second = Call(s, "/chat/")
+    wait_for("the second", lambda: len(w.ran) == 2)
+    [other] = s.add_sound("/chat/")
+    for c in (second, first):
+        r = c.result()
+        assert r.status == 200 and r.body == whole_stream(), str(r)
+        assert r.end in ("whole", "fin"), str(r)
+    assert not other.ran and w.ran == [first.attempt, second.attempt]
+
+
+# == answers that break inside their head, or in other framings ==
+
+def break_alive(s, path, frame, place, how):
+    """The first target that runs a request breaks its answer off and lives on.
+    Returns the calls, that target and another one."""
+    workers, broken = s.add_sound(path, 2), []
+    sound = workers[0].play
+
+    def play(w, c, h):
+        if broken:
+            return sound(w, c, h) if sound else None
+        broken.append(w)
+        return play_answer(cut_answer(frame, parts_of(path, w.name), place), how)(
+            w, c, h)
+
+    for w in workers:
+        w.play = play
+    c = Call(s, path)
+    c.join()
+    other = [w for w in workers if w is not broken[0]][0]
+    return [c], broken[0], other
+
+
+CHECKS = {"/safe/": check_whole_elsewhere, "/chat/": check_whole_elsewhere,
+          "/once/": check_failed_once, "/firm/": check_broken}
+
+
+def break_each(s, cases):
+    """Breaks an answer in each case (path, frame, place, how). Reports all cases
+    that failed."""
+    failed = []
+    for path, frame, place, how in cases:
+        act = ((lambda: kill_within(s, path, frame, place)) if how == "kill" else
+               (lambda: break_alive(s, path, frame, place, how)))
+        try:
+            CHECKS[path](path, *act())
+        except AssertionError as e:
+            failed.append("%s %s %s %s: %s" % (path, frame, place, how, e))
+        s.clear()
+    assert not failed, "%d of %d cases: %s" % (len(failed), len(cases),
+                                               "; ".join(failed))
+
+
+def head_cases(path):
+    return list(itertools.product([path], ["close"], HEAD_PLACES, HOW))
+
+
+def selection(frame, paths, places, how):
+    """Some cases of this framing, always the same."""
+    cases = list(itertools.product(paths, [frame], places, how))
+    return random.Random(SEED).sample(cases, min(CASES, len(cases)))
+
+
+# Guards against a success without a body, or with half a head for its body.
+def test_a_safe_answer_cut_in_its_head_comes_from_another(s):
+    break_each(s, head_cases("/safe/"))
+
+
+# Guards against the same, and against a second run.
+def test_an_unsafe_answer_cut_in_its_head_fails(s):
+    break_each(s, head_cases("/once/"))
+
+
+# Guards against a stream that ends as complete before its first event.
+def test_a_stream_cut_in_its_head_goes_on_elsewhere(s):
+    break_each(s, head_cases("/chat/"))
+
+
+# Guards against short answers in a framing by length that look complete.
+def test_breaks_of_answers_with_a_length_are_seen(s):
+    break_each(s, selection("length", SERVICE, PLACES, HOW))
+
+
+# Guards against short answers in chunks that look complete.
+def test_breaks_of_answers_in_chunks_are_seen(s):
+    break_each(s, selection("chunks", SERVICE, PLACES, HOW))
+
+
+# Guards against a reset that is taken for the end of an answer without a framing.
+def test_resets_of_answers_without_framing_are_seen(s):
+    break_each(s, selection("close", SERVICE, PLACES, ["rst"]) +
+               selection("http10", SERVICE, PLACES, ["rst"]))
+
+
+# Guards against a stream that ends as complete inside an event.
+def test_a_close_inside_an_event_is_seen(s):
+    break_each(s, list(itertools.product(
+        ["/chat/", "/firm/"], UNFRAMED, ["inside"], ["fin"])))
+
+
 # == answers that begin to be passed on before they are complete ==
 
 def check_one_run(frame, calls, w, other):
--- a/tests/ending.py
+++ b/tests/ending.py
@@ -1,6 +1,7 @@
 """ending.py: answers of targets in all framings, whole and cut, and callers that
 observe how the answers that they get end."""
 import socket
+import struct
 import threading
 import time
 
@@ -18,6 +19,7 @@
 PARTS_BEFORE_BREAK = 2
 LINE_BYTES = 64
 CALLER_TIMEOUT_S = 8.0
+RESET = struct.pack("ii", 1, 0)  # SO_LINGER: a close is a reset
 
 
 def stream_parts(n=EVENTS):
@@ -57,15 +59,40 @@
     return pieces
 
 
+def whole_answer(frame, parts):
+    """An answer in pieces: the head, then one for each part."""
+    pieces = [frame_head(frame, parts)] + [frame_part(frame, p) for p in parts]
+    return pieces + [b"0\r\n\r\n"] if frame == "chunks" else pieces
+
+
+def play_answer(answer, how, pause_s=0.0):
+    """Sends an answer, then closes the connection in order ("fin") or resets it
+    ("rst"). `sent_at` of the function returned: when each piece, and the end, was
+    sent last."""
+
+    def play(w, c, headers):
+        play.sent_at = []
+        for piece in answer:
+            play.sent_at.append(time.monotonic())
+            c.sendall(piece.replace(b"ATTEMPT",
+                                    headers["x-loftpath-attempt-id"].encode()))
+            time.sleep(pause_s)
+        if how == "rst":
+            c.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+        play.sent_at.append(time.monotonic())
+        return False
+
+    return play
+
+
 class Reply:
     """Reads the answer to one request from a connection. `end`: "whole" when its
     framing is complete, "fin" when it has none and ends in order, "cut" when its
-    connection ends in order before its framing does, "reset", or "timeout".
-    `times`: when each piece arrived."""
+    connection ends in order before its framing does, "reset", or "timeout"."""
 
     def __init__(self, c):
         self.status, self.fields, self.body, self.end = 0, {}, b"", ""
-        self.times, self.c, self.data = [], c, b""
+        self.c, self.data, self.raw, self.arrived = c, b"", b"", []
         try:
             self._read()
         except ConnectionError:
@@ -79,10 +106,20 @@
         """Whether the caller sees that the answer is not complete."""
         return self.end in ("cut", "reset")
 
+    @property
+    def framed(self):
+        return "content-length" in self.fields or "transfer-encoding" in self.fields
+
+    def time_of(self, text):
+        """When all bytes of `text` had arrived."""
+        end = self.raw.index(text) + len(text)
+        return next(at for at, n in self.arrived if n >= end)
+
     def _more(self):
         got = self.c.recv(65536)
-        self.times.append(time.monotonic())
         self.data += got
+        self.raw += got
+        self.arrived.append((time.monotonic(), len(self.raw)))
         return len(got) > 0
 
     def _until(self, mark):
