--- a/tests/ending.py
+++ b/tests/ending.py
@@ -1,6 +1,7 @@
 """ending.py: answers of targets in all framings, whole and cut, and callers that
 observe how the answers that they get end."""
 import socket
+import struct
 import threading
 import time
 
@@ -18,6 +19,9 @@
 PARTS_BEFORE_BREAK = 2
 LINE_BYTES = 64
 CALLER_TIMEOUT_S = 8.0
+READ_BYTES = 16384
+READER_PAUSE_S = 2.0  # longer than an instance lingers on a connection
+RESET = struct.pack("ii", 1, 0)  # SO_LINGER: a close is a reset
 
 
 def stream_parts(n=EVENTS):
@@ -57,15 +61,43 @@
     return pieces
 
 
+def whole_answer(frame, parts):
+    """An answer in pieces: the head, then one for each part."""
+    pieces = [frame_head(frame, parts)] + [frame_part(frame, p) for p in parts]
+    return pieces + [b"0\r\n\r\n"] if frame == "chunks" else pieces
+
+
+def play_answer(answer, how, pause_s=0.0):
+    """Sends an answer, then closes the connection in order ("fin") or resets it
+    ("rst"). `sent_at` of the function returned: when each piece, and the end, was
+    sent last."""
+
+    def play(w, c, headers):
+        play.sent_at = []
+        for piece in answer:
+            play.sent_at.append(time.monotonic())
+            c.sendall(piece.replace(b"ATTEMPT",
+                                    headers["x-loftpath-attempt-id"].encode()))
+            time.sleep(pause_s)
+        if how == "rst":
+            c.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+        play.sent_at.append(time.monotonic())
+        return False
+
+    return play
+
+
 class Reply:
     """Reads the answer to one request from a connection. `end`: "whole" when its
     framing is complete, "fin" when it has none and ends in order, "cut" when its
-    connection ends in order before its framing does, "reset", or "timeout".
-    `times`: when each piece arrived."""
+    connection ends in order before its framing does, "reset", or "timeout"."""
 
-    def __init__(self, c):
+    def __init__(self, c, pause_at=None):
         self.status, self.fields, self.body, self.end = 0, {}, b"", ""
-        self.times, self.c, self.data = [], c, b""
+        self.c, self.data, self.raw, self.arrived = c, b"", b"", []
+        self.pause_at = pause_at  # bytes, after which it pauses once
+
+    def read(self):
         try:
             self._read()
         except ConnectionError:
@@ -79,10 +111,23 @@
         """Whether the caller sees that the answer is not complete."""
         return self.end in ("cut", "reset")
 
+    @property
+    def framed(self):
+        return "content-length" in self.fields or "transfer-encoding" in self.fields
+
+    def time_of(self, text):
+        """When all bytes of `text` had arrived."""
+        end = self.raw.index(text) + len(text)
+        return next(at for at, n in self.arrived if n >= end)
+
     def _more(self):
-        got = self.c.recv(65536)
-        self.times.append(time.monotonic())
+        if self.pause_at and len(self.raw) >= self.pause_at:
+            time.sleep(READER_PAUSE_S)
+            self.pause_at = None
+        got = self.c.recv(READ_BYTES)
         self.data += got
+        self.raw += got
+        self.arrived.append((time.monotonic(), len(self.raw)))
         return len(got) > 0
 
     def _until(self, mark):
@@ -138,15 +183,24 @@
                                                   self.body[-40:], self.end)
 
 
+def connect(s, i=0, receive_buffer=0):
+    c = socket.socket()
+    if receive_buffer:
+        c.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
+    c.settimeout(CALLER_TIMEOUT_S)
+    c.connect((s.ip(i), BASE))
+    return c
+
+
 class Call(threading.Thread):
     """Sends a request of its own path in a thread; join() gives its Reply."""
 
-    def __init__(self, s, path, i=0, version="1.1", conn=None, deadline_ms=3000):
+    def __init__(self, s, path, i=0, version="1.1", conn=None, deadline_ms=3000,
+                 pause_at=None):
         super().__init__(daemon=True)
         s.next_id += 1
         self.attempt = "a%06d" % s.next_id  # as long as ATTEMPT
-        self.c = conn or socket.create_connection((s.ip(i), BASE), CALLER_TIMEOUT_S)
-        self.c.settimeout(CALLER_TIMEOUT_S)
+        self.c = conn or connect(s, i)
         body = b"" if path == "/safe/" else b"hello " + self.attempt.encode()
         self.request = ("%s %s%s HTTP/%s\r\nHost: front\r\nAuthorization: %s\r\n"
                         "X-Loftpath-Attempt-Id: %s\r\nX-Loftpath-Deadline-Ms: %d\r\n"
@@ -154,12 +208,12 @@
                         % ("GET" if path == "/safe/" else "POST", path, self.attempt,
                            version, KEY["Authorization"], self.attempt, deadline_ms,
                            len(body))).encode() + body
-        self.reply = None
+        self.reply = Reply(self.c, pause_at)
         self.start()
 
     def run(self):
         self.c.sendall(self.request)
-        self.reply = Reply(self.c)
+        self.reply.read()
 
     def result(self):
         self.join()
