Callers: an answer without framing ends by a reset until it is sent

HTTP/1.0 callers take the end of their connection for the end of an answer whose length was not known when it began. The kernel closed the connections of an instance that was killed in order, and an instance that ended, or gave a caller up, with unsent bytes closed them in order as well, so a short answer looked complete.

Now a close of such a connection is a reset (SO_LINGER of 0) from the answer's head until its last byte was written.

--- a/packages/flow/caller.c
+++ b/packages/flow/caller.c
@@ -39,7 +39,10 @@
   size_t held_bytes;    /* of the answer, buffered by its owner */
   size_t counted_bytes; /* held_bytes and `out`, in answer_bytes */
   bool awaits_drain;    /* its owner waits for `drained` */
-  bool keep, chunked, closing, broken, failed, no_body;
+  bool keep, closing, broken, failed, no_body;
+  /* What marks the end of the answer if not a length: chunks, or nothing but
+     the end of the connection. */
+  bool chunked, unframed;
   bool parsing; /* inside the parser, so not to be freed */
   void *data;
   Caller *prev, *next;
@@ -147,6 +150,7 @@
   if (!c->closing || c->out->len > 0) return;
   c->state = CALLER_LINGER;
   c->progress_at = loopclock_now(c->set->loop);
+  if (c->unframed) sock_set_reset_on_close(c->fd, false);
   shutdown(c->fd, SHUT_WR);
   if (!ev_is_active(&c->read)) ev_io_start(c->set->loop, &c->read);
 }
@@ -406,11 +410,12 @@
 void caller_write_head(Caller *c, int status, const char *fields,
                        int64_t length) {
   bool bare = c->no_body || status == 204 || status == 304;
-  c->chunked = length == CALLER_CHUNKED && !bare;
-  if (c->chunked &&
-      c->parser.http_minor == 0) { /* the end of the connection ends the body */
-    c->chunked = false;
+  bool is_open = length == CALLER_CHUNKED && !bare;
+  c->chunked = is_open && c->parser.http_minor > 0;
+  c->unframed = is_open && !c->chunked;
+  if (c->unframed) {
     c->keep = false;
+    sock_set_reset_on_close(c->fd, true); /* until the answer is sent */
   }
   if (c->set->draining || c->set->leaving) c->keep = false;
   g_string_append_printf(c->out, "HTTP/1.1 %d %s\r\n%s", status,
