Tunnels: a gateway that ends resets its connections

Callers saw answers that lacked their ends and were framed as whole: streams with their last chunk, plain answers with a Content-Length that fitted what had come. These answers have neither a length nor chunks, and reach a partitioned instance through a gateway.

Cause: when the gateway's process is killed, the system closes its sockets by FIN, which is also how such an answer ends properly. Ruled out: a gateway that is told to stop, which resets its tunnels already, and targets, which were all alive.

From the opening of a tunnel its two connections are set to reset on close, by the end of the process as well. This is taken back only when one side's orderly end was read and all that came before it was written to the other, whose connection then ends in order, also if the process is killed before the last bytes have left. If the side that ended had bytes to come that were not written, such as the rest of a request, its connection is reset.

In tunnel_ends.py the instances now have the configuration and their first tunnel before answers are counted: the first round's were refused.

--- a/packages/flow/tunnel.c
+++ b/packages/flow/tunnel.c
@@ -76,11 +76,11 @@
   if (!e->out) return; /* it was not opened */
   ev_io_stop(e->tunnel->set->loop, &e->read);
   ev_io_stop(e->tunnel->set->loop, &e->write);
+  /* An end after bytes that were not passed on would appear to be the sender's.
+     After an orderly one the system still sends what it has accepted. */
+  sock_set_reset_on_close(e->fd, reset || e->out->len > 0);
   g_string_free(e->out, TRUE);
-  if (reset)
-    sock_reset(e->fd);
-  else
-    close(e->fd);
+  close(e->fd);
 }
 
 static void free_tunnel(Tunnel *t, bool reset) {
@@ -144,6 +144,16 @@
   flush_end(to);
 }
 
+/* Bytes are passed on from now on. An end without the sender's own end, such as
+   that of this process, must not appear to be an orderly one. */
+static void open_tunnel(Tunnel *t) {
+  t->open = true;
+  sock_set_reset_on_close(t->client.fd, true);
+  sock_set_reset_on_close(t->target.fd, true);
+  g_string_append_len(t->target.out, t->head->str, (gssize)t->head->len);
+  g_string_truncate(t->head, 0);
+}
+
 /* == opening == */
 
 /* Sends the answer; one other than 200 ends the tunnel. Returns false if the
@@ -225,9 +235,7 @@
     end_attempt(t, error == ECONNREFUSED ? TUNNEL_REFUSED : TUNNEL_UNREACHABLE);
     return;
   }
-  t->open = true;
-  g_string_append_len(t->target.out, t->head->str, (gssize)t->head->len);
-  g_string_truncate(t->head, 0);
+  open_tunnel(t);
   if (end_attempt(t, TUNNEL_OPENED)) flush_end(&t->target);
 }
 
--- a/packages/flow/tunnel.h
+++ b/packages/flow/tunnel.h
@@ -1,7 +1,9 @@
 /* tunnel.h: tunnels to targets for other instances, which are partitioned from
    them. An instance opens one by the method CONNECT of HTTP/1.1 (RFC 9110,
    9.3.6) with the address of a target; after the answer 200, bytes are passed
-   on in both directions, and so is the end of a connection. Other answers: 403
+   on in both directions, and so is the end of a connection. A tunnel that ends
+   by itself, or with its process, resets both connections, so that an answer
+   without a length does not appear complete. Other answers: 403
    (not a target), 502 (the target refused the connection), 504 (it could not be
    reached), 503 (this instance opens no tunnel now). */
 #ifndef FLOW_TUNNEL_H
--- a/tests/test_tunnel.c
+++ b/tests/test_tunnel.c
@@ -3,9 +3,11 @@
 #include <arpa/inet.h>
 #include <criterion/criterion.h>
 #include <poll.h>
+#include <signal.h>
 #include <stdio.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <sys/wait.h>
 #include <unistd.h>
 
 #include "flow/sock.h"
@@ -21,6 +23,7 @@
   TunnelStatus check;
   bool undecided; /* failures wait for another attempt */
   int attempts;
+  pid_t gateway; /* the process that runs the loop; 0: this one */
 } Rig;
 
 static TunnelStatus check_tunnel(void *ctx, const char *addr) {
@@ -73,12 +76,30 @@
   ev_loop_destroy(g->loop);
 }
 
+/* Another process runs the loop from now on. */
+static void start_gateway(Rig *g) {
+  g->gateway = fork();
+  if (g->gateway != 0) return;
+  ev_loop_fork(g->loop);
+  ev_run(g->loop, 0);
+  _exit(1);
+}
+
+static void kill_gateway(Rig *g) {
+  cr_assert_eq(kill(g->gateway, SIGKILL), 0);
+  cr_assert_eq(waitpid(g->gateway, NULL, 0), g->gateway);
+}
+
+static void run_loop(Rig *g) {
+  if (!g->gateway) ev_run(g->loop, EVRUN_NOWAIT);
+}
+
 /* Runs the loop until `fd` can be read. */
 static bool wait_readable(Rig *g, int fd) {
   struct pollfd p = {.fd = fd, .events = POLLIN};
   double end = ev_time() + WAIT_S;
   while (ev_time() < end) {
-    ev_run(g->loop, EVRUN_NOWAIT);
+    run_loop(g);
     if (poll(&p, 1, 1) > 0) return true;
   }
   return false;
@@ -88,7 +109,7 @@
   double end = ev_time() + WAIT_S;
   int fd = -1;
   while (fd < 0 && ev_time() < end) {
-    ev_run(g->loop, EVRUN_NOWAIT);
+    run_loop(g);
     fd = sock_accept(g->target);
     usleep(1000);
   }
@@ -161,6 +182,104 @@
   }
 }
 
+/* Guards against an answer or a request that appears complete since the system
+   closes the connections of a killed gateway by FIN. */
+Test(tunnel, a_gateway_that_is_killed_resets_both_connections) {
+  Rig *g = open_rig(true);
+  start_gateway(g);
+  int fd = request_tunnel(g, "early");
+  int target = accept_target(g);
+  expect_status(g, fd, "200");
+  cr_assert_str_eq(read_text(g, target), "early");
+  send(target, "part", 4, 0);
+  cr_assert_str_eq(read_text(g, fd), "part");
+  kill_gateway(g);
+  cr_assert_str_eq(read_text(g, fd), "reset");
+  cr_assert_str_eq(read_text(g, target), "reset");
+  close(fd);
+  close(target);
+  close_rig(g);
+}
+
+/* Reads until the connection ends. Returns the number of bytes; -1: a reset. */
+static int64_t read_all(Rig *g, int fd) {
+  static char block[1 << 16];
+  for (int64_t received = 0;;) {
+    cr_assert(wait_readable(g, fd), "%ld bytes, then nothing", (long)received);
+    ssize_t n = recv(fd, block, sizeof block, 0);
+    if (n < 0) return -1;
+    if (n == 0) return received;
+    received += n;
+  }
+}
+
+/* Writes until the reader's end of the tunnel takes no more. Returns the number
+   of bytes. */
+static int64_t fill(int target) {
+  static char block[1 << 16];
+  int64_t sent = 0;
+  for (int idle = 0; idle < 100;) {
+    ssize_t n = send(target, block, sizeof block, MSG_DONTWAIT | MSG_NOSIGNAL);
+    sent += MAX(n, 0);
+    idle = n > 0 ? 0 : idle + 1;
+    usleep(1000);
+  }
+  return sent;
+}
+
+/* Guards against an answer that has ended at the target, appears complete and
+   lacks what a killed gateway still held. */
+Test(tunnel, a_gateway_that_is_killed_resets_what_it_still_holds) {
+  Rig *g = open_rig(true);
+  start_gateway(g);
+  int fd = request_tunnel(g, "");
+  int target = accept_target(g);
+  expect_status(g, fd, "200");
+  fill(target);
+  close(target);
+  usleep(50000);
+  kill_gateway(g);
+  cr_assert_eq(read_all(g, fd), -1);
+  close(fd);
+  close_rig(g);
+}
+
+/* Guards against the loss of the rest of an answer that the gateway passed on
+   with its end before it was killed. */
+Test(tunnel, an_end_that_was_passed_on_outlives_the_gateway) {
+  static char block[1 << 16];
+  Rig *g = open_rig(true);
+  start_gateway(g);
+  int fd = request_tunnel(g, "");
+  int target = accept_target(g);
+  expect_status(g, fd, "200");
+  cr_assert_eq(send(target, block, sizeof block, 0), (ssize_t)sizeof block);
+  close(target);
+  usleep(100000); /* the gateway has passed it on; nothing is read yet */
+  kill_gateway(g);
+  cr_assert_eq(read_all(g, fd), (int64_t)sizeof block);
+  close(fd);
+  close_rig(g);
+}
+
+/* Guards against a request that appears complete to a target that has ended its
+   answer while the rest of the request was held back. */
+Test(tunnel, a_request_that_was_not_passed_on_whole_ends_by_a_reset) {
+  Rig *g = open_rig(true);
+  start_gateway(g);
+  int fd = request_tunnel(g, "");
+  int target = accept_target(g);
+  expect_status(g, fd, "200");
+  fill(fd);
+  shutdown(target, SHUT_WR);
+  usleep(50000);
+  cr_assert_eq(read_all(g, target), -1);
+  kill_gateway(g);
+  close(fd);
+  close(target);
+  close_rig(g);
+}
+
 /* Guards against memory that grows with what a slow reader does not read. */
 Test(tunnel, a_reader_that_stops_holds_the_writer_up) {
   static char block[1 << 16];
--- a/tests/tunnel_ends.py
+++ b/tests/tunnel_ends.py
@@ -12,7 +12,7 @@
 import threading
 import time
 
-from fleet import BASE, KEY, config, event, head, run_tests
+from fleet import BASE, KEY, config, event, head, run_tests, wait_for
 from partition import PartitionSite, is_whole_stream
 
 EVENTS = 5        # of a stream, as partition.py expects
@@ -98,15 +98,23 @@
     return threads
 
 
-def prepare(s, timeout_ms=3000):
-    """A gateway that ends may be the home of the budget: requests need none here."""
+def prepare(s, path, method, timeout_ms=3000):
+    """Cuts the instances off and waits until each serves through a gateway. One that
+    ends may be the home of the budget: requests need none here."""
     c = config(2)
     del c["tenants"][0]["prepaid"]
     for r in c["routes"]:
         r["timeout_ms"] = timeout_ms
     s.store.put("config", "main", c)
+    wait_for("the configuration", lambda: all(any(
+        l["event"] == "configuration" and l["version"] == 2 for l in s.log(i))
+        for i in CUT))
     s.cut(CUT, "reset")
-    time.sleep(1.5)
+    for i in CUT:
+        wait_for("a tunnel", lambda i=i: s.call(
+            path, method, b"x" if method == "POST" else None, i=i,
+            X_Loftpath_Token_Count="10,5" if path == "/chat/x" else "0,0"
+        ).status == 200)
 
 
 def check(answers, rounds):
@@ -120,9 +128,9 @@
     """In each round all answers are in progress when a gateway is killed; it is
     started again for the next one."""
     answers = Answers()
+    prepare(s, path, method)
     for w in s.engines + s.desks:
         w.play = unframed(pieces, answers, STEP_S)
-    prepare(s)
     for round in range(ROUNDS):
         threads = start_calls(s, path, method, answers, 3.0, whole, round)
         time.sleep(STEP_S * (len(pieces) / 2 - 0.5))
@@ -159,9 +167,9 @@
 def test_a_stream_whose_gateway_stops_does_not_look_whole(s):
     """A gateway that was told to stop ended the tunnels that outlast its stop."""
     answers = Answers()
+    prepare(s, "/chat/x", "POST", timeout_ms=14000)
     for w in s.engines:
         w.play = unframed(STREAM, answers, 1.6)  # the stop ends after 4 s
-    prepare(s, timeout_ms=14000)
     threads = start_calls(s, "/chat/x", "POST", answers, 14.0, is_whole_stream, 0)
     time.sleep(0.8)
     s.processes[GATEWAYS[0]].terminate()
