Store: a cut answer of the platform is no answer

The blocking client of the platform reported success for an answer without a length or chunks that was cut anywhere after its head. A list of instances that is cut this way parses as nothing, and process_member_list then removes each listed instance; a write's answer counted as its acknowledgement, though the platform says nothing on a connection once an answer on it is lost.

Cause: neon reads such a body until the connection ends, and an end by FIN, which the system also sends for a killed process, is reported as the end of the body. Ruled out: answers with a length or in chunks, ends inside the head and resets, which neon reports as errors, and the client on the event loop.

The HTTP client now tells whether something other than the end of the connection marks the end of a body. Where nothing does, the platform's client accepts a body only if it is one JSON document, which all answers and objects are; else the call's outcome is unknown.

--- a/packages/http/client.c
+++ b/packages/http/client.c
@@ -68,6 +68,15 @@
   return req;
 }
 
+/* neon reads the body of any other response until the connection ends. */
+static bool is_framed(ne_request *req, const char *method) {
+  int status = ne_get_status(req)->code;
+  const char *coding = ne_get_response_header(req, "Transfer-Encoding");
+  return status == 204 || status == 304 || strcmp(method, "HEAD") == 0 ||
+         ne_get_response_header(req, "Content-Length") ||
+         (coding && g_ascii_strcasecmp(coding, "identity") != 0);
+}
+
 HttpStream *http_stream_open(HttpClient *c, const HttpClientRequest *request,
                              bool retry_safe, HttpResponse *response) {
   memset(response, 0, sizeof *response);
@@ -89,6 +98,7 @@
   }
   response->sent = true;
   response->status = ne_get_status(req)->code;
+  response->framed = is_framed(req, request->method);
   c->reusable = true;
   HttpStream *s = g_new0(HttpStream, 1);
   s->client = c;
--- a/packages/http/client.h
+++ b/packages/http/client.h
@@ -17,9 +17,13 @@
 } HttpClientRequest;
 
 typedef struct HttpResponse {
-  int status;    /* 0: no response was received */
-  bool sent;     /* false: no byte of the request was sent, so it did not run */
-  bool complete; /* the whole body was received */
+  int status; /* 0: no response was received */
+  bool sent;  /* false: no byte of the request was sent, so it did not run */
+  /* The body was received until its end. If it is not framed, that is the end
+     of the connection, which the system also closes in order when the server's
+     process is killed. */
+  bool complete;
+  bool framed; /* a length or chunks mark the end of the body, or it has none */
   /* set by http_client_request alone */
   char etag[32]; /* the header ETag; "" if it is absent */
   GString *body; /* released by http_response_free */
@@ -46,14 +50,14 @@
    body. If `retry_safe` is set, the client uses the persistent connection and
    sends the request again if that turns out to be closed; otherwise it opens a
    new connection and sends the request at most once. Returns NULL on failure,
-   with response->sent and response->error set; otherwise sets response->status.
-   Leaves response->body NULL. */
+   with response->sent and response->error set; otherwise sets response->status
+   and response->framed. Leaves response->body NULL. */
 HttpStream *http_stream_open(HttpClient *c, const HttpClientRequest *request,
                              bool retry_safe, HttpResponse *response);
 /* Returns a response header, or NULL if it is absent. */
 const char *http_stream_header(const HttpStream *s, const char *name);
 /* Returns the number of bytes read, 0 at the end of a complete body, or -1 if
-   the body was truncated. */
+   the body was truncated; see HttpResponse about a body that is not framed. */
 long http_stream_read(HttpStream *s, char *buf, size_t n);
 /* Frees the stream. If the body was not read to its end, closes the connection;
    a target treats that as a cancellation of the request. */
--- a/packages/store/platform.c
+++ b/packages/store/platform.c
@@ -3,6 +3,7 @@
 
 #include <glib.h>
 #include <inttypes.h>
+#include <jansson.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -29,8 +30,18 @@
   g_free(p);
 }
 
+/* A body that is not framed and was cut ends like a whole one. All answers and
+   objects are JSON, which shows whether one is whole. */
+static bool is_whole(const HttpResponse *a) {
+  if (!a->complete || a->framed) return a->complete;
+  json_t *o = json_loadb(a->body->str, a->body->len, 0, NULL);
+  bool whole = o != NULL;
+  json_decref(o);
+  return whole;
+}
+
 static ErrKind answer_kind(const HttpResponse *a) {
-  if (a->status == 200 && a->complete) return ERR_NONE;
+  if (a->status == 200 && is_whole(a)) return ERR_NONE;
   if (a->status == 200) return ERR_STORE_UNKNOWN;
   if (a->status == 404) return ERR_STORE_ABSENT;
   if (a->status == 412) return ERR_STORE_CONFLICT;
