Plain services: a cut answer without a frame is not whole

Callers of a plain service got a short answer with a length that fitted it, when the answer had neither a length nor chunks and its target was killed, or ended the connection, before the end. It was billed and counted as run, and each later request with the same key got it again.

Cause: the HTTP client reports the orderly end of a connection as the end of such a body, and the system ends the connections of a killed process in order. Ruled out: answers with a length or in chunks, ends inside the head, resets, and chats, whose JSON or last event shows their end.

Such an answer is now whole if it is a closed JSON object or array. One of another type is whole if its target accepts a new connection 25 ms later; a JSON type that does not parse is cut. A cut answer goes the way of any other: to another target if the service may be repeated, else its outcome is unknown. A living target that ends an answer of another type too soon can't be told from one that ends it properly.

--- a/packages/entry/plain.c
+++ b/packages/entry/plain.c
@@ -1,5 +1,6 @@
 /* plain.c: proxies requests for plain services, with the complete response
    buffered. */
+#include <jansson.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -11,6 +12,9 @@
 #define CONNECT_TIMEOUT_S 2
 #define READ_TIMEOUT_S 30
 #define RESPONSE_MAX_BYTES (8 << 20)
+/* The system closes the connections and the listening socket of a process that
+   ends one after the other. */
+#define END_CHECK_DELAY_US 25000
 
 typedef struct Plain {
   Exchange x;
@@ -54,6 +58,34 @@
   return fits;
 }
 
+/* == the end of an answer == */
+
+static bool is_json_type(const char *type) {
+  static const char json[] = "application/json", suffix[] = "+json";
+  size_t n = strcspn(type, "; "), m = sizeof suffix - 1;
+  return (n == sizeof json - 1 && g_ascii_strncasecmp(type, json, n) == 0) ||
+         (n > m && g_ascii_strncasecmp(type + n - m, suffix, m) == 0);
+}
+
+/* Whether an answer is whole that has neither a length nor chunks, so that the
+   end of the connection ends it: JSON shows it, unless it is a mere number or
+   the like. For others the target has to go on: the connections of a killed
+   process end in the same way. A living target that ends another answer too
+   soon can't be told from one that ends it properly. */
+static bool is_whole_unframed(const Plain *p) {
+  if (is_json_type(p->type)) {
+    const GString *b = p->answer.body;
+    json_t *o = json_loadb(b->str, b->len, JSON_DECODE_ANY, NULL);
+    bool is_closed = json_is_object(o) || json_is_array(o), is_json = o;
+    json_decref(o);
+    if (is_closed || !is_json) return is_closed;
+  }
+  g_usleep(END_CHECK_DELAY_US);
+  return http_can_connect(p->x.ticket.choice.url, CONNECT_TIMEOUT_S);
+}
+
+/* == dispatch == */
+
 /* Sends the request on a new connection and reads the complete response. */
 static void call_target(Plain *p) {
   const char *type = http_request_header(p->r, "Content-Type");
@@ -77,7 +109,7 @@
            p->answer.body->len + (size_t)n <= RESPONSE_MAX_BYTES)
       g_string_append_len(p->answer.body, buf, n);
   }
-  p->answer.complete = n == 0;
+  p->answer.complete = n == 0 && (p->answer.framed || is_whole_unframed(p));
   http_stream_close(s);
   http_client_free(client);
 }
--- a/packages/http/client.c
+++ b/packages/http/client.c
@@ -4,9 +4,13 @@
 #include <ne_request.h>
 #include <ne_session.h>
 #include <ne_socket.h>
+#include <poll.h>
 #include <pthread.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
+
+#include "flow/sock.h"
 
 struct HttpClient {
   ne_session *session;
@@ -54,6 +58,16 @@
   g_free(c);
 }
 
+bool http_can_connect(const char *addr, int timeout_s) {
+  int fd = sock_connect(addr);
+  if (fd < 0) return false;
+  struct pollfd p = {.fd = fd, .events = POLLOUT};
+  bool connected =
+      poll(&p, 1, timeout_s * 1000) > 0 && sock_connect_error(fd) == 0;
+  close(fd);
+  return connected;
+}
+
 static ne_request *create_request(HttpClient *c,
                                   const HttpClientRequest *request) {
   ne_request *req =
--- a/packages/http/client.h
+++ b/packages/http/client.h
@@ -34,6 +34,9 @@
    client must not be used by two threads at once. */
 HttpClient *http_client_new(const char *addr, int connect_s, int read_s);
 void http_client_free(HttpClient *c);
+/* Whether a process accepts a new connection at "ip:port" within `timeout_s`.
+ */
+bool http_can_connect(const char *addr, int timeout_s);
 /* Sends a request and reads up to `max_bytes` of the response body. If the
    persistent connection turns out to be closed, the client sends the request
    again, so the request must be safe to repeat. The caller releases `response`
