--- a/packages/http/client.c
+++ b/packages/http/client.c
@@ -4,9 +4,13 @@
 #include <ne_request.h>
 #include <ne_session.h>
 #include <ne_socket.h>
+#include <poll.h>
 #include <pthread.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
+
+#include "flow/sock.h"
 
 struct HttpClient {
   ne_session *session;
@@ -54,6 +58,16 @@
   g_free(c);
 }
 
+bool http_can_connect(const char *addr, int timeout_s) {
+  int fd = sock_connect(addr);
+  if (fd < 0) return false;
+  struct pollfd p = {.fd = fd, .events = POLLOUT};
+  bool connected =
+      poll(&p, 1, timeout_s * 1000) > 0 && sock_connect_error(fd) == 0;
+  close(fd);
+  return connected;
+}
+
 static ne_request *create_request(HttpClient *c,
                                   const HttpClientRequest *request) {
   ne_request *req =
@@ -68,6 +82,15 @@
   return req;
 }
 
+/* neon reads the body of any other response until the connection ends. */
+static bool is_framed(ne_request *req, const char *method) {
+  int status = ne_get_status(req)->code;
+  const char *coding = ne_get_response_header(req, "Transfer-Encoding");
+  return status == 204 || status == 304 || strcmp(method, "HEAD") == 0 ||
+         ne_get_response_header(req, "Content-Length") ||
+         (coding && g_ascii_strcasecmp(coding, "identity") != 0);
+}
+
 HttpStream *http_stream_open(HttpClient *c, const HttpClientRequest *request,
                              bool retry_safe, HttpResponse *response) {
   memset(response, 0, sizeof *response);
@@ -89,6 +112,7 @@
   }
   response->sent = true;
   response->status = ne_get_status(req)->code;
+  response->framed = is_framed(req, request->method);
   c->reusable = true;
   HttpStream *s = g_new0(HttpStream, 1);
   s->client = c;
