Streams: an event that never ends is a damaged answer

Callers saw: a target that streams chunks of 8 bytes without the end of an event held up all others of its instance (four such streams: 5 requests of others in 3 s, the slowest 1.27 s); each such stream itself ended with 504 at its deadline, although it could have gone on at another target.

Cause: events_feed searched all that it held of the event again at each piece, moved it in memory as well, and held it without a bound.

Now it remembers how far it has searched, and LIMIT_EVENT_BYTES (64 KB; events of some tokens take less than 1 KB) bounds one event, however it is split. Beyond it the body callback returns false and the exchange ends as LINK_BROKEN, so that the request is retried or broken off like one with any other damaged answer. What is held counts with the other answers of callers.

The line answer-too-long names the part and the target's address.

--- a/packages/flow/dispatch.c
+++ b/packages/flow/dispatch.c
@@ -34,9 +34,19 @@
   x->forwarded_at = now;
 }
 
-static void forward_stream(Run *x, const char *data, size_t n) {
+/* Records that `part` of the answer exceeds its limit. Returns false. */
+static bool reject_length(const Run *x, const char *part) {
+  count_add(COUNT_ANSWERS_TOO_LONG, 1);
+  log_warn("answer-too-long", "s:s,s:s,s:s", "part", part, "addr",
+           target_addr(x->target), "request", x->request.id);
+  return false;
+}
+
+/* As LinkEvents.body, like forward_plain. */
+static bool forward_stream(Run *x, const char *data, size_t n) {
   GString *out = g_string_sized_new(n + 64);
-  events_feed(&x->events, data, n, out);
+  bool ok = events_feed(&x->events, data, n, out);
+  caller_set_held_bytes(x->caller, x->events.partial->allocated_len);
   if (out->len > 0) {
     if (!x->head_sent) send_head(x, CALLER_CHUNKED);
     caller_write_body(x->caller, out->str, out->len);
@@ -44,6 +54,7 @@
     run_record_begun(x);
   }
   g_string_free(out, TRUE);
+  return ok || reject_length(x, "event");
 }
 
 static void drop_body(Run *x) {
@@ -52,7 +63,7 @@
   caller_set_held_bytes(x->caller, 0);
 }
 
-static void forward_plain(Run *x, const char *data, size_t n) {
+static bool forward_plain(Run *x, const char *data, size_t n) {
   size_t max_bytes =
       MIN(LIMIT_PLAIN_ANSWER_BYTES, caller_buffer_limit(x->caller));
   if (!x->head_sent && x->body->len + n > max_bytes) {
@@ -62,10 +73,11 @@
   }
   if (x->head_sent) {
     caller_write_body(x->caller, data, n);
-    return;
+    return true;
   }
   g_string_append_len(x->body, data, (gssize)n);
   caller_set_held_bytes(x->caller, x->body->allocated_len);
+  return true;
 }
 
 /* == failures of targets == */
@@ -254,9 +266,9 @@
   return LINK_ACCEPT;
 }
 
-static void on_body(void *ctx, const char *data, size_t n) {
+static bool on_body(void *ctx, const char *data, size_t n) {
   Run *x = ctx;
-  if (x->refused) return;
+  if (x->refused) return true;
   if (!x->has_first_byte) {
     target_note_first_byte(x->target, x->choice.uncached_tokens,
                            x->choice.load.tokens, run_now(x) - x->sent_at);
@@ -267,10 +279,7 @@
     x->first_byte_at = run_now(x);
   }
   x->has_first_byte = true;
-  if (x->stream)
-    forward_stream(x, data, n);
-  else
-    forward_plain(x, data, n);
+  return x->stream ? forward_stream(x, data, n) : forward_plain(x, data, n);
 }
 
 static void on_batch(void *ctx) {
--- a/packages/flow/events.c
+++ b/packages/flow/events.c
@@ -4,8 +4,13 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "kernel/limits.h"
+
+#define END_BYTES 3 /* of the longest end of an event, LF CR LF */
+
 void events_init(Events *e, int64_t last) {
   e->partial = g_string_new(NULL);
+  e->searched = 0;
   e->last_id = last;
   e->count = 0;
 }
@@ -16,12 +21,15 @@
 }
 
 /* Returns the length of the first complete event of `s` with its blank line; 0:
-   none. */
-static size_t first_event(const char *s, size_t n) {
-  for (size_t i = 0; i + 1 < n; i++) {
-    if (s[i] != '\n') continue;
-    if (s[i + 1] == '\n') return i + 2;
-    if (i + 2 < n && s[i + 1] == '\r' && s[i + 2] == '\n') return i + 3;
+   none. No event ends in the first `searched` bytes. */
+static size_t first_event(const char *s, size_t n, size_t searched) {
+  const char *end = s + n;
+  const char *at = searched < END_BYTES ? s : s + searched - (END_BYTES - 1);
+  while ((at = memchr(at, '\n', (size_t)(end - at)))) {
+    at++;
+    if (end - at >= 1 && at[0] == '\n') return (size_t)(at - s) + 1;
+    if (end - at >= 2 && at[0] == '\r' && at[1] == '\n')
+      return (size_t)(at - s) + 2;
   }
   return 0;
 }
@@ -47,17 +55,22 @@
   g_string_append_len(out, s, (gssize)n);
 }
 
-void events_feed(Events *e, const char *data, size_t n, GString *out) {
-  g_string_append_len(e->partial, data, (gssize)n);
+bool events_feed(Events *e, const char *data, size_t n, GString *out) {
+  GString *p = e->partial;
   size_t off = 0, len;
-  while ((len = first_event(e->partial->str + off, e->partial->len - off)) >
-         0) {
-    take_event(e, e->partial->str + off, len, out);
+  g_string_append_len(p, data, (gssize)n);
+  while ((len = first_event(p->str + off, p->len - off, e->searched)) > 0 &&
+         len <= LIMIT_EVENT_BYTES) {
+    take_event(e, p->str + off, len, out);
     off += len;
+    e->searched = 0;
   }
-  g_string_erase(e->partial, 0, (gssize)off);
+  if (off > 0) g_string_erase(p, 0, (gssize)off);
+  e->searched = p->len;
+  return p->len <= LIMIT_EVENT_BYTES;
 }
 
 void events_drop_partial(Events *e) {
   g_string_truncate(e->partial, 0);
+  e->searched = 0;
 }
--- a/packages/flow/events.h
+++ b/packages/flow/events.h
@@ -10,6 +10,7 @@
 
 typedef struct Events {
   GString *partial; /* start of an incomplete event */
+  size_t searched;  /* bytes of it in which no event ends */
   int64_t last_id;  /* id of the last complete event, or EVENTS_NONE */
   int64_t count;    /* of complete events */
 } Events;
@@ -19,8 +20,10 @@
 void events_init(Events *e, int64_t last);
 void events_free(Events *e);
 /* Adds bytes of the stream and appends the events that they complete to `out`.
-   An event whose id is not above last_id is skipped. */
-void events_feed(Events *e, const char *data, size_t n, GString *out);
+   An event whose id is not above last_id is skipped. Returns false if an event
+   is longer than LIMIT_EVENT_BYTES: the stream is damaged, and is not to be fed
+   again before events_drop_partial. */
+bool events_feed(Events *e, const char *data, size_t n, GString *out);
 /* Drops the incomplete event after the stream broke. */
 void events_drop_partial(Events *e);
 
--- a/packages/flow/link.c
+++ b/packages/flow/link.c
@@ -197,8 +197,8 @@
 static int on_body(http_parser *p, const char *at, size_t n) {
   Link *l = p->data;
   if (l->skipping) return 0;
-  l->ev.body(l->ctx, at, n);
-  return l->cancelled ? -1 : 0;
+  l->rejected = !l->ev.body(l->ctx, at, n);
+  return l->cancelled || l->rejected ? -1 : 0;
 }
 
 static int on_done(http_parser *p) {
--- a/packages/flow/link.h
+++ b/packages/flow/link.h
@@ -44,7 +44,9 @@
 
 typedef struct LinkEvents {
   LinkVerdict (*head)(void *ctx, const LinkHead *h);
-  void (*body)(void *ctx, const char *data, size_t n);
+  /* Returns false if the answer is not valid: the exchange ends as
+     LINK_BROKEN. */
+  bool (*body)(void *ctx, const char *data, size_t n);
   /* All data of one read was passed to `body`; may be NULL. */
   void (*read_done)(void *ctx);
   /* The last event; the owner must not use the link after it. */
--- a/packages/kernel/count.c
+++ b/packages/kernel/count.c
@@ -61,6 +61,9 @@
     [COUNT_ANSWERS_CLOSED] = {"answers_closed_total",
                               "answers of targets that only the end of their "
                               "connections ended"},
+    [COUNT_ANSWERS_TOO_LONG] = {"answers_too_long_total",
+                                "answers broken off since a part of them "
+                                "exceeded its limit"},
     [COUNT_TARGET_CUT] = {"target_cut_total", "answers cut by a target"},
     [COUNT_EVACUATIONS] = {"evacuations_total",
                            "evacuations that came into force or ended here"},
--- a/packages/kernel/limits.h
+++ b/packages/kernel/limits.h
@@ -40,6 +40,11 @@
 #define LIMIT_SEND_BUFFER_BYTES (128 << 10)
 /* A plain answer, buffered until it is complete. */
 #define LIMIT_PLAIN_ANSWER_BYTES (256 << 10)
+/* One event of a stream, buffered until it is complete. A target that never
+   ends an event would fill the memory. An event of some tokens takes less than
+   1 KB.
+ */
+#define LIMIT_EVENT_BYTES (64 << 10)
 /* An empty buffer that is kept for its next use. */
 #define LIMIT_IDLE_BUFFER_BYTES (32 << 10)
 /* One answer of the platform's store. */
--- a/tests/test_events.c
+++ b/tests/test_events.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "flow/events.h"
+#include "kernel/limits.h"
 
 static const char stream[] = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\n";
 
@@ -60,3 +61,36 @@
   g_string_free(out, TRUE);
   events_free(&e);
 }
+
+static const char end[] = "\r\n\r\n";
+
+/* Feeds an event of `n` bytes in pieces; returns whether all were accepted. */
+static bool feed_event(Events *e, size_t n, size_t piece, GString *out) {
+  GString *s = g_string_new("id: 1\r\ndata: ");
+  bool ok = true;
+  while (s->len < n - strlen(end)) g_string_append_c(s, 'x');
+  g_string_append(s, end);
+  for (size_t at = 0; ok && at < s->len; at += piece)
+    ok = events_feed(e, s->str + at, MIN(piece, s->len - at), out);
+  g_string_free(s, TRUE);
+  return ok;
+}
+
+/* An event without end would be held until the memory is full. */
+Test(events, an_event_over_the_limit_is_refused_however_it_is_split) {
+  static const size_t pieces[] = {1, 7, 4096, LIMIT_EVENT_BYTES * 2};
+  for (size_t i = 0; i < G_N_ELEMENTS(pieces); i++) {
+    Events e;
+    GString *out = g_string_new(NULL);
+    events_init(&e, EVENTS_NONE);
+    cr_assert(feed_event(&e, LIMIT_EVENT_BYTES, pieces[i], out));
+    cr_assert_eq(out->len, LIMIT_EVENT_BYTES);
+    cr_assert_not(feed_event(&e, LIMIT_EVENT_BYTES + 1, pieces[i], out));
+    cr_assert_eq(out->len, LIMIT_EVENT_BYTES);
+    cr_assert_leq(e.partial->len, LIMIT_EVENT_BYTES + pieces[i]);
+    events_drop_partial(&e);
+    cr_assert(feed_event(&e, 40, pieces[i], out) && e.count == 1);
+    g_string_free(out, TRUE);
+    events_free(&e);
+  }
+}
