Links: interim answers without end break the exchange

Callers saw: 504 at the deadline when a target sends answers with status 100 without end, also where a second target would have served the request.

Cause: a link passed over each answer with status 1xx and waited for the final one, so that it read them until the deadline, some 120 MB in 3 s.

Now MAX_INTERIM_ANSWERS (32) bounds their number for one exchange, which then ends as LINK_BROKEN. Their fields never accumulate: each head is cleared at the next one, and the parser limits the bytes of one head.

Four interim answers before a sound one are passed over.

--- a/packages/flow/link.c
+++ b/packages/flow/link.c
@@ -11,12 +11,15 @@
 
 #include "flow/sock.h"
 #include "flow/tunnel.h"
+#include "kernel/count.h"
+#include "kernel/log.h"
 #include "kernel/loopclock.h"
 
-#define READ_BYTES 16384      /* size of one read */
-#define SWEEP_INTERVAL_S 1.0  /* between checks for old idle links */
-#define MAX_SKIPPED_ANSWERS 1 /* of other exchanges, per exchange */
-#define KEEP_ALIVE_RATIO 0.7  /* used part of the peer's keep-alive timeout */
+#define READ_BYTES 16384       /* size of one read */
+#define SWEEP_INTERVAL_S 1.0   /* between checks for old idle links */
+#define MAX_SKIPPED_ANSWERS 1  /* of other exchanges, per exchange */
+#define MAX_INTERIM_ANSWERS 32 /* with status 1xx, per exchange */
+#define KEEP_ALIVE_RATIO 0.7   /* used part of the peer's keep-alive timeout */
 
 #define TUNNEL_TIMEOUT_S 0.6 /* for a gateway to open a tunnel */
 #define MAX_TUNNEL_ANSWER_BYTES 256
@@ -48,7 +51,7 @@
   bool no_body;  /* the answer has no body, regardless of its head */
   bool rejected, not_reusable, parsing, cancelled;
   bool refused; /* the connection was refused at once */
-  int skips;
+  int skips, interims;
   double idle_since, keep_s;
   LinkEvents ev;
   void *ctx;
@@ -136,6 +139,15 @@
 
 /* == the answer == */
 
+/* Ends the exchange when the parser returns: `part` exceeds its limit. Returns
+   what a callback of the parser returns. */
+static int reject_length(Link *l, const char *part) {
+  count_add(COUNT_ANSWERS_TOO_LONG, 1);
+  log_warn("answer-too-long", "s:s,s:s", "part", part, "addr", l->addr);
+  l->rejected = true;
+  return -1;
+}
+
 static int on_begin(http_parser *p) {
   Link *l = p->data;
   headers_clear(&l->headers);
@@ -173,7 +185,9 @@
 
 static int on_head(http_parser *p) {
   Link *l = p->data;
-  if (p->status_code / 100 == 1) return 0;
+  if (p->status_code / 100 == 1)
+    return ++l->interims > MAX_INTERIM_ANSWERS ? reject_length(l, "interim")
+                                               : 0;
   if (l->headers.too_many) {
     l->rejected = true;
     return -1;
@@ -477,7 +491,7 @@
   l->out_off = 0;
   l->sent = l->answered = l->skipping = l->done = false;
   l->no_body = g_str_has_prefix(request->str, "HEAD ");
-  l->skips = 0;
+  l->skips = l->interims = 0;
   l->ev = *ev;
   l->ctx = ctx;
   http_parser_init(&l->parser, HTTP_RESPONSE);
