Tests: bodies, refusals and foreign answers that never end

The body of an answer with status 100 reaches the caller, as an answer with status 0 or, in a stream that goes on elsewhere, as events of it, after which the stream ends as complete; that of a 204 follows the whole answer. Foreign answers and refusals without end are read until the deadline; an error without end is passed on although the request may be repeated; a request is sent on a connection that holds unread bytes.

--- a/tests/endless.py
+++ b/tests/endless.py
@@ -16,6 +16,8 @@
 HARMLESS_S = 1.0        # aim for a harmless request
 GO_ON_S = 1.0           # after which a request has left an endless answer
 BLOCK_BYTES = 1 << 16   # of one write of a stand-in
+READ_BYTES = 16384      # of one read of an instance
+KEPT_BYTES = 1 << 20    # of a body, for comparison
 EVENT_STREAM = ("Content-Type: text/event-stream", "Transfer-Encoding: chunked")
 
 
@@ -62,7 +64,8 @@
     says that the answer is complete."""
 
     def __init__(self, s, path, method, headers):
-        began, self.status, self.body, self.whole = time.monotonic(), 0, b"", False
+        began = time.monotonic()
+        self.status, self.body, self.whole = 0, bytearray(), False
         try:
             c = s.connect()
             c.request(method, path, b"b" if method == "POST" else None, headers)
@@ -72,15 +75,16 @@
                 piece = r.read1(1 << 20)
                 if not piece:
                     break
-                self.body = (self.body + piece)[-(1 << 20):]
+                if len(self.body) < KEPT_BYTES:
+                    self.body += piece
             self.whole = r.chunked or r.length == 0
         except (OSError, http.client.HTTPException):
             self.whole = False
         self.seconds = time.monotonic() - began
 
     def __repr__(self):
-        return "(%d %r.. whole=%s %.2f s)" % (self.status, self.body[:60], self.whole,
-                                              self.seconds)
+        return "(%d %s.. whole=%s %.2f s)" % (
+            self.status, bytes(self.body[:24]), self.whole, self.seconds)
 
 
 def ask_all(s, path, method="POST", n=AT_ONCE, **more):
@@ -219,5 +223,196 @@
     assert_gone_on(ask_all(s, "/once/x", n=2), b"our")
 
 
+
+def test_an_interim_answer_has_no_body(s):
+    """Its body was taken for that of the answer: the caller got it, without a head."""
+    sent = []
+    play_desks(s, flood(lambda a: b"HTTP/1.1 100 Continue\r\n"
+                        b"Transfer-Encoding: chunked\r\n\r\n", chunk("x" * 1000), sent))
+    got = ask_all(s, "/once/x")
+    assert_failed(got)
+    assert all(o.status == 502 for o in got), got
+
+
+def test_the_body_of_an_interim_answer_is_no_part_of_a_stream(s):
+    """A stream that goes on elsewhere got events of it."""
+    time.sleep(RETRY_WINDOW_S)
+
+    def play(w, c, h):
+        c.sendall(b"HTTP/1.1 100 Continue\r\nTransfer-Encoding: chunked\r\n\r\n"
+                  + chunk(event(2)) + chunk(event(9)) + b"0\r\n\r\n")
+        return play_stream(5)(w, c, h)
+
+    play_engines(s, first_only(play_stream(5, cut_at=2), play))
+    o = ask_all(s, "/chat/x", n=1, X_Loftpath_Token_Count="10,10")[0]
+    assert event(9).encode() not in o.body, o.body
+    assert o.body == events(5) or not o.whole, o
+
+
+def test_an_answer_without_content_has_no_body(s):
+    """The caller got its body as bytes after a whole answer."""
+    got = []
+    for status, framing in ((204, "Content-Length: 5"), (304, "Content-Length: 5"),
+                            (204, "Transfer-Encoding: chunked")):
+        first = "HTTP/1.1 %d X\r\n%s\r\n" % (status, framing)
+        play_desks(s, flood(lambda a, first=first: first.encode() + head(
+            a).split(b"\r\n", 1)[1], chunk("bytes")))
+        with socket.create_connection((s.ip(0), s.connect().port), 5) as c:
+            h = "".join("%s: %s\r\n" % f for f in s.head().items())
+            c.sendall(b"GET /safe/x HTTP/1.1\r\n" + h.encode() + b"\r\n")
+            c.settimeout(0.3)
+            data = b""
+            try:
+                while len(data) < 1 << 20:
+                    data += c.recv(1 << 16) or b"(closed)"
+                    if data.endswith(b"(closed)"):
+                        break
+            except socket.timeout:
+                pass
+            got.append((status, framing, data))
+    for status, framing, data in got:
+        assert data.startswith(b"HTTP/1.1 %d " % status), got
+        assert data.split(b"\r\n\r\n", 1)[1] in (b"", b"(closed)"), (
+            status, framing, len(data), data[:300])
+
+
+# == answers that are read in vain ==
+
+def test_a_foreign_answer_without_end_breaks_the_exchange(s):
+    """It was read until the deadline, for the right answer behind it."""
+    for framing, piece in (("Transfer-Encoding: chunked", chunk("x" * 1000)),
+                           ("Content-Length: 1000000000000", b"x" * 1000),
+                           ("Connection: close", b"x" * 1000)):
+        sent = []
+        play_desks(s, flood(lambda a, f=framing: head("another", f), piece, sent))
+        assert_failed(ask_all(s, "/once/x"))
+        wait_for("the targets", lambda: len(sent) == AT_ONCE)
+        assert max(sent) < 32 << 20, sent
+
+
+def test_a_long_foreign_answer_is_passed_over(s):
+    """A bound that is too small would cost the right answer."""
+
+    def play(w, c, h):
+        c.sendall(head("another", "Content-Length: 700000") + bytes(700000))
+        c.sendall(head(h["x-loftpath-attempt-id"], "Content-Length: 3") + b"our")
+        return True
+
+    play_desks(s, play)
+    assert_gone_on(ask_all(s, "/once/x", n=2), b"our")
+
+
+def refusal(attempt):
+    return (b"HTTP/1.1 503 X\r\nX-Loftpath-Not-Executed: 1\r\n"
+            b"Transfer-Encoding: chunked\r\nX-Loftpath-Attempt-Id: %s\r\n\r\n"
+            % attempt.encode())
+
+
+def test_a_refusal_without_end_sends_a_request_elsewhere(s):
+    """It waited for the end of the refusal's body until its deadline."""
+    time.sleep(RETRY_WINDOW_S)
+    play_desks(s, first_only(flood(refusal, chunk("x" * 1000))))
+    got = ask_all(s, "/once/x", n=1)
+    assert got[0].status == 200 and got[0].seconds < GO_ON_S, got
+
+
+def test_refusals_without_end_by_all_targets_are_refusals(s):
+    """The request did not run, and its caller may send it again."""
+    time.sleep(RETRY_WINDOW_S)
+    play_desks(s, flood(refusal, chunk("x" * 1000)))
+    got = ask_all(s, "/once/x", n=2)
+    for o in got:
+        assert o.status == 503 and o.seconds < GO_ON_S, got
+
+
+# == bodies, heads and connections ==
+
+BODY_FRAMINGS = {"chunks": ("Transfer-Encoding: chunked", chunk("x" * 1000)),
+                 "length": ("Content-Length: 1000000000000", b"x" * 1000),
+                 "close": ("Connection: close", b"x" * 1000)}
+
+
+def test_a_body_without_end_is_passed_on_within_the_memory(s):
+    """Callers that take all they get must not cost the others; at the deadline the
+    answer breaks visibly."""
+    for name, (framing, piece) in BODY_FRAMINGS.items():
+        play_desks(s, flood(lambda a, f=framing: head(a, f), piece))
+        for o in ask_all(s, "/once/x", X_Loftpath_Deadline_Ms="1500"):
+            assert not o.whole and o.seconds < 1.5 + GO_ON_S, (name, o)
+
+
+def error_head(attempt, framing):
+    return head(attempt, framing).replace(b"200 OK", b"500 X")
+
+
+def test_an_error_without_end_sends_a_request_elsewhere(s):
+    """Its beginning was passed on although the request may be repeated."""
+    time.sleep(RETRY_WINDOW_S)
+    for name, (framing, piece) in BODY_FRAMINGS.items():
+        play_desks(s, first_only(flood(lambda a, f=framing: error_head(a, f), piece)))
+        got = ask_all(s, "/safe/x", "GET", n=1)
+        assert got[0].status == 200 and got[0].whole, (name, got)
+        assert got[0].seconds < GO_ON_S, (name, got)
+        time.sleep(2 * RETRY_WINDOW_S)
+
+
+def test_a_head_without_end_breaks_the_exchange(s):
+    """A field, fields, or a status line without end must not be held."""
+    line = b"HTTP/1.1 200 OK\r\n"
+    for first, piece in ((line + b"X-Long: ", b"x" * 1000),
+                         (line, b"X-Field: " + b"x" * 100 + b"\r\n"),
+                         (line, b"A: b\r\n"), (b"HTTP/1.1 200 ", b"x" * 1000),
+                         (b"", b"HTTP/1.1 "), (b"", b"\r\n"), (b"", b"\0" * 100)):
+        sent = []
+        play_desks(s, flood(lambda a, f=first: f, piece, sent))
+        assert_failed(ask_all(s, "/once/x"))
+
+
+def test_a_chunk_head_or_trailer_without_end_breaks_the_exchange(s):
+    """The sizes of chunks, their extensions and the trailers must not be held."""
+    for first, piece in ((b"", b"0" * 1000), (b"5;", b"x" * 1000),
+                         (b"0\r\n", b"X-Field: " + b"x" * 100 + b"\r\n"),
+                         (b"0\r\nX-Long: ", b"x" * 1000)):
+        for path, more in (("/once/x", ("Transfer-Encoding: chunked",)),
+                           ("/chat/x", EVENT_STREAM)):
+            play = flood(lambda a, f=first, m=more: head(a, *m) + f, piece)
+            play_desks(s, play)
+            play_engines(s, play)
+            assert_failed(ask_all(s, path, X_Loftpath_Token_Count="10,10"))
+
+
+def test_events_that_the_caller_has_without_end_hold_nobody_up(s):
+    """They are read over, and nothing is passed on."""
+    play_engines(s, flood(lambda a: stream_head(a) + chunk(event(5)),
+                          chunk(event(1) + event(2))))
+    for o in ask_all(s, "/chat/x", X_Loftpath_Token_Count="10,10",
+                     X_Loftpath_Deadline_Ms="1500"):
+        assert o.body == event(5).encode() and not o.whole, o
+        assert o.seconds < 1.5 + GO_ON_S, o
+
+
+def test_bytes_after_a_whole_answer_belong_to_no_request(s):
+    """A request was sent on the connection that held them, and failed. The answer
+    ends where a read of the instance ends, so that the bytes are still unread."""
+
+    def whole(attempt):
+        first = head(attempt, "Content-Length: 10000", "X-Fill: %s")
+        fill = READ_BYTES - len(first) - 10000 + len("%s")
+        return first.replace(b"%s", b"x" * fill) + bytes(10000)
+
+    def play(w, c, h):
+        try:
+            c.sendall(whole(h["x-loftpath-attempt-id"])
+                      + (head("another", "Content-Length: 3") + b"not") * 100)
+            while True:
+                c.sendall((head("another", "Content-Length: 3") + b"not") * 100)
+        except OSError:
+            return False
+
+    play_desks(s, play)
+    for _ in range(10):
+        assert_gone_on(ask_all(s, "/once/x"), bytes(10000))
+
+
 if __name__ == "__main__":
     sys.exit(run_tests(globals()))
