Links: an answer that has no body by its status has none

Callers saw: events of another answer in a stream that had gone on elsewhere, which then ended as complete without events of its own; an answer "HTTP/1.1 0 Status"; bytes after a whole answer with status 204 or 304.

Cause: http_parser reads the body that Transfer-Encoding or Content-Length state also after a head with status 1xx, 204 or 304. on_body passed it on: that of an interim answer before the final answer's head had been seen, that of a 204 or 304 after a head that caller_write_head had written as one without a body.

Now the link tells the parser after such a head that no body follows. Bytes that follow are read as the next answer: after an interim answer they break the exchange, after a whole one they make the connection unusable.

--- a/packages/flow/link.c
+++ b/packages/flow/link.c
@@ -48,7 +48,7 @@
   bool answered; /* a byte of an answer was received */
   bool skipping; /* the current answer is for another exchange */
   bool done;     /* the answer is complete */
-  bool no_body;  /* the answer has no body, regardless of its head */
+  bool no_body;  /* the answer has no body, regardless of its status */
   bool rejected, not_reusable, parsing, cancelled;
   bool refused; /* the connection was refused at once */
   int skips, interims;
@@ -175,19 +175,29 @@
   return MIN(max_s, atof(t + strlen("timeout=")) * KEEP_ALIVE_RATIO);
 }
 
+/* Whether the current answer has no body, whatever its fields state. */
+static bool has_no_body(const Link *l) {
+  unsigned status = l->parser.status_code;
+  return l->no_body || status / 100 == 1 || status == 204 || status == 304;
+}
+
 static LinkFraming framing_of(const Link *l) {
   const http_parser *p = &l->parser;
-  if (l->no_body || p->status_code == 204 || p->status_code == 304)
-    return LINK_FRAMING_LENGTH;
+  if (has_no_body(l)) return LINK_FRAMING_LENGTH;
   if (p->flags & F_CHUNKED) return LINK_FRAMING_CHUNKS;
   return p->flags & F_CONTENTLENGTH ? LINK_FRAMING_LENGTH : LINK_FRAMING_CLOSE;
 }
 
+/* Values of on_headers_complete. The parser takes what follows a head without a
+   body for the next answer. */
+#define HEAD_THEN_BODY 0
+#define HEAD_ALONE 1
+
 static int on_head(http_parser *p) {
   Link *l = p->data;
   if (p->status_code / 100 == 1)
     return ++l->interims > MAX_INTERIM_ANSWERS ? reject_length(l, "interim")
-                                               : 0;
+                                               : HEAD_ALONE;
   if (l->headers.too_many) {
     l->rejected = true;
     return -1;
@@ -205,7 +215,7 @@
   }
   l->rejected |= v == LINK_REJECT;
   if (l->rejected) return -1;
-  return l->no_body ? 1 : 0;
+  return has_no_body(l) ? HEAD_ALONE : HEAD_THEN_BODY;
 }
 
 static int on_body(http_parser *p, const char *at, size_t n) {
