Links: a foreign answer without end breaks the exchange

Callers saw: 504 at the deadline when a target sends a surplus answer to an earlier request that never ends, in chunks, by a length or by the connection.

Cause: the link drops the body of such an answer and waits for the right one behind it, however long it is.

Now LIMIT_SKIPPED_BYTES (1 MB) bounds the body, and one that ends with its connection breaks the exchange at its head, as nothing can follow it.

tests/endless.py, before and after: 504 after 3.00 s and 502 after 0.01 s, for each of the three framings. A foreign answer of 700 kB before the right one is still passed over; tests/node.py, test_a_foreign_answer_is_not_passed_on, passes.

--- a/packages/flow/link.c
+++ b/packages/flow/link.c
@@ -12,6 +12,7 @@
 #include "flow/sock.h"
 #include "flow/tunnel.h"
 #include "kernel/count.h"
+#include "kernel/limits.h"
 #include "kernel/log.h"
 #include "kernel/loopclock.h"
 
@@ -52,6 +53,7 @@
   bool rejected, not_reusable, parsing, cancelled;
   bool refused; /* the connection was refused at once */
   int skips, interims;
+  size_t skipped_bytes; /* of bodies of answers for other exchanges */
   double idle_since, keep_s;
   LinkEvents ev;
   void *ctx;
@@ -211,7 +213,9 @@
   l->skipping = v == LINK_SKIP;
   if (v == LINK_SKIP) {
     l->not_reusable = true; /* not reused after this */
-    l->rejected = ++l->skips > MAX_SKIPPED_ANSWERS;
+    /* Nothing can follow one that ends with the connection. */
+    l->rejected =
+        ++l->skips > MAX_SKIPPED_ANSWERS || h.framing == LINK_FRAMING_CLOSE;
   }
   l->rejected |= v == LINK_REJECT;
   if (l->rejected) return -1;
@@ -220,7 +224,11 @@
 
 static int on_body(http_parser *p, const char *at, size_t n) {
   Link *l = p->data;
-  if (l->skipping) return 0;
+  if (l->skipping) {
+    l->skipped_bytes += n;
+    return l->skipped_bytes > LIMIT_SKIPPED_BYTES ? reject_length(l, "foreign")
+                                                  : 0;
+  }
   l->rejected = !l->ev.body(l->ctx, at, n);
   return l->cancelled || l->rejected ? -1 : 0;
 }
@@ -502,6 +510,7 @@
   l->sent = l->answered = l->skipping = l->done = false;
   l->no_body = g_str_has_prefix(request->str, "HEAD ");
   l->skips = l->interims = 0;
+  l->skipped_bytes = 0;
   l->ev = *ev;
   l->ctx = ctx;
   http_parser_init(&l->parser, HTTP_RESPONSE);
--- a/packages/kernel/limits.h
+++ b/packages/kernel/limits.h
@@ -45,6 +45,9 @@
    1 KB.
  */
 #define LIMIT_EVENT_BYTES (64 << 10)
+/* Body of an answer to an earlier request, which is read and dropped since the
+   right answer may follow on the same connection. */
+#define LIMIT_SKIPPED_BYTES (1 << 20)
 /* An empty buffer that is kept for its next use. */
 #define LIMIT_IDLE_BUFFER_BYTES (32 << 10)
 /* One answer of the platform's store. */
