Dispatch: a refusal without end sends its request elsewhere

Callers saw: 504 at the deadline for a request that its target had refused at once, although another target would have served it; where all refused, 504 in place of a status that promises that it did not run.

Cause: the body of a refusal is dropped until its end, so that the connection can be used again, however long it is.

Now LIMIT_REFUSAL_BYTES (64 KB) bounds it. Beyond it the exchange ends as LINK_BROKEN, which on_end already takes for a refusal when the head stated one.

--- a/packages/flow/dispatch.c
+++ b/packages/flow/dispatch.c
@@ -266,9 +266,15 @@
   return LINK_ACCEPT;
 }
 
+/* Drops a part of the body of a refusal. As LinkEvents.body. */
+static bool drop_refusal(Run *x, size_t n) {
+  x->refusal_bytes += n;
+  return x->refusal_bytes <= LIMIT_REFUSAL_BYTES || reject_length(x, "refusal");
+}
+
 static bool on_body(void *ctx, const char *data, size_t n) {
   Run *x = ctx;
-  if (x->refused) return true;
+  if (x->refused) return drop_refusal(x, n);
   if (!x->has_first_byte) {
     target_note_first_byte(x->target, x->choice.uncached_tokens,
                            x->choice.load.tokens, run_now(x) - x->sent_at);
@@ -408,6 +414,7 @@
   x->n_queried = x->n_reports = 0;
   x->sent_at = now;
   x->has_first_byte = x->refused = false;
+  x->refusal_bytes = 0;
   x->paused_at = 0;
   x->tried[x->n_tried++] = c->target;
   x->sends++;
--- a/packages/flow/run.h
+++ b/packages/flow/run.h
@@ -121,8 +121,9 @@
   double first_byte_at; /* when it did */
   Link *link;           /* the exchange with `target`; NULL: none */
   double paused_at; /* reading of the answer is paused since; 0: not paused */
-  bool refused;   /* the current answer states that the target did not run it */
-  bool maybe_ran; /* a target may have run it */
+  bool refused; /* the current answer states that the target did not run it */
+  size_t refusal_bytes; /* of the body of that answer */
+  bool maybe_ran;       /* a target may have run it */
   /* answer */
   int status;
   LinkFraming framing;    /* of the target's current or last answer */
--- a/packages/kernel/limits.h
+++ b/packages/kernel/limits.h
@@ -48,6 +48,9 @@
 /* Body of an answer to an earlier request, which is read and dropped since the
    right answer may follow on the same connection. */
 #define LIMIT_SKIPPED_BYTES (1 << 20)
+/* Body of an answer with which a target refuses a request. The request waits
+   for its end, so that the connection can be used again. */
+#define LIMIT_REFUSAL_BYTES (64 << 10)
 /* An empty buffer that is kept for its next use. */
 #define LIMIT_IDLE_BUFFER_BYTES (32 << 10)
 /* One answer of the platform's store. */
