--- a/packages/flow/link.c
+++ b/packages/flow/link.c
@@ -11,12 +11,16 @@
 
 #include "flow/sock.h"
 #include "flow/tunnel.h"
+#include "kernel/count.h"
+#include "kernel/limits.h"
+#include "kernel/log.h"
 #include "kernel/loopclock.h"
 
-#define READ_BYTES 16384      /* size of one read */
-#define SWEEP_INTERVAL_S 1.0  /* between checks for old idle links */
-#define MAX_SKIPPED_ANSWERS 1 /* of other exchanges, per exchange */
-#define KEEP_ALIVE_RATIO 0.7  /* used part of the peer's keep-alive timeout */
+#define READ_BYTES 16384       /* size of one read */
+#define SWEEP_INTERVAL_S 1.0   /* between checks for old idle links */
+#define MAX_SKIPPED_ANSWERS 1  /* of other exchanges, per exchange */
+#define MAX_INTERIM_ANSWERS 32 /* with status 1xx, per exchange */
+#define KEEP_ALIVE_RATIO 0.7   /* used part of the peer's keep-alive timeout */
 
 #define TUNNEL_TIMEOUT_S 0.6 /* for a gateway to open a tunnel */
 #define MAX_TUNNEL_ANSWER_BYTES 256
@@ -45,10 +49,11 @@
   bool answered; /* a byte of an answer was received */
   bool skipping; /* the current answer is for another exchange */
   bool done;     /* the answer is complete */
-  bool no_body;  /* the answer has no body, regardless of its head */
+  bool no_body;  /* the answer has no body, regardless of its status */
   bool rejected, not_reusable, parsing, cancelled;
   bool refused; /* the connection was refused at once */
-  int skips;
+  int skips, interims;
+  size_t skipped_bytes; /* of bodies of answers for other exchanges */
   double idle_since, keep_s;
   LinkEvents ev;
   LinkCheckedFn checked; /* of link_check; NULL: none */
@@ -137,6 +142,15 @@
 
 /* == the answer == */
 
+/* Ends the exchange when the parser returns: `part` exceeds its limit. Returns
+   what a callback of the parser returns. */
+static int reject_length(Link *l, const char *part) {
+  count_add(COUNT_ANSWERS_TOO_LONG, 1);
+  log_warn("answer-too-long", "s:s,s:s", "part", part, "addr", l->addr);
+  l->rejected = true;
+  return -1;
+}
+
 static int on_begin(http_parser *p) {
   Link *l = p->data;
   headers_clear(&l->headers);
@@ -164,17 +178,29 @@
   return MIN(max_s, atof(t + strlen("timeout=")) * KEEP_ALIVE_RATIO);
 }
 
+/* Whether the current answer has no body, whatever its fields state. */
+static bool has_no_body(const Link *l) {
+  unsigned status = l->parser.status_code;
+  return l->no_body || status / 100 == 1 || status == 204 || status == 304;
+}
+
 static LinkFraming framing_of(const Link *l) {
   const http_parser *p = &l->parser;
-  if (l->no_body || p->status_code == 204 || p->status_code == 304)
-    return LINK_FRAMING_LENGTH;
+  if (has_no_body(l)) return LINK_FRAMING_LENGTH;
   if (p->flags & F_CHUNKED) return LINK_FRAMING_CHUNKS;
   return p->flags & F_CONTENTLENGTH ? LINK_FRAMING_LENGTH : LINK_FRAMING_CLOSE;
 }
 
+/* Values of on_headers_complete. The parser takes what follows a head without a
+   body for the next answer. */
+#define HEAD_THEN_BODY 0
+#define HEAD_ALONE 1
+
 static int on_head(http_parser *p) {
   Link *l = p->data;
-  if (p->status_code / 100 == 1) return 0;
+  if (p->status_code / 100 == 1)
+    return ++l->interims > MAX_INTERIM_ANSWERS ? reject_length(l, "interim")
+                                               : HEAD_ALONE;
   if (l->headers.too_many) {
     l->rejected = true;
     return -1;
@@ -188,18 +214,24 @@
   l->skipping = v == LINK_SKIP;
   if (v == LINK_SKIP) {
     l->not_reusable = true; /* not reused after this */
-    l->rejected = ++l->skips > MAX_SKIPPED_ANSWERS;
+    /* Nothing can follow one that ends with the connection. */
+    l->rejected =
+        ++l->skips > MAX_SKIPPED_ANSWERS || h.framing == LINK_FRAMING_CLOSE;
   }
   l->rejected |= v == LINK_REJECT;
   if (l->rejected) return -1;
-  return l->no_body ? 1 : 0;
+  return has_no_body(l) ? HEAD_ALONE : HEAD_THEN_BODY;
 }
 
 static int on_body(http_parser *p, const char *at, size_t n) {
   Link *l = p->data;
-  if (l->skipping) return 0;
-  l->ev.body(l->ctx, at, n);
-  return l->cancelled ? -1 : 0;
+  if (l->skipping) {
+    l->skipped_bytes += n;
+    return l->skipped_bytes > LIMIT_SKIPPED_BYTES ? reject_length(l, "foreign")
+                                                  : 0;
+  }
+  l->rejected = !l->ev.body(l->ctx, at, n);
+  return l->cancelled || l->rejected ? -1 : 0;
 }
 
 static int on_done(http_parser *p) {
@@ -496,7 +528,8 @@
   l->out_off = 0;
   l->sent = l->answered = l->skipping = l->done = false;
   l->no_body = g_str_has_prefix(request->str, "HEAD ");
-  l->skips = 0;
+  l->skips = l->interims = 0;
+  l->skipped_bytes = 0;
   l->ev = *ev;
   l->ctx = ctx;
   http_parser_init(&l->parser, HTTP_RESPONSE);
--- a/packages/flow/run.h
+++ b/packages/flow/run.h
@@ -124,8 +124,9 @@
   ev_timer check_timer; /* until `check` */
   Link *check;          /* NULL: none */
   double paused_at; /* reading of the answer is paused since; 0: not paused */
-  bool refused;   /* the current answer states that the target did not run it */
-  bool maybe_ran; /* a target may have run it */
+  bool refused; /* the current answer states that the target did not run it */
+  size_t refusal_bytes; /* of the body of that answer */
+  bool maybe_ran;       /* a target may have run it */
   /* answer */
   int status;
   LinkFraming framing;    /* of the target's current or last answer */
