Tests: streams taken up after all instances were killed

Take-ups after a loss of all instances must not join the text of two versions.

A caller's attempt no longer keeps the refusal of the attempt before, and reads without readline(), which takes a connection that ends early for the end of the answer.

--- a/tests/versions.py
+++ b/tests/versions.py
@@ -29,30 +29,31 @@
 
 
 class Engine(Worker):
-    """Streams EVENTS events that name its version. With the chance `breaks` an
+    """Streams `events` events that name its version. With the chance `breaks` an
     exchange breaks, between two events or inside one."""
 
     breaks, dice = 0.0, random.Random(5)
     lengthless = False  # answers have neither a length nor chunks
+    events, pause_s = EVENTS, PAUSE_S
 
     def answer(self, c, method, path, headers, body):
         if headers.get("x-loftpath-expect-instance") != self.name:
             return super().answer(c, method, path, headers, body)
         pack = str.encode if self.lengthless else chunk
         first = int(headers.get("last-event-id", "0")) + 1
-        broken_at = (self.dice.randrange(first, EVENTS + 1)
+        broken_at = (self.dice.randrange(first, self.events + 1)
                      if self.dice.random() < self.breaks else None)
         c.sendall(head(headers["x-loftpath-attempt-id"],
                        "Content-Type: text/event-stream",
                        *([] if self.lengthless else ["Transfer-Encoding: chunked"])))
-        for k in range(first, EVENTS + 1):
+        for k in range(first, self.events + 1):
             text = event(k).replace("token", self.version + " token")
             if k == broken_at:
                 if self.lengthless or self.dice.random() < 0.5:
                     c.sendall(pack(text[:8]))
                 return False
             c.sendall(pack(text))
-            time.sleep(PAUSE_S)
+            time.sleep(self.pause_s)
         if not self.lengthless:
             c.sendall(b"0\r\n\r\n")
         return not self.lengthless
@@ -61,6 +62,8 @@
 class Versions:
     """Engines of several versions."""
 
+    kind = Engine
+
     def __init__(self, s, counts, breaks=0.0, lengthless=False):
         s.remove_workers(s.engines)
         s.store.put("config", "main", config(2, prepaid=10**7))
@@ -74,7 +77,7 @@
 
     def add(self, version, address=("127.0.0.1", 0)):
         self.n += 1
-        e = Engine(address, self.s.store, "v%d" % self.n, "engine", version)
+        e = self.kind(address, self.s.store, "v%d" % self.n, "engine", version)
         e.breaks, e.lengthless = self.breaks, self.lengthless
         self.engines.append(e)
         return e
@@ -105,6 +108,9 @@
     """A stream and the attempts of its caller, at `instances` one after the other.
     The caller leaves an attempt before the event `leave_at` of the stream."""
 
+    names_attempt = True  # that brought the first event
+    ended = False         # an answer ended as its framing says
+
     def __init__(self, s, resumes=None, last=0, version=None):
         self.s, self.first, self.last = s, resumes, last
         self.versions = {version} if version else set()
@@ -117,8 +123,11 @@
         h = self.s.head(X_Loftpath_Token_Count="20,30", **self.more)
         if self.last > 0 or self.first:
             h["Last-Event-Id"] = str(self.last)
-            h["Resumes"] = self.first
+            if self.names_attempt:
+                h["Resumes"] = self.first
         before, began = self.last, time.monotonic()
+        self.refused = self.retry_s = self.error = None
+        self.ended = False
         self.attempts.append(h["X-Loftpath-Attempt-Id"])
         c = self.s.connect(i)
         try:
@@ -138,11 +147,17 @@
             c.close()
         return self.last > before
 
+    def _lines(self, r):
+        """Whole lines. Not by readline(), for which a connection that ends early
+        is the end of the answer."""
+        held = b""
+        while data := r.read1():
+            *lines, held = (held + data).split(b"\n")
+            yield from lines
+        self.ended = r.chunked
+
     def _read(self, r, leave_at, attempt):
-        while leave_at is None or self.last + 1 < leave_at:
-            line = r.readline()
-            if not line:
-                return
+        for line in self._lines(r):
             if line.startswith(b"id:"):
                 k = int(line[3:])
             found = re.match(rb"data: (\S+) token", line)
@@ -151,6 +166,8 @@
                 self.last = k
                 self.first = self.first or attempt
                 self.versions.add(found[1].decode())
+                if leave_at is not None and self.last + 1 >= leave_at:
+                    return
 
     @property
     def whole(self):
