Tests: a stream taken up more than 30 s after the loss of all instances

A route allows its streams 45 s. The version that began a stream leaves, all instances are killed, and the caller takes the stream up while its deadline allows. The bound of 30 s is a constant, and no route's time-out is compared with it. Without the kill the record, kept for 60 s, would decide.

--- a/tests/rejoined.py
+++ b/tests/rejoined.py
@@ -14,11 +14,11 @@
 import threading
 import time
 
-from fleet import run_in_groups, run_tests
-from versions import Engine, Load, Taken, Versions
+from fleet import config, run_in_groups, run_tests
+from versions import SETTLE_S, Engine, Load, Taken, Versions
 
 INSTANCES, MANY = 3, 14
-GROUPS = 6          # of tests that run side by side
+GROUPS = 7          # of tests that run side by side
 EVENTS, PAUSE_S = 30, 0.05  # of a stream
 TRY_S = 2.0         # a caller takes its stream up until then
 ALONE = 0.3         # of the callers send Last-Event-Id alone, no earlier attempt
@@ -27,6 +27,8 @@
 BEGUN_S = 1.5       # until streams run at all targets
 ROUNDS = 3
 DOWN_S = 0.5        # from a kill to the return, where targets change meanwhile
+LONG_S, QUIET_S = 45.0, 8.0  # time of a long stream, and that its caller keeps left
+LONGEST = "test_taken_up_long_after_the_return"
 # Refusals that state no Retry-After: where the stream began is lost, or the version
 # that began it has left.
 NO_END_KNOWN = ("stream-unknown", "no-target")
@@ -307,11 +309,50 @@
     play(s, v, lambda k: v.swap("v%d" % k, "v%d" % (k + 2)))
 
 
+def test_taken_up_long_after_the_return(s):
+    """A route allows its streams 45 s. Of 12 streams 6 began at a version that left
+    before the kill, and went on at the next one when it had served alone for 30 s."""
+    conf = config(3, prepaid=10**7)
+    conf["routes"][2]["timeout_ms"] = int(1000 * LONG_S)
+    v = Releases(s, {"v1": 3})
+    s.store.put("config", "main", conf)
+    v.start("v2")
+    time.sleep(SETTLE_S)
+    end = time.monotonic() + LONG_S
+    made = [Taken(s) for _ in range(12)]
+    callers = [threading.Thread(target=take_up_until, args=(t, end)) for t in made]
+    for c in callers:
+        c.start()
+    time.sleep(EVENTS * PAUSE_S / 2)
+    v.leave("v1")
+    s.restart_all()
+    for c in callers:
+        c.join()
+    began = [t for t in made if t.last > 0]
+    mixed = [t for t in made if len(t.versions) > 1]
+    print("   %d of 12 begun, %d tried at least 100 times, %d of two versions" % (
+        len(began), sum(len(t.attempts) > 100 for t in made), len(mixed)), flush=True)
+    assert not mixed, "%d of 12 streams of two versions" % len(mixed)
+    assert len(began) >= 6, "only %d began" % len(began)
+
+
+def take_up_until(t, end):
+    """Tries at any instance while the caller's deadline is more than QUIET_S away."""
+    dice = random.Random(id(t))
+    while t.last < EVENTS and time.monotonic() < end - QUIET_S:
+        left_ms = int(1000 * (end - time.monotonic()))
+        t.more = {"X_Loftpath_Deadline_Ms": str(left_ms)}
+        t.attempt(dice.randrange(len(t.s.processes)))
+        time.sleep(0.25)
+
+
 TESTS = {n: f for n, f in globals().items() if n.startswith("test_")}
 
 if __name__ == "__main__":
     sizes = dict.fromkeys(TESTS, INSTANCES)
     sizes["test_all_killed_in_a_larger_fleet"] = MANY
     if not sys.argv[2:]:
-        sys.exit(run_in_groups(list(TESTS), GROUPS))
+        names = [n for n in TESTS if n != LONGEST]
+        names.insert(GROUPS - 1, LONGEST)  # alone in the last group
+        sys.exit(run_in_groups(names, GROUPS))
     sys.exit(run_tests(TESTS, sizes))
