Tests: a stream must not go on at another service's only version

Fails, without any loss of an instance. The key of a record covers the service. An attempt that is led to another service, by a configuration that moved the route or by the draw among the services of a split route, finds no record, and "sole" of that service decides: 26 of 40 streams of two versions.

--- a/tests/versions.py
+++ b/tests/versions.py
@@ -15,11 +15,11 @@
 import threading
 import time
 
-from fleet import Site, config, run_in_groups, run_tests, wait_for
+from fleet import Site, config, route, run_in_groups, run_tests, wait_for
 from standins import Worker, chunk, event, head
 
 INSTANCES, MANY = 3, 14
-GROUPS = 4          # of tests that run side by side
+GROUPS = 6          # of tests that run side by side
 EVENTS, PAUSE_S = 10, 0.03
 PLAY_S = 10.0
 SETTLE_S = 2.5      # until all instances know of new targets
@@ -75,9 +75,9 @@
                 self.add(version)
         time.sleep(SETTLE_S)
 
-    def add(self, version, address=("127.0.0.1", 0)):
+    def add(self, version, address=("127.0.0.1", 0), service="engine"):
         self.n += 1
-        e = self.kind(address, self.s.store, "v%d" % self.n, "engine", version)
+        e = self.kind(address, self.s.store, "v%d" % self.n, service, version)
         e.breaks, e.lengthless = self.breaks, self.lengthless
         self.engines.append(e)
         return e
@@ -109,6 +109,7 @@
     The caller leaves an attempt before the event `leave_at` of the stream."""
 
     names_attempt = True  # that brought the first event
+    path = "/chat/x"
     ended = False         # an answer ended as its framing says
 
     def __init__(self, s, resumes=None, last=0, version=None):
@@ -131,7 +132,7 @@
         self.attempts.append(h["X-Loftpath-Attempt-Id"])
         c = self.s.connect(i)
         try:
-            c.request("POST", "/chat/x", b"stream", h)
+            c.request("POST", self.path, b"stream", h)
             r = c.getresponse()
             self.refused = r.status if r.status != 200 else None
             if r.status != 200:
@@ -230,9 +231,11 @@
             "%d of %d went on" % (self.gone_on, self.taken_up))
 
 
-def begin_at_once(s, n, i=0, leave_at=4):
+def begin_at_once(s, n, i=0, leave_at=4, path=Taken.path):
     """Streams that begin together, and so at several targets; their callers leave."""
     made = [Taken(s) for _ in range(n)]
+    for t in made:
+        t.path = path
     threads = [threading.Thread(target=t.attempt, args=(i, leave_at)) for t in made]
     for t in threads:
         t.start()
@@ -493,6 +496,48 @@
             t.ids, t.versions, t.error)
 
 
+def check_not_mixed(what, made):
+    mixed = [t for t in made if len(t.versions) > 1]
+    print("   %s: %d begun, %d refused, %d of two versions" % (
+        what, sum(t.last > 0 for t in made), sum(t.refused is not None for t in made),
+        len(mixed)), flush=True)
+    assert not mixed, "%s: %d of %d streams of two versions" % (
+        what, len(mixed), len(made))
+
+
+# == each instance has known one version for long, and a stream began at another ==
+
+
+def config_of_two(version, moved):
+    """Requests are split between two services; with `moved`, those of /chat/ go to
+    the other one."""
+    split = [{"service": name, "weight": 50} for name in ("engine", "other")]
+    c = config(version, prepaid=10**7,
+               routes=[route("p", "/split/", None, "stream", split=split)])
+    del c["routes"][-1]["service"]
+    c["services"].append({"name": "other", "engine": {"slots": 8, "stride": 1}})
+    if moved:
+        c["routes"][2]["service"] = "other"
+    return c
+
+
+def test_a_stream_does_not_go_on_at_the_only_version_of_another_service(s):
+    """26 of 40 streams went on at another service: those of a route that was moved to
+    it, and half of those of a route that is split between two."""
+    v = Versions(s, {"v1": 3})
+    for _ in range(3):
+        v.add("v2", service="other")
+    s.store.put("config", "main", config_of_two(3, moved=False))
+    time.sleep(HISTORY_S)
+    moved = begin_at_once(s, 20)
+    split = begin_at_once(s, 20, path="/split/x")
+    s.store.put("config", "main", config_of_two(4, moved=True))
+    time.sleep(SETTLE_S)
+    for t in moved + split:
+        t.attempt(1)
+    check_not_mixed("moved and split", moved + split)
+
+
 class TwoRegions(Site):
     """Instances are in the one and the other by turns."""
 
