--- a/tests/versions.py
+++ b/tests/versions.py
@@ -16,6 +16,7 @@
 import time
 
 from fleet import Site, config, route, run_in_groups, run_tests, wait_for
+from proxy import Proxy
 from standins import Worker, chunk, event, head
 
 INSTANCES, MANY = 3, 14
@@ -538,6 +539,33 @@
     check_not_mixed("moved and split", moved + split)
 
 
+def begin_unseen_by_the_last(s):
+    """Returns streams of two versions. The last instance has been cut off from the
+    store since only the first of them served."""
+    v = Versions(s, {"v1": 3})
+    conf = config(3)
+    del conf["tenants"][0]["prepaid"]  # its budget could not be read
+    s.store.put("config", "main", conf)
+    time.sleep(HISTORY_S)
+    s.proxies[-1].hold = {"up", "down"}
+    for _ in range(3):
+        v.add("v2")
+    time.sleep(SETTLE_S)
+    made = begin_at_once(s, 24)
+    assert {x for t in made for x in t.versions} == {"v1", "v2"}
+    return made
+
+
+def test_an_instance_without_the_store_asks_others_when_no_attempt_is_named(s):
+    """12 of 24 callers that sent Last-Event-Id alone got the rest of their stream from
+    the only version that the instance knew; it asked nobody."""
+    made = begin_unseen_by_the_last(s)
+    for t in made:
+        t.names_attempt = False
+        t.attempt(len(s.processes) - 1)
+    check_not_mixed("without an attempt", made)
+
+
 class TwoRegions(Site):
     """Instances are in the one and the other by turns."""
 
@@ -551,12 +579,14 @@
     sizes["test_broken_and_taken_up_in_a_larger_fleet"] = MANY
     regional = "test_taken_up_in_another_region_after_a_region_was_lost"
     sizes[regional] = 4
+    proxies = dict.fromkeys([
+        "test_an_instance_without_the_store_asks_others_when_no_attempt_is_named"], Proxy)
     names = sys.argv[2:]
     if not names:
         sys.exit(run_in_groups(list(TESTS), GROUPS))
     others, status = [n for n in names if n != regional], 0
     if others:
-        status = run_tests(TESTS, sizes, names=others)
+        status = run_tests(TESTS, sizes, proxies, names=others)
     if regional in names:
         status |= run_tests(TESTS, sizes, names=[regional], site=TwoRegions)
     sys.exit(status)
