--- a/tests/versions.py
+++ b/tests/versions.py
@@ -19,7 +19,7 @@
 from proxy import Proxy
 from standins import Worker, chunk, event, head
 
-INSTANCES, MANY = 3, 14
+INSTANCES, SIX, MANY = 3, 6, 14
 GROUPS = 6          # of tests that run side by side
 EVENTS, PAUSE_S = 10, 0.03
 PLAY_S = 10.0
@@ -566,6 +566,19 @@
     check_not_mixed("without an attempt", made)
 
 
+def test_instances_that_do_not_answer_leave_the_version_open(s):
+    """4 of 24 streams went on at the only version that the last instance knew, after
+    all others were killed that could have said otherwise."""
+    made = begin_unseen_by_the_last(s)
+    for p in s.processes[:-1]:
+        p.kill()
+    for p in s.processes[:-1]:
+        p.wait()
+    for t in made:
+        t.attempt(len(s.processes) - 1)
+    check_not_mixed("without answers", made)
+
+
 class TwoRegions(Site):
     """Instances are in the one and the other by turns."""
 
@@ -579,8 +592,10 @@
     sizes["test_broken_and_taken_up_in_a_larger_fleet"] = MANY
     regional = "test_taken_up_in_another_region_after_a_region_was_lost"
     sizes[regional] = 4
+    sizes["test_instances_that_do_not_answer_leave_the_version_open"] = SIX
     proxies = dict.fromkeys([
-        "test_an_instance_without_the_store_asks_others_when_no_attempt_is_named"], Proxy)
+        "test_an_instance_without_the_store_asks_others_when_no_attempt_is_named",
+        "test_instances_that_do_not_answer_leave_the_version_open"], Proxy)
     names = sys.argv[2:]
     if not names:
         sys.exit(run_in_groups(list(TESTS), GROUPS))
