--- a/tests/versions.py
+++ b/tests/versions.py
@@ -15,11 +15,12 @@
 import threading
 import time
 
-from fleet import Site, config, run_in_groups, run_tests, wait_for
+from fleet import Site, config, route, run_in_groups, run_tests, wait_for
+from proxy import Proxy
 from standins import Worker, chunk, event, head
 
-INSTANCES, MANY = 3, 14
-GROUPS = 4          # of tests that run side by side
+INSTANCES, SIX, MANY = 3, 6, 14
+GROUPS = 6          # of tests that run side by side
 EVENTS, PAUSE_S = 10, 0.03
 PLAY_S = 10.0
 SETTLE_S = 2.5      # until all instances know of new targets
@@ -29,30 +30,31 @@
 
 
 class Engine(Worker):
-    """Streams EVENTS events that name its version. With the chance `breaks` an
+    """Streams `events` events that name its version. With the chance `breaks` an
     exchange breaks, between two events or inside one."""
 
     breaks, dice = 0.0, random.Random(5)
     lengthless = False  # answers have neither a length nor chunks
+    events, pause_s = EVENTS, PAUSE_S
 
     def answer(self, c, method, path, headers, body):
         if headers.get("x-loftpath-expect-instance") != self.name:
             return super().answer(c, method, path, headers, body)
         pack = str.encode if self.lengthless else chunk
         first = int(headers.get("last-event-id", "0")) + 1
-        broken_at = (self.dice.randrange(first, EVENTS + 1)
+        broken_at = (self.dice.randrange(first, self.events + 1)
                      if self.dice.random() < self.breaks else None)
         c.sendall(head(headers["x-loftpath-attempt-id"],
                        "Content-Type: text/event-stream",
                        *([] if self.lengthless else ["Transfer-Encoding: chunked"])))
-        for k in range(first, EVENTS + 1):
+        for k in range(first, self.events + 1):
             text = event(k).replace("token", self.version + " token")
             if k == broken_at:
                 if self.lengthless or self.dice.random() < 0.5:
                     c.sendall(pack(text[:8]))
                 return False
             c.sendall(pack(text))
-            time.sleep(PAUSE_S)
+            time.sleep(self.pause_s)
         if not self.lengthless:
             c.sendall(b"0\r\n\r\n")
         return not self.lengthless
@@ -61,6 +63,8 @@
 class Versions:
     """Engines of several versions."""
 
+    kind = Engine
+
     def __init__(self, s, counts, breaks=0.0, lengthless=False):
         s.remove_workers(s.engines)
         s.store.put("config", "main", config(2, prepaid=10**7))
@@ -72,9 +76,9 @@
                 self.add(version)
         time.sleep(SETTLE_S)
 
-    def add(self, version, address=("127.0.0.1", 0)):
+    def add(self, version, address=("127.0.0.1", 0), service="engine"):
         self.n += 1
-        e = Engine(address, self.s.store, "v%d" % self.n, "engine", version)
+        e = self.kind(address, self.s.store, "v%d" % self.n, service, version)
         e.breaks, e.lengthless = self.breaks, self.lengthless
         self.engines.append(e)
         return e
@@ -105,6 +109,10 @@
     """A stream and the attempts of its caller, at `instances` one after the other.
     The caller leaves an attempt before the event `leave_at` of the stream."""
 
+    names_attempt = True  # that brought the first event
+    path = "/chat/x"
+    ended = False         # an answer ended as its framing says
+
     def __init__(self, s, resumes=None, last=0, version=None):
         self.s, self.first, self.last = s, resumes, last
         self.versions = {version} if version else set()
@@ -117,12 +125,15 @@
         h = self.s.head(X_Loftpath_Token_Count="20,30", **self.more)
         if self.last > 0 or self.first:
             h["Last-Event-Id"] = str(self.last)
-            h["Resumes"] = self.first
+            if self.names_attempt:
+                h["Resumes"] = self.first
         before, began = self.last, time.monotonic()
+        self.refused = self.retry_s = self.error = None
+        self.ended = False
         self.attempts.append(h["X-Loftpath-Attempt-Id"])
         c = self.s.connect(i)
         try:
-            c.request("POST", "/chat/x", b"stream", h)
+            c.request("POST", self.path, b"stream", h)
             r = c.getresponse()
             self.refused = r.status if r.status != 200 else None
             if r.status != 200:
@@ -138,11 +149,17 @@
             c.close()
         return self.last > before
 
+    def _lines(self, r):
+        """Whole lines. Not by readline(), for which a connection that ends early
+        is the end of the answer."""
+        held = b""
+        while data := r.read1():
+            *lines, held = (held + data).split(b"\n")
+            yield from lines
+        self.ended = r.chunked
+
     def _read(self, r, leave_at, attempt):
-        while leave_at is None or self.last + 1 < leave_at:
-            line = r.readline()
-            if not line:
-                return
+        for line in self._lines(r):
             if line.startswith(b"id:"):
                 k = int(line[3:])
             found = re.match(rb"data: (\S+) token", line)
@@ -151,6 +168,8 @@
                 self.last = k
                 self.first = self.first or attempt
                 self.versions.add(found[1].decode())
+                if leave_at is not None and self.last + 1 >= leave_at:
+                    return
 
     @property
     def whole(self):
@@ -213,9 +232,11 @@
             "%d of %d went on" % (self.gone_on, self.taken_up))
 
 
-def begin_at_once(s, n, i=0, leave_at=4):
+def begin_at_once(s, n, i=0, leave_at=4, path=Taken.path):
     """Streams that begin together, and so at several targets; their callers leave."""
     made = [Taken(s) for _ in range(n)]
+    for t in made:
+        t.path = path
     threads = [threading.Thread(target=t.attempt, args=(i, leave_at)) for t in made]
     for t in threads:
         t.start()
@@ -476,6 +497,88 @@
             t.ids, t.versions, t.error)
 
 
+def check_not_mixed(what, made):
+    mixed = [t for t in made if len(t.versions) > 1]
+    print("   %s: %d begun, %d refused, %d of two versions" % (
+        what, sum(t.last > 0 for t in made), sum(t.refused is not None for t in made),
+        len(mixed)), flush=True)
+    assert not mixed, "%s: %d of %d streams of two versions" % (
+        what, len(mixed), len(made))
+
+
+# == each instance has known one version for long, and a stream began at another ==
+
+
+def config_of_two(version, moved):
+    """Requests are split between two services; with `moved`, those of /chat/ go to
+    the other one."""
+    split = [{"service": name, "weight": 50} for name in ("engine", "other")]
+    c = config(version, prepaid=10**7,
+               routes=[route("p", "/split/", None, "stream", split=split)])
+    del c["routes"][-1]["service"]
+    c["services"].append({"name": "other", "engine": {"slots": 8, "stride": 1}})
+    if moved:
+        c["routes"][2]["service"] = "other"
+    return c
+
+
+def test_a_stream_does_not_go_on_at_the_only_version_of_another_service(s):
+    """26 of 40 streams went on at another service: those of a route that was moved to
+    it, and half of those of a route that is split between two."""
+    v = Versions(s, {"v1": 3})
+    for _ in range(3):
+        v.add("v2", service="other")
+    s.store.put("config", "main", config_of_two(3, moved=False))
+    time.sleep(HISTORY_S)
+    moved = begin_at_once(s, 20)
+    split = begin_at_once(s, 20, path="/split/x")
+    s.store.put("config", "main", config_of_two(4, moved=True))
+    time.sleep(SETTLE_S)
+    for t in moved + split:
+        t.attempt(1)
+    check_not_mixed("moved and split", moved + split)
+
+
+def begin_unseen_by_the_last(s):
+    """Returns streams of two versions. The last instance has been cut off from the
+    store since only the first of them served."""
+    v = Versions(s, {"v1": 3})
+    conf = config(3)
+    del conf["tenants"][0]["prepaid"]  # its budget could not be read
+    s.store.put("config", "main", conf)
+    time.sleep(HISTORY_S)
+    s.proxies[-1].hold = {"up", "down"}
+    for _ in range(3):
+        v.add("v2")
+    time.sleep(SETTLE_S)
+    made = begin_at_once(s, 24)
+    assert {x for t in made for x in t.versions} == {"v1", "v2"}
+    return made
+
+
+def test_an_instance_without_the_store_asks_others_when_no_attempt_is_named(s):
+    """12 of 24 callers that sent Last-Event-Id alone got the rest of their stream from
+    the only version that the instance knew; it asked nobody."""
+    made = begin_unseen_by_the_last(s)
+    for t in made:
+        t.names_attempt = False
+        t.attempt(len(s.processes) - 1)
+    check_not_mixed("without an attempt", made)
+
+
+def test_instances_that_do_not_answer_leave_the_version_open(s):
+    """4 of 24 streams went on at the only version that the last instance knew, after
+    all others were killed that could have said otherwise."""
+    made = begin_unseen_by_the_last(s)
+    for p in s.processes[:-1]:
+        p.kill()
+    for p in s.processes[:-1]:
+        p.wait()
+    for t in made:
+        t.attempt(len(s.processes) - 1)
+    check_not_mixed("without answers", made)
+
+
 class TwoRegions(Site):
     """Instances are in the one and the other by turns."""
 
@@ -489,12 +592,16 @@
     sizes["test_broken_and_taken_up_in_a_larger_fleet"] = MANY
     regional = "test_taken_up_in_another_region_after_a_region_was_lost"
     sizes[regional] = 4
+    sizes["test_instances_that_do_not_answer_leave_the_version_open"] = SIX
+    proxies = dict.fromkeys([
+        "test_an_instance_without_the_store_asks_others_when_no_attempt_is_named",
+        "test_instances_that_do_not_answer_leave_the_version_open"], Proxy)
     names = sys.argv[2:]
     if not names:
         sys.exit(run_in_groups(list(TESTS), GROUPS))
     others, status = [n for n in names if n != regional], 0
     if others:
-        status = run_tests(TESTS, sizes, names=others)
+        status = run_tests(TESTS, sizes, proxies, names=others)
     if regional in names:
         status |= run_tests(TESTS, sizes, names=[regional], site=TwoRegions)
     sys.exit(status)
