--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -258,7 +258,8 @@
 
 def run_seeds(play, instances, site=Site):
     """Parses a soak's command line and runs `play(site, seed)` for each seed on its
-    own site. Returns the exit status."""
+    own site. `instances`: their number, or a function of the seed. Returns the exit
+    status."""
     args = argparse.ArgumentParser()
     args.add_argument("build")
     args.add_argument("--seeds", type=int, default=1)
@@ -266,5 +267,6 @@
     a = args.parse_args()
     tests = {"seed_%d" % k: (lambda s, k=k: play(s, k))
              for k in range(a.seed, a.seed + a.seeds)}
-    return run_tests(tests, dict.fromkeys(tests, instances), names=list(tests),
-                     site=site)
+    count = instances if callable(instances) else lambda k: instances
+    counts = {"seed_%d" % k: count(k) for k in range(a.seed, a.seed + a.seeds)}
+    return run_tests(tests, counts, names=list(tests), site=site)
