Dispatch: an unframed stream that is closed before its first event is broken

Callers got an empty stream that ended as complete, when a target that lives on closed its connection right after the head of an answer without framing. That the target goes on says nothing about this end, but a stream that was not resumed has at least one event.

Now such an end is a broken exchange: a stream that may be resumed runs at another target, another one fails with 502.

--- a/packages/flow/unframed.c
+++ b/packages/flow/unframed.c
@@ -51,8 +51,18 @@
                           on_checked, x);
 }
 
+/* A stream from its beginning has at least one event. */
+static bool lacks_events(const Run *x) {
+  return x->stream && x->events.count == 0 &&
+         x->request.last_event == REQUEST_NO_EVENT;
+}
+
 void run_check_end(Run *x) {
   count_add(COUNT_ANSWERS_CLOSED, 1);
+  if (lacks_events(x)) {
+    run_handle_broken(x, TARGET_FAILED, "closed before an event");
+    return;
+  }
   x->maybe_ran = true;
   ev_timer_init(&x->check_timer, on_delay, CHECK_DELAY_S, 0);
   x->check_timer.data = x;
--- a/tests/answer_ends.py
+++ b/tests/answer_ends.py
@@ -410,6 +410,12 @@
         ["/chat/", "/firm/"], UNFRAMED, ["inside"], ["fin"])))
 
 
+# Guards against an empty stream that looks complete, of a target that lives on.
+def test_a_stream_closed_before_its_first_event_is_broken(s):
+    break_each(s, list(itertools.product(["/chat/", "/firm/"], UNFRAMED, ["head"],
+                                         ["fin"])))
+
+
 # == answers that begin to be passed on before they are complete ==
 
 def check_one_run(frame, calls, w, other):
