Dispatch: an earlier target at a reused address is no successor

Callers of sound answers without framing got 502, and streams were run again, when the address of their target had belonged to another target before: the entry of that one was still known, and any other target at the address was taken for a process that had replaced the target.

Now only a target with a newer entry counts, and a target that started again under its id is told by its start time, which was missed before.

test_targets: only_a_newer_target_at_the_address_is_a_successor.

--- a/packages/flow/dispatch.c
+++ b/packages/flow/dispatch.c
@@ -418,6 +418,7 @@
   wire_append_request(out, x->http_request->method, x->http_request->uri->str,
                       &x->http_request->headers, x->http_request->body, &send);
   x->target = c->target;
+  x->target_incarnation = target_hash(c->target);
   x->n_queried = x->n_reports = 0;
   x->sent_at = now;
   x->has_first_byte = x->refused = false;
--- a/packages/flow/run.h
+++ b/packages/flow/run.h
@@ -95,7 +95,8 @@
      paths to all of them are interrupted. */
   bool forgave_tried;
   Target *target;
-  TargetChoice choice; /* of `target` */
+  uint64_t target_incarnation; /* target_hash of it when the run was sent */
+  TargetChoice choice;         /* of `target` */
   double sent_at;
   /* The pending query for the work at candidate targets, or permit request. */
   ev_timer query_timer;
--- a/packages/flow/unframed.c
+++ b/packages/flow/unframed.c
@@ -9,29 +9,16 @@
    the other, in no fixed order. */
 #define CHECK_DELAY_S 0.025
 
-typedef struct Successor {
-  uint64_t target; /* target_hash of the former target */
-  bool found;
-} Successor;
-
-static void note_successor(void *ctx, Target *t) {
-  Successor *s = ctx;
-  s->found |= target_hash(t) != s->target;
-}
-
-/* Whether another target is known at the address, which accepted the connection
-   in place of the former one. */
-static bool has_successor(const Run *x) {
-  Successor s = {.target = target_hash(x->target)};
-  targets_for_each_at_addr(x->relay->targets, target_addr(x->target),
-                           note_successor, &s);
-  return s.found;
+/* Whether the connection was accepted by a process that started later. */
+static bool is_replaced(const Run *x) {
+  return target_hash(x->target) != x->target_incarnation ||
+         targets_have_successor(x->relay->targets, x->target);
 }
 
 static void on_checked(void *ctx, LinkConnectResult how) {
   Run *x = ctx;
   x->check = NULL;
-  if (how == LINK_CONNECTED && !has_successor(x))
+  if (how == LINK_CONNECTED && !is_replaced(x))
     run_finish_answer(x);
   else if (how == LINK_TUNNEL_FAILED)
     run_handle_broken(x, TARGET_NO_PATH, "closed, no tunnel");
--- a/packages/route/targets.c
+++ b/packages/route/targets.c
@@ -329,6 +329,19 @@
     if (strcmp(target_addr(v), addr) == 0) fn(ctx, v);
 }
 
+bool targets_have_successor(const Targets *s, const Target *t) {
+  GHashTableIter it;
+  gpointer v;
+  g_hash_table_iter_init(&it, s->by_id);
+  while (g_hash_table_iter_next(&it, NULL, &v)) {
+    const Target *other = v;
+    if (other != t && other->info.revision > t->info.revision &&
+        strcmp(target_addr(other), target_addr(t)) == 0)
+      return true;
+  }
+  return false;
+}
+
 void targets_mark_replaced(Targets *s, double now, Target *t) {
   (void)s;
   mark_leaving(t, now, false);
--- a/packages/route/targets.h
+++ b/packages/route/targets.h
@@ -74,6 +74,8 @@
    left. */
 void targets_for_each_at_addr(Targets *s, const char *addr,
                               void (*fn)(void *ctx, Target *t), void *ctx);
+/* Whether another target is known at its address whose entry is newer. */
+bool targets_have_successor(const Targets *s, const Target *t);
 /* Another target now has its address. */
 void targets_mark_replaced(Targets *s, double now, Target *t);
 /* Whether targets of several software versions of a service (text_hash of its
--- a/tests/test_targets.c
+++ b/tests/test_targets.c
@@ -35,6 +35,23 @@
   target_note_sent(t, now, a, &c);
 }
 
+/* Guards against a target at a reused address that is taken for ended since the
+   entry of its predecessor is still known. */
+Test(targets, only_a_newer_target_at_the_address_is_a_successor) {
+  Targets *s = targets_with(2);
+  RequestInfo a = {0};
+  Target *first = pick(s, 1, &a, false);
+  TargetInfo t = info(7, "svc");
+  g_strlcpy(t.addr, target_addr(first), sizeof t.addr);
+  t.revision = 5;
+  targets_set(s, 1, &t);
+  cr_assert_not(targets_have_successor(s, first));
+  t.revision = 15;
+  targets_set(s, 2, &t);
+  cr_assert(targets_have_successor(s, first));
+  targets_free(s);
+}
+
 Test(targets, leaving_target_gets_no_new_work) {
   Targets *s = targets_with(1);
   RequestInfo a = {0};
