Callers: the rest of a finished answer is delivered to steady readers

Callers that read a long answer slowly but steadily were reset after about 6 s, although their target had sent the whole answer. TCP_USER_TIMEOUT also ends a connection whose peer acknowledges everything but has no room for what waits to be sent, and 5 s of that ended it; the idle timeout of kept connections did the same.

Now both are 30 s without progress once the answer is finished. While a target is at work the bound of 5 s stays, so that a caller that is gone frees it.

--- a/packages/flow/caller.c
+++ b/packages/flow/caller.c
@@ -15,7 +15,11 @@
 #define MAX_ACCEPTS_PER_TURN 64 /* per turn of the event loop */
 #define SWEEP_INTERVAL_S 0.5    /* between checks for slow callers */
 #define LINGER_TIMEOUT_S 1.0    /* for the caller to read the answer */
-#define UNACKED_TIMEOUT_MS 5000 /* unacknowledged data ends the connection */
+/* Data that the caller does not acknowledge, or has no room for, ends the
+   connection after this: while a target is at work on the answer, and while the
+   rest of a finished answer is delivered, also to callers that read slowly. */
+#define UNACKED_TIMEOUT_MS 5000
+#define DELIVERY_TIMEOUT_MS 30000
 
 typedef enum {
   CALLER_IDLE,    /* between requests */
@@ -164,6 +168,7 @@
   clear_body(c);
   c->err = (Err){0};
   c->state = CALLER_READING;
+  sock_set_user_timeout(c->fd, UNACKED_TIMEOUT_MS);
   c->req.received_at = c->progress_at = loopclock_now(c->set->loop);
   return 0;
 }
@@ -356,15 +361,16 @@
 
 static bool is_overdue(const Caller *c, double now) {
   const CallerLimits *l = &c->set->limits;
+  double idle_s = now - c->progress_at;
   switch (c->state) {
   case CALLER_IDLE:
-    return now - c->progress_at > l->idle_s ||
-           (c->set->draining && !c->pending_input);
-  case CALLER_READING: return now - c->progress_at > l->header_s;
+  case CALLER_LINGER:
+    if (c->out->len > 0) /* the rest of its answer */
+      return idle_s > DELIVERY_TIMEOUT_MS / 1000.0;
+    if (c->state == CALLER_LINGER) return idle_s > LINGER_TIMEOUT_S;
+    return idle_s > l->idle_s || (c->set->draining && !c->pending_input);
+  case CALLER_READING: return idle_s > l->header_s;
   case CALLER_BUSY: return false;
-  case CALLER_LINGER: /* the rest of its answer may still be delivered */
-    return now - c->progress_at >
-           (c->out->len > 0 ? l->idle_s : LINGER_TIMEOUT_S);
   }
   return false;
 }
@@ -458,6 +464,7 @@
   c->awaits_drain = false;
   c->progress_at = loopclock_now(c->set->loop);
   if (c->closing) c->state = CALLER_LINGER;
+  sock_set_user_timeout(c->fd, DELIVERY_TIMEOUT_MS);
   caller_flush(c);
   if (!c->closing) start_next_request(c);
 }
--- a/tests/slow.py
+++ b/tests/slow.py
@@ -18,6 +18,8 @@
 Site.memory_mb = 128
 OWN_SHARE = 0.75        # max share in use; received, unread data counts too
 PIECE = bytes(16384)
+STEP = 8192             # bytes that a steady reader takes at a time
+SEGMENT = 1448          # as on Ethernet; loopback has 65,483
 
 
 class Answers:
@@ -151,5 +153,77 @@
     c.close()
 
 
+class SteadyReader(threading.Thread):
+    """Requests an answer, which the target sends at once, and reads it steadily in
+    `seconds`. `received`: bytes of its body."""
+
+    def __init__(self, s, name, size, seconds, keep):
+        super().__init__()
+        self.pause_s, self.received = seconds * STEP / size, 0
+        c = socket.socket()
+        c.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65536)
+        c.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, SEGMENT)
+        c.connect((s.ip(0), BASE))
+        s.call("/once/x", conn=self.wrap(s, c))
+        c.sendall((
+            "GET /safe/x HTTP/1.1\r\nHost: front\r\nAuthorization: Bearer key-acme\r\n"
+            "X-Loftpath-Deadline-Ms: 15000\r\nConnection: %s\r\n"
+            "X-Loftpath-Attempt-Id: %s\r\n\r\n" % (
+                "keep-alive" if keep else "close", name)).encode())
+        self.answer = http.client.HTTPResponse(c)
+        self.start()
+
+    @staticmethod
+    def wrap(s, c):
+        conn = s.connect()
+        conn.sock = c
+        return conn
+
+    def run(self):
+        try:
+            self.answer.begin()
+            while data := self.answer.read(STEP):
+                self.received += len(data)
+                time.sleep(self.pause_s * len(data) / STEP)
+        except (ConnectionError, http.client.HTTPException):
+            pass
+
+
+def read_steadily(s, size, seconds):
+    """Starts readers on connections that are kept and that are not, and waits until
+    their target has sent the whole answers."""
+    def play(w, c, h):
+        if not h["x-loftpath-attempt-id"].startswith("steady"):
+            return None
+        c.sendall(head(h["x-loftpath-attempt-id"], "Content-Length: %d" % size)
+                  + bytes(size))
+        return True
+
+    c = config(2)
+    c["routes"][0]["timeout_ms"] = 12000
+    s.store.put("config", "main", c)
+    for w in s.desks:
+        w.play = play
+    wait_for("version 2", lambda: any(
+        l["event"] == "configuration" and l["version"] == 2 for l in s.log(0)))
+    readers = [SteadyReader(s, "steady%d" % k, size, seconds, k % 2 == 0)
+               for k in range(4)]
+    wait_for("whole answers of the target", lambda: sum(
+        l["event"] == "request" and l["request"].startswith("steady")
+        for l in s.log(0)) == len(readers))
+    return readers
+
+
+def check_all_received(readers, size):
+    for r in readers:
+        r.join()
+    assert all(r.received == size for r in readers), [r.received for r in readers]
+
+
+# Guards against a reset of callers that read a finished answer slowly but steadily.
+def test_a_steady_reader_gets_all_of_a_finished_answer(s):
+    check_all_received(read_steadily(s, 250 << 10, 14.0), 250 << 10)
+
+
 if __name__ == "__main__":
     sys.exit(run_tests(globals()))
