Node: a planned stop waits for callers that still read their answers

A SIGTERM cut answers that targets had finished and callers still read: on kept connections within half a second, since a connection between requests was closed though its last answer was not sent, and the others when the process ended, which asked only whether requests were open at targets.

--- a/packages/flow/caller.c
+++ b/packages/flow/caller.c
@@ -534,6 +534,12 @@
   s->draining = true;
 }
 
+bool callers_are_sending(const Callers *s) {
+  for (const Caller *c = s->first; c; c = c->next)
+    if (c->out->len > 0) return true;
+  return false;
+}
+
 void callers_set_memory_limit(Callers *s, size_t bytes) {
   s->memory_limit = bytes;
 }
--- a/packages/flow/caller.h
+++ b/packages/flow/caller.h
@@ -47,6 +47,8 @@
 /* Sets whether answers close their connection, so that callers reconnect to
    another instance. */
 void callers_set_leaving(Callers *s, bool leaving);
+/* Whether bytes of answers wait to be sent. */
+bool callers_are_sending(const Callers *s);
 /* Returns the total of bytes received from callers. */
 int64_t callers_bytes_received(const Callers *s);
 /* Sets the memory that request bodies and answers of all callers may use. */
--- a/packages/flow/relay.c
+++ b/packages/flow/relay.c
@@ -368,3 +368,7 @@
 int relay_open_request_count(const Relay *r) {
   return r->n_runs;
 }
+
+bool relay_is_delivering(const Relay *r) {
+  return callers_are_sending(r->callers);
+}
--- a/packages/flow/relay.h
+++ b/packages/flow/relay.h
@@ -88,5 +88,7 @@
 /* From now on new requests are refused. */
 void relay_refuse_requests(Relay *r);
 int relay_open_request_count(const Relay *r);
+/* Whether parts of answers wait to be sent to callers. */
+bool relay_is_delivering(const Relay *r);
 
 #endif
--- a/packages/node/node.c
+++ b/packages/node/node.c
@@ -535,7 +535,8 @@
 }
 
 /* New requests still arrive until the balancer has removed this instance. Then
-   open requests finish, budgets are returned, and the process exits. */
+   open requests finish, budgets are returned, callers receive the rest of their
+   answers, and the process exits. */
 static void advance_stop(Node *n) {
   double past_s = loopclock_now(n->loop) - n->stop_began_at;
   double max_s = setting_number("stop") - STOP_MARGIN_S;
@@ -549,7 +550,8 @@
     cluster_drain(n->cluster);
   }
   bool done = n->returning && idle && cluster_is_drained(n->cluster) &&
-              relay_tunnel_count(n->relay) == 0;
+              relay_tunnel_count(n->relay) == 0 &&
+              !relay_is_delivering(n->relay);
   if (past_s > max_s || (done && past_s > REFUSE_AFTER_S + LINGER_S))
     finish_stop(n, idle);
 }
--- a/tests/slow.py
+++ b/tests/slow.py
@@ -16,6 +16,7 @@
 ANSWER = 6 << 20       # bytes per answer; more than socket buffers hold
 UNREAD_S = 5.0         # after this a target aborts an answer that is not read
 Site.memory_mb = 128
+Site.stop_s = 8
 OWN_SHARE = 0.75        # max share in use; received, unread data counts too
 PIECE = bytes(16384)
 STEP = 8192             # bytes that a steady reader takes at a time
@@ -225,5 +226,13 @@
     check_all_received(read_steadily(s, 250 << 10, 14.0), 250 << 10)
 
 
+# Guards against a planned stop that cuts finished answers which callers still read.
+def test_a_planned_stop_delivers_what_callers_still_read(s):
+    readers = read_steadily(s, 900 << 10, 5.5)
+    s.processes[0].terminate()
+    check_all_received(readers, 900 << 10)
+    assert s.processes[0].wait(5) == 0
+
+
 if __name__ == "__main__":
     sys.exit(run_tests(globals()))
