Dispatch: an error without end sends a request that may be repeated elsewhere

Callers saw: the beginning of a 500 whose body never ends, broken off at the deadline, on a safe route where another target would have served the request.

Cause: an error answer is retried at its end. One that was longer than what is held of a plain answer was passed on instead, after which nothing can be retried.

If the retry budget is used up its caller gets 502, in place of the long error.

--- a/packages/flow/dispatch.c
+++ b/packages/flow/dispatch.c
@@ -63,10 +63,13 @@
   caller_set_held_bytes(x->caller, 0);
 }
 
+static bool is_worth_retrying(Run *x, int status);
+
 static bool forward_plain(Run *x, const char *data, size_t n) {
   size_t max_bytes =
       MIN(LIMIT_PLAIN_ANSWER_BYTES, caller_buffer_limit(x->caller));
   if (!x->head_sent && x->body->len + n > max_bytes) {
+    if (is_worth_retrying(x, x->status)) return reject_length(x, "error");
     send_head(x, CALLER_CHUNKED);
     caller_write_body(x->caller, x->body->str, x->body->len);
     drop_body(x);
