Links: a request is not sent on a connection that has unread bytes

Callers saw: 502 for a request that may run once, after a target had sent bytes behind a whole answer: the next request was sent on that connection, and the bytes were taken for foreign answers until the exchange broke.

Cause: an idle connection is closed when the event loop finds it readable, but requests that arrive in the same turn of the loop may take it before. Bytes that end in the same read as the answer were seen already.

Now a link looks for input (bytes, or the end of the connection) before it takes an idle connection, and closes one that has any. Bytes that are still on their way are not seen by this; the id of the answer shows them.

--- a/packages/flow/link.c
+++ b/packages/flow/link.c
@@ -459,18 +459,25 @@
   return via ? g_strconcat(addr, " ", via, NULL) : g_strdup(addr);
 }
 
+/* Returns an idle link that is fresh. One that has input is closed: its peer
+   closed it, or sent bytes that belong to no request. */
 static Link *take_fresh_idle(Links *s, const char *addr, const char *via,
                              double max_idle_s) {
   double now = loopclock_now(s->loop);
   char *key = make_key(addr, via);
-  Link *l = g_hash_table_lookup(s->idle, key);
+  Link *l, *found = NULL;
+  bool fresh = true; /* if one is not, the others of this address are older */
+  while (!found && fresh && (l = g_hash_table_lookup(s->idle, key))) {
+    double age = now - l->idle_since;
+    fresh = age < max_idle_s && age < l->keep_s;
+    remove_idle(l);
+    if (fresh && !sock_has_input(l->fd))
+      found = l;
+    else
+      free_link(l);
+  }
   g_free(key);
-  if (!l) return NULL;
-  double age = now - l->idle_since;
-  remove_idle(l);
-  if (age < max_idle_s && age < l->keep_s) return l;
-  free_link(l); /* the others of this address are older */
-  return NULL;
+  return found;
 }
 
 static Link *new_link(Links *s, const char *addr, const char *via) {
--- a/packages/flow/sock.c
+++ b/packages/flow/sock.c
@@ -91,6 +91,12 @@
   setsockopt(fd, SOL_SOCKET, SO_LINGER, &l, sizeof l);
 }
 
+bool sock_has_input(int fd) {
+  char byte;
+  ssize_t n = recv(fd, &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT);
+  return n >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+}
+
 void sock_reset(int fd) {
   sock_set_reset_on_close(fd, true);
   close(fd);
--- a/packages/flow/sock.h
+++ b/packages/flow/sock.h
@@ -28,6 +28,8 @@
    FIN, which peers take for the end of a message without a length. Bytes that
    were written but not yet sent are lost by the reset. */
 void sock_set_reset_on_close(int fd, bool on);
+/* Whether bytes, the end of the connection or an error wait to be read. */
+bool sock_has_input(int fd);
 /* Closes with a TCP reset, so that the peer stops at once. */
 void sock_reset(int fd);
 
