Tests: a store whose answers never end

Both tests fail: the instance reads such an answer for as long as it goes on, and sees no change meanwhile.

--- a/tests/endless.py
+++ b/tests/endless.py
@@ -414,5 +414,103 @@
         assert_gone_on(ask_all(s, "/once/x"), bytes(10000))
 
 
+
+# == the store ==
+
+STORE_HEADS = {
+    "chunks": (b"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n",
+               b"3e8\r\n" + b" " * 1000 + b"\r\n"),
+    "length": (b"HTTP/1.1 200 X\r\nContent-Length: 1000000000000\r\n\r\n", b" " * 1000),
+    "close": (b"HTTP/1.1 200 X\r\n\r\n{\"entries\": [", b"{}," * 300),
+    "conflict": (b"HTTP/1.1 409 X\r\n\r\n", b" " * 1000),
+    "interim": (b"", CONTINUE),
+    "head": (b"HTTP/1.1 200 X\r\n", b"X-Field: value\r\n")}
+
+
+class EndlessStore:
+    """Makes the store of a site answer without end, `pause_s` between the pieces.
+    Counts the bytes of each answer."""
+
+    def __init__(self, s, name, pause_s=0.0, only=lambda path: True):
+        self.first, self.piece = STORE_HEADS[name]
+        self.pause_s, self.only, self.s, self.sent = pause_s, only, s, []
+        self.running, self.sound = True, s.store.answer
+        s.store.answer = self.answer
+        s.store.cut_watches()
+
+    def answer(self, c, method, path, headers, body):
+        if not self.running or not self.only(path):
+            return self.sound(c, method, path, headers, body)
+        block = self.piece * (1 if self.pause_s else BLOCK_BYTES // len(self.piece))
+        n, began = 0, time.monotonic()
+        try:
+            c.sendall(self.first)
+            while self.running:
+                c.sendall(block)
+                n += len(block)
+                time.sleep(self.pause_s)
+        except OSError:
+            pass
+        self.sent.append((n, time.monotonic() - began, path))
+        return False
+
+    def end(self):
+        self.running = False
+
+
+def metric(s, name):
+    c = http.client.HTTPConnection(s.ip(0), s.connect().port + 1, timeout=2)
+    c.request("GET", "/metrics")
+    return [int(l.split()[1]) for l in c.getresponse().read().decode().splitlines()
+            if l.startswith("loftpath_%s " % name)][0]
+
+
+def serve_beside(s, seconds):
+    """Harmless requests during that time; they have to be served in time."""
+    end, slowest = time.monotonic() + seconds, 0.0
+    while time.monotonic() < end:
+        began = time.monotonic()
+        a = s.call("/once/x", "POST", b"b")
+        slowest = max(slowest, time.monotonic() - began)
+        assert a.status == 200, (a.status, a.body)
+        time.sleep(0.02)
+    assert slowest < HARMLESS_S, "a harmless caller waited %.2f s" % slowest
+    assert peak_mb(s) < s.memory_mb, "%.0f MB" % peak_mb(s)
+    return slowest
+
+
+def assert_follows(s, version):
+    """The instance follows the store again."""
+    s.store.put("config", "main", config(version, keys=["key-acme", "k%d" % version]))
+    wait_for("version %d" % version, lambda: s.call(
+        "/safe/x", Authorization="Bearer k%d" % version).status == 200, 5)
+
+
+def test_answers_of_the_store_without_end_are_failed_calls(s):
+    """They were read for as long as they went on, and no change was seen."""
+    for k, name in enumerate(STORE_HEADS):
+        failures, e = metric(s, "store_failures_total"), EndlessStore(s, name)
+        slowest = serve_beside(s, 3.0)
+        n = metric(s, "store_failures_total") - failures
+        e.end()
+        print("  %s: %d failed calls, slowest %.3f s, peak %.0f MB, %d answers of up to "
+              "%.1f MB, %.1f s" % (name, n, slowest, peak_mb(s), len(e.sent),
+                                   max([x[0] for x in e.sent] + [0]) / 1e6,
+                                   max([x[1] for x in e.sent] + [0])), flush=True)
+        assert n > 0, name
+        assert e.sent and max(x[0] for x in e.sent) < 16 << 20, (name, e.sent)
+        assert_follows(s, k + 2)
+
+
+def test_a_watch_that_trickles_without_end_ends(s):
+    """An instance that waits for its end sees no change."""
+    e = EndlessStore(s, "chunks", 0.3, lambda path: "watch=" in path)
+    serve_beside(s, 1.0)
+    s.store.put("config", "main", config(2, keys=["key-acme", "k2"]))
+    wait_for("version 2", lambda: s.call(
+        "/safe/x", Authorization="Bearer k2").status == 200, 45)
+    e.end()
+
+
 if __name__ == "__main__":
     sys.exit(run_tests(globals()))
