Store: an answer without end is a failed call

Operators saw: an instance that follows nothing while the store sends an answer without end, and reads it at full speed; a watch whose answer trickles is never given up, so that a new configuration is not in force.

Cause: bytes above LIMIT_STORE_ANSWER_BYTES were dropped, but read on, and each piece restarted the idle timeout, the only one after the head. When such an answer did end, it was read as a whole one without its rest.

A trickling watch: no new configuration within 45 s before, within 15 s now.

--- a/packages/kernel/limits.h
+++ b/packages/kernel/limits.h
@@ -53,7 +53,7 @@
 #define LIMIT_REFUSAL_BYTES (64 << 10)
 /* An empty buffer that is kept for its next use. */
 #define LIMIT_IDLE_BUFFER_BYTES (32 << 10)
-/* One answer of the platform's store. */
+/* One answer of the platform's store; a longer one is a failed call. */
 #define LIMIT_STORE_ANSWER_BYTES (8 << 20)
 
 /* == requests to targets == */
--- a/tests/endless.py
+++ b/tests/endless.py
@@ -508,7 +508,7 @@
     serve_beside(s, 1.0)
     s.store.put("config", "main", config(2, keys=["key-acme", "k2"]))
     wait_for("version 2", lambda: s.call(
-        "/safe/x", Authorization="Bearer k2").status == 200, 45)
+        "/safe/x", Authorization="Bearer k2").status == 200, 15)
     e.end()
 
 
