--- a/tests/process.py
+++ b/tests/process.py
@@ -546,6 +546,82 @@
     assert f.chat(f.ports[0], n=5, stream=True).body.rstrip().endswith(b"[DONE]")
 
 
+class Endless:
+    """Takes the place of a target; answers with `first`, then `piece` without end."""
+
+    def __init__(self, port, first, piece):
+        self.first, self.block = first, piece * max(1, 65536 // len(piece))
+        self.socket = socket.socket()
+        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.socket.bind(("127.0.0.1", port))
+        self.socket.listen(64)
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self):
+        while True:
+            try:
+                c, _ = self.socket.accept()
+            except OSError:
+                return
+            threading.Thread(target=self.answer, args=(c,), daemon=True).start()
+
+    def answer(self, c):
+        try:
+            c.recv(65536)
+            c.sendall(self.first)
+            while True:
+                c.sendall(self.block)
+        except OSError:
+            c.close()
+
+    def close(self):
+        self.socket.shutdown(socket.SHUT_RDWR)
+        self.socket.close()
+
+
+def peak_mb(f, name):
+    with open("/proc/%d/status" % f.procs[name].pid) as status:
+        return [int(l.split()[1]) for l in status if l.startswith("VmHWM")][0] / 1024
+
+
+CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+ENDLESS = {  # first bytes and those that are repeated
+    "a line in small chunks": (CHUNKED, b"8\r\ndata: xx\r\n"),
+    "a line in one chunk": (CHUNKED + b"7fffffff\r\n", b"x"),
+    "a line until the end of the connection": (b"HTTP/1.1 200 OK\r\n\r\n", b"x"),
+    "blank lines": (CHUNKED, b"2\r\n\n\n\r\n"),
+    "interim answers": (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+    "fields": (b"HTTP/1.1 200 OK\r\n", b"X-Field: value\r\n"),
+    "a field": (b"HTTP/1.1 200 OK\r\nX-Field: ", b"x")}
+
+
+def test_an_answer_without_end_ends_its_request(f):
+    """A line without end was held, and searched again at each piece."""
+    for name in ["engine0", "engine1", "booking"]:
+        f.kill(name)
+    for what, (first, piece) in ENDLESS.items():
+        targets = [Endless(p, first, piece) for p in f.engines + [f.booking]]
+        for kind in ("stream", "chat", "book"):
+            began = time.monotonic()
+            try:
+                a = (f.book(f.ports[0], "E 1") if kind == "book" else
+                     f.chat(f.ports[0], stream=kind == "stream", timeout=10))
+                status, body = a.status, a.body
+            except http.client.IncompleteRead as e:
+                status, body = 502, e.partial  # broken off
+            except OSError as e:
+                status, body = 0, repr(e).encode()
+            seconds = time.monotonic() - began
+            print("  %s, %s: %s after %.2f s, peak %.0f MB, %r" % (
+                what, kind, status, seconds, peak_mb(f, "i0"), body[:60]), flush=True)
+            assert status >= 500, (what, kind, status, body)
+            assert b"[DONE]" not in body, body[:100]
+            assert seconds < 5.0, (what, kind, seconds)
+            assert peak_mb(f, "i0") < 110, (what, kind, peak_mb(f, "i0"))
+        for t in targets:
+            t.close()
+
+
 def words_of(a):
     """The tokens of a complete stream."""
     lines = [l[6:] for l in a.body.decode().split("\n") if l.startswith("data: ")]
