HTTP client: a response that trickles without end is given up

Operators saw: a thread of the store's client, of the placer or of a request to a plain service that waits for as long as a peer sends a byte now and then: the read timeout is that of one piece, though jobs.h says that it limits each call.

Now the whole body of a response that is buffered has to arrive within BODY_READ_TIMEOUTS (4) read timeouts from its head on: 12 s for calls to the store, 4 s for control calls of engines, 120 s for plain services, 240 s for chats in one response. Streams have no such limit; what they hold is bounded.

A head that trickles is bounded by neon's limits of its lines alone.

--- a/packages/entry/chat.c
+++ b/packages/entry/chat.c
@@ -192,6 +192,7 @@
   GString *all = g_string_new(NULL);
   char buf[16384];
   long n;
+  http_stream_limit(c->upstream);
   while ((n = http_stream_read(c->upstream, buf, sizeof buf)) > 0) {
     if (all->len == 0) exchange_record_first_byte(&c->x);
     if (all->len + (size_t)n > RESPONSE_MAX_BYTES) {
--- a/packages/entry/plain.c
+++ b/packages/entry/plain.c
@@ -71,6 +71,7 @@
   char buf[8192];
   long n = -1;
   if (s) {
+    http_stream_limit(s);
     const char *t = http_stream_header(s, "Content-Type");
     g_strlcpy(p->type, t ? t : "application/octet-stream", sizeof p->type);
     while ((n = http_stream_read(s, buf, sizeof buf)) > 0 &&
--- a/packages/http/client.c
+++ b/packages/http/client.c
@@ -8,8 +8,15 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "kernel/clock.h"
+
+/* Read timeouts that the whole body of a limited response may take. Each piece
+   of a body that trickles without end arrives within one. */
+#define BODY_READ_TIMEOUTS 4
+
 struct HttpClient {
   ne_session *session;
+  int read_s;
   bool connected; /* a connection was established for the current request */
   bool reusable;  /* the connection has carried a response; the next request
                      reuses it */
@@ -19,6 +26,7 @@
   HttpClient *client;
   ne_request *req;
   bool complete;
+  double ends_at; /* by clock_now, see http_stream_limit; 0: not limited */
 };
 
 static pthread_once_t once = PTHREAD_ONCE_INIT;
@@ -44,6 +52,7 @@
   c->session = ne_session_create("http", host, (unsigned)atoi(colon + 1));
   ne_set_connect_timeout(c->session, connect_s);
   ne_set_read_timeout(c->session, read_s);
+  c->read_s = read_s;
   ne_set_notifier(c->session, record_connection_status, c);
   return c;
 }
@@ -100,8 +109,13 @@
   return ne_get_response_header(s->req, name);
 }
 
+void http_stream_limit(HttpStream *s) {
+  s->ends_at = clock_now() + BODY_READ_TIMEOUTS * s->client->read_s;
+}
+
 long http_stream_read(HttpStream *s, char *buf, size_t n) {
   if (s->complete) return 0;
+  if (s->ends_at > 0 && clock_now() > s->ends_at) return -1;
   ssize_t received = ne_read_response_block(s->req, buf, n);
   if (received > 0) return received;
   if (received == 0 && ne_end_request(s->req) == NE_OK) {
@@ -130,6 +144,7 @@
   if (etag) g_strlcpy(response->etag, etag, sizeof response->etag);
   char buf[8192];
   long n;
+  http_stream_limit(s);
   while ((n = http_stream_read(s, buf, sizeof buf)) > 0) {
     if (response->body->len + (size_t)n > max_bytes) break;
     g_string_append_len(response->body, buf, n);
--- a/packages/http/client.h
+++ b/packages/http/client.h
@@ -30,7 +30,8 @@
    client must not be used by two threads at once. */
 HttpClient *http_client_new(const char *addr, int connect_s, int read_s);
 void http_client_free(HttpClient *c);
-/* Sends a request and reads up to `max_bytes` of the response body. If the
+/* Sends a request and reads up to `max_bytes` of the response body, with
+   http_stream_limit. If the
    persistent connection turns out to be closed, the client sends the request
    again, so the request must be safe to repeat. The caller releases `response`
    with http_response_free, also after a failure. */
@@ -52,8 +53,11 @@
                              bool retry_safe, HttpResponse *response);
 /* Returns a response header, or NULL if it is absent. */
 const char *http_stream_header(const HttpStream *s, const char *name);
+/* Limits the time in which the whole body has to arrive to some read timeouts
+   from now on, so that one that trickles ends. */
+void http_stream_limit(HttpStream *s);
 /* Returns the number of bytes read, 0 at the end of a complete body, or -1 if
-   the body was truncated. */
+   the body was truncated or its time is over. */
 long http_stream_read(HttpStream *s, char *buf, size_t n);
 /* Frees the stream. If the body was not read to its end, closes the connection;
    a target treats that as a cancellation of the request. */
