--- a/packages/http/client.h
+++ b/packages/http/client.h
@@ -37,10 +37,10 @@
 /* Whether a process accepts a new connection at "ip:port" within `timeout_s`.
  */
 bool http_can_connect(const char *addr, int timeout_s);
-/* Sends a request and reads up to `max_bytes` of the response body. If the
-   persistent connection turns out to be closed, the client sends the request
-   again, so the request must be safe to repeat. The caller releases `response`
-   with http_response_free, also after a failure. */
+/* Sends a request and reads up to `max_bytes` of the response body, with
+   http_stream_limit. If the persistent connection turns out to be closed, the
+   client sends the request again, so the request must be safe to repeat. The
+   caller releases `response` with http_response_free, also after a failure. */
 void http_client_request(HttpClient *c, const HttpClientRequest *request,
                          size_t max_bytes, HttpResponse *response);
 void http_response_free(HttpResponse *response);
@@ -59,8 +59,12 @@
                              bool retry_safe, HttpResponse *response);
 /* Returns a response header, or NULL if it is absent. */
 const char *http_stream_header(const HttpStream *s, const char *name);
+/* Limits the time in which the whole body has to arrive to some read timeouts
+   from now on, so that one that trickles ends. */
+void http_stream_limit(HttpStream *s);
 /* Returns the number of bytes read, 0 at the end of a complete body, or -1 if
-   the body was truncated; see HttpResponse about a body that is not framed. */
+   the body was truncated or its time is over; see HttpResponse about a body
+   that is not framed. */
 long http_stream_read(HttpStream *s, char *buf, size_t n);
 /* Frees the stream. If the body was not read to its end, closes the connection;
    a target treats that as a cancellation of the request. */
