Tests: whole streams of HTTP/1.0 callers, and a server that can't hang

A caller of HTTP/1.0 must get a whole stream with an orderly end, also once streams that break off end by a reset. The server of test_cuts.c sends no more after its client has left, and its client's timeouts start at the call.

--- a/tests/caller_ends.py
+++ b/tests/caller_ends.py
@@ -11,7 +11,7 @@
 import threading
 import time
 
-from fleet import BASE, chunk, config, event, head, run_tests, wait_for
+from fleet import BASE, chunk, config, event, head, play_stream, run_tests, wait_for
 
 EVENTS = 40
 STEP_S = 0.2
@@ -48,9 +48,8 @@
     c.close()
 
 
-def check_end(s, end):
-    for w in s.engines:
-        w.play = slow_stream
+def start_streams(s):
+    """Returns the streams' ends and threads."""
     c = config(2)
     for r in c["routes"]:
         r["timeout_ms"] = 20000
@@ -62,6 +61,13 @@
                for _ in range(CALLERS)]
     for t in threads:
         t.start()
+    return ended, threads
+
+
+def check_end(s, end):
+    for w in s.engines:
+        w.play = slow_stream
+    ended, threads = start_streams(s)
     time.sleep(1.5)
     end(s.processes[0])
     for t in threads:
@@ -74,6 +80,19 @@
     assert not whole, whole[0][0][-60:]
 
 
+def test_a_whole_stream_of_http_1_0_ends_in_order(s):
+    """A reset at its end would make a whole stream look cut, or cost its last bytes."""
+    for w in s.engines:
+        w.play = play_stream(EVENTS)
+    ended, threads = start_streams(s)
+    for t in threads:
+        t.join()
+    events = "".join(event(k) for k in range(1, EVENTS + 1)).encode()
+    assert all(how == "in order" and got.endswith(b"\r\n\r\n" + events)
+               for got, how in ended), ended
+    assert len(ended) == CALLERS
+
+
 def test_a_stream_of_http_1_0_does_not_look_whole_when_its_instance_is_killed(s):
     """The caller had some of the events and the orderly end of its connection."""
     check_end(s, lambda p: p.kill())
--- a/tests/front_ends.py
+++ b/tests/front_ends.py
@@ -55,7 +55,8 @@
         if self.procs["engine0"].poll() is not None:
             self.spawn("engine0", [None, self.at(self.engines[0])])
         for send in (self.plain, self.read, self.whole):
-            wait_for("the target", lambda: send("length whole close json", None)[0] == 200)
+            wait_for("the target", lambda: send(
+                "length whole close json", None)[0] == 200)
 
     def send(self, path, body, key):
         """Returns the status, 0 without a whole answer, and the body."""
--- a/tests/test_cuts.c
+++ b/tests/test_cuts.c
@@ -48,8 +48,9 @@
   const Server *s = arg;
   for (int fd; (fd = accept(s->fd, NULL, NULL)) >= 0;) {
     if (read_request(fd)) {
-      for (size_t at = 0; at < s->n;)
-        at += (size_t)send(fd, s->answer + at, s->n - at, MSG_NOSIGNAL);
+      size_t at = 0;
+      for (ssize_t n = 1; at < s->n && n > 0; at += (size_t)MAX(n, 0))
+        n = send(fd, s->answer + at, s->n - at, MSG_NOSIGNAL);
       if (s->reset && s->n > 0) usleep(500); /* it is read before the reset */
     }
     sock_set_reset_on_close(fd, s->reset);
@@ -171,6 +172,7 @@
 static Result start_result(void) {
   Result r = {.loop = ev_default_loop(EVFLAG_AUTO)};
   if (!ev_userdata(r.loop)) loopclock_start(r.loop);
+  ev_now_update(r.loop);
   return r;
 }
 
