--- a/Makefile
+++ b/Makefile
@@ -23,6 +23,7 @@
 SEEDS ?= 50
 soak: build
 	@python3 tests/soak.py $(BUILD) $(if $(SEED),--seed $(SEED),--seeds $(SEEDS) --kept)
+	@python3 tests/answer_soak.py $(BUILD) $(if $(SEED),--seed $(SEED),--seeds $(SEEDS))
 	@python3 tests/crash_soak.py $(BUILD) $(if $(SEED),--seed $(SEED),--seeds $(SEEDS))
 	@python3 tests/limit_soak.py $(BUILD) $(if $(SEED),--seed $(SEED),--seeds $(SEEDS))
 	@python3 tests/notice_soak.py $(BUILD) $(if $(SEED),--seed $(SEED),--seeds $(SEEDS))
