Tests: sound answers of a target at the address of a former one

An answer without framing counts as complete only if no other target is known at its target's address. That also holds for one that left before: it is remembered for 30 s, and all such answers of the new target fail until then. Seen in 3 of 3 paths, at once and 5 s after the start.

--- /dev/null
+++ b/tests/checked_ends.py
@@ -0,0 +1,65 @@
+#!/usr/bin/env python3
+"""checked_ends.py: answers that only the end of their connection ends, where the check
+whether their target goes on misleads: a target at the address of a former one, one
+that can't be reached anew, and one whose listener outlives it. Real processes.
+
+Usage: checked_ends.py BUILD_DIR [TEST...]"""
+import sys
+
+from answer_ends import SERVICE, EndSite, is_stream, parts_of
+from ending import Call, play_answer, whole_answer
+from fleet import run_tests
+from standins import Worker
+
+PATHS = ("/safe/", "/once/", "/firm/")
+
+
+def check_each(s, check):
+    """Checks each path. Reports all that failed."""
+    failed = []
+    for path in PATHS:
+        try:
+            check(s, path)
+        except AssertionError as e:
+            failed.append("%s: %s" % (path, e))
+        s.clear()
+    assert not failed, "; ".join(failed)
+
+
+def check_sound(s, path, w):
+    """The only target ends a whole answer by closing its connection."""
+    parts = parts_of(path, w.name)
+    w.play = w.play or play_answer(whole_answer("close", parts), "fin")
+    c = Call(s, path)
+    r = c.result()
+    want = b"".join(parts).replace(b"ATTEMPT", c.attempt.encode())
+    assert r.status == 200 and r.body == want and r.end == "whole", str(r)
+
+
+def start_at(s, path, address, store):
+    """Starts a target of another name at the address of one that ended."""
+    ip, port = address.split(":")
+    w = Worker((ip, int(port)), store, s.new_name(), SERVICE[path])
+    (s.engines if is_stream(path) else s.desks).append(w)
+    return w
+
+
+# == sound answers ==
+
+def check_new_at_address(s, path):
+    [former] = s.add_sound(path)
+    assert Call(s, path).result().end == "whole"
+    s.remove_workers(s.engines if is_stream(path) else s.desks)
+    w = start_at(s, path, former.address, s.store)
+    s.wait_known(w.name)
+    check_sound(s, path, w)
+
+
+# Guards against sound answers that fail for as long as a former target is remembered
+# at the address of their target.
+def test_a_new_target_at_a_former_address_is_served(s):
+    check_each(s, check_new_at_address)
+
+
+if __name__ == "__main__":
+    sys.exit(run_tests(dict(globals()), site=EndSite))
