Tests: sound answers while only new connections to targets fail

When an interruption refuses new connections and leaves open ones, the check on the target of an answer without framing is refused too. The answer fails though it is whole, and though other instances reach the target.

--- a/tests/tunnel_ends.py
+++ b/tests/tunnel_ends.py
@@ -98,9 +98,8 @@
     return threads
 
 
-def prepare(s, path, method, timeout_ms=3000):
-    """Cuts the instances off and waits until each serves through a gateway. One that
-    ends may be the home of the budget: requests need none here."""
+def prepare_direct(s, timeout_ms=3000):
+    """One instance that ends may be the home of the budget: requests need none."""
     c = config(2)
     del c["tenants"][0]["prepaid"]
     for r in c["routes"]:
@@ -109,6 +108,11 @@
     wait_for("the configuration", lambda: all(any(
         l["event"] == "configuration" and l["version"] == 2 for l in s.log(i))
         for i in CUT))
+
+
+def prepare(s, path, method, timeout_ms=3000):
+    """Cuts the instances off and waits until each serves through a gateway."""
+    prepare_direct(s, timeout_ms)
     s.cut(CUT, "reset")
     for i in CUT:
         wait_for("a tunnel", lambda i=i: s.call(
@@ -179,6 +183,21 @@
     check(answers, 1)
 
 
+def test_a_sound_unsafe_answer_is_served_while_new_connections_fail(s):
+    """Its target could not be reached anew, and counted as ended; others reach it."""
+    answers = Answers()
+    prepare_direct(s)
+    for w in s.desks:
+        w.play = unframed(HALVES, answers, STEP_S)
+    threads = start_calls(s, "/once/x", "POST", answers, 4.0, lambda b: b == PLAIN, 0)
+    time.sleep(STEP_S * (len(HALVES) - 1))
+    s.cut(CUT, "new")
+    for t in threads:
+        t.join()
+    print("  %s" % answers, flush=True)
+    assert answers.whole == len(threads) and not answers.interrupted, str(answers)
+
+
 if __name__ == "__main__":
     sys.exit(run_tests(
         dict(globals()), site=PartitionSite, engines=3,
