Tests: valid JSON without framing behind the product's own front

Whether such an answer is whole is decided by a parser that takes no numbers above 64 bits and no U+0000; whole answers with these end as 502.

--- a/fakes/ending_target.py
+++ b/fakes/ending_target.py
@@ -21,7 +21,9 @@
 from standins import Server, chunk
 
 PLAIN = {"json": ("application/json", json.dumps({"bay": 1, "seats": [1, 2, 3]})),
-         "text": ("text/plain", "bay 1, seats 1 and 2 and 3")}
+         "text": ("text/plain", "bay 1, seats 1 and 2 and 3"),
+         "large": ("application/json", '{"seat": 123456789012345678901234567890}'),
+         "zero": ("application/json", '{"seat": "1\\u00002"}')}
 WORDS = ["one", "two", "three"]
 USAGE = {"prompt_tokens": 5, "completion_tokens": 3, "total_tokens": 8}
 
--- a/tests/front_ends.py
+++ b/tests/front_ends.py
@@ -151,6 +151,18 @@
                     assert body == PLAIN[kind][1], body
 
 
+def test_valid_json_without_a_frame_is_passed_on(f):
+    """Numbers above 64 bits, and strings with U+0000, were taken for cut answers."""
+    wrong = []
+    for kind in ("large", "zero"):
+        for frame in ("length",) + UNFRAMED:
+            f.revive()
+            status, body = f.read("%s whole close %s" % (frame, kind), None)
+            if (status, body) != (200, PLAIN[kind][1]):
+                wrong.append((frame, kind, status))
+    assert not wrong, wrong
+
+
 def main():
     red, failed = known_red(), 0
     names = sys.argv[2:] or [n for n in globals() if n.startswith("test_")]
