Dispatch: other instances confirm that a target has ended

Callers of sound answers without framing on routes that may run once got 502 when an interruption of the path refused new connections and left open ones: the connection that shows whether the target goes on was refused too.

Where the run can't go on elsewhere, a direct check that fails is now followed by one through another instance, and by one through the next if that one opens no tunnel, as a request is sent itself. Runs that may be repeated go on elsewhere at once, as before.

--- a/packages/flow/dispatch.c
+++ b/packages/flow/dispatch.c
@@ -90,10 +90,7 @@
   return x->route->kind == CONF_STREAM && x->route->resumable;
 }
 
-/* Whether another target may answer in place of the current one, or go on with
-   its answer: the body of a plain answer that was passed on in part can't be
-   completed by another run. */
-static bool may_be_continued(const Run *x) {
+bool run_may_be_continued(const Run *x) {
   return is_repeatable(x) && (!x->head_sent || x->stream);
 }
 
@@ -217,7 +214,7 @@
   run_record_broken(x, t, recently_started);
   events_drop_partial(&x->events);
   x->maybe_ran = true;
-  if (may_be_continued(x) && may_try_another(x, true)) {
+  if (run_may_be_continued(x) && may_try_another(x, true)) {
     run_dispatch(x);
     return;
   }
@@ -226,7 +223,7 @@
 }
 
 void run_leave_path(Run *x) {
-  if (!may_be_continued(x) || !may_try_another(x, true)) return;
+  if (!run_may_be_continued(x) || !may_try_another(x, true)) return;
   log_failure(x, "no path");
   link_cancel(x->link);
   x->link = NULL;
--- a/packages/flow/run.h
+++ b/packages/flow/run.h
@@ -122,8 +122,10 @@
   double first_byte_at; /* when it did */
   Link *link;           /* the exchange with `target`; NULL: none */
   /* Whether the target of an unframed answer goes on (unframed.c). */
-  ev_timer check_timer; /* until `check` */
-  Link *check;          /* NULL: none */
+  ev_timer check_timer;  /* until `check` */
+  Link *check;           /* NULL: none */
+  const char *check_via; /* interned address of its gateway; NULL: direct */
+  int n_gateway_checks;  /* other instances asked after a direct one failed */
   double paused_at; /* reading of the answer is paused since; 0: not paused */
   bool refused; /* the current answer states that the target did not run it */
   size_t refusal_bytes; /* of the body of that answer */
@@ -372,6 +374,10 @@
 
 /* Returns the criteria for the choice of a target. */
 TargetRequest run_target_criteria(Run *x);
+/* Whether another target may answer in place of the current one, or go on with
+   its answer: the body of a plain answer that was passed on in part can't be
+   completed by another run. */
+bool run_may_be_continued(const Run *x);
 /* Goes on after a broken exchange, whose target may have run the request: at
    another target, or with an error. `why` is for the log. */
 void run_handle_broken(Run *x, TargetOutcome how, const char *why);
--- a/packages/flow/unframed.c
+++ b/packages/flow/unframed.c
@@ -15,11 +15,34 @@
          targets_have_successor(x->relay->targets, x->target);
 }
 
+static void on_checked(void *ctx, LinkConnectResult how);
+
+static void check(Run *x, const char *via) {
+  x->check_via = via;
+  x->check =
+      link_check(x->relay->links, target_addr(x->target), via, on_checked, x);
+}
+
+/* A failed direct connection may be due to the path. Where the run can't go on
+   elsewhere, other instances try as well. */
+static bool check_via_gateway(Run *x, LinkConnectResult how) {
+  bool is_open = x->check_via ? how == LINK_TUNNEL_FAILED && !x->via
+                              : how != LINK_CONNECTED;
+  const char *via = relay_find_gateway(x->relay, target_addr(x->target));
+  if (!is_open || !via || run_may_be_continued(x) ||
+      ++x->n_gateway_checks > RUN_MAX_GATEWAYS)
+    return false;
+  check(x, via);
+  return true;
+}
+
 static void on_checked(void *ctx, LinkConnectResult how) {
   Run *x = ctx;
   x->check = NULL;
   if (how == LINK_CONNECTED && !is_replaced(x))
     run_finish_answer(x);
+  else if (check_via_gateway(x, how))
+    return;
   else if (how == LINK_TUNNEL_FAILED)
     run_handle_broken(x, TARGET_NO_PATH, "closed, no tunnel");
   else
@@ -34,8 +57,7 @@
   if (x->relay->stale)
     run_handle_broken(x, TARGET_FAILED, "closed");
   else /* the way that the answer took, whose gateway may have ended */
-    x->check = link_check(x->relay->links, target_addr(x->target), x->via,
-                          on_checked, x);
+    check(x, x->via);
 }
 
 /* A stream from its beginning has at least one event. */
@@ -51,6 +73,7 @@
     return;
   }
   x->maybe_ran = true;
+  x->n_gateway_checks = 0;
   ev_timer_init(&x->check_timer, on_delay, CHECK_DELAY_S, 0);
   x->check_timer.data = x;
   ev_timer_start(x->relay->loop, &x->check_timer);
