Tests: a listening socket that outlives its killed target

The check takes an accepted connection for a sign that the target goes on. The system accepts connections as long as any process has the listening socket, so a child of the target makes its short answers look whole.

--- a/fakes/worker_process.py
+++ b/fakes/worker_process.py
@@ -1,29 +1,33 @@
 """worker_process.py: a worker in a process of its own, which a test can kill while
 it answers: the system then closes its connections in order (FIN).
 
-Usage: worker_process.py NAME SERVICE; standard input has the answer as JSON, a list
-of texts. It is sent with each ATTEMPT in it replaced by the id of the attempt, and
-then neither goes on nor ends. The process ends when its standard input is closed."""
+Usage: worker_process.py NAME SERVICE [child]; standard input has the answer as JSON, a
+list of texts. It is sent with each ATTEMPT in it replaced by the id of the attempt, and
+then neither goes on nor ends. The process ends when its standard input is closed. With
+`child`, one that it starts keeps its listening socket open for CHILD_S."""
 import json
 import os
 import subprocess
 import sys
 import threading
+import time
 
 from standins import Worker
 
 START_TIMEOUT_S = 10.0
+CHILD_S = 3.0  # longer than the answer that is checked
 
 
 class WorkerProcess:
     """Starts the process and enters it in the store. `ran`: the attempts that it
     began to run; `stopped`: those whose answer it has sent."""
 
-    def __init__(self, store, name, service, answer):
+    def __init__(self, store, name, service, answer, child=False):
         self.store, self.name = store, name
         self.ran, self.stopped = [], []
         self.changed = threading.Condition()
-        self.process = subprocess.Popen([sys.executable, __file__, name, service],
+        self.process = subprocess.Popen([sys.executable, __file__, name, service]
+                                        + ["child"] * child,
                                         stdin=subprocess.PIPE,
                                         stdout=subprocess.PIPE)
         text = json.dumps([part.decode("latin-1") for part in answer])
@@ -83,6 +87,9 @@
 def main():
     answer = [part.encode("latin-1") for part in json.loads(sys.stdin.readline())]
     worker = Worker(("127.0.0.1", 0), EntryPrinter(), sys.argv[1], sys.argv[2])
+    if sys.argv[3:] == ["child"] and os.fork() == 0:
+        time.sleep(CHILD_S)
+        os._exit(0)
     worker.play = player(answer)
     sys.stdin.read()
 
--- a/tests/answer_ends.py
+++ b/tests/answer_ends.py
@@ -64,13 +64,14 @@
         wait_for("target " + name, lambda: any(
             l["event"] == "target" and l["target"] == name for l in self.log(0)))
 
-    def add_process(self, path, frame, place, parts=None):
-        """Adds a target that stops at `place` and is to be killed there."""
+    def add_process(self, path, frame, place, parts=None, child=False):
+        """Adds a target that stops at `place` and is to be killed there. `child`: a
+        process that has its listener outlives it."""
         name = self.new_name()
         if parts is None:
             parts = stream_parts() if is_stream(path) else plain_parts(name)
         w = WorkerProcess(self.store, name, SERVICE[path],
-                          cut_answer(frame, parts, place))
+                          cut_answer(frame, parts, place), child)
         self.killed.append(w)
         self.wait_known(name)
         return w
--- a/tests/checked_ends.py
+++ b/tests/checked_ends.py
@@ -6,7 +6,7 @@
 Usage: checked_ends.py BUILD_DIR [TEST...]"""
 import sys
 
-from answer_ends import SERVICE, EndSite, is_stream, parts_of
+from answer_ends import (SERVICE, EndSite, check_whole_elsewhere, is_stream, parts_of)
 from ending import Call, play_answer, whole_answer
 from fleet import run_tests
 from standins import Worker
@@ -61,5 +61,25 @@
     check_each(s, check_new_at_address)
 
 
+# == short answers ==
+
+# Guards against a short answer that looks complete since a child of the killed target
+# still has its listener: the system accepts connections that nobody serves.
+def test_a_listener_that_outlives_its_target_does_not_show_that_it_goes_on(s):
+    failed = []
+    for path in ("/safe/", "/chat/"):
+        w = s.add_process(path, "close", "between", child=True)
+        c = Call(s, path)
+        w.wait_stopped(1)
+        [other] = s.add_sound(path)
+        w.kill()
+        try:
+            check_whole_elsewhere(path, [c], w, other)
+        except AssertionError as e:
+            failed.append("%s: %s" % (path, e))
+        s.clear()
+    assert not failed, "; ".join(failed)
+
+
 if __name__ == "__main__":
     sys.exit(run_tests(dict(globals()), site=EndSite))
