--- a/tests/checked_ends.py
+++ b/tests/checked_ends.py
@@ -4,6 +4,7 @@
 that can't be reached anew, and one whose listener outlives it. Real processes.
 
 Usage: checked_ends.py BUILD_DIR [TEST...]"""
+import socket
 import sys
 
 from answer_ends import (SERVICE, EndSite, check_whole_elsewhere, is_stream, parts_of)
@@ -61,6 +62,33 @@
     check_each(s, check_new_at_address)
 
 
+class FullWorker(Worker):
+    """Its queue of new connections is full once it has taken one."""
+
+    def _accept(self):
+        c, _ = self.socket.accept()
+        self.open.add(c)
+        self.socket.listen(0)
+        self.waiting = [socket.socket() for _ in range(4)]
+        for w in self.waiting:
+            w.setblocking(False)
+            w.connect_ex(self.socket.getsockname())
+        self._serve(c)
+
+
+def check_full_queue(s, path):
+    w = FullWorker(("127.0.0.1", 0), s.store, s.new_name(), SERVICE[path])
+    (s.engines if is_stream(path) else s.desks).append(w)
+    s.wait_known(w.name)
+    check_sound(s, path, w)
+
+
+# Guards against a target that is slow to accept and is taken for ended: the system
+# refuses connections to a process that has ended, and leaves none unanswered.
+def test_a_target_whose_queue_of_connections_is_full_is_served(s):
+    check_each(s, check_full_queue)
+
+
 # == short answers ==
 
 # Guards against a short answer that looks complete since a child of the killed target
