Tests: targets that leave after an answer without framing

Each such end marks the request as if it had ended its target. After two of them the request is a suspect and is refused at sound targets too.

--- a/tests/checked_ends.py
+++ b/tests/checked_ends.py
@@ -8,11 +8,12 @@
 import sys
 
 from answer_ends import (SERVICE, EndSite, check_whole_elsewhere, is_stream, parts_of)
-from ending import Call, play_answer, whole_answer
+from ending import Call, play_answer, plain_parts, whole_answer
 from fleet import run_tests
 from standins import Worker
 
 PATHS = ("/safe/", "/once/", "/firm/")
+LEAVING = 3  # targets
 
 
 def check_each(s, check):
@@ -89,6 +90,41 @@
     check_each(s, check_full_queue)
 
 
+class Poll(Call):
+    """Its request is the same each time."""
+
+    def start(self):
+        self.request = self.request.replace(b"/safe/" + self.attempt.encode(),
+                                            b"/safe/poll", 1)
+        super().start()
+
+
+def leave_after(whole):
+    def play(w, c, headers):
+        w.drain()
+        whole(w, c, headers)
+        w.socket.shutdown(socket.SHUT_RDWR)
+        w.socket.close()
+        return False
+
+    return play
+
+
+# Guards against a request that is refused as a suspect since targets, which had said
+# that they leave, ended after they had answered it.
+def test_a_request_is_no_suspect_after_targets_left(s):
+    for _ in range(LEAVING):
+        [w] = s.add_sound("/safe/")
+        w.play = leave_after(play_answer(
+            whole_answer("close", plain_parts(w.name)), "fin", 0.1))
+        Poll(s, "/safe/").join()
+        s.clear()
+    s.add_sound("/safe/")
+    r = Poll(s, "/safe/").result()
+    assert r.status == 200, "%s, after %s" % (r, [
+        l["event"] for l in s.log(0) if l["event"] in ("request-marked", "suspect")])
+
+
 # == short answers ==
 
 # Guards against a short answer that looks complete since a child of the killed target
