--- a/tests/checked_ends.py
+++ b/tests/checked_ends.py
@@ -4,14 +4,16 @@
 that can't be reached anew, and one whose listener outlives it. Real processes.
 
 Usage: checked_ends.py BUILD_DIR [TEST...]"""
+import socket
 import sys
 
-from answer_ends import SERVICE, EndSite, is_stream, parts_of
-from ending import Call, play_answer, whole_answer
+from answer_ends import (SERVICE, EndSite, check_whole_elsewhere, is_stream, parts_of)
+from ending import Call, play_answer, plain_parts, whole_answer
 from fleet import run_tests
 from standins import Worker
 
 PATHS = ("/safe/", "/once/", "/firm/")
+LEAVING = 3  # targets
 
 
 def check_each(s, check):
@@ -61,5 +63,87 @@
     check_each(s, check_new_at_address)
 
 
+class FullWorker(Worker):
+    """Its queue of new connections is full once it has taken one."""
+
+    def _accept(self):
+        c, _ = self.socket.accept()
+        self.open.add(c)
+        self.socket.listen(0)
+        self.waiting = [socket.socket() for _ in range(4)]
+        for w in self.waiting:
+            w.setblocking(False)
+            w.connect_ex(self.socket.getsockname())
+        self._serve(c)
+
+
+def check_full_queue(s, path):
+    w = FullWorker(("127.0.0.1", 0), s.store, s.new_name(), SERVICE[path])
+    (s.engines if is_stream(path) else s.desks).append(w)
+    s.wait_known(w.name)
+    check_sound(s, path, w)
+
+
+# Guards against a target that is slow to accept and is taken for ended: the system
+# refuses connections to a process that has ended, and leaves none unanswered.
+def test_a_target_whose_queue_of_connections_is_full_is_served(s):
+    check_each(s, check_full_queue)
+
+
+class Poll(Call):
+    """Its request is the same each time."""
+
+    def start(self):
+        self.request = self.request.replace(b"/safe/" + self.attempt.encode(),
+                                            b"/safe/poll", 1)
+        super().start()
+
+
+def leave_after(whole):
+    def play(w, c, headers):
+        w.drain()
+        whole(w, c, headers)
+        w.socket.shutdown(socket.SHUT_RDWR)
+        w.socket.close()
+        return False
+
+    return play
+
+
+# Guards against a request that is refused as a suspect since targets, which had said
+# that they leave, ended after they had answered it.
+def test_a_request_is_no_suspect_after_targets_left(s):
+    for _ in range(LEAVING):
+        [w] = s.add_sound("/safe/")
+        w.play = leave_after(play_answer(
+            whole_answer("close", plain_parts(w.name)), "fin", 0.1))
+        Poll(s, "/safe/").join()
+        s.clear()
+    s.add_sound("/safe/")
+    r = Poll(s, "/safe/").result()
+    assert r.status == 200, "%s, after %s" % (r, [
+        l["event"] for l in s.log(0) if l["event"] in ("request-marked", "suspect")])
+
+
+# == short answers ==
+
+# Guards against a short answer that looks complete since a child of the killed target
+# still has its listener: the system accepts connections that nobody serves.
+def test_a_listener_that_outlives_its_target_does_not_show_that_it_goes_on(s):
+    failed = []
+    for path in ("/safe/", "/chat/"):
+        w = s.add_process(path, "close", "between", child=True)
+        c = Call(s, path)
+        w.wait_stopped(1)
+        [other] = s.add_sound(path)
+        w.kill()
+        try:
+            check_whole_elsewhere(path, [c], w, other)
+        except AssertionError as e:
+            failed.append("%s: %s" % (path, e))
+        s.clear()
+    assert not failed, "; ".join(failed)
+
+
 if __name__ == "__main__":
     sys.exit(run_tests(dict(globals()), site=EndSite))
