Breaks: the end of a target that has left marks no request

A request that leaving targets had answered whole, without framing, was named a suspect when two of them had ended right afterwards, and was then refused (502) at sound targets. The broken exchange was taken for a sign that the request had ended its target.

A target that leaves, or whose entry is gone, is expected to end; a break there no longer counts against the request, whatever the framing of its answer.

--- a/packages/flow/breaks.c
+++ b/packages/flow/breaks.c
@@ -149,6 +149,7 @@
 void run_record_broken(Run *x, Target *t, bool recently_started) {
   Relay *r = x->relay;
   double now = run_now(x);
+  if (target_has_left(t, now)) return; /* its end was to be expected */
   EndsMark m = make_mark(x, t);
   if (ends_note_break(r->ends, now, &m, recently_started, target_open(t)))
     record_target_ended(r, t);
--- a/packages/route/targets.c
+++ b/packages/route/targets.c
@@ -329,6 +329,10 @@
     if (strcmp(target_addr(v), addr) == 0) fn(ctx, v);
 }
 
+bool target_has_left(const Target *t, double now) {
+  return now >= t->leave_at;
+}
+
 bool targets_have_successor(const Targets *s, const Target *t) {
   GHashTableIter it;
   gpointer v;
--- a/packages/route/targets.h
+++ b/packages/route/targets.h
@@ -195,6 +195,8 @@
 TargetChoice targets_pick(Targets *s, double now, const TargetRequest *request);
 /* Whether it may take new work of this instance. */
 bool target_is_usable(const Target *t, double now);
+/* Whether it gets no new work since it leaves, or since its entry is gone. */
+bool target_has_left(const Target *t, double now);
 const char *target_id(const Target *t);
 const char *target_addr(const Target *t);
 const char *target_version_text(const Target *t); /* "": not known */
