Origins: a missing answer leaves the version of a stream open

Callers that took a stream up got the rest of it from another software version: 5 of 24 streams at an instance that was cut off from the store before a release, while the others, just killed, did not answer.

Cause: after 80 ms the answers that there were decided, "sole" of this instance among them, although one that did not answer might have the record or know the other version. Now "sole" decides only if none of those asked is missing; a record decides as before. Otherwise the stream is refused with 503 and a Retry-After of 0.2 s, and nothing ran.

--- a/packages/flow/origins.c
+++ b/packages/flow/origins.c
@@ -102,10 +102,17 @@
   run_fail(x, &e);
 }
 
+/* A record decides. What is known of the versions decides only if all have
+   answered: one that is missing may have a record, or know another version. */
+static bool is_decided(const Run *x) {
+  return x->origin.kind == ORIGINS_KNOWN ||
+         (x->n_origins_missing == 0 && origins_is_conclusive(&x->origin));
+}
+
 /* Goes on with the answers that there are. */
 static void conclude(Run *x) {
   run_cancel_query(x);
-  if (!origins_is_conclusive(&x->origin)) {
+  if (!is_decided(x)) {
     refuse_stream(x);
     return;
   }
