Origins: a stream without a named attempt asks other instances

Callers that sent Last-Event-Id alone got the rest of their stream from another software version: 12 of 24 at an instance that was cut off from the store before a release.

Cause: others were asked only if the attempt was named, since no record can be found without it. But others know of versions that this instance never saw. The key of a query without an attempt is a hash of the request's id, so that a large fleet doesn't ask the same homes each time. The cost is one query, and a round trip, for each such request.

--- a/packages/flow/origins.c
+++ b/packages/flow/origins.c
@@ -139,6 +139,15 @@
   x->n_origins_missing = cluster_query_origin(r->cluster, query);
 }
 
+/* Without an attempt named there is no record to be found, but others may know
+   of other versions than this instance. The request's own id then spreads the
+   queries over the instances of a large fleet. */
+static uint64_t query_key(const Run *x) {
+  const RequestInfo *a = &x->request;
+  if (a->resumes[0]) return key_of(x, a->resumes);
+  return text_hash(a->id);
+}
+
 void run_find_origin(Run *x, void (*admit)(Run *x)) {
   const RequestInfo *a = &x->request;
   bool is_resumed = a->last_event != REQUEST_NO_EVENT || a->resumes[0];
@@ -148,10 +157,10 @@
     return;
   }
   OriginsMsg query = {.kind = ORIGINS_QUERY,
-                      .key = key_of(x, a->resumes),
+                      .key = query_key(x),
                       .service = text_hash(x->service_name)};
   x->origin = own_answer(x->relay, &query);
-  if (x->origin.kind != ORIGINS_KNOWN && a->resumes[0]) query_others(x, &query);
+  if (x->origin.kind != ORIGINS_KNOWN) query_others(x, &query);
   if (x->n_origins_missing == 0) conclude(x);
 }
 
