Origins: a stream goes on only at the service that began it

Callers that took a stream up got the rest of it from another service of another version: 27 of 40, without any loss of an instance, after a configuration had moved their route or where a route is split.

Cause: the key of a record covered the service, so that an attempt that was led to another service found no record, and "sole" of that service decided. The key covers customer and attempt now, and the record, whose message already has the service, states where the stream began. A later attempt goes on at that service if its route still has it; otherwise it is refused with 503 stream-unknown, which is true and not run.

"Sole" states the version of one service alone. It is answered only if the routes of the service have had no other one in the last 30 s, by conf/history, which compares each configuration with the one before; otherwise "several" is answered, and the records of the service are told to homes.

Messages keep their fields. Records of earlier builds are looked up and asked for by their key as well, and the instance that began a stream answers them by it.

--- a/packages/flow/origins.c
+++ b/packages/flow/origins.c
@@ -6,6 +6,7 @@
 #include "kernel/log.h"
 #include "kernel/loopclock.h"
 #include "kernel/text.h"
+#include "route/versions.h"
 
 /* For the answers of other instances, also of another region. A refusal after
    this still leaves its caller time to begin anew. */
@@ -15,20 +16,51 @@
   return x->route->kind == CONF_STREAM;
 }
 
-static uint64_t key_of(const Run *x, const char *attempt) {
-  return origins_key(x->service_name, x->customer ? x->customer->name : "",
-                     attempt);
+static const char *customer_name(const Run *x) {
+  return x->customer ? x->customer->name : "";
+}
+
+/* The attempt that brought the first event of the stream. */
+static const char *first_attempt(const Run *x) {
+  return x->request.resumes[0] ? x->request.resumes : x->request.id;
+}
+
+static uint64_t key_of(const Run *x) {
+  return origins_key(customer_name(x), first_attempt(x));
+}
+
+/* The key by which instances of earlier builds look a stream up. */
+static uint64_t service_key_of(const Run *x) {
+  return origins_service_key(x->service_name, customer_name(x),
+                             first_attempt(x));
 }
 
 /* == records == */
 
-/* Whether the homes need records of a service's streams: its targets have not
-   all had one version for long enough, as far as this instance knows. */
+static ConfHistoryKind history_of(const Relay *r, uint64_t service) {
+  return conf_history_of(r->conf_history, loopclock_now(r->loop), service,
+                         VERSIONS_MEMORY_S);
+}
+
+/* Whether a stream at any route of the service began there, and at this
+   version, as far as this instance knows. */
+static bool is_sole(const Relay *r, uint64_t service, uint64_t *version) {
+  return history_of(r, service) == CONF_HISTORY_ONE &&
+         targets_sole_version(r->targets, loopclock_now(r->loop), service,
+                              version);
+}
+
+/* Whether the homes need records of a service's streams. */
 static bool needs_records(void *ctx, uint64_t service) {
-  const Relay *r = ctx;
   uint64_t version;
-  return !targets_sole_version(r->targets, loopclock_now(r->loop), service,
-                               &version);
+  return !is_sole(ctx, service, &version);
+}
+
+/* Instances of earlier builds that ask this one find a record by their key. It
+   is not told to homes, where it would double the number of messages. */
+static void set_service_record(Run *x, OriginsMsg record) {
+  record.key = service_key_of(x);
+  origins_set(x->relay->origins, run_now(x), &record, true);
 }
 
 static void share_record(Relay *r, const OriginsMsg *record) {
@@ -39,23 +71,24 @@
 void run_record_begun(Run *x) {
   Relay *r = x->relay;
   if (x->origin_key != 0 || x->events.count == 0) return;
-  const char *first =
-      x->request.resumes[0] ? x->request.resumes : x->request.id;
   uint64_t service = text_hash(x->service_name);
   x->has_version = true;
   x->version = target_version(x->target);
-  x->origin_key = key_of(x, first);
+  x->origin_key = key_of(x);
   OriginsMsg record = {.kind = ORIGINS_RECORD,
                        .key = x->origin_key,
                        .service = service,
                        .version = x->version};
   bool shared = needs_records(r, service);
   origins_set(r->origins, run_now(x), &record, shared);
+  set_service_record(x, record);
   if (shared) share_record(r, &record);
 }
 
 void run_forget_origin(Run *x) {
-  if (x->origin_key != 0) origins_remove(x->relay->origins, x->origin_key);
+  if (x->origin_key == 0) return;
+  origins_remove(x->relay->origins, x->origin_key);
+  origins_remove(x->relay->origins, service_key_of(x));
 }
 
 void relay_sweep_origins(Relay *r) {
@@ -70,14 +103,14 @@
 /* Returns what this instance knows of a stream. */
 static OriginsMsg own_answer(const Relay *r, const OriginsMsg *query) {
   OriginsMsg a = *query;
-  double now = loopclock_now(r->loop);
   a.kind = ORIGINS_UNKNOWN;
   a.version = 0;
-  if (origins_find(r->origins, query->key, &a.version))
+  if (origins_find(r->origins, query->key, &a))
     a.kind = ORIGINS_KNOWN;
-  else if (targets_have_versions(r->targets, query->service))
+  else if (targets_have_versions(r->targets, query->service) ||
+           history_of(r, query->service) == CONF_HISTORY_SEVERAL)
     a.kind = ORIGINS_SEVERAL;
-  else if (targets_sole_version(r->targets, now, query->service, &a.version))
+  else if (is_sole(r, query->service, &a.version))
     a.kind = ORIGINS_SOLE;
   return a;
 }
@@ -102,6 +135,18 @@
   run_fail(x, &e);
 }
 
+/* The configuration moved the route, and no target of the service that began
+   the stream may serve it. */
+static void refuse_service(Run *x) {
+  Err e;
+  count_add(COUNT_REFUSED_ORIGIN, 1);
+  log_origin(x, "other-service");
+  err_retry(&e, ERR_STREAM_UNKNOWN, 0,
+            "route %s no longer has the service that began the stream",
+            x->route->name);
+  run_fail(x, &e);
+}
+
 /* A record decides. What is known of the versions decides only if all have
    answered: one that is missing may have a record, or know another version. */
 static bool is_decided(const Run *x) {
@@ -116,6 +161,10 @@
     refuse_stream(x);
     return;
   }
+  if (!run_set_service(x, x->origin.service)) {
+    refuse_service(x);
+    return;
+  }
   log_origin(x, x->origin.kind == ORIGINS_KNOWN ? "known" : "sole");
   x->has_version = true;
   x->version = x->origin.version;
@@ -137,6 +186,9 @@
   x->query_timer.data = x;
   ev_timer_start(r->loop, &x->query_timer);
   x->n_origins_missing = cluster_query_origin(r->cluster, query);
+  if (!x->request.resumes[0]) return;
+  query->key = service_key_of(x); /* for instances of earlier builds */
+  x->n_origins_missing += cluster_query_origin(r->cluster, query);
 }
 
 /* Without an attempt named there is no record to be found, but others may know
@@ -144,8 +196,15 @@
    queries over the instances of a large fleet. */
 static uint64_t query_key(const Run *x) {
   const RequestInfo *a = &x->request;
-  if (a->resumes[0]) return key_of(x, a->resumes);
-  return text_hash(a->id);
+  return a->resumes[0] ? key_of(x) : text_hash(a->id);
+}
+
+/* An instance of an earlier build may have told this one the record. */
+static OriginsMsg find_own(const Run *x, const OriginsMsg *query) {
+  OriginsMsg a = own_answer(x->relay, query), earlier = *query;
+  if (a.kind == ORIGINS_KNOWN) return a;
+  earlier.key = service_key_of(x);
+  return own_answer(x->relay, &earlier);
 }
 
 void run_find_origin(Run *x, void (*admit)(Run *x)) {
@@ -159,7 +218,7 @@
   OriginsMsg query = {.kind = ORIGINS_QUERY,
                       .key = query_key(x),
                       .service = text_hash(x->service_name)};
-  x->origin = own_answer(x->relay, &query);
+  x->origin = find_own(x, &query);
   if (x->origin.kind != ORIGINS_KNOWN) query_others(x, &query);
   if (x->n_origins_missing == 0) conclude(x);
 }
--- a/packages/flow/relay.c
+++ b/packages/flow/relay.c
@@ -150,6 +150,22 @@
   x->regions = regions_intersect(x->regions, now);
 }
 
+static void set_service(Run *x, const char *name) {
+  x->service_name = name;
+  x->service = conf_find_service(x->conf, name);
+  run_init_admission(x);
+}
+
+bool run_set_service(Run *x, uint64_t service) {
+  for (int i = 0; i < x->route->n_splits; i++) {
+    const char *name = x->route->splits[i].service;
+    if (text_hash(name) != service) continue;
+    if (name != x->service_name) set_service(x, name);
+    return true;
+  }
+  return false;
+}
+
 /* Finds route, customer and service; returns false with a typed error. */
 static bool resolve_request(Run *x, Err *e) {
   const Relay *r = x->relay;
@@ -165,12 +181,11 @@
   bool needs_key = !x->route->is_public && x->conf->customers->len > 0;
   if (needs_key && !x->customer)
     return err_set(e, ERR_UNAUTHORISED, "no customer has this key");
-  x->service_name = conf_choose_service(x->route, g_random_double());
-  if (!x->service_name)
+  const char *service = conf_choose_service(x->route, g_random_double());
+  if (!service)
     return err_set(e, ERR_NO_ROUTE, "route %s has no service", x->route->name);
-  x->service = conf_find_service(x->conf, x->service_name);
   x->regions = allowed_regions(x, x->route, x->customer);
-  run_init_admission(x);
+  set_service(x, service);
   return true;
 }
 
@@ -247,6 +262,7 @@
   returns_free(r->returns);
   relay_free_tries(r);
   origins_free(r->origins);
+  conf_history_free(r->conf_history);
   trials_free(r->trials);
   suspects_free(r->suspects);
   ends_free(r->ends);
@@ -292,6 +308,7 @@
   r->paths = paths_new();
   r->gateways = gateways_new(o->self, port_of(o->tunnel_addr));
   r->origins = origins_new();
+  r->conf_history = conf_history_new();
   r->ends = ends_new();
   r->suspects = suspects_new();
   r->trials = trials_new();
@@ -330,6 +347,7 @@
 }
 
 void relay_set_conf(Relay *r, Conf *c) {
+  conf_history_note(r->conf_history, loopclock_now(r->loop), r->conf, c);
   conf_unref(r->conf);
   r->conf = conf_ref(c);
   CallerLimits l = {.max_header = (size_t)c->max_header_bytes,
--- a/packages/flow/run.h
+++ b/packages/flow/run.h
@@ -19,6 +19,7 @@
 #include "flow/tunnel.h"
 #include "route/admission.h"
 #include "route/gateways.h"
+#include "conf/history.h"
 #include "route/origins.h"
 #include "route/paths.h"
 #include "route/returns.h"
@@ -158,6 +159,7 @@
   Gateways *gateways; /* while those are interrupted */
   Tunnels *tunnels;   /* for other instances */
   Origins *origins;
+  ConfHistory *conf_history;
   Ends *ends;
   Suspects *suspects;
   Trials *trials;
@@ -208,7 +210,11 @@
 /* Returns Retry-After, in ms, of a request that targets rejected. */
 int run_retry_ms(Run *x);
 
-/* == relay.c: allowed regions == */
+/* == relay.c: routes == */
+
+/* Chooses the service of the run's route whose name has that text_hash; false:
+   the route doesn't have it. */
+bool run_set_service(Run *x, uint64_t service);
 
 /* If the configuration has changed since the request arrived, restricts the run
    to the regions that both the old and the new one allow. */
--- a/packages/route/origins.c
+++ b/packages/route/origins.c
@@ -37,8 +37,13 @@
   g_free(o);
 }
 
-uint64_t origins_key(const char *service, const char *customer,
-                     const char *attempt) {
+uint64_t origins_key(const char *customer, const char *attempt) {
+  uint64_t h = XXH64(customer, strlen(customer) + 1, 0);
+  return XXH64(attempt, strlen(attempt) + 1, h);
+}
+
+uint64_t origins_service_key(const char *service, const char *customer,
+                             const char *attempt) {
   uint64_t h = XXH64(service, strlen(service) + 1, 0);
   h = XXH64(customer, strlen(customer) + 1, h);
   return XXH64(attempt, strlen(attempt) + 1, h);
@@ -79,10 +84,12 @@
   if (r) drop_record(o, r);
 }
 
-bool origins_find(const Origins *o, uint64_t key, uint64_t *version) {
+bool origins_find(const Origins *o, uint64_t key, OriginsMsg *out) {
   const Record *r = g_hash_table_lookup(o->records, &key);
-  if (r) *version = r->version;
-  return r != NULL;
+  if (!r) return false;
+  out->service = r->service;
+  out->version = r->version;
+  return true;
 }
 
 bool origins_take_unshared(Origins *o, OriginsNeeded needed, void *ctx,
--- a/packages/route/origins.h
+++ b/packages/route/origins.h
@@ -18,10 +18,12 @@
   ORIGINS_RECORD,  /* to homes: a stream began at a version */
   ORIGINS_QUERY,   /* asks for the version of a stream */
   ORIGINS_UNKNOWN, /* answer: no record, and no knowledge of the versions */
-  /* Answer: no record, but all targets of the service have had this version
-     for as long as a caller may resume a stream. */
+  /* Answer: no record, but for as long as a caller may resume a stream, all
+     targets of the service have had this version and its routes no other
+     service. */
   ORIGINS_SOLE,
-  ORIGINS_SEVERAL, /* answer: no record, and there were several versions */
+  ORIGINS_SEVERAL, /* answer: no record, and there were several versions, or
+                       routes of the service may have had another one */
   ORIGINS_KNOWN,   /* answer: the record */
   ORIGINS_KINDS
 } OriginsKind;
@@ -30,7 +32,7 @@
   OriginsKind kind;
   uint64_t number;  /* of the query; 0: RECORD */
   uint64_t key;     /* origins_key */
-  uint64_t service; /* text_hash of its name */
+  uint64_t service; /* text_hash of its name; KNOWN: that began the stream */
   uint64_t version; /* versions_hash; RECORD, SOLE and KNOWN */
 } OriginsMsg;
 
@@ -39,17 +41,21 @@
 Origins *origins_new(void);
 void origins_free(Origins *o);
 
-/* The key of a stream. Another customer's attempt of the same id, or one at
-   another service, has another key. */
-uint64_t origins_key(const char *service, const char *customer,
-                     const char *attempt);
+/* The key of a stream. Another customer's attempt of the same id has another
+   key. It doesn't cover the service: a later attempt may be led to another one.
+ */
+uint64_t origins_key(const char *customer, const char *attempt);
+/* The key at instances of earlier builds, which covers the service. */
+uint64_t origins_service_key(const char *service, const char *customer,
+                             const char *attempt);
 
 /* Records that a stream began at a version. `shared`: its homes have the record
    or we are one of them. */
 void origins_set(Origins *o, double now, const OriginsMsg *record, bool shared);
 /* The whole stream was delivered: its caller won't resume it. */
 void origins_remove(Origins *o, uint64_t key);
-bool origins_find(const Origins *o, uint64_t key, uint64_t *version);
+/* Sets the service and the version of `out` to those of the record. */
+bool origins_find(const Origins *o, uint64_t key, OriginsMsg *out);
 /* Sets `out` to a record that no home has and marks it as shared; `needed`:
    whether those of a service have to be told. False: there is none. */
 typedef bool (*OriginsNeeded)(void *ctx, uint64_t service);
--- a/tests/test_origins.c
+++ b/tests/test_origins.c
@@ -59,29 +59,44 @@
 static OriginsMsg record(const char *attempt, uint64_t service,
                          uint64_t version) {
   return (OriginsMsg){.kind = ORIGINS_RECORD,
-                      .key = origins_key("svc", "acme", attempt),
+                      .key = origins_key("acme", attempt),
                       .service = service,
                       .version = version};
 }
 
 static bool is_recorded(const Origins *o, const char *customer,
                         const char *attempt) {
-  uint64_t version;
-  return origins_find(o, origins_key("svc", customer, attempt), &version);
+  OriginsMsg found;
+  return origins_find(o, origins_key(customer, attempt), &found);
 }
 
 Test(origins, a_record_is_found_by_its_customer_alone) {
   Origins *o = origins_new();
-  OriginsMsg m = record("a1", 1, 7);
-  uint64_t version = 0;
+  OriginsMsg m = record("a1", 1, 7), found = {0};
   origins_set(o, 0, &m, false);
-  cr_assert(origins_find(o, m.key, &version));
-  cr_assert_eq(version, 7);
+  cr_assert(origins_find(o, m.key, &found));
+  cr_assert_eq(found.version, 7);
+  cr_assert_eq(found.service, 1);
   cr_assert_not(is_recorded(o, "other", "a1"));
   cr_assert_not(is_recorded(o, "acme", "a2"));
-  cr_assert_neq(origins_key("s", "vca", "b"), origins_key("svc", "a", "b"));
+  cr_assert_neq(origins_key("vca", "b"), origins_key("a", "b"));
   origins_remove(o, m.key);
-  cr_assert_not(origins_find(o, m.key, &version));
+  cr_assert_not(origins_find(o, m.key, &found));
+  origins_free(o);
+}
+
+/* Guards against a record that is not found since the later attempt was led to
+   another service. Instances of earlier builds ask by a key that covers it. */
+Test(origins, a_record_is_found_whatever_the_service) {
+  Origins *o = origins_new();
+  OriginsMsg m = record("a1", 1, 7), found = {.service = 2};
+  origins_set(o, 0, &m, false);
+  cr_assert(origins_find(o, origins_key("acme", "a1"), &found));
+  cr_assert_eq(found.service, 1);
+  uint64_t earlier = origins_service_key("svc", "acme", "a1");
+  cr_assert_neq(earlier, m.key);
+  cr_assert_neq(earlier, origins_service_key("s", "vcacme", "a1"));
+  cr_assert_not(origins_find(o, earlier, &found));
   origins_free(o);
 }
 
