Tests: a store that answers with millions of values

The test fails: the instance stands still while it parses an answer of 7 MB of empty objects, and refuses requests of others as behind. Seen first in a build with the address sanitizer, where it stood for more than 10 s on an answer that had ended by chance below the limit of its bytes. Tests with bounds on memory now limit what that sanitizer keeps of freed memory.

--- a/tests/endless.py
+++ b/tests/endless.py
@@ -10,7 +10,8 @@
 import time
 
 from fleet import (RETRY_WINDOW_S, Site, chunk, config, event, head, play_stream,
-                   route, run_tests, wait_for)
+                   run_tests, wait_for)
+from red import bound_sanitizer
 
 AT_ONCE = 4             # requests with an endless answer at the same time
 HARMLESS_S = 1.0        # aim for a harmless request
@@ -502,6 +503,33 @@
         assert_follows(s, k + 2)
 
 
+MANY_VALUES = {
+    "entries": (b'{"entries": [', b"{},", b'{}], "more": false, "at": 1}'),
+    "events cut short": (b'{"events": [', b"{},", b""),
+    "numbers": (b'{"entries": [', b"1,", b'1], "more": false, "at": 1}'),
+    "fields": (b'{"entries": [{"meta": {"name": "x"}, "spec": {', b'"k":{},',
+               b'"k":1}}], "more": false, "at": 1}')}
+
+
+def test_an_answer_of_the_store_of_many_values_stops_nobody(s):
+    """An answer that ends just below the limit of its bytes was parsed, for seconds
+    and in many times its size."""
+    sound = s.store.answer
+    for first, piece, last in MANY_VALUES.values():
+        text = first + piece * ((7 << 20) // len(piece)) + last
+
+        def answer(c, method, path, headers, body, text=text):
+            c.sendall(b"HTTP/1.1 200 X\r\n\r\n" + text)
+            return False
+
+        s.store.answer = answer
+        s.store.cut_watches()
+        print("  %.60r: slowest %.3f s, peak %.0f MB" % (
+            text[:20], serve_beside(s, 3.0), peak_mb(s)), flush=True)
+    s.store.answer = sound
+    assert_follows(s, 2)
+
+
 def test_a_watch_that_trickles_without_end_ends(s):
     """An instance that waits for its end sees no change."""
     e = EndlessStore(s, "chunks", 0.3, lambda path: "watch=" in path)
@@ -513,4 +541,5 @@
 
 
 if __name__ == "__main__":
+    bound_sanitizer()
     sys.exit(run_tests(globals()))
--- a/tests/process.py
+++ b/tests/process.py
@@ -15,7 +15,7 @@
 import threading
 import time
 
-from red import known_red
+from red import bound_sanitizer, known_red
 
 BUILD = os.path.abspath(sys.argv[1])
 BASE = 20000
@@ -853,4 +853,5 @@
 
 
 if __name__ == "__main__":
+    bound_sanitizer()
     sys.exit(main())
