Origins: versions are remembered for as long as a route allows a stream

Callers whose route allows their streams 45 s got the rest from another software version: 6 of 12, whose version had left before all instances were killed, once the next version had been alone for 30 s.

Cause: "sole" was concluded after a constant of 30 s, and no route's time-out was compared with it. The memory is now the longest time-out of the service's stream routes, at least 30 s; X-Loftpath-Deadline-Ms can only shorten a stream's time. When a time-out is lowered, the longer one counts for as long as streams may run that began before. Records are kept for that time too, if it is longer than their 60 s. versions_sole takes the memory as an argument; its tests pass the 30 s that they had.

Left: an instance that restarts just after a time-out was lowered knows only the lower one.

--- a/packages/conf/history.c
+++ b/packages/conf/history.c
@@ -12,6 +12,10 @@
 typedef struct Entry {
   double changed_at; /* requests moved from it or to it; -INFINITY: never */
   bool is_split;     /* a route is split between it and another service */
+  double longest_s;  /* longest time-out of its stream routes */
+  double before_s;   /* the same in the configuration before */
+  /* A longer one of earlier configurations, for the streams that began. */
+  double earlier_s, earlier_until;
 } Entry;
 
 struct ConfHistory {
@@ -110,16 +114,40 @@
 
 /* == the present configuration == */
 
-static void set_splits(ConfHistory *h, const Conf *c) {
+static void reset_entry(Entry *e) {
+  e->before_s = e->longest_s;
+  e->longest_s = 0;
+  e->is_split = false;
+}
+
+/* Streams that began before the time-out was lowered may last as long as it
+   allowed. */
+static void keep_longer(Entry *e, double now) {
+  if (e->longest_s >= e->before_s) return;
+  if (now >= e->earlier_until || e->before_s > e->earlier_s)
+    e->earlier_s = e->before_s;
+  e->earlier_until = MAX(e->earlier_until, now + e->before_s);
+}
+
+static void apply_route(ConfHistory *h, const ConfRoute *r) {
+  for (int i = 0; i < r->n_splits; i++) {
+    Entry *e = ensure_entry(h, r->splits[i].service);
+    e->is_split |= r->n_splits > 1;
+    e->longest_s = MAX(e->longest_s, r->timeout_s);
+  }
+}
+
+static void apply_routes(ConfHistory *h, double now, const Conf *c) {
   GHashTableIter it;
   gpointer v;
   g_hash_table_iter_init(&it, h->services);
-  while (g_hash_table_iter_next(&it, NULL, &v)) ((Entry *)v)->is_split = false;
+  while (g_hash_table_iter_next(&it, NULL, &v)) reset_entry(v);
   for (guint i = 0; i < c->routes->len; i++) {
     const ConfRoute *r = c->routes->pdata[i];
-    for (int k = 0; r->kind == CONF_STREAM && k < r->n_splits; k++)
-      ensure_entry(h, r->splits[k].service)->is_split |= r->n_splits > 1;
+    if (r->kind == CONF_STREAM) apply_route(h, r);
   }
+  g_hash_table_iter_init(&it, h->services);
+  while (g_hash_table_iter_next(&it, NULL, &v)) keep_longer(v, now);
 }
 
 static gboolean is_forgettable(gpointer key, gpointer at, gpointer now) {
@@ -136,7 +164,7 @@
     compare_routes(h, now, old, next, true);
     compare_routes(h, now, next, old, false);
   }
-  set_splits(h, next);
+  apply_routes(h, now, next);
 }
 
 ConfHistoryKind conf_history_of(const ConfHistory *h, double now,
@@ -147,3 +175,24 @@
   if (!h->has_first || now - h->first_at < memory_s) return CONF_HISTORY_SHORT;
   return CONF_HISTORY_ONE;
 }
+
+static double longest_of(const Entry *e, double now) {
+  return now < e->earlier_until ? MAX(e->longest_s, e->earlier_s)
+                                : e->longest_s;
+}
+
+double conf_history_longest_s(const ConfHistory *h, double now,
+                              uint64_t service) {
+  const Entry *e = g_hash_table_lookup(h->services, &service);
+  return e ? longest_of(e, now) : 0;
+}
+
+double conf_history_longest_of_all_s(const ConfHistory *h, double now) {
+  GHashTableIter it;
+  gpointer v;
+  double longest_s = 0;
+  g_hash_table_iter_init(&it, h->services);
+  while (g_hash_table_iter_next(&it, NULL, &v))
+    longest_s = MAX(longest_s, longest_of(v, now));
+  return longest_s;
+}
--- a/packages/conf/history.h
+++ b/packages/conf/history.h
@@ -1,7 +1,8 @@
 /* history.h: whether streams of a route may have begun at another service, by
-   the configurations of the last time; pure. A route may be split between
-   services, and a configuration may move its requests to another one, while a
-   stream may go on only at the service that began it. */
+   the configurations of the last time, and how long streams may last; pure. A
+   route may be split between services, and a configuration may move its
+   requests to another one, while a stream may go on only at the service that
+   began it. */
 #ifndef CONF_HISTORY_H
 #define CONF_HISTORY_H
 
@@ -24,5 +25,12 @@
    begun in the last `memory_s` seconds. */
 ConfHistoryKind conf_history_of(const ConfHistory *h, double now,
                                 uint64_t service, double memory_s);
+/* The longest time in seconds that a stream of the service may last, by the
+   routes of the present configuration and of earlier ones under which streams
+   may still run; 0: it has none. */
+double conf_history_longest_s(const ConfHistory *h, double now,
+                              uint64_t service);
+/* The same for all services. */
+double conf_history_longest_of_all_s(const ConfHistory *h, double now);
 
 #endif
--- a/packages/flow/origins.c
+++ b/packages/flow/origins.c
@@ -37,9 +37,16 @@
 
 /* == records == */
 
+/* Returns how long a stream of the service may be resumed after it began. */
+static double memory_of(const Relay *r, uint64_t service) {
+  double now = loopclock_now(r->loop);
+  return MAX(VERSIONS_MEMORY_S,
+             conf_history_longest_s(r->conf_history, now, service));
+}
+
 static ConfHistoryKind history_of(const Relay *r, uint64_t service) {
   return conf_history_of(r->conf_history, loopclock_now(r->loop), service,
-                         VERSIONS_MEMORY_S);
+                         memory_of(r, service));
 }
 
 /* Whether a stream at any route of the service began there, and at this
@@ -47,7 +54,7 @@
 static bool is_sole(const Relay *r, uint64_t service, uint64_t *version) {
   return history_of(r, service) == CONF_HISTORY_ONE &&
          targets_sole_version(r->targets, loopclock_now(r->loop), service,
-                              version);
+                              memory_of(r, service), version);
 }
 
 /* Whether the homes need records of a service's streams. */
@@ -93,7 +100,9 @@
 
 void relay_sweep_origins(Relay *r) {
   OriginsMsg record;
-  origins_sweep(r->origins, loopclock_now(r->loop));
+  double now = loopclock_now(r->loop);
+  origins_sweep(r->origins, now,
+                conf_history_longest_of_all_s(r->conf_history, now));
   while (origins_take_unshared(r->origins, needs_records, r, &record))
     share_record(r, &record);
 }
--- a/packages/route/origins.c
+++ b/packages/route/origins.c
@@ -107,9 +107,10 @@
   return false;
 }
 
-void origins_sweep(Origins *o, double now) {
+void origins_sweep(Origins *o, double now, double longest_s) {
+  double keep_s = MAX(KEEP_S, longest_s);
   Record *r;
-  while ((r = g_queue_peek_head(&o->by_age)) && now - r->at > KEEP_S)
+  while ((r = g_queue_peek_head(&o->by_age)) && now - r->at > keep_s)
     drop_record(o, r);
 }
 
--- a/packages/route/origins.h
+++ b/packages/route/origins.h
@@ -61,8 +61,9 @@
 typedef bool (*OriginsNeeded)(void *ctx, uint64_t service);
 bool origins_take_unshared(Origins *o, OriginsNeeded needed, void *ctx,
                            OriginsMsg *out);
-/* Drops records of streams that nobody resumes any more. */
-void origins_sweep(Origins *o, double now);
+/* Drops records of streams that nobody resumes any more. `longest_s`: what the
+   routes allow a stream. */
+void origins_sweep(Origins *o, double now, double longest_s);
 
 /* Combines two answers on the same stream. A record decides; several versions
    exclude a conclusion from a single one. */
--- a/packages/route/targets.c
+++ b/packages/route/targets.c
@@ -386,9 +386,9 @@
 }
 
 bool targets_sole_version(const Targets *s, double now, uint64_t service,
-                          uint64_t *version) {
+                          double memory_s, uint64_t *version) {
   const Pool *pool = find_pool_by_hash(s, service);
-  return pool && versions_sole(pool->versions, now, version);
+  return pool && versions_sole(pool->versions, now, memory_s, version);
 }
 
 int targets_count_all(const Targets *s) {
--- a/packages/route/targets.h
+++ b/packages/route/targets.h
@@ -81,7 +81,7 @@
 bool targets_have_versions(const Targets *s, uint64_t service);
 /* The same as versions_sole, for a service. */
 bool targets_sole_version(const Targets *s, double now, uint64_t service,
-                          uint64_t *version);
+                          double memory_s, uint64_t *version);
 /* Forgets targets that have left and have no open requests. */
 void targets_sweep(Targets *s, double now);
 int targets_count(const Targets *s, const char *service);
--- a/packages/route/versions.c
+++ b/packages/route/versions.c
@@ -63,11 +63,12 @@
   return g_hash_table_size(v->counts) > 1;
 }
 
-bool versions_sole(const Versions *v, double now, uint64_t *version) {
+bool versions_sole(const Versions *v, double now, double memory_s,
+                   uint64_t *version) {
   GHashTableIter it;
   gpointer key;
   if (g_hash_table_size(v->counts) != 1) return false;
-  if (now - v->changed_at < VERSIONS_MEMORY_S) return false;
+  if (now - v->changed_at < memory_s) return false;
   g_hash_table_iter_init(&it, v->counts);
   g_hash_table_iter_next(&it, &key, NULL);
   *version = *(const uint64_t *)key;
--- a/packages/route/versions.h
+++ b/packages/route/versions.h
@@ -7,7 +7,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-/* Callers resume no stream that began longer ago, in seconds. */
+/* Callers resume no stream that began longer ago, in seconds, unless a route
+   allows its streams more time. */
 #define VERSIONS_MEMORY_S 30.0
 
 typedef struct Versions Versions;
@@ -24,8 +25,9 @@
 
 /* Whether targets of more than one version are known. */
 bool versions_are_several(const Versions *v);
-/* Sets `version` to the only one that was known in the last VERSIONS_MEMORY_S;
+/* Sets `version` to the only one that was known in the last `memory_s` seconds;
    false: there were others, or the targets are known for less long. */
-bool versions_sole(const Versions *v, double now, uint64_t *version);
+bool versions_sole(const Versions *v, double now, double memory_s,
+                   uint64_t *version);
 
 #endif
--- a/tests/test_history.c
+++ b/tests/test_history.c
@@ -99,3 +99,28 @@
   conf_unref(c);
   conf_history_free(h);
 }
+
+/* Guards against streams that outlast the memory of versions, also those that
+   began before their route's time-out was lowered. */
+Test(history, the_longest_stream_of_a_service_is_known) {
+  ConfHistory *h = conf_history_new();
+  Conf *next = conf_of("/x/", "s1", NULL);
+  uint64_t s1 = text_hash("s1");
+  ((ConfRoute *)next->routes->pdata[0])->timeout_s = 45;
+  cr_assert_eq(conf_history_longest_s(h, 0, s1), 0);
+  Conf *c = follow(h, 0, NULL, next);
+  cr_assert_eq(conf_history_longest_s(h, 1000, s1), 45);
+  next = conf_of("/x/", "s1", NULL);
+  ((ConfRoute *)next->routes->pdata[0])->timeout_s = 20;
+  c = follow(h, 1000, c, next);
+  cr_assert_eq(conf_history_longest_s(h, 1044, s1), 45);
+  cr_assert_eq(conf_history_longest_of_all_s(h, 1044), 45);
+  next = conf_of("/x/", "s1", NULL);
+  ((ConfRoute *)next->routes->pdata[0])->timeout_s = 20;
+  c = follow(h, 1040, c, next);
+  cr_assert_eq(conf_history_longest_s(h, 1044, s1), 45);
+  cr_assert_eq(conf_history_longest_s(h, 1046, s1), 20);
+  cr_assert_eq(conf_history_longest_of_all_s(h, 1046), 20);
+  conf_unref(c);
+  conf_history_free(h);
+}
--- a/tests/test_origins.c
+++ b/tests/test_origins.c
@@ -14,15 +14,28 @@
 Test(versions, a_version_is_the_only_one_after_a_while) {
   Versions *v = versions_new();
   uint64_t only = 0;
-  cr_assert_not(versions_sole(v, 1000, &only), "no target is known");
+  cr_assert_not(versions_sole(v, 1000, VERSIONS_MEMORY_S, &only),
+                "no target is known");
   versions_add(v, 1000, 7);
   versions_add(v, 1010, 7);
-  cr_assert_not(versions_sole(v, 1029, &only), "known for less than a stream");
-  cr_assert(versions_sole(v, 1031, &only));
+  cr_assert_not(versions_sole(v, 1029, VERSIONS_MEMORY_S, &only),
+                "known for less than a stream");
+  cr_assert(versions_sole(v, 1031, VERSIONS_MEMORY_S, &only));
   cr_assert_eq(only, 7);
   versions_free(v);
 }
 
+/* Guards against a stream of a route that allows more time than others, which
+   goes on at another version while its caller still waits. */
+Test(versions, a_longer_stream_is_remembered_for_longer) {
+  Versions *v = versions_new();
+  uint64_t only = 0;
+  versions_add(v, 0, 7);
+  cr_assert_not(versions_sole(v, 44, 45, &only));
+  cr_assert(versions_sole(v, 46, 45, &only));
+  versions_free(v);
+}
+
 /* Guards against a stream of the old version that goes on at the new one right
    after a release. */
 Test(versions, a_version_that_left_is_remembered) {
@@ -31,11 +44,11 @@
   versions_add(v, 0, 7);
   versions_add(v, 100, 8);
   cr_assert(versions_are_several(v));
-  cr_assert_not(versions_sole(v, 200, &only));
+  cr_assert_not(versions_sole(v, 200, VERSIONS_MEMORY_S, &only));
   versions_remove(v, 200, 7);
   cr_assert_not(versions_are_several(v));
-  cr_assert_not(versions_sole(v, 229, &only));
-  cr_assert(versions_sole(v, 231, &only));
+  cr_assert_not(versions_sole(v, 229, VERSIONS_MEMORY_S, &only));
+  cr_assert(versions_sole(v, 231, VERSIONS_MEMORY_S, &only));
   cr_assert_eq(only, 8);
   versions_free(v);
 }
@@ -45,12 +58,13 @@
   uint64_t only;
   versions_add(v, 0, 7);
   versions_remove(v, 100, 7);
-  cr_assert_not(versions_sole(v, 100, &only));
+  cr_assert_not(versions_sole(v, 100, VERSIONS_MEMORY_S, &only));
   versions_add(v, 101, 7);
-  cr_assert(versions_sole(v, 101, &only));
+  cr_assert(versions_sole(v, 101, VERSIONS_MEMORY_S, &only));
   versions_remove(v, 102, 7);
   versions_add(v, 103, 8);
-  cr_assert_not(versions_sole(v, 103, &only), "all restarted at another one");
+  cr_assert_not(versions_sole(v, 103, VERSIONS_MEMORY_S, &only),
+                "all restarted at another one");
   versions_free(v);
 }
 
@@ -110,9 +124,11 @@
   }
   cr_assert_not(is_recorded(o, "acme", "a0"), "the oldest was dropped");
   cr_assert(is_recorded(o, "acme", "a19999"));
-  origins_sweep(o, 79);
+  origins_sweep(o, 79, 0);
   cr_assert(is_recorded(o, "acme", "a19999"));
-  origins_sweep(o, 81);
+  origins_sweep(o, 109, 90);
+  cr_assert(is_recorded(o, "acme", "a19999"), "its stream may still run");
+  origins_sweep(o, 81, 0);
   cr_assert_not(is_recorded(o, "acme", "a19999"));
   origins_free(o);
 }
@@ -227,7 +243,8 @@
   cr_assert_not(targets_have_versions(s, text_hash("svc")));
   cr_assert_not_null(pick(s, 1, "v1").target);
   uint64_t only;
-  cr_assert(targets_sole_version(s, 40, text_hash("svc"), &only));
+  cr_assert(
+      targets_sole_version(s, 40, text_hash("svc"), VERSIONS_MEMORY_S, &only));
   cr_assert_eq(only, versions_hash("v1"));
   targets_free(s);
 }
