Dispatch: a gateway that is stopping says nothing about a target's end

A gateway that is killed resets its tunnels, so an orderly end through a gateway is the target's own, and any instance may show whether that goes on. Now the others are asked in turn where the run can't go on elsewhere.

--- a/packages/flow/unframed.c
+++ b/packages/flow/unframed.c
@@ -21,13 +21,14 @@
       link_check(x->relay->links, target_addr(x->target), via, on_checked, x);
 }
 
-/* A failed direct connection may be due to the path. Where the run can't go on
-   elsewhere, other instances try as well. */
+/* A direct connection may fail for the path, and a gateway may open no tunnel
+   since it is stopping. Where the run can't go on elsewhere, other instances
+   try as well. */
 static bool check_via_gateway(Run *x, LinkConnectResult how) {
-  bool is_open = x->check_via ? how == LINK_TUNNEL_FAILED && !x->via
-                              : how != LINK_CONNECTED;
+  bool says_nothing =
+      x->check_via ? how == LINK_TUNNEL_FAILED : how != LINK_CONNECTED;
   const char *via = relay_find_gateway(x->relay, target_addr(x->target));
-  if (!is_open || !via || run_may_be_continued(x) ||
+  if (!says_nothing || !via || run_may_be_continued(x) ||
       ++x->n_gateway_checks > RUN_MAX_GATEWAYS)
     return false;
   check(x, via);
