Shards: the ids of a grant are listed in a fixed order

On arm64 a shard was written with its ids in another order than on x86-64, so that equal shards had different texts and two tests of test_golden failed. The ids were listed by the arguments of one call, whose order of evaluation is up to the compiler. They are listed one after the other now, in the order of the builds in production.

--- a/packages/ledger/shardio.c
+++ b/packages/ledger/shardio.c
@@ -47,10 +47,13 @@
 }
 
 static json_t *encode_grant(IdTable *n, const ShardGrant *g) {
-  json_t *o = json_pack("[I,o,o,o,I,I,I]", (json_int_t)g->id,
-                        intern_id(n, g->home), intern_id(n, g->witness),
-                        intern_id(n, g->region), (json_int_t)g->granted,
-                        (json_int_t)g->returned, (json_int_t)g->spent);
+  /* In a fixed order: that of arguments depends on the compiler. */
+  json_t *region = intern_id(n, g->region);
+  json_t *witness = intern_id(n, g->witness);
+  json_t *home = intern_id(n, g->home);
+  json_t *o = json_pack("[I,o,o,o,I,I,I]", (json_int_t)g->id, home, witness,
+                        region, (json_int_t)g->granted, (json_int_t)g->returned,
+                        (json_int_t)g->spent);
   if (!g->sealed && !g->reports) return o;
   json_t *tail = encode_reports(g);
   if (g->sealed)
