--- a/packages/flow/dispatch.c
+++ b/packages/flow/dispatch.c
@@ -16,6 +16,19 @@
    that is not read for some seconds, and hold its resources until then. */
 #define MAX_PAUSE_S 2.0
 
+/* == repetition == */
+
+static bool is_repeatable(const Run *x) {
+  if (x->route->kind == CONF_SAFE) return true;
+  return x->route->kind == CONF_STREAM && x->route->resumable;
+}
+
+/* Whether another target may succeed after this error answer. */
+static bool is_worth_retrying(Run *x, int status) {
+  return status >= 500 && !x->head_sent && is_repeatable(x) &&
+         x->sends < x->route->max_attempts && run_now(x) < x->deadline;
+}
+
 /* == passing an answer on == */
 
 static void send_head(Run *x, int64_t length) {
@@ -63,8 +76,6 @@
   caller_set_held_bytes(x->caller, 0);
 }
 
-static bool is_worth_retrying(Run *x, int status);
-
 static bool forward_plain(Run *x, const char *data, size_t n) {
   size_t max_bytes =
       MIN(LIMIT_PLAIN_ANSWER_BYTES, caller_buffer_limit(x->caller));
@@ -85,11 +96,6 @@
 
 /* == failures of targets == */
 
-static bool is_repeatable(const Run *x) {
-  if (x->route->kind == CONF_SAFE) return true;
-  return x->route->kind == CONF_STREAM && x->route->resumable;
-}
-
 bool run_may_be_continued(const Run *x) {
   return is_repeatable(x) && (!x->head_sent || x->stream);
 }
@@ -240,12 +246,6 @@
   return x->route->kind == CONF_STREAM && status == 200;
 }
 
-/* Whether another target may succeed after this error answer. */
-static bool is_worth_retrying(Run *x, int status) {
-  return status >= 500 && !x->head_sent && is_repeatable(x) &&
-         x->sends < x->route->max_attempts && run_now(x) < x->deadline;
-}
-
 static LinkVerdict on_head(void *ctx, const LinkHead *h) {
   Run *x = ctx;
   AnswerInfo a;
