Dispatch: a gateway is looked for only where one is asked

The search for a gateway ran at each failed check of an answer's end, also where the run goes on elsewhere or the check has decided. No behaviour changes: answer_ends.py, checked_ends.py, tunnel_ends.py and endless.py, none failed.

--- a/packages/flow/unframed.c
+++ b/packages/flow/unframed.c
@@ -27,10 +27,9 @@
 static bool check_via_gateway(Run *x, LinkConnectResult how) {
   bool says_nothing =
       x->check_via ? how == LINK_TUNNEL_FAILED : how != LINK_CONNECTED;
+  if (!says_nothing || run_may_be_continued(x)) return false;
   const char *via = relay_find_gateway(x->relay, target_addr(x->target));
-  if (!says_nothing || !via || run_may_be_continued(x) ||
-      ++x->n_gateway_checks > RUN_MAX_GATEWAYS)
-    return false;
+  if (!via || ++x->n_gateway_checks > RUN_MAX_GATEWAYS) return false;
   check(x, via);
   return true;
 }
--- a/packages/http/client.c
+++ b/packages/http/client.c
@@ -11,7 +11,6 @@
 #include <unistd.h>
 
 #include "flow/sock.h"
-
 #include "kernel/clock.h"
 
 /* Read timeouts that the whole body of a limited response may take. Each piece
