Tests: a proxy accepts connections for a killed target

Found by asking what else the check of unframed ends takes for a sign of life. A target may be behind a proxy or a load balancer, which accepts a connection before it knows whether the target does. On 2 of 2 short answers of a killed target look whole (`tests/checked_ends.py build`): 1,024 of 3,072 bytes with a Content-Length that fits, and two of six events with a last chunk.

--- a/tests/checked_ends.py
+++ b/tests/checked_ends.py
@@ -1,16 +1,20 @@
 #!/usr/bin/env python3
 """checked_ends.py: answers that only the end of their connection ends, where the check
 whether their target goes on misleads: a target at the address of a former one, one
-that can't be reached anew, and one whose listener outlives it. Real processes.
+that can't be reached anew, one whose listener outlives it, and one behind a proxy. Real
+processes.
 
 Usage: checked_ends.py BUILD_DIR [TEST...]"""
 import socket
 import sys
 
 from answer_ends import (SERVICE, EndSite, check_whole_elsewhere, is_stream, parts_of)
-from ending import Call, play_answer, plain_parts, whole_answer
+from ending import (Call, cut_answer, play_answer, plain_parts, stream_parts,
+                    whole_answer)
 from fleet import run_tests
+from proxy import Proxy
 from standins import Worker
+from worker_process import WorkerProcess
 
 PATHS = ("/safe/", "/once/", "/firm/")
 LEAVING = 3  # targets
@@ -145,5 +149,44 @@
     assert not failed, "; ".join(failed)
 
 
+class ProxiedStore:
+    """Enters targets with the address of a proxy, which accepts connections for them
+    whether they run or not."""
+
+    def __init__(self, store):
+        self.store = store
+
+    def put(self, kind, name, spec):
+        self.proxy = Proxy(spec["addr"])
+        self.store.put(kind, name, dict(spec, addr=self.proxy.address))
+
+    def remove(self, kind, name):
+        self.store.remove(kind, name)
+        self.proxy.close()
+
+
+# Guards against a short answer that looks complete since a proxy accepts connections
+# for a target that was killed.
+def test_a_proxy_that_accepts_for_a_target_does_not_show_that_it_goes_on(s):
+    failed = []
+    for path in ("/safe/", "/chat/"):
+        name = s.new_name()
+        parts = stream_parts() if is_stream(path) else plain_parts(name)
+        w = WorkerProcess(ProxiedStore(s.store), name, SERVICE[path],
+                          cut_answer("close", parts, "between"))
+        s.killed.append(w)
+        s.wait_known(name)
+        c = Call(s, path)
+        w.wait_stopped(1)
+        [other] = s.add_sound(path)
+        w.kill()
+        try:
+            check_whole_elsewhere(path, [c], w, other)
+        except AssertionError as e:
+            failed.append("%s: %s" % (path, e))
+        s.clear()
+    assert not failed, "; ".join(failed)
+
+
 if __name__ == "__main__":
     sys.exit(run_tests(dict(globals()), site=EndSite))
