Plain services: a target that only accepts a connection is not shown to go on

Callers of a plain service behind the product's own front got cut answers as whole: a success with a short body, billed, and replayed for the same key. An answer without a frame counted if the target accepted a new connection 50 ms after its end. A proxy or a load balancer before the target accepts one whether the target runs or not.

The check now sends `OPTIONS *`, which RFC 9110 names for such a test, and asks for an answer with any status but 502 and 504, which a proxy gives in the target's place.

--- a/fakes/ending_target.py
+++ b/fakes/ending_target.py
@@ -66,6 +66,8 @@
         if path.startswith("/load"):
             return self._send(c, 200, json.dumps(
                 {"running": 0, "waiting": 0, "slots": 8}))
+        if method == "OPTIONS":
+            return self._send(c, 200, "")
         if path.startswith("/cancel") or path.startswith("/resume"):
             return self._send(c, 404, "{}")
         if path.startswith("/v1/chat"):
--- a/packages/http/client.c
+++ b/packages/http/client.c
@@ -4,19 +4,20 @@
 #include <ne_request.h>
 #include <ne_session.h>
 #include <ne_socket.h>
-#include <poll.h>
 #include <pthread.h>
 #include <stdlib.h>
 #include <string.h>
-#include <unistd.h>
 
-#include "flow/sock.h"
 #include "kernel/clock.h"
 
 /* Read timeouts that the whole body of a limited response may take. Each piece
    of a body that trickles without end arrives within one. */
 #define BODY_READ_TIMEOUTS 4
 
+/* What a proxy states in place of a server that does not answer. */
+#define HTTP_BAD_GATEWAY 502
+#define HTTP_GATEWAY_TIMEOUT 504
+
 struct HttpClient {
   ne_session *session;
   int read_s;
@@ -66,16 +67,6 @@
   g_free(c);
 }
 
-bool http_can_connect(const char *addr, int timeout_s) {
-  int fd = sock_connect(addr);
-  if (fd < 0) return false;
-  struct pollfd p = {.fd = fd, .events = POLLOUT};
-  bool connected =
-      poll(&p, 1, timeout_s * 1000) > 0 && sock_connect_error(fd) == 0;
-  close(fd);
-  return connected;
-}
-
 static ne_request *create_request(HttpClient *c,
                                   const HttpClientRequest *request) {
   ne_request *req =
@@ -158,6 +149,18 @@
   g_free(s);
 }
 
+bool http_answers(const char *addr, int timeout_s) {
+  HttpClient *c = http_client_new(addr, timeout_s, timeout_s);
+  HttpClientRequest request = {.method = "OPTIONS", .path = "*"};
+  HttpResponse response;
+  HttpStream *s = http_stream_open(c, &request, false, &response);
+  bool answers = s && response.status != HTTP_BAD_GATEWAY &&
+                 response.status != HTTP_GATEWAY_TIMEOUT;
+  http_stream_close(s);
+  http_client_free(c);
+  return answers;
+}
+
 void http_client_request(HttpClient *c, const HttpClientRequest *request,
                          size_t max_bytes, HttpResponse *response) {
   HttpStream *s = http_stream_open(c, request, true, response);
--- a/packages/http/client.h
+++ b/packages/http/client.h
@@ -34,9 +34,6 @@
    client must not be used by two threads at once. */
 HttpClient *http_client_new(const char *addr, int connect_s, int read_s);
 void http_client_free(HttpClient *c);
-/* Whether a process accepts a new connection at "ip:port" within `timeout_s`.
- */
-bool http_can_connect(const char *addr, int timeout_s);
 /* Sends a request and reads up to `max_bytes` of the response body, with
    http_stream_limit. If the persistent connection turns out to be closed, the
    client sends the request again, so the request must be safe to repeat. The
@@ -70,4 +67,11 @@
    a target treats that as a cancellation of the request. */
 void http_stream_close(HttpStream *s);
 
+/* Whether the server at "ip:port" answers a request to the server itself
+   ("OPTIONS *"), with any status but those of a proxy that does not reach it;
+   it connects, and answers, within `timeout_s` each. A connection that is
+   accepted does not show that the server runs: a proxy or another process that
+   has the listening socket may accept it. */
+bool http_answers(const char *addr, int timeout_s);
+
 #endif
--- a/tests/front_ends.py
+++ b/tests/front_ends.py
@@ -19,6 +19,7 @@
 
 import process
 from process import KEYS, call, wait_for
+from proxy import Proxy
 from red import known_red
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)),
@@ -87,6 +88,19 @@
         return self.completion(mode, key, True)
 
 
+class ProxiedFleet(Fleet):
+    """The target is behind a proxy, which accepts connections whether it runs or not."""
+
+    def table(self, slots, small):
+        target = self.at(self.engines[0])
+        self.proxy = Proxy(target)
+        return super().table(slots, small).replace(target, self.proxy.address)
+
+    def close(self):
+        super().close()
+        self.proxy.close()
+
+
 def check_cut(f, send, cases):
     """Sends a request for each case, and again with its key: it must not look whole,
     count as run or be replayed."""
@@ -129,6 +143,13 @@
     check_cut(f, f.read, cases(("json", "text"), ("empty", "half")))
 
 
+def test_a_cut_answer_from_behind_a_proxy_is_not_passed_off_as_whole(f):
+    """The proxy accepted a connection for the killed target, which was taken for a sign
+    that the target goes on."""
+    check_cut(f, f.plain, [(frame, where, "kill", "text") for frame in UNFRAMED
+                           for where in ("empty", "half", "last")])
+
+
 def test_a_cut_chat_is_not_passed_off_as_whole(f):
     """The JSON of a completion shows whether it is whole."""
     check_cut(f, f.whole, cases(("json",)))
@@ -168,7 +189,8 @@
     red, failed = known_red(), 0
     names = sys.argv[2:] or [n for n in globals() if n.startswith("test_")]
     for name in names:
-        fleet, start = Fleet(engines=1, instances=1), time.monotonic()
+        kind = ProxiedFleet if "behind_a_proxy" in name else Fleet
+        fleet, start = kind(engines=1, instances=1), time.monotonic()
         try:
             globals()[name](fleet)
             print("ok      %s %5.1f s" % (name, time.monotonic() - start), flush=True)
