Events: comments and blank lines are no events

Callers got a stream that ended as complete before its first event: a living target that closed an answer without framing after a comment seemed to have sent an event, so that the rule that a stream has at least one did not apply. The end of a block of lines was taken for an event whatever the lines were.

A blank line or a comment after the last event also made a sound stream "cut inside an event"; two unit tests of test_events guard both.

--- a/packages/flow/dispatch.c
+++ b/packages/flow/dispatch.c
@@ -368,7 +368,7 @@
   case LINK_COMPLETE:
     if (x->refused)
       handle_not_run(x, true);
-    else if (x->stream && x->events.partial->len > 0)
+    else if (x->stream && events_are_inside(&x->events))
       run_handle_broken(x, TARGET_FAILED, "cut inside an event");
     else if (how == LINK_CLOSED)
       run_check_end(x);
--- a/packages/flow/events.c
+++ b/packages/flow/events.c
@@ -47,11 +47,23 @@
   return EVENTS_NONE;
 }
 
+/* Whether lines hold a field: comments and blank lines are no event. */
+static bool has_field(const char *s, size_t n) {
+  const char *at = s, *end = s + n;
+  while (at < end) {
+    if (*at != ':' && *at != '\r' && *at != '\n') return true;
+    const char *line = memchr(at, '\n', (size_t)(end - at));
+    if (!line) break;
+    at = line + 1;
+  }
+  return false;
+}
+
 static void take_event(Events *e, const char *s, size_t n, GString *out) {
   int64_t id = event_id(s, n);
   if (id != EVENTS_NONE && id <= e->last_id) return;
   if (id != EVENTS_NONE) e->last_id = id;
-  e->count++;
+  if (has_field(s, n)) e->count++;
   g_string_append_len(out, s, (gssize)n);
 }
 
@@ -70,6 +82,10 @@
   return p->len <= LIMIT_EVENT_BYTES;
 }
 
+bool events_are_inside(const Events *e) {
+  return has_field(e->partial->str, e->partial->len);
+}
+
 void events_drop_partial(Events *e) {
   g_string_truncate(e->partial, 0);
   e->searched = 0;
--- a/packages/flow/events.h
+++ b/packages/flow/events.h
@@ -12,7 +12,7 @@
   GString *partial; /* start of an incomplete event */
   size_t searched;  /* bytes of it in which no event ends */
   int64_t last_id;  /* id of the last complete event, or EVENTS_NONE */
-  int64_t count;    /* of complete events */
+  int64_t count;    /* of complete events; comments are none */
 } Events;
 
 #define EVENTS_NONE (-1)
@@ -24,6 +24,8 @@
    is longer than LIMIT_EVENT_BYTES: the stream is damaged, and is not to be fed
    again before events_drop_partial. */
 bool events_feed(Events *e, const char *data, size_t n, GString *out);
+/* Whether an event has begun and is not complete. */
+bool events_are_inside(const Events *e);
 /* Drops the incomplete event after the stream broke. */
 void events_drop_partial(Events *e);
 
--- a/tests/test_events.c
+++ b/tests/test_events.c
@@ -94,3 +94,36 @@
     events_free(&e);
   }
 }
+
+/* Guards against a stream without an event that seems to have one. */
+Test(events, comments_and_blank_lines_are_no_events) {
+  Events e;
+  GString *out = g_string_new(NULL);
+  const char *s = ": wait\n\n\nid: 1\ndata: a\n\n: end\r\n\r\n";
+  events_init(&e, EVENTS_NONE);
+  events_feed(&e, s, strlen(s), out);
+  cr_assert_str_eq(out->str, s);
+  cr_assert_eq(e.count, 1);
+  g_string_free(out, TRUE);
+  events_free(&e);
+}
+
+/* Guards against a whole stream that is taken for one cut inside an event. */
+Test(events, only_a_field_begins_an_event) {
+  static const struct {
+    const char *rest;
+    bool inside;
+  } rows[] = {{"", false},     {"\n", false},      {"\r\n", false},
+              {": w", false},  {": w\n", false},   {"i", true},
+              {"id: 2", true}, {": w\ndata", true}};
+  for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+    Events e;
+    GString *out = g_string_new(NULL);
+    events_init(&e, EVENTS_NONE);
+    events_feed(&e, "id: 1\n\n", strlen("id: 1\n\n"), out);
+    events_feed(&e, rows[i].rest, strlen(rows[i].rest), out);
+    cr_assert_eq(events_are_inside(&e), rows[i].inside, "%s", rows[i].rest);
+    g_string_free(out, TRUE);
+    events_free(&e);
+  }
+}
