Dispatch: the rest of a stream is not empty on the word of a closed connection

Callers got streams that ended as complete after two of six events: the first target was killed, and the second one closed an answer without framing before its next event. The same held for a stream that a caller took up: an empty answer, whole by its framing. That a stream has at least one event was asked of the whole stream only, not of the part that each target sent.

`tests/promised_ends.py build`: test_a_stream_closed_before_its_next_event_is_broken 6 of 6 cases wrong before, test_a_stream_taken_up_and_closed_before_its_next_event_is_broken 1 of 1; none now. answer_ends.py passes. If all events had arrived before, the stream breaks although it was whole; its caller has them all, and a target that frames its answers confirms the end.

--- a/packages/flow/dispatch.c
+++ b/packages/flow/dispatch.c
@@ -423,6 +423,7 @@
   x->sent_at = now;
   x->has_first_byte = x->refused = false;
   x->refusal_bytes = 0;
+  x->events_before = x->events.count;
   x->paused_at = 0;
   x->tried[x->n_tried++] = c->target;
   x->sends++;
--- a/packages/flow/run.h
+++ b/packages/flow/run.h
@@ -127,6 +127,7 @@
   Link *check;           /* NULL: none */
   const char *check_via; /* interned address of its gateway; NULL: direct */
   int n_gateway_checks;  /* other instances asked after a direct one failed */
+  int64_t events_before; /* events of the stream that other targets sent */
   double paused_at; /* reading of the answer is paused since; 0: not paused */
   bool refused; /* the current answer states that the target did not run it */
   size_t refusal_bytes; /* of the body of that answer */
--- a/packages/flow/unframed.c
+++ b/packages/flow/unframed.c
@@ -58,10 +58,10 @@
     check(x, x->via);
 }
 
-/* A stream from its beginning has at least one event. */
+/* Any part of a stream has at least one event, unless all of them had arrived
+   before it: no evidence tells that from an end that came too soon. */
 static bool lacks_events(const Run *x) {
-  return x->stream && x->events.count == 0 &&
-         x->request.last_event == REQUEST_NO_EVENT;
+  return x->stream && x->events.count == x->events_before;
 }
 
 void run_check_end(Run *x) {
