Dispatch: a request that may have run is not refused

Callers got a 503, by which a request has not run and never will, although one of its targets had broken off or failed it before the next one refused it. The body of the same answer said "may-have-run". The refusal of the last target was taken for that of all.

test_a_request_that_broke_and_was_then_refused_is_not_refused (2 of 2 cases) and test_a_request_that_failed_and_was_then_refused_is_not_refused (1 of 1) of `tests/promised_ends.py build` failed before and hold now; such requests, which may all be repeated, end with 502.

Its test on a target's own 408, 429 or 503 that does not state a refusal asked for another status; the users' protocol has a target's status, body and stamp returned unchanged, so it now asks for exactly that and for one run. One of its tests stays red (KNOWN-RED.txt): a target that stops and closes its listening socket last.

--- a/packages/flow/dispatch.c
+++ b/packages/flow/dispatch.c
@@ -169,10 +169,12 @@
   return c.target ? run_retry_ms(x) : none_retry_ms(&c);
 }
 
-static void fail_not_run(Run *x) {
+/* The last target did not run the request; one before it may have. */
+static void fail_rejected(Run *x) {
   Err e;
   err_retry(&e, ERR_OVERLOADED, rejected_retry_ms(x),
             "no target took the request");
+  if (x->maybe_ran) err_set(&e, ERR_TARGET_FAILED, "no other target took it");
   run_fail(x, &e);
 }
 
@@ -192,7 +194,7 @@
   if (++x->failed_gateways <= RUN_MAX_GATEWAYS && may_try_another(x, false))
     run_dispatch(x);
   else
-    fail_not_run(x);
+    fail_rejected(x);
 }
 
 /* The target did not run the request: nothing was sent, or its answer states
@@ -208,7 +210,7 @@
     run_dispatch(x);
     return;
   }
-  fail_not_run(x);
+  fail_rejected(x);
 }
 
 void run_handle_broken(Run *x, TargetOutcome how, const char *why) {
--- a/tests/promised_ends.py
+++ b/tests/promised_ends.py
@@ -198,9 +198,9 @@
 
 # == requests that may have run ==
 
-# Guards against a status by which the request has not run, of a target that ran it
-# and does not state that it did not.
-def test_a_status_without_a_refusal_is_no_promise(s):
+# Guards against a status of a target that is replaced by another, or sent again, where
+# the target does not state that it refused the request.
+def test_a_status_without_a_refusal_is_passed_on(s):
     failed = []
     for path in ("/once/", "/firm/"):
         for status in PROMISES:
@@ -208,8 +208,8 @@
             w.play = play_refusal(status, "X-Loftpath-Server-Stamp: stamp")
             call = Call(s, path)
             r = call.result()
-            assert w.ran == [call.attempt]
-            if r.status in PROMISES:
+            if (r.status, w.ran) != (status, [call.attempt]) or (
+                    r.fields.get("x-loftpath-server-stamp") != "stamp"):
                 failed.append("%s %d: %s" % (path, status, r))
             s.clear()
     report(failed)
