Unframed: only what a target does shows that it goes on

Callers saw short answers without framing end as whole when a child of the killed target still held its listening socket, or another target was started at its address before its entry was known.

Cause: the check took an accepted connection for evidence that the target goes on. The system accepts connections for whoever holds the listening socket, served or not, and says nothing about whose process it is.

The check now sends GET /-/report with the expected id and without the id of an attempt. Engines answer it without a slot, other targets refuse it (400), and a target with another id answers 421. Any complete head within 0.5 s counts but a 421 or a different instance id. Silence, a refused connection, or bytes that are no answer do not. Two accepted connections closed one after the other without an answer count as well, as a full target resets those beyond its limit: the end of a process that only held the listener closes waiting connections once, and later ones are refused.

The stand-ins refuse a request without the id of an attempt, as the protocol says; they ran it before.

--- a/fakes/answers.py
+++ b/fakes/answers.py
@@ -159,6 +159,10 @@
         first = int(headers.get("last-event-id", "0")) + 1
         if headers.get("x-loftpath-expect-instance") != w.id:
             return self._refuse(421, attempt)
+        if not attempt:
+            return self._refuse(400, attempt)
+        if not attempt:
+            return self._refuse(400, attempt)
         plan = Plan(w.id, w.version, attempt, path, first)
         if plan.not_run:
             return self._refuse(503, attempt)
--- a/fakes/standins.py
+++ b/fakes/standins.py
@@ -336,6 +336,10 @@
             c.sendall(b"HTTP/1.1 421 X\r\nContent-Length: 0\r\n"
                       b"X-Loftpath-Attempt-Id: " + attempt.encode() + b"\r\n\r\n")
             return True
+        if not attempt:
+            c.sendall(b"HTTP/1.1 400 X\r\nContent-Length: 0\r\n"
+                      b"X-Loftpath-Not-Executed: 1\r\n\r\n")
+            return True
         self.ran.append(attempt)
         self.heads.append(headers)
         if self.play:
--- a/fakes/worker_process.py
+++ b/fakes/worker_process.py
@@ -33,7 +33,9 @@
         text = json.dumps([part.decode("latin-1") for part in answer])
         self.process.stdin.write(text.encode() + b"\n")
         self.process.stdin.flush()
-        store.put("servers", name, json.loads(self.process.stdout.readline()))
+        entry = json.loads(self.process.stdout.readline())
+        self.address = entry["addr"]
+        store.put("servers", name, entry)
         threading.Thread(target=self._read, daemon=True).start()
 
     def _read(self):
--- a/packages/flow/link.c
+++ b/packages/flow/link.c
@@ -453,8 +453,8 @@
   int error = sock_connect_error(l->fd);
   if (error == 0 && l->via)
     request_tunnel(l);
-  else if (error == 0)
-    open_link(l);
+  else if (error == 0 || (error == ECONNRESET && l->checked))
+    open_link(l); /* it was accepted, even if it was reset since */
   else if (l->via)
     fail_connect(l, LINK_TUNNEL_FAILED);
   else
--- a/packages/flow/run.h
+++ b/packages/flow/run.h
@@ -49,6 +49,13 @@
 
 typedef struct Run Run;
 
+/* The answer to the check of a target that closed an unframed answer. */
+typedef enum {
+  CHECK_UNANSWERED,
+  CHECK_ANSWERED,
+  CHECK_ANSWERED_BY_ANOTHER /* a target that started at its address */
+} CheckResult;
+
 struct Run {
   Relay *relay;
   Caller *caller;
@@ -123,11 +130,14 @@
   double first_byte_at; /* when it did */
   Link *link;           /* the exchange with `target`; NULL: none */
   /* Whether the target of an unframed answer goes on (unframed.c). */
-  ev_timer check_timer;  /* until `check` */
+  ev_timer check_timer;  /* until `check`, and for its answer */
   Link *check;           /* NULL: none */
   const char *check_via; /* interned address of its gateway; NULL: direct */
   int n_gateway_checks;  /* other instances asked after a direct one failed */
-  double paused_at; /* reading of the answer is paused since; 0: not paused */
+  int n_closed_checks;   /* accepted connections closed without an answer */
+  CheckResult check_result;
+  size_t check_bytes; /* of the body of its answer */
+  double paused_at;   /* reading of the answer is paused since; 0: not paused */
   bool refused; /* the current answer states that the target did not run it */
   size_t refusal_bytes; /* of the body of that answer */
   bool maybe_ran;       /* a target may have run it */
--- a/packages/flow/unframed.c
+++ b/packages/flow/unframed.c
@@ -1,24 +1,34 @@
 /* unframed.c: answers whose end only the end of their connection marks. The
    kernel closes the connections of a process that is killed as if the process
    had closed them itself, so such an answer counts as complete only if its
-   target goes on. A target that goes on and ends one answer too soon can't be
-   told from one that ends it properly. */
+   target goes on. That the system accepts a connection is no evidence: another
+   process may hold the listening socket. Only what a process does with an
+   accepted connection is: it answers a request under the target's id, or closes
+   one connection after the other, as a target that has too many does. A target
+   that goes on and ends one answer too soon can't be told from one that ends it
+   properly. */
 #include "flow/run.h"
+#include "flow/wire.h"
 #include "kernel/count.h"
 #include "kernel/limits.h"
 
+/* Accepted connections that are closed without an answer until the target
+   counts as going on. The end of a process that only held the listening socket
+   closes those that wait there once, and later ones are refused. */
+#define MAX_CLOSED_CHECKS 2
+
 /* Whether the connection was accepted by a process that started later. */
 static bool is_replaced(const Run *x) {
   return target_hash(x->target) != x->target_incarnation ||
          targets_have_successor(x->relay->targets, x->target);
 }
 
-static void on_checked(void *ctx, LinkConnectResult how);
+static void on_connected(void *ctx, LinkConnectResult how);
 
 static void check(Run *x, const char *via) {
   x->check_via = via;
   x->check =
-      link_check(x->relay->links, target_addr(x->target), via, on_checked, x);
+      link_check(x->relay->links, target_addr(x->target), via, on_connected, x);
 }
 
 /* A direct connection may fail for the path, and a gateway may open no tunnel
@@ -34,19 +44,94 @@
   return true;
 }
 
-static void on_checked(void *ctx, LinkConnectResult how) {
+static void handle_evidence(Run *x, bool goes_on) {
+  if (goes_on && !is_replaced(x))
+    run_finish_answer(x);
+  else
+    run_handle_broken(x, TARGET_UNRESPONSIVE, "closed, target ended");
+}
+
+/* == the request to the target == */
+
+static LinkVerdict on_head(void *ctx, const LinkHead *h) {
+  Run *x = ctx;
+  x->check_result =
+      wire_is_of_another_target(h->headers, h->status, target_id(x->target))
+          ? CHECK_ANSWERED_BY_ANOTHER
+          : CHECK_ANSWERED;
+  return LINK_ACCEPT;
+}
+
+static bool on_body(void *ctx, const char *data, size_t n) {
+  Run *x = ctx;
+  (void)data;
+  x->check_bytes += n;
+  return x->check_bytes <= LIMIT_REFUSAL_BYTES;
+}
+
+static void on_end(void *ctx, LinkEnd how) {
   Run *x = ctx;
   x->check = NULL;
-  if (how == LINK_CONNECTED && !is_replaced(x))
-    run_finish_answer(x);
+  ev_timer_stop(x->relay->loop, &x->check_timer);
+  if (x->check_result != CHECK_UNANSWERED)
+    handle_evidence(x, x->check_result == CHECK_ANSWERED);
+  else if (how == LINK_NO_TUNNEL)
+    on_connected(x, LINK_TUNNEL_FAILED);
+  else if (how == LINK_BROKEN)
+    handle_evidence(x, false); /* what was sent is no answer */
+  else if (++x->n_closed_checks < MAX_CLOSED_CHECKS)
+    check(x, x->check_via);
+  else
+    handle_evidence(x, true);
+}
+
+static void on_silence(struct ev_loop *loop, ev_timer *w, int revents) {
+  (void)loop;
+  (void)revents;
+  Run *x = w->data;
+  link_cancel(x->check);
+  x->check = NULL;
+  if (x->check_result != CHECK_UNANSWERED)
+    handle_evidence(x, x->check_result == CHECK_ANSWERED);
+  else if (!check_via_gateway(x, LINK_UNREACHABLE))
+    run_handle_broken(x, TARGET_UNRESPONSIVE, "closed, target silent");
+}
+
+static void start_check_timer(Run *x, int ms,
+                              void (*fn)(struct ev_loop *, ev_timer *, int)) {
+  ev_timer_init(&x->check_timer, fn, ms / 1e3, 0);
+  x->check_timer.data = x;
+  ev_timer_start(x->relay->loop, &x->check_timer);
+}
+
+static void send_request(Run *x) {
+  static const LinkEvents events = {
+      .head = on_head, .body = on_body, .end = on_end};
+  const char *addr = target_addr(x->target);
+  GString *request = g_string_new(NULL);
+  wire_append_target_check(request, addr, target_id(x->target));
+  x->check_result = CHECK_UNANSWERED;
+  x->check_bytes = 0;
+  x->check = link_send_via(x->relay->links, addr, x->check_via, request,
+                           RUN_LINK_MAX_IDLE_S, &events, x);
+  start_check_timer(x, LIMIT_END_CHECK_ANSWER_MS, on_silence);
+}
+
+static void on_connected(void *ctx, LinkConnectResult how) {
+  Run *x = ctx;
+  x->check = NULL;
+  if (how == LINK_CONNECTED)
+    send_request(x);
   else if (check_via_gateway(x, how))
     return;
   else if (how == LINK_TUNNEL_FAILED)
     run_handle_broken(x, TARGET_NO_PATH, "closed, no tunnel");
   else
-    run_handle_broken(x, TARGET_UNRESPONSIVE, "closed, target ended");
+    handle_evidence(x, false);
 }
 
+/* == the end of the answer == */
+
 /* After this process was paused, a target that ended may have started again. */
 static void on_delay(struct ev_loop *loop, ev_timer *w, int revents) {
   (void)loop;
@@ -71,10 +156,8 @@
     return;
   }
   x->maybe_ran = true;
-  x->n_gateway_checks = 0;
-  ev_timer_init(&x->check_timer, on_delay, LIMIT_END_CHECK_DELAY_MS / 1e3, 0);
-  x->check_timer.data = x;
-  ev_timer_start(x->relay->loop, &x->check_timer);
+  x->n_gateway_checks = x->n_closed_checks = 0;
+  start_check_timer(x, LIMIT_END_CHECK_DELAY_MS, on_delay);
 }
 
 void run_cancel_check(Run *x) {
--- a/packages/kernel/limits.h
+++ b/packages/kernel/limits.h
@@ -50,11 +50,14 @@
 /* Body of an answer with which a target refuses a request. The request waits
    for its end, so that the connection can be used again. */
 #define LIMIT_REFUSAL_BYTES (64 << 10)
-/* From the end of an answer without a length and chunks until a connection to
-   its target shows whether that goes on. A process that ends closes its
+/* From the end of an answer without a length and chunks until a connection is
+   opened to find out whether its target goes on. A process that ends closes its
    connections and its listening socket one after the other, a thousand in about
    10 ms. */
 #define LIMIT_END_CHECK_DELAY_MS 50
+/* From the connection until the target answers a request on it, for which it
+   needs no free slot. */
+#define LIMIT_END_CHECK_ANSWER_MS 500
 /* An empty buffer that is kept for its next use. */
 #define LIMIT_IDLE_BUFFER_BYTES (32 << 10)
 /* One answer of the platform's store; a longer one is a failed call. */
--- a/tests/checked_ends.py
+++ b/tests/checked_ends.py
@@ -1,11 +1,12 @@
 #!/usr/bin/env python3
 """checked_ends.py: answers that only the end of their connection ends, where the check
-whether their target goes on misleads: a target at the address of a former one, one
+whether their target goes on may mislead: a target at the address of a former one, one
 that can't be reached anew, and one whose listener outlives it. Real processes.
 
 Usage: checked_ends.py BUILD_DIR [TEST...]"""
 import socket
 import sys
+import time
 
 from answer_ends import (SERVICE, EndSite, check_whole_elsewhere, is_stream, parts_of)
 from ending import Call, play_answer, plain_parts, whole_answer
@@ -145,5 +146,35 @@
     assert not failed, "; ".join(failed)
 
 
+class NoStore:
+    """Of a target that is not entered yet."""
+
+    def put(self, kind, name, spec):
+        pass
+
+
+# Guards against a short answer that looks complete since another target was started
+# at the address of the killed one before the store says so.
+def test_a_target_started_anew_does_not_show_that_the_former_goes_on(s):
+    failed = []
+    for path in ("/safe/", "/chat/"):
+        w = s.add_process(path, "close", "between")
+        c = Call(s, path)
+        w.wait_stopped(1)
+        [other] = s.add_sound(path)
+        w.kill()
+        began = time.monotonic()
+        ip, port = w.address.split(":")
+        new = Worker((ip, int(port)), NoStore(), s.new_name(), SERVICE[path])
+        started_s = time.monotonic() - began
+        try:
+            check_whole_elsewhere(path, [c], w, other)
+        except AssertionError as e:
+            failed.append("%s, started in %.3f s: %s" % (path, started_s, e))
+        new.close()
+        s.clear()
+    assert not failed, "; ".join(failed)
+
+
 if __name__ == "__main__":
     sys.exit(run_tests(dict(globals()), site=EndSite))
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -162,6 +162,26 @@
   headers_free(&h);
 }
 
+/* Guards against a check that a target runs, or that another one passes. */
+Test(wire, a_check_names_its_target_and_no_attempt) {
+  GString *out = g_string_new(NULL);
+  wire_append_target_check(out, "127.0.0.1:80", "t1");
+  cr_assert_str_eq(out->str, "GET /-/report HTTP/1.1\r\n"
+                             "Host: 127.0.0.1:80\r\n"
+                             "X-Loftpath-Expect-Instance: t1\r\n\r\n");
+  g_string_free(out, TRUE);
+  Headers none, named;
+  fill(&none, (const char *const[]){NULL});
+  fill(&named, (const char *const[]){"X-Loftpath-Instance-Id", "t1", NULL});
+  cr_assert_not(wire_is_of_another_target(&none, 200, "t1"));
+  cr_assert_not(wire_is_of_another_target(&none, 400, "t1"));
+  cr_assert_not(wire_is_of_another_target(&named, 503, "t1"));
+  cr_assert(wire_is_of_another_target(&none, 421, "t1"));
+  cr_assert(wire_is_of_another_target(&named, 200, "t2"));
+  headers_free(&none);
+  headers_free(&named);
+}
+
 Test(wire, a_refusal_has_a_retry_time) {
   GString *out = g_string_new(NULL);
   Err e = {.retry_ms = 200};
