Unframed: a closed connection does not show that a target goes on

Callers got short answers as whole from a target that was killed behind a proxy or load balancer: it accepts a connection for any target and closes it when the target can't be reached. Two connections that were accepted and closed counted as a sign of life, as a target with too many connections does the same; so did an error that a proxy states in a target's place.

Now only an answer counts, and a 5xx only with the target's id or its statement that it did not run the request. A closed connection is tried again, three in all with 100 ms between, in which a full target has room again.

--- a/packages/flow/unframed.c
+++ b/packages/flow/unframed.c
@@ -1,21 +1,21 @@
 /* unframed.c: answers whose end only the end of their connection marks. The
    kernel closes the connections of a process that is killed as if the process
    had closed them itself, so such an answer counts as complete only if its
-   target goes on. That the system accepts a connection is no evidence: another
-   process may hold the listening socket. Only what a process does with an
-   accepted connection is: it answers a request under the target's id, or closes
-   one connection after the other, as a target that has too many does. A target
-   that goes on and ends one answer too soon can't be told from one that ends it
-   properly. */
+   target goes on. That a connection is accepted, or closed again, is no
+   evidence: another process may hold the listening socket, and a proxy accepts
+   and closes connections for a target that has ended. Only an answer of the
+   target itself is. A target that goes on and ends one answer too soon can't be
+   told from one that ends it properly. */
 #include "flow/run.h"
 #include "flow/wire.h"
 #include "kernel/count.h"
 #include "kernel/limits.h"
 
-/* Accepted connections that are closed without an answer until the target
-   counts as going on. The end of a process that only held the listening socket
-   closes those that wait there once, and later ones are refused. */
-#define MAX_CLOSED_CHECKS 2
+/* Connections that are closed without an answer until the target counts as
+   ended, and the time between two: a target with too many connections closes
+   them as well, until one of the others ends. */
+#define MAX_CLOSED_CHECKS 3
+#define CLOSED_CHECK_RETRY_MS 100
 
 /* Whether the connection was accepted by a process that started later. */
 static bool is_replaced(const Run *x) {
@@ -25,10 +25,27 @@
 
 static void on_connected(void *ctx, LinkConnectResult how);
 
-static void check(Run *x, const char *via) {
-  x->check_via = via;
-  x->check =
-      link_check(x->relay->links, target_addr(x->target), via, on_connected, x);
+static void check(Run *x) {
+  x->check = link_check(x->relay->links, target_addr(x->target), x->check_via,
+                        on_connected, x);
+}
+
+static void start_check_timer(Run *x, int ms,
+                              void (*fn)(struct ev_loop *, ev_timer *, int)) {
+  ev_timer_init(&x->check_timer, fn, ms / 1e3, 0);
+  x->check_timer.data = x;
+  ev_timer_start(x->relay->loop, &x->check_timer);
+}
+
+/* After this process was paused, a target that ended may have started again. */
+static void on_delay(struct ev_loop *loop, ev_timer *w, int revents) {
+  (void)loop;
+  (void)revents;
+  Run *x = w->data;
+  if (x->relay->stale)
+    run_handle_broken(x, TARGET_NO_PATH, "closed");
+  else
+    check(x);
 }
 
 /* A direct connection may fail for the path, and a gateway may open no tunnel
@@ -40,7 +57,8 @@
   if (!says_nothing || run_may_be_continued(x)) return false;
   const char *via = relay_find_gateway(x->relay, target_addr(x->target));
   if (!via || ++x->n_gateway_checks > RUN_MAX_GATEWAYS) return false;
-  check(x, via);
+  x->check_via = via;
+  check(x);
   return true;
 }
 
@@ -56,9 +74,9 @@
 static LinkVerdict on_head(void *ctx, const LinkHead *h) {
   Run *x = ctx;
   x->check_result =
-      wire_is_of_another_target(h->headers, h->status, target_id(x->target))
-          ? CHECK_ANSWERED_BY_ANOTHER
-          : CHECK_ANSWERED;
+      wire_is_from_target(h->headers, h->status, target_id(x->target))
+          ? CHECK_ANSWERED
+          : CHECK_ANSWERED_BY_ANOTHER;
   return LINK_ACCEPT;
 }
 
@@ -80,9 +98,9 @@
   else if (how == LINK_BROKEN)
     handle_evidence(x, false); /* what was sent is no answer */
   else if (++x->n_closed_checks < MAX_CLOSED_CHECKS)
-    check(x, x->check_via);
+    start_check_timer(x, CLOSED_CHECK_RETRY_MS, on_delay);
   else
-    handle_evidence(x, true);
+    run_handle_broken(x, TARGET_UNRESPONSIVE, "closed, checks closed");
 }
 
 static void on_silence(struct ev_loop *loop, ev_timer *w, int revents) {
@@ -97,13 +115,6 @@
     run_handle_broken(x, TARGET_UNRESPONSIVE, "closed, target silent");
 }
 
-static void start_check_timer(Run *x, int ms,
-                              void (*fn)(struct ev_loop *, ev_timer *, int)) {
-  ev_timer_init(&x->check_timer, fn, ms / 1e3, 0);
-  x->check_timer.data = x;
-  ev_timer_start(x->relay->loop, &x->check_timer);
-}
-
 static void send_request(Run *x) {
   static const LinkEvents events = {
       .head = on_head, .body = on_body, .end = on_end};
@@ -132,17 +143,6 @@
 
 /* == the end of the answer == */
 
-/* After this process was paused, a target that ended may have started again. */
-static void on_delay(struct ev_loop *loop, ev_timer *w, int revents) {
-  (void)loop;
-  (void)revents;
-  Run *x = w->data;
-  if (x->relay->stale)
-    run_handle_broken(x, TARGET_NO_PATH, "closed");
-  else /* the way that the answer took, whose gateway may have ended */
-    check(x, x->via);
-}
-
 /* Any part of a stream has at least one event, unless all of them had arrived
    before it: no evidence tells that from an end that came too soon. */
 static bool lacks_events(const Run *x) {
@@ -157,6 +157,7 @@
   }
   x->maybe_ran = true;
   x->n_gateway_checks = x->n_closed_checks = 0;
+  x->check_via = x->via; /* the way that the answer took */
   start_check_timer(x, LIMIT_END_CHECK_DELAY_MS, on_delay);
 }
 
--- a/packages/flow/wire.h
+++ b/packages/flow/wire.h
@@ -20,8 +20,9 @@
 /* Appends a request that any target answers and none runs, whether it has a
    free slot or not; `id` is the target's. */
 void wire_append_target_check(GString *out, const char *addr, const char *id);
-/* Whether the answer to it shows that its sender is not target `id`. */
-bool wire_is_of_another_target(const Headers *h, int status, const char *id);
+/* Whether the answer to it shows that target `id` runs. A proxy may state a
+   failure in its place. */
+bool wire_is_from_target(const Headers *h, int status, const char *id);
 /* Appends the fields of a target's answer that are passed to the caller. */
 void wire_append_answer_fields(GString *out, const Headers *h);
 /* Appends the fields of a refusal by this instance. */
--- a/tests/answer_ends.py
+++ b/tests/answer_ends.py
@@ -303,6 +303,33 @@
     assert len(w.ran) == 1
 
 
+# Guards against a target that takes no more connections for a moment and is taken for
+# ended.
+def test_a_full_target_with_room_again_soon_is_served(s):
+    for path in ("/chat/", "/once/"):
+        [w] = s.add_sound(path)
+        serve, parts = w._serve, parts_of(path, w.name)
+        ends = play_answer(whole_answer("close", parts), "fin", PAUSE_S)
+
+        def reset(c):
+            w._serve = serve  # there is room from the next connection on
+            w.open.discard(c)
+            c.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+            c.close()
+
+        def play(w, c, h):
+            w._serve = reset
+            return ends(w, c, h)
+
+        w.play = play
+        call = Call(s, path)
+        r = call.result()
+        want = b"".join(parts).replace(b"ATTEMPT", call.attempt.encode())
+        assert (r.status, r.body, r.end) == (200, want, "whole"), str(r)
+        assert len(w.ran) == 1
+        s.clear()
+
+
 # Guards against one close of a connection that is taken for the end of its target.
 def test_other_streams_of_a_target_that_closes_a_connection_go_on(s):
     [w] = s.add_sound("/chat/")
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -173,11 +173,16 @@
   Headers none, named;
   fill(&none, (const char *const[]){NULL});
   fill(&named, (const char *const[]){"X-Loftpath-Instance-Id", "t1", NULL});
-  cr_assert_not(wire_is_of_another_target(&none, 200, "t1"));
-  cr_assert_not(wire_is_of_another_target(&none, 400, "t1"));
-  cr_assert_not(wire_is_of_another_target(&named, 503, "t1"));
-  cr_assert(wire_is_of_another_target(&none, 421, "t1"));
-  cr_assert(wire_is_of_another_target(&named, 200, "t2"));
+  cr_assert(wire_is_from_target(&none, 200, "t1"));
+  cr_assert(wire_is_from_target(&none, 400, "t1"));
+  cr_assert(wire_is_from_target(&named, 503, "t1"));
+  cr_assert_not(wire_is_from_target(&none, 421, "t1"));
+  cr_assert_not(wire_is_from_target(&none, 502, "t1"));
+  cr_assert_not(wire_is_from_target(&named, 200, "t2"));
+  Headers refused;
+  fill(&refused, (const char *const[]){"X-Loftpath-Not-Executed", "1", NULL});
+  cr_assert(wire_is_from_target(&refused, 503, "t1"));
+  headers_free(&refused);
   headers_free(&none);
   headers_free(&named);
 }
