Tunnels: only a later attempt shows that a gateway's path is sound

A gateway that could not connect to a target answered 502 as soon as any other attempt of its own ended with a connection. That attempt may have begun before the refusal, before a partition, so that it tells nothing of the path at the refusal; it may even be to the same target. A partitioned instance took the 502 for proof that the target had ended, and the requests in progress there were marked.

Now the gateway connects to another target after the failure, and only that attempt decides (flow/pathcheck). When the paths are found to be interrupted, waiting tunnels are answered with 503.

--- a/packages/flow/partition.c
+++ b/packages/flow/partition.c
@@ -1,5 +1,7 @@
 /* partition.c: detects that this instance is partitioned from the targets, and
    reaches them through other instances until it is not. */
+#include <string.h>
+
 #include "flow/run.h"
 #include "kernel/count.h"
 #include "kernel/log.h"
@@ -31,6 +33,7 @@
            r->n_runs);
   links_close_idle_if(r->links, is_direct, NULL);
   targets_end_ejections(r->targets);
+  if (r->tunnels) tunnels_decide(r->tunnels, NULL, TUNNEL_UNAVAILABLE);
 }
 
 static void end_interruption(Relay *r) {
@@ -47,7 +50,6 @@
   else
     paths_note_failed(r->paths, now, text_hash(addr),
                       targets_count_all(r->targets));
-  if (r->tunnels) tunnels_note_attempt(r->tunnels, addr, connected);
   if (paths_are_interrupted(r->paths) == was_interrupted) return;
   if (was_interrupted)
     end_interruption(r);
@@ -82,17 +84,19 @@
   return now - MAX(since, links_last_direct_read(r->links));
 }
 
-/* Returns a random target that has not failed lately, NULL: none was found. */
-static const char *pick_probed(const Relay *r) {
+const char *relay_pick_probed(void *ctx, const char *except) {
+  const Relay *r = ctx;
   for (int i = 0; i < MAX_PICKS; i++) {
     const char *addr = targets_random_addr(r->targets);
-    if (addr && !paths_has_failed(r->paths, text_hash(addr))) return addr;
+    if (addr && !paths_has_failed(r->paths, text_hash(addr)) &&
+        strcmp(addr, except) != 0)
+      return addr;
   }
   return NULL;
 }
 
 static void probe_target(Relay *r) {
-  const char *addr = pick_probed(r);
+  const char *addr = relay_pick_probed(r, "");
   if (addr) link_preconnect(r->links, addr);
 }
 
@@ -172,15 +176,24 @@
   return available ? TUNNEL_OPENED : TUNNEL_UNAVAILABLE;
 }
 
-/* A failure may be that of the target or of our own path, which the next
-   attempt to connect to another target shows. */
+/* A failure may be that of the target or of our own path. */
 TunnelStatus relay_on_tunnel_attempt(void *ctx, const char *addr,
                                      TunnelStatus status) {
   Relay *r = ctx;
   record_direct_attempt(r, addr, status == TUNNEL_OPENED);
   if (status == TUNNEL_OPENED) return status;
-  probe_target(r);
-  return TUNNEL_UNDECIDED;
+  bool started =
+      pathchecks_start(r->path_checks, addr, status == TUNNEL_REFUSED);
+  return started ? TUNNEL_UNDECIDED : TUNNEL_UNAVAILABLE;
+}
+
+void relay_on_path_checked(void *ctx, const char *addr, PathVerdict verdict) {
+  static const TunnelStatus statuses[] = {
+      [PATHCHECK_REFUSED] = TUNNEL_REFUSED,
+      [PATHCHECK_UNREACHABLE] = TUNNEL_UNREACHABLE,
+      [PATHCHECK_UNKNOWN] = TUNNEL_UNAVAILABLE};
+  const Relay *r = ctx;
+  if (r->tunnels) tunnels_decide(r->tunnels, addr, statuses[verdict]);
 }
 
 int relay_tunnel_count(const Relay *r) {
--- a/packages/flow/relay.c
+++ b/packages/flow/relay.c
@@ -289,6 +289,12 @@
              err_info(e.kind)->remedy);
 }
 
+static PathChecks *open_path_checks(Relay *r) {
+  PathChecksOptions o = {
+      .pick_other = relay_pick_probed, .end = relay_on_path_checked, .ctx = r};
+  return pathchecks_new(r->links, &o);
+}
+
 Relay *relay_open(struct ev_loop *loop, const RelayOptions *o, Targets *targets,
                   Retries *retries, Err *e) {
   LinkOptions links = {.connect_timeout_s = CONNECT_TIMEOUT_S,
@@ -305,6 +311,7 @@
   r->returns = returns_new();
   r->max_held_body_bytes = o->max_held_body_bytes;
   r->links = links_open(loop, &links);
+  r->path_checks = open_path_checks(r);
   r->paths = paths_new();
   r->gateways = gateways_new(o->self, port_of(o->tunnel_addr));
   r->origins = origins_new();
@@ -325,6 +332,7 @@
     open_tunnels(r, o->tunnel_addr);
     return r;
   }
+  pathchecks_free(r->path_checks);
   links_close(r->links);
   free_knowledge(r);
   g_free(r);
@@ -334,6 +342,7 @@
 void relay_close(Relay *r) {
   callers_close(r->callers);
   if (r->tunnels) tunnels_close(r->tunnels);
+  pathchecks_free(r->path_checks);
   links_close(r->links);
   free_knowledge(r);
   conf_unref(r->conf);
--- a/packages/flow/run.h
+++ b/packages/flow/run.h
@@ -14,6 +14,7 @@
 
 #include "flow/events.h"
 #include "flow/link.h"
+#include "flow/pathcheck.h"
 #include "flow/relay.h"
 #include "kernel/digest.h"
 #include "flow/tunnel.h"
@@ -158,9 +159,10 @@
   Retries *retries;
   Admission *admission;
   Returns *returns;
-  Paths *paths;       /* from this instance to the targets */
-  Gateways *gateways; /* while those are interrupted */
-  Tunnels *tunnels;   /* for other instances */
+  Paths *paths;            /* from this instance to the targets */
+  Gateways *gateways;      /* while those are interrupted */
+  Tunnels *tunnels;        /* for other instances */
+  PathChecks *path_checks; /* of targets that could not be connected to */
   Origins *origins;
   ConfHistory *conf_history;
   Ends *ends;
@@ -314,6 +316,12 @@
 /* Whether another instance may open a tunnel to this address; `ctx` is the
    relay. */
 TunnelStatus relay_check_tunnel(void *ctx, const char *addr);
+/* Returns a random target that has not failed lately, other than `except`;
+   NULL: none was found. `ctx` is the relay. */
+const char *relay_pick_probed(void *ctx, const char *except);
+/* It is known whether a target that could not be connected to, or our path, is
+   at fault; `ctx` is the relay. */
+void relay_on_path_checked(void *ctx, const char *addr, PathVerdict verdict);
 /* Handles the result of a connection attempt for such a tunnel, and returns the
    answer. */
 TunnelStatus relay_on_tunnel_attempt(void *ctx, const char *addr,
--- a/packages/flow/tunnel.c
+++ b/packages/flow/tunnel.c
@@ -36,10 +36,10 @@
   End client, target;
   ev_timer timer;            /* to receive the head, then to connect */
   char addr[MAX_ADDR_BYTES]; /* of the target */
-  GString *head; /* of the request for the tunnel, then what followed it */
-  bool open;     /* bytes are passed on */
-  TunnelStatus failure; /* not answered yet; TUNNEL_UNDECIDED: none */
-  End *closing;         /* closed once its `out` is written; NULL: none */
+  GString *head;  /* of the request for the tunnel, then what followed it */
+  bool open;      /* bytes are passed on */
+  bool undecided; /* the attempt failed, and the answer is not known yet */
+  End *closing;   /* closed once its `out` is written; NULL: none */
   Tunnel *prev, *next;
 };
 
@@ -183,19 +183,17 @@
   const TunnelsOptions *o = &t->set->o;
   TunnelStatus decided = o->attempted(o->ctx, t->addr, status);
   if (decided != TUNNEL_UNDECIDED) return answer(t, decided);
-  t->failure = status;
+  t->undecided = true;
   set_timer(t, DECISION_TIMEOUT_S);
   return true;
 }
 
-void tunnels_note_attempt(Tunnels *s, const char *addr, bool connected) {
+void tunnels_decide(Tunnels *s, const char *addr, TunnelStatus status) {
   for (Tunnel *t = s->first, *next; t; t = next) {
     next = t->next;
-    if (t->failure == TUNNEL_UNDECIDED) continue;
-    if (!connected && strcmp(addr, t->addr) == 0) continue;
-    TunnelStatus failure = t->failure;
-    t->failure = TUNNEL_UNDECIDED;
-    answer(t, connected ? failure : TUNNEL_UNAVAILABLE);
+    if (!t->undecided || (addr && strcmp(addr, t->addr) != 0)) continue;
+    t->undecided = false;
+    answer(t, status);
   }
 }
 
@@ -203,8 +201,8 @@
   (void)loop;
   (void)revents;
   Tunnel *t = w->data;
-  if (t->failure != TUNNEL_UNDECIDED) {
-    t->failure = TUNNEL_UNDECIDED;
+  if (t->undecided) {
+    t->undecided = false;
     answer(t, TUNNEL_UNAVAILABLE);
   } else if (t->target.out && !t->closing) {
     ev_io_stop(loop, &t->target.write);
--- a/packages/flow/tunnel.h
+++ b/packages/flow/tunnel.h
@@ -32,8 +32,8 @@
      answer. */
   TunnelStatus (*check)(void *ctx, const char *addr);
   /* The attempt to connect to `addr` ended with this status. Returns the
-     answer; TUNNEL_UNDECIDED: it is known with the next results of
-     tunnels_note_attempt. */
+     answer; TUNNEL_UNDECIDED: tunnels_decide gives it, or none is given in time
+     and it is TUNNEL_UNAVAILABLE. */
   TunnelStatus (*attempted)(void *ctx, const char *addr, TunnelStatus status);
   void *ctx;
 } TunnelsOptions;
@@ -41,9 +41,8 @@
 Tunnels *tunnels_open(struct ev_loop *loop, const TunnelsOptions *o, Err *e);
 /* Resets the tunnels that are open. */
 void tunnels_close(Tunnels *s);
-/* Another attempt of this instance to connect to a target ended: it shows
-   whether the undecided tunnels failed by their targets or by the path. */
-void tunnels_note_attempt(Tunnels *s, const char *addr, bool connected);
+/* Answers the undecided tunnels to `addr`; NULL: all. */
+void tunnels_decide(Tunnels *s, const char *addr, TunnelStatus status);
 /* The number of tunnels, including those that are being opened. */
 int tunnels_count(const Tunnels *s);
 
--- a/tests/test_tunnel.c
+++ b/tests/test_tunnel.c
@@ -326,16 +326,17 @@
   close_rig(g);
 }
 
-/* Guards against an instance that reports targets as unreachable, when only its
-   own path to them is interrupted. */
-Test(tunnel, a_failure_is_ascribed_by_the_next_attempt_to_connect) {
+/* Guards against an instance that reports targets as unreachable before it is
+   known whether its own path is interrupted. */
+Test(tunnel, a_failure_is_answered_when_it_is_decided) {
   static const struct {
-    const char *addr; /* NULL: that of the tunnel */
-    bool connected;
+    bool is_named; /* the tunnel's address is */
+    TunnelStatus decided;
     const char *status;
-  } rows[] = {{"10.0.0.9:1", true, "502"},
-              {"10.0.0.9:1", false, "503"},
-              {NULL, false, "503"}}; /* by the timeout: it tells nothing new */
+  } rows[] = {{true, TUNNEL_REFUSED, "502"},
+              {true, TUNNEL_UNREACHABLE, "504"},
+              {true, TUNNEL_UNAVAILABLE, "503"},
+              {false, TUNNEL_UNAVAILABLE, "503"}};
   for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++) {
     Rig *g = open_rig(false);
     g->undecided = true;
@@ -343,16 +344,32 @@
     for (double end = ev_time() + WAIT_S; !g->attempts && ev_time() < end;)
       ev_run(g->loop, EVRUN_NOWAIT);
     cr_assert_eq(g->attempts, 1);
+    tunnels_decide(g->tunnels, "10.0.0.9:1", TUNNEL_REFUSED);
     cr_assert_eq(recv(fd, (char[1]){0}, 1, MSG_DONTWAIT), -1);
-    tunnels_note_attempt(g->tunnels,
-                         rows[i].addr ? rows[i].addr : g->target_addr,
-                         rows[i].connected);
+    double began = ev_time();
+    tunnels_decide(g->tunnels, rows[i].is_named ? g->target_addr : NULL,
+                   rows[i].decided);
     expect_status(g, fd, rows[i].status);
+    cr_assert_lt(ev_time() - began, 0.2);
     close(fd);
     close_rig(g);
   }
 }
 
+/* Guards against a failure that is ascribed to the target by other targets'
+   connections or without any decision. */
+Test(tunnel, a_failure_that_nobody_decides_tells_nothing) {
+  Rig *g = open_rig(false);
+  g->undecided = true;
+  int fd = request_tunnel(g, "");
+  for (double end = ev_time() + WAIT_S; !g->attempts && ev_time() < end;)
+    ev_run(g->loop, EVRUN_NOWAIT);
+  tunnels_decide(g->tunnels, "10.0.0.9:1", TUNNEL_REFUSED);
+  expect_status(g, fd, "503");
+  close(fd);
+  close_rig(g);
+}
+
 /* Guards against a connection that stays open without a request, and against an
    endless one. */
 Test(tunnel, a_request_that_is_none_ends) {
