Tunnels: a gateway reports a refusal only if the target refuses it again

A partition that ends between the refusal of a target and the connection to another one made the gateway report the target as refusing: the refusal came from the interrupted path, the connection from the restored one. The target is now connected to once more after the other one was reached, and only a second refusal is reported. An unreachable target is not tried again: a second time-out would come after those who wait have given up, and ends no target.

test_pathcheck, a_target_that_accepts_after_another_one_has_not_failed: failed without the second attempt, passes with it.

--- a/packages/flow/pathcheck.c
+++ b/packages/flow/pathcheck.c
@@ -1,4 +1,4 @@
-/* pathcheck.c: connects to another target after one that failed. */
+/* pathcheck.c: connects to another target, then to the one that failed. */
 #include "flow/pathcheck.h"
 
 #include <glib.h>
@@ -44,13 +44,21 @@
   g_free(addr);
 }
 
+static void on_target(void *ctx, LinkConnectResult how) {
+  Check *c = ctx;
+  c->link = NULL;
+  end(c, how == LINK_REFUSED ? PATHCHECK_REFUSED : PATHCHECK_UNKNOWN);
+}
+
 static void on_other(void *ctx, LinkConnectResult how) {
   Check *c = ctx;
   c->link = NULL;
   if (how != LINK_CONNECTED)
     end(c, PATHCHECK_UNKNOWN);
-  else
-    end(c, c->refused ? PATHCHECK_REFUSED : PATHCHECK_UNREACHABLE);
+  else if (c->refused)
+    c->link = link_check(c->set->links, c->addr, NULL, on_target, c);
+  else /* a second time-out would come too late for those who wait */
+    end(c, PATHCHECK_UNREACHABLE);
 }
 
 bool pathchecks_start(PathChecks *p, const char *addr, bool refused) {
--- a/packages/flow/pathcheck.h
+++ b/packages/flow/pathcheck.h
@@ -1,7 +1,8 @@
 /* pathcheck.h: finds out whether a target that could not be connected to has
    failed, or the path of this instance to all targets. Another target is
-   connected to; that attempt begins after the failure, since one that began
-   earlier tells nothing of the path at the failure. */
+   connected to, then the first one again; each attempt begins after the result
+   of the one before. A path that was interrupted at the first attempt and works
+   at the second explains no refusal at the third. */
 #ifndef FLOW_PATHCHECK_H
 #define FLOW_PATHCHECK_H
 
@@ -12,7 +13,7 @@
 typedef enum {
   PATHCHECK_REFUSED,     /* the target refuses connections */
   PATHCHECK_UNREACHABLE, /* it can't be reached otherwise */
-  PATHCHECK_UNKNOWN      /* the path may be at fault */
+  PATHCHECK_UNKNOWN      /* the path may be at fault, or the target goes on */
 } PathVerdict;
 
 typedef struct PathChecksOptions {
--- a/tests/test_pathcheck.c
+++ b/tests/test_pathcheck.c
@@ -112,6 +112,14 @@
   }
 }
 
+/* Guards against a partition that ends between a refusal and the connection to
+   another target: the refused target counted as ended. */
+Test(pathcheck, a_target_that_accepts_after_another_one_has_not_failed) {
+  Rig *g = open_rig(true, true);
+  cr_assert_eq(run_check(g, true), PATHCHECK_UNKNOWN);
+  close_rig(g);
+}
+
 static void note_kept(Rig *g, const char *addr, LinkConnectResult how) {
   if (strcmp(addr, g->target.addr) != 0 && how == LINK_CONNECTED)
     g->on_attempt = NULL;
