Breaks: a refusal that no instance confirms needs proof of the own path

When three instances could not tell whether a target had ended, or all gateways were passed over, an own refusal counted as the target's end unless the paths were known to be interrupted. With most instances partitioned at once, the three answer 503 within milliseconds, before three different targets have failed here.

Now the instance finds out by itself, as a gateway does: another target is connected to, then the one that refused. Only a second refusal ends it. A check that can't tell is repeated twice, since the other target may have ended as well. Where there is no other instance the refusal counts as before.

Ruled out: an attempt from before the partition that clears the row of failures of route/paths delays the detection by one row, but no end depends on it any more.

--- a/packages/flow/breaks.c
+++ b/packages/flow/breaks.c
@@ -167,22 +167,38 @@
   LinkConnectResult how;
 } ConnectAttempt;
 
+typedef struct VerdictAtAddr {
+  Relay *relay;
+  PathVerdict verdict;
+} VerdictAtAddr;
+
 static void record_refusal(Relay *r, Target *t) {
   double now = loopclock_now(r->loop);
   if (ends_note_refused(r->ends, now, target_hash(t), target_open(t)))
     record_target_ended(r, t);
 }
 
-/* Has another instance connect to a target that refused us. Without one that
-   can, the refusal counts, unless our own paths are interrupted. */
+/* Finds out by our own connections if the target or our path refuses them. That
+   the paths are not known to be interrupted is no proof: the first refusals of
+   a partition come before it is detected. */
+static void check_own_path(Relay *r, const Target *t) {
+  if (!paths_are_interrupted(r->paths) &&
+      ends_start_path_check(r->ends, loopclock_now(r->loop), target_hash(t)))
+    pathchecks_start(r->path_checks, target_addr(t), true);
+}
+
+/* Has another instance connect to a target that refused us, or does so itself
+   if none can tell. */
 static void confirm_refusal(Relay *r, Target *t) {
   double now = loopclock_now(r->loop);
   const char *via = relay_find_gateway(r, target_addr(t));
   if (ends_awaits_confirmation(r->ends, now, target_hash(t))) return;
   if (via && ends_start_confirmation(r->ends, now, target_hash(t)))
     link_preconnect_via(r->links, target_addr(t), via);
-  else if (!paths_are_interrupted(r->paths) || gateways_count(r->gateways) == 0)
+  else if (gateways_count(r->gateways) == 0)
     record_refusal(r, t);
+  else
+    check_own_path(r, t);
 }
 
 static void record_connect(void *ctx, Target *t) {
@@ -206,6 +222,24 @@
   }
 }
 
+static void record_verdict(void *ctx, Target *t) {
+  const VerdictAtAddr *v = ctx;
+  Relay *r = v->relay;
+  double now = loopclock_now(r->loop);
+  if (v->verdict == PATHCHECK_REFUSED)
+    record_refusal(r, t);
+  else if (v->verdict == PATHCHECK_UNKNOWN &&
+           ends_has_path_check(r->ends, now, target_hash(t)))
+    check_own_path(r, t);
+}
+
+void relay_record_verdict(Relay *r, const char *addr, PathVerdict verdict) {
+  VerdictAtAddr v = {.relay = r, .verdict = verdict};
+  if (ends_is_idle(r->ends)) return;
+  targets_for_each_at_addr(r->targets, addr, record_verdict, &v);
+  process_marks(r);
+}
+
 void relay_on_connect(void *ctx, const char *addr, const char *via,
                       LinkConnectResult how) {
   ConnectAttempt attempt = {.relay = ctx, .direct = via == NULL, .how = how};
--- a/packages/flow/partition.c
+++ b/packages/flow/partition.c
@@ -192,8 +192,9 @@
       [PATHCHECK_REFUSED] = TUNNEL_REFUSED,
       [PATHCHECK_UNREACHABLE] = TUNNEL_UNREACHABLE,
       [PATHCHECK_UNKNOWN] = TUNNEL_UNAVAILABLE};
-  const Relay *r = ctx;
+  Relay *r = ctx;
   if (r->tunnels) tunnels_decide(r->tunnels, addr, statuses[verdict]);
+  relay_record_verdict(r, addr, verdict);
 }
 
 int relay_tunnel_count(const Relay *r) {
--- a/packages/flow/run.h
+++ b/packages/flow/run.h
@@ -294,6 +294,8 @@
 /* Handles the result of a connection attempt to `addr`; `ctx` is the relay. */
 void relay_on_connect(void *ctx, const char *addr, const char *via,
                       LinkConnectResult how);
+/* It is known whether the target at `addr`, or our path to it, is at fault. */
+void relay_record_verdict(Relay *r, const char *addr, PathVerdict verdict);
 
 /* Resumes reading the answer from the target, after the caller has received
    enough of it. */
--- a/packages/route/ends.c
+++ b/packages/route/ends.c
@@ -18,7 +18,8 @@
   bool probed;             /* a connection probes the target */
   int confirmers;          /* instances asked to confirm a refusal */
   bool confirming;         /* one of them has not answered yet */
-  bool refused;            /* a connection was refused */
+  int path_checks;         /* by connections of our own */
+  bool refused;            /* the target refuses connections */
   bool connected;          /* a connection was accepted */
   bool ended;              /* the target has ended */
   GArray *broken_requests; /* EndsMark, until it is known whether the target
@@ -135,6 +136,20 @@
   if (b) b->confirming = false;
 }
 
+bool ends_start_path_check(Ends *e, double now, uint64_t target) {
+  Break *b = find_break(e, now, target);
+  if (!b || b->refused || b->connected || b->ended ||
+      b->path_checks == ENDS_MAX_PATH_CHECKS)
+    return false;
+  b->path_checks++;
+  return true;
+}
+
+bool ends_has_path_check(const Ends *e, double now, uint64_t target) {
+  const Break *b = find_break(e, now, target);
+  return b && b->path_checks > 0;
+}
+
 bool ends_note_refused(Ends *e, double now, uint64_t target, int open) {
   Break *b = find_break(e, now, target);
   if (!b) return false; /* we had no exchange with it */
--- a/packages/route/ends.h
+++ b/packages/route/ends.h
@@ -53,7 +53,15 @@
 bool ends_awaits_confirmation(const Ends *e, double now, uint64_t target);
 /* The instance that was asked could not tell. */
 void ends_fail_confirmation(Ends *e, double now, uint64_t target);
-/* A connection attempt was refused, and no confirmation is needed. */
+/* Whether to find out by our own connections if the target or our path refuses
+   them, since no other instance could tell. Returns false after
+   ENDS_MAX_PATH_CHECKS: the others that were connected to may have ended too.
+ */
+#define ENDS_MAX_PATH_CHECKS 3
+bool ends_start_path_check(Ends *e, double now, uint64_t target);
+/* Whether it returned true for the present break. */
+bool ends_has_path_check(const Ends *e, double now, uint64_t target);
+/* The target, not our path, refuses connections. */
 bool ends_note_refused(Ends *e, double now, uint64_t target, int open);
 /* A connection was accepted: the target has not ended unless a restart is
    reported. */
--- a/tests/partition.py
+++ b/tests/partition.py
@@ -271,18 +271,16 @@
     return play_stream(EVENTS)(w, c, headers)
 
 
-def test_a_partition_makes_no_request_a_suspect(s):
-    """Connections that the partition reset and refused were taken for targets that
-    had ended: requests in progress were named as the cause, fleet-wide, and refused
-    or sent one at a time."""
+def check_no_target_ended(s, partitioned):
+    """A partition that comes twice, for 2 s, leaves no ended target and no suspect."""
     for w in s.desks + s.engines:
         w.play = slow_stream if w in s.engines else lambda w, c, h: time.sleep(0.2)
     load = Load(s)
     time.sleep(1.5)
     for round in range(2):
-        s.cut(range(4), "reset")
+        s.cut(partitioned, "reset")
         time.sleep(2.0)
-        for i in range(4):
+        for i in partitioned:
             s.paths[i].heal()
         time.sleep(3.0)
     load.stop()
@@ -296,6 +294,19 @@
     assert not named and not held, (named + held)[0]
 
 
+def test_a_partition_makes_no_request_a_suspect(s):
+    """Connections that the partition reset and refused were taken for targets that
+    had ended: requests in progress were named as the cause, fleet-wide, and refused
+    or sent one at a time."""
+    check_no_target_ended(s, range(4))
+
+
+def test_a_partition_of_all_instances_makes_no_request_a_suspect(s):
+    """No instance could confirm a refusal, and it counted as the target's end until
+    the partition was detected."""
+    check_no_target_ended(s, range(len(s.processes)))
+
+
 def spread_stream(w, c, headers):
     """A stream whose events come over half a second."""
     first = int(headers.get("last-event-id", "0")) + 1
--- a/tests/test_suspects.c
+++ b/tests/test_suspects.c
@@ -731,3 +731,33 @@
   cr_assert_eq(count_marks(e), 1);
   ends_free(e);
 }
+
+/* Guards against the first refusals of a partition that count as the end of the
+   target, since three confirmers could not tell and the partition was not
+   detected yet; and against connections without end to find it out. */
+Test(ends, own_connections_tell_of_a_refusal_that_no_instance_confirms) {
+  Ends *e = ends_new();
+  EndsMark m = mark(7, 1);
+  cr_assert_not(ends_start_path_check(e, 1, 7), "nothing broke there");
+  cr_assert_not(ends_note_break(e, 1, &m, true, 0));
+  cr_assert_not(ends_has_path_check(e, 1, 7));
+  for (int i = 0; i < ENDS_MAX_PATH_CHECKS; i++) {
+    cr_assert(ends_start_path_check(e, 1, 7));
+    cr_assert(ends_has_path_check(e, 1, 7));
+  }
+  cr_assert_not(ends_start_path_check(e, 1, 7));
+  cr_assert_eq(count_marks(e), 0);
+  ends_free(e);
+  for (int accepted = 0; accepted <= 1; accepted++) {
+    e = ends_new();
+    ends_note_break(e, 1, &m, true, 0);
+    cr_assert(ends_start_path_check(e, 1, 7));
+    if (accepted)
+      ends_note_connected(e, 1, 7);
+    else
+      cr_assert(ends_note_refused(e, 1, 7, 0));
+    cr_assert_not(ends_start_path_check(e, 1, 7), "it is known");
+    cr_assert_eq(count_marks(e), !accepted);
+    ends_free(e);
+  }
+}
