Partition: a path is checked by the target that was reached last

Many targets may end at once. A check that connects to a random other target then often meets one that has ended too, and can't tell; without proof the refusal no longer counts, and the end is found later. The target that was connected to last is the likeliest to accept; one that has failed lately is passed over.

--- a/packages/flow/partition.c
+++ b/packages/flow/partition.c
@@ -45,6 +45,7 @@
 static void record_direct_attempt(Relay *r, const char *addr, bool connected) {
   double now = loopclock_now(r->loop);
   bool was_interrupted = paths_are_interrupted(r->paths);
+  if (connected) g_strlcpy(r->reached, addr, sizeof r->reached);
   if (connected)
     paths_note_connected(r->paths, now);
   else
@@ -84,8 +85,20 @@
   return now - MAX(since, links_last_direct_read(r->links));
 }
 
-const char *relay_pick_probed(void *ctx, const char *except) {
-  const Relay *r = ctx;
+static void note_known(void *ctx, Target *t) {
+  (void)t;
+  *(bool *)ctx = true;
+}
+
+static bool is_known(const Relay *r, const char *addr) {
+  bool known = false;
+  targets_for_each_at_addr(r->targets, addr, note_known, &known);
+  return known;
+}
+
+/* Returns a random target that has not failed lately, other than `except`;
+   NULL: none was found. */
+static const char *pick_probed(const Relay *r, const char *except) {
   for (int i = 0; i < MAX_PICKS; i++) {
     const char *addr = targets_random_addr(r->targets);
     if (addr && !paths_has_failed(r->paths, text_hash(addr)) &&
@@ -95,8 +108,15 @@
   return NULL;
 }
 
+const char *relay_pick_other(void *ctx, const char *addr) {
+  const Relay *r = ctx;
+  bool usable = strcmp(r->reached, addr) != 0 && is_known(r, r->reached) &&
+                !paths_has_failed(r->paths, text_hash(r->reached));
+  return usable ? r->reached : pick_probed(r, addr);
+}
+
 static void probe_target(Relay *r) {
-  const char *addr = relay_pick_probed(r, "");
+  const char *addr = pick_probed(r, "");
   if (addr) link_preconnect(r->links, addr);
 }
 
@@ -162,16 +182,9 @@
 
 /* == tunnels for other instances == */
 
-static void note_known(void *ctx, Target *t) {
-  (void)t;
-  *(bool *)ctx = true;
-}
-
 TunnelStatus relay_check_tunnel(void *ctx, const char *addr) {
   const Relay *r = ctx;
-  bool known = false;
-  targets_for_each_at_addr(r->targets, addr, note_known, &known);
-  if (!known) return TUNNEL_DENIED;
+  if (!is_known(r, addr)) return TUNNEL_DENIED;
   bool available = !r->draining && !paths_are_interrupted(r->paths);
   return available ? TUNNEL_OPENED : TUNNEL_UNAVAILABLE;
 }
--- a/packages/flow/relay.c
+++ b/packages/flow/relay.c
@@ -291,7 +291,7 @@
 
 static PathChecks *open_path_checks(Relay *r) {
   PathChecksOptions o = {
-      .pick_other = relay_pick_probed, .end = relay_on_path_checked, .ctx = r};
+      .pick_other = relay_pick_other, .end = relay_on_path_checked, .ctx = r};
   return pathchecks_new(r->links, &o);
 }
 
--- a/packages/flow/run.h
+++ b/packages/flow/run.h
@@ -163,6 +163,7 @@
   Gateways *gateways;      /* while those are interrupted */
   Tunnels *tunnels;        /* for other instances */
   PathChecks *path_checks; /* of targets that could not be connected to */
+  char reached[LIMIT_NAME_BYTES]; /* the target that was connected to last */
   Origins *origins;
   ConfHistory *conf_history;
   Ends *ends;
@@ -318,9 +319,10 @@
 /* Whether another instance may open a tunnel to this address; `ctx` is the
    relay. */
 TunnelStatus relay_check_tunnel(void *ctx, const char *addr);
-/* Returns a random target that has not failed lately, other than `except`;
-   NULL: none was found. `ctx` is the relay. */
-const char *relay_pick_probed(void *ctx, const char *except);
+/* Returns the target that was connected to last, or else a random one that has
+   not failed lately, other than that at `addr`; NULL: none was found. `ctx` is
+   the relay. */
+const char *relay_pick_other(void *ctx, const char *addr);
 /* It is known whether a target that could not be connected to, or our path, is
    at fault; `ctx` is the relay. */
 void relay_on_path_checked(void *ctx, const char *addr, PathVerdict verdict);
