--- a/packages/flow/run.h
+++ b/packages/flow/run.h
@@ -14,6 +14,7 @@
 
 #include "flow/events.h"
 #include "flow/link.h"
+#include "flow/pathcheck.h"
 #include "flow/relay.h"
 #include "kernel/digest.h"
 #include "flow/tunnel.h"
@@ -169,9 +170,11 @@
   Retries *retries;
   Admission *admission;
   Returns *returns;
-  Paths *paths;       /* from this instance to the targets */
-  Gateways *gateways; /* while those are interrupted */
-  Tunnels *tunnels;   /* for other instances */
+  Paths *paths;            /* from this instance to the targets */
+  Gateways *gateways;      /* while those are interrupted */
+  Tunnels *tunnels;        /* for other instances */
+  PathChecks *path_checks; /* of targets that could not be connected to */
+  char reached[LIMIT_NAME_BYTES]; /* the target that was connected to last */
   Origins *origins;
   ConfHistory *conf_history;
   Ends *ends;
@@ -303,6 +306,8 @@
 /* Handles the result of a connection attempt to `addr`; `ctx` is the relay. */
 void relay_on_connect(void *ctx, const char *addr, const char *via,
                       LinkConnectResult how);
+/* It is known whether the target at `addr`, or our path to it, is at fault. */
+void relay_record_verdict(Relay *r, const char *addr, PathVerdict verdict);
 
 /* Resumes reading the answer from the target, after the caller has received
    enough of it. */
@@ -325,6 +330,13 @@
 /* Whether another instance may open a tunnel to this address; `ctx` is the
    relay. */
 TunnelStatus relay_check_tunnel(void *ctx, const char *addr);
+/* Returns the target that was connected to last, or else a random one that has
+   not failed lately, other than that at `addr`; NULL: none was found. `ctx` is
+   the relay. */
+const char *relay_pick_other(void *ctx, const char *addr);
+/* It is known whether a target that could not be connected to, or our path, is
+   at fault; `ctx` is the relay. */
+void relay_on_path_checked(void *ctx, const char *addr, PathVerdict verdict);
 /* Handles the result of a connection attempt for such a tunnel, and returns the
    answer. */
 TunnelStatus relay_on_tunnel_attempt(void *ctx, const char *addr,
