HTTP client: an answer in too many pieces is broken off

A chat in one response, or a plain service's answer, was limited by the bytes of its body alone. Each piece costs the instance work of its own: 8 MB of blank lines in chunks of two bytes are 4.2 million pieces. Beside load such a chat once took 7.70 s (bound 5.0).

Measured alone, by processor time: 0.58 to 0.61 s of the instance per request, which also took 0.58 to 0.61 s; the stand-in and the test took 0.04 s or less. So the instance is at fault, not the stand-in. The 7.70 s were not reproduced beside load.

The same limit let extensions of chunks pass without end: 1 KB of them per byte of body took 6.25 s, and 4 KB had not ended after 10 s.

Now an answer that is read as a whole has at most 2^18 pieces. A sound answer in more pieces, smaller than 32 bytes on average if it has 8 MB, is broken off as well.

--- a/packages/http/client.c
+++ b/packages/http/client.c
@@ -12,6 +12,7 @@
 
 #include "flow/sock.h"
 #include "kernel/clock.h"
+#include "kernel/limits.h"
 
 /* Read timeouts that the whole body of a limited response may take. Each piece
    of a body that trickles without end arrives within one. */
@@ -29,7 +30,9 @@
   HttpClient *client;
   ne_request *req;
   bool complete;
-  double ends_at; /* by clock_now, see http_stream_limit; 0: not limited */
+  /* see http_stream_limit */
+  double ends_at; /* by clock_now; 0: not limited */
+  int pieces;     /* received so far */
 };
 
 static pthread_once_t once = PTHREAD_ONCE_INIT;
@@ -136,9 +139,14 @@
   s->ends_at = clock_now() + BODY_READ_TIMEOUTS * s->client->read_s;
 }
 
+static bool is_over_limit(HttpStream *s) {
+  return s->ends_at > 0 &&
+         (++s->pieces > LIMIT_ANSWER_PIECES || clock_now() > s->ends_at);
+}
+
 long http_stream_read(HttpStream *s, char *buf, size_t n) {
   if (s->complete) return 0;
-  if (s->ends_at > 0 && clock_now() > s->ends_at) return -1;
+  if (is_over_limit(s)) return -1;
   ssize_t received = ne_read_response_block(s->req, buf, n);
   if (received > 0) return received;
   if (received == 0 && ne_end_request(s->req) == NE_OK) {
--- a/packages/http/client.h
+++ b/packages/http/client.h
@@ -60,10 +60,11 @@
 /* Returns a response header, or NULL if it is absent. */
 const char *http_stream_header(const HttpStream *s, const char *name);
 /* Limits the time in which the whole body has to arrive to some read timeouts
-   from now on, so that one that trickles ends. */
+   from now on, so that one that trickles ends, and its pieces to
+   LIMIT_ANSWER_PIECES. */
 void http_stream_limit(HttpStream *s);
 /* Returns the number of bytes read, 0 at the end of a complete body, or -1 if
-   the body was truncated or its time is over; see HttpResponse about a body
+   the body was truncated or is over a limit; see HttpResponse about a body
    that is not framed. */
 long http_stream_read(HttpStream *s, char *buf, size_t n);
 /* Frees the stream. If the body was not read to its end, closes the connection;
--- a/packages/kernel/limits.h
+++ b/packages/kernel/limits.h
@@ -55,6 +55,10 @@
    connections and its listening socket one after the other, a thousand in about
    10 ms. */
 #define LIMIT_END_CHECK_DELAY_MS 50
+/* Pieces, such as chunks, of one answer that the blocking client reads as a
+   whole. Each costs some 0.1 us and up to 4 KB of extensions, whatever the size
+   of its data. 8 MB in pieces of 32 bytes have as many. */
+#define LIMIT_ANSWER_PIECES (1 << 18)
 /* An empty buffer that is kept for its next use. */
 #define LIMIT_IDLE_BUFFER_BYTES (32 << 10)
 /* One answer of the platform's store; a longer one is a failed call. */
