Tests: more answers without end behind the own front

The size of a chunk, trailers, bytes that are no answer and lines before an answer, without end: each broken off after at most 0.01 s. No fault was found; these are guards.

--- a/tests/process.py
+++ b/tests/process.py
@@ -591,6 +591,10 @@
     "a line until the end of the connection": (b"HTTP/1.1 200 OK\r\n\r\n", b"x"),
     "blank lines": (CHUNKED, b"2\r\n\n\n\r\n"),
     "small chunks with long extensions": (CHUNKED, b"1;" + b"x" * 1000 + b"\r\nx\r\n"),
+    "the size of a chunk": (CHUNKED, b"0"),
+    "trailers": (CHUNKED + b"0\r\n", b"X-Field: value\r\n"),
+    "no answer": (b"", b"\0"),
+    "lines before an answer": (b"", b"\r\n"),
     "interim answers": (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
     "fields": (b"HTTP/1.1 200 OK\r\n", b"X-Field: value\r\n"),
     "a field": (b"HTTP/1.1 200 OK\r\nX-Field: ", b"x")}
