Tests: answers that are cut at any byte of their head or framing

Another operator saw a 200 with an empty or short body where a target had stopped inside its answer's head.

The tests are guards.

--- a/fakes/ending_target.py
+++ b/fakes/ending_target.py
@@ -3,9 +3,10 @@
 own, so that the system closes its connections when it is killed.
 
 The body of a plain request, or a chat's last message, has four words:
-FRAME   of the body: length, chunks, none, http10
+FRAME   of the body: length, chunks, none, http10, trailers (chunks with extensions
+        and trailers), interim (a length, after an interim answer)
 WHERE   the answer stops: head (inside it), empty (after it), half, last (one byte is
-        missing), whole
+        missing), whole, or after a number of bytes
 HOW     the connection ends: kill (of the process), close, reset
 TYPE    of a plain answer: json, text
 
@@ -25,6 +26,7 @@
          "large": ("application/json", '{"seat": 123456789012345678901234567890}'),
          "zero": ("application/json", '{"seat": "1\\u00002"}')}
 WORDS = ["one", "two", "three"]
+INTERIM = b"HTTP/1.1 103 Early Hints\r\nContent-Length: 2\r\nA: b\r\n\r\n"
 USAGE = {"prompt_tokens": 5, "completion_tokens": 3, "total_tokens": 8}
 
 
@@ -42,16 +44,29 @@
 
 def frame_body(frame, body):
     """Returns the fields of the head and the body as it is sent."""
-    if frame == "length":
+    if frame in ("length", "interim"):
         return "Content-Length: %d\r\n" % len(body), body.encode()
     if frame == "chunks":
         half = len(body) // 2
         return "Transfer-Encoding: chunked\r\n", (
             chunk(body[:half]) + chunk(body[half:]) + b"0\r\n\r\n")
+    if frame == "trailers":
+        return "Transfer-Encoding: chunked\r\nTrailer: A\r\n", (
+            b"%04x;a=b\r\n%s\r\n0;a\r\nA: b\r\n\r\n" % (len(body), body.encode()))
     return "", body.encode()
 
 
+def frame_answer(frame, kind, body):
+    """Returns the head, with an interim one, and the body as they are sent."""
+    fields, framed = frame_body(frame, body)
+    head = "HTTP/1.%d 200 OK\r\nContent-Type: %s\r\n%s\r\n" % (
+        frame != "http10", kind, fields)
+    return (INTERIM if frame == "interim" else b"") + head.encode(), framed
+
+
 def cut(head, body, where):
+    if where.isdigit():
+        return (head + body)[:int(where)]
     if where == "head":
         return head[:-len(head) // 3]
     if where == "empty":
@@ -76,10 +91,7 @@
         else:
             frame, where, how, kind = body.decode().split()
             kind, text = PLAIN[kind]
-        fields, framed = frame_body(frame, text)
-        head = "HTTP/1.%d 200 OK\r\nContent-Type: %s\r\n%s\r\n" % (
-            frame != "http10", kind, fields)
-        c.sendall(cut(head.encode(), framed, where))
+        c.sendall(cut(*frame_answer(frame, kind, text), where))
         if how == "kill":
             os.kill(os.getpid(), signal.SIGKILL)
         if how == "reset":
--- a/tests/answer_ends.py
+++ b/tests/answer_ends.py
@@ -417,6 +417,62 @@
                                          ["fin"])))
 
 
+# == answers that are cut at any byte ==
+
+INTERIM = b"HTTP/1.1 103 Early Hints\r\nContent-Length: 2\r\nA: b\r\n\r\n"
+TRAILERS = b"0;a=b\r\nA: b\r\nB: c\r\n\r\n"
+RESET_STEP = 7  # bytes between two resets
+
+
+def raw_answers(path):
+    """Whole answers, and their bytes from which on a cut looks like a proper end."""
+    parts = stream_parts(1) if is_stream(path) else [b"0123456789"]
+    for frame in FRAMES:
+        text = b"".join(whole_answer(frame, parts))
+        end = text.index(b"\r\n\r\n") + 4 if frame in UNFRAMED else len(text)
+        yield text, end
+        yield INTERIM + text, len(INTERIM) + end
+        if frame == "chunks":
+            text = text[:-len(b"0\r\n\r\n")] + TRAILERS
+            yield text, len(text)
+
+
+def cut_at_each_byte(s, path):
+    """All targets break their answers off; reports the answers that look whole."""
+    [w], sent, failed = s.add_sound(path), [], []
+    w.play = lambda w, c, h: sent.append(h["x-loftpath-attempt-id"]) or play_answer(
+        *case)(w, c, h)
+    n = 0
+    for text, end in raw_answers(path):
+        for at in range(end):
+            for how in ("fin", "rst")[:2 if at % RESET_STEP == 0 else 1]:
+                case = ([text[:at]], how)
+                c = Call(s, path)
+                r, n = c.result(), n + 1
+                if not (r.broken or r.status == 502 and r.end == "whole"):
+                    failed.append("%s after %r: %s" % (how, text[:at], r))
+                if path != "/safe/" and sent.count(c.attempt) != 1:
+                    failed.append("%s ran %d times" % (c.attempt, sent.count(c.attempt)))
+    print("  %d cases, %d failed" % (n, len(failed)), flush=True)
+    assert not failed, failed[:4]
+
+
+# Guards against an answer cut inside a head, an interim one, a size of a chunk or a
+# trailer that gets a framing of its own.
+def test_a_plain_answer_cut_at_any_byte_does_not_look_whole(s):
+    cut_at_each_byte(s, "/safe/")
+
+
+# Guards against the same, and against a second run.
+def test_an_unsafe_answer_cut_at_any_byte_does_not_look_whole(s):
+    cut_at_each_byte(s, "/once/")
+
+
+# Guards against the same for streams.
+def test_a_stream_cut_at_any_byte_does_not_look_whole(s):
+    cut_at_each_byte(s, "/firm/")
+
+
 # == answers that begin to be passed on before they are complete ==
 
 def check_one_run(frame, calls, w, other):
--- a/tests/front_ends.py
+++ b/tests/front_ends.py
@@ -23,12 +23,15 @@
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)),
                                 "..", "fakes"))
-from ending_target import PLAIN  # noqa: E402
+from ending_target import (PLAIN, WORDS, frame_answer,  # noqa: E402
+                           streamed_chat, whole_chat)
 
 TARGET = os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "fakes",
                       "ending_target.py")
 FRAMES = ("length", "chunks", "none", "http10")
 UNFRAMED = ("none", "http10")
+HEAD_STEP = 13  # bytes between two cuts; after a failure the front waits 0.2 s
+RESET_EACH = 4  # cuts
 CUTS = ("head", "empty", "half", "last")
 
 
@@ -139,6 +142,44 @@
     check_cut(f, f.stream, cases(("json",), ("head", "empty", "half")))
 
 
+def cut_inside_frames(f, send, kind, body):
+    """Cuts answers by a living target in each frame: in the head, and in the first
+    and last bytes of a framed body, which hold sizes and trailers. tests/test_cuts.c
+    cuts at each byte what the front's client reads."""
+    n, wrong = 0, []
+    for frame in FRAMES + ("trailers", "interim"):
+        text = b"".join(frame_answer(frame, kind, body))
+        head, framed = map(len, frame_answer(frame, kind, body))
+        places = list(range(0, head, HEAD_STEP))
+        if frame not in UNFRAMED:
+            places += [head + 1, head + 3] + [head + framed - k for k in (1, 3, 9, 14)]
+        for at in places:
+            how = ("close", "reset")[n % RESET_EACH == 0]
+            status, got = send("%s %d %s text" % (frame, at, how), None)
+            n += 1
+            whole = b"[DONE]\n" in text[:at]  # only in a stream, which it ends
+            if status == 200 and not (whole and got.count("content") == len(WORDS)):
+                wrong.append("%s, %d bytes, %s: %r" % (frame, at, how, got))
+    print("  %d cases, %d wrong" % (n, len(wrong)), flush=True)
+    assert not wrong, wrong[:4]
+
+
+def test_a_plain_answer_cut_inside_its_frame_does_not_look_whole(f):
+    """A cut in a head, an interim one, a size of a chunk or a trailer could get a
+    framing of its own."""
+    cut_inside_frames(f, f.plain, *PLAIN["text"])
+
+
+def test_a_chat_cut_inside_its_frame_does_not_look_whole(f):
+    """The same."""
+    cut_inside_frames(f, f.whole, "application/json", whole_chat())
+
+
+def test_a_stream_cut_inside_its_head_does_not_look_whole(f):
+    """The same; its last event ends a stream, whatever follows."""
+    cut_inside_frames(f, f.stream, "text/event-stream", streamed_chat())
+
+
 def test_a_whole_answer_without_a_frame_is_passed_on(f):
     """Answers that only the end of the connection ends were all refused."""
     for frame in UNFRAMED:
--- a/tests/test_cuts.c
+++ b/tests/test_cuts.c
@@ -9,6 +9,7 @@
 #include <unistd.h>
 
 #include "flow/sock.h"
+#include "http/client.h"
 #include "kernel/loopclock.h"
 #include "store/objects.h"
 #include "store/platform.h"
@@ -92,15 +93,27 @@
 
 /* == answers == */
 
-typedef enum { LENGTH, CHUNKS, NEITHER, HTTP_1_0, FRAME_COUNT } Frame;
+/* TRAILERS: chunks with extensions and trailers; INTERIM: a length, after an
+   interim answer that states a body */
+typedef enum {
+  LENGTH,
+  CHUNKS,
+  NEITHER,
+  HTTP_1_0,
+  TRAILERS,
+  INTERIM,
+  FRAME_COUNT
+} Frame;
 
 /* Returns an answer with this body. */
 static GString *make_answer(Frame frame, const char *status, const char *body) {
   GString *a = g_string_new(NULL);
   size_t n = strlen(body), half = n / 2;
-  g_string_printf(a, "HTTP/1.%d %s\r\nETag: \"4\"\r\n", frame != HTTP_1_0,
-                  status);
-  if (frame == LENGTH)
+  if (frame == INTERIM)
+    g_string_append(a, "HTTP/1.1 103 X\r\nContent-Length: 2\r\nA: b\r\n\r\n");
+  g_string_append_printf(a, "HTTP/1.%d %s\r\nETag: \"4\"\r\n",
+                         frame != HTTP_1_0, status);
+  if (frame == LENGTH || frame == INTERIM)
     g_string_append_printf(a, "Content-Length: %zu\r\n\r\n%s", n, body);
   else if (frame == CHUNKS)
     g_string_append_printf(
@@ -108,6 +121,11 @@
         "Transfer-Encoding: chunked\r\n\r\n%zx\r\n%.*s\r\n%zx\r\n%s\r\n"
         "0\r\n\r\n",
         half, (int)half, body, n - half, body + half);
+  else if (frame == TRAILERS)
+    g_string_append_printf(a,
+                           "Transfer-Encoding: chunked\r\nTrailer: A, B\r\n\r\n"
+                           "%04zx;a=b\r\n%s\r\n0;a\r\nA: b\r\nB: c\r\n\r\n",
+                           n, body);
   else
     g_string_append_printf(a, "\r\n%s", body);
   return a;
@@ -285,14 +303,70 @@
     for (int op = 0; op < OP_COUNT; op++) {
       GString *a = make_answer((Frame)frame, "200 OK", list);
       s.answer = a->str;
-      for (s.n = 0; s.n < a->len; s.n++) {
-        ErrKind kind = run_platform_call(&s, (Op)op);
-        cr_assert_eq(kind, ERR_STORE_UNKNOWN,
-                     "frame %d, call %d: %zu of %zu bytes gave %d", frame, op,
-                     s.n, a->len, kind);
-      }
+      for (int reset = 0; reset <= 1; reset++)
+        for (s.n = 0; s.n < a->len; s.n += reset ? 17 : 1) {
+          s.reset = reset;
+          ErrKind kind = run_platform_call(&s, (Op)op);
+          cr_assert_eq(kind, ERR_STORE_UNKNOWN,
+                       "frame %d, call %d, reset %d: %zu of %zu bytes gave %d",
+                       frame, op, reset, s.n, a->len, kind);
+        }
+      s.n = a->len;
+      s.reset = false;
       cr_assert_eq(run_platform_call(&s, (Op)op), ERR_NONE);
       g_string_free(a, TRUE);
     }
   stop_server(&s);
 }
+
+/* == the blocking client by itself == */
+
+/* What a front sees of an answer: its status, 0 without a head, and whether the
+   client takes its body for complete. */
+static HttpResponse read_answer(const Server *s, bool retry_safe) {
+  HttpResponse r;
+  char buf[64];
+  long n = -1;
+  HttpClient *c = http_client_new(s->addr, TIMEOUT_S, TIMEOUT_S);
+  HttpStream *stream = http_stream_open(
+      c, &(HttpClientRequest){.method = "GET", .path = "/"}, retry_safe, &r);
+  while (stream && (n = http_stream_read(stream, buf, sizeof buf)) > 0) {
+  }
+  r.complete = n == 0;
+  http_stream_close(stream);
+  http_client_free(c);
+  return r;
+}
+
+static bool is_right_answer(const HttpResponse *r, const GString *a,
+                            const Server *s, size_t head_bytes) {
+  if (s->n < head_bytes) return r->status == 0 && !r->complete;
+  if (s->n == a->len && !s->reset) return r->status == 200 && r->complete;
+  if (s->reset) return !r->complete; /* bytes before it may be lost */
+  return r->status == 200 && r->complete == !r->framed;
+}
+
+/* Guards against a head, an interim head, a size of a chunk or a trailer that
+   was cut, where the answer then counts as one with a head or as complete. */
+Test(cuts, an_answer_cut_at_any_byte_is_not_complete) {
+  Server s;
+  start_server(&s);
+  for (int frame = 0; frame < FRAME_COUNT; frame++) {
+    GString *a = make_answer((Frame)frame, "200 OK", "whole");
+    const char *last = g_strrstr(a->str, "HTTP/1.");
+    size_t head_bytes =
+        (size_t)(strstr(last, "\r\n\r\n") - a->str) + strlen("\r\n\r\n");
+    s.answer = a->str;
+    for (s.n = 0; s.n <= a->len; s.n++)
+      for (int how = 0; how < 4; how++) {
+        s.reset = how & 1;
+        if (s.reset && s.n == a->len) continue; /* either is right */
+        HttpResponse r = read_answer(&s, how & 2);
+        cr_assert(is_right_answer(&r, a, &s, head_bytes),
+                  "frame %d, reset %d: %zu of %zu bytes: %d, complete %d",
+                  frame, s.reset, s.n, a->len, r.status, r.complete);
+      }
+    g_string_free(a, TRUE);
+  }
+  stop_server(&s);
+}
--- a/tests/test_link.c
+++ b/tests/test_link.c
@@ -9,6 +9,7 @@
 
 #include "flow/link.h"
 #include "flow/sock.h"
+#include "flow/tunnel.h"
 #include "kernel/loopclock.h"
 
 #define WAIT_S 2.0         /* at most, for the end of an exchange */
@@ -151,3 +152,159 @@
     close_rig(g);
   }
 }
+
+/* == answers that are cut == */
+
+#define HEAD "HTTP/1.1 200 OK\r\n"
+#define INTERIM "HTTP/1.1 103 Early Hints\r\nContent-Length: 2\r\nA: b\r\n\r\n"
+
+/* Whole answers; `head_bytes` counts interim ones. The parser accepts lines
+   that end with LF alone. */
+static const struct {
+  const char *text;
+  size_t head_bytes;
+  bool framed;
+} answers[] = {
+#define ANSWER(head, body, framed)                                             \
+  {head body, sizeof(head) - 1, framed}, {                                     \
+    INTERIM head body, sizeof(INTERIM head) - 1, framed                        \
+  }
+    ANSWER(HEAD "Content-Length: 5\r\nKeep-Alive: timeout=9\r\n\r\n", "whole",
+           true),
+    ANSWER(HEAD "Content-Length: 0\r\n\r\n", "", true),
+    ANSWER(HEAD "Transfer-Encoding: chunked\r\n\r\n",
+           "5;a=\"b\"\r\nwhole\r\n00a\r\n, in parts\r\n0\r\n\r\n", true),
+    ANSWER(HEAD "Transfer-Encoding: chunked\r\nTrailer: A, B\r\n\r\n",
+           "0a\r\nin a chunk\r\n0;a\r\nA: b\r\nB: c\r\n d\r\n\r\n", true),
+    ANSWER(HEAD "Content-Type: text/plain\r\n\r\n", "whole", false),
+    ANSWER("HTTP/1.0 200 OK\r\nA: b\r\n\r\n", "whole", false),
+    ANSWER("HTTP/1.1 204 No Content\r\nA: b\r\n\r\n", "", true),
+    ANSWER("HTTP/1.1 304 Not Modified\r\nContent-Length: 5\r\n\r\n", "", true),
+    ANSWER("HTTP/1.1 200\nContent-Length: 5\nA: b\n\n", "whole", true),
+};
+
+typedef struct Exchange {
+  bool ended, has_head;
+  LinkEnd how;
+} Exchange;
+
+static LinkVerdict on_cut_head(void *ctx, const LinkHead *h) {
+  (void)h;
+  ((Exchange *)ctx)->has_head = true;
+  return LINK_ACCEPT;
+}
+
+static void on_cut_end(void *ctx, LinkEnd how) {
+  Exchange *x = ctx;
+  x->ended = true;
+  x->how = how;
+}
+
+/* Accepts a connection, reads a request, sends `n` bytes and closes. */
+static void play_cut_peer(Rig *g, const char *text, size_t n, bool reset) {
+  char request[256];
+  if (g->fd < 0) g->fd = sock_accept(g->listener);
+  if (g->fd < 0 || recv(g->fd, request, sizeof request, 0) <= 0) return;
+  if (n > 0)
+    cr_assert_eq(send(g->fd, text, n, MSG_NOSIGNAL), (ssize_t)n, "not sent");
+  sock_set_reset_on_close(g->fd, reset);
+  close(g->fd);
+  g->fd = -1;
+}
+
+/* Runs an exchange with such a peer; `addr` is reached by `via`. */
+static Exchange run_cut(Rig *g, const char *addr, const char *via,
+                        const char *text, size_t n, bool reset) {
+  static const LinkEvents events = {on_cut_head, on_body, NULL, on_cut_end};
+  Exchange x = {0};
+  link_send_via(g->links, addr, via,
+                g_string_new("GET / HTTP/1.1\r\nHost: x\r\n\r\n"), 1.0, &events,
+                &x);
+  for (double end = ev_time() + WAIT_S; !x.ended && ev_time() < end;) {
+    ev_run(g->loop, EVRUN_NOWAIT);
+    play_cut_peer(g, text, n, reset);
+  }
+  cr_assert(x.ended, "%zu bytes of %s", n, text);
+  links_close_all_idle(g->links);
+  return x;
+}
+
+/* The end that an answer of which `n` bytes arrive may have; for a reset, those
+   bytes may be lost on the way through a gateway. */
+static bool is_right_end(size_t row, size_t n, bool reset, bool via,
+                         const Exchange *x) {
+  bool is_whole = n == strlen(answers[row].text);
+  bool has_head = n >= answers[row].head_bytes;
+  bool broken = x->how == LINK_BROKEN || x->how == LINK_NO_ANSWER;
+  if (reset && via && broken) return !x->has_head || has_head;
+  if (x->has_head != has_head) return false;
+  if (answers[row].framed && is_whole) return x->how == LINK_COMPLETE;
+  if (!answers[row].framed && has_head && !reset) return x->how == LINK_CLOSED;
+  return broken;
+}
+
+static void check_cut_answers(Rig *g, const char *via) {
+  for (size_t row = 0; row < sizeof answers / sizeof answers[0]; row++)
+    for (size_t n = 0; n <= strlen(answers[row].text); n++)
+      for (int reset = 0; reset <= 1; reset++) {
+        Exchange x = run_cut(g, g->addr, via, answers[row].text, n, reset);
+        cr_assert(is_right_end(row, n, reset, via, &x),
+                  "reset %d, %zu bytes: %d, head %d of %s", reset, n, x.how,
+                  x.has_head, answers[row].text);
+      }
+}
+
+/* Guards against an answer that is cut inside a head, a size of a chunk, a
+   trailer or a body, and that counts as whole or as one with a head. */
+Test(link, an_answer_cut_at_any_byte_is_not_whole) {
+  Rig *g = open_rig("", "");
+  check_cut_answers(g, NULL);
+  close_rig(g);
+}
+
+static TunnelStatus allow_tunnel(void *ctx, const char *addr) {
+  (void)ctx;
+  (void)addr;
+  return TUNNEL_OPENED;
+}
+
+static TunnelStatus on_attempt(void *ctx, const char *addr,
+                               TunnelStatus status) {
+  (void)ctx;
+  (void)addr;
+  return status;
+}
+
+/* Guards against the same where a gateway passes the answer on. */
+Test(link, an_answer_cut_at_any_byte_is_not_whole_behind_a_gateway) {
+  Rig *gateway = open_rig("", "");
+  char via[32];
+  g_strlcpy(via, gateway->addr, sizeof via);
+  close_rig(gateway);
+  Rig *g = open_rig("", "");
+  Err e = {0};
+  TunnelsOptions o = {.listen_addr = via,
+                      .connect_timeout_s = 0.5,
+                      .user_timeout_ms = 1500,
+                      .check = allow_tunnel,
+                      .attempted = on_attempt};
+  Tunnels *tunnels = tunnels_open(g->loop, &o, &e);
+  cr_assert_not_null(tunnels, "%s", e.text);
+  check_cut_answers(g, via);
+  tunnels_close(tunnels);
+  close_rig(g);
+}
+
+/* Guards against a tunnel that counts as open after a part of the gateway's
+   answer. */
+Test(link, an_answer_of_a_gateway_cut_at_any_byte_opens_no_tunnel) {
+  static const char text[] = "HTTP/1.1 200 OK\r\nA: b\r\n\r\n";
+  Rig *g = open_rig("", "");
+  for (size_t n = 0; n < sizeof text - 1; n++)
+    for (int reset = 0; reset <= 1; reset++) {
+      Exchange x = run_cut(g, "127.0.0.1:1", g->addr, text, n, reset);
+      cr_assert_eq(x.how, LINK_NO_TUNNEL, "reset %d, %zu bytes: %d", reset, n,
+                   x.how);
+    }
+  close_rig(g);
+}
