--- a/fakes/answers.py
+++ b/fakes/answers.py
@@ -161,8 +161,6 @@
             return self._refuse(421, attempt)
         if not attempt:
             return self._refuse(400, attempt)
-        if not attempt:
-            return self._refuse(400, attempt)
         plan = Plan(w.id, w.version, attempt, path, first)
         if plan.not_run:
             return self._refuse(503, attempt)
