--- a/fakes/worker_process.py
+++ b/fakes/worker_process.py
@@ -23,7 +23,7 @@
     began to run; `stopped`: those whose answer it has sent."""
 
     def __init__(self, store, name, service, answer, child=False):
-        self.store, self.name = store, name
+        self.store, self.name, self.service = store, name, service
         self.ran, self.stopped = [], []
         self.changed = threading.Condition()
         self.process = subprocess.Popen([sys.executable, __file__, name, service]
--- a/tests/checked_ends.py
+++ b/tests/checked_ends.py
@@ -7,11 +7,9 @@
 Usage: checked_ends.py BUILD_DIR [TEST...]"""
 import socket
 import sys
-import time
 
 from answer_ends import (SERVICE, EndSite, check_whole_elsewhere, is_stream, parts_of)
-from ending import (Call, cut_answer, play_answer, plain_parts, stream_parts,
-                    whole_answer)
+from ending import Call, cut_answer, play_answer, plain_parts, whole_answer
 from fleet import run_tests
 from proxy import Proxy
 from standins import Worker
@@ -132,16 +130,16 @@
 
 # == short answers ==
 
-# Guards against a short answer that looks complete since a child of the killed target
-# still has its listener: the system accepts connections that nobody serves.
-def test_a_listener_that_outlives_its_target_does_not_show_that_it_goes_on(s):
+def check_killed(s, start, kill=WorkerProcess.kill):
+    """A target that `start` adds for a path is killed within an answer, which comes
+    whole from another one. Reports all paths that failed."""
     failed = []
     for path in ("/safe/", "/chat/"):
-        w = s.add_process(path, "close", "between", child=True)
+        w = start(path)
         c = Call(s, path)
         w.wait_stopped(1)
         [other] = s.add_sound(path)
-        w.kill()
+        kill(w)
         try:
             check_whole_elsewhere(path, [c], w, other)
         except AssertionError as e:
@@ -150,6 +148,12 @@
     assert not failed, "; ".join(failed)
 
 
+# Guards against a short answer that looks complete since a child of the killed target
+# still has its listener: the system accepts connections that nobody serves.
+def test_a_listener_that_outlives_its_target_does_not_show_that_it_goes_on(s):
+    check_killed(s, lambda path: s.add_process(path, "close", "between", child=True))
+
+
 class ProxiedStore:
     """Enters targets with the address of a proxy, which accepts connections for them
     whether they run or not."""
@@ -169,24 +173,15 @@
 # Guards against a short answer that looks complete since a proxy accepts connections
 # for a target that was killed.
 def test_a_proxy_that_accepts_for_a_target_does_not_show_that_it_goes_on(s):
-    failed = []
-    for path in ("/safe/", "/chat/"):
+    def start(path):
         name = s.new_name()
-        parts = stream_parts() if is_stream(path) else plain_parts(name)
         w = WorkerProcess(ProxiedStore(s.store), name, SERVICE[path],
-                          cut_answer("close", parts, "between"))
+                          cut_answer("close", parts_of(path, name), "between"))
         s.killed.append(w)
-        s.wait_known(name)
-        c = Call(s, path)
-        w.wait_stopped(1)
-        [other] = s.add_sound(path)
-        w.kill()
-        try:
-            check_whole_elsewhere(path, [c], w, other)
-        except AssertionError as e:
-            failed.append("%s: %s" % (path, e))
-        s.clear()
-    assert not failed, "; ".join(failed)
+        s.wait_known(w.name)
+        return w
+
+    check_killed(s, start)
 
 
 class NoStore:
@@ -199,24 +194,16 @@
 # Guards against a short answer that looks complete since another target was started
 # at the address of the killed one before the store says so.
 def test_a_target_started_anew_does_not_show_that_the_former_goes_on(s):
-    failed = []
-    for path in ("/safe/", "/chat/"):
-        w = s.add_process(path, "close", "between")
-        c = Call(s, path)
-        w.wait_stopped(1)
-        [other] = s.add_sound(path)
+    def kill_and_start(w):
         w.kill()
-        began = time.monotonic()
         ip, port = w.address.split(":")
-        new = Worker((ip, int(port)), NoStore(), s.new_name(), SERVICE[path])
-        started_s = time.monotonic() - began
-        try:
-            check_whole_elsewhere(path, [c], w, other)
-        except AssertionError as e:
-            failed.append("%s, started in %.3f s: %s" % (path, started_s, e))
-        new.close()
-        s.clear()
-    assert not failed, "; ".join(failed)
+        anew.append(Worker((ip, int(port)), NoStore(), s.new_name(), w.service))
+
+    anew = []
+    check_killed(s, lambda path: s.add_process(path, "close", "between"),
+                 kill_and_start)
+    for w in anew:
+        w.close()
 
 
 if __name__ == "__main__":
