--- a/packages/flow/partition.c
+++ b/packages/flow/partition.c
@@ -1,5 +1,7 @@
 /* partition.c: detects that this instance is partitioned from the targets, and
    reaches them through other instances until it is not. */
+#include <string.h>
+
 #include "flow/run.h"
 #include "kernel/count.h"
 #include "kernel/log.h"
@@ -31,6 +33,7 @@
            r->n_runs);
   links_close_idle_if(r->links, is_direct, NULL);
   targets_end_ejections(r->targets);
+  if (r->tunnels) tunnels_decide(r->tunnels, NULL, TUNNEL_UNAVAILABLE);
 }
 
 static void end_interruption(Relay *r) {
@@ -42,12 +45,12 @@
 static void record_direct_attempt(Relay *r, const char *addr, bool connected) {
   double now = loopclock_now(r->loop);
   bool was_interrupted = paths_are_interrupted(r->paths);
+  if (connected) g_strlcpy(r->reached, addr, sizeof r->reached);
   if (connected)
     paths_note_connected(r->paths, now);
   else
     paths_note_failed(r->paths, now, text_hash(addr),
                       targets_count_all(r->targets));
-  if (r->tunnels) tunnels_note_attempt(r->tunnels, addr, connected);
   if (paths_are_interrupted(r->paths) == was_interrupted) return;
   if (was_interrupted)
     end_interruption(r);
@@ -82,17 +85,38 @@
   return now - MAX(since, links_last_direct_read(r->links));
 }
 
-/* Returns a random target that has not failed lately, NULL: none was found. */
-static const char *pick_probed(const Relay *r) {
+static void note_known(void *ctx, Target *t) {
+  (void)t;
+  *(bool *)ctx = true;
+}
+
+static bool is_known(const Relay *r, const char *addr) {
+  bool known = false;
+  targets_for_each_at_addr(r->targets, addr, note_known, &known);
+  return known;
+}
+
+/* Returns a random target that has not failed lately, other than `except`;
+   NULL: none was found. */
+static const char *pick_probed(const Relay *r, const char *except) {
   for (int i = 0; i < MAX_PICKS; i++) {
     const char *addr = targets_random_addr(r->targets);
-    if (addr && !paths_has_failed(r->paths, text_hash(addr))) return addr;
+    if (addr && !paths_has_failed(r->paths, text_hash(addr)) &&
+        strcmp(addr, except) != 0)
+      return addr;
   }
   return NULL;
 }
 
+const char *relay_pick_other(void *ctx, const char *addr) {
+  const Relay *r = ctx;
+  bool usable = strcmp(r->reached, addr) != 0 && is_known(r, r->reached) &&
+                !paths_has_failed(r->paths, text_hash(r->reached));
+  return usable ? r->reached : pick_probed(r, addr);
+}
+
 static void probe_target(Relay *r) {
-  const char *addr = pick_probed(r);
+  const char *addr = pick_probed(r, "");
   if (addr) link_preconnect(r->links, addr);
 }
 
@@ -158,29 +182,32 @@
 
 /* == tunnels for other instances == */
 
-static void note_known(void *ctx, Target *t) {
-  (void)t;
-  *(bool *)ctx = true;
-}
-
 TunnelStatus relay_check_tunnel(void *ctx, const char *addr) {
   const Relay *r = ctx;
-  bool known = false;
-  targets_for_each_at_addr(r->targets, addr, note_known, &known);
-  if (!known) return TUNNEL_DENIED;
+  if (!is_known(r, addr)) return TUNNEL_DENIED;
   bool available = !r->draining && !paths_are_interrupted(r->paths);
   return available ? TUNNEL_OPENED : TUNNEL_UNAVAILABLE;
 }
 
-/* A failure may be that of the target or of our own path, which the next
-   attempt to connect to another target shows. */
+/* A failure may be that of the target or of our own path. */
 TunnelStatus relay_on_tunnel_attempt(void *ctx, const char *addr,
                                      TunnelStatus status) {
   Relay *r = ctx;
   record_direct_attempt(r, addr, status == TUNNEL_OPENED);
   if (status == TUNNEL_OPENED) return status;
-  probe_target(r);
-  return TUNNEL_UNDECIDED;
+  bool started =
+      pathchecks_start(r->path_checks, addr, status == TUNNEL_REFUSED);
+  return started ? TUNNEL_UNDECIDED : TUNNEL_UNAVAILABLE;
+}
+
+void relay_on_path_checked(void *ctx, const char *addr, PathVerdict verdict) {
+  static const TunnelStatus statuses[] = {
+      [PATHCHECK_REFUSED] = TUNNEL_REFUSED,
+      [PATHCHECK_UNREACHABLE] = TUNNEL_UNREACHABLE,
+      [PATHCHECK_UNKNOWN] = TUNNEL_UNAVAILABLE};
+  Relay *r = ctx;
+  if (r->tunnels) tunnels_decide(r->tunnels, addr, statuses[verdict]);
+  relay_record_verdict(r, addr, verdict);
 }
 
 int relay_tunnel_count(const Relay *r) {
--- a/packages/flow/run.h
+++ b/packages/flow/run.h
@@ -14,6 +14,7 @@
 
 #include "flow/events.h"
 #include "flow/link.h"
+#include "flow/pathcheck.h"
 #include "flow/relay.h"
 #include "kernel/digest.h"
 #include "flow/tunnel.h"
@@ -49,6 +50,13 @@
 
 typedef struct Run Run;
 
+/* The answer to the check of a target that closed an unframed answer. */
+typedef enum {
+  CHECK_UNANSWERED,
+  CHECK_ANSWERED,
+  CHECK_ANSWERED_BY_ANOTHER /* by a proxy, or a target that started later */
+} CheckResult;
+
 struct Run {
   Relay *relay;
   Caller *caller;
@@ -123,11 +131,15 @@
   double first_byte_at; /* when it did */
   Link *link;           /* the exchange with `target`; NULL: none */
   /* Whether the target of an unframed answer goes on (unframed.c). */
-  ev_timer check_timer;  /* until `check` */
+  ev_timer check_timer;  /* until `check`, and for its answer */
   Link *check;           /* NULL: none */
   const char *check_via; /* interned address of its gateway; NULL: direct */
   int n_gateway_checks;  /* other instances asked after a direct one failed */
-  double paused_at; /* reading of the answer is paused since; 0: not paused */
+  int n_closed_checks;   /* accepted connections closed without an answer */
+  CheckResult check_result;
+  size_t check_bytes; /* of the body of its answer */
+  double paused_at;   /* reading of the answer is paused since; 0: not paused */
+  int64_t events_before; /* events of the stream that other targets sent */
   bool refused; /* the current answer states that the target did not run it */
   size_t refusal_bytes; /* of the body of that answer */
   bool maybe_ran;       /* a target may have run it */
@@ -158,9 +170,11 @@
   Retries *retries;
   Admission *admission;
   Returns *returns;
-  Paths *paths;       /* from this instance to the targets */
-  Gateways *gateways; /* while those are interrupted */
-  Tunnels *tunnels;   /* for other instances */
+  Paths *paths;            /* from this instance to the targets */
+  Gateways *gateways;      /* while those are interrupted */
+  Tunnels *tunnels;        /* for other instances */
+  PathChecks *path_checks; /* of targets that could not be connected to */
+  char reached[LIMIT_NAME_BYTES]; /* the target that was connected to last */
   Origins *origins;
   ConfHistory *conf_history;
   Ends *ends;
@@ -292,6 +306,8 @@
 /* Handles the result of a connection attempt to `addr`; `ctx` is the relay. */
 void relay_on_connect(void *ctx, const char *addr, const char *via,
                       LinkConnectResult how);
+/* It is known whether the target at `addr`, or our path to it, is at fault. */
+void relay_record_verdict(Relay *r, const char *addr, PathVerdict verdict);
 
 /* Resumes reading the answer from the target, after the caller has received
    enough of it. */
@@ -314,6 +330,13 @@
 /* Whether another instance may open a tunnel to this address; `ctx` is the
    relay. */
 TunnelStatus relay_check_tunnel(void *ctx, const char *addr);
+/* Returns the target that was connected to last, or else a random one that has
+   not failed lately, other than that at `addr`; NULL: none was found. `ctx` is
+   the relay. */
+const char *relay_pick_other(void *ctx, const char *addr);
+/* It is known whether a target that could not be connected to, or our path, is
+   at fault; `ctx` is the relay. */
+void relay_on_path_checked(void *ctx, const char *addr, PathVerdict verdict);
 /* Handles the result of a connection attempt for such a tunnel, and returns the
    answer. */
 TunnelStatus relay_on_tunnel_attempt(void *ctx, const char *addr,
--- a/packages/flow/unframed.c
+++ b/packages/flow/unframed.c
@@ -1,24 +1,51 @@
 /* unframed.c: answers whose end only the end of their connection marks. The
    kernel closes the connections of a process that is killed as if the process
    had closed them itself, so such an answer counts as complete only if its
-   target goes on. A target that goes on and ends one answer too soon can't be
+   target goes on. That a connection is accepted, or closed again, is no
+   evidence: another process may hold the listening socket, and a proxy accepts
+   and closes connections for a target that has ended. Only an answer of the
+   target itself is. A target that goes on and ends one answer too soon can't be
    told from one that ends it properly. */
 #include "flow/run.h"
+#include "flow/wire.h"
 #include "kernel/count.h"
 #include "kernel/limits.h"
 
+/* Connections that are closed without an answer until the target counts as
+   ended, and the time between two: a target with too many connections closes
+   them as well, until one of the others ends. */
+#define MAX_CLOSED_CHECKS 3
+#define CLOSED_CHECK_RETRY_MS 100
+
 /* Whether the connection was accepted by a process that started later. */
 static bool is_replaced(const Run *x) {
   return target_hash(x->target) != x->target_incarnation ||
          targets_have_successor(x->relay->targets, x->target);
 }
 
-static void on_checked(void *ctx, LinkConnectResult how);
+static void on_connected(void *ctx, LinkConnectResult how);
 
-static void check(Run *x, const char *via) {
-  x->check_via = via;
-  x->check =
-      link_check(x->relay->links, target_addr(x->target), via, on_checked, x);
+static void check(Run *x) {
+  x->check = link_check(x->relay->links, target_addr(x->target), x->check_via,
+                        on_connected, x);
+}
+
+static void start_check_timer(Run *x, int ms,
+                              void (*fn)(struct ev_loop *, ev_timer *, int)) {
+  ev_timer_init(&x->check_timer, fn, ms / 1e3, 0);
+  x->check_timer.data = x;
+  ev_timer_start(x->relay->loop, &x->check_timer);
+}
+
+/* After this process was paused, a target that ended may have started again. */
+static void on_delay(struct ev_loop *loop, ev_timer *w, int revents) {
+  (void)loop;
+  (void)revents;
+  Run *x = w->data;
+  if (x->relay->stale)
+    run_handle_broken(x, TARGET_NO_PATH, "closed");
+  else
+    check(x);
 }
 
 /* A direct connection may fail for the path, and a gateway may open no tunnel
@@ -30,38 +57,96 @@
   if (!says_nothing || run_may_be_continued(x)) return false;
   const char *via = relay_find_gateway(x->relay, target_addr(x->target));
   if (!via || ++x->n_gateway_checks > RUN_MAX_GATEWAYS) return false;
-  check(x, via);
+  x->check_via = via;
+  check(x);
   return true;
 }
 
-static void on_checked(void *ctx, LinkConnectResult how) {
-  Run *x = ctx;
-  x->check = NULL;
-  if (how == LINK_CONNECTED && !is_replaced(x))
+static void handle_evidence(Run *x, bool goes_on) {
+  if (goes_on && !is_replaced(x))
     run_finish_answer(x);
-  else if (check_via_gateway(x, how))
-    return;
-  else if (how == LINK_TUNNEL_FAILED)
-    run_handle_broken(x, TARGET_NO_PATH, "closed, no tunnel");
   else
     run_handle_broken(x, TARGET_UNRESPONSIVE, "closed, target ended");
 }
 
-/* After this process was paused, a target that ended may have started again. */
-static void on_delay(struct ev_loop *loop, ev_timer *w, int revents) {
+/* == the request to the target == */
+
+static LinkVerdict on_head(void *ctx, const LinkHead *h) {
+  Run *x = ctx;
+  x->check_result =
+      wire_is_from_target(h->headers, h->status, target_id(x->target))
+          ? CHECK_ANSWERED
+          : CHECK_ANSWERED_BY_ANOTHER;
+  return LINK_ACCEPT;
+}
+
+static bool on_body(void *ctx, const char *data, size_t n) {
+  Run *x = ctx;
+  (void)data;
+  x->check_bytes += n;
+  return x->check_bytes <= LIMIT_REFUSAL_BYTES;
+}
+
+static void on_end(void *ctx, LinkEnd how) {
+  Run *x = ctx;
+  x->check = NULL;
+  ev_timer_stop(x->relay->loop, &x->check_timer);
+  if (x->check_result != CHECK_UNANSWERED)
+    handle_evidence(x, x->check_result == CHECK_ANSWERED);
+  else if (how == LINK_NO_TUNNEL)
+    on_connected(x, LINK_TUNNEL_FAILED);
+  else if (how == LINK_BROKEN)
+    handle_evidence(x, false); /* what was sent is no answer */
+  else if (++x->n_closed_checks < MAX_CLOSED_CHECKS)
+    start_check_timer(x, CLOSED_CHECK_RETRY_MS, on_delay);
+  else
+    run_handle_broken(x, TARGET_UNRESPONSIVE, "closed, checks closed");
+}
+
+static void on_silence(struct ev_loop *loop, ev_timer *w, int revents) {
   (void)loop;
   (void)revents;
   Run *x = w->data;
-  if (x->relay->stale)
-    run_handle_broken(x, TARGET_NO_PATH, "closed");
-  else /* the way that the answer took, whose gateway may have ended */
-    check(x, x->via);
+  link_cancel(x->check);
+  x->check = NULL;
+  if (x->check_result != CHECK_UNANSWERED)
+    handle_evidence(x, x->check_result == CHECK_ANSWERED);
+  else if (!check_via_gateway(x, LINK_UNREACHABLE))
+    run_handle_broken(x, TARGET_UNRESPONSIVE, "closed, target silent");
 }
 
-/* A stream from its beginning has at least one event. */
+static void send_request(Run *x) {
+  static const LinkEvents events = {
+      .head = on_head, .body = on_body, .end = on_end};
+  const char *addr = target_addr(x->target);
+  GString *request = g_string_new(NULL);
+  wire_append_target_check(request, addr, target_id(x->target));
+  x->check_result = CHECK_UNANSWERED;
+  x->check_bytes = 0;
+  x->check = link_send_via(x->relay->links, addr, x->check_via, request,
+                           RUN_LINK_MAX_IDLE_S, &events, x);
+  start_check_timer(x, LIMIT_END_CHECK_ANSWER_MS, on_silence);
+}
+
+static void on_connected(void *ctx, LinkConnectResult how) {
+  Run *x = ctx;
+  x->check = NULL;
+  if (how == LINK_CONNECTED)
+    send_request(x);
+  else if (check_via_gateway(x, how))
+    return;
+  else if (how == LINK_TUNNEL_FAILED)
+    run_handle_broken(x, TARGET_NO_PATH, "closed, no tunnel");
+  else
+    handle_evidence(x, false);
+}
+
+/* == the end of the answer == */
+
+/* Any part of a stream has at least one event, unless all of them had arrived
+   before it: no evidence tells that from an end that came too soon. */
 static bool lacks_events(const Run *x) {
-  return x->stream && x->events.count == 0 &&
-         x->request.last_event == REQUEST_NO_EVENT;
+  return x->stream && x->events.count == x->events_before;
 }
 
 void run_check_end(Run *x) {
@@ -71,10 +156,9 @@
     return;
   }
   x->maybe_ran = true;
-  x->n_gateway_checks = 0;
-  ev_timer_init(&x->check_timer, on_delay, LIMIT_END_CHECK_DELAY_MS / 1e3, 0);
-  x->check_timer.data = x;
-  ev_timer_start(x->relay->loop, &x->check_timer);
+  x->n_gateway_checks = x->n_closed_checks = 0;
+  x->check_via = x->via; /* the way that the answer took */
+  start_check_timer(x, LIMIT_END_CHECK_DELAY_MS, on_delay);
 }
 
 void run_cancel_check(Run *x) {
--- a/tests/checked_ends.py
+++ b/tests/checked_ends.py
@@ -1,16 +1,19 @@
 #!/usr/bin/env python3
 """checked_ends.py: answers that only the end of their connection ends, where the check
-whether their target goes on misleads: a target at the address of a former one, one
-that can't be reached anew, and one whose listener outlives it. Real processes.
+whether their target goes on may mislead: a target at the address of a former one, one
+that can't be reached anew, one whose listener outlives it, and one behind a proxy. Real
+processes.
 
 Usage: checked_ends.py BUILD_DIR [TEST...]"""
 import socket
 import sys
 
 from answer_ends import (SERVICE, EndSite, check_whole_elsewhere, is_stream, parts_of)
-from ending import Call, play_answer, plain_parts, whole_answer
+from ending import Call, cut_answer, play_answer, plain_parts, whole_answer
 from fleet import run_tests
+from proxy import Proxy
 from standins import Worker
+from worker_process import WorkerProcess
 
 PATHS = ("/safe/", "/once/", "/firm/")
 LEAVING = 3  # targets
@@ -127,16 +130,16 @@
 
 # == short answers ==
 
-# Guards against a short answer that looks complete since a child of the killed target
-# still has its listener: the system accepts connections that nobody serves.
-def test_a_listener_that_outlives_its_target_does_not_show_that_it_goes_on(s):
+def check_killed(s, start, kill=WorkerProcess.kill):
+    """A target that `start` adds for a path is killed within an answer, which comes
+    whole from another one. Reports all paths that failed."""
     failed = []
     for path in ("/safe/", "/chat/"):
-        w = s.add_process(path, "close", "between", child=True)
+        w = start(path)
         c = Call(s, path)
         w.wait_stopped(1)
         [other] = s.add_sound(path)
-        w.kill()
+        kill(w)
         try:
             check_whole_elsewhere(path, [c], w, other)
         except AssertionError as e:
@@ -145,5 +148,63 @@
     assert not failed, "; ".join(failed)
 
 
+# Guards against a short answer that looks complete since a child of the killed target
+# still has its listener: the system accepts connections that nobody serves.
+def test_a_listener_that_outlives_its_target_does_not_show_that_it_goes_on(s):
+    check_killed(s, lambda path: s.add_process(path, "close", "between", child=True))
+
+
+class ProxiedStore:
+    """Enters targets with the address of a proxy, which accepts connections for them
+    whether they run or not."""
+
+    def __init__(self, store):
+        self.store = store
+
+    def put(self, kind, name, spec):
+        self.proxy = Proxy(spec["addr"])
+        self.store.put(kind, name, dict(spec, addr=self.proxy.address))
+
+    def remove(self, kind, name):
+        self.store.remove(kind, name)
+        self.proxy.close()
+
+
+# Guards against a short answer that looks complete since a proxy accepts connections
+# for a target that was killed.
+def test_a_proxy_that_accepts_for_a_target_does_not_show_that_it_goes_on(s):
+    def start(path):
+        name = s.new_name()
+        w = WorkerProcess(ProxiedStore(s.store), name, SERVICE[path],
+                          cut_answer("close", parts_of(path, name), "between"))
+        s.killed.append(w)
+        s.wait_known(w.name)
+        return w
+
+    check_killed(s, start)
+
+
+class NoStore:
+    """Of a target that is not entered yet."""
+
+    def put(self, kind, name, spec):
+        pass
+
+
+# Guards against a short answer that looks complete since another target was started
+# at the address of the killed one before the store says so.
+def test_a_target_started_anew_does_not_show_that_the_former_goes_on(s):
+    def kill_and_start(w):
+        w.kill()
+        ip, port = w.address.split(":")
+        anew.append(Worker((ip, int(port)), NoStore(), s.new_name(), w.service))
+
+    anew = []
+    check_killed(s, lambda path: s.add_process(path, "close", "between"),
+                 kill_and_start)
+    for w in anew:
+        w.close()
+
+
 if __name__ == "__main__":
     sys.exit(run_tests(dict(globals()), site=EndSite))
--- a/tests/front_ends.py
+++ b/tests/front_ends.py
@@ -19,16 +19,20 @@
 
 import process
 from process import KEYS, call, wait_for
+from proxy import Proxy
 from red import known_red
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)),
                                 "..", "fakes"))
-from ending_target import PLAIN  # noqa: E402
+from ending_target import (PLAIN, WORDS, frame_answer,  # noqa: E402
+                           streamed_chat, whole_chat)
 
 TARGET = os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "fakes",
                       "ending_target.py")
 FRAMES = ("length", "chunks", "none", "http10")
 UNFRAMED = ("none", "http10")
+HEAD_STEP = 13  # bytes between two cuts; after a failure the front waits 0.2 s
+RESET_EACH = 4  # cuts
 CUTS = ("head", "empty", "half", "last")
 
 
@@ -87,6 +91,19 @@
         return self.completion(mode, key, True)
 
 
+class ProxiedFleet(Fleet):
+    """The target is behind a proxy, which accepts connections whether it runs or not."""
+
+    def table(self, slots, small):
+        target = self.at(self.engines[0])
+        self.proxy = Proxy(target)
+        return super().table(slots, small).replace(target, self.proxy.address)
+
+    def close(self):
+        super().close()
+        self.proxy.close()
+
+
 def check_cut(f, send, cases):
     """Sends a request for each case, and again with its key: it must not look whole,
     count as run or be replayed."""
@@ -129,6 +146,13 @@
     check_cut(f, f.read, cases(("json", "text"), ("empty", "half")))
 
 
+def test_a_cut_answer_from_behind_a_proxy_is_not_passed_off_as_whole(f):
+    """The proxy accepted a connection for the killed target, which was taken for a sign
+    that the target goes on."""
+    check_cut(f, f.plain, [(frame, where, "kill", "text") for frame in UNFRAMED
+                           for where in ("empty", "half", "last")])
+
+
 def test_a_cut_chat_is_not_passed_off_as_whole(f):
     """The JSON of a completion shows whether it is whole."""
     check_cut(f, f.whole, cases(("json",)))
@@ -139,6 +163,44 @@
     check_cut(f, f.stream, cases(("json",), ("head", "empty", "half")))
 
 
+def cut_inside_frames(f, send, kind, body):
+    """Cuts answers by a living target in each frame: in the head, and in the first
+    and last bytes of a framed body, which hold sizes and trailers. tests/test_cuts.c
+    cuts at each byte what the front's client reads."""
+    n, wrong = 0, []
+    for frame in FRAMES + ("trailers", "interim"):
+        text = b"".join(frame_answer(frame, kind, body))
+        head, framed = map(len, frame_answer(frame, kind, body))
+        places = list(range(0, head, HEAD_STEP))
+        if frame not in UNFRAMED:
+            places += [head + 1, head + 3] + [head + framed - k for k in (1, 3, 9, 14)]
+        for at in places:
+            how = ("close", "reset")[n % RESET_EACH == 0]
+            status, got = send("%s %d %s text" % (frame, at, how), None)
+            n += 1
+            whole = b"[DONE]\n" in text[:at]  # only in a stream, which it ends
+            if status == 200 and not (whole and got.count("content") == len(WORDS)):
+                wrong.append("%s, %d bytes, %s: %r" % (frame, at, how, got))
+    print("  %d cases, %d wrong" % (n, len(wrong)), flush=True)
+    assert not wrong, wrong[:4]
+
+
+def test_a_plain_answer_cut_inside_its_frame_does_not_look_whole(f):
+    """A cut in a head, an interim one, a size of a chunk or a trailer could get a
+    framing of its own."""
+    cut_inside_frames(f, f.plain, *PLAIN["text"])
+
+
+def test_a_chat_cut_inside_its_frame_does_not_look_whole(f):
+    """The same."""
+    cut_inside_frames(f, f.whole, "application/json", whole_chat())
+
+
+def test_a_stream_cut_inside_its_head_does_not_look_whole(f):
+    """The same; its last event ends a stream, whatever follows."""
+    cut_inside_frames(f, f.stream, "text/event-stream", streamed_chat())
+
+
 def test_a_whole_answer_without_a_frame_is_passed_on(f):
     """Answers that only the end of the connection ends were all refused."""
     for frame in UNFRAMED:
@@ -168,7 +230,8 @@
     red, failed = known_red(), 0
     names = sys.argv[2:] or [n for n in globals() if n.startswith("test_")]
     for name in names:
-        fleet, start = Fleet(engines=1, instances=1), time.monotonic()
+        kind = ProxiedFleet if "behind_a_proxy" in name else Fleet
+        fleet, start = kind(engines=1, instances=1), time.monotonic()
         try:
             globals()[name](fleet)
             print("ok      %s %5.1f s" % (name, time.monotonic() - start), flush=True)
