--- a/fakes/worker_process.py
+++ b/fakes/worker_process.py
@@ -1,12 +1,15 @@
 """worker_process.py: a worker in a process of its own, which a test can kill while
 it answers: the system then closes its connections in order (FIN).
 
-Usage: worker_process.py NAME SERVICE [child]; standard input has the answer as JSON, a
-list of texts. It is sent with each ATTEMPT in it replaced by the id of the attempt, and
-then neither goes on nor ends. The process ends when its standard input is closed. With
-`child`, one that it starts keeps its listening socket open for CHILD_S."""
+Usage: worker_process.py NAME SERVICE [child] [pause]; standard input has the answer as
+JSON, a list of texts. It is sent with each ATTEMPT in it replaced by the id of the
+attempt, and then neither goes on nor ends. The process ends when its standard input is
+closed. With `child`, one that it starts keeps its listening socket open for CHILD_S. With
+`pause`, it closes the connection after the answer and then stops itself (SIGSTOP)."""
 import json
 import os
+import signal
+import socket
 import subprocess
 import sys
 import threading
@@ -22,12 +25,12 @@
     """Starts the process and enters it in the store. `ran`: the attempts that it
     began to run; `stopped`: those whose answer it has sent."""
 
-    def __init__(self, store, name, service, answer, child=False):
+    def __init__(self, store, name, service, answer, child=False, pause=False):
         self.store, self.name, self.service = store, name, service
         self.ran, self.stopped = [], []
         self.changed = threading.Condition()
         self.process = subprocess.Popen([sys.executable, __file__, name, service]
-                                        + ["child"] * child,
+                                        + ["child"] * child + ["pause"] * pause,
                                         stdin=subprocess.PIPE,
                                         stdout=subprocess.PIPE)
         text = json.dumps([part.decode("latin-1") for part in answer])
@@ -53,6 +56,9 @@
             raise AssertionError("%s sent %d answers of %d" % (
                 self.name, len(self.stopped), n))
 
+    def resume(self):
+        self.process.send_signal(signal.SIGCONT)
+
     def kill(self):
         self.process.kill()
         self.process.wait()
@@ -74,14 +80,19 @@
     os.write(1, line.encode() + b"\n")
 
 
-def player(answer):
+def player(answer, pause):
     def play(worker, c, headers):
         attempt = headers["x-loftpath-attempt-id"]
         report("ran " + attempt)
         for part in answer:
             c.sendall(part.replace(b"ATTEMPT", attempt.encode()))
+        if pause:
+            c.shutdown(socket.SHUT_RDWR)
         report("stopped " + attempt)
-        threading.Event().wait()
+        if not pause:
+            threading.Event().wait()
+        os.kill(os.getpid(), signal.SIGSTOP)
+        return False
 
     return play
 
@@ -89,10 +100,10 @@
 def main():
     answer = [part.encode("latin-1") for part in json.loads(sys.stdin.readline())]
     worker = Worker(("127.0.0.1", 0), EntryPrinter(), sys.argv[1], sys.argv[2])
-    if sys.argv[3:] == ["child"] and os.fork() == 0:
+    if "child" in sys.argv[3:] and os.fork() == 0:
         time.sleep(CHILD_S)
         os._exit(0)
-    worker.play = player(answer)
+    worker.play = player(answer, "pause" in sys.argv[3:])
     sys.stdin.read()
 
 
