Unframed: silence is no evidence that a target has ended

Callers got a 502 for a whole answer of an unsafe request, or a reset after the last event of a whole stream (LOST), when its target stood still for a second right after it: 8 of 8 cases of tests/silent.py on.

Cause: the check whether a target goes on took 0.5 s without an answer, or a connection that timed out, for the target's end. A stream was continued at a second target then, whose rest has no event, which proves no end either. Class: a timer that expires is taken for evidence.

Now only a refused connection, three closed ones, an answer of another process or a new incarnation ends the check; without any the target is checked again until the request's own deadline. A plain request that may run again still goes elsewhere after 0.5 s, a stream after half of its remaining time, both only if another target can be chosen. A pause of the instance itself in that time is no end either: the check waits until the store has told what changed.

--- a/packages/flow/dispatch.c
+++ b/packages/flow/dispatch.c
@@ -213,8 +213,8 @@
   fail_rejected(x);
 }
 
-void run_handle_broken(Run *x, TargetOutcome how, const char *why) {
-  Err e;
+/* Ends the exchange with a target that may have run the request. */
+static void leave_target(Run *x, TargetOutcome how, const char *why) {
   Target *t = x->target;
   bool recently_started = run_is_recently_started(x);
   log_failure(x, why);
@@ -222,6 +222,11 @@
   run_record_broken(x, t, recently_started);
   events_drop_partial(&x->events);
   x->maybe_ran = true;
+}
+
+void run_handle_broken(Run *x, TargetOutcome how, const char *why) {
+  Err e;
+  leave_target(x, how, why);
   if (run_may_be_continued(x) && may_try_another(x, true)) {
     run_dispatch(x);
     return;
@@ -230,6 +235,21 @@
   run_fail(x, &e);
 }
 
+static bool has_other_target(Run *x) {
+  TargetRequest criteria = run_target_criteria(x);
+  return targets_pick(x->relay->targets, run_now(x), &criteria).target != NULL;
+}
+
+bool run_try_elsewhere(Run *x, const char *why) {
+  if (!run_may_be_continued(x) || !has_other_target(x) ||
+      !may_try_another(x, true))
+    return false;
+  x->is_checked = false;
+  leave_target(x, TARGET_UNRESPONSIVE, why);
+  run_dispatch(x);
+  return true;
+}
+
 void run_leave_path(Run *x) {
   if (!run_may_be_continued(x) || !may_try_another(x, true)) return;
   log_failure(x, "no path");
--- a/packages/flow/relay.h
+++ b/packages/flow/relay.h
@@ -85,6 +85,9 @@
 /* Sets whether the state of this instance is stale because its process was
    paused. While it is, new requests are refused and none is dispatched. */
 void relay_set_stale(Relay *r, bool stale);
+/* The store has not told what changed in a pause of this process: answers whose
+   targets may have been replaced in it count as broken. */
+void relay_end_checks(Relay *r);
 /* From now on new requests are refused. */
 void relay_refuse_requests(Relay *r);
 int relay_open_request_count(const Relay *r);
--- a/packages/flow/run.h
+++ b/packages/flow/run.h
@@ -131,8 +131,10 @@
   double first_byte_at; /* when it did */
   Link *link;           /* the exchange with `target`; NULL: none */
   /* Whether the target of an unframed answer goes on (unframed.c). */
-  ev_timer check_timer;  /* until `check`, and for its answer */
-  Link *check;           /* NULL: none */
+  bool is_checked;      /* it is being found out */
+  double check_until;   /* the run goes on elsewhere without evidence by then */
+  ev_timer check_timer; /* until `check`, and for its answer */
+  Link *check;          /* NULL: none */
   const char *check_via; /* interned address of its gateway; NULL: direct */
   int n_gateway_checks;  /* other instances asked after a direct one failed */
   int n_closed_checks;   /* accepted connections closed without an answer */
@@ -410,6 +412,9 @@
 /* Goes on after a broken exchange, whose target may have run the request: at
    another target, or with an error. `why` is for the log. */
 void run_handle_broken(Run *x, TargetOutcome how, const char *why);
+/* Goes on at another target, since nothing tells whether the present one has
+   ended; false: there is none, or the request must not run again. */
+bool run_try_elsewhere(Run *x, const char *why);
 /* Ends the run with the target's complete answer, or tries another target after
    an error answer. */
 void run_finish_answer(Run *x);
--- a/packages/flow/unframed.c
+++ b/packages/flow/unframed.c
@@ -4,8 +4,9 @@
    target goes on. That a connection is accepted, or closed again, is no
    evidence: another process may hold the listening socket, and a proxy accepts
    and closes connections for a target that has ended. Only an answer of the
-   target itself is. A target that goes on and ends one answer too soon can't be
-   told from one that ends it properly. */
+   target itself is. Silence is no evidence either: a sound target may stand
+   still. A target that goes on and ends one answer too soon can't be told from
+   one that ends it properly. */
 #include "flow/run.h"
 #include "flow/wire.h"
 #include "kernel/count.h"
@@ -16,6 +17,13 @@
    them as well, until one of the others ends. */
 #define MAX_CLOSED_CHECKS 3
 #define CLOSED_CHECK_RETRY_MS 100
+/* Between two checks without evidence, and while this process catches up after
+   a pause. */
+#define SILENT_CHECK_RETRY_MS 100
+/* Part of the remaining time that a stream is checked for before its rest is
+   asked for elsewhere. A rest without events proves no end, so a whole stream
+   would be lost; one that was cut needs time to go on. */
+#define STREAM_CHECK_RATIO 0.5
 
 /* Whether the connection was accepted by a process that started later. */
 static bool is_replaced(const Run *x) {
@@ -37,17 +45,27 @@
   ev_timer_start(x->relay->loop, &x->check_timer);
 }
 
-/* After this process was paused, a target that ended may have started again. */
+/* After this process was paused, a target that ended may have started again:
+   the store tells which did. */
 static void on_delay(struct ev_loop *loop, ev_timer *w, int revents) {
   (void)loop;
   (void)revents;
   Run *x = w->data;
   if (x->relay->stale)
-    run_handle_broken(x, TARGET_NO_PATH, "closed");
+    start_check_timer(x, SILENT_CHECK_RETRY_MS, on_delay);
   else
     check(x);
 }
 
+void relay_end_checks(Relay *r) {
+  for (Run *x = r->first_run, *next; x; x = next) {
+    next = x->next;
+    if (!x->is_checked) continue;
+    run_cancel_check(x);
+    run_handle_broken(x, TARGET_NO_PATH, "closed, target not known");
+  }
+}
+
 /* A direct connection may fail for the path, and a gateway may open no tunnel
    since it is stopping. Where the run can't go on elsewhere, other instances
    try as well. */
@@ -62,11 +80,30 @@
   return true;
 }
 
+static void break_answer(Run *x, const char *why) {
+  x->is_checked = false;
+  run_handle_broken(x, TARGET_UNRESPONSIVE, why);
+}
+
 static void handle_evidence(Run *x, bool goes_on) {
-  if (goes_on && !is_replaced(x))
-    run_finish_answer(x);
-  else
-    run_handle_broken(x, TARGET_UNRESPONSIVE, "closed, target ended");
+  if (!goes_on || is_replaced(x)) {
+    break_answer(x, "closed, target ended");
+    return;
+  }
+  x->is_checked = false;
+  run_finish_answer(x);
+}
+
+/* Nothing tells whether the target goes on: it is checked again until the run's
+   deadline, unless the run can go on elsewhere. */
+static void handle_no_evidence(Run *x, LinkConnectResult how, const char *why) {
+  const Relay *r = x->relay;
+  const char *addr = target_addr(x->target);
+  if (check_via_gateway(x, how)) return;
+  if (run_now(x) >= x->check_until && run_try_elsewhere(x, why)) return;
+  x->n_gateway_checks = 0;
+  x->check_via = x->via ? relay_find_gateway(r, addr) : NULL;
+  start_check_timer(x, SILENT_CHECK_RETRY_MS, on_delay);
 }
 
 /* == the request to the target == */
@@ -100,7 +137,7 @@
   else if (++x->n_closed_checks < MAX_CLOSED_CHECKS)
     start_check_timer(x, CLOSED_CHECK_RETRY_MS, on_delay);
   else
-    run_handle_broken(x, TARGET_UNRESPONSIVE, "closed, checks closed");
+    break_answer(x, "closed, checks closed");
 }
 
 static void on_silence(struct ev_loop *loop, ev_timer *w, int revents) {
@@ -111,8 +148,8 @@
   x->check = NULL;
   if (x->check_result != CHECK_UNANSWERED)
     handle_evidence(x, x->check_result == CHECK_ANSWERED);
-  else if (!check_via_gateway(x, LINK_UNREACHABLE))
-    run_handle_broken(x, TARGET_UNRESPONSIVE, "closed, target silent");
+  else
+    handle_no_evidence(x, LINK_UNREACHABLE, "closed, target silent");
 }
 
 static void send_request(Run *x) {
@@ -133,11 +170,9 @@
   x->check = NULL;
   if (how == LINK_CONNECTED)
     send_request(x);
-  else if (check_via_gateway(x, how))
-    return;
-  else if (how == LINK_TUNNEL_FAILED)
-    run_handle_broken(x, TARGET_NO_PATH, "closed, no tunnel");
-  else
+  else if (how != LINK_REFUSED)
+    handle_no_evidence(x, how, "closed, target not reached");
+  else if (!check_via_gateway(x, how))
     handle_evidence(x, false);
 }
 
@@ -149,19 +184,28 @@
   return x->stream && x->events.count == x->events_before;
 }
 
+/* Until when a run that may go on elsewhere waits for evidence. */
+static double check_until(const Run *x) {
+  double now = run_now(x);
+  if (x->stream) return now + (x->deadline - now) * STREAM_CHECK_RATIO;
+  return now + LIMIT_END_CHECK_ANSWER_MS / 1e3;
+}
+
 void run_check_end(Run *x) {
   count_add(COUNT_ANSWERS_CLOSED, 1);
   if (lacks_events(x)) {
     run_handle_broken(x, TARGET_FAILED, "closed before an event");
     return;
   }
-  x->maybe_ran = true;
+  x->maybe_ran = x->is_checked = true;
+  x->check_until = check_until(x);
   x->n_gateway_checks = x->n_closed_checks = 0;
   x->check_via = x->via; /* the way that the answer took */
   start_check_timer(x, LIMIT_END_CHECK_DELAY_MS, on_delay);
 }
 
 void run_cancel_check(Run *x) {
+  x->is_checked = false;
   ev_timer_stop(x->relay->loop, &x->check_timer);
   if (x->check) link_cancel(x->check);
   x->check = NULL;
--- a/packages/node/node.c
+++ b/packages/node/node.c
@@ -578,6 +578,7 @@
   log_info("caught-up", "s:b,s:f", "by_store", (int)is_current, "after",
            past_s);
   n->paused_at = 0;
+  if (!is_current) relay_end_checks(n->relay);
   relay_set_stale(n->relay, false);
 }
 
