--- /dev/null
+++ b/tests/resumed.py
@@ -0,0 +1,155 @@
+#!/usr/bin/env python3
+"""resumed.py: streams that callers take up after a loss of all instances go on, if
+targets of the version that began them are there, and at no other version.
+
+Usage: resumed.py BUILD_DIR [TEST...]"""
+import random
+import sys
+import threading
+import time
+
+from fleet import config, run_in_groups, run_tests
+from rejoined import Releases
+from versions import EVENTS, SETTLE_S, Engine, Taken
+
+INSTANCES, MANY = 3, 8
+GROUPS = 4        # of tests that run side by side
+ROUNDS, EVERY_S = 4, 4.0  # losses, and the time from one to the next
+STARTS_S = 0.05   # between two streams
+TRY_S = 3.0       # a caller tries for this long after its stream broke
+SHARE = 0.9       # of the streams that broke go on in that time
+LEAST = 12        # streams that a test's losses break
+
+
+class ShortEngine(Engine):
+    """Streams for 0.4 s: most streams are younger than that when they break."""
+
+    pause_s = 0.04
+
+
+class Targets(Releases):
+    """Their customers have no budget, which a loss of all would leave locked for some
+    seconds."""
+
+    kind = ShortEngine
+
+    def __init__(self, s, counts, **more):
+        super().__init__(s, counts, **more)
+        conf = config(3)
+        del conf["tenants"][0]["prepaid"]
+        s.store.put("config", "main", conf)
+        time.sleep(SETTLE_S)
+
+    def serves(self, versions):
+        return any(e.version in versions for e in self.engines)
+
+
+class Callers:
+    """Callers of streams at random instances, who take them up when they break."""
+
+    def __init__(self, s, targets):
+        self.s, self.targets = s, targets
+        self.made, self.broke, self.gone_on, self.left = [], [], [], []
+        self.errors, self.threads = {}, []
+        self.lock, self.stopping = threading.Lock(), False
+        self.thread = threading.Thread(target=self._run)
+        self.thread.start()
+
+    def _run(self):
+        dice = random.Random(1)
+        while not self.stopping:
+            t = threading.Thread(target=self._play, args=(dice.random(),))
+            t.start()
+            self.threads.append(t)
+            time.sleep(STARTS_S)
+
+    def _play(self, seed):
+        dice, t = random.Random(seed), Taken(self.s)
+        t.attempt(dice.randrange(len(self.s.processes)))
+        if 0 < t.last < EVENTS:
+            self._take_up(dice, t)
+        with self.lock:
+            self.made.append(t)
+
+    def _take_up(self, dice, t):
+        began_at, on = time.monotonic(), False
+        while not on and time.monotonic() < began_at + TRY_S:
+            on = t.attempt(dice.randrange(len(self.s.processes)))
+            if not on:
+                time.sleep(dice.uniform(0.02, 0.15))
+        served = self.targets.serves(t.versions)
+        with self.lock:
+            if not served and not on:
+                self.left.append(t)
+                return
+            self.broke.append(t)
+            if on:
+                self.gone_on.append(t)
+            else:
+                self.errors[t.error] = self.errors.get(t.error, 0) + 1
+
+    def check(self):
+        self.stopping = True
+        self.thread.join()
+        for t in self.threads:
+            t.join()
+        mixed = [t for t in self.made if len(t.versions) > 1]
+        joined = [t for t in self.made if t.ids != list(range(1, len(t.ids) + 1))]
+        print("   %d of %d went on, %d whose version has left, %d of two versions; %s"
+              % (len(self.gone_on), len(self.broke), len(self.left), len(mixed),
+                 self.errors), flush=True)
+        assert not mixed, "%d streams of two versions" % len(mixed)
+        assert not joined, "events %s" % joined[0].ids
+        assert len(self.broke) >= LEAST, "only %d broke" % len(self.broke)
+        assert len(self.gone_on) >= SHARE * len(self.broke), (
+            "%d of %d went on" % (len(self.gone_on), len(self.broke)))
+
+
+def play(s, counts, change=lambda v, k: None):
+    """Kills all instances again and again; `change` comes before the k-th loss."""
+    targets = Targets(s, counts)
+    callers = Callers(s, targets)
+    for k in range(ROUNDS):
+        change(targets, k)
+        time.sleep(EVERY_S)
+        s.restart_all()
+    time.sleep(TRY_S)
+    callers.check()
+
+
+# Guards against streams that nobody goes on with for 30 s after a loss of all, though
+# all targets have had one version all along.
+def test_one_version_after_a_loss_of_all(s):
+    play(s, {"v1": 6})
+
+
+# Guards against the same in a fleet where other instances start first.
+def test_one_version_at_more_instances(s):
+    play(s, {"v1": 6})
+
+
+# Guards against streams that nobody goes on with since only the lost instances knew
+# which of two versions had begun them.
+def test_two_versions_after_a_loss_of_all(s):
+    play(s, {"v1": 3, "v2": 3})
+
+
+# Guards against the same within a release: a version joins before each loss, and the
+# one before the last leaves.
+def test_a_release_beside_each_loss_of_all(s):
+    def change(targets, k):
+        targets.start("v%d" % (k + 2))
+        if k > 0:
+            targets.leave("v%d" % k, 0.3)
+
+    play(s, {"v1": 3}, change)
+
+
+TESTS = {n: f for n, f in globals().items() if n.startswith("test_")}
+
+if __name__ == "__main__":
+    if not sys.argv[2:]:
+        sys.exit(run_in_groups(list(TESTS), GROUPS))
+    sizes = dict.fromkeys(TESTS, INSTANCES)
+    sizes["test_one_version_at_more_instances"] = MANY
+    sys.exit(run_tests(TESTS, sizes))
