Streams: what began them outlives a loss of all instances

Cause: the records of streams, and what instances had seen of the versions for the last 30 s, were in their memory alone. Class: knowledge on which a promise rests outlives no instance.

Now the store has two things, both only ever true: - checkpoints of the services with one version and one set of routes, up to a revision, written every 5 s by the two instances of the lowest ranks. Who starts reads what changed since from the store's history; another version, an entry that can't be read, other routes, a gap or another era drop the service. No instance has to write before it uses a new version, and builds that write none do no harm. - while a version can't be concluded so, each instance's log of the streams that it has open, written as they begin, within a quarter of the store's rate. A stream that no instance knows is searched for there, and proven by changes that are read after its caller asked. At the first start of a fleet nothing can have begun before (setting first-start).

--- a/packages/conf/history.c
+++ b/packages/conf/history.c
@@ -2,6 +2,7 @@
 #include "conf/history.h"
 
 #include <math.h>
+#include <xxhash.h>
 
 #include "kernel/text.h"
 
@@ -196,3 +197,31 @@
     longest_s = MAX(longest_s, longest_of(v, now));
   return longest_s;
 }
+
+/* == routes == */
+
+static uint64_t hash_route(const ConfRoute *r) {
+  char *place = g_strconcat(r->host, " ", r->prefix, NULL);
+  uint64_t h = text_hash(place), services = 0;
+  g_free(place);
+  for (int i = 0; i < r->n_splits; i++)
+    services += text_hash(r->splits[i].service);
+  return XXH64(&services, sizeof services, h);
+}
+
+static bool has_service_hash(const ConfRoute *r, uint64_t service) {
+  for (int i = 0; i < r->n_splits; i++)
+    if (text_hash(r->splits[i].service) == service) return true;
+  return false;
+}
+
+/* A sum, which does not depend on the order of the routes. */
+uint64_t conf_stream_routes(const Conf *c, uint64_t service) {
+  uint64_t sum = 0;
+  for (guint i = 0; i < c->routes->len; i++) {
+    const ConfRoute *r = c->routes->pdata[i];
+    if (r->kind == CONF_STREAM && has_service_hash(r, service))
+      sum += hash_route(r);
+  }
+  return sum;
+}
--- a/packages/flow/origins.c
+++ b/packages/flow/origins.c
@@ -11,6 +11,8 @@
 /* For the answers of other instances, also of another region. A refusal after
    this still leaves its caller time to begin anew. */
 #define ORIGIN_TIMEOUT_S 0.08
+/* For the store, which answers in milliseconds. */
+#define SEARCH_TIMEOUT_S 0.15
 
 static bool is_stream_route(const Run *x) {
   return x->route->kind == CONF_STREAM;
@@ -44,23 +46,25 @@
              conf_history_longest_s(r->conf_history, now, service));
 }
 
-static ConfHistoryKind history_of(const Relay *r, uint64_t service) {
+ConfHistoryKind relay_service_history(const Relay *r, uint64_t service) {
   return conf_history_of(r->conf_history, loopclock_now(r->loop), service,
                          memory_of(r, service));
 }
 
 /* Whether a stream at any route of the service began there, and at this
    version, as far as this instance knows. */
-static bool is_sole(const Relay *r, uint64_t service, uint64_t *version) {
-  return history_of(r, service) == CONF_HISTORY_ONE &&
+bool relay_is_sole(const Relay *r, uint64_t service, uint64_t *version) {
+  return relay_service_history(r, service) == CONF_HISTORY_ONE &&
          targets_sole_version(r->targets, loopclock_now(r->loop), service,
                               memory_of(r, service), version);
 }
 
 /* Whether the homes need records of a service's streams. */
 static bool needs_records(void *ctx, uint64_t service) {
+  const Relay *r = ctx;
   uint64_t version;
-  return !is_sole(ctx, service, &version);
+  return !relay_is_sole(r, service, &version) &&
+         !recovery_holds(r->recovery, service);
 }
 
 /* Instances of earlier builds that ask this one find a record by their key. It
@@ -70,9 +74,16 @@
   origins_set(x->relay->origins, run_now(x), &record, true);
 }
 
+double relay_memory_s(const Relay *r) {
+  double now = loopclock_now(r->loop);
+  return MAX(VERSIONS_MEMORY_S,
+             conf_history_longest_of_all_s(r->conf_history, now));
+}
+
 static void share_record(Relay *r, const OriginsMsg *record) {
   count_add(COUNT_ORIGINS_SHARED, 1);
   cluster_share_origin(r->cluster, record);
+  recovery_note_begun(r->recovery, record);
 }
 
 void run_record_begun(Run *x) {
@@ -94,6 +105,7 @@
 
 void run_forget_origin(Run *x) {
   if (x->origin_key == 0) return;
+  recovery_note_delivered(x->relay->recovery, x->origin_key);
   origins_remove(x->relay->origins, x->origin_key);
   origins_remove(x->relay->origins, service_key_of(x));
 }
@@ -117,9 +129,9 @@
   if (origins_find(r->origins, query->key, &a))
     a.kind = ORIGINS_KNOWN;
   else if (targets_have_versions(r->targets, query->service) ||
-           history_of(r, query->service) == CONF_HISTORY_SEVERAL)
+           relay_service_history(r, query->service) == CONF_HISTORY_SEVERAL)
     a.kind = ORIGINS_SEVERAL;
-  else if (is_sole(r, query->service, &a.version))
+  else if (relay_is_sole(r, query->service, &a.version))
     a.kind = ORIGINS_SOLE;
   return a;
 }
@@ -159,12 +171,12 @@
 /* A record decides. What is known of the versions decides only if all have
    answered: one that is missing may have a record, or know another version. */
 static bool is_decided(const Run *x) {
-  return x->origin.kind == ORIGINS_KNOWN ||
+  return x->is_proven || x->origin.kind == ORIGINS_KNOWN ||
          (x->n_origins_missing == 0 && origins_is_conclusive(&x->origin));
 }
 
-/* Goes on with the answers that there are. */
-static void conclude(Run *x) {
+/* Goes on with what is known. */
+static void settle(Run *x) {
   run_cancel_query(x);
   if (!is_decided(x)) {
     refuse_stream(x);
@@ -174,12 +186,77 @@
     refuse_service(x);
     return;
   }
-  log_origin(x, x->origin.kind == ORIGINS_KNOWN ? "known" : "sole");
+  log_origin(x, x->origin.kind == ORIGINS_KNOWN ? "known"
+                : x->is_proven                  ? "proven"
+                                                : "sole");
   x->has_version = true;
   x->version = x->origin.version;
   x->admit(x);
 }
 
+/* == the store == */
+
+/* Without an attempt named there is no record to be found, but others may know
+   of other versions than this instance. The request's own id then spreads the
+   queries over the instances of a large fleet. */
+static uint64_t query_key(const Run *x) {
+  const RequestInfo *a = &x->request;
+  return a->resumes[0] ? key_of(x) : text_hash(a->id);
+}
+
+static OriginsMsg find_own(const Run *x, const OriginsMsg *query);
+
+static void on_search_timeout(struct ev_loop *loop, ev_timer *w, int revents) {
+  (void)loop;
+  (void)revents;
+  settle(w->data);
+}
+
+static void start_query(Run *x, double timeout_s,
+                        void (*fn)(struct ev_loop *, ev_timer *, int)) {
+  Relay *r = x->relay;
+  x->query_id = ++r->last_query_id;
+  g_hash_table_insert(r->runs_by_query, &x->query_id, x);
+  ev_timer_init(&x->query_timer, fn, timeout_s, 0);
+  x->query_timer.data = x;
+  ev_timer_start(r->loop, &x->query_timer);
+}
+
+/* No instance knows what began the stream. */
+static void search_store(Run *x) {
+  x->searched_store = true;
+  start_query(x, SEARCH_TIMEOUT_S, on_search_timeout);
+  recovery_search(x->relay->recovery, x->query_id);
+}
+
+void relay_on_search_end(Relay *r, uint64_t query_id) {
+  Run *x = g_hash_table_lookup(r->runs_by_query, &query_id);
+  if (!x) return;
+  OriginsMsg query = {.key = query_key(x),
+                      .service = text_hash(x->service_name)};
+  OriginsMsg own = find_own(x, &query);
+  x->origin = origins_combine(&x->origin, &own);
+  uint64_t version;
+  if (x->origin.kind < ORIGINS_SEVERAL &&
+      recovery_proves(r->recovery, query.service, &version)) {
+    x->is_proven = true;
+    x->origin = (OriginsMsg){
+        .kind = ORIGINS_SOLE, .service = query.service, .version = version};
+  }
+  settle(x);
+}
+
+/* The instances that were asked have answered, or had the time to. */
+static void conclude(Run *x) {
+  run_cancel_query(x);
+  if (is_decided(x))
+    settle(x);
+  else
+    search_store(x);
+}
+
+/* == other instances == */
+
 static void on_timeout(struct ev_loop *loop, ev_timer *w, int revents) {
   (void)loop;
   (void)revents;
@@ -188,26 +265,15 @@
 
 static void query_others(Run *x, OriginsMsg *query) {
   Relay *r = x->relay;
-  x->query_id = query->number = ++r->last_query_id;
+  start_query(x, ORIGIN_TIMEOUT_S, on_timeout);
+  query->number = x->query_id;
   x->awaits_origin = true;
-  g_hash_table_insert(r->runs_by_query, &x->query_id, x);
-  ev_timer_init(&x->query_timer, on_timeout, ORIGIN_TIMEOUT_S, 0);
-  x->query_timer.data = x;
-  ev_timer_start(r->loop, &x->query_timer);
   x->n_origins_missing = cluster_query_origin(r->cluster, query);
   if (!x->request.resumes[0]) return;
   query->key = service_key_of(x); /* for instances of earlier builds */
   x->n_origins_missing += cluster_query_origin(r->cluster, query);
 }
 
-/* Without an attempt named there is no record to be found, but others may know
-   of other versions than this instance. The request's own id then spreads the
-   queries over the instances of a large fleet. */
-static uint64_t query_key(const Run *x) {
-  const RequestInfo *a = &x->request;
-  return a->resumes[0] ? key_of(x) : text_hash(a->id);
-}
-
 /* An instance of an earlier build may have told this one the record. */
 static OriginsMsg find_own(const Run *x, const OriginsMsg *query) {
   OriginsMsg a = own_answer(x->relay, query), earlier = *query;
--- a/packages/flow/relay.c
+++ b/packages/flow/relay.c
@@ -10,6 +10,7 @@
 #include "flow/wire.h"
 #include "kernel/loopclock.h"
 #include "kernel/text.h"
+#include "node/feed.h"
 
 #define CONNECT_TIMEOUT_S 0.4 /* data centres are at most 3 ms apart */
 #define USER_TIMEOUT_MS 1500  /* unacknowledged data ends a connection */
@@ -261,6 +262,7 @@
   admission_free(r->admission);
   returns_free(r->returns);
   relay_free_tries(r);
+  recovery_free(r->recovery);
   origins_free(r->origins);
   conf_history_free(r->conf_history);
   trials_free(r->trials);
@@ -315,6 +317,7 @@
   r->paths = paths_new();
   r->gateways = gateways_new(o->self, port_of(o->tunnel_addr));
   r->origins = origins_new();
+  r->recovery = recovery_new(r, o->self->id, &o->recovery);
   r->conf_history = conf_history_new();
   r->ends = ends_new();
   r->suspects = suspects_new();
@@ -396,6 +399,14 @@
   return r->n_runs;
 }
 
+void relay_set_feed(Relay *r, Feed *feed) {
+  recovery_set_feed(r->recovery, feed);
+}
+
+void relay_update_recovery(Relay *r, const RecoveryPlace *place) {
+  recovery_update(r->recovery, place);
+}
+
 bool relay_is_delivering(const Relay *r) {
   return callers_are_sending(r->callers);
 }
--- a/packages/flow/relay.h
+++ b/packages/flow/relay.h
@@ -15,6 +15,14 @@
 
 typedef struct Relay Relay;
 
+/* What this instance is to the recovery of streams after a loss of all. */
+typedef struct RecoveryPlace {
+  bool is_first_start; /* of the whole fleet */
+  int rank;            /* of this instance among all; -1: not known */
+  int n_instances;
+  double store_writes_per_s; /* that the whole fleet may make */
+} RecoveryPlace;
+
 typedef struct RelayOptions {
   const char *listen_addr;     /* "ip:port" for callers */
   const char *tunnel_addr;     /* "ip:port" for tunnels of other instances */
@@ -23,6 +31,7 @@
   Store *store;                /* holds the trials of suspects (run.h) */
   const Regions *regions;      /* of the data centres; outlives the relay */
   const Managed *managed;      /* outlives the relay */
+  RecoveryPlace recovery;
 } RelayOptions;
 
 Relay *relay_open(struct ev_loop *loop, const RelayOptions *o, Targets *targets,
@@ -85,6 +94,12 @@
 /* Sets whether the state of this instance is stale because its process was
    paused. While it is, new requests are refused and none is dispatched. */
 void relay_set_stale(Relay *r, bool stale);
+struct Feed;
+/* Followed objects of the store; to be called once, before
+   relay_update_recovery. */
+void relay_set_feed(Relay *r, struct Feed *feed);
+/* To be called 20 times a second. */
+void relay_update_recovery(Relay *r, const RecoveryPlace *place);
 /* The store has not told what changed in a pause of this process: answers whose
    targets may have been replaced in it count as broken. */
 void relay_end_checks(Relay *r);
--- a/packages/flow/run.h
+++ b/packages/flow/run.h
@@ -49,6 +49,8 @@
 #define RUN_RETRY_NOT_ALLOWED_MS 5000
 
 typedef struct Run Run;
+typedef struct Recovery Recovery;
+struct Feed;
 
 /* The answer to the check of a target that closed an unframed answer. */
 typedef enum {
@@ -88,7 +90,9 @@
   void (*admit)(Run *x); /* once it is known */
   bool awaits_origin;
   int n_origins_missing;
-  OriginsMsg origin; /* the answers so far */
+  OriginsMsg origin;   /* the answers so far */
+  bool searched_store; /* for what began the stream */
+  bool is_proven;      /* `origin` holds whatever others know */
   /* budget */
   int64_t reserved_tokens;
   uint64_t reservation; /* number of the reservation; 0: none */
@@ -178,6 +182,7 @@
   PathChecks *path_checks; /* of targets that could not be connected to */
   char reached[LIMIT_NAME_BYTES]; /* the target that was connected to last */
   Origins *origins;
+  Recovery *recovery;
   ConfHistory *conf_history;
   Ends *ends;
   Suspects *suspects;
@@ -252,6 +257,38 @@
    ones. */
 void relay_sweep_origins(Relay *r);
 
+/* Whether all targets of a service have had this version, and its stream routes
+   no other service, for as long as a stream may be resumed, as far as this
+   instance has followed them. */
+bool relay_is_sole(const Relay *r, uint64_t service, uint64_t *version);
+ConfHistoryKind relay_service_history(const Relay *r, uint64_t service);
+/* How long after its beginning any stream may be resumed, in seconds. */
+double relay_memory_s(const Relay *r);
+/* The store was searched for what began the stream of the run that has this
+   query id; it may have ended. */
+void relay_on_search_end(Relay *r, uint64_t query_id);
+
+/* == recovery.c: streams after a loss of all instances == */
+
+/* `id`: of this instance; `place`: until the first update. */
+Recovery *recovery_new(Relay *r, const char *id, const RecoveryPlace *place);
+void recovery_free(Recovery *y);
+void recovery_set_feed(Recovery *y, struct Feed *feed);
+void recovery_update(Recovery *y, const RecoveryPlace *place);
+/* A stream began here whose version can't be concluded otherwise. */
+void recovery_note_begun(Recovery *y, const OriginsMsg *record);
+void recovery_note_delivered(Recovery *y, uint64_t key);
+/* Whether the streams of a service need no records: all began at one version,
+   by what the store had at the start and what was followed since. */
+bool recovery_holds(Recovery *y, uint64_t service);
+/* Searches the store, from now on, for the streams of all instances and for
+   what changed of the targets; relay_on_search_end is called then, maybe before
+   this returns. */
+void recovery_search(Recovery *y, uint64_t query_id);
+/* Sets the version at which all streams of a service began, up to the beginning
+   of the search that ends; false: it is not known. */
+bool recovery_proves(Recovery *y, uint64_t service, uint64_t *version);
+
 /* == asking.c: requests of all instances at targets == */
 
 /* Sends queries for the work of all instances at candidate targets, before one
--- a/packages/kernel/text.c
+++ b/packages/kernel/text.c
@@ -1,4 +1,4 @@
-/* text.c: copies text from jansson's allocator to GLib's. */
+/* text.c: copies text from jansson's allocator to GLib's; hashes. */
 #include "kernel/text.h"
 
 #include <glib.h>
@@ -16,3 +16,24 @@
 uint64_t text_hash(const char *name) {
   return XXH64(name, strlen(name), 0);
 }
+
+/* == hashes in JSON == */
+
+#define HASH_DIGITS 16
+
+json_t *text_json_hash(uint64_t hash) {
+  return json_sprintf("%016" G_GINT64_MODIFIER "x", hash);
+}
+
+bool text_parse_hash(const char *text, uint64_t *hash) {
+  for (int i = 0; i < HASH_DIGITS; i++)
+    if (!g_ascii_isxdigit(text[i])) return false;
+  if (text[HASH_DIGITS]) return false;
+  *hash = g_ascii_strtoull(text, NULL, 16);
+  return true;
+}
+
+bool text_read_hash(const json_t *o, uint64_t *hash) {
+  const char *text = json_string_value(o);
+  return text && text_parse_hash(text, hash);
+}
--- a/packages/kernel/text.h
+++ b/packages/kernel/text.h
@@ -1,8 +1,9 @@
-/* text.h: JSON as GLib-allocated text; hashes of names. */
+/* text.h: JSON as GLib-allocated text; hashes of names, and their text. */
 #ifndef KERNEL_TEXT_H
 #define KERNEL_TEXT_H
 
 #include <jansson.h>
+#include <stdbool.h>
 #include <stdint.h>
 
 /* Compact text of `o`, to be freed with g_free; releases `o`. */
@@ -10,4 +11,10 @@
 /* A hash that replaces an id or a name in messages between instances. */
 uint64_t text_hash(const char *name);
 
+/* A hash as text in JSON, whose integers don't hold all of them. */
+json_t *text_json_hash(uint64_t hash);
+/* These read such a text, and return false if it is not one. */
+bool text_read_hash(const json_t *o, uint64_t *hash);
+bool text_parse_hash(const char *text, uint64_t *hash);
+
 #endif
--- a/packages/node/feed.h
+++ b/packages/node/feed.h
@@ -10,6 +10,7 @@
 #include "conf/conf.h"
 #include "member/readers.h"
 #include "peer/codec.h"
+#include "route/checkpoint.h"
 #include "store/objects.h"
 #include "route/roster.h"
 #include "route/targets.h"
@@ -78,6 +79,28 @@
    it for the others report that it does not answer them, or this instance reads
    for the others and gets no answer. */
 bool feed_store_is_unavailable(const Feed *f);
+/* What changed after a position, as the store has it. */
+typedef struct FeedPast {
+  /* A target's entry was written, or removed as it was. */
+  void (*target)(void *ctx, const TargetInfo *t);
+  /* An entry was removed that can't be read. */
+  void (*unreadable_target)(void *ctx, const char *id);
+  void (*conf)(void *ctx, const Conf *c);
+  /* The changes up to `at` were read; NULL: not all were. `is_gone`: the store
+     no longer has them. */
+  void (*done)(void *ctx, const CheckpointPosition *at, bool is_gone);
+} FeedPast;
+
+/* Reads the changes of targets and configuration after `since` from the store,
+   up to a time after this call. */
+void feed_read_past(Feed *f, const CheckpointPosition *since,
+                    const FeedPast *ev, void *ctx);
+/* Sets `at` to the position up to which targets and configuration are known;
+   false: they are not yet. */
+bool feed_position(const Feed *f, CheckpointPosition *at);
+/* How often either was listed anew after its first list: changes that were
+   undone before such a list are not known. */
+int feed_gaps(const Feed *f);
 /* Whether each kind was listed at least once. */
 bool feed_is_complete(const Feed *f);
 /* Seconds since the configuration and the targets were last confirmed by the
--- a/packages/node/node.c
+++ b/packages/node/node.c
@@ -92,6 +92,12 @@
     {"link", "LOFTPATH_LINK", SETTING_TEXT, "0",
      "Mbit/s that this machine's link bears each way; 0: not known", 0, 0,
      NULL},
+    {"store-writes", "LOFTPATH_STORE_WRITES", SETTING_NUMBER, "400",
+     "Writes a second that the platform's store takes from all instances", 1,
+     1 << 20, NULL},
+    {"first-start", "LOFTPATH_FIRST_START", SETTING_FLAG, "off",
+     "The whole fleet starts for the first time: no stream began before", 0, 0,
+     NULL},
     {"managed-slots", "LOFTPATH_MANAGED_SLOTS", SETTING_NUMBER, "0",
      "Engines with at most this many slots are managed under load; 0: none", 0,
      1 << 16, NULL},
@@ -125,6 +131,7 @@
   double rates_logged_at; /* last log lines on rates of targets */
   double next_pools_at;   /* when the next pool reports are due */
   int instance_count;     /* in the fleet, including this one */
+  int rank;               /* of this instance among them */
   int seed_count;         /* addresses in the setting `seeds` */
   double stop_began_at;   /* loop time of SIGTERM; 0: not stopping */
   double paused_at;       /* last pause, if not caught up; else 0 */
@@ -316,6 +323,7 @@
   int count = view->n;
   int of = MAX(count, n->seed_count);
   n->instance_count = count;
+  n->rank = rank;
   targets_set_rank(n->targets, loopclock_now(n->loop), rank, of);
   targets_set_parts_exchanged(n->targets, count < FLEET_SMALL_INSTANCES);
   retries_set_instances(n->retries, loopclock_now(n->loop), count);
@@ -595,6 +603,19 @@
            n->intake.available_bytes);
 }
 
+static RecoveryPlace recovery_place(const Node *n) {
+  return (RecoveryPlace){
+      .is_first_start = settings_flag(settings, "first-start"),
+      .rank = cluster_is_ready(n->cluster) ? n->rank : -1,
+      .n_instances = n->instance_count,
+      .store_writes_per_s = (double)settings_number(settings, "store-writes")};
+}
+
+static void update_recovery(Node *n) {
+  RecoveryPlace place = recovery_place(n);
+  relay_update_recovery(n->relay, &place);
+}
+
 static void on_tick(struct ev_loop *loop, ev_timer *w, int revents) {
   (void)loop;
   (void)revents;
@@ -602,6 +623,7 @@
   check_link(n);
   check_pause(n);
   relay_check_paths(n->relay);
+  update_recovery(n);
   cluster_set_store_unavailable(n->cluster, feed_store_is_unavailable(n->feed));
   if (n->stop_began_at > 0) advance_stop(n);
   if (is_ready(n) == n->was_ready) return;
@@ -719,6 +741,7 @@
   relay.store = n->store;
   relay.managed = &n->managed;
   relay.regions = n->regions;
+  relay.recovery = recovery_place(n);
   Member self = own_member(n);
   char *tunnel_addr = tunnel_address();
   relay.self = &self;
@@ -732,6 +755,7 @@
   if (!n->ready) return false;
   callers_set_memory_limit(n->ready, READY_BUFFER_BYTES);
   n->feed = feed_open(n->loop, n->store, &feed_events, n);
+  relay_set_feed(n->relay, n->feed);
   return true;
 }
 
--- a/packages/route/targets.c
+++ b/packages/route/targets.c
@@ -408,6 +408,22 @@
   return pool && versions_sole(pool->versions, now, memory_s, version);
 }
 
+bool targets_only_version(const Targets *s, uint64_t service,
+                          uint64_t *version) {
+  const Pool *pool = find_pool_by_hash(s, service);
+  return pool && versions_only(pool->versions, version);
+}
+
+void targets_for_each_service(const Targets *s,
+                              void (*fn)(void *ctx, uint64_t service),
+                              void *ctx) {
+  GHashTableIter it;
+  gpointer pool;
+  g_hash_table_iter_init(&it, s->pools);
+  while (g_hash_table_iter_next(&it, NULL, &pool))
+    fn(ctx, ((Pool *)pool)->hash);
+}
+
 int targets_count_all(const Targets *s) {
   return (int)g_hash_table_size(s->by_id);
 }
--- a/packages/route/targets.h
+++ b/packages/route/targets.h
@@ -84,6 +84,13 @@
 /* The same as versions_sole, for a service. */
 bool targets_sole_version(const Targets *s, double now, uint64_t service,
                           double memory_s, uint64_t *version);
+/* The same as versions_only, for a service. */
+bool targets_only_version(const Targets *s, uint64_t service,
+                          uint64_t *version);
+/* Calls `fn` with text_hash of the name of each service that had a target. */
+void targets_for_each_service(const Targets *s,
+                              void (*fn)(void *ctx, uint64_t service),
+                              void *ctx);
 /* Forgets targets that have left and have no open requests. */
 void targets_sweep(Targets *s, double now);
 int targets_count(const Targets *s, const char *service);
--- a/packages/route/versions.c
+++ b/packages/route/versions.c
@@ -9,6 +9,7 @@
   GHashTable *counts; /* version -> number of targets, above 0 */
   uint64_t last;      /* the version that was added last */
   bool has_last;
+  bool has_changed;  /* another version than `last` was known before */
   double changed_at; /* when the set of versions last changed */
 };
 
@@ -46,6 +47,7 @@
       g_hash_table_size(v->counts) == 0 && v->has_last && v->last == version;
   if (n == 0 && !is_back) v->changed_at = now;
   set_count(v, version, n + 1);
+  v->has_changed |= v->has_last && v->last != version;
   v->last = version;
   v->has_last = true;
 }
@@ -59,6 +61,11 @@
   v->changed_at = MAX(v->changed_at, at);
 }
 
+bool versions_only(const Versions *v, uint64_t *version) {
+  *version = v->last;
+  return v->has_last && !v->has_changed;
+}
+
 bool versions_are_several(const Versions *v) {
   return g_hash_table_size(v->counts) > 1;
 }
--- a/packages/route/versions.h
+++ b/packages/route/versions.h
@@ -23,6 +23,9 @@
 void versions_add(Versions *v, double now, uint64_t version);
 void versions_remove(Versions *v, double at, uint64_t version);
 
+/* Sets `version` to the only one that was ever known; false: there were others,
+   or none. */
+bool versions_only(const Versions *v, uint64_t *version);
 /* Whether targets of more than one version are known. */
 bool versions_are_several(const Versions *v);
 /* Sets `version` to the only one that was known in the last `memory_s` seconds;
--- a/packages/store/calls.c
+++ b/packages/store/calls.c
@@ -13,7 +13,7 @@
 };
 
 static const char *const purposes[CALLS_PURPOSE_COUNT] = {"reader", "self",
-                                                          "budget", "trial"};
+                                                          "budget", "trial", "stream"};
 static const char *const ops[CALLS_OP_COUNT] = {
     "old-list", "list", "watch", "get", "make", "put", "delete", "knock"};
 static const char *const outcomes[CALLS_OUTCOME_COUNT] = {
--- a/packages/store/calls.h
+++ b/packages/store/calls.h
@@ -14,6 +14,7 @@
   CALLS_SELF,   /* reads for this instance alone */
   CALLS_BUDGET, /* budgets whose home this instance is */
   CALLS_TRIAL,  /* records that one instance is trying a suspect request */
+  CALLS_STREAM, /* what callers need who resume streams after a loss */
   CALLS_PURPOSE_COUNT
 } CallsPurpose;
 
--- a/packages/store/objects.h
+++ b/packages/store/objects.h
@@ -39,6 +39,10 @@
 /* Reads the object in an answer into `o`. Returns false if there is none. */
 bool store_parse_object(const StoreAnswer *a, StoreObject *o);
 
+/* The same for an entry of a list, with its name, which is borrowed. */
+bool store_parse_entry(const StoreAnswer *a, json_t *entry, const char **name,
+                       StoreObject *o);
+
 /* Called on the event loop when a call has ended. */
 typedef void (*StoreDone)(void *ctx, const StoreAnswer *a);
 
--- a/tests/resumed.py
+++ b/tests/resumed.py
@@ -13,12 +13,13 @@
 from versions import EVENTS, SETTLE_S, Engine, Taken
 
 INSTANCES, MANY = 3, 8
-GROUPS = 4        # of tests that run side by side
+GROUPS = 5        # of tests that run side by side
 ROUNDS, EVERY_S = 4, 4.0  # losses, and the time from one to the next
 STARTS_S = 0.05   # between two streams
 TRY_S = 3.0       # a caller tries for this long after its stream broke
 SHARE = 0.9       # of the streams that broke go on in that time
 LEAST = 12        # streams that a test's losses break
+LONG_S = 31.0     # longer than instances remember versions for
 
 
 class ShortEngine(Engine):
@@ -105,9 +106,10 @@
             "%d of %d went on" % (len(self.gone_on), len(self.broke)))
 
 
-def play(s, counts, change=lambda v, k: None):
+def play(s, counts, change=lambda v, k: None, known_s=0):
     """Kills all instances again and again; `change` comes before the k-th loss."""
     targets = Targets(s, counts)
+    time.sleep(known_s)
     callers = Callers(s, targets)
     for k in range(ROUNDS):
         change(targets, k)
@@ -128,6 +130,17 @@
     play(s, {"v1": 6})
 
 
+# Guards against the same where no stream was recorded, since one version had served
+# for long: what the fleet knew of it has to outlive the instances.
+def test_one_version_that_served_for_long(s):
+    play(s, {"v1": 6}, known_s=LONG_S)
+    logs = [l["streams"] for i in range(INSTANCES) for l in s.log(i)
+            if l["event"] == "stream-logs-read"]
+    proven = sum(l["event"] == "stream-resumed" and l["origin"] == "proven"
+                 for i in range(INSTANCES) for l in s.log(i))
+    assert proven >= LEAST / 2, "%d proven; logged: %s" % (proven, logs)
+
+
 # Guards against streams that nobody goes on with since only the lost instances knew
 # which of two versions had begun them.
 def test_two_versions_after_a_loss_of_all(s):
