--- a/tests/stored_again.h
+++ b/tests/stored_again.h
@@ -8,6 +8,8 @@
 #include "once/bill.h"
 #include "once/claimdoc.h"
 #include "place/plan.h"
+#include "route/checkpoint.h"
+#include "route/originlog.h"
 #include "route/trials.h"
 #include "table/table.h"
 
@@ -98,6 +100,30 @@
   return encoded;
 }
 
+static inline char *reencode_checkpoint(const char *text) {
+  json_t *o = json_loads(text, 0, NULL);
+  Checkpoint *c = o ? checkpoint_read(o) : NULL;
+  char *encoded = c ? text_take_json(checkpoint_write(c)) : NULL;
+  checkpoint_free(c);
+  json_decref(o);
+  return encoded;
+}
+
+static inline void add_logged(void *ctx, const OriginsMsg *record) {
+  originlog_add(ctx, 0, record);
+}
+
+static inline char *reencode_originlog(const char *text) {
+  json_t *o = json_loads(text, 0, NULL);
+  OriginLog *l = originlog_new();
+  char *encoded = o && originlog_read(o, add_logged, l)
+                      ? text_take_json(originlog_write(l))
+                      : NULL;
+  originlog_free(l);
+  json_decref(o);
+  return encoded;
+}
+
 typedef struct StoredKind {
   const char *name; /* golden/NAME.json: as written by a production build */
   char *(*reencode)(const char *text);
@@ -107,6 +133,8 @@
                                           {"shard-sealed", reencode_shard},
                                           {"shard-ceiling", reencode_shard},
                                           {"trial", reencode_trial},
+                                          {"checkpoint", reencode_checkpoint},
+                                          {"origin-log", reencode_originlog},
                                           {"claims-head", reencode_claim_head},
                                           {"claims-part", reencode_claim_part},
                                           {"bills", reencode_bills},
--- a/tests/test_history.c
+++ b/tests/test_history.c
@@ -124,3 +124,22 @@
   conf_unref(c);
   conf_history_free(h);
 }
+
+/* == routes == */
+
+/* Guards against a proof that holds for routes which led to another service in
+   between. */
+Test(history, stream_routes_are_told_apart) {
+  Conf *a = conf_of("/a/", "x", NULL), *same = conf_of("/a/", "x", NULL);
+  Conf *split = conf_of("/a/", "x", "y"), *other = conf_of("/b/", "x", NULL);
+  uint64_t x = text_hash("x"), of_a = conf_stream_routes(a, x);
+  cr_assert_neq(of_a, 0);
+  cr_assert_eq(of_a, conf_stream_routes(same, x));
+  cr_assert_neq(of_a, conf_stream_routes(split, x));
+  cr_assert_neq(of_a, conf_stream_routes(other, x));
+  cr_assert_eq(conf_stream_routes(a, text_hash("y")), 0);
+  conf_unref(a);
+  conf_unref(same);
+  conf_unref(split);
+  conf_unref(other);
+}
--- a/tests/test_origins.c
+++ b/tests/test_origins.c
@@ -36,6 +36,22 @@
   versions_free(v);
 }
 
+/* Guards against a proof that one version served which forgets another one. */
+Test(versions, the_only_version_is_the_first_and_the_last) {
+  Versions *v = versions_new();
+  uint64_t only = 0;
+  cr_assert_not(versions_only(v, &only));
+  versions_add(v, 0, 7);
+  versions_remove(v, 1, 7);
+  versions_add(v, 2, 7);
+  cr_assert(versions_only(v, &only));
+  cr_assert_eq(only, 7);
+  versions_add(v, 3, 8);
+  versions_remove(v, 4, 8);
+  cr_assert_not(versions_only(v, &only));
+  versions_free(v);
+}
+
 /* Guards against a stream of the old version that goes on at the new one right
    after a release. */
 Test(versions, a_version_that_left_is_remembered) {
