--- a/fakes/standins.py
+++ b/fakes/standins.py
@@ -95,6 +95,8 @@
     closed. `per_s`: calls over this rate per second get 429; 0: no limit. `page`:
     max entries per page of a listing; 0: no limit.
 
+    `frozen`: kinds that can't be written, which get 503.
+
     restore() brings back an older copy. `era`: the number of copies so far, stated in
     all answers; None: it is not stated before the first."""
 
@@ -109,6 +111,7 @@
         self.down = self.lose = self.hang = self.unfenced = False
         self.old_s, self.cut, self.per_s = 0.0, 0.0, 0
         self.page = 0
+        self.frozen = set()
         self.era = None
         self.torn = set()  # names of objects returned as invalid JSON
         self.pages = []  # (kind, time) of each listing page served
@@ -135,6 +138,8 @@
         path, _, query = path.partition("?")
         args = dict(a.split("=", 1) for a in query.split("&") if a)
         parts = path.split("/")[3:]
+        if method != "GET" and parts[0] in self.frozen:
+            return 503, {}, b"{}"
         with self.lock:
             if self._beyond_rate():
                 return 429, {}, b"{}"
--- a/tests/resumed.py
+++ b/tests/resumed.py
@@ -8,17 +8,18 @@
 import threading
 import time
 
-from fleet import config, run_in_groups, run_tests
+from fleet import Site, config, run_in_groups, run_tests
 from rejoined import Releases
 from versions import EVENTS, SETTLE_S, Engine, Taken
 
 INSTANCES, MANY = 3, 8
-GROUPS = 5        # of tests that run side by side
+GROUPS = 7        # of tests that run side by side
 ROUNDS, EVERY_S = 4, 4.0  # losses, and the time from one to the next
 STARTS_S = 0.05   # between two streams
 TRY_S = 3.0       # a caller tries for this long after its stream broke
 SHARE = 0.9       # of the streams that broke go on in that time
 LEAST = 12        # streams that a test's losses break
+CHECKPOINT_S = 3.0  # until one is written after a start
 LONG_S = 31.0     # longer than instances remember versions for
 
 
@@ -48,8 +49,8 @@
 class Callers:
     """Callers of streams at random instances, who take them up when they break."""
 
-    def __init__(self, s, targets):
-        self.s, self.targets = s, targets
+    def __init__(self, s, targets, every_s=STARTS_S):
+        self.s, self.targets, self.every_s = s, targets, every_s
         self.made, self.broke, self.gone_on, self.left = [], [], [], []
         self.errors, self.threads = {}, []
         self.lock, self.stopping = threading.Lock(), False
@@ -62,7 +63,7 @@
             t = threading.Thread(target=self._play, args=(dice.random(),))
             t.start()
             self.threads.append(t)
-            time.sleep(STARTS_S)
+            time.sleep(self.every_s)
 
     def _play(self, seed):
         dice, t = random.Random(seed), Taken(self.s)
@@ -89,11 +90,13 @@
             else:
                 self.errors[t.error] = self.errors.get(t.error, 0) + 1
 
-    def check(self):
+    def stop(self):
         self.stopping = True
         self.thread.join()
         for t in self.threads:
             t.join()
+
+    def check_joints(self):
         mixed = [t for t in self.made if len(t.versions) > 1]
         joined = [t for t in self.made if t.ids != list(range(1, len(t.ids) + 1))]
         print("   %d of %d went on, %d whose version has left, %d of two versions; %s"
@@ -101,6 +104,10 @@
                  self.errors), flush=True)
         assert not mixed, "%d streams of two versions" % len(mixed)
         assert not joined, "events %s" % joined[0].ids
+
+    def check(self):
+        self.stop()
+        self.check_joints()
         assert len(self.broke) >= LEAST, "only %d broke" % len(self.broke)
         assert len(self.gone_on) >= SHARE * len(self.broke), (
             "%d of %d went on" % (len(self.gone_on), len(self.broke)))
@@ -158,6 +165,71 @@
     play(s, {"v1": 3}, change)
 
 
+# == a fleet that starts for the first time ==
+
+
+# Guards against streams that nobody goes on with after a loss in the first half minute
+# of a fleet, and against a log that is written though one version serves.
+def test_one_version_after_the_first_start(s):
+    play(s, {"v1": 6})
+    writes = sum(kind == "stream-origins" for _, _, kind, _ in s.store.changes)
+    assert writes <= 2 * INSTANCES * ROUNDS, "%d writes of logs" % writes
+
+
+def come_and_leave(s, while_down=lambda s: None):
+    """A version joins, begins streams that no log has, and leaves while all instances
+    are down. What the fleet knew of the version before no longer holds."""
+    s.store.frozen = {"stream-origins"}
+    targets = Targets(s, {"v1": 3})
+    time.sleep(CHECKPOINT_S)
+    assert s.store.kinds.get("stream-checkpoints"), "no checkpoint was written"
+    callers = Callers(s, targets, every_s=0.02)
+    time.sleep(1.0)
+    targets.start("v2")
+    time.sleep(SETTLE_S)
+    for p in s.processes:
+        p.kill()
+        p.wait()
+    targets.leave("v2")
+    while_down(s)
+    for i in range(len(s.processes)):
+        s.start(i)
+    time.sleep(TRY_S)
+    callers.stop()
+    left = [t for t in callers.left if t.versions == {"v2"} and len(t.attempts) > 3]
+    print("   %d streams of the version that left were taken up" % len(left))
+    callers.check_joints()
+    assert len(left) >= 4, "only %d" % len(left)
+
+
+# Guards against streams of two versions: what served before the loss and after it was
+# taken for what served all the time.
+def test_a_version_that_came_and_left_around_a_loss(s):
+    come_and_leave(s)
+
+
+# Guards against the same when the store has forgotten that the version was there.
+def test_a_version_that_left_no_trace_in_the_store(s):
+    come_and_leave(s, lambda s: s.store.forget())
+
+
+# Guards against the same when the store comes back as it was before that version.
+def test_a_version_that_the_store_has_lost(s):
+    come_and_leave(s, lambda s: s.store.restore(SETTLE_S + 0.5))
+
+
+class FirstStart(Site):
+    """The first start of each instance is one of the whole fleet."""
+
+    def env_of(self, i):
+        first = self.processes[i] is None
+        return {"LOFTPATH_FIRST_START": "1"} if first else {}
+
+
+FIRST = ("test_one_version_after_the_first_start",
+         "test_a_version_that_came_and_left_around_a_loss",
+         "test_a_version_that_left_no_trace_in_the_store",
+         "test_a_version_that_the_store_has_lost")
 TESTS = {n: f for n, f in globals().items() if n.startswith("test_")}
 
 if __name__ == "__main__":
@@ -165,4 +237,7 @@
         sys.exit(run_in_groups(list(TESTS), GROUPS))
     sizes = dict.fromkeys(TESTS, INSTANCES)
     sizes["test_one_version_at_more_instances"] = MANY
-    sys.exit(run_tests(TESTS, sizes))
+    first = [n for n in sys.argv[2:] if n in FIRST]
+    later = [n for n in sys.argv[2:] if n not in FIRST]
+    failed = run_tests(TESTS, sizes, names=first, engines=0, site=FirstStart) if first else 0
+    sys.exit(failed | (run_tests(TESTS, sizes, names=later) if later else 0))
