Origins: an instance that may be cut off concludes nothing from its memory

Cause: that all who were asked agree on one version was taken for proof, also by an instance that had lost the others from its view, or agreed with one that was cut off with it. Class: what no one contradicts is taken for known.

Now instances conclude from what they remember only if no member was lost, but for planned stops, for as long as streams may be resumed, and as many are known as there are seeds. Else the store has to prove it, or the stream is refused. In a small fleet all streams are told to their homes, so that a loss beside an outage of the store leaves fewer of them unknown.

--- a/packages/fleet/cluster.c
+++ b/packages/fleet/cluster.c
@@ -50,6 +50,7 @@
   void *ctx;
   Gossip *members;
   Readers *readers;
+  int n_seeds; /* in the settings, of which this instance may be one */
   View *view;
   Spread *spread; /* forwarding tree for `view` */
   Tallies *tallies;
@@ -611,6 +612,7 @@
     if (!ip[0]) continue;
     g_snprintf(peer, sizeof peer, "tcp://%s%s", ip, port);
     gossip_add_seed(c->members, current_time(c), peer);
+    c->n_seeds++;
   }
   g_strfreev(list);
 }
@@ -737,6 +739,12 @@
     peer_send_parts(c->peer, m->peer, m->id, parts);
 }
 
+bool cluster_is_whole(const Cluster *c, double memory_s) {
+  double lost_at = gossip_lost_at(c->members);
+  bool lost_any = lost_at > 0 && current_time(c) - lost_at < memory_s;
+  return !lost_any && c->view->n >= c->n_seeds;
+}
+
 bool cluster_is_large(const Cluster *c) {
   return c->view->n >= FLEET_SMALL_INSTANCES;
 }
--- a/packages/fleet/cluster.h
+++ b/packages/fleet/cluster.h
@@ -96,6 +96,10 @@
 void cluster_broadcast_work(Cluster *c, const TargetWork *m);
 /* Reports prompt parts in the same way. */
 void cluster_broadcast_parts(Cluster *c, const TargetParts *m);
+/* Whether all instances are known that were part of the fleet in the last
+   `memory_s` seconds, but for those that left as planned. An instance that is
+   cut off from the others loses them. */
+bool cluster_is_whole(const Cluster *c, double memory_s);
 /* Whether there are too many instances for each to report to all others. */
 bool cluster_is_large(const Cluster *c);
 /* Requests the total work of all instances at a target from the instance that
--- a/packages/flow/origins.c
+++ b/packages/flow/origins.c
@@ -59,12 +59,21 @@
                               memory_of(r, service), version);
 }
 
-/* Whether the homes need records of a service's streams. */
+/* Whether the version that began the service's streams is known without a
+   record. */
+static bool is_concluded(const Relay *r, uint64_t service) {
+  uint64_t version;
+  return relay_is_sole(r, service, &version) ||
+         recovery_holds(r->recovery, service);
+}
+
+/* Whether the homes need records of a service's streams. In a small fleet they
+   cost little, and without them a stream is refused if its instance is lost
+   while the store is away. */
 static bool needs_records(void *ctx, uint64_t service) {
   const Relay *r = ctx;
-  uint64_t version;
-  return !relay_is_sole(r, service, &version) &&
-         !recovery_holds(r->recovery, service);
+  return !cluster_is_large(r->cluster) || !is_concluded(r, service) ||
+         !cluster_is_whole(r->cluster, memory_of(r, service));
 }
 
 /* Instances of earlier builds that ask this one find a record by their key. It
@@ -83,7 +92,8 @@
 static void share_record(Relay *r, const OriginsMsg *record) {
   count_add(COUNT_ORIGINS_SHARED, 1);
   cluster_share_origin(r->cluster, record);
-  recovery_note_begun(r->recovery, record);
+  if (!is_concluded(r, record->service))
+    recovery_note_begun(r->recovery, record);
 }
 
 void run_record_begun(Run *x) {
@@ -103,6 +113,18 @@
   if (shared) share_record(r, &record);
 }
 
+void relay_log_open_streams(Relay *r) {
+  for (const Run *x = r->first_run; x; x = x->next) {
+    uint64_t service = x->origin_key ? text_hash(x->service_name) : 0;
+    if (x->origin_key == 0 || is_concluded(r, service)) continue;
+    OriginsMsg record = {.kind = ORIGINS_RECORD,
+                         .key = x->origin_key,
+                         .service = service,
+                         .version = x->version};
+    recovery_note_begun(r->recovery, &record);
+  }
+}
+
 void run_forget_origin(Run *x) {
   if (x->origin_key == 0) return;
   recovery_note_delivered(x->relay->recovery, x->origin_key);
@@ -168,11 +190,14 @@
   run_fail(x, &e);
 }
 
-/* A record decides. What is known of the versions decides only if all have
-   answered: one that is missing may have a record, or know another version. */
+/* A record decides, and so does what the store proves. What instances know of
+   the versions decides only if all of them have answered: one that is missing
+   may have a record, or know another version. */
 static bool is_decided(const Run *x) {
-  return x->is_proven || x->origin.kind == ORIGINS_KNOWN ||
-         (x->n_origins_missing == 0 && origins_is_conclusive(&x->origin));
+  const Relay *r = x->relay;
+  if (x->is_proven || x->origin.kind == ORIGINS_KNOWN) return true;
+  return x->n_origins_missing == 0 && origins_is_conclusive(&x->origin) &&
+         cluster_is_whole(r->cluster, memory_of(r, x->origin.service));
 }
 
 /* Goes on with what is known. */
--- a/packages/flow/recovery.c
+++ b/packages/flow/recovery.c
@@ -509,7 +509,7 @@
   y->place = *place;
   if (!y->feed) return;
   check_start(y);
-  if (has_lost_service(y)) relay_sweep_origins(y->relay);
+  if (has_lost_service(y)) relay_log_open_streams(y->relay);
   if (y->start != START_OVER || y->n_searches > 0 ||
       now_of(y) - y->renewed_at < RENEW_INTERVAL_S)
     return;
--- a/packages/flow/run.h
+++ b/packages/flow/run.h
@@ -262,6 +262,9 @@
    instance has followed them. */
 bool relay_is_sole(const Relay *r, uint64_t service, uint64_t *version);
 ConfHistoryKind relay_service_history(const Relay *r, uint64_t service);
+/* Passes the streams that are open, and whose version can't be concluded any
+   more, to recovery_note_begun. */
+void relay_log_open_streams(Relay *r);
 /* How long after its beginning any stream may be resumed, in seconds. */
 double relay_memory_s(const Relay *r);
 /* The store was searched for what began the stream of the run that has this
--- a/packages/member/gossip.c
+++ b/packages/member/gossip.c
@@ -101,6 +101,7 @@
   double full_state_at; /* when the full state was last sent */
   double differs_since; /* a neighbour's digest differs since; 0: it does not */
   uint64_t version;
+  double lost_at; /* gossip_lost_at */
 };
 
 /* == entries == */
@@ -149,6 +150,7 @@
 /* Sets the state and what follows from it. */
 static void set_state(Gossip *g, Entry *e, GossipState state) {
   static const double duration_s[GOSSIP_STATES] = {0, SUSPECT_S, DEAD_TTL_S};
+  if (state == GOSSIP_DEAD && is_live(e) && !e->m.leaving) g->lost_at = g->now;
   e->state = state;
   e->until = g->now + duration_s[state];
   mark_update_due(g, e);
@@ -703,6 +705,10 @@
   return &g->self->m;
 }
 
+double gossip_lost_at(const Gossip *g) {
+  return g->lost_at;
+}
+
 uint64_t gossip_version(const Gossip *g) {
   return g->version;
 }
--- a/packages/member/gossip.h
+++ b/packages/member/gossip.h
@@ -79,6 +79,8 @@
 const Member *gossip_get_self(const Gossip *g);
 /* A counter that rises when a member joins, is lost or begins to leave. */
 uint64_t gossip_version(const Gossip *g);
+/* When the last member was lost that had not said that it leaves; 0: never. */
+double gossip_lost_at(const Gossip *g);
 /* A copy of the present view, to be freed with view_free. */
 View *gossip_view(Gossip *g);
 /* A random member that reported a newer configuration than `table`; NULL: none
