Store: an entry of many values costs the others of its list nothing

One entry of 450,000 values among the targets, within the size of an object, and no instance used a target that joined later; one evacuation of 500,000 nested lists, and an instance that started was never ready (tests/odd_entries.py).

Cause: a list of more values than an instance's memory bears was a failed call as a whole, and the same list came again. Class: one writer's object decides whether those of all others are read.

Now such an answer is read member by member: those of over 1,024 values, a configuration excepted, are left out like ones that can't be parsed. If the others have too many together, or the list has members that are no objects, the call fails as before, for a list that lacks them would end all targets.

A text whose brackets or quotes don't match takes its whole list away, which no store that holds JSON returns.

--- a/fakes/standins.py
+++ b/fakes/standins.py
@@ -1,5 +1,6 @@
 """standins.py: small stand-ins of the users' platform for tests: its object store
 and a worker. Each serves HTTP/1.1 on a loopback address."""
+import itertools
 import json
 import random
 import socket
@@ -9,6 +10,7 @@
 
 HEARTBEAT_S = 0.2
 HANG_S = 5.0
+PAGE_BYTES = 1 << 20  # of a listing, which ends with the entry that exceeds it
 
 
 class Server:
@@ -174,11 +176,13 @@
         after = urllib.parse.unquote(args.get("since_rev", ""))
         rest = sorted((o for o in objects if o["meta"]["name"] > after),
                       key=lambda o: o["meta"]["name"])
-        page = rest[:self.page] if self.page else rest
+        texts = [self._text(kind, o) for o in (rest[:self.page] if self.page else rest)]
+        size = itertools.accumulate(len(t) for t in texts)
+        full = next((k + 1 for k, n in enumerate(size) if n >= PAGE_BYTES), len(texts))
+        page = texts[:full]
         self.pages.append((kind, time.monotonic()))
         return '{"entries": [%s], "more": %s, "at": %d}' % (
-            ", ".join(self._text(kind, o) for o in page),
-            json.dumps(len(page) < len(rest)), at)
+            ", ".join(page), json.dumps(len(page) < len(rest)), at)
 
     def _beyond_rate(self):
         now = int(time.monotonic())
--- a/tests/test_document.c
+++ b/tests/test_document.c
@@ -111,9 +111,12 @@
 
 #define ENTRY(name, spec) "{\"meta\":{\"name\":\"" name "\"},\"spec\":" spec "}"
 
+static const SalvageOptions any_values = {.max_values = SIZE_MAX,
+                                          .max_all_values = SIZE_MAX};
+
 static json_t *salvage_invalid(const char *text, int *lost) {
   cr_assert_null(json_loads(text, 0, NULL), "it is valid JSON: %s", text);
-  return salvage_list(text, strlen(text), lost);
+  return salvage_list(text, strlen(text), &any_values, lost);
 }
 
 static const char *name_at(json_t *o, const char *list, size_t i) {
@@ -185,7 +188,7 @@
       int lost;
       memcpy(text, valid, cut);
       if (cut > 0) text[cut / 2] = (char)byte;
-      json_decref(salvage_list(text, cut, &lost));
+      json_decref(salvage_list(text, cut, &any_values, &lost));
       free(text);
     }
 }
@@ -234,8 +237,9 @@
         ",\"phase\":\"]}\\\"both\",\"models\":[{\"name\":\"m\"}],\"seq\":%d}}}",
         i ? "," : "", i % 10 ? "false" : "true", i, i + 1, i);
   g_string_append(text, "],\"at\":4711}");
-  json_t *o =
-      salvage_filtered_list(text->str, text->len, &lost, document_trim_entry);
+  SalvageOptions options = any_values;
+  options.keep = document_trim_entry;
+  json_t *o = salvage_list(text->str, text->len, &options, &lost);
   json_t *events = json_object_get(o, "events"), *e;
   size_t i;
   cr_assert(lost == 0 && json_array_size(events) == N);
@@ -252,6 +256,34 @@
   g_string_free(text, TRUE);
 }
 
+/* Guards against one entry of many values that costs all others of its list. */
+Test(document, entries_of_many_values_are_left_out) {
+  static const char text[] = "{\"entries\":[" ENTRY("a", "{}") "," ENTRY(
+      "b", "[1,2,3,4,5,6,7,8]") "," ENTRY("c",
+                                          "{}") "],\"more\":false,\"at\":5}";
+  SalvageOptions o = {.max_values = 8, .max_all_values = SIZE_MAX};
+  int lost;
+  json_t *list = salvage_list(text, strlen(text), &o, &lost);
+  cr_assert_eq(lost, 1);
+  cr_assert_str_eq(name_at(list, "entries", 0), "a");
+  cr_assert_str_eq(name_at(list, "entries", 1), "c");
+  cr_assert_eq(json_integer_value(json_object_get(list, "at")), 5);
+  json_decref(list);
+  o.max_all_values = 5; /* an entry without content has four */
+  cr_assert_null(salvage_list(text, strlen(text), &o, &lost));
+}
+
+/* Guards against a list of other things that is taken for an empty one, by
+   which all targets would be gone. */
+Test(document, a_list_without_objects_is_not_salvaged) {
+  static const char *const lists[] = {"{\"entries\":[1,1],\"at\":5}",
+                                      "{\"entries\":[{},1],\"at\":5}"};
+  int lost;
+  for (size_t i = 0; i < sizeof lists / sizeof lists[0]; i++)
+    cr_assert_null(
+        salvage_list(lists[i], strlen(lists[i]), &any_values, &lost));
+}
+
 /* A text of many values would take many times its size when it is parsed. */
 Test(document, values_are_counted_without_parsing) {
   static const struct {
