Plain services: a target that stands still for seconds has not ended

A whole answer without framing was a 409 (may have run) when its target stood still for 3 s after it: the check whether it goes on had 2 s. It has as long as an answer now, the class of the unframed answers of the main path. front_ends.py: failed before, 11 of 11 pass.

--- a/fakes/ending_target.py
+++ b/fakes/ending_target.py
@@ -7,7 +7,8 @@
         and trailers), interim (a length, after an interim answer)
 WHERE   the answer stops: head (inside it), empty (after it), half, last (one byte is
         missing), whole, or after a number of bytes
-HOW     the connection ends: kill (of the process), close, reset
+HOW     the connection ends: kill (of the process), close, reset, pause (an orderly end,
+        after which the process stops itself)
 TYPE    of a plain answer: json, text
 
 Usage: ending_target.py IP:PORT"""
@@ -96,6 +97,9 @@
         c.sendall(cut(*frame_answer(frame, kind, text), where))
         if how == "kill":
             os.kill(os.getpid(), signal.SIGKILL)
+        if how == "pause":
+            c.shutdown(socket.SHUT_RDWR)
+            os.kill(os.getpid(), signal.SIGSTOP)
         if how == "reset":
             c.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
         return False
--- a/packages/entry/plain.c
+++ b/packages/entry/plain.c
@@ -12,7 +12,6 @@
 
 #define CONNECT_TIMEOUT_S 2
 #define READ_TIMEOUT_S 30
-#define CHECK_TIMEOUT_S 2 /* whether the target goes on */
 #define RESPONSE_MAX_BYTES (8 << 20)
 
 /* Only the form counts: numbers may be longer than 64 bits. */
@@ -72,8 +71,9 @@
 /* Whether an answer is whole that has neither a length nor chunks, so that the
    end of the connection ends it: JSON shows it, unless it is a mere number or
    the like. For others the target has to answer once more: the connections of a
-   killed process end in the same way. A living target that ends another answer
-   too soon can't be told from one that ends it properly. */
+   killed process end in the same way. One that stands still has as long as for
+   an answer. A living target that ends another answer too soon can't be told
+   from one that ends it properly. */
 static bool is_whole_unframed(const Plain *p) {
   if (is_json_type(p->type)) {
     const GString *b = p->answer.body;
@@ -83,7 +83,7 @@
     if (is_closed || !is_json) return is_closed;
   }
   g_usleep(LIMIT_END_CHECK_DELAY_MS * 1000);
-  return http_answers(p->x.ticket.choice.url, CHECK_TIMEOUT_S);
+  return http_answers(p->x.ticket.choice.url, READ_TIMEOUT_S);
 }
 
 /* == dispatch == */
--- a/tests/front_ends.py
+++ b/tests/front_ends.py
@@ -13,8 +13,10 @@
 import http.client
 import json
 import os
+import signal
 import subprocess
 import sys
+import threading
 import time
 
 import process
@@ -33,6 +35,7 @@
 UNFRAMED = ("none", "http10")
 HEAD_STEP = 13  # bytes between two cuts; after a failure the front waits 0.2 s
 RESET_EACH = 4  # cuts
+PAUSE_S = 3.0    # of a target after its answer
 CUTS = ("head", "empty", "half", "last")
 
 
@@ -214,6 +217,22 @@
                     assert body == PLAIN[kind][1], body
 
 
+# Guards against a whole answer that was refused since its target stood still for some
+# seconds after it.
+def test_a_whole_answer_of_a_target_that_stands_still_is_passed_on(f):
+    wrong = []
+    for send in (f.plain, f.read):
+        f.revive()
+        resume = threading.Timer(PAUSE_S, f.procs["engine0"].send_signal,
+                                 [signal.SIGCONT])
+        resume.start()
+        status, body = send("none whole pause text", None)
+        resume.join()
+        if (status, body) != (200, PLAIN["text"][1]):
+            wrong.append((send.__name__, status, body[:200]))
+    assert not wrong, wrong
+
+
 def test_valid_json_without_a_frame_is_passed_on(f):
     """Numbers above 64 bits, and strings with U+0000, were taken for cut answers."""
     wrong = []
