--- a/Makefile
+++ b/Makefile
@@ -29,6 +29,7 @@
 	@python3 tests/notice_soak.py $(BUILD) $(if $(SEED),--seed $(SEED),--seeds $(SEEDS))
 	@python3 tests/partition_soak.py $(BUILD) $(if $(SEED),--seed $(SEED),--seeds $(SEEDS))
 	@python3 tests/versions_soak.py $(BUILD) $(if $(SEED),--seed $(SEED),--seeds $(SEEDS))
+	@python3 tests/resumed_soak.py $(BUILD) $(if $(SEED),--seed $(SEED),--seeds $(SEEDS))
 	@python3 tests/parts_soak.py $(BUILD) $(if $(SEED),--seed $(SEED),--seeds $(SEEDS))
 	@python3 tests/mixed_soak.py $(BUILD) $(if $(SEED),--seed $(SEED),--seeds $(SEEDS))
 
