--- a/packages/flow/recovery.c
+++ b/packages/flow/recovery.c
@@ -4,9 +4,8 @@
    of the others each instance's log (route/originlog.h). Both are only ever
    true: one that is missing, or older than the store's history, leaves a stream
    unknown. */
-#include <string.h>
-
 #include "flow/run.h"
+#include "flow/streamlog.h"
 #include "kernel/log.h"
 #include "kernel/loopclock.h"
 #include "node/feed.h"
@@ -15,8 +14,7 @@
 #include "route/versions.h"
 
 #define CHECKPOINT_KIND                                                        \
-  "stream-checkpoints"            /* object name: the writer's rank */
-#define LOG_KIND "stream-origins" /* object name: the instance's */
+  "stream-checkpoints" /* object name: the writer's rank */
 
 /* The instances of the lowest ranks write a checkpoint each: one of them may be
    cut off from the store. */
@@ -28,11 +26,8 @@
 #define START_RETRY_S 0.5
 #define START_MAX_S 10.0
 
-/* Part of the store's writes that the logs of the whole fleet may take, and the
-   least time between two of one instance. */
+/* Part of the store's writes that the logs of the whole fleet may take. */
 #define LOG_WRITES_RATIO 0.25
-#define LOG_MIN_INTERVAL_S 0.02
-#define LOG_RETRY_S 0.5 /* after a write that failed */
 /* Between two reads of all logs. An instance that ended since has told its
    streams to their homes. */
 #define LOGS_INTERVAL_S 1.0
@@ -46,7 +41,6 @@
 struct Recovery {
   Relay *relay;
   Feed *feed;
-  char *name; /* of this instance, in all its lives */
   RecoveryPlace place;
   /* start */
   StartState start;
@@ -64,14 +58,7 @@
   double checkpoint_at; /* when it was last written */
   uint64_t checkpoint_revision;
   int checkpoint_rank;
-  /* the log of this instance */
-  OriginLog *log;
-  ev_timer log_timer;
-  bool log_pending, log_is_known; /* known: its revision in the store */
-  uint64_t log_revision;
-  double log_next_at;
-  json_t *former; /* streams of an earlier life; NULL: none */
-  double former_until;
+  StreamLog *log; /* of this instance */
   /* the search for what began streams */
   GArray *searching, *waiting; /* query ids of runs: of this and the next one */
   int n_searches;              /* parts of the search that are not over */
@@ -155,7 +142,7 @@
   int gaps = feed_gaps(y->feed);
   y->renewed_at = now_of(y);
   if (!y->relay->conf || !feed_position(y->feed, &at)) return;
-  if (y->proof) {
+  if (y->proof && checkpoint_count(y->proof) > 0) {
     CheckpointPosition before = checkpoint_position(y->proof);
     if (gaps != y->proof_gaps) return; /* a search may close the gap */
     if (at.targets < before.targets || at.conf < before.conf) return;
@@ -268,7 +255,8 @@
 
 static void read_logs(Recovery *y, const char *after) {
   y->n_searches++;
-  store_list(y->relay->store, CALLS_STREAM, LOG_KIND, after, false, on_logs, y);
+  store_list(y->relay->store, CALLS_STREAM, STREAMLOG_KIND, after, false,
+             on_logs, y);
 }
 
 /* == searches == */
@@ -379,125 +367,46 @@
             on_checkpoint_written, y);
 }
 
-/* == the log in the store == */
-
-static void schedule_log(Recovery *y) {
-  double now = now_of(y);
-  if (y->log_pending || !originlog_is_dirty(y->log) ||
-      ev_is_active(&y->log_timer))
-    return;
-  ev_timer_set(&y->log_timer, MAX(0, y->log_next_at - now), 0);
-  ev_timer_start(y->relay->loop, &y->log_timer);
-}
-
-/* What the store has was written by an earlier life, or by this one in a call
-   whose answer was lost. */
-static void keep_former(Recovery *y, const StoreObject *o) {
-  json_decref(y->former);
-  y->former = json_incref(json_object_get(o->content, "streams"));
-  y->former_until = now_of(y) + relay_memory_s(y->relay);
-  y->log_revision = o->revision;
-  y->log_is_known = true;
-}
+/* == the log of this instance == */
 
-static void on_log_answer(Recovery *y, const StoreAnswer *a) {
-  StoreObject o;
-  bool is_there = store_parse_object(a, &o);
-  y->log_pending = false;
-  if (is_there && a->kind == ERR_STORE_CONFLICT) keep_former(y, &o);
-  if (a->kind == ERR_STORE_ABSENT) {
-    y->log_revision = 0;
-    y->log_is_known = true;
-  }
-  if (a->kind != ERR_NONE && a->kind != ERR_STORE_CONFLICT &&
-      a->kind != ERR_STORE_ABSENT) {
-    y->log_is_known = false;
-    y->log_next_at = now_of(y) + LOG_RETRY_S;
-  }
-}
-
-static void on_log_read(void *ctx, const StoreAnswer *a) {
-  Recovery *y = ctx;
-  StoreObject o;
-  if (a->kind == ERR_NONE && store_parse_object(a, &o)) keep_former(y, &o);
-  on_log_answer(y, a);
-  schedule_log(y);
-}
-
-static void on_log_written(void *ctx, const StoreAnswer *a) {
-  Recovery *y = ctx;
-  StoreObject o;
-  if (a->kind == ERR_NONE && store_parse_object(a, &o))
-    y->log_revision = o.revision;
-  else
-    originlog_fail(y->log);
-  on_log_answer(y, a);
-  schedule_log(y);
+void recovery_note_begun(Recovery *y, const OriginsMsg *record) {
+  streamlog_add(y->log, record);
 }
 
-static json_t *log_content(Recovery *y) {
-  json_t *content = originlog_write(y->log);
-  if (y->former && now_of(y) < y->former_until)
-    json_array_extend(json_object_get(content, "streams"), y->former);
-  return content;
+void recovery_note_delivered(Recovery *y, uint64_t key) {
+  streamlog_remove(y->log, key);
 }
 
-static void on_log_timer(struct ev_loop *loop, ev_timer *w, int revents) {
-  (void)loop;
-  (void)revents;
-  Recovery *y = w->data;
+static void update_log(Recovery *y) {
   double fleet_per_s = y->place.store_writes_per_s * LOG_WRITES_RATIO;
-  double interval_s = y->place.n_instances / fleet_per_s;
-  if (y->log_pending) return;
-  y->log_pending = true;
-  if (!y->log_is_known) {
-    store_get(y->relay->store, CALLS_STREAM, LOG_KIND, y->name, on_log_read, y);
-    return;
-  }
-  y->log_next_at = now_of(y) + MAX(LOG_MIN_INTERVAL_S, interval_s);
-  store_put(y->relay->store, CALLS_STREAM, LOG_KIND, y->name, y->log_revision,
-            log_content(y), on_log_written, y);
-}
-
-void recovery_note_begun(Recovery *y, const OriginsMsg *record) {
-  originlog_add(y->log, now_of(y), record);
-  schedule_log(y);
-}
-
-void recovery_note_delivered(Recovery *y, uint64_t key) {
-  originlog_remove(y->log, key);
+  streamlog_set_times(y->log, y->place.n_instances / fleet_per_s,
+                      relay_memory_s(y->relay));
+  streamlog_sweep(y->log);
 }
 
 /* == open, close, time == */
 
 Recovery *recovery_new(Relay *r, const char *id, const RecoveryPlace *place) {
   Recovery *y = g_new0(Recovery, 1);
-  const char *life = strrchr(id, '.');
   y->relay = r;
-  y->name = life ? g_strndup(id, (gsize)(life - id)) : g_strdup(id);
   y->place = *place;
   y->checkpoint_rank = -1;
   y->started_at = loopclock_now(r->loop);
   y->logs_read_at = -LOGS_INTERVAL_S;
-  y->log = originlog_new();
+  y->log = streamlog_new(r->loop, r->store, id);
   y->routes =
       g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
   y->searching = g_array_new(FALSE, FALSE, sizeof(uint64_t));
   y->waiting = g_array_new(FALSE, FALSE, sizeof(uint64_t));
-  ev_timer_init(&y->log_timer, on_log_timer, 0, 0);
-  y->log_timer.data = y;
   return y;
 }
 
 void recovery_free(Recovery *y) {
-  ev_timer_stop(y->relay->loop, &y->log_timer);
+  streamlog_free(y->log);
   checkpoint_free(y->proof);
-  originlog_free(y->log);
-  json_decref(y->former);
   g_hash_table_destroy(y->routes);
   g_array_free(y->searching, TRUE);
   g_array_free(y->waiting, TRUE);
-  g_free(y->name);
   g_free(y);
 }
 
@@ -515,6 +424,6 @@
     return;
   renew_proof(y);
   if (y->proof && feed_gaps(y->feed) != y->proof_gaps) begin_search(y);
-  originlog_sweep(y->log, now_of(y), relay_memory_s(y->relay));
+  update_log(y);
   write_checkpoint(y);
 }
--- a/packages/flow/relay.c
+++ b/packages/flow/relay.c
@@ -317,7 +317,6 @@
   r->paths = paths_new();
   r->gateways = gateways_new(o->self, port_of(o->tunnel_addr));
   r->origins = origins_new();
-  r->recovery = recovery_new(r, o->self->id, &o->recovery);
   r->conf_history = conf_history_new();
   r->ends = ends_new();
   r->suspects = suspects_new();
@@ -325,6 +324,7 @@
   r->instance = text_hash(o->self->id);
   r->tries = g_ptr_array_new();
   r->store = o->store;
+  r->recovery = recovery_new(r, o->self->id, &o->recovery);
   r->regions = o->regions;
   r->managed = o->managed;
   links_set_connect_fn(r->links, relay_on_connect, r);
--- a/packages/kernel/limits.h
+++ b/packages/kernel/limits.h
@@ -69,8 +69,8 @@
 /* JSON values in one. An empty object has two bytes of text, but takes some 200
    in memory. A page of 500 targets with all their fields has 13,000. */
 #define LIMIT_STORE_ANSWER_VALUES 400000
-/* JSON values of one entry of a list, other than a configuration. The entry of a
-   target has some 20. */
+/* JSON values of one entry of a list, other than a configuration. The entry of
+   a target has some 20. */
 #define LIMIT_STORE_ENTRY_VALUES 1024
 
 /* == requests to targets == */
--- a/packages/store/calls.c
+++ b/packages/store/calls.c
@@ -12,8 +12,8 @@
   GHashTable *kinds; /* name -> KindCounts */
 };
 
-static const char *const purposes[CALLS_PURPOSE_COUNT] = {"reader", "self",
-                                                          "budget", "trial", "stream"};
+static const char *const purposes[CALLS_PURPOSE_COUNT] = {
+    "reader", "self", "budget", "trial", "stream"};
 static const char *const ops[CALLS_OP_COUNT] = {
     "old-list", "list", "watch", "get", "make", "put", "delete", "knock"};
 static const char *const outcomes[CALLS_OUTCOME_COUNT] = {
--- a/tests/resumed.py
+++ b/tests/resumed.py
@@ -113,9 +113,11 @@
             "%d of %d went on" % (len(self.gone_on), len(self.broke)))
 
 
-def play(s, counts, change=lambda v, k: None, known_s=0):
-    """Kills all instances again and again; `change` comes before the k-th loss."""
+def play(s, counts, change=lambda v, k: None, known_s=0, first=lambda: None):
+    """Kills all instances again and again; `change` comes before the k-th loss, and
+    `first` before the time for which the targets are known."""
     targets = Targets(s, counts)
+    first()
     time.sleep(known_s)
     callers = Callers(s, targets)
     for k in range(ROUNDS):
@@ -148,6 +150,23 @@
     assert proven >= LEAST / 2, "%d proven; logged: %s" % (proven, logs)
 
 
+# Guards against the same where the store had forgotten its history before, so that
+# instances listed the targets anew.
+def test_one_version_that_served_for_long_after_a_gap(s):
+    def forget_changes():
+        with s.store.lock:  # nobody reads the changes before they are forgotten
+            conf = s.store.kinds["config"]["main"]["spec"]
+            s.store.put("config", "main", dict(conf, version=conf["version"] + 1))
+            for e in s.store.kinds["servers"].values():
+                s.store.put("servers", e["meta"]["name"], e["spec"])
+            s.store.forget()
+
+    play(s, {"v1": 6}, known_s=LONG_S, first=forget_changes)
+    proven = sum(l["event"] == "stream-resumed" and l["origin"] == "proven"
+                 for i in range(INSTANCES) for l in s.log(i))
+    assert proven >= LEAST / 2, "%d proven" % proven
+
+
 # Guards against streams that nobody goes on with since only the lost instances knew
 # which of two versions had begun them.
 def test_two_versions_after_a_loss_of_all(s):
--- a/tests/resumed_soak.py
+++ b/tests/resumed_soak.py
@@ -128,7 +128,7 @@
 
     def _play(self, seed):
         dice, t = random.Random(seed), Taken(self.s)
-        t.began_at = time.monotonic()
+        t.began_at, t.path = time.monotonic(), "/chat/%x" % dice.getrandbits(60)
         t.names_attempt = dice.random() < 0.8
         t.attempt(dice.randrange(len(self.s.processes)),
                   dice.randrange(2, EVENTS) if dice.random() < 0.2 else None)
