Origins: a gap in what was followed ends what an instance concludes from memory

By reading: a version that came and left between two lists of an instance that was cut off for longer than the store's history was no part of its memory, and so of the checkpoint that it wrote. A proof that other instances contradict counts for nothing.

The new test of out_of_step.py passes on the code before as well: the stream is refused there for another reason, so it does not show the fault.

--- a/packages/flow/origins.c
+++ b/packages/flow/origins.c
@@ -54,9 +54,11 @@
 /* Whether a stream at any route of the service began there, and at this
    version, as far as this instance knows. */
 bool relay_is_sole(const Relay *r, uint64_t service, uint64_t *version) {
+  double memory_s = memory_of(r, service);
   return relay_service_history(r, service) == CONF_HISTORY_ONE &&
+         recovery_has_followed(r->recovery, memory_s) &&
          targets_sole_version(r->targets, loopclock_now(r->loop), service,
-                              memory_of(r, service), version);
+                              memory_s, version);
 }
 
 /* Whether the version that began the service's streams is known without a
@@ -262,8 +264,10 @@
   OriginsMsg own = find_own(x, &query);
   x->origin = origins_combine(&x->origin, &own);
   uint64_t version;
-  if (x->origin.kind < ORIGINS_SEVERAL &&
-      recovery_proves(r->recovery, query.service, &version)) {
+  bool is_contradicted = x->origin.kind >= ORIGINS_SEVERAL;
+  if (!is_contradicted &&
+      recovery_proves(r->recovery, query.service, &version) &&
+      (x->origin.kind != ORIGINS_SOLE || x->origin.version == version)) {
     x->is_proven = true;
     x->origin = (OriginsMsg){
         .kind = ORIGINS_SOLE, .service = query.service, .version = version};
--- a/packages/flow/recovery.c
+++ b/packages/flow/recovery.c
@@ -48,6 +48,8 @@
   /* What is known of the services with one version; NULL: nothing. */
   Checkpoint *proof;
   int proof_gaps; /* feed_gaps that it covers */
+  int seen_gaps;  /* feed_gaps, and when it last rose */
+  double gap_at;
   double renewed_at;
   int n_held; /* services whose streams need no record */
   /* conf_stream_routes of services in a version of the configuration */
@@ -96,6 +98,18 @@
          only == *version;
 }
 
+bool recovery_has_followed(const Recovery *y, double memory_s) {
+  if (!y->feed || feed_gaps(y->feed) != y->seen_gaps) return false;
+  return y->seen_gaps == 0 || now_of(y) - y->gap_at >= memory_s;
+}
+
+static void note_gaps(Recovery *y) {
+  int gaps = feed_gaps(y->feed);
+  if (gaps == y->seen_gaps) return;
+  y->seen_gaps = gaps;
+  y->gap_at = now_of(y);
+}
+
 bool recovery_holds(Recovery *y, uint64_t service) {
   uint64_t version;
   return proves(y, service, &version);
@@ -417,6 +431,7 @@
 void recovery_update(Recovery *y, const RecoveryPlace *place) {
   y->place = *place;
   if (!y->feed) return;
+  note_gaps(y);
   check_start(y);
   if (has_lost_service(y)) relay_log_open_streams(y->relay);
   if (y->start != START_OVER || y->n_searches > 0 ||
--- a/packages/flow/run.h
+++ b/packages/flow/run.h
@@ -281,6 +281,9 @@
 /* A stream began here whose version can't be concluded otherwise. */
 void recovery_note_begun(Recovery *y, const OriginsMsg *record);
 void recovery_note_delivered(Recovery *y, uint64_t key);
+/* Whether this instance has followed all changes of targets and configuration
+   for that long, or since it started. */
+bool recovery_has_followed(const Recovery *y, double memory_s);
 /* Whether the streams of a service need no records: all began at one version,
    by what the store had at the start and what was followed since. */
 bool recovery_holds(Recovery *y, uint64_t service);
--- a/tests/out_of_step.py
+++ b/tests/out_of_step.py
@@ -128,6 +128,32 @@
     check_versions(made, new)
 
 
+# Guards against streams of two versions at an instance that was cut off from the store
+# for longer than its history: it listed the targets anew, and the version that came and
+# left meanwhile is in no list.
+def test_an_instance_that_missed_a_version(s):
+    targets = Targets(s, {"v1": 3})
+    time.sleep(LONG_S)
+    s.cut([0])
+    targets.start("v2")
+    time.sleep(SETTLE_S)
+    made = begin_at_once(s, 2 * STREAMS, INSTANCES - 1, leave_at=4)
+    made = [t for t in made if 0 < t.last < EVENTS]
+    targets.leave("v2")
+    s.store.frozen = {"stream-origins", "stream-checkpoints"}
+    for kind in ("stream-origins", "stream-checkpoints"):
+        for name in list(s.store.kinds.get(kind, {})):
+            s.store.remove(kind, name)
+    s.store.forget()
+    for p in s.processes[1:]:
+        p.kill()
+        p.wait()
+    s.proxies[0].heal()
+    s.proxies[0].reset()
+    time.sleep(DROPPED_S)
+    check_taken_up(made)
+
+
 TESTS = {n: f for n, f in globals().items() if n.startswith("test_")}
 
 if __name__ == "__main__":
