--- a/packages/flow/dispatch.c
+++ b/packages/flow/dispatch.c
@@ -160,20 +160,20 @@
   return ms > 0 ? ms : (int)(c->retry_after_s * 1000);
 }
 
-/* Retry-After of a request that its targets rejected: soon, unless none of the
-   service takes requests now. */
-static int rejected_retry_ms(Run *x) {
+/* The last target did not run the request; one before it may have. Retry-After:
+   soon, unless none of the service takes requests now. A version that has left
+   is no overload, and nothing tells when it is back. */
+static void fail_rejected(Run *x) {
+  Err e;
   TargetRequest criteria = run_target_criteria(x);
   criteria.n_tried = 0;
   TargetChoice c = targets_pick(x->relay->targets, run_now(x), &criteria);
-  return c.target ? run_retry_ms(x) : none_retry_ms(&c);
-}
-
-/* The last target did not run the request; one before it may have. */
-static void fail_rejected(Run *x) {
-  Err e;
-  err_retry(&e, ERR_OVERLOADED, rejected_retry_ms(x),
-            "no target took the request");
+  if (!c.target && c.none == TARGET_NONE_OF_VERSION)
+    err_retry(&e, ERR_NO_TARGET, 0, none_causes[c.none].text, x->service_name);
+  else
+    err_retry(&e, ERR_OVERLOADED,
+              c.target ? run_retry_ms(x) : none_retry_ms(&c),
+              "no target took the request");
   if (x->maybe_ran) err_set(&e, ERR_TARGET_FAILED, "no other target took it");
   run_fail(x, &e);
 }
