Unframed, recovery: state that can be derived, and one check of what is concluded

Whether a run's target is being checked follows from its check and its timer, so the flag is_checked and the function that cleared it are gone. recovery.c asks origins.c whether a service is concluded in place of its own copy of that test. Behaviour stays as it was.

--- a/packages/flow/dispatch.c
+++ b/packages/flow/dispatch.c
@@ -244,7 +244,6 @@
   if (!run_may_be_continued(x) || !has_other_target(x) ||
       !may_try_another(x, true))
     return false;
-  x->is_checked = false;
   leave_target(x, TARGET_UNRESPONSIVE, why);
   run_dispatch(x);
   return true;
--- a/packages/flow/origins.c
+++ b/packages/flow/origins.c
@@ -61,9 +61,7 @@
                               memory_s, version);
 }
 
-/* Whether the version that began the service's streams is known without a
-   record. */
-static bool is_concluded(const Relay *r, uint64_t service) {
+bool relay_is_concluded(const Relay *r, uint64_t service) {
   uint64_t version;
   return relay_is_sole(r, service, &version) ||
          recovery_holds(r->recovery, service);
@@ -74,7 +72,7 @@
    while the store is away. */
 static bool needs_records(void *ctx, uint64_t service) {
   const Relay *r = ctx;
-  return !cluster_is_large(r->cluster) || !is_concluded(r, service) ||
+  return !cluster_is_large(r->cluster) || !relay_is_concluded(r, service) ||
          !cluster_is_whole(r->cluster, memory_of(r, service));
 }
 
@@ -94,7 +92,7 @@
 static void share_record(Relay *r, const OriginsMsg *record) {
   count_add(COUNT_ORIGINS_SHARED, 1);
   cluster_share_origin(r->cluster, record);
-  if (!is_concluded(r, record->service))
+  if (!relay_is_concluded(r, record->service))
     recovery_note_begun(r->recovery, record);
 }
 
@@ -118,7 +116,7 @@
 void relay_log_open_streams(Relay *r) {
   for (const Run *x = r->first_run; x; x = x->next) {
     uint64_t service = x->origin_key ? text_hash(x->service_name) : 0;
-    if (x->origin_key == 0 || is_concluded(r, service)) continue;
+    if (x->origin_key == 0 || relay_is_concluded(r, service)) continue;
     OriginsMsg record = {.kind = ORIGINS_RECORD,
                          .key = x->origin_key,
                          .service = service,
--- a/packages/flow/recovery.c
+++ b/packages/flow/recovery.c
@@ -129,9 +129,7 @@
 
 static void count_held(void *ctx, uint64_t service) {
   Recovery *y = ctx;
-  uint64_t version;
-  y->n_held += relay_is_sole(y->relay, service, &version) ||
-               proves(y, service, &version);
+  y->n_held += relay_is_concluded(y->relay, service);
 }
 
 typedef struct Renewal {
--- a/packages/flow/run.h
+++ b/packages/flow/run.h
@@ -135,7 +135,6 @@
   double first_byte_at; /* when it did */
   Link *link;           /* the exchange with `target`; NULL: none */
   /* Whether the target of an unframed answer goes on (unframed.c). */
-  bool is_checked;      /* it is being found out */
   double check_until;   /* the run goes on elsewhere without evidence by then */
   ev_timer check_timer; /* until `check`, and for its answer */
   Link *check;          /* NULL: none */
@@ -261,6 +260,9 @@
    no other service, for as long as a stream may be resumed, as far as this
    instance has followed them. */
 bool relay_is_sole(const Relay *r, uint64_t service, uint64_t *version);
+/* Whether that holds, or the store proved the same: the version that began the
+   service's streams is known without a record. */
+bool relay_is_concluded(const Relay *r, uint64_t service);
 ConfHistoryKind relay_service_history(const Relay *r, uint64_t service);
 /* Passes the streams that are open, and whose version can't be concluded any
    more, to recovery_note_begun. */
--- a/packages/flow/unframed.c
+++ b/packages/flow/unframed.c
@@ -57,10 +57,14 @@
     check(x);
 }
 
+static bool is_checked(const Run *x) {
+  return x->check || ev_is_active(&x->check_timer);
+}
+
 void relay_end_checks(Relay *r) {
   for (Run *x = r->first_run, *next; x; x = next) {
     next = x->next;
-    if (!x->is_checked) continue;
+    if (!is_checked(x)) continue;
     run_cancel_check(x);
     run_handle_broken(x, TARGET_NO_PATH, "closed, target not known");
   }
@@ -80,18 +84,11 @@
   return true;
 }
 
-static void break_answer(Run *x, const char *why) {
-  x->is_checked = false;
-  run_handle_broken(x, TARGET_UNRESPONSIVE, why);
-}
-
 static void handle_evidence(Run *x, bool goes_on) {
-  if (!goes_on || is_replaced(x)) {
-    break_answer(x, "closed, target ended");
-    return;
-  }
-  x->is_checked = false;
-  run_finish_answer(x);
+  if (goes_on && !is_replaced(x))
+    run_finish_answer(x);
+  else
+    run_handle_broken(x, TARGET_UNRESPONSIVE, "closed, target ended");
 }
 
 /* Nothing tells whether the target goes on: it is checked again until the run's
@@ -137,7 +134,7 @@
   else if (++x->n_closed_checks < MAX_CLOSED_CHECKS)
     start_check_timer(x, CLOSED_CHECK_RETRY_MS, on_delay);
   else
-    break_answer(x, "closed, checks closed");
+    run_handle_broken(x, TARGET_UNRESPONSIVE, "closed, checks closed");
 }
 
 static void on_silence(struct ev_loop *loop, ev_timer *w, int revents) {
@@ -197,7 +194,7 @@
     run_handle_broken(x, TARGET_FAILED, "closed before an event");
     return;
   }
-  x->maybe_ran = x->is_checked = true;
+  x->maybe_ran = true;
   x->check_until = check_until(x);
   x->n_gateway_checks = x->n_closed_checks = 0;
   x->check_via = x->via; /* the way that the answer took */
@@ -205,7 +202,6 @@
 }
 
 void run_cancel_check(Run *x) {
-  x->is_checked = false;
   ev_timer_stop(x->relay->loop, &x->check_timer);
   if (x->check) link_cancel(x->check);
   x->check = NULL;
