--- a/tests/odd_entries.py
+++ b/tests/odd_entries.py
@@ -112,6 +112,12 @@
     play(s, "servers", ["[%s]" % ",".join("1" * 450000)])
 
 
+# Guards against a list that ends early, and takes all later targets away, where a page
+# of it has nothing but such entries.
+def test_a_page_of_targets_of_many_values(s):
+    play(s, "servers", ["[%s]" % ",".join("1" * 500000)] * 3, "a-odd-%d")
+
+
 def test_one_evacuation_of_many_values(s):
     play(s, "evacuations", [nested(500000)])
 
