Unframed, origins, history: one retry time, one record, one place

No change of behaviour: the two retry times of checks were equal, the record of a stream was put together twice, and conf_stream_routes stood between two functions that belong together.

--- a/packages/conf/history.h
+++ b/packages/conf/history.h
@@ -30,10 +30,11 @@
    may still run; 0: it has none. */
 double conf_history_longest_s(const ConfHistory *h, double now,
                               uint64_t service);
+/* The same for all services. */
+double conf_history_longest_of_all_s(const ConfHistory *h, double now);
+
 /* Stands for the stream routes that have a service (text_hash of its name),
    with all their services; 0: there are none. */
 uint64_t conf_stream_routes(const Conf *c, uint64_t service);
-/* conf_history_longest_s for all services. */
-double conf_history_longest_of_all_s(const ConfHistory *h, double now);
 
 #endif
--- a/packages/flow/origins.c
+++ b/packages/flow/origins.c
@@ -96,18 +96,21 @@
     recovery_note_begun(r->recovery, record);
 }
 
+static OriginsMsg record_of(const Run *x) {
+  return (OriginsMsg){.kind = ORIGINS_RECORD,
+                      .key = x->origin_key,
+                      .service = text_hash(x->service_name),
+                      .version = x->version};
+}
+
 void run_record_begun(Run *x) {
   Relay *r = x->relay;
   if (x->origin_key != 0 || x->events.count == 0) return;
-  uint64_t service = text_hash(x->service_name);
   x->has_version = true;
   x->version = target_version(x->target);
   x->origin_key = key_of(x);
-  OriginsMsg record = {.kind = ORIGINS_RECORD,
-                       .key = x->origin_key,
-                       .service = service,
-                       .version = x->version};
-  bool shared = needs_records(r, service);
+  OriginsMsg record = record_of(x);
+  bool shared = needs_records(r, record.service);
   origins_set(r->origins, run_now(x), &record, shared);
   set_service_record(x, record);
   if (shared) share_record(r, &record);
@@ -115,13 +118,10 @@
 
 void relay_log_open_streams(Relay *r) {
   for (const Run *x = r->first_run; x; x = x->next) {
-    uint64_t service = x->origin_key ? text_hash(x->service_name) : 0;
-    if (x->origin_key == 0 || relay_is_concluded(r, service)) continue;
-    OriginsMsg record = {.kind = ORIGINS_RECORD,
-                         .key = x->origin_key,
-                         .service = service,
-                         .version = x->version};
-    recovery_note_begun(r->recovery, &record);
+    if (x->origin_key == 0) continue;
+    OriginsMsg record = record_of(x);
+    if (!relay_is_concluded(r, record.service))
+      recovery_note_begun(r->recovery, &record);
   }
 }
 
--- a/packages/flow/recovery.c
+++ b/packages/flow/recovery.c
@@ -13,8 +13,8 @@
 #include "route/originlog.h"
 #include "route/versions.h"
 
-#define CHECKPOINT_KIND                                                        \
-  "stream-checkpoints" /* object name: the writer's rank */
+/* In the store; an object has the rank of its writer as its name. */
+#define CHECKPOINT_KIND "stream-checkpoints"
 
 /* The instances of the lowest ranks write a checkpoint each: one of them may be
    cut off from the store. */
--- a/packages/flow/unframed.c
+++ b/packages/flow/unframed.c
@@ -13,13 +13,11 @@
 #include "kernel/limits.h"
 
 /* Connections that are closed without an answer until the target counts as
-   ended, and the time between two: a target with too many connections closes
-   them as well, until one of the others ends. */
+   ended: a target with too many connections closes them as well, until one of
+   the others ends. */
 #define MAX_CLOSED_CHECKS 3
-#define CLOSED_CHECK_RETRY_MS 100
-/* Between two checks without evidence, and while this process catches up after
-   a pause. */
-#define SILENT_CHECK_RETRY_MS 100
+/* Between two checks, and while this process catches up after a pause. */
+#define CHECK_RETRY_MS 100
 /* Part of the remaining time that a stream is checked for before its rest is
    asked for elsewhere. A rest without events proves no end, so a whole stream
    would be lost; one that was cut needs time to go on. */
@@ -52,7 +50,7 @@
   (void)revents;
   Run *x = w->data;
   if (x->relay->stale)
-    start_check_timer(x, SILENT_CHECK_RETRY_MS, on_delay);
+    start_check_timer(x, CHECK_RETRY_MS, on_delay);
   else
     check(x);
 }
@@ -100,7 +98,7 @@
   if (run_now(x) >= x->check_until && run_try_elsewhere(x, why)) return;
   x->n_gateway_checks = 0;
   x->check_via = x->via ? relay_find_gateway(r, addr) : NULL;
-  start_check_timer(x, SILENT_CHECK_RETRY_MS, on_delay);
+  start_check_timer(x, CHECK_RETRY_MS, on_delay);
 }
 
 /* == the request to the target == */
@@ -132,7 +130,7 @@
   else if (how == LINK_BROKEN)
     handle_evidence(x, false); /* what was sent is no answer */
   else if (++x->n_closed_checks < MAX_CLOSED_CHECKS)
-    start_check_timer(x, CLOSED_CHECK_RETRY_MS, on_delay);
+    start_check_timer(x, CHECK_RETRY_MS, on_delay);
   else
     run_handle_broken(x, TARGET_UNRESPONSIVE, "closed, checks closed");
 }
