Ledger: a log line with a budget's state when a home denies a draw

What callers saw: budget-held and budget-store, for budgets of which half was not spent. No line told where the tokens were. budget-denied (once a second, budget and home) states what is left, what the home has, and what lies in grants of lost homes and of others.

--- a/packages/fleet/cluster.c
+++ b/packages/fleet/cluster.c
@@ -9,6 +9,7 @@
 #include <time.h>
 
 #include "fleet/allocations.h"
+#include "fleet/denied.h"
 #include "fleet/tallies.h"
 #include "kernel/count.h"
 #include "kernel/log.h"
@@ -142,6 +143,7 @@
       log_info("budget-cutoff", "s:s,s:i,s:i", "customer", a.msg.budget, "from",
                a.msg.priority, "retry_ms", a.msg.retry_ms);
       break;
+    case LEDGER_ACTION_DENIED: denied_log(&a); break;
     case LEDGER_ACTION_ANSWER:
       if (a.by_cutoff) count_add(COUNT_REFUSED_CUTOFF, 1);
       c->ev.reservation_decided(c->ctx, a.handle, a.cause, a.retry_ms);
--- a/packages/fleet/lane.c
+++ b/packages/fleet/lane.c
@@ -4,6 +4,7 @@
 
 #include <string.h>
 
+#include "fleet/denied.h"
 #include "kernel/clock.h"
 #include "kernel/count.h"
 #include "ledger/shard.h"
@@ -52,6 +53,7 @@
       jobs_add(l->host->jobs, &j);
       break;
     case LEDGER_ACTION_NOTE: break;
+    case LEDGER_ACTION_DENIED: denied_log(&a); break;
     case LEDGER_ACTION_ANSWER:
       complete_wait(l, a.handle,
                     &(LaneWait){.cause = a.cause, .retry_ms = a.retry_ms});
--- a/packages/ledger/home.c
+++ b/packages/ledger/home.c
@@ -37,6 +37,7 @@
 #define REPORT_WRITES_PER_S 15.0 /* of spend reports, for the whole fleet */
 /* A home decides a draw this long before the holder's wait ends. */
 #define DRAW_GRACE_S 0.2
+#define DENIED_NOTE_S 1.0 /* between two notes of denials for the log */
 
 /* == arithmetic == */
 
@@ -160,7 +161,35 @@
   send_allot(l, h, d->holder, s->granted, ERR_NONE);
 }
 
+static LedgerBudgetState budget_state(const Ledger *l, const HomeBudget *h) {
+  const ShardState *s = l->shards[shard_index(h->name)];
+  const ShardBudget *b =
+      s && s->doc ? shard_find_budget(s->doc, h->name) : NULL;
+  LedgerBudgetState x = {.remaining = h->remaining, .unspent = h->unspent};
+  if (h->home_grant) x.unallotted = home_free_tokens(h->home_grant);
+  if (!b) return x;
+  x.total = b->total;
+  for (guint i = 0; i < b->grants->len; i++) {
+    const ShardGrant *g = b->grants->pdata[i];
+    if (g->sealed || strcmp(g->home, l->self) == 0) continue;
+    int64_t *sum =
+        view_find(l->view, g->home) ? &x.in_other_grants : &x.in_lost_grants;
+    *sum += shard_grant_outstanding(g);
+  }
+  return x;
+}
+
+static void note_denied(Ledger *l, HomeBudget *h, ErrKind cause) {
+  if (h->denied_at > 0 && l->now - h->denied_at < DENIED_NOTE_S) return;
+  h->denied_at = l->now;
+  LedgerAction *a = ledger_add_action(l, LEDGER_ACTION_DENIED);
+  a->msg = ledger_make_msg(LEDGER_ALLOT, h->name, 0);
+  a->cause = cause;
+  a->state = budget_state(l, h);
+}
+
 static void deny_draw(Ledger *l, HomeBudget *h, const Draw *d, ErrKind cause) {
+  if (cause != ERR_NONE) note_denied(l, h, cause);
   const HolderShare *s =
       h->home_grant ? find_share(h->home_grant, d->holder, false) : NULL;
   send_allot(l, h, d->holder, s ? s->granted : 0, cause);
--- a/packages/ledger/ledger.h
+++ b/packages/ledger/ledger.h
@@ -66,8 +66,20 @@
   LEDGER_ACTION_PUT,    /* conditional update of the shard: version, text */
   LEDGER_ACTION_ANSWER, /* the reservation `handle` is decided: cause */
   LEDGER_ACTION_NOTE,   /* for the log: `msg` with a changed cutoff came in */
+  LEDGER_ACTION_DENIED, /* for the log: a draw of `msg.budget` was denied for
+                           `cause`; `state` is what the home knows of it */
 } LedgerActionKind;
 
+/* Tokens of a budget by the last document that its home read. */
+typedef struct LedgerBudgetState {
+  int64_t total;
+  int64_t remaining;       /* may be granted */
+  int64_t unspent;         /* not reported as spent */
+  int64_t unallotted;      /* of the home's own grant */
+  int64_t in_lost_grants;  /* of homes that are not in the view, not sealed */
+  int64_t in_other_grants; /* of the other homes; sealed ones are neither */
+} LedgerBudgetState;
+
 typedef struct LedgerAction {
   LedgerActionKind action;
   char to[LIMIT_ID_BYTES];
@@ -78,7 +90,8 @@
   uint64_t handle;
   ErrKind cause; /* ERR_NONE: granted */
   int retry_ms;
-  bool by_cutoff; /* rejected by priority, without asking the home */
+  bool by_cutoff;          /* rejected by priority, without asking the home */
+  LedgerBudgetState state; /* LEDGER_ACTION_DENIED only */
 } LedgerAction;
 
 /* The row of one budget in the configuration table. */
--- a/packages/ledger/state.h
+++ b/packages/ledger/state.h
@@ -149,6 +149,7 @@
   double reserve_cap_s;      /* max seconds of demand in reserve for now */
   double started_at;
   double ticked_at;
+  double denied_at;    /* when a denial was last noted for the log; 0: never */
   double recalled_at;  /* when this home last recalled; -1: never */
   double return_until; /* another home recalls: until then free tokens go back
                           to the store at once */
--- a/scenario/world.c
+++ b/scenario/world.c
@@ -143,7 +143,8 @@
     case LEDGER_ACTION_PUT:
       store_call(w, node, CALL_LEDGER, name, true, a.shard, a.version, a.text);
       break;
-    case LEDGER_ACTION_NOTE: break;
+    case LEDGER_ACTION_NOTE:
+    case LEDGER_ACTION_DENIED: break;
     case LEDGER_ACTION_ANSWER: requests_on_reservation(w, node, &a); break;
     }
   }
