Budgets: a refusal names the store only while it is away

Cause: a request that had waited for a fifth of its aim was refused as budget-store whatever its home had said. Near the end of a budget a home looks for 0.4 s for tokens that others hold, longer than requests wait.

Not changed: such a request still waits, and further homes of the shard are asked meanwhile, which write against each other.

--- a/packages/fleet/cluster.c
+++ b/packages/fleet/cluster.c
@@ -827,6 +827,10 @@
   return handle;
 }
 
+ErrKind cluster_wait_cause(Cluster *c, uint64_t handle, int *retry_ms) {
+  return ledger_wait_cause(c->ledger, current_time(c), handle, retry_ms);
+}
+
 int cluster_outage_left_ms(const Cluster *c) {
   return ledger_outage_left_ms(c->ledger, current_time(c));
 }
--- a/packages/fleet/cluster.h
+++ b/packages/fleet/cluster.h
@@ -150,6 +150,8 @@
    the next cluster_run_actions, or later. `priority`: see ledger_reserve. */
 uint64_t cluster_reserve(Cluster *c, const char *budget, int64_t tokens,
                          int priority);
+/* See ledger_wait_cause. */
+ErrKind cluster_wait_cause(Cluster *c, uint64_t handle, int *retry_ms);
 /* See ledger_outage_left_ms. */
 int cluster_outage_left_ms(const Cluster *c);
 void cluster_run_actions(Cluster *c);
--- a/packages/flow/relay.c
+++ b/packages/flow/relay.c
@@ -19,11 +19,10 @@
    time). A refusal that reaches the caller within a quarter of the aim leaves
    time to be served elsewhere; the difference is for the network round trip. */
 #define BUDGET_AIM_RATIO 0.2
-/* To callers whose wait ended while no outage is known: the home was slow, and
+/* To callers whose wait ended without an answer of the home: it was slow, and
    the tokens arrive meanwhile. */
 #define RETRY_UNANSWERED_MS 300
-#define DEFAULT_DEADLINE_S 30.0    /* when the caller gives none */
-#define RETRY_STORE_OUTAGE_MS 5000 /* store outages last 4 to 9 s */
+#define DEFAULT_DEADLINE_S 30.0 /* when the caller gives none */
 
 /* == budget == */
 
@@ -59,12 +58,11 @@
   (void)loop;
   (void)revents;
   Run *x = w->data;
-  int retry_ms = RETRY_STORE_OUTAGE_MS;
-  if (run_is_managed(x, MANAGED_RESERVE)) {
-    int left_ms = cluster_outage_left_ms(x->relay->cluster);
-    retry_ms = left_ms > 0 ? left_ms : RETRY_UNANSWERED_MS;
-  }
-  refuse_budget(x, ERR_BUDGET_STORE, retry_ms);
+  int retry_ms;
+  ErrKind cause =
+      cluster_wait_cause(x->relay->cluster, x->reservation, &retry_ms);
+  if (cause == ERR_BUDGET_CUT) retry_ms = RETRY_UNANSWERED_MS;
+  refuse_budget(x, cause, retry_ms);
 }
 
 void relay_on_reserved(Relay *r, uint64_t handle, ErrKind cause, int retry_ms) {
--- a/packages/ledger/holder.c
+++ b/packages/ledger/holder.c
@@ -159,19 +159,20 @@
   g_free(w);
 }
 
+static int retry_after_ms(const Ledger *l, const HolderBudget *b,
+                          const Waiter *w, ErrKind cause) {
+  if (cause == ERR_BUDGET_EMPTY) return 0;
+  if (cause != ERR_BUDGET_STORE) return RETRY_AFTER_MS;
+  if (w->priority < 0) return RETRY_AFTER_OUTAGE_MS;
+  int left_ms = priority_retry_ms(l, b);
+  /* Without an outage only the homes that were asked are cut off. */
+  return left_ms > 0 ? left_ms : RETRY_AFTER_MS;
+}
+
 static void refuse_waiter(Ledger *l, HolderBudget *b, GList *link,
                           ErrKind cause) {
   const Waiter *w = link->data;
-  bool store_down = cause == ERR_BUDGET_STORE;
-  int retry_ms = cause == ERR_BUDGET_EMPTY ? 0
-                 : store_down              ? RETRY_AFTER_OUTAGE_MS
-                                           : RETRY_AFTER_MS;
-  if (store_down && w->priority >= 0) {
-    int left_ms = priority_retry_ms(l, b);
-    /* Without an outage only the homes that were asked are cut off. */
-    retry_ms = left_ms > 0 ? left_ms : RETRY_AFTER_MS;
-  }
-  ledger_add_answer(l, w->handle, cause, retry_ms);
+  ledger_add_answer(l, w->handle, cause, retry_after_ms(l, b, w, cause));
   drop_waiter(l, b, link);
 }
 
@@ -316,6 +317,22 @@
   return NULL;
 }
 
+ErrKind holder_wait_cause(const Ledger *l, uint64_t handle, int *retry_ms) {
+  HolderBudget *b = g_hash_table_lookup(l->waiting, &handle);
+  *retry_ms = RETRY_AFTER_MS;
+  if (!b) return ERR_BUDGET_CUT;
+  const Waiter *w = find_waiter_link(b, handle)->data;
+  ErrKind cause = w->cause;
+  bool answers =
+      b->draw_answered_at > 0 && l->now - b->draw_answered_at < RECENT_ANSWER_S;
+  if (priority_store_is_away(l, b))
+    cause = ERR_BUDGET_STORE;
+  else if (cause == ERR_BUDGET_CUT && answers)
+    cause = ERR_BUDGET_HELD;
+  *retry_ms = retry_after_ms(l, b, w, cause);
+  return cause;
+}
+
 void holder_settle(Ledger *l, uint64_t handle, int64_t used) {
   assert(used >= 0);
   HolderBudget *waiting_budget = g_hash_table_lookup(l->waiting, &handle);
--- a/packages/ledger/ledger.c
+++ b/packages/ledger/ledger.c
@@ -234,6 +234,12 @@
   process_queued(l);
 }
 
+ErrKind ledger_wait_cause(Ledger *l, double now, uint64_t handle,
+                          int *retry_ms) {
+  l->now = now;
+  return holder_wait_cause(l, handle, retry_ms);
+}
+
 void ledger_settle(Ledger *l, double now, uint64_t handle, int64_t used) {
   l->now = now;
   holder_settle(l, handle, used);
--- a/packages/ledger/state.h
+++ b/packages/ledger/state.h
@@ -309,6 +309,8 @@
                     int64_t amount, int priority);
 /* Rejects the waiting requests whose priority is rejected now. */
 void holder_apply_cutoff(Ledger *l, HolderBudget *b);
+/* See ledger_wait_cause. */
+ErrKind holder_wait_cause(const Ledger *l, uint64_t handle, int *retry_ms);
 void holder_settle(Ledger *l, uint64_t handle, int64_t used);
 void holder_on_allot(Ledger *l, const char *from, const LedgerMsg *m);
 void holder_on_report_ack(Ledger *l, const LedgerMsg *m);
--- a/tests/lost_budgets.py
+++ b/tests/lost_budgets.py
@@ -4,6 +4,7 @@
 
 Usage: lost_budgets.py BUILD_DIR [TEST...]"""
 import http.client
+import json
 import os
 import random
 import subprocess
@@ -37,8 +38,9 @@
 class Load:
     """Chats at random instances, at a fixed rate."""
 
-    def __init__(self, s):
-        self.s, self.stopping, self.per_s = s, False, PER_S
+    def __init__(self, s, per_s=PER_S, prompt=lambda dice: PROMPT):
+        self.s, self.stopping, self.per_s, self.prompt = s, False, per_s, prompt
+        self.refused = {}  # error -> number
         self.thread = threading.Thread(target=self._run)
         self.thread.start()
 
@@ -48,11 +50,14 @@
             at += 1 / self.per_s
             time.sleep(max(0, at - time.monotonic()))
             i = dice.randrange(len(self.s.processes))
-            threading.Thread(target=self._chat, args=(i,)).start()
+            threading.Thread(target=self._chat, args=(i, self.prompt(dice))).start()
 
-    def _chat(self, i):
+    def _chat(self, i, prompt):
         try:
-            self.s.chat(PROMPT, i=i)
+            a = self.s.chat(prompt, i=i)
+            if a.status != 200:
+                error = json.loads(a.body)["error"]["kind"]
+                self.refused[error] = self.refused.get(error, 0) + 1
         except (OSError, http.client.HTTPException):
             pass  # the instance is not running
 
@@ -86,6 +91,19 @@
     assert spent >= SHARE * total, "%d tokens are missing" % (total - spent)
 
 
+def test_a_refusal_names_the_store_only_while_it_is_away(s):
+    """Guards against callers who are told to come back after an outage of the store
+    when a budget is nearly used up: their wait had ended without a decision."""
+    with_targets(s)
+    s.store.put("config", "main", config(3, prepaid=100000))
+    load = Load(s, per_s=60, prompt=lambda dice: dice.randrange(100, 3000))
+    time.sleep(8)
+    load.stop()
+    print("   refused: %s" % load.refused, flush=True)
+    assert sum(load.refused.values()) > 100, "hardly any was refused"
+    assert "budget-store" not in load.refused, "the store answered all the time"
+
+
 def test_a_budget_is_used_up_after_losses_of_all_of_seven(s):
     """The same in the model, of seven instances that are away for two seconds."""
     play("lost_all.lua")
