Node: what is open at the end of a planned stop gets an answer

Reported by another operator, and it happens here: requests that an instance had taken ended with a closed connection and no answer when its stop ended, among them such that may not be repeated.

Cause: finish_stop counted the open requests and left. New requests are refused in the second half of a stop that is shorter than six seconds: with 4 s they were taken until 0.5 s before its end.

A tunnel of another instance that ends with the stop is answered by that instance, as before.

--- a/packages/flow/relay.c
+++ b/packages/flow/relay.c
@@ -389,6 +389,26 @@
   if (stale) links_close_all_idle(r->links);
 }
 
+static void end_request(Run *x) {
+  Err e;
+  x->maybe_ran |= x->link && link_has_sent(x->link);
+  if (x->maybe_ran)
+    err_set(&e, ERR_TARGET_TIMEOUT, "this instance stops before the answer");
+  else
+    err_retry(&e, ERR_DRAINING, RUN_RETRY_SOON_MS, "this instance is stopping");
+  run_fail(x, &e);
+}
+
+int relay_end_requests(Relay *r) {
+  int n = 0;
+  for (Run *x = r->first_run, *next; x; x = next) {
+    next = x->next;
+    end_request(x);
+    n++;
+  }
+  return n;
+}
+
 void relay_refuse_requests(Relay *r) {
   r->refusing = true;
 }
--- a/packages/flow/relay.h
+++ b/packages/flow/relay.h
@@ -105,6 +105,10 @@
 void relay_end_checks(Relay *r);
 /* From now on new requests are refused. */
 void relay_refuse_requests(Relay *r);
+/* The process is about to exit: answers all open requests, truthfully as not
+   run or as maybe run; an answer that has begun is broken off. Returns their
+   number. */
+int relay_end_requests(Relay *r);
 int relay_open_request_count(const Relay *r);
 /* Whether parts of answers wait to be sent to callers. */
 bool relay_is_delivering(const Relay *r);
--- a/packages/node/node.c
+++ b/packages/node/node.c
@@ -28,8 +28,10 @@
 #define POOLS_INTERVAL_PER_INSTANCE_S 0.05
 /* In a planned stop: the balancer checks readiness each second and removes an
    instance after two failures. A request that arrives later than 3 s after the
-   start of the stop might not finish before the process has to exit. */
+   start of the stop, or in its second half, might not finish before the process
+   has to exit. */
 #define REFUSE_AFTER_S 2.9
+#define REFUSE_AFTER_SHARE 0.5
 #define STOP_MARGIN_S 0.6 /* before the platform kills the process */
 /* A longer gap between two iterations of the loop counts as a pause of the
    process; normally they are 50 ms apart, on the busiest machines 100 ms. After
@@ -134,6 +136,7 @@
   int rank;               /* of this instance among them */
   int seed_count;         /* addresses in the setting `seeds` */
   double stop_began_at;   /* loop time of SIGTERM; 0: not stopping */
+  int ended_requests;     /* that were still open at the end of a stop */
   double paused_at;       /* last pause, if not caught up; else 0 */
   bool refusing, returning, was_ready;
   int status;
@@ -534,10 +537,11 @@
   relay_drain(n->relay);
 }
 
-static void finish_stop(Node *n, bool clean) {
+static void finish_stop(Node *n) {
+  bool clean = n->ended_requests == 0;
   log_calls(n);
   log_info("stopped", "s:b,s:i", "clean", (int)clean, "open",
-           relay_open_request_count(n->relay));
+           n->ended_requests);
   n->status = clean ? 0 : 3;
   ev_break(n->loop, EVBREAK_ALL);
 }
@@ -548,10 +552,12 @@
 static void advance_stop(Node *n) {
   double past_s = loopclock_now(n->loop) - n->stop_began_at;
   double max_s = setting_number("stop") - STOP_MARGIN_S;
-  if (past_s > REFUSE_AFTER_S && !n->refusing) {
+  double refuse_after_s = MIN(REFUSE_AFTER_S, max_s * REFUSE_AFTER_SHARE);
+  if (past_s > refuse_after_s && !n->refusing) {
     n->refusing = true;
     relay_refuse_requests(n->relay);
   }
+  if (past_s > max_s) n->ended_requests += relay_end_requests(n->relay);
   bool idle = relay_open_request_count(n->relay) == 0;
   if (n->refusing && (idle || past_s > max_s - LINGER_S) && !n->returning) {
     n->returning = true;
@@ -560,8 +566,10 @@
   bool done = n->returning && idle && cluster_is_drained(n->cluster) &&
               relay_tunnel_count(n->relay) == 0 &&
               !relay_is_delivering(n->relay);
-  if (past_s > max_s || (done && past_s > REFUSE_AFTER_S + LINGER_S))
-    finish_stop(n, idle);
+  bool is_sent = past_s > max_s && !relay_is_delivering(n->relay);
+  if (is_sent || past_s > max_s + LINGER_S ||
+      (done && past_s > refuse_after_s + LINGER_S))
+    finish_stop(n);
 }
 
 /* == time == */
