Entry: bodies that are read whole take a bounded part of the memory

Reported by another operator (bytes that are no answer, without end; the machine ran out of memory), and it happens at the product's own front: each body was held up to 8 MB, with no bound over all, and threads kept what their largest one took. The users' path has a bound over all.

Left: a head that trickles holds its request for as long as its target likes.

--- a/bin/loftpathd.c
+++ b/bin/loftpathd.c
@@ -1,6 +1,7 @@
 /* loftpathd.c: the daemon, which runs one instance of the fleet. */
 #include <glib.h>
 #include <jansson.h>
+#include <malloc.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -19,6 +20,9 @@
 
 /* Interval at which a stop checks whether all work has ended. */
 #define STOP_POLL_US 20000
+/* Buffers of this size return to the system when they are freed. Otherwise each
+   thread keeps what its largest answer took. */
+#define LARGE_BUFFER_BYTES (128 << 10)
 /* Interval at which the instance checks for a drain requested by an operator.
  */
 #define DRAIN_POLL_US 200000
@@ -237,6 +241,7 @@
   pthread_sigmask(SIG_BLOCK, &stop_signals,
                   NULL); /* before threads are created */
   signal(SIGPIPE, SIG_IGN);
+  mallopt(M_MMAP_THRESHOLD, LARGE_BUFFER_BYTES);
   atomic_store(&entry.store_answered_at, clock_unix());
   for (size_t i = 0; i < G_N_ELEMENTS(services); i++)
     ok = ok && service_add(&kernel, &services[i], &e);
--- a/packages/entry/chat.c
+++ b/packages/entry/chat.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "entry/body.h"
 #include "entry/exchange.h"
 #include "kernel/clock.h"
 #include "kernel/count.h"
@@ -15,8 +16,7 @@
 #define TEMPLATE_MAX_TOKENS_PER_REQUEST 64
 #define CONNECT_TIMEOUT_S 2
 #define READ_TIMEOUT_S 60
-#define RESUMES_MAX 2                /* per stream */
-#define RESPONSE_MAX_BYTES (8 << 20) /* if it is not streamed */
+#define RESUMES_MAX 2 /* per stream */
 
 /* == reading the request == */
 
@@ -188,20 +188,14 @@
 
 /* == complete responses == */
 
+static void note_first_byte(void *exchange) {
+  exchange_record_first_byte(exchange);
+}
+
 static struct MHD_Response *respond_complete(Chat *c, int *status) {
   GString *all = g_string_new(NULL);
-  char buf[16384];
-  long n;
-  http_stream_limit(c->upstream);
-  while ((n = http_stream_read(c->upstream, buf, sizeof buf)) > 0) {
-    if (all->len == 0) exchange_record_first_byte(&c->x);
-    if (all->len + (size_t)n > RESPONSE_MAX_BYTES) {
-      n = -1;
-      break;
-    }
-    g_string_append_len(all, buf, n);
-  }
-  json_t *o = n == 0 ? json_loadb(all->str, all->len, 0, NULL) : NULL;
+  bool is_whole = body_read(c->upstream, all, note_first_byte, &c->x);
+  json_t *o = is_whole ? json_loadb(all->str, all->len, 0, NULL) : NULL;
   Err err = {0};
   struct MHD_Response *response;
   if (!o) { /* truncated, or not JSON */
@@ -221,7 +215,7 @@
     entry_add_headers(response, c->x.id, RAN_YES);
   }
   json_decref(o);
-  g_string_free(all, TRUE);
+  body_free(all);
   chat_free(c);
   return response;
 }
--- a/packages/entry/plain.c
+++ b/packages/entry/plain.c
@@ -4,6 +4,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "entry/body.h"
 #include "entry/exchange.h"
 #include "http/client.h"
 #include "kernel/count.h"
@@ -12,7 +13,6 @@
 
 #define CONNECT_TIMEOUT_S 2
 #define READ_TIMEOUT_S 30
-#define RESPONSE_MAX_BYTES (8 << 20)
 
 /* Only the form counts: numbers may be longer than 64 bits. */
 #define JSON_FLAGS (JSON_DECODE_ANY | JSON_DECODE_INT_AS_REAL | JSON_ALLOW_NUL)
@@ -59,6 +59,11 @@
   return fits;
 }
 
+static void free_answer(Plain *p) {
+  body_free(p->answer.body);
+  p->answer.body = NULL;
+}
+
 /* == the end of an answer == */
 
 static bool is_json_type(const char *type) {
@@ -102,17 +107,13 @@
                                        CONNECT_TIMEOUT_S, READ_TIMEOUT_S);
   HttpStream *s = http_stream_open(client, &c, false, &p->answer);
   p->answer.body = g_string_new(NULL);
-  char buf[8192];
-  long n = -1;
+  bool is_whole = false;
   if (s) {
-    http_stream_limit(s);
     const char *t = http_stream_header(s, "Content-Type");
     g_strlcpy(p->type, t ? t : "application/octet-stream", sizeof p->type);
-    while ((n = http_stream_read(s, buf, sizeof buf)) > 0 &&
-           p->answer.body->len + (size_t)n <= RESPONSE_MAX_BYTES)
-      g_string_append_len(p->answer.body, buf, n);
+    is_whole = body_read(s, p->answer.body, NULL, NULL);
   }
-  p->answer.complete = n == 0 && (p->answer.framed || is_whole_unframed(p));
+  p->answer.complete = is_whole && (p->answer.framed || is_whole_unframed(p));
   http_stream_close(s);
   http_client_free(client);
 }
@@ -131,7 +132,7 @@
              p->x.ticket.choice.name, "sent", (int)p->answer.sent, "error",
              p->answer.error);
     bool is_final = ran == RAN_MAYBE && !p->x.service.is_repeatable;
-    http_response_free(&p->answer);
+    free_answer(p);
     if (!is_final && exchange_retry(&p->x, ran, p->x.reserved_tokens, err))
       continue;
     if (ran == RAN_MAYBE) {
@@ -168,7 +169,7 @@
   exchange_complete(&p->x, p->x.reserved_tokens, &a);
   struct MHD_Response *response =
       create_response(p->x.id, a.status, a.type, a.body, a.len, status);
-  http_response_free(&p->answer);
+  free_answer(p);
   return response;
 }
 
--- a/packages/kernel/limits.h
+++ b/packages/kernel/limits.h
@@ -40,6 +40,10 @@
 #define LIMIT_SEND_BUFFER_BYTES (128 << 10)
 /* A plain answer, buffered until it is complete. */
 #define LIMIT_PLAIN_ANSWER_BYTES (256 << 10)
+/* One answer that the product's own front reads whole, and all of them. Their
+   buffers may take twice as much. */
+#define LIMIT_ANSWER_BYTES (8 << 20)
+#define LIMIT_ANSWERS_TOTAL_BYTES (24 << 20)
 /* One event of a stream, buffered until it is complete. A target that never
    ends an event would fill the memory. An event of some tokens takes less than
    1 KB. */
--- a/tests/process.py
+++ b/tests/process.py
@@ -627,6 +627,37 @@
             t.close()
 
 
+AT_ONCE = 60  # answers without end
+
+
+def test_answers_without_end_at_once_stay_within_the_memory(f):
+    """Guards against an instance that runs out of memory: each answer without end was
+    held up to 8 MB, with no bound over all."""
+    for name in ["engine0", "engine1", "booking"]:
+        f.kill(name)
+    targets = [Endless(p, b"HTTP/1.1 200 OK\r\n\r\n", b"x")
+               for p in f.engines + [f.booking]]
+    got = []
+
+    def book(k):
+        try:
+            got.append(f.book(f.ports[0], "E %d" % k).status)
+        except (OSError, http.client.HTTPException) as e:
+            got.append(repr(e))
+
+    threads = [threading.Thread(target=book, args=(k,)) for k in range(AT_ONCE)]
+    for t in threads:
+        t.start()
+    for t in threads:
+        t.join()
+    print("  %s, peak %.0f MB" % ({g: got.count(g) for g in set(got)},
+                                  peak_mb(f, "i0")), flush=True)
+    for t in targets:
+        t.close()
+    assert all(isinstance(g, int) and g >= 400 for g in got), got
+    assert peak_mb(f, "i0") < 110, "%.0f MB" % peak_mb(f, "i0")
+
+
 def words_of(a):
     """The tokens of a complete stream."""
     lines = [l[6:] for l in a.body.decode().split("\n") if l.startswith("data: ")]
