Entry: what waits for a target at the end of a planned stop is refused

Reported by another operator, and worse at the product's own front: a request that waited for a place got a closed connection when the stop ended, though it had never run.

Half a second before the end the pools refuse all that waits, 503 draining and not run, and dispatch nothing more. 24 chats beside targets that never answer: none was answered before, the 8 that waited are now. The 16 that run still end without an answer: their threads wait for the target in the client library.

--- a/bin/loftpathd.c
+++ b/bin/loftpathd.c
@@ -29,6 +29,8 @@
 /* Max time that a stop waits for open connections to end. */
 #define CONNECTIONS_END_TIMEOUT_S 2.0
 /* Interval at which a long stop logs what it waits for. */
+/* Before the end of a stop: what still waits for a target is refused. */
+#define LAST_ANSWERS_S 0.5
 #define STOP_LOG_INTERVAL_S 5.0
 
 /* flag, environment variable, type, default (NULL: must be given), help, min,
@@ -202,6 +204,8 @@
   log_info("draining", "s:i", "open", atomic_load(&entry.open_requests));
   while (clock_now() < deadline) {
     if (sigtimedwait(stop_signals, NULL, &poll_interval) > 0) return false;
+    if (clock_now() > deadline - LAST_ANSWERS_S)
+      pools_refuse_waiting(entry.pools);
     if (atomic_load(&entry.open_requests) > 0) continue;
     if (!fleet_is_draining) fleet_drain(entry.fleet);
     fleet_is_draining = true;
--- a/packages/entry/pool.c
+++ b/packages/entry/pool.c
@@ -17,6 +17,8 @@
   int retry_ms;
 } PoolWaiter;
 
+#define STOP_RETRY_MS 1000 /* until other instances get all requests */
+
 struct Pool {
   char name[LIMIT_NAME_BYTES + 8];
   pthread_mutex_t lock;
@@ -26,6 +28,7 @@
   /* adapter -> requests since the last pool_take_adapter_demand */
   GHashTable *adapter_requests;
   uint64_t last_handle;
+  bool is_closed;            /* dispatches nothing more */
   int64_t counted_ejections; /* ejections already added to COUNT_EJECTED */
 };
 
@@ -74,7 +77,8 @@
   double now = clock_now();
   count_add(COUNT_EJECTED, route_ejections(p->route) - p->counted_ejections);
   p->counted_ejections = route_ejections(p->route);
-  while (queue_pop(p->queue, now, route_free_slots(p->route, now),
+  while (!p->is_closed &&
+         queue_pop(p->queue, now, route_free_slots(p->route, now),
                    route_max_rate(p->route), &decision)) {
     PoolWaiter *waiter = g_hash_table_lookup(p->waiters, &decision.handle);
     ErrKind refused = decision.refused;
@@ -138,8 +142,8 @@
   pthread_mutex_lock(&p->lock);
   t->item.handle = ++p->last_handle;
   count_adapter_request(p, t->route_request.adapter);
-  ErrKind refused = ERR_NO_TARGET;
-  if (has_available_target(p, now))
+  ErrKind refused = p->is_closed ? ERR_DRAINING : ERR_NO_TARGET;
+  if (!p->is_closed && has_available_target(p, now))
     refused = queue_push(p->queue, now, &t->item, route_max_rate(p->route),
                          &retry_ms);
   if (refused == ERR_NONE) {
@@ -156,6 +160,25 @@
   return refused == ERR_NONE || set_refusal(p, refused, retry_ms, e);
 }
 
+static void refuse_waiting(Pool *p) {
+  pthread_mutex_lock(&p->lock);
+  p->is_closed = true;
+  GList *waiters = g_hash_table_get_values(p->waiters);
+  for (GList *i = waiters; i; i = i->next)
+    wake_waiter(p, i->data, ERR_DRAINING, STOP_RETRY_MS);
+  g_list_free(waiters);
+  pthread_mutex_unlock(&p->lock);
+}
+
+void pools_refuse_waiting(Pools *p) {
+  GHashTableIter it;
+  gpointer v;
+  pthread_mutex_lock(&p->lock);
+  g_hash_table_iter_init(&it, p->pools_by_name);
+  while (g_hash_table_iter_next(&it, NULL, &v)) refuse_waiting(v);
+  pthread_mutex_unlock(&p->lock);
+}
+
 bool pool_retry(Pool *p, PoolTicket *t) {
   double now = clock_now();
   int n = 0;
--- a/packages/entry/pool.h
+++ b/packages/entry/pool.h
@@ -30,6 +30,9 @@
                                const RouteState *s);
 void pool_visit_targets(Pool *p, PoolTargetVisitor *fn, void *ctx);
 void pools_visit_targets(Pools *p, PoolTargetVisitor *fn, void *ctx);
+/* The process is about to exit: refuses what waits, which has not run, and all
+   further requests. */
+void pools_refuse_waiting(Pools *p);
 /* Returns the names of the pools of models. Free the list with g_list_free; the
    names stay valid as long as `p`. */
 GList *pools_list_models(Pools *p);
--- a/tests/process.py
+++ b/tests/process.py
@@ -456,6 +456,99 @@
     assert held == 0, "%d grants are still open" % held
 
 
+class Endless:
+    """Takes the place of a target; answers with `first`, then `piece` without end."""
+
+    def __init__(self, port, first, piece):
+        self.first, self.block = first, piece * max(1, 65536 // len(piece))
+        self.socket = socket.socket()
+        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.socket.bind(("127.0.0.1", port))
+        self.socket.listen(64)
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self):
+        while True:
+            try:
+                c, _ = self.socket.accept()
+            except OSError:
+                return
+            threading.Thread(target=self.answer, args=(c,), daemon=True).start()
+
+    def answer(self, c):
+        try:
+            c.recv(65536)
+            c.sendall(self.first)
+            while True:
+                c.sendall(self.block)
+        except OSError:
+            c.close()
+
+    def close(self):
+        self.socket.shutdown(socket.SHUT_RDWR)
+        self.socket.close()
+
+
+class Silent(Endless):
+    """Takes the place of a target and never answers."""
+
+    def __init__(self, port):
+        super().__init__(port, b"", b"x")
+
+    def answer(self, c):
+        time.sleep(60)
+        c.close()
+
+
+def stop_beside_silent_targets(f, n=24):
+    """More chats than the targets have places for, at an instance that stops within 4 s.
+    Returns the answers; None: there was none."""
+    os.environ["LOFTPATH_STOP"] = "4"
+    try:
+        f.kill("i0")
+        f.instance(0)
+    finally:
+        del os.environ["LOFTPATH_STOP"]
+    wait_for("the table", lambda: call(f.ports[0], "GET", "/readyz").status == 200)
+    for name in ["engine0", "engine1"]:
+        f.kill(name)
+    targets = [Silent(p) for p in f.engines]
+    got = []
+
+    def chat():
+        try:
+            got.append(f.chat(f.ports[0], timeout=20))
+        except (OSError, http.client.HTTPException):
+            got.append(None)
+
+    threads = [threading.Thread(target=chat) for _ in range(n)]
+    for t in threads:
+        t.start()
+    wait_for("requests", lambda: f.metric(f.ports[0], "open_requests") == n)
+    f.procs["i0"].send_signal(signal.SIGTERM)
+    for t in threads:
+        t.join()
+    for t in targets:
+        t.close()
+    print("  %d answered, %d not" % (sum(a is not None for a in got), got.count(None)))
+    return got
+
+
+def test_a_request_that_waits_at_the_end_of_a_stop_is_refused(f):
+    """Guards against a closed connection for a request that never ran: it waited for a
+    place until the process was gone."""
+    got = [a for a in stop_beside_silent_targets(f) if a]
+    assert len(got) >= 8, "%d were answered" % len(got)
+    assert all((a.status, a.kind(), a.ran) == (503, "draining", "not-run")
+               for a in got), [(a.status, a.kind(), a.ran) for a in got]
+
+
+def test_a_request_that_runs_at_the_end_of_a_stop_is_answered(f):
+    """Guards against the same for one that a target still works on."""
+    got = stop_beside_silent_targets(f)
+    assert None not in got, "%d got no answer" % got.count(None)
+
+
 def test_all_instances_replaced_in_turn(f):
     """Under load, callers retry elsewhere after a refusal, and no request is lost."""
     stop, lost, answered = threading.Event(), [], [0]
@@ -546,39 +639,6 @@
     assert f.chat(f.ports[0], n=5, stream=True).body.rstrip().endswith(b"[DONE]")
 
 
-class Endless:
-    """Takes the place of a target; answers with `first`, then `piece` without end."""
-
-    def __init__(self, port, first, piece):
-        self.first, self.block = first, piece * max(1, 65536 // len(piece))
-        self.socket = socket.socket()
-        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self.socket.bind(("127.0.0.1", port))
-        self.socket.listen(64)
-        threading.Thread(target=self.accept, daemon=True).start()
-
-    def accept(self):
-        while True:
-            try:
-                c, _ = self.socket.accept()
-            except OSError:
-                return
-            threading.Thread(target=self.answer, args=(c,), daemon=True).start()
-
-    def answer(self, c):
-        try:
-            c.recv(65536)
-            c.sendall(self.first)
-            while True:
-                c.sendall(self.block)
-        except OSError:
-            c.close()
-
-    def close(self):
-        self.socket.shutdown(socket.SHUT_RDWR)
-        self.socket.close()
-
-
 def peak_mb(f, name):
     with open("/proc/%d/status" % f.procs[name].pid) as status:
         return [int(l.split()[1]) for l in status if l.startswith("VmHWM")][0] / 1024
