Ledger: an answer that a home has ended belongs to its question

By reading: a successor that stood still may take the answer of an earlier life to an earlier question, sent before the home began, for one to its own, and seal the grant of a home that runs.

--- a/packages/ledger/allowance.c
+++ b/packages/ledger/allowance.c
@@ -192,9 +192,12 @@
   return find_other_life(l, id) != NULL;
 }
 
-/* For no grant: builds that don't state their clock record a limit of 0. */
-static void ask(Ledger *l, const char *to, const char *budget) {
+/* For no grant: builds that don't state their clock record a limit of 0. The
+   answer repeats `need`: one to an earlier question proves nothing. */
+static void ask(Ledger *l, const char *to, const char *budget,
+                int64_t question) {
   LedgerMsg m = ledger_make_msg(LEDGER_RAISE, budget, 0);
+  m.need = question;
   ledger_send(l, to, &m);
 }
 
@@ -207,17 +210,18 @@
   if (!m || (s->has_ended && has_clock)) return;
   if (s->asked_at > 0 && l->now - s->asked_at < LEDGER_RESEND_S) return;
   s->asked_at = l->now;
+  if (s->question == 0) s->question = (int64_t)g_rand_int(l->rng) + 1;
   bool is_self = strcmp(m->id, l->self) == 0;
   if (is_self) {
     s->has_ended = true;
     s->ended_at = l->began_at;
   } else {
-    ask(l, m->id, budget);
+    ask(l, m->id, budget, s->question);
   }
   if (!is_self || has_clock) return;
   char to[LIMIT_ID_BYTES];
   witness_choose(l, s->grant, "", to);
-  ask(l, to, budget);
+  ask(l, to, budget, 0);
 }
 
 void allowance_on_life(const Ledger *l, HomeBudget *h, const char *from,
@@ -225,8 +229,10 @@
   if (m->clock_ms <= 0) return;
   for (guint i = 0; i < h->seals->len; i++) {
     PendingSeal *s = h->seals->pdata[i];
-    bool is_asked = s->asked_at > 0 && same_instance(s->home, from);
-    if (!is_asked || strcmp(s->home, from) == 0) continue;
+    bool is_answer = s->question > 0 && s->question == m->need;
+    if (!is_answer || !same_instance(s->home, from) ||
+        strcmp(s->home, from) == 0)
+      continue;
     s->has_ended = true;
     s->ended_at = l->now - (double)m->granted / 1000;
   }
--- a/packages/ledger/ledger.h
+++ b/packages/ledger/ledger.h
@@ -50,10 +50,10 @@
   uint64_t grant;
   int64_t granted, returned, spent, limit;
   int64_t need, want;
-  int64_t
-      clock_ms; /* of RAISE and RAISE_ACK, which have no `want`: the unix time
-                   at the sender; 0: its build states none. RAISE_ACK for no
-                   grant: `granted` is how many ms the sender runs. */
+  int64_t clock_ms; /* of RAISE and RAISE_ACK, which have no `want`: the unix
+                       time at the sender; 0: its build states none. RAISE_ACK
+                       for no grant: `granted` is how many ms the sender runs,
+                       `need` is that of the RAISE. */
   ErrKind cause;
   bool final, sealed;
   /* LEDGER_DEMAND and LEDGER_CUTOFF only. */
--- a/packages/ledger/state.h
+++ b/packages/ledger/state.h
@@ -144,8 +144,9 @@
   double gone_since;
   /* Without the witness (allowance.c): */
   char home[LIMIT_ID_BYTES];
-  double asked_at; /* when another life of the home was asked; 0: it was not */
-  bool has_ended;  /* the home has, by `ended_at` */
+  double asked_at;  /* when another life of the home was asked; 0: it was not */
+  int64_t question; /* a random number; 0: nobody was asked */
+  bool has_ended;   /* the home has, by `ended_at` */
   bool by_allowance; /* `limit` is by the grant's allowance */
   double ended_at;
 } PendingSeal;
--- a/packages/ledger/witness.c
+++ b/packages/ledger/witness.c
@@ -26,6 +26,7 @@
   if (m->grant == 0) { /* whether this instance runs, and its clock */
     LedgerMsg r = ledger_make_msg(LEDGER_RAISE_ACK, m->budget, 0);
     r.granted = (int64_t)((l->now - l->began_at) * 1000);
+    r.need = m->need;
     ledger_send(l, from, &r);
     return;
   }
--- a/tests/test_allowance.c
+++ b/tests/test_allowance.c
@@ -24,9 +24,9 @@
 static Ledger *ledger;
 static char budget[LIMIT_NAME_BYTES];
 static uint64_t version;
-static char *text;   /* the document */
-static bool asked;   /* the next life whether it runs */
-static bool sealing; /* the witness was asked to seal */
+static char *text;       /* the document */
+static int64_t question; /* to the next life, whether it runs; 0: none */
+static bool sealing;     /* the witness was asked to seal */
 static ShardAllowance stated;
 
 static View *new_view(bool has_witness) {
@@ -86,8 +86,9 @@
       ledger_store_result(ledger, now, a.shard, ERR_NONE, version,
                           put ? NULL : text);
     if (a.action == LEDGER_ACTION_SEND) {
-      asked |= a.msg.kind == LEDGER_RAISE && a.msg.grant == 0 &&
-               strcmp(a.to, NEXT_LIFE) == 0;
+      bool is_question = a.msg.kind == LEDGER_RAISE && a.msg.grant == 0 &&
+                         strcmp(a.to, NEXT_LIFE) == 0;
+      if (is_question) question = a.msg.need;
       sealing |= a.msg.kind == LEDGER_SEAL && strcmp(a.to, WITNESS) == 0;
     }
     g_free(a.text);
@@ -101,7 +102,8 @@
   LedgerBudget row = {.total = TOTAL, .version = 1};
   g_strlcpy(row.name, budget, sizeof row.name);
   ledger = ledger_new(SELF, "r", 1);
-  asked = sealing = false;
+  question = 0;
+  sealing = false;
   write_document();
   ledger_set_view(ledger, 1, v);
   ledger_set_budgets(ledger, 1, &row, 1);
@@ -115,16 +117,21 @@
 
 /* The next life says that it began AGE_S after the statement; its clock is
    ahead by `ahead_ms`. */
-static void answer(int64_t clock_ms) {
+static void answer_question(int64_t clock_ms, int64_t number) {
   double began_at = NOW - (double)(UNIX_MS - stated.since_ms) / 1000 + AGE_S;
   LedgerMsg m = {.kind = LEDGER_RAISE_ACK,
                  .clock_ms = clock_ms,
+                 .need = number,
                  .granted = (int64_t)((NOW - began_at) * 1000)};
   g_strlcpy(m.budget, budget, sizeof m.budget);
   ledger_receive(ledger, NOW, NEXT_LIFE, &m);
   execute(NOW);
 }
 
+static void answer(int64_t clock_ms) {
+  answer_question(clock_ms, question);
+}
+
 static int64_t remaining(void) {
   Shard *s = shard_decode(text);
   cr_assert(s);
@@ -148,7 +155,7 @@
 /* Guards against tokens that stay lost with a home and its witness. */
 Test(allowance, what_the_home_had_not_given_out_is_free_again) {
   start(false);
-  cr_assert(asked);
+  cr_assert(question > 0);
   answer(UNIX_MS);
   int64_t spent = BASE + (int64_t)(PER_S * AGE_S) + SKEW;
   cr_assert_eq(remaining(), TOTAL - spent, "%d left", (int)remaining());
@@ -168,6 +175,13 @@
   cr_assert_eq(remaining(), TOTAL - GRANTED);
 }
 
+/* Guards against an answer that was sent before the home began. */
+Test(allowance, an_answer_to_an_earlier_question_is_no_proof) {
+  start(false);
+  answer_question(UNIX_MS, question + 1);
+  cr_assert_eq(remaining(), TOTAL - GRANTED);
+}
+
 /* Guards against too low a bound where this instance's clock is behind. */
 Test(allowance, the_clock_that_is_most_ahead_counts) {
   start(false);
@@ -212,7 +226,7 @@
    5 s of waiting for a home that is known to have ended. */
 Test(allowance, a_witness_is_asked_first_and_at_once) {
   start(true);
-  cr_assert(asked);
+  cr_assert(question > 0);
   sealing = false;
   answer(UNIX_MS);
   ledger_tick(ledger, NOW + 1.1, 1);
