Ledger: an allowance leaves room for bursts, and none of it cuts a priority off

Cause: in an outage a draw above the allowance was denied, and a denial of a managed service cuts its priority off for a second; and customers that ask seldom ask for more than half a second of their demand.

--- a/packages/ledger/allowance.c
+++ b/packages/ledger/allowance.c
@@ -11,10 +11,15 @@
 
 /* The allowance grows for this long after a write, and is all of the grant
    then: the home is without the store, or there is no demand. */
-#define SPAN_S 8.0
+#define SPAN_S 5.0
 /* Seconds of demand that may be given out at once, so that not every request
    needs a write. */
-#define AHEAD_S 0.5
+#define AHEAD_S 0.25
+/* Large draws that may be given out at once besides: a customer that asks
+   seldom asks for more than the demand of a moment. */
+#define LARGE_DRAWS 3
+/* Growth per token of demand: requests come in bursts. */
+#define GROWTH_RATIO 1.2
 /* Between two writes of one budget that only state its allowance, where so many
    budgets are in use that reports of what was spent are written each 10 s. */
 #define RENEW_S 1.0
@@ -133,9 +138,10 @@
   Statement x = {.sent_at = l->now, .on_version = s->version};
   x.a.since_ms = extreme_unix_ms(l, l->now, false);
   if (x.a.since_ms > 0) {
-    x.a.per_s = (int64_t)ceil(outage_demand_per_s(l, h));
+    double demand = outage_demand_per_s(l, h);
+    x.a.per_s = (int64_t)ceil(GROWTH_RATIO * demand);
     x.a.base = out_at_holders(g) + home_total_need(l, h) +
-               (int64_t)(AHEAD_S * (double)x.a.per_s);
+               (int64_t)(AHEAD_S * demand) + LARGE_DRAWS * h->large_need;
     x.a.span_ms = (int64_t)(SPAN_S * 1000);
     x.a.era = revision_era(s->version);
     g_array_append_val(g->statements, x);
--- a/packages/ledger/home.c
+++ b/packages/ledger/home.c
@@ -37,8 +37,7 @@
 #define REPORT_WRITES_PER_S 15.0 /* of spend reports, for the whole fleet */
 /* A home decides a draw this long before the holder's wait ends. */
 #define DRAW_GRACE_S 0.2
-/* A draw waits for its home's allowance to grow for this long at most. */
-#define ALLOWANCE_WAIT_S 0.1
+#define NEED_DRAWS 16     /* for which a large need counts */
 #define DENIED_NOTE_S 1.0 /* between two notes of denials for the log */
 
 /* == arithmetic == */
@@ -302,17 +301,12 @@
   return cause;
 }
 
-/* The draw needs more than the home has stated that it gives out. True when it
-   is decided. */
-static bool await_allowance(Ledger *l, HomeBudget *h, const Draw *d,
-                            int64_t room) {
+/* The draw needs more than the home has stated that it gives out: it waits for
+   a write, or for the allowance to grow. True when it is decided. */
+static bool await_allowance(Ledger *l, HomeBudget *h, const Draw *d) {
   h->home_grant->needs_allowance = true;
   touch_shard(l, h);
-  double soon = outage_demand_per_s(l, h) * ALLOWANCE_WAIT_S;
-  bool is_near = (double)(d->need - room) <= soon;
-  bool is_late = l->now >= d->deadline;
-  if (!is_late && (is_near || !home_is_away(l, h))) return false;
-  priority_note_denied(l, h, d);
+  if (l->now < d->deadline) return false;
   deny_draw(l, h, d, ERR_BUDGET_STORE);
   return true;
 }
@@ -324,8 +318,7 @@
   int64_t usable = priority_usable_tokens(l, h, d);
   int64_t pressing = priority_pressing_tokens(l, h, d);
   int64_t room = allowance_room(l, g);
-  if (d->need <= usable && d->need > room)
-    return await_allowance(l, h, d, room);
+  if (d->need <= usable && d->need > room) return await_allowance(l, h, d);
   if (d->need <= usable && d->need <= witness_headroom(g)) {
     int64_t max_share = MAX(have / ALLOT_DIVISOR, MIN(pressing, usable));
     max_share = MAX(max_share, priority_share_tokens(l, h, d));
@@ -427,6 +420,7 @@
     g_ptr_array_add(h->draws, d);
   }
   d->need = m->need;
+  h->large_need = MAX(m->need, h->large_need - h->large_need / NEED_DRAWS);
   d->want = m->want;
   h->home_grant->drawn_at = l->now;
   home_serve_draws(l, h);
--- a/packages/ledger/state.h
+++ b/packages/ledger/state.h
@@ -177,6 +177,7 @@
   bool is_held;        /* more could be drawn but for a restore of the store */
   bool is_known;       /* they were read */
   GHashTable *demands; /* holder -> HolderDemand (priority.c); NULL: none */
+  int64_t large_need;  /* of the larger draws lately */
   double demand_at;    /* when the last DEMAND arrived */
   double away_since;   /* when the store went away for this home; 0: it
                           answers. Kept while there are `demands` only. */
