Ledger: homes state no allowances until outages are served as well with them

Nothing that holds today is given up, so the mend is off in both products, and on in the scenarios that prove it. What is known of an ended home still seals its grants at the witness at once.

A stop refuses new requests after 2.9 s again: with half of a short stop the process was gone when node.py a_stopping_instance_takes_nothing_after_three_seconds asked.

--- a/packages/ledger/allowance.c
+++ b/packages/ledger/allowance.c
@@ -119,7 +119,8 @@
 
 bool allowance_is_due(const Ledger *l, const HomeBudget *h) {
   const HomeGrant *g = h->home_grant;
-  if (!g || !g->stored || g->frozen || l->draining) return false;
+  if (!l->states_allowances || !g || !g->stored || g->frozen || l->draining)
+    return false;
   if (extreme_unix_ms(l, l->now, false) == 0) return false;
   const Statement *s = stored_statement(g);
   if (!s) return home_free_tokens(g) > 0;
@@ -151,6 +152,7 @@
 }
 
 void allowance_state(Ledger *l, ShardState *s) {
+  if (!l->states_allowances) return;
   for (guint i = 0; i < s->budgets->len; i++) {
     HomeBudget *h = s->budgets->pdata[i];
     const ShardBudget *b = shard_find_budget(s->doc, h->name);
--- a/packages/ledger/ledger.c
+++ b/packages/ledger/ledger.c
@@ -271,6 +271,10 @@
   process_queued(l);
 }
 
+void ledger_state_allowances(Ledger *l) {
+  l->states_allowances = true;
+}
+
 void ledger_note_clock(Ledger *l, double now, int64_t unix_ms) {
   l->unix_at = now;
   l->unix_ms = unix_ms;
--- a/packages/ledger/ledger.h
+++ b/packages/ledger/ledger.h
@@ -190,6 +190,9 @@
 void ledger_set_store_down(Ledger *l, double now, bool down);
 /* Call about ten times a second; `unix_s` is used for stored records only. */
 void ledger_tick(Ledger *l, double now, int64_t unix_s);
+/* Homes state allowances, and keep to them. Off until an outage of the store is
+   served as well with them as without (docs/incidents/lost-reserves.md). */
+void ledger_state_allowances(Ledger *l);
 /* This instance's clock, with each tick. Without it no allowances are stated.
  */
 void ledger_note_clock(Ledger *l, double now, int64_t unix_ms);
--- a/packages/ledger/state.h
+++ b/packages/ledger/state.h
@@ -243,6 +243,7 @@
   View *view;
   double now;
   int64_t unix_s;
+  bool states_allowances;
   int64_t unix_ms; /* at `unix_at`; 0: unknown */
   double unix_at;
   double began_at;    /* when this core was first told the time */
--- a/packages/node/node.c
+++ b/packages/node/node.c
@@ -28,10 +28,8 @@
 #define POOLS_INTERVAL_PER_INSTANCE_S 0.05
 /* In a planned stop: the balancer checks readiness each second and removes an
    instance after two failures. A request that arrives later than 3 s after the
-   start of the stop, or in its second half, might not finish before the process
-   has to exit. */
+   start of the stop might not finish before the process has to exit. */
 #define REFUSE_AFTER_S 2.9
-#define REFUSE_AFTER_SHARE 0.5
 #define STOP_MARGIN_S 0.6 /* before the platform kills the process */
 /* A longer gap between two iterations of the loop counts as a pause of the
    process; normally they are 50 ms apart, on the busiest machines 100 ms. After
@@ -552,8 +550,7 @@
 static void advance_stop(Node *n) {
   double past_s = loopclock_now(n->loop) - n->stop_began_at;
   double max_s = setting_number("stop") - STOP_MARGIN_S;
-  double refuse_after_s = MIN(REFUSE_AFTER_S, max_s * REFUSE_AFTER_SHARE);
-  if (past_s > refuse_after_s && !n->refusing) {
+  if (past_s > REFUSE_AFTER_S && !n->refusing) {
     n->refusing = true;
     relay_refuse_requests(n->relay);
   }
@@ -568,7 +565,7 @@
               !relay_is_delivering(n->relay);
   bool is_sent = past_s > max_s && !relay_is_delivering(n->relay);
   if (is_sent || past_s > max_s + LINGER_S ||
-      (done && past_s > refuse_after_s + LINGER_S))
+      (done && past_s > REFUSE_AFTER_S + LINGER_S))
     finish_stop(n);
 }
 
--- a/scenario/world.c
+++ b/scenario/world.c
@@ -357,6 +357,7 @@
   n->ledger = ledger_new(n->id, n->region, seed);
   n->once = once_new(n->id, n->region, seed + 1);
   ledger_set_faults(n->ledger, w->faults.ledger);
+  ledger_state_allowances(n->ledger);
   once_set_faults(n->once, w->faults.once);
   once_set_claim_sizes(n->once, CLAIM_SEAL_COUNT, CLAIM_MERGE_COUNT);
   update_view(w, i);
