Ledger: one lookup of a stored budget, and one place that names an undecided wait

No change of behaviour. The relay turned what the holder said into another cause, so that a branch of the holder had no effect; home.c looked the budget up in three places; a comment of loftpathd.c had come apart from its constant.

--- a/bin/loftpathd.c
+++ b/bin/loftpathd.c
@@ -28,9 +28,9 @@
 #define DRAIN_POLL_US 200000
 /* Max time that a stop waits for open connections to end. */
 #define CONNECTIONS_END_TIMEOUT_S 2.0
-/* Interval at which a long stop logs what it waits for. */
 /* Before the end of a stop: what still waits for a target is refused. */
 #define LAST_ANSWERS_S 0.5
+/* Interval at which a long stop logs what it waits for. */
 #define STOP_LOG_INTERVAL_S 5.0
 
 /* flag, environment variable, type, default (NULL: must be given), help, min,
--- a/packages/flow/relay.c
+++ b/packages/flow/relay.c
@@ -61,8 +61,6 @@
   int retry_ms;
   ErrKind cause =
       cluster_wait_cause(x->relay->cluster, x->reservation, &retry_ms);
-  /* No home has decided: it is not known that others hold what is left. */
-  if (cause == ERR_BUDGET_HELD) cause = ERR_BUDGET_CUT;
   if (cause == ERR_BUDGET_CUT) retry_ms = RETRY_UNANSWERED_MS;
   refuse_budget(x, cause, retry_ms);
 }
--- a/packages/ledger/holder.c
+++ b/packages/ledger/holder.c
@@ -322,13 +322,9 @@
   *retry_ms = RETRY_AFTER_MS;
   if (!b) return ERR_BUDGET_CUT;
   const Waiter *w = find_waiter_link(b, handle)->data;
-  ErrKind cause = w->cause;
-  bool answers =
-      b->draw_answered_at > 0 && l->now - b->draw_answered_at < RECENT_ANSWER_S;
-  if (priority_store_is_away(l, b))
-    cause = ERR_BUDGET_STORE;
-  else if (cause == ERR_BUDGET_CUT && answers)
-    cause = ERR_BUDGET_HELD;
+  /* No home has decided: it is not known that others hold what is left. */
+  ErrKind cause = w->cause == ERR_BUDGET_HELD ? ERR_BUDGET_CUT : w->cause;
+  if (priority_store_is_away(l, b)) cause = ERR_BUDGET_STORE;
   *retry_ms = retry_after_ms(l, b, w, cause);
   return cause;
 }
--- a/packages/ledger/home.c
+++ b/packages/ledger/home.c
@@ -113,6 +113,12 @@
   return sync_shard(l, shard_index(h->name));
 }
 
+/* The budget in the last document that was read; NULL: there is none. */
+static const ShardBudget *find_stored(const Ledger *l, const HomeBudget *h) {
+  const ShardState *s = l->shards[shard_index(h->name)];
+  return s && s->doc ? shard_find_budget(s->doc, h->name) : NULL;
+}
+
 static void touch_shard(Ledger *l, const HomeBudget *h) {
   sync_touch(l, shard_of(l, h));
 }
@@ -165,9 +171,7 @@
 }
 
 static LedgerBudgetState budget_state(const Ledger *l, const HomeBudget *h) {
-  const ShardState *s = l->shards[shard_index(h->name)];
-  const ShardBudget *b =
-      s && s->doc ? shard_find_budget(s->doc, h->name) : NULL;
+  const ShardBudget *b = find_stored(l, h);
   LedgerBudgetState x = {.remaining = h->remaining, .unspent = h->unspent};
   if (h->home_grant) x.unallotted = home_free_tokens(h->home_grant);
   if (!b) return x;
@@ -212,8 +216,7 @@
       if (s->granted - s->returned - s->spent > 0) ledger_send(l, k, &m);
     }
   }
-  const ShardState *s = shard_of(l, h);
-  const ShardBudget *b = s->doc ? shard_find_budget(s->doc, h->name) : NULL;
+  const ShardBudget *b = find_stored(l, h);
   for (guint i = 0; other_homes && b && i < b->grants->len; i++) {
     const ShardGrant *g = b->grants->pdata[i];
     if (g->sealed || strcmp(g->home, l->self) == 0) continue;
@@ -223,9 +226,7 @@
 }
 
 bool home_is_held(const Ledger *l, const HomeBudget *h) {
-  const ShardState *s = l->shards[shard_index(h->name)];
-  const ShardBudget *b =
-      s && s->doc ? shard_find_budget(s->doc, h->name) : NULL;
+  const ShardBudget *b = find_stored(l, h);
   return b ? sync_is_held(l, b) : h->is_held;
 }
 
--- a/packages/ledger/ledger.h
+++ b/packages/ledger/ledger.h
@@ -163,9 +163,8 @@
    be over; 0: it knows of none. */
 int ledger_outage_left_ms(const Ledger *l, double now);
 /* Why a reservation still waits, for a caller that can't wait any longer: its
-   home has not answered (ERR_BUDGET_CUT), is without the store
-   (ERR_BUDGET_STORE), or looks for tokens that others hold (ERR_BUDGET_HELD).
-   *retry_ms: when to come back. */
+   home is without the store (ERR_BUDGET_STORE), or has not decided
+   (ERR_BUDGET_CUT). *retry_ms: when to come back. */
 ErrKind ledger_wait_cause(Ledger *l, double now, uint64_t handle,
                           int *retry_ms);
 /* Ends a reservation of which `used` tokens were consumed. With `used` 0 it
