Ledger: after a restore a lost home is not sealed before its witness has written

Cause: since the mend of allowances a home whose next life answers is sealed at once, in production too. A document that came back from a copy may name a witness that the home had replaced, which agreed to less; the later one writes the grant within seconds, and the wait of 5 s had left it the time.

--- a/packages/ledger/home.c
+++ b/packages/ledger/home.c
@@ -526,8 +526,10 @@
     sync_touch(l, shard);
     return;
   }
-  bool too_early =
-      !s->has_ended && l->now - s->gone_since < LEDGER_SEAL_AFTER_S;
+  /* After a restore the document may name an earlier witness, until the later
+     one has written the grant. */
+  bool is_known = s->has_ended && !ledger_may_lack_grants(l);
+  bool too_early = !is_known && l->now - s->gone_since < LEDGER_SEAL_AFTER_S;
   if (too_early || l->now - s->sent_at < 1.0) return;
   s->sent_at = l->now;
   if (!g->witness[0]) {
