--- a/scenario/lost_mix.lua
+++ b/scenario/lost_mix.lua
@@ -83,16 +83,4 @@
 
 local from, count, switch = argument:match("^(%d+) (%d+) ?(.*)$")
 without(switch)
-local requests, done, failed = 0, 0, 0
-for seed = tonumber(from), from + count - 1 do
-  local ok, s = pcall(run, seed)
-  if ok then
-    requests, done = requests + s.requests, done + s.done
-  else
-    failed = failed + 1
-    print("seed " .. seed .. ": " .. s)
-  end
-end
-print(("%d of %d requests served, %d of %d seeds failed"):format(
-  done, requests, failed, count))
-expect(failed == 0)
+expect(run_seeds(tonumber(from), tonumber(count), run) == 0)
--- a/scenario/restored.lua
+++ b/scenario/restored.lua
@@ -70,26 +70,13 @@
   return sums()
 end
 
--- Prints the seeds that fail and returns how many do.
-local function run_seeds(from, count, kills)
-  local requests, done, failed = 0, 0, 0
-  for seed = from, from + count - 1 do
-    local ok, s = pcall(run, seed, kills)
-    if ok then
-      requests, done = requests + s.requests, done + s.done
-    else
-      failed = failed + 1
-      print("seed " .. seed .. ": " .. s)
-    end
-  end
-  print(("%d of %d requests served, %d of %d seeds failed"):format(
-    done, requests, failed, count))
-  return failed
+local function play(from, count, kills)
+  return run_seeds(from, count, function(seed) return run(seed, kills) end)
 end
 
 local from, count, kills = argument:match("^(%d+) (%d+) ?(%a*)$")
 if from then
-  expect(run_seeds(tonumber(from), tonumber(count), kills) == 0)
+  expect(play(tonumber(from), tonumber(count), kills) == 0)
 else
-  expect(run_seeds(1, 200, argument) == 0)
+  expect(play(1, 200, argument) == 0)
 end
--- a/scenario/restored_cut.lua
+++ b/scenario/restored_cut.lua
@@ -57,16 +57,7 @@
 end
 
 local from, count, cut_s = argument:match("^(%d+) (%d+) (%d+)$")
-local requests, done, failed = 0, 0, 0
-for seed = tonumber(from), from + count - 1 do
-  local ok, s = pcall(run, seed, tonumber(cut_s))
-  if ok then
-    requests, done = requests + s.requests, done + s.done
-  else
-    failed = failed + 1
-    print("seed " .. seed .. ": " .. s)
-  end
-end
-print(("%d of %d requests served, %d of %d seeds failed"):format(
-  done, requests, failed, count))
+local failed = run_seeds(tonumber(from), tonumber(count), function(seed)
+  return run(seed, tonumber(cut_s))
+end)
 expect(failed == 0)
--- a/scenario/script.c
+++ b/scenario/script.c
@@ -2,6 +2,7 @@
 
    Usage: scenario FILE...               runs scripts, each a test
           scenario FILE --with ARGUMENT  runs one with `argument` set */
+#include <inttypes.h>
 #include <lauxlib.h>
 #include <lua.h>
 #include <lualib.h>
@@ -275,33 +276,52 @@
   return raise_error(l, luaL_optstring(l, 2, "expectation not met"));
 }
 
-static const luaL_Reg verbs[] = {{"world", v_world},
-                                 {"without", v_without},
-                                 {"node", v_node},
-                                 {"budget", v_budget},
-                                 {"request", v_request},
-                                 {"outcome", v_outcome},
-                                 {"advance", v_advance},
-                                 {"cut", v_cut},
-                                 {"cut_store", v_cut_store},
-                                 {"heal", v_heal},
-                                 {"store", v_store},
-                                 {"lose", v_lose},
-                                 {"delay", v_delay},
-                                 {"kill", v_kill},
-                                 {"restart", v_restart},
-                                 {"pause", v_pause},
-                                 {"resume", v_resume},
-                                 {"drain", v_drain},
-                                 {"drained", v_drained},
-                                 {"tokens", v_tokens},
-                                 {"sums", v_sums},
-                                 {"announce_outage", v_announce_outage},
-                                 {"restore", v_restore},
-                                 {"rest", v_rest},
-                                 {"expect", v_expect},
-                                 {"set_clock", v_set_clock},
-                                 {NULL, NULL}};
+static int64_t sum_field(lua_State *l, const char *name) {
+  lua_getfield(l, -1, name);
+  int64_t n = lua_tointeger(l, -1);
+  lua_pop(l, 1);
+  return n;
+}
+
+/* run_seeds(FROM, COUNT, FUNCTION): calls the function with each seed; it
+   returns the sums. Prints the seeds that fail, and returns their number. */
+static int v_run_seeds(lua_State *l) {
+  lua_Integer from = luaL_checkinteger(l, 1), count = luaL_checkinteger(l, 2);
+  int64_t requests = 0, done = 0;
+  int failed = 0;
+  for (lua_Integer seed = from; seed < from + count; seed++) {
+    lua_pushvalue(l, 3);
+    lua_pushinteger(l, seed);
+    if (lua_pcall(l, 1, 1, 0) == LUA_OK) {
+      requests += sum_field(l, "requests");
+      done += sum_field(l, "done");
+    } else {
+      failed++;
+      printf("seed %d: %s\n", (int)seed, lua_tostring(l, -1));
+    }
+    lua_pop(l, 1);
+  }
+  printf("%" PRId64 " of %" PRId64 " requests served, %d of %d seeds failed\n",
+         done, requests, failed, (int)count);
+  lua_pushinteger(l, failed);
+  return 1;
+}
+
+static const luaL_Reg verbs[] = {
+    {"world", v_world},         {"without", v_without},
+    {"node", v_node},           {"budget", v_budget},
+    {"request", v_request},     {"outcome", v_outcome},
+    {"advance", v_advance},     {"cut", v_cut},
+    {"cut_store", v_cut_store}, {"heal", v_heal},
+    {"store", v_store},         {"lose", v_lose},
+    {"delay", v_delay},         {"kill", v_kill},
+    {"restart", v_restart},     {"pause", v_pause},
+    {"resume", v_resume},       {"drain", v_drain},
+    {"drained", v_drained},     {"tokens", v_tokens},
+    {"sums", v_sums},           {"announce_outage", v_announce_outage},
+    {"restore", v_restore},     {"rest", v_rest},
+    {"expect", v_expect},       {"set_clock", v_set_clock},
+    {"run_seeds", v_run_seeds}, {NULL, NULL}};
 
 /* == running == */
 
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -223,6 +223,18 @@
     return play
 
 
+def play_scenario(script, argument=None):
+    """Runs a script of the model and prints its last lines."""
+    here = os.path.dirname(os.path.abspath(__file__))
+    play = subprocess.run(
+        [os.path.join(BUILD, "scenario", "scenario"),
+         os.path.join(here, "..", "scenario", script)] +
+        (["--with", argument] if argument else []), stdout=subprocess.PIPE, text=True)
+    lines = play.stdout.splitlines()
+    print("   " + "\n   ".join(lines[-4:]))
+    assert play.returncode == 0, lines[-2]
+
+
 def run_tests(tests, instances=None, proxies=None, names=None, engines=2, site=Site):
     """Runs the functions `test_...` of `tests`, or those in `names` or on the
     command line, each on its own site. `instances` and `proxies` are keyed by
--- a/tests/lost_budgets.py
+++ b/tests/lost_budgets.py
@@ -5,14 +5,12 @@
 Usage: lost_budgets.py BUILD_DIR [TEST...]"""
 import http.client
 import json
-import os
 import random
-import subprocess
 import sys
 import threading
 import time
 
-from fleet import BUILD, config, run_tests
+from fleet import config, play_scenario, run_tests
 from notices import EVENTS
 from restored import with_targets
 
@@ -22,17 +20,6 @@
 LASTS_S, LOSSES = 60, 2   # the budget is for so many seconds of this load
 FASTER = 3                # the load after the losses, by the one before
 SHARE = 0.9               # of the budget is used, at least
-SCENARIO = os.path.join(BUILD, "scenario", "scenario")
-SCRIPTS = os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "scenario")
-
-
-def play(script, *argument):
-    """Runs a scenario and prints its last lines."""
-    p = subprocess.run([SCENARIO, os.path.join(SCRIPTS, script)] + list(argument),
-                       stdout=subprocess.PIPE, text=True)
-    lines = p.stdout.splitlines()
-    print("   " + "\n   ".join(lines[-3:]))
-    assert p.returncode == 0, lines[-1 if argument else -2]
 
 
 class Load:
@@ -106,7 +93,7 @@
 
 def test_a_budget_is_used_up_after_losses_of_all_of_seven(s):
     """The same in the model, of seven instances that are away for two seconds."""
-    play("lost_all.lua")
+    play_scenario("lost_all.lua")
 
 
 TESTS = {n: f for n, f in globals().items() if n.startswith("test_")}
--- a/tests/restored.py
+++ b/tests/restored.py
@@ -4,14 +4,12 @@
 
 Usage: restored.py BUILD_DIR [TEST...]"""
 import http.client
-import os
 import random
-import subprocess
 import sys
 import threading
 import time
 
-from fleet import BUILD, config, route, run_tests, wait_for
+from fleet import config, play_scenario, route, run_tests, wait_for
 from pool import check_bound, repeat_bad, with_pool
 from notices import EVENTS, add_targets, send_all, wait_until_served
 
@@ -292,14 +290,7 @@
 def test_a_home_that_is_cut_off_for_long_beside_a_restore_overspends_no_budget(s):
     """Guards against tokens that are drawn again while the home that drew them can't
     write its lost grant: it is cut off from the store, but not from the others."""
-    play = subprocess.run(
-        [os.path.join(BUILD, "scenario", "scenario"),
-         os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "scenario",
-                      "restored_cut.lua"), "--with", "1 200 30"],
-        stdout=subprocess.PIPE, text=True)
-    lines = play.stdout.splitlines()
-    print("   " + "\n   ".join(lines[-4:]))
-    assert play.returncode == 0, lines[-2]
+    play_scenario("restored_cut.lua", "1 200 30")
 
 
 TESTS = {n: f for n, f in globals().items() if n.startswith("test_")}
