Tests: crowds of clients that don't behave, on both fronts

Clients that send as much as the limits of the configuration allow, and keep their connections, end a process by memory or leave it without descriptors.

--- /dev/null
+++ b/tests/crowd.py
@@ -0,0 +1,152 @@
+"""crowd.py: many connections of clients that don't behave, and what a process takes
+meanwhile."""
+import os
+import selectors
+import socket
+import threading
+import time
+
+PIECE_BYTES = 1 << 16  # of one write
+STILL_S = 0.5          # without a byte sent or received, until a crowd has settled
+SETTLE_S = 60.0        # at the most
+SAMPLE_S = 0.01        # between two samples of a process
+
+
+class Member:
+    """One connection of a crowd. `data`: what it sends; it then stays open."""
+
+    def __init__(self, address, data):
+        self.address, self.data, self.sent, self.answer = address, data, 0, b""
+        self.socket = socket.socket()
+        self.socket.setblocking(False)
+        self.socket.connect_ex(address)
+
+    def write(self, piece):
+        """Sends the next piece. Returns False when the connection ended."""
+        try:
+            self.sent += self.socket.send(self.data[self.sent:self.sent + piece])
+        except BlockingIOError:
+            pass
+        except OSError:
+            return False
+        return True
+
+    def read(self):
+        """Reads an answer. Returns False when the connection ended."""
+        try:
+            data = self.socket.recv(PIECE_BYTES)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        self.answer = (self.answer + data)[:1000]
+        return data != b""
+
+    def close(self):
+        self.socket.close()
+
+
+class Crowd:
+    """Opens n connections, of which each sends data(k), `piece` bytes in turn. One
+    that the process closes comes again, `again` times. `reads`: whether answers are
+    read."""
+
+    def __init__(self, address, n, data, piece=PIECE_BYTES, again=0, reads=True):
+        self.address, self.data, self.piece, self.reads = address, data, piece, reads
+        self.left, self.members, self.moved_at = n * again, {}, time.monotonic()
+        self.selector = selectors.DefaultSelector()
+        for k in range(n):
+            self._add(k)
+
+    def _add(self, k):
+        m = Member(self.address, memoryview(self.data(k)))
+        self.members[k] = m
+        self.selector.register(m.socket, self._events(m), k)
+
+    def _events(self, m):
+        return ((selectors.EVENT_WRITE if m.sent < len(m.data) else 0) |
+                (selectors.EVENT_READ if self.reads else 0))
+
+    def _end(self, k):
+        m = self.members.pop(k)
+        self.selector.unregister(m.socket)
+        m.close()
+        if self.left > 0:
+            self.left -= 1
+            self._add(k)
+
+    def _serve(self, k, events):
+        m = self.members[k]
+        before = m.sent, len(m.answer)
+        alive = True
+        if events & selectors.EVENT_WRITE:
+            alive = m.write(self.piece)
+        if alive and events & selectors.EVENT_READ:
+            alive = m.read()
+        if not alive or before != (m.sent, len(m.answer)):
+            self.moved_at = time.monotonic()
+        if not alive:
+            self._end(k)
+        elif self._events(m):
+            self.selector.modify(m.socket, self._events(m), k)
+        else:  # all is sent, and nothing is read
+            self.selector.unregister(m.socket)
+
+    def settle(self):
+        """Sends until nothing moves any more. The members stay connected."""
+        end = time.monotonic() + SETTLE_S
+        self.moved_at = time.monotonic()
+        while time.monotonic() < end and time.monotonic() - self.moved_at < STILL_S:
+            for key, events in self.selector.select(0.05):
+                if key.data in self.members:
+                    self._serve(key.data, events)
+
+    def close(self):
+        for m in self.members.values():
+            m.close()
+        self.members = {}
+
+
+def unread_bytes(ip, port=None):
+    """Bytes that the system holds for the sockets of an address, not read yet."""
+    own = "".join("%02X" % int(b) for b in reversed(ip.split("."))) + ":"
+    own += "%04X" % port if port else ""
+    with open("/proc/net/tcp") as f:
+        rows = [line.split() for line in f][1:]
+    return sum(int(r[4].split(":")[1], 16) for r in rows
+               if r[1].startswith(own) and r[3] == "01")
+
+
+class Meter:
+    """Samples the memory and the descriptors of a process, and the bytes that
+    wait for its sockets at `ip` and `port`, or at all ports."""
+
+    def __init__(self, process, ip, port=None):
+        self.process, self.address, self.running = process, (ip, port), True
+        self.bytes = self.unread = self.files = 0
+        self.thread = threading.Thread(target=self._run, daemon=True)
+        self.thread.start()
+
+    def _run(self):
+        while self.running:
+            try:
+                self._sample("/proc/%d/" % self.process.pid)
+            except OSError:
+                return
+            time.sleep(SAMPLE_S)
+
+    def _sample(self, path):
+        with open(path + "statm") as f:
+            resident = int(f.read().split()[1]) * os.sysconf("SC_PAGE_SIZE")
+        unread = unread_bytes(*self.address)
+        self.unread = max(self.unread, unread)
+        self.bytes = max(self.bytes, resident + unread)
+        self.files = max(self.files, len(os.listdir(path + "fd")))
+
+    def close(self):
+        self.running = False
+        self.thread.join()
+
+    def __str__(self):
+        return "at most %.1f MB (%.1f MB not read), %d descriptors" % (
+            self.bytes / 2**20, self.unread / 2**20, self.files)
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -48,15 +48,18 @@
     return r
 
 
-def config(version, prepaid=10000, keys=("key-acme",), routes=()):
+def config(version, prepaid=10000, keys=("key-acme",), routes=(), services=(),
+           limits=()):
     return {"version": version,
             "routes": [route("s", "/safe/", "desk", "safe"),
                        route("u", "/once/", "desk", "unsafe"),
                        route("c", "/chat/", "engine", "stream")] + list(routes),
             "services": [{"name": "desk"},
-                         {"name": "engine", "engine": {"slots": 8, "stride": 1}}],
-            "limits": {"max_header_bytes": 16384, "max_body_bytes": 65536,
-                       "header_timeout_ms": 1000, "idle_timeout_ms": 5000},
+                         {"name": "engine", "engine": {"slots": 8, "stride": 1}}] +
+            [{"name": name} for name in services],
+            "limits": dict({"max_header_bytes": 16384, "max_body_bytes": 65536,
+                            "header_timeout_ms": 1000, "idle_timeout_ms": 5000},
+                           **dict(limits)),
             "tenants": [{"name": "acme", "api_keys": list(keys),
                          "prepaid": prepaid}]}
 
