Settings: an empty value means the default

A template that was filled in with nothing gave an empty value, which was no number or address: the instance did not start (exit status 2). An empty flag or variable, or one of the settings file, now counts as not given: the next source applies, then the default.

kernel/an_empty_setting_means_its_default failed before ('' is not a whole number from 1 to 9) and passes now.

--- a/packages/kernel/settings.c
+++ b/packages/kernel/settings.c
@@ -80,13 +80,18 @@
 
 /* == settings file == */
 
+/* An empty value is none: templates may be filled in with nothing. */
+static bool is_given(const Setting *s) {
+  return s->value && s->value[0];
+}
+
 static void parse_line(Setting *list, char *line) {
   char *eq = strchr(line, '=');
   if (!eq || line[0] == '#') return;
   *eq = '\0';
   const char *flag = g_strstrip(line), *value = g_strstrip(eq + 1);
   for (; list->flag; list++)
-    if (!list->value && strcmp(list->flag, flag) == 0)
+    if (!is_given(list) && strcmp(list->flag, flag) == 0)
       list->value = g_strdup(value); /* never freed */
 }
 
@@ -126,10 +131,10 @@
     return err_set(e, ERR_SETTING, "the flags can't be read");
   const char *path = getenv(SETTINGS_FILE_ENV);
   for (int i = 0; i < n; i++)
-    if (!list[i].value) list[i].value = getenv(list[i].env);
+    if (!is_given(&list[i])) list[i].value = getenv(list[i].env);
   if (path && !read_file(list, path, e)) return false;
   for (int i = 0; i < n; i++) {
-    if (!list[i].value) list[i].value = list[i].fallback;
+    if (!is_given(&list[i])) list[i].value = list[i].fallback;
     if (!check_setting(&list[i], e)) return false;
   }
   return true;
--- a/packages/kernel/settings.h
+++ b/packages/kernel/settings.h
@@ -31,8 +31,9 @@
 
 /* Reads and checks the settings in `list`, which ends with a NULL flag. The
    value is taken from the flag, else the environment variable, else the
-   settings file, else the fallback. `about` is the program's description in the
-   help. Prints help and usage errors as argp does. */
+   settings file, else the fallback; an empty one counts as none. `about` is the
+   program's description in the help. Prints help and usage errors as argp does.
+ */
 bool settings_read(Setting *list, int argc, char **argv, const char *about,
                    Err *e);
 /* Return the value of the setting with this flag. */
--- a/tests/test_kernel.c
+++ b/tests/test_kernel.c
@@ -2,6 +2,7 @@
 #include <criterion/criterion.h>
 #include <string.h>
 
+#include "kernel/settings.h"
 #include "kernel/service.h"
 #include "store/pace.h"
 
@@ -89,3 +90,22 @@
     calls += pace_take(&p, 10 + i * 0.01, true) <= 0;
   cr_assert(calls >= 99 && calls <= 101, "%d", calls);
 }
+
+/* Guards against an instance that does not start since a template was filled in
+   with nothing. */
+Test(kernel, an_empty_setting_means_its_default) {
+  Setting list[] = {
+      {"n", "TEST_SETTING_N", SETTING_NUMBER, "7", "", 1, 9, NULL},
+      {"a", "TEST_SETTING_A", SETTING_ADDRESS, "1.2.3.4:5", "", 0, 0, NULL},
+      {"t", "TEST_SETTING_T", SETTING_TEXT, "text", "", 0, 0, NULL},
+      {"f", "TEST_SETTING_F", SETTING_FLAG, "on", "", 0, 0, NULL},
+      {NULL, NULL, SETTING_TEXT, NULL, NULL, 0, 0, NULL}};
+  char *argv[] = {"test", NULL};
+  Err e = {0};
+  for (int i = 0; list[i].flag; i++) setenv(list[i].env, "", 1);
+  cr_assert(settings_read(list, 1, argv, "test", &e), "%s", e.text);
+  cr_assert_eq(settings_number(list, "n"), 7);
+  cr_assert_str_eq(settings_text(list, "a"), "1.2.3.4:5");
+  cr_assert_str_eq(settings_text(list, "t"), "text");
+  cr_assert(settings_flag(list, "f"));
+}
