Flow: the body of a request is not copied towards its target

Each exchange copied the body behind the head that it sends, and kept the copy until the target had read it: a request held twice its size while it was served, and once more in a buffer that doubles. Links now send the caller's body itself, which does not change until the exchange has ended; one of up to 16 KB is still sent together with its head. Bodies of plain answers grow by what they need (kernel/buffer).

--- a/packages/flow/dispatch.c
+++ b/packages/flow/dispatch.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "flow/run.h"
+#include "kernel/buffer.h"
 #include "kernel/count.h"
 #include "kernel/limits.h"
 #include "kernel/log.h"
@@ -89,7 +90,7 @@
     caller_write_body(x->caller, data, n);
     return true;
   }
-  g_string_append_len(x->body, data, (gssize)n);
+  buffer_append(x->body, data, n, max_bytes);
   caller_set_held_bytes(x->caller, x->body->allocated_len);
   return true;
 }
@@ -435,9 +436,10 @@
                          .priority = run_priority(x),
                          .last_event = x->events.count > 0 ? x->events.last_id
                                                            : REQUEST_NO_EVENT};
-  GString *out = g_string_sized_new(1024 + x->http_request->body->len);
+  const GString *body = x->http_request->body;
+  GString *out = g_string_sized_new(1024);
   wire_append_request(out, x->http_request->method, x->http_request->uri->str,
-                      &x->http_request->headers, x->http_request->body, &send);
+                      &x->http_request->headers, body, &send);
   x->target = c->target;
   x->target_incarnation = target_hash(c->target);
   x->n_queried = x->n_reports = 0;
@@ -460,7 +462,7 @@
   x->permit_run_id = 0;
   double fresh_s =
       is_repeatable(x) ? RUN_LINK_MAX_IDLE_S : ONCE_LINK_MAX_IDLE_S;
-  x->link = link_send_via(r->links, target_addr(c->target), x->via, out,
+  x->link = link_send_via(r->links, target_addr(c->target), x->via, out, body,
                           fresh_s, &link_events, x);
 }
 
--- a/packages/flow/link.c
+++ b/packages/flow/link.c
@@ -16,7 +16,10 @@
 #include "kernel/log.h"
 #include "kernel/loopclock.h"
 
-#define READ_BYTES 16384       /* size of one read */
+#define READ_BYTES 16384 /* size of one read */
+#define SHORT_BODY_BYTES                                                       \
+  16384                        /* is copied, and sent together with its head   \
+                                */
 #define SWEEP_INTERVAL_S 1.0   /* between checks for old idle links */
 #define MAX_SKIPPED_ANSWERS 1  /* of other exchanges, per exchange */
 #define MAX_INTERIM_ANSWERS 32 /* with status 1xx, per exchange */
@@ -43,8 +46,10 @@
   http_parser parser;
   Headers headers;
   GString *tunnel_answer; /* of the gateway */
-  GString *out;
+  GString *out;           /* the head of the request, or all of it */
   size_t out_off;
+  const char *body; /* what is left to send of its body, the owner's */
+  size_t body_left;
   bool sent;     /* a byte of the request was sent */
   bool answered; /* a byte of an answer was received */
   bool skipping; /* the current answer is for another exchange */
@@ -116,6 +121,11 @@
                                    : LINK_NO_ANSWER);
 }
 
+/* Whether a part of the request is not sent yet. */
+static bool has_unsent(const Link *l) {
+  return l->out->len > 0 || l->body_left > 0;
+}
+
 /* Removes an idle link from its list. */
 static void remove_idle(Link *l) {
   Links *s = l->set;
@@ -257,8 +267,8 @@
 /* Ends a complete exchange, and keeps the link if it can be reused. `closed`:
    the end of the connection ended it. */
 static void finish_complete(Link *l, bool closed) {
-  bool keep = !closed && !l->not_reusable && l->out->len == 0 &&
-              l->keep_s > 0 && http_should_keep_alive(&l->parser);
+  bool keep = !closed && !l->not_reusable && !has_unsent(l) && l->keep_s > 0 &&
+              http_should_keep_alive(&l->parser);
   LinkEvents ev = l->ev;
   void *ctx = l->ctx;
   l->ctx = NULL;
@@ -319,17 +329,31 @@
   parse(l, buf, (size_t)n);
 }
 
+/* Writes as much of the body as the socket accepts. Returns false when the
+   connection is broken. */
+static bool write_body(Link *l) {
+  while (l->body_left > 0) {
+    ssize_t n = send(l->fd, l->body, l->body_left, MSG_NOSIGNAL);
+    if (n < 0 && errno == EINTR) continue;
+    if (n < 0) return errno == EAGAIN || errno == EWOULDBLOCK;
+    l->body += n;
+    l->body_left -= (size_t)n;
+  }
+  return true;
+}
+
 static void write_request(Link *l) {
   size_t left = l->out->len - l->out_off;
   bool ok = sock_write(l->fd, l->out, &l->out_off);
   l->sent |= l->out->len - l->out_off < left;
+  if (ok && l->out->len == 0) ok = write_body(l);
   if (!ok) {
     /* An answer that the peer sent before it closed may still be read. */
     ev_io_stop(l->set->loop, &l->write);
     ev_feed_event(l->set->loop, &l->read, EV_READ);
     return;
   }
-  if (l->out->len > 0)
+  if (has_unsent(l))
     ev_io_start(l->set->loop, &l->write);
   else
     ev_io_stop(l->set->loop, &l->write);
@@ -528,11 +552,15 @@
   if (l->fd >= 0) ev_io_start(l->set->loop, &l->write);
 }
 
-static void prepare_exchange(Link *l, GString *request, const LinkEvents *ev,
-                             void *ctx) {
+static void prepare_exchange(Link *l, GString *request, const GString *body,
+                             const LinkEvents *ev, void *ctx) {
   if (l->out) g_string_free(l->out, TRUE);
+  bool is_short = body && body->len <= SHORT_BODY_BYTES;
+  if (is_short) g_string_append_len(request, body->str, (gssize)body->len);
   l->out = request;
   l->out_off = 0;
+  l->body = body ? body->str : NULL;
+  l->body_left = body && !is_short ? body->len : 0;
   l->sent = l->answered = l->skipping = l->done = false;
   l->no_body = g_str_has_prefix(request->str, "HEAD ");
   l->skips = l->interims = 0;
@@ -545,12 +573,12 @@
 }
 
 Link *link_send_via(Links *s, const char *addr, const char *via,
-                    GString *request, double max_idle_s, const LinkEvents *ev,
-                    void *ctx) {
+                    GString *request, const GString *body, double max_idle_s,
+                    const LinkEvents *ev, void *ctx) {
   Link *l = take_fresh_idle(s, addr, via, max_idle_s);
   bool kept = l != NULL;
   if (!l) l = new_link(s, addr, via);
-  prepare_exchange(l, request, ev, ctx);
+  prepare_exchange(l, request, body, ev, ctx);
   if (kept) {
     l->state = LINK_OPEN;
     write_request(l);
@@ -562,7 +590,7 @@
 
 Link *link_send(Links *s, const char *addr, GString *request, double max_idle_s,
                 const LinkEvents *ev, void *ctx) {
-  return link_send_via(s, addr, NULL, request, max_idle_s, ev, ctx);
+  return link_send_via(s, addr, NULL, request, NULL, max_idle_s, ev, ctx);
 }
 
 void link_preconnect_via(Links *s, const char *addr, const char *via) {
--- a/packages/flow/link.h
+++ b/packages/flow/link.h
@@ -82,16 +82,17 @@
 void links_set_connect_fn(Links *s, LinksConnectFn fn, void *ctx);
 /* Sets one that is called before that exchange continues or ends. */
 void links_set_attempt_fn(Links *s, LinksConnectFn fn, void *ctx);
-/* Sends `request` (head and body, which the link takes over) to "ip:port", on a
-   link that has been idle for less than `max_idle_s` if there is one. Makes no
-   callback before it returns. */
+/* Sends `request`, which the link takes over, to "ip:port", on a link that has
+   been idle for less than `max_idle_s` if there is one. Makes no callback
+   before it returns. */
 Link *link_send(Links *s, const char *addr, GString *request, double max_idle_s,
                 const LinkEvents *ev, void *ctx);
 /* The same through a gateway ("ip:port"), which opens a tunnel to `addr`
-   (tunnel.h). NULL: direct. */
+   (tunnel.h). NULL: direct. `body` follows `request`; it must not change until
+   the exchange has ended or is cancelled. NULL: `request` is all. */
 Link *link_send_via(Links *s, const char *addr, const char *via,
-                    GString *request, double max_idle_s, const LinkEvents *ev,
-                    void *ctx);
+                    GString *request, const GString *body, double max_idle_s,
+                    const LinkEvents *ev, void *ctx);
 /* Opens a connection for a later exchange. Nothing is sent on it, and
    LinkEvents don't apply; links_last_activity shows whether it was
    established. */
--- a/packages/flow/unframed.c
+++ b/packages/flow/unframed.c
@@ -155,7 +155,7 @@
   wire_append_target_check(request, addr, target_id(x->target));
   x->check_result = CHECK_UNANSWERED;
   x->check_bytes = 0;
-  x->check = link_send_via(x->relay->links, addr, x->check_via, request,
+  x->check = link_send_via(x->relay->links, addr, x->check_via, request, NULL,
                            RUN_LINK_MAX_IDLE_S, &events, x);
   start_check_timer(x, LIMIT_END_CHECK_ANSWER_MS, on_silence);
 }
--- a/packages/flow/wire.h
+++ b/packages/flow/wire.h
@@ -11,7 +11,8 @@
 /* Returns false with a typed error when the request is invalid. `request->key`
    points into `h`. */
 bool wire_decode_request(const Headers *h, RequestInfo *request, Err *e);
-/* Appends the request for a target: its head and the caller's body. */
+/* Appends the head of the request for a target, which the caller's body
+   follows. */
 void wire_append_request(GString *out, const char *method, const char *target,
                          const Headers *h, const GString *body,
                          const RequestForward *send);
