Flow: one account and one limit for what callers make an instance hold

What was seen: 30 clients that send 4 MB each at the same time, whole or just short of their end, take an instance to 130 to 254 MB, which ends it on a machine of 110 MB. On the way there the only bound (of bodies, at a whole request) refused everybody else. 30 kept connections that have sent 4 MB each did the same one after the other; heads, paths, input behind a request and answers that nobody reads had bounds for each connection, and none together; and 700 connections took all of 512 descriptors, so that none was left for targets.

Cause: bodies counted only when they were whole, as the length and not as what is allocated (doubled by GLib, and kept for the connection's next request); nothing else counted but answers; connections were not bounded at all.

Ruled out: a bound on each connection (the crowd grows), a refusal of who comes last (that starves ordinary callers), dropping with an answer (a connection stays taken for as long as its client goes on sending), and small receive buffers set after a connection was accepted (the peer's first window was larger, and it then waits for its timer: a single body of 4 MB took over 10 s).

--- a/packages/flow/caller.c
+++ b/packages/flow/caller.c
@@ -8,6 +8,8 @@
 #include <unistd.h>
 
 #include "flow/sock.h"
+#include "kernel/buffer.h"
+#include "kernel/count.h"
 #include "kernel/limits.h"
 #include "kernel/loopclock.h"
 
@@ -20,6 +22,7 @@
    rest of a finished answer is delivered, also to callers that read slowly. */
 #define UNACKED_TIMEOUT_MS 5000
 #define DELIVERY_TIMEOUT_MS 30000
+#define RETRY_DROPPED_MS 200 /* Retry-After of requests that are dropped */
 
 typedef enum {
   CALLER_IDLE,    /* between requests */
@@ -40,9 +43,11 @@
   GString *pending_input; /* received while busy */
   GString *out;
   size_t out_off;
-  size_t held_bytes;    /* of the answer, buffered by its owner */
-  size_t counted_bytes; /* held_bytes and `out`, in answer_bytes */
-  bool awaits_drain;    /* its owner waits for `drained` */
+  size_t owner_bytes;      /* of the answer, buffered by its owner */
+  Holding held;            /* in the account */
+  size_t receive_bytes;    /* of the system's buffer, for a long body */
+  HoldingsRequest serving; /* its request, if it is served */
+  bool awaits_drain;       /* its owner waits for `drained` */
   bool keep, closing, broken, failed, no_body;
   /* What marks the end of the answer if not a length: chunks, or nothing but
      the end of the connection. */
@@ -61,10 +66,7 @@
   CallerEvents ev;
   void *ctx;
   Caller *first;
-  int n;
-  size_t memory_limit;    /* for bodies and answers */
-  size_t body_bytes;      /* of requests */
-  size_t answer_bytes;    /* of answers not yet sent */
+  Holdings *holdings;
   int64_t bytes_received; /* from all callers */
   bool draining;
   bool leaving; /* answers close their connections */
@@ -79,15 +81,6 @@
   if (c->prev) c->prev->next = c->next;
   if (c->next) c->next->prev = c->prev;
   if (s->first == c) s->first = c->next;
-  s->n--;
-}
-
-size_t caller_buffer_limit(const Caller *c) {
-  const Callers *s = c->set;
-  size_t used = s->body_bytes + s->answer_bytes - c->counted_bytes;
-  size_t free_bytes = s->memory_limit > used ? s->memory_limit - used : 0;
-  return CLAMP(free_bytes / 2, LIMIT_PENDING_MIN_BYTES,
-               LIMIT_PENDING_MAX_BYTES);
 }
 
 /* Bytes of the answer that are not sent yet. */
@@ -95,25 +88,69 @@
   return c->out->len - c->out_off;
 }
 
-/* Updates the set's count of memory used by answers. */
-static void update_answer_bytes(Caller *c) {
-  size_t counted_bytes =
-      (c->out->len > 0 ? c->out->allocated_len : 0) + c->held_bytes;
-  c->set->answer_bytes += counted_bytes - c->counted_bytes;
-  c->counted_bytes = counted_bytes;
+/* == what a caller holds == */
+
+size_t caller_buffer_limit(const Caller *c) {
+  return CLAMP(holdings_free_bytes(c->set->holdings, &c->held) / 2,
+               LIMIT_PENDING_MIN_BYTES, LIMIT_PENDING_MAX_BYTES);
+}
+
+/* Updates the account after buffers of the caller have changed. */
+static void update_held(Caller *c) {
+  Holdings *h = c->set->holdings;
+  size_t bytes = holdings_connection_bytes(h) + c->receive_bytes +
+                 c->req.headers.text->allocated_len +
+                 c->req.uri->allocated_len + c->req.body->allocated_len +
+                 c->out->allocated_len + c->owner_bytes;
+  if (c->pending_input) bytes += c->pending_input->allocated_len;
+  if (c->serving.bytes > 0) bytes += holdings_request_bytes(h);
+  holdings_change(h, &c->held,
+                  (Holding){.bytes = bytes, .is_served = c->serving.bytes > 0});
+}
+
+/* A long body arrives faster through a larger buffer of the system. */
+static void expect_long_body(Caller *c) {
+  if (holdings_free_bytes(c->set->holdings, &c->held) <
+      LIMIT_BODY_RECEIVE_BYTES)
+    return;
+  c->receive_bytes = LIMIT_BODY_RECEIVE_BYTES;
+  sock_set_receive_buffer(c->fd, LIMIT_BODY_RECEIVE_BYTES);
+}
+
+/* Stops reading from a caller that keeps sending before its answer. What the
+   system holds for it counts as memory of the process. */
+static void stop_reading(Caller *c) {
+  ev_io_stop(c->set->loop, &c->read);
+  sock_set_receive_buffer(c->fd, LIMIT_RECEIVE_BUFFER_BYTES);
 }
 
-static void clear_body(Caller *c) {
-  c->set->body_bytes -= c->req.body->len;
-  g_string_truncate(c->req.body, 0);
+/* Frees what the request holds, once it is no longer needed. */
+static void clear_request(Caller *c) {
+  headers_clear(&c->req.headers);
+  buffer_clear(c->req.headers.text, LIMIT_IDLE_BUFFER_BYTES);
+  buffer_clear(c->req.uri, LIMIT_IDLE_BUFFER_BYTES);
+  buffer_clear(c->req.body, LIMIT_IDLE_BUFFER_BYTES);
+  holdings_end(c->set->holdings, &c->serving);
+  update_held(c);
+}
+
+bool caller_serve(Caller *c, const char *group) {
+  Holdings *h = c->set->holdings;
+  size_t bytes = c->held.bytes + holdings_request_bytes(h);
+  if (!holdings_serve(h, &c->serving, group, bytes)) {
+    c->keep = false; /* so that what it sends behind it is dropped */
+    return false;
+  }
+  update_held(c);
+  return true;
 }
 
 static void free_caller(Caller *c) {
   Callers *s = c->set;
   ev_io_stop(s->loop, &c->read);
   ev_io_stop(s->loop, &c->write);
-  clear_body(c);
-  s->answer_bytes -= c->counted_bytes;
+  holdings_end(s->holdings, &c->serving);
+  holdings_change(s->holdings, &c->held, (Holding){0});
   unlink_caller(c);
   headers_free(&c->req.headers);
   g_string_free(c->req.uri, TRUE);
@@ -140,6 +177,14 @@
   if (c->out->len == 0) ev_io_stop(c->set->loop, &c->write);
 }
 
+/* Reads what follows an answer. Input received during the answer is read from
+   the event loop: a caller may have sent hundreds of requests, each of which is
+   answered at once. */
+static void read_on(Caller *c) {
+  if (!ev_is_active(&c->read)) ev_io_start(c->set->loop, &c->read);
+  if (c->pending_input) ev_feed_event(c->set->loop, &c->read, EV_READ);
+}
+
 /* A failure is reported later from the event loop, so that the code that
    flushes can continue. */
 void caller_flush(Caller *c) {
@@ -149,8 +194,9 @@
     ev_feed_event(c->set->loop, &c->read, EV_READ);
     return;
   }
-  update_answer_bytes(c);
+  update_held(c);
   update_write_watcher(c);
+  if (c->state == CALLER_IDLE && c->out->len == 0) read_on(c);
   if (!c->closing || c->out->len > 0) return;
   c->state = CALLER_LINGER;
   c->progress_at = loopclock_now(c->set->loop);
@@ -163,9 +209,6 @@
 
 static int on_begin(http_parser *p) {
   Caller *c = p->data;
-  headers_clear(&c->req.headers);
-  g_string_truncate(c->req.uri, 0);
-  clear_body(c);
   c->err = (Err){0};
   c->state = CALLER_READING;
   sock_set_user_timeout(c->fd, UNACKED_TIMEOUT_MS);
@@ -203,9 +246,27 @@
     err_set(&c->err, ERR_MALFORMED, "the path must begin with a slash");
 }
 
+/* Whether a body of this length, which is stated before it arrives, could be
+   served now. */
+static bool has_room(const Caller *c, uint64_t length) {
+  const Holdings *h = c->set->holdings;
+  size_t bytes = c->held.bytes + (size_t)length + holdings_request_bytes(h);
+  return holdings_may_serve(h, "", bytes);
+}
+
 static int on_head(http_parser *p) {
   Caller *c = p->data;
+  bool is_chunked = p->flags & F_CHUNKED;
+  uint64_t length = p->flags & F_CONTENTLENGTH ? p->content_length : 0;
   check_head(c);
+  if (!c->err.kind && length > c->set->limits.max_body)
+    err_set(&c->err, ERR_TOO_LARGE, "the body is over %zu bytes",
+            c->set->limits.max_body);
+  else if (!c->err.kind && length > 0 && !has_room(c, length))
+    err_retry(&c->err, ERR_OVERLOADED, RETRY_DROPPED_MS,
+              "this instance holds too many requests");
+  if (!c->err.kind && (is_chunked || length > LIMIT_RECEIVE_BUFFER_BYTES))
+    expect_long_body(c);
   const char *expect = headers_get(&c->req.headers, "Expect");
   if (expect && g_ascii_strcasecmp(expect, "100-continue") == 0 && !c->err.kind)
     g_string_append(c->out, "HTTP/1.1 100 Continue\r\n\r\n");
@@ -216,13 +277,15 @@
   Caller *c = p->data;
   c->progress_at = loopclock_now(c->set->loop);
   if (c->err.kind) return 0;
-  if (c->req.body->len + n > c->set->limits.max_body) {
-    err_set(&c->err, ERR_TOO_LARGE, "the body is over %zu bytes",
-            c->set->limits.max_body);
+  size_t max = c->set->limits.max_body;
+  if (c->req.body->len + n > max) {
+    err_set(&c->err, ERR_TOO_LARGE, "the body is over %zu bytes", max);
     return 0;
   }
-  c->set->body_bytes += n;
-  g_string_append_len(c->req.body, at, (gssize)n);
+  /* The parser counts down what is left of a stated length. */
+  if (p->flags & F_CONTENTLENGTH)
+    max = c->req.body->len + n + (size_t)p->content_length;
+  buffer_append(c->req.body, at, n, max);
   return 0;
 }
 
@@ -232,6 +295,7 @@
   c->req.method = http_method_str((enum http_method)p->method);
   c->no_body = p->method == HTTP_HEAD;
   c->state = CALLER_BUSY;
+  c->receive_bytes = 0;
   http_parser_pause(p, 1); /* the next request waits for this answer */
   return 0;
 }
@@ -249,7 +313,7 @@
 /* Whether the head is too large before it is complete. */
 static bool is_head_too_long(const Caller *c) {
   return c->state == CALLER_READING &&
-         c->req.headers.text->len > c->set->limits.max_header;
+         c->req.headers.text->len + c->req.uri->len > c->set->limits.max_header;
 }
 
 static void reject_request(Caller *c, ErrKind kind, const char *why) {
@@ -257,6 +321,9 @@
   c->keep = false;
   c->state = CALLER_BUSY;
   c->req.method = "GET";
+  buffer_clear(c->req.body, LIMIT_IDLE_BUFFER_BYTES);
+  c->receive_bytes = 0;
+  update_held(c);
   c->set->ev.request(c->set->ctx, c, &c->req, &c->err);
 }
 
@@ -264,8 +331,7 @@
   if (n == 0) return;
   if (!c->pending_input) c->pending_input = g_string_new(NULL);
   g_string_append_len(c->pending_input, p, (gssize)n);
-  /* Stops reading from a caller that keeps sending before its answer. */
-  if (c->pending_input->len > READ_BYTES) ev_io_stop(c->set->loop, &c->read);
+  if (c->pending_input->len > READ_BYTES) stop_reading(c);
 }
 
 static void parse(Caller *c, const char *p, size_t n) {
@@ -281,27 +347,78 @@
   if (bad == HPE_PAUSED) {
     http_parser_pause(&c->parser, 0);
     buffer_input(c, p + used, n - used);
+    update_held(c);
     s->ev.request(s->ctx, c, &c->req, c->err.kind ? &c->err : NULL);
   } else if (bad == HPE_HEADER_OVERFLOW || is_head_too_long(c)) {
     reject_request(c, ERR_HEADER_TOO_LARGE, "the head is too large");
   } else if (bad != HPE_OK) {
     reject_request(c, ERR_MALFORMED, http_errno_description(bad));
-  } else if (c->err.kind == ERR_TOO_LARGE) {
-    reject_request(c, ERR_TOO_LARGE, c->err.text);
+  } else if (c->err.kind == ERR_TOO_LARGE || c->err.kind == ERR_OVERLOADED) {
+    reject_request(c, c->err.kind, c->err.text);
   } else if (c->out->len > 0) { /* it waits for 100 Continue */
     caller_flush(c);
   }
+  if (!c->broken) update_held(c);
   c->parsing = was_parsing;
   if (c->broken && !was_parsing) free_caller(c);
 }
 
+/* == the limit of the account == */
+
+/* Since when the caller has held what it does, without an end. */
+static double held_since(const Caller *c) {
+  return c->state == CALLER_READING ? c->req.received_at : c->progress_at;
+}
+
+/* Returns the caller to drop first, NULL if all are served. */
+static Caller *find_heaviest(const Callers *s) {
+  double now = loopclock_now(s->loop), most = 0;
+  Caller *heaviest = NULL;
+  for (Caller *c = s->first; c; c = c->next) {
+    if (c->state == CALLER_BUSY) continue;
+    double weight = holdings_weight(&c->held, now - held_since(c));
+    if (weight <= most) continue; /* it came just now */
+    most = weight;
+    heaviest = c;
+  }
+  return heaviest;
+}
+
+/* Closing without an answer shows that the request was not read. An answer
+   would take a connection for as long as its caller goes on sending. */
+static void drop_caller(Caller *c) {
+  count_add(COUNT_CALLERS_DROPPED, 1);
+  close_caller(c);
+}
+
+/* Drops callers until the account is within its limit, or only requests that
+   are served are left. To be called where no caller is in use. */
+static void make_room(Callers *s) {
+  Caller *c;
+  while (holdings_is_over(s->holdings) && (c = find_heaviest(s)))
+    drop_caller(c);
+}
+
 /* == events == */
 
-static void on_readable(struct ev_loop *loop, ev_io *w, int revents) {
-  (void)loop;
-  (void)revents;
-  Caller *c = w->data;
+/* Continues with input received during the last answer. */
+static void parse_pending(Caller *c) {
+  GString *input = c->pending_input;
+  c->pending_input = NULL;
+  parse(c, input->str, input->len);
+  g_string_free(input, TRUE);
+}
+
+static void read_caller(Caller *c) {
   char buf[READ_BYTES];
+  if (c->state == CALLER_IDLE && unsent_bytes(c) > 0 && !c->failed) {
+    ev_io_stop(c->set->loop, &c->read); /* until its last answer is sent */
+    return;
+  }
+  if (c->pending_input && c->state == CALLER_IDLE && !c->failed) {
+    parse_pending(c);
+    return;
+  }
   ssize_t n = c->failed ? 0 : recv(c->fd, buf, sizeof buf, 0);
   if (n < 0 && (errno == EAGAIN || errno == EINTR)) return;
   if (n <= 0) {
@@ -312,6 +429,15 @@
   if (c->state != CALLER_LINGER) parse(c, buf, (size_t)n);
 }
 
+static void on_readable(struct ev_loop *loop, ev_io *w, int revents) {
+  (void)loop;
+  (void)revents;
+  Caller *c = w->data;
+  Callers *s = c->set;
+  read_caller(c);
+  make_room(s);
+}
+
 static void on_writable(struct ev_loop *loop, ev_io *w, int revents) {
   (void)loop;
   (void)revents;
@@ -344,19 +470,31 @@
   c->next = s->first;
   if (s->first) s->first->prev = c;
   s->first = c;
-  s->n++;
+  update_held(c);
   ev_io_start(s->loop, &c->read);
 }
 
+/* No descriptor is left: one of the callers gives way, or those that connect
+   wait until the next sweep. */
+static void handle_full_table(Callers *s) {
+  Caller *c = find_heaviest(s);
+  if (c)
+    drop_caller(c);
+  else
+    ev_io_stop(s->loop, &s->accept);
+}
+
 static void on_accept(struct ev_loop *loop, ev_io *w, int revents) {
   (void)loop;
   (void)revents;
   Callers *s = w->data;
   for (int i = 0; i < MAX_ACCEPTS_PER_TURN; i++) {
     int fd = sock_accept(s->fd);
-    if (fd < 0) return;
+    if (fd < 0 && (errno == EMFILE || errno == ENFILE)) handle_full_table(s);
+    if (fd < 0) break;
     add_caller(s, fd);
   }
+  make_room(s);
 }
 
 static bool is_overdue(const Caller *c, double now) {
@@ -387,6 +525,8 @@
     else
       close_caller(c);
   }
+  make_room(s);
+  if (!ev_is_active(&s->accept)) ev_io_start(loop, &s->accept);
 }
 
 /* == answers == */
@@ -438,23 +578,15 @@
 void caller_write_body(Caller *c, const char *data, size_t n) {
   if (n == 0 || c->no_body) return;
   if (c->chunked) g_string_append_printf(c->out, "%zx\r\n", n);
-  g_string_append_len(c->out, data, (gssize)n);
+  buffer_append(c->out, data, n, 0);
   if (c->chunked) g_string_append_len(c->out, "\r\n", 2);
 }
 
-/* Continues with input received during the answer. */
-static void start_next_request(Caller *c) {
-  Callers *s = c->set;
+static void await_next_request(Caller *c) {
   c->state = CALLER_IDLE;
-  c->progress_at = loopclock_now(s->loop);
+  c->progress_at = loopclock_now(c->set->loop);
   c->data = NULL;
-  clear_body(c);
-  if (!ev_is_active(&c->read)) ev_io_start(s->loop, &c->read);
-  GString *pending_input = c->pending_input;
-  c->pending_input = NULL;
-  if (!pending_input) return;
-  parse(c, pending_input->str, pending_input->len);
-  g_string_free(pending_input, TRUE);
+  if (c->out->len == 0) read_on(c);
 }
 
 void caller_end_answer(Caller *c) {
@@ -465,8 +597,10 @@
   c->progress_at = loopclock_now(c->set->loop);
   if (c->closing) c->state = CALLER_LINGER;
   sock_set_user_timeout(c->fd, DELIVERY_TIMEOUT_MS);
+  clear_request(c);
+  if (c->closing && c->pending_input) g_string_truncate(c->pending_input, 0);
   caller_flush(c);
-  if (!c->closing) start_next_request(c);
+  if (!c->closing) await_next_request(c);
 }
 
 void caller_abort(Caller *c) {
@@ -478,8 +612,8 @@
 }
 
 void caller_set_held_bytes(Caller *c, size_t bytes) {
-  c->held_bytes = bytes;
-  update_answer_bytes(c);
+  c->owner_bytes = bytes;
+  update_held(c);
 }
 
 bool caller_check_full(Caller *c) {
@@ -498,10 +632,15 @@
 /* == the set == */
 
 Callers *callers_open(struct ev_loop *loop, const char *addr,
-                      const CallerEvents *ev, void *ctx, Err *e) {
-  int fd = sock_listen(addr, e);
-  if (fd < 0) return NULL;
+                      const CallerEvents *ev, void *ctx, Holdings *holdings,
+                      Err *e) {
+  int fd = sock_listen(addr, LIMIT_RECEIVE_BUFFER_BYTES, e);
+  if (fd < 0) {
+    holdings_free(holdings);
+    return NULL;
+  }
   Callers *s = g_new0(Callers, 1);
+  s->holdings = holdings;
   s->loop = loop;
   s->fd = fd;
   s->ev = *ev;
@@ -522,6 +661,10 @@
   s->limits = *l;
 }
 
+void callers_set_max_body(Callers *s, size_t bytes) {
+  s->limits.max_body = bytes;
+}
+
 void callers_set_leaving(Callers *s, bool leave) {
   s->leaving = leave;
 }
@@ -540,14 +683,6 @@
   return false;
 }
 
-void callers_set_memory_limit(Callers *s, size_t bytes) {
-  s->memory_limit = bytes;
-}
-
-size_t callers_body_bytes(const Callers *s) {
-  return s->body_bytes;
-}
-
 void callers_close(Callers *s) {
   ev_io_stop(s->loop, &s->accept);
   ev_timer_stop(s->loop, &s->sweep);
@@ -556,5 +691,6 @@
     s->first->state = CALLER_IDLE;
     close_caller(s->first);
   }
+  holdings_free(s->holdings);
   g_free(s);
 }
--- a/packages/flow/caller.h
+++ b/packages/flow/caller.h
@@ -7,6 +7,7 @@
 
 #include "flow/headers.h"
 #include "kernel/err.h"
+#include "kernel/holdings.h"
 
 typedef struct Caller Caller;
 typedef struct Callers Callers;
@@ -37,10 +38,14 @@
   void (*drained)(void *ctx, Caller *c);
 } CallerEvents;
 
-/* Listens at "ip:port". */
+/* Listens at "ip:port". `holdings`: the account of what the callers hold, which
+   is freed with the set. While it is over its limit, the connections are closed
+   that have no request that is served, those first that hold much for long. */
 Callers *callers_open(struct ev_loop *loop, const char *addr,
-                      const CallerEvents *ev, void *ctx, Err *e);
+                      const CallerEvents *ev, void *ctx, Holdings *holdings,
+                      Err *e);
 void callers_set_limits(Callers *s, const CallerLimits *l);
+void callers_set_max_body(Callers *s, size_t bytes);
 /* From now on every answer closes its connection, and idle connections are
    closed. */
 void callers_drain(Callers *s);
@@ -51,16 +56,16 @@
 bool callers_are_sending(const Callers *s);
 /* Returns the total of bytes received from callers. */
 int64_t callers_bytes_received(const Callers *s);
-/* Sets the memory that request bodies and answers of all callers may use. */
-void callers_set_memory_limit(Callers *s, size_t bytes);
-/* Returns the memory used by request bodies. */
-size_t callers_body_bytes(const Callers *s);
 void callers_close(Callers *s);
 
 /* Data that the owner of the request attaches to the connection. */
 void caller_set_data(Caller *c, void *data);
 void *caller_get_data(const Caller *c);
 
+/* Counts the request as one that is served, for the service `group`, until its
+   answer ends. Returns false if there is no memory for it (holdings_serve). */
+bool caller_serve(Caller *c, const char *group);
+
 #define CALLER_CHUNKED (-1)
 
 /* Appends the head of the answer. `fields` holds further header lines, each
--- a/packages/flow/relay.c
+++ b/packages/flow/relay.c
@@ -211,12 +211,16 @@
   if (r->stale)
     return err_retry(e, ERR_LAGGING, RUN_RETRY_SOON_MS,
                      "this instance stood still");
-  if ((int64_t)callers_body_bytes(r->callers) > r->max_held_body_bytes)
-    return err_retry(e, ERR_OVERLOADED, RUN_RETRY_SOON_MS,
-                     "this instance holds too many requests");
   return true;
 }
 
+/* Whether this instance has memory for one more request of that service. */
+static bool check_memory(const Run *x, Err *e) {
+  return caller_serve(x->caller, x->service_name) ||
+         err_retry(e, ERR_OVERLOADED, RUN_RETRY_SOON_MS,
+                   "this instance holds too many requests");
+}
+
 static void on_request(void *ctx, Caller *c, const CallerRequest *req,
                        const Err *bad) {
   Relay *r = ctx;
@@ -225,7 +229,7 @@
   count_add(COUNT_REQUESTS, 1);
   if (bad) e = *bad;
   if (!bad && wire_decode_request(&req->headers, &x->request, &e) &&
-      check_capacity(r, &e) && resolve_request(x, &e)) {
+      check_capacity(r, &e) && resolve_request(x, &e) && check_memory(x, &e)) {
     events_init(&x->events, x->request.last_event);
     set_deadline(x);
     run_find_origin(x, admit_run);
@@ -309,7 +313,6 @@
   r->retries = retries;
   r->admission = admission_new();
   r->returns = returns_new();
-  r->max_held_body_bytes = o->max_held_body_bytes;
   r->links = links_open(loop, &links);
   r->path_checks = open_path_checks(r);
   r->paths = paths_new();
@@ -327,9 +330,10 @@
   r->managed = o->managed;
   links_set_connect_fn(r->links, relay_on_connect, r);
   links_set_attempt_fn(r->links, relay_on_attempt, r);
-  r->callers = callers_open(loop, o->listen_addr, &caller_events, r, e);
+  r->callers =
+      callers_open(loop, o->listen_addr, &caller_events, r,
+                   holdings_new(o->caller_bytes, o->max_connections), e);
   if (r->callers) {
-    callers_set_memory_limit(r->callers, (size_t)o->max_held_body_bytes);
     open_tunnels(r, o->tunnel_addr);
     return r;
   }
--- a/packages/flow/relay.h
+++ b/packages/flow/relay.h
@@ -24,13 +24,14 @@
 } RecoveryPlace;
 
 typedef struct RelayOptions {
-  const char *listen_addr;     /* "ip:port" for callers */
-  const char *tunnel_addr;     /* "ip:port" for tunnels of other instances */
-  const Member *self;          /* copied */
-  int64_t max_held_body_bytes; /* of request bodies in memory */
-  Store *store;                /* holds the trials of suspects (run.h) */
-  const Regions *regions;      /* of the data centres; outlives the relay */
-  const Managed *managed;      /* outlives the relay */
+  const char *listen_addr; /* "ip:port" for callers */
+  const char *tunnel_addr; /* "ip:port" for tunnels of other instances */
+  const Member *self;      /* copied */
+  size_t caller_bytes;     /* that callers may make this instance hold */
+  int max_connections;     /* of callers and, on their behalf, to targets */
+  Store *store;            /* holds the trials of suspects (run.h) */
+  const Regions *regions;  /* of the data centres; outlives the relay */
+  const Managed *managed;  /* outlives the relay */
   RecoveryPlace recovery;
 } RelayOptions;
 
--- a/packages/flow/run.h
+++ b/packages/flow/run.h
@@ -191,7 +191,6 @@
   GHashTable *runs_by_query; /* query id -> Run */
   uint64_t last_query_id, last_run_id;
   Conf *conf;
-  int64_t max_held_body_bytes; /* of request bodies in memory */
   Run *first_run;
   int n_runs;
   /* refusing: new requests are refused, since the instance is stopping. stale:
--- a/packages/flow/sock.c
+++ b/packages/flow/sock.c
@@ -11,6 +11,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "kernel/buffer.h"
 #include "kernel/limits.h"
 
 #define BACKLOG 1024            /* connections waiting to be accepted */
@@ -34,10 +35,11 @@
   setsockopt(fd, level, name, &value, sizeof value);
 }
 
-int sock_listen(const char *addr, Err *e) {
+int sock_listen(const char *addr, int receive_bytes, Err *e) {
   struct sockaddr_in in;
   int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   if (fd >= 0) set_option(fd, SOL_SOCKET, SO_REUSEADDR, 1);
+  if (fd >= 0 && receive_bytes > 0) sock_set_receive_buffer(fd, receive_bytes);
   if (fd >= 0 && sock_parse_address(addr, &in) &&
       bind(fd, (struct sockaddr *)&in, sizeof in) == 0 &&
       listen(fd, BACKLOG) == 0)
@@ -103,7 +105,12 @@
 }
 
 void sock_set_send_buffer(int fd, int bytes) {
-  setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &bytes, sizeof bytes);
+  set_option(fd, SOL_SOCKET, SO_SNDBUF, bytes);
+}
+
+void sock_set_receive_buffer(int fd, int bytes) {
+  set_option(fd, SOL_SOCKET, SO_RCVBUF, bytes);
+  set_option(fd, IPPROTO_TCP, TCP_WINDOW_CLAMP, bytes);
 }
 
 /* Discards sent bytes even if some remain; otherwise the buffer of a peer that
@@ -114,13 +121,6 @@
   *off = 0;
 }
 
-static void clear_buffer(GString *out) {
-  g_string_truncate(out, 0);
-  if (out->allocated_len <= LIMIT_IDLE_BUFFER_BYTES) return;
-  out->allocated_len = LIMIT_IDLE_BUFFER_BYTES;
-  out->str = g_realloc(out->str, out->allocated_len);
-}
-
 bool sock_write(int fd, GString *out, size_t *off) {
   while (*off < out->len) {
     ssize_t n = send(fd, out->str + *off, out->len - *off, MSG_NOSIGNAL);
@@ -132,7 +132,7 @@
     }
     *off += (size_t)n;
   }
-  clear_buffer(out);
+  buffer_clear(out, LIMIT_IDLE_BUFFER_BYTES);
   *off = 0;
   return true;
 }
--- a/packages/flow/sock.h
+++ b/packages/flow/sock.h
@@ -10,8 +10,10 @@
 
 /* Parses "ip:port"; false when it is not valid. */
 bool sock_parse_address(const char *addr, struct sockaddr_in *in);
-/* Listens at "ip:port"; returns the socket, or -1 with a typed error. */
-int sock_listen(const char *addr, Err *e);
+/* Listens at "ip:port"; returns the socket, or -1 with a typed error.
+   `receive_bytes`: of the receive buffer of its connections, so that their
+   first windows are no larger; 0: the system's own size. */
+int sock_listen(const char *addr, int receive_bytes, Err *e);
 /* Returns the next connection, -1 when there is none. */
 int sock_accept(int fd);
 /* Starts to connect and returns the socket, or -1 with errno set. */
@@ -33,8 +35,10 @@
 /* Closes with a TCP reset, so that the peer stops at once. */
 void sock_reset(int fd);
 
-/* Sets the size of the system's send buffer. */
+/* Set the sizes of the system's buffers. The peer of a full receive buffer has
+   to wait; `bytes` is its window as well. */
 void sock_set_send_buffer(int fd, int bytes);
+void sock_set_receive_buffer(int fd, int bytes);
 
 /* Writes as much of `out` from *off as the socket accepts; clears both when all
    was written. Returns false when the connection is broken. */
--- a/packages/flow/tunnel.c
+++ b/packages/flow/tunnel.c
@@ -322,7 +322,7 @@
 /* == the set == */
 
 Tunnels *tunnels_open(struct ev_loop *loop, const TunnelsOptions *o, Err *e) {
-  int fd = sock_listen(o->listen_addr, e);
+  int fd = sock_listen(o->listen_addr, 0, e);
   if (fd < 0) return NULL;
   Tunnels *s = g_new0(Tunnels, 1);
   s->loop = loop;
--- a/packages/kernel/count.c
+++ b/packages/kernel/count.c
@@ -51,6 +51,8 @@
     [COUNT_CALLER_GONE] = {"caller_gone_total", "callers that hung up"},
     [COUNT_CALLER_PAUSED] = {"caller_paused_total",
                              "times that a target waited for a slow caller"},
+    [COUNT_CALLERS_DROPPED] = {"callers_dropped_total",
+                               "Connections closed for want of memory"},
     [COUNT_CALLER_SLOW] = {"caller_slow_total",
                            "answers ended since their callers read too slowly"},
     [COUNT_ORIGINS_SHARED] = {"origins_shared_total",
--- a/packages/kernel/limits.h
+++ b/packages/kernel/limits.h
@@ -67,7 +67,7 @@
    of its data. 8 MB in pieces of 32 bytes have as many. */
 #define LIMIT_ANSWER_PIECES (1 << 18)
 /* An empty buffer that is kept for its next use. */
-#define LIMIT_IDLE_BUFFER_BYTES (32 << 10)
+#define LIMIT_IDLE_BUFFER_BYTES (4 << 10)
 /* One answer of the platform's store; a longer one is a failed call. */
 #define LIMIT_STORE_ANSWER_BYTES (8 << 20)
 /* JSON values in one. An empty object has two bytes of text, but takes some 200
@@ -77,6 +77,40 @@
    a target has some 20. */
 #define LIMIT_STORE_ENTRY_VALUES 1024
 
+/* == what callers make an instance hold (kernel/holdings.h) == */
+
+/* Part of an instance's memory for it, where no setting says more. */
+#define LIMIT_CALLER_MEMORY_DIVISOR 4
+/* An open connection, which holds half of it by itself. */
+#define LIMIT_CONNECTION_BYTES (8 << 10)
+/* A request that is served: the smallest buffer of its answer, what one read
+   adds to it, and its connection to a target. */
+#define LIMIT_SERVED_REQUEST_BYTES (32 << 10)
+/* The system's receive buffer of a caller: usually, and while a long body
+   arrives, which is read at once. The second is the largest window that a
+   connection can have whose first one was small. */
+#define LIMIT_RECEIVE_BUFFER_BYTES (8 << 10)
+#define LIMIT_BODY_RECEIVE_BYTES (64 << 10)
+/* A request over this part of the limit is a large one. */
+#define LIMIT_LARGE_REQUEST_DIVISOR 64
+/* Part of the limit that large requests leave to smaller ones. */
+#define LIMIT_SMALL_SHARE_DIVISOR 4
+/* Part of the limit that remains to connections without a request that is
+   served, whatever answers hold. */
+#define LIMIT_ARRIVING_SHARE_DIVISOR 8
+/* The smaller requests of a group may hold this times what is left free, so
+   that one group has two thirds, and two have two fifths each. */
+#define LIMIT_GROUP_FREE_RATIO 2
+/* Descriptors of an instance that callers and the connections to targets on
+   their behalf leave to all else, and the part of the others that they use. */
+#define LIMIT_RESERVED_FILES 200
+#define LIMIT_CALLER_FILES_RATIO 0.75
+/* A body of a request for readiness or metrics, which needs none; the
+   connections that ask for them, and the memory of these. */
+#define LIMIT_STATUS_BODY_BYTES 4096
+#define LIMIT_STATUS_CONNECTIONS 64
+#define LIMIT_STATUS_MEMORY_BYTES (1 << 20)
+
 /* == requests to targets == */
 
 /* Requests to one target; a higher limit counts as none. */
--- a/packages/node/node.c
+++ b/packages/node/node.c
@@ -2,16 +2,19 @@
 #include "node/node.h"
 
 #include <ev.h>
+#include <limits.h>
 #include <math.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/random.h>
+#include <sys/resource.h>
 
 #include "flow/intake.h"
 #include "flow/relay.h"
 #include "kernel/count.h"
+#include "kernel/limits.h"
 #include "kernel/log.h"
 #include "kernel/loopclock.h"
 #include "kernel/settings.h"
@@ -43,8 +46,6 @@
 #define LINGER_S 0.3 /* for the last answers to be sent */
 /* The busiest instance serves 40 requests a second. */
 #define LOG_LINES_PER_S 500
-#define BODY_MEMORY_DIVISOR 4 /* bodies and held answers may use this share */
-#define READY_BUFFER_BYTES (1 << 20) /* for readiness and metrics requests */
 
 static Setting settings[] = {
     {"name", "LOFTPATH_NAME", SETTING_TEXT, NULL, "Name of this instance", 0, 0,
@@ -76,6 +77,14 @@
      "ip:port of the platform's store", 0, 0, NULL},
     {"memory", "LOFTPATH_MEMORY", SETTING_NUMBER, "256",
      "Megabytes that this process may use", 32, 1 << 20, NULL},
+    {"caller-memory", "LOFTPATH_CALLER_MEMORY", SETTING_NUMBER, "0",
+     "Megabytes that callers may make it hold; 0: a quarter of `memory`", 0,
+     1 << 20, NULL},
+    {"max-connections", "LOFTPATH_MAX_CONNECTIONS", SETTING_NUMBER, "0",
+     "Connections of callers, and to targets on their behalf; 0: three "
+     "quarters "
+     "of the descriptors, less 200",
+     0, 1 << 20, NULL},
     {"stop", "LOFTPATH_STOP", SETTING_TEXT, "8",
      "Seconds that a planned stop may take", 0, 0, NULL},
     {"retry-ratio", "LOFTPATH_RETRY_RATIO", SETTING_TEXT, "0.2",
@@ -713,6 +722,35 @@
   return n;
 }
 
+/* Returns the memory that callers may make this instance hold, in bytes. */
+static size_t caller_bytes(void) {
+  long given = settings_number(settings, "caller-memory");
+  long mb = settings_number(settings, "memory");
+  if (given > 0) return (size_t)given << 20;
+  return ((size_t)mb << 20) / LIMIT_CALLER_MEMORY_DIVISOR;
+}
+
+static int max_connections(void) {
+  long given = settings_number(settings, "max-connections");
+  struct rlimit files;
+  if (given > 0) return (int)given;
+  if (getrlimit(RLIMIT_NOFILE, &files) != 0 || files.rlim_cur >= INT_MAX)
+    return INT_MAX;
+  double left = (double)files.rlim_cur - LIMIT_RESERVED_FILES;
+  return (int)MAX(left, 1) * LIMIT_CALLER_FILES_RATIO;
+}
+
+/* Opens the address for readiness and metrics, whose requests have no body. */
+static Callers *open_status(Node *n, Err *e) {
+  static const CallerEvents events = {on_status_request, on_status_caller_gone,
+                                      on_status_caller_gone};
+  Callers *s = callers_open(
+      n->loop, settings_text(settings, "ready"), &events, n,
+      holdings_new(LIMIT_STATUS_MEMORY_BYTES, LIMIT_STATUS_CONNECTIONS), e);
+  if (s) callers_set_max_body(s, LIMIT_STATUS_BODY_BYTES);
+  return s;
+}
+
 static bool open_modules(Node *n, Err *e) {
   static const FeedEvents feed_events = {
       on_conf,           on_target_read,        on_target_removed,
@@ -721,15 +759,12 @@
       on_broadcast,      on_discovery_done,     on_send_to,
       on_next_part,      on_store_outcome,      on_may_probe_store,
       on_may_query_store};
-  static const CallerEvents ready_events = {
-      on_status_request, on_status_caller_gone, on_status_caller_gone};
   RetriesOptions retries = {.ratio = setting_number("retry-ratio"),
                             .window_s = setting_number("retry-window"),
                             .extra = setting_number("retry-extra")};
   RelayOptions relay = {.listen_addr = settings_text(settings, "listen"),
-                        .max_held_body_bytes =
-                            (settings_number(settings, "memory") << 20) /
-                            BODY_MEMORY_DIVISOR};
+                        .caller_bytes = caller_bytes(),
+                        .max_connections = max_connections()};
   n->seed_count = count_seeds(settings_text(settings, "seeds"));
   n->regions = regions_new(settings_text(settings, "datacentre"),
                            settings_text(settings, "region"),
@@ -755,10 +790,8 @@
   g_free(tunnel_addr);
   if (!n->relay) return false;
   relay_set_cluster(n->relay, n->cluster);
-  n->ready = callers_open(n->loop, settings_text(settings, "ready"),
-                          &ready_events, n, e);
+  n->ready = open_status(n, e);
   if (!n->ready) return false;
-  callers_set_memory_limit(n->ready, READY_BUFFER_BYTES);
   n->feed = feed_open(n->loop, n->store, &feed_events, n);
   relay_set_feed(n->relay, n->feed);
   return true;
