Own front: one limit for what callers make an instance hold

What was seen: 40 clients that send 4 MB each, whole or just short of their end, take an instance of the product's own front to 174 to 382 MB; 8 chats of 1.4 million empty values to 868 MB; 60 answers of 4 MB that nobody reads to 112 MB. 300 connections that say nothing, stop within a request or wait for a target leave no ordinary caller a connection.

Cause: each body had a bound, all together none; JSON takes up to 70 times its text; a chat was held as text, as values and twice as text for its target; an answer was copied for its caller and no longer counted; and the library stops accepting at its limit of connections, however long one of them says nothing.

The front now has the account of the users' path (kernel/holdings, http/connections) with the setting caller-memory. A connection that has to go is shut down, and its thread ends. The count of values moves from the platform's adapter to kernel/text.

--- a/bin/loftpathd.c
+++ b/bin/loftpathd.c
@@ -13,6 +13,7 @@
 #include "entry/placer.h"
 #include "entry/watch.h"
 #include "kernel/clock.h"
+#include "kernel/limits.h"
 #include "kernel/log.h"
 #include "kernel/service.h"
 #include "kernel/settings.h"
@@ -58,6 +59,11 @@
      "Bytes of memory for one connection's headers", 4096, 1 << 20, NULL},
     {"max-connections", "LOFTPATH_MAX_CONNECTIONS", SETTING_NUMBER, "4096",
      "Connections at once", 1, 100000, NULL},
+    {"memory", "LOFTPATH_MEMORY", SETTING_NUMBER, "512",
+     "Megabytes that this process may use", 32, 1 << 20, NULL},
+    {"caller-memory", "LOFTPATH_CALLER_MEMORY", SETTING_NUMBER, "0",
+     "Megabytes that callers may make it hold; 0: half of `memory`", 0, 1 << 20,
+     NULL},
     {"idle", "LOFTPATH_IDLE", SETTING_NUMBER, "60",
      "Seconds without progress after which a connection is closed", 1, 86400,
      NULL},
@@ -103,6 +109,14 @@
   fleet_close(s->state);
 }
 
+/* Returns the memory that callers may make this instance hold, in bytes. */
+static size_t caller_bytes(void) {
+  long given = settings_number(settings, "caller-memory");
+  long mb = settings_number(settings, "memory");
+  if (given > 0) return (size_t)given << 20;
+  return ((size_t)mb << 20) / LIMIT_FRONT_CALLER_MEMORY_DIVISOR;
+}
+
 static bool start_entry(Service *s, Err *e) {
   entry.options = (EntryOptions){
       .listen = settings_text(settings, "listen"),
@@ -112,7 +126,8 @@
       .max_body_bytes = (size_t)settings_number(settings, "max-body"),
       .max_header_bytes = (size_t)settings_number(settings, "max-header"),
       .max_connections = (int)settings_number(settings, "max-connections"),
-      .idle_timeout_s = (int)settings_number(settings, "idle")};
+      .idle_timeout_s = (int)settings_number(settings, "idle"),
+      .caller_bytes = caller_bytes()};
   entry.fleet = service_find(&kernel, "fleet");
   entry.snapshots = service_find(&kernel, "snapshots");
   entry.pools = service_find(&kernel, "pools");
--- a/packages/entry/body.c
+++ b/packages/entry/body.c
@@ -3,6 +3,7 @@
 
 #include <stdatomic.h>
 
+#include "kernel/buffer.h"
 #include "kernel/limits.h"
 
 #define PIECE_BYTES 16384
@@ -18,15 +19,18 @@
   return (long long)bytes <= most;
 }
 
-bool body_read(HttpStream *s, GString *body, void (*first)(void *ctx),
-               void *ctx) {
+bool body_read(HttpStream *s, Connection *caller, GString *body,
+               void (*first)(void *ctx), void *ctx) {
   char piece[PIECE_BYTES];
   long n;
   http_stream_limit(s);
   while ((n = http_stream_read(s, piece, sizeof piece)) > 0) {
     if (body->len == 0 && first) first(ctx);
-    if (!may_hold(body->len + (size_t)n)) return false;
-    g_string_append_len(body, piece, n);
+    size_t bytes = body->len + (size_t)n;
+    if (!may_hold(bytes) ||
+        !connection_hold_answer(caller, bytes, LIMIT_PLAIN_ANSWER_BYTES))
+      return false;
+    buffer_append(body, piece, (size_t)n, 0);
     atomic_fetch_add(&held_bytes, n);
   }
   return n == 0;
@@ -37,3 +41,8 @@
   atomic_fetch_sub(&held_bytes, (long long)body->len);
   g_string_free(body, TRUE);
 }
+
+struct MHD_Response *body_take(const char *type, GString *body) {
+  atomic_fetch_sub(&held_bytes, (long long)body->len);
+  return http_take_response(type, body);
+}
--- a/packages/entry/chat.c
+++ b/packages/entry/chat.c
@@ -70,7 +70,7 @@
 
 typedef struct Chat {
   Exchange x;
-  json_t *request;
+  Connection *caller;
   char *body; /* sent to the engine */
   int64_t prompt_max_tokens;
   bool is_streamed, wants_usage;
@@ -89,7 +89,6 @@
 static void chat_free(Chat *c) {
   http_stream_close(c->upstream);
   http_client_free(c->client);
-  json_decref(c->request);
   free(c->body);
   if (c->line) g_string_free(c->line, TRUE);
   if (c->output) g_string_free(c->output, TRUE);
@@ -194,7 +193,8 @@
 
 static struct MHD_Response *respond_complete(Chat *c, int *status) {
   GString *all = g_string_new(NULL);
-  bool is_whole = body_read(c->upstream, all, note_first_byte, &c->x);
+  bool is_whole =
+      body_read(c->upstream, c->caller, all, note_first_byte, &c->x);
   json_t *o = is_whole ? json_loadb(all->str, all->len, 0, NULL) : NULL;
   Err err = {0};
   struct MHD_Response *response;
@@ -205,17 +205,17 @@
     err_retry(&err, ERR_TARGET_CUT, 1000, "the target's answer was cut");
     err.ran = RAN_MAYBE;
     response = entry_error_response(&err, c->x.id, status);
+    body_free(all);
   } else {
     int64_t used = engine_usage_tokens(o);
     OnceAnswer a = {.status = 200, .body = all->str, .len = all->len};
     g_strlcpy(a.type, "application/json", sizeof a.type);
     exchange_complete(&c->x, used >= 0 ? used : c->x.reserved_tokens, &a);
     *status = 200;
-    response = http_text_response("application/json", all->str, all->len);
+    response = body_take("application/json", all);
     entry_add_headers(response, c->x.id, RAN_YES);
   }
   json_decref(o);
-  body_free(all);
   chat_free(c);
   return response;
 }
@@ -395,8 +395,8 @@
   return response;
 }
 
-static void prepare_request(Chat *c, const HttpRequest *r) {
-  json_t *request = c->request;
+/* Releases `request`. */
+static void prepare_request(Chat *c, const HttpRequest *r, json_t *request) {
   int64_t max = c->x.service.max_output_tokens,
           requested_tokens = engine_requested_max_tokens(request);
   if (requested_tokens > 0 && requested_tokens < max) max = requested_tokens;
@@ -408,7 +408,6 @@
   engine_limit_output(request, max);
   engine_set_model(request, c->x.service.pool + strlen("model/"),
                    c->x.service.adapter);
-  c->body = json_dumps(request, JSON_COMPACT);
   char *messages =
       json_dumps(json_object_get(request, "messages"), JSON_COMPACT);
   c->x.ticket.route_request.n_blocks = route_hash_blocks(
@@ -416,6 +415,8 @@
   /* The bound is for reserving tokens; this estimate is for routing. */
   c->x.ticket.route_request.tokens = (int64_t)strlen(messages) / 4;
   free(messages);
+  c->body = json_dumps(request, JSON_COMPACT);
+  json_decref(request);
   c->x.reserved_tokens = c->prompt_max_tokens + max;
 }
 
@@ -441,8 +442,9 @@
   }
   Chat *c = g_new0(Chat, 1);
   c->x = x;
-  c->request = request;
-  prepare_request(c, r);
+  c->caller = r->caller;
+  r->is_streamed = json_is_true(json_object_get(request, "stream"));
+  prepare_request(c, r, request);
   OnceAnswer kept_answer = {0};
   ExchangeStart s =
       exchange_start(&c->x, r, c->x.reserved_tokens, &kept_answer, &err);
--- a/packages/entry/entry.c
+++ b/packages/entry/entry.c
@@ -9,9 +9,12 @@
 #include <string.h>
 
 #include "kernel/count.h"
+#include "kernel/limits.h"
+#include "kernel/text.h"
 
 /* For a connection's thread. The kernel maps its pages on first use. */
 #define CONNECTION_STACK_BYTES (512 << 10)
+#define RETRY_MEMORY_MS 1000 /* Retry-After while memory is short */
 
 /* == responses == */
 
@@ -105,18 +108,21 @@
   return response;
 }
 
-static const struct {
+typedef struct Endpoint {
   const char *method, *path; /* a path that ends in '/' is a prefix */
   struct MHD_Response *(*handle_request)(Entry *e, HttpRequest *r, int *status);
   bool counts_as_open; /* a planned stop waits for its requests */
-} endpoints[] = {
-    {"POST", "/v1/chat/completions", chat_handle, true},
-    {"GET", "/v1/models", chat_list_models, false},
-    {NULL, "/services/", plain_handle, true},
-    {NULL, "/admin/", admin_handle, false},
-    {"GET", "/metrics", handle_metrics, false},
-    {"GET", "/healthz", handle_health, false},
-    {"GET", "/readyz", handle_ready, false},
+  bool is_parsed;      /* its body is held as values as well */
+} Endpoint;
+
+static const Endpoint endpoints[] = {
+    {"POST", "/v1/chat/completions", chat_handle, true, true},
+    {"GET", "/v1/models", chat_list_models, false, false},
+    {NULL, "/services/", plain_handle, true, false},
+    {NULL, "/admin/", admin_handle, false, true},
+    {"GET", "/metrics", handle_metrics, false, false},
+    {"GET", "/healthz", handle_health, false, false},
+    {"GET", "/readyz", handle_ready, false, false},
 };
 
 static bool path_matches(const char *path, const char *pattern) {
@@ -138,17 +144,53 @@
   if (r->state) atomic_fetch_sub(&e->open_requests, 1);
 }
 
+/* Memory that serving the request takes besides its body. */
+static size_t extra_bytes(const Endpoint *p, const HttpRequest *r) {
+  if (!p->is_parsed) return 0;
+  return LIMIT_CHAT_COPIES * r->body->len +
+         LIMIT_JSON_VALUE_BYTES * text_count_values(r->body->str, r->body->len);
+}
+
+/* The requests of a path up to its second slash share memory. */
+static char *group_of(const char *path) {
+  const char *name = strchr(path + 1, '/');
+  size_t n = name ? (size_t)(name + 1 - path) : 0;
+  return g_strndup(path, n + strcspn(path + n, "/"));
+}
+
+/* Whether there is memory to serve the request. One that can never be served
+   is too large. */
+static bool check_memory(const Endpoint *p, HttpRequest *r, Err *err) {
+  if (!p->counts_as_open && r->body->len == 0 && !r->is_refused) return true;
+  size_t extra = extra_bytes(p, r);
+  if (!r->is_refused && !connection_may_ever_serve(r->caller, extra))
+    return err_set(err, ERR_TOO_LARGE, "the body has too many values");
+  char *group = group_of(r->path);
+  bool ok = !r->is_refused && connection_serve(r->caller, group, extra);
+  g_free(group);
+  return ok || err_retry(err, ERR_OVERLOADED, RETRY_MEMORY_MS,
+                         "this instance holds too many requests");
+}
+
+static struct MHD_Response *refuse_request(const Err *err, int *status) {
+  struct MHD_Response *response = entry_error_response(err, NULL, status);
+  MHD_add_response_header(response, "Connection", "close");
+  return response;
+}
+
 static struct MHD_Response *handle_request(void *ctx, HttpRequest *r,
                                            int *status) {
   Entry *e = ctx;
+  Err err = {0};
   for (size_t i = 0; i < G_N_ELEMENTS(endpoints); i++) {
     if (!path_matches(r->path, endpoints[i].path)) continue;
     if (endpoints[i].method && strcmp(endpoints[i].method, r->method) != 0)
       continue;
+    if (!check_memory(&endpoints[i], r, &err))
+      return refuse_request(&err, status);
     if (endpoints[i].counts_as_open) start_request(e, r);
     return endpoints[i].handle_request(e, r, status);
   }
-  Err err = {0};
   err_set(&err, ERR_MALFORMED, "nothing is served at %s %.100s", r->method,
           r->path);
   struct MHD_Response *response = entry_error_response(&err, NULL, status);
@@ -160,6 +202,7 @@
   HttpOptions o = {.max_body_bytes = e->options.max_body_bytes,
                    .max_header_bytes = e->options.max_header_bytes,
                    .max_connections = e->options.max_connections,
+                   .memory_bytes = e->options.caller_bytes,
                    .idle_timeout_s = e->options.idle_timeout_s,
                    .stack_bytes = CONNECTION_STACK_BYTES};
   e->server = http_server_start(e->options.listen, &o, handle_request,
--- a/packages/entry/entry.h
+++ b/packages/entry/entry.h
@@ -16,6 +16,7 @@
   const char *instance;
   size_t max_body_bytes, max_header_bytes;
   int max_connections, idle_timeout_s;
+  size_t caller_bytes; /* that callers may make this instance hold */
 } EntryOptions;
 
 typedef struct Entry {
--- a/packages/entry/plain.c
+++ b/packages/entry/plain.c
@@ -111,7 +111,7 @@
   if (s) {
     const char *t = http_stream_header(s, "Content-Type");
     g_strlcpy(p->type, t ? t : "application/octet-stream", sizeof p->type);
-    is_whole = body_read(s, p->answer.body, NULL, NULL);
+    is_whole = body_read(s, p->r->caller, p->answer.body, NULL, NULL);
   }
   p->answer.complete = is_whole && (p->answer.framed || is_whole_unframed(p));
   http_stream_close(s);
@@ -151,25 +151,16 @@
   }
 }
 
-static struct MHD_Response *create_response(const char *id, int code,
-                                            const char *type, const char *body,
-                                            size_t len, int *status) {
-  struct MHD_Response *response =
-      http_text_response(type, body ? body : "", len);
-  entry_add_headers(response, id, RAN_YES);
-  *status = code;
-  return response;
-}
-
 static struct MHD_Response *finish_request(Plain *p, int *status) {
   OnceAnswer a = {.status = p->answer.status,
                   .body = p->answer.body->str,
                   .len = p->answer.body->len};
   g_strlcpy(a.type, p->type, sizeof a.type);
   exchange_complete(&p->x, p->x.reserved_tokens, &a);
-  struct MHD_Response *response =
-      create_response(p->x.id, a.status, a.type, a.body, a.len, status);
-  free_answer(p);
+  struct MHD_Response *response = body_take(p->type, p->answer.body);
+  entry_add_headers(response, p->x.id, RAN_YES);
+  *status = a.status;
+  p->answer.body = NULL;
   return response;
 }
 
@@ -177,7 +168,9 @@
                                             int *status) {
   count_add(COUNT_REPLAYS, 1);
   struct MHD_Response *response =
-      create_response(p->x.id, a->status, a->type, a->body, a->len, status);
+      http_text_response(a->type, a->body ? a->body : "", a->len);
+  entry_add_headers(response, p->x.id, RAN_YES);
+  *status = a->status;
   MHD_add_response_header(response, "Loftpath-Replayed",
                           a->body ? "true" : "status");
   g_free(a->body);
--- a/packages/http/server.c
+++ b/packages/http/server.c
@@ -2,6 +2,7 @@
 #include "http/server.h"
 
 #include "flow/sock.h"
+#include "kernel/limits.h"
 
 #include <linux/filter.h>
 #include <poll.h>
@@ -17,6 +18,7 @@
 
 struct HttpServer {
   struct MHD_Daemon *daemon;
+  Connections *connections;
   HttpOptions options;
   HttpHandler handler;
   HttpCompletion on_completion;
@@ -25,14 +27,40 @@
 
 static enum MHD_Result send_response(HttpServer *s, HttpRequest *r) {
   int status = 500;
+  if (!connection_finish_arriving(r->caller)) return MHD_NO;
   struct MHD_Response *response = s->handler(s->ctx, r, &status);
   if (!response) return MHD_NO;
   enum MHD_Result result =
       MHD_queue_response(r->connection, (unsigned)status, response);
   MHD_destroy_response(response);
+  if (!r->is_streamed) connection_await_caller(r->caller);
   return result;
 }
 
+/* Returns the stated length of the body, 0: none. */
+static size_t stated_length(struct MHD_Connection *c) {
+  const char *text =
+      MHD_lookup_connection_value(c, MHD_HEADER_KIND, "Content-Length");
+  return text ? (size_t)g_ascii_strtoull(text, NULL, 10) : 0;
+}
+
+/* Begins a request whose head was received. One whose body would be too long
+   is read to its end and answered then, since its key decides first. */
+static HttpRequest *begin_request(const HttpServer *s,
+                                  struct MHD_Connection *c) {
+  const union MHD_ConnectionInfo *info =
+      MHD_get_connection_info(c, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+  HttpRequest *r = g_new0(HttpRequest, 1);
+  size_t length = stated_length(c);
+  r->connection = c;
+  r->caller = info->socket_context;
+  r->body = g_string_new(NULL);
+  r->too_large = length > s->options.max_body_bytes;
+  r->is_refused =
+      !connection_begin(r->caller, r->body, r->too_large ? 0 : length);
+  return r;
+}
+
 static enum MHD_Result receive_request(void *ctx, struct MHD_Connection *c,
                                        const char *url, const char *method,
                                        const char *version, const char *data,
@@ -41,20 +69,17 @@
   HttpServer *s = ctx;
   HttpRequest *r = *state;
   if (!r) { /* only the headers have been received */
-    r = g_new0(HttpRequest, 1);
-    r->connection = c;
+    *state = r = begin_request(s, c);
     r->method = method;
     r->path = url;
-    r->body = g_string_new(NULL);
-    *state = r;
-    return MHD_YES;
+    return r->is_refused ? send_response(s, r) : MHD_YES;
   }
   if (*size > 0) {
-    r->too_large =
-        r->too_large || r->body->len + *size > s->options.max_body_bytes;
-    if (!r->too_large) g_string_append_len(r->body, data, (gssize)*size);
+    size_t max = s->options.max_body_bytes, n = *size;
+    r->too_large = r->too_large || r->body->len + n > max;
     *size = 0;
-    return MHD_YES;
+    if (r->too_large) return MHD_YES;
+    return connection_append(r->caller, data, n, max) ? MHD_YES : MHD_NO;
   }
   r->path = url;
   return send_response(s, r);
@@ -68,23 +93,31 @@
   if (!r) return;
   if (s->on_completion)
     s->on_completion(s->ctx, r, code == MHD_REQUEST_TERMINATED_COMPLETED_OK);
+  connection_end(r->caller);
   g_string_free(r->body, TRUE);
   g_free(r);
   *state = NULL;
 }
 
-/* Disables Nagle's algorithm, so that chunks of a stream are sent at once. */
-static void disable_send_delay(void *ctx, struct MHD_Connection *c,
-                               void **state,
-                               enum MHD_ConnectionNotificationCode code) {
-  (void)ctx;
-  (void)state;
-  if (code != MHD_CONNECTION_NOTIFY_STARTED) return;
+static void on_connection(void *ctx, struct MHD_Connection *c, void **caller,
+                          enum MHD_ConnectionNotificationCode code) {
+  HttpServer *s = ctx;
+  if (code != MHD_CONNECTION_NOTIFY_STARTED) {
+    connection_remove(*caller);
+    return;
+  }
   const union MHD_ConnectionInfo *info =
       MHD_get_connection_info(c, MHD_CONNECTION_INFO_CONNECTION_FD);
-  int on = 1;
-  if (info)
-    setsockopt(info->connect_fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  int on = 1; /* chunks of a stream are sent at once */
+  setsockopt(info->connect_fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  *caller = connections_add(s->connections, info->connect_fd);
+}
+
+/* What lies unread in the system's buffers counts as memory of the process. */
+static void set_receive_buffers(const HttpServer *s) {
+  const union MHD_DaemonInfo *i =
+      MHD_get_daemon_info(s->daemon, MHD_DAEMON_INFO_LISTEN_FD);
+  if (i) sock_set_receive_buffer(i->listen_fd, LIMIT_RECEIVE_BUFFER_BYTES);
 }
 
 HttpServer *http_server_start(const char *addr, const HttpOptions *o,
@@ -96,6 +129,10 @@
     return NULL;
   }
   HttpServer *s = g_new0(HttpServer, 1);
+  s->connections = connections_new(&(ConnectionsOptions){
+      .limit_bytes = o->memory_bytes,
+      .max_connections = o->max_connections,
+      .own_bytes = o->max_header_bytes + LIMIT_THREAD_BYTES});
   s->options = *o;
   s->handler = handler;
   s->on_completion = on_completion;
@@ -105,15 +142,20 @@
           MHD_USE_POLL | MHD_USE_ITC,
       0, NULL, NULL, receive_request, s, MHD_OPTION_SOCK_ADDR, &address,
       MHD_OPTION_NOTIFY_COMPLETED, finish_request, s,
-      MHD_OPTION_NOTIFY_CONNECTION, disable_send_delay, s,
-      MHD_OPTION_CONNECTION_LIMIT, (unsigned)o->max_connections,
+      MHD_OPTION_NOTIFY_CONNECTION, on_connection, s,
+      MHD_OPTION_CONNECTION_LIMIT,
+      (unsigned)o->max_connections + LIMIT_ENDING_CONNECTIONS,
       MHD_OPTION_CONNECTION_TIMEOUT, (unsigned)o->idle_timeout_s,
       MHD_OPTION_THREAD_STACK_SIZE, o->stack_bytes,
       MHD_OPTION_CONNECTION_MEMORY_LIMIT, o->max_header_bytes,
       MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_LISTEN_BACKLOG_SIZE,
       1024u, MHD_OPTION_END);
-  if (s->daemon) return s;
+  if (s->daemon) {
+    set_receive_buffers(s);
+    return s;
+  }
   err_set(e, ERR_SETTING, "can't listen on %s", addr);
+  connections_free(s->connections);
   g_free(s);
   return NULL;
 }
@@ -121,6 +163,7 @@
 void http_server_stop(HttpServer *s) {
   if (!s) return;
   MHD_stop_daemon(s->daemon);
+  connections_free(s->connections);
   g_free(s);
 }
 
@@ -165,6 +208,18 @@
                                      name);
 }
 
+static void free_body(void *body) {
+  g_string_free(body, TRUE);
+}
+
+struct MHD_Response *http_take_response(const char *type, GString *body) {
+  struct MHD_Response *response =
+      MHD_create_response_from_buffer_with_free_callback_cls(
+          body->len, body->str, free_body, body);
+  MHD_add_response_header(response, "Content-Type", type);
+  return response;
+}
+
 struct MHD_Response *http_text_response(const char *type, const char *text,
                                         size_t len) {
   struct MHD_Response *response =
--- a/packages/http/server.h
+++ b/packages/http/server.h
@@ -8,23 +8,28 @@
 #include <stdbool.h>
 #include <stddef.h>
 
+#include "http/connections.h"
 #include "kernel/err.h"
 
 typedef struct HttpRequest {
   struct MHD_Connection *connection;
+  Connection *caller; /* what the caller makes the server hold */
   const char *method, *path;
   GString *body;
   bool
       too_large; /* the body exceeds max_body_bytes; `body` has its beginning */
-  void *state;   /* owned by the handler; released by the HttpCompletion */
+  bool is_refused;  /* there is no memory for its body, which was not read */
+  bool is_streamed; /* set by the handler: the answer is made as it is sent */
+  void *state;      /* owned by the handler; released by the HttpCompletion */
 } HttpRequest;
 
 typedef struct HttpOptions {
   size_t max_body_bytes;
   size_t max_header_bytes; /* memory for the headers of one connection */
   int max_connections;
-  int idle_timeout_s; /* a connection without progress is closed after this */
-  size_t stack_bytes; /* of the thread of a connection */
+  size_t memory_bytes; /* that callers may make the server hold */
+  int idle_timeout_s;  /* a connection without progress is closed after this */
+  size_t stack_bytes;  /* of the thread of a connection */
 } HttpOptions;
 
 /* Called when the whole request has been received. Returns the response, which
@@ -54,6 +59,8 @@
 const char *http_request_header(const HttpRequest *r, const char *name);
 /* Returns a query argument, or NULL if it is absent. */
 const char *http_request_argument(const HttpRequest *r, const char *name);
+/* Creates a response that takes over `body`; `type` is its media type. */
+struct MHD_Response *http_take_response(const char *type, GString *body);
 /* Creates a response that holds a copy of `text`; `type` is its media type. */
 struct MHD_Response *http_text_response(const char *type, const char *text,
                                         size_t len);
--- a/packages/kernel/holdings.c
+++ b/packages/kernel/holdings.c
@@ -83,11 +83,18 @@
   return n ? *n : 0;
 }
 
+static size_t large_limit(const Holdings *h) {
+  return h->limit - h->limit / LIMIT_SMALL_SHARE_DIVISOR;
+}
+
+bool holdings_may_ever_serve(const Holdings *h, size_t bytes) {
+  return bytes <= large_limit(h);
+}
+
 bool holdings_may_serve(const Holdings *h, const char *group, size_t bytes) {
   size_t free_bytes = h->limit > h->served ? h->limit - h->served : 0;
   if (bytes > free_bytes) return false;
-  if (is_large(h, bytes))
-    return h->large + bytes <= h->limit - h->limit / LIMIT_SMALL_SHARE_DIVISOR;
+  if (is_large(h, bytes)) return h->large + bytes <= large_limit(h);
   return group_bytes(h, group) + bytes <= LIMIT_GROUP_FREE_RATIO * free_bytes;
 }
 
--- a/packages/kernel/holdings.h
+++ b/packages/kernel/holdings.h
@@ -47,7 +47,10 @@
    smaller ones, and the smaller ones of a group (those for one service) leave
    room for those of other groups. */
 bool holdings_may_serve(const Holdings *h, const char *group, size_t bytes);
-/* The same, and counts the request until holdings_end. False: it may not. */
+/* Whether it may be served when nothing else is held. */
+bool holdings_may_ever_serve(const Holdings *h, size_t bytes);
+/* As holdings_may_serve, and counts the request until holdings_end. False: it
+ * may not. */
 bool holdings_serve(Holdings *h, HoldingsRequest *r, const char *group,
                     size_t bytes);
 void holdings_end(Holdings *h, HoldingsRequest *r);
--- a/packages/kernel/limits.h
+++ b/packages/kernel/limits.h
@@ -81,6 +81,16 @@
 
 /* Part of an instance's memory for it, where no setting says more. */
 #define LIMIT_CALLER_MEMORY_DIVISOR 4
+/* The same at the product's own front. */
+#define LIMIT_FRONT_CALLER_MEMORY_DIVISOR 2
+/* Stack of the thread of a connection there, as far as it is used. */
+#define LIMIT_THREAD_BYTES (32 << 10)
+/* Connections there beyond its limit, which end in a moment. */
+#define LIMIT_ENDING_CONNECTIONS 64
+/* A chat, while it is served, in bodies besides its own: its values or their
+   text for the target, which grows by doubling; and one value of JSON. */
+#define LIMIT_CHAT_COPIES 2
+#define LIMIT_JSON_VALUE_BYTES 200
 /* An open connection, which holds half of it by itself. */
 #define LIMIT_CONNECTION_BYTES (8 << 10)
 /* A request that is served: the smallest buffer of its answer, what one read
--- a/packages/kernel/text.c
+++ b/packages/kernel/text.c
@@ -13,6 +13,21 @@
   return copy;
 }
 
+size_t text_count_values(const char *text, size_t n) {
+  bool in_string = false;
+  size_t values = 0;
+  for (size_t i = 0; i < n; i++) {
+    char c = text[i];
+    if (in_string && c == '\\')
+      i++; /* the escaped character */
+    else if (c == '"')
+      in_string = !in_string;
+    else
+      values += !in_string && (c == ',' || c == '{' || c == '[');
+  }
+  return values;
+}
+
 uint64_t text_hash(const char *name) {
   return XXH64(name, strlen(name), 0);
 }
--- a/packages/kernel/text.h
+++ b/packages/kernel/text.h
@@ -4,10 +4,14 @@
 
 #include <jansson.h>
 #include <stdbool.h>
+#include <stddef.h>
 #include <stdint.h>
 
 /* Compact text of `o`, to be freed with g_free; releases `o`. */
 char *text_take_json(json_t *o);
+/* Returns about how many values a JSON text has: the commas in it, and the
+   begins of its objects and lists. The text may be invalid. */
+size_t text_count_values(const char *text, size_t n);
 /* A hash that replaces an id or a name in messages between instances. */
 uint64_t text_hash(const char *name);
 
--- a/tests/test_document.c
+++ b/tests/test_document.c
@@ -4,6 +4,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "kernel/text.h"
 #include "platform/document.h"
 #include "platform/salvage.h"
 
@@ -313,6 +314,6 @@
               {"[{},{},{", 6},
               {"[\"never closed, {", 1}};
   for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
-    cr_assert_eq(salvage_count_values(rows[i].text, strlen(rows[i].text)),
+    cr_assert_eq(text_count_values(rows[i].text, strlen(rows[i].text)),
                  rows[i].values, "%s", rows[i].text);
 }
