Errors: their text is always UTF-8

Cause: such a text can't be stated as JSON; there was no body of the error's answer, and its length was taken nevertheless. Each error is made in one place, kernel/err, which now replaces the bytes that are no part of a character.

--- a/packages/kernel/err.c
+++ b/packages/kernel/err.c
@@ -5,6 +5,8 @@
 #include <stdarg.h>
 #include <stdio.h>
 
+#include "kernel/text.h"
+
 static const ErrInfo error_infos[ERR_COUNT] = {
     [ERR_NONE] = {"none", 200, ""},
     [ERR_MALFORMED] = {"malformed", 400,
@@ -96,6 +98,8 @@
   e->ran = RAN_NOT;
   e->retry_ms = ms;
   vsnprintf(e->text, sizeof e->text, fmt, ap);
+  /* It may state what a caller sent, or end inside a character. */
+  text_make_utf8(e->text);
 }
 
 bool err_set(Err *e, ErrKind kind, const char *fmt, ...) {
--- a/packages/kernel/text.c
+++ b/packages/kernel/text.c
@@ -13,6 +13,14 @@
   return copy;
 }
 
+void text_make_utf8(char *text) {
+  const char *bad;
+  for (char *p = text; !g_utf8_validate(p, -1, &bad); p++) {
+    p += bad - p;
+    *p = '?';
+  }
+}
+
 size_t text_count_values(const char *text, size_t n) {
   bool in_string = false;
   size_t values = 0;
--- a/packages/kernel/text.h
+++ b/packages/kernel/text.h
@@ -9,6 +9,9 @@
 
 /* Compact text of `o`, to be freed with g_free; releases `o`. */
 char *text_take_json(json_t *o);
+/* Replaces each byte that is no part of a UTF-8 character, which JSON could not
+   hold. */
+void text_make_utf8(char *text);
 /* Returns about how many values a JSON text has: the commas in it, and the
    begins of its objects and lists. The text may be invalid. */
 size_t text_count_values(const char *text, size_t n);
--- a/tests/test_kernel.c
+++ b/tests/test_kernel.c
@@ -1,9 +1,11 @@
 /* test_kernel.c: services, errors, and the rate limit of store calls. */
 #include <criterion/criterion.h>
+#include <glib.h>
 #include <string.h>
 
 #include "kernel/settings.h"
 #include "kernel/service.h"
+#include "kernel/text.h"
 #include "store/pace.h"
 
 static char start_stop_trace[32];
@@ -109,3 +111,26 @@
   cr_assert_str_eq(settings_text(list, "t"), "text");
   cr_assert(settings_flag(list, "f"));
 }
+
+/* Guards against an error whose text JSON can't hold: there was no answer to
+   send, which ended the process. */
+Test(kernel, the_text_of_an_error_is_utf8) {
+  static const struct {
+    const char *given, *stated;
+  } rows[] = {{"m\xfcnchen", "m?nchen"},
+              {"m\xc3\xbcnchen", "m\xc3\xbcnchen"},
+              {"\xc3", "?"},
+              {"a\x80"
+               "b\xff",
+               "a?b?"},
+              {"\xed\xa0\x80", "???"},
+              {"", ""}};
+  for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+    Err e;
+    err_set(&e, ERR_MALFORMED, "%s", rows[i].given);
+    cr_assert_str_eq(e.text, rows[i].stated);
+  }
+  Err cut;
+  err_set(&cut, ERR_MALFORMED, "%.2s", "x\xc3\xbc");
+  cr_assert_str_eq(cut.text, "x?");
+}
