Wire: counts of tokens are bounded

Each count is now between 0 and LIMIT_REQUEST_TOKENS (2^40), which no budget has and no client inside the pages' limits states.

--- a/packages/kernel/limits.h
+++ b/packages/kernel/limits.h
@@ -125,6 +125,9 @@
 
 /* Requests to one target; a higher limit counts as none. */
 #define LIMIT_TARGET_RATE_PER_S 1e6
+/* Tokens that a request may state in one of its counts; a higher count is taken
+   as this one, which no budget has. Sums of counts stay within 64 bits. */
+#define LIMIT_REQUEST_TOKENS (INT64_C(1) << 40)
 /* Time for which one target may ask not to be sent requests. A longer one is
    cut, so that a wrong figure does not exclude a target for good. */
 #define LIMIT_TARGET_RETRY_AFTER_S 3600.0
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "flow/wire.h"
+#include "kernel/limits.h"
 
 static void fill(Headers *h, const char *const *list) {
   headers_init(h);
@@ -302,3 +303,24 @@
     cr_assert_float_eq(a.slowdown, rows[i].pace, 1e-6, "%s", rows[i].text);
   }
 }
+
+/* Guards against counts of tokens whose sum exceeds 64 bits, which ended the
+   process. */
+Test(wire, counts_of_tokens_are_bounded) {
+  static const char *const counts[] = {
+      "9223372036854775807,9223372036854775807", "99999999999999999999,1",
+      "-5,-7", "3,4"};
+  static const int64_t sums[] = {2 * LIMIT_REQUEST_TOKENS,
+                                 LIMIT_REQUEST_TOKENS + 1, 0, 7};
+  for (int i = 0; i < 4; i++) {
+    const char *const fields[] = {"X-Loftpath-Attempt-Id", "a",
+                                  "X-Loftpath-Token-Count", counts[i], NULL};
+    Headers h;
+    RequestInfo a;
+    Err e = {0};
+    fill(&h, fields);
+    cr_assert(wire_decode_request(&h, &a, &e));
+    cr_assert_eq(a.prompt_tokens + a.max_output_tokens, sums[i]);
+    headers_free(&h);
+  }
+}
