Link: an answer that ends before its request was sent is a broken one

What callers saw (MIXED): a target answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection while the upload was still being written. The caller got that part as a whole answer; on a stream with a last chunk.

Cause: the write that met the reset took the socket's error. The link then reads what is left, and the read that follows returns 0, the sign of an orderly end, which ends an answer without a length. A failed write leaves a part of the request unsent, as does a target that closes its side within the upload: it can't have read the request, and nothing tells whether its answer is whole. Such an end now breaks the exchange. The same was looked for in tunnels, which reset both ends after a failed write, in the client of the store (the same link), and in neon, which reads no answer before the whole request was written.

--- a/packages/flow/link.c
+++ b/packages/flow/link.c
@@ -321,7 +321,9 @@
     free_link(l);
     return;
   }
-  if (n < 0) {
+  /* Nothing tells whether an answer is whole that ends before its request was
+     sent: a reset that a failed write reported is read as an orderly end. */
+  if (n < 0 || (n == 0 && has_unsent(l))) {
     fail_exchange(l);
     return;
   }
--- a/tests/answer_heads.py
+++ b/tests/answer_heads.py
@@ -12,7 +12,8 @@
 import sys
 import time
 
-from fleet import BASE, RETRY_WINDOW_S, Worker, chunk, config, head, run_tests, wait_for
+from fleet import (BASE, RETRY_WINDOW_S, Worker, chunk, config, event, head, run_tests,
+                   wait_for)
 from odd_answers import ALLOWED, BODY, NOT_ALLOWED, read_answer
 
 UPLOAD_BYTES = 4 << 20   # more than the buffers between an instance and a target
@@ -148,9 +149,9 @@
 class EarlyWorker(Worker):
     """Answers an upload as soon as it has its head. If `reset`, it reads no more, and
     resets the connection when the sender can send no more; otherwise it reads the
-    rest and closes in order."""
+    rest and closes in order. `ends_first`: its own end follows the answer at once."""
 
-    fields, body, reset = (), BODY, True
+    fields, body, reset, ends_first = (), BODY, True, False
 
     def _serve(self, c):
         if self.reset:
@@ -176,6 +177,8 @@
             self.answer(c, "GET", "/", fields, b"")
             return
         c.sendall(head(fields["x-loftpath-attempt-id"], *self.fields) + self.body)
+        if self.ends_first:
+            c.shutdown(socket.SHUT_WR)
         if self.reset:
             time.sleep(EARLY_S)
             c.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
@@ -185,12 +188,12 @@
             left -= len(c.recv(min(left, 1 << 16)) or bytes(left))
 
 
-def early_site(s, **how):
-    """Replaces the targets of plain services by one that answers early."""
+def early_site(s, service="desk", **how):
+    """Replaces the targets of a service by one that answers early."""
     c = config(2, limits={"max_body_bytes": UPLOAD_BYTES})
     s.store.put("config", "main", c)
-    s.remove_workers(s.desks)
-    w = EarlyWorker(("127.0.0.1", 0), s.store, "early", "desk")
+    s.remove_workers(s.desks if service == "desk" else s.engines)
+    w = EarlyWorker(("127.0.0.1", 0), s.store, "early", service)
     for k, v in how.items():
         setattr(w, k, v)
     s.desks.append(w)
@@ -199,8 +202,9 @@
     time.sleep(0.3)
 
 
-def upload_all(s):
-    got = [ask(s, "/once/x", body=bytes(UPLOAD_BYTES)) for _ in range(EARLY_ROUNDS)]
+def upload_all(s, path="/once/x"):
+    got = [ask(s, path, body=bytes(UPLOAD_BYTES), X_Loftpath_Token_Count="10,10")
+           for _ in range(EARLY_ROUNDS)]
     print("  statuses %s" % sorted(r[0] for r in got), flush=True)
     return got
 
@@ -220,6 +224,23 @@
     assert all(r[0] in (0, 502) for r in got), [(r[0], len(r[2])) for r in got]
 
 
+def test_a_part_of_an_early_stream_that_is_reset_is_no_answer(s):
+    """The same on a stream: its caller got a last chunk."""
+    early_site(s, "engine", fields=("Content-Type: text/event-stream",),
+               body=event(1).encode())
+    got = upload_all(s, "/chat/x")
+    assert all(r[0] in (0, 502) for r in got), [(r[0], r[2]) for r in got]
+
+
+def test_a_part_of_an_early_answer_that_ends_within_the_upload_is_no_answer(s):
+    """One without a length, whose target closes its side before it was sent the whole
+    request, and resets the connection later. It can't have read the request, and
+    nothing tells whether its answer is whole."""
+    early_site(s, ends_first=True)
+    got = upload_all(s)
+    assert all(r[0] in (0, 502) for r in got), [r[0] for r in got]
+
+
 def test_a_part_of_an_early_answer_in_chunks_that_is_reset_is_no_answer(s):
     """For comparison: its framing shows that it is cut."""
     early_site(s, fields=("Transfer-Encoding: chunked",), body=chunk("the body"))
