HTTP client: reads answers with the checks of the links

What callers of the product's own front saw: 28 of 47 kinds of answers that HTTP does not allow were passed on (statuses of 600 and 999, names with blanks and control bytes, folded lines, both framings at once, a length with a sign, a size of a chunk with other digits, ...), and a target's early answer to a long upload was lost (502 in 12 of 12), since the client read nothing before it had written all.

Cause: neon reads heads in its own way and shows nothing of their form, so that they can't be checked behind it. The client now reads with the parser of the links and http/strict, on a non-blocking socket on which it sends and reads at the same time; an end before the whole request was sent is no end of an answer.

--- a/packages/http/client.c
+++ b/packages/http/client.c
@@ -1,16 +1,23 @@
-/* client.c: the HTTP client, implemented with neon. */
+/* client.c: sends requests and reads answers on a non-blocking socket, with a
+   timeout for each step. An answer may come before its request was sent. */
 #include "http/client.h"
 
-#include <ne_request.h>
-#include <ne_session.h>
-#include <ne_socket.h>
-#include <pthread.h>
-#include <stdlib.h>
+#include <errno.h>
+#include <poll.h>
 #include <string.h>
+#include <strings.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
+#include "flow/sock.h"
+#include "http/strict.h"
+#include "kernel/buffer.h"
 #include "kernel/clock.h"
 #include "kernel/limits.h"
 
+#define READ_BYTES 16384       /* size of one read */
+#define MAX_INTERIM_ANSWERS 32 /* with status 1xx, per request */
+
 /* Read timeouts that the whole body of a limited response may take. Each piece
    of a body that trickles without end arrives within one. */
 #define BODY_READ_TIMEOUTS 4
@@ -20,141 +27,359 @@
 #define HTTP_GATEWAY_TIMEOUT 504
 
 struct HttpClient {
-  ne_session *session;
-  int read_s;
-  bool connected; /* a connection was established for the current request */
-  bool reusable;  /* the connection has carried a response; the next request
-                     reuses it */
+  char addr[64]; /* ip:port */
+  int connect_s, read_s;
+  int fd;        /* -1: not connected */
+  bool reusable; /* the connection has carried a response; the next request
+                    reuses it */
 };
 
 struct HttpStream {
   HttpClient *client;
-  ne_request *req;
-  bool complete;
+  http_parser parser;
+  Strict strict;
+  Headers headers;
+  GString *request; /* its head */
+  size_t request_off;
+  const char *body; /* what is left to send of the request's body */
+  size_t body_left;
+  bool sent;       /* a byte of the request was sent */
+  bool cant_send;  /* the peer takes no more */
+  bool may_retry;  /* the connection ended without a byte of an answer */
+  bool has_head;   /* of the final answer */
+  bool is_whole;   /* the answer was received to its end */
+  bool is_invalid; /* HTTP does not allow it */
+  bool no_body;    /* the request has the method HEAD */
+  bool has_surplus;
+  int interims;
+  GString *output; /* of the body, not passed on yet */
+  const char *error;
   /* see http_stream_limit */
   double ends_at; /* by clock_now; 0: not limited */
   int pieces;     /* received so far */
 };
 
-static pthread_once_t once = PTHREAD_ONCE_INIT;
+/* == connections == */
+
+static void disconnect(HttpClient *c) {
+  if (c->fd >= 0) close(c->fd);
+  c->fd = -1;
+  c->reusable = false;
+}
 
-static void initialize_sockets(void) {
-  ne_sock_init();
+/* Waits for events of the socket. Returns those that came, 0 after a
+   timeout. */
+static int wait_for(const HttpClient *c, int events, int timeout_s) {
+  struct pollfd p = {c->fd, (short)events, 0};
+  int n;
+  do n = poll(&p, 1, timeout_s * 1000);
+  while (n < 0 && errno == EINTR);
+  return n > 0 ? p.revents : 0;
 }
 
-static void record_connection_status(void *data, ne_session_status status,
-                                     const ne_session_status_info *info) {
-  (void)info;
-  HttpClient *c = data;
-  if (status == ne_status_connected) c->connected = true;
+static bool connect_client(HttpClient *c) {
+  c->fd = sock_connect(c->addr);
+  if (c->fd < 0) return false;
+  if (wait_for(c, POLLOUT, c->connect_s) != 0 && sock_connect_error(c->fd) == 0)
+    return true;
+  disconnect(c);
+  return false;
 }
 
 HttpClient *http_client_new(const char *addr, int connect_s, int read_s) {
-  pthread_once(&once, initialize_sockets);
-  char host[64];
-  const char *colon = strrchr(addr, ':');
-  if (!colon || (size_t)(colon - addr) >= sizeof host) return NULL;
-  g_strlcpy(host, addr, (gsize)(colon - addr) + 1);
+  struct sockaddr_in in;
   HttpClient *c = g_new0(HttpClient, 1);
-  c->session = ne_session_create("http", host, (unsigned)atoi(colon + 1));
-  ne_set_connect_timeout(c->session, connect_s);
-  ne_set_read_timeout(c->session, read_s);
+  c->connect_s = connect_s;
   c->read_s = read_s;
-  ne_set_notifier(c->session, record_connection_status, c);
-  return c;
+  c->fd = -1;
+  if (sock_parse_address(addr, &in) &&
+      g_strlcpy(c->addr, addr, sizeof c->addr) < sizeof c->addr)
+    return c;
+  g_free(c);
+  return NULL;
 }
 
 void http_client_free(HttpClient *c) {
   if (!c) return;
-  ne_session_destroy(c->session);
+  disconnect(c);
   g_free(c);
 }
 
-static ne_request *create_request(HttpClient *c,
-                                  const HttpClientRequest *request) {
-  ne_request *req =
-      ne_request_create(c->session, request->method, request->path);
-  for (int i = 0; request->headers && request->headers[i]; i += 2)
-    ne_add_request_header(req, request->headers[i], request->headers[i + 1]);
-  if (request->body_bytes > 0)
-    ne_set_request_body_buffer(req, request->body, request->body_bytes);
-  /* If the server has closed the persistent connection, neon itself sends the
-     request again. Therefore http_stream_open uses a new connection for a
-     request that must not be repeated. */
-  return req;
+/* == reading an answer == */
+
+static int on_begin(http_parser *p) {
+  HttpStream *s = p->data;
+  headers_clear(&s->headers);
+  return 0;
+}
+
+static int on_status(http_parser *p, const char *at, size_t n) {
+  HttpStream *s = p->data;
+  strict_reason(&s->strict, at, n);
+  return 0;
+}
+
+static int on_name(http_parser *p, const char *at, size_t n) {
+  HttpStream *s = p->data;
+  strict_name(&s->strict, &s->headers, at, n);
+  return 0;
+}
+
+static int on_value(http_parser *p, const char *at, size_t n) {
+  HttpStream *s = p->data;
+  strict_value(&s->strict, &s->headers, at, n);
+  return 0;
+}
+
+static int reject_answer(HttpStream *s) {
+  s->is_invalid = true;
+  return -1;
+}
+
+/* Values of on_headers_complete. The parser takes what follows a head without a
+   body for the next answer. */
+#define HEAD_THEN_BODY 0
+#define HEAD_ALONE 1
+
+static int on_head(http_parser *p) {
+  HttpStream *s = p->data;
+  if (!strict_check_answer(&s->strict, p, &s->headers) || s->headers.too_many)
+    return reject_answer(s);
+  if (p->status_code / 100 == 1)
+    return ++s->interims > MAX_INTERIM_ANSWERS ? reject_answer(s) : HEAD_ALONE;
+  s->has_head = true;
+  return s->no_body ? HEAD_ALONE : HEAD_THEN_BODY;
+}
+
+static int on_chunk(http_parser *p) {
+  HttpStream *s = p->data;
+  s->pieces++;
+  return 0;
+}
+
+static int on_body(http_parser *p, const char *at, size_t n) {
+  HttpStream *s = p->data;
+  strict_body(&s->strict, p, at, n);
+  if (s->strict.is_broken) return reject_answer(s);
+  buffer_append(s->output, at, n, 0);
+  return 0;
+}
+
+static int on_done(http_parser *p) {
+  HttpStream *s = p->data;
+  if (p->status_code / 100 == 1) return 0;
+  if (s->strict.is_broken) return reject_answer(s); /* after its head */
+  s->is_whole = true;
+  http_parser_pause(p, 1);
+  return 0;
+}
+
+static const http_parser_settings parser_settings = {
+    .on_message_begin = on_begin,
+    .on_status = on_status,
+    .on_header_field = on_name,
+    .on_header_value = on_value,
+    .on_headers_complete = on_head,
+    .on_chunk_header = on_chunk,
+    .on_body = on_body,
+    .on_message_complete = on_done,
+};
+
+/* Returns false when the answer is invalid, or can't go on. */
+static bool parse(HttpStream *s, const char *p, size_t n) {
+  strict_begin_input(&s->strict, p, n);
+  size_t used = http_parser_execute(&s->parser, &parser_settings, p, n);
+  s->has_surplus = s->is_whole && used < n;
+  return s->is_whole || (!s->is_invalid && used == n &&
+                         HTTP_PARSER_ERRNO(&s->parser) == HPE_OK);
+}
+
+static bool fail(HttpStream *s, const char *error) {
+  s->error = error;
+  return false;
+}
+
+static bool has_unsent(const HttpStream *s) {
+  return s->request->len > s->request_off || s->body_left > 0;
+}
+
+/* Reads once. Returns false when the answer is cut or invalid. Nothing tells
+   whether one is whole that ends before its request was sent. */
+static bool receive(HttpStream *s) {
+  char buf[READ_BYTES];
+  ssize_t n = recv(s->client->fd, buf, sizeof buf, 0);
+  if (n < 0 && (errno == EAGAIN || errno == EINTR)) return true;
+  if (n < 0) return fail(s, strerror(errno));
+  if (n == 0 && has_unsent(s)) return fail(s, "the connection ended");
+  s->may_retry &= n <= 0;
+  s->pieces += !(s->parser.flags & F_CHUNKED);
+  if (!parse(s, buf, (size_t)n))
+    return fail(s, s->is_invalid ? "HTTP does not allow the answer"
+                                 : "the answer is damaged");
+  return s->is_whole || n > 0 || fail(s, "the connection ended");
+}
+
+/* == sending a request == */
+
+static void send_piece(HttpStream *s, const char *p, size_t n, size_t *sent) {
+  ssize_t k = send(s->client->fd, p, n, MSG_NOSIGNAL);
+  *sent = k > 0 ? (size_t)k : 0;
+  s->sent |= k > 0;
+  s->cant_send = k < 0 && errno != EAGAIN && errno != EINTR;
+}
+
+static void send_some(HttpStream *s) {
+  size_t n;
+  if (s->request_off < s->request->len) {
+    send_piece(s, s->request->str + s->request_off,
+               s->request->len - s->request_off, &n);
+    s->request_off += n;
+    return;
+  }
+  send_piece(s, s->body, s->body_left, &n);
+  s->body += n;
+  s->body_left -= n;
+}
+
+/* Waits until a piece of the answer has come, or one of the request could be
+   sent. Returns false when the exchange has failed. */
+static bool exchange_some(HttpStream *s) {
+  bool sends = has_unsent(s) && !s->cant_send;
+  int came =
+      wait_for(s->client, POLLIN | (sends ? POLLOUT : 0), s->client->read_s);
+  if (came == 0) {
+    s->may_retry = false;
+    return fail(s, "no answer came in time");
+  }
+  if ((came & ~POLLOUT) && !receive(s)) return false;
+  if (!s->is_whole && sends && (came & POLLOUT)) send_some(s);
+  return true;
+}
+
+static bool read_head(HttpStream *s) {
+  while (!s->has_head)
+    if (!exchange_some(s)) return false;
+  return true;
+}
+
+static GString *format_head(const HttpClient *c, const HttpClientRequest *r) {
+  GString *out = g_string_new(NULL);
+  g_string_append_printf(out, "%s %s HTTP/1.1\r\nHost: %s\r\n", r->method,
+                         r->path, c->addr);
+  for (int i = 0; r->headers && r->headers[i]; i += 2)
+    headers_write(out, r->headers[i], r->headers[i + 1]);
+  if (r->body_bytes > 0 || strcmp(r->method, "POST") == 0 ||
+      strcmp(r->method, "PUT") == 0)
+    g_string_append_printf(out, "Content-Length: %zu\r\n", r->body_bytes);
+  g_string_append(out, "\r\n");
+  return out;
+}
+
+/* == streams == */
+
+static HttpStream *new_stream(HttpClient *c, const HttpClientRequest *r) {
+  HttpStream *s = g_new0(HttpStream, 1);
+  s->client = c;
+  s->request = format_head(c, r);
+  s->body = r->body;
+  s->body_left = r->body_bytes;
+  s->no_body = strcmp(r->method, "HEAD") == 0;
+  s->may_retry = true;
+  s->output = g_string_new(NULL);
+  headers_init(&s->headers);
+  http_parser_init(&s->parser, HTTP_RESPONSE);
+  s->parser.data = s;
+  return s;
+}
+
+static void free_stream(HttpStream *s) {
+  headers_free(&s->headers);
+  g_string_free(s->request, TRUE);
+  g_string_free(s->output, TRUE);
+  g_free(s);
+}
+
+/* The body of any other response ends with the connection. */
+static bool is_framed(const HttpStream *s) {
+  unsigned status = s->parser.status_code;
+  return status == 204 || status == 304 || s->no_body ||
+         (s->parser.flags & (F_CHUNKED | F_CONTENTLENGTH));
+}
+
+/* Sends the request on the open connection. Returns NULL on failure. */
+static HttpStream *try_request(HttpClient *c, const HttpClientRequest *request,
+                               HttpResponse *response, bool *may_retry) {
+  HttpStream *s = new_stream(c, request);
+  bool ok = read_head(s);
+  response->sent |= s->sent;
+  *may_retry = s->may_retry;
+  if (ok) return s;
+  g_strlcpy(response->error, s->error, sizeof response->error);
+  free_stream(s);
+  disconnect(c);
+  return NULL;
 }
 
-/* neon reads the body of any other response until the connection ends. */
-static bool is_framed(ne_request *req, const char *method) {
-  int status = ne_get_status(req)->code;
-  const char *coding = ne_get_response_header(req, "Transfer-Encoding");
-  return status == 204 || status == 304 || strcmp(method, "HEAD") == 0 ||
-         ne_get_response_header(req, "Content-Length") ||
-         (coding && g_ascii_strcasecmp(coding, "identity") != 0);
+static HttpStream *connect_and_try(HttpClient *c,
+                                   const HttpClientRequest *request,
+                                   HttpResponse *response) {
+  bool may_retry;
+  if (connect_client(c)) return try_request(c, request, response, &may_retry);
+  g_strlcpy(response->error, "could not connect", sizeof response->error);
+  return NULL;
 }
 
 HttpStream *http_stream_open(HttpClient *c, const HttpClientRequest *request,
                              bool retry_safe, HttpResponse *response) {
   memset(response, 0, sizeof *response);
-  if (!retry_safe) ne_close_connection(c->session);
-  bool reused = c->reusable && retry_safe;
-  c->connected = false;
-  ne_request *req = create_request(c, request);
-  if (!retry_safe) ne_set_request_flag(req, NE_REQFLAG_IDEMPOTENT, 0);
-  int rc = ne_begin_request(req);
-  if (rc != NE_OK) {
-    /* On a reused connection the server may have received the request. */
-    response->sent = c->connected || reused;
-    g_strlcpy(response->error, ne_get_error(c->session),
-              sizeof response->error);
-    ne_request_destroy(req);
-    ne_close_connection(c->session);
-    c->reusable = false;
+  if (strpbrk(request->path, " \r\n")) { /* it would end the line */
+    g_strlcpy(response->error, "the path is not valid", sizeof response->error);
     return NULL;
   }
-  response->sent = true;
-  response->status = ne_get_status(req)->code;
-  response->framed = is_framed(req, request->method);
-  c->reusable = true;
-  HttpStream *s = g_new0(HttpStream, 1);
-  s->client = c;
-  s->req = req;
+  if (!retry_safe) disconnect(c);
+  HttpStream *s = NULL;
+  bool may_retry = true;
+  if (c->reusable) s = try_request(c, request, response, &may_retry);
+  /* A connection that was kept may have been closed meanwhile. */
+  if (!s && may_retry) s = connect_and_try(c, request, response);
+  if (!s) return NULL;
+  response->status = (int)s->parser.status_code;
+  response->framed = is_framed(s);
   return s;
 }
 
 const char *http_stream_header(const HttpStream *s, const char *name) {
-  return ne_get_response_header(s->req, name);
+  return headers_get(&s->headers, name);
 }
 
 void http_stream_limit(HttpStream *s) {
   s->ends_at = clock_now() + BODY_READ_TIMEOUTS * s->client->read_s;
 }
 
-static bool is_over_limit(HttpStream *s) {
+static bool is_over_limit(const HttpStream *s) {
   return s->ends_at > 0 &&
-         (++s->pieces > LIMIT_ANSWER_PIECES || clock_now() > s->ends_at);
+         (s->pieces > LIMIT_ANSWER_PIECES || clock_now() > s->ends_at);
 }
 
 long http_stream_read(HttpStream *s, char *buf, size_t n) {
-  if (s->complete) return 0;
   if (is_over_limit(s)) return -1;
-  ssize_t received = ne_read_response_block(s->req, buf, n);
-  if (received > 0) return received;
-  if (received == 0 && ne_end_request(s->req) == NE_OK) {
-    s->complete = true;
-    return 0;
+  while (s->output->len == 0) {
+    if (s->is_whole) return 0;
+    if (s->error || !exchange_some(s) || is_over_limit(s)) return -1;
   }
-  return -1;
+  size_t taken = MIN(n, s->output->len);
+  memcpy(buf, s->output->str, taken);
+  g_string_erase(s->output, 0, (gssize)taken);
+  return (long)taken;
 }
 
 void http_stream_close(HttpStream *s) {
   if (!s) return;
-  if (!s->complete) {
-    ne_close_connection(s->client->session);
-    s->client->reusable = false;
-  }
-  ne_request_destroy(s->req);
-  g_free(s);
+  HttpClient *c = s->client;
+  c->reusable = s->is_whole && s->output->len == 0 && !s->has_surplus &&
+                !has_unsent(s) && http_should_keep_alive(&s->parser);
+  if (!c->reusable) disconnect(c);
+  free_stream(s);
 }
 
 bool http_answers(const char *addr, int timeout_s) {
--- a/packages/http/client.h
+++ b/packages/http/client.h
@@ -1,5 +1,5 @@
-/* client.h: a blocking HTTP client, built on neon. Each client keeps one
-   persistent connection to its address. */
+/* client.h: a blocking HTTP client. Each client keeps one persistent connection
+   to its address. */
 #ifndef HTTP_CLIENT_H
 #define HTTP_CLIENT_H
 
@@ -9,7 +9,7 @@
 typedef struct HttpClient HttpClient;
 
 typedef struct HttpClientRequest {
-  const char *method, *path;
+  const char *method, *path; /* without blanks and line ends */
   /* alternating names and values, ends with NULL; may be NULL */
   const char *const *headers;
   const char *body;
@@ -61,8 +61,8 @@
    LIMIT_ANSWER_PIECES. */
 void http_stream_limit(HttpStream *s);
 /* Returns the number of bytes read, 0 at the end of a complete body, or -1 if
-   the body was truncated or is over a limit; see HttpResponse about a body
-   that is not framed. */
+   the body was truncated, is over a limit or HTTP does not allow it; see
+   HttpResponse about a body that is not framed. */
 long http_stream_read(HttpStream *s, char *buf, size_t n);
 /* Frees the stream. If the body was not read to its end, closes the connection;
    a target treats that as a cancellation of the request. */
