Own front: the path of a request can add no lines to it

What was seen: %0d%0a in the path of a request to a plain service added lines to the request that its target got, %20 cut the path, and %3f made a query of a part of it.

Cause: libmicrohttpd hands the path out decoded, and the front passed it on like that.

--- a/packages/entry/plain.c
+++ b/packages/entry/plain.c
@@ -25,7 +25,8 @@
   char type[64];
 } Plain;
 
-/* Splits "/services/NAME/rest" into NAME and "/rest". */
+/* Splits "/services/NAME/rest", which is decoded, into NAME and "/rest" as it
+   was sent. */
 static bool split_path(const char *path, char *name, size_t n, char *rest,
                        size_t m) {
   const char *from = path + strlen("/services/");
@@ -34,7 +35,11 @@
   if (len == 0 || len >= n) return false;
   memcpy(name, from, len);
   name[len] = '\0';
-  return g_strlcpy(rest, slash ? slash : "/", m) < m;
+  char *escaped = g_uri_escape_string(
+      slash ? slash : "/", G_URI_RESERVED_CHARS_ALLOWED_IN_PATH, FALSE);
+  bool fits = g_strlcpy(rest, escaped, m) < m;
+  g_free(escaped);
+  return fits;
 }
 
 static enum MHD_Result append_argument(void *ctx, enum MHD_ValueKind kind,
--- a/tests/front_heads.py
+++ b/tests/front_heads.py
@@ -32,9 +32,11 @@
     answer_bytes, early = b"", False
 
     def __init__(self):
+        self.seen = []
         super().__init__(("127.0.0.1", 0))
 
     def answer(self, c, method, path, headers, body):
+        self.seen.append((path, sorted(headers)))
         if path.startswith("/v1/chat") or path.startswith("/odd"):
             c.sendall(self.answer_bytes)
             return False
@@ -154,6 +156,21 @@
     assert not wrong, wrong
 
 
+def test_front_a_path_can_add_no_lines_to_a_request(f):
+    """The front decoded it: blanks and line ends in it ended the line."""
+    f.target.answer_bytes = b"".join(ALLOWED["no reason"][:2]) + b"\r\n" + BODY
+    wrong = []
+    for path in ("odd%0d%0aX-Smuggled:%201", "odd%20HTTP/1.1%0d%0aX-Smuggled:%201%0d%0a",
+                 "odd%0ax", "odd%0dx", "odd%20x", "odd%3fx", "odd%25x"):
+        f.target.seen.clear()
+        f.send("/services/odd/" + path, b"b")
+        seen = [x for x in f.target.seen if "odd" in x[0]]
+        if (len(seen) != 1 or seen[0][0].lower() != "/" + path.lower() or
+                "x-smuggled" in seen[0][1]):
+            wrong.append((path, seen))
+    assert not wrong, wrong
+
+
 def test_front_a_part_of_an_early_answer_that_is_reset_is_no_answer(f):
     """An answer without a length, cut by a reset while the upload was still being
     written, looked as if it had ended in order."""
