--- a/packages/flow/caller.c
+++ b/packages/flow/caller.c
@@ -23,7 +23,7 @@
    rest of a finished answer is delivered, also to callers that read slowly. */
 #define UNACKED_TIMEOUT_MS 5000
 #define DELIVERY_TIMEOUT_MS 30000
-#define RETRY_DROPPED_MS 200 /* Retry-After of requests that are dropped */
+#define RETRY_NO_ROOM_MS 200 /* Retry-After of requests without room */
 
 typedef enum {
   CALLER_IDLE,    /* between requests */
@@ -272,7 +272,7 @@
     err_set(&c->err, ERR_TOO_LARGE, "the body is over %zu bytes",
             c->set->limits.max_body);
   else if (!c->err.kind && length > 0 && !has_room(c, length))
-    err_retry(&c->err, ERR_OVERLOADED, RETRY_DROPPED_MS,
+    err_retry(&c->err, ERR_OVERLOADED, RETRY_NO_ROOM_MS,
               "this instance holds too many requests");
   if (!c->err.kind && (is_chunked || length > LIMIT_RECEIVE_BUFFER_BYTES))
     expect_long_body(c);
@@ -349,6 +349,7 @@
   Callers *s = c->set;
   if (c->state == CALLER_BUSY) {
     buffer_input(c, p, n);
+    update_held(c);
     return;
   }
   bool was_parsing = c->parsing;
--- a/packages/kernel/limits.h
+++ b/packages/kernel/limits.h
@@ -91,7 +91,8 @@
    text for the target, which grows by doubling; and one value of JSON. */
 #define LIMIT_CHAT_COPIES 2
 #define LIMIT_JSON_VALUE_BYTES 200
-/* An open connection, which holds half of it by itself. */
+/* An open connection: its state, and buffers that it keeps for its next
+   request. */
 #define LIMIT_CONNECTION_BYTES (8 << 10)
 /* A request that is served: the smallest buffer of its answer, what one read
    adds to it, and its connection to a target. */
