Link, HTTP client: bytes that the system has not sent yet are unsent as well

The bytes that have not reached the peer's system (SIOCOUTQ) now count as unsent when a connection ends; what answers and their end acknowledge is none of them.

--- a/packages/flow/link.c
+++ b/packages/flow/link.c
@@ -123,11 +123,16 @@
                                    : LINK_NO_ANSWER);
 }
 
-/* Whether a part of the request is not sent yet. */
+/* Whether a part of the request is not written yet. */
 static bool has_unsent(const Link *l) {
   return l->out->len > 0 || l->body_left > 0;
 }
 
+/* Whether the peer can't have read the whole request. */
+static bool is_request_cut(const Link *l) {
+  return has_unsent(l) || sock_has_unsent(l->fd);
+}
+
 /* Removes an idle link from its list. */
 static void remove_idle(Link *l) {
   Links *s = l->set;
@@ -346,7 +351,7 @@
   }
   /* Nothing tells whether an answer is whole that ends before its request was
      sent: a reset that a failed write reported is read as an orderly end. */
-  if (n < 0 || (n == 0 && has_unsent(l))) {
+  if (n < 0 || (n == 0 && is_request_cut(l))) {
     fail_exchange(l);
     return;
   }
--- a/packages/flow/sock.c
+++ b/packages/flow/sock.c
@@ -4,10 +4,12 @@
 
 #include <arpa/inet.h>
 #include <errno.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -99,6 +101,11 @@
   return n >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
 }
 
+bool sock_has_unsent(int fd) {
+  int bytes = 0;
+  return ioctl(fd, SIOCOUTQ, &bytes) == 0 && bytes > 0;
+}
+
 void sock_reset(int fd) {
   sock_set_reset_on_close(fd, true);
   close(fd);
--- a/packages/flow/sock.h
+++ b/packages/flow/sock.h
@@ -32,6 +32,8 @@
 void sock_set_reset_on_close(int fd, bool on);
 /* Whether bytes, the end of the connection or an error wait to be read. */
 bool sock_has_input(int fd);
+/* Whether bytes that were written have not reached the peer's system. */
+bool sock_has_unsent(int fd);
 /* Closes with a TCP reset, so that the peer stops at once. */
 void sock_reset(int fd);
 
--- a/packages/http/client.c
+++ b/packages/http/client.c
@@ -210,7 +210,8 @@
   ssize_t n = recv(s->client->fd, buf, sizeof buf, 0);
   if (n < 0 && (errno == EAGAIN || errno == EINTR)) return true;
   if (n < 0) return fail(s, strerror(errno));
-  if (n == 0 && has_unsent(s)) return fail(s, "the connection ended");
+  if (n == 0 && (has_unsent(s) || sock_has_unsent(s->client->fd)))
+    return fail(s, "the connection ended");
   s->may_retry &= n <= 0;
   s->pieces += !(s->parser.flags & F_CHUNKED);
   if (!parse(s, buf, (size_t)n))
