Tests: a target's process has its answer before it is known

Once, beside a load of 23, test_a_stream_closed_before_its_next_event_is_broken failed ('w11 sent 0 answers of 1'): the log shows that the request came to the target within 0.5 ms of its first listing and got the stand-in's default answer, since its own was set only after the process had stated its entry.

--- a/fakes/standins.py
+++ b/fakes/standins.py
@@ -335,8 +335,8 @@
     the response itself and return True to keep the connection open or False to
     close it; if it returns None, the worker sends its default response."""
 
-    def __init__(self, address, store, name, service, version=None):
-        self.ran, self.heads, self.play = [], [], None
+    def __init__(self, address, store, name, service, version=None, play=None):
+        self.ran, self.heads, self.play = [], [], play
         self.store, self.name, self.version = store, name, version
         super().__init__(address)
         self.entry = {"service": service, "addr": self.address, "zone": "a",
--- a/fakes/worker_process.py
+++ b/fakes/worker_process.py
@@ -99,11 +99,11 @@
 
 def main():
     answer = [part.encode("latin-1") for part in json.loads(sys.stdin.readline())]
-    worker = Worker(("127.0.0.1", 0), EntryPrinter(), sys.argv[1], sys.argv[2])
+    Worker(("127.0.0.1", 0), EntryPrinter(), sys.argv[1], sys.argv[2],
+           play=player(answer, "pause" in sys.argv[3:]))
     if "child" in sys.argv[3:] and os.fork() == 0:
         time.sleep(CHILD_S)
         os._exit(0)
-    worker.play = player(answer, "pause" in sys.argv[3:])
     sys.stdin.read()
 
 
