--- a/packages/kernel/holdings.h
+++ b/packages/kernel/holdings.h
@@ -49,8 +49,8 @@
 bool holdings_may_serve(const Holdings *h, const char *group, size_t bytes);
 /* Whether it may be served when nothing else is held. */
 bool holdings_may_ever_serve(const Holdings *h, size_t bytes);
-/* As holdings_may_serve, and counts the request until holdings_end. False: it
- * may not. */
+/* As holdings_may_serve, and counts a request that may be served until
+   holdings_end. */
 bool holdings_serve(Holdings *h, HoldingsRequest *r, const char *group,
                     size_t bytes);
 void holdings_end(Holdings *h, HoldingsRequest *r);
--- a/tests/front_crowds.py
+++ b/tests/front_crowds.py
@@ -12,7 +12,7 @@
 import process
 from crowd import Crowd, Meter
 from process import KEYS, call
-from red import bound_sanitizer, known_red
+from red import bound_sanitizer
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)),
                                 "..", "fakes"))
@@ -206,27 +206,8 @@
         "GET", "/services/patient/wait"), again=1))
 
 
-def run():
-    names = sys.argv[2:] or [n for n in globals() if n.startswith("test_")]
-    failed, red = 0, known_red()
-    for name in names:
-        f = CrowdedFleet()
-        try:
-            globals()[name](f)
-            print("ok", name, flush=True)
-        except Exception as e:  # noqa: BLE001 (printed and counted)
-            known = name in red
-            failed += not known
-            print("%s %s: %s: %s" % ("known red:" if known else "FAILED", name,
-                                     type(e).__name__, e), flush=True)
-        finally:
-            f.close()
-    print("%d passed, %d failed" % (len(names) - failed, failed))
-    return 1 if failed else 0
-
-
 if __name__ == "__main__":
     bound_sanitizer()
     soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
     resource.setrlimit(resource.RLIMIT_NOFILE, (min(8192, hard), hard))
-    sys.exit(run())
+    sys.exit(process.run_each(globals(), CrowdedFleet))
--- a/tests/front_heads.py
+++ b/tests/front_heads.py
@@ -12,7 +12,6 @@
 import process
 from odd_answers import ALLOWED, BODY, NOT_ALLOWED, read_answer
 from process import KEYS
-from red import known_red
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)),
                                 "..", "fakes"))
@@ -191,25 +190,5 @@
     assert all(r[0] == 413 and r[2] == BODY for r in got), [(r[0], r[2][:60]) for r in got]
 
 
-def run():
-    names = sys.argv[2:] or [n for n in globals() if n.startswith("test_")]
-    failed, red = 0, known_red()
-    for name in names:
-        f = OddFleet()
-        try:
-            globals()[name](f)
-            assert f.procs["i0"].poll() is None, "the process ended"
-            print("ok", name, flush=True)
-        except Exception as e:  # noqa: BLE001 (printed and counted)
-            known = name in red
-            failed += not known
-            print("%s %s: %s: %s" % ("known red:" if known else "FAILED", name,
-                                     type(e).__name__, e), flush=True)
-        finally:
-            f.close()
-    print("%d passed, %d failed" % (len(names) - failed, failed))
-    return 1 if failed else 0
-
-
 if __name__ == "__main__":
-    sys.exit(run())
+    sys.exit(process.run_each(globals(), OddFleet))
--- a/tests/process.py
+++ b/tests/process.py
@@ -244,6 +244,28 @@
     return out
 
 
+def run_each(tests, fleet):
+    """Runs the functions `test_...` of `tests`, or those on the command line, each on a
+    fleet of its own, whose first instance must live on. Returns the exit status."""
+    names = sys.argv[2:] or [n for n in tests if n.startswith("test_")]
+    failed, red = 0, known_red()
+    for name in names:
+        f = fleet()
+        try:
+            tests[name](f)
+            assert f.procs["i0"].poll() is None, "the process ended"
+            print("ok", name, flush=True)
+        except Exception as e:  # noqa: BLE001 (printed and counted)
+            known = name in red
+            failed += not known
+            print("%s %s: %s: %s" % ("known red:" if known else "FAILED", name,
+                                     type(e).__name__, e), flush=True)
+        finally:
+            f.close()
+    print("%d passed, %d failed" % (len(names) - failed, failed))
+    return 1 if failed else 0
+
+
 # == tests ==
 
 def test_streams_never_cross(f):
