Holdings: receive buffers follow the limit

Cause: the window of 8 KB of each caller. The requests there are larger, and one instance's link is full: each round trip more is some 0.3 s, and the time-out counts from the client's send. Nothing was refused or dropped in the instances' logs.

--- a/packages/flow/caller.c
+++ b/packages/flow/caller.c
@@ -123,7 +123,7 @@
    system holds for it counts as memory of the process. */
 static void stop_reading(Caller *c) {
   ev_io_stop(c->set->loop, &c->read);
-  sock_set_receive_buffer(c->fd, LIMIT_RECEIVE_BUFFER_BYTES);
+  sock_set_receive_buffer(c->fd, (int)holdings_receive_bytes(c->set->holdings));
 }
 
 /* Frees what the request holds, once it is no longer needed. */
@@ -274,7 +274,8 @@
   else if (!c->err.kind && length > 0 && !has_room(c, length))
     err_retry(&c->err, ERR_OVERLOADED, RETRY_NO_ROOM_MS,
               "this instance holds too many requests");
-  if (!c->err.kind && (is_chunked || length > LIMIT_RECEIVE_BUFFER_BYTES))
+  if (!c->err.kind &&
+      (is_chunked || length > holdings_receive_bytes(c->set->holdings)))
     expect_long_body(c);
   const char *expect = headers_get(&c->req.headers, "Expect");
   if (expect && g_ascii_strcasecmp(expect, "100-continue") == 0 && !c->err.kind)
@@ -647,7 +648,7 @@
 Callers *callers_open(struct ev_loop *loop, const char *addr,
                       const CallerEvents *ev, void *ctx, Holdings *holdings,
                       Err *e) {
-  int fd = sock_listen(addr, LIMIT_RECEIVE_BUFFER_BYTES, e);
+  int fd = sock_listen(addr, (int)holdings_receive_bytes(holdings), e);
   if (fd < 0) {
     holdings_free(holdings);
     return NULL;
--- a/packages/http/connections.c
+++ b/packages/http/connections.c
@@ -105,6 +105,10 @@
   make_room(c->set);
 }
 
+size_t connections_receive_bytes(const Connections *s) {
+  return holdings_receive_bytes(s->holdings);
+}
+
 /* == connections == */
 
 Connection *connections_add(Connections *s, int fd) {
@@ -147,7 +151,7 @@
   size_t bytes = c->held.bytes + length + holdings_request_bytes(h);
   bool has_room = !is_stated || holdings_may_serve(h, "", bytes);
   c->body = body;
-  if (has_room && length > LIMIT_RECEIVE_BUFFER_BYTES) expect_long_body(c);
+  if (has_room && length > holdings_receive_bytes(h)) expect_long_body(c);
   change_state(c, CONNECTION_ARRIVING);
   pthread_mutex_unlock(&c->set->lock);
   return has_room;
--- a/packages/http/connections.h
+++ b/packages/http/connections.h
@@ -23,6 +23,8 @@
 /* All connections must have been removed. */
 void connections_free(Connections *s);
 
+/* What the system may hold for one that is not read. */
+size_t connections_receive_bytes(const Connections *s);
 /* `fd` must stay open until connection_remove. */
 Connection *connections_add(Connections *s, int fd);
 void connection_remove(Connection *c);
--- a/packages/http/server.c
+++ b/packages/http/server.c
@@ -120,7 +120,9 @@
 static void set_receive_buffers(const HttpServer *s) {
   const union MHD_DaemonInfo *i =
       MHD_get_daemon_info(s->daemon, MHD_DAEMON_INFO_LISTEN_FD);
-  if (i) sock_set_receive_buffer(i->listen_fd, LIMIT_RECEIVE_BUFFER_BYTES);
+  if (i)
+    sock_set_receive_buffer(i->listen_fd,
+                            (int)connections_receive_bytes(s->connections));
 }
 
 HttpServer *http_server_start(const char *addr, const HttpOptions *o,
--- a/packages/kernel/holdings.c
+++ b/packages/kernel/holdings.c
@@ -39,6 +39,11 @@
   return h->request_bytes;
 }
 
+size_t holdings_receive_bytes(const Holdings *h) {
+  return CLAMP(h->limit / LIMIT_RECEIVE_BUFFER_DIVISOR,
+               LIMIT_RECEIVE_BUFFER_BYTES, LIMIT_BODY_RECEIVE_BYTES);
+}
+
 /* == what is held == */
 
 static void add_holding(Holdings *h, const Holding *x) {
--- a/packages/kernel/holdings.h
+++ b/packages/kernel/holdings.h
@@ -33,6 +33,9 @@
 size_t holdings_connection_bytes(const Holdings *h);
 size_t holdings_request_bytes(const Holdings *h);
 
+/* What the system may hold for a connection that is not read. */
+size_t holdings_receive_bytes(const Holdings *h);
+
 /* Changes what one holder has. */
 void holdings_change(Holdings *h, Holding *x, Holding now);
 /* Whether something has to be dropped that is not served. */
--- a/packages/kernel/limits.h
+++ b/packages/kernel/limits.h
@@ -97,9 +97,11 @@
 /* A request that is served: the smallest buffer of its answer, what one read
    adds to it, and its connection to a target. */
 #define LIMIT_SERVED_REQUEST_BYTES (32 << 10)
-/* The system's receive buffer of a caller: usually, and while a long body
-   arrives, which is read at once. The second is the largest window that a
-   connection can have whose first one was small. */
+/* The system's receive buffer of a caller: this part of the limit, from a least
+   size, and at most that for a long body, which is read as it arrives. A buffer
+   smaller than a request costs its caller a round trip more. The last is the
+   largest window that a connection can have whose first one was small. */
+#define LIMIT_RECEIVE_BUFFER_DIVISOR 1024
 #define LIMIT_RECEIVE_BUFFER_BYTES (8 << 10)
 #define LIMIT_BODY_RECEIVE_BYTES (64 << 10)
 /* A request over this part of the limit is a large one. */
--- a/tests/test_holdings.c
+++ b/tests/test_holdings.c
@@ -106,3 +106,17 @@
   cr_assert(b->len == 10 && b->allocated_len == 4096);
   g_string_free(b, TRUE);
 }
+
+/* Guards against windows that are smaller than ordinary requests where there is
+   memory for larger ones, and too large where there is little. */
+Test(holdings, receive_buffers_follow_the_limit) {
+  static const size_t rows[][2] = {{8 * MB, 8 << 10},
+                                   {22 * MB, 22 << 10},
+                                   {(size_t)256 * MB, 64 << 10},
+                                   {MB, 8 << 10}};
+  for (int i = 0; i < 4; i++) {
+    Holdings *h = holdings_new(rows[i][0], MANY);
+    cr_assert_eq(holdings_receive_bytes(h), rows[i][1]);
+    holdings_free(h);
+  }
+}
