Holdings: one place for the limit by settings; smaller clean-ups

Both fronts worked out the limit of what callers hold from their settings in the same way; kernel/holdings does it now. A chat's choice to stream is read once, and a comment of the links stands on its own line. Behaviour is unchanged.

--- a/bin/loftpathd.c
+++ b/bin/loftpathd.c
@@ -13,6 +13,7 @@
 #include "entry/placer.h"
 #include "entry/watch.h"
 #include "kernel/clock.h"
+#include "kernel/holdings.h"
 #include "kernel/limits.h"
 #include "kernel/log.h"
 #include "kernel/service.h"
@@ -111,10 +112,9 @@
 
 /* Returns the memory that callers may make this instance hold, in bytes. */
 static size_t caller_bytes(void) {
-  long given = settings_number(settings, "caller-memory");
-  long mb = settings_number(settings, "memory");
-  if (given > 0) return (size_t)given << 20;
-  return ((size_t)mb << 20) / LIMIT_FRONT_CALLER_MEMORY_DIVISOR;
+  return holdings_limit_bytes(settings_number(settings, "caller-memory"),
+                              settings_number(settings, "memory"),
+                              LIMIT_FRONT_CALLER_MEMORY_DIVISOR);
 }
 
 static bool start_entry(Service *s, Err *e) {
--- a/packages/entry/chat.c
+++ b/packages/entry/chat.c
@@ -443,8 +443,8 @@
   Chat *c = g_new0(Chat, 1);
   c->x = x;
   c->caller = r->caller;
-  r->is_streamed = json_is_true(json_object_get(request, "stream"));
   prepare_request(c, r, request);
+  r->is_streamed = c->is_streamed;
   OnceAnswer kept_answer = {0};
   ExchangeStart s =
       exchange_start(&c->x, r, c->x.reserved_tokens, &kept_answer, &err);
--- a/packages/flow/link.c
+++ b/packages/flow/link.c
@@ -18,9 +18,8 @@
 #include "kernel/loopclock.h"
 
 #define READ_BYTES 16384 /* size of one read */
-#define SHORT_BODY_BYTES                                                       \
-  16384                        /* is copied, and sent together with its head   \
-                                */
+/* A body of up to this size is copied, and sent together with its head. */
+#define SHORT_BODY_BYTES 16384
 #define SWEEP_INTERVAL_S 1.0   /* between checks for old idle links */
 #define MAX_SKIPPED_ANSWERS 1  /* of other exchanges, per exchange */
 #define MAX_INTERIM_ANSWERS 32 /* with status 1xx, per exchange */
--- a/packages/kernel/holdings.c
+++ b/packages/kernel/holdings.c
@@ -16,6 +16,11 @@
   GHashTable *groups; /* name -> bytes of its smaller requests (size_t) */
 };
 
+size_t holdings_limit_bytes(long given_mb, long memory_mb, int divisor) {
+  if (given_mb > 0) return (size_t)given_mb << 20;
+  return ((size_t)memory_mb << 20) / (size_t)divisor;
+}
+
 Holdings *holdings_new(size_t limit_bytes, int max_connections) {
   Holdings *h = g_new0(Holdings, 1);
   size_t share = limit_bytes / (size_t)MAX(max_connections, 1);
--- a/packages/kernel/holdings.h
+++ b/packages/kernel/holdings.h
@@ -23,6 +23,9 @@
   const char *group; /* owned by the account; NULL: it is a large one */
 } HoldingsRequest;
 
+/* Returns the limit in bytes by the settings of an instance, in megabytes:
+   `given`, or if that is 0 a part of its memory. */
+size_t holdings_limit_bytes(long given_mb, long memory_mb, int divisor);
 /* `max_connections`: of callers, and to targets on their behalf, together. */
 Holdings *holdings_new(size_t limit_bytes, int max_connections);
 void holdings_free(Holdings *h);
--- a/packages/node/node.c
+++ b/packages/node/node.c
@@ -14,6 +14,7 @@
 #include "flow/intake.h"
 #include "flow/relay.h"
 #include "kernel/count.h"
+#include "kernel/holdings.h"
 #include "kernel/limits.h"
 #include "kernel/log.h"
 #include "kernel/loopclock.h"
@@ -724,10 +725,9 @@
 
 /* Returns the memory that callers may make this instance hold, in bytes. */
 static size_t caller_bytes(void) {
-  long given = settings_number(settings, "caller-memory");
-  long mb = settings_number(settings, "memory");
-  if (given > 0) return (size_t)given << 20;
-  return ((size_t)mb << 20) / LIMIT_CALLER_MEMORY_DIVISOR;
+  return holdings_limit_bytes(settings_number(settings, "caller-memory"),
+                              settings_number(settings, "memory"),
+                              LIMIT_CALLER_MEMORY_DIVISOR);
 }
 
 static int max_connections(void) {
