Holdings: receive buffers and waiting connections have one bound

Cause: the system goes on to accept connections, and bytes on all of them, while a process gets no time to run. Each socket had a bound, all together had none: 1,024 connections could wait to be accepted, with windows of 1/1024 of the limit, which is the limit once more, and each accepted connection (8 KB of the account) could hold a window of up to 64 KB. On a quick machine the bytes are read at once, so the tests passed there.

All receive buffers of callers now share the limit (half of it at the own front, whose limit is a larger part of its memory): the first 512 are as large as before, later ones take a part of what is left, from 8 KB on. The listening socket follows, since a window that was given is not taken back. The queue of connections that wait may take a quarter besides.

The meter of these tests finds the sockets of a process by their inodes: it left out those to targets, whose local address is another.

--- a/packages/flow/caller.c
+++ b/packages/flow/caller.c
@@ -47,7 +47,8 @@
   size_t out_off;
   size_t owner_bytes;      /* of the answer, buffered by its owner */
   Holding held;            /* in the account */
-  size_t receive_bytes;    /* of the system's buffer, for a long body */
+  size_t window_bytes;     /* of the system's receive buffer at first */
+  size_t receive_bytes;    /* of that buffer, for a long body */
   HoldingsRequest serving; /* its request, if it is served */
   bool awaits_drain;       /* its owner waits for `drained` */
   bool keep, closing, broken, failed, no_body;
@@ -69,6 +70,7 @@
   void *ctx;
   Caller *first;
   Holdings *holdings;
+  size_t window_bytes;    /* of the next connection */
   int64_t bytes_received; /* from all callers */
   bool draining;
   bool leaving; /* answers close their connections */
@@ -123,7 +125,7 @@
    system holds for it counts as memory of the process. */
 static void stop_reading(Caller *c) {
   ev_io_stop(c->set->loop, &c->read);
-  sock_set_receive_buffer(c->fd, (int)holdings_receive_bytes(c->set->holdings));
+  sock_set_receive_buffer(c->fd, (int)c->window_bytes);
 }
 
 /* Frees what the request holds, once it is no longer needed. */
@@ -153,6 +155,7 @@
   ev_io_stop(s->loop, &c->write);
   holdings_end(s->holdings, &c->serving);
   holdings_change(s->holdings, &c->held, (Holding){0});
+  holdings_return_receive_bytes(s->holdings, c->window_bytes);
   unlink_caller(c);
   headers_free(&c->req.headers);
   g_string_free(c->req.uri, TRUE);
@@ -274,8 +277,7 @@
   else if (!c->err.kind && length > 0 && !has_room(c, length))
     err_retry(&c->err, ERR_OVERLOADED, RETRY_NO_ROOM_MS,
               "this instance holds too many requests");
-  if (!c->err.kind &&
-      (is_chunked || length > holdings_receive_bytes(c->set->holdings)))
+  if (!c->err.kind && (is_chunked || length > c->window_bytes))
     expect_long_body(c);
   const char *expect = headers_get(&c->req.headers, "Expect");
   if (expect && g_ascii_strcasecmp(expect, "100-continue") == 0 && !c->err.kind)
@@ -469,6 +471,7 @@
   Caller *c = g_new0(Caller, 1);
   c->set = s;
   c->fd = fd;
+  c->window_bytes = holdings_take_receive_bytes(s->holdings);
   c->progress_at = loopclock_now(s->loop);
   headers_init(&c->req.headers);
   c->req.uri = g_string_new(NULL);
@@ -488,6 +491,13 @@
   ev_io_start(s->loop, &c->read);
 }
 
+/* The buffers of connections that wait to be accepted are as large as that of
+   the listening socket. */
+static void update_window(Callers *s) {
+  sock_change_receive_buffer(s->fd, &s->window_bytes,
+                             holdings_receive_bytes(s->holdings));
+}
+
 /* No descriptor is left: one of the callers gives way, or those that connect
    wait until the next sweep. */
 static void handle_full_table(Callers *s) {
@@ -507,6 +517,7 @@
     if (fd < 0 && (errno == EMFILE || errno == ENFILE)) handle_full_table(s);
     if (fd < 0) break;
     add_caller(s, fd);
+    update_window(s);
   }
   make_room(s);
 }
@@ -540,6 +551,7 @@
       close_caller(c);
   }
   make_room(s);
+  update_window(s);
   if (!ev_is_active(&s->accept)) ev_io_start(loop, &s->accept);
 }
 
@@ -648,13 +660,15 @@
 Callers *callers_open(struct ev_loop *loop, const char *addr,
                       const CallerEvents *ev, void *ctx, Holdings *holdings,
                       Err *e) {
-  int fd = sock_listen(addr, (int)holdings_receive_bytes(holdings), e);
+  size_t window_bytes = holdings_receive_bytes(holdings);
+  int fd = sock_listen(addr, holdings_backlog(holdings), (int)window_bytes, e);
   if (fd < 0) {
     holdings_free(holdings);
     return NULL;
   }
   Callers *s = g_new0(Callers, 1);
   s->holdings = holdings;
+  s->window_bytes = window_bytes;
   s->loop = loop;
   s->fd = fd;
   s->ev = *ev;
--- a/packages/flow/sock.c
+++ b/packages/flow/sock.c
@@ -16,7 +16,6 @@
 #include "kernel/buffer.h"
 #include "kernel/limits.h"
 
-#define BACKLOG 1024            /* connections waiting to be accepted */
 #define KEEPALIVE_IDLE_S 1      /* without data, before the first probe */
 #define KEEPALIVE_INTERVAL_S 1  /* between probes */
 #define KEEPALIVE_PROBE_COUNT 2 /* lost probes that end a connection */
@@ -37,14 +36,14 @@
   setsockopt(fd, level, name, &value, sizeof value);
 }
 
-int sock_listen(const char *addr, int receive_bytes, Err *e) {
+int sock_listen(const char *addr, int backlog, int receive_bytes, Err *e) {
   struct sockaddr_in in;
   int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   if (fd >= 0) set_option(fd, SOL_SOCKET, SO_REUSEADDR, 1);
   if (fd >= 0 && receive_bytes > 0) sock_set_receive_buffer(fd, receive_bytes);
   if (fd >= 0 && sock_parse_address(addr, &in) &&
       bind(fd, (struct sockaddr *)&in, sizeof in) == 0 &&
-      listen(fd, BACKLOG) == 0)
+      listen(fd, backlog) == 0)
     return fd;
   err_set(e, ERR_SETTING, "can't listen at %s: %s", addr, strerror(errno));
   if (fd >= 0) close(fd);
@@ -120,6 +119,12 @@
   set_option(fd, IPPROTO_TCP, TCP_WINDOW_CLAMP, bytes);
 }
 
+void sock_change_receive_buffer(int fd, size_t *last, size_t bytes) {
+  if (bytes == *last) return;
+  *last = bytes;
+  sock_set_receive_buffer(fd, (int)bytes);
+}
+
 /* Discards sent bytes even if some remain; otherwise the buffer of a peer that
    never takes everything would grow with all that was sent. */
 static void discard_sent(GString *out, size_t *off) {
--- a/packages/flow/sock.h
+++ b/packages/flow/sock.h
@@ -11,9 +11,10 @@
 /* Parses "ip:port"; false when it is not valid. */
 bool sock_parse_address(const char *addr, struct sockaddr_in *in);
 /* Listens at "ip:port"; returns the socket, or -1 with a typed error.
-   `receive_bytes`: of the receive buffer of its connections, so that their
-   first windows are no larger; 0: the system's own size. */
-int sock_listen(const char *addr, int receive_bytes, Err *e);
+   `backlog`: connections that may wait to be accepted. `receive_bytes`: of the
+   receive buffer of its connections, so that their first windows are no larger;
+   0: the system's own size. */
+int sock_listen(const char *addr, int backlog, int receive_bytes, Err *e);
 /* Returns the next connection, -1 when there is none. */
 int sock_accept(int fd);
 /* Starts to connect and returns the socket, or -1 with errno set. */
@@ -41,6 +42,9 @@
    to wait; `bytes` is its window as well. */
 void sock_set_send_buffer(int fd, int bytes);
 void sock_set_receive_buffer(int fd, int bytes);
+/* As sock_set_receive_buffer, if it is another size than `last`, which it
+   updates. */
+void sock_change_receive_buffer(int fd, size_t *last, size_t bytes);
 
 /* Writes as much of `out` from *off as the socket accepts; clears both when all
    was written. Returns false when the connection is broken. */
--- a/packages/flow/tunnel.c
+++ b/packages/flow/tunnel.c
@@ -9,6 +9,7 @@
 
 #include "flow/sock.h"
 #include "kernel/count.h"
+#include "kernel/limits.h"
 
 #define READ_BYTES 16384       /* size of one read, and of what is held back */
 #define MAX_HEAD_BYTES 512     /* of the request for a tunnel */
@@ -322,7 +323,7 @@
 /* == the set == */
 
 Tunnels *tunnels_open(struct ev_loop *loop, const TunnelsOptions *o, Err *e) {
-  int fd = sock_listen(o->listen_addr, 0, e);
+  int fd = sock_listen(o->listen_addr, LIMIT_BACKLOG_MAX, 0, e);
   if (fd < 0) return NULL;
   Tunnels *s = g_new0(Tunnels, 1);
   s->loop = loop;
--- a/packages/http/connections.c
+++ b/packages/http/connections.c
@@ -24,7 +24,9 @@
   ConnectionState state;
   double since; /* when it began to be in that state, or to arrive */
   GString *body;
-  size_t extra_bytes, answer_bytes, receive_bytes;
+  size_t window_bytes;  /* of the system's receive buffer at first */
+  size_t receive_bytes; /* of that buffer, for a long body */
+  size_t extra_bytes, answer_bytes;
   Holding held;
   HoldingsRequest serving;
   bool is_dropped;
@@ -35,6 +37,8 @@
   pthread_mutex_t lock;
   Holdings *holdings;
   size_t own_bytes;
+  int listener;        /* -1: none */
+  size_t window_bytes; /* of its connections */
   Connection *first;
 };
 
@@ -42,6 +46,9 @@
   Connections *s = g_new0(Connections, 1);
   pthread_mutex_init(&s->lock, NULL);
   s->holdings = holdings_new(o->limit_bytes, o->max_connections);
+  holdings_set_receive_limit(s->holdings,
+                             o->limit_bytes / LIMIT_FRONT_RECEIVE_DIVISOR);
+  s->listener = -1;
   s->own_bytes = MAX(o->own_bytes, holdings_connection_bytes(s->holdings));
   return s;
 }
@@ -105,11 +112,27 @@
   make_room(c->set);
 }
 
-size_t connections_receive_bytes(const Connections *s) {
-  return holdings_receive_bytes(s->holdings);
+/* == connections == */
+
+int connections_backlog(const Connections *s) {
+  return holdings_backlog(s->holdings);
 }
 
-/* == connections == */
+/* The buffers of connections that wait to be accepted are as large as that of
+   the listening socket. */
+static void update_window(Connections *s) {
+  if (s->listener >= 0)
+    sock_change_receive_buffer(s->listener, &s->window_bytes,
+                               holdings_receive_bytes(s->holdings));
+}
+
+void connections_set_listener(Connections *s, int fd) {
+  pthread_mutex_lock(&s->lock);
+  s->listener = fd;
+  s->window_bytes = 0;
+  update_window(s);
+  pthread_mutex_unlock(&s->lock);
+}
 
 Connection *connections_add(Connections *s, int fd) {
   Connection *c = g_new0(Connection, 1);
@@ -119,6 +142,8 @@
   c->next = s->first;
   if (s->first) s->first->prev = c;
   s->first = c;
+  c->window_bytes = holdings_take_receive_bytes(s->holdings);
+  update_window(s);
   change_state(c, CONNECTION_IDLE);
   pthread_mutex_unlock(&s->lock);
   return c;
@@ -129,6 +154,8 @@
   pthread_mutex_lock(&s->lock);
   holdings_end(s->holdings, &c->serving);
   holdings_change(s->holdings, &c->held, (Holding){0});
+  holdings_return_receive_bytes(s->holdings, c->window_bytes);
+  update_window(s);
   if (c->prev) c->prev->next = c->next;
   if (c->next) c->next->prev = c->prev;
   if (s->first == c) s->first = c->next;
@@ -151,7 +178,7 @@
   size_t bytes = c->held.bytes + length + holdings_request_bytes(h);
   bool has_room = !is_stated || holdings_may_serve(h, "", bytes);
   c->body = body;
-  if (has_room && length > holdings_receive_bytes(h)) expect_long_body(c);
+  if (has_room && length > c->window_bytes) expect_long_body(c);
   change_state(c, CONNECTION_ARRIVING);
   pthread_mutex_unlock(&c->set->lock);
   return has_room;
--- a/packages/http/server.c
+++ b/packages/http/server.c
@@ -116,13 +116,10 @@
   *caller = connections_add(s->connections, info->connect_fd);
 }
 
-/* What lies unread in the system's buffers counts as memory of the process. */
-static void set_receive_buffers(const HttpServer *s) {
+static int listener_of(const HttpServer *s) {
   const union MHD_DaemonInfo *i =
       MHD_get_daemon_info(s->daemon, MHD_DAEMON_INFO_LISTEN_FD);
-  if (i)
-    sock_set_receive_buffer(i->listen_fd,
-                            (int)connections_receive_bytes(s->connections));
+  return i ? i->listen_fd : -1;
 }
 
 HttpServer *http_server_start(const char *addr, const HttpOptions *o,
@@ -154,9 +151,9 @@
       MHD_OPTION_THREAD_STACK_SIZE, o->stack_bytes,
       MHD_OPTION_CONNECTION_MEMORY_LIMIT, o->max_header_bytes,
       MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_LISTEN_BACKLOG_SIZE,
-      1024u, MHD_OPTION_END);
+      (unsigned)connections_backlog(s->connections), MHD_OPTION_END);
   if (s->daemon) {
-    set_receive_buffers(s);
+    connections_set_listener(s->connections, listener_of(s));
     return s;
   }
   err_set(e, ERR_SETTING, "can't listen on %s", addr);
@@ -167,6 +164,7 @@
 
 void http_server_stop(HttpServer *s) {
   if (!s) return;
+  connections_set_listener(s->connections, -1);
   MHD_stop_daemon(s->daemon);
   connections_free(s->connections);
   g_free(s);
@@ -177,13 +175,12 @@
    attempts (the caller's retry is refused once the socket is closed), then
    waits until the daemon has accepted those in the backlog. */
 static void accept_pending_connections(HttpServer *s) {
-  const union MHD_DaemonInfo *i =
-      MHD_get_daemon_info(s->daemon, MHD_DAEMON_INFO_LISTEN_FD);
-  if (!i) return;
+  int fd = listener_of(s);
+  if (fd < 0) return;
   struct sock_filter drop_all = BPF_STMT(BPF_RET | BPF_K, 0);
   struct sock_fprog filter_program = {1, &drop_all};
-  struct pollfd listener = {i->listen_fd, POLLIN, 0};
-  setsockopt(i->listen_fd, SOL_SOCKET, SO_ATTACH_FILTER, &filter_program,
+  struct pollfd listener = {fd, POLLIN, 0};
+  setsockopt(fd, SOL_SOCKET, SO_ATTACH_FILTER, &filter_program,
              sizeof filter_program);
   for (int k = 0; k < ACCEPT_POLLS_MAX && poll(&listener, 1, 0) > 0; k++)
     g_usleep(ACCEPT_POLL_US);
@@ -191,6 +188,7 @@
 
 void http_server_drain(HttpServer *s, double max_wait_s) {
   accept_pending_connections(s);
+  connections_set_listener(s->connections, -1);
   MHD_socket listener = MHD_quiesce_daemon(s->daemon);
   if (listener != MHD_INVALID_SOCKET) close(listener);
   for (double t = 0; t < max_wait_s && http_server_connections(s) > 0;
--- a/packages/kernel/holdings.c
+++ b/packages/kernel/holdings.c
@@ -9,8 +9,9 @@
 struct Holdings {
   size_t limit;
   size_t connection_bytes, request_bytes;
-  size_t used;        /* by all holders */
-  size_t droppable;   /* by those of them that are not served */
+  size_t receive_limit, receiving; /* by receive buffers of the system */
+  size_t used;                     /* by all holders */
+  size_t droppable;                /* by those of them that are not served */
   size_t served;      /* by requests when they began to be served */
   size_t large;       /* by the large ones among them */
   GHashTable *groups; /* name -> bytes of its smaller requests (size_t) */
@@ -24,7 +25,7 @@
 Holdings *holdings_new(size_t limit_bytes, int max_connections) {
   Holdings *h = g_new0(Holdings, 1);
   size_t share = limit_bytes / (size_t)MAX(max_connections, 1);
-  h->limit = limit_bytes;
+  h->limit = h->receive_limit = limit_bytes;
   h->connection_bytes = MAX(share, LIMIT_CONNECTION_BYTES);
   h->request_bytes = MAX(share, LIMIT_SERVED_REQUEST_BYTES);
   h->groups = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
@@ -44,9 +45,39 @@
   return h->request_bytes;
 }
 
+/* == receive buffers == */
+
+void holdings_set_receive_limit(Holdings *h, size_t bytes) {
+  h->receive_limit = bytes;
+}
+
+static size_t receive_bytes(const Holdings *h, size_t left) {
+  size_t bytes = MIN(h->receive_limit / LIMIT_RECEIVE_BUFFER_DIVISOR,
+                     left / LIMIT_RECEIVE_LEFT_DIVISOR);
+  bytes -= bytes % LIMIT_RECEIVE_STEP_BYTES;
+  return CLAMP(bytes, LIMIT_RECEIVE_BUFFER_BYTES, LIMIT_BODY_RECEIVE_BYTES);
+}
+
 size_t holdings_receive_bytes(const Holdings *h) {
-  return CLAMP(h->limit / LIMIT_RECEIVE_BUFFER_DIVISOR,
-               LIMIT_RECEIVE_BUFFER_BYTES, LIMIT_BODY_RECEIVE_BYTES);
+  size_t limit = h->receive_limit;
+  return receive_bytes(h, limit - MIN(limit, h->receiving));
+}
+
+size_t holdings_take_receive_bytes(Holdings *h) {
+  size_t bytes = holdings_receive_bytes(h);
+  h->receiving += bytes;
+  return bytes;
+}
+
+void holdings_return_receive_bytes(Holdings *h, size_t bytes) {
+  assert(h->receiving >= bytes);
+  h->receiving -= bytes;
+}
+
+int holdings_backlog(const Holdings *h) {
+  size_t n = h->receive_limit / LIMIT_BACKLOG_DIVISOR /
+             receive_bytes(h, h->receive_limit);
+  return (int)CLAMP(n, LIMIT_BACKLOG_MIN, LIMIT_BACKLOG_MAX);
 }
 
 /* == what is held == */
--- a/packages/kernel/holdings.h
+++ b/packages/kernel/holdings.h
@@ -36,8 +36,18 @@
 size_t holdings_connection_bytes(const Holdings *h);
 size_t holdings_request_bytes(const Holdings *h);
 
-/* What the system may hold for a connection that is not read. */
+/* What the system may hold for all connections that are not read; else it is
+   the limit. */
+void holdings_set_receive_limit(Holdings *h, size_t bytes);
+/* What it may hold for the next connection. */
 size_t holdings_receive_bytes(const Holdings *h);
+/* The same for a connection that was accepted. Returns what the connection has
+   to give back when it ends. */
+size_t holdings_take_receive_bytes(Holdings *h);
+void holdings_return_receive_bytes(Holdings *h, size_t bytes);
+/* Connections that may wait to be accepted, which the system holds bytes for as
+   well. */
+int holdings_backlog(const Holdings *h);
 
 /* Changes what one holder has. */
 void holdings_change(Holdings *h, Holding *x, Holding now);
--- a/packages/kernel/limits.h
+++ b/packages/kernel/limits.h
@@ -97,13 +97,25 @@
 /* A request that is served: the smallest buffer of its answer, what one read
    adds to it, and its connection to a target. */
 #define LIMIT_SERVED_REQUEST_BYTES (32 << 10)
-/* The system's receive buffer of a caller: this part of the limit, from a least
-   size, and at most that for a long body, which is read as it arrives. A buffer
-   smaller than a request costs its caller a round trip more. The last is the
-   largest window that a connection can have whose first one was small. */
+/* The system's receive buffers of callers take at most the limit together, in
+   case the process gets no time to read them; at the product's own front, whose
+   limit is a larger part of its memory, a part of it. */
+#define LIMIT_FRONT_RECEIVE_DIVISOR 2
+/* One of them: this part of what all may take, or that of what is left of it,
+   from a least size, and at most that for a long body, which is read as it
+   arrives. A buffer smaller than a request costs its caller a round trip more.
+   The last is the largest window that a connection can have whose first one was
+   small. */
 #define LIMIT_RECEIVE_BUFFER_DIVISOR 1024
+#define LIMIT_RECEIVE_LEFT_DIVISOR 512
+#define LIMIT_RECEIVE_STEP_BYTES 1024 /* it is a multiple of that */
 #define LIMIT_RECEIVE_BUFFER_BYTES (8 << 10)
 #define LIMIT_BODY_RECEIVE_BYTES (64 << 10)
+/* Connections that wait to be accepted, whose receive buffers may take this part
+   of what all may take besides. */
+#define LIMIT_BACKLOG_DIVISOR 4
+#define LIMIT_BACKLOG_MIN 16
+#define LIMIT_BACKLOG_MAX 1024
 /* A request over this part of the limit is a large one. */
 #define LIMIT_LARGE_REQUEST_DIVISOR 64
 /* Part of the limit that large requests leave to smaller ones. */
--- a/tests/crowd.py
+++ b/tests/crowd.py
@@ -101,25 +101,47 @@
                 if key.data in self.members:
                     self._serve(key.data, events)
 
+    def send_more(self, data):
+        """Has each member that is still connected go on with `data`, of which it has
+        sent a part."""
+        for k, m in self.members.items():
+            m.data = memoryview(data)
+            self.selector.modify(m.socket, self._events(m), k)
+
     def close(self):
         for m in self.members.values():
             m.close()
         self.members = {}
 
 
-def unread_bytes(ip, port=None):
-    """Bytes that the system holds for the sockets of an address, not read yet."""
+def socket_inodes(pid):
+    """Inodes of the open sockets of a process."""
+    inodes, path = set(), "/proc/%d/fd/" % pid
+    for fd in os.listdir(path):
+        try:
+            name = os.readlink(path + fd)
+        except FileNotFoundError:
+            continue
+        if name.startswith("socket:["):
+            inodes.add(name[8:-1])
+    return inodes
+
+
+def unread_bytes(pid, ip, port=None):
+    """Bytes that the system holds for a process, not read yet: for its sockets, and
+    for those at its address that it has not accepted."""
     own = "".join("%02X" % int(b) for b in reversed(ip.split("."))) + ":"
     own += "%04X" % port if port else ""
+    inodes = socket_inodes(pid)
     with open("/proc/net/tcp") as f:
         rows = [line.split() for line in f][1:]
-    return sum(int(r[4].split(":")[1], 16) for r in rows
-               if r[1].startswith(own) and r[3] == "01")
+    return sum(int(r[4].split(":")[1], 16) for r in rows if r[3] != "0A" and
+               (r[9] in inodes or r[9] == "0" and r[1].startswith(own)))
 
 
 class Meter:
     """Samples the memory and the descriptors of a process, and the bytes that
-    wait for its sockets at `ip` and `port`, or at all ports."""
+    wait for its sockets; `ip` and `port`, or all ports: where it listens."""
 
     def __init__(self, process, ip, port=None):
         self.process, self.address, self.running = process, (ip, port), True
@@ -138,7 +160,7 @@
     def _sample(self, path):
         with open(path + "statm") as f:
             resident = int(f.read().split()[1]) * os.sysconf("SC_PAGE_SIZE")
-        unread = unread_bytes(*self.address)
+        unread = unread_bytes(self.process.pid, *self.address)
         self.unread = max(self.unread, unread)
         self.bytes = max(self.bytes, resident + unread)
         self.files = max(self.files, len(os.listdir(path + "fd")))
--- a/tests/crowds.py
+++ b/tests/crowds.py
@@ -9,6 +9,7 @@
 
 Usage: crowds.py BUILD_DIR [TEST...]"""
 import resource
+import signal
 import sys
 import threading
 
@@ -82,6 +83,12 @@
         super().close()
 
 
+class LargerSite(CrowdedSite):
+    """Its instance has more memory, so that it may hold more connections."""
+
+    memory_mb = 3 * MEMORY_MB
+
+
 class SmallSite(CrowdedSite):
     """Its instance may open few descriptors."""
 
@@ -92,7 +99,7 @@
     m = s.meter
     print("  %s" % m, flush=True)
     assert s.processes[0].poll() is None, "the process ended"
-    assert m.bytes < MEMORY_MB << 20, "memory: %s" % m
+    assert m.bytes < s.memory_mb << 20, "memory: %s" % m
     assert not max_files or m.files <= max_files, "descriptors: %s" % m
 
 
@@ -208,6 +215,36 @@
                     reads=False))
 
 
+def endure_while_stopped(s, n):
+    """Lets crowds of n send all that they can while the process is stopped: one that
+    was connected before, and one that connects."""
+    data = s.bytes_of("POST", "/once/x", "Content-Length: 100000", body=bytes(99999))
+    crowd = Crowd(s.address(), n, lambda k: data[:HEAD_BYTES // 4], again=1)
+    crowd.settle()
+    s.processes[0].send_signal(signal.SIGSTOP)
+    crowd.send_more(data)
+    other = Crowd(s.address(), n, lambda k: data)
+    crowd.settle()
+    other.settle()
+    s.processes[0].send_signal(signal.SIGCONT)
+    crowd.settle()
+    endure(s, other)
+    crowd.close()
+    serve_ordinary(s)
+    check(s)
+
+
+def test_crowds_at_a_process_that_is_stopped(s):
+    """What the system accepts for a process that does not run was not bounded by
+    its memory: as many connections wait to be accepted in each."""
+    endure_while_stopped(s, 1800)
+
+
+def test_crowds_at_a_larger_process_that_is_stopped(s):
+    """The buffers of accepted connections were bounded one by one."""
+    endure_while_stopped(s, 3600)
+
+
 def test_bodies_at_the_address_for_readiness(s):
     """Its connections had the default limits, and no bound together."""
     data = b"GET /-/readyz HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n" % BODY_BYTES
@@ -239,12 +276,19 @@
     assert s.ready(0), "it doesn't say that it is ready"
 
 
+def site_of(name):
+    if name.endswith("beyond_the_descriptors"):
+        return SmallSite
+    return LargerSite if "larger_process" in name else CrowdedSite
+
+
 def run(names):
-    """Tests of descriptors have a site of their own."""
-    few = [n for n in names if n.endswith("beyond_the_descriptors")]
-    many = [n for n in names if n not in few]
-    return max(run_tests(globals(), names=many, site=CrowdedSite) if many else 0,
-               run_tests(globals(), names=few, site=SmallSite) if few else 0)
+    """Returns 1 if any test failed."""
+    failed = 0
+    for site in (CrowdedSite, LargerSite, SmallSite):
+        own = [n for n in names if site_of(n) == site]
+        failed = max(failed, run_tests(globals(), names=own, site=site) if own else 0)
+    return failed
 
 
 if __name__ == "__main__":
--- a/tests/front_crowds.py
+++ b/tests/front_crowds.py
@@ -6,6 +6,7 @@
 import json
 import os
 import resource
+import signal
 import sys
 import threading
 
@@ -183,6 +184,25 @@
     endure(f, Crowd(f.address(), CONNECTIONS // 2, lambda k: data))
 
 
+def test_front_crowds_at_a_process_that_is_stopped(f):
+    """What the system accepts for a process that does not run was not bounded by
+    its memory: as many connections wait to be accepted in each."""
+    data = f.upload("/services/book/book", BODY_BYTES - 1)
+    crowd = Crowd(f.address(), CONNECTIONS, lambda k: data[:HEAD_BYTES // 4], again=1)
+    crowd.settle()
+    f.procs["i0"].send_signal(signal.SIGSTOP)
+    crowd.send_more(data)
+    other = Crowd(f.address(), 1800, lambda k: data)
+    crowd.settle()
+    other.settle()
+    f.procs["i0"].send_signal(signal.SIGCONT)
+    crowd.settle()
+    endure(f, other)
+    crowd.close()
+    serve_ordinary(f)
+    check(f)
+
+
 def test_front_silent_connections_beyond_the_limit(f):
     """An ordinary caller waited until one of them had been idle for long."""
     endure(f, Crowd(f.address(), 300, lambda k: b"", again=1))
--- a/tests/test_holdings.c
+++ b/tests/test_holdings.c
@@ -120,3 +120,27 @@
     holdings_free(h);
   }
 }
+
+/* Guards against receive buffers that are bounded one by one, but not together
+   with those of connections that wait to be accepted. */
+Test(holdings, receive_buffers_share_their_limit) {
+  for (size_t mb = 8; mb <= 256; mb *= 2) {
+    Holdings *h = holdings_new(mb * MB, MANY);
+    size_t first = holdings_receive_bytes(h), sum = 0;
+    size_t n = mb * MB / LIMIT_CONNECTION_BYTES;
+    size_t *taken = g_new0(size_t, n);
+    for (size_t i = 0; i < n; i++) {
+      taken[i] = holdings_take_receive_bytes(h);
+      cr_assert(i >= LIMIT_RECEIVE_LEFT_DIVISOR || taken[i] == first);
+      sum += taken[i];
+    }
+    cr_assert(sum <= mb * MB + n * LIMIT_RECEIVE_BUFFER_BYTES);
+    size_t waiting = (size_t)holdings_backlog(h) * first;
+    cr_assert(waiting <= mb * MB / LIMIT_BACKLOG_DIVISOR);
+    cr_assert(holdings_backlog(h) >= 256);
+    for (size_t i = 0; i < n; i++) holdings_return_receive_bytes(h, taken[i]);
+    cr_assert_eq(holdings_receive_bytes(h), first);
+    g_free(taken);
+    holdings_free(h);
+  }
+}
