Once: records of requests have a limit, with their answers

Kept answers had a bound of 32 MB, whatever the memory of the instance.

Besides, a run in progress at the head of the queue by age kept all later records from expiring, however old they were.

Now records and answers together have an eighth of caller-memory besides (32 MB by default, as answers had before). Beyond it the oldest are dropped whose requests have ended; the record of a run in progress stays, since a repeat of its request would run beside it. A bill that is made twice since a record was dropped counts once, as its readers take the union by request. A record takes 150 bytes in place of 450: names are interned, an answer is allocated only where there is one, and the bill was never read.

--- a/bin/loftpathd.c
+++ b/bin/loftpathd.c
@@ -87,9 +87,17 @@
 
 /* == services == */
 
+/* Returns the memory that callers may make this instance hold, in bytes. */
+static size_t caller_bytes(void) {
+  return holdings_limit_bytes(settings_number(settings, "caller-memory"),
+                              settings_number(settings, "memory"),
+                              LIMIT_FRONT_CALLER_MEMORY_DIVISOR);
+}
+
 static bool start_fleet(Service *s, Err *e) {
   FleetOptions o = {.platform = settings_text(settings, "platform"),
-                    .seed = random_seed()};
+                    .seed = random_seed(),
+                    .kept_bytes = caller_bytes() / LIMIT_KEPT_DIVISOR};
   const char *dc = settings_text(settings, "datacentre");
   const char *region = settings_text(settings, "region");
   const char *peer = settings_text(settings, "peer");
@@ -110,13 +118,6 @@
   fleet_close(s->state);
 }
 
-/* Returns the memory that callers may make this instance hold, in bytes. */
-static size_t caller_bytes(void) {
-  return holdings_limit_bytes(settings_number(settings, "caller-memory"),
-                              settings_number(settings, "memory"),
-                              LIMIT_FRONT_CALLER_MEMORY_DIVISOR);
-}
-
 static bool start_entry(Service *s, Err *e) {
   entry.options = (EntryOptions){
       .listen = settings_text(settings, "listen"),
--- a/packages/fleet/fleet.c
+++ b/packages/fleet/fleet.c
@@ -222,7 +222,9 @@
   /* Each lane has a random sequence of its own. */
   uint32_t seed = f->options.seed + (uint32_t)i * 7919u;
   if (i == RECORDS_LANE) {
-    lane_open(&f->lanes[i], &f->host, NULL, once_new(me->id, me->region, seed));
+    Once *once = once_new(me->id, me->region, seed);
+    once_set_kept_limit(once, f->options.kept_bytes);
+    lane_open(&f->lanes[i], &f->host, NULL, once);
     return;
   }
   Ledger *ledger = ledger_new(me->id, me->region, seed);
--- a/packages/fleet/fleet.h
+++ b/packages/fleet/fleet.h
@@ -17,6 +17,7 @@
   const char *platform; /* ip:port of the platform's store */
   const char *bind;     /* peer address to bind, tcp://ip:port */
   uint32_t seed;        /* of the random number generators */
+  size_t kept_bytes;    /* that records of requests may take */
 } FleetOptions;
 
 Fleet *fleet_open(const FleetOptions *o, Err *e);
--- a/packages/kernel/limits.h
+++ b/packages/kernel/limits.h
@@ -22,8 +22,10 @@
 #define LIMIT_KEPT_ANSWER_BYTES (64 << 10)
 /* Of one answer, kept in a claim. */
 #define LIMIT_CLAIM_ANSWER_BYTES (2 << 10)
-/* Of all kept answers of an instance. */
+/* Of all records of requests and their kept answers of an instance; at the
+   product's own front this part of what callers may make it hold, besides. */
 #define LIMIT_KEPT_TOTAL_BYTES (32 << 20)
+#define LIMIT_KEPT_DIVISOR 8
 
 /* == buffers for callers and targets that read slowly == */
 
@@ -111,8 +113,8 @@
 #define LIMIT_RECEIVE_STEP_BYTES 1024 /* it is a multiple of that */
 #define LIMIT_RECEIVE_BUFFER_BYTES (8 << 10)
 #define LIMIT_BODY_RECEIVE_BYTES (64 << 10)
-/* Connections that wait to be accepted, whose receive buffers may take this part
-   of what all may take besides. */
+/* Connections that wait to be accepted, whose receive buffers may take this
+   part of what all may take besides. */
 #define LIMIT_BACKLOG_DIVISOR 4
 #define LIMIT_BACKLOG_MIN 16
 #define LIMIT_BACKLOG_MAX 1024
--- a/packages/once/keeper.c
+++ b/packages/once/keeper.c
@@ -7,13 +7,21 @@
 #include <stdio.h>
 #include <string.h>
 
-#define BATCH_MAX_BILLS 4000    /* an object of about 250 kB */
-#define FLEET_BATCHES_PER_S 4.0 /* all instances together */
+#define BATCH_MAX_BILLS 4000                     /* an object of about 250 kB */
+#define FLEET_BATCHES_PER_S 4.0                  /* all instances together */
+#define RECORD_BYTES (sizeof(KeeperRecord) + 64) /* with its table entry */
+/* Runs in progress that are passed over when a record has to be dropped. */
+#define DROP_MAX_SKIPPED 64
+
+static void free_answer(KeeperRecord *r) {
+  if (r->answer) once_answer_clear(r->answer);
+  g_free(r->answer);
+  r->answer = NULL;
+}
 
 void keeper_record_free(gpointer p) {
-  KeeperRecord *r = p;
-  once_answer_clear(&r->answer);
-  g_free(r);
+  free_answer(p);
+  g_free(p);
 }
 
 /* == records == */
@@ -27,26 +35,96 @@
   return m || rank > 0 ? m : view_find(o->view, o->self);
 }
 
-static void drop_oldest_record(Once *o) {
-  OnceKey *k = g_queue_pop_head(&o->records_by_age);
-  const KeeperRecord *r = g_hash_table_lookup(o->records, k);
-  if (r) {
-    o->kept_bytes -= r->answer.len;
-    g_hash_table_remove(o->records, k);
-  }
-  g_free(k);
+static bool is_gone(const Once *o, const char *id) {
+  return !view_find(o->view, id);
+}
+
+static bool is_in_progress(const Once *o, const KeeperRecord *r) {
+  return !r->finished && !r->unknown && !is_gone(o, r->runner);
+}
+
+static size_t record_bytes(const KeeperRecord *r) {
+  size_t answer = r->answer ? sizeof(OnceAnswer) + r->answer->len : 0;
+  return RECORD_BYTES + answer;
+}
+
+static void append_record(Once *o, KeeperRecord *r) {
+  r->older = o->newest;
+  r->newer = NULL;
+  *(o->newest ? &o->newest->newer : &o->oldest) = r;
+  o->newest = r;
+}
+
+static void unlink_record(Once *o, KeeperRecord *r) {
+  *(r->older ? &r->older->newer : &o->oldest) = r->newer;
+  *(r->newer ? &r->newer->older : &o->newest) = r->older;
+}
+
+static void move_to_end(Once *o, KeeperRecord *r) {
+  unlink_record(o, r);
+  append_record(o, r);
 }
 
-static KeeperRecord *add_record(Once *o, OnceKey key) {
-  KeeperRecord *r = g_new0(KeeperRecord, 1);
+static KeeperRecord *get_record(Once *o, OnceKey key) {
+  KeeperRecord *r = g_hash_table_lookup(o->records, &key);
+  if (r) return r;
+  r = g_new0(KeeperRecord, 1);
   r->key = key;
+  r->runner = r->target = "";
   g_hash_table_insert(o->records, &r->key, r);
-  g_queue_push_tail(&o->records_by_age, g_memdup2(&key, sizeof key));
+  append_record(o, r);
+  o->kept_bytes += record_bytes(r);
   return r;
 }
 
-static bool is_gone(const Once *o, const char *id) {
-  return !view_find(o->view, id);
+static void drop_record(Once *o, KeeperRecord *r) {
+  unlink_record(o, r);
+  o->kept_bytes -= record_bytes(r);
+  g_hash_table_remove(o->records, &r->key);
+}
+
+/* Drops records until all are within their limit. Those of runs in progress
+   stay: without one, a repeat of its request would run beside it. */
+static void enforce_kept_limit(Once *o) {
+  int skipped = 0;
+  while (o->kept_bytes > o->kept_limit && skipped < DROP_MAX_SKIPPED) {
+    KeeperRecord *r = o->oldest;
+    if (is_in_progress(o, r)) {
+      move_to_end(o, r);
+      skipped++;
+    } else
+      drop_record(o, r);
+  }
+}
+
+static void drop_expired_records(Once *o) {
+  guint n = g_hash_table_size(o->records);
+  for (; n > 0 && o->now - o->oldest->changed_at >= ONCE_KEEP_S; n--) {
+    KeeperRecord *r = o->oldest;
+    if (is_in_progress(o, r))
+      move_to_end(o, r);
+    else
+      drop_record(o, r);
+  }
+}
+
+/* Records that `runner` has the run. */
+static void set_run(Once *o, KeeperRecord *r, const char *runner,
+                    const OnceMsg *m) {
+  r->nonce = m->nonce;
+  r->digest = m->digest;
+  r->unknown = false;
+  r->runner = g_intern_string(runner);
+  r->changed_at = o->now;
+  move_to_end(o, r);
+}
+
+static void set_answer(Once *o, KeeperRecord *r, const OnceAnswer *answer) {
+  o->kept_bytes -= record_bytes(r);
+  free_answer(r);
+  OnceAnswer copy = once_answer_copy(answer, LIMIT_KEPT_ANSWER_BYTES);
+  if (copy.body) r->answer = g_memdup2(&copy, sizeof copy);
+  o->kept_bytes += record_bytes(r);
 }
 
 static OnceVerdict judge_record(const Once *o, const KeeperRecord *r,
@@ -55,29 +133,25 @@
   if (r->digest != m->digest) return ONCE_MISMATCH;
   /* A finished request whose answer was not kept may run again if it is
      repeatable (otherwise its claim refuses it). It is not billed again. */
-  if (r->finished) return r->answer.body ? ONCE_REPLAY : ONCE_RUN;
-  if (r->unknown || is_gone(o, r->runner)) return ONCE_RUN;
-  return ONCE_PENDING;
+  if (r->finished) return r->answer ? ONCE_REPLAY : ONCE_RUN;
+  return is_in_progress(o, r) ? ONCE_PENDING : ONCE_RUN;
 }
 
 void keeper_begin(Once *o, const char *from, const OnceMsg *m) {
-  KeeperRecord *r = g_hash_table_lookup(o->records, &m->key);
-  OnceVerdict v = r ? judge_record(o, r, m) : ONCE_RUN;
-  if (!r) r = add_record(o, m->key);
+  bool is_known = g_hash_table_contains(o->records, &m->key);
+  KeeperRecord *r = get_record(o, m->key);
+  OnceVerdict v = is_known ? judge_record(o, r, m) : ONCE_RUN;
   OnceMsg a = {
       .kind = ONCE_BEGIN_REPLY, .key = m->key, .nonce = m->nonce, .verdict = v};
   if (v == ONCE_RUN && !r->finished) {
     g_strlcpy(a.target, r->target,
               sizeof a.target); /* target of an earlier run */
-    r->nonce = m->nonce;
-    r->digest = m->digest;
-    r->unknown = false;
-    r->changed_at = o->now;
-    g_strlcpy(r->runner, from, sizeof r->runner);
+    set_run(o, r, from, m);
   }
   if (v == ONCE_REPLAY)
-    a.answer = once_answer_copy(&r->answer, LIMIT_KEPT_ANSWER_BYTES);
+    a.answer = once_answer_copy(r->answer, LIMIT_KEPT_ANSWER_BYTES);
   once_send(o, from, &a);
+  enforce_kept_limit(o);
 }
 
 /* == copies: at least two instances hold each bill that is not stored == */
@@ -165,21 +239,13 @@
 /* The first finish of a key is billed. A second run of the same key consumed
    tokens, but is not billed. */
 void keeper_finish(Once *o, const char *from, const OnceMsg *m) {
-  KeeperRecord *r = g_hash_table_lookup(o->records, &m->key);
-  if (!r) r = add_record(o, m->key);
+  KeeperRecord *r = get_record(o, m->key);
   bool again = r->finished && r->nonce == m->nonce;
   bool duplicate = r->finished && !again && !o->faults.bill_duplicates;
   if (!r->finished || o->faults.bill_duplicates) {
     r->finished = true;
-    r->unknown = false;
-    r->nonce = m->nonce;
-    r->digest = m->digest;
-    r->changed_at = o->now;
-    g_strlcpy(r->runner, from, sizeof r->runner);
-    r->bill = m->bill;
-    once_answer_clear(&r->answer);
-    r->answer = once_answer_copy(&m->answer, LIMIT_KEPT_ANSWER_BYTES);
-    o->kept_bytes += r->answer.len;
+    set_run(o, r, from, m);
+    set_answer(o, r, &m->answer);
   }
   if (again || duplicate) {
     send_finish_ack(o, from, m, duplicate);
@@ -190,25 +256,19 @@
     if (again && stored) once_send(o, from, &d);
   } else
     add_bill(o, from, m);
-  while (o->kept_bytes > LIMIT_KEPT_TOTAL_BYTES && o->records_by_age.length > 0)
-    drop_oldest_record(o);
+  enforce_kept_limit(o);
 }
 
 /* `from` runs the request at a target. The first keeper already has a record of
    the run; the second keeper creates it here. The record of another run that is
    still in progress is not overwritten. */
 void keeper_dispatched(Once *o, const char *from, const OnceMsg *m) {
-  KeeperRecord *r = g_hash_table_lookup(o->records, &m->key);
-  if (!r) r = add_record(o, m->key);
+  KeeperRecord *r = get_record(o, m->key);
   bool other = r->runner[0] && r->nonce != m->nonce;
-  bool in_progress = other && !r->unknown && !is_gone(o, r->runner);
-  if (r->finished || in_progress) return;
-  r->nonce = m->nonce;
-  r->digest = m->digest;
-  r->unknown = false;
-  r->changed_at = o->now;
-  g_strlcpy(r->runner, from, sizeof r->runner);
-  g_strlcpy(r->target, m->target, sizeof r->target);
+  if (r->finished || (other && is_in_progress(o, r))) return;
+  set_run(o, r, from, m);
+  r->target = g_intern_string(m->target);
+  enforce_kept_limit(o);
 }
 
 void keeper_abort(Once *o, const char *from, const OnceMsg *m) {
@@ -283,11 +343,5 @@
   bool due =
       o->now >= o->next_batch_at || (o->draining && o->bill_backoff == 0);
   if (!o->batch_in_flight && o->pending_bills->len > 0 && due) write_batch(o);
-  while (o->records_by_age.length > 0) {
-    const KeeperRecord *r =
-        g_hash_table_lookup(o->records, o->records_by_age.head->data);
-    if (r && o->now - r->changed_at < ONCE_KEEP_S) break;
-    if (r && !r->finished && !r->unknown && !is_gone(o, r->runner)) break;
-    drop_oldest_record(o);
-  }
+  drop_expired_records(o);
 }
--- a/packages/once/once.c
+++ b/packages/once/once.c
@@ -150,7 +150,7 @@
   o->merge_parts = CLAIM_MERGE_PARTS;
   o->pending_bills = g_ptr_array_new_with_free_func(g_free);
   o->bills_by_key = g_hash_table_new(once_key_hash, once_key_equal);
-  g_queue_init(&o->records_by_age);
+  o->kept_limit = LIMIT_KEPT_TOTAL_BYTES;
   g_queue_init(&o->actions);
   g_queue_init(&o->local_messages);
   return o;
@@ -160,7 +160,6 @@
   OnceAction a;
   once_deliver_local(o);
   while (once_next_action(o, &a)) once_action_clear(&a);
-  g_queue_clear_full(&o->records_by_age, g_free);
   g_hash_table_destroy(o->records);
   g_hash_table_destroy(o->runs);
   g_hash_table_destroy(o->owed);
@@ -177,6 +176,10 @@
   o->faults = f;
 }
 
+void once_set_kept_limit(Once *o, size_t bytes) {
+  o->kept_limit = bytes;
+}
+
 void once_set_claim_sizes(Once *o, guint seal, guint merge) {
   o->seal_entries = seal;
   o->merge_parts = merge;
--- a/packages/once/once.h
+++ b/packages/once/once.h
@@ -133,6 +133,10 @@
 Once *once_new(const char *self, const char *region, uint32_t seed);
 void once_free(Once *o);
 void once_set_faults(Once *o, OnceFaults f);
+/* Sets how many bytes the records of requests, and their answers, may take;
+   otherwise it is LIMIT_KEPT_TOTAL_BYTES. Beyond it the oldest are dropped
+   whose requests have ended. */
+void once_set_kept_limit(Once *o, size_t bytes);
 /* For tests: sets the number of head entries at which they are moved into a new
    part, and the number of small parts at which they are merged into one. */
 void once_set_claim_sizes(Once *o, guint seal, guint merge);
--- a/packages/once/state.h
+++ b/packages/once/state.h
@@ -9,15 +9,16 @@
 #include "once/once.h"
 #include "store/pace.h"
 
-/* What a keeper remembers about one key. */
+/* What a keeper remembers about one key. Compact, because each request leaves
+   one. */
 typedef struct KeeperRecord {
   OnceKey key;
   uint64_t nonce, digest;
-  char runner[LIMIT_ID_BYTES], target[LIMIT_NAME_BYTES];
-  bool finished, unknown;
-  OnceBill bill;
-  OnceAnswer answer;
+  const char *runner, *target; /* interned; "": none */
+  OnceAnswer *answer;          /* NULL: not kept */
   double changed_at;
+  bool finished, unknown;
+  struct KeeperRecord *older, *newer;
 } KeeperRecord;
 
 typedef enum {
@@ -146,11 +147,11 @@
   double now;
   int64_t unix_s;
   bool draining;
-  GHashTable *records;   /* OnceKey -> KeeperRecord */
-  size_t kept_bytes;     /* total size of the answers in `records` */
-  GQueue records_by_age; /* OnceKey*, oldest first */
-  GHashTable *runs;      /* handle -> Run */
-  GHashTable *owed;      /* OnceKey -> OwedBill */
+  GHashTable *records; /* OnceKey -> KeeperRecord */
+  KeeperRecord *oldest, *newest;
+  size_t kept_bytes, kept_limit;          /* of the records and their answers */
+  GHashTable *runs;                       /* handle -> Run */
+  GHashTable *owed;                       /* OnceKey -> OwedBill */
   ClaimShard *shards[LIMIT_CLAIM_SHARDS]; /* NULL: not in use here */
   guint seal_entries, merge_parts;
   GHashTable *queries; /* nonce -> ClaimQuery */
--- a/tests/crowd.py
+++ b/tests/crowd.py
@@ -16,7 +16,7 @@
     """One connection of a crowd. `data`: what it sends; it then stays open."""
 
     def __init__(self, address, data):
-        self.address, self.data, self.sent, self.answer = address, data, 0, b""
+        self.address, self.data, self.sent, self.received = address, data, 0, 0
         self.socket = socket.socket()
         self.socket.setblocking(False)
         self.socket.connect_ex(address)
@@ -39,7 +39,7 @@
             return True
         except OSError:
             return False
-        self.answer = (self.answer + data)[:1000]
+        self.received += len(data)
         return data != b""
 
     def close(self):
@@ -77,13 +77,13 @@
 
     def _serve(self, k, events):
         m = self.members[k]
-        before = m.sent, len(m.answer)
+        before = m.sent, m.received
         alive = True
         if events & selectors.EVENT_WRITE:
             alive = m.write(self.piece)
         if alive and events & selectors.EVENT_READ:
             alive = m.read()
-        if not alive or before != (m.sent, len(m.answer)):
+        if not alive or before != (m.sent, m.received):
             self.moved_at = time.monotonic()
         if not alive:
             self._end(k)
--- a/tests/front_crowds.py
+++ b/tests/front_crowds.py
@@ -26,11 +26,13 @@
 IDLE_S = 120           # its setting idle; more than a test takes
 MAX_FILES = 2 * CONNECTIONS + 100  # bound of its descriptors
 LONG_BODY = bytes(BODY_BYTES)
+PAGE = bytes(60000)
 
 
 class Target(Server):
-    """A plain service: never answers POST /services/patient/wait, and sends a long
-    answer to any other request."""
+    """A plain service: never answers POST /services/patient/wait, and sends an answer
+    that is kept for a repeat to /services/patient/page, a longer one to any other
+    request."""
 
     def __init__(self):
         self.left = threading.Event()
@@ -40,14 +42,14 @@
         if path == "/wait":
             self.left.wait()
             return False
-        text = b'{"slots": 64}' if path == "/load" else LONG_BODY
+        text = {"/load": b'{"slots": 64}', "/page": PAGE}.get(path, LONG_BODY)
         c.sendall(b"HTTP/1.1 200 X\r\nContent-Length: %d\r\n\r\n" % len(text))
         c.sendall(text)
         return True
 
 
 class CrowdedFleet(process.Fleet):
-    """One instance, and a service more, "patient"."""
+    """One instance, and two services more: "patient", and "none" without targets."""
 
     def __init__(self):
         self.patient = Target()
@@ -64,6 +66,7 @@
     def table(self, slots, small):
         return super().table(slots, small) + "\n".join([
             "service,patient,,,,0,yes,100000,,,,,,,",
+            "service,none,,,,0,yes,100000,,,,,,,",
             "target,p,,,,,,,,patient,%s,nord,1000,," % self.patient.address]) + "\n"
 
     def address(self):
@@ -74,6 +77,9 @@
                  "Authorization: Bearer " + KEYS["c"]] + list(more)
         return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
 
+    def keyed(self, method, path, key):
+        return self.bytes_of(method, path, "Idempotency-Key: " + key)
+
     def upload(self, path, sent=BODY_BYTES, body=LONG_BODY):
         return self.bytes_of("POST", path, "Content-Length: %d" % len(body),
                              body=body[:sent])
@@ -203,6 +209,12 @@
     check(f)
 
 
+def test_front_many_requests_with_keys_that_are_refused(f):
+    """The record of each stayed for ten minutes, whatever their number."""
+    endure(f, Crowd(f.address(), 60, lambda k: b"".join(
+        f.keyed("POST", "/services/none/x", "%d-%d" % (k, n)) for n in range(3000))))
+
+
 def test_front_silent_connections_beyond_the_limit(f):
     """An ordinary caller waited until one of them had been idle for long."""
     endure(f, Crowd(f.address(), 300, lambda k: b"", again=1))
--- a/tests/test_once.c
+++ b/tests/test_once.c
@@ -211,6 +211,71 @@
   }
 }
 
+/* == memory of records == */
+
+/* Runs a request at instance 1 to its end, with an answer of `len` bytes. */
+static void run_to_end(Net *n, OnceKey k, const char *body, size_t len) {
+  OnceBill bill = {.customer = "c", .budget = "c/*", .tokens = 5};
+  OnceAnswer answer = {.status = 200, .body = (char *)body, .len = len};
+  begin(n, 1, k, true);
+  cr_assert_eq(n->verdict[1], ONCE_RUN);
+  once_finish(n->core[1], n->now, 2, &bill, &answer);
+  deliver_all(n);
+}
+
+static OnceKey numbered_key(int i) {
+  char text[32];
+  snprintf(text, sizeof text, "other-%d", i);
+  return once_make_key("c", text);
+}
+
+/* Guards against records of ended requests that take any amount of memory, and
+   against a repeat that runs beside its first run since the record of that was
+   dropped. */
+Test(once, beyond_the_limit_the_oldest_records_of_ended_requests_are_dropped) {
+  static const char body[10000] = "x";
+  OnceKey k;
+  Net *n = start_run(0, 0, &k);
+  for (int i = 0; i < INSTANCE_COUNT; i++)
+    once_set_kept_limit(n->core[i], 10 * sizeof body);
+  for (int i = 0; i < 60; i++)
+    run_to_end(n, numbered_key(i), body, sizeof body - 1);
+  begin(n, 1, numbered_key(59), true);
+  cr_assert_eq(n->verdict[1], ONCE_REPLAY);
+  begin(n, 1, numbered_key(0), true);
+  cr_assert_eq(n->verdict[1], ONCE_RUN);
+  once_abort(n->core[1], n->now, 2);
+  deliver_all(n);
+  for (int i = 100; i < 5000; i++) {
+    begin(n, 1, numbered_key(i), true);
+    once_abort(n->core[1], n->now, 2);
+    deliver_all(n);
+  }
+  begin(n, 1, numbered_key(59), true);
+  cr_assert_eq(n->verdict[1], ONCE_RUN);
+  begin(n, 2, k, true);
+  cr_assert_eq(n->verdict[2], ONCE_PENDING);
+  net_free(n);
+}
+
+/* Guards against records that never expire while a run that began before them
+   goes on. */
+Test(once, records_expire_beside_a_long_run) {
+  OnceKey k;
+  Net *n = start_run(0, 0, &k);
+  OnceKey other = k;
+  other.lo++; /* it has the same keeper */
+  run_to_end(n, other, "x", 1);
+  begin(n, 1, other, true);
+  cr_assert_eq(n->verdict[1], ONCE_REPLAY);
+  advance(n, ONCE_KEEP_S + 1);
+  begin(n, 1, other, true);
+  cr_assert_eq(n->verdict[1], ONCE_RUN);
+  begin(n, 2, k, true);
+  cr_assert_eq(n->verdict[2], ONCE_PENDING);
+  net_free(n);
+}
+
 /* == encoding of bills == */
 
 typedef struct Collected {
