Tunnels: what they hold counts in the account, and few may wait for a head

What clients could do at the address for tunnels: 600 of them that ask for long answers and read nothing took a process to 38.5 and 35.5 MB of 32, the kernel's send buffers apart; 700 silent connections took all 512 descriptors, so that callers found none until a second later.

Cause: tunnels had no account. The 1,001st was refused only once its head had arrived, each end had the system's own buffers, and connections were accepted without a bound.

A tunnel now counts as a request that is served, in a group of its own, so that callers keep a third of the limit; its ends take part in the pool of receive buffers, and the client's end has a caller's send buffer. Of more than 64 connections without a head the oldest is closed: another instance sends its head at once, and heads that have arrived are read before.

--- a/packages/flow/relay.c
+++ b/packages/flow/relay.c
@@ -285,6 +285,7 @@
                       .user_timeout_ms = USER_TIMEOUT_MS,
                       .check = relay_check_tunnel,
                       .attempted = relay_on_tunnel_attempt,
+                      .holdings = r->holdings,
                       .ctx = r};
   Err e = {0};
   r->tunnels = tunnels_open(r->loop, &o, &e);
--- a/packages/flow/tunnel.c
+++ b/packages/flow/tunnel.c
@@ -20,6 +20,7 @@
 #define CLIENT_USER_TIMEOUT_MS 5000
 #define MAX_TUNNELS 1000        /* each takes two of 4,100 descriptors */
 #define MAX_ACCEPTS_PER_TURN 64 /* per turn of the event loop */
+#define TUNNEL_GROUP "CONNECT"  /* as which tunnels share the account */
 
 typedef struct Tunnel Tunnel;
 
@@ -30,6 +31,7 @@
   ev_io read, write;
   GString *out; /* to be written to it */
   size_t out_off;
+  size_t window_bytes; /* of the system's receive buffer */
 } End;
 
 struct Tunnel {
@@ -40,8 +42,11 @@
   GString *head;  /* of the request for the tunnel, then what followed it */
   bool open;      /* bytes are passed on */
   bool undecided; /* the attempt failed, and the answer is not known yet */
-  End *closing;   /* closed once its `out` is written; NULL: none */
-  Tunnel *prev, *next;
+  bool has_head;
+  End *closing; /* closed once its `out` is written; NULL: none */
+  Holding held;
+  HoldingsRequest serving; /* once its target is known */
+  Tunnel *prev, *next;     /* newer, older */
 };
 
 struct Tunnels {
@@ -49,8 +54,9 @@
   TunnelsOptions o;
   int fd;
   ev_io accept;
+  size_t window_bytes; /* of the next connection */
   Tunnel *first;
-  int n;
+  int n, heads; /* all; those that have not said where to */
 };
 
 /* == ends == */
@@ -60,6 +66,14 @@
   return e == &t->client ? &t->target : &t->client;
 }
 
+static size_t next_window(const Holdings *h) {
+  return holdings_receive_bytes(h, LIMIT_BODY_RECEIVE_BYTES);
+}
+
+static size_t take_window(Tunnels *s) {
+  return holdings_take_receive_bytes(s->o.holdings, LIMIT_BODY_RECEIVE_BYTES);
+}
+
 static void init_end(Tunnel *t, End *e, int fd, int user_timeout_ms,
                      void (*on_read)(struct ev_loop *, ev_io *, int),
                      void (*on_write)(struct ev_loop *, ev_io *, int)) {
@@ -84,12 +98,30 @@
   close(e->fd);
 }
 
+/* Updates the account. A tunnel is closed by its own rules only. */
+static void update_held(Tunnel *t) {
+  Holdings *h = t->set->o.holdings;
+  size_t bytes = holdings_connection_bytes(h);
+  if (t->serving.bytes > 0) bytes += holdings_request_bytes(h);
+  holdings_change(h, &t->held, (Holding){.bytes = bytes, .is_served = true});
+}
+
+static void end_held(Tunnel *t) {
+  Holdings *h = t->set->o.holdings;
+  holdings_end(h, &t->serving);
+  holdings_change(h, &t->held, (Holding){0});
+  holdings_return_receive_bytes(h, t->client.window_bytes);
+  holdings_return_receive_bytes(h, t->target.window_bytes);
+}
+
 static void free_tunnel(Tunnel *t, bool reset) {
   Tunnels *s = t->set;
   ev_timer_stop(s->loop, &t->timer);
   close_end(&t->client, reset);
   close_end(&t->target, reset);
   g_string_free(t->head, TRUE);
+  end_held(t);
+  if (!t->has_head) s->heads--;
   if (t->prev) t->prev->next = t->next;
   if (t->next) t->next->prev = t->prev;
   if (s->first == t) s->first = t->next;
@@ -240,7 +272,8 @@
 
 static void connect_target(Tunnel *t) {
   struct ev_loop *loop = t->set->loop;
-  int fd = sock_connect(t->addr, 0);
+  t->target.window_bytes = take_window(t->set);
+  int fd = sock_connect(t->addr, t->target.window_bytes);
   if (fd < 0) {
     end_attempt(t, errno == ECONNREFUSED ? TUNNEL_REFUSED : TUNNEL_UNREACHABLE);
     return;
@@ -264,10 +297,23 @@
   return 0;
 }
 
+/* Whether there is memory for one tunnel more. */
+static bool has_room(Tunnel *t) {
+  Holdings *h = t->set->o.holdings;
+  size_t bytes = t->held.bytes + holdings_request_bytes(h);
+  if (t->set->n > MAX_TUNNELS ||
+      !holdings_serve(h, &t->serving, TUNNEL_GROUP, bytes))
+    return false;
+  update_held(t);
+  return true;
+}
+
 static void on_head(Tunnel *t) {
-  const Tunnels *s = t->set;
+  Tunnels *s = t->set;
   size_t length = read_head(t);
   if (length == 0) return;
+  t->has_head = true;
+  s->heads--;
   ev_timer_stop(s->loop, &t->timer);
   ev_io_stop(s->loop, &t->client.read);
   if (sscanf(t->head->str, "CONNECT %63s HTTP/1.1\r\n", t->addr) != 1) {
@@ -276,7 +322,7 @@
   }
   g_string_erase(t->head, 0, (gssize)length);
   TunnelStatus status =
-      s->n > MAX_TUNNELS ? TUNNEL_UNAVAILABLE : s->o.check(s->o.ctx, t->addr);
+      has_room(t) ? s->o.check(s->o.ctx, t->addr) : TUNNEL_UNAVAILABLE;
   if (status == TUNNEL_OPENED)
     connect_target(t);
   else
@@ -299,37 +345,62 @@
   flush_end(w->data);
 }
 
+static void add_tunnel(Tunnels *s, int fd) {
+  Tunnel *t = g_new0(Tunnel, 1);
+  t->set = s;
+  t->head = g_string_new(NULL);
+  t->next = s->first;
+  if (s->first) s->first->prev = t;
+  s->first = t;
+  s->n++;
+  s->heads++;
+  init_end(t, &t->client, fd, CLIENT_USER_TIMEOUT_MS, on_client_readable,
+           on_client_writable);
+  sock_set_send_buffer(fd, LIMIT_SEND_BUFFER_BYTES);
+  t->client.window_bytes = take_window(s);
+  update_held(t);
+  ev_timer_init(&t->timer, on_timeout, HEAD_TIMEOUT_S, 0);
+  t->timer.data = t;
+  ev_timer_start(s->loop, &t->timer);
+  ev_io_start(s->loop, &t->client.read);
+}
+
+/* Another instance sends its head at once. */
+static void drop_oldest_without_head(Tunnels *s) {
+  Tunnel *oldest = NULL;
+  for (Tunnel *t = s->first; t; t = t->next)
+    if (!t->has_head) oldest = t;
+  if (oldest) free_tunnel(oldest, true);
+}
+
 static void on_accept(struct ev_loop *loop, ev_io *w, int revents) {
+  (void)loop;
   (void)revents;
   Tunnels *s = w->data;
   for (int i = 0, fd;
        i < MAX_ACCEPTS_PER_TURN && (fd = sock_accept(s->fd)) >= 0; i++) {
-    Tunnel *t = g_new0(Tunnel, 1);
-    t->set = s;
-    t->head = g_string_new(NULL);
-    t->next = s->first;
-    if (s->first) s->first->prev = t;
-    s->first = t;
-    s->n++;
-    init_end(t, &t->client, fd, CLIENT_USER_TIMEOUT_MS, on_client_readable,
-             on_client_writable);
-    ev_timer_init(&t->timer, on_timeout, HEAD_TIMEOUT_S, 0);
-    t->timer.data = t;
-    ev_timer_start(loop, &t->timer);
-    ev_io_start(loop, &t->client.read);
+    add_tunnel(s, fd);
+    if (s->heads > LIMIT_TUNNEL_HEADS) drop_oldest_without_head(s);
   }
+  sock_change_receive_buffer(s->fd, &s->window_bytes,
+                             next_window(s->o.holdings));
 }
 
 /* == the set == */
 
 Tunnels *tunnels_open(struct ev_loop *loop, const TunnelsOptions *o, Err *e) {
-  int fd = sock_listen(o->listen_addr, LIMIT_BACKLOG_MAX, 0, e);
+  size_t window_bytes = next_window(o->holdings);
+  int fd = sock_listen(o->listen_addr, holdings_backlog(o->holdings),
+                       (int)window_bytes, e);
   if (fd < 0) return NULL;
   Tunnels *s = g_new0(Tunnels, 1);
   s->loop = loop;
+  s->window_bytes = window_bytes;
   s->o = *o;
   s->fd = fd;
   ev_io_init(&s->accept, on_accept, fd, EV_READ);
+  /* Heads that have arrived are read before connections are dropped. */
+  ev_set_priority(&s->accept, EV_MINPRI);
   s->accept.data = s;
   ev_io_start(loop, &s->accept);
   return s;
--- a/packages/flow/tunnel.h
+++ b/packages/flow/tunnel.h
@@ -12,6 +12,7 @@
 #include <ev.h>
 
 #include "kernel/err.h"
+#include "kernel/holdings.h"
 
 typedef struct Tunnels Tunnels;
 
@@ -35,6 +36,7 @@
      answer; TUNNEL_UNDECIDED: tunnels_decide gives it, or none is given in time
      and it is TUNNEL_UNAVAILABLE. */
   TunnelStatus (*attempted)(void *ctx, const char *addr, TunnelStatus status);
+  Holdings *holdings; /* the account of what tunnels hold */
   void *ctx;
 } TunnelsOptions;
 
--- a/packages/kernel/limits.h
+++ b/packages/kernel/limits.h
@@ -114,6 +114,8 @@
 #define LIMIT_RECEIVE_STEP_BYTES 1024 /* it is a multiple of that */
 #define LIMIT_RECEIVE_BUFFER_BYTES (8 << 10)
 #define LIMIT_BODY_RECEIVE_BYTES (64 << 10)
+/* Connections for tunnels that have not said where to. */
+#define LIMIT_TUNNEL_HEADS 64
 /* Connections that wait to be accepted, whose receive buffers may take this
    part of what all may take besides. */
 #define LIMIT_BACKLOG_DIVISOR 4
--- a/tests/crowds.py
+++ b/tests/crowds.py
@@ -17,6 +17,7 @@
 from fleet import BASE, Site, Worker, head, run_tests
 from red import bound_sanitizer
 
+TUNNEL_PORT = 3        # of an instance, from BASE on
 MEMORY_MB = 32         # setting of the instance, and bound of what it takes
 BODY_BYTES = 4 << 20   # max_body_bytes
 HEAD_BYTES = 16384     # max_header_bytes
@@ -220,6 +221,15 @@
                     reads=False))
 
 
+def test_tunnels_whose_clients_read_nothing(s):
+    """What tunnels hold counted nowhere."""
+    s.patient.play = answer_with(BODY_BYTES)
+    data = b"CONNECT %s HTTP/1.1\r\n\r\n" % s.patient.address.encode()
+    data += s.bytes_of("GET", "/patient/x", "X-Loftpath-Expect-Instance: p0")
+    endure(s, Crowd((s.ip(0), BASE + TUNNEL_PORT), 600, lambda k: data, again=1,
+                    reads=False))
+
+
 def endure_while_stopped(s, n):
     """Lets crowds of n send all that they can while the process is stopped: one that
     was connected before, and one that connects."""
@@ -281,6 +291,12 @@
     assert s.ready(0), "it doesn't say that it is ready"
 
 
+def test_connections_at_the_address_for_tunnels_beyond_the_descriptors(s):
+    """They were closed only after a second each."""
+    endure(s, Crowd((s.ip(0), BASE + TUNNEL_PORT), 700, lambda k: b"", again=5),
+           MAX_FILES)
+
+
 def site_of(name):
     if name.endswith("beyond_the_descriptors"):
         return SmallSite
--- a/tests/test_link.c
+++ b/tests/test_link.c
@@ -283,15 +283,18 @@
   close_rig(gateway);
   Rig *g = open_rig("", "");
   Err e = {0};
+  Holdings *holdings = holdings_new(32 << 20, 1000);
   TunnelsOptions o = {.listen_addr = via,
                       .connect_timeout_s = 0.5,
                       .user_timeout_ms = 1500,
                       .check = allow_tunnel,
-                      .attempted = on_attempt};
+                      .attempted = on_attempt,
+                      .holdings = holdings};
   Tunnels *tunnels = tunnels_open(g->loop, &o, &e);
   cr_assert_not_null(tunnels, "%s", e.text);
   check_cut_answers(g, via);
   tunnels_close(tunnels);
+  holdings_free(holdings);
   close_rig(g);
 }
 
--- a/tests/test_tunnel.c
+++ b/tests/test_tunnel.c
@@ -15,8 +15,11 @@
 
 #define WAIT_S 2.0 /* at most, for what a test expects */
 
+#define HOLDINGS_BYTES (32 << 20) /* that tunnels may hold */
+
 typedef struct Rig {
   struct ev_loop *loop;
+  Holdings *holdings;
   Tunnels *tunnels;
   int target; /* listening socket of the target */
   char addr[32], target_addr[32];
@@ -55,7 +58,9 @@
   static Rig rig;
   Rig *g = &rig;
   Err e = {0};
-  *g = (Rig){.check = TUNNEL_OPENED, .loop = ev_loop_new(EVFLAG_AUTO)};
+  *g = (Rig){.check = TUNNEL_OPENED,
+             .loop = ev_loop_new(EVFLAG_AUTO),
+             .holdings = holdings_new(HOLDINGS_BYTES, 1000)};
   close(bind_free(g->addr, sizeof g->addr));
   g->target = bind_free(g->target_addr, sizeof g->target_addr);
   if (target_listens) cr_assert_eq(listen(g->target, 8), 0);
@@ -64,6 +69,7 @@
                       .user_timeout_ms = 1500,
                       .check = check_tunnel,
                       .attempted = on_attempt,
+                      .holdings = g->holdings,
                       .ctx = g};
   g->tunnels = tunnels_open(g->loop, &o, &e);
   cr_assert_not_null(g->tunnels, "%s", e.text);
@@ -72,6 +78,7 @@
 
 static void close_rig(Rig *g) {
   tunnels_close(g->tunnels);
+  holdings_free(g->holdings);
   close(g->target);
   ev_loop_destroy(g->loop);
 }
