--- a/packages/http/connections.h
+++ b/packages/http/connections.h
@@ -25,9 +25,8 @@
 
 /* Connections that may wait to be accepted. */
 int connections_backlog(const Connections *s);
-/* Bounds what the system may hold for connections that are accepted at `fd`,
-   and are not read. It must stay open until it is replaced; -1: there is none.
- */
+/* Sets the socket at which connections are accepted, whose receive buffer is
+   the first one of these. -1: none; to be set before the socket is closed. */
 void connections_set_listener(Connections *s, int fd);
 /* `fd` must stay open until connection_remove. */
 Connection *connections_add(Connections *s, int fd);
--- a/packages/kernel/holdings.h
+++ b/packages/kernel/holdings.h
@@ -36,18 +36,19 @@
 size_t holdings_connection_bytes(const Holdings *h);
 size_t holdings_request_bytes(const Holdings *h);
 
-/* What the system may hold for all connections that are not read; else it is
+/* Sets the size of the pool of the system's receive buffers; otherwise it is
    the limit. */
 void holdings_set_receive_limit(Holdings *h, size_t bytes);
-/* What it may hold for a caller, while there are few connections. */
+/* Returns the size of a caller's buffer while there are few. */
 size_t holdings_caller_receive_bytes(const Holdings *h);
-/* What it may hold for the next connection, if this is not more than `most`. */
+/* Returns the size of the next buffer, which is at most `most` or the least
+   size. */
 size_t holdings_receive_bytes(const Holdings *h, size_t most);
-/* The same, and counts it until holdings_return_receive_bytes. */
+/* The same, and takes it from the pool until holdings_return_receive_bytes. */
 size_t holdings_take_receive_bytes(Holdings *h, size_t most);
 void holdings_return_receive_bytes(Holdings *h, size_t bytes);
-/* Connections that may wait to be accepted, which the system holds bytes for as
-   well. */
+/* Returns how many connections may wait to be accepted, for which the system
+   holds bytes as well. */
 int holdings_backlog(const Holdings *h);
 
 /* Changes what one holder has. */
--- a/packages/kernel/limits.h
+++ b/packages/kernel/limits.h
@@ -22,8 +22,8 @@
 #define LIMIT_KEPT_ANSWER_BYTES (64 << 10)
 /* Of one answer, kept in a claim. */
 #define LIMIT_CLAIM_ANSWER_BYTES (2 << 10)
-/* Of all records of requests and their kept answers of an instance; at the
-   product's own front this part of what callers may make it hold, besides. */
+/* Of all records of requests with their kept answers; at the product's own
+   front it is this part of what callers may make the instance hold, besides. */
 #define LIMIT_KEPT_TOTAL_BYTES (32 << 20)
 #define LIMIT_KEPT_DIVISOR 8
 
@@ -99,25 +99,27 @@
 /* A request that is served: the smallest buffer of its answer, what one read
    adds to it, and its connection to a target. */
 #define LIMIT_SERVED_REQUEST_BYTES (32 << 10)
-/* The system's receive buffers of callers, and of the connections to targets on
-   their behalf, take at most the limit together, in case the process gets no
-   time to read them or its callers read nothing; at the product's own front,
-   whose limit is a larger part of its memory, a part of it. */
+/* The system's receive buffers, of callers and of the connections to targets on
+   their behalf, share a pool as large as the limit: they fill up while the
+   process gets no time to read them, or its callers read nothing. At the
+   product's own front, whose limit is a larger part of its memory, the pool is
+   this part of the limit. */
 #define LIMIT_FRONT_RECEIVE_DIVISOR 2
-/* One of them: that of a caller is this part of what all may take; none is
-   larger than that part of what is left of it, smaller than the least size, or
-   larger than that for a long body, which is read as it arrives. A buffer
-   smaller than a request costs its caller a round trip more. The last is the
-   largest window that a connection can have whose first one was small. */
+/* A caller's buffer is this part of the pool: one that is smaller than a
+   request costs its caller a round trip more. No buffer is larger than the
+   second part, of what is left of the pool. */
 #define LIMIT_RECEIVE_BUFFER_DIVISOR 1024
 #define LIMIT_RECEIVE_LEFT_DIVISOR 512
-#define LIMIT_RECEIVE_STEP_BYTES 1024 /* it is a multiple of that */
+/* Their sizes: a multiple of the first, from the second to the third, which is
+   also that for a long body. The third is the largest window that a connection
+   can have whose first one was small. */
+#define LIMIT_RECEIVE_STEP_BYTES 1024
 #define LIMIT_RECEIVE_BUFFER_BYTES (8 << 10)
 #define LIMIT_BODY_RECEIVE_BYTES (64 << 10)
-/* Connections for tunnels that have not said where to. */
+/* Connections for tunnels whose CONNECT has not arrived. */
 #define LIMIT_TUNNEL_HEADS 64
-/* Connections that wait to be accepted, whose receive buffers may take this
-   part of what all may take besides. */
+/* Connections that wait to be accepted: as many as this part of the pool holds,
+   besides, within these bounds. */
 #define LIMIT_BACKLOG_DIVISOR 4
 #define LIMIT_BACKLOG_MIN 16
 #define LIMIT_BACKLOG_MAX 1024
--- a/tests/crowds.py
+++ b/tests/crowds.py
@@ -250,13 +250,13 @@
 
 
 def test_crowds_at_a_process_that_is_stopped(s):
-    """What the system accepts for a process that does not run was not bounded by
-    its memory: as many connections wait to be accepted in each."""
+    """The system goes on to accept connections and their bytes; its queue was as long
+    for a process of little memory."""
     endure_while_stopped(s, 1800)
 
 
 def test_crowds_at_a_larger_process_that_is_stopped(s):
-    """The buffers of accepted connections were bounded one by one."""
+    """The system's buffers were bounded one by one, and not together."""
     endure_while_stopped(s, 3600)
 
 
--- a/tests/front_crowds.py
+++ b/tests/front_crowds.py
@@ -192,8 +192,8 @@
 
 
 def test_front_crowds_at_a_process_that_is_stopped(f):
-    """What the system accepts for a process that does not run was not bounded by
-    its memory: as many connections wait to be accepted in each."""
+    """The system goes on to accept connections and their bytes; its queue was as long
+    for a process of little memory."""
     data = f.upload("/services/book/book", BODY_BYTES - 1)
     crowd = Crowd(f.address(), CONNECTIONS, lambda k: data[:HEAD_BYTES // 4], again=1)
     crowd.settle()
