Tests: both fronts' crowds share how a process is checked

crowds.py and front_crowds.py each had the steps of endure and of a stopped process; they are in crowd.py now.

--- a/tests/crowd.py
+++ b/tests/crowd.py
@@ -2,6 +2,7 @@
 meanwhile."""
 import os
 import selectors
+import signal
 import socket
 import threading
 import time
@@ -114,6 +115,35 @@
         self.members = {}
 
 
+def endure(crowd, meter, check, serve_ordinary):
+    """Lets a crowd send all that it can, and checks the process that it is at."""
+    crowd.settle()
+    meter.settle()
+    check()
+    serve_ordinary()
+    crowd.close()
+    serve_ordinary()
+    check()
+
+
+def endure_while_stopped(process, crowd, data, connect, meter, check, serve_ordinary):
+    """Lets two crowds send all that they can while the process is stopped: `crowd`,
+    which was connected before and goes on with `data`, and the one that `connect`
+    makes."""
+    crowd.settle()
+    process.send_signal(signal.SIGSTOP)
+    crowd.send_more(data)
+    other = connect()
+    crowd.settle()
+    other.settle()
+    process.send_signal(signal.SIGCONT)
+    crowd.settle()
+    endure(other, meter, check, serve_ordinary)
+    crowd.close()
+    serve_ordinary()
+    check()
+
+
 def socket_inodes(pid):
     """Inodes of the open sockets of a process."""
     inodes, path = set(), "/proc/%d/fd/" % pid
--- a/tests/crowds.py
+++ b/tests/crowds.py
@@ -9,10 +9,10 @@
 
 Usage: crowds.py BUILD_DIR [TEST...]"""
 import resource
-import signal
 import sys
 import threading
 
+import crowd as crowds
 from crowd import Crowd, Meter
 from fleet import BASE, Site, Worker, head, run_tests
 from red import bound_sanitizer
@@ -112,13 +112,8 @@
 
 def endure(s, crowd, max_files=None):
     """Lets the crowd send all that it can, and checks the process."""
-    crowd.settle()
-    s.meter.settle()
-    check(s, max_files)
-    serve_ordinary(s)
-    crowd.close()
-    serve_ordinary(s)
-    check(s, max_files)
+    crowds.endure(crowd, s.meter, lambda: check(s, max_files),
+                  lambda: serve_ordinary(s))
 
 
 def test_a_single_request_inside_the_limits_is_served(s):
@@ -231,22 +226,12 @@
 
 
 def endure_while_stopped(s, n):
-    """Lets crowds of n send all that they can while the process is stopped: one that
-    was connected before, and one that connects."""
+    """Lets crowds of n send all that they can while the process is stopped."""
     data = s.bytes_of("POST", "/once/x", "Content-Length: 100000", body=bytes(99999))
     crowd = Crowd(s.address(), n, lambda k: data[:HEAD_BYTES // 4], again=1)
-    crowd.settle()
-    s.processes[0].send_signal(signal.SIGSTOP)
-    crowd.send_more(data)
-    other = Crowd(s.address(), n, lambda k: data)
-    crowd.settle()
-    other.settle()
-    s.processes[0].send_signal(signal.SIGCONT)
-    crowd.settle()
-    endure(s, other)
-    crowd.close()
-    serve_ordinary(s)
-    check(s)
+    crowds.endure_while_stopped(
+        s.processes[0], crowd, data, lambda: Crowd(s.address(), n, lambda k: data),
+        s.meter, lambda: check(s), lambda: serve_ordinary(s))
 
 
 def test_crowds_at_a_process_that_is_stopped(s):
--- a/tests/front_crowds.py
+++ b/tests/front_crowds.py
@@ -6,10 +6,10 @@
 import json
 import os
 import resource
-import signal
 import sys
 import threading
 
+import crowd as crowds
 import process
 from crowd import Crowd, Meter
 from process import KEYS, call
@@ -106,13 +106,7 @@
 
 def endure(f, crowd):
     """Lets the crowd send all that it can, and checks the process."""
-    crowd.settle()
-    f.meter.settle()
-    check(f)
-    serve_ordinary(f)
-    crowd.close()
-    serve_ordinary(f)
-    check(f)
+    crowds.endure(crowd, f.meter, lambda: check(f), lambda: serve_ordinary(f))
 
 
 def test_front_a_single_request_inside_the_limits_is_served(f):
@@ -196,18 +190,9 @@
     for a process of little memory."""
     data = f.upload("/services/book/book", BODY_BYTES - 1)
     crowd = Crowd(f.address(), CONNECTIONS, lambda k: data[:HEAD_BYTES // 4], again=1)
-    crowd.settle()
-    f.procs["i0"].send_signal(signal.SIGSTOP)
-    crowd.send_more(data)
-    other = Crowd(f.address(), 1800, lambda k: data)
-    crowd.settle()
-    other.settle()
-    f.procs["i0"].send_signal(signal.SIGCONT)
-    crowd.settle()
-    endure(f, other)
-    crowd.close()
-    serve_ordinary(f)
-    check(f)
+    crowds.endure_while_stopped(
+        f.procs["i0"], crowd, data, lambda: Crowd(f.address(), 1800, lambda k: data),
+        f.meter, lambda: check(f), lambda: serve_ordinary(f))
 
 
 def test_front_many_requests_with_keys_that_are_refused(f):
