Once: one function drops or passes over the oldest record; smaller clean-ups

The limit and the expiry of records had the same branch, and a query looked its record up twice. Behaviour is unchanged.

--- a/packages/once/keeper.c
+++ b/packages/once/keeper.c
@@ -83,29 +83,27 @@
   g_hash_table_remove(o->records, &r->key);
 }
 
-/* Drops records until all are within their limit. Those of runs in progress
-   stay: without one, a repeat of its request would run beside it. */
+/* Drops the oldest record, or returns false and passes over that of a run in
+   progress: without it, a repeat of the request would run beside it. */
+static bool drop_oldest_record(Once *o) {
+  bool may_drop = !is_in_progress(o, o->oldest);
+  if (may_drop)
+    drop_record(o, o->oldest);
+  else
+    move_to_end(o, o->oldest);
+  return may_drop;
+}
+
 static void enforce_kept_limit(Once *o) {
   int skipped = 0;
-  while (o->kept_bytes > o->kept_limit && skipped < DROP_MAX_SKIPPED) {
-    KeeperRecord *r = o->oldest;
-    if (is_in_progress(o, r)) {
-      move_to_end(o, r);
-      skipped++;
-    } else
-      drop_record(o, r);
-  }
+  while (o->kept_bytes > o->kept_limit && skipped < DROP_MAX_SKIPPED)
+    if (!drop_oldest_record(o)) skipped++;
 }
 
 static void drop_expired_records(Once *o) {
   guint n = g_hash_table_size(o->records);
-  for (; n > 0 && o->now - o->oldest->changed_at >= ONCE_KEEP_S; n--) {
-    KeeperRecord *r = o->oldest;
-    if (is_in_progress(o, r))
-      move_to_end(o, r);
-    else
-      drop_record(o, r);
-  }
+  for (; n > 0 && o->now - o->oldest->changed_at >= ONCE_KEEP_S; n--)
+    drop_oldest_record(o);
 }
 
 /* Records that `runner` has the run. */
@@ -129,6 +127,7 @@
 
 static OnceVerdict judge_record(const Once *o, const KeeperRecord *r,
                                 const OnceMsg *m) {
+  if (!r->runner[0]) return ONCE_RUN;        /* new */
   if (r->nonce == m->nonce) return ONCE_RUN; /* repeated query */
   if (r->digest != m->digest) return ONCE_MISMATCH;
   /* A finished request whose answer was not kept may run again if it is
@@ -138,9 +137,8 @@
 }
 
 void keeper_begin(Once *o, const char *from, const OnceMsg *m) {
-  bool is_known = g_hash_table_contains(o->records, &m->key);
   KeeperRecord *r = get_record(o, m->key);
-  OnceVerdict v = is_known ? judge_record(o, r, m) : ONCE_RUN;
+  OnceVerdict v = judge_record(o, r, m);
   OnceMsg a = {
       .kind = ONCE_BEGIN_REPLY, .key = m->key, .nonce = m->nonce, .verdict = v};
   if (v == ONCE_RUN && !r->finished) {
