Store: housekeeping has its turn among urgent calls; bills starved beside bookings

Callers saw nothing; operators saw no bills. While bookings came without a break (30 callers at three instances), no bill reached the store: 30 s and more in 3 of 3 runs of the new test. Bills were held in memory for as long, and the loss of two instances would have lost them.

Cause: a housekeeping job leaves half of the burst to urgent ones, and urgent ones go first. Claims of bookings use the whole rate of an instance (10 writes a second), so that the half was never there.

Of nine calls one is now made for housekeeping, if some waits.

--- a/packages/store/jobs.c
+++ b/packages/store/jobs.c
@@ -11,6 +11,8 @@
 #include "store/pace.h"
 
 #define MAX_THREADS 16
+/* Urgent jobs in a row while others wait. */
+#define MAX_URGENT_IN_ROW 8
 
 struct Jobs {
   char *addr;
@@ -19,6 +21,7 @@
   pthread_mutex_t lock;
   pthread_cond_t job_added;
   GQueue urgent, background; /* Job* */
+  int urgent_in_row;         /* jobs since the last background one */
   Pace reads, writes;
   pthread_t threads[MAX_THREADS];
 };
@@ -49,13 +52,25 @@
   pthread_cond_timedwait(&j->job_added, &j->lock, &t);
 }
 
+/* The first background job has its turn after some urgent ones; otherwise it
+   would wait for as long as they use the whole rate. */
+static Job *take_job(Jobs *j, double *wait_s) {
+  bool is_turn = j->urgent_in_row >= MAX_URGENT_IN_ROW;
+  Job *job = is_turn ? take_allowed_job(&j->background, j, true, wait_s) : NULL;
+  if (!job) job = take_allowed_job(&j->urgent, j, true, wait_s);
+  if (!job) job = take_allowed_job(&j->background, j, false, wait_s);
+  if (!job) return NULL;
+  j->urgent_in_row =
+      job->urgent ? MIN(j->urgent_in_row + 1, MAX_URGENT_IN_ROW) : 0;
+  return job;
+}
+
 static Job *next_job(Jobs *j) {
   Job *job = NULL;
   pthread_mutex_lock(&j->lock);
   while (!j->stop && !job) {
     double wait_s = 1.0;
-    job = take_allowed_job(&j->urgent, j, true, &wait_s);
-    if (!job) job = take_allowed_job(&j->background, j, false, &wait_s);
+    job = take_job(j, &wait_s);
     if (!job) wait_for_job(j, wait_s);
   }
   pthread_mutex_unlock(&j->lock);
--- a/tests/process.py
+++ b/tests/process.py
@@ -780,6 +780,25 @@
     assert bills["budgets"]["c/*"] >= 400, bills
 
 
+def test_bills_are_stored_beside_many_bookings(f):
+    """Claims took all calls to the store, for as long as bookings went on."""
+    stop = threading.Event()
+
+    def book(i):
+        while not stop.is_set():
+            f.book(f.ports[i % 3], "plate-%d" % i)
+    threads = [threading.Thread(target=book, args=(i,)) for i in range(30)]
+    for t in threads:
+        t.start()
+    try:
+        wait_for("bills", lambda: f.admin(
+            f.ports[0], "bills").json().get("requests", 0) > 0, 30.0)
+    finally:
+        stop.set()
+        for t in threads:
+            t.join()
+
+
 def test_requests_go_where_they_fit(f):
     """Adapter, version and data centre of a service select among the targets. The
     request to the engine names its model or adapter, not the service."""
