Once: bills that wait for the store have a limit

A long outage ends a process.

Bills now have an eighth of caller-memory. Beyond it a request is refused before its claim and its reservation (bill-store, 503, Retry-After 2 s), unless an answer is kept for its key. Unit test of both.

A keeper takes the bills of others beyond its part: a customer that chooses keys with one keeper can fill that one.

--- a/bench/claims.c
+++ b/bench/claims.c
@@ -113,8 +113,8 @@
     for (claims_due += CLAIMS_PER_S * TICK_S; claims_due >= 1 && i < n;
          claims_due--) {
       s->started_at[i + 1] = s->now;
-      once_begin(s->home, s->now, (uint64_t)i + 1, key_in_shard(i), 1, false,
-                 false);
+      once_begin(s->home, s->now, (uint64_t)i + 1, "c", key_in_shard(i), 1,
+                 false, false);
       i++;
       run_actions(s);
     }
@@ -136,7 +136,7 @@
   s->get_bytes = 0;
   double heap_start = slopes_heap_bytes(), start_ns = slopes_cpu_ns();
   s->started_at[0] = s->now;
-  once_begin(s->home, s->now, 0, key_in_shard(n), 1, false, false);
+  once_begin(s->home, s->now, 0, "c", key_in_shard(n), 1, false, false);
   run_actions(s);
   slopes_print("claim takeover reads", n, s->gets);
   slopes_print("claim takeover bytes a claim", n, s->get_bytes / n);
--- a/bench/slopes.c
+++ b/bench/slopes.c
@@ -379,7 +379,7 @@
     char key[32];
     snprintf(key, sizeof key, "key-%d", i);
     uint64_t handle = (uint64_t)i + 1;
-    once_begin(o, 1, handle, once_make_key("c", key), 1, true, true);
+    once_begin(o, 1, handle, "c", once_make_key("c", key), 1, true, true);
     once_finish(o, 1, handle, &bill, &none);
     discard_once_actions(o);
   }
--- a/bin/loftpathd.c
+++ b/bin/loftpathd.c
@@ -97,7 +97,8 @@
 static bool start_fleet(Service *s, Err *e) {
   FleetOptions o = {.platform = settings_text(settings, "platform"),
                     .seed = random_seed(),
-                    .kept_bytes = caller_bytes() / LIMIT_KEPT_DIVISOR};
+                    .kept_bytes = caller_bytes() / LIMIT_KEPT_DIVISOR,
+                    .bill_bytes = caller_bytes() / LIMIT_BILL_DIVISOR};
   const char *dc = settings_text(settings, "datacentre");
   const char *region = settings_text(settings, "region");
   const char *peer = settings_text(settings, "peer");
--- a/packages/entry/exchange.c
+++ b/packages/entry/exchange.c
@@ -12,6 +12,8 @@
 #include "kernel/count.h"
 #include "kernel/log.h"
 
+#define RETRY_STORE_MS 2000 /* Retry-After while the store does not answer */
+
 /* == identification == */
 
 /* Derives the id from the caller's idempotency key, or generates one. */
@@ -70,9 +72,13 @@
     err_set(err, ERR_KEY_REUSED, "this key named another request before");
     break;
   case ONCE_NO_CLAIM:
-    err_retry(err, ERR_CLAIM_STORE, 2000,
+    err_retry(err, ERR_CLAIM_STORE, RETRY_STORE_MS,
               "the claim of this request could not be kept");
     break;
+  case ONCE_NO_BILL:
+    err_retry(err, ERR_BILL_STORE, RETRY_STORE_MS,
+              "too many bills wait for the store");
+    break;
   }
   return EXCHANGE_REFUSED;
 }
@@ -157,8 +163,9 @@
   }
   bool has_caller_key = g_str_has_prefix(x->id, "key-");
   uint64_t digest = XXH64(r->body->str, r->body->len, 0) >> 1;
-  OnceVerdict v = fleet_begin(e->fleet, x->run.key, digest, has_caller_key,
-                              x->service.is_repeatable, &x->run, replay);
+  OnceVerdict v =
+      fleet_begin(e->fleet, x->customer.name, x->run.key, digest,
+                  has_caller_key, x->service.is_repeatable, &x->run, replay);
   ExchangeStart s = start_for_verdict(v, err);
   if (s != EXCHANGE_DISPATCHED) return s;
   x->has_record = true;
--- a/packages/fleet/fleet.c
+++ b/packages/fleet/fleet.c
@@ -224,6 +224,7 @@
   if (i == RECORDS_LANE) {
     Once *once = once_new(me->id, me->region, seed);
     once_set_kept_limit(once, f->options.kept_bytes);
+    once_set_bill_limit(once, f->options.bill_bytes);
     lane_open(&f->lanes[i], &f->host, NULL, once);
     return;
   }
@@ -361,17 +362,17 @@
   pthread_mutex_unlock(&l->lock);
 }
 
-OnceVerdict fleet_begin(Fleet *f, OnceKey key, uint64_t digest,
-                        bool has_caller_key, bool repeatable, FleetRun *run,
-                        OnceAnswer *answer) {
+OnceVerdict fleet_begin(Fleet *f, const char *customer, OnceKey key,
+                        uint64_t digest, bool has_caller_key, bool repeatable,
+                        FleetRun *run, OnceAnswer *answer) {
   Lane *l = records_lane(f);
   LaneWait w;
   run->key = key;
   run->handle = new_handle(f);
   pthread_mutex_lock(&l->lock);
   lane_wait_prepare(l, run->handle, &w);
-  once_begin(l->once, clock_now(), run->handle, key, digest, has_caller_key,
-             repeatable);
+  once_begin(l->once, clock_now(), run->handle, customer, key, digest,
+             has_caller_key, repeatable);
   lane_run_actions(l);
   lane_wait(l, run->handle, &w);
   pthread_mutex_unlock(&l->lock);
--- a/packages/fleet/fleet.h
+++ b/packages/fleet/fleet.h
@@ -18,6 +18,7 @@
   const char *bind;     /* peer address to bind, tcp://ip:port */
   uint32_t seed;        /* of the random number generators */
   size_t kept_bytes;    /* that records of requests may take */
+  size_t bill_bytes;    /* that bills may take that are not in the store yet */
 } FleetOptions;
 
 Fleet *fleet_open(const FleetOptions *o, Err *e);
@@ -58,9 +59,9 @@
 
 /* Decides whether the request may run. `answer` is filled for ONCE_REPLAY. For
    `has_caller_key` and `repeatable` see once_begin. */
-OnceVerdict fleet_begin(Fleet *f, OnceKey key, uint64_t digest,
-                        bool has_caller_key, bool repeatable, FleetRun *run,
-                        OnceAnswer *answer);
+OnceVerdict fleet_begin(Fleet *f, const char *customer, OnceKey key,
+                        uint64_t digest, bool has_caller_key, bool repeatable,
+                        FleetRun *run, OnceAnswer *answer);
 /* Records that the run was dispatched to `target`. */
 void fleet_note_dispatch(Fleet *f, FleetRun *run, const char *target);
 /* Waits at most half a second until the keeper (the instance that holds the
--- a/packages/kernel/err.c
+++ b/packages/kernel/err.c
@@ -64,6 +64,9 @@
     [ERR_CLAIM_STORE] = {"claim-store", 503,
                          "retry: the claim could not be kept, so the request "
                          "was not sent"},
+    [ERR_BILL_STORE] = {"bill-store", 503,
+                        "retry: bills of earlier requests wait for the store, "
+                        "so the request was not sent"},
     [ERR_DRAINING] = {"draining", 503, "retry at another instance"},
     [ERR_NOT_CONFIGURED] = {"not-configured", 503,
                             "retry: this instance has no configuration yet"},
--- a/packages/kernel/limits.h
+++ b/packages/kernel/limits.h
@@ -26,6 +26,8 @@
    front it is this part of what callers may make the instance hold, besides. */
 #define LIMIT_KEPT_TOTAL_BYTES (32 << 20)
 #define LIMIT_KEPT_DIVISOR 8
+/* The same part for bills that are not in the store yet. */
+#define LIMIT_BILL_DIVISOR 8
 
 /* == buffers for callers and targets that read slowly == */
 
@@ -131,7 +133,8 @@
    served, whatever answers hold. */
 #define LIMIT_ARRIVING_SHARE_DIVISOR 8
 /* The smaller requests of a group may hold this times what is left free, so
-   that one group has two thirds, and two have two fifths each. */
+   that one group has two thirds, and two have two fifths each; likewise the
+   bills of a customer. */
 #define LIMIT_GROUP_FREE_RATIO 2
 /* Descriptors of an instance that callers and the connections to targets on
    their behalf leave to all else, and the part of the others that they use. */
--- a/packages/once/keeper.c
+++ b/packages/once/keeper.c
@@ -230,6 +230,7 @@
   b->runner_waits = strcmp(from, o->self) == 0;
   g_ptr_array_add(o->pending_bills, b);
   g_hash_table_insert(o->bills_by_key, &b->summary.key, b);
+  unstored_add(o, &b->summary);
   if (!b->runner_waits) send_finish_ack(o, from, m, false);
   if (ensure_second_holder(o, b)) o->uncopied = true;
 }
@@ -330,6 +331,7 @@
   for (guint i = 0; i < o->batch_bills; i++) {
     const PendingBill *b = o->pending_bills->pdata[i];
     send_durable(o, b);
+    unstored_remove(o, &b->summary);
     g_hash_table_remove(o->bills_by_key, &b->summary.key);
   }
   g_ptr_array_remove_range(o->pending_bills, 0, o->batch_bills);
--- a/packages/once/once.c
+++ b/packages/once/once.c
@@ -151,6 +151,8 @@
   o->pending_bills = g_ptr_array_new_with_free_func(g_free);
   o->bills_by_key = g_hash_table_new(once_key_hash, once_key_equal);
   o->kept_limit = LIMIT_KEPT_TOTAL_BYTES;
+  o->unstored = g_hash_table_new(g_str_hash, g_str_equal);
+  once_set_bill_limit(o, SIZE_MAX);
   g_queue_init(&o->actions);
   g_queue_init(&o->local_messages);
   return o;
@@ -163,6 +165,7 @@
   g_hash_table_destroy(o->records);
   g_hash_table_destroy(o->runs);
   g_hash_table_destroy(o->owed);
+  g_hash_table_destroy(o->unstored);
   g_hash_table_destroy(o->queries);
   for (int i = 0; i < LIMIT_CLAIM_SHARDS; i++) claim_shard_free(o->shards[i]);
   g_hash_table_destroy(o->bills_by_key);
--- a/packages/once/once.h
+++ b/packages/once/once.h
@@ -73,7 +73,8 @@
   ONCE_OUTCOME_UNKNOWN, /* an earlier run was dispatched; whether it completed
                            is not known */
   ONCE_MISMATCH,        /* same key, but a different request */
-  ONCE_NO_CLAIM         /* the claim could not be stored; must not run */
+  ONCE_NO_CLAIM,        /* the claim could not be stored; must not run */
+  ONCE_NO_BILL          /* there is no memory for its bill; must not run */
 } OnceVerdict;
 
 typedef struct OnceMsg {
@@ -137,6 +138,10 @@
    otherwise it is LIMIT_KEPT_TOTAL_BYTES. Beyond it the oldest are dropped
    whose requests have ended. */
 void once_set_kept_limit(Once *o, size_t bytes);
+/* Sets how many bytes bills may take that are not in the store yet; otherwise
+   they have no limit. Beyond it no request begins to run; one customer leaves
+   some of it to the others. */
+void once_set_bill_limit(Once *o, size_t bytes);
 /* For tests: sets the number of head entries at which they are moved into a new
    part, and the number of small parts at which they are merged into one. */
 void once_set_claim_sizes(Once *o, guint seal, guint merge);
@@ -146,8 +151,9 @@
    the caller sent the key and may retry with it, so the keeper is queried;
    otherwise that step is skipped. `repeatable`: the request may run twice and
    needs no claim. */
-void once_begin(Once *o, double now, uint64_t handle, OnceKey key,
-                uint64_t digest, bool has_caller_key, bool repeatable);
+void once_begin(Once *o, double now, uint64_t handle, const char *customer,
+                OnceKey key, uint64_t digest, bool has_caller_key,
+                bool repeatable);
 /* Reports that the request was dispatched to `target`. If this instance fails,
    a retry may continue there. */
 void once_dispatched(Once *o, double now, uint64_t handle, const char *target);
--- a/packages/once/owed.c
+++ b/packages/once/owed.c
@@ -9,9 +9,22 @@
 #define OWED_DRAIN_RESEND_S 1.0   /* the same, while draining */
 #define OWED_MAX_RESENDS 50       /* resends of held bills per check */
 
+void owed_add(Once *o, OwedBill *x) {
+  owed_remove(o, x->summary.key);
+  g_hash_table_insert(o->owed, &x->summary.key, x);
+  unstored_add(o, &x->summary);
+}
+
+void owed_remove(Once *o, OnceKey key) {
+  const OwedBill *x = g_hash_table_lookup(o->owed, &key);
+  if (!x) return;
+  unstored_remove(o, &x->summary);
+  g_hash_table_remove(o->owed, &key);
+}
+
 void owed_settle(Once *o, const OnceMsg *m) {
   const OwedBill *x = g_hash_table_lookup(o->owed, &m->key);
-  if (x && x->summary.nonce == m->nonce) g_hash_table_remove(o->owed, &m->key);
+  if (x && x->summary.nonce == m->nonce) owed_remove(o, m->key);
 }
 
 /* Holds a copy of another keeper's bill. If that keeper is lost, the bill is
@@ -22,7 +35,7 @@
   x->held_by_keeper = true;
   x->sent_at = o->now;
   x->keeper = g_intern_string(from);
-  g_hash_table_replace(o->owed, &x->summary.key, x);
+  owed_add(o, x);
   OnceMsg r = {.kind = ONCE_COPY_ACK, .key = m->key, .nonce = m->nonce};
   once_send(o, from, &r);
 }
--- a/packages/once/run.c
+++ b/packages/once/run.c
@@ -53,6 +53,11 @@
 }
 
 static void start_claim(Once *o, Run *r) {
+  if (!unstored_has_room(o, r->customer)) {
+    send_abort(o, r);
+    answer_run(o, r, ONCE_NO_BILL, NULL);
+    return;
+  }
   if (r->repeatable || o->faults.skip_claims) {
     answer_run(o, r, ONCE_RUN, NULL);
     return;
@@ -137,7 +142,7 @@
   owed->summary = once_bill_from_msg(o, &m);
   owed->sent_at = r->sent_at = o->now;
   owed->keeper = k ? g_intern_string(k->id) : "";
-  g_hash_table_replace(o->owed, &owed->summary.key, owed);
+  owed_add(o, owed);
   if (k) once_send(o, k->id, &m);
   if (!k) once_answer_clear(&m.answer);
 }
@@ -152,7 +157,7 @@
 void run_finish_acked(Once *o, const OnceMsg *m) {
   OwedBill *x = g_hash_table_lookup(o->owed, &m->key);
   if (x && x->summary.nonce == m->nonce) x->held_by_keeper = true;
-  if (m->duplicate) g_hash_table_remove(o->owed, &m->key);
+  if (m->duplicate) owed_remove(o, m->key);
   GHashTableIter it;
   gpointer v;
   g_hash_table_iter_init(&it, o->runs);
@@ -166,13 +171,15 @@
 
 /* == events == */
 
-void once_begin(Once *o, double now, uint64_t handle, OnceKey key,
-                uint64_t digest, bool has_caller_key, bool repeatable) {
+void once_begin(Once *o, double now, uint64_t handle, const char *customer,
+                OnceKey key, uint64_t digest, bool has_caller_key,
+                bool repeatable) {
   o->now = now;
   assert(!find_run(o, handle));
   Run *r = g_new0(Run, 1);
   *r = (Run){.handle = handle,
              .key = key,
+             .customer = g_intern_string(customer),
              .digest = digest,
              .has_caller_key = has_caller_key,
              .repeatable = repeatable,
--- a/packages/once/state.h
+++ b/packages/once/state.h
@@ -32,6 +32,7 @@
 typedef struct Run {
   uint64_t handle, nonce, digest;
   OnceKey key;
+  const char *customer; /* interned */
   RunState state;
   bool has_caller_key, repeatable, claimed;
   bool unknown;
@@ -149,9 +150,11 @@
   bool draining;
   GHashTable *records; /* OnceKey -> KeeperRecord */
   KeeperRecord *oldest, *newest;
-  size_t kept_bytes, kept_limit;          /* of the records and their answers */
-  GHashTable *runs;                       /* handle -> Run */
-  GHashTable *owed;                       /* OnceKey -> OwedBill */
+  size_t kept_bytes, kept_limit; /* of the records and their answers */
+  GHashTable *runs;              /* handle -> Run */
+  GHashTable *owed;              /* OnceKey -> OwedBill */
+  GHashTable *unstored; /* customer -> its bills in `owed`, `pending_bills` */
+  size_t unstored_bills, bill_limit;      /* number of all of them */
   ClaimShard *shards[LIMIT_CLAIM_SHARDS]; /* NULL: not in use here */
   guint seal_entries, merge_parts;
   GHashTable *queries; /* nonce -> ClaimQuery */
@@ -191,8 +194,18 @@
                        const OnceAnswer *answer);
 void run_free(gpointer p);
 
+/* == unstored.c == */
+
+void unstored_add(Once *o, const BillSummary *b);
+void unstored_remove(Once *o, const BillSummary *b);
+/* Whether there is memory for one bill more of the customer. */
+bool unstored_has_room(const Once *o, const char *customer);
+
 /* == owed.c == */
 
+/* Takes ownership of the bill; it replaces another one of the same key. */
+void owed_add(Once *o, OwedBill *x);
+void owed_remove(Once *o, OnceKey key);
 void owed_settle(Once *o, const OnceMsg *m);
 void owed_hold_copy(Once *o, const char *from, const OnceMsg *m);
 void owed_tick(Once *o);
--- a/packages/store/jobs.h
+++ b/packages/store/jobs.h
@@ -1,6 +1,6 @@
 /* jobs.h: worker threads that make the blocking calls to the platform, urgent
-   ones first, within the call rates of this instance. Of the others at least one
-   call in nine is made. */
+   ones first, within the call rates of this instance. Of the others at least
+   one call in nine is made. */
 #ifndef STORE_JOBS_H
 #define STORE_JOBS_H
 
--- a/scenario/requests.c
+++ b/scenario/requests.c
@@ -74,6 +74,10 @@
     q->cause = ERR_CLAIM_STORE;
     requests_conclude(w, q, WORLD_REFUSED);
     break;
+  case ONCE_NO_BILL:
+    q->cause = ERR_BILL_STORE;
+    requests_conclude(w, q, WORLD_REFUSED);
+    break;
   }
 }
 
--- a/scenario/world.c
+++ b/scenario/world.c
@@ -518,7 +518,7 @@
     requests_conclude(w, q, WORLD_REFUSED);
     return (int)q->handle - 1;
   }
-  once_begin(n->once, w->now, q->handle, q->key, 1, r->key[0] != '\0',
+  once_begin(n->once, w->now, q->handle, "c", q->key, 1, r->key[0] != '\0',
              !r->once_only);
   world_run_actions(w, r->node);
   return (int)q->handle - 1;
--- a/tests/front_crowds.py
+++ b/tests/front_crowds.py
@@ -30,9 +30,9 @@
 
 
 class Target(Server):
-    """A plain service: never answers POST /services/patient/wait, and sends an answer
-    that is kept for a repeat to /services/patient/page, a longer one to any other
-    request."""
+    """A plain service: never answers POST /services/patient/wait, and sends a short
+    answer to /services/patient/short, one that is kept for a repeat to
+    /services/patient/page, a longer one to any other request."""
 
     def __init__(self):
         self.left = threading.Event()
@@ -42,7 +42,8 @@
         if path == "/wait":
             self.left.wait()
             return False
-        text = {"/load": b'{"slots": 64}', "/page": PAGE}.get(path, LONG_BODY)
+        text = {"/load": b'{"slots": 64}', "/short": b"done", "/page": PAGE}.get(
+            path, LONG_BODY)
         c.sendall(b"HTTP/1.1 200 X\r\nContent-Length: %d\r\n\r\n" % len(text))
         c.sendall(text)
         return True
@@ -72,6 +73,10 @@
     def address(self):
         return "127.0.0.1", self.ports[0]
 
+    def short(self, customer):
+        return call(self.ports[0], "GET", "/services/patient/short", None,
+                    {"Authorization": "Bearer " + KEYS[customer]})
+
     def bytes_of(self, method, path, *more, body=b""):
         lines = ["%s %s HTTP/1.1" % (method, path), "Host: x",
                  "Authorization: Bearer " + KEYS["c"]] + list(more)
@@ -98,9 +103,13 @@
     assert f.meter.files <= max_files, "descriptors: %s" % f.meter
 
 
+def ordinary_answers(f):
+    return (f.book(f.ports[0], "plate"), f.chat(f.ports[0]),
+            f.chat(f.ports[0], content="word " * 20000))
+
+
 def serve_ordinary(f):
-    for a in (f.book(f.ports[0], "plate"), f.chat(f.ports[0]),
-              f.chat(f.ports[0], content="word " * 20000)):
+    for a in ordinary_answers(f):
         assert a.status in (200, 201), (a.status, a.body)
 
 
@@ -213,6 +222,27 @@
     crowd.close()
 
 
+def test_front_bills_that_wait_for_the_store(f):
+    """The bills of all requests that ran were held until the store was back."""
+    f.fault(f.platform, "down")
+    crowd = Crowd(f.address(), 60, lambda k: f.bytes_of(
+        "GET", "/services/patient/short") * 3500)
+    crowd.settle()
+    f.meter.settle()
+    check(f)
+    crowd.close()
+    a = f.short("c")
+    assert (a.status, a.kind(), a.ran) == (503, "bill-store", "not-run"), a.body
+    assert "retry-after" in a.headers
+    a = f.short("small")  # of another customer
+    assert (a.status, a.body) == (200, b"done"), a.body
+    f.fault(f.platform, "none")
+    process.wait_for("answers", lambda: all(
+        a.status in (200, 201) for a in (f.short("c"), *ordinary_answers(f))), 60.0)
+    serve_ordinary(f)
+    check(f)
+
+
 def test_front_silent_connections_beyond_the_limit(f):
     """An ordinary caller waited until one of them had been idle for long."""
     endure(f, Crowd(f.address(), 300, lambda k: b"", again=1))
--- a/tests/test_claim.c
+++ b/tests/test_claim.c
@@ -128,7 +128,7 @@
 }
 
 static void begin_request(Fixture *d, int i) {
-  once_begin(d->core, d->now, ++d->handles, key_of(i), 7, false, false);
+  once_begin(d->core, d->now, ++d->handles, "c", key_of(i), 7, false, false);
   run_actions(d);
 }
 
--- a/tests/test_once.c
+++ b/tests/test_once.c
@@ -20,6 +20,7 @@
   OnceVerdict
       verdict[INSTANCE_COUNT]; /* of the last answer; `target` came with it */
   bool answered[INSTANCE_COUNT], done[INSTANCE_COUNT];
+  bool store_works; /* for bills */
   char target[INSTANCE_COUNT][LIMIT_NAME_BYTES];
 } Net;
 
@@ -70,6 +71,9 @@
   if (!n->up[i] || !once_next_action(n->core[i], &a)) return false;
   if (a.action == ONCE_DO_SEND) deliver(n, i, &a);
   if (a.action == ONCE_DO_DONE) n->done[i] = true;
+  if (a.action == ONCE_DO_BILL)
+    once_bill_stored(n->core[i], n->now,
+                     n->store_works ? ERR_NONE : ERR_STORE_DOWN);
   if (a.action == ONCE_DO_ANSWER) {
     n->answered[i] = true;
     n->verdict[i] = a.verdict;
@@ -109,12 +113,17 @@
   return k;
 }
 
-static void begin(Net *n, int i, OnceKey k, bool repeat) {
+static void begin_for(Net *n, const char *customer, int i, OnceKey k,
+                      bool repeat) {
   n->answered[i] = false;
-  once_begin(n->core[i], n->now, (uint64_t)i + 1, k, 7, true, repeat);
+  once_begin(n->core[i], n->now, (uint64_t)i + 1, customer, k, 7, true, repeat);
   deliver_all(n);
 }
 
+static void begin(Net *n, int i, OnceKey k, bool repeat) {
+  begin_for(n, "c", i, k, repeat);
+}
+
 /* Starts a request at instance `i` whose keeper of rank 0 is instance `keeper`.
  */
 static Net *start_run(int i, int keeper, OnceKey *k) {
@@ -213,16 +222,20 @@
 
 /* == memory of records == */
 
-/* Runs a request at instance 1 to its end, with an answer of `len` bytes. */
-static void run_to_end(Net *n, OnceKey k, const char *body, size_t len) {
+/* Ends the run at instance 1, with an answer of `len` bytes. */
+static void finish(Net *n, const char *body, size_t len) {
   OnceBill bill = {.customer = "c", .budget = "c/*", .tokens = 5};
   OnceAnswer answer = {.status = 200, .body = (char *)body, .len = len};
-  begin(n, 1, k, true);
-  cr_assert_eq(n->verdict[1], ONCE_RUN);
   once_finish(n->core[1], n->now, 2, &bill, &answer);
   deliver_all(n);
 }
 
+static void run_to_end(Net *n, OnceKey k, const char *body, size_t len) {
+  begin(n, 1, k, true);
+  cr_assert_eq(n->verdict[1], ONCE_RUN);
+  finish(n, body, len);
+}
+
 static OnceKey numbered_key(int i) {
   char text[32];
   snprintf(text, sizeof text, "other-%d", i);
@@ -276,6 +289,31 @@
   net_free(n);
 }
 
+/* Guards against bills that take any amount of memory while the store is away,
+   and against a customer whose bills leave no memory to those of others. */
+Test(once, beyond_the_limit_of_bills_no_request_begins_to_run) {
+  Net *n = net_new();
+  int ran = 0;
+  for (int i = 0; i < INSTANCE_COUNT; i++)
+    once_set_bill_limit(n->core[i], 16000);
+  for (begin(n, 1, numbered_key(0), true);
+       n->verdict[1] == ONCE_RUN && ran < 1000;
+       begin(n, 1, numbered_key(++ran), true))
+    finish(n, "x", 1);
+  cr_assert_eq(n->verdict[1], ONCE_NO_BILL);
+  cr_assert(ran >= 20 && ran <= 100, "%d", ran);
+  begin(n, 1, numbered_key(0), true);
+  cr_assert_eq(n->verdict[1], ONCE_REPLAY);
+  begin_for(n, "other", 1, numbered_key(ran), true);
+  cr_assert_eq(n->verdict[1], ONCE_RUN);
+  once_abort(n->core[1], n->now, 2);
+  deliver_all(n);
+  n->store_works = true;
+  advance(n, 60);
+  run_to_end(n, numbered_key(ran), "x", 1);
+  net_free(n);
+}
+
 /* == encoding of bills == */
 
 typedef struct Collected {
